--- /dev/null
+++ b/crates/core/src/policy/router.rs
@@ -0,0 +1,317 @@
+//! The gateway's choice of a target.
+//!
+//! A request goes where it is expected to start soonest: a target that has its adapter, even behind a queue, or
+//! another one at the cost of a load. Among targets without the adapter, rendezvous hashing names a home, so that
+//! gateways that know nothing of each other send the first requests for an idle adapter to the same place.
+
+use crate::{
+    ids::{AdapterVersion, AvailabilityZone, PriorityClass, TargetName},
+    policy::{PolicyWeights, TargetDigest},
+};
+use siphasher::sip::SipHasher13;
+use std::{
+    collections::HashMap,
+    hash::{Hash, Hasher},
+};
+
+/// Wait beyond the best one, in seconds, up to which an idle adapter's home is kept.
+const HOME_TOLERANCE_S: f64 = 0.5;
+/// Targets of the rendezvous order that are looked at for an idle adapter.
+const HOMES: usize = 3;
+/// Expected time of a load, in seconds.
+const LOAD_S: f64 = 0.35;
+
+/// A target as a gateway sees it.
+#[derive(Clone, Debug)]
+struct RoutedTarget {
+    name: TargetName,
+    zone: AvailabilityZone,
+    hash: u64,
+    reachable: bool,
+    digest: TargetDigest,
+    /// Output tokens sent there since the last digest, by class.
+    sent_tokens: [u64; 3],
+    sent: u32,
+}
+
+impl RoutedTarget {
+    /// Seconds until a new request of a class would get a seat.
+    fn wait_s(&self, class: PriorityClass) -> f64 {
+        let digest = &self.digest;
+        let speed = digest.tokens_per_second.max(1.0);
+        let waiting: u64 = (0..=class.index()).map(|index| digest.waiting_tokens[index] + self.sent_tokens[index]).sum();
+        let occupied = f64::from(digest.running + self.sent) / f64::from(digest.seats.max(1));
+        // A seat is likely free below a full batch; the load still slows every step a little.
+        let seat = if occupied >= 1.0 { waiting as f64 / speed } else { 0.0 };
+        seat + occupied * 0.05
+    }
+
+    fn usable(&self) -> bool {
+        self.reachable && self.digest.open
+    }
+}
+
+/// What the choice depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The adapter and version.
+    pub model: &'a AdapterVersion,
+    /// The class.
+    pub class: PriorityClass,
+    /// Output tokens that it may generate.
+    pub output_tokens: u32,
+    /// The gateway's zone.
+    pub zone: &'a AvailabilityZone,
+}
+
+/// The chosen target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteChoice {
+    /// The target.
+    pub target: TargetName,
+    /// Whether it has the adapter or loads it already.
+    pub resident: bool,
+    /// Expected time until the request starts, in seconds.
+    pub expected_s: f64,
+}
+
+/// A gateway's view of the targets of one kind.
+#[derive(Clone, Debug, Default)]
+pub struct TargetRouter {
+    targets: Vec<RoutedTarget>,
+    by_name: HashMap<TargetName, usize>,
+    by_model: HashMap<AdapterVersion, Vec<usize>>,
+    /// Adapters sent to a target that does not have them yet, until its digest says more.
+    promised: HashMap<AdapterVersion, usize>,
+}
+
+impl TargetRouter {
+    /// Adds a target, or takes its new digest in.
+    pub fn observe(&mut self, zone: &AvailabilityZone, digest: &TargetDigest) {
+        let index = match self.by_name.get(&digest.target) {
+            Some(index) => *index,
+            None => self.add_target(zone, digest),
+        };
+        if let Some(residents) = &digest.residents {
+            self.replace_residents(index, digest.residents_revision, residents);
+        }
+        let routed = &mut self.targets[index];
+        let residents = routed.digest.residents.take();
+        let revision = routed.digest.residents_revision;
+        routed.digest = TargetDigest {
+            residents,
+            residents_revision: revision,
+            ..digest.clone()
+        };
+        routed.sent_tokens = [0; 3];
+        routed.sent = 0;
+        routed.reachable = true;
+    }
+
+    fn add_target(&mut self, zone: &AvailabilityZone, digest: &TargetDigest) -> usize {
+        let index = self.targets.len();
+        let mut hasher = SipHasher13::new();
+        digest.target.hash(&mut hasher);
+        self.targets.push(RoutedTarget {
+            name: digest.target.clone(),
+            zone: zone.clone(),
+            hash: hasher.finish(),
+            reachable: true,
+            digest: TargetDigest {
+                residents: Some(Vec::new()),
+                residents_revision: 0,
+                ..digest.clone()
+            },
+            sent_tokens: [0; 3],
+            sent: 0,
+        });
+        self.by_name.insert(digest.target.clone(), index);
+        index
+    }
+
+    fn replace_residents(&mut self, index: usize, revision: u64, residents: &[super::ResidentDigest]) {
+        let old = self.targets[index].digest.residents.take().unwrap_or_default();
+        for resident in &old {
+            if let Some(indices) = self.by_model.get_mut(&resident.model) {
+                indices.retain(|known| *known != index);
+                if indices.is_empty() {
+                    self.by_model.remove(&resident.model);
+                }
+            }
+        }
+        for resident in residents {
+            self.by_model.entry(resident.model.clone()).or_default().push(index);
+            if self.promised.get(&resident.model) == Some(&index) {
+                self.promised.remove(&resident.model);
+            }
+        }
+        let digest = &mut self.targets[index].digest;
+        digest.residents = Some(residents.to_vec());
+        digest.residents_revision = revision;
+    }
+
+    /// Revision of residents that is known of a target; zero if none.
+    #[must_use]
+    pub fn known_revision(&self, target: &str) -> u64 {
+        self.by_name.get(target).map_or(0, |index| self.targets[*index].digest.residents_revision)
+    }
+
+    /// Marks a target as reachable or not.
+    pub fn set_reachable(&mut self, target: &str, reachable: bool) {
+        if let Some(index) = self.by_name.get(target) {
+            let routed = &mut self.targets[*index];
+            routed.reachable = reachable;
+            if !reachable {
+                let index = *index;
+                self.promised.retain(|_, promised| *promised != index);
+            }
+        }
+    }
+
+    /// Closes a target for new work at once, before its holder says so.
+    pub fn close(&mut self, target: &str) {
+        if let Some(index) = self.by_name.get(target) {
+            self.targets[*index].digest.open = false;
+        }
+    }
+
+    /// Whether an adapter is on some usable target.
+    #[must_use]
+    pub fn is_resident(&self, model: &AdapterVersion) -> bool {
+        let indices = self.by_model.get(model).map(Vec::as_slice).unwrap_or_default();
+        indices.iter().any(|index| self.targets[*index].usable())
+    }
+
+    /// Whether a target is the home of an idle adapter.
+    #[must_use]
+    pub fn is_home(&self, model: &AdapterVersion, target: &str) -> bool {
+        let usable = self.targets.iter().filter(|routed| routed.usable());
+        let home = usable.max_by_key(|routed| home_score(routed, model_hash(model)));
+        home.is_some_and(|routed| routed.name.as_str() == target)
+    }
+
+    /// Number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Chooses the target of an engine request and counts it as sent there.
+    pub fn choose(&mut self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<RouteChoice> {
+        let resident = self.best_resident(query, weights);
+        let home = self.best_home(query, weights);
+        let (index, expected_s, is_resident) = match (resident, home) {
+            (Some((index, wait)), Some((_, elsewhere))) if wait <= elsewhere => (index, wait, true),
+            (Some((index, wait)), None) => (index, wait, true),
+            (_, Some((index, wait))) => (index, wait, false),
+            (None, None) => return None,
+        };
+        if !is_resident {
+            self.promised.insert(query.model.clone(), index);
+        }
+        self.count_sent(index, query);
+        Some(RouteChoice {
+            target: self.targets[index].name.clone(),
+            resident: is_resident,
+            expected_s,
+        })
+    }
+
+    /// Chooses the target of a plain service's call: the least loaded, in the own zone if equal.
+    pub fn choose_service(&mut self, query: &RouteQuery<'_>, weights: &PolicyWeights, is_member: impl Fn(&TargetName) -> bool) -> Option<RouteChoice> {
+        let members = self.targets.iter().enumerate().filter(|(_, routed)| routed.usable() && is_member(&routed.name));
+        let costs = members.map(|(index, routed)| (index, routed.wait_s(query.class) + zone_cost(routed, query, weights)));
+        let (index, expected_s) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        self.count_sent(index, query);
+        Some(RouteChoice {
+            target: self.targets[index].name.clone(),
+            resident: true,
+            expected_s,
+        })
+    }
+
+    fn best_resident(&self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<(usize, f64)> {
+        let indices = self.by_model.get(query.model).map(Vec::as_slice).unwrap_or_default();
+        let promised = self.promised.get(query.model);
+        let candidates = indices.iter().chain(promised).filter(|index| self.targets[**index].usable());
+        let costs = candidates.map(|index| {
+            let routed = &self.targets[*index];
+            let mut cost = routed.wait_s(query.class) + zone_cost(routed, query, weights);
+            if query.class == PriorityClass::Batch {
+                // Batch work prefers the fuller target, so that others can run empty.
+                let occupied = f64::from(routed.digest.running + routed.sent) / f64::from(routed.digest.seats.max(1));
+                cost -= weights.packing_s * occupied.min(1.0);
+            }
+            (*index, cost)
+        });
+        costs.min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+
+    fn best_home(&self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<(usize, f64)> {
+        let hash = model_hash(query.model);
+        let mut homes: [Option<(u64, usize)>; HOMES] = [None; HOMES];
+        let mut shortest = f64::INFINITY;
+        for (index, routed) in self.targets.iter().enumerate() {
+            if !routed.usable() {
+                continue;
+            }
+            shortest = shortest.min(routed.wait_s(query.class));
+            insert_home(&mut homes, (home_score(routed, hash), index));
+        }
+        let patience = match query.class {
+            PriorityClass::Batch => weights.packing_s,
+            _ => 0.0,
+        };
+        let homes = homes.into_iter().flatten().map(|(_, index)| {
+            let routed = &self.targets[index];
+            (index, routed.wait_s(query.class) + zone_cost(routed, query, weights))
+        });
+        let homes: Vec<_> = homes.collect();
+        let near = homes.iter().find(|(_, wait)| *wait <= shortest + HOME_TOLERANCE_S + patience);
+        let chosen = near.or_else(|| homes.iter().min_by(|(_, a), (_, b)| a.total_cmp(b)))?;
+        Some((chosen.0, chosen.1 + LOAD_S + weights.load_penalty_s))
+    }
+
+    fn count_sent(&mut self, index: usize, query: &RouteQuery<'_>) {
+        let routed = &mut self.targets[index];
+        routed.sent += 1;
+        routed.sent_tokens[query.class.index()] += u64::from(query.output_tokens);
+    }
+}
+
+fn insert_home(homes: &mut [Option<(u64, usize)>; HOMES], mut candidate: (u64, usize)) {
+    for slot in homes {
+        match slot {
+            None => {
+                *slot = Some(candidate);
+                return;
+            }
+            Some(held) if candidate.0 > held.0 => std::mem::swap(held, &mut candidate),
+            Some(_) => {}
+        }
+    }
+}
+
+fn zone_cost(routed: &RoutedTarget, query: &RouteQuery<'_>, weights: &PolicyWeights) -> f64 {
+    if routed.zone == *query.zone { 0.0 } else { weights.zone_cost_s }
+}
+
+fn model_hash(model: &AdapterVersion) -> u64 {
+    let mut hasher = SipHasher13::new();
+    model.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Mixes two hashes; cheap enough for every target at every decision.
+fn home_score(routed: &RoutedTarget, model: u64) -> u64 {
+    let mut mixed = routed.hash ^ model;
+    mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed ^ (mixed >> 32)
+}
