--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,170 @@
+//! Arguments of the tool.
+
+use gumdrop::{Options, ParsingStyle};
+
+/// How answers are shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// Tables, for people.
+    Table,
+    /// JSON, for scripts.
+    Json,
+}
+
+/// Arguments of `hoplanding`.
+#[derive(Debug, Default, Options)]
+pub struct CliArgs {
+    /// Prints the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Address of a daemon.
+    #[options(
+        help = "URL of any daemon (default: $HOPLANDING_URL, or http://127.0.0.1:7400)",
+        meta = "URL"
+    )]
+    pub url: Option<String>,
+    /// Token of the operator.
+    #[options(
+        help = "token of the operator (default: $HOPLANDING_TOKEN)",
+        meta = "TOKEN"
+    )]
+    pub token: Option<String>,
+    /// Shows JSON.
+    #[options(help = "show JSON in place of tables")]
+    pub json: bool,
+    /// Prints the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// The subcommand.
+    #[options(command)]
+    pub command: Option<CliCommand>,
+}
+
+/// Subcommands for what is typed most.
+#[derive(Debug, Options)]
+pub enum CliCommand {
+    /// Sends a statement.
+    #[options(help = "send a statement: do 'TEXT'")]
+    Do(StatementArgs),
+    /// Shows a table.
+    #[options(help = "show a table: show TABLE [where ...] [order by ...] [limit N]")]
+    Show(StatementArgs),
+    /// Explains an adapter or a request.
+    #[options(help = "explain adapter NAME, or explain request ID")]
+    Explain(StatementArgs),
+    /// Drains a target.
+    #[options(help = "drain a target: drain NAME")]
+    Drain(StatementArgs),
+    /// Undrains a target.
+    #[options(help = "give a drained target work again: undrain NAME")]
+    Undrain(StatementArgs),
+}
+
+/// Words of a statement.
+#[derive(Debug, Options)]
+pub struct StatementArgs {
+    /// Prints the help.
+    #[options(help = "print this help; docs/LANGUAGE.md has every statement")]
+    pub help: bool,
+    /// The words.
+    #[options(free, help = "the rest of the statement")]
+    pub words: Vec<String>,
+}
+
+impl CliCommand {
+    /// The statement that the subcommand stands for.
+    #[must_use]
+    pub fn statement(&self) -> String {
+        let (prefix, args) = match self {
+            Self::Do(args) => ("", args),
+            Self::Show(args) => ("show ", args),
+            Self::Explain(args) => ("explain ", args),
+            Self::Drain(args) => ("drain target ", args),
+            Self::Undrain(args) => ("undrain target ", args),
+        };
+        format!("{prefix}{}", args.words.join(" "))
+    }
+}
+
+/// Subcommands; any other first word begins a statement.
+const COMMANDS: [&str; 5] = ["do", "show", "explain", "drain", "undrain"];
+/// Options that take a value.
+const WITH_VALUE: [&str; 4] = ["-u", "--url", "-t", "--token"];
+
+impl CliArgs {
+    /// Parses the process's arguments; `hoplanding 'TEXT'` stands for `hoplanding do 'TEXT'`.
+    ///
+    /// # Errors
+    /// Says what is wrong with them.
+    pub fn parse(words: &[String]) -> Result<Self, String> {
+        let words = with_command(words);
+        let args = Self::parse_args(&words, ParsingStyle::StopAtFirstFree);
+        args.map_err(|error| format!("{error}: see hoplanding --help"))
+    }
+
+    /// The help that was asked for.
+    #[must_use]
+    pub fn help_text(&self) -> Option<String> {
+        match &self.command {
+            Some(command) if self.help || command.help_requested() => {
+                Some(command.self_usage().to_owned())
+            }
+            None if self.help => Some(format!(
+                "Usage: hoplanding [OPTIONS] ['STATEMENT' | COMMAND WORDS...]\n\n{}\n\nCommands:\n{}\n\n\
+                 Without a statement a prompt opens. docs/LANGUAGE.md has every statement.",
+                Self::usage(),
+                Self::command_list().unwrap_or_default()
+            )),
+            _ => None,
+        }
+    }
+
+    /// URL of the daemon.
+    #[must_use]
+    pub fn daemon_url(&self) -> String {
+        let url = self
+            .url
+            .clone()
+            .or_else(|| std::env::var("HOPLANDING_URL").ok());
+        url.unwrap_or_else(|| "http://127.0.0.1:7400".to_owned())
+    }
+
+    /// Token of the operator.
+    #[must_use]
+    pub fn operator_token(&self) -> String {
+        let token = self
+            .token
+            .clone()
+            .or_else(|| std::env::var("HOPLANDING_TOKEN").ok());
+        token.unwrap_or_default()
+    }
+}
+
+/// Puts `do` before a statement that is given without a subcommand.
+fn with_command(words: &[String]) -> Vec<String> {
+    let mut index = 0;
+    while let Some(word) = words.get(index) {
+        if !word.starts_with('-') {
+            break;
+        }
+        index += if WITH_VALUE.contains(&word.as_str()) {
+            2
+        } else {
+            1
+        };
+    }
+    let mut words = words.to_vec();
+    if let Some(position) = words.iter().position(|word| word == "--json") {
+        // It may stand behind the statement too.
+        let json = words.remove(position);
+        words.insert(0, json);
+        index += usize::from(position >= index);
+    }
+    if words
+        .get(index)
+        .is_some_and(|first| !COMMANDS.contains(&first.as_str()))
+    {
+        words.insert(index, "do".to_owned());
+    }
+    words
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,68 @@
+//! The operators' tool: sends statements to any daemon and shows what it answers.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`args`] | arguments and subcommands |
+//! | [`client`] | the daemon's operators' interface |
+//! | [`show`] | tables and JSON for people and scripts |
+//! | [`prompt`] | the prompt that `hoplanding` alone opens |
+
+pub mod args;
+pub mod client;
+pub mod prompt;
+pub mod show;
+
+pub use args::CliArgs;
+
+use crate::{
+    args::OutputFormat,
+    client::{DaemonClient, StatementError},
+};
+use std::process::ExitCode;
+
+/// Runs the tool. Exit codes: 0 done, 1 refused, 2 wrong use, 3 daemon out of reach, 4 outcome unknown.
+pub async fn run(args: CliArgs) -> ExitCode {
+    if args.version {
+        println!("hoplanding {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    if let Some(help) = args.help_text() {
+        println!("{help}");
+        return ExitCode::SUCCESS;
+    }
+    let format = if args.json {
+        OutputFormat::Json
+    } else {
+        OutputFormat::Table
+    };
+    let client = DaemonClient::new(&args.daemon_url(), &args.operator_token());
+    match &args.command {
+        Some(command) => run_statement(&client, &command.statement(), format).await,
+        None => prompt::run(&client, format).await,
+    }
+}
+
+/// Sends one statement and shows the answer.
+pub async fn run_statement(client: &DaemonClient, text: &str, format: OutputFormat) -> ExitCode {
+    match client.send(text).await {
+        Ok(answer) => {
+            show::print_answer(&answer, format);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            show::print_error(&error, format);
+            ExitCode::from(exit_code(&error))
+        }
+    }
+}
+
+fn exit_code(error: &StatementError) -> u8 {
+    match error {
+        StatementError::Unreachable { .. } => 3,
+        StatementError::Refused { code, .. } => match code.as_str() {
+            "parse" | "query" => 2,
+            "outcome_unknown" => 4,
+            _ => 1,
+        },
+    }
+}
--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -5,9 +5,9 @@
 
 use crate::{
     config::{
-        AdapterConfig, AuditEntry, AuditOutcome, CallerConfig, CallerQuota, ChangeConflict, ConfigChange, ConfigState,
-        FoldOutcome, ObjectRef, OperatorConfig, RequestRule, RightConfig, ServiceRule, TargetConfig, VersionConfig,
-        VersionStatus,
+        AdapterConfig, AuditEntry, AuditOutcome, CallerConfig, CallerQuota, ChangeConflict,
+        ConfigChange, ConfigState, FoldOutcome, ObjectRef, OperatorConfig, RequestRule,
+        RightConfig, ServiceRule, TargetConfig, VersionConfig, VersionStatus,
         state::{AUDIT_ENTRIES, REMEMBERED_CHANGES, RememberedChange},
     },
     ids::{AdapterName, LogOffset, VersionName},
@@ -44,7 +44,11 @@
         outcome
     }
 
-    fn apply_parts(&mut self, offset: LogOffset, record: &ChangeRecord) -> Result<(), ChangeConflict> {
+    fn apply_parts(
+        &mut self,
+        offset: LogOffset,
+        record: &ChangeRecord,
+    ) -> Result<(), ChangeConflict> {
         let mut saved = Vec::new();
         // Parts of one change may build on each other: only the first touch of an object compares revisions.
         let mut touched = BTreeSet::new();
@@ -55,7 +59,11 @@
             } else {
                 self.check_revision(&object, part.based_on)
             };
-            let undo = (object.clone(), self.save(&object), self.removed.get(&object.to_string()).copied());
+            let undo = (
+                object.clone(),
+                self.save(&object),
+                self.removed.get(&object.to_string()).copied(),
+            );
             if let Err(conflict) = check.and_then(|()| self.apply_one(offset, &part.change)) {
                 self.restore(saved);
                 return Err(conflict);
@@ -66,7 +74,11 @@
         Ok(())
     }
 
-    fn check_revision(&self, object: &ObjectRef, based_on: LogOffset) -> Result<(), ChangeConflict> {
+    fn check_revision(
+        &self,
+        object: &ObjectRef,
+        based_on: LogOffset,
+    ) -> Result<(), ChangeConflict> {
         let current = self.revision(object);
         if current == based_on {
             return Ok(());
@@ -84,28 +96,49 @@
         })
     }
 
-    fn apply_one(&mut self, offset: LogOffset, change: &ConfigChange) -> Result<(), ChangeConflict> {
+    fn apply_one(
+        &mut self,
+        offset: LogOffset,
+        change: &ConfigChange,
+    ) -> Result<(), ChangeConflict> {
         match change {
             ConfigChange::CreateAdapter { adapter } => self.create_adapter(offset, adapter),
-            ConfigChange::PublishVersion { adapter, version } => self.publish(offset, adapter, version),
-            ConfigChange::MakeCurrent { adapter, version } => self.make_current(offset, adapter, version),
-            ConfigChange::RetireVersion { adapter, version } => self.retire(offset, adapter, version),
-            ConfigChange::RetireAdapter { adapter } => self.edit_adapter(offset, adapter, |config| {
-                config.current = None;
-                for version in &mut config.versions {
-                    version.status = VersionStatus::Retired;
-                }
-                Ok(())
-            }),
-            ConfigChange::MarkAdapter { adapter, rule } => self.edit_adapter(offset, adapter, |config| {
-                config.rule = *rule;
-                Ok(())
-            }),
-            ConfigChange::KeepReady { adapter, ready } => self.edit_adapter(offset, adapter, |config| {
-                config.ready = *ready;
-                Ok(())
-            }),
-            ConfigChange::MarkService { service, method, path, rule } => {
+            ConfigChange::PublishVersion { adapter, version } => {
+                self.publish(offset, adapter, version)
+            }
+            ConfigChange::MakeCurrent { adapter, version } => {
+                self.make_current(offset, adapter, version)
+            }
+            ConfigChange::RetireVersion { adapter, version } => {
+                self.retire(offset, adapter, version)
+            }
+            ConfigChange::RetireAdapter { adapter } => {
+                self.edit_adapter(offset, adapter, |config| {
+                    config.current = None;
+                    for version in &mut config.versions {
+                        version.status = VersionStatus::Retired;
+                    }
+                    Ok(())
+                })
+            }
+            ConfigChange::MarkAdapter { adapter, rule } => {
+                self.edit_adapter(offset, adapter, |config| {
+                    config.rule = *rule;
+                    Ok(())
+                })
+            }
+            ConfigChange::KeepReady { adapter, ready } => {
+                self.edit_adapter(offset, adapter, |config| {
+                    config.ready = *ready;
+                    Ok(())
+                })
+            }
+            ConfigChange::MarkService {
+                service,
+                method,
+                path,
+                rule,
+            } => {
                 self.service_rules.retain(|old| {
                     !(old.service == *service && old.method == *method && old.path == *path)
                 });
@@ -123,7 +156,10 @@
                 Ok(())
             }
             ConfigChange::CreateCaller { caller, token_hash } => {
-                let quota = self.callers.get(caller).map_or_else(CallerQuota::default, |old| old.quota);
+                let quota = self
+                    .callers
+                    .get(caller)
+                    .map_or_else(CallerQuota::default, |old| old.quota);
                 let config = CallerConfig {
                     revision: offset,
                     token_hash: token_hash.clone(),
@@ -133,16 +169,24 @@
                 Ok(())
             }
             ConfigChange::SetQuota { caller, quota } => match self.callers.get_mut(caller) {
-                None => Err(ChangeConflict::Missing { object: change.object() }),
+                None => Err(ChangeConflict::Missing {
+                    object: change.object(),
+                }),
                 Some(config) => {
                     config.quota = *quota;
                     config.revision = offset;
                     Ok(())
                 }
             },
-            ConfigChange::Allow { caller, pattern, priority } => {
+            ConfigChange::Allow {
+                caller,
+                pattern,
+                priority,
+            } => {
                 if !self.callers.contains_key(caller) {
-                    return Err(ChangeConflict::Missing { object: ObjectRef::Caller(caller.clone()) });
+                    return Err(ChangeConflict::Missing {
+                        object: ObjectRef::Caller(caller.clone()),
+                    });
                 }
                 let rights = self.rights.entry(caller.clone()).or_default();
                 rights.retain(|right| right.pattern != *pattern);
@@ -157,7 +201,9 @@
             }
             ConfigChange::Revoke { caller, pattern } => {
                 if self.find_right(caller, pattern).is_none() {
-                    return Err(ChangeConflict::Missing { object: change.object() });
+                    return Err(ChangeConflict::Missing {
+                        object: change.object(),
+                    });
                 }
                 if let Some(rights) = self.rights.get_mut(caller) {
                     rights.retain(|right| right.pattern != *pattern);
@@ -165,9 +211,17 @@
                 self.removed.insert(change.object().to_string(), offset);
                 Ok(())
             }
-            ConfigChange::CreateTarget { target, zone, address, role, checks_fencing } => {
+            ConfigChange::CreateTarget {
+                target,
+                zone,
+                address,
+                role,
+                checks_fencing,
+            } => {
                 if self.targets.contains_key(target) {
-                    return Err(ChangeConflict::Exists { object: change.object() });
+                    return Err(ChangeConflict::Exists {
+                        object: change.object(),
+                    });
                 }
                 let config = TargetConfig {
                     revision: offset,
@@ -182,13 +236,17 @@
             }
             ConfigChange::RemoveTarget { target } => {
                 if self.targets.remove(target).is_none() {
-                    return Err(ChangeConflict::Missing { object: change.object() });
+                    return Err(ChangeConflict::Missing {
+                        object: change.object(),
+                    });
                 }
                 self.removed.insert(change.object().to_string(), offset);
                 Ok(())
             }
             ConfigChange::SetDraining { target, draining } => match self.targets.get_mut(target) {
-                None => Err(ChangeConflict::Missing { object: change.object() }),
+                None => Err(ChangeConflict::Missing {
+                    object: change.object(),
+                }),
                 Some(config) => {
                     config.draining = *draining;
                     config.revision = offset;
@@ -197,12 +255,19 @@
             },
             ConfigChange::SetWeight { weight, value } => {
                 if !PolicyWeights::default().set(weight, *value) {
-                    return Err(ChangeConflict::Weight { weight: weight.clone(), value: *value });
+                    return Err(ChangeConflict::Weight {
+                        weight: weight.clone(),
+                        value: *value,
+                    });
                 }
                 self.weights.insert(weight.clone(), (*value, offset));
                 Ok(())
             }
-            ConfigChange::CreateOperator { operator, token_hash, role } => {
+            ConfigChange::CreateOperator {
+                operator,
+                token_hash,
+                role,
+            } => {
                 let config = OperatorConfig {
                     revision: offset,
                     token_hash: token_hash.clone(),
@@ -214,7 +279,11 @@
         }
     }
 
-    fn create_adapter(&mut self, offset: LogOffset, adapter: &AdapterName) -> Result<(), ChangeConflict> {
+    fn create_adapter(
+        &mut self,
+        offset: LogOffset,
+        adapter: &AdapterName,
+    ) -> Result<(), ChangeConflict> {
         if self.adapters.contains_key(adapter) {
             return Err(ChangeConflict::Exists {
                 object: ObjectRef::Adapter(adapter.clone()),
@@ -228,7 +297,12 @@
         Ok(())
     }
 
-    fn publish(&mut self, offset: LogOffset, adapter: &AdapterName, version: &VersionName) -> Result<(), ChangeConflict> {
+    fn publish(
+        &mut self,
+        offset: LogOffset,
+        adapter: &AdapterName,
+        version: &VersionName,
+    ) -> Result<(), ChangeConflict> {
         self.edit_adapter(offset, adapter, |config| {
             if config.version(version.as_str()).is_some() {
                 return Err(ChangeConflict::VersionExists {
@@ -245,24 +319,38 @@
         })
     }
 
-    fn make_current(&mut self, offset: LogOffset, adapter: &AdapterName, version: &VersionName) -> Result<(), ChangeConflict> {
-        self.edit_adapter(offset, adapter, |config| match config.version(version.as_str()) {
-            None => Err(ChangeConflict::VersionMissing {
-                adapter: adapter.clone(),
-                version: version.clone(),
-            }),
-            Some(found) if found.status == VersionStatus::Retired => Err(ChangeConflict::VersionRetired {
-                adapter: adapter.clone(),
-                version: version.clone(),
-            }),
-            Some(_) => {
-                config.current = Some(version.clone());
-                Ok(())
+    fn make_current(
+        &mut self,
+        offset: LogOffset,
+        adapter: &AdapterName,
+        version: &VersionName,
+    ) -> Result<(), ChangeConflict> {
+        self.edit_adapter(offset, adapter, |config| {
+            match config.version(version.as_str()) {
+                None => Err(ChangeConflict::VersionMissing {
+                    adapter: adapter.clone(),
+                    version: version.clone(),
+                }),
+                Some(found) if found.status == VersionStatus::Retired => {
+                    Err(ChangeConflict::VersionRetired {
+                        adapter: adapter.clone(),
+                        version: version.clone(),
+                    })
+                }
+                Some(_) => {
+                    config.current = Some(version.clone());
+                    Ok(())
+                }
             }
         })
     }
 
-    fn retire(&mut self, offset: LogOffset, adapter: &AdapterName, version: &VersionName) -> Result<(), ChangeConflict> {
+    fn retire(
+        &mut self,
+        offset: LogOffset,
+        adapter: &AdapterName,
+        version: &VersionName,
+    ) -> Result<(), ChangeConflict> {
         self.edit_adapter(offset, adapter, |config| {
             if config.current.as_ref() == Some(version) {
                 return Err(ChangeConflict::VersionCurrent {
@@ -304,7 +392,9 @@
         match object {
             ObjectRef::Adapter(name) => SavedObject::Adapter(self.adapters.get(name).cloned()),
             ObjectRef::Caller(name) => SavedObject::Caller(self.callers.get(name).cloned()),
-            ObjectRef::Right(caller, pattern) => SavedObject::Right(self.find_right(caller, pattern).cloned()),
+            ObjectRef::Right(caller, pattern) => {
+                SavedObject::Right(self.find_right(caller, pattern).cloned())
+            }
             ObjectRef::ServiceRule(service, method, path) => {
                 SavedObject::Rule(self.find_rule(service.as_str(), method, path).cloned())
             }
@@ -318,11 +408,21 @@
         for (object, old, removed) in saved.into_iter().rev() {
             put_back(&mut self.removed, object.to_string(), removed);
             match (object, old) {
-                (ObjectRef::Adapter(name), SavedObject::Adapter(old)) => put_back(&mut self.adapters, name, old),
-                (ObjectRef::Caller(name), SavedObject::Caller(old)) => put_back(&mut self.callers, name, old),
-                (ObjectRef::Target(name), SavedObject::Target(old)) => put_back(&mut self.targets, name, old),
-                (ObjectRef::Weight(name), SavedObject::Weight(old)) => put_back(&mut self.weights, name, old),
-                (ObjectRef::Operator(name), SavedObject::Operator(old)) => put_back(&mut self.operators, name, old),
+                (ObjectRef::Adapter(name), SavedObject::Adapter(old)) => {
+                    put_back(&mut self.adapters, name, old)
+                }
+                (ObjectRef::Caller(name), SavedObject::Caller(old)) => {
+                    put_back(&mut self.callers, name, old)
+                }
+                (ObjectRef::Target(name), SavedObject::Target(old)) => {
+                    put_back(&mut self.targets, name, old)
+                }
+                (ObjectRef::Weight(name), SavedObject::Weight(old)) => {
+                    put_back(&mut self.weights, name, old)
+                }
+                (ObjectRef::Operator(name), SavedObject::Operator(old)) => {
+                    put_back(&mut self.operators, name, old)
+                }
                 (ObjectRef::Right(caller, pattern), SavedObject::Right(old)) => {
                     let rights = self.rights.entry(caller).or_default();
                     rights.retain(|right| right.pattern != pattern);
@@ -350,7 +450,13 @@
         }
     }
 
-    fn record_audit(&mut self, offset: LogOffset, record: &ChangeRecord, before: String, outcome: &FoldOutcome) {
+    fn record_audit(
+        &mut self,
+        offset: LogOffset,
+        record: &ChangeRecord,
+        before: String,
+        outcome: &FoldOutcome,
+    ) {
         let outcome = match outcome {
             FoldOutcome::Accepted(_) => AuditOutcome::Accepted,
             FoldOutcome::Refused(_, conflict) => AuditOutcome::Refused(conflict.clone()),
@@ -363,7 +469,12 @@
             via: record.via.clone(),
             at_ms: record.at_ms,
             text: shorten(&record.text),
-            objects: record.parts.iter().map(|part| part.change.object().to_string()).take(AUDITED_OBJECTS).collect(),
+            objects: record
+                .parts
+                .iter()
+                .map(|part| part.change.object().to_string())
+                .take(AUDITED_OBJECTS)
+                .collect(),
             before,
             after,
             outcome,
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     config::{AdapterPattern, CallerQuota, OperatorRole, ReadyAdapter, RequestRule, TargetRole},
-    ids::{AdapterName, AvailabilityZone, CallerName, LogOffset, OperatorName, PriorityClass, ServiceName, TargetName, TokenHash, VersionName},
+    ids::{
+        AdapterName, AvailabilityZone, CallerName, LogOffset, OperatorName, PriorityClass,
+        ServiceName, TargetName, TokenHash, VersionName,
+    },
 };
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -14,29 +17,68 @@
     /// Declares an adapter.
     CreateAdapter { adapter: AdapterName },
     /// Publishes a version; the first one becomes current.
-    PublishVersion { adapter: AdapterName, version: VersionName },
+    PublishVersion {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// Makes a published version the current one.
-    MakeCurrent { adapter: AdapterName, version: VersionName },
+    MakeCurrent {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// Retires a version that is not current.
-    RetireVersion { adapter: AdapterName, version: VersionName },
+    RetireVersion {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// Retires an adapter with all its versions.
     RetireAdapter { adapter: AdapterName },
     /// Says whether requests to an adapter may be repeated.
-    MarkAdapter { adapter: AdapterName, rule: RequestRule },
+    MarkAdapter {
+        adapter: AdapterName,
+        rule: RequestRule,
+    },
     /// Says whether an adapter is kept loaded.
-    KeepReady { adapter: AdapterName, ready: ReadyAdapter },
+    KeepReady {
+        adapter: AdapterName,
+        ready: ReadyAdapter,
+    },
     /// Says whether calls of a service may be repeated.
-    MarkService { service: ServiceName, method: String, path: String, rule: RequestRule },
+    MarkService {
+        service: ServiceName,
+        method: String,
+        path: String,
+        rule: RequestRule,
+    },
     /// Declares a caller, or gives it a new token.
-    CreateCaller { caller: CallerName, token_hash: TokenHash },
+    CreateCaller {
+        caller: CallerName,
+        token_hash: TokenHash,
+    },
     /// Bounds a caller's work.
-    SetQuota { caller: CallerName, quota: CallerQuota },
+    SetQuota {
+        caller: CallerName,
+        quota: CallerQuota,
+    },
     /// Gives a caller a right.
-    Allow { caller: CallerName, pattern: AdapterPattern, priority: PriorityClass },
+    Allow {
+        caller: CallerName,
+        pattern: AdapterPattern,
+        priority: PriorityClass,
+    },
     /// Takes a right away.
-    Revoke { caller: CallerName, pattern: AdapterPattern },
+    Revoke {
+        caller: CallerName,
+        pattern: AdapterPattern,
+    },
     /// Declares a target.
-    CreateTarget { target: TargetName, zone: AvailabilityZone, address: String, role: TargetRole, checks_fencing: bool },
+    CreateTarget {
+        target: TargetName,
+        zone: AvailabilityZone,
+        address: String,
+        role: TargetRole,
+        checks_fencing: bool,
+    },
     /// Removes a target.
     RemoveTarget { target: TargetName },
     /// Stops or resumes new work on a target.
@@ -44,7 +86,11 @@
     /// Sets a weight of the policy.
     SetWeight { weight: String, value: f64 },
     /// Declares an operator, or gives one a new token or role.
-    CreateOperator { operator: OperatorName, token_hash: TokenHash, role: OperatorRole },
+    CreateOperator {
+        operator: OperatorName,
+        token_hash: TokenHash,
+        role: OperatorRole,
+    },
 }
 
 /// The object that a change touches; compare-and-set works per object.
@@ -71,7 +117,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Adapter(name) => write!(f, "adapter {name}"),
-            Self::ServiceRule(service, method, path) => write!(f, "rule {method} {path} of service {service}"),
+            Self::ServiceRule(service, method, path) => {
+                write!(f, "rule {method} {path} of service {service}")
+            }
             Self::Caller(name) => write!(f, "caller {name}"),
             Self::Right(caller, pattern) => write!(f, "right of {caller} to {pattern}"),
             Self::Target(name) => write!(f, "target {name}"),
@@ -93,16 +141,22 @@
             | Self::RetireAdapter { adapter }
             | Self::MarkAdapter { adapter, .. }
             | Self::KeepReady { adapter, .. } => ObjectRef::Adapter(adapter.clone()),
-            Self::MarkService { service, method, path, .. } => {
-                ObjectRef::ServiceRule(service.clone(), method.clone(), path.clone())
-            }
-            Self::CreateCaller { caller, .. } | Self::SetQuota { caller, .. } => ObjectRef::Caller(caller.clone()),
-            Self::Allow { caller, pattern, .. } | Self::Revoke { caller, pattern } => {
-                ObjectRef::Right(caller.clone(), pattern.clone())
+            Self::MarkService {
+                service,
+                method,
+                path,
+                ..
+            } => ObjectRef::ServiceRule(service.clone(), method.clone(), path.clone()),
+            Self::CreateCaller { caller, .. } | Self::SetQuota { caller, .. } => {
+                ObjectRef::Caller(caller.clone())
             }
-            Self::CreateTarget { target, .. } | Self::RemoveTarget { target } | Self::SetDraining { target, .. } => {
-                ObjectRef::Target(target.clone())
+            Self::Allow {
+                caller, pattern, ..
             }
+            | Self::Revoke { caller, pattern } => ObjectRef::Right(caller.clone(), pattern.clone()),
+            Self::CreateTarget { target, .. }
+            | Self::RemoveTarget { target }
+            | Self::SetDraining { target, .. } => ObjectRef::Target(target.clone()),
             Self::SetWeight { weight, .. } => ObjectRef::Weight(weight.clone()),
             Self::CreateOperator { operator, .. } => ObjectRef::Operator(operator.clone()),
         }
@@ -126,8 +180,15 @@
 #[serde(rename_all = "snake_case", tag = "conflict")]
 pub enum ChangeConflict {
     /// Another change came first.
-    #[error("{object} was changed at offset {current} by {winner} after you read it at {based_on}: look at `show changes where object = \"{object}\"` and repeat your command if it still applies")]
-    Outdated { object: ObjectRef, based_on: LogOffset, current: LogOffset, winner: String },
+    #[error(
+        "{object} was changed at offset {current} by {winner} after you read it at {based_on}: look at `show changes where object = \"{object}\"` and repeat your command if it still applies"
+    )]
+    Outdated {
+        object: ObjectRef,
+        based_on: LogOffset,
+        current: LogOffset,
+        winner: String,
+    },
     /// The object does not exist.
     #[error("{object} does not exist: create it first")]
     Missing { object: ObjectRef },
@@ -136,16 +197,34 @@
     Exists { object: ObjectRef },
     /// The version does not exist.
     #[error("version {version} of adapter {adapter} is not published: publish it first")]
-    VersionMissing { adapter: AdapterName, version: VersionName },
+    VersionMissing {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// The version exists; versions are immutable.
-    #[error("version {version} of adapter {adapter} is already published and versions are immutable: publish under a new name")]
-    VersionExists { adapter: AdapterName, version: VersionName },
+    #[error(
+        "version {version} of adapter {adapter} is already published and versions are immutable: publish under a new name"
+    )]
+    VersionExists {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// The version is retired.
-    #[error("version {version} of adapter {adapter} is retired: publish its content under a new name")]
-    VersionRetired { adapter: AdapterName, version: VersionName },
+    #[error(
+        "version {version} of adapter {adapter} is retired: publish its content under a new name"
+    )]
+    VersionRetired {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// The version is the current one.
-    #[error("version {version} of adapter {adapter} is the current one: make another version current first")]
-    VersionCurrent { adapter: AdapterName, version: VersionName },
+    #[error(
+        "version {version} of adapter {adapter} is the current one: make another version current first"
+    )]
+    VersionCurrent {
+        adapter: AdapterName,
+        version: VersionName,
+    },
     /// The weight is unknown or its value is out of range.
     #[error("weight {weight} cannot be {value}: `show weights` lists the weights and their ranges")]
     Weight { weight: String, value: f64 },
--- a/crates/core/src/config/objects.rs
+++ b/crates/core/src/config/objects.rs
@@ -1,6 +1,9 @@
 //! The objects that the configuration consists of.
 
-use crate::ids::{AdapterName, AvailabilityZone, CallerName, LogOffset, PriorityClass, ServiceName, TokenHash, VersionName};
+use crate::ids::{
+    AdapterName, AvailabilityZone, CallerName, LogOffset, PriorityClass, ServiceName, TokenHash,
+    VersionName,
+};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -28,7 +31,9 @@
     /// Finds a published version.
     #[must_use]
     pub fn version(&self, name: &str) -> Option<&VersionConfig> {
-        self.versions.iter().find(|version| version.name.as_str() == name)
+        self.versions
+            .iter()
+            .find(|version| version.name.as_str() == name)
     }
 }
 
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     config::{
-        AdapterConfig, AdapterPattern, AuditEntry, CallerConfig, ObjectRef, OperatorConfig, RequestRule, RightConfig,
-        ServiceRule, TargetConfig, VersionStatus,
+        AdapterConfig, AdapterPattern, AuditEntry, CallerConfig, ObjectRef, OperatorConfig,
+        RequestRule, RightConfig, ServiceRule, TargetConfig, VersionStatus,
     },
     ids::{
-        AdapterName, AdapterVersion, CallerName, ChangeId, LogOffset, OperatorName, PriorityClass, TargetName,
-        TokenHash,
+        AdapterName, AdapterVersion, CallerName, ChangeId, LogOffset, OperatorName, PriorityClass,
+        TargetName, TokenHash,
     },
     policy::PolicyWeights,
 };
@@ -79,7 +79,9 @@
     #[error("adapter `{0}` does not exist: `GET /v1/models` lists those you may call")]
     UnknownAdapter(String),
     /// No such version.
-    #[error("version `{1}` of adapter `{0}` is not published: leave the version out for the current one")]
+    #[error(
+        "version `{1}` of adapter `{0}` is not published: leave the version out for the current one"
+    )]
     UnknownVersion(String, String),
     /// The version was retired.
     #[error("version `{1}` of adapter `{0}` is retired: leave the version out for the current one")]
@@ -97,13 +99,17 @@
     #[must_use]
     pub fn caller_by_token(&self, hash: &TokenHash) -> Option<&CallerName> {
         let mut callers = self.callers.iter();
-        callers.find(|(_, caller)| caller.token_hash == *hash).map(|(name, _)| name)
+        callers
+            .find(|(_, caller)| caller.token_hash == *hash)
+            .map(|(name, _)| name)
     }
 
     /// Finds the operator that a bearer token belongs to.
     #[must_use]
     pub fn operator_by_token(&self, hash: &TokenHash) -> Option<(&OperatorName, &OperatorConfig)> {
-        self.operators.iter().find(|(_, operator)| operator.token_hash == *hash)
+        self.operators
+            .iter()
+            .find(|(_, operator)| operator.token_hash == *hash)
     }
 
     /// Finds out which adapter and version a caller's model name means.
@@ -132,7 +138,10 @@
                 .ok_or_else(|| ResolveError::NoCurrentVersion(name.to_owned()))?,
         };
         if version.status == VersionStatus::Retired {
-            return Err(ResolveError::RetiredVersion(name.to_owned(), version.name.to_string()));
+            return Err(ResolveError::RetiredVersion(
+                name.to_owned(),
+                version.name.to_string(),
+            ));
         }
         Ok(ResolvedModel {
             model: AdapterVersion {
@@ -192,27 +201,47 @@
             ObjectRef::Target(name) => self.targets.get(name).map(|target| target.revision),
             ObjectRef::Operator(name) => self.operators.get(name).map(|operator| operator.revision),
             ObjectRef::Weight(name) => self.weights.get(name).map(|(_, revision)| *revision),
-            ObjectRef::ServiceRule(service, method, path) => {
-                self.find_rule(service.as_str(), method, path).map(|rule| rule.revision)
+            ObjectRef::ServiceRule(service, method, path) => self
+                .find_rule(service.as_str(), method, path)
+                .map(|rule| rule.revision),
+            ObjectRef::Right(caller, pattern) => {
+                self.find_right(caller, pattern).map(|right| right.revision)
             }
-            ObjectRef::Right(caller, pattern) => self.find_right(caller, pattern).map(|right| right.revision),
         };
-        present.or_else(|| self.removed.get(&object.to_string()).copied()).unwrap_or_default()
+        present
+            .or_else(|| self.removed.get(&object.to_string()).copied())
+            .unwrap_or_default()
     }
 
     /// Outcome of a change that was folded lately.
     #[must_use]
     pub fn outcome(&self, id: &ChangeId) -> Option<&FoldOutcome> {
         let mut latest = self.remembered.iter().rev();
-        latest.find(|change| change.id == *id).map(|change| &change.outcome)
+        latest
+            .find(|change| change.id == *id)
+            .map(|change| &change.outcome)
     }
 
-    pub(super) fn find_rule(&self, service: &str, method: &str, path: &str) -> Option<&ServiceRule> {
+    pub(super) fn find_rule(
+        &self,
+        service: &str,
+        method: &str,
+        path: &str,
+    ) -> Option<&ServiceRule> {
         let mut rules = self.service_rules.iter();
-        rules.find(|rule| rule.service.as_str() == service && rule.method == method && rule.path == path)
+        rules.find(|rule| {
+            rule.service.as_str() == service && rule.method == method && rule.path == path
+        })
     }
 
-    pub(super) fn find_right(&self, caller: &CallerName, pattern: &AdapterPattern) -> Option<&RightConfig> {
-        self.rights.get(caller)?.iter().find(|right| right.pattern == *pattern)
+    pub(super) fn find_right(
+        &self,
+        caller: &CallerName,
+        pattern: &AdapterPattern,
+    ) -> Option<&RightConfig> {
+        self.rights
+            .get(caller)?
+            .iter()
+            .find(|right| right.pattern == *pattern)
     }
 }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -123,7 +123,9 @@
 }
 
 /// Position of a record in the platform's log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct LogOffset(pub u64);
 
@@ -174,7 +176,9 @@
 }
 
 /// Monotonic time since an origin that the caller chose, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Instant(pub u64);
 
@@ -199,7 +203,9 @@
 }
 
 /// How urgent a request is; the order of the variants is the order of service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 #[serde(rename_all = "lowercase")]
 pub enum PriorityClass {
     /// Somebody is held up until it is answered.
--- a/crates/core/src/language/mod.rs
+++ b/crates/core/src/language/mod.rs
@@ -8,5 +8,8 @@
 mod table;
 
 pub use parse::{ParseError, parse};
-pub use statement::{CommandList, Condition, ConditionOperator, QueryScope, ShowQuery, SortOrder, Statement, TableName};
+pub use statement::{
+    CommandList, Condition, ConditionOperator, QueryScope, ShowQuery, SortOrder, Statement,
+    TableName,
+};
 pub use table::{CellValue, DataTable, QueryError};
--- a/crates/core/src/language/parse.rs
+++ b/crates/core/src/language/parse.rs
@@ -1,10 +1,14 @@
 //! From text to statements.
 
 use crate::{
-    config::{AdapterPattern, CallerQuota, ConfigChange, OperatorRole, ReadyAdapter, RequestRule, TargetRole},
+    config::{
+        AdapterPattern, CallerQuota, ConfigChange, OperatorRole, ReadyAdapter, RequestRule,
+        TargetRole,
+    },
     ids::{AdapterName, PriorityClass, ServiceName, TokenHash},
     language::{
-        CellValue, CommandList, Condition, ConditionOperator, QueryScope, ShowQuery, SortOrder, Statement, TableName,
+        CellValue, CommandList, Condition, ConditionOperator, QueryScope, ShowQuery, SortOrder,
+        Statement, TableName,
     },
     policy::WeightPreset,
 };
@@ -48,8 +52,14 @@
 /// # Errors
 /// Points at the word that does not fit and says what was expected there.
 pub fn parse(text: &str) -> Result<Statement, ParseError> {
-    let mut pairs = StatementParser::parse(Rule::statement, text).map_err(|error| explain(text, &error))?;
-    let statement = pairs.next().expect("a statement has one pair").into_inner().next().expect("a statement has content");
+    let mut pairs =
+        StatementParser::parse(Rule::statement, text).map_err(|error| explain(text, &error))?;
+    let statement = pairs
+        .next()
+        .expect("a statement has one pair")
+        .into_inner()
+        .next()
+        .expect("a statement has content");
     match statement.as_rule() {
         Rule::show => Ok(Statement::Show(show(statement)?)),
         Rule::explain => Ok(explanation(statement)),
@@ -63,7 +73,11 @@
     };
     let shown = text.lines().nth(line - 1).unwrap_or_default();
     let rest: String = shown.chars().skip(column - 1).collect();
-    let word = rest.split_whitespace().next().unwrap_or("end of text").to_owned();
+    let word = rest
+        .split_whitespace()
+        .next()
+        .unwrap_or("end of text")
+        .to_owned();
     let expected = match &error.variant {
         ErrorVariant::ParsingError { positives, .. } => expectations(positives, text),
         ErrorVariant::CustomError { message } => message.clone(),
@@ -73,7 +87,11 @@
         column,
         expected,
         text: shown.to_owned(),
-        marker: format!("{}{}", " ".repeat(column - 1), "^".repeat(word.chars().count())),
+        marker: format!(
+            "{}{}",
+            " ".repeat(column - 1),
+            "^".repeat(word.chars().count())
+        ),
         word,
     }
 }
@@ -81,7 +99,10 @@
 fn expectations(rules: &[Rule], text: &str) -> String {
     let words: BTreeSet<&str> = rules.iter().map(|rule| expected_text(*rule)).collect();
     if words.is_empty() {
-        return format!("another word than in `{}`: see docs/LANGUAGE.md", text.trim());
+        return format!(
+            "another word than in `{}`: see docs/LANGUAGE.md",
+            text.trim()
+        );
     }
     words.into_iter().collect::<Vec<_>>().join(", or ")
 }
@@ -105,7 +126,9 @@
         Rule::name => "a name",
         Rule::version => "a version",
         Rule::class => "a priority (urgent, normal, batch)",
-        Rule::pattern => "`all adapters`, `adapter NAME`, `adapters like PREFIX*` or `service NAME`",
+        Rule::pattern => {
+            "`all adapters`, `adapter NAME`, `adapters like PREFIX*` or `service NAME`"
+        }
         Rule::integer => "a whole number",
         Rule::number => "a number",
         Rule::repeatability => "`repeatable` or `not repeatable`",
@@ -113,10 +136,14 @@
         Rule::fencing => "`checks fencing`",
         Rule::create_adapter => "`create adapter NAME [version VERSION]`",
         Rule::create_caller => "`create caller NAME token SECRET`",
-        Rule::create_target => "`create target NAME zone ZONE address IP:PORT ROLE [checks fencing]`",
+        Rule::create_target => {
+            "`create target NAME zone ZONE address IP:PORT ROLE [checks fencing]`"
+        }
         Rule::create_operator => "`create operator NAME token SECRET role ROLE`",
         Rule::publish => "`publish version VERSION of ADAPTER`",
-        Rule::make_current => "`make current version VERSION of ADAPTER` or `go back to version VERSION of ADAPTER`",
+        Rule::make_current => {
+            "`make current version VERSION of ADAPTER` or `go back to version VERSION of ADAPTER`"
+        }
         Rule::retire_version => "`retire version VERSION of ADAPTER`",
         Rule::retire_adapter => "`retire adapter NAME`",
         Rule::allow => "`allow CALLER on PATTERN [priority CLASS]`",
@@ -152,14 +179,18 @@
     };
     for part in pair.into_inner() {
         match part.as_rule() {
-            Rule::table => query.table = TableName::parse(part.as_str()).expect("the grammar lists the tables"),
+            Rule::table => {
+                query.table = TableName::parse(part.as_str()).expect("the grammar lists the tables")
+            }
             Rule::scope => query.scope = QueryScope::Here,
             Rule::filter => query.filter = part.into_inner().map(condition).collect(),
             Rule::order => {
                 let mut parts = part.into_inner();
                 query.order = Some(SortOrder {
                     column: text_of(&mut parts),
-                    descending: parts.next().is_some_and(|direction| direction.as_str().eq_ignore_ascii_case("desc")),
+                    descending: parts
+                        .next()
+                        .is_some_and(|direction| direction.as_str().eq_ignore_ascii_case("desc")),
                 });
             }
             Rule::limit => query.limit = Some(whole_number(&mut part.into_inner())?),
@@ -181,9 +212,15 @@
         ">=" => ConditionOperator::AtLeast,
         _ => ConditionOperator::Like,
     };
-    let value = parts.next().and_then(|value| value.into_inner().next()).expect("a condition has a value");
+    let value = parts
+        .next()
+        .and_then(|value| value.into_inner().next())
+        .expect("a condition has a value");
     let value = match value.as_rule() {
-        Rule::number => value.as_str().parse().map_or(CellValue::Empty, CellValue::Number),
+        Rule::number => value
+            .as_str()
+            .parse()
+            .map_or(CellValue::Empty, CellValue::Number),
         Rule::string => CellValue::text(value.as_str().trim_matches('"')),
         _ => match value.as_str() {
             "true" => CellValue::Bool(true),
@@ -191,7 +228,11 @@
             text => CellValue::text(text),
         },
     };
-    Condition { column, operator, value }
+    Condition {
+        column,
+        operator,
+        value,
+    }
 }
 
 fn explanation(pair: Pair<'_, Rule>) -> Statement {
@@ -221,7 +262,11 @@
 fn redact(text: &str, pair: Pair<'_, Rule>) -> String {
     let mut redacted = String::with_capacity(text.len());
     let mut copied = 0;
-    for secret in pair.into_inner().flatten().filter(|part| part.as_rule() == Rule::secret) {
+    for secret in pair
+        .into_inner()
+        .flatten()
+        .filter(|part| part.as_rule() == Rule::secret)
+    {
         let span = secret.as_span();
         redacted.push_str(&text[copied..span.start()]);
         redacted.push_str("***");
@@ -257,13 +302,21 @@
     }
 }
 
-fn set_preset(parts: &mut Pairs<'_, Rule>, changes: &mut Vec<ConfigChange>) -> Result<(), ParseError> {
+fn set_preset(
+    parts: &mut Pairs<'_, Rule>,
+    changes: &mut Vec<ConfigChange>,
+) -> Result<(), ParseError> {
     let name = text_of(parts);
     let preset = WeightPreset::parse(&name).ok_or(ParseError::UnknownPreset(name))?;
-    changes.extend(preset.values().iter().map(|(weight, value)| ConfigChange::SetWeight {
-        weight: (*weight).to_owned(),
-        value: *value,
-    }));
+    changes.extend(
+        preset
+            .values()
+            .iter()
+            .map(|(weight, value)| ConfigChange::SetWeight {
+                weight: (*weight).to_owned(),
+                value: *value,
+            }),
+    );
     Ok(())
 }
 
@@ -271,7 +324,10 @@
     let target = text_of(parts).as_str().into();
     let zone = text_of(parts).as_str().into();
     let address = text_of(parts);
-    let role = parts.next().and_then(|role| role.into_inner().next()).expect("a target has a role");
+    let role = parts
+        .next()
+        .and_then(|role| role.into_inner().next())
+        .expect("a target has a role");
     let is_engine = role.as_rule() == Rule::engine_role;
     let mut sizes = role.into_inner();
     let role = if is_engine {
@@ -335,7 +391,9 @@
             version: name.into(),
             adapter: text_of(parts).as_str().into(),
         },
-        Rule::retire_adapter => ConfigChange::RetireAdapter { adapter: name.into() },
+        Rule::retire_adapter => ConfigChange::RetireAdapter {
+            adapter: name.into(),
+        },
         Rule::allow => ConfigChange::Allow {
             caller: name.into(),
             pattern: pattern(parts),
@@ -370,7 +428,9 @@
             target: name.into(),
             draining: false,
         },
-        Rule::remove_target => ConfigChange::RemoveTarget { target: name.into() },
+        Rule::remove_target => ConfigChange::RemoveTarget {
+            target: name.into(),
+        },
         Rule::keep => ConfigChange::KeepReady {
             adapter: name.into(),
             ready: ReadyAdapter::Kept,
@@ -383,13 +443,18 @@
 }
 
 fn pattern(parts: &mut Pairs<'_, Rule>) -> AdapterPattern {
-    let pattern = parts.next().and_then(|pattern| pattern.into_inner().next()).expect("a right has a pattern");
+    let pattern = parts
+        .next()
+        .and_then(|pattern| pattern.into_inner().next())
+        .expect("a right has a pattern");
     let rule = pattern.as_rule();
     let mut inner = pattern.into_inner();
     match rule {
         Rule::all_adapters => AdapterPattern::All,
         Rule::on_service => AdapterPattern::Service(ServiceName::new(&text_of(&mut inner))),
-        Rule::on_prefix => AdapterPattern::Prefix(text_of(&mut inner).trim_end_matches('*').to_owned()),
+        Rule::on_prefix => {
+            AdapterPattern::Prefix(text_of(&mut inner).trim_end_matches('*').to_owned())
+        }
         _ => AdapterPattern::Exact(AdapterName::new(&text_of(&mut inner))),
     }
 }
@@ -411,7 +476,10 @@
 }
 
 fn text_of(parts: &mut Pairs<'_, Rule>) -> String {
-    parts.next().map(|part| part.as_str().to_owned()).unwrap_or_default()
+    parts
+        .next()
+        .map(|part| part.as_str().to_owned())
+        .unwrap_or_default()
 }
 
 fn number(parts: &mut Pairs<'_, Rule>) -> f64 {
--- a/crates/core/src/language/statement.rs
+++ b/crates/core/src/language/statement.rs
@@ -79,7 +79,10 @@
     /// Whether each daemon knows only its part of the table.
     #[must_use]
     pub fn is_spread(self) -> bool {
-        matches!(self, Self::Loaded | Self::Waiting | Self::Requests | Self::Lag | Self::Targets)
+        matches!(
+            self,
+            Self::Loaded | Self::Waiting | Self::Requests | Self::Lag | Self::Targets
+        )
     }
 }
 
@@ -170,8 +173,15 @@
     /// The role that an operator needs for all of them.
     #[must_use]
     pub fn required_role(&self) -> OperatorRole {
-        let admin = self.changes.iter().any(|change| change.required_role() == OperatorRole::Admin);
-        if admin { OperatorRole::Admin } else { OperatorRole::Editor }
+        let admin = self
+            .changes
+            .iter()
+            .any(|change| change.required_role() == OperatorRole::Admin);
+        if admin {
+            OperatorRole::Admin
+        } else {
+            OperatorRole::Editor
+        }
     }
 }
 
--- a/crates/core/src/language/table.rs
+++ b/crates/core/src/language/table.rs
@@ -107,7 +107,11 @@
             let index = self.column(&order.column)?;
             self.rows.sort_by(|a, b| {
                 let ordering = a[index].compare(&b[index]);
-                if order.descending { ordering.reverse() } else { ordering }
+                if order.descending {
+                    ordering.reverse()
+                } else {
+                    ordering
+                }
             });
         }
         if let Some(limit) = query.limit {
--- a/crates/core/src/log/fold.rs
+++ b/crates/core/src/log/fold.rs
@@ -53,11 +53,21 @@
         }
         self.applied = offset;
         match record {
-            LogRecord::Change(change) => FoldEffect::Change(change.id.clone(), self.config.apply(offset, change)),
-            LogRecord::Takeover(takeover) => FoldEffect::Ownership(self.ownership.apply_takeover(offset, takeover)),
-            LogRecord::UnloadIntent(intent) => FoldEffect::Ownership(self.ownership.apply_intent(offset, intent)),
-            LogRecord::IntentClosed(closed) => FoldEffect::Ownership(self.ownership.apply_intent_closed(closed)),
-            LogRecord::Settled(settled) => FoldEffect::Ownership(self.ownership.apply_settled(settled)),
+            LogRecord::Change(change) => {
+                FoldEffect::Change(change.id.clone(), self.config.apply(offset, change))
+            }
+            LogRecord::Takeover(takeover) => {
+                FoldEffect::Ownership(self.ownership.apply_takeover(offset, takeover))
+            }
+            LogRecord::UnloadIntent(intent) => {
+                FoldEffect::Ownership(self.ownership.apply_intent(offset, intent))
+            }
+            LogRecord::IntentClosed(closed) => {
+                FoldEffect::Ownership(self.ownership.apply_intent_closed(closed))
+            }
+            LogRecord::Settled(settled) => {
+                FoldEffect::Ownership(self.ownership.apply_settled(settled))
+            }
             LogRecord::KeyClaims(batch) => {
                 self.keys.apply(offset, &batch.holder, &batch.claims);
                 FoldEffect::Keys
@@ -94,13 +104,16 @@
         let text = serde_json::to_string(self).expect("the state has a JSON form");
         let pieces = split_text(&text, SNAPSHOT_PART_BYTES);
         let count = pieces.len() as u32;
-        let parts = pieces.into_iter().enumerate().map(|(index, piece)| SnapshotPart {
-            through: self.applied,
-            writer,
-            index: index as u32,
-            count,
-            text: piece.to_owned(),
-        });
+        let parts = pieces
+            .into_iter()
+            .enumerate()
+            .map(|(index, piece)| SnapshotPart {
+                through: self.applied,
+                writer,
+                index: index as u32,
+                count,
+                text: piece.to_owned(),
+            });
         parts.collect()
     }
 }
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     config::ConfigChange,
-    ids::{AdapterVersion, ChangeId, DaemonRef, FencingToken, LogOffset, OperatorName, TargetName, VmName},
+    ids::{
+        AdapterVersion, ChangeId, DaemonRef, FencingToken, LogOffset, OperatorName, TargetName,
+        VmName,
+    },
     request::KeyClaim,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -166,12 +166,17 @@
         self.listed_zones.clear();
         for listed in list {
             *self.listed_zones.entry(listed.zone.clone()).or_default() += 1;
-            self.add_seed(&listed.vm, &listed.zone, &listed.peer_address);
+            // A VM without a peer interface runs a target, not a daemon.
+            if !listed.peer_address.is_empty() {
+                self.add_seed(&listed.vm, &listed.zone, &listed.peer_address);
+            }
         }
         for (vm, peer) in &mut self.peers {
             let entry = list.iter().find(|listed| listed.vm == *vm);
             if let Some(entry) = entry {
-                peer.address.clone_from(&entry.peer_address);
+                if !entry.peer_address.is_empty() {
+                    peer.address.clone_from(&entry.peer_address);
+                }
                 peer.unlisted_since = None;
             } else if peer.listed.is_some() {
                 peer.unlisted_since = Some(now);
@@ -181,7 +186,13 @@
     }
 
     /// A heartbeat came.
-    pub fn observe_heartbeat(&mut self, daemon: &DaemonRef, leaving: bool, applied: u64, now: Instant) {
+    pub fn observe_heartbeat(
+        &mut self,
+        daemon: &DaemonRef,
+        leaving: bool,
+        applied: u64,
+        now: Instant,
+    ) {
         let Some(peer) = self.peers.get_mut(&daemon.vm) else {
             return;
         };
@@ -189,7 +200,11 @@
         peer.heard_at = Some(now);
         peer.refused_since = None;
         peer.applied = applied;
-        peer.state = if leaving { PeerState::Leaving } else { PeerState::Live };
+        peer.state = if leaving {
+            PeerState::Leaving
+        } else {
+            PeerState::Live
+        };
     }
 
     /// A connection to a peer was refused: nobody listens there.
@@ -238,7 +253,8 @@
     #[must_use]
     pub fn silent_peers(&self) -> Vec<VmName> {
         let zone_peers = self.peers.iter().filter(|(_, peer)| peer.zone == self.zone);
-        let silent = zone_peers.filter(|(_, peer)| matches!(peer.state, PeerState::Suspect | PeerState::Gone));
+        let silent = zone_peers
+            .filter(|(_, peer)| matches!(peer.state, PeerState::Suspect | PeerState::Gone));
         silent.map(|(vm, _)| vm.clone()).collect()
     }
 
@@ -247,7 +263,8 @@
     pub fn able_daemons(&self) -> Vec<DaemonRef> {
         let mut able = vec![self.me.clone()];
         for (vm, peer) in &self.peers {
-            let (true, PeerState::Live, Some(incarnation)) = (peer.zone == self.zone, peer.state, peer.incarnation)
+            let (true, PeerState::Live, Some(incarnation)) =
+                (peer.zone == self.zone, peer.state, peer.incarnation)
             else {
                 continue;
             };
@@ -269,12 +286,17 @@
         let Some(peer) = self.peers.get(&daemon.vm) else {
             return self.list_read_at.is_some();
         };
-        if peer.incarnation.is_some_and(|latest| latest != daemon.incarnation) {
+        if peer
+            .incarnation
+            .is_some_and(|latest| latest != daemon.incarnation)
+        {
             return true;
         }
         match peer.state {
             PeerState::Gone => true,
-            PeerState::Suspect => peer.heard_at.is_some_and(|heard| now.since(heard) >= self.times.take_over_after),
+            PeerState::Suspect => peer
+                .heard_at
+                .is_some_and(|heard| now.since(heard) >= self.times.take_over_after),
             PeerState::Unheard => peer.refused_since.is_some() || peer.listed.is_none(),
             PeerState::Live | PeerState::Leaving => false,
         }
@@ -287,7 +309,9 @@
             return false;
         };
         let zone_listed = self.listed_zones.get(&peer.zone).copied().unwrap_or(0) > 0;
-        let passed = peer.unlisted_since.is_some_and(|since| now.since(since) >= self.times.delivery_bound);
+        let passed = peer
+            .unlisted_since
+            .is_some_and(|since| now.since(since) >= self.times.delivery_bound);
         peer.listed.is_none() && zone_listed && passed
     }
 
@@ -298,7 +322,8 @@
             return daemon.incarnation != self.me.incarnation;
         }
         let peer = self.peers.get(&daemon.vm);
-        peer.and_then(|peer| peer.incarnation).is_some_and(|latest| latest != daemon.incarnation)
+        peer.and_then(|peer| peer.incarnation)
+            .is_some_and(|latest| latest != daemon.incarnation)
     }
 }
 
@@ -312,6 +337,11 @@
     if now.since(heard) < times.suspect_after {
         return peer.state;
     }
-    let second_witness = peer.refused_since.is_some() || peer.silent_to > 0 || peer.unlisted_since.is_some();
-    if second_witness { PeerState::Gone } else { PeerState::Suspect }
+    let second_witness =
+        peer.refused_since.is_some() || peer.silent_to > 0 || peer.unlisted_since.is_some();
+    if second_witness {
+        PeerState::Gone
+    } else {
+        PeerState::Suspect
+    }
 }
--- a/crates/core/src/ownership/assignment.rs
+++ b/crates/core/src/ownership/assignment.rs
@@ -64,7 +64,11 @@
     records
 }
 
-fn takeover(target: &TargetName, replaces: Option<FencingToken>, holder: &DaemonRef) -> TakeoverRecord {
+fn takeover(
+    target: &TargetName,
+    replaces: Option<FencingToken>,
+    holder: &DaemonRef,
+) -> TakeoverRecord {
     TakeoverRecord {
         target: target.clone(),
         replaces,
@@ -83,7 +87,10 @@
 }
 
 /// Rendezvous hashing with at most `ceil(targets / daemons)` targets for each daemon.
-fn desired_holders<'a>(able: &'a [DaemonRef], targets: &'a [TargetName]) -> HashMap<&'a TargetName, &'a DaemonRef> {
+fn desired_holders<'a>(
+    able: &'a [DaemonRef],
+    targets: &'a [TargetName],
+) -> HashMap<&'a TargetName, &'a DaemonRef> {
     if able.is_empty() {
         return HashMap::new();
     }
@@ -91,8 +98,11 @@
     let mut counts: HashMap<&DaemonRef, usize> = HashMap::new();
     let mut desired = HashMap::new();
     for target in targets {
-        let free = able.iter().filter(|daemon| counts.get(daemon).copied().unwrap_or(0) < most);
-        if let Some(daemon) = free.max_by_key(|daemon| (score(target, daemon), daemon.incarnation)) {
+        let free = able
+            .iter()
+            .filter(|daemon| counts.get(daemon).copied().unwrap_or(0) < most);
+        if let Some(daemon) = free.max_by_key(|daemon| (score(target, daemon), daemon.incarnation))
+        {
             *counts.entry(daemon).or_default() += 1;
             desired.insert(target, daemon);
         }
--- a/crates/core/src/ownership/fold.rs
+++ b/crates/core/src/ownership/fold.rs
@@ -81,7 +81,11 @@
     }
 
     /// Folds a takeover: accepted only if it names the present holder.
-    pub fn apply_takeover(&mut self, offset: LogOffset, record: &TakeoverRecord) -> OwnershipEffect {
+    pub fn apply_takeover(
+        &mut self,
+        offset: LogOffset,
+        record: &TakeoverRecord,
+    ) -> OwnershipEffect {
         let ownership = self.targets.entry(record.target.clone()).or_default();
         let present = ownership.holder.as_ref().map(|lease| lease.token);
         if present != record.replaces {
@@ -91,7 +95,9 @@
             daemon: record.holder.clone(),
             token: FencingToken(offset),
         };
-        ownership.predecessors.extend(ownership.holder.replace(lease.clone()));
+        ownership
+            .predecessors
+            .extend(ownership.holder.replace(lease.clone()));
         OwnershipEffect::NewHolder(record.target.clone(), lease)
     }
 
@@ -103,7 +109,10 @@
         if ownership.holder.as_ref().map(|lease| lease.token) != Some(record.token) {
             return OwnershipEffect::None;
         }
-        let known = ownership.intents.iter().any(|open| open.token == record.token && open.number == record.number);
+        let known = ownership
+            .intents
+            .iter()
+            .any(|open| open.token == record.token && open.number == record.number);
         if known {
             return OwnershipEffect::None;
         }
@@ -122,7 +131,9 @@
         let Some(ownership) = self.targets.get_mut(&record.target) else {
             return OwnershipEffect::None;
         };
-        ownership.intents.retain(|open| !(open.token == record.token && open.number == record.number));
+        ownership
+            .intents
+            .retain(|open| !(open.token == record.token && open.number == record.number));
         OwnershipEffect::IntentClosed(record.target.clone(), record.number)
     }
 
@@ -131,11 +142,17 @@
         let Some(ownership) = self.targets.get_mut(&record.target) else {
             return OwnershipEffect::None;
         };
-        if ownership.holder.as_ref().is_some_and(|lease| lease.token == record.token) {
+        if ownership
+            .holder
+            .as_ref()
+            .is_some_and(|lease| lease.token == record.token)
+        {
             // A present holder can't be settled: it may still dispatch.
             return OwnershipEffect::None;
         }
-        ownership.predecessors.retain(|lease| lease.token != record.token);
+        ownership
+            .predecessors
+            .retain(|lease| lease.token != record.token);
         ownership.intents.retain(|open| open.token != record.token);
         OwnershipEffect::Settled(record.target.clone())
     }
--- a/crates/core/src/ownership/lease.rs
+++ b/crates/core/src/ownership/lease.rs
@@ -63,7 +63,9 @@
     #[error("the target has not acknowledged the fencing token: present it again")]
     NotAcknowledged,
     /// The announcement was not read back.
-    #[error("the target does not check fencing tokens and the unload is not announced: append an intent and read it back")]
+    #[error(
+        "the target does not check fencing tokens and the unload is not announced: append an intent and read it back"
+    )]
     NotAnnounced,
     /// Requests run on the adapter.
     #[error("{0} requests run on the adapter: wait until they are done")]
@@ -92,7 +94,10 @@
     /// Whether the fold still names this lease as the holder.
     #[must_use]
     pub fn is_holder(&self, ownership: &TargetOwnership) -> bool {
-        ownership.holder.as_ref().is_some_and(|lease| lease.token == self.token)
+        ownership
+            .holder
+            .as_ref()
+            .is_some_and(|lease| lease.token == self.token)
     }
 
     /// Whether a request may be dispatched to an adapter on the target.
@@ -100,7 +105,11 @@
     /// An open intent bars its adapter, whoever announced it: the unload may be on its way.
     #[must_use]
     pub fn may_dispatch(&self, ownership: &TargetOwnership, adapter: &AdapterVersion) -> bool {
-        self.may_order(ownership) && !ownership.intents.iter().any(|open| open.adapter == *adapter)
+        self.may_order(ownership)
+            && !ownership
+                .intents
+                .iter()
+                .any(|open| open.adapter == *adapter)
     }
 
     /// Whether a load order may be sent.
@@ -113,7 +122,11 @@
     ///
     /// # Errors
     /// Names the rule that forbids it.
-    pub fn may_plan_unload(&self, ownership: &TargetOwnership, in_flight: usize) -> Result<(), UnloadRefusal> {
+    pub fn may_plan_unload(
+        &self,
+        ownership: &TargetOwnership,
+        in_flight: usize,
+    ) -> Result<(), UnloadRefusal> {
         if !self.is_holder(ownership) {
             return Err(UnloadRefusal::NotHolder);
         }
@@ -143,10 +156,9 @@
         in_flight: usize,
     ) -> Result<UnloadPermit, UnloadRefusal> {
         self.may_plan_unload(ownership, in_flight)?;
-        let announced = ownership
-            .intents
-            .iter()
-            .any(|open| open.token == self.token && Some(open.number) == number && open.adapter == *adapter);
+        let announced = ownership.intents.iter().any(|open| {
+            open.token == self.token && Some(open.number) == number && open.adapter == *adapter
+        });
         if self.fence == FenceState::NotChecked && !announced {
             return Err(UnloadRefusal::NotAnnounced);
         }
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -15,4 +15,6 @@
 
 pub use assignment::{AssignmentInput, takeovers_wanted};
 pub use fold::{HolderLease, OpenIntent, OwnershipEffect, OwnershipState, TargetOwnership};
-pub use lease::{FenceState, HeldTarget, SettleEvidence, UnloadPermit, UnloadRefusal, predecessor_settled};
+pub use lease::{
+    FenceState, HeldTarget, SettleEvidence, UnloadPermit, UnloadRefusal, predecessor_settled,
+};
--- a/crates/core/src/policy/limits.rs
+++ b/crates/core/src/policy/limits.rs
@@ -29,7 +29,12 @@
     ///
     /// # Errors
     /// Names the quota and the time after which there is room again.
-    pub fn admit(&mut self, caller: &CallerName, quota: &CallerQuota, now: Instant) -> Result<(), NotRunReason> {
+    pub fn admit(
+        &mut self,
+        caller: &CallerName,
+        quota: &CallerQuota,
+        now: Instant,
+    ) -> Result<(), NotRunReason> {
         let most = (quota.requests_per_second * BURST_S).max(1.0);
         let bucket = self.buckets.entry(caller.clone()).or_insert(QuotaBucket {
             tokens: most,
--- a/crates/core/src/policy/loads.rs
+++ b/crates/core/src/policy/loads.rs
@@ -55,7 +55,8 @@
                 continue;
             }
             loading += notice.loading;
-            let goes_first = notice.best_bid > mine.best_bid || (notice.best_bid == mine.best_bid && vm < me);
+            let goes_first =
+                notice.best_bid > mine.best_bid || (notice.best_bid == mine.best_bid && vm < me);
             if notice.best_bid > 0.0 && goes_first && notice.loading == 0 {
                 return false;
             }
@@ -83,7 +84,8 @@
         let (count, _) = self.failures.get(model).copied().unwrap_or((0, now));
         let count = count + 1;
         let pause = (FIRST_PAUSE * (1 << (count - 1).min(10))).min(LONGEST_PAUSE);
-        self.failures.insert(model.clone(), (count, now.after(pause)));
+        self.failures
+            .insert(model.clone(), (count, now.after(pause)));
         count >= FAILURES_TO_REFUSE
     }
 
@@ -95,7 +97,9 @@
     /// Whether a load may be tried.
     #[must_use]
     pub fn may_try(&self, model: &AdapterVersion, now: Instant) -> bool {
-        self.failures.get(model).is_none_or(|(_, until)| now >= *until)
+        self.failures
+            .get(model)
+            .is_none_or(|(_, until)| now >= *until)
     }
 
     /// Whether anything is backed off.
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -19,5 +19,7 @@
 pub use popularity::{PopularityTracker, RateEstimate};
 pub use queue::{AdapterQueue, QueuedRequest, WaitingQueue};
 pub use router::{RouteChoice, RouteQuery, TargetRouter};
-pub use scheduler::{AdapterState, DispatchOrder, ResidentAdapter, SchedulerLimits, TargetScheduler};
+pub use scheduler::{
+    AdapterState, DispatchOrder, ResidentAdapter, SchedulerLimits, TargetScheduler,
+};
 pub use weights::{PolicyWeights, WeightInfo, WeightPreset};
--- a/crates/core/src/policy/popularity.rs
+++ b/crates/core/src/policy/popularity.rs
@@ -28,7 +28,10 @@
 impl RateEstimate {
     fn decayed(&self, now: Instant) -> (f64, f64) {
         let passed = now.since(self.at).as_secs_f64();
-        (self.fast * (-passed / FAST_S).exp(), self.slow * (-passed / SLOW_S).exp())
+        (
+            self.fast * (-passed / FAST_S).exp(),
+            self.slow * (-passed / SLOW_S).exp(),
+        )
     }
 }
 
@@ -44,7 +47,10 @@
     /// A request for an adapter came.
     pub fn record(&mut self, model: &AdapterVersion, now: Instant) {
         self.started.get_or_insert(now);
-        let (fast, slow) = self.rates.get(model).map_or((0.0, 0.0), |rate| rate.decayed(now));
+        let (fast, slow) = self
+            .rates
+            .get(model)
+            .map_or((0.0, 0.0), |rate| rate.decayed(now));
         let estimate = RateEstimate {
             fast: fast + 1.0,
             slow: slow + 1.0,
@@ -69,7 +75,9 @@
         };
         let (fast, slow) = rate.decayed(now);
         // A tracker younger than the slow scale has seen only part of it.
-        let age = self.started.map_or(SLOW_S, |started| now.since(started).as_secs_f64());
+        let age = self
+            .started
+            .map_or(SLOW_S, |started| now.since(started).as_secs_f64());
         let span = SLOW_S * (1.0 - (-(age.max(FAST_S)) / SLOW_S).exp());
         let slow_rate = slow / span;
         if fast < FAST_EVIDENCE {
@@ -80,7 +88,9 @@
 
     /// Adapters with an entry and their rates.
     pub fn iter(&self, now: Instant) -> impl Iterator<Item = (&AdapterVersion, f64)> {
-        self.rates.keys().map(move |model| (model, self.rate(model, now)))
+        self.rates
+            .keys()
+            .map(move |model| (model, self.rate(model, now)))
     }
 
     /// Number of entries.
@@ -96,7 +106,8 @@
     }
 
     fn sweep(&mut self, now: Instant) {
-        self.rates.retain(|_, rate| rate.decayed(now).1 >= FORGET_BELOW);
+        self.rates
+            .retain(|_, rate| rate.decayed(now).1 >= FORGET_BELOW);
         self.sweep_at = self.rates.len() * 2;
     }
 }
--- a/crates/core/src/policy/queue.rs
+++ b/crates/core/src/policy/queue.rs
@@ -34,7 +34,11 @@
     /// Number that wait, by class.
     #[must_use]
     pub fn counts(&self) -> [usize; 3] {
-        [self.classes[0].len(), self.classes[1].len(), self.classes[2].len()]
+        [
+            self.classes[0].len(),
+            self.classes[1].len(),
+            self.classes[2].len(),
+        ]
     }
 
     /// Number that wait.
@@ -125,14 +129,21 @@
         self.counts = [0; 3];
         self.tokens = [0; 3];
         let queues = self.adapters.drain();
-        queues.flat_map(|(_, queue)| queue.classes.into_iter().flatten()).collect()
+        queues
+            .flat_map(|(_, queue)| queue.classes.into_iter().flatten())
+            .collect()
     }
 
     /// Takes out what can no longer be answered in time.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<QueuedRequest> {
         let mut expired = Vec::new();
         for queue in self.adapters.values() {
-            expired.extend(queue.iter().filter(|request| request.deadline <= now).cloned());
+            expired.extend(
+                queue
+                    .iter()
+                    .filter(|request| request.deadline <= now)
+                    .cloned(),
+            );
         }
         for request in &expired {
             self.remove(&request.model, request.id);
--- a/crates/core/src/policy/router.rs
+++ b/crates/core/src/policy/router.rs
@@ -39,16 +39,26 @@
     fn wait_s(&self, class: PriorityClass) -> f64 {
         let digest = &self.digest;
         let speed = digest.tokens_per_second.max(1.0);
-        let waiting: u64 = (0..=class.index()).map(|index| digest.waiting_tokens[index] + self.sent_tokens[index]).sum();
+        let waiting: u64 = (0..=class.index())
+            .map(|index| digest.waiting_tokens[index] + self.sent_tokens[index])
+            .sum();
         let occupied = f64::from(digest.running + self.sent) / f64::from(digest.seats.max(1));
         // A seat is likely free below a full batch; the load still slows every step a little.
-        let seat = if occupied >= 1.0 { waiting as f64 / speed } else { 0.0 };
+        let seat = if occupied >= 1.0 {
+            waiting as f64 / speed
+        } else {
+            0.0
+        };
         seat + occupied * 0.05
     }
 
     fn usable(&self) -> bool {
         self.reachable && self.digest.open
     }
+
+    fn usable_for(&self, query: &RouteQuery<'_>) -> bool {
+        self.usable() && !query.avoid.contains(&self.name)
+    }
 }
 
 /// What the choice depends on.
@@ -62,6 +72,8 @@
     pub output_tokens: u32,
     /// The gateway's zone.
     pub zone: &'a AvailabilityZone,
+    /// Targets that were tried in vain.
+    pub avoid: &'a [TargetName],
 }
 
 /// The chosen target.
@@ -129,8 +141,17 @@
         index
     }
 
-    fn replace_residents(&mut self, index: usize, revision: u64, residents: &[super::ResidentDigest]) {
-        let old = self.targets[index].digest.residents.take().unwrap_or_default();
+    fn replace_residents(
+        &mut self,
+        index: usize,
+        revision: u64,
+        residents: &[super::ResidentDigest],
+    ) {
+        let old = self.targets[index]
+            .digest
+            .residents
+            .take()
+            .unwrap_or_default();
         for resident in &old {
             if let Some(indices) = self.by_model.get_mut(&resident.model) {
                 indices.retain(|known| *known != index);
@@ -140,7 +161,10 @@
             }
         }
         for resident in residents {
-            self.by_model.entry(resident.model.clone()).or_default().push(index);
+            self.by_model
+                .entry(resident.model.clone())
+                .or_default()
+                .push(index);
             if self.promised.get(&resident.model) == Some(&index) {
                 self.promised.remove(&resident.model);
             }
@@ -153,7 +177,9 @@
     /// Revision of residents that is known of a target; zero if none.
     #[must_use]
     pub fn known_revision(&self, target: &str) -> u64 {
-        self.by_name.get(target).map_or(0, |index| self.targets[*index].digest.residents_revision)
+        self.by_name
+            .get(target)
+            .map_or(0, |index| self.targets[*index].digest.residents_revision)
     }
 
     /// Marks a target as reachable or not.
@@ -178,7 +204,11 @@
     /// Whether an adapter is on some usable target.
     #[must_use]
     pub fn is_resident(&self, model: &AdapterVersion) -> bool {
-        let indices = self.by_model.get(model).map(Vec::as_slice).unwrap_or_default();
+        let indices = self
+            .by_model
+            .get(model)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         indices.iter().any(|index| self.targets[*index].usable())
     }
 
@@ -203,7 +233,11 @@
     }
 
     /// Chooses the target of an engine request and counts it as sent there.
-    pub fn choose(&mut self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<RouteChoice> {
+    pub fn choose(
+        &mut self,
+        query: &RouteQuery<'_>,
+        weights: &PolicyWeights,
+    ) -> Option<RouteChoice> {
         let resident = self.best_resident(query, weights);
         let home = self.best_home(query, weights);
         let (index, expected_s, is_resident) = match (resident, home) {
@@ -224,9 +258,23 @@
     }
 
     /// Chooses the target of a plain service's call: the least loaded, in the own zone if equal.
-    pub fn choose_service(&mut self, query: &RouteQuery<'_>, weights: &PolicyWeights, is_member: impl Fn(&TargetName) -> bool) -> Option<RouteChoice> {
-        let members = self.targets.iter().enumerate().filter(|(_, routed)| routed.usable() && is_member(&routed.name));
-        let costs = members.map(|(index, routed)| (index, routed.wait_s(query.class) + zone_cost(routed, query, weights)));
+    pub fn choose_service(
+        &mut self,
+        query: &RouteQuery<'_>,
+        weights: &PolicyWeights,
+        is_member: impl Fn(&TargetName) -> bool,
+    ) -> Option<RouteChoice> {
+        let members = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(_, routed)| routed.usable_for(query) && is_member(&routed.name));
+        let costs = members.map(|(index, routed)| {
+            (
+                index,
+                routed.wait_s(query.class) + zone_cost(routed, query, weights),
+            )
+        });
         let (index, expected_s) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         self.count_sent(index, query);
         Some(RouteChoice {
@@ -236,16 +284,28 @@
         })
     }
 
-    fn best_resident(&self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<(usize, f64)> {
-        let indices = self.by_model.get(query.model).map(Vec::as_slice).unwrap_or_default();
+    fn best_resident(
+        &self,
+        query: &RouteQuery<'_>,
+        weights: &PolicyWeights,
+    ) -> Option<(usize, f64)> {
+        let indices = self
+            .by_model
+            .get(query.model)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
         let promised = self.promised.get(query.model);
-        let candidates = indices.iter().chain(promised).filter(|index| self.targets[**index].usable());
+        let candidates = indices
+            .iter()
+            .chain(promised)
+            .filter(|index| self.targets[**index].usable_for(query));
         let costs = candidates.map(|index| {
             let routed = &self.targets[*index];
             let mut cost = routed.wait_s(query.class) + zone_cost(routed, query, weights);
             if query.class == PriorityClass::Batch {
                 // Batch work prefers the fuller target, so that others can run empty.
-                let occupied = f64::from(routed.digest.running + routed.sent) / f64::from(routed.digest.seats.max(1));
+                let occupied = f64::from(routed.digest.running + routed.sent)
+                    / f64::from(routed.digest.seats.max(1));
                 cost -= weights.packing_s * occupied.min(1.0);
             }
             (*index, cost)
@@ -258,7 +318,7 @@
         let mut homes: [Option<(u64, usize)>; HOMES] = [None; HOMES];
         let mut shortest = f64::INFINITY;
         for (index, routed) in self.targets.iter().enumerate() {
-            if !routed.usable() {
+            if !routed.usable_for(query) {
                 continue;
             }
             shortest = shortest.min(routed.wait_s(query.class));
@@ -270,10 +330,15 @@
         };
         let homes = homes.into_iter().flatten().map(|(_, index)| {
             let routed = &self.targets[index];
-            (index, routed.wait_s(query.class) + zone_cost(routed, query, weights))
+            (
+                index,
+                routed.wait_s(query.class) + zone_cost(routed, query, weights),
+            )
         });
         let homes: Vec<_> = homes.collect();
-        let near = homes.iter().find(|(_, wait)| *wait <= shortest + HOME_TOLERANCE_S + patience);
+        let near = homes
+            .iter()
+            .find(|(_, wait)| *wait <= shortest + HOME_TOLERANCE_S + patience);
         let chosen = near.or_else(|| homes.iter().min_by(|(_, a), (_, b)| a.total_cmp(b)))?;
         Some((chosen.0, chosen.1 + LOAD_S + weights.load_penalty_s))
     }
@@ -299,7 +364,11 @@
 }
 
 fn zone_cost(routed: &RoutedTarget, query: &RouteQuery<'_>, weights: &PolicyWeights) -> f64 {
-    if routed.zone == *query.zone { 0.0 } else { weights.zone_cost_s }
+    if routed.zone == *query.zone {
+        0.0
+    } else {
+        weights.zone_cost_s
+    }
 }
 
 fn model_hash(model: &AdapterVersion) -> u64 {
--- a/crates/core/src/policy/scheduler.rs
+++ b/crates/core/src/policy/scheduler.rs
@@ -7,8 +7,8 @@
 use crate::{
     ids::{AdapterVersion, Instant, PriorityClass, RequestId, TargetName},
     policy::{
-        LoadBackoff, LoadBid, PolicyWeights, PopularityTracker, QueuedRequest, ResidentDigest, TargetDigest,
-        WaitingQueue,
+        LoadBackoff, LoadBid, PolicyWeights, PopularityTracker, QueuedRequest, ResidentDigest,
+        TargetDigest, WaitingQueue,
     },
     request::NotRunReason,
 };
@@ -188,9 +188,15 @@
     ///
     /// # Errors
     /// Gives the request back with the reason.
-    pub fn enqueue(&mut self, request: QueuedRequest, weights: &PolicyWeights) -> Result<(), Box<(QueuedRequest, NotRunReason)>> {
+    pub fn enqueue(
+        &mut self,
+        request: QueuedRequest,
+        weights: &PolicyWeights,
+    ) -> Result<(), Box<(QueuedRequest, NotRunReason)>> {
         let refusal = if !self.open {
-            Some(NotRunReason::NoTarget { retry_after_ms: 500 })
+            Some(NotRunReason::NoTarget {
+                retry_after_ms: 500,
+            })
         } else {
             self.overload(request.class, weights)
         };
@@ -234,7 +240,10 @@
         let (model, class) = self.choose_dispatch(weights, now, allowed)?;
         let request = self.waiting.pop(&model, class)?;
         let load_stall = self.start_running(&request, now);
-        Some(DispatchOrder { request, load_stall })
+        Some(DispatchOrder {
+            request,
+            load_stall,
+        })
     }
 
     fn choose_dispatch(
@@ -254,21 +263,34 @@
             }
         };
         let hold_batch = self.hold_batch(weights, now);
-        let classes = PriorityClass::ALL.into_iter().filter(|class| self.has_seat(*class, weights));
-        let classes: Vec<_> = classes.filter(|class| *class != PriorityClass::Batch || !hold_batch).collect();
+        let classes = PriorityClass::ALL
+            .into_iter()
+            .filter(|class| self.has_seat(*class, weights));
+        let classes: Vec<_> = classes
+            .filter(|class| *class != PriorityClass::Batch || !hold_batch)
+            .collect();
         if self.needs_loads {
             for resident in &self.residents {
-                if resident.state != AdapterState::Loaded || resident.making_room || !allowed(&resident.model) {
+                if resident.state != AdapterState::Loaded
+                    || resident.making_room
+                    || !allowed(&resident.model)
+                {
                     continue;
                 }
                 let Some(queue) = self.waiting.adapter(&resident.model) else {
                     continue;
                 };
-                classes.iter().filter_map(|class| queue.head(*class)).for_each(&mut consider);
+                classes
+                    .iter()
+                    .filter_map(|class| queue.head(*class))
+                    .for_each(&mut consider);
             }
         } else {
             for (_, queue) in self.waiting.iter() {
-                classes.iter().filter_map(|class| queue.head(*class)).for_each(&mut consider);
+                classes
+                    .iter()
+                    .filter_map(|class| queue.head(*class))
+                    .for_each(&mut consider);
             }
         }
         best.map(|(_, request)| (request.model.clone(), request.class))
@@ -290,8 +312,14 @@
         if weights.hold_below == 0.0 || (self.running.len() + waiting) as f64 >= least {
             return false;
         }
-        let heads = self.waiting.iter().filter_map(|(_, queue)| queue.head(PriorityClass::Batch));
-        let longest = heads.map(|head| now.since(head.queued_at)).max().unwrap_or_default();
+        let heads = self
+            .waiting
+            .iter()
+            .filter_map(|(_, queue)| queue.head(PriorityClass::Batch));
+        let longest = heads
+            .map(|head| now.since(head.queued_at))
+            .max()
+            .unwrap_or_default();
         longest.as_secs_f64() < weights.hold_s
     }
 
@@ -313,6 +341,21 @@
         resident.loaded_at.since(request.queued_at)
     }
 
+    /// Counts a request as running that another holder, or an earlier attempt, started.
+    pub fn adopt_running(&mut self, id: RequestId, model: &AdapterVersion, class: PriorityClass) {
+        let running = RunningRequest {
+            model: model.clone(),
+            class,
+            prompt_tokens: 0,
+            in_prefill: false,
+        };
+        if self.running.insert(id, running).is_none()
+            && let Some(resident) = self.resident_mut(model)
+        {
+            resident.in_flight += 1;
+        }
+    }
+
     /// The first token of a running request came: its prefill is over.
     pub fn first_token(&mut self, id: RequestId) {
         if let Some(running) = self.running.get_mut(&id)
@@ -351,7 +394,11 @@
     }
 
     /// Takes a waiting request out because its caller gave it up.
-    pub fn cancel_waiting(&mut self, model: &AdapterVersion, id: RequestId) -> Option<QueuedRequest> {
+    pub fn cancel_waiting(
+        &mut self,
+        model: &AdapterVersion,
+        id: RequestId,
+    ) -> Option<QueuedRequest> {
         self.waiting.remove(model, id)
     }
 
@@ -366,11 +413,18 @@
         let late: Vec<_> = self
             .waiting
             .iter()
-            .flat_map(|(_, queue)| PriorityClass::ALL.into_iter().filter_map(|class| queue.head(class)))
+            .flat_map(|(_, queue)| {
+                PriorityClass::ALL
+                    .into_iter()
+                    .filter_map(|class| queue.head(class))
+            })
             .filter(|head| now.since(head.queued_at).as_secs_f64() > weights.bound_s(head.class))
             .map(|head| (head.model.clone(), head.id))
             .collect();
-        overdue.extend(late.iter().filter_map(|(model, id)| self.waiting.remove(model, *id)));
+        overdue.extend(
+            late.iter()
+                .filter_map(|(model, id)| self.waiting.remove(model, *id)),
+        );
         overdue
     }
 
@@ -378,8 +432,19 @@
     ///
     /// `may_evict` says whether ownership lets anything be unloaded.
     #[must_use]
-    pub fn bid(&self, weights: &PolicyWeights, popularity: &PopularityTracker, may_evict: bool, now: Instant) -> Option<LoadBid> {
-        if !self.needs_loads || self.residents.iter().any(|resident| resident.state != AdapterState::Loaded) {
+    pub fn bid(
+        &self,
+        weights: &PolicyWeights,
+        popularity: &PopularityTracker,
+        may_evict: bool,
+        now: Instant,
+    ) -> Option<LoadBid> {
+        if !self.needs_loads
+            || self
+                .residents
+                .iter()
+                .any(|resident| resident.state != AdapterState::Loaded)
+        {
             // One order at a time on a target.
             return None;
         }
@@ -387,9 +452,13 @@
         if evict.is_none() && self.residents.len() >= self.limits.slots {
             return None;
         }
-        let wanted = self.waiting.iter().filter(|(model, _)| self.is_loadable(model, now));
+        let wanted = self
+            .waiting
+            .iter()
+            .filter(|(model, _)| self.is_loadable(model, now));
         let worth = wanted.map(|(model, queue)| (queue_worth(queue, weights, now), model));
-        let (benefit, model) = worth.max_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| y.cmp(x)))?;
+        let (benefit, model) =
+            worth.max_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| y.cmp(x)))?;
         Some(LoadBid {
             target: self.target.clone(),
             model: model.clone(),
@@ -409,7 +478,13 @@
         now: Instant,
         is_candidate: impl Fn(&AdapterVersion) -> bool,
     ) -> Option<LoadBid> {
-        if !self.needs_loads || !self.open || self.residents.iter().any(|resident| resident.state != AdapterState::Loaded) {
+        if !self.needs_loads
+            || !self.open
+            || self
+                .residents
+                .iter()
+                .any(|resident| resident.state != AdapterState::Loaded)
+        {
             return None;
         }
         let free = self.residents.len() < self.limits.slots;
@@ -417,11 +492,16 @@
         if evict.is_none() && !free {
             return None;
         }
-        let lost = evict.as_ref().map_or(0.0, |victim| popularity.rate(victim, now));
+        let lost = evict
+            .as_ref()
+            .map_or(0.0, |victim| popularity.rate(victim, now));
         let candidates = popularity.iter(now).filter(|(model, rate)| {
-            *rate > lost * weights.preload_margin && self.is_loadable(model, now) && is_candidate(model)
+            *rate > lost * weights.preload_margin
+                && self.is_loadable(model, now)
+                && is_candidate(model)
         });
-        let (model, rate) = candidates.max_by(|(x, a), (y, b)| a.total_cmp(b).then_with(|| y.cmp(x)))?;
+        let (model, rate) =
+            candidates.max_by(|(x, a), (y, b)| a.total_cmp(b).then_with(|| y.cmp(x)))?;
         Some(LoadBid {
             target: self.target.clone(),
             model: model.clone(),
@@ -433,11 +513,19 @@
     }
 
     fn is_loadable(&self, model: &AdapterVersion, now: Instant) -> bool {
-        self.residents.iter().all(|resident| resident.model != *model) && self.backoff.may_try(model, now)
+        self.residents
+            .iter()
+            .all(|resident| resident.model != *model)
+            && self.backoff.may_try(model, now)
     }
 
     /// The adapter whose loss costs least, among those with nothing in flight or waiting; none if a slot is free.
-    fn victim(&self, popularity: &PopularityTracker, may_evict: bool, now: Instant) -> Option<AdapterVersion> {
+    fn victim(
+        &self,
+        popularity: &PopularityTracker,
+        may_evict: bool,
+        now: Instant,
+    ) -> Option<AdapterVersion> {
         if !may_evict || self.residents.len() < self.limits.slots {
             return None;
         }
@@ -447,22 +535,47 @@
                 && (resident.making_room || self.waiting.adapter(&resident.model).is_none())
         });
         let valued = idle.map(|resident| (popularity.rate(&resident.model, now), resident));
-        let least = valued.min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.used_at.cmp(&y.used_at)));
+        let least =
+            valued.min_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| x.used_at.cmp(&y.used_at)));
         least.map(|(_, resident)| resident.model.clone())
     }
 
+    /// The adapter that could go for another one now.
+    #[must_use]
+    pub fn idle_victim(
+        &self,
+        popularity: &PopularityTracker,
+        now: Instant,
+    ) -> Option<AdapterVersion> {
+        self.victim(popularity, true, now)
+    }
+
     /// Stops new work on the least wanted adapter if a load has waited long and nothing ever falls idle.
     pub fn force_room(&mut self, popularity: &PopularityTracker, may_evict: bool, now: Instant) {
         let starved = self.waiting.iter().any(|(model, queue)| {
-            let waited = queue.iter().map(|request| now.since(request.queued_at)).max().unwrap_or_default();
+            let waited = queue
+                .iter()
+                .map(|request| now.since(request.queued_at))
+                .max()
+                .unwrap_or_default();
             waited > FORCE_AFTER && self.is_loadable(model, now)
         });
         let full = self.residents.len() >= self.limits.slots;
-        let blocked = full && self.residents.iter().all(|resident| resident.in_flight > 0 || self.waiting.adapter(&resident.model).is_some());
-        if !starved || !blocked || !may_evict || self.residents.iter().any(|resident| resident.making_room) {
+        let blocked = full
+            && self.residents.iter().all(|resident| {
+                resident.in_flight > 0 || self.waiting.adapter(&resident.model).is_some()
+            });
+        if !starved
+            || !blocked
+            || !may_evict
+            || self.residents.iter().any(|resident| resident.making_room)
+        {
             return;
         }
-        let rates = self.residents.iter_mut().map(|resident| (popularity.rate(&resident.model, now), resident));
+        let rates = self
+            .residents
+            .iter_mut()
+            .map(|resident| (popularity.rate(&resident.model, now), resident));
         if let Some((_, resident)) = rates.min_by(|(a, _), (b, _)| a.total_cmp(b)) {
             resident.making_room = true;
         }
@@ -533,7 +646,11 @@
         let residents = loaded.iter().map(|model| ResidentAdapter {
             model: model.clone(),
             state: AdapterState::Loaded,
-            in_flight: self.running.values().filter(|running| running.model == *model).count() as u32,
+            in_flight: self
+                .running
+                .values()
+                .filter(|running| running.model == *model)
+                .count() as u32,
             loaded_at: now,
             used_at: now,
             making_room: false,
@@ -555,7 +672,10 @@
     /// What the gateways are told; `known` is the revision of residents that they have.
     #[must_use]
     pub fn digest(&self, known: Option<u64>) -> TargetDigest {
-        let residents = self.residents.iter().filter(|resident| resident.state != AdapterState::Unloading);
+        let residents = self
+            .residents
+            .iter()
+            .filter(|resident| resident.state != AdapterState::Unloading);
         let residents = residents.map(|resident| ResidentDigest {
             model: resident.model.clone(),
             loading: resident.state == AdapterState::Loading,
@@ -573,7 +693,9 @@
     }
 
     fn resident_mut(&mut self, model: &AdapterVersion) -> Option<&mut ResidentAdapter> {
-        self.residents.iter_mut().find(|resident| resident.model == *model)
+        self.residents
+            .iter_mut()
+            .find(|resident| resident.model == *model)
     }
 }
 
@@ -597,7 +719,9 @@
     let classes = PriorityClass::ALL.into_iter();
     let worths = classes.map(|class| {
         let count = queue.counts()[class.index()] as f64;
-        let waited = queue.head(class).map_or(0.0, |head| now.since(head.queued_at).as_secs_f64());
+        let waited = queue
+            .head(class)
+            .map_or(0.0, |head| now.since(head.queued_at).as_secs_f64());
         weights.class_weight(class) * count * (1.0 + waited)
     });
     worths.sum()
--- a/crates/core/src/request/keys.rs
+++ b/crates/core/src/request/keys.rs
@@ -63,7 +63,10 @@
 
 /// Claims as folded from the log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(into = "Vec<(KeyHash, DaemonRef, u64, LogOffset)>", from = "Vec<(KeyHash, DaemonRef, u64, LogOffset)>")]
+#[serde(
+    into = "Vec<(KeyHash, DaemonRef, u64, LogOffset)>",
+    from = "Vec<(KeyHash, DaemonRef, u64, LogOffset)>"
+)]
 pub struct KeyTable {
     claims: HashMap<KeyHash, RememberedClaim>,
     order: VecDeque<KeyHash>,
--- a/crates/core/src/request/life_cycle.rs
+++ b/crates/core/src/request/life_cycle.rs
@@ -29,7 +29,9 @@
     #[error("too much work is waiting: come back after {retry_after_ms} ms")]
     Overloaded { retry_after_ms: u64 },
     /// The caller's quota is used up.
-    #[error("the quota of caller `{caller}` is used up: come back after {retry_after_ms} ms, or ask an operator for `set quota`")]
+    #[error(
+        "the quota of caller `{caller}` is used up: come back after {retry_after_ms} ms, or ask an operator for `set quota`"
+    )]
     QuotaUsedUp { caller: String, retry_after_ms: u64 },
     /// No target can serve it.
     #[error("no target can serve it now: come back after {retry_after_ms} ms")]
@@ -44,14 +46,21 @@
     #[error("the adapter could not be loaded: come back after {retry_after_ms} ms")]
     LoadFailed { retry_after_ms: u64 },
     /// The caller's deadline passed while it waited.
-    #[error("the deadline passed while it waited: allow more time or come back after {retry_after_ms} ms")]
+    #[error(
+        "the deadline passed while it waited: allow more time or come back after {retry_after_ms} ms"
+    )]
     DeadlinePassed { retry_after_ms: u64 },
     /// The caller went away while it waited.
     #[error("the caller cancelled it before it was sent")]
     Cancelled,
     /// The log is out, so that the caller's own key can't be claimed.
-    #[error("the platform's log is out, so your key can't be claimed: ask for a token with `POST /v1/idempotency_tokens` and send that instead")]
+    #[error(
+        "the platform's log is out, so your key can't be claimed: ask for a token with `POST /v1/idempotency_tokens` and send that instead"
+    )]
     KeyNotClaimed,
+    /// The target states that it did not run it.
+    #[error("the target did not run it ({cause}): try again")]
+    TargetRefused { cause: String },
     /// No connection to the target could be made.
     #[error("no connection to the target could be made: try again")]
     NotConnected,
@@ -67,7 +76,12 @@
             | Self::NoTarget { retry_after_ms }
             | Self::LoadFailed { retry_after_ms }
             | Self::DeadlinePassed { retry_after_ms } => *retry_after_ms,
-            Self::NotHolder | Self::Stopping | Self::Cancelled | Self::KeyNotClaimed | Self::NotConnected => 500,
+            Self::TargetRefused { .. }
+            | Self::NotHolder
+            | Self::Stopping
+            | Self::Cancelled
+            | Self::KeyNotClaimed
+            | Self::NotConnected => 500,
         }
     }
 }
@@ -135,7 +149,10 @@
     /// Refuses it; the proof is worth something because this value was never handed over.
     #[must_use]
     pub fn refuse(self, reason: NotRunReason) -> NotRunProof {
-        NotRunProof { id: self.id, reason }
+        NotRunProof {
+            id: self.id,
+            reason,
+        }
     }
 }
 
@@ -155,6 +172,15 @@
         })
     }
 
+    /// The target stated that it did not run it: the one proof that comes from outside.
+    #[must_use]
+    pub fn refused_by_target(self, reason: NotRunReason) -> NotRunProof {
+        NotRunProof {
+            id: self.id,
+            reason,
+        }
+    }
+
     /// Starts another attempt of a request that may be repeated.
     pub fn repeat(self) -> RequestCall<HandedOver> {
         RequestCall {
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -12,4 +12,6 @@
 pub use keys::{ClaimOutcome, KeyClaim, KeyHash, KeyTable};
 pub use life_cycle::{HandedOver, NotRunProof, NotRunReason, RequestCall, RequestOutcome, Unsent};
 pub use retry::{AttemptEnd, RetryBudget, RetryDecision, RetryInput, RetryLimits, decide_retry};
-pub use tokens::{HandedTokens, IdempotencyToken, TokenDecision, TokenError, TokenRegistry, TokenState};
+pub use tokens::{
+    HandedTokens, IdempotencyToken, RepeatKey, TokenDecision, TokenError, TokenRegistry, TokenState,
+};
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -109,13 +109,19 @@
 }
 
 /// Decides what to do next.
-pub fn decide_retry(limits: &RetryLimits, budget: &mut RetryBudget, input: &RetryInput) -> RetryDecision {
+pub fn decide_retry(
+    limits: &RetryLimits,
+    budget: &mut RetryBudget,
+    input: &RetryInput,
+) -> RetryDecision {
     if input.now >= input.deadline {
         return RetryDecision::GiveUp;
     }
     let pause = backoff(limits.pause, input);
     match input.end {
-        AttemptEnd::GivenBack if input.given_back < limits.given_back => RetryDecision::Retry(pause),
+        AttemptEnd::GivenBack if input.given_back < limits.given_back => {
+            RetryDecision::Retry(pause)
+        }
         AttemptEnd::GivenBack => RetryDecision::GiveUp,
         AttemptEnd::Broken => {
             let since = input.broken_since.unwrap_or(input.now);
@@ -128,12 +134,21 @@
     }
 }
 
-fn repeat_or_give_up(limits: &RetryLimits, budget: &mut RetryBudget, input: &RetryInput, pause: Duration) -> RetryDecision {
+fn repeat_or_give_up(
+    limits: &RetryLimits,
+    budget: &mut RetryBudget,
+    input: &RetryInput,
+    pause: Duration,
+) -> RetryDecision {
     let allowed = input.rule == RequestRule::Repeatable
         && !input.answer_started
         && input.attempts < limits.attempts
         && budget.spend();
-    if allowed { RetryDecision::Retry(pause) } else { RetryDecision::GiveUp }
+    if allowed {
+        RetryDecision::Retry(pause)
+    } else {
+        RetryDecision::GiveUp
+    }
 }
 
 fn backoff(first: Duration, input: &RetryInput) -> Duration {
--- a/crates/core/src/request/tokens.rs
+++ b/crates/core/src/request/tokens.rs
@@ -4,7 +4,10 @@
 //! other daemon forwards to it. If that incarnation has ended, the token is dead and is never run. No log, no quorum.
 //! A planned stop hands the open tokens to a named successor, which then is the only one that may run them.
 
-use crate::ids::{DaemonRef, Incarnation, VmName};
+use crate::{
+    ids::{DaemonRef, Incarnation, VmName},
+    request::KeyHash,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -27,9 +30,13 @@
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split('.');
-        let (PREFIX, vm, incarnation, counter, None) =
-            (parts.next()?, parts.next()?, parts.next()?, parts.next()?, parts.next())
-        else {
+        let (PREFIX, vm, incarnation, counter, None) = (
+            parts.next()?,
+            parts.next()?,
+            parts.next()?,
+            parts.next()?,
+            parts.next(),
+        ) else {
             return None;
         };
         Some(Self {
@@ -45,7 +52,11 @@
 impl fmt::Display for IdempotencyToken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let issuer = &self.issuer;
-        write!(f, "{PREFIX}.{}.{:x}.{:x}", issuer.vm, issuer.incarnation.0, self.counter)
+        write!(
+            f,
+            "{PREFIX}.{}.{:x}.{:x}",
+            issuer.vm, issuer.incarnation.0, self.counter
+        )
     }
 }
 
@@ -67,7 +78,9 @@
     #[error("no such token was issued: ask for one with `POST /v1/idempotency_tokens`")]
     NeverIssued,
     /// The run of the daemon that issued it is over.
-    #[error("the daemon that issued the token has ended, so nobody can say whether its request ran: check with the service, then ask for a new token")]
+    #[error(
+        "the daemon that issued the token has ended, so nobody can say whether its request ran: check with the service, then ask for a new token"
+    )]
     IssuerEnded,
     /// It belongs to another daemon.
     #[error("the token belongs to {0}: forward it there")]
@@ -95,13 +108,22 @@
     pub used: BTreeMap<u64, u64>,
 }
 
+/// What a request is known by when it is repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum RepeatKey {
+    /// An issued token.
+    Token(IdempotencyToken),
+    /// A caller's own key, whose claim this daemon won.
+    Key(KeyHash),
+}
+
 /// Tokens that one run of a daemon may run: its own, and those handed to it.
 #[derive(Debug)]
 pub struct TokenRegistry<Answer> {
     me: DaemonRef,
     issued: u64,
-    used: HashMap<(DaemonRef, u64), TokenEntry<Answer>>,
-    kept: VecDeque<(DaemonRef, u64)>,
+    used: HashMap<RepeatKey, TokenEntry<Answer>>,
+    kept: VecDeque<RepeatKey>,
     kept_most: usize,
     inherited: HashMap<DaemonRef, u64>,
     handed_to: Option<DaemonRef>,
@@ -173,16 +195,22 @@
         }
     }
 
-    /// Decides what to do with a request that carries a token, and records its first use.
+    /// Decides what to do with a request that carries a token or key, and records its first use.
     ///
     /// # Errors
     /// Says why the token can't be used here.
-    pub fn begin(&mut self, token: &IdempotencyToken, fingerprint: u64) -> Result<TokenDecision<Answer>, TokenError> {
-        let key = (token.issuer.clone(), token.counter);
-        let Some(entry) = self.used.get(&key) else {
-            self.check(token)?;
+    pub fn begin(
+        &mut self,
+        key: &RepeatKey,
+        fingerprint: u64,
+    ) -> Result<TokenDecision<Answer>, TokenError> {
+        let Some(entry) = self.used.get(key) else {
+            if let RepeatKey::Token(token) = key {
+                self.check(token)?;
+            }
             let state = TokenState::Running;
-            self.used.insert(key, TokenEntry { state, fingerprint });
+            self.used
+                .insert(key.clone(), TokenEntry { state, fingerprint });
             return Ok(TokenDecision::Run);
         };
         if entry.fingerprint != fingerprint {
@@ -196,14 +224,13 @@
     }
 
     /// The request of a token was proved not run: the token may be used again.
-    pub fn release(&mut self, token: &IdempotencyToken) {
-        self.used.remove(&(token.issuer.clone(), token.counter));
+    pub fn release(&mut self, key: &RepeatKey) {
+        self.used.remove(key);
     }
 
     /// The request of a token ended; none means that nobody knows the outcome.
-    pub fn finish(&mut self, token: &IdempotencyToken, answer: Option<Answer>) {
-        let key = (token.issuer.clone(), token.counter);
-        let Some(entry) = self.used.get_mut(&key) else {
+    pub fn finish(&mut self, key: &RepeatKey, answer: Option<Answer>) {
+        let Some(entry) = self.used.get_mut(key) else {
             return;
         };
         let Some(answer) = answer else {
@@ -211,7 +238,7 @@
             return;
         };
         entry.state = TokenState::Answered(answer);
-        self.kept.push_back(key);
+        self.kept.push_back(key.clone());
         if self.kept.len() > self.kept_most
             && let Some(oldest) = self.kept.pop_front()
             && let Some(entry) = self.used.get_mut(&oldest)
@@ -228,9 +255,11 @@
         for (issuer, issued) in self.inherited.iter().chain([(&self.me, &self.issued)]) {
             handed.entry(issuer.clone()).or_default().issued = *issued;
         }
-        for ((issuer, counter), entry) in &self.used {
-            if let Some(tokens) = handed.get_mut(issuer) {
-                tokens.used.insert(*counter, entry.fingerprint);
+        for (key, entry) in &self.used {
+            if let RepeatKey::Token(token) = key
+                && let Some(tokens) = handed.get_mut(&token.issuer)
+            {
+                tokens.used.insert(token.counter, entry.fingerprint);
             }
         }
         handed
@@ -245,7 +274,11 @@
                     state: TokenState::Spent,
                     fingerprint: *fingerprint,
                 };
-                self.used.entry((issuer.clone(), *counter)).or_insert(entry);
+                let token = IdempotencyToken {
+                    issuer: issuer.clone(),
+                    counter: *counter,
+                };
+                self.used.entry(RepeatKey::Token(token)).or_insert(entry);
             }
         }
     }
--- /dev/null
+++ b/crates/daemon/src/app/admission.rs
@@ -0,0 +1,273 @@
+//! Admitting requests and choosing their targets.
+
+use crate::{
+    app::{
+        Admission, AdmitRefusal, AdmitRequest, AdmitSubject, AppState, RouteAnswer, RouteRequest,
+        RouteVia, held::HeldPhase,
+    },
+    calls::{CallBuffer, CallEnd, SubmitRequest},
+    gateway::{CallDriver, DriverContext},
+};
+use hoplanding_core::{
+    config::{CallerQuota, ResolvedModel, TargetRole},
+    ids::{
+        AdapterVersion, CallerName, Instant, PriorityClass, RequestId, ServiceName, TargetName,
+        TokenHash,
+    },
+    policy::{RouteChoice, RouteQuery},
+    request::{NotRunReason, RequestCall},
+};
+use std::sync::Arc;
+
+/// Choices that are tried before a request is refused for want of a target.
+const ROUTE_TRIES: usize = 8;
+/// When to come back if no target is there, in milliseconds.
+const NO_TARGET_MS: u64 = 1000;
+/// When to come back if too many requests are open, in milliseconds.
+const OVERLOADED_MS: u64 = 1000;
+
+impl AppState {
+    pub(super) fn caller_of(&self, bearer: &str) -> Result<CallerName, AdmitRefusal> {
+        let caller = self.callers_by_token.get(&TokenHash::of(bearer));
+        caller.cloned().ok_or(AdmitRefusal::UnknownCaller)
+    }
+
+    pub(super) fn admit(
+        &mut self,
+        request: &AdmitRequest,
+        now: Instant,
+    ) -> Result<Admission, AdmitRefusal> {
+        let caller = self.caller_of(&request.bearer)?;
+        let resolved = self.resolve(&caller, &request.subject)?;
+        if self
+            .stopping
+            .as_ref()
+            .is_some_and(super::stopping::StopState::refuses_new)
+        {
+            return Err(NotRunReason::Stopping.into());
+        }
+        if self.open_requests >= self.settings.limits.open_requests {
+            return Err(NotRunReason::Overloaded {
+                retry_after_ms: OVERLOADED_MS,
+            }
+            .into());
+        }
+        let configured = self.config().callers.get(&caller);
+        let quota = configured.map_or_else(CallerQuota::default, |config| config.quota);
+        self.limits.admit(&caller, &quota, now)?;
+        self.open_requests += 1;
+        self.workers.metrics.count("gateway.admitted");
+        let class = request
+            .class
+            .unwrap_or(resolved.priority)
+            .max(resolved.priority);
+        Ok(Admission {
+            caller,
+            class,
+            resolved,
+        })
+    }
+
+    fn resolve(
+        &self,
+        caller: &CallerName,
+        subject: &AdmitSubject,
+    ) -> Result<ResolvedModel, AdmitRefusal> {
+        match subject {
+            AdmitSubject::Model(model) => Ok(self.config().resolve(caller.as_str(), model)?),
+            AdmitSubject::Service(service, method, path) => {
+                let exists = self
+                    .config()
+                    .targets
+                    .values()
+                    .any(|target| is_member(&target.role, service));
+                if !exists {
+                    return Err(AdmitRefusal::UnknownService(service.clone()));
+                }
+                let right = self
+                    .config()
+                    .right_to_service(caller.as_str(), service.as_str());
+                let right = right
+                    .ok_or_else(|| AdmitRefusal::NoService(caller.clone(), service.clone()))?;
+                Ok(ResolvedModel {
+                    model: AdapterVersion::new(service.as_str(), "-"),
+                    rule: self.config().service_rule(service.as_str(), method, path),
+                    priority: right.priority,
+                })
+            }
+        }
+    }
+
+    pub(super) fn list_models(
+        &self,
+        bearer: &str,
+    ) -> Result<Vec<(AdapterVersion, bool)>, AdmitRefusal> {
+        let caller = self.caller_of(bearer)?;
+        let mut models = Vec::new();
+        for (adapter, config) in &self.config().adapters {
+            if self
+                .config()
+                .right_to_adapter(caller.as_str(), adapter.as_str())
+                .is_none()
+            {
+                continue;
+            }
+            for version in &config.versions {
+                let model = AdapterVersion {
+                    adapter: adapter.clone(),
+                    version: version.name.clone(),
+                };
+                models.push((model, config.current.as_ref() == Some(&version.name)));
+            }
+        }
+        Ok(models)
+    }
+
+    /// Serves an admitted request to its end, in a task of its own.
+    pub(super) fn submit(&mut self, request: SubmitRequest, buffer: Arc<CallBuffer>) {
+        let id = RequestId {
+            gateway: self.me.incarnation,
+            counter: self.next_number(),
+        };
+        if self
+            .stopping
+            .as_ref()
+            .is_some_and(super::stopping::StopState::refuses_new)
+            && request.idempotency.is_none()
+        {
+            let call = RequestCall::new(id);
+            buffer.end(CallEnd::NotRun(call.refuse(NotRunReason::Stopping)));
+            return;
+        }
+        let context = DriverContext::new(self.workers.events.clone(), self.workers.metrics.clone());
+        tokio::spawn(CallDriver::new(context, id, request, buffer).run());
+    }
+
+    pub(super) fn request_ended(&mut self, caller: &CallerName) {
+        self.open_requests = self.open_requests.saturating_sub(1);
+        self.limits.finish(caller.as_str());
+    }
+
+    pub(super) fn route(&mut self, request: &RouteRequest) -> Result<RouteAnswer, NotRunReason> {
+        if let Some(target) = &request.target {
+            return self.way_to(target).ok_or(NotRunReason::NoTarget {
+                retry_after_ms: NO_TARGET_MS,
+            });
+        }
+        for _ in 0..ROUTE_TRIES {
+            let Some(choice) = self.choose(request) else {
+                break;
+            };
+            if let Some(answer) = self.way_to(&choice.target) {
+                return Ok(answer);
+            }
+            self.engines.set_reachable(choice.target.as_str(), false);
+            self.services.set_reachable(choice.target.as_str(), false);
+        }
+        Err(NotRunReason::NoTarget {
+            retry_after_ms: NO_TARGET_MS,
+        })
+    }
+
+    fn choose(&mut self, request: &RouteRequest) -> Option<RouteChoice> {
+        let placeholder = AdapterVersion::new("-", "-");
+        let query = RouteQuery {
+            model: request.model.as_ref().unwrap_or(&placeholder),
+            class: request.class,
+            output_tokens: request.output_tokens,
+            zone: &self.zone,
+            avoid: &request.avoid,
+        };
+        let Some(service) = &request.service else {
+            return self.engines.choose(&query, &self.weights);
+        };
+        let targets = &self.folded.config.targets;
+        let is_service = |target: &TargetName| {
+            targets
+                .get(target)
+                .is_some_and(|config| is_member(&config.role, service))
+        };
+        self.services
+            .choose_service(&query, &self.weights, is_service)
+    }
+
+    fn way_to(&self, target: &TargetName) -> Option<RouteAnswer> {
+        let lease = self.folded.ownership.holder(target.as_str())?;
+        let via = if lease.is_of(&self.me) {
+            RouteVia::Local
+        } else {
+            let link = self
+                .links
+                .get(&lease.daemon.vm)
+                .filter(|link| link.is_connected())?;
+            RouteVia::Link(link.clone())
+        };
+        Some(RouteAnswer {
+            target: target.clone(),
+            via,
+        })
+    }
+
+    /// Whether a target gets no new work, by any witness.
+    pub(super) fn is_closed(&self, target: &TargetName) -> bool {
+        let draining = self
+            .config()
+            .targets
+            .get(target)
+            .is_none_or(|config| config.draining);
+        draining || self.leaving_targets.contains(target)
+    }
+
+    pub(super) fn close_route(&mut self, target: &TargetName) {
+        self.engines.close(target.as_str());
+        self.services.close(target.as_str());
+    }
+
+    /// Opens and closes targets as configuration, list and the targets themselves say.
+    pub(super) fn apply_targets(&mut self) {
+        let closed: Vec<_> = self
+            .config()
+            .targets
+            .keys()
+            .filter(|target| self.is_closed(target))
+            .cloned()
+            .collect();
+        for target in &closed {
+            self.close_route(target);
+        }
+        let names: Vec<_> = self.held.keys().cloned().collect();
+        for target in names {
+            let is_closed = self.is_closed(&target);
+            let configured = self.folded.config.targets.get(&target).cloned();
+            let Some(held) = self.held.get_mut(&target) else {
+                continue;
+            };
+            let was_draining = held.config.draining;
+            if let Some(config) = configured {
+                held.is_quarantined &= !was_draining || config.draining;
+                held.config = config;
+            }
+            let open = !is_closed
+                && !held.is_quarantined
+                && !held.says_leaving
+                && held.phase != HeldPhase::Lost;
+            held.scheduler.set_open(open);
+            if !open {
+                let reason = NotRunReason::NoTarget {
+                    retry_after_ms: NO_TARGET_MS,
+                };
+                self.give_back_waiting(&target, &reason);
+            }
+            self.observe_own(&target);
+        }
+    }
+
+    /// Class of a request by its caller's right, for forwarded requests.
+    pub(super) fn class_text(class: PriorityClass) -> &'static str {
+        class.as_str()
+    }
+}
+
+fn is_member(role: &TargetRole, service: &ServiceName) -> bool {
+    matches!(role, TargetRole::Service { service: name, .. } if name == service)
+}
--- /dev/null
+++ b/crates/daemon/src/app/changes.rs
@@ -0,0 +1,149 @@
+//! Commands of operators: appended, read back, and only then called accepted.
+
+use crate::{
+    app::{AppState, OperatorAnswer, OperatorError},
+    clock,
+    platform::AppendOutcome,
+};
+use hoplanding_core::{
+    config::FoldOutcome,
+    ids::{ChangeId, Instant, OperatorName},
+    language::CommandList,
+    log::{ChangeRecord, LogRecord},
+};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time after which an operator is told that nobody can say yet.
+const ANSWER_WITHIN: Duration = Duration::from_secs(12);
+/// Time for a record whose answer was lost to turn up, before it is appended again.
+const TURN_UP_WITHIN: Duration = Duration::from_secs(2);
+
+type ChangeReply = oneshot::Sender<Result<OperatorAnswer, OperatorError>>;
+
+/// A change that was appended and not read back yet.
+pub struct PendingChange {
+    record: ChangeRecord,
+    reply: Option<ChangeReply>,
+    began: Instant,
+    append_again_at: Option<Instant>,
+    may_have_effect: bool,
+}
+
+impl AppState {
+    pub(super) fn start_change(
+        &mut self,
+        operator: &OperatorName,
+        commands: &CommandList,
+        reply: ChangeReply,
+        now: Instant,
+    ) {
+        let number = self.next_number();
+        let id = ChangeId::new(&format!(
+            "{}-{:x}-{number}",
+            self.me.vm, self.me.incarnation.0
+        ));
+        let record = ChangeRecord {
+            id: id.clone(),
+            operator: operator.clone(),
+            via: self.me.vm.clone(),
+            at_ms: clock::wall_ms(),
+            text: commands.text.clone(),
+            parts: commands.based_on(self.config()),
+        };
+        let pending = PendingChange {
+            record,
+            reply: Some(reply),
+            began: now,
+            append_again_at: None,
+            may_have_effect: false,
+        };
+        self.pending_changes.insert(id.clone(), pending);
+        self.append_change(&id);
+    }
+
+    fn append_change(&mut self, id: &ChangeId) {
+        let ticket = self.next_number();
+        let Some(pending) = self.pending_changes.get_mut(id) else {
+            return;
+        };
+        pending.append_again_at = None;
+        let record = LogRecord::Change(pending.record.clone());
+        if self.workers.appender.append(ticket, vec![record]) {
+            self.tickets.insert(ticket, vec![id.clone()]);
+        } else {
+            self.fail_change(id, |_| OperatorError::LogOut);
+        }
+    }
+
+    pub(super) fn appended(&mut self, tickets: &[u64], outcome: AppendOutcome, now: Instant) {
+        let ids: Vec<_> = tickets
+            .iter()
+            .filter_map(|ticket| self.tickets.remove(ticket))
+            .flatten()
+            .collect();
+        for id in ids {
+            let Some(pending) = self.pending_changes.get_mut(&id) else {
+                continue;
+            };
+            match outcome {
+                AppendOutcome::Appended => pending.may_have_effect = true,
+                AppendOutcome::Unknown => {
+                    pending.may_have_effect = true;
+                    pending.append_again_at = Some(now.after(TURN_UP_WITHIN));
+                }
+                AppendOutcome::NotAppended if pending.may_have_effect => {
+                    pending.append_again_at = Some(now.after(TURN_UP_WITHIN));
+                }
+                AppendOutcome::NotAppended => self.fail_change(&id, |_| OperatorError::LogOut),
+            }
+        }
+        if outcome != AppendOutcome::Appended {
+            self.claims_not_appended(outcome);
+        }
+    }
+
+    /// The fold has decided about a change.
+    pub(super) fn settle_change(&mut self, id: &ChangeId, outcome: FoldOutcome) {
+        let Some(pending) = self.pending_changes.remove(id) else {
+            return;
+        };
+        let answer = match outcome {
+            FoldOutcome::Accepted(offset) => Ok(OperatorAnswer::Accepted(id.clone(), offset)),
+            FoldOutcome::Refused(_, conflict) => Err(OperatorError::Conflict(id.clone(), conflict)),
+        };
+        if let Some(reply) = pending.reply {
+            let _ = reply.send(answer);
+        }
+    }
+
+    fn fail_change(&mut self, id: &ChangeId, error: impl FnOnce(ChangeId) -> OperatorError) {
+        if let Some(reply) = self
+            .pending_changes
+            .remove(id)
+            .and_then(|pending| pending.reply)
+        {
+            let _ = reply.send(Err(error(id.clone())));
+        }
+    }
+
+    pub(super) fn tick_changes(&mut self, now: Instant) {
+        let again = self
+            .pending_changes
+            .iter()
+            .filter(|(_, pending)| pending.append_again_at.is_some_and(|at| at <= now));
+        let again: Vec<_> = again.map(|(id, _)| id.clone()).collect();
+        for id in again {
+            // The log was read forward for a while and the change did not turn up; a second copy has no second effect.
+            self.append_change(&id);
+        }
+        let late = self
+            .pending_changes
+            .iter()
+            .filter(|(_, pending)| now.since(pending.began) > ANSWER_WITHIN);
+        let late: Vec<_> = late.map(|(id, _)| id.clone()).collect();
+        for id in late {
+            self.fail_change(&id, OperatorError::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/app/event_loop.rs
@@ -0,0 +1,124 @@
+//! The loop itself.
+
+use crate::{
+    app::{AppEvent, AppState},
+    clock,
+};
+use std::time::Duration;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval},
+};
+
+/// Pause between two ticks.
+const TICK: Duration = Duration::from_millis(25);
+
+/// A way to tell the event loop things and to ask it.
+#[derive(Clone)]
+pub struct AppHandle {
+    events: mpsc::Sender<AppEvent>,
+}
+
+impl AppHandle {
+    /// A handle on the loop that reads the other end of `events`.
+    #[must_use]
+    pub fn new(events: mpsc::Sender<AppEvent>) -> Self {
+        Self { events }
+    }
+
+    /// Tells the loop something.
+    pub async fn tell(&self, event: AppEvent) {
+        // After the loop's end nobody is left to care.
+        let _ = self.events.send(event).await;
+    }
+
+    /// Asks the loop; none once it has ended.
+    pub async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> AppEvent) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.events.send(question(sender)).await.ok()?;
+        receiver.await.ok()
+    }
+
+    /// The channel itself, for workers.
+    #[must_use]
+    pub fn sender(&self) -> mpsc::Sender<AppEvent> {
+        self.events.clone()
+    }
+}
+
+/// Runs the loop until a planned stop is over.
+pub async fn run_app(mut state: AppState, mut events: mpsc::Receiver<AppEvent>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    state.begin();
+    while !state.is_stopped() {
+        let event = tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => event,
+                None => return,
+            },
+            _ = ticks.tick() => AppEvent::Tick,
+        };
+        state.handle(event);
+    }
+}
+
+impl AppState {
+    /// Carries out what follows from one event.
+    pub fn handle(&mut self, event: AppEvent) {
+        let now = clock::now();
+        match event {
+            AppEvent::Tick => self.tick(now),
+            AppEvent::LogRead(batch) => self.log_read(batch, now),
+            AppEvent::LogExpired(earliest) => self.log_expired(earliest),
+            AppEvent::LogOut(cause) => self.log_out(&cause),
+            AppEvent::Appended(tickets, outcome) => self.appended(&tickets, outcome, now),
+            AppEvent::VmsListed(list) => self.vms_listed(&list, now),
+            AppEvent::LinkUp(vm) => self.link_up(&vm),
+            AppEvent::LinkRefused(vm) => self.members.observe_refused(vm.as_str(), now),
+            AppEvent::PeerReply(vm, message) => self.peer_reply(&vm, *message),
+            AppEvent::PeerRequest(vm, message, back) => {
+                self.peer_request(&vm, *message, &back, now)
+            }
+            AppEvent::Admit(request, reply) => answer(reply, self.admit(&request, now)),
+            AppEvent::ListModels(bearer, reply) => answer(reply, self.list_models(&bearer)),
+            AppEvent::IssueToken(bearer, reply) => answer(reply, self.issue_token(&bearer)),
+            AppEvent::Submit(request, buffer) => self.submit(*request, buffer),
+            AppEvent::Route(request, reply) => answer(reply, self.route(&request)),
+            AppEvent::BeginRepeat(key, fingerprint, reply) => {
+                answer(reply, self.begin_repeat(&key, fingerprint))
+            }
+            AppEvent::EndRepeat(key, end) => self.end_repeat(&key, end),
+            AppEvent::ClaimKey(key, fingerprint, reply) => {
+                self.claim_key(key, fingerprint, reply, now)
+            }
+            AppEvent::RequestEnded(caller) => self.request_ended(&caller),
+            AppEvent::Execute(request, buffer) => self.execute(*request, buffer, now),
+            AppEvent::CallAbandoned(call) => self.call_abandoned(call),
+            AppEvent::FirstToken(call, target) => self.first_token(call, &target),
+            AppEvent::StreamEnded(call, target, end) => self.stream_ended(call, &target, end, now),
+            AppEvent::OrderDone(report) => self.order_done(&report, now),
+            AppEvent::Operator(request, reply) => self.operator(&request, reply, now),
+            AppEvent::IsReady(reply) => answer(reply, self.is_ready()),
+            AppEvent::Stop(reply) => self.begin_stop(reply, now),
+        }
+    }
+
+    fn tick(&mut self, now: hoplanding_core::ids::Instant) {
+        self.tick_membership(now);
+        self.tick_ownership(now);
+        self.tick_holder(now);
+        self.tick_orders(now);
+        self.tick_heartbeat(now);
+        self.tick_changes(now);
+        self.tick_claims(now);
+        self.tick_queries(now);
+        self.tick_snapshot(now);
+        self.tick_stop(now);
+    }
+}
+
+fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    // Whoever asked may have gone away.
+    let _ = reply.send(value);
+}
--- /dev/null
+++ b/crates/daemon/src/app/explain.rs
@@ -0,0 +1,160 @@
+//! Why an adapter is where it is, and why a request waits.
+
+use crate::app::{AppState, OperatorError};
+use hoplanding_core::{
+    ids::{AdapterName, AdapterVersion, Instant},
+    language::{CellValue, DataTable},
+    policy::AdapterState,
+};
+
+impl AppState {
+    pub(super) fn explain_adapter(
+        &self,
+        adapter: &AdapterName,
+        now: Instant,
+    ) -> Result<DataTable, OperatorError> {
+        let Some(config) = self.config().adapters.get(adapter) else {
+            return Err(OperatorError::NotFound(format!(
+                "adapter `{adapter}` does not exist: `show adapters` lists them"
+            )));
+        };
+        let mut table = DataTable::new(&["what", "answer"]);
+        let mut say = |what: &str, answer: String| {
+            table
+                .rows
+                .push(vec![CellValue::text(what), CellValue::Text(answer)])
+        };
+        let Some(version) = &config.current else {
+            say("current version", "none: publish one".to_owned());
+            return Ok(table);
+        };
+        let model = AdapterVersion {
+            adapter: adapter.clone(),
+            version: version.clone(),
+        };
+        say("current version", version.to_string());
+        say(
+            "requests a second, as this daemon sees it",
+            format!("{:.4}", self.popularity.rate(&model, now)),
+        );
+        say(
+            "kept loaded by an operator",
+            (self.kept_models.contains(&model)).to_string(),
+        );
+        say(
+            "on some target",
+            self.engines.is_resident(&model).to_string(),
+        );
+        let homes = self
+            .config()
+            .targets
+            .keys()
+            .filter(|target| self.engines.is_home(&model, target.as_str()));
+        let homes: Vec<_> = homes.map(ToString::to_string).collect();
+        say(
+            "home by rendezvous, where its first load goes",
+            homes.join(", "),
+        );
+        for (name, held) in &self.held {
+            for resident in held
+                .scheduler
+                .residents()
+                .iter()
+                .filter(|resident| resident.model == model)
+            {
+                let state = match resident.state {
+                    AdapterState::Loaded if resident.in_flight > 0 => format!(
+                        "{} requests in flight: it can't be evicted",
+                        resident.in_flight
+                    ),
+                    AdapterState::Loaded => format!(
+                        "idle for {:.1} s: it goes when another one is wanted more",
+                        now.since(resident.used_at).as_secs_f64()
+                    ),
+                    AdapterState::Loading => "its load is under way".to_owned(),
+                    AdapterState::Unloading => "its unload is announced or under way".to_owned(),
+                };
+                say(&format!("on {name}"), state);
+            }
+            if let Some(queue) = held.scheduler.waiting().adapter(&model) {
+                say(
+                    &format!("waiting at {name}"),
+                    format!("{} requests", queue.len()),
+                );
+            }
+            if let Some(pause) = held.scheduler.backoff().pause_left(&model, now) {
+                say(
+                    &format!("failed to load on {name}"),
+                    format!("next try in {:.1} s", pause.as_secs_f64()),
+                );
+            }
+        }
+        Ok(table)
+    }
+
+    pub(super) fn explain_request(
+        &self,
+        id: &str,
+        now: Instant,
+    ) -> Result<DataTable, OperatorError> {
+        let mut table = DataTable::new(&["what", "answer"]);
+        for (name, held) in &self.held {
+            let waiting = held
+                .scheduler
+                .waiting()
+                .iter()
+                .flat_map(|(_, queue)| queue.iter());
+            let Some(request) = waiting
+                .into_iter()
+                .find(|request| request.id.to_string() == id)
+            else {
+                continue;
+            };
+            let reason = self.wait_reason(held, &request.model);
+            let mut say = |what: &str, answer: String| {
+                table
+                    .rows
+                    .push(vec![CellValue::text(what), CellValue::Text(answer)])
+            };
+            say("target", name.to_string());
+            say("adapter", request.model.to_string());
+            say("class", request.class.to_string());
+            say(
+                "waited",
+                format!("{:.3} s", now.since(request.queued_at).as_secs_f64()),
+            );
+            say("because", reason);
+            return Ok(table);
+        }
+        Err(OperatorError::NotFound(format!(
+            "request `{id}` does not wait at this daemon: `show requests` lists those of the fleet; ask the holder of its target"
+        )))
+    }
+
+    fn wait_reason(&self, held: &crate::app::held::HeldRuntime, model: &AdapterVersion) -> String {
+        if !held.is_serving() {
+            return "the target is being prepared after a takeover or a restart".to_owned();
+        }
+        let resident = held
+            .scheduler
+            .residents()
+            .iter()
+            .find(|resident| resident.model == *model);
+        match resident.map(|resident| resident.state) {
+            Some(AdapterState::Loading) => "its adapter is being loaded".to_owned(),
+            Some(AdapterState::Unloading) => {
+                "its adapter is being unloaded and comes back after that".to_owned()
+            }
+            Some(AdapterState::Loaded) => format!(
+                "{} of {} seats are taken, or the rest is kept for more urgent work",
+                held.scheduler.running_len(),
+                held.scheduler.limits().seats
+            ),
+            None if held.order.is_some() => "another adapter's load goes first".to_owned(),
+            None => {
+                "its adapter waits for its turn at the weight store, or for a slot that falls idle"
+                    .to_owned()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/app/holder.rs
@@ -0,0 +1,449 @@
+//! Serving requests on held targets.
+
+use crate::{
+    app::{
+        AppEvent, AppState, OrderKind, StreamEnd,
+        held::{HeldPhase, HeldRuntime, PendingCall},
+    },
+    calls::{CallBuffer, CallEnd, CallId, CallWork, ExecuteRequest, RunMode},
+    event,
+    events::Event,
+    targets::{ServiceJob, StreamJob, run_service_call, run_stream},
+};
+use hoplanding_core::{
+    ids::{AdapterVersion, Instant, RequestId, TargetName},
+    policy::{DispatchOrder, QueuedRequest, TargetScheduler},
+    request::{NotRunReason, RequestCall},
+};
+use std::{sync::Arc, time::Duration};
+
+/// Pause between two looks at held targets.
+const SECOND: Duration = Duration::from_secs(1);
+/// Time for which an answer is kept for a taker whose link broke.
+const REATTACH_WITHIN: Duration = Duration::from_secs(10);
+/// When to come back if no target is there, in milliseconds.
+const NO_TARGET_MS: u64 = 1000;
+
+impl AppState {
+    pub(super) fn execute(
+        &mut self,
+        request: ExecuteRequest,
+        buffer: Arc<CallBuffer>,
+        now: Instant,
+    ) {
+        let call = RequestCall::new(request.call.request);
+        let Some(held) = self
+            .held
+            .get_mut(&request.target)
+            .filter(|held| held.phase != HeldPhase::Lost)
+        else {
+            buffer.end(CallEnd::NotRun(call.refuse(NotRunReason::NotHolder)));
+            return;
+        };
+        if let RunMode::Resume { stream, from } = &request.mode {
+            let (stream, from) = (stream.clone(), *from);
+            self.resume(request, stream, from, buffer);
+            return;
+        }
+        let queued = queued_request(&request, now);
+        if held.is_engine() {
+            self.popularity.record(&queued.model, now);
+        }
+        let id = queued.id;
+        if let Err(refused) = held.scheduler.enqueue(queued, &self.weights) {
+            self.workers.metrics.count("holder.refused");
+            buffer.end(CallEnd::NotRun(call.refuse(refused.1)));
+            return;
+        }
+        let target = request.target.clone();
+        held.waiting.insert(
+            id,
+            PendingCall {
+                request,
+                buffer,
+                call,
+            },
+        );
+        self.pump(&target, now);
+        self.run_bids(now);
+    }
+
+    /// Asks the target for the rest of a stream, which may have been started by an earlier holder.
+    fn resume(
+        &mut self,
+        request: ExecuteRequest,
+        stream: String,
+        from: u64,
+        buffer: Arc<CallBuffer>,
+    ) {
+        let Some(held) = self.held.get_mut(&request.target) else {
+            return;
+        };
+        let CallWork::Engine(work) = request.work else {
+            buffer.end(CallEnd::Unknown(
+                "a plain service's answer can't be asked for again".to_owned(),
+            ));
+            return;
+        };
+        let id = AppEvent::scheduler_id(request.call);
+        // The seat of the attempt that broke passes to this one.
+        held.doubtful.retain(|_, (name, _)| *name != stream);
+        let earlier: Vec<_> = held
+            .streams
+            .iter()
+            .filter(|(_, name)| **name == stream)
+            .map(|(id, _)| *id)
+            .collect();
+        held.scheduler.adopt_running(id, &work.model, request.class);
+        for earlier in earlier {
+            held.streams.remove(&earlier);
+            held.scheduler.finished(earlier, crate::clock::now());
+        }
+        held.streams.insert(id, stream.clone());
+        let job = StreamJob {
+            call: request.call,
+            target: request.target,
+            client: held.client.clone(),
+            token: held.lease.token,
+            class: request.class,
+            work,
+            stream,
+            from,
+            start: None,
+            load_stall: Duration::ZERO,
+            tokens: Arc::clone(&held.tokens),
+            buffer,
+            events: self.workers.events.clone(),
+        };
+        tokio::spawn(run_stream(job));
+    }
+
+    /// Dispatches what can go out at a target now.
+    pub(super) fn pump(&mut self, target: &TargetName, now: Instant) {
+        let Some(held) = self.held.get_mut(target).filter(|held| held.is_serving()) else {
+            return;
+        };
+        let Some(ownership) = self.folded.ownership.target(target.as_str()) else {
+            return;
+        };
+        loop {
+            let lease = &held.lease;
+            let next = held.scheduler.next_dispatch(&self.weights, now, |model| {
+                lease.may_dispatch(ownership, model)
+            });
+            let Some(order) = next else {
+                break;
+            };
+            let Some(pending) = held.waiting.remove(&order.request.id) else {
+                held.scheduler.finished(order.request.id, now);
+                continue;
+            };
+            if pending.buffer.is_abandoned() {
+                held.scheduler.finished(order.request.id, now);
+                continue;
+            }
+            self.workers
+                .metrics
+                .time("holder.load_stall", order.load_stall);
+            dispatch(held, pending, &order, &self.workers);
+        }
+        self.observe_own(target);
+    }
+
+    /// Tells this daemon's own router about a held target.
+    pub(super) fn observe_own(&mut self, target: &TargetName) {
+        let Some(held) = self.held.get(target).filter(|held| held.is_serving()) else {
+            return;
+        };
+        let router = if held.is_engine() {
+            &mut self.engines
+        } else {
+            &mut self.services
+        };
+        let digest = held
+            .scheduler
+            .digest(Some(router.known_revision(target.as_str())));
+        router.observe(&self.zone, &digest);
+    }
+
+    pub(super) fn call_abandoned(&mut self, call: CallId) {
+        let id = AppEvent::scheduler_id(call);
+        for held in self.held.values_mut() {
+            if let Some(pending) = held.waiting.remove(&id) {
+                let model = model_of(&pending.request);
+                held.scheduler.cancel_waiting(&model, id);
+                pending.buffer.end(CallEnd::NotRun(
+                    pending.call.refuse(NotRunReason::Cancelled),
+                ));
+                return;
+            }
+        }
+    }
+
+    pub(super) fn first_token(&mut self, call: CallId, target: &TargetName) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.scheduler.first_token(AppEvent::scheduler_id(call));
+        }
+    }
+
+    pub(super) fn stream_ended(
+        &mut self,
+        call: CallId,
+        target: &TargetName,
+        end: StreamEnd,
+        now: Instant,
+    ) {
+        let id = AppEvent::scheduler_id(call);
+        let Some(held) = self.held.get_mut(target) else {
+            return;
+        };
+        held.epoch += 1;
+        let is_engine = held.is_engine();
+        let stream = held.streams.remove(&id);
+        match end {
+            StreamEnd::Complete { boot } => {
+                held.scheduler.finished(id, now);
+                held.is_reachable = true;
+                if boot != held.boot {
+                    self.send_order(target, OrderKind::List);
+                }
+            }
+            StreamEnd::Refused => {
+                held.scheduler.finished(id, now);
+                self.send_order(target, OrderKind::List);
+            }
+            StreamEnd::Unreachable => {
+                held.scheduler.finished(id, now);
+                self.target_unreachable(target);
+            }
+            StreamEnd::WrongModel => {
+                held.is_quarantined = true;
+                keep_in_doubt(held, id, stream);
+                self.apply_targets();
+            }
+            StreamEnd::Ended | StreamEnd::Broken if is_engine => {
+                keep_in_doubt(held, id, stream);
+                self.send_order(target, OrderKind::List);
+            }
+            StreamEnd::Ended | StreamEnd::Broken => held.scheduler.finished(id, now),
+        }
+        self.pump(target, now);
+        self.run_bids(now);
+        self.settle_if_lost(target);
+    }
+
+    fn settle_if_lost(&mut self, target: &TargetName) {
+        // The next look at ownership settles it at once rather than after its pause.
+        if self
+            .held
+            .get(target)
+            .is_some_and(|held| held.phase == HeldPhase::Lost && held.is_idle())
+        {
+            self.last.ownership = Instant::default();
+        }
+    }
+
+    pub(super) fn target_unreachable(&mut self, target: &TargetName) {
+        let Some(held) = self.held.get_mut(target) else {
+            return;
+        };
+        if std::mem::take(&mut held.is_reachable) {
+            event!(Event::TargetUnreachable, "{target}");
+        }
+        let was_serving = held.phase == HeldPhase::Serving;
+        if was_serving && held.is_engine() {
+            held.phase = HeldPhase::Preparing;
+        }
+        self.engines.set_reachable(target.as_str(), false);
+        self.services.set_reachable(target.as_str(), false);
+        self.give_back_waiting(
+            target,
+            &NotRunReason::NoTarget {
+                retry_after_ms: NO_TARGET_MS,
+            },
+        );
+    }
+
+    pub(super) fn tick_holder(&mut self, now: Instant) {
+        if now.since(self.last.second) < SECOND {
+            return;
+        }
+        self.last.second = now;
+        self.workers.calls.sweep(REATTACH_WITHIN);
+        self.refuse_overdue(now);
+        let targets: Vec<_> = self.held.keys().cloned().collect();
+        for target in &targets {
+            let Some(held) = self.held.get_mut(target) else {
+                continue;
+            };
+            let ownership = self.folded.ownership.target(target.as_str());
+            let may_evict =
+                ownership.is_some_and(|ownership| held.lease.may_plan_unload(ownership, 0).is_ok());
+            held.measure_speed(now);
+            held.scheduler.force_room(&self.popularity, may_evict, now);
+            if held.is_engine() && held.phase == HeldPhase::Serving {
+                self.send_order(target, OrderKind::List);
+            }
+            if self
+                .held
+                .get(target)
+                .is_some_and(|held| !held.is_engine() && !held.is_reachable)
+            {
+                self.revive_service(target);
+            }
+            self.pump(target, now);
+        }
+        self.report_gauges();
+    }
+
+    /// A plain service is tried again a second after it could not be reached.
+    fn revive_service(&mut self, target: &TargetName) {
+        if let Some(held) = self.held.get_mut(target) {
+            held.is_reachable = true;
+        }
+        self.observe_own(target);
+    }
+
+    fn refuse_overdue(&mut self, now: Instant) {
+        for held in self.held.values_mut() {
+            for overdue in held.scheduler.remove_overdue(&self.weights, now) {
+                if let Some(pending) = held.waiting.remove(&overdue.id) {
+                    let reason = NotRunReason::DeadlinePassed {
+                        retry_after_ms: NO_TARGET_MS,
+                    };
+                    pending
+                        .buffer
+                        .end(CallEnd::NotRun(pending.call.refuse(reason)));
+                }
+            }
+        }
+    }
+
+    fn report_gauges(&self) {
+        let running: usize = self
+            .held
+            .values()
+            .map(|held| held.scheduler.running_len())
+            .sum();
+        let waiting: usize = self
+            .held
+            .values()
+            .map(|held| held.scheduler.waiting().len())
+            .sum();
+        self.workers.metrics.gauge("holder.running", running as u64);
+        self.workers.metrics.gauge("holder.waiting", waiting as u64);
+        self.workers
+            .metrics
+            .gauge("gateway.open", self.open_requests as u64);
+        self.workers
+            .metrics
+            .gauge("log.applied", self.folded.applied.0);
+    }
+
+    /// Refuses requests whose adapter could not be loaded.
+    pub(super) fn refuse_for_load(&mut self, target: &TargetName, refused: &[QueuedRequest]) {
+        let Some(held) = self.held.get_mut(target) else {
+            return;
+        };
+        for queued in refused {
+            if let Some(pending) = held.waiting.remove(&queued.id) {
+                let reason = NotRunReason::LoadFailed {
+                    retry_after_ms: NO_TARGET_MS,
+                };
+                pending
+                    .buffer
+                    .end(CallEnd::NotRun(pending.call.refuse(reason)));
+            }
+        }
+    }
+}
+
+/// Keeps the seat of a stream whose end at the target is not certain.
+fn keep_in_doubt(held: &mut HeldRuntime, id: RequestId, stream: Option<String>) {
+    match stream {
+        Some(stream) => {
+            held.doubtful.insert(id, (stream, held.epoch));
+        }
+        None => held.scheduler.finished(id, crate::clock::now()),
+    }
+}
+
+fn dispatch(
+    held: &mut HeldRuntime,
+    pending: PendingCall,
+    order: &DispatchOrder,
+    workers: &crate::app::AppWorkers,
+) {
+    let PendingCall {
+        request,
+        buffer,
+        call,
+    } = pending;
+    match request.work {
+        CallWork::Engine(work) => {
+            let stream = held.stream_name(request.call);
+            held.streams.insert(order.request.id, stream.clone());
+            let job = StreamJob {
+                call: request.call,
+                target: request.target,
+                client: held.client.clone(),
+                token: held.lease.token,
+                class: request.class,
+                work,
+                stream,
+                from: 0,
+                start: Some(call),
+                load_stall: order.load_stall,
+                tokens: Arc::clone(&held.tokens),
+                buffer,
+                events: workers.events.clone(),
+            };
+            tokio::spawn(run_stream(job));
+        }
+        CallWork::Service(work) => {
+            let job = ServiceJob {
+                call: request.call,
+                target: request.target,
+                address: held.config.address.clone(),
+                work,
+                request: call,
+                buffer,
+                events: workers.events.clone(),
+            };
+            tokio::spawn(run_service_call(workers.http.clone(), job));
+        }
+    }
+}
+
+fn queued_request(request: &ExecuteRequest, now: Instant) -> QueuedRequest {
+    let (prompt_tokens, output_tokens) = match &request.work {
+        CallWork::Engine(work) => (work.prompt_tokens, work.output_tokens),
+        CallWork::Service(_) => (0, 1),
+    };
+    QueuedRequest {
+        id: AppEvent::scheduler_id(request.call),
+        model: model_of(request),
+        class: request.class,
+        caller: request.caller.clone(),
+        prompt_tokens,
+        output_tokens,
+        queued_at: now,
+        deadline: now.after(Duration::from_millis(request.deadline_ms)),
+    }
+}
+
+/// The adapter of a request; a plain service counts as one adapter that is always there.
+fn model_of(request: &ExecuteRequest) -> AdapterVersion {
+    match &request.work {
+        CallWork::Engine(work) => work.model.clone(),
+        CallWork::Service(work) => AdapterVersion::new(work.service.as_str(), "-"),
+    }
+}
+
+/// Whether a scheduler has an adapter loaded.
+pub(super) fn has_loaded(scheduler: &TargetScheduler, model: &AdapterVersion) -> bool {
+    scheduler
+        .residents()
+        .iter()
+        .any(|resident| resident.model == *model)
+}
--- /dev/null
+++ b/crates/daemon/src/app/idempotency.rs
@@ -0,0 +1,211 @@
+//! Tokens and keys: who may run a request that must not run twice.
+
+use crate::{
+    app::{AdmitRefusal, AppState, ClaimAnswer, RepeatAnswer, UseEnd},
+    platform::AppendOutcome,
+};
+use hoplanding_core::{
+    ids::{DaemonRef, Instant},
+    log::{KeyClaimsRecord, LogRecord},
+    request::{
+        ClaimOutcome, IdempotencyToken, KeyClaim, KeyHash, RepeatKey, TokenDecision, TokenError,
+    },
+};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time for a claim to be read back before it is appended again.
+const CLAIM_AGAIN_AFTER: Duration = Duration::from_secs(2);
+/// Time after which a claim counts as not made.
+const CLAIM_WITHIN: Duration = Duration::from_secs(10);
+
+impl AppState {
+    pub(super) fn issue_token(&mut self, bearer: &str) -> Result<IdempotencyToken, AdmitRefusal> {
+        if !bearer.is_empty() {
+            self.caller_of(bearer)?;
+        }
+        Ok(self.repeats.issue())
+    }
+
+    pub(super) fn begin_repeat(&mut self, key: &RepeatKey, fingerprint: u64) -> RepeatAnswer {
+        match self.repeats.begin(key, fingerprint) {
+            Ok(TokenDecision::Run) => RepeatAnswer::Run,
+            Ok(TokenDecision::Replay(answer)) => RepeatAnswer::Replay(answer),
+            Ok(TokenDecision::Join) => {
+                let (sender, receiver) = oneshot::channel();
+                self.joins.entry(key.clone()).or_default().push(sender);
+                RepeatAnswer::Join(receiver)
+            }
+            Ok(TokenDecision::Unknown) => {
+                RepeatAnswer::Unknown("its answer is no longer kept".to_owned())
+            }
+            Err(TokenError::Elsewhere(issuer)) => self.forward_token(&issuer),
+            Err(TokenError::HandedOver(heir)) => self.forward_to(
+                &heir,
+                "the daemon that took the token over can't be reached",
+            ),
+            Err(TokenError::IssuerEnded) => {
+                RepeatAnswer::Unknown("the daemon that issued the token has ended".to_owned())
+            }
+            Err(error) => RepeatAnswer::Wrong(error),
+        }
+    }
+
+    fn forward_token(&self, issuer: &DaemonRef) -> RepeatAnswer {
+        // A planned stop told everyone who took the tokens over.
+        if let Some(heir) = self.token_heirs.get(issuer)
+            && let Some(link) = self.links.get(heir).filter(|link| link.is_connected())
+        {
+            return RepeatAnswer::Forward(link.clone());
+        }
+        let peer = self.members.peer(issuer.vm.as_str());
+        if peer.and_then(|peer| peer.incarnation) == Some(issuer.incarnation) {
+            return self.forward_to(issuer, "the daemon that issued the token can't be reached");
+        }
+        RepeatAnswer::Unknown(
+            "the daemon that issued the token has ended or can't be reached".to_owned(),
+        )
+    }
+
+    fn forward_to(&self, daemon: &DaemonRef, otherwise: &str) -> RepeatAnswer {
+        match self
+            .links
+            .get(&daemon.vm)
+            .filter(|link| link.is_connected())
+        {
+            Some(link) => RepeatAnswer::Forward(link.clone()),
+            None => RepeatAnswer::Unknown(otherwise.to_owned()),
+        }
+    }
+
+    pub(super) fn end_repeat(&mut self, key: &RepeatKey, end: UseEnd) {
+        let answer = match end {
+            UseEnd::NotRun => {
+                self.repeats.release(key);
+                None
+            }
+            UseEnd::Answered(answer) => {
+                self.repeats.finish(key, Some(answer.clone()));
+                Some(answer)
+            }
+            UseEnd::Spent => {
+                self.repeats.finish(key, None);
+                None
+            }
+        };
+        for join in self.joins.remove(key).into_iter().flatten() {
+            // The one who waited may have gone away.
+            let _ = join.send(answer.clone());
+        }
+    }
+
+    pub(super) fn claim_key(
+        &mut self,
+        key: KeyHash,
+        fingerprint: u64,
+        reply: oneshot::Sender<ClaimAnswer>,
+        now: Instant,
+    ) {
+        if let Some(answer) = self.claim_answer(&key, fingerprint) {
+            let _ = reply.send(answer);
+            return;
+        }
+        if !self.feed.is_up {
+            let _ = reply.send(ClaimAnswer::NotClaimed);
+            return;
+        }
+        let waiting = self.claims.entry(key).or_default();
+        waiting.push((fingerprint, now, reply));
+        if waiting.len() == 1 {
+            self.claim_batch.push(KeyClaim { key, fingerprint });
+        }
+    }
+
+    fn claim_answer(&self, key: &KeyHash, fingerprint: u64) -> Option<ClaimAnswer> {
+        let answer = match self.folded.keys.outcome(key, &self.me)? {
+            ClaimOutcome::Won => ClaimAnswer::Won,
+            ClaimOutcome::Lost {
+                fingerprint: first, ..
+            } if first != fingerprint => ClaimAnswer::OtherRequest,
+            ClaimOutcome::Lost { holder, .. } => {
+                let same_run = self
+                    .members
+                    .peer(holder.vm.as_str())
+                    .and_then(|peer| peer.incarnation)
+                    == Some(holder.incarnation);
+                let link = self
+                    .links
+                    .get(&holder.vm)
+                    .filter(|link| same_run && link.is_connected());
+                link.map_or(ClaimAnswer::Unknown(holder), |link| {
+                    ClaimAnswer::Forward(link.clone())
+                })
+            }
+        };
+        Some(answer)
+    }
+
+    /// Claims were folded: tells those who wait for them.
+    pub(super) fn keys_folded(&mut self) {
+        let decided: Vec<_> = self
+            .claims
+            .keys()
+            .filter(|key| self.folded.keys.outcome(key, &self.me).is_some())
+            .copied()
+            .collect();
+        for key in decided {
+            for (fingerprint, _, reply) in self.claims.remove(&key).into_iter().flatten() {
+                let answer = self
+                    .claim_answer(&key, fingerprint)
+                    .unwrap_or(ClaimAnswer::NotClaimed);
+                let _ = reply.send(answer);
+            }
+        }
+    }
+
+    /// Appends the claims that came since the last tick, in one record.
+    pub(super) fn tick_claims(&mut self, now: Instant) {
+        let mut stale = Vec::new();
+        for (key, waiting) in &mut self.claims {
+            waiting.retain(|(_, since, _)| now.since(*since) < CLAIM_WITHIN);
+            match waiting.first() {
+                None => stale.push(*key),
+                Some((fingerprint, since, _)) => {
+                    let again = now.since(*since) > CLAIM_AGAIN_AFTER
+                        && !self.claim_batch.iter().any(|claim| claim.key == *key);
+                    if again && now.since(self.last.second).is_zero() {
+                        // A second claim of the same daemon changes nothing.
+                        self.claim_batch.push(KeyClaim {
+                            key: *key,
+                            fingerprint: *fingerprint,
+                        });
+                    }
+                }
+            }
+        }
+        for key in stale {
+            self.claims.remove(&key);
+        }
+        if self.claim_batch.is_empty() {
+            return;
+        }
+        let record = KeyClaimsRecord {
+            holder: self.me.clone(),
+            claims: std::mem::take(&mut self.claim_batch),
+        };
+        let _ = self
+            .workers
+            .appender
+            .append(0, vec![LogRecord::KeyClaims(record)]);
+    }
+
+    /// An append failed: claims that certainly are not in the log are answered at once.
+    pub(super) fn claims_not_appended(&mut self, outcome: AppendOutcome) {
+        if outcome != AppendOutcome::NotAppended || self.feed.is_up {
+            return;
+        }
+        for (_, _, reply) in self.claims.drain().flat_map(|(_, waiting)| waiting) {
+            let _ = reply.send(ClaimAnswer::NotClaimed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/app/mod.rs
@@ -0,0 +1,29 @@
+//! The event loop: the one place where a daemon's state changes.
+//!
+//! Workers feed it by channel and carry out what it decides. Nothing in here waits for a socket or a file.
+
+mod admission;
+mod changes;
+mod event;
+mod event_loop;
+mod explain;
+mod held;
+mod holder;
+mod idempotency;
+mod log_feed;
+mod membership;
+mod orders;
+mod ownership;
+mod peers;
+mod queries;
+mod state;
+mod stopping;
+mod tables;
+
+pub use event::{
+    Admission, AdmitRefusal, AdmitRequest, AdmitSubject, AppEvent, ClaimAnswer, OperatorAnswer,
+    OperatorError, OperatorRequest, OrderKind, OrderReport, RepeatAnswer, RouteAnswer,
+    RouteRequest, RouteVia, StopReport, StreamEnd, UseEnd,
+};
+pub use event_loop::{AppHandle, run_app};
+pub use state::{AppState, AppWorkers};
--- /dev/null
+++ b/crates/daemon/src/app/peers.rs
@@ -0,0 +1,74 @@
+//! Messages of peers.
+
+use crate::{app::AppState, peers::PeerMessage};
+use hoplanding_core::ids::{Instant, VmName};
+use std::collections::BTreeMap;
+use tokio::sync::mpsc;
+
+impl AppState {
+    /// A message on a link that a peer dialled.
+    pub(super) fn peer_request(
+        &mut self,
+        from: &VmName,
+        message: PeerMessage,
+        back: &mpsc::Sender<PeerMessage>,
+        now: Instant,
+    ) {
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.heartbeat_came(&heartbeat, now),
+            PeerMessage::SnapshotWanted(above)
+                if self.folded.applied > above && !self.has_gap() =>
+            {
+                let _ = back.try_send(PeerMessage::Snapshot(Box::new(self.folded.clone())));
+            }
+            PeerMessage::Ask(number, text) => {
+                let answer = self.answer_own_part(&text, now);
+                let _ = back.try_send(PeerMessage::Answer(number, answer));
+            }
+            PeerMessage::HandTokens(handed) => {
+                let mine = handed.iter().all(|(issuer, _)| issuer.vm != self.me.vm);
+                if mine {
+                    self.repeats.inherit(&handed);
+                    let _ = back.try_send(PeerMessage::TokensTaken);
+                }
+            }
+            PeerMessage::TokenHeir(issuers, heir) => {
+                for issuer in issuers {
+                    self.token_heirs.insert(issuer, heir.clone());
+                }
+            }
+            // Anything else does not come this way; a newer peer may know better.
+            _ => log::debug!(target: "hoplanding", "message of {from} passed over"),
+        }
+    }
+
+    /// A message on a link that this daemon dialled.
+    pub(super) fn peer_reply(&mut self, from: &VmName, message: PeerMessage) {
+        match message {
+            PeerMessage::Snapshot(state) => self.adopt_snapshot(*state, from.as_str()),
+            PeerMessage::Answer(number, answer) => self.query_answered(number, from, answer),
+            PeerMessage::TokensTaken => self.tokens_taken(from),
+            _ => log::debug!(target: "hoplanding", "message of {from} passed over"),
+        }
+    }
+
+    /// A link that this daemon dialled is up.
+    pub(super) fn link_up(&mut self, vm: &VmName) {
+        self.set_peer_reachable(vm, true);
+        // The peer gets the residents of every target in full with the next heartbeat.
+        self.last.digest_revision = 0;
+        if let Some(link) = self.links.get(vm)
+            && (!self.feed.is_caught_up || self.has_gap())
+        {
+            link.try_send(PeerMessage::SnapshotWanted(self.folded.applied));
+        }
+    }
+
+    /// Names of the daemons that a planned stop tells of its heir.
+    pub(super) fn tell_heir(&self, issuers: &[hoplanding_core::ids::DaemonRef], heir: &VmName) {
+        let links: BTreeMap<_, _> = self.links.iter().collect();
+        for link in links.values() {
+            link.try_send(PeerMessage::TokenHeir(issuers.to_vec(), heir.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,120 @@
+//! Numbered events of the log. docs/EVENTS.md lists them, and a test holds that list against this one.
+
+use log::Level;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Event {
+            /// Every event.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Its number.
+            #[must_use]
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Its level.
+            #[must_use]
+            pub fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// What it says.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon started.
+    Started = 100, Info, "daemon started";
+    /// The daemon folded what it needs.
+    Ready = 101, Info, "ready to serve";
+    /// A planned stop began.
+    Stopping = 102, Info, "planned stop began";
+    /// The daemon ended.
+    Stopped = 103, Info, "daemon ended";
+    /// A planned stop ran into its bound.
+    StopBound = 104, Warn, "planned stop reached its bound with work left";
+    /// The settings are wrong.
+    SettingsWrong = 105, Error, "settings refused";
+    /// The log can't be reached.
+    LogOut = 200, Warn, "platform log out of reach";
+    /// The log can be reached again.
+    LogBack = 201, Info, "platform log back";
+    /// Records expired before they were read.
+    LogExpired = 202, Warn, "log records expired before they were read";
+    /// A snapshot was taken over.
+    SnapshotAdopted = 203, Info, "snapshot adopted";
+    /// A snapshot was appended.
+    SnapshotWritten = 204, Info, "snapshot appended";
+    /// A record can't be decoded.
+    RecordSkipped = 205, Error, "log record passed over";
+    /// An append's answer was lost.
+    AppendUnknown = 206, Warn, "answer to an append lost";
+    /// A change is in force.
+    ChangeAccepted = 300, Info, "configuration change accepted";
+    /// A change was refused.
+    ChangeRefused = 301, Warn, "configuration change refused";
+    /// The belief about a peer changed.
+    PeerState = 400, Info, "peer state changed";
+    /// A peer's link broke.
+    LinkBroken = 401, Warn, "peer link broken";
+    /// A peer's link is up.
+    LinkUp = 402, Info, "peer link up";
+    /// A peer was refused.
+    PeerRefused = 403, Warn, "peer refused";
+    /// A target was taken over.
+    TargetTaken = 500, Info, "target taken over";
+    /// A target was lost to another holder.
+    TargetLost = 501, Info, "target lost to another holder";
+    /// A target is served.
+    TargetReady = 502, Info, "target ready";
+    /// A target restarted.
+    TargetRestarted = 503, Warn, "target restarted empty";
+    /// A target can't be reached.
+    TargetUnreachable = 504, Warn, "target out of reach";
+    /// A target answered with another adapter.
+    WrongAdapter = 505, Error, "target answered with another adapter; taken out of use";
+    /// A predecessor is settled.
+    PredecessorSettled = 506, Info, "predecessor settled";
+    /// An unload was refused by a rule.
+    UnloadRefused = 507, Debug, "unload refused by a rule";
+    /// A late intent was voided.
+    IntentVoided = 508, Warn, "late unload announcement voided";
+    /// A load failed.
+    LoadFailed = 509, Warn, "adapter load failed";
+    /// An order's answer was lost.
+    OrderUnknown = 510, Warn, "answer to an order lost";
+    /// A stream broke and was asked for again.
+    StreamResumed = 600, Info, "stream resumed";
+    /// An answer could not be completed.
+    AnswerIncomplete = 601, Warn, "answer could not be completed";
+    /// The outcome of a request is unknown.
+    OutcomeUnknown = 602, Warn, "outcome of a request unknown";
+    /// Idempotency tokens were handed over.
+    TokensHandedOver = 603, Info, "idempotency tokens handed over";
+}
+
+/// Writes a numbered event.
+#[macro_export]
+macro_rules! event {
+    ($event:expr) => {{
+        let event = $event;
+        log::log!(target: "hoplanding", event.level(), "E{} {}", event.number(), event.text());
+    }};
+    ($event:expr, $($arg:tt)+) => {{
+        let event = $event;
+        log::log!(target: "hoplanding", event.level(), "E{} {}: {}", event.number(), event.text(), format_args!($($arg)+));
+    }};
+}
--- /dev/null
+++ b/crates/daemon/src/operators/mod.rs
@@ -0,0 +1,78 @@
+//! The operators' interface: one text in, a table or a change out.
+
+use crate::{
+    app::{AppEvent, OperatorAnswer, OperatorError, OperatorRequest},
+    gateway::GatewayContext,
+};
+use poem::{
+    IntoResponse, Request, Response, handler,
+    http::StatusCode,
+    web::{Data, Json},
+};
+use serde_json::json;
+use std::sync::Arc;
+
+/// Answers one statement of an operator.
+#[handler]
+pub async fn statement(
+    request: &Request,
+    text: String,
+    context: Data<&Arc<GatewayContext>>,
+) -> Response {
+    let header = request.header("authorization").unwrap_or_default();
+    let question = OperatorRequest {
+        bearer: header
+            .strip_prefix("Bearer ")
+            .unwrap_or_default()
+            .trim()
+            .to_owned(),
+        text,
+    };
+    match context
+        .app
+        .ask(|reply| AppEvent::Operator(question, reply))
+        .await
+    {
+        None => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stopping",
+            "the daemon is stopping: ask another one",
+        ),
+        Some(Err(error)) => refuse(status_of(&error), tag_of(&error), &error.to_string()),
+        Some(Ok(OperatorAnswer::Table(table))) => Json(json!({ "table": table })).into_response(),
+        Some(Ok(OperatorAnswer::Accepted(id, offset))) => {
+            Json(json!({ "accepted": { "id": id, "offset": offset } })).into_response()
+        }
+    }
+}
+
+fn refuse(status: StatusCode, code: &str, message: &str) -> Response {
+    Json(json!({ "error": { "code": code, "message": message } }))
+        .with_status(status)
+        .into_response()
+}
+
+fn status_of(error: &OperatorError) -> StatusCode {
+    match error {
+        OperatorError::UnknownOperator => StatusCode::UNAUTHORIZED,
+        OperatorError::Role { .. } => StatusCode::FORBIDDEN,
+        OperatorError::Parse(_) | OperatorError::Query(_) => StatusCode::BAD_REQUEST,
+        OperatorError::Conflict(..) => StatusCode::CONFLICT,
+        OperatorError::LogOut => StatusCode::SERVICE_UNAVAILABLE,
+        OperatorError::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+        OperatorError::NotFound(_) => StatusCode::NOT_FOUND,
+    }
+}
+
+fn tag_of(error: &OperatorError) -> &'static str {
+    match error {
+        OperatorError::UnknownOperator => "unknown_operator",
+        OperatorError::Role { .. } => "role",
+        OperatorError::Parse(_) => "parse",
+        OperatorError::Query(_) => "query",
+        OperatorError::Conflict(..) => "conflict",
+        OperatorError::LogOut => "log_out",
+        OperatorError::Unknown(_) => "outcome_unknown",
+        OperatorError::NotFound(_) => "not_found",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/args.rs
@@ -0,0 +1,31 @@
+//! Arguments of the daemon.
+
+use gumdrop::Options;
+
+/// Arguments of `hoplandingd`.
+#[derive(Clone, Debug, Default, Options)]
+pub struct DaemonArgs {
+    /// Prints the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Path of the settings.
+    #[options(
+        help = "path of the settings (default: hoplandingd.json)",
+        meta = "FILE"
+    )]
+    pub config: Option<String>,
+    /// Checks the settings and ends.
+    #[options(no_short, help = "check the settings, report every fault, and end")]
+    pub check: bool,
+    /// Prints the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+}
+
+impl DaemonArgs {
+    /// The path of the settings.
+    #[must_use]
+    pub fn config_path(&self) -> &str {
+        self.config.as_deref().unwrap_or("hoplandingd.json")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/settings.rs
@@ -0,0 +1,274 @@
+//! The settings, their defaults and their bounds.
+
+use crate::options::reader::{SectionReader, SettingsError};
+use hoplanding_core::{config::OperatorRole, membership::MembershipTimes};
+use serde_json::Value;
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+/// Settings of a daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers and operators connect.
+    pub caller_address: SocketAddr,
+    /// Where other daemons connect.
+    pub peer_address: SocketAddr,
+    /// Address that other daemons are told, if it differs from where it listens.
+    pub advertised_peer_address: Option<SocketAddr>,
+    /// Secret that all daemons of the fleet share.
+    pub peer_secret: String,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Daemons to begin with.
+    pub seeds: Vec<SeedSettings>,
+    /// Operators that may sign on before the configuration names any.
+    pub operators: Vec<OperatorSettings>,
+    /// Callers beside those of the configuration: name and bearer token.
+    pub callers: Vec<CallerSettings>,
+    /// Bounds on work.
+    pub limits: LimitSettings,
+    /// Heartbeats and suspicion.
+    pub membership: MembershipSettings,
+    /// Records after which a snapshot is appended.
+    pub snapshot_every: u64,
+    /// Planned stops.
+    pub stop: StopSettings,
+    /// Logs.
+    pub log: LogSettings,
+    /// Where metrics go by statsd; none for nowhere.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// The platform's address and pace.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// `IP:port` of the log service and the VM list.
+    pub address: SocketAddr,
+    /// Time after which an answer counts as lost.
+    pub timeout: Duration,
+    /// Pause between two reads of the VM list.
+    pub list_every: Duration,
+}
+
+/// A daemon to begin with.
+#[derive(Clone, Debug)]
+pub struct SeedSettings {
+    /// Its VM.
+    pub vm: String,
+    /// Its zone.
+    pub zone: String,
+    /// `IP:port` of its peer interface.
+    pub peer_address: SocketAddr,
+}
+
+/// An operator that may sign on from the start.
+#[derive(Clone, Debug)]
+pub struct OperatorSettings {
+    /// Its name.
+    pub name: String,
+    /// Its bearer token.
+    pub token: String,
+    /// What it may do.
+    pub role: OperatorRole,
+}
+
+/// A caller known from the start.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Its name.
+    pub name: String,
+    /// Its bearer token.
+    pub token: String,
+}
+
+/// Bounds on work.
+#[derive(Clone, Debug)]
+pub struct LimitSettings {
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Requests that may wait at one target.
+    pub waiting_per_target: usize,
+    /// Requests that may be open at this daemon.
+    pub open_requests: usize,
+    /// Time that a request may take.
+    pub request_deadline: Duration,
+    /// Time that a caller may take to send a body.
+    pub body_timeout: Duration,
+    /// Answers to requests with a token that are kept for a repeated call.
+    pub kept_answers: usize,
+    /// Loads from the weight store at once.
+    pub loads_at_once: u32,
+}
+
+/// Heartbeats and suspicion.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Shortest pause between two heartbeats.
+    pub heartbeat: Duration,
+    /// Spans of silence.
+    pub times: MembershipTimes,
+}
+
+/// Planned stops.
+#[derive(Clone, Debug)]
+pub struct StopSettings {
+    /// Time for the balancer to see `readyz` fail.
+    pub grace: Duration,
+    /// Time after which the daemon exits with work left.
+    pub bound: Duration,
+}
+
+/// Logs.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Least level that is written.
+    pub level: String,
+    /// File; standard error if none.
+    pub file: Option<String>,
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    /// Lists every fault with its key, value and remedy.
+    pub fn read(path: &str) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from JSON.
+    ///
+    /// # Errors
+    /// Lists every fault with its key, value and remedy.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let value: Value = serde_json::from_str(text)?;
+        let faults = RefCell::default();
+        let root = SectionReader::root(&value, &faults);
+        let settings = read_settings(&root);
+        root.finish();
+        let faults = faults.take();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Faults(faults))
+        }
+    }
+}
+
+fn read_settings(root: &SectionReader<'_>) -> Settings {
+    Settings {
+        vm: root.text("vm", "write the name of this VM, as the platform lists it"),
+        zone: root.text("zone", "write the name of this VM's availability zone"),
+        caller_address: root.address("caller_address"),
+        peer_address: root.address("peer_address"),
+        advertised_peer_address: root.optional_address("advertised_peer_address"),
+        peer_secret: root.text(
+            "peer_secret",
+            "write the secret that all daemons of the fleet share",
+        ),
+        platform: root.section("platform", read_platform),
+        seeds: root.sections("seeds", read_seed),
+        operators: root.sections("operators", read_operator),
+        callers: root.sections("callers", read_caller),
+        limits: root.section("limits", read_limits),
+        membership: root.section("membership", read_membership),
+        snapshot_every: root.number("snapshot_every", 2000, 10, 1_000_000),
+        stop: root.section("stop", read_stop),
+        log: root.section("log", read_log),
+        statsd: root.optional_address("statsd"),
+    }
+}
+
+fn millis(
+    section: &SectionReader<'_>,
+    name: &'static str,
+    default: u64,
+    low: u64,
+    high: u64,
+) -> Duration {
+    Duration::from_millis(section.number(name, default, low, high))
+}
+
+fn read_platform(section: &SectionReader<'_>) -> PlatformSettings {
+    PlatformSettings {
+        address: section.address("address"),
+        timeout: millis(section, "timeout_ms", 2000, 10, 60_000),
+        list_every: millis(section, "list_every_ms", 1000, 10, 60_000),
+    }
+}
+
+fn read_seed(section: &SectionReader<'_>) -> SeedSettings {
+    SeedSettings {
+        vm: section.text("vm", "write the VM's name"),
+        zone: section.text("zone", "write its availability zone"),
+        peer_address: section.address("peer_address"),
+    }
+}
+
+fn read_operator(section: &SectionReader<'_>) -> OperatorSettings {
+    let role = section.word("role", "reader", &["reader", "editor", "admin"]);
+    OperatorSettings {
+        name: section.text("name", "write the operator's name"),
+        token: section.text("token", "write the operator's bearer token"),
+        role: match role.as_str() {
+            "admin" => OperatorRole::Admin,
+            "editor" => OperatorRole::Editor,
+            _ => OperatorRole::Reader,
+        },
+    }
+}
+
+fn read_caller(section: &SectionReader<'_>) -> CallerSettings {
+    CallerSettings {
+        name: section.text("name", "write the caller's name"),
+        token: section.text("token", "write the caller's bearer token"),
+    }
+}
+
+fn read_limits(section: &SectionReader<'_>) -> LimitSettings {
+    LimitSettings {
+        body_bytes: section.number("body_bytes", 1 << 20, 1024, 1 << 28) as usize,
+        waiting_per_target: section.number("waiting_per_target", 512, 1, 100_000) as usize,
+        open_requests: section.number("open_requests", 8192, 1, 1_000_000) as usize,
+        request_deadline: millis(section, "request_deadline_ms", 300_000, 10, 86_400_000),
+        body_timeout: millis(section, "body_timeout_ms", 10_000, 10, 600_000),
+        kept_answers: section.number("kept_answers", 4096, 0, 1_000_000) as usize,
+        loads_at_once: section.number("loads_at_once", 1, 1, 64) as u32,
+    }
+}
+
+fn read_membership(section: &SectionReader<'_>) -> MembershipSettings {
+    MembershipSettings {
+        heartbeat: millis(section, "heartbeat_ms", 200, 10, 10_000),
+        times: MembershipTimes {
+            suspect_after: millis(section, "suspect_after_ms", 1200, 50, 60_000),
+            take_over_after: millis(section, "take_over_after_ms", 6000, 100, 600_000),
+            delivery_bound: millis(section, "delivery_bound_ms", 5000, 100, 600_000),
+        },
+    }
+}
+
+fn read_stop(section: &SectionReader<'_>) -> StopSettings {
+    StopSettings {
+        grace: millis(section, "grace_ms", 1000, 0, 60_000),
+        bound: millis(section, "bound_ms", 60_000, 100, 3_600_000),
+    }
+}
+
+fn read_log(section: &SectionReader<'_>) -> LogSettings {
+    LogSettings {
+        level: section.word(
+            "level",
+            "info",
+            &["error", "warn", "info", "debug", "trace"],
+        ),
+        file: section.optional_text("file", "write a path, or leave it out for standard error"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/reader.rs
@@ -0,0 +1,72 @@
+//! The workers that read the log and the list of VMs.
+
+use crate::{
+    app::AppEvent,
+    platform::{PlatformClient, ReadError},
+};
+use hoplanding_core::ids::LogOffset;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// Pause after a failed read.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Time for which a read waits for the log to grow.
+const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// Reads the log from `from` on; the event loop moves `from` when it took a snapshot over.
+pub async fn run_reader(
+    client: PlatformClient,
+    mut from: watch::Receiver<LogOffset>,
+    events: mpsc::Sender<AppEvent>,
+) {
+    let mut next = *from.borrow_and_update();
+    // The first read after a start or an outage returns at once, so that the event loop learns what the end is.
+    let mut wait = Duration::ZERO;
+    loop {
+        let read = tokio::select! {
+            read = client.read(next, wait) => read,
+            changed = from.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                next = *from.borrow_and_update();
+                wait = Duration::ZERO;
+                continue;
+            }
+        };
+        let event = match read {
+            Ok(batch) => {
+                next = batch.next;
+                wait = READ_WAIT;
+                AppEvent::LogRead(batch)
+            }
+            Err(ReadError::Expired(earliest)) => {
+                next = earliest;
+                AppEvent::LogExpired(earliest)
+            }
+            Err(ReadError::Out(cause)) => {
+                wait = Duration::ZERO;
+                tokio::time::sleep(RETRY_AFTER).await;
+                AppEvent::LogOut(cause)
+            }
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the list of VMs again and again.
+pub async fn run_lister(client: PlatformClient, every: Duration, events: mpsc::Sender<AppEvent>) {
+    loop {
+        if let Ok(list) = client.list_vms().await
+            && events.send(AppEvent::VmsListed(list)).await.is_err()
+        {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(every) => {}
+            () = events.closed() => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/targets/service.rs
@@ -0,0 +1,147 @@
+//! One call of a plain service.
+
+use crate::{
+    app::{AppEvent, StreamEnd},
+    calls::{CallBuffer, CallEnd, CallFrame, CallId, ServiceWork},
+};
+use futures_util::StreamExt;
+use hoplanding_core::{
+    ids::TargetName,
+    request::{NotRunReason, RequestCall, Unsent},
+};
+use reqwest::{Client, Method, Response};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+
+/// Time without a byte after which a call counts as broken.
+const SILENT_FOR: Duration = Duration::from_secs(60);
+/// Bytes of one frame.
+const FRAME_BYTES: usize = 64 * 1024;
+
+/// A call to run.
+pub struct ServiceJob {
+    /// The call.
+    pub call: CallId,
+    /// The target.
+    pub target: TargetName,
+    /// `IP:port` of the target.
+    pub address: String,
+    /// What is to be done.
+    pub work: ServiceWork,
+    /// The request, not handed over yet.
+    pub request: RequestCall<Unsent>,
+    /// Where the frames go.
+    pub buffer: Arc<CallBuffer>,
+    /// The event loop.
+    pub events: mpsc::Sender<AppEvent>,
+}
+
+/// Runs a call to its end and reports it.
+pub async fn run_service_call(http: Client, job: ServiceJob) {
+    let (call, target, events, buffer) = (
+        job.call,
+        job.target.clone(),
+        job.events.clone(),
+        Arc::clone(&job.buffer),
+    );
+    let (end, report) = carry(&http, job).await;
+    let _ = events
+        .send(AppEvent::StreamEnded(call, target, report))
+        .await;
+    buffer.end(end);
+}
+
+async fn carry(http: &Client, job: ServiceJob) -> (CallEnd, StreamEnd) {
+    let Ok(method) = Method::from_bytes(job.work.method.as_bytes()) else {
+        return (
+            CallEnd::NotRun(job.request.refuse(NotRunReason::Cancelled)),
+            StreamEnd::Ended,
+        );
+    };
+    let mut request = http.request(method, format!("http://{}{}", job.address, job.work.path));
+    for (name, value) in &job.work.headers {
+        request = request.header(name, value);
+    }
+    let sent = tokio::time::timeout(SILENT_FOR, request.body(job.work.body.clone()).send()).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_connect() => {
+            return (
+                CallEnd::NotRun(job.request.refuse(NotRunReason::NotConnected)),
+                StreamEnd::Unreachable,
+            );
+        }
+        Ok(Err(error)) => return (CallEnd::Broken(error.to_string()), StreamEnd::Ended),
+        Err(_) => {
+            return (
+                CallEnd::Broken("the service fell silent".to_owned()),
+                StreamEnd::Ended,
+            );
+        }
+    };
+    drop(job.request.hand_over());
+    let started = CallFrame::Started {
+        target: job.target.clone(),
+        stream: job.call.to_string(),
+        model: None,
+        load_stall_ms: 0,
+    };
+    if job.buffer.push(started).await.is_err() || job.buffer.push(head(&response)).await.is_err() {
+        return (CallEnd::Unknown("abandoned".to_owned()), StreamEnd::Ended);
+    }
+    let mut body = response.bytes_stream();
+    loop {
+        match tokio::time::timeout(SILENT_FOR, body.next()).await {
+            Ok(None) => return (CallEnd::Complete, StreamEnd::Ended),
+            Ok(Some(Ok(bytes))) => {
+                for piece in bytes.chunks(FRAME_BYTES) {
+                    if job
+                        .buffer
+                        .push(CallFrame::Body(piece.to_vec()))
+                        .await
+                        .is_err()
+                    {
+                        return (CallEnd::Unknown("abandoned".to_owned()), StreamEnd::Ended);
+                    }
+                }
+            }
+            Ok(Some(Err(error))) => return (CallEnd::Broken(error.to_string()), StreamEnd::Ended),
+            Err(_) => {
+                return (
+                    CallEnd::Broken("the service fell silent".to_owned()),
+                    StreamEnd::Ended,
+                );
+            }
+        }
+    }
+}
+
+fn head(response: &Response) -> CallFrame {
+    let headers = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name.as_str()));
+    let headers = headers
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())));
+    CallFrame::Head {
+        status: response.status().as_u16(),
+        headers: headers.collect(),
+    }
+}
+
+/// Whether a header belongs to one connection only (RFC 9110, section 7.6.1).
+pub fn is_hop_header(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "host"
+    )
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -66,6 +66,8 @@
     pub nonsense: usize,
     /// Whether the load report stands still.
     pub freeze_report: bool,
+    /// Whether it says that it is about to leave.
+    pub leaving: bool,
 }
 
 /// What an engine saw.
@@ -183,7 +185,11 @@
     ///
     /// # Errors
     /// Returns the error of the system when no port can be had.
-    pub async fn start(model: EngineModel, checks_fencing: bool, store: Arc<WeightStore>) -> io::Result<Self> {
+    pub async fn start(
+        model: EngineModel,
+        checks_fencing: bool,
+        store: Arc<WeightStore>,
+    ) -> io::Result<Self> {
         let state = EngineState {
             boot: 1,
             model,
@@ -197,7 +203,11 @@
         });
         let server = RunningServer::start(http::routes(Arc::clone(&shared))).await?;
         let stepper = tokio::spawn(steps::run(Arc::clone(&shared)));
-        Ok(Self { server, shared, stepper })
+        Ok(Self {
+            server,
+            shared,
+            stepper,
+        })
     }
 
     /// Its address, `IP:port`.
@@ -265,13 +275,17 @@
 /// The answer of a model to a prompt; the stand-in's notion of the truth.
 #[must_use]
 pub fn expected_answer(model: &str, prompt: &str, tokens: usize) -> String {
-    (0..tokens).map(|index| token_text(model, prompt, index)).collect()
+    (0..tokens)
+        .map(|index| token_text(model, prompt, index))
+        .collect()
 }
 
 fn token_text(model: &str, prompt: &str, index: usize) -> String {
     if index == 0 {
         return format!("[{model}]");
     }
-    let mixed = prompt.bytes().fold(index as u64 + 17, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
+    let mixed = prompt.bytes().fold(index as u64 + 17, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
     format!(" {:x}", mixed % 65_536)
 }
