--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -1,6 +1,8 @@
 //! The engine's HTTP interface.
 
-use crate::engine::{EngineState, Sequence, SharedEngine, StreamBuffer, StreamHandle, break_stream};
+use crate::engine::{
+    EngineState, Sequence, SharedEngine, StreamBuffer, StreamHandle, break_stream,
+};
 use futures_util::{Stream, StreamExt, stream};
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler,
@@ -51,7 +53,9 @@
 }
 
 fn refuse(status: StatusCode, message: &str) -> Response {
-    Json(json!({ "error": { "message": message } })).with_status(status).into_response()
+    Json(json!({ "error": { "message": message } }))
+        .with_status(status)
+        .into_response()
 }
 
 fn token_of(request: &Request) -> Option<u64> {
@@ -89,15 +93,27 @@
     fn prompt_text(&self) -> String {
         match &self.prompt {
             Some(prompt) => prompt.clone(),
-            None => self.messages.iter().filter_map(|message| message["content"].as_str()).collect::<Vec<_>>().join("\n"),
+            None => self
+                .messages
+                .iter()
+                .filter_map(|message| message["content"].as_str())
+                .collect::<Vec<_>>()
+                .join("\n"),
         }
     }
 }
 
 #[handler]
-async fn complete(request: &Request, body: Json<CompletionBody>, shared: Data<&Arc<SharedEngine>>) -> Response {
+async fn complete(
+    request: &Request,
+    body: Json<CompletionBody>,
+    shared: Data<&Arc<SharedEngine>>,
+) -> Response {
     let token = token_of(request);
-    let id = request.header("x-request-id").unwrap_or_default().to_owned();
+    let id = request
+        .header("x-request-id")
+        .unwrap_or_default()
+        .to_owned();
     let started = start_sequence(&mut shared.lock(), &id, token, &body);
     match started {
         Err(response) => *response,
@@ -148,15 +164,27 @@
     body: &CompletionBody,
 ) -> Result<(Arc<StreamHandle>, StreamFault), Box<Response>> {
     if is_stale(state, token) {
-        return Err(Box::new(refuse(StatusCode::CONFLICT, "stale fencing token")));
+        return Err(Box::new(refuse(
+            StatusCode::CONFLICT,
+            "stale fencing token",
+        )));
     }
     if !state.residents.contains_key(&body.model) {
         state.truth.refused_not_loaded += 1;
-        return Err(Box::new(refuse(StatusCode::NOT_FOUND, "adapter not loaded")));
+        return Err(Box::new(refuse(
+            StatusCode::NOT_FOUND,
+            "adapter not loaded",
+        )));
     }
     if !id.is_empty() && !state.seen.insert(id.to_owned()) {
-        state.truth.violations.push(format!("request {id} was sent twice"));
-        return Err(Box::new(refuse(StatusCode::CONFLICT, "repeated request id")));
+        state
+            .truth
+            .violations
+            .push(format!("request {id} was sent twice"));
+        return Err(Box::new(refuse(
+            StatusCode::CONFLICT,
+            "repeated request id",
+        )));
     }
     state.truth.ran += 1;
     state.arrivals += 1;
@@ -190,7 +218,12 @@
     ended: bool,
 }
 
-fn events(handle: Arc<StreamHandle>, from: usize, model: String, breaks: bool) -> impl Stream<Item = Event> + use<> {
+fn events(
+    handle: Arc<StreamHandle>,
+    from: usize,
+    model: String,
+    breaks: bool,
+) -> impl Stream<Item = Event> + use<> {
     let cursor = EventCursor {
         handle,
         next: from,
@@ -222,11 +255,24 @@
 impl EventCursor {
     /// Takes what is there; false if there is nothing to send and the stream goes on.
     fn collect(&mut self) -> bool {
-        let buffer = self.handle.buffer.lock().expect("no holder of the lock panics");
-        let end = if self.breaks { buffer.tokens.len().min(BREAK_AFTER) } else { buffer.tokens.len() };
+        let buffer = self
+            .handle
+            .buffer
+            .lock()
+            .expect("no holder of the lock panics");
+        let end = if self.breaks {
+            buffer.tokens.len().min(BREAK_AFTER)
+        } else {
+            buffer.tokens.len()
+        };
         for index in self.next..end {
             let last = buffer.done && index + 1 == buffer.tokens.len();
-            self.ready.push_back(Event::message(chunk(&self.model, index, &buffer.tokens[index], last)));
+            self.ready.push_back(Event::message(chunk(
+                &self.model,
+                index,
+                &buffer.tokens[index],
+                last,
+            )));
         }
         self.next = self.next.max(end);
         if self.breaks && end >= BREAK_AFTER {
@@ -244,7 +290,8 @@
 fn chunk(model: &str, offset: usize, text: &str, last: bool) -> String {
     let finish = if last { json!("length") } else { Value::Null };
     let choice = json!({ "index": 0, "text": text, "finish_reason": finish });
-    json!({ "object": "text_completion", "model": model, "offset": offset, "choices": [choice] }).to_string()
+    json!({ "object": "text_completion", "model": model, "offset": offset, "choices": [choice] })
+        .to_string()
 }
 
 #[derive(Deserialize)]
@@ -254,7 +301,11 @@
 }
 
 #[handler]
-async fn resume(Path(id): Path<String>, query: Query<ResumeQuery>, shared: Data<&Arc<SharedEngine>>) -> Response {
+async fn resume(
+    Path(id): Path<String>,
+    query: Query<ResumeQuery>,
+    shared: Data<&Arc<SharedEngine>>,
+) -> Response {
     let handle = {
         let mut state = shared.lock();
         state.truth.resumed += 1;
@@ -287,7 +338,11 @@
 }
 
 #[handler]
-async fn load(request: &Request, body: Json<AdapterBody>, shared: Data<&Arc<SharedEngine>>) -> Response {
+async fn load(
+    request: &Request,
+    body: Json<AdapterBody>,
+    shared: Data<&Arc<SharedEngine>>,
+) -> Response {
     let name = body.0.lora_name;
     let boot = {
         let mut state = shared.lock();
@@ -322,7 +377,11 @@
 }
 
 #[handler]
-async fn unload(request: &Request, body: Json<AdapterBody>, shared: Data<&Arc<SharedEngine>>) -> Response {
+async fn unload(
+    request: &Request,
+    body: Json<AdapterBody>,
+    shared: Data<&Arc<SharedEngine>>,
+) -> Response {
     let name = body.0.lora_name;
     let response = {
         let mut state = shared.lock();
@@ -330,7 +389,10 @@
             return refuse(StatusCode::CONFLICT, "stale fencing token");
         }
         if state.in_flight(&name) > 0 {
-            let violation = format!("unload of {name} while it serves {} requests", state.in_flight(&name));
+            let violation = format!(
+                "unload of {name} while it serves {} requests",
+                state.in_flight(&name)
+            );
             state.truth.violations.push(violation);
             return refuse(StatusCode::CONFLICT, "adapter is serving");
         }
@@ -358,8 +420,14 @@
 async fn list(shared: Data<&Arc<SharedEngine>>) -> Response {
     let state = shared.lock();
     let loaded: Vec<_> = state.residents.keys().collect();
-    let running: Vec<_> = state.running.iter().chain(&state.waiting).map(|sequence| &sequence.id).collect();
-    Json(json!({ "loaded": loaded, "running": running })).into_response()
+    let running: Vec<_> = state
+        .running
+        .iter()
+        .chain(&state.waiting)
+        .map(|sequence| &sequence.id)
+        .collect();
+    Json(json!({ "loaded": loaded, "running": running, "leaving": state.faults.leaving }))
+        .into_response()
 }
 
 #[handler]
--- a/crates/standins/src/engine/steps.rs
+++ b/crates/standins/src/engine/steps.rs
@@ -24,9 +24,16 @@
     if state.running.is_empty() {
         return None;
     }
-    let prefill = state.running.iter().map(|sequence| sequence.prefill_left).sum::<usize>().min(PREFILL_CHUNK);
+    let prefill = state
+        .running
+        .iter()
+        .map(|sequence| sequence.prefill_left)
+        .sum::<usize>()
+        .min(PREFILL_CHUNK);
     let model = &state.model;
-    let micros = model.step_us + model.sequence_us * state.running.len() as u64 + model.prefill_us * prefill as u64;
+    let micros = model.step_us
+        + model.sequence_us * state.running.len() as u64
+        + model.prefill_us * prefill as u64;
     state.truth.steps += 1;
     state.truth.step_sequences += state.running.len() as u64;
     Some(Duration::from_micros(micros))
@@ -34,7 +41,11 @@
 
 fn admit(state: &mut EngineState) {
     while state.running.len() < state.model.batch {
-        let next = state.waiting.iter().enumerate().min_by_key(|(_, sequence)| (sequence.priority, sequence.arrived));
+        let next = state
+            .waiting
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, sequence)| (sequence.priority, sequence.arrived));
         let Some(index) = next.map(|(index, _)| index) else {
             return;
         };
@@ -48,10 +59,17 @@
 
 /// Prompt tokens that the prefix cache does not hold.
 fn uncached(state: &mut EngineState, sequence: &Sequence) -> usize {
-    let key = format!("{}:{}", sequence.model, sequence.prompt.chars().take(64).collect::<String>());
+    let key = format!(
+        "{}:{}",
+        sequence.model,
+        sequence.prompt.chars().take(64).collect::<String>()
+    );
     let tokens = sequence.prompt.len() / 4;
     if let Some(position) = state.prefixes.iter().position(|(known, _)| *known == key) {
-        let entry = state.prefixes.remove(position).expect("the position was just found");
+        let entry = state
+            .prefixes
+            .remove(position)
+            .expect("the position was just found");
         state.prefixes.push_back(entry);
         return tokens / 8;
     }
@@ -76,14 +94,20 @@
             make_token(sequence);
         }
     }
-    state.running.retain(|sequence| sequence.made < sequence.wanted);
+    state
+        .running
+        .retain(|sequence| sequence.made < sequence.wanted);
 }
 
 fn make_token(sequence: &mut Sequence) {
     let text = token_text(&sequence.model, &sequence.prompt, sequence.made);
     sequence.made += 1;
     {
-        let mut buffer = sequence.stream.buffer.lock().expect("no holder of the lock panics");
+        let mut buffer = sequence
+            .stream
+            .buffer
+            .lock()
+            .expect("no holder of the lock panics");
         buffer.tokens.push(text);
         buffer.done = sequence.made >= sequence.wanted;
     }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -199,7 +199,11 @@
 }
 
 #[handler]
-async fn append(request: &Request, body: Json<AppendRequest>, shared: Data<&Arc<SharedPlatform>>) -> Response {
+async fn append(
+    request: &Request,
+    body: Json<AppendRequest>,
+    shared: Data<&Arc<SharedPlatform>>,
+) -> Response {
     if shared.is_cut(request) {
         return unavailable();
     }
@@ -221,11 +225,19 @@
 }
 
 #[handler]
-async fn read(request: &Request, query: Query<ReadQuery>, shared: Data<&Arc<SharedPlatform>>) -> Response {
+async fn read(
+    request: &Request,
+    query: Query<ReadQuery>,
+    shared: Data<&Arc<SharedPlatform>>,
+) -> Response {
     if shared.is_cut(request) {
         return unavailable();
     }
-    let waited = timeout(Duration::from_millis(query.wait_ms), wait_for(&shared, query.from)).await;
+    let waited = timeout(
+        Duration::from_millis(query.wait_ms),
+        wait_for(&shared, query.from),
+    )
+    .await;
     if waited.is_err() && shared.is_cut(request) {
         return unavailable();
     }
@@ -235,8 +247,15 @@
         return body.with_status(StatusCode::GONE).into_response();
     }
     let skipped = (query.from - state.first) as usize;
-    let records = state.records.iter().skip(skipped).take(READ_MOST).zip(query.from..);
-    let records: Vec<_> = records.map(|(record, offset)| json!({ "offset": offset, "record": record })).collect();
+    let records = state
+        .records
+        .iter()
+        .skip(skipped)
+        .take(READ_MOST)
+        .zip(query.from..);
+    let records: Vec<_> = records
+        .map(|(record, offset)| json!({ "offset": offset, "record": record }))
+        .collect();
     let next = query.from + records.len() as u64;
     Json(json!({ "records": records, "next": next, "earliest": state.first })).into_response()
 }
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -1,14 +1,12 @@
 //! A TCP link that can be cut or frozen.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, tcp::{OwnedReadHalf, OwnedWriteHalf}},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     sync::watch,
     task::JoinHandle,
 };
@@ -28,27 +26,40 @@
 pub struct LinkRelay {
     /// Where it listens.
     pub address: SocketAddr,
+    target: watch::Sender<Option<SocketAddr>>,
     state: watch::Sender<LinkState>,
     task: JoinHandle<()>,
 }
 
 impl LinkRelay {
-    /// Starts a link to `target`, which need not listen yet.
+    /// Starts a link whose far end is set later.
     ///
     /// # Errors
     /// Returns the error of the system when no port can be had.
-    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+    pub async fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (state, watched) = watch::channel(LinkState::Open);
+        let (target, target_watch) = watch::channel(None);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if *watched.borrow() != LinkState::Cut {
+                let target = *target_watch.borrow();
+                if let (Some(target), true) = (target, *watched.borrow() != LinkState::Cut) {
                     tokio::spawn(pass(stream, target, watched.clone()));
                 }
             }
         });
-        Ok(Self { address, state, task })
+        Ok(Self {
+            address,
+            target,
+            state,
+            task,
+        })
+    }
+
+    /// Sets the far end for connections to come.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
     }
 
     /// Cuts, freezes or opens the link.
@@ -80,7 +91,11 @@
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, state: Arc<watch::Receiver<LinkState>>) {
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    state: Arc<watch::Receiver<LinkState>>,
+) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let Ok(count) = from.read(&mut buffer).await else {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -94,10 +94,15 @@
     tokio::time::sleep(delay).await;
     if lost {
         // A body that ends in an error closes the connection before the answer is complete.
-        let broken = futures_util::stream::iter([Err::<Vec<u8>, _>(io::Error::other("connection lost"))]);
-        return Response::builder().header("content-length", "1000").body(Body::from_bytes_stream(broken));
+        let broken =
+            futures_util::stream::iter([Err::<Vec<u8>, _>(io::Error::other("connection lost"))]);
+        return Response::builder()
+            .header("content-length", "1000")
+            .body(Body::from_bytes_stream(broken));
     }
-    let mut response = Response::builder().status(StatusCode::OK).header("x-method", request.method().as_str());
+    let mut response = Response::builder()
+        .status(StatusCode::OK)
+        .header("x-method", request.method().as_str());
     if let Some(value) = request.header("x-echo") {
         response = response.header("x-echo", value);
     }
