--- a/crates/daemon/src/app/orders.rs
+++ b/crates/daemon/src/app/orders.rs
@@ -349,7 +349,7 @@
     pub(super) fn order_done(&mut self, report: &OrderReport, now: Instant) {
         let Some(held) = self
             .held
-            .get_mut(report.target)
+            .get_mut(&report.target)
             .filter(|held| held.lease.token == report.token)
         else {
             return;
