--- a/crates/core/src/policy/digest.rs
+++ b/crates/core/src/policy/digest.rs
@@ -31,4 +31,6 @@
     pub tokens_per_second: f64,
     /// Whether it takes new work.
     pub open: bool,
+    /// Whether an adapter that is not on it can be loaded: a slot is free, or something may be evicted.
+    pub loads: bool,
 }
--- a/crates/core/src/policy/router.rs
+++ b/crates/core/src/policy/router.rs
@@ -215,7 +215,10 @@
     /// Whether a target is the home of an idle adapter.
     #[must_use]
     pub fn is_home(&self, model: &AdapterVersion, target: &str) -> bool {
-        let usable = self.targets.iter().filter(|routed| routed.usable());
+        let usable = self
+            .targets
+            .iter()
+            .filter(|routed| routed.usable() && routed.digest.loads);
         let home = usable.max_by_key(|routed| home_score(routed, model_hash(model)));
         home.is_some_and(|routed| routed.name.as_str() == target)
     }
@@ -318,7 +321,7 @@
         let mut homes: [Option<(u64, usize)>; HOMES] = [None; HOMES];
         let mut shortest = f64::INFINITY;
         for (index, routed) in self.targets.iter().enumerate() {
-            if !routed.usable_for(query) {
+            if !routed.usable_for(query) || !routed.digest.loads {
                 continue;
             }
             shortest = shortest.min(routed.wait_s(query.class));
--- a/crates/core/src/policy/scheduler.rs
+++ b/crates/core/src/policy/scheduler.rs
@@ -96,6 +96,7 @@
     tokens_per_second: f64,
     load_seconds: f64,
     open: bool,
+    may_evict: bool,
 }
 
 impl TargetScheduler {
@@ -115,6 +116,7 @@
             tokens_per_second: ASSUMED_TOKENS_PER_SECOND,
             load_seconds: ASSUMED_LOAD_S,
             open: true,
+            may_evict: true,
         }
     }
 
@@ -178,6 +180,35 @@
         self.open = open;
     }
 
+    /// Says whether ownership lets anything be unloaded here.
+    pub fn set_may_evict(&mut self, may_evict: bool) {
+        self.may_evict = may_evict;
+    }
+
+    /// Whether an adapter that is not here can be loaded.
+    #[must_use]
+    pub fn can_load(&self) -> bool {
+        self.may_evict || self.residents.len() < self.limits.slots
+    }
+
+    /// Takes out what waits for adapters that can't be loaded here, so that another target serves it.
+    pub fn drain_unloadable(&mut self) -> Vec<QueuedRequest> {
+        if !self.needs_loads || self.can_load() {
+            return Vec::new();
+        }
+        let stuck = self.waiting.iter().map(|(model, _)| model);
+        let stuck = stuck.filter(|model| {
+            self.residents
+                .iter()
+                .all(|resident| resident.model != **model)
+        });
+        let stuck: Vec<_> = stuck.cloned().collect();
+        stuck
+            .iter()
+            .flat_map(|model| self.waiting.remove_adapter(model))
+            .collect()
+    }
+
     /// Whether it takes new work.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -429,14 +460,11 @@
     }
 
     /// The load that would be worth most here.
-    ///
-    /// `may_evict` says whether ownership lets anything be unloaded.
     #[must_use]
     pub fn bid(
         &self,
         weights: &PolicyWeights,
         popularity: &PopularityTracker,
-        may_evict: bool,
         now: Instant,
     ) -> Option<LoadBid> {
         if !self.needs_loads
@@ -448,7 +476,7 @@
             // One order at a time on a target.
             return None;
         }
-        let evict = self.victim(popularity, may_evict, now);
+        let evict = self.victim(popularity, now);
         if evict.is_none() && self.residents.len() >= self.limits.slots {
             return None;
         }
@@ -474,7 +502,6 @@
         &self,
         weights: &PolicyWeights,
         popularity: &PopularityTracker,
-        may_evict: bool,
         now: Instant,
         is_candidate: impl Fn(&AdapterVersion) -> bool,
     ) -> Option<LoadBid> {
@@ -488,7 +515,7 @@
             return None;
         }
         let free = self.residents.len() < self.limits.slots;
-        let evict = self.victim(popularity, may_evict, now);
+        let evict = self.victim(popularity, now);
         if evict.is_none() && !free {
             return None;
         }
@@ -520,13 +547,8 @@
     }
 
     /// The adapter whose loss costs least, among those with nothing in flight or waiting; none if a slot is free.
-    fn victim(
-        &self,
-        popularity: &PopularityTracker,
-        may_evict: bool,
-        now: Instant,
-    ) -> Option<AdapterVersion> {
-        if !may_evict || self.residents.len() < self.limits.slots {
+    fn victim(&self, popularity: &PopularityTracker, now: Instant) -> Option<AdapterVersion> {
+        if !self.may_evict || self.residents.len() < self.limits.slots {
             return None;
         }
         let idle = self.residents.iter().filter(|resident| {
@@ -547,11 +569,11 @@
         popularity: &PopularityTracker,
         now: Instant,
     ) -> Option<AdapterVersion> {
-        self.victim(popularity, true, now)
+        self.victim(popularity, now)
     }
 
     /// Stops new work on the least wanted adapter if a load has waited long and nothing ever falls idle.
-    pub fn force_room(&mut self, popularity: &PopularityTracker, may_evict: bool, now: Instant) {
+    pub fn force_room(&mut self, popularity: &PopularityTracker, now: Instant) {
         let starved = self.waiting.iter().any(|(model, queue)| {
             let waited = queue
                 .iter()
@@ -567,7 +589,7 @@
             });
         if !starved
             || !blocked
-            || !may_evict
+            || !self.may_evict
             || self.residents.iter().any(|resident| resident.making_room)
         {
             return;
@@ -689,6 +711,7 @@
             waiting_tokens: self.waiting.tokens(),
             tokens_per_second: self.tokens_per_second,
             open: self.open,
+            loads: self.can_load(),
         }
     }
 
--- a/crates/core/src/request/retry.rs
+++ b/crates/core/src/request/retry.rs
@@ -27,13 +27,16 @@
     GiveUp,
 }
 
+/// Doublings of the pause between attempts.
+const MOST_DOUBLINGS: u32 = 4;
+
 /// Bounds on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
     /// Attempts for one request, the first one included.
     pub attempts: u32,
-    /// Times that a request may be given back, which costs nobody any work.
-    pub given_back: u32,
+    /// Time for which a request that was given back looks for another target, which costs nobody any work.
+    pub given_back_within: Duration,
     /// First pause; doubles with each attempt.
     pub pause: Duration,
     /// Time for which a broken stream may be asked for again.
@@ -44,7 +47,7 @@
     fn default() -> Self {
         Self {
             attempts: 3,
-            given_back: 24,
+            given_back_within: Duration::from_secs(2),
             pause: Duration::from_millis(20),
             resume_within: Duration::from_secs(15),
         }
@@ -96,6 +99,8 @@
     pub attempts: u32,
     /// Times it was given back.
     pub given_back: u32,
+    /// Since when it has been given back.
+    pub given_back_since: Option<Instant>,
     /// Whether part of the answer has reached the caller.
     pub answer_started: bool,
     /// Since when the stream is broken.
@@ -119,10 +124,14 @@
     }
     let pause = backoff(limits.pause, input);
     match input.end {
-        AttemptEnd::GivenBack if input.given_back < limits.given_back => {
-            RetryDecision::Retry(pause)
+        AttemptEnd::GivenBack => {
+            let since = input.given_back_since.unwrap_or(input.now);
+            if input.now.since(since) < limits.given_back_within {
+                RetryDecision::Retry(pause)
+            } else {
+                RetryDecision::GiveUp
+            }
         }
-        AttemptEnd::GivenBack => RetryDecision::GiveUp,
         AttemptEnd::Broken => {
             let since = input.broken_since.unwrap_or(input.now);
             if input.now.since(since) < limits.resume_within {
@@ -152,7 +161,7 @@
 }
 
 fn backoff(first: Duration, input: &RetryInput) -> Duration {
-    let doublings = (input.attempts + input.given_back).min(6);
+    let doublings = (input.attempts + input.given_back).min(MOST_DOUBLINGS);
     let full = first * (1 << doublings);
     full.mul_f64(0.5 + 0.5 * input.jitter)
 }
--- a/crates/core/tests/fold.rs
+++ b/crates/core/tests/fold.rs
@@ -3,7 +3,10 @@
 use hoplanding_core::{
     config::{ChangeConflict, ConfigChange, FoldOutcome},
     ids::{ChangeId, DaemonRef, Incarnation, LogOffset, VmName},
-    log::{ChangePart, ChangeRecord, FoldEffect, FoldedState, KeyClaimsRecord, LogRecord, SnapshotAssembler},
+    log::{
+        ChangePart, ChangeRecord, FoldEffect, FoldedState, KeyClaimsRecord, LogRecord,
+        SnapshotAssembler,
+    },
     request::{ClaimOutcome, KeyClaim, KeyHash},
 };
 use proptest::prelude::*;
@@ -32,7 +35,9 @@
 }
 
 fn create(adapter: &str) -> ConfigChange {
-    ConfigChange::CreateAdapter { adapter: adapter.into() }
+    ConfigChange::CreateAdapter {
+        adapter: adapter.into(),
+    }
 }
 
 fn publish(adapter: &str, version: &str) -> ConfigChange {
@@ -60,16 +65,29 @@
 #[test]
 fn the_loser_of_a_race_is_told_who_won() {
     let mut state = FoldedState::default();
-    let setup = vec![part(&state, create("a")), part(&state, publish("a", "v1")), part(&state, publish("a", "v2"))];
+    let setup = vec![
+        part(&state, create("a")),
+        part(&state, publish("a", "v1")),
+        part(&state, publish("a", "v2")),
+    ];
     apply(&mut state, record("setup", setup));
     let first = record("first", vec![part(&state, make_current("a", "v2"))]);
     let second = record("second", vec![part(&state, make_current("a", "v1"))]);
-    assert_eq!(apply(&mut state, first), FoldOutcome::Accepted(LogOffset(2)));
+    assert_eq!(
+        apply(&mut state, first),
+        FoldOutcome::Accepted(LogOffset(2))
+    );
     let FoldOutcome::Refused(_, conflict) = apply(&mut state, second) else {
         panic!("the second change is based on an old revision");
     };
     insta::assert_snapshot!(conflict, @r#"adapter a was changed at offset 2 by ops (`first`) after you read it at 1: look at `show changes where object = "adapter a"` and repeat your command if it still applies"#);
-    assert_eq!(state.config.adapters["a"].current.as_ref().map(|version| version.as_str()), Some("v2"));
+    assert_eq!(
+        state.config.adapters["a"]
+            .current
+            .as_ref()
+            .map(|version| version.as_str()),
+        Some("v2")
+    );
 }
 
 #[test]
@@ -78,9 +96,16 @@
     let setup = vec![part(&state, create("a")), part(&state, publish("a", "v1"))];
     apply(&mut state, record("setup", setup));
     let before = state.config.adapters.clone();
-    let mixed = vec![part(&state, create("b")), part(&state, publish("a", "v2")), part(&state, publish("a", "v1"))];
+    let mixed = vec![
+        part(&state, create("b")),
+        part(&state, publish("a", "v2")),
+        part(&state, publish("a", "v1")),
+    ];
     let outcome = apply(&mut state, record("mixed", mixed));
-    assert!(matches!(outcome, FoldOutcome::Refused(_, ChangeConflict::VersionExists { .. })));
+    assert!(matches!(
+        outcome,
+        FoldOutcome::Refused(_, ChangeConflict::VersionExists { .. })
+    ));
     assert_eq!(state.config.adapters, before);
 }
 
@@ -101,16 +126,27 @@
         incarnation: Incarnation(1),
     };
     let key = KeyHash::of(&"desk".into(), "scan 7");
-    let claims = |vm: &str| LogRecord::KeyClaims(KeyClaimsRecord {
-        holder: daemon(vm),
-        claims: vec![KeyClaim { key, fingerprint: 3 }],
-    });
+    let claims = |vm: &str| {
+        LogRecord::KeyClaims(KeyClaimsRecord {
+            holder: daemon(vm),
+            claims: vec![KeyClaim {
+                key,
+                fingerprint: 3,
+            }],
+        })
+    };
     let mut state = FoldedState::default();
     state.apply(LogOffset(1), &claims("b1"));
     state.apply(LogOffset(2), &claims("a1"));
     state.apply(LogOffset(3), &claims("b1"));
-    assert_eq!(state.keys.outcome(&key, &daemon("b1")), Some(ClaimOutcome::Won));
-    let lost = ClaimOutcome::Lost { holder: daemon("b1"), fingerprint: 3 };
+    assert_eq!(
+        state.keys.outcome(&key, &daemon("b1")),
+        Some(ClaimOutcome::Won)
+    );
+    let lost = ClaimOutcome::Lost {
+        holder: daemon("b1"),
+        fingerprint: 3,
+    };
     assert_eq!(state.keys.outcome(&key, &daemon("a1")), Some(lost));
 }
 
@@ -118,7 +154,12 @@
 #[derive(Clone, Debug)]
 enum Step {
     /// A daemon makes a change from what it has folded, perhaps with its answer lost and appended again.
-    Change { daemon: usize, adapter: u8, version: u8, copies: usize },
+    Change {
+        daemon: usize,
+        adapter: u8,
+        version: u8,
+        copies: usize,
+    },
     /// A daemon reads some records.
     Read { daemon: usize, records: usize },
     /// The oldest records expire, after a snapshot of a daemon was appended.
@@ -159,23 +200,34 @@
     }
 
     fn append(&mut self, record: LogRecord) {
-        self.truth.apply(LogOffset(self.log.len() as u64 + 1), &record);
+        self.truth
+            .apply(LogOffset(self.log.len() as u64 + 1), &record);
         self.log.push(record);
     }
 
     fn run(&mut self, number: usize, step: &Step) {
         match step {
-            Step::Change { daemon, adapter, version, copies } => {
+            Step::Change {
+                daemon,
+                adapter,
+                version,
+                copies,
+            } => {
                 let state = &self.daemons[*daemon];
                 let (adapter, version) = (format!("a{adapter}"), format!("v{version}"));
                 let change = match state.config.adapters.get(adapter.as_str()) {
                     None => create(&adapter),
-                    Some(config) if config.version(&version).is_none() => publish(&adapter, &version),
+                    Some(config) if config.version(&version).is_none() => {
+                        publish(&adapter, &version)
+                    }
                     Some(_) => make_current(&adapter, &version),
                 };
                 let parts = vec![part(state, change)];
                 for _ in 0..*copies {
-                    self.append(LogRecord::Change(record(&format!("c{number}"), parts.clone())));
+                    self.append(LogRecord::Change(record(
+                        &format!("c{number}"),
+                        parts.clone(),
+                    )));
                 }
             }
             Step::Read { daemon, records } => self.read(*daemon, *records),
@@ -201,7 +253,10 @@
         for index in from..(from + records).min(self.log.len()) {
             self.daemons[daemon].apply(LogOffset(index as u64 + 1), &self.log[index]);
         }
-        assert!(self.daemons[daemon].applied >= self.highest[daemon] || from < self.highest[daemon].0 as usize);
+        assert!(
+            self.daemons[daemon].applied >= self.highest[daemon]
+                || from < self.highest[daemon].0 as usize
+        );
         self.highest[daemon] = self.highest[daemon].max(self.daemons[daemon].applied);
     }
 
@@ -214,7 +269,10 @@
                 self.daemons[daemon].adopt(state);
             }
         }
-        assert!(self.daemons[daemon].applied.0 as usize >= self.expired, "a snapshot covers what expired");
+        assert!(
+            self.daemons[daemon].applied.0 as usize >= self.expired,
+            "a snapshot covers what expired"
+        );
     }
 }
 
--- a/crates/core/tests/language.rs
+++ b/crates/core/tests/language.rs
@@ -8,7 +8,9 @@
 
 fn changes_of(text: &str) -> String {
     match parse(text).expect("the text is right") {
-        Statement::Commands(list) => serde_json::to_string(&list.changes).expect("changes have a JSON form"),
+        Statement::Commands(list) => {
+            serde_json::to_string(&list.changes).expect("changes have a JSON form")
+        }
         other => panic!("{other:?} is no list of commands"),
     }
 }
@@ -45,26 +47,52 @@
 
 #[test]
 fn tokens_are_struck_out() {
-    let Ok(Statement::Commands(list)) = parse("create caller desk token very-secret; drain target e1") else {
+    let Ok(Statement::Commands(list)) =
+        parse("create caller desk token very-secret; drain target e1")
+    else {
         panic!("the text is right");
     };
     assert_eq!(list.text, "create caller desk token ***; drain target e1");
-    assert!(!serde_json::to_string(&list.changes).expect("changes have a JSON form").contains("very-secret"));
+    assert!(
+        !serde_json::to_string(&list.changes)
+            .expect("changes have a JSON form")
+            .contains("very-secret")
+    );
 }
 
 #[test]
 fn queries_filter_sort_and_cut() {
     let mut table = DataTable::new(&["name", "count"]);
     for (name, count) in [("alpha", 3.0), ("beta", 1.0), ("alps", 2.0), ("gamma", 9.0)] {
-        table.rows.push(vec![CellValue::text(name), CellValue::Number(count)]);
+        table
+            .rows
+            .push(vec![CellValue::text(name), CellValue::Number(count)]);
     }
     let ask = |text: &str| match parse(text) {
         Ok(Statement::Show(query)) => table.clone().apply(&query),
         other => panic!("{other:?} is no query"),
     };
-    let names = |table: DataTable| table.rows.iter().map(|row| row[0].to_string()).collect::<Vec<_>>();
-    assert_eq!(names(ask("show targets where name like al* order by count").expect("a right query")), ["alps", "alpha"]);
-    assert_eq!(names(ask("show targets where count >= 2 order by count desc limit 2").expect("a right query")), ["gamma", "alpha"]);
-    assert_eq!(names(ask("show targets where name != beta and count < 9").expect("a right query")), ["alpha", "alps"]);
+    let names = |table: DataTable| {
+        table
+            .rows
+            .iter()
+            .map(|row| row[0].to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        names(ask("show targets where name like al* order by count").expect("a right query")),
+        ["alps", "alpha"]
+    );
+    assert_eq!(
+        names(
+            ask("show targets where count >= 2 order by count desc limit 2")
+                .expect("a right query")
+        ),
+        ["gamma", "alpha"]
+    );
+    assert_eq!(
+        names(ask("show targets where name != beta and count < 9").expect("a right query")),
+        ["alpha", "alps"]
+    );
     insta::assert_snapshot!(ask("show targets where colour = red").expect_err("a wrong column"), @"the table has no column `colour`: it has name, count");
 }
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -4,8 +4,9 @@
     config::RequestRule,
     ids::{DaemonRef, Incarnation, Instant, RequestId, VmName},
     request::{
-        AttemptEnd, IdempotencyToken, NotRunReason, RepeatKey, RequestCall, RetryBudget, RetryDecision, RetryInput,
-        RetryLimits, TokenDecision, TokenError, TokenRegistry, decide_retry,
+        AttemptEnd, IdempotencyToken, NotRunReason, RepeatKey, RequestCall, RetryBudget,
+        RetryDecision, RetryInput, RetryLimits, TokenDecision, TokenError, TokenRegistry,
+        decide_retry,
     },
 };
 use std::time::Duration;
@@ -24,8 +25,18 @@
         counter,
     };
     let proof = RequestCall::new(id(1)).refuse(NotRunReason::NotHolder);
-    assert!(RequestCall::new(id(1)).hand_over().given_back(&proof).is_ok());
-    assert!(RequestCall::new(id(2)).hand_over().given_back(&proof).is_err());
+    assert!(
+        RequestCall::new(id(1))
+            .hand_over()
+            .given_back(&proof)
+            .is_ok()
+    );
+    assert!(
+        RequestCall::new(id(2))
+            .hand_over()
+            .given_back(&proof)
+            .is_err()
+    );
 }
 
 #[test]
@@ -70,10 +81,16 @@
     let mut first: TokenRegistry<&str> = TokenRegistry::new(daemon("a1", 1), 8);
     let token = first.issue();
     let other: TokenRegistry<&str> = TokenRegistry::new(daemon("b1", 5), 8);
-    assert_eq!(other.check(&token), Err(TokenError::Elsewhere(daemon("a1", 1))));
+    assert_eq!(
+        other.check(&token),
+        Err(TokenError::Elsewhere(daemon("a1", 1)))
+    );
     let restarted: TokenRegistry<&str> = TokenRegistry::new(daemon("a1", 2), 8);
     assert_eq!(restarted.check(&token), Err(TokenError::IssuerEnded));
-    let forged = IdempotencyToken { counter: 99, ..token };
+    let forged = IdempotencyToken {
+        counter: 99,
+        ..token
+    };
     assert_eq!(first.check(&forged), Err(TokenError::NeverIssued));
 }
 
@@ -81,12 +98,24 @@
 fn a_planned_stop_hands_open_tokens_to_one_heir() {
     let mut leaver: TokenRegistry<&str> = TokenRegistry::new(daemon("a1", 1), 8);
     let (used, open) = (leaver.issue(), leaver.issue());
-    assert_eq!(leaver.begin(&RepeatKey::Token(used.clone()), 7), Ok(TokenDecision::Run));
+    assert_eq!(
+        leaver.begin(&RepeatKey::Token(used.clone()), 7),
+        Ok(TokenDecision::Run)
+    );
     let mut heir: TokenRegistry<&str> = TokenRegistry::new(daemon("a2", 1), 8);
     heir.inherit(&leaver.hand_over(&daemon("a2", 1)));
-    assert_eq!(leaver.begin(&RepeatKey::Token(open.clone()), 7), Err(TokenError::HandedOver(daemon("a2", 1))));
-    assert_eq!(heir.begin(&RepeatKey::Token(open), 7), Ok(TokenDecision::Run));
-    assert_eq!(heir.begin(&RepeatKey::Token(used), 7), Ok(TokenDecision::Unknown));
+    assert_eq!(
+        leaver.begin(&RepeatKey::Token(open.clone()), 7),
+        Err(TokenError::HandedOver(daemon("a2", 1)))
+    );
+    assert_eq!(
+        heir.begin(&RepeatKey::Token(open), 7),
+        Ok(TokenDecision::Run)
+    );
+    assert_eq!(
+        heir.begin(&RepeatKey::Token(used), 7),
+        Ok(TokenDecision::Unknown)
+    );
 }
 
 fn input(rule: RequestRule, end: AttemptEnd) -> RetryInput {
@@ -95,6 +124,7 @@
         end,
         attempts: 1,
         given_back: 0,
+        given_back_since: None,
         answer_started: false,
         broken_since: None,
         now: Instant(1_000_000),
@@ -108,10 +138,22 @@
     let limits = RetryLimits::default();
     let mut budget = RetryBudget::new(4.0, 0.1);
     let mut decide = |rule, end| decide_retry(&limits, &mut budget, &input(rule, end));
-    assert!(matches!(decide(RequestRule::Repeatable, AttemptEnd::TargetFailed), RetryDecision::Retry(_)));
-    assert_eq!(decide(RequestRule::NotRepeatable, AttemptEnd::TargetFailed), RetryDecision::GiveUp);
-    assert!(matches!(decide(RequestRule::NotRepeatable, AttemptEnd::GivenBack), RetryDecision::Retry(_)));
-    assert!(matches!(decide(RequestRule::NotRepeatable, AttemptEnd::Broken), RetryDecision::Resume(_)));
+    assert!(matches!(
+        decide(RequestRule::Repeatable, AttemptEnd::TargetFailed),
+        RetryDecision::Retry(_)
+    ));
+    assert_eq!(
+        decide(RequestRule::NotRepeatable, AttemptEnd::TargetFailed),
+        RetryDecision::GiveUp
+    );
+    assert!(matches!(
+        decide(RequestRule::NotRepeatable, AttemptEnd::GivenBack),
+        RetryDecision::Retry(_)
+    ));
+    assert!(matches!(
+        decide(RequestRule::NotRepeatable, AttemptEnd::Broken),
+        RetryDecision::Resume(_)
+    ));
 }
 
 #[test]
@@ -121,11 +163,21 @@
     let mut retries = 0;
     for _ in 0..1000 {
         budget.earn();
-        if matches!(decide_retry(&limits, &mut budget, &input(RequestRule::Repeatable, AttemptEnd::TargetFailed)), RetryDecision::Retry(_)) {
+        if matches!(
+            decide_retry(
+                &limits,
+                &mut budget,
+                &input(RequestRule::Repeatable, AttemptEnd::TargetFailed)
+            ),
+            RetryDecision::Retry(_)
+        ) {
             retries += 1;
         }
     }
-    assert!((100..=110).contains(&retries), "{retries} retries for 1000 failing requests");
+    assert!(
+        (100..=110).contains(&retries),
+        "{retries} retries for 1000 failing requests"
+    );
 }
 
 #[test]
@@ -137,7 +189,18 @@
     let RetryDecision::Retry(pause) = decide_retry(&limits, &mut budget, &late) else {
         panic!("given back work is tried again");
     };
-    assert_eq!(pause, Duration::from_millis(480));
+    assert_eq!(pause, Duration::from_millis(240));
+    // Nobody is kept waiting once the search is over.
+    late.given_back_since = Some(Instant(0));
+    late.now = Instant(2_000_000);
+    assert_eq!(
+        decide_retry(&limits, &mut budget, &late),
+        RetryDecision::GiveUp
+    );
+    late.given_back_since = None;
     late.now = late.deadline;
-    assert_eq!(decide_retry(&limits, &mut budget, &late), RetryDecision::GiveUp);
+    assert_eq!(
+        decide_retry(&limits, &mut budget, &late),
+        RetryDecision::GiveUp
+    );
 }
--- a/crates/daemon/src/app/holder.rs
+++ b/crates/daemon/src/app/holder.rs
@@ -12,6 +12,7 @@
 };
 use hoplanding_core::{
     ids::{AdapterVersion, Instant, RequestId, TargetName},
+    ownership::FenceState,
     policy::{DispatchOrder, QueuedRequest, TargetScheduler},
     request::{NotRunReason, RequestCall},
 };
@@ -276,11 +277,8 @@
             let Some(held) = self.held.get_mut(target) else {
                 continue;
             };
-            let ownership = self.folded.ownership.target(target.as_str());
-            let may_evict =
-                ownership.is_some_and(|ownership| held.lease.may_plan_unload(ownership, 0).is_ok());
             held.measure_speed(now);
-            held.scheduler.force_room(&self.popularity, may_evict, now);
+            held.scheduler.force_room(&self.popularity, now);
             if held.is_engine() && held.phase == HeldPhase::Serving {
                 self.send_order(target, OrderKind::List);
             }
@@ -291,11 +289,41 @@
             {
                 self.revive_service(target);
             }
+            self.give_back_unloadable(target);
             self.pump(target, now);
         }
         self.report_gauges();
     }
 
+    /// Work that waits for an adapter which can't come here goes back, for another target to take.
+    fn give_back_unloadable(&mut self, target: &TargetName) {
+        let Some(held) = self.held.get_mut(target).filter(|held| held.is_serving()) else {
+            return;
+        };
+        for queued in held.scheduler.drain_unloadable() {
+            if let Some(pending) = held.waiting.remove(&queued.id) {
+                let reason = NotRunReason::NoTarget {
+                    retry_after_ms: NO_TARGET_MS,
+                };
+                pending
+                    .buffer
+                    .end(CallEnd::NotRun(pending.call.refuse(reason)));
+            }
+        }
+    }
+
+    /// Tells the scheduler whether ownership lets anything be unloaded.
+    pub(super) fn refresh_evictions(&mut self) {
+        for (target, held) in &mut self.held {
+            let ownership = self.folded.ownership.target(target.as_str());
+            let planned =
+                ownership.is_some_and(|ownership| held.lease.may_plan_unload(ownership, 0).is_ok());
+            // Without the log there is no unload on a target that does not check tokens.
+            let announced = held.lease.fence == FenceState::Acknowledged || self.feed.is_up;
+            held.scheduler.set_may_evict(planned && announced);
+        }
+    }
+
     /// A plain service is tried again a second after it could not be reached.
     fn revive_service(&mut self, target: &TargetName) {
         if let Some(held) = self.held.get_mut(target) {
--- a/crates/daemon/src/app/log_feed.rs
+++ b/crates/daemon/src/app/log_feed.rs
@@ -51,8 +51,17 @@
         }
         self.feed.read_at = Some(now);
         let count = batch.records.len();
+        // A batch that was asked for before a snapshot was taken over may begin behind it, or beyond what follows it.
+        let had_gap = self.has_gap();
+        if !had_gap && batch.from.0 > self.folded.applied.0 + 1 {
+            return;
+        }
         for (offset, record) in batch.records {
             self.take_record(offset, record.as_ref(), now);
+            if had_gap && !self.has_gap() {
+                // The snapshot reaches less far than this batch: what lies between is read again.
+                return;
+            }
         }
         if count < FULL_BATCH && !self.has_gap() {
             self.feed.is_caught_up = true;
--- a/crates/daemon/src/app/membership.rs
+++ b/crates/daemon/src/app/membership.rs
@@ -107,6 +107,9 @@
             );
             if matches!(transition.to, PeerState::Gone | PeerState::Suspect) {
                 self.set_peer_reachable(&transition.vm, false);
+                if let Some(link) = self.links.get(&transition.vm) {
+                    link.set_suspect(true);
+                }
             }
         }
     }
@@ -204,6 +207,9 @@
                 after.0
             );
         }
+        if let Some(link) = self.links.get(&heartbeat.daemon.vm) {
+            link.set_suspect(false);
+        }
         if heartbeat.zone == self.zone {
             self.note_silent(&heartbeat.daemon.vm, &heartbeat.silent);
         }
--- a/crates/daemon/src/app/orders.rs
+++ b/crates/daemon/src/app/orders.rs
@@ -59,14 +59,7 @@
         if !held.is_serving() || held.order.is_some() || !held.is_engine() {
             return None;
         }
-        let ownership = self.folded.ownership.target(target.as_str())?;
-        let planned = held.lease.may_plan_unload(ownership, 0);
-        // Without the log there is no unload on a target that does not check tokens.
-        let may_evict =
-            planned.is_ok() && (held.lease.fence == FenceState::Acknowledged || self.feed.is_up);
-        let demanded = held
-            .scheduler
-            .bid(&self.weights, &self.popularity, may_evict, now);
+        let demanded = held.scheduler.bid(&self.weights, &self.popularity, now);
         if demanded.is_some() || !with_preloads {
             return demanded;
         }
@@ -75,26 +68,15 @@
                 && self.engines.is_home(model, target.as_str())
                 && self.is_current(model)
         };
-        let kept = self.kept_bid(target, held, may_evict, now);
+        let kept = self.kept_bid(target, held, now);
         kept.or_else(|| {
-            held.scheduler.preload_bid(
-                &self.weights,
-                &self.popularity,
-                may_evict,
-                now,
-                is_candidate,
-            )
+            held.scheduler
+                .preload_bid(&self.weights, &self.popularity, now, is_candidate)
         })
     }
 
     /// An adapter that operators want kept loaded and that is loaded nowhere.
-    fn kept_bid(
-        &self,
-        target: &TargetName,
-        held: &HeldRuntime,
-        may_evict: bool,
-        now: Instant,
-    ) -> Option<LoadBid> {
+    fn kept_bid(&self, target: &TargetName, held: &HeldRuntime, now: Instant) -> Option<LoadBid> {
         let mut missing = self.kept_models.iter().filter(|model| {
             !self.engines.is_resident(model)
                 && !has_loaded(&held.scheduler, model)
@@ -103,7 +85,7 @@
         });
         let model = missing.next()?.clone();
         let free = held.scheduler.residents().len() < held.scheduler.limits().slots;
-        let evict = if free || !may_evict {
+        let evict = if free {
             None
         } else {
             held.scheduler.idle_victim(&self.popularity, now)
--- a/crates/daemon/src/gateway/driver.rs
+++ b/crates/daemon/src/gateway/driver.rs
@@ -75,6 +75,7 @@
     deadline: Instant,
     attempt: u32,
     given_back: u32,
+    given_back_since: Option<Instant>,
     avoid: Vec<TargetName>,
     /// Frames kept for a repeated call, if the request carries a token or key.
     kept: Option<Vec<CallFrame>>,
@@ -115,6 +116,7 @@
             deadline,
             attempt: 0,
             given_back: 0,
+            given_back_since: None,
             avoid: Vec::new(),
             kept: None,
             kept_bytes: 0,
@@ -256,6 +258,7 @@
                     return CallEnd::NotRun(unsent.refuse(reason));
                 }
                 AttemptOutcome::GivenBack(unsent, reason) => {
+                    self.given_back_since.get_or_insert_with(clock::now);
                     match self.decide(AttemptEnd::GivenBack, None) {
                         RetryDecision::Retry(pause) | RetryDecision::Resume(pause) => {
                             tokio::time::sleep(pause).await
@@ -303,6 +306,7 @@
             end,
             attempts: self.attempt + 1,
             given_back: self.given_back,
+            given_back_since: self.given_back_since,
             answer_started: self.answer_started,
             broken_since,
             now: clock::now(),
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -88,6 +88,8 @@
     pub(super) outbound: mpsc::Sender<PeerMessage>,
     pub(super) calls: Arc<LinkCalls>,
     pub(super) connected: watch::Receiver<bool>,
+    /// Whether the peer has fallen silent though the connection stands.
+    suspect: Arc<watch::Sender<bool>>,
     address: Arc<Mutex<String>>,
 }
 
@@ -119,10 +121,18 @@
             outbound,
             calls,
             connected,
+            suspect: Arc::new(watch::channel(false).0),
             address,
         }
     }
 
+    /// Says whether the peer has fallen silent: a frozen connection counts as broken until it is heard again.
+    pub fn set_suspect(&self, suspect: bool) {
+        if self.suspect.send_replace(suspect) != suspect && suspect {
+            self.calls.lose_all();
+        }
+    }
+
     /// Changes the address that the next try dials.
     pub fn set_address(&self, address: &str) {
         address.clone_into(&mut self.address.lock().expect("no holder of the lock panics"));
@@ -141,13 +151,23 @@
     /// Whether the link is up.
     #[must_use]
     pub fn is_connected(&self) -> bool {
-        *self.connected.borrow()
+        *self.connected.borrow() && !*self.suspect.borrow()
     }
 
-    /// Waits until the link is up.
+    /// Waits until the link is up and the peer is heard.
     pub async fn wait_connected(&self, most: Duration) -> bool {
         let mut connected = self.connected.clone();
-        matches!(timeout(most, connected.wait_for(|up| *up)).await, Ok(Ok(_)))
+        let mut suspect = self.suspect.subscribe();
+        let up = async {
+            while !self.is_connected() {
+                let is_up = connected.wait_for(|up| *up).await.is_ok();
+                let is_heard = suspect.wait_for(|suspect| !*suspect).await.is_ok();
+                if !is_up || !is_heard {
+                    return;
+                }
+            }
+        };
+        timeout(most, up).await.is_ok() && self.is_connected()
     }
 }
 
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -36,6 +36,8 @@
 /// Records of one read.
 #[derive(Clone, Debug)]
 pub struct LogBatch {
+    /// Where the read began; every record from there on is in `records`.
+    pub from: LogOffset,
     /// Offsets and records; none in place of one that can't be decoded.
     pub records: Vec<(LogOffset, Option<LogRecord>)>,
     /// Where the next read begins.
@@ -155,6 +157,7 @@
                     .into_iter()
                     .map(|read| (read.offset, serde_json::from_value(read.record).ok()));
                 Ok(LogBatch {
+                    from,
                     records: records.collect(),
                     next: answer.next,
                 })
--- /dev/null
+++ b/crates/daemon/tests/failures.rs
@@ -0,0 +1,545 @@
+//! Failures over real sockets: kills, cuts, freezes, outages, lost answers. docs/FAILURES.md names the cells.
+
+use hoplanding_standins::{
+    engine::{EngineModel, expected_answer},
+    relay::LinkState,
+};
+use hoplanding_testbed::{
+    CompletionCall, LoadConfig, SiteConfig, TestSite, run_load,
+    site::{BATCH_TOKEN, NORMAL_TOKEN, URGENT_TOKEN},
+};
+use serde_json::json;
+use std::time::Duration;
+use tokio::{task::JoinSet, time::sleep};
+
+fn call(model: &str, tokens: usize) -> CompletionCall {
+    CompletionCall {
+        model: model.to_owned(),
+        prompt: "berthing plan".to_owned(),
+        tokens,
+        stream: true,
+    }
+}
+
+fn slow_steps() -> EngineModel {
+    EngineModel {
+        step_us: 8000,
+        ..EngineModel::default()
+    }
+}
+
+/// Holder of a target, by the answer of a daemon.
+async fn holder_of(site: &TestSite, vm: &str, target: &str) -> String {
+    let shown = site
+        .operate(vm, &format!("show targets where target = \"{target}\""))
+        .await
+        .expect("rows");
+    let row = &shown["table"]["rows"][0];
+    row[4].as_str().unwrap_or_default().to_owned()
+}
+
+async fn wait_for(what: &str, mut done: impl AsyncFnMut() -> bool) {
+    for _ in 0..600 {
+        if done().await {
+            return;
+        }
+        sleep(Duration::from_millis(25)).await;
+    }
+    panic!("{what} did not happen in time");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_holders_streams_are_resumed_and_its_targets_served_again() {
+    let mut config = SiteConfig::zones(1, 2, 2, 12);
+    config.model = slow_steps();
+    let mut site = TestSite::start(config).await.expect("the site starts");
+    let target = "engine-a1";
+    let holder = holder_of(&site, "a1", target).await;
+    let gateway = if holder == "a1" { "a2" } else { "a1" };
+    let caller = site.caller(gateway, NORMAL_TOKEN);
+    // Adapters whose home is the target that loses its holder.
+    let mut streams = JoinSet::new();
+    for number in 0..6 {
+        let caller = caller.clone();
+        streams.spawn(async move {
+            let model = format!("adapter-{number:04}");
+            let result = caller.complete(&call(&model, 150)).await;
+            (model, result)
+        });
+    }
+    sleep(Duration::from_millis(700)).await;
+    site.kill_daemon(&holder);
+    site.platform.unlist_vm(&holder);
+    while let Some(ended) = streams.join_next().await {
+        let (model, result) = ended.expect("no task panics");
+        assert_eq!(result.error, None, "{}", result.message);
+        assert_eq!(
+            result.text,
+            expected_answer(&format!("{model}@v1"), "berthing plan", 150)
+        );
+    }
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("every target has a holder again");
+    assert_eq!(holder_of(&site, gateway, target).await, gateway);
+    wait_for("settling", async || {
+        let shown = site
+            .operate(gateway, "show targets where predecessors > 0")
+            .await
+            .expect("rows");
+        shown["table"]["rows"].as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_peer_link_is_reattached() {
+    let mut config = SiteConfig::zones(1, 2, 1, 4);
+    config.relays = true;
+    config.model = slow_steps();
+    let site = TestSite::start(config).await.expect("the site starts");
+    let holder = holder_of(&site, "a1", "engine-a1").await;
+    let gateway = if holder == "a1" { "a2" } else { "a1" };
+    let caller = site.caller(gateway, NORMAL_TOKEN);
+    let stream = tokio::spawn(async move { caller.complete(&call("adapter-0001", 120)).await });
+    for _ in 0..3 {
+        sleep(Duration::from_millis(250)).await;
+        site.set_links("a1", "a2", LinkState::Cut);
+        sleep(Duration::from_millis(60)).await;
+        site.set_links("a1", "a2", LinkState::Open);
+    }
+    let result = stream.await.expect("no task panics");
+    assert_eq!(
+        result.text,
+        expected_answer("adapter-0001@v1", "berthing plan", 120),
+        "{}",
+        result.message
+    );
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_zone_goes_on_serving_and_heals() {
+    let mut config = SiteConfig::zones(2, 2, 2, 8);
+    config.relays = true;
+    let site = TestSite::start(config).await.expect("the site starts");
+    for number in 0..8 {
+        let result = site
+            .caller("b1", NORMAL_TOKEN)
+            .complete(&call(&format!("adapter-{number:04}"), 4))
+            .await;
+        assert!(result.complete, "{}", result.message);
+    }
+    site.set_zone_cut("zone-b", true);
+    sleep(Duration::from_millis(900)).await;
+    for vm in ["a1", "b1", "b2"] {
+        for number in 0..4 {
+            let result = site
+                .caller(vm, NORMAL_TOKEN)
+                .complete(&call(&format!("adapter-{number:04}"), 4))
+                .await;
+            assert!(
+                result.complete,
+                "{vm}: {} {}",
+                result.status, result.message
+            );
+        }
+    }
+    let refused = site
+        .operate("b1", "create adapter new-one")
+        .await
+        .expect_err("the log is out of reach");
+    assert!(refused.contains("log is out of reach"), "{refused}");
+    site.operate("a1", "create adapter new-one version v1")
+        .await
+        .expect("the rest goes on");
+    site.set_zone_cut("zone-b", false);
+    wait_for("the change in the healed zone", async || {
+        let shown = site
+            .operate("b2", "show adapters where adapter = new-one")
+            .await
+            .expect("rows");
+        shown["table"]["rows"]
+            .as_array()
+            .is_some_and(|rows| rows.len() == 1)
+    })
+    .await;
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("every target is served");
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_log_out_work_goes_on_and_holders_stay() {
+    let mut config = SiteConfig::zones(1, 2, 2, 30);
+    config.load = Duration::from_millis(10);
+    let site = TestSite::start(config).await.expect("the site starts");
+    let before = [
+        holder_of(&site, "a1", "engine-a1").await,
+        holder_of(&site, "a1", "engine-a2").await,
+    ];
+    site.platform.set_faults(|faults| faults.out = true);
+    let load = LoadConfig {
+        requests: 150,
+        at_once: 16,
+        skew: 1.2,
+        seed: 3,
+        progress: false,
+    };
+    let report = run_load(&site, &load).await;
+    assert!(report.is_clean(), "{report}\n{:?}", report.failed);
+    assert!(report.answered >= 140, "{report}");
+    let after = [
+        holder_of(&site, "a1", "engine-a1").await,
+        holder_of(&site, "a1", "engine-a2").await,
+    ];
+    assert_eq!(before, after);
+    site.platform.set_faults(|faults| faults.out = false);
+    wait_for("a change after the outage", async || {
+        site.operate("a1", "keep adapter adapter-0001 ready")
+            .await
+            .is_ok()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_append_answer_is_found_by_reading_forward() {
+    let site = TestSite::start(SiteConfig::zones(1, 2, 1, 2))
+        .await
+        .expect("the site starts");
+    site.platform.set_faults(|faults| faults.lose_answers = 1);
+    site.operate("a1", "create adapter found-again version v1")
+        .await
+        .expect("read back though its answer was lost");
+    let shown = site
+        .operate("a2", "show changes where text like \"*found-again*\"")
+        .await
+        .expect("rows");
+    assert_eq!(
+        shown["table"]["rows"].as_array().map(Vec::len),
+        Some(1),
+        "no second effect: {shown}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_race_and_the_loser_is_told() {
+    let site = TestSite::start(SiteConfig::zones(1, 2, 1, 2))
+        .await
+        .expect("the site starts");
+    site.operate(
+        "a1",
+        "publish version v2 of adapter-0000; publish version v3 of adapter-0000",
+    )
+    .await
+    .expect("published");
+    sleep(Duration::from_millis(200)).await;
+    // A slow log makes both read the same revision.
+    site.platform
+        .set_faults(|faults| faults.append_delay = Duration::from_millis(200));
+    let (one, two) = tokio::join!(
+        site.operate("a1", "make current version v2 of adapter-0000"),
+        site.operate("a2", "make current version v3 of adapter-0000"),
+    );
+    let (won, lost) = if one.is_ok() { (one, two) } else { (two, one) };
+    assert!(won.is_ok(), "{won:?}");
+    let message = lost.expect_err("one of two conflicting changes loses");
+    assert!(
+        message.contains("was changed at offset") && message.contains("repeat your command"),
+        "{message}"
+    );
+    site.platform
+        .set_faults(|faults| faults.append_delay = Duration::ZERO);
+    wait_for("the same end everywhere", async || {
+        let mut currents = Vec::new();
+        for vm in ["a1", "a2"] {
+            let shown = site
+                .operate(vm, "show adapters where adapter = adapter-0000")
+                .await
+                .expect("rows");
+            currents.push(shown["table"]["rows"][0][1].clone());
+        }
+        currents[0] == currents[1]
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_engine_is_found_empty_and_refilled() {
+    let mut config = SiteConfig::zones(1, 1, 2, 6);
+    config.load = Duration::from_millis(10);
+    let site = TestSite::start(config).await.expect("the site starts");
+    let caller = site.caller("a1", NORMAL_TOKEN);
+    for round in 0..3 {
+        for number in 0..6 {
+            let result = caller
+                .complete(&call(&format!("adapter-{number:04}"), 3))
+                .await;
+            assert!(result.complete, "round {round}: {}", result.message);
+        }
+        site.engines.values().for_each(|engine| engine.restart());
+    }
+    // Refilled by value, without a request that asks for it.
+    wait_for("refilling", async || {
+        site.engines
+            .values()
+            .any(|engine| !engine.loaded().is_empty())
+    })
+    .await;
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failing_loads_back_off_and_the_requests_are_refused_as_not_run() {
+    let site = TestSite::start(SiteConfig::zones(1, 1, 1, 3))
+        .await
+        .expect("the site starts");
+    let engine = &site.engines["engine-a1"];
+    engine.set_faults(|faults| faults.fail_loads = 3);
+    let result = site
+        .caller("a1", NORMAL_TOKEN)
+        .complete(&call("adapter-0001", 3))
+        .await;
+    assert_eq!(
+        result.error.as_deref(),
+        Some("not_run"),
+        "{}",
+        result.message
+    );
+    assert!(result.retry_after);
+    assert_eq!(
+        engine.truth().ran,
+        0,
+        "a request refused as not run was not run"
+    );
+    wait_for("the load after its pause", async || {
+        site.caller("a1", NORMAL_TOKEN)
+            .complete(&call("adapter-0001", 3))
+            .await
+            .complete
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_to_orders_are_resolved_by_asking() {
+    let mut config = SiteConfig::zones(1, 1, 2, 10);
+    config.load = Duration::from_millis(10);
+    let site = TestSite::start(config).await.expect("the site starts");
+    for engine in site.engines.values() {
+        engine.set_faults(|faults| faults.lose_order_answers = 1);
+    }
+    let caller = site.caller("a1", NORMAL_TOKEN);
+    wait_for("an answer after lost ones", async || {
+        caller.complete(&call("adapter-0003", 3)).await.complete
+    })
+    .await;
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_streams_are_resumed_without_a_gap() {
+    let site = TestSite::start(SiteConfig::zones(1, 2, 2, 4))
+        .await
+        .expect("the site starts");
+    for engine in site.engines.values() {
+        engine.set_faults(|faults| faults.break_streams = 3);
+    }
+    for vm in ["a1", "a2"] {
+        for _ in 0..3 {
+            let result = site
+                .caller(vm, NORMAL_TOKEN)
+                .complete(&call("adapter-0002", 20))
+                .await;
+            assert_eq!(
+                result.text,
+                expected_answer("adapter-0002@v1", "berthing plan", 20),
+                "{}",
+                result.message
+            );
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_gets_no_new_work() {
+    let site = TestSite::start(SiteConfig::zones(1, 2, 2, 6))
+        .await
+        .expect("the site starts");
+    let caller = site.caller("a1", NORMAL_TOKEN);
+    // Three witnesses, one after the other: an operator, the platform's list, the target itself.
+    for witness in 0..3 {
+        match witness {
+            0 => {
+                site.operate("a2", "drain target engine-a1")
+                    .await
+                    .expect("drained");
+            }
+            1 => site.platform.list_vm("engine-a1", "zone-a", "", "leaving"),
+            _ => site.engines["engine-a1"].set_faults(|faults| faults.leaving = true),
+        }
+        wait_for("the drain", async || {
+            let shown = site
+                .operate("a1", "show targets where target = engine-a1")
+                .await
+                .expect("rows");
+            matches!(
+                shown["table"]["rows"][0][3].as_str(),
+                Some("draining" | "leaving")
+            )
+        })
+        .await;
+        sleep(Duration::from_millis(200)).await;
+        let before = site.engines["engine-a1"].truth().ran;
+        for number in 0..6 {
+            let result = caller
+                .complete(&call(&format!("adapter-{number:04}"), 3))
+                .await;
+            assert_eq!(result.target, "engine-a2", "{}", result.message);
+        }
+        assert_eq!(site.engines["engine-a1"].truth().ran, before);
+        match witness {
+            0 => {
+                site.operate("a2", "undrain target engine-a1")
+                    .await
+                    .expect("undrained");
+            }
+            1 => site.platform.unlist_vm("engine-a1"),
+            _ => {}
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_interrupts_nothing() {
+    let mut config = SiteConfig::zones(1, 3, 3, 12);
+    config.model = slow_steps();
+    let mut site = TestSite::start(config).await.expect("the site starts");
+    let mut streams = JoinSet::new();
+    for (number, vm) in ["a1", "a2", "a3"].into_iter().cycle().take(18).enumerate() {
+        let caller = site.caller(vm, BATCH_TOKEN);
+        streams.spawn(async move {
+            let model = format!("adapter-{:04}", number % 4);
+            let result = caller.complete(&call(&model, 100)).await;
+            (model, result)
+        });
+    }
+    sleep(Duration::from_millis(500)).await;
+    let report = site.stop_daemon("a2").await.expect("the daemon ran");
+    assert_eq!((report.open_requests, report.targets_kept), (0, 0));
+    while let Some(ended) = streams.join_next().await {
+        let (model, result) = ended.expect("no task panics");
+        let told_to_go_elsewhere = result.error.as_deref() == Some("not_run");
+        assert!(
+            told_to_go_elsewhere
+                || result.text == expected_answer(&format!("{model}@v1"), "berthing plan", 100),
+            "{:?} {}",
+            result.error,
+            result.message
+        );
+    }
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("every target has a holder again");
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_holder_wakes_and_does_no_harm() {
+    let mut config = SiteConfig::zones(1, 2, 2, 16);
+    config.relays = true;
+    config.load = Duration::from_millis(10);
+    let site = TestSite::start(config).await.expect("the site starts");
+    // To the others a daemon whose links are frozen and which the log does not reach looks as if it were paused.
+    let holder = holder_of(&site, "a1", "engine-a1").await;
+    let other = if holder == "a1" { "a2" } else { "a1" };
+    site.set_links("a1", "a2", LinkState::Frozen);
+    site.platform.set_faults(|faults| {
+        faults.cut.insert(holder.clone());
+    });
+    wait_for("the takeover", async || {
+        let shown = site
+            .operate(other, "show targets here where state = serving")
+            .await
+            .expect("rows");
+        shown["table"]["rows"]
+            .as_array()
+            .is_some_and(|rows| rows.len() >= 3)
+    })
+    .await;
+    // Both believe to hold the targets, and both serve and load.
+    let (one, two) = (
+        site.caller(&holder, URGENT_TOKEN),
+        site.caller(other, URGENT_TOKEN),
+    );
+    for number in 0..8 {
+        let call = call(&format!("adapter-{number:04}"), 6);
+        let (first, second) = tokio::join!(one.complete(&call), two.complete(&call));
+        for result in [first, second] {
+            let fine = result.complete || result.error.as_deref() == Some("not_run");
+            assert!(fine, "adapter {number}: {result:?}");
+        }
+    }
+    site.set_links("a1", "a2", LinkState::Open);
+    site.platform.set_faults(|faults| faults.cut.clear());
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("healed");
+    wait_for("settling", async || {
+        let shown = site
+            .operate(other, "show targets where predecessors > 0")
+            .await
+            .expect("rows");
+        shown["table"]["rows"].as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+    assert!(site.violations().is_empty(), "{:?}", site.violations());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_from_nothing_after_everything_expired() {
+    let mut config = SiteConfig::zones(1, 2, 1, 40);
+    config.overrides = json!({ "snapshot_every": 10 });
+    let mut site = TestSite::start(config).await.expect("the site starts");
+    // By a peer alone: the log kept nothing.
+    site.kill_daemon("a2");
+    site.platform.expire_all();
+    site.start_daemon("a2").await.expect("started");
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("every target is served");
+    let shown = site
+        .operate("a2", "show adapters here")
+        .await
+        .expect("rows");
+    assert_eq!(shown["table"]["rows"].as_array().map(Vec::len), Some(40));
+    // By the log alone: a snapshot is there, and every daemon goes.
+    for number in 0..14 {
+        site.operate("a1", &format!("create adapter later-{number} version v1"))
+            .await
+            .expect("created");
+    }
+    wait_for("a snapshot", async || {
+        site.platform
+            .records()
+            .iter()
+            .any(|(_, record)| record["kind"] == "snapshot")
+    })
+    .await;
+    site.kill_daemon("a1");
+    site.kill_daemon("a2");
+    site.start_daemon("a1").await.expect("started");
+    site.start_daemon("a2").await.expect("started");
+    site.wait_until_serving(Duration::from_secs(15))
+        .await
+        .expect("every target is served");
+    let shown = site
+        .operate("a2", "show adapters here")
+        .await
+        .expect("rows");
+    assert_eq!(shown["table"]["rows"].as_array().map(Vec::len), Some(54));
+}
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -117,8 +117,8 @@
     let started = start_sequence(&mut shared.lock(), &id, token, &body);
     match started {
         Err(response) => *response,
-        Ok((handle, StreamFault::Nonsense)) => {
-            let _ = handle;
+        Ok((_, StreamFault::Nonsense)) => {
+            shared.work.notify_one();
             "this is no stream of events".into_response()
         }
         Ok((handle, fault)) => {
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Time after which a caller gives up.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_secs(30);
 
 /// One completion to ask for.
 #[derive(Clone, Debug)]
--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -10,8 +10,11 @@
 };
 use hoplandingd::{RunningDaemon, app::StopReport, options::Settings};
 use serde_json::{Value, json};
-use std::{collections::BTreeMap, fmt::Write, io, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep};
+use std::{collections::BTreeMap, fmt::Write, io, ops::Deref, sync::Arc, time::Duration};
+use tokio::{
+    runtime::{Builder, Runtime},
+    time::{Instant, sleep},
+};
 
 /// Token of the operator that every daemon of a site knows.
 pub const OPERATOR_TOKEN: &str = "operator-secret";
@@ -21,6 +24,8 @@
 pub const NORMAL_TOKEN: &str = "normal-secret";
 /// Token of the caller with batch priority.
 pub const BATCH_TOKEN: &str = "batch-secret";
+/// Threads of one daemon.
+const DAEMON_THREADS: usize = 2;
 /// Records of one change that declares adapters.
 const ADAPTERS_A_CHANGE: usize = 500;
 
@@ -90,6 +95,45 @@
     }
 }
 
+/// A daemon with a runtime of its own, so that killing it ends every task of it at once.
+pub struct DaemonProcess {
+    daemon: Option<RunningDaemon>,
+    runtime: Option<Runtime>,
+}
+
+impl DaemonProcess {
+    async fn start(settings: Settings) -> io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(DAEMON_THREADS)
+            .enable_all()
+            .build()?;
+        let started = runtime.spawn(RunningDaemon::start(settings)).await;
+        Ok(Self {
+            daemon: Some(started.map_err(io::Error::other)??),
+            runtime: Some(runtime),
+        })
+    }
+}
+
+impl Deref for DaemonProcess {
+    type Target = RunningDaemon;
+
+    fn deref(&self) -> &RunningDaemon {
+        self.daemon
+            .as_ref()
+            .expect("the daemon is there until it is dropped")
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        drop(self.daemon.take());
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// A running site.
 pub struct TestSite {
     /// What it consists of.
@@ -103,7 +147,7 @@
     /// Instances of the service `ledger` by target name.
     pub services: BTreeMap<String, ServiceStandin>,
     /// Daemons by VM.
-    pub daemons: BTreeMap<String, RunningDaemon>,
+    pub daemons: BTreeMap<String, DaemonProcess>,
     relays: BTreeMap<(String, String), LinkRelay>,
 }
 
@@ -113,6 +157,13 @@
     /// # Errors
     /// Returns an error when a port can't be had, or the site does not come up in time.
     pub async fn start(config: SiteConfig) -> io::Result<Self> {
+        if std::env::var_os("HOPLANDING_TEST_LOG").is_some() {
+            let config = simplelog::ConfigBuilder::new()
+                .add_filter_allow_str("hoplanding")
+                .build();
+            // Another site of this process may have set it.
+            let _ = simplelog::SimpleLogger::init(simplelog::LevelFilter::Debug, config);
+        }
         let platform = PlatformStandin::start(config.retention).await?;
         let store = Arc::new(WeightStore::new(config.load));
         let mut engines = BTreeMap::new();
@@ -180,7 +231,7 @@
             "seeds": seeds,
             "operators": [{ "name": "ops", "token": OPERATOR_TOKEN, "role": "admin" }],
             "membership": {
-                "heartbeat_ms": 50, "suspect_after_ms": 400, "take_over_after_ms": 1500, "delivery_bound_ms": 500,
+                "heartbeat_ms": 50, "suspect_after_ms": 600, "take_over_after_ms": 1500, "delivery_bound_ms": 500,
             },
             "stop": { "grace_ms": 200, "bound_ms": 20_000 },
             "log": { "level": "info" },
@@ -209,7 +260,7 @@
     pub async fn start_daemon(&mut self, vm: &str) -> io::Result<()> {
         let settings = Settings::parse(&self.settings_json(vm).to_string())
             .expect("a site's settings are in order");
-        let daemon = RunningDaemon::start(settings).await?;
+        let daemon = DaemonProcess::start(settings).await?;
         for ((_, to), relay) in &self.relays {
             if to == vm {
                 relay.set_target(daemon.peer_address);
@@ -228,15 +279,13 @@
 
     /// Ends a daemon as a crash would; the platform's list is as slow as the caller of this makes it.
     pub fn kill_daemon(&mut self, vm: &str) {
-        if let Some(daemon) = self.daemons.remove(vm) {
-            daemon.kill();
-        }
+        drop(self.daemons.remove(vm));
     }
 
     /// A planned stop of a daemon.
     pub async fn stop_daemon(&mut self, vm: &str) -> Option<StopReport> {
-        let daemon = self.daemons.remove(vm)?;
-        let report = daemon.stop().await;
+        let mut process = self.daemons.remove(vm)?;
+        let report = process.daemon.take()?.stop().await;
         self.platform.unlist_vm(vm);
         Some(report)
     }
