--- a/specs/ownership.pml
+++ b/specs/ownership.pml
@@ -16,8 +16,8 @@
  *   SETTLE_NO_DELIVERY  settling does not wait until nothing of the dead VM can still arrive
  *   SETTLE_NO_IDLE    settling does not ask the target
  *   SETTLE_ON_RESTART a restart of the target counts as settling
- *   NO_FENCE_ACK      (checking target) dispatch before the token was acknowledged
- *   FENCE_LOST_ON_RESTART_ORDERS_ONLY  (checking target) dispatches do not carry the token
+ *   NO_FENCE_ACK      (checking target) dispatch before the token was acknowledged; needed with ORDERS_ONLY
+ *   ORDERS_ONLY       (checking target) dispatches do not carry the token; RESTARTS=0 makes that safe again
  * CHECKS chooses a target that checks fencing tokens.
  */
 #ifndef LOG
@@ -35,6 +35,9 @@
 #ifndef UNLOADS
 #define UNLOADS 1
 #endif
+#ifndef RESTARTS
+#define RESTARTS 1
+#endif
 #ifndef TAKES
 #define TAKES 2
 #endif
@@ -146,7 +149,7 @@
 #else
 #define NOT_BARRED(d, a) (!(intentBy[d] != NONE && intentFor[d] == a) && !(orderOut[d] && orderFor[d] == a) && !(waitsFor[d] == a && !gaveUp[d]))
 #endif
-#if defined(CHECKS) && !defined(FENCE_LOST_ON_RESTART_ORDERS_ONLY)
+#if defined(CHECKS) && !defined(ORDERS_ONLY)
 #define DISPATCH_CHECKED true
 #else
 #define DISPATCH_CHECKED false
@@ -273,7 +276,7 @@
   /* Somebody loads an adapter: orders to load are idempotent and harm nobody, so any time will do. */
   :: atomic { PICK(a); loaded[a] = true }
   /* The target restarts: nothing is loaded, nothing runs, and it has forgotten the token. */
-  :: atomic { restarts < 1 -> restarts++; known = 0;
+  :: atomic { restarts < RESTARTS -> restarts++; known = 0;
        for (d : 0 .. N - 1) { for (a : 0 .. A - 1) {
          inFlight[d * A + a] = inFlight[d * A + a] - serving[d * A + a]; serving[d * A + a] = 0 } } }
   od
