--- a/crates/core/src/policy/popularity.rs
+++ b/crates/core/src/policy/popularity.rs
@@ -17,6 +17,15 @@
 /// Entries beyond which forgetting is worth a pass.
 const SWEEP_AT: usize = 1024;
 
+/// How much each adapter is wanted.
+pub trait DemandEstimate {
+    /// Requests a second that are to be expected.
+    fn rate(&self, model: &AdapterVersion, now: Instant) -> f64;
+
+    /// Adapters that may be wanted, and their rates.
+    fn candidates(&self, now: Instant) -> Vec<(&AdapterVersion, f64)>;
+}
+
 /// Decayed counts of one adapter.
 #[derive(Clone, Copy, Debug)]
 pub struct RateEstimate {
@@ -67,9 +76,27 @@
         }
     }
 
-    /// Requests a second that are to be expected.
+    /// Number of entries.
     #[must_use]
-    pub fn rate(&self, model: &AdapterVersion, now: Instant) -> f64 {
+    pub fn len(&self) -> usize {
+        self.rates.len()
+    }
+
+    /// Whether nothing was asked for lately.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rates.is_empty()
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        self.rates
+            .retain(|_, rate| rate.decayed(now).1 >= FORGET_BELOW);
+        self.sweep_at = self.rates.len() * 2;
+    }
+}
+
+impl DemandEstimate for PopularityTracker {
+    fn rate(&self, model: &AdapterVersion, now: Instant) -> f64 {
         let Some(rate) = self.rates.get(model) else {
             return 0.0;
         };
@@ -86,28 +113,10 @@
         slow_rate.max(fast / FAST_S)
     }
 
-    /// Adapters with an entry and their rates.
-    pub fn iter(&self, now: Instant) -> impl Iterator<Item = (&AdapterVersion, f64)> {
+    fn candidates(&self, now: Instant) -> Vec<(&AdapterVersion, f64)> {
         self.rates
             .keys()
-            .map(move |model| (model, self.rate(model, now)))
-    }
-
-    /// Number of entries.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.rates.len()
-    }
-
-    /// Whether nothing was asked for lately.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.rates.is_empty()
-    }
-
-    fn sweep(&mut self, now: Instant) {
-        self.rates
-            .retain(|_, rate| rate.decayed(now).1 >= FORGET_BELOW);
-        self.sweep_at = self.rates.len() * 2;
+            .map(|model| (model, self.rate(model, now)))
+            .collect()
     }
 }
--- a/crates/core/src/policy/router.rs
+++ b/crates/core/src/policy/router.rs
@@ -18,6 +18,10 @@
 const HOME_TOLERANCE_S: f64 = 0.5;
 /// Targets of the rendezvous order that are looked at for an idle adapter.
 const HOMES: usize = 3;
+/// Time until some seat of a full batch falls free, in seconds.
+const SEAT_TURN_S: f64 = 0.3;
+/// What a full batch costs a request beside the wait for a seat, in seconds.
+const STEP_COST_S: f64 = 0.05;
 /// Expected time of a load, in seconds.
 const LOAD_S: f64 = 0.35;
 
@@ -36,20 +40,32 @@
 
 impl RoutedTarget {
     /// Seconds until a new request of a class would get a seat.
-    fn wait_s(&self, class: PriorityClass) -> f64 {
+    fn wait_s(&self, class: PriorityClass, weights: &PolicyWeights) -> f64 {
         let digest = &self.digest;
         let speed = digest.tokens_per_second.max(1.0);
         let waiting: u64 = (0..=class.index())
             .map(|index| digest.waiting_tokens[index] + self.sent_tokens[index])
             .sum();
-        let occupied = f64::from(digest.running + self.sent) / f64::from(digest.seats.max(1));
+        let occupied = self.occupied(class, weights);
         // A seat is likely free below a full batch; the load still slows every step a little.
         let seat = if occupied >= 1.0 {
-            waiting as f64 / speed
+            waiting as f64 / speed + SEAT_TURN_S
         } else {
             0.0
         };
-        seat + occupied * 0.05
+        seat + occupied * STEP_COST_S
+    }
+
+    /// Share of the seats of a class that are taken.
+    fn occupied(&self, class: PriorityClass, weights: &PolicyWeights) -> f64 {
+        let reserved = match class {
+            PriorityClass::Urgent => 0.0,
+            PriorityClass::Normal | PriorityClass::Batch => weights.urgent_reserve,
+        };
+        let seats = (f64::from(self.digest.seats) * (1.0 - reserved))
+            .ceil()
+            .max(1.0);
+        f64::from(self.digest.running + self.sent) / seats
     }
 
     fn usable(&self) -> bool {
@@ -275,7 +291,7 @@
         let costs = members.map(|(index, routed)| {
             (
                 index,
-                routed.wait_s(query.class) + zone_cost(routed, query, weights),
+                routed.wait_s(query.class, weights) + zone_cost(routed, query, weights),
             )
         });
         let (index, expected_s) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
@@ -304,11 +320,10 @@
             .filter(|index| self.targets[**index].usable_for(query));
         let costs = candidates.map(|index| {
             let routed = &self.targets[*index];
-            let mut cost = routed.wait_s(query.class) + zone_cost(routed, query, weights);
+            let mut cost = routed.wait_s(query.class, weights) + zone_cost(routed, query, weights);
             if query.class == PriorityClass::Batch {
                 // Batch work prefers the fuller target, so that others can run empty.
-                let occupied = f64::from(routed.digest.running + routed.sent)
-                    / f64::from(routed.digest.seats.max(1));
+                let occupied = routed.occupied(query.class, weights);
                 cost -= weights.packing_s * occupied.min(1.0);
             }
             (*index, cost)
@@ -319,12 +334,15 @@
     fn best_home(&self, query: &RouteQuery<'_>, weights: &PolicyWeights) -> Option<(usize, f64)> {
         let hash = model_hash(query.model);
         let mut homes: [Option<(u64, usize)>; HOMES] = [None; HOMES];
-        let mut shortest = f64::INFINITY;
+        let mut shortest = (f64::INFINITY, 0);
         for (index, routed) in self.targets.iter().enumerate() {
             if !routed.usable_for(query) || !routed.digest.loads {
                 continue;
             }
-            shortest = shortest.min(routed.wait_s(query.class));
+            let wait = routed.wait_s(query.class, weights);
+            if wait < shortest.0 {
+                shortest = (wait, index);
+            }
             insert_home(&mut homes, (home_score(routed, hash), index));
         }
         let patience = match query.class {
@@ -335,14 +353,16 @@
             let routed = &self.targets[index];
             (
                 index,
-                routed.wait_s(query.class) + zone_cost(routed, query, weights),
+                routed.wait_s(query.class, weights) + zone_cost(routed, query, weights),
             )
         });
         let homes: Vec<_> = homes.collect();
         let near = homes
             .iter()
-            .find(|(_, wait)| *wait <= shortest + HOME_TOLERANCE_S + patience);
-        let chosen = near.or_else(|| homes.iter().min_by(|(_, a), (_, b)| a.total_cmp(b)))?;
+            .find(|(_, wait)| *wait <= shortest.0 + HOME_TOLERANCE_S + patience);
+        // If every home is busy, the adapter goes where there is room.
+        let anywhere = shortest.0.is_finite().then_some((shortest.1, shortest.0));
+        let chosen = near.copied().or(anywhere)?;
         Some((chosen.0, chosen.1 + LOAD_S + weights.load_penalty_s))
     }
 
--- a/crates/core/src/policy/scheduler.rs
+++ b/crates/core/src/policy/scheduler.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::{AdapterVersion, Instant, PriorityClass, RequestId, TargetName},
     policy::{
-        LoadBackoff, LoadBid, PolicyWeights, PopularityTracker, QueuedRequest, ResidentDigest,
+        DemandEstimate, LoadBackoff, LoadBid, PolicyWeights, QueuedRequest, ResidentDigest,
         TargetDigest, WaitingQueue,
     },
     request::NotRunReason,
@@ -464,7 +464,7 @@
     pub fn bid(
         &self,
         weights: &PolicyWeights,
-        popularity: &PopularityTracker,
+        popularity: &impl DemandEstimate,
         now: Instant,
     ) -> Option<LoadBid> {
         if !self.needs_loads
@@ -501,7 +501,7 @@
     pub fn preload_bid(
         &self,
         weights: &PolicyWeights,
-        popularity: &PopularityTracker,
+        popularity: &impl DemandEstimate,
         now: Instant,
         is_candidate: impl Fn(&AdapterVersion) -> bool,
     ) -> Option<LoadBid> {
@@ -522,11 +522,14 @@
         let lost = evict
             .as_ref()
             .map_or(0.0, |victim| popularity.rate(victim, now));
-        let candidates = popularity.iter(now).filter(|(model, rate)| {
-            *rate > lost * weights.preload_margin
-                && self.is_loadable(model, now)
-                && is_candidate(model)
-        });
+        let candidates = popularity
+            .candidates(now)
+            .into_iter()
+            .filter(|(model, rate)| {
+                *rate > lost * weights.preload_margin
+                    && self.is_loadable(model, now)
+                    && is_candidate(model)
+            });
         let (model, rate) =
             candidates.max_by(|(x, a), (y, b)| a.total_cmp(b).then_with(|| y.cmp(x)))?;
         Some(LoadBid {
@@ -547,7 +550,7 @@
     }
 
     /// The adapter whose loss costs least, among those with nothing in flight or waiting; none if a slot is free.
-    fn victim(&self, popularity: &PopularityTracker, now: Instant) -> Option<AdapterVersion> {
+    fn victim(&self, popularity: &impl DemandEstimate, now: Instant) -> Option<AdapterVersion> {
         if !self.may_evict || self.residents.len() < self.limits.slots {
             return None;
         }
@@ -566,14 +569,14 @@
     #[must_use]
     pub fn idle_victim(
         &self,
-        popularity: &PopularityTracker,
+        popularity: &impl DemandEstimate,
         now: Instant,
     ) -> Option<AdapterVersion> {
         self.victim(popularity, now)
     }
 
     /// Stops new work on the least wanted adapter if a load has waited long and nothing ever falls idle.
-    pub fn force_room(&mut self, popularity: &PopularityTracker, now: Instant) {
+    pub fn force_room(&mut self, popularity: &impl DemandEstimate, now: Instant) {
         let starved = self.waiting.iter().any(|(model, queue)| {
             let waited = queue
                 .iter()
--- a/crates/daemon/src/app/explain.rs
+++ b/crates/daemon/src/app/explain.rs
@@ -4,7 +4,7 @@
 use hoplanding_core::{
     ids::{AdapterName, AdapterVersion, Instant},
     language::{CellValue, DataTable},
-    policy::AdapterState,
+    policy::{AdapterState, DemandEstimate},
 };
 
 impl AppState {
--- a/crates/daemon/src/app/tables.rs
+++ b/crates/daemon/src/app/tables.rs
@@ -5,7 +5,7 @@
     config::{AuditOutcome, ReadyAdapter, RequestRule, TargetRole, VersionStatus},
     ids::{Instant, PriorityClass},
     language::{CellValue, DataTable, TableName},
-    policy::AdapterState,
+    policy::{AdapterState, DemandEstimate},
 };
 
 impl AppState {
