Place loads where least is lost, and tell gateways what loads would wait

Cause: a store of 3 loads a second is what stalls wait for; replicas and partitioned evictions used a third of it.

--- a/crates/core/benches/policy/adaptive.rs
+++ b/crates/core/benches/policy/adaptive.rs
@@ -125,12 +125,19 @@
             for _ in 0..100 {
                 policy.schedulers[engine].observe_speed(model.full_speed());
             }
-            policy.publish(engine);
+            policy.publish(engine, Instant::default());
         }
         policy
     }
 
-    fn publish(&mut self, engine: EngineNumber) {
+    fn publish(&mut self, engine: EngineNumber, now: Instant) {
+        match &self.demand {
+            Demand::Learned(trackers) => {
+                let holder = Self::holder(engine, trackers.len());
+                self.schedulers[engine].refresh_victim(&trackers[holder], now);
+            }
+            Demand::Known(oracle) => self.schedulers[engine].refresh_victim(oracle, now),
+        }
         let zone = self.zones[engine % self.zones.len()].clone();
         let known = self
             .router
@@ -260,7 +267,7 @@
         self.schedulers[engine].load_started(&bid.model, now);
         self.loading = Some(engine);
         self.began = now;
-        self.publish(engine);
+        self.publish(engine, now);
         commands.push(Command::Load(engine, bid.model));
     }
 
@@ -280,7 +287,7 @@
                 commands.push(Command::Refuse(refused.id.counter as RequestNumber));
             }
         }
-        self.publish(engine);
+        self.publish(engine, now);
         self.pump(engine, now, commands);
         self.load(now, commands);
     }
@@ -294,7 +301,7 @@
         if self.loading == Some(engine) {
             self.loading = None;
         }
-        self.publish(engine);
+        self.publish(engine, now);
     }
 
     fn tick(&mut self, now: Instant, commands: &mut Vec<Command>) {
@@ -316,7 +323,7 @@
             }
             self.pump(engine, now, commands);
             if std::mem::take(&mut self.dirty[engine]) {
-                self.publish(engine);
+                self.publish(engine, now);
             }
         }
         self.load(now, commands);
@@ -350,7 +357,7 @@
                 self.restarted(*engine, now);
                 self.lost[*engine] = true;
                 self.schedulers[*engine].set_open(false);
-                self.publish(*engine);
+                self.publish(*engine, now);
                 for waiting in self.schedulers[*engine].drain_waiting() {
                     self.arrive(waiting.id.counter as RequestNumber, arrivals, now, commands);
                 }
--- a/crates/core/src/policy/digest.rs
+++ b/crates/core/src/policy/digest.rs
@@ -27,6 +27,10 @@
     pub seats: u32,
     /// Output tokens that wait, by class.
     pub waiting_tokens: [u64; 3],
+    /// Requests a second that the adapter which would go for the next load is worth; none if nothing can go.
+    pub victim_rate: Option<f32>,
+    /// Adapters that wait to be loaded.
+    pub wanted_loads: u32,
     /// Output tokens a second of a full batch, as measured.
     pub tokens_per_second: f64,
     /// Whether it takes new work.
--- a/crates/core/src/policy/popularity.rs
+++ b/crates/core/src/policy/popularity.rs
@@ -7,9 +7,9 @@
 use std::collections::HashMap;
 
 /// Time constant of the fast rate, in seconds.
-const FAST_S: f64 = 20.0;
+const FAST_S: f64 = 60.0;
 /// Time constant of the slow rate, in seconds.
-const SLOW_S: f64 = 600.0;
+const SLOW_S: f64 = 300.0;
 /// Requests within the fast scale from which the fast rate is believed.
 const FAST_EVIDENCE: f64 = 3.0;
 /// Requests within the slow scale below which an adapter is forgotten.
--- a/crates/core/src/policy/router.rs
+++ b/crates/core/src/policy/router.rs
@@ -17,7 +17,7 @@
 /// Wait beyond the best one, in seconds, up to which an idle adapter's home is kept.
 const HOME_TOLERANCE_S: f64 = 0.5;
 /// Targets of the rendezvous order that are looked at for an idle adapter.
-const HOMES: usize = 3;
+const HOMES: usize = 6;
 /// Time until some seat of a full batch falls free, in seconds.
 const SEAT_TURN_S: f64 = 0.3;
 /// What a full batch costs a request beside the wait for a seat, in seconds.
@@ -335,10 +335,13 @@
         let hash = model_hash(query.model);
         let mut homes: [Option<(u64, usize)>; HOMES] = [None; HOMES];
         let mut shortest = (f64::INFINITY, 0);
+        // The store serves one load at a time, for all targets.
+        let mut queued_loads = 0;
         for (index, routed) in self.targets.iter().enumerate() {
             if !routed.usable_for(query) || !routed.digest.loads {
                 continue;
             }
+            queued_loads += routed.digest.wanted_loads;
             let wait = routed.wait_s(query.class, weights);
             if wait < shortest.0 {
                 shortest = (wait, index);
@@ -359,11 +362,20 @@
         let homes: Vec<_> = homes.collect();
         let near = homes
             .iter()
-            .find(|(_, wait)| *wait <= shortest.0 + HOME_TOLERANCE_S + patience);
+            .filter(|(_, wait)| *wait <= shortest.0 + HOME_TOLERANCE_S + patience);
+        // Of the homes with room, the one that loses least by the load.
+        let cost = |index: &usize| {
+            self.targets[*index]
+                .digest
+                .victim_rate
+                .unwrap_or(f32::INFINITY)
+        };
+        let near = near.min_by(|(a, _), (b, _)| cost(a).total_cmp(&cost(b)));
         // If every home is busy, the adapter goes where there is room.
         let anywhere = shortest.0.is_finite().then_some((shortest.1, shortest.0));
         let chosen = near.copied().or(anywhere)?;
-        Some((chosen.0, chosen.1 + LOAD_S + weights.load_penalty_s))
+        let load = LOAD_S * f64::from(1 + queued_loads);
+        Some((chosen.0, chosen.1 + load + weights.load_penalty_s))
     }
 
     fn count_sent(&mut self, index: usize, query: &RouteQuery<'_>) {
--- a/crates/core/src/policy/scheduler.rs
+++ b/crates/core/src/policy/scheduler.rs
@@ -20,7 +20,7 @@
 const ASSUMED_TOKENS_PER_SECOND: f64 = 400.0;
 /// Wait after which a demanded load may stop new work on an adapter that never falls idle.
 const FORCE_AFTER: Duration = Duration::from_secs(4);
-/// Share of its bound after which waiting work goes with the urgent.
+/// Share of its bound after which waiting work goes before all but the urgent.
 const AGED_SHARE: f64 = 0.75;
 /// Weight of the newest measurement in a moving average.
 const NEWEST_SHARE: f64 = 0.1;
@@ -97,6 +97,7 @@
     load_seconds: f64,
     open: bool,
     may_evict: bool,
+    victim_rate: Option<f32>,
 }
 
 impl TargetScheduler {
@@ -117,6 +118,7 @@
             load_seconds: ASSUMED_LOAD_S,
             open: true,
             may_evict: true,
+            victim_rate: Some(0.0),
         }
     }
 
@@ -575,6 +577,15 @@
         self.victim(popularity, now)
     }
 
+    /// Works out what the next load would cost here, for the digest.
+    pub fn refresh_victim(&mut self, popularity: &impl DemandEstimate, now: Instant) {
+        let is_free = self.residents.len() < self.limits.slots;
+        let victim = self
+            .victim(popularity, now)
+            .map(|model| popularity.rate(&model, now) as f32);
+        self.victim_rate = if is_free { Some(0.0) } else { victim };
+    }
+
     /// Stops new work on the least wanted adapter if a load has waited long and nothing ever falls idle.
     pub fn force_room(&mut self, popularity: &impl DemandEstimate, now: Instant) {
         let starved = self.waiting.iter().any(|(model, queue)| {
@@ -715,9 +726,20 @@
             tokens_per_second: self.tokens_per_second,
             open: self.open,
             loads: self.can_load(),
+            wanted_loads: self.wanted_loads(),
+            victim_rate: self.victim_rate,
         }
     }
 
+    fn wanted_loads(&self) -> u32 {
+        let wanted = self.waiting.iter().filter(|(model, _)| {
+            let mut residents = self.residents.iter();
+            !residents
+                .any(|resident| resident.model == **model && resident.state == AdapterState::Loaded)
+        });
+        wanted.count() as u32
+    }
+
     fn resident_mut(&mut self, model: &AdapterVersion) -> Option<&mut ResidentAdapter> {
         self.residents
             .iter_mut()
@@ -735,8 +757,8 @@
         PriorityClass::Batch => bound * 0.5,
     };
     if waited > bound * AGED_SHARE {
-        // Between two urgent requests that waited less, so that nothing starves.
-        return -1e6 - (waited - bound * AGED_SHARE);
+        // Before all that is not urgent, and behind all that is: urgent work is bounded by its own admission.
+        return -1e3 - waited;
     }
     slack - waited
 }
--- a/crates/daemon/src/app/event_loop.rs
+++ b/crates/daemon/src/app/event_loop.rs
@@ -107,7 +107,7 @@
     fn tick(&mut self, now: hoplanding_core::ids::Instant) {
         self.tick_membership(now);
         self.tick_ownership(now);
-        self.refresh_evictions();
+        self.refresh_evictions(now);
         self.tick_holder(now);
         self.tick_orders(now);
         self.tick_heartbeat(now);
--- a/crates/daemon/src/app/holder.rs
+++ b/crates/daemon/src/app/holder.rs
@@ -313,7 +313,7 @@
     }
 
     /// Tells the scheduler whether ownership lets anything be unloaded.
-    pub(super) fn refresh_evictions(&mut self) {
+    pub(super) fn refresh_evictions(&mut self, now: Instant) {
         for (target, held) in &mut self.held {
             let ownership = self.folded.ownership.target(target.as_str());
             let planned =
@@ -321,6 +321,7 @@
             // Without the log there is no unload on a target that does not check tokens.
             let announced = held.lease.fence == FenceState::Acknowledged || self.feed.is_up;
             held.scheduler.set_may_evict(planned && announced);
+            held.scheduler.refresh_victim(&self.popularity, now);
         }
     }
 
