--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' interface: OpenAI-compatible HTTP, plain services, idempotency tokens, health.
 
+mod acceptor;
 mod answer;
 mod body;
 mod driver;
@@ -7,6 +8,7 @@
 mod http;
 mod services;
 
+pub use acceptor::PromptAcceptor;
 pub use driver::{CallDriver, DriverContext};
 pub use errors::{CallerError, ErrorCode};
 pub use http::{GatewayContext, routes};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,7 +28,7 @@
     app::{AppEvent, AppHandle, AppState, AppWorkers, StopReport, run_app},
     calls::CallTable,
     events::Event,
-    gateway::{GatewayContext, routes},
+    gateway::{GatewayContext, PromptAcceptor, routes},
     metrics::DaemonMetrics,
     options::Settings,
     peers::{PROTOCOL_VERSION, PeerHello, PeerServer},
@@ -36,7 +36,7 @@
     targets::EngineClient,
 };
 use hoplanding_core::ids::{AvailabilityZone, DaemonRef, Incarnation, LogOffset, VmName};
-use poem::{Server, listener::TcpAcceptor};
+use poem::Server;
 use std::{
     io,
     net::SocketAddr,
@@ -114,7 +114,7 @@
             settings: Arc::clone(&settings),
             answers: AtomicU64::new(1),
         });
-        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let acceptor = PromptAcceptor::new(listener)?;
         let state = AppState::new(Arc::clone(&settings), me.clone(), workers);
         let list_every = settings.platform.list_every;
         let tasks = vec![
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,4 +13,4 @@
 pub use message::{Heartbeat, PROTOCOL_VERSION, PeerHello, PeerMessage};
 pub use reader::{CallReader, ReadEvent};
 pub use server::PeerServer;
-pub use wire::{decode, encode};
+pub use wire::{decode, encode, encoded_bytes};
--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -103,7 +103,9 @@
 
 impl DaemonProcess {
     async fn start(settings: Settings) -> io::Result<Self> {
+        let thread_name = format!("d-{}", settings.vm);
         let runtime = Builder::new_multi_thread()
+            .thread_name(thread_name)
             .worker_threads(DAEMON_THREADS)
             .enable_all()
             .build()?;
