--- /dev/null
+++ b/crates/daemon/tests/binary.rs
@@ -0,0 +1,89 @@
+//! The real binary: settings, and a planned stop by signal.
+
+use hoplanding_standins::platform::PlatformStandin;
+use std::{
+    fs,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+    time::Duration,
+};
+
+fn daemon(name: &str, settings: &str, args: &[&str]) -> (Command, PathBuf) {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    fs::write(&path, settings).expect("the folder is ours");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hoplandingd"));
+    command
+        .arg("--config")
+        .arg(&path)
+        .args(args)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    (command, path)
+}
+
+fn text(output: &Output) -> String {
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+#[test]
+fn the_sample_settings_are_in_order() {
+    let (mut command, _) = daemon(
+        "sample",
+        include_str!("../../../docs/hoplandingd.sample.json"),
+        &["--check"],
+    );
+    let output = command.output().expect("the binary runs");
+    assert!(output.status.success(), "{}", text(&output));
+}
+
+#[test]
+fn every_fault_of_the_settings_is_reported_at_once() {
+    let wrong = r#"{ "vm": "", "zone": "z", "caller_address": "here", "peer_address": "127.0.0.1:0", "peer_secret": "s",
+        "platform": { "address": "127.0.0.1:1", "timeout_ms": 0 }, "limits": { "body_byte": 5 }, "colour": "red" }"#;
+    let (mut command, _) = daemon("wrong", wrong, &["--check"]);
+    let output = command.output().expect("the binary runs");
+    assert_eq!(output.status.code(), Some(2));
+    let text = text(&output);
+    for part in [
+        "5 faults",
+        "vm: \"\": write the name of this VM",
+        "caller_address: \"here\": write IP:port",
+        "platform.timeout_ms: 0: write a whole number from 10 to 60000",
+        "limits.body_byte: 5: unknown key: remove it, or use one of body_bytes",
+        "colour: \"red\": unknown key",
+    ] {
+        assert!(text.contains(part), "{part:?} is missing in\n{text}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_is_a_planned_stop() {
+    let platform = PlatformStandin::start(100).await.expect("a port");
+    let settings = format!(
+        r#"{{ "vm": "a1", "zone": "z", "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0", "peer_secret": "s",
+            "platform": {{ "address": "{}" }}, "stop": {{ "grace_ms": 50 }} }}"#,
+        platform.address()
+    );
+    let (mut command, _) = daemon("signal", &settings, &[]);
+    let child = command.spawn().expect("the binary runs");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let pid = child.id().to_string();
+    let sent = Command::new("kill")
+        .args(["-TERM", &pid])
+        .status()
+        .expect("kill runs");
+    assert!(sent.success());
+    let ended = tokio::task::spawn_blocking(move || child.wait_with_output())
+        .await
+        .expect("no panic")
+        .expect("it ends");
+    let text = text(&ended);
+    assert!(ended.status.success(), "{text}");
+    for event in ["E100", "E101", "E102", "E103"] {
+        assert!(text.contains(event), "{event} is missing in\n{text}");
+    }
+}
