Keep a target's books when a daemon holds it a second time

Ruled out: doubtful streams of a lost target (they were never listed either; mended), a lost Settled append. Change: the runtime goes on under the new token; a daemon settles its own past when no order of it is under way; orders under way survive a target's restart. Conclusion: the model has no second hold by one incarnation; listed as open.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -98,7 +98,7 @@
     /// Says what is wrong with them.
     pub fn parse(words: &[String]) -> Result<Self, String> {
         let words = with_command(words);
-        let args = Self::parse_args(&words, ParsingStyle::StopAtFirstFree);
+        let args = Self::parse_args(&words, ParsingStyle::AllOptions);
         args.map_err(|error| format!("{error}: see hoplanding --help"))
     }
 
--- a/crates/daemon/src/app/held.rs
+++ b/crates/daemon/src/app/held.rs
@@ -98,7 +98,6 @@
     /// Tokens that streams of this target brought since the last look.
     pub(super) tokens: Arc<AtomicU64>,
     pub(super) speed_since: Instant,
-    pub(super) settled_appended_at: Instant,
 }
 
 impl HeldRuntime {
@@ -144,7 +143,6 @@
             says_leaving: false,
             tokens: Arc::default(),
             speed_since: now,
-            settled_appended_at: Instant::default(),
         }
     }
 
@@ -174,6 +172,21 @@
         }
     }
 
+    /// Whether nothing that an earlier lease of this daemon sent can surprise the target's present holder.
+    pub(super) fn is_past_quiet(&self) -> bool {
+        match self.phase {
+            HeldPhase::Lost => self.is_idle(),
+            HeldPhase::Preparing | HeldPhase::Serving => self.order.is_none(),
+        }
+    }
+
+    /// This daemon holds the target again; requests in flight and an order under way go on.
+    pub(super) fn take_again(&mut self, token: FencingToken) {
+        self.lease = HeldTarget::new(token, self.config.checks_fencing && self.is_engine());
+        self.phase = HeldPhase::Preparing;
+        self.list_in_flight = false;
+    }
+
     /// Name of a call's stream at the target; the token tells whose it is.
     pub(super) fn stream_name(&self, call: crate::calls::CallId) -> String {
         format!("{}.{call}", self.lease.token.0)
--- a/crates/daemon/src/app/holder.rs
+++ b/crates/daemon/src/app/holder.rs
@@ -279,7 +279,13 @@
             };
             held.measure_speed(now);
             held.scheduler.force_room(&self.popularity, now);
-            if held.is_engine() && held.phase == HeldPhase::Serving {
+            // A former holder too has to learn which of its streams are over, or it would never be settled.
+            let asks = match held.phase {
+                HeldPhase::Serving => true,
+                HeldPhase::Lost => !held.doubtful.is_empty(),
+                HeldPhase::Preparing => false,
+            };
+            if held.is_engine() && asks {
                 self.send_order(target, OrderKind::List);
             }
             if self
--- a/crates/daemon/src/app/orders.rs
+++ b/crates/daemon/src/app/orders.rs
@@ -13,7 +13,7 @@
 use hoplanding_core::{
     ids::{AdapterVersion, Instant, TargetName},
     log::{IntentClosedRecord, IntentRecord, LogRecord},
-    ownership::{FenceState, OpenIntent},
+    ownership::{FenceState, HeldTarget, OpenIntent},
     policy::{LoadBid, LoadNotice},
 };
 use std::{collections::HashSet, time::Duration};
@@ -329,13 +329,14 @@
     }
 
     pub(super) fn order_done(&mut self, report: &OrderReport, now: Instant) {
-        let Some(held) = self
-            .held
-            .get_mut(&report.target)
-            .filter(|held| held.lease.token == report.token)
-        else {
+        let Some(held) = self.held.get_mut(&report.target) else {
             return;
         };
+        // A load or unload under an earlier lease of this daemon still changes what is on the target.
+        let changes = matches!(report.kind, OrderKind::Load(_) | OrderKind::Unload(_));
+        if held.lease.token != report.token && !changes {
+            return;
+        }
         if report.kind == OrderKind::List {
             held.list_in_flight = false;
         }
@@ -493,19 +494,10 @@
         held.boot = listing.boot;
         if restarted {
             event!(Event::TargetRestarted, "{target}");
-            held.lease = hoplanding_core::ownership::HeldTarget::new(
-                held.lease.token,
-                held.config.checks_fencing,
-            );
-            held.phase = HeldPhase::Preparing;
-            if !matches!(
-                held.order.as_ref().map(|pending| &pending.stage),
-                Some(OrderStage::InDoubt { .. })
-            ) {
-                held.order = held
-                    .order
-                    .take()
-                    .filter(|pending| pending.stage == OrderStage::Loading);
+            // An order under way keeps its place: it may still arrive, and its answer or the doubt ends it.
+            if held.phase != HeldPhase::Lost {
+                held.lease = HeldTarget::new(held.lease.token, held.config.checks_fencing);
+                held.phase = HeldPhase::Preparing;
             }
         }
         free_ended(held, listing, epoch, now);
@@ -517,7 +509,12 @@
             held.says_leaving = listing.leaving;
             self.apply_targets();
         }
-        if restarted {
+        if restarted
+            && self
+                .held
+                .get(target)
+                .is_some_and(|held| held.phase == HeldPhase::Preparing)
+        {
             self.prepare_target(target, now);
         }
     }
--- a/crates/daemon/src/app/ownership.rs
+++ b/crates/daemon/src/app/ownership.rs
@@ -90,10 +90,16 @@
             return;
         };
         event!(Event::TargetTaken, "{target} with token {}", token.0);
-        let waiting_most = self.settings.limits.waiting_per_target;
-        let runtime =
-            HeldRuntime::new(target, token, config, waiting_most, &self.workers.http, now);
-        self.held.insert(target.clone(), runtime);
+        match self.held.get_mut(target) {
+            // It was this daemon's before, and something of that time may still run: all of it stays on the books.
+            Some(held) => held.take_again(token),
+            None => {
+                let waiting_most = self.settings.limits.waiting_per_target;
+                let runtime =
+                    HeldRuntime::new(target, token, config, waiting_most, &self.workers.http, now);
+                self.held.insert(target.clone(), runtime);
+            }
+        }
         self.apply_targets();
         self.prepare_target(target, now);
     }
@@ -160,33 +166,38 @@
     }
 
     /// As a former holder: says so in the log once nothing of ours is sent or running.
+    ///
+    /// A daemon that holds the target again has what still runs on its books, so its own past is settled at once.
     fn settle_own_past(&mut self, now: Instant) {
         let mut records = Vec::new();
-        let mut over = Vec::new();
-        for (target, held) in &mut self.held {
-            if held.phase != HeldPhase::Lost || !held.is_idle() {
+        for (target, ownership) in self.folded.ownership.iter() {
+            let mut own = ownership
+                .predecessors
+                .iter()
+                .filter(|lease| lease.is_of(&self.me))
+                .peekable();
+            let is_quiet = self.held.get(target).is_none_or(HeldRuntime::is_past_quiet);
+            let last = self.last.settled.get(target).copied().unwrap_or_default();
+            if own.peek().is_none() || !is_quiet || now.since(last) <= TAKEOVER_PAUSE {
                 continue;
             }
-            let ownership = self.folded.ownership.target(target.as_str());
-            let is_open = ownership.is_some_and(|ownership| {
-                ownership
-                    .predecessors
-                    .iter()
-                    .any(|lease| lease.token == held.lease.token)
-            });
-            if !is_open {
-                over.push(target.clone());
-            } else if now.since(held.settled_appended_at) > TAKEOVER_PAUSE {
-                held.settled_appended_at = now;
-                records.push(settled(target, held.lease.token));
-            }
-        }
-        for target in over {
-            self.held.remove(&target);
+            self.last.settled.insert(target.clone(), now);
+            records.extend(own.map(|lease| settled(target, lease.token)));
         }
         if !records.is_empty() {
             let _ = self.workers.appender.append(0, records);
         }
+        let ownership = &self.folded.ownership;
+        self.held.retain(|target, held| {
+            let predecessors = ownership
+                .target(target.as_str())
+                .map(|target| target.predecessors.as_slice());
+            let is_open = predecessors
+                .unwrap_or_default()
+                .iter()
+                .any(|lease| lease.is_of(&self.me));
+            held.phase != HeldPhase::Lost || !held.is_idle() || is_open
+        });
     }
 
     /// As a successor: looks for predecessors that can't say it themselves.
--- a/crates/daemon/src/app/state.rs
+++ b/crates/daemon/src/app/state.rs
@@ -101,6 +101,8 @@
     pub(super) snapshot: Instant,
     pub(super) digest_revision: u64,
     pub(super) takeover: Instant,
+    /// When this daemon last called its own past on a target settled.
+    pub(super) settled: HashMap<TargetName, Instant>,
     /// Digests as last told, without residents.
     pub(super) digests: HashMap<TargetName, TargetDigest>,
     /// Whether the next heartbeat tells everything.
