--- a/crates/daemon/src/app/held.rs
+++ b/crates/daemon/src/app/held.rs
@@ -1,7 +1,7 @@
 //! One target that this daemon holds, or held.
 
 use crate::{
-    calls::{CallBuffer, ExecuteRequest},
+    calls::{CallBuffer, CallEnd, ExecuteRequest},
     targets::EngineClient,
 };
 use hoplanding_core::{
@@ -9,7 +9,7 @@
     ids::{AdapterVersion, FencingToken, Instant, RequestId, TargetName},
     ownership::HeldTarget,
     policy::{SchedulerLimits, TargetScheduler},
-    request::{RequestCall, Unsent},
+    request::{NotRunReason, RequestCall, Unsent},
 };
 use std::{
     collections::HashMap,
@@ -37,6 +37,13 @@
     pub(super) call: RequestCall<Unsent>,
 }
 
+impl PendingCall {
+    /// Ends it as not run: it was never handed to a transport.
+    pub(super) fn refuse(self, reason: NotRunReason) {
+        self.buffer.end(CallEnd::NotRun(self.call.refuse(reason)));
+    }
+}
+
 /// How far a change of the loaded adapters has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderStage {
--- a/crates/daemon/src/app/holder.rs
+++ b/crates/daemon/src/app/holder.rs
@@ -173,9 +173,7 @@
             if let Some(pending) = held.waiting.remove(&id) {
                 let model = model_of(&pending.request);
                 held.scheduler.cancel_waiting(&model, id);
-                pending.buffer.end(CallEnd::NotRun(
-                    pending.call.refuse(NotRunReason::Cancelled),
-                ));
+                pending.refuse(NotRunReason::Cancelled);
                 return;
             }
         }
@@ -311,9 +309,7 @@
                 let reason = NotRunReason::NoTarget {
                     retry_after_ms: NO_TARGET_MS,
                 };
-                pending
-                    .buffer
-                    .end(CallEnd::NotRun(pending.call.refuse(reason)));
+                pending.refuse(reason);
             }
         }
     }
@@ -346,9 +342,7 @@
                     let reason = NotRunReason::DeadlinePassed {
                         retry_after_ms: NO_TARGET_MS,
                     };
-                    pending
-                        .buffer
-                        .end(CallEnd::NotRun(pending.call.refuse(reason)));
+                    pending.refuse(reason);
                 }
             }
         }
@@ -385,9 +379,7 @@
                 let reason = NotRunReason::LoadFailed {
                     retry_after_ms: NO_TARGET_MS,
                 };
-                pending
-                    .buffer
-                    .end(CallEnd::NotRun(pending.call.refuse(reason)));
+                pending.refuse(reason);
             }
         }
     }
--- a/crates/daemon/src/app/ownership.rs
+++ b/crates/daemon/src/app/ownership.rs
@@ -5,7 +5,6 @@
         AppState, OrderKind, OrderReport,
         held::{HeldPhase, HeldRuntime},
     },
-    calls::CallEnd,
     event,
     events::Event,
 };
@@ -125,9 +124,7 @@
         };
         for queued in held.scheduler.drain_waiting() {
             if let Some(pending) = held.waiting.remove(&queued.id) {
-                pending
-                    .buffer
-                    .end(CallEnd::NotRun(pending.call.refuse(reason.clone())));
+                pending.refuse(reason.clone());
             }
         }
     }
