--- a/crates/daemon/src/app/admission.rs
+++ b/crates/daemon/src/app/admission.rs
@@ -10,10 +10,7 @@
 };
 use hoplanding_core::{
     config::{CallerQuota, ResolvedModel, TargetRole},
-    ids::{
-        AdapterVersion, CallerName, Instant, PriorityClass, RequestId, ServiceName, TargetName,
-        TokenHash,
-    },
+    ids::{AdapterVersion, CallerName, Instant, RequestId, ServiceName, TargetName, TokenHash},
     policy::{RouteChoice, RouteQuery},
     request::{NotRunReason, RequestCall},
 };
@@ -261,11 +258,6 @@
             self.observe_own(&target);
         }
     }
-
-    /// Class of a request by its caller's right, for forwarded requests.
-    pub(super) fn class_text(class: PriorityClass) -> &'static str {
-        class.as_str()
-    }
 }
 
 fn is_member(role: &TargetRole, service: &ServiceName) -> bool {
--- a/crates/daemon/src/app/tables.rs
+++ b/crates/daemon/src/app/tables.rs
@@ -164,7 +164,7 @@
                         CellValue::text(name),
                         CellValue::text(&model.adapter),
                         CellValue::text(&model.version),
-                        CellValue::text(Self::class_text(class)),
+                        CellValue::text(class),
                         CellValue::text(&head.caller),
                         CellValue::count(count),
                         CellValue::Number(now.since(head.queued_at).as_secs_f64()),
--- a/crates/daemon/src/calls/frame.rs
+++ b/crates/daemon/src/calls/frame.rs
@@ -2,7 +2,7 @@
 
 use hoplanding_core::{
     ids::{AdapterVersion, TargetName},
-    request::{NotRunProof, NotRunReason},
+    request::NotRunProof,
 };
 use serde::{Deserialize, Serialize};
 
@@ -49,8 +49,6 @@
     Complete,
     /// It was not run.
     NotRun(NotRunProof),
-    /// The holder does not have it, or no longer: ask again elsewhere.
-    Lost(NotRunReason),
     /// The target stated a failure.
     Failed(String),
     /// The stream broke off; the rest may still be had.
--- a/crates/daemon/src/gateway/driver.rs
+++ b/crates/daemon/src/gateway/driver.rs
@@ -522,9 +522,6 @@
             CallEnd::Broken(cause) | CallEnd::Unknown(cause) => {
                 AttemptOutcome::Again(call, AttemptEnd::Broken, cause)
             }
-            CallEnd::Lost(reason) => {
-                AttemptOutcome::Again(call, AttemptEnd::Broken, reason.to_string())
-            }
             end @ CallEnd::Refused { .. } => AttemptOutcome::Over(end),
         }
     }
--- a/crates/daemon/src/gateway/errors.rs
+++ b/crates/daemon/src/gateway/errors.rs
@@ -90,7 +90,6 @@
         let (status, code, reason, message) = match end {
             CallEnd::Complete => return None,
             CallEnd::NotRun(proof) => return Some(Self::not_run(&proof.reason)),
-            CallEnd::Lost(reason) => return Some(Self::not_run(reason)),
             CallEnd::Failed(cause) | CallEnd::Broken(cause) => (
                 StatusCode::BAD_GATEWAY,
                 ErrorCode::Failed,
