Never call a request not run after an earlier attempt was handed over

Cause: found by reading the change again. The driver made an unsent request from one that was handed over, for its next attempt; when that attempt was given back, its end was "not run", though the first had run. Only repeatable requests could meet it: others are not retried after a hand-over. Ruled out: the holder's own proofs, which are of its own unsent requests. Change: the driver keeps whether an attempt was handed over; then the end is "failed" (or "outcome unknown"). The new test saw not_run with one run at the engine before, and failed after. Conclusion: the typestate guards one attempt; the sum over attempts needs its own record.

--- a/crates/daemon/src/gateway/driver.rs
+++ b/crates/daemon/src/gateway/driver.rs
@@ -246,6 +246,8 @@
         let mut call = RequestCall::new(self.id);
         let mut broken_since = None;
         let mut resume = false;
+        // A later attempt that is given back says nothing about an earlier one that was handed over.
+        let mut may_have_run = false;
         loop {
             let outcome = if resume {
                 self.resume_attempt(call).await
@@ -255,7 +257,7 @@
             let (end, reason) = match outcome {
                 AttemptOutcome::Over(end) => return end,
                 AttemptOutcome::GivenBack(unsent, reason) if is_final(&reason) => {
-                    return CallEnd::NotRun(unsent.refuse(reason));
+                    return self.end_given_back(unsent, reason, may_have_run);
                 }
                 AttemptOutcome::GivenBack(unsent, reason) => {
                     self.given_back_since.get_or_insert_with(clock::now);
@@ -263,20 +265,21 @@
                         RetryDecision::Retry(pause) | RetryDecision::Resume(pause) => {
                             tokio::time::sleep(pause).await
                         }
-                        RetryDecision::GiveUp => return CallEnd::NotRun(unsent.refuse(reason)),
+                        RetryDecision::GiveUp => {
+                            return self.end_given_back(unsent, reason, may_have_run);
+                        }
                     }
                     self.given_back += 1;
                     call = unsent;
                     continue;
                 }
                 AttemptOutcome::Again(handed, end, reason) => {
+                    // The next attempt is unsent again; that an earlier one was not stays on record.
+                    may_have_run = true;
                     call = RequestCall::new(handed.id());
-                    let _ = handed;
                     (end, reason)
                 }
             };
-            // From here on the request was handed over: `call` only names it for the next attempt, and nothing
-            // below may call it "not run".
             let since = *broken_since.get_or_insert_with(clock::now);
             let end = if self.started.is_none() && end == AttemptEnd::Broken {
                 AttemptEnd::TargetFailed
@@ -328,6 +331,22 @@
         }
     }
 
+    /// Ends a request whose last attempt was given back unsent: "not run" only if no earlier one was handed over.
+    fn end_given_back(
+        &self,
+        unsent: RequestCall<Unsent>,
+        reason: NotRunReason,
+        may_have_run: bool,
+    ) -> CallEnd {
+        if may_have_run {
+            self.give_up(&format!(
+                "an attempt failed, and the next was refused: {reason}"
+            ))
+        } else {
+            CallEnd::NotRun(unsent.refuse(reason))
+        }
+    }
+
     fn give_up(&self, reason: &str) -> CallEnd {
         event!(Event::AnswerIncomplete, "{}: {reason}", self.id);
         match self.request.rule {
--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -326,6 +326,31 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ran_once_is_never_called_not_run() {
+    let mut config = SiteConfig::zones(1, 1, 1, 3);
+    // No token comes before the restart, so the request may be repeated.
+    config.model = EngineModel {
+        step_us: 3_000_000,
+        ..EngineModel::default()
+    };
+    let site = TestSite::start(config).await.expect("the site starts");
+    let engine = &site.engines["engine-a1"];
+    let caller = site.caller("a1", NORMAL_TOKEN);
+    let answer = tokio::spawn(async move { caller.complete(&call("adapter-0001", 3)).await });
+    wait_for("the first run", async || engine.truth().ran == 1).await;
+    engine.set_faults(|faults| faults.fail_loads = 100);
+    engine.restart();
+    let result = answer.await.expect("no task panics");
+    assert_eq!(engine.truth().ran, 1);
+    assert_eq!(
+        result.error.as_deref(),
+        Some("failed"),
+        "{}",
+        result.message
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers_to_orders_are_resolved_by_asking() {
     let mut config = SiteConfig::zones(1, 1, 2, 10);
