--- /dev/null
+++ b/crates/core/src/direct/config.rs
@@ -0,0 +1,137 @@
+//! The fleet's configuration, as the product sees it.
+
+use crate::ids::{AdapterName, ServiceName};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// It may run again after any failure.
+    Idempotent,
+    /// It runs at most once.
+    AtMostOnce,
+}
+
+/// The shape of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerShape {
+    /// One body, taken whole before it is passed on.
+    Whole,
+    /// A series of events, passed on as they come.
+    Events {
+        /// Whether a broken stream may go on at another target.
+        resumable: bool,
+    },
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteRule {
+    /// Its name, for logs.
+    pub name: String,
+    /// Host that it serves.
+    pub host: String,
+    /// Start of the paths that it serves, with a slash at both ends.
+    pub path_prefix: String,
+    /// Whether its calls may be repeated.
+    pub repeat: RepeatRule,
+    /// The shape of its answers.
+    pub shape: AnswerShape,
+    /// Longest time that a call may be held.
+    pub timeout: Duration,
+    /// Time within which an answer is worth its full value.
+    pub objective: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Services and their weights; one of them for most routes.
+    pub services: Vec<(ServiceName, u32)>,
+    /// Most targets that one call may be sent to.
+    pub max_attempts: u32,
+}
+
+impl RouteRule {
+    /// The service that a call goes to; `draw` is the same for every copy of the call.
+    #[must_use]
+    pub fn service(&self, draw: u64) -> Option<&ServiceName> {
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|(_, weight)| u64::from(*weight))
+            .sum();
+        let mut left = draw.checked_rem(total)?;
+        self.services.iter().find_map(|(service, weight)| {
+            let weight = u64::from(*weight);
+            if left < weight {
+                return Some(service);
+            }
+            left -= weight;
+            None
+        })
+    }
+}
+
+/// What the engines of a service can hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineLimits {
+    /// Calls that run at once.
+    pub slots: u32,
+    /// Tokens of memory.
+    pub kv_tokens: u64,
+    /// Places for adapters.
+    pub adapter_slots: u32,
+    /// Most calls that may wait for cache events.
+    pub event_waiters: u32,
+    /// Loads of whole models that the weight store allows a second.
+    pub loads_per_s: f64,
+    /// Base models; the first fills an empty engine.
+    pub models: Vec<AdapterName>,
+}
+
+/// A service behind one or more targets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceRule {
+    /// Its name.
+    pub name: ServiceName,
+    /// Connections that one target accepts from all VMs together.
+    pub max_connections: u32,
+    /// Set for model engines.
+    pub engine: Option<EngineLimits>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time to send a head.
+    pub header_timeout: Duration,
+    /// Time that a connection may rest.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// What holds until the first configuration is known.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetConfig {
+    /// Its version, for logs.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Arc<RouteRule>>,
+    /// The services by name.
+    pub services: HashMap<ServiceName, ServiceRule>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
--- /dev/null
+++ b/crates/core/src/direct/engine.rs
@@ -0,0 +1,321 @@
+//! One engine in its holder's view: what it holds, what is on its way, and the calls sent to it.
+
+use crate::{
+    direct::{
+        catalog::TargetEntry,
+        planner::{CallKey, PlacementAsk},
+    },
+    ids::{AdapterName, Instant},
+};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Adapters that an engine reloads quickly because it had them lately.
+const LATELY_KEPT: usize = 100;
+/// Prompt parts whose use is remembered for each engine.
+const PREFIXES_KEPT: usize = 256;
+
+/// Age that a report may have.
+const REPORT_LAG: Duration = Duration::from_millis(600);
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// What to do.
+    pub kind: OrderKind,
+    /// The model, with its adapter behind a slash where one is meant.
+    pub subject: AdapterName,
+    /// Version to load, if one was named.
+    pub version: Option<u64>,
+    /// Orders that the engine must have taken before, so that a late copy of this one does nothing.
+    pub expected: u64,
+}
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Bring it in, or replace it by another version.
+    Load,
+    /// Drop it.
+    Unload,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It holds already.
+    Done,
+    /// It is being done.
+    Begun,
+    /// Another is under way, or the engine has taken others.
+    Conflict,
+    /// A newer holder has given orders.
+    Fenced,
+    /// The engine refused it, or is another run of the target.
+    Refused,
+    /// No answer: it may be carried out later.
+    Unanswered,
+}
+
+/// What an engine reports about itself; some hundred milliseconds old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Orders that it has taken.
+    pub orders_taken: u64,
+    /// Base models that it holds.
+    pub models: Vec<AdapterName>,
+    /// Adapters that it holds, with their versions.
+    pub adapters: Vec<(AdapterName, u64)>,
+    /// Adapters on their way.
+    pub coming: Vec<(AdapterName, u64)>,
+    /// Whether an order on a whole model is under way.
+    pub is_busy: bool,
+}
+
+/// State of one adapter at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResidentState {
+    /// Its load waits for its turn.
+    Wanted,
+    /// It is on its way, and there at this time.
+    Coming(Instant),
+    /// It is there.
+    Here,
+    /// It goes once its runs have ended.
+    Leaving,
+}
+
+/// One adapter at an engine.
+#[derive(Clone, Debug)]
+pub struct ResidentCopy {
+    /// Its state.
+    pub state: ResidentState,
+    /// Its version; 0 if it is only known to have been the newest when loaded.
+    pub version: u64,
+    /// Calls sent to it that have not ended.
+    pub users: u32,
+    /// Calls that wait for its load to be accepted.
+    pub waiters: Vec<(CallKey, PlacementAsk)>,
+    /// When it was last asked for.
+    pub used_at: Instant,
+}
+
+impl ResidentCopy {
+    fn new(state: ResidentState, version: u64, now: Instant) -> Self {
+        Self {
+            state,
+            version,
+            users: 0,
+            waiters: Vec::new(),
+            used_at: now,
+        }
+    }
+}
+
+/// A call that runs at an engine.
+#[derive(Clone, Debug)]
+pub struct SentCall {
+    /// Its adapter.
+    pub subject: AdapterName,
+    /// Tokens that it may take in memory.
+    pub tokens: u64,
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// How the platform lists it.
+    pub entry: Arc<TargetEntry>,
+    /// Orders that it has taken, as far as known.
+    pub sequence: u64,
+    /// Whether what it holds is known from its own report since the holder began.
+    pub is_known: bool,
+    /// Base models that it holds.
+    pub models: Vec<AdapterName>,
+    /// Its adapters.
+    pub copies: HashMap<AdapterName, ResidentCopy>,
+    /// Calls sent to it.
+    pub calls: HashMap<CallKey, SentCall>,
+    /// Orders that wait for their turn.
+    pub queue: VecDeque<(OrderKind, AdapterName)>,
+    /// The order whose answer is awaited.
+    pub pending: Option<EngineOrder>,
+    /// When it last took an order.
+    pub ordered_at: Instant,
+    /// When its report should be read.
+    pub report_at: Option<Instant>,
+    /// Whether its report is being read.
+    pub is_reporting: bool,
+    /// When it will have read all prompts sent to it.
+    pub prompts_done: Instant,
+    lately: VecDeque<AdapterName>,
+    prefixes: VecDeque<(AdapterName, u64)>,
+}
+
+impl EngineState {
+    /// An engine as listed; its report has yet to be read.
+    #[must_use]
+    pub fn new(entry: Arc<TargetEntry>, now: Instant) -> Self {
+        let mut engine = Self {
+            sequence: entry.orders_taken,
+            is_known: false,
+            models: Vec::new(),
+            copies: HashMap::new(),
+            calls: HashMap::new(),
+            queue: VecDeque::new(),
+            pending: None,
+            ordered_at: Instant::default(),
+            report_at: Some(now),
+            is_reporting: false,
+            prompts_done: now,
+            lately: VecDeque::new(),
+            prefixes: VecDeque::new(),
+            entry,
+        };
+        let entry = Arc::clone(&engine.entry);
+        engine.models = entry
+            .models
+            .iter()
+            .map(|(model, _)| AdapterName::new(model))
+            .collect();
+        for resident in &entry.adapters {
+            engine.copies.insert(
+                resident.adapter.clone(),
+                ResidentCopy::new(ResidentState::Here, resident.version, now),
+            );
+        }
+        engine
+    }
+
+    /// Whether a report is older than orders that the engine is known to have taken.
+    #[must_use]
+    pub fn is_outdated(&self, report: &EngineReport, now: Instant) -> bool {
+        self.is_known
+            && report.orders_taken < self.sequence
+            && now.since(self.ordered_at) < REPORT_LAG
+    }
+
+    /// Takes over what the engine reports. Copies whose load waits here are kept.
+    pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
+        self.is_known = true;
+        self.sequence = report.orders_taken;
+        self.models.clone_from(&report.models);
+        let mut old = std::mem::take(&mut self.copies);
+        for (adapter, version) in &report.adapters {
+            let copy = self.renewed(&mut old, adapter, ResidentState::Here, *version, now);
+            self.copies.insert(adapter.clone(), copy);
+        }
+        for (adapter, version) in &report.coming {
+            let ready = now.after(Duration::from_millis(150));
+            let state = ResidentState::Coming(ready);
+            let copy = self.renewed(&mut old, adapter, state, *version, now);
+            self.copies.insert(adapter.clone(), copy);
+        }
+        for (adapter, copy) in old {
+            if copy.state == ResidentState::Wanted {
+                self.copies.insert(adapter, copy);
+            }
+        }
+    }
+
+    fn renewed(
+        &self,
+        old: &mut HashMap<AdapterName, ResidentCopy>,
+        adapter: &AdapterName,
+        state: ResidentState,
+        version: u64,
+        now: Instant,
+    ) -> ResidentCopy {
+        match old.remove(adapter) {
+            Some(copy) => ResidentCopy {
+                state,
+                version,
+                ..copy
+            },
+            None => ResidentCopy::new(state, version, now),
+        }
+    }
+
+    /// Whether it holds a base model.
+    #[must_use]
+    pub fn has_model(&self, model: &str) -> bool {
+        self.models.iter().any(|held| held.as_str() == model)
+    }
+
+    /// Places that are taken, those of copies on their way included.
+    #[must_use]
+    pub fn places_taken(&self) -> usize {
+        self.copies
+            .values()
+            .filter(|copy| copy.state != ResidentState::Wanted)
+            .count()
+    }
+
+    /// Adapters on their way.
+    #[must_use]
+    pub fn coming(&self, now: Instant) -> usize {
+        self.copies
+            .values()
+            .filter(|copy| matches!(copy.state, ResidentState::Coming(at) if at > now))
+            .count()
+    }
+
+    /// Tokens that running calls may take in memory.
+    #[must_use]
+    pub fn tokens_sent(&self) -> u64 {
+        self.calls.values().map(|call| call.tokens).sum()
+    }
+
+    /// Adds a copy whose load waits for its turn.
+    pub fn want(&mut self, adapter: &AdapterName, now: Instant) {
+        self.copies
+            .entry(adapter.clone())
+            .or_insert_with(|| ResidentCopy::new(ResidentState::Wanted, 0, now));
+        self.queue.push_back((OrderKind::Load, adapter.clone()));
+    }
+
+    /// Notes that it had an adapter.
+    pub fn note_lately(&mut self, adapter: &AdapterName) {
+        self.lately.retain(|kept| kept != adapter);
+        self.lately.push_back(adapter.clone());
+        if self.lately.len() > LATELY_KEPT {
+            self.lately.pop_front();
+        }
+    }
+
+    /// Whether it reloads an adapter quickly.
+    #[must_use]
+    pub fn had_lately(&self, adapter: &AdapterName) -> bool {
+        self.lately.contains(adapter)
+    }
+
+    /// Tokens at the start of a prompt that it has likely kept for the same adapter.
+    #[must_use]
+    pub fn kept_tokens(&self, subject: &AdapterName, prefix: &[(u64, u32)]) -> u32 {
+        prefix
+            .iter()
+            .take_while(|(part, _)| {
+                self.prefixes
+                    .iter()
+                    .any(|(kept, id)| id == part && kept == subject)
+            })
+            .map(|(_, tokens)| tokens)
+            .sum()
+    }
+
+    /// Notes the parts of a prompt that was sent to it; the last part is the call's own.
+    pub fn note_prefix(&mut self, subject: &AdapterName, prefix: &[(u64, u32)]) {
+        let shared = prefix.len().saturating_sub(1);
+        for (part, _) in &prefix[..shared] {
+            self.prefixes
+                .retain(|(kept, id)| id != part || kept != subject);
+            self.prefixes.push_back((subject.clone(), *part));
+        }
+        while self.prefixes.len() > PREFIXES_KEPT {
+            self.prefixes.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/lease.rs
@@ -0,0 +1,119 @@
+//! Which VM gives the orders in a zone.
+//!
+//! A claim is a record under the zone's key, appended only if nothing was appended since the claimant read; its offset
+//! is the fencing token, so a later claim always has a higher one. A holder stops as soon as it reads a newer record or
+//! a target refuses its token. A successor of a holder that may still be giving orders waits before its first one.
+
+use crate::ids::{FencingToken, Instant, LogOffset, VmName};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
+
+/// A zone's holder, as recorded; an empty VM means that it was given up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneLease {
+    /// The VM, or none.
+    pub vm: Option<VmName>,
+    /// The run of its process.
+    pub incarnation: u64,
+    /// Where other VMs reach it.
+    pub address: SocketAddr,
+}
+
+/// How the VM's contact with the recorded holder stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderContact {
+    /// It is heard.
+    Heard,
+    /// Its address refuses connections, or answers as another run: the process ended.
+    Ended,
+    /// Nothing has come from it since.
+    Silent(Instant),
+}
+
+/// What to do about a zone's lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Nothing for now.
+    Stay,
+    /// Claim it; orders may begin this long after the claim was recorded.
+    Claim {
+        /// Pause before the first order.
+        quiet: Duration,
+    },
+}
+
+/// Spans that decide when to claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// Silence after which a holder is replaced.
+    pub silence: Duration,
+    /// Pause for each VM that comes earlier in the order of claimants.
+    pub stagger: Duration,
+    /// Time within which two holders may not take turns.
+    pub turn: Duration,
+}
+
+/// One zone's lease, as this VM knows it.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseState {
+    /// The newest record.
+    pub lease: Option<ZoneLease>,
+    /// Its offset.
+    pub offset: LogOffset,
+    /// Since when the zone has had no holder that can be reached.
+    vacant_since: Option<Instant>,
+}
+
+impl LeaseState {
+    /// Folds a record; older ones are passed over. Says whether it is news.
+    pub fn apply(&mut self, offset: LogOffset, lease: Option<ZoneLease>) -> bool {
+        if self.lease.is_some() && offset <= self.offset {
+            return false;
+        }
+        self.offset = offset;
+        self.lease = lease;
+        self.vacant_since = None;
+        true
+    }
+
+    /// The token of the newest record.
+    #[must_use]
+    pub fn token(&self) -> FencingToken {
+        FencingToken(self.offset)
+    }
+
+    /// The VM that holds the zone by the newest record.
+    #[must_use]
+    pub fn holder(&self) -> Option<&VmName> {
+        self.lease.as_ref()?.vm.as_ref()
+    }
+
+    /// Decides whether this VM, `rank`-th in the order of claimants, claims now.
+    pub fn step(
+        &mut self,
+        times: &LeaseTimes,
+        contact: HolderContact,
+        rank: u32,
+        now: Instant,
+    ) -> LeaseStep {
+        let (vacant_from, quiet) = match (self.holder(), contact) {
+            (None, _) => (Some(now), Duration::ZERO),
+            (Some(_), HolderContact::Heard) => (None, Duration::ZERO),
+            (Some(_), HolderContact::Ended) => (Some(now), Duration::ZERO),
+            (Some(_), HolderContact::Silent(since)) => {
+                let silent = now.since(since) >= times.silence;
+                (silent.then_some(now), times.turn)
+            }
+        };
+        let Some(from) = vacant_from else {
+            self.vacant_since = None;
+            return LeaseStep::Stay;
+        };
+        let since = *self.vacant_since.get_or_insert(from);
+        if now.since(since) >= times.stagger * rank {
+            LeaseStep::Claim { quiet }
+        } else {
+            LeaseStep::Stay
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions of the direct data path: gateways send straight to targets, and one holder a zone gives the orders.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`config`] | the fleet's configuration: routes, services, engines, limits |
+//! | [`routes`] | from host and path to a route |
+//! | [`catalog`] | the targets that may be sent to, and those that lapsed |
+//! | [`lease`] | which VM gives the orders in a zone |
+//! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
+//! | [`engine`] | one engine in that view |
+//! | [`health`] | doubt about targets, from the outcomes of calls |
+//! | [`budget`] | this VM's share of the fleet's retry budget |
+
+pub mod budget;
+pub mod catalog;
+pub mod config;
+pub mod engine;
+pub mod health;
+pub mod lease;
+pub mod planner;
+pub mod routes;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | job |
 //! |---|---|
 //! | [`ids`] | names and numbers that identify things |
+//! | [`direct`] | the path on which gateways send straight to targets, and a zone has one holder |
 //! | [`log`] | the records that daemons append to the platform's log |
 //! | [`config`] | the fold of the log into the configuration, its audit trail and its snapshots |
 //! | [`ownership`] | which daemon holds a target, and what it may order there |
@@ -15,6 +16,7 @@
 //! | [`language`] | the operators' query and command language |
 
 pub mod config;
+pub mod direct;
 pub mod ids;
 pub mod language;
 pub mod log;
--- /dev/null
+++ b/crates/daemon/src/direct/access.rs
@@ -0,0 +1,291 @@
+//! The gateway's way to the holder of a zone.
+
+use crate::{
+    clock,
+    direct::{
+        fleet::FleetState,
+        links::{LinkContact, VmLink},
+        message::{CallEnd, CallEnding, VmMessage},
+        zone::{PlaceReply, ReplyTo, ZoneEvent},
+    },
+};
+use hoplanding_core::{
+    direct::{
+        lease::{HolderContact, ZoneLease},
+        planner::{CallKey, PlacementAnswer, PlacementAsk},
+    },
+    ids::{AdapterName, AvailabilityZone, TargetName, VmName},
+};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+/// Time that a holder may take to place a call.
+const PLACE_WITHIN: Duration = Duration::from_millis(900);
+
+/// A call that a holder placed.
+#[derive(Clone, Debug)]
+struct OpenCall {
+    zone: AvailabilityZone,
+    target: TargetName,
+    subject: AdapterName,
+}
+
+/// Asks holders, and tells them how calls ended.
+#[derive(Debug)]
+pub struct ZoneAccess {
+    fleet: Arc<FleetState>,
+    zone: mpsc::Sender<ZoneEvent>,
+    links: Mutex<HashMap<VmName, VmLink>>,
+    open: Mutex<HashMap<u64, OpenCall>>,
+    numbers: AtomicU64,
+}
+
+impl ZoneAccess {
+    /// Access by way of this VM's own zone worker and links to others.
+    #[must_use]
+    pub fn new(fleet: Arc<FleetState>, zone: mpsc::Sender<ZoneEvent>) -> Self {
+        Self {
+            fleet,
+            zone,
+            links: Mutex::default(),
+            open: Mutex::default(),
+            numbers: AtomicU64::new(1),
+        }
+    }
+
+    /// Asks the holder of a zone where a call goes; nothing where no holder answers.
+    pub async fn place(
+        self: &Arc<Self>,
+        zone: &AvailabilityZone,
+        ask: PlacementAsk,
+    ) -> Option<(PlacementAnswer, Option<CallTicket>)> {
+        let lease = self.fleet.lease(zone)?;
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let subject = ask.subject.clone();
+        let mut withdrawal = WithdrawnAsk {
+            access: self,
+            zone,
+            number,
+            is_settled: false,
+        };
+        let receiver = if self.is_mine(&lease) {
+            let (sender, receiver) = oneshot::channel();
+            let event = ZoneEvent::Place(self.key(number), Box::new(ask), ReplyTo::Local(sender));
+            self.zone.send(event).await.ok()?;
+            receiver
+        } else {
+            let link = self.link(&lease)?;
+            link.ask(number, VmMessage::Place(number, Box::new(ask)))?
+        };
+        let reply = timeout(PLACE_WITHIN, receiver).await.ok()?.ok()?;
+        withdrawal.is_settled = true;
+        match reply {
+            PlaceReply::NotHolder => None,
+            PlaceReply::Answer(answer) => {
+                let ticket = match &answer {
+                    PlacementAnswer::Send { target, .. } => {
+                        Some(self.ticket(number, zone, target, subject))
+                    }
+                    PlacementAnswer::Refuse { .. } => None,
+                };
+                Some((answer, ticket))
+            }
+        }
+    }
+
+    fn ticket(
+        self: &Arc<Self>,
+        number: u64,
+        zone: &AvailabilityZone,
+        target: &TargetName,
+        subject: AdapterName,
+    ) -> CallTicket {
+        let call = OpenCall {
+            zone: zone.clone(),
+            target: target.clone(),
+            subject,
+        };
+        self.open
+            .lock()
+            .expect("no holder of the lock panics")
+            .insert(number, call);
+        CallTicket {
+            access: Arc::clone(self),
+            number,
+            outcome: None,
+        }
+    }
+
+    fn key(&self, number: u64) -> CallKey {
+        CallKey {
+            vm: self.fleet.vm.clone(),
+            number,
+        }
+    }
+
+    fn is_mine(&self, lease: &ZoneLease) -> bool {
+        lease.vm.as_ref() == Some(&self.fleet.vm)
+    }
+
+    /// The link to the holder by a lease, dialled if there is none.
+    fn link(&self, lease: &ZoneLease) -> Option<VmLink> {
+        let vm = lease.vm.as_ref()?;
+        let mut links = self.links.lock().expect("no holder of the lock panics");
+        if let Some(link) = links.get(vm)
+            && link.incarnation == lease.incarnation
+            && !matches!(link.contact(), LinkContact::Ended { .. })
+        {
+            return Some(link.clone());
+        }
+        let first = self
+            .open
+            .lock()
+            .expect("no holder of the lock panics")
+            .iter()
+            .filter(|(_, call)| {
+                self.fleet
+                    .lease(&call.zone)
+                    .is_some_and(|held| held.vm == lease.vm)
+            })
+            .map(|(number, call)| {
+                VmMessage::Open(*number, call.target.clone(), call.subject.clone())
+            })
+            .collect();
+        let link = VmLink::dial(
+            &self.fleet,
+            vm.clone(),
+            lease.address,
+            lease.incarnation,
+            first,
+        );
+        links.insert(vm.clone(), link.clone());
+        Some(link)
+    }
+
+    /// How the contact with a zone's holder stands; dials it if it has to.
+    #[must_use]
+    pub fn contact(&self, lease: &ZoneLease) -> HolderContact {
+        if self.is_mine(lease) {
+            return if lease.incarnation == self.fleet.incarnation {
+                HolderContact::Heard
+            } else {
+                HolderContact::Ended
+            };
+        }
+        let known = lease.vm.as_ref().and_then(|vm| {
+            let links = self.links.lock().expect("no holder of the lock panics");
+            links.get(vm).cloned()
+        });
+        match known.filter(|link| link.incarnation == lease.incarnation) {
+            Some(link) => match link.contact() {
+                LinkContact::Up | LinkContact::Dialling => HolderContact::Heard,
+                LinkContact::Ended {
+                    is_process_gone: true,
+                    ..
+                } => HolderContact::Ended,
+                LinkContact::Ended { since, .. } => HolderContact::Silent(since),
+            },
+            None => {
+                self.link(lease);
+                HolderContact::Silent(clock::now())
+            }
+        }
+    }
+
+    /// Dials a zone's holder anew if its link has ended.
+    pub fn redial(&self, lease: &ZoneLease) {
+        if !self.is_mine(lease) {
+            self.link(lease);
+        }
+    }
+
+    fn tell(&self, zone: &AvailabilityZone, ending: CallEnding) {
+        let Some(lease) = self.fleet.lease(zone) else {
+            return;
+        };
+        if self.is_mine(&lease) {
+            let event = ZoneEvent::Ended(self.fleet.vm.clone(), ending);
+            if let Err(mpsc::error::TrySendError::Full(event)) = self.zone.try_send(event) {
+                let zone = self.zone.clone();
+                tokio::spawn(async move {
+                    // The worker ends with the process.
+                    let _ = zone.send(event).await;
+                });
+            }
+        } else if let Some(link) = self.link(&lease) {
+            link.tell(VmMessage::Ended(ending));
+        }
+    }
+
+    fn withdraw(&self, zone: &AvailabilityZone, number: u64) {
+        let Some(lease) = self.fleet.lease(zone) else {
+            return;
+        };
+        if self.is_mine(&lease) {
+            // A full channel: the planner forgets the call with its engine's waiters.
+            drop(self.zone.try_send(ZoneEvent::Withdrawn(self.key(number))));
+        } else if let Some(link) = self.link(&lease) {
+            link.tell(VmMessage::Withdrawn(number));
+        }
+    }
+}
+
+/// Withdraws a question that nobody waits for any more.
+struct WithdrawnAsk<'a> {
+    access: &'a ZoneAccess,
+    zone: &'a AvailabilityZone,
+    number: u64,
+    is_settled: bool,
+}
+
+impl Drop for WithdrawnAsk<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.access.withdraw(self.zone, self.number);
+        }
+    }
+}
+
+/// A placed call; tells the holder of its end when dropped.
+#[derive(Debug)]
+pub struct CallTicket {
+    access: Arc<ZoneAccess>,
+    number: u64,
+    outcome: Option<CallEnd>,
+}
+
+impl CallTicket {
+    /// Ends the call with what it says about its target.
+    pub fn end(mut self, outcome: CallEnd) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for CallTicket {
+    fn drop(&mut self) {
+        let call = self
+            .access
+            .open
+            .lock()
+            .expect("no holder of the lock panics")
+            .remove(&self.number);
+        if let Some(call) = call {
+            let ending = CallEnding {
+                number: self.number,
+                target: call.target,
+                outcome: self.outcome,
+            };
+            self.access.tell(&call.zone, ending);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/call.rs
@@ -0,0 +1,719 @@
+//! One caller's request, from its head to its answer.
+//!
+//! What may be said at its end depends on what was done with it. A call that no target ran ends with a promise (503,
+//! with the time to come back); one that may have run never does.
+
+use crate::{
+    clock,
+    direct::{
+        access::{CallTicket, ZoneAccess},
+        events::relay_events,
+        fleet::{ActiveConfig, FleetState},
+        message::CallEnd,
+        sender::{ConnectionPool, ReuseRule, SendError, TargetConnection, TargetRequest},
+        settings::DirectSettings,
+        whole::{pick_target, take_whole},
+    },
+    event,
+    events::Event,
+};
+use bytes::Bytes;
+use hoplanding_core::{
+    direct::{
+        catalog::TargetEntry,
+        config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
+        planner::{PlacementAnswer, PlacementAsk},
+    },
+    ids::{AdapterName, AvailabilityZone, TargetName},
+};
+use hoplanding_platform::front::{
+    AnswerKind, CallHead, SendHead, decode_call, encode_send, judge_answer, keep_alive,
+    own_answer_headers, travelling,
+};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::body::Incoming;
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Sends of one call that no target ran, beyond which it is given up.
+const MOST_REFUSED_SENDS: u32 = 2;
+/// Targets that may turn out to be out of reach before a call is given up.
+const MOST_UNREACHED: u32 = 3;
+/// Time to connect to a target.
+const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+/// Time that a call waits before it is placed again.
+const PLACE_AGAIN: Duration = Duration::from_millis(60);
+/// When a caller is told to come back, where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// The body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
+
+/// An answer that could not be passed on whole; the caller's connection is closed.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "the answer broke off ({0}): the caller's connection is closed so that it does not look complete"
+)]
+pub struct BrokenAnswer(pub String);
+
+/// What all calls of this VM share.
+#[derive(Debug)]
+pub struct GatewayContext {
+    /// The books.
+    pub fleet: Arc<FleetState>,
+    /// The way to holders.
+    pub access: Arc<ZoneAccess>,
+    /// Connections to targets.
+    pub pool: Arc<ConnectionPool>,
+    /// Settings.
+    pub settings: Arc<DirectSettings>,
+}
+
+/// One call under way.
+pub struct CallState {
+    /// Shared by all calls.
+    pub context: Arc<GatewayContext>,
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// The service that it goes to.
+    pub service: ServiceRule,
+    /// What its head says.
+    pub head: CallHead,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it has to be answered.
+    pub deadline: Instant,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Targets that it need not be sent to again.
+    pub tried: Vec<TargetName>,
+    /// Targets that may have run it.
+    pub runs: u32,
+    /// Sends that targets turned away.
+    pub refused: u32,
+    /// Targets that could not be reached.
+    pub unreached: u32,
+}
+
+/// An answer whose head has come.
+pub struct OpenAnswer {
+    /// Its head.
+    pub parts: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection, to be given back after a whole answer.
+    pub connection: TargetConnection,
+    /// The holder's count of the call.
+    pub ticket: Option<CallTicket>,
+    /// This VM's count of the call.
+    pub count: InFlightCount,
+}
+
+/// What came of one send.
+pub enum SendOutcome {
+    /// A signed success; its body follows.
+    Success(Box<OpenAnswer>),
+    /// The target ran it and states a failure.
+    Failure(Box<OpenAnswer>),
+    /// The target did not run it.
+    NotRun,
+    /// It was never handed over.
+    NotSent,
+    /// It may have run; no answer that could be used came.
+    Unknown,
+}
+
+/// Counts a call of this VM at a target until dropped.
+#[derive(Debug)]
+pub struct InFlightCount {
+    fleet: Arc<FleetState>,
+    target: TargetName,
+}
+
+impl InFlightCount {
+    fn new(fleet: &Arc<FleetState>, target: &TargetName) -> Self {
+        *fleet.books().in_flight.entry(target.clone()).or_default() += 1;
+        Self {
+            fleet: Arc::clone(fleet),
+            target: target.clone(),
+        }
+    }
+
+    /// Notes how the call ended.
+    pub fn note(&self, end: CallEnd) {
+        if let Some(outcome) = end.health() {
+            let now = clock::now();
+            self.fleet.books().health.note(&self.target, outcome, now);
+        }
+    }
+}
+
+impl Drop for InFlightCount {
+    fn drop(&mut self) {
+        let mut books = self.fleet.books();
+        if let Some(count) = books.in_flight.get_mut(&self.target) {
+            *count -= 1;
+            if *count == 0 {
+                books.in_flight.remove(&self.target);
+            }
+        }
+    }
+}
+
+/// Answers a caller's request.
+///
+/// # Errors
+/// When the caller broke its request off; its connection is closed.
+pub async fn answer_call(
+    context: Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, BrokenAnswer> {
+    let arrived = Instant::now();
+    let head = decode_call(request.headers());
+    let Some(active) = context.fleet.active() else {
+        event!(Event::CallRefused, "{}: no configuration yet", head.id);
+        return Ok(refusal(&head.id, COME_BACK));
+    };
+    let host = request
+        .headers()
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let Some(route) = active.routes.find(host, request.uri().path()).cloned() else {
+        event!(
+            Event::NoRoute,
+            "{}: {host}{} in version {}",
+            head.id,
+            request.uri().path(),
+            active.config.version
+        );
+        return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
+    };
+    let (parts, body) = request.into_parts();
+    let limit = active.config.limits.body_bytes;
+    let within = route.timeout.max(active.config.limits.header_timeout);
+    let body = match timeout(within, Limited::new(body, limit).collect()).await {
+        Err(_) => {
+            return Ok(own_answer(&head.id, StatusCode::REQUEST_TIMEOUT, None));
+        }
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Ok(own_answer(&head.id, StatusCode::PAYLOAD_TOO_LARGE, None));
+        }
+        Ok(Err(error)) => return Err(BrokenAnswer(error.to_string())),
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    let Some(service) = find_service(&active, &route, &head.id) else {
+        event!(
+            Event::CallRefused,
+            "{}: route {} names no known service",
+            head.id,
+            route.name
+        );
+        return Ok(refusal(&head.id, COME_BACK));
+    };
+    context
+        .fleet
+        .books()
+        .retries
+        .count_request(&service.name, clock::now());
+    let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let call = CallState {
+        context,
+        service,
+        head,
+        arrived,
+        deadline: arrived + patience,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        tried: Vec::new(),
+        runs: 0,
+        refused: 0,
+        unreached: 0,
+        route,
+    };
+    Ok(call.drive().await)
+}
+
+fn find_service(active: &ActiveConfig, route: &RouteRule, id: &str) -> Option<ServiceRule> {
+    let mut hasher = SipHasher13::new();
+    id.hash(&mut hasher);
+    let name = route.service(hasher.finish())?;
+    active.config.services.get(name).cloned()
+}
+
+impl CallState {
+    /// Sends the call until it has an answer, or nothing more can be done.
+    async fn drive(mut self) -> Response<AnswerBody> {
+        let mut come_back = COME_BACK;
+        let mut failure = None;
+        loop {
+            let placed = match timeout_at(self.deadline, self.place()).await {
+                Ok(placed) => placed,
+                Err(_) => break,
+            };
+            let (entry, version, ticket) = match placed {
+                Placing::At(entry, version, ticket) => (entry, version, ticket),
+                Placing::Nowhere(after) => {
+                    come_back = after;
+                    break;
+                }
+            };
+            // A failure that came before is passed on only if nothing better comes.
+            match self.send(&entry, version, ticket, None).await {
+                SendOutcome::Success(open) => match self.pass_on(*open).await {
+                    Ok(answer) => return answer,
+                    Err(call) => {
+                        self = call;
+                        if !self.may_repeat() {
+                            break;
+                        }
+                    }
+                },
+                SendOutcome::Failure(open) => {
+                    let (parts, taken) = take_whole(*open, &self).await;
+                    if let Ok(body) = taken {
+                        failure = Some(failure_answer(parts, body));
+                    }
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
+                SendOutcome::NotRun => {
+                    if self.refused > MOST_REFUSED_SENDS || !self.pay_for_repeat() {
+                        break;
+                    }
+                }
+                SendOutcome::NotSent => {
+                    if self.unreached > MOST_UNREACHED {
+                        break;
+                    }
+                }
+                SendOutcome::Unknown => {
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
+            }
+        }
+        self.give_up(failure, come_back)
+    }
+
+    /// The answer of a call for which nothing more can be done.
+    fn give_up(
+        &self,
+        failure: Option<Response<AnswerBody>>,
+        come_back: Duration,
+    ) -> Response<AnswerBody> {
+        let id = &self.head.id;
+        let held = self.arrived.elapsed();
+        if let Some(failure) = failure {
+            event!(
+                Event::CallFailed,
+                "{id}: route {} passes on {} after {held:?}, {} runs, tried {:?}",
+                self.route.name,
+                failure.status(),
+                self.runs,
+                self.tried
+            );
+            return failure;
+        }
+        if self.runs == 0 {
+            event!(
+                Event::CallRefused,
+                "{id}: route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}",
+                self.route.name,
+                self.refused,
+                self.unreached,
+                self.tried
+            );
+            return refusal(id, come_back);
+        }
+        let is_late = Instant::now() >= self.deadline;
+        let status = if is_late {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        event!(
+            Event::CallFailed,
+            "{id}: route {} ends with {status} after {held:?}, {} runs, tried {:?}",
+            self.route.name,
+            self.runs,
+            self.tried
+        );
+        own_answer(id, status, None)
+    }
+
+    /// Whether it may run again: its route allows it, and the fleet's budget pays for it.
+    pub fn may_repeat(&mut self) -> bool {
+        self.route.repeat == RepeatRule::Idempotent
+            && self.runs < self.route.max_attempts
+            && self.has_time()
+            && self.pay_for_repeat()
+    }
+
+    fn has_time(&self) -> bool {
+        Instant::now() + Duration::from_millis(5) < self.deadline
+    }
+
+    fn pay_for_repeat(&self) -> bool {
+        self.has_time()
+            && self
+                .context
+                .fleet
+                .books()
+                .retries
+                .try_repeat(&self.service.name, clock::now())
+    }
+
+    /// Finds the target of the next send, and waits until it has what is asked for.
+    pub async fn place(&mut self) -> Placing {
+        if self.service.engine.is_none() {
+            return match pick_target(&self.context.fleet, &self.service.name, &self.tried) {
+                Some(entry) => Placing::At(entry, None, None),
+                None => Placing::Nowhere(COME_BACK),
+            };
+        }
+        let mut come_back = COME_BACK;
+        let mut has_waited = false;
+        loop {
+            for zone in self.zones_in_order() {
+                let ask = self.ask();
+                match self.context.access.place(&zone, ask).await {
+                    Some((
+                        PlacementAnswer::Send {
+                            target,
+                            wait_ms,
+                            version,
+                            ..
+                        },
+                        ticket,
+                    )) => {
+                        sleep(Duration::from_millis(u64::from(wait_ms))).await;
+                        let entry = self.context.fleet.books().catalog.get(&target).cloned();
+                        match entry {
+                            Some(entry) => return Placing::At(entry, version, ticket),
+                            None => self.tried.push(target),
+                        }
+                    }
+                    Some((PlacementAnswer::Refuse { retry_after_ms }, _)) => {
+                        come_back = Duration::from_millis(u64::from(retry_after_ms));
+                    }
+                    None => {
+                        if let Some(found) = self.place_alone(&zone) {
+                            return found;
+                        }
+                    }
+                }
+            }
+            // A zone that changes hands answers again within moments.
+            if has_waited || !self.has_time() {
+                return Placing::Nowhere(come_back);
+            }
+            has_waited = true;
+            sleep(PLACE_AGAIN).await;
+        }
+    }
+
+    /// Own zone first, then the others, each VM in an order of its own.
+    fn zones_in_order(&self) -> Vec<AvailabilityZone> {
+        let own = &self.context.fleet.zone;
+        let mut others: Vec<_> = self
+            .context
+            .settings
+            .zones
+            .iter()
+            .filter(|zone| *zone != own)
+            .cloned()
+            .collect();
+        let mut hasher = SipHasher13::new();
+        self.head.id.hash(&mut hasher);
+        if !others.is_empty() {
+            let turn = hasher.finish() as usize % others.len();
+            others.rotate_left(turn);
+        }
+        std::iter::once(own.clone()).chain(others).collect()
+    }
+
+    fn ask(&self) -> PlacementAsk {
+        let waited = self.arrived.elapsed();
+        let objective = self.route.objective.saturating_sub(waited);
+        let output = self
+            .head
+            .output_hint
+            .unwrap_or(self.head.most_output / 2)
+            .min(self.head.most_output.max(1));
+        PlacementAsk {
+            subject: self.subject(),
+            prompt_tokens: self.head.prompt_tokens,
+            output_tokens: output,
+            prefix: self.head.prefix.clone(),
+            priority: self.route.priority,
+            objective_ms: u32::try_from(objective.as_millis()).unwrap_or(u32::MAX),
+            exclude: self.tried.clone(),
+            may_refuse: self.runs == 0,
+        }
+    }
+
+    fn subject(&self) -> AdapterName {
+        self.head
+            .subject
+            .clone()
+            .unwrap_or_else(|| AdapterName::new(""))
+    }
+
+    /// Places a call without its holder: at a target that is listed with its adapter.
+    fn place_alone(&self, zone: &AvailabilityZone) -> Option<Placing> {
+        let subject = self.subject();
+        let books = self.context.fleet.books();
+        let version = books.versions.get(&subject).copied();
+        let now = clock::now();
+        books
+            .catalog
+            .ready(&self.service.name)
+            .filter(|entry| entry.zone == *zone && !self.tried.contains(&entry.name))
+            .filter(|entry| !books.health.is_out(&entry.name, now))
+            .filter(|entry| holds(entry, &subject, version))
+            .min_by_key(|entry| books.in_flight.get(&entry.name).copied().unwrap_or(0))
+            .map(|entry| Placing::At(Arc::clone(entry), version, None))
+    }
+
+    /// Sends it to a target.
+    pub async fn send(
+        &mut self,
+        entry: &TargetEntry,
+        version: Option<u64>,
+        ticket: Option<CallTicket>,
+        last_event: Option<u64>,
+    ) -> SendOutcome {
+        let count = InFlightCount::new(&self.context.fleet, &entry.name);
+        let end = |ticket: Option<CallTicket>, count: &InFlightCount, end: CallEnd| {
+            count.note(end);
+            if let Some(ticket) = ticket {
+                ticket.end(end);
+            }
+        };
+        let reuse = match self.route.repeat {
+            RepeatRule::Idempotent => ReuseRule::Any,
+            RepeatRule::AtMostOnce => ReuseRule::FreshOnly,
+        };
+        let taken = self
+            .context
+            .pool
+            .take(&entry.name, entry.address, reuse, CONNECT_WITHIN)
+            .await;
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let sent = match taken {
+            Ok(mut connection) => {
+                let request = self.request(entry, version, remaining, last_event);
+                match timeout(remaining, connection.send(request)).await {
+                    Ok(Ok(response)) => Ok((connection, response)),
+                    Ok(Err(error)) => Err(error),
+                    Err(_) => Err(SendError::Unanswered {
+                        target: entry.name.clone(),
+                        cause: "no head before the deadline".to_owned(),
+                    }),
+                }
+            }
+            Err(error) => Err(error),
+        };
+        let (connection, response) = match sent {
+            Ok(answered) => answered,
+            Err(SendError::NotSent { target, cause }) => {
+                event!(
+                    Event::TargetUnreached,
+                    "{} at {target}: {cause}",
+                    self.head.id
+                );
+                end(ticket, &count, CallEnd::Unreached);
+                self.unreached += 1;
+                self.tried.push(target);
+                return SendOutcome::NotSent;
+            }
+            Err(SendError::Unanswered { target, cause }) => {
+                event!(
+                    Event::AnswerMissing,
+                    "{} at {target}: {cause}",
+                    self.head.id
+                );
+                end(ticket, &count, CallEnd::Failed);
+                self.runs += 1;
+                self.tried.push(target);
+                return SendOutcome::Unknown;
+            }
+        };
+        let kind = judge_answer(&self.head.id, response.status(), response.headers());
+        let (parts, body) = response.into_parts();
+        let open = |ticket, count| {
+            Box::new(OpenAnswer {
+                parts: parts.clone(),
+                body,
+                connection,
+                ticket,
+                count,
+            })
+        };
+        match kind {
+            AnswerKind::Success => {
+                self.runs += 1;
+                SendOutcome::Success(open(ticket, count))
+            }
+            AnswerKind::Failure => {
+                self.runs += 1;
+                self.tried.push(entry.name.clone());
+                SendOutcome::Failure(open(ticket, count))
+            }
+            AnswerKind::Misdirected | AnswerKind::NotRun => {
+                event!(
+                    Event::TurnedAway,
+                    "{} at {}: {kind:?} {} for {} version {version:?}",
+                    self.head.id,
+                    entry.name,
+                    parts.status,
+                    self.subject()
+                );
+                let is_absent = kind == AnswerKind::Misdirected;
+                let outcome = if is_absent {
+                    CallEnd::Absent
+                } else {
+                    CallEnd::Shed
+                };
+                end(ticket, &count, outcome);
+                self.refused += 1;
+                self.tried.push(entry.name.clone());
+                SendOutcome::NotRun
+            }
+            AnswerKind::Foreign => {
+                event!(
+                    Event::AnswerForeign,
+                    "{} at {}: status {}",
+                    self.head.id,
+                    entry.name,
+                    parts.status
+                );
+                self.context.pool.close(entry.address);
+                end(ticket, &count, CallEnd::Failed);
+                self.runs += 1;
+                self.tried.push(entry.name.clone());
+                SendOutcome::Unknown
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        entry: &TargetEntry,
+        version: Option<u64>,
+        remaining: Duration,
+        last_event: Option<u64>,
+    ) -> TargetRequest {
+        let send = SendHead {
+            target: &entry.name,
+            remaining,
+            priority: self.service.engine.as_ref().map(|_| self.route.priority),
+            version,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = encode_send(&self.headers, &send);
+        request
+    }
+
+    /// Passes a success on to the caller; gives the call back if the answer broke before its first byte went out.
+    async fn pass_on(self, open: OpenAnswer) -> Result<Response<AnswerBody>, Self> {
+        match self.route.shape {
+            AnswerShape::Events { resumable } => Ok(relay_events(self, open, resumable)),
+            AnswerShape::Whole => {
+                let mut call = self;
+                let target = call.tried.len();
+                let (parts, taken) = take_whole(open, &call).await;
+                match taken {
+                    Ok(body) => {
+                        let mut response = Response::new(full(body));
+                        *response.status_mut() = parts.status;
+                        *response.headers_mut() = travelling(&parts.headers);
+                        Ok(response)
+                    }
+                    Err(name) => {
+                        call.tried.truncate(target);
+                        call.tried.push(name);
+                        Err(call)
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Where the next send goes.
+pub enum Placing {
+    /// To this target, with the version to ask for.
+    At(Arc<TargetEntry>, Option<u64>, Option<CallTicket>),
+    /// Nowhere now; it is worth coming back after this.
+    Nowhere(Duration),
+}
+
+fn holds(entry: &TargetEntry, subject: &AdapterName, version: Option<u64>) -> bool {
+    if !subject.as_str().contains('/') {
+        return entry
+            .models
+            .iter()
+            .any(|(model, _)| model == subject.as_str());
+    }
+    entry.adapters.iter().any(|resident| {
+        resident.adapter == *subject && version.is_none_or(|version| resident.version >= version)
+    })
+}
+
+/// A body that is there whole.
+#[must_use]
+pub fn full(body: Bytes) -> AnswerBody {
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn failure_answer(parts: http::response::Parts, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = travelling(&parts.headers);
+    response
+}
+
+/// An answer of this VM's own.
+#[must_use]
+pub fn own_answer(
+    id: &str,
+    status: StatusCode,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    *response.headers_mut() = own_answer_headers(id, retry_after);
+    response
+}
+
+/// The promise that a call was not run, with the time to come back.
+fn refusal(id: &str, come_back: Duration) -> Response<AnswerBody> {
+    own_answer(id, StatusCode::SERVICE_UNAVAILABLE, Some(come_back))
+}
+
+/// Gives a connection back for further calls, unless its answer says that it ends.
+pub fn give_back(pool: &ConnectionPool, connection: TargetConnection, headers: &HeaderMap) {
+    if !hoplanding_platform::front::is_closing(headers) {
+        pool.give_back(connection, keep_alive(headers));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/claims.rs
@@ -0,0 +1,154 @@
+//! Claims of the lease of this VM's zone.
+
+use crate::{
+    clock,
+    direct::{
+        access::ZoneAccess,
+        fleet::{FleetState, zone_key},
+        settings::DirectSettings,
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::{
+    direct::lease::{HolderContact, LeaseStep, ZoneLease},
+    ids::VmName,
+};
+use hoplanding_platform::{
+    names::FLEET_TOPIC,
+    store::{StoreClient, StoreError},
+};
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Pause between two looks at the holder.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// Pause after a claim that did not go through, until the log was read on.
+const AFTER_CLAIM: Duration = Duration::from_millis(500);
+/// Tries to record that the lease was given up.
+const RELEASE_TRIES: u32 = 3;
+
+/// Watches the holder of this VM's zone, and claims the lease when it is gone.
+pub struct ClaimWorker {
+    /// The books.
+    pub fleet: Arc<FleetState>,
+    /// Links to holders.
+    pub access: Arc<ZoneAccess>,
+    /// Settings.
+    pub settings: Arc<DirectSettings>,
+}
+
+impl ClaimWorker {
+    /// Watches until the process ends.
+    pub async fn run(self) {
+        let mut client = StoreClient::new(self.settings.platform_address);
+        loop {
+            sleep(LOOK_EVERY).await;
+            if self.wants_claim() {
+                self.claim(&mut client).await;
+                sleep(AFTER_CLAIM).await;
+            }
+        }
+    }
+
+    fn wants_claim(&self) -> bool {
+        let lease = self.fleet.lease(&self.fleet.zone);
+        let contact = match &lease {
+            Some(lease) if lease.vm.is_some() => {
+                let contact = self.access.contact(lease);
+                if contact != HolderContact::Heard {
+                    self.access.redial(lease);
+                }
+                contact
+            }
+            _ => HolderContact::Ended,
+        };
+        let mut books = self.fleet.books();
+        if books.fleet_end.is_none() || books.active.is_none() {
+            return false;
+        }
+        let rank = self.rank(books.vms.iter().filter_map(|(vm, record)| {
+            let is_holder = lease.as_ref().and_then(|lease| lease.vm.as_ref()) == Some(vm);
+            (record.zone == self.fleet.zone && !is_holder).then_some(vm)
+        }));
+        let state = books.leases.entry(self.fleet.zone.clone()).or_default();
+        let step = state.step(&self.settings.leases, contact, rank, clock::now());
+        match step {
+            LeaseStep::Stay => false,
+            LeaseStep::Claim { quiet } => {
+                books.claim_quiet = quiet;
+                true
+            }
+        }
+    }
+
+    /// This VM's place in the order of claimants, the same at all of them.
+    fn rank<'a>(&self, vms: impl Iterator<Item = &'a VmName>) -> u32 {
+        let mine = claim_order(&self.fleet.vm);
+        let before = vms.filter(|vm| claim_order(vm) < mine).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
+    async fn claim(&self, client: &mut StoreClient) {
+        let Some(end) = self.fleet.books().fleet_end else {
+            return;
+        };
+        let lease = ZoneLease {
+            vm: Some(self.fleet.vm.clone()),
+            incarnation: self.fleet.incarnation,
+            address: self.settings.peer_address,
+        };
+        let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
+        let key = zone_key(&self.fleet.zone);
+        let within = self.settings.pace.platform_timeout;
+        let appended = client
+            .append(FLEET_TOPIC, &key, &value, Some(end), within)
+            .await;
+        match appended {
+            // The feed reads it back; that is when the zone is held.
+            Ok(offset) => event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone),
+            Err(error) => event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone),
+        }
+    }
+}
+
+fn claim_order(vm: &VmName) -> u64 {
+    let mut hasher = SipHasher13::new();
+    vm.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Records that this VM gave its zone up, so that another claims it at once.
+pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) {
+    let mut client = StoreClient::new(platform);
+    let lease = ZoneLease {
+        vm: None,
+        incarnation: fleet.incarnation,
+        address: platform,
+    };
+    let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
+    let key = zone_key(&fleet.zone);
+    let mut end = fleet.books().fleet_end;
+    for _ in 0..RELEASE_TRIES {
+        let is_mine = fleet
+            .lease(&fleet.zone)
+            .is_some_and(|lease| lease.vm.as_ref() == Some(&fleet.vm));
+        if !is_mine {
+            return;
+        }
+        match client.append(FLEET_TOPIC, &key, &value, end, within).await {
+            Ok(_) => return,
+            Err(StoreError::EndMoved(moved)) => end = Some(moved),
+            Err(error) => {
+                event!(Event::ClaimFailed, "release of {}: {error}", fleet.zone);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/daemon.rs
@@ -0,0 +1,191 @@
+//! Starts and stops everything of the direct mode.
+
+use crate::{
+    direct::{
+        access::ZoneAccess,
+        call::GatewayContext,
+        claims::{ClaimWorker, release_lease},
+        feeds::{FeedWorker, StoreReach},
+        fleet::{FleetState, VmRecord, vm_key},
+        front::{OpenConnections, StopPhase, accept_callers, accept_questions},
+        links::accept_links,
+        message::FeedTopic,
+        sender::ConnectionPool,
+        settings::DirectSettings,
+        zone::{ZoneEvent, ZoneWorker},
+    },
+    event,
+    events::Event,
+};
+use hoplanding_platform::{names::FLEET_TOPIC, store::StoreClient};
+use std::{io, sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+/// Events that wait for the zone's worker.
+const ZONE_EVENTS: usize = 1024;
+/// Pause between two looks at what has rested too long.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+/// Pause between two tries to record this VM.
+const RECORD_AGAIN: Duration = Duration::from_millis(700);
+/// Pause between two looks at connections that are still open.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// A running daemon in direct mode.
+pub struct DirectDaemon {
+    settings: Arc<DirectSettings>,
+    fleet: Arc<FleetState>,
+    zone: mpsc::Sender<ZoneEvent>,
+    connections: Arc<OpenConnections>,
+    stop: watch::Sender<StopPhase>,
+    /// Where callers connect.
+    pub caller_address: std::net::SocketAddr,
+    /// Where the balancer asks.
+    pub ready_address: std::net::SocketAddr,
+}
+
+impl DirectDaemon {
+    /// Starts a daemon; its tasks end with the runtime.
+    ///
+    /// # Errors
+    /// Returns the error of the system when an address can't be had.
+    pub async fn start(settings: DirectSettings) -> io::Result<Self> {
+        let callers = TcpListener::bind(settings.caller_address).await?;
+        let questions = TcpListener::bind(settings.ready_address).await?;
+        let peers = TcpListener::bind(settings.peer_address).await?;
+        let mut settings = settings;
+        settings.peer_address = peers.local_addr()?;
+        let caller_address = callers.local_addr()?;
+        let ready_address = questions.local_addr()?;
+        let settings = Arc::new(settings);
+        let incarnation = rand::random::<u64>() >> 16;
+        let fleet = Arc::new(FleetState::new(&settings, incarnation));
+        let pool = Arc::new(ConnectionPool::default());
+        let (zone, zone_receiver) = mpsc::channel(ZONE_EVENTS);
+        let (stop, stop_watch) = watch::channel(StopPhase::Serving);
+        let access = Arc::new(ZoneAccess::new(Arc::clone(&fleet), zone.clone()));
+        let connections = Arc::new(OpenConnections::default());
+        event!(
+            Event::Started,
+            "{} in {}: callers {caller_address}, peers {}",
+            settings.vm,
+            settings.zone,
+            settings.peer_address
+        );
+        start_feeds(&settings, &fleet);
+        let worker = ZoneWorker::new(Arc::clone(&fleet), Arc::clone(&pool), zone.clone());
+        tokio::spawn(worker.run(zone_receiver));
+        tokio::spawn(accept_links(peers, Arc::clone(&fleet), zone.clone()));
+        let claims = ClaimWorker {
+            fleet: Arc::clone(&fleet),
+            access: Arc::clone(&access),
+            settings: Arc::clone(&settings),
+        };
+        tokio::spawn(claims.run());
+        tokio::spawn(record_vm(Arc::clone(&settings), incarnation));
+        tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
+        tokio::spawn(accept_questions(
+            questions,
+            Arc::clone(&fleet),
+            stop_watch.clone(),
+        ));
+        let context = Arc::new(GatewayContext {
+            fleet: Arc::clone(&fleet),
+            access,
+            pool,
+            settings: Arc::clone(&settings),
+        });
+        tokio::spawn(accept_callers(
+            callers,
+            context,
+            Arc::clone(&connections),
+            stop_watch,
+        ));
+        Ok(Self {
+            settings,
+            fleet,
+            zone,
+            connections,
+            stop,
+            caller_address,
+            ready_address,
+        })
+    }
+
+    /// What this VM knows.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<FleetState> {
+        &self.fleet
+    }
+
+    /// A planned stop: interrupts nothing until its bound. Returns how many connections were left.
+    pub async fn stop(self) -> usize {
+        event!(Event::Stopping, "{} connections", self.connections.count());
+        let begun = Instant::now();
+        let bound = begun + self.settings.pace.stop_bound;
+        self.stop.send_replace(StopPhase::Leaving);
+        self.release().await;
+        sleep_until(begun + self.settings.pace.stop_notice).await;
+        self.stop.send_replace(StopPhase::Closing);
+        while self.connections.count() > 0 && Instant::now() < bound {
+            sleep(STOP_LOOK).await;
+        }
+        let left = self.connections.count();
+        event!(Event::Stopped, "{left} connections left");
+        left
+    }
+
+    /// Gives the zone up, so that another VM gives the orders from here on.
+    async fn release(&self) {
+        let (done, released) = oneshot::channel();
+        if self.zone.send(ZoneEvent::Release(done)).await.is_err() {
+            return;
+        }
+        let within = self.settings.pace.platform_timeout;
+        if let Ok(Ok(true)) = timeout(within, released).await {
+            release_lease(&self.fleet, self.settings.platform_address, within).await;
+        }
+    }
+}
+
+fn start_feeds(settings: &Arc<DirectSettings>, fleet: &Arc<FleetState>) {
+    let reach = StoreReach::new();
+    for topic in [FeedTopic::Operators, FeedTopic::Targets, FeedTopic::Fleet] {
+        let worker = FeedWorker {
+            topic,
+            address: settings.platform_address,
+            pace: settings.pace,
+            fleet: Arc::clone(fleet),
+            reach: reach.clone(),
+        };
+        tokio::spawn(worker.run());
+    }
+}
+
+/// Records this VM, so that others know where it is reached.
+async fn record_vm(settings: Arc<DirectSettings>, incarnation: u64) {
+    let record = VmRecord {
+        zone: settings.zone.clone(),
+        address: settings.peer_address,
+        incarnation,
+    };
+    let value = serde_json::to_vec(&record).expect("a record has a JSON form");
+    let key = vm_key(&settings.vm);
+    let within = settings.pace.platform_timeout;
+    let mut client = StoreClient::new(settings.platform_address);
+    while let Err(error) = client.append(FLEET_TOPIC, &key, &value, None, within).await {
+        event!(Event::RecordFailed, "{key}: {error}");
+        sleep(RECORD_AGAIN).await;
+    }
+}
+
+async fn sweep(fleet: Arc<FleetState>, pool: Arc<ConnectionPool>) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        pool.sweep();
+        fleet.expire();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/events.rs
@@ -0,0 +1,168 @@
+//! Answers that are passed on event by event.
+//!
+//! The relay runs inside the caller's connection: when the caller leaves, it is dropped, the connection to the target
+//! closes and the target stops. A stream that may be resumed goes on from its last whole event at another target,
+//! under the head that the caller already has.
+
+use crate::{
+    direct::{
+        call::{AnswerBody, BrokenAnswer, CallState, OpenAnswer, Placing, SendOutcome, give_back},
+        cutter::EventCutter,
+        message::CallEnd,
+    },
+    event,
+    events::Event,
+};
+use bytes::Bytes;
+use hoplanding_platform::front::travelling;
+use http::{HeaderMap, Response, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::time::timeout_at;
+
+struct EventRelay {
+    call: CallState,
+    open: Option<OpenAnswer>,
+    cutter: EventCutter,
+    resumable: bool,
+}
+
+/// Starts to pass a stream on.
+pub fn relay_events(call: CallState, open: OpenAnswer, resumable: bool) -> Response<AnswerBody> {
+    let status = open.parts.status;
+    let headers = travelling(&open.parts.headers);
+    let relay = EventRelay {
+        call,
+        open: Some(open),
+        cutter: EventCutter::default(),
+        resumable,
+    };
+    let stream = futures_util::stream::unfold(relay, |mut relay| async move {
+        let step = relay.next().await?;
+        Some((step.map(Frame::data), relay))
+    });
+    let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+impl EventRelay {
+    /// The next whole events; nothing after the stream's end.
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
+        loop {
+            let open = self.open.as_mut()?;
+            let frame = timeout_at(self.call.deadline, open.body.frame()).await;
+            let cause = match frame {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    match self.cutter.take(&data) {
+                        Ok(events) if events.is_empty() => continue,
+                        Ok(events) => return Some(Ok(events)),
+                        Err(error) => error.to_string(),
+                    }
+                }
+                Ok(None) => match self.finish() {
+                    Ok(rest) => return rest.map(Ok),
+                    Err(cause) => cause,
+                },
+                Ok(Some(Err(error))) => error.to_string(),
+                Err(_) => {
+                    self.end_open(CallEnd::Failed);
+                    return Some(Err(self.broken("the deadline passed")));
+                }
+            };
+            let target = self.end_open(CallEnd::Failed);
+            event!(
+                Event::StreamBroken,
+                "{} at {target}: {cause}, last event {:?}",
+                self.call.head.id,
+                self.cutter.last_id()
+            );
+            if !self.resumable || !self.resume().await {
+                return Some(Err(self.broken(&cause)));
+            }
+        }
+    }
+
+    fn broken(&mut self, cause: &str) -> BrokenAnswer {
+        event!(
+            Event::AnswerIncomplete,
+            "{}: {cause}, last event {:?}",
+            self.call.head.id,
+            self.cutter.last_id()
+        );
+        BrokenAnswer(cause.to_owned())
+    }
+
+    /// Ends the counts of the open answer; returns its target.
+    fn end_open(&mut self, end: CallEnd) -> String {
+        let Some(open) = self.open.take() else {
+            return String::new();
+        };
+        open.count.note(end);
+        if let Some(ticket) = open.ticket {
+            ticket.end(end);
+        }
+        open.connection.target().to_string()
+    }
+
+    /// The target ended its body: the stream is whole unless that end could not be told from a break.
+    fn finish(&mut self) -> Result<Option<Bytes>, String> {
+        let rest = self.cutter.take_rest();
+        let is_framed = self
+            .open
+            .as_ref()
+            .is_some_and(|open| is_framed(&open.parts.headers));
+        if !rest.is_empty() && !is_framed {
+            return Err("the connection ended inside an event".to_owned());
+        }
+        if let Some(open) = self.open.take() {
+            open.count.note(CallEnd::Good);
+            if let Some(ticket) = open.ticket {
+                ticket.end(CallEnd::Good);
+            }
+            give_back(
+                &self.call.context.pool,
+                open.connection,
+                &open.parts.headers,
+            );
+        }
+        Ok((!rest.is_empty()).then_some(rest))
+    }
+
+    /// Goes on at another target from the last whole event.
+    async fn resume(&mut self) -> bool {
+        let last = self.cutter.last_id().or(self.call.head.last_event);
+        self.cutter.take_rest();
+        while self.call.may_repeat() {
+            let placed = timeout_at(self.call.deadline, self.call.place()).await;
+            let Ok(Placing::At(entry, version, ticket)) = placed else {
+                return false;
+            };
+            match self.call.send(&entry, version, ticket, last).await {
+                SendOutcome::Success(open) => {
+                    event!(
+                        Event::StreamResumed,
+                        "{} at {} from {last:?}",
+                        self.call.head.id,
+                        entry.name
+                    );
+                    self.open = Some(*open);
+                    return true;
+                }
+                SendOutcome::Failure(_)
+                | SendOutcome::NotRun
+                | SendOutcome::NotSent
+                | SendOutcome::Unknown => {}
+            }
+        }
+        false
+    }
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/crates/daemon/src/direct/feeds.rs
@@ -0,0 +1,163 @@
+//! One worker a topic of the platform's log.
+//!
+//! A worker lists the newest record of each key once, then reads on from there. When the log is out of reach it tries
+//! again after a pause, and tells the others when it is back, so that a read that hangs on a dead connection is begun
+//! anew.
+
+use crate::{
+    direct::{fleet::FleetState, message::FeedTopic, settings::PaceSettings},
+    event,
+    events::Event,
+};
+use hoplanding_platform::{
+    names::{FLEET_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC},
+    store::{ReadBatch, StoreClient, StoreError},
+};
+use rand::Rng;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{sync::watch, time::sleep};
+
+/// Longest time that a read waits for a record.
+const READ_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a call that brought nothing; varied by half.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Whether the log is in reach, counted up at each return.
+#[derive(Clone, Debug)]
+pub struct StoreReach {
+    returns: watch::Sender<u64>,
+}
+
+impl StoreReach {
+    /// A store that was never out of reach.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            returns: watch::channel(0).0,
+        }
+    }
+}
+
+impl Default for StoreReach {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Reads one topic into the books.
+#[derive(Debug)]
+pub struct FeedWorker {
+    /// The topic.
+    pub topic: FeedTopic,
+    /// The platform's log.
+    pub address: SocketAddr,
+    /// Pauses and bounds.
+    pub pace: PaceSettings,
+    /// The books.
+    pub fleet: Arc<FleetState>,
+    /// Shared by all feeds.
+    pub reach: StoreReach,
+}
+
+impl FeedWorker {
+    /// Reads until the process ends.
+    pub async fn run(self) {
+        let mut client = StoreClient::new(self.address);
+        let mut is_out = false;
+        loop {
+            let listing = client
+                .newest(topic_name(self.topic), self.pace.platform_timeout)
+                .await;
+            let listing = match listing {
+                Ok(listing) => listing,
+                Err(error) => {
+                    self.note_out(&mut is_out, &error);
+                    pause().await;
+                    continue;
+                }
+            };
+            self.note_back(&mut is_out);
+            let end = listing.end;
+            self.fleet.take_listing(self.topic, listing);
+            self.read_on(&mut client, end, &mut is_out).await;
+        }
+    }
+
+    /// Reads records until those from the wanted offset on are gone.
+    async fn read_on(
+        &self,
+        client: &mut StoreClient,
+        from: hoplanding_core::ids::LogOffset,
+        is_out: &mut bool,
+    ) {
+        let mut from = from;
+        let topic = topic_name(self.topic);
+        loop {
+            let mut returns = self.reach.returns.subscribe();
+            let reading = client.read(topic, from, READ_WAIT, self.pace.platform_timeout);
+            let read = tokio::select! {
+                read = reading => read,
+                // Another feed lost the log and has it back: this connection may be dead.
+                _ = returns.changed() => continue,
+            };
+            match read {
+                Ok(batch) => {
+                    self.note_back(is_out);
+                    from = next_offset(from, &batch);
+                    self.fleet.take_records(self.topic, &batch);
+                    sleep(self.pause_between()).await;
+                }
+                Err(StoreError::Expired(_)) => return,
+                Err(error) => {
+                    self.note_out(is_out, &error);
+                    pause().await;
+                }
+            }
+        }
+    }
+
+    fn pause_between(&self) -> Duration {
+        match self.topic {
+            FeedTopic::Targets => self.pace.list_every,
+            FeedTopic::Operators | FeedTopic::Fleet => self.pace.config_every,
+        }
+    }
+
+    fn note_out(&self, is_out: &mut bool, error: &StoreError) {
+        if !*is_out {
+            *is_out = true;
+            event!(Event::LogOut, "{:?}: {error}", self.topic);
+        }
+    }
+
+    fn note_back(&self, is_out: &mut bool) {
+        if *is_out {
+            *is_out = false;
+            event!(Event::LogBack, "{:?}", self.topic);
+            self.fleet.outage_ended();
+            self.reach.returns.send_modify(|returns| *returns += 1);
+        }
+    }
+}
+
+fn next_offset(
+    from: hoplanding_core::ids::LogOffset,
+    batch: &ReadBatch,
+) -> hoplanding_core::ids::LogOffset {
+    batch.records.last().map_or(from, |record| {
+        hoplanding_core::ids::LogOffset(record.offset.0 + 1)
+    })
+}
+
+async fn pause() {
+    let part = rand::rng().random_range(0.75..1.25);
+    sleep(RETRY_PAUSE.mul_f64(part)).await;
+}
+
+fn topic_name(topic: FeedTopic) -> &'static str {
+    match topic {
+        FeedTopic::Operators => OPERATOR_TOPIC,
+        FeedTopic::Targets => TARGET_TOPIC,
+        FeedTopic::Fleet => FLEET_TOPIC,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/message.rs
@@ -0,0 +1,117 @@
+//! Messages between VMs in direct mode.
+
+use bytes::Bytes;
+use hoplanding_core::{
+    direct::{
+        health::CallOutcome,
+        planner::{PlacementAnswer, PlacementAsk},
+    },
+    ids::{AdapterName, AvailabilityZone, LogOffset, TargetName, VmName},
+};
+use serde::{Deserialize, Serialize};
+
+/// Version of the messages; VMs of different versions do not link.
+pub const MESSAGE_VERSION: u32 = 1;
+
+/// How a call ended at a target, for the holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallEnding {
+    /// The gateway's number of the call.
+    pub number: u64,
+    /// The target that it was sent to.
+    pub target: TargetName,
+    /// What that says about the target; nothing where the caller left.
+    pub outcome: Option<CallEnd>,
+}
+
+/// [`CallOutcome`] on the wire, with what only the holder acts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallEnd {
+    /// Answered well.
+    Good,
+    /// Failed or broken off.
+    Failed,
+    /// No connection.
+    Unreached,
+    /// Turned away as full.
+    Shed,
+    /// The target lacked the adapter or its version.
+    Absent,
+}
+
+impl CallEnd {
+    /// What it says about the target's health.
+    #[must_use]
+    pub fn health(self) -> Option<CallOutcome> {
+        match self {
+            Self::Good => Some(CallOutcome::Good),
+            Self::Failed => Some(CallOutcome::Failed),
+            Self::Unreached => Some(CallOutcome::Unreached),
+            Self::Shed => Some(CallOutcome::Shed),
+            Self::Absent => None,
+        }
+    }
+}
+
+/// A record of the platform's log that one VM passes on to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedRecord {
+    /// Its topic.
+    pub topic: FeedTopic,
+    /// Its key.
+    pub key: String,
+    /// Its value; none for a dropped key.
+    pub value: Option<Bytes>,
+    /// Its offset.
+    pub offset: LogOffset,
+}
+
+/// The topics that VMs read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum FeedTopic {
+    /// What operators write.
+    Operators,
+    /// The target list.
+    Targets,
+    /// The fleet's own records.
+    Fleet,
+}
+
+/// A message between VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VmMessage {
+    /// First message of the VM that dialled.
+    Hello {
+        /// Version of the messages.
+        version: u32,
+        /// The VM.
+        vm: VmName,
+        /// The run of its process.
+        incarnation: u64,
+        /// Its zone.
+        zone: AvailabilityZone,
+    },
+    /// First answer.
+    Welcome {
+        /// Version of the messages.
+        version: u32,
+        /// The run of the process.
+        incarnation: u64,
+    },
+    /// Sign of life.
+    Beat,
+    /// Place a call.
+    Place(u64, Box<PlacementAsk>),
+    /// Where a call goes.
+    Placed(u64, PlacementAnswer),
+    /// The receiver does not hold the zone.
+    NotHolder(u64),
+    /// A call ended.
+    Ended(CallEnding),
+    /// The gateway no longer wants a placement.
+    Withdrawn(u64),
+    /// A call that was open before the link.
+    Open(u64, TargetName, AdapterName),
+    /// Newer records than the other side may have.
+    Records(Vec<PassedRecord>),
+}
--- /dev/null
+++ b/crates/daemon/src/direct/mod.rs
@@ -0,0 +1,33 @@
+//! The direct data path: every VM is a gateway that sends straight to targets, and one VM a zone gives the orders.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`settings`] | the settings of this mode |
+//! | [`daemon`] | starts and stops everything |
+//! | [`fleet`] | what this VM knows of configuration, targets, leases and VMs |
+//! | [`feeds`] | one worker a topic of the platform's log |
+//! | [`front`] | callers' connections and the balancer's question |
+//! | [`call`] | one caller's request from its head to its answer |
+//! | [`whole`], [`events`] | answers taken whole, and answers passed on event by event |
+//! | [`cutter`] | whole events out of a stream's bytes |
+//! | [`sender`] | connections to targets, and one send over one of them |
+//! | [`zone`] | the worker that holds a zone: planner, orders, reports |
+//! | [`access`] | the gateway's way to the holder of a zone |
+//! | [`links`], [`message`] | links between VMs |
+//! | [`claims`] | claims of a zone's lease |
+
+pub mod access;
+pub mod call;
+pub mod claims;
+pub mod cutter;
+pub mod daemon;
+pub mod events;
+pub mod feeds;
+pub mod fleet;
+pub mod front;
+pub mod links;
+pub mod message;
+pub mod sender;
+pub mod settings;
+pub mod whole;
+pub mod zone;
--- /dev/null
+++ b/crates/daemon/src/direct/settings.rs
@@ -0,0 +1,125 @@
+//! The settings of the direct mode.
+
+use crate::options::{LogSettings, SectionReader, SettingsError, read_log};
+use hoplanding_core::{
+    direct::{budget::RetryRule, lease::LeaseTimes},
+    ids::{AvailabilityZone, VmName},
+};
+use serde_json::Value;
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+/// Settings of a daemon in direct mode.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// Name of this VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether the VM takes callers.
+    pub ready_address: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_address: SocketAddr,
+    /// The platform's log.
+    pub platform_address: SocketAddr,
+    /// All availability zones.
+    pub zones: Vec<AvailabilityZone>,
+    /// The fleet's rule for repeats.
+    pub retries: RetryRule,
+    /// Spans that decide about claims.
+    pub leases: LeaseTimes,
+    /// Pauses and bounds.
+    pub pace: PaceSettings,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Pauses and bounds of the direct mode.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceSettings {
+    /// Pause between two reads of the target list.
+    pub list_every: Duration,
+    /// Shortest pause between two reads of the configuration.
+    pub config_every: Duration,
+    /// Time after which a call to the log counts as unanswered.
+    pub platform_timeout: Duration,
+    /// Time from the stop signal until open connections are told to end.
+    pub stop_notice: Duration,
+    /// Time from the stop signal to the exit.
+    pub stop_bound: Duration,
+}
+
+impl DirectSettings {
+    /// Whether a settings file asks for the direct mode.
+    #[must_use]
+    pub fn is_asked_for(text: &str) -> bool {
+        serde_json::from_str::<Value>(text)
+            .is_ok_and(|value| value.get("mode").and_then(Value::as_str) == Some("direct"))
+    }
+
+    /// Reads settings from JSON.
+    ///
+    /// # Errors
+    /// Lists every fault with its key, value and remedy.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let value: Value = serde_json::from_str(text)?;
+        let faults = RefCell::default();
+        let root = SectionReader::root(&value, &faults);
+        let settings = read_settings(&root);
+        root.finish();
+        let faults = faults.take();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Faults(faults))
+        }
+    }
+}
+
+fn read_settings(root: &SectionReader<'_>) -> DirectSettings {
+    root.word("mode", "direct", &["direct"]);
+    DirectSettings {
+        vm: VmName::new(&root.text("vm", "write the name of this VM")),
+        zone: AvailabilityZone::new(&root.text("zone", "write the name of its availability zone")),
+        caller_address: root.address("caller_address"),
+        ready_address: root.address("ready_address"),
+        peer_address: root.address("peer_address"),
+        platform_address: root.address("platform_address"),
+        zones: root
+            .texts("zones", "write the names of all availability zones")
+            .iter()
+            .map(|zone| AvailabilityZone::new(zone))
+            .collect(),
+        retries: root.section("retries", read_retries),
+        leases: root.section("leases", read_leases),
+        pace: root.section("pace", read_pace),
+        log: root.section("log", read_log),
+    }
+}
+
+fn read_retries(section: &SectionReader<'_>) -> RetryRule {
+    RetryRule {
+        ratio: section.fraction("ratio", 0.2, 0.0, 10.0),
+        slack: section.number("slack", 50, 0, 1_000_000) as f64,
+        window: Duration::from_secs(section.number("window_s", 10, 1, 3600)),
+    }
+}
+
+fn read_leases(section: &SectionReader<'_>) -> LeaseTimes {
+    LeaseTimes {
+        silence: section.millis("silence_ms", 1500, 100, 60_000),
+        stagger: section.millis("stagger_ms", 120, 0, 10_000),
+        turn: section.millis("turn_ms", 3000, 0, 60_000),
+    }
+}
+
+fn read_pace(section: &SectionReader<'_>) -> PaceSettings {
+    PaceSettings {
+        list_every: section.millis("list_every_ms", 1000, 10, 60_000),
+        config_every: section.millis("config_every_ms", 200, 0, 60_000),
+        platform_timeout: section.millis("platform_timeout_ms", 1500, 10, 60_000),
+        stop_notice: section.millis("stop_notice_ms", 2500, 0, 60_000),
+        stop_bound: section.millis("stop_bound_ms", 7700, 100, 3_600_000),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/zone.rs
@@ -0,0 +1,408 @@
+//! The worker that holds this VM's zone, while this VM has the zone's lease.
+//!
+//! It owns the planner. Gateways ask it where calls go; it gives the engines their orders and reads their reports.
+
+use crate::{
+    clock,
+    direct::{
+        fleet::FleetState,
+        message::{CallEnd, CallEnding, VmMessage},
+        sender::{ConnectionPool, ReuseRule, SendError, TargetRequest},
+    },
+    event,
+    events::Event,
+};
+use bytes::Bytes;
+use hoplanding_core::{
+    direct::{
+        catalog::TargetEntry,
+        config::EngineLimits,
+        engine::{EngineOrder, EngineReport, OrderOutcome},
+        planner::{
+            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
+        },
+    },
+    ids::{AdapterName, FencingToken, ServiceName, TargetName, VmName},
+};
+use hoplanding_platform::orders::{
+    decode_order_status, decode_report, encode_order, encode_report_request,
+};
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{MissedTickBehavior, interval, timeout},
+};
+
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Time after which an order or a report counts as unanswered.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Largest report.
+const REPORT_BYTES: usize = 1 << 20;
+
+/// What a gateway gets for its question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlaceReply {
+    /// The holder's answer.
+    Answer(PlacementAnswer),
+    /// The VM asked does not hold the zone.
+    NotHolder,
+}
+
+/// Where a reply goes.
+#[derive(Debug)]
+pub enum ReplyTo {
+    /// A call of this VM.
+    Local(oneshot::Sender<PlaceReply>),
+    /// A gateway on another VM.
+    Link(mpsc::Sender<VmMessage>),
+}
+
+/// What happens to a zone.
+#[derive(Debug)]
+pub enum ZoneEvent {
+    /// Place a call.
+    Place(CallKey, Box<PlacementAsk>, ReplyTo),
+    /// A call ended.
+    Ended(VmName, CallEnding),
+    /// A placement is no longer wanted.
+    Withdrawn(CallKey),
+    /// A call was open before.
+    Open(CallKey, TargetName, AdapterName),
+    /// A gateway can't be reached.
+    GatewayGone(VmName),
+    /// An order ended.
+    OrderEnded(TargetName, OrderOutcome),
+    /// A report came, or did not.
+    Reported(TargetName, Option<EngineReport>),
+    /// The VM stops: give no further orders, and say when that holds.
+    Release(oneshot::Sender<bool>),
+}
+
+struct HeldZone {
+    token: FencingToken,
+    service: ServiceName,
+    planner: ZonePlanner,
+}
+
+/// Holds a zone.
+pub struct ZoneWorker {
+    fleet: Arc<FleetState>,
+    pool: Arc<ConnectionPool>,
+    events: mpsc::Sender<ZoneEvent>,
+    held: Option<HeldZone>,
+    replies: HashMap<CallKey, ReplyTo>,
+    /// Token that a target refused: it is never used again.
+    refused: Option<FencingToken>,
+    is_released: bool,
+}
+
+impl ZoneWorker {
+    /// A worker that holds nothing yet.
+    #[must_use]
+    pub fn new(
+        fleet: Arc<FleetState>,
+        pool: Arc<ConnectionPool>,
+        events: mpsc::Sender<ZoneEvent>,
+    ) -> Self {
+        Self {
+            fleet,
+            pool,
+            events,
+            held: None,
+            replies: HashMap::new(),
+            refused: None,
+            is_released: false,
+        }
+    }
+
+    /// Works until the channel closes.
+    pub async fn run(mut self, mut receiver: mpsc::Receiver<ZoneEvent>) {
+        let mut changes = self.fleet.watch();
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = receiver.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+                _ = changes.changed() => self.refresh(),
+                _ = tick.tick(), if self.held.is_some() => {
+                    if let Some(held) = &mut self.held {
+                        held.planner.tick(clock::now());
+                    }
+                }
+            }
+            self.carry_out();
+        }
+    }
+
+    fn take(&mut self, event: ZoneEvent) {
+        let now = clock::now();
+        let Some(held) = &mut self.held else {
+            match event {
+                ZoneEvent::Place(key, _, reply) => send_reply(key, reply, PlaceReply::NotHolder),
+                ZoneEvent::Release(done) => {
+                    self.is_released = true;
+                    // Whoever asked may have ended since.
+                    let _ = done.send(false);
+                }
+                _ => {}
+            }
+            return;
+        };
+        match event {
+            ZoneEvent::Place(key, ask, reply) => {
+                self.replies.insert(key.clone(), reply);
+                held.planner.place(key, *ask, now);
+            }
+            ZoneEvent::Ended(vm, ending) => {
+                let key = CallKey {
+                    vm,
+                    number: ending.number,
+                };
+                let health = ending.outcome.and_then(CallEnd::health);
+                if ending.outcome == Some(CallEnd::Absent) {
+                    held.planner.doubt_copy(&ending.target, now);
+                }
+                held.planner.ended(&key, Some(&ending.target), health, now);
+            }
+            ZoneEvent::Withdrawn(key) => {
+                self.replies.remove(&key);
+                held.planner.ended(&key, None, None, now);
+            }
+            ZoneEvent::Open(key, target, subject) => held.planner.adopt(key, &target, &subject),
+            ZoneEvent::GatewayGone(vm) => {
+                self.replies.retain(|key, _| key.vm != vm);
+                held.planner.forget_gateway(&vm, now);
+            }
+            ZoneEvent::OrderEnded(target, outcome) => {
+                if outcome == OrderOutcome::Fenced {
+                    event!(Event::LeaseFenced, "{target} has orders of a newer holder");
+                    self.refused = Some(held.token);
+                    self.give_up();
+                } else {
+                    held.planner.order_ended(&target, outcome, now);
+                }
+            }
+            ZoneEvent::Reported(target, report) => {
+                held.planner.report_came(&target, report.as_ref(), now);
+            }
+            ZoneEvent::Release(done) => {
+                self.is_released = true;
+                self.give_up();
+                let _ = done.send(true);
+            }
+        }
+    }
+
+    /// Stops holding: whoever waits has to ask elsewhere.
+    fn give_up(&mut self) {
+        if self.held.take().is_some() {
+            event!(Event::LeaseLost, "{}", self.fleet.zone);
+        }
+        for (key, reply) in self.replies.drain() {
+            send_reply(key, reply, PlaceReply::NotHolder);
+        }
+    }
+
+    /// Compares what is held with the books.
+    fn refresh(&mut self) {
+        let now = clock::now();
+        let books = self.fleet.books();
+        let lease = books.leases.get(&self.fleet.zone).filter(|state| {
+            state.lease.as_ref().is_some_and(|lease| {
+                lease.vm.as_ref() == Some(&self.fleet.vm)
+                    && lease.incarnation == self.fleet.incarnation
+            })
+        });
+        let token = lease.map(hoplanding_core::direct::lease::LeaseState::token);
+        let quiet = books.claim_quiet;
+        let service = books.active.as_ref().and_then(|active| {
+            let service = active
+                .config
+                .services
+                .values()
+                .find(|service| service.engine.is_some())?;
+            Some((service.name.clone(), service.engine.clone()?))
+        });
+        let versions: Vec<_> = books
+            .versions
+            .iter()
+            .map(|(subject, version)| (subject.clone(), *version))
+            .collect();
+        drop(books);
+        let usable = token.filter(|token| Some(*token) != self.refused && !self.is_released);
+        if self.held.as_ref().map(|held| held.token) != usable {
+            self.give_up();
+        }
+        let (Some(token), Some((service, limits))) = (usable, service) else {
+            return;
+        };
+        if self.held.is_none() {
+            event!(
+                Event::LeaseHeld,
+                "{} with token {}, orders after {quiet:?}",
+                self.fleet.zone,
+                token.0
+            );
+        }
+        let held = self
+            .held
+            .get_or_insert_with(|| hold(token, &service, &limits, now.after(quiet)));
+        held.service.clone_from(&service);
+        held.planner.set_limits(limits);
+        held.planner
+            .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
+        for (subject, version) in versions {
+            held.planner.set_version(&subject, version, now);
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        for action in held.planner.take_actions() {
+            match action {
+                PlannerAction::Answer(key, answer) => {
+                    if let Some(reply) = self.replies.remove(&key) {
+                        send_reply(key, reply, PlaceReply::Answer(answer));
+                    }
+                }
+                PlannerAction::Order(entry, order) => {
+                    let vm = self.fleet.vm.clone();
+                    let request = encode_order(&entry.name, &vm, held.token, &order);
+                    let pool = Arc::clone(&self.pool);
+                    let events = self.events.clone();
+                    tokio::spawn(async move {
+                        let outcome = give_order(&pool, &entry, &order, request).await;
+                        // The worker ends with the process.
+                        let _ = events
+                            .send(ZoneEvent::OrderEnded(entry.name.clone(), outcome))
+                            .await;
+                    });
+                }
+                PlannerAction::Report(entry) => {
+                    let pool = Arc::clone(&self.pool);
+                    let events = self.events.clone();
+                    tokio::spawn(async move {
+                        let report = read_report(&pool, &entry).await;
+                        let _ = events
+                            .send(ZoneEvent::Reported(entry.name.clone(), report))
+                            .await;
+                    });
+                }
+            }
+        }
+    }
+}
+
+fn hold(
+    token: FencingToken,
+    service: &ServiceName,
+    limits: &EngineLimits,
+    orders_from: hoplanding_core::ids::Instant,
+) -> HeldZone {
+    HeldZone {
+        token,
+        service: service.clone(),
+        planner: ZonePlanner::new(EngineFigures::default(), limits.clone(), orders_from),
+    }
+}
+
+fn send_reply(key: CallKey, reply: ReplyTo, answer: PlaceReply) {
+    match reply {
+        // A caller that left needs no reply.
+        ReplyTo::Local(sender) => drop(sender.send(answer)),
+        ReplyTo::Link(sender) => {
+            let message = match answer {
+                PlaceReply::Answer(answer) => VmMessage::Placed(key.number, answer),
+                PlaceReply::NotHolder => VmMessage::NotHolder(key.number),
+            };
+            // A full or closed link: the gateway's own timeout takes it from here.
+            drop(sender.try_send(message));
+        }
+    }
+}
+
+async fn give_order(
+    pool: &ConnectionPool,
+    entry: &TargetEntry,
+    order: &EngineOrder,
+    request: TargetRequest,
+) -> OrderOutcome {
+    let exchanged = timeout(ORDER_TIMEOUT, exchange(pool, entry, request)).await;
+    let outcome = match &exchanged {
+        Ok(Ok((status, _))) => decode_order_status(*status),
+        Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
+        Ok(Err(SendError::Unanswered { .. })) | Err(_) => OrderOutcome::Unanswered,
+    };
+    let is_fine = matches!(outcome, OrderOutcome::Done | OrderOutcome::Begun);
+    let event = if is_fine {
+        Event::OrderGiven
+    } else {
+        Event::OrderFailed
+    };
+    event!(
+        event,
+        "{} {:?} {} version {:?} expected {}: {outcome:?} {}",
+        entry.name,
+        order.kind,
+        order.subject,
+        order.version,
+        order.expected,
+        match &exchanged {
+            Ok(Ok((status, body))) => format!("{status} {}", String::from_utf8_lossy(body)),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        }
+    );
+    outcome
+}
+
+async fn read_report(pool: &ConnectionPool, entry: &TargetEntry) -> Option<EngineReport> {
+    let request = encode_report_request(&entry.name);
+    let exchanged = timeout(ORDER_TIMEOUT, exchange(pool, entry, request)).await;
+    let problem = match exchanged {
+        Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
+            Ok(report) => return Some(report),
+            Err(error) => error.to_string(),
+        },
+        Ok(Ok((status, _))) => status.to_string(),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    event!(Event::ReportMissing, "{}: {problem}", entry.name);
+    None
+}
+
+async fn exchange(
+    pool: &ConnectionPool,
+    entry: &TargetEntry,
+    request: TargetRequest,
+) -> Result<(StatusCode, Bytes), SendError> {
+    let mut connection = pool
+        .take(
+            &entry.name,
+            entry.address,
+            ReuseRule::FreshOnly,
+            ORDER_TIMEOUT,
+        )
+        .await?;
+    let response = connection.send(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), REPORT_BYTES)
+        .collect()
+        .await
+        .map_err(|error| SendError::Unanswered {
+            target: entry.name.clone(),
+            cause: error.to_string(),
+        })?
+        .to_bytes();
+    pool.give_back(connection, None);
+    Ok((status, body))
+}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -48,6 +48,8 @@
     StopBound = 104, Warn, "planned stop reached its bound with work left";
     /// The settings are wrong.
     SettingsWrong = 105, Error, "settings refused";
+    /// A hang-up signal came.
+    HangUp = 106, Info, "hang-up signal";
     /// The log can't be reached.
     LogOut = 200, Warn, "platform log out of reach";
     /// The log can be reached again.
@@ -104,6 +106,48 @@
     OutcomeUnknown = 602, Warn, "outcome of a request unknown";
     /// Idempotency tokens were handed over.
     TokensHandedOver = 603, Info, "idempotency tokens handed over";
+    /// A configuration is in force.
+    ConfigInForce = 302, Info, "configuration in force";
+    /// The record of this VM was not written.
+    RecordFailed = 207, Warn, "record of this VM not written";
+    /// A zone's holder was read from the log.
+    LeaseSeen = 700, Info, "holder of a zone recorded";
+    /// This VM appended a claim.
+    LeaseClaimed = 701, Info, "zone claimed";
+    /// A claim or release was not appended.
+    ClaimFailed = 702, Warn, "claim or release of a zone not recorded";
+    /// This VM gives a zone's orders.
+    LeaseHeld = 703, Info, "zone held";
+    /// This VM gives a zone's orders no more.
+    LeaseLost = 704, Info, "zone no longer held";
+    /// A target refused this VM's token.
+    LeaseFenced = 705, Warn, "orders refused in favour of a newer holder";
+    /// An order was taken.
+    OrderGiven = 710, Debug, "order taken";
+    /// An order came to nothing.
+    OrderFailed = 711, Warn, "order not taken";
+    /// A report could not be read.
+    ReportMissing = 712, Warn, "report of an engine not read";
+    /// A request was refused as not run.
+    CallRefused = 800, Info, "request refused as not run";
+    /// A request failed.
+    CallFailed = 801, Info, "request failed";
+    /// A request has no route.
+    NoRoute = 802, Info, "no route for a request";
+    /// A target could not be reached for a request.
+    TargetUnreached = 810, Info, "target out of reach for a request";
+    /// A target answered nothing.
+    AnswerMissing = 811, Info, "no answer from a target";
+    /// A target turned a request away.
+    TurnedAway = 812, Info, "request turned away by a target";
+    /// An answer belongs to another request, or is no proper one.
+    AnswerForeign = 813, Warn, "answer that is not this request's";
+    /// An answer broke off.
+    AnswerBroken = 814, Info, "answer broken off by a target";
+    /// A stream broke off.
+    StreamBroken = 815, Info, "stream broken off by a target";
+    /// A connection could not be accepted.
+    AcceptFailed = 820, Warn, "connection not accepted";
 }
 
 /// Writes a numbered event.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`peers`] | links between daemons |
 //! | [`targets`] | engines and plain services |
 //! | [`platform`] | the platform's log and list of VMs |
+//! | [`direct`] | the mode in which gateways send straight to targets: its own map |
 //! | [`calls`] | frames of answers, between daemons or within one |
 //! | [`options`] | arguments and settings |
 //! | [`events`], [`metrics`], [`clock`] | numbered log events, statsd, time |
@@ -15,6 +16,7 @@
 pub mod app;
 pub mod calls;
 pub mod clock;
+pub mod direct;
 pub mod events;
 pub mod gateway;
 pub mod metrics;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,14 +2,16 @@
 
 use gumdrop::Options;
 use hoplandingd::{
-    RunningDaemon, event,
+    RunningDaemon,
+    direct::{daemon::DirectDaemon, settings::DirectSettings},
+    event,
     events::Event,
-    options::{DaemonArgs, LogSettings, Settings},
+    options::{DaemonArgs, DaemonSettings, LogSettings, Settings},
 };
 use simplelog::{
     ColorChoice, Config, ConfigBuilder, LevelFilter, TermLogger, TerminalMode, WriteLogger,
 };
-use std::{fs::OpenOptions, process::ExitCode};
+use std::{fs::OpenOptions, io, process::ExitCode};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that can't be used.
@@ -17,14 +19,13 @@
 /// Exit code for a planned stop that left work.
 const EXIT_WORK_LEFT: u8 = 3;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let args = DaemonArgs::parse_args_default_or_exit();
     if args.version {
         println!("hoplandingd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let settings = match Settings::read(args.config_path()) {
+    let settings = match DaemonSettings::read(args.config_path()) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!(
@@ -39,43 +40,74 @@
         println!("settings are in order");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = start_logging(&settings.log) {
+    if let Err(error) = start_logging(settings.log()) {
         eprintln!("the log file can't be opened ({error}): change log.file");
         return ExitCode::from(EXIT_SETTINGS);
     }
-    run(settings).await
-}
-
-async fn run(settings: Settings) -> ExitCode {
-    let daemon = match RunningDaemon::start(settings).await {
-        Ok(daemon) => daemon,
+    match run(settings) {
+        Ok(code) => code,
         Err(error) => {
             event!(
                 Event::SettingsWrong,
-                "an address can't be had ({error}): change caller_address or peer_address"
+                "the system refuses what the daemon needs ({error}): change the addresses in the settings, or its limits"
             );
-            return ExitCode::from(EXIT_SETTINGS);
+            ExitCode::from(EXIT_SETTINGS)
         }
-    };
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return ExitCode::FAILURE;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
     }
+}
+
+/// Runs until a stop signal.
+fn run(settings: DaemonSettings) -> io::Result<ExitCode> {
+    match settings {
+        DaemonSettings::Held(settings) => tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()?
+            .block_on(run_held(*settings)),
+        // One thread: a small VM has a part of one core.
+        DaemonSettings::Direct(settings) => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?
+            .block_on(run_direct(*settings)),
+    }
+}
+
+async fn run_direct(settings: DirectSettings) -> io::Result<ExitCode> {
+    let daemon = DirectDaemon::start(settings).await?;
+    stop_signal().await?;
+    let left = daemon.stop().await;
+    Ok(exit_code(left > 0))
+}
+
+async fn run_held(settings: Settings) -> io::Result<ExitCode> {
+    let daemon = RunningDaemon::start(settings).await?;
+    stop_signal().await?;
     let report = daemon.stop().await;
-    if report.open_requests > 0 {
+    Ok(exit_code(report.open_requests > 0))
+}
+
+fn exit_code(is_work_left: bool) -> ExitCode {
+    if is_work_left {
         ExitCode::from(EXIT_WORK_LEFT)
     } else {
         ExitCode::SUCCESS
     }
 }
 
-fn start_logging(settings: &LogSettings) -> std::io::Result<()> {
+/// Waits for a signal to stop. A hang-up changes nothing: settings are read at the start.
+async fn stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => event!(Event::HangUp),
+        }
+    }
+}
+
+fn start_logging(settings: &LogSettings) -> io::Result<()> {
     let level: LevelFilter = settings.level.parse().unwrap_or(LevelFilter::Info);
     let config: Config = ConfigBuilder::new()
         .set_time_format_rfc3339()
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -1,11 +1,15 @@
 //! Arguments and settings.
 
 mod args;
+mod mode;
 mod reader;
 mod settings;
 
 pub use args::DaemonArgs;
+pub use mode::DaemonSettings;
+pub(crate) use reader::SectionReader;
 pub use reader::{SettingsError, SettingsFault};
+pub(crate) use settings::read_log;
 pub use settings::{
     CallerSettings, LimitSettings, LogSettings, MembershipSettings, OperatorSettings,
     PlatformSettings, SeedSettings, Settings, StopSettings,
--- /dev/null
+++ b/crates/daemon/src/options/mode.rs
@@ -0,0 +1,42 @@
+//! The settings of either mode, by the file's own word.
+
+use crate::{
+    direct::settings::DirectSettings,
+    options::{LogSettings, Settings, SettingsError},
+};
+
+/// Settings of a daemon.
+#[derive(Clone, Debug)]
+pub enum DaemonSettings {
+    /// Requests go by way of the holder of a target.
+    Held(Box<Settings>),
+    /// Gateways send straight to targets.
+    Direct(Box<DirectSettings>),
+}
+
+impl DaemonSettings {
+    /// Reads settings from a file; `"mode": "direct"` asks for the direct mode.
+    ///
+    /// # Errors
+    /// Lists every fault with its key, value and remedy.
+    pub fn read(path: &str) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            path: path.to_owned(),
+            source,
+        })?;
+        if DirectSettings::is_asked_for(&text) {
+            DirectSettings::parse(&text).map(|settings| Self::Direct(Box::new(settings)))
+        } else {
+            Settings::parse(&text).map(|settings| Self::Held(Box::new(settings)))
+        }
+    }
+
+    /// Where logs go.
+    #[must_use]
+    pub fn log(&self) -> &LogSettings {
+        match self {
+            Self::Held(settings) => &settings.log,
+            Self::Direct(settings) => &settings.log,
+        }
+    }
+}
--- a/crates/daemon/src/options/reader.rs
+++ b/crates/daemon/src/options/reader.rs
@@ -4,7 +4,7 @@
 //! keys that nobody asked for are noted as unknown.
 
 use serde_json::{Map, Value};
-use std::{cell::RefCell, collections::BTreeSet, fmt, net::SocketAddr};
+use std::{cell::RefCell, collections::BTreeSet, fmt, net::SocketAddr, time::Duration};
 
 /// One fault of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,7 +51,7 @@
 }
 
 /// One section of the settings.
-pub(super) struct SectionReader<'a> {
+pub(crate) struct SectionReader<'a> {
     path: String,
     map: Option<&'a Map<String, Value>>,
     used: RefCell<BTreeSet<&'static str>>,
@@ -59,7 +59,7 @@
 }
 
 impl<'a> SectionReader<'a> {
-    pub(super) fn root(value: &'a Value, faults: &'a RefCell<Vec<SettingsFault>>) -> Self {
+    pub(crate) fn root(value: &'a Value, faults: &'a RefCell<Vec<SettingsFault>>) -> Self {
         Self::new(String::new(), Some(value), faults)
     }
 
@@ -111,7 +111,7 @@
     }
 
     /// A text that must be there.
-    pub(super) fn text(&self, name: &'static str, remedy: &str) -> String {
+    pub(crate) fn text(&self, name: &'static str, remedy: &str) -> String {
         match self.get(name).and_then(Value::as_str) {
             Some(text) if !text.is_empty() => text.to_owned(),
             _ => {
@@ -122,7 +122,7 @@
     }
 
     /// A text that may be missing.
-    pub(super) fn optional_text(&self, name: &'static str, remedy: &str) -> Option<String> {
+    pub(crate) fn optional_text(&self, name: &'static str, remedy: &str) -> Option<String> {
         match self.get(name) {
             None | Some(Value::Null) => None,
             Some(Value::String(text)) if !text.is_empty() => Some(text.clone()),
@@ -134,7 +134,7 @@
     }
 
     /// An `IP:port` that must be there.
-    pub(super) fn address(&self, name: &'static str) -> SocketAddr {
+    pub(crate) fn address(&self, name: &'static str) -> SocketAddr {
         let parsed = self
             .get(name)
             .and_then(Value::as_str)
@@ -146,7 +146,7 @@
     }
 
     /// An `IP:port` that may be missing.
-    pub(super) fn optional_address(&self, name: &'static str) -> Option<SocketAddr> {
+    pub(crate) fn optional_address(&self, name: &'static str) -> Option<SocketAddr> {
         match self.peek(name) {
             None | Some(Value::Null) => {
                 self.get(name);
@@ -157,7 +157,7 @@
     }
 
     /// A whole number within bounds.
-    pub(super) fn number(&self, name: &'static str, default: u64, low: u64, high: u64) -> u64 {
+    pub(crate) fn number(&self, name: &'static str, default: u64, low: u64, high: u64) -> u64 {
         match self.get(name) {
             None => default,
             Some(value) => match value.as_u64() {
@@ -170,8 +170,48 @@
         }
     }
 
+    /// A span in milliseconds within bounds.
+    pub(crate) fn millis(&self, name: &'static str, default: u64, low: u64, high: u64) -> Duration {
+        Duration::from_millis(self.number(name, default, low, high))
+    }
+
+    /// A number that may have a fraction, within bounds.
+    pub(crate) fn fraction(&self, name: &'static str, default: f64, low: f64, high: f64) -> f64 {
+        match self.get(name) {
+            None => default,
+            Some(value) => match value.as_f64() {
+                Some(number) if (low..=high).contains(&number) => number,
+                _ => {
+                    self.note(
+                        name,
+                        &format!(
+                            "write a number from {low} to {high}, or leave it out for {default}"
+                        ),
+                    );
+                    default
+                }
+            },
+        }
+    }
+
+    /// A list of texts that must not be empty.
+    pub(crate) fn texts(&self, name: &'static str, remedy: &str) -> Vec<String> {
+        let texts: Vec<_> = self
+            .get(name)
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .filter_map(Value::as_str)
+            .map(str::to_owned)
+            .collect();
+        if texts.is_empty() {
+            self.note(name, remedy);
+        }
+        texts
+    }
+
     /// One word of several.
-    pub(super) fn word(&self, name: &'static str, default: &str, words: &[&str]) -> String {
+    pub(crate) fn word(&self, name: &'static str, default: &str, words: &[&str]) -> String {
         match self.get(name) {
             None => default.to_owned(),
             Some(Value::String(text)) if words.contains(&text.as_str()) => text.clone(),
@@ -183,7 +223,7 @@
     }
 
     /// A section of its own; an empty one if it is missing.
-    pub(super) fn section<T>(
+    pub(crate) fn section<T>(
         &self,
         name: &'static str,
         read: impl FnOnce(&SectionReader<'a>) -> T,
@@ -195,7 +235,7 @@
     }
 
     /// A list of sections; empty if it is missing.
-    pub(super) fn sections<T>(
+    pub(crate) fn sections<T>(
         &self,
         name: &'static str,
         read: impl Fn(&SectionReader<'a>) -> T,
@@ -221,7 +261,7 @@
     }
 
     /// Notes the keys that nobody asked for.
-    pub(super) fn finish(&self) {
+    pub(crate) fn finish(&self) {
         let used = self.used.borrow();
         for (name, value) in self.map.into_iter().flatten() {
             if !used.contains(name.as_str()) {
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -186,21 +186,11 @@
     }
 }
 
-fn millis(
-    section: &SectionReader<'_>,
-    name: &'static str,
-    default: u64,
-    low: u64,
-    high: u64,
-) -> Duration {
-    Duration::from_millis(section.number(name, default, low, high))
-}
-
 fn read_platform(section: &SectionReader<'_>) -> PlatformSettings {
     PlatformSettings {
         address: section.address("address"),
-        timeout: millis(section, "timeout_ms", 2000, 10, 60_000),
-        list_every: millis(section, "list_every_ms", 1000, 10, 60_000),
+        timeout: section.millis("timeout_ms", 2000, 10, 60_000),
+        list_every: section.millis("list_every_ms", 1000, 10, 60_000),
     }
 }
 
@@ -237,8 +227,8 @@
         body_bytes: section.number("body_bytes", 1 << 20, 1024, 1 << 28) as usize,
         waiting_per_target: section.number("waiting_per_target", 512, 1, 100_000) as usize,
         open_requests: section.number("open_requests", 8192, 1, 1_000_000) as usize,
-        request_deadline: millis(section, "request_deadline_ms", 300_000, 10, 86_400_000),
-        body_timeout: millis(section, "body_timeout_ms", 10_000, 10, 600_000),
+        request_deadline: section.millis("request_deadline_ms", 300_000, 10, 86_400_000),
+        body_timeout: section.millis("body_timeout_ms", 10_000, 10, 600_000),
         kept_answers: section.number("kept_answers", 4096, 0, 1_000_000) as usize,
         loads_at_once: section.number("loads_at_once", 1, 1, 64) as u32,
     }
@@ -246,23 +236,23 @@
 
 fn read_membership(section: &SectionReader<'_>) -> MembershipSettings {
     MembershipSettings {
-        heartbeat: millis(section, "heartbeat_ms", 200, 10, 10_000),
+        heartbeat: section.millis("heartbeat_ms", 200, 10, 10_000),
         times: MembershipTimes {
-            suspect_after: millis(section, "suspect_after_ms", 1200, 50, 60_000),
-            take_over_after: millis(section, "take_over_after_ms", 6000, 100, 600_000),
-            delivery_bound: millis(section, "delivery_bound_ms", 5000, 100, 600_000),
+            suspect_after: section.millis("suspect_after_ms", 1200, 50, 60_000),
+            take_over_after: section.millis("take_over_after_ms", 6000, 100, 600_000),
+            delivery_bound: section.millis("delivery_bound_ms", 5000, 100, 600_000),
         },
     }
 }
 
 fn read_stop(section: &SectionReader<'_>) -> StopSettings {
     StopSettings {
-        grace: millis(section, "grace_ms", 1000, 0, 60_000),
-        bound: millis(section, "bound_ms", 60_000, 100, 3_600_000),
+        grace: section.millis("grace_ms", 1000, 0, 60_000),
+        bound: section.millis("bound_ms", 60_000, 100, 3_600_000),
     }
 }
 
-fn read_log(section: &SectionReader<'_>) -> LogSettings {
+pub(crate) fn read_log(section: &SectionReader<'_>) -> LogSettings {
     LogSettings {
         level: section.word(
             "level",
