Give every adapter one home zone, queue loads by urgency, refuse callers late in a stop

Change: an adapter's home zone by rendezvous hashing, popular ones in every zone; loads from the store capped by zone, urgent waiters first; a zone that can't keep the objective is passed over once; the listener closes with the connections in a planned stop.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,12 +8,14 @@
 //! | [`lease`] | which VM gives the orders in a zone |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
+//! | [`demand`] | how often each adapter is asked for |
 //! | [`health`] | doubt about targets, from the outcomes of calls |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
 
 pub mod budget;
 pub mod catalog;
 pub mod config;
+pub mod demand;
 pub mod engine;
 pub mod health;
 pub mod lease;
--- a/crates/core/src/direct/planner.rs
+++ b/crates/core/src/direct/planner.rs
@@ -9,6 +9,7 @@
     direct::{
         catalog::{TargetEntry, TargetStage},
         config::EngineLimits,
+        demand::DemandTable,
         engine::{
             EngineOrder, EngineReport, EngineState, OrderKind, OrderOutcome, ResidentState,
             SentCall,
@@ -46,12 +47,10 @@
     pub prefix: Vec<(u64, u32)>,
     /// Rank of its route; 0 is the most urgent.
     pub priority: u8,
-    /// Time left until its first token is late, in milliseconds.
-    pub objective_ms: u32,
+    /// Longest wait for its first token that it is worth placing for, in milliseconds.
+    pub bound_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
-    /// Whether it may be turned away for load.
-    pub may_refuse: bool,
 }
 
 /// Where a call goes.
@@ -114,12 +113,27 @@
             lately_load: Duration::from_millis(25),
             load_penalty: Duration::from_millis(80),
             per_call: Duration::from_micros(1_200),
-            loads_at_full_speed: 2,
+            loads_at_full_speed: 3,
             model_load_pause: Duration::from_millis(950),
         }
     }
 }
 
+impl EngineFigures {
+    /// The share of one of `zones` that load from one weight store.
+    #[must_use]
+    pub fn shared_by(zones: u32, loads_per_s: f64) -> Self {
+        let zones = f64::from(zones.max(1));
+        let at_once = (loads_per_s / LOADS_FOR_EACH).round().max(1.0);
+        let share = (FULL_SPEED_LOADS * at_once / zones).ceil();
+        Self {
+            loads_at_full_speed: share as u32,
+            model_load_pause: Duration::from_secs_f64(zones / loads_per_s.max(0.1)),
+            ..Self::default()
+        }
+    }
+}
+
 /// Adapters that may be on their way to one engine; from the users' pages.
 const COMING_MOST: usize = 4;
 /// Pause after an order without an answer, or a conflict, until the report shows it.
@@ -128,10 +142,10 @@
 const LOAD_MARGIN: Duration = Duration::from_millis(12);
 /// Times that one call is placed anew because a load came to nothing.
 const MOST_PLACINGS: usize = 3;
-/// Half-life of an adapter's demand.
-const DEMAND_HALF_LIFE_S: f64 = 15.0;
-/// Adapters whose demand is remembered.
-const DEMAND_KEPT: usize = 4096;
+/// Loads that run at full speed, for each one that the weight store serves at once; from the users' letter.
+const FULL_SPEED_LOADS: f64 = 8.0;
+/// Loads a second for each one that the store serves at once, by the users' sheets.
+const LOADS_FOR_EACH: f64 = 8.0;
 /// Time that a model load may take before the report is read again.
 const MODEL_LOAD_CHECK: Duration = Duration::from_millis(700);
 
@@ -142,7 +156,7 @@
     limits: EngineLimits,
     engines: BTreeMap<TargetName, EngineState>,
     versions: HashMap<AdapterName, u64>,
-    demand: HashMap<AdapterName, (f64, Instant)>,
+    demand: DemandTable,
     health: HealthTable,
     orders_from: Instant,
     model_load_at: Instant,
@@ -158,7 +172,7 @@
             limits,
             engines: BTreeMap::new(),
             versions: HashMap::new(),
-            demand: HashMap::new(),
+            demand: DemandTable::default(),
             health: HealthTable::default(),
             orders_from,
             model_load_at: orders_from,
@@ -241,7 +255,7 @@
 
     /// Places a call.
     pub fn place(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
-        self.note_demand(&ask.subject, now);
+        self.demand.record(&ask.subject, now);
         self.place_known(key, ask, now);
     }
 
@@ -251,8 +265,7 @@
             self.answer(key, PlacementAnswer::Refuse { retry_after_ms });
             return;
         };
-        let objective = Duration::from_millis(u64::from(ask.objective_ms));
-        if ask.may_refuse && cost.wait > self.bearable(&ask, objective) {
+        if cost.wait > Duration::from_millis(u64::from(ask.bound_ms)) {
             let retry_after =
                 (cost.wait / 2).clamp(Duration::from_millis(100), Duration::from_millis(1_500));
             self.answer(
@@ -266,17 +279,8 @@
         self.send_to(&name, key, ask, now);
     }
 
-    /// Wait that a call may face before it is turned away: less for what is less urgent.
-    fn bearable(&self, ask: &PlacementAsk, objective: Duration) -> Duration {
-        match ask.priority {
-            0 => objective.mul_f64(2.0),
-            1 => objective.mul_f64(1.5),
-            _ => objective.mul_f64(0.95),
-        }
-    }
-
     fn cheapest(&self, ask: &PlacementAsk, now: Instant) -> Option<(TargetName, PlacementCost)> {
-        let crowd = self.loads_under_way(now);
+        let crowd = self.loads_under_way(now) + self.loads_waiting();
         let all_doubted = self.engines.keys().all(|name| self.health.is_doubted(name));
         self.engines
             .iter()
@@ -402,6 +406,15 @@
         u32::try_from(coming).unwrap_or(u32::MAX)
     }
 
+    fn loads_waiting(&self) -> u32 {
+        let wanted: usize = self
+            .engines
+            .values()
+            .map(|engine| engine.copies.len() - engine.places_taken())
+            .sum();
+        u32::try_from(wanted).unwrap_or(u32::MAX)
+    }
+
     fn prompt_time(&self, tokens: u32) -> Duration {
         Duration::from_secs_f64(f64::from(tokens) / self.figures.prompt_tokens_per_ms / 1e3)
     }
@@ -703,9 +716,17 @@
     /// Regular work: loads that are done, reports that are due, empty engines.
     pub fn tick(&mut self, now: Instant) {
         let names: Vec<_> = self.engines.keys().cloned().collect();
+        for name in &names {
+            self.settle(name, now);
+            self.fill_empty(name, now);
+        }
+        self.advance_all(names, now);
+    }
+
+    /// Gives the next orders, those for the most urgent calls first.
+    fn advance_all(&mut self, mut names: Vec<TargetName>, now: Instant) {
+        names.sort_by_cached_key(|name| self.engines.get(name).map(most_urgent));
         for name in names {
-            self.settle(&name, now);
-            self.fill_empty(&name, now);
             self.advance(&name, now);
         }
     }
@@ -768,7 +789,11 @@
                 .get(&subject)
                 .is_some_and(|copy| copy.state != ResidentState::Wanted);
             if kind == OrderKind::Load && is_adapter && !is_held {
-                if engine.coming(now) >= COMING_MOST {
+                let is_fast = engine.had_lately(&subject);
+                let crowd = self.loads_under_way(now);
+                if engine.coming(now) >= COMING_MOST
+                    || (!is_fast && crowd > self.figures.loads_at_full_speed)
+                {
                     return;
                 }
                 if engine.places_taken() >= self.limits.adapter_slots as usize {
@@ -839,7 +864,7 @@
                 copy.users == 0 && copy.waiters.is_empty() && copy.state == ResidentState::Here
             })
             .min_by(|(left, left_copy), (right, right_copy)| {
-                let worth = |subject| self.demand_of(subject, now) / self.copies_of(subject);
+                let worth = |subject| self.demand.count(subject, now) / self.copies_of(subject);
                 worth(left)
                     .total_cmp(&worth(right))
                     .then(left_copy.used_at.cmp(&right_copy.used_at))
@@ -856,21 +881,6 @@
         copies.max(1) as f64
     }
 
-    fn demand_of(&self, subject: &AdapterName, now: Instant) -> f64 {
-        self.demand.get(subject).map_or(0.0, |(count, at)| {
-            count * 0.5_f64.powf(now.since(*at).as_secs_f64() / DEMAND_HALF_LIFE_S)
-        })
-    }
-
-    fn note_demand(&mut self, subject: &AdapterName, now: Instant) {
-        let count = self.demand_of(subject, now) + 1.0;
-        self.demand.insert(subject.clone(), (count, now));
-        if self.demand.len() > DEMAND_KEPT {
-            let oldest = now.0.saturating_sub(60_000_000);
-            self.demand.retain(|_, (_, at)| at.0 > oldest);
-        }
-    }
-
     fn answer(&mut self, key: CallKey, answer: PlacementAnswer) {
         self.actions.push_back(PlannerAction::Answer(key, answer));
     }
@@ -890,6 +900,16 @@
     penalty: Duration,
 }
 
+/// Rank of the most urgent call that waits for an engine's next load.
+fn most_urgent(engine: &EngineState) -> u8 {
+    engine
+        .queue
+        .front()
+        .and_then(|(_, subject)| engine.copies.get(subject))
+        .and_then(|copy| copy.waiters.iter().map(|(_, ask)| ask.priority).min())
+        .unwrap_or(u8::MAX)
+}
+
 /// Splits `model/adapter`.
 #[must_use]
 pub fn split_subject(subject: &AdapterName) -> (&str, Option<&str>) {
--- a/crates/daemon/src/direct/call.rs
+++ b/crates/daemon/src/direct/call.rs
@@ -22,7 +22,7 @@
     direct::{
         catalog::TargetEntry,
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
-        planner::{PlacementAnswer, PlacementAsk},
+        planner::{PlacementAnswer, PlacementAsk, split_subject},
     },
     ids::{AdapterName, AvailabilityZone, TargetName},
 };
@@ -49,6 +49,12 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 /// Time that a call waits before it is placed again.
 const PLACE_AGAIN: Duration = Duration::from_millis(60);
+/// Part of the time left to the objective that a call may wait without asking a second zone.
+const SWIFT_PART: f64 = 0.75;
+/// Wait, in objectives, beyond which a call is turned away; by rank, the most urgent first.
+const BEARABLE_PARTS: [f64; 3] = [2.0, 1.5, 0.95];
+/// Requests a second at one VM from which an adapter is at home in every zone.
+const POPULAR_RATE: f64 = 0.4;
 /// When a caller is told to come back, where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(400);
 
@@ -220,11 +226,14 @@
         );
         return Ok(refusal(&head.id, COME_BACK));
     };
-    context
-        .fleet
-        .books()
-        .retries
-        .count_request(&service.name, clock::now());
+    {
+        let now = clock::now();
+        let mut books = context.fleet.books();
+        books.retries.count_request(&service.name, now);
+        if let (Some(subject), true) = (&head.subject, service.engine.is_some()) {
+            books.demand.record(subject, now);
+        }
+    }
     let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let call = CallState {
         context,
@@ -283,7 +292,7 @@
                 SendOutcome::Failure(open) => {
                     let (parts, taken) = take_whole(*open, &self).await;
                     if let Ok(body) = taken {
-                        failure = Some(failure_answer(parts, body));
+                        failure = Some(passed_answer(&parts, body));
                     }
                     if !self.may_repeat() {
                         break;
@@ -386,10 +395,18 @@
             };
         }
         let mut come_back = COME_BACK;
-        let mut has_waited = false;
-        loop {
+        for pass in [
+            PlacingPass::Swift,
+            PlacingPass::Bearable,
+            PlacingPass::Again,
+        ] {
+            if pass == PlacingPass::Again {
+                // A zone that changes hands answers again within moments.
+                sleep(PLACE_AGAIN).await;
+            }
+            let bound = self.wait_bound(pass);
             for zone in self.zones_in_order() {
-                let ask = self.ask();
+                let ask = self.ask(bound);
                 match self.context.access.place(&zone, ask).await {
                     Some((
                         PlacementAnswer::Send {
@@ -417,38 +434,53 @@
                     }
                 }
             }
-            // A zone that changes hands answers again within moments.
-            if has_waited || !self.has_time() {
-                return Placing::Nowhere(come_back);
+            if !self.has_time() {
+                break;
             }
-            has_waited = true;
-            sleep(PLACE_AGAIN).await;
         }
+        Placing::Nowhere(come_back)
     }
 
-    /// Own zone first, then the others, each VM in an order of its own.
+    /// Wait up to which a zone is asked to take the call.
+    fn wait_bound(&self, pass: PlacingPass) -> Duration {
+        let left = self.route.objective.saturating_sub(self.arrived.elapsed());
+        let is_first = self.runs == 0;
+        match pass {
+            PlacingPass::Swift => left.mul_f64(SWIFT_PART),
+            _ if !is_first => self.deadline.saturating_duration_since(Instant::now()),
+            _ => {
+                let parts = &BEARABLE_PARTS;
+                let part = parts[usize::from(self.route.priority).min(parts.len() - 1)];
+                self.route.objective.mul_f64(part)
+            }
+        }
+    }
+
+    /// The adapter's home zone first. An adapter that this VM is asked for all the time is at home in its own zone, so
+    /// that the most popular ones are spread; so is a base model.
     fn zones_in_order(&self) -> Vec<AvailabilityZone> {
+        let subject = self.subject();
         let own = &self.context.fleet.zone;
-        let mut others: Vec<_> = self
+        let is_popular = self
             .context
-            .settings
-            .zones
-            .iter()
-            .filter(|zone| *zone != own)
-            .cloned()
-            .collect();
-        let mut hasher = SipHasher13::new();
-        self.head.id.hash(&mut hasher);
-        if !others.is_empty() {
-            let turn = hasher.finish() as usize % others.len();
-            others.rotate_left(turn);
-        }
-        std::iter::once(own.clone()).chain(others).collect()
+            .fleet
+            .books()
+            .demand
+            .rate(&subject, clock::now())
+            >= POPULAR_RATE;
+        let has_adapter = split_subject(&subject).1.is_some();
+        let mut zones = self.context.settings.zones.clone();
+        zones.sort_by_cached_key(|zone| {
+            let is_first = zone == own && (is_popular || !has_adapter);
+            let mut hasher = SipHasher13::new();
+            zone.as_str().hash(&mut hasher);
+            subject.as_str().hash(&mut hasher);
+            (!is_first, hasher.finish())
+        });
+        zones
     }
 
-    fn ask(&self) -> PlacementAsk {
-        let waited = self.arrived.elapsed();
-        let objective = self.route.objective.saturating_sub(waited);
+    fn ask(&self, bound: Duration) -> PlacementAsk {
         let output = self
             .head
             .output_hint
@@ -460,9 +492,8 @@
             output_tokens: output,
             prefix: self.head.prefix.clone(),
             priority: self.route.priority,
-            objective_ms: u32::try_from(objective.as_millis()).unwrap_or(u32::MAX),
+            bound_ms: u32::try_from(bound.as_millis()).unwrap_or(u32::MAX),
             exclude: self.tried.clone(),
-            may_refuse: self.runs == 0,
         }
     }
 
@@ -641,12 +672,7 @@
                 let target = call.tried.len();
                 let (parts, taken) = take_whole(open, &call).await;
                 match taken {
-                    Ok(body) => {
-                        let mut response = Response::new(full(body));
-                        *response.status_mut() = parts.status;
-                        *response.headers_mut() = travelling(&parts.headers);
-                        Ok(response)
-                    }
+                    Ok(body) => Ok(passed_answer(&parts, body)),
                     Err(name) => {
                         call.tried.truncate(target);
                         call.tried.push(name);
@@ -658,6 +684,17 @@
     }
 }
 
+/// How much wait a placing allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlacingPass {
+    /// Only where the objective is kept.
+    Swift,
+    /// Wherever the wait is worth it.
+    Bearable,
+    /// The same after a pause.
+    Again,
+}
+
 /// Where the next send goes.
 pub enum Placing {
     /// To this target, with the version to ask for.
@@ -686,7 +723,8 @@
         .boxed_unsync()
 }
 
-fn failure_answer(parts: http::response::Parts, body: Bytes) -> Response<AnswerBody> {
+/// A target's answer as it goes to the caller.
+fn passed_answer(parts: &http::response::Parts, body: Bytes) -> Response<AnswerBody> {
     let mut response = Response::new(full(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = travelling(&parts.headers);
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -76,7 +76,8 @@
             settings.peer_address
         );
         start_feeds(&settings, &fleet);
-        let worker = ZoneWorker::new(Arc::clone(&fleet), Arc::clone(&pool), zone.clone());
+        let zones = u32::try_from(settings.zones.len()).unwrap_or(u32::MAX);
+        let worker = ZoneWorker::new(Arc::clone(&fleet), Arc::clone(&pool), zone.clone(), zones);
         tokio::spawn(worker.run(zone_receiver));
         tokio::spawn(accept_links(peers, Arc::clone(&fleet), zone.clone()));
         let claims = ClaimWorker {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -10,6 +10,7 @@
         budget::RetryShare,
         catalog::{TargetCatalog, TargetEntry},
         config::FleetConfig,
+        demand::DemandTable,
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
         routes::RouteTable,
@@ -83,6 +84,8 @@
     pub in_flight: HashMap<TargetName, u32>,
     /// This VM's share of the retry budget.
     pub retries: RetryShare,
+    /// How often callers of this VM ask for each adapter.
+    pub demand: DemandTable,
     /// Pause before the first order after the claim that is under way.
     pub claim_quiet: Duration,
 }
@@ -119,6 +122,7 @@
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
+                demand: DemandTable::default(),
                 claim_quiet: Duration::ZERO,
             }),
             changes: watch::channel(0).0,
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -57,15 +57,21 @@
     }
 }
 
-/// Accepts callers until the stop closes connections.
+/// Accepts callers until the stop closes connections. From then on new ones are refused, as a call taken late in the
+/// stop could not be finished.
 pub async fn accept_callers(
     listener: TcpListener,
     context: Arc<GatewayContext>,
     connections: Arc<OpenConnections>,
     stop: watch::Receiver<StopPhase>,
 ) {
+    let mut closing = stop.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|phase| *phase == StopPhase::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let context = Arc::clone(&context);
                 let connections = Arc::clone(&connections);
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -94,6 +94,8 @@
     events: mpsc::Sender<ZoneEvent>,
     held: Option<HeldZone>,
     replies: HashMap<CallKey, ReplyTo>,
+    /// Zones that share the weight store.
+    zones: u32,
     /// Token that a target refused: it is never used again.
     refused: Option<FencingToken>,
     is_released: bool,
@@ -106,11 +108,13 @@
         fleet: Arc<FleetState>,
         pool: Arc<ConnectionPool>,
         events: mpsc::Sender<ZoneEvent>,
+        zones: u32,
     ) -> Self {
         Self {
             fleet,
             pool,
             events,
+            zones,
             held: None,
             replies: HashMap::new(),
             refused: None,
@@ -144,7 +148,7 @@
         let now = clock::now();
         let Some(held) = &mut self.held else {
             match event {
-                ZoneEvent::Place(key, _, reply) => send_reply(key, reply, PlaceReply::NotHolder),
+                ZoneEvent::Place(key, _, reply) => send_reply(&key, reply, PlaceReply::NotHolder),
                 ZoneEvent::Release(done) => {
                     self.is_released = true;
                     // Whoever asked may have ended since.
@@ -205,7 +209,7 @@
             event!(Event::LeaseLost, "{}", self.fleet.zone);
         }
         for (key, reply) in self.replies.drain() {
-            send_reply(key, reply, PlaceReply::NotHolder);
+            send_reply(&key, reply, PlaceReply::NotHolder);
         }
     }
 
@@ -250,9 +254,10 @@
                 token.0
             );
         }
+        let zones = self.zones;
         let held = self
             .held
-            .get_or_insert_with(|| hold(token, &service, &limits, now.after(quiet)));
+            .get_or_insert_with(|| hold(token, &service, &limits, zones, now.after(quiet)));
         held.service.clone_from(&service);
         held.planner.set_limits(limits);
         held.planner
@@ -270,7 +275,7 @@
             match action {
                 PlannerAction::Answer(key, answer) => {
                     if let Some(reply) = self.replies.remove(&key) {
-                        send_reply(key, reply, PlaceReply::Answer(answer));
+                        send_reply(&key, reply, PlaceReply::Answer(answer));
                     }
                 }
                 PlannerAction::Order(entry, order) => {
@@ -305,16 +310,21 @@
     token: FencingToken,
     service: &ServiceName,
     limits: &EngineLimits,
+    zones: u32,
     orders_from: hoplanding_core::ids::Instant,
 ) -> HeldZone {
     HeldZone {
         token,
         service: service.clone(),
-        planner: ZonePlanner::new(EngineFigures::default(), limits.clone(), orders_from),
+        planner: ZonePlanner::new(
+            EngineFigures::shared_by(zones, limits.loads_per_s),
+            limits.clone(),
+            orders_from,
+        ),
     }
 }
 
-fn send_reply(key: CallKey, reply: ReplyTo, answer: PlaceReply) {
+fn send_reply(key: &CallKey, reply: ReplyTo, answer: PlaceReply) {
     match reply {
         // A caller that left needs no reply.
         ReplyTo::Local(sender) => drop(sender.send(answer)),
