Pass the log's records between VMs, wait for late loads where they are, block engines on an unload in use

Ruled out: that 409 came from the sequence alone (the same order was answered 202 at the sequence before); stale reports (they are passed over).

Change: VMs pass on newer records over their links, all within a zone, leaving targets and small ones beyond, and anything when the log is out of reach; unload begun blocks an engine until its report shows it gone; copies that may be in use by calls nobody counts are held; a late load moves its expected time; loads stay within the zone's share of the store; a refused caller's adapter is loaded ahead.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -5,7 +5,12 @@
 //! removal seen soon after an outage waits for the entry's return before it counts.
 
 use crate::ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName};
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// Time after an outage's end within which lapsed entries come back.
 pub const LAPSE_RETURN: Duration = Duration::from_millis(2_200);
@@ -129,31 +134,20 @@
         }
     }
 
-    /// Folds a whole listing taken at `end`: what it lacks is removed.
-    pub fn apply_listing(
-        &mut self,
-        listing: Vec<(TargetName, LogOffset, Option<TargetEntry>)>,
-        end: LogOffset,
-        now: Instant,
-    ) {
+    /// Removes what a whole listing taken at `end` lacks. A listing older than what is known counts for nothing.
+    pub fn remove_unlisted(&mut self, listed: &HashSet<&str>, end: LogOffset, now: Instant) {
         if end < self.end {
             return;
         }
         let missing: Vec<_> = self
             .rows
             .iter()
-            .filter(|(name, row)| {
-                row.entry.is_some() && !listing.iter().any(|(listed, ..)| listed == *name)
-            })
+            .filter(|(name, row)| row.entry.is_some() && !listed.contains(name.as_str()))
             .map(|(name, _)| name.clone())
             .collect();
-        for (name, offset, entry) in listing {
-            self.apply(&name, offset, entry, now);
-        }
         for name in missing {
             self.apply(&name, end, None, now);
         }
-        self.end = self.end.max(end);
     }
 
     /// Removes what was in doubt and did not come back; says whether anything changed.
--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -18,6 +18,10 @@
 /// Prompt parts whose use is remembered for each engine.
 const PREFIXES_KEPT: usize = 256;
 
+/// Time for which a call may run on at an engine though its gateway is gone.
+pub const UNCOUNTED_RUN: Duration = Duration::from_millis(2_500);
+/// Time after which an adapter that a report lists as coming is taken for there.
+const COMING_ON: Duration = Duration::from_millis(100);
 /// Age that a report may have.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 
@@ -80,6 +84,8 @@
 pub enum ResidentState {
     /// Its load waits for its turn.
     Wanted,
+    /// It is there in an old version, and the load of the new one waits for its turn.
+    Outdated,
     /// It is on its way, and there at this time.
     Coming(Instant),
     /// It is there.
@@ -101,6 +107,8 @@
     pub waiters: Vec<(CallKey, PlacementAsk)>,
     /// When it was last asked for.
     pub used_at: Instant,
+    /// Until when calls that nobody counts any more may still run on it.
+    pub held_until: Instant,
 }
 
 impl ResidentCopy {
@@ -111,6 +119,7 @@
             users: 0,
             waiters: Vec::new(),
             used_at: now,
+            held_until: Instant::default(),
         }
     }
 }
@@ -143,6 +152,8 @@
     pub queue: VecDeque<(OrderKind, AdapterName)>,
     /// The order whose answer is awaited.
     pub pending: Option<EngineOrder>,
+    /// An adapter that goes once its runs have ended; until then the engine takes no other order.
+    pub leaving: Option<AdapterName>,
     /// When it last took an order.
     pub ordered_at: Instant,
     /// When its report should be read.
@@ -167,6 +178,7 @@
             calls: HashMap::new(),
             queue: VecDeque::new(),
             pending: None,
+            leaving: None,
             ordered_at: Instant::default(),
             report_at: Some(now),
             is_reporting: false,
@@ -182,10 +194,9 @@
             .map(|(model, _)| AdapterName::new(model))
             .collect();
         for resident in &entry.adapters {
-            engine.copies.insert(
-                resident.adapter.clone(),
-                ResidentCopy::new(ResidentState::Here, resident.version, now),
-            );
+            let mut copy = ResidentCopy::new(ResidentState::Here, resident.version, now);
+            copy.held_until = now.after(UNCOUNTED_RUN);
+            engine.copies.insert(resident.adapter.clone(), copy);
         }
         engine
     }
@@ -209,7 +220,7 @@
             self.copies.insert(adapter.clone(), copy);
         }
         for (adapter, version) in &report.coming {
-            let ready = now.after(Duration::from_millis(150));
+            let ready = now.after(COMING_ON);
             let state = ResidentState::Coming(ready);
             let copy = self.renewed(&mut old, adapter, state, *version, now);
             self.copies.insert(adapter.clone(), copy);
@@ -219,6 +230,14 @@
                 self.copies.insert(adapter, copy);
             }
         }
+        let still_there = self
+            .leaving
+            .as_ref()
+            .and_then(|adapter| self.copies.get_mut(adapter));
+        match still_there {
+            Some(copy) => copy.state = ResidentState::Leaving,
+            None => self.leaving = None,
+        }
     }
 
     fn renewed(
@@ -230,12 +249,17 @@
         now: Instant,
     ) -> ResidentCopy {
         match old.remove(adapter) {
+            Some(copy) if copy.state == ResidentState::Outdated => ResidentCopy { version, ..copy },
             Some(copy) => ResidentCopy {
                 state,
                 version,
                 ..copy
             },
-            None => ResidentCopy::new(state, version, now),
+            None => {
+                let mut copy = ResidentCopy::new(state, version, now);
+                copy.held_until = now.after(UNCOUNTED_RUN);
+                copy
+            }
         }
     }
 
--- a/crates/core/src/direct/planner.rs
+++ b/crates/core/src/direct/planner.rs
@@ -12,7 +12,7 @@
         demand::DemandTable,
         engine::{
             EngineOrder, EngineReport, EngineState, OrderKind, OrderOutcome, ResidentState,
-            SentCall,
+            SentCall, UNCOUNTED_RUN,
         },
         health::{CallOutcome, HealthTable},
     },
@@ -51,6 +51,8 @@
     pub bound_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
+    /// Whether its adapter may be loaded for it.
+    pub may_load: bool,
 }
 
 /// Where a call goes.
@@ -100,6 +102,8 @@
     pub per_call: Duration,
     /// Loads that may be on their way in this zone at full speed.
     pub loads_at_full_speed: u32,
+    /// What all zones at their share are beyond full speed: shares are whole loads.
+    pub share_excess: f64,
     /// Pause between two loads of whole models in this zone.
     pub model_load_pause: Duration,
 }
@@ -111,9 +115,10 @@
             prompt_tokens_per_ms: 16.0,
             store_load: Duration::from_millis(250),
             lately_load: Duration::from_millis(25),
-            load_penalty: Duration::from_millis(80),
+            load_penalty: Duration::from_millis(250),
             per_call: Duration::from_micros(1_200),
             loads_at_full_speed: 3,
+            share_excess: 1.0,
             model_load_pause: Duration::from_millis(950),
         }
     }
@@ -128,6 +133,7 @@
         let share = (FULL_SPEED_LOADS * at_once / zones).ceil();
         Self {
             loads_at_full_speed: share as u32,
+            share_excess: (share * zones / (FULL_SPEED_LOADS * at_once)).max(1.0),
             model_load_pause: Duration::from_secs_f64(zones / loads_per_s.max(0.1)),
             ..Self::default()
         }
@@ -138,6 +144,11 @@
 const COMING_MOST: usize = 4;
 /// Pause after an order without an answer, or a conflict, until the report shows it.
 const SETTLE: Duration = Duration::from_millis(300);
+/// Time by which a load is taken to be longer once a call came too early for it.
+const LOAD_OVERRUN: Duration = Duration::from_millis(90);
+/// Bounds of the time after which a caller is told to come back.
+const COME_BACK_LEAST: Duration = Duration::from_millis(100);
+const COME_BACK_MOST: Duration = Duration::from_millis(1_500);
 /// Margin after which an adapter that is coming is taken for there.
 const LOAD_MARGIN: Duration = Duration::from_millis(12);
 /// Times that one call is placed anew because a load came to nothing.
@@ -206,7 +217,8 @@
             .collect();
         for name in gone {
             if let Some(engine) = self.engines.remove(&name) {
-                self.place_waiters_again(engine.copies.into_values().flat_map(|c| c.waiters), now);
+                let waiters = engine.copies.into_values().flat_map(|copy| copy.waiters);
+                self.place_waiters_again(waiters.collect(), now);
             }
         }
         for entry in entries {
@@ -242,8 +254,9 @@
             let Some(copy) = engine.copies.get_mut(adapter) else {
                 continue;
             };
-            if copy.version < version && copy.users == 0 && copy.state == ResidentState::Here {
-                copy.state = ResidentState::Coming(now.after(self.figures.store_load));
+            let is_free = copy.users == 0 && now >= copy.held_until;
+            if copy.version < version && is_free && copy.state == ResidentState::Here {
+                copy.state = ResidentState::Outdated;
                 engine.queue.push_back((OrderKind::Load, adapter.clone()));
                 touched.push(name.clone());
             }
@@ -266,8 +279,9 @@
             return;
         };
         if cost.wait > Duration::from_millis(u64::from(ask.bound_ms)) {
-            let retry_after =
-                (cost.wait / 2).clamp(Duration::from_millis(100), Duration::from_millis(1_500));
+            // It is loaded all the same, so that it is there when the caller comes back.
+            self.load_ahead(&name, &ask, now);
+            let retry_after = cost.wait.clamp(COME_BACK_LEAST, COME_BACK_MOST);
             self.answer(
                 key,
                 PlacementAnswer::Refuse {
@@ -360,7 +374,7 @@
                         time: at.since(now),
                         penalty: Duration::ZERO,
                     }),
-                    ResidentState::Wanted => Some(LoadCost {
+                    ResidentState::Wanted | ResidentState::Outdated => Some(LoadCost {
                         time: self.figures.store_load,
                         penalty: Duration::ZERO,
                     }),
@@ -369,11 +383,15 @@
             }
             Some(_) => None,
             None => {
-                if now < self.orders_from || !engine.is_known {
+                if !ask.may_load
+                    || now < self.orders_from
+                    || !engine.is_known
+                    || engine.leaving.is_some()
+                {
                     return None;
                 }
                 let waiting = engine.queue.len() + engine.coming(now);
-                if waiting >= 2 * COMING_MOST || !self.can_make_room(engine) {
+                if waiting >= 2 * COMING_MOST || !self.can_make_room(engine, now) {
                     return None;
                 }
                 let time = if engine.had_lately(&ask.subject) {
@@ -390,15 +408,16 @@
         }
     }
 
-    fn can_make_room(&self, engine: &EngineState) -> bool {
+    fn can_make_room(&self, engine: &EngineState, now: Instant) -> bool {
         let wanted = engine.copies.len();
-        wanted < self.limits.adapter_slots as usize || self.victim(engine, Instant(0)).is_some()
+        wanted < self.limits.adapter_slots as usize || self.victim(engine, now).is_some()
     }
 
     fn store_time(&self, crowd: u32) -> Duration {
         let most = self.figures.loads_at_full_speed.max(1);
         let stretch = f64::from(crowd + 1) / f64::from(most);
-        self.figures.store_load.mul_f64(stretch.max(1.0))
+        let alone = self.figures.store_load.mul_f64(self.figures.share_excess);
+        alone.mul_f64(stretch.max(1.0))
     }
 
     fn loads_under_way(&self, now: Instant) -> u32 {
@@ -419,6 +438,18 @@
         Duration::from_secs_f64(f64::from(tokens) / self.figures.prompt_tokens_per_ms / 1e3)
     }
 
+    /// Orders the load of an adapter whose caller was told to come back.
+    fn load_ahead(&mut self, name: &TargetName, ask: &PlacementAsk, now: Instant) {
+        let has_adapter = split_subject(&ask.subject).1.is_some();
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        if has_adapter && ask.may_load && !engine.copies.contains_key(&ask.subject) {
+            engine.want(&ask.subject, now);
+            self.advance(name, now);
+        }
+    }
+
     fn send_to(&mut self, name: &TargetName, key: CallKey, ask: PlacementAsk, now: Instant) {
         let (_, adapter) = split_subject(&ask.subject);
         let is_adapter = adapter.is_some();
@@ -430,7 +461,7 @@
         }
         let copy = engine.copies.get_mut(&ask.subject);
         let wait_ms = match copy {
-            Some(copy) if copy.state == ResidentState::Wanted => {
+            Some(copy) if matches!(copy.state, ResidentState::Wanted | ResidentState::Outdated) => {
                 copy.waiters.push((key, ask));
                 copy.used_at = now;
                 self.advance(name, now);
@@ -525,10 +556,20 @@
         }
     }
 
-    /// A target said that it lacks what it was asked for: its report has to be read.
-    pub fn doubt_copy(&mut self, target: &TargetName, now: Instant) {
-        if let Some(engine) = self.engines.get_mut(target) {
-            engine.report_at = Some(now);
+    /// A target said that it lacks what a call asked for: most likely its load takes longer than expected.
+    pub fn doubt_copy(&mut self, key: &CallKey, target: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        engine.report_at = Some(now);
+        let copy = engine
+            .calls
+            .get(key)
+            .and_then(|call| engine.copies.get_mut(&call.subject));
+        if let Some(copy) = copy
+            && matches!(copy.state, ResidentState::Here | ResidentState::Coming(_))
+        {
+            copy.state = ResidentState::Coming(now.after(LOAD_OVERRUN));
         }
     }
 
@@ -545,14 +586,21 @@
             .cloned()
             .collect();
         for key in keys {
+            let subjects = self.engines.values_mut().filter_map(|engine| {
+                let call = engine.calls.get(&key)?;
+                engine.copies.get_mut(&call.subject)
+            });
+            for copy in subjects {
+                copy.held_until = now.after(UNCOUNTED_RUN);
+            }
             self.ended(&key, None, None, now);
         }
     }
 
     /// An order was answered, or its answer is overdue.
     pub fn order_ended(&mut self, name: &TargetName, outcome: OrderOutcome, now: Instant) {
-        let crowd = self.loads_under_way(now);
-        let store_time = self.store_time(crowd);
+        // Those under way share the store only beyond this zone's part of it, and no load is begun beyond that.
+        let store_time = self.store_time(0);
         let version = self
             .engines
             .get(name)
@@ -599,10 +647,23 @@
                 engine.copies.remove(&subject);
             }
             (OrderOutcome::Begun, OrderKind::Unload) => {
+                // It is in use after all: the engine takes no other order until its runs have ended.
                 engine.sequence += 1;
+                engine.leaving = Some(subject);
                 engine.report_at = Some(now.after(SETTLE));
+                self.empty_queue(name, now);
             }
             (OrderOutcome::Fenced, _) => failed = true,
+            (OrderOutcome::Conflict, OrderKind::Unload) => {
+                // It may be on its way in still: it is passed over until the report shows it.
+                if let Some(copy) = engine.copies.get_mut(&subject) {
+                    copy.state = ResidentState::Here;
+                    copy.held_until = now.after(UNCOUNTED_RUN);
+                }
+                failed = true;
+                engine.report_at = Some(now.after(SETTLE));
+                engine.is_known = false;
+            }
             (OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Unanswered, _) => {
                 failed = true;
                 engine.report_at = Some(now.after(SETTLE));
@@ -610,39 +671,44 @@
             }
         }
         if failed {
-            self.fail_queue(name, &order, now);
+            self.empty_queue(name, now);
         }
         self.advance(name, now);
     }
 
-    /// Drops what was planned for an engine whose state has to be read anew.
-    fn fail_queue(&mut self, name: &TargetName, order: &EngineOrder, now: Instant) {
+    /// Drops what was planned for an engine that takes no orders for now; whoever waits is placed elsewhere.
+    fn empty_queue(&mut self, name: &TargetName, now: Instant) {
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
         engine.queue.clear();
         let mut waiters = Vec::new();
-        engine.copies.retain(|subject, copy| {
-            let is_planned = copy.state == ResidentState::Wanted;
-            if is_planned || *subject == order.subject {
-                waiters.append(&mut copy.waiters);
+        engine.copies.retain(|_, copy| {
+            waiters.append(&mut copy.waiters);
+            if copy.state == ResidentState::Outdated {
+                copy.state = ResidentState::Here;
             }
-            !is_planned
-        });
-        let name = name.clone();
-        let again = waiters.into_iter().map(|(key, mut ask)| {
-            ask.exclude.push(name.clone());
-            (key, ask)
+            copy.state != ResidentState::Wanted
         });
-        self.place_waiters_again(again.collect::<Vec<_>>().into_iter(), now);
+        self.place_elsewhere(name, waiters, now);
     }
 
-    fn place_waiters_again(
+    /// Places calls anew that waited for a load at an engine.
+    fn place_elsewhere(
         &mut self,
-        waiters: impl Iterator<Item = (CallKey, PlacementAsk)>,
+        name: &TargetName,
+        waiters: Vec<(CallKey, PlacementAsk)>,
         now: Instant,
     ) {
-        for (key, ask) in waiters.collect::<Vec<_>>() {
+        let waiters = waiters.into_iter().map(|(key, mut ask)| {
+            ask.exclude.push(name.clone());
+            (key, ask)
+        });
+        self.place_waiters_again(waiters.collect(), now);
+    }
+
+    fn place_waiters_again(&mut self, waiters: Vec<(CallKey, PlacementAsk)>, now: Instant) {
+        for (key, ask) in waiters {
             if ask.exclude.len() >= MOST_PLACINGS {
                 self.answer(
                     key,
@@ -700,7 +766,7 @@
             }
             Some(report) => {
                 engine.take_report(report, now);
-                if report.is_busy {
+                if report.is_busy || engine.leaving.is_some() {
                     engine.report_at = Some(now.after(SETTLE));
                 }
                 let held: Vec<_> = engine.copies.keys().cloned().collect();
@@ -735,11 +801,22 @@
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
-        for copy in engine.copies.values_mut() {
+        let mut is_stale = Vec::new();
+        for (adapter, copy) in &mut engine.copies {
             if matches!(copy.state, ResidentState::Coming(at) if now >= at) {
                 copy.state = ResidentState::Here;
             }
+            let version = self.versions.get(adapter).copied().unwrap_or(0);
+            if copy.state == ResidentState::Here && copy.version < version {
+                is_stale.push(adapter.clone());
+            }
+        }
+        for adapter in is_stale {
+            self.replace_stale(&adapter, now);
         }
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
         let is_due = engine.report_at.is_some_and(|at| now >= at);
         if is_due && !engine.is_reporting && engine.pending.is_none() {
             engine.report_at = None;
@@ -777,7 +854,11 @@
             let Some(engine) = self.engines.get(name) else {
                 return;
             };
-            if engine.pending.is_some() || !engine.is_known || engine.is_reporting {
+            let is_blocked = engine.pending.is_some()
+                || engine.leaving.is_some()
+                || !engine.is_known
+                || engine.is_reporting;
+            if is_blocked {
                 return;
             }
             let Some((kind, subject)) = engine.queue.front().cloned() else {
@@ -792,7 +873,7 @@
                 let is_fast = engine.had_lately(&subject);
                 let crowd = self.loads_under_way(now);
                 if engine.coming(now) >= COMING_MOST
-                    || (!is_fast && crowd > self.figures.loads_at_full_speed)
+                    || (!is_fast && crowd >= self.figures.loads_at_full_speed)
                 {
                     return;
                 }
@@ -822,11 +903,7 @@
             return;
         };
         if let Some(copy) = engine.copies.remove(&subject) {
-            let again = copy.waiters.into_iter().map(|(key, mut ask)| {
-                ask.exclude.push(name.clone());
-                (key, ask)
-            });
-            self.place_waiters_again(again.collect::<Vec<_>>().into_iter(), now);
+            self.place_elsewhere(name, copy.waiters, now);
         }
     }
 
@@ -861,7 +938,10 @@
             .copies
             .iter()
             .filter(|(_, copy)| {
-                copy.users == 0 && copy.waiters.is_empty() && copy.state == ResidentState::Here
+                copy.users == 0
+                    && copy.waiters.is_empty()
+                    && copy.state == ResidentState::Here
+                    && now >= copy.held_until
             })
             .min_by(|(left, left_copy), (right, right_copy)| {
                 let worth = |subject| self.demand.count(subject, now) / self.copies_of(subject);
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -84,7 +84,7 @@
             self.zone.send(event).await.ok()?;
             receiver
         } else {
-            let link = self.link(&lease)?;
+            let link = self.link(zone, &lease)?;
             link.ask(number, VmMessage::Place(number, Box::new(ask)))?
         };
         let reply = timeout(PLACE_WITHIN, receiver).await.ok()?.ok()?;
@@ -138,7 +138,7 @@
     }
 
     /// The link to the holder by a lease, dialled if there is none.
-    fn link(&self, lease: &ZoneLease) -> Option<VmLink> {
+    fn link(&self, zone: &AvailabilityZone, lease: &ZoneLease) -> Option<VmLink> {
         let vm = lease.vm.as_ref()?;
         let mut links = self.links.lock().expect("no holder of the lock panics");
         if let Some(link) = links.get(vm)
@@ -164,6 +164,7 @@
         let link = VmLink::dial(
             &self.fleet,
             vm.clone(),
+            zone.clone(),
             lease.address,
             lease.incarnation,
             first,
@@ -174,7 +175,7 @@
 
     /// How the contact with a zone's holder stands; dials it if it has to.
     #[must_use]
-    pub fn contact(&self, lease: &ZoneLease) -> HolderContact {
+    pub fn contact(&self, zone: &AvailabilityZone, lease: &ZoneLease) -> HolderContact {
         if self.is_mine(lease) {
             return if lease.incarnation == self.fleet.incarnation {
                 HolderContact::Heard
@@ -196,16 +197,16 @@
                 LinkContact::Ended { since, .. } => HolderContact::Silent(since),
             },
             None => {
-                self.link(lease);
+                self.link(zone, lease);
                 HolderContact::Silent(clock::now())
             }
         }
     }
 
     /// Dials a zone's holder anew if its link has ended.
-    pub fn redial(&self, lease: &ZoneLease) {
+    pub fn redial(&self, zone: &AvailabilityZone, lease: &ZoneLease) {
         if !self.is_mine(lease) {
-            self.link(lease);
+            self.link(zone, lease);
         }
     }
 
@@ -222,7 +223,7 @@
                     let _ = zone.send(event).await;
                 });
             }
-        } else if let Some(link) = self.link(&lease) {
+        } else if let Some(link) = self.link(zone, &lease) {
             link.tell(VmMessage::Ended(ending));
         }
     }
@@ -234,7 +235,7 @@
         if self.is_mine(&lease) {
             // A full channel: the planner forgets the call with its engine's waiters.
             drop(self.zone.try_send(ZoneEvent::Withdrawn(self.key(number))));
-        } else if let Some(link) = self.link(&lease) {
+        } else if let Some(link) = self.link(zone, &lease) {
             link.tell(VmMessage::Withdrawn(number));
         }
     }
--- a/crates/daemon/src/direct/call.rs
+++ b/crates/daemon/src/direct/call.rs
@@ -20,7 +20,7 @@
 use bytes::Bytes;
 use hoplanding_core::{
     direct::{
-        catalog::TargetEntry,
+        catalog::{TargetEntry, TargetStage},
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
         planner::{PlacementAnswer, PlacementAsk, split_subject},
     },
@@ -405,8 +405,10 @@
                 sleep(PLACE_AGAIN).await;
             }
             let bound = self.wait_bound(pass);
-            for zone in self.zones_in_order() {
-                let ask = self.ask(bound);
+            for (turn, zone) in self.zones_in_order().into_iter().enumerate() {
+                // Another zone's load comes from the same store: at first only what is there already counts.
+                let may_load = turn == 0 || pass != PlacingPass::Swift;
+                let ask = self.ask(bound, may_load);
                 match self.context.access.place(&zone, ask).await {
                     Some((
                         PlacementAnswer::Send {
@@ -419,7 +421,8 @@
                     )) => {
                         sleep(Duration::from_millis(u64::from(wait_ms))).await;
                         let entry = self.context.fleet.books().catalog.get(&target).cloned();
-                        match entry {
+                        // It may have begun to leave while the adapter came.
+                        match entry.filter(|entry| entry.stage == TargetStage::Ready) {
                             Some(entry) => return Placing::At(entry, version, ticket),
                             None => self.tried.push(target),
                         }
@@ -480,7 +483,7 @@
         zones
     }
 
-    fn ask(&self, bound: Duration) -> PlacementAsk {
+    fn ask(&self, bound: Duration, may_load: bool) -> PlacementAsk {
         let output = self
             .head
             .output_hint
@@ -494,6 +497,7 @@
             priority: self.route.priority,
             bound_ms: u32::try_from(bound.as_millis()).unwrap_or(u32::MAX),
             exclude: self.tried.clone(),
+            may_load,
         }
     }
 
@@ -622,7 +626,10 @@
                 };
                 end(ticket, &count, outcome);
                 self.refused += 1;
-                self.tried.push(entry.name.clone());
+                // An adapter that is late is soon there: its holder knows whether another target is better.
+                if !is_absent {
+                    self.tried.push(entry.name.clone());
+                }
                 SendOutcome::NotRun
             }
             AnswerKind::Foreign => {
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -61,9 +61,9 @@
         let lease = self.fleet.lease(&self.fleet.zone);
         let contact = match &lease {
             Some(lease) if lease.vm.is_some() => {
-                let contact = self.access.contact(lease);
+                let contact = self.access.contact(&self.fleet.zone, lease);
                 if contact != HolderContact::Heard {
-                    self.access.redial(lease);
+                    self.access.redial(&self.fleet.zone, lease);
                 }
                 contact
             }
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -9,6 +9,7 @@
     event,
     events::Event,
 };
+use hoplanding_core::ids::LogOffset;
 use hoplanding_platform::{
     names::{FLEET_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC},
     store::{ReadBatch, StoreClient, StoreError},
@@ -19,6 +20,8 @@
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
+/// The same for the target list, whose reads also show whether the log is in reach.
+const LIST_WAIT: Duration = Duration::from_millis(600);
 /// Pause after a call that brought nothing; varied by half.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -78,23 +81,18 @@
             };
             self.note_back(&mut is_out);
             let end = listing.end;
-            self.fleet.take_listing(self.topic, listing);
+            self.fleet.take_listing(self.topic, &listing);
             self.read_on(&mut client, end, &mut is_out).await;
         }
     }
 
     /// Reads records until those from the wanted offset on are gone.
-    async fn read_on(
-        &self,
-        client: &mut StoreClient,
-        from: hoplanding_core::ids::LogOffset,
-        is_out: &mut bool,
-    ) {
+    async fn read_on(&self, client: &mut StoreClient, from: LogOffset, is_out: &mut bool) {
         let mut from = from;
         let topic = topic_name(self.topic);
         loop {
             let mut returns = self.reach.returns.subscribe();
-            let reading = client.read(topic, from, READ_WAIT, self.pace.platform_timeout);
+            let reading = client.read(topic, from, self.wait(), self.pace.platform_timeout);
             let read = tokio::select! {
                 read = reading => read,
                 // Another feed lost the log and has it back: this connection may be dead.
@@ -116,6 +114,13 @@
         }
     }
 
+    fn wait(&self) -> Duration {
+        match self.topic {
+            FeedTopic::Targets => LIST_WAIT,
+            FeedTopic::Operators | FeedTopic::Fleet => READ_WAIT,
+        }
+    }
+
     fn pause_between(&self) -> Duration {
         match self.topic {
             FeedTopic::Targets => self.pace.list_every,
@@ -124,6 +129,7 @@
     }
 
     fn note_out(&self, is_out: &mut bool, error: &StoreError) {
+        self.fleet.ask_others();
         if !*is_out {
             *is_out = true;
             event!(Event::LogOut, "{:?}: {error}", self.topic);
@@ -140,13 +146,11 @@
     }
 }
 
-fn next_offset(
-    from: hoplanding_core::ids::LogOffset,
-    batch: &ReadBatch,
-) -> hoplanding_core::ids::LogOffset {
-    batch.records.last().map_or(from, |record| {
-        hoplanding_core::ids::LogOffset(record.offset.0 + 1)
-    })
+fn next_offset(from: LogOffset, batch: &ReadBatch) -> LogOffset {
+    batch
+        .records
+        .last()
+        .map_or(from, |record| LogOffset(record.offset.0 + 1))
 }
 
 async fn pause() {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -3,12 +3,19 @@
 //! Everything folds by offset, so records may come from the log or from other VMs, in any order and more than once.
 
 use crate::{
-    clock, direct::message::FeedTopic, direct::settings::DirectSettings, event, events::Event,
+    clock,
+    direct::{
+        message::{FeedTopic, PassedRecord},
+        records::RecordBook,
+        settings::DirectSettings,
+    },
+    event,
+    events::Event,
 };
 use hoplanding_core::{
     direct::{
         budget::RetryShare,
-        catalog::{TargetCatalog, TargetEntry},
+        catalog::{TargetCatalog, TargetEntry, TargetStage},
         config::FleetConfig,
         demand::DemandTable,
         health::HealthTable,
@@ -30,12 +37,14 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 
 /// Start of the keys of VM records.
 const VM_KEY: &str = "vm/";
 /// Start of the keys of zone leases.
 const ZONE_KEY: &str = "zone/";
+/// News that a link may lag behind.
+const NEWS_KEPT: usize = 256;
 /// VMs that the retry budget is shared among until more are known.
 const VMS_ASSUMED: u32 = 8;
 
@@ -86,6 +95,8 @@
     pub retries: RetryShare,
     /// How often callers of this VM ask for each adapter.
     pub demand: DemandTable,
+    /// The newest records, to be passed on.
+    pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
     pub claim_quiet: Duration,
 }
@@ -101,6 +112,8 @@
     pub zone: AvailabilityZone,
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
+    pulls: watch::Sender<u64>,
+    news: broadcast::Sender<Arc<PassedRecord>>,
 }
 
 impl FleetState {
@@ -123,9 +136,12 @@
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
                 demand: DemandTable::default(),
+                records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
             }),
             changes: watch::channel(0).0,
+            pulls: watch::channel(0).0,
+            news: broadcast::channel(NEWS_KEPT).0,
         }
     }
 
@@ -167,25 +183,18 @@
     }
 
     /// Folds a listing of the newest record of each key.
-    pub fn take_listing(&self, topic: FeedTopic, listing: ReadBatch) {
+    pub fn take_listing(&self, topic: FeedTopic, listing: &ReadBatch) {
         let now = clock::now();
+        self.fold(topic, &listing.records, now);
+        let mut books = self.books();
         if topic == FeedTopic::Targets {
-            let mut books = self.books();
-            let rows = listing
-                .records
-                .into_iter()
-                .map(|record| {
-                    let name = TargetName::new(&record.key);
-                    let entry = decode_entry(&record);
-                    (name, record.offset, entry)
-                })
-                .collect();
-            books.catalog.apply_listing(rows, listing.end, now);
+            let listed = listing.records.iter().map(|record| record.key.as_str());
+            books
+                .catalog
+                .remove_unlisted(&listed.collect(), listing.end, now);
             books.has_targets = true;
-            drop(books);
-        } else {
-            self.fold(topic, &listing.records, now);
         }
+        drop(books);
         self.note_end(topic, listing.end);
         self.signal();
     }
@@ -199,27 +208,87 @@
         }
     }
 
+    /// Folds records that another VM passed on.
+    pub fn take_passed(&self, passed: Vec<PassedRecord>) {
+        let now = clock::now();
+        for record in passed {
+            let topic = record.topic;
+            let record = KeyedRecord {
+                key: record.key,
+                value: record.value,
+                offset: record.offset,
+            };
+            self.fold(topic, std::slice::from_ref(&record), now);
+        }
+        self.signal();
+    }
+
+    /// Records of topics from offsets on, for a VM that can't read them itself.
+    #[must_use]
+    pub fn records_since(&self, wanted: &[(FeedTopic, LogOffset)]) -> Vec<PassedRecord> {
+        let books = self.books();
+        wanted
+            .iter()
+            .flat_map(|(topic, from)| books.records.since(*topic, *from))
+            .collect()
+    }
+
+    /// What this VM lacks, for the VMs that it asks.
+    #[must_use]
+    pub fn wanted(&self) -> Vec<(FeedTopic, LogOffset)> {
+        let books = self.books();
+        FeedTopic::ALL
+            .into_iter()
+            .map(|topic| (topic, books.records.end(topic)))
+            .collect()
+    }
+
+    /// Asks all linked VMs for records: the log is out of reach.
+    pub fn ask_others(&self) {
+        self.pulls.send_modify(|count| *count += 1);
+    }
+
+    /// A signal to ask the linked VMs for records.
+    #[must_use]
+    pub fn watch_pulls(&self) -> watch::Receiver<u64> {
+        self.pulls.subscribe()
+    }
+
+    /// Records as they become known.
+    #[must_use]
+    pub fn watch_news(&self) -> broadcast::Receiver<Arc<PassedRecord>> {
+        self.news.subscribe()
+    }
+
     fn note_end(&self, topic: FeedTopic, end: LogOffset) {
         if topic == FeedTopic::Fleet {
-            self.books().fleet_end = Some(end);
+            let mut books = self.books();
+            books.fleet_end = books.fleet_end.max(Some(end));
         }
     }
 
     fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) {
         let mut books = self.books();
         for record in records {
+            let is_news =
+                books
+                    .records
+                    .keep(topic, &record.key, record.offset, record.value.as_ref());
+            if !is_news {
+                continue;
+            }
             match topic {
                 FeedTopic::Operators => fold_operator_record(&mut books, record),
-                FeedTopic::Targets => {
-                    let entry = decode_entry(record);
-                    // What can't be decoded is kept out; the last good entry stays.
-                    if entry.is_some() || record.value.is_none() {
-                        let name = TargetName::new(&record.key);
-                        books.catalog.apply(&name, record.offset, entry, now);
-                    }
-                }
+                FeedTopic::Targets => fold_target_record(&mut books, record, now),
                 FeedTopic::Fleet => fold_fleet_record(&mut books, record),
             }
+            // Nobody listening is no fault: there may be no link.
+            drop(self.news.send(Arc::new(PassedRecord {
+                topic,
+                key: record.key.clone(),
+                value: record.value.clone(),
+                offset: record.offset,
+            })));
         }
     }
 
@@ -230,6 +299,16 @@
         }
     }
 
+    /// Whether a target is about to leave, or gone.
+    #[must_use]
+    pub fn is_leaving(&self, target: &str) -> bool {
+        let name = TargetName::new(target);
+        self.books()
+            .catalog
+            .get(&name)
+            .is_none_or(|entry| entry.stage == TargetStage::Draining)
+    }
+
     /// The holder of a zone by the newest record, and where it is reached.
     #[must_use]
     pub fn lease(&self, zone: &AvailabilityZone) -> Option<ZoneLease> {
@@ -252,15 +331,20 @@
     }
 }
 
-fn decode_entry(record: &KeyedRecord) -> Option<TargetEntry> {
-    let value = record.value.as_ref()?;
-    match decode_target(&record.key, value) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            event!(Event::RecordSkipped, "target {}: {error}", record.key);
-            None
-        }
-    }
+fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) {
+    let name = TargetName::new(&record.key);
+    let entry = match &record.value {
+        None => None,
+        Some(value) => match decode_target(&record.key, value) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                // What can't be decoded is kept out; the last good entry stays.
+                event!(Event::RecordSkipped, "target {name}: {error}");
+                return;
+            }
+        },
+    };
+    books.catalog.apply(&name, record.offset, entry, now);
 }
 
 fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) {
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -7,7 +7,7 @@
     clock,
     direct::{
         fleet::FleetState,
-        message::{MESSAGE_VERSION, VmMessage},
+        message::{FeedTopic, MESSAGE_VERSION, PassedRecord, VmMessage},
         zone::{PlaceReply, ReplyTo, ZoneEvent},
     },
     event,
@@ -17,10 +17,11 @@
 use futures_util::{SinkExt, StreamExt};
 use hoplanding_core::{
     direct::planner::CallKey,
-    ids::{Instant, VmName},
+    ids::{AvailabilityZone, Instant, VmName},
 };
 use std::{
     collections::HashMap,
+    future::pending,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -28,7 +29,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::{broadcast, mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_tungstenite::{
@@ -46,6 +47,8 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(600);
 /// Bytes that a socket buffers for reading.
 const READ_BUFFER: usize = 4 * 1024;
+/// Bytes of a record that is passed on to other zones unasked.
+const SMALL_RECORD: usize = 1024;
 /// Largest message.
 const MESSAGE_BYTES: usize = 8 << 20;
 
@@ -88,6 +91,7 @@
     pub fn dial(
         fleet: &Arc<FleetState>,
         vm: VmName,
+        zone: AvailabilityZone,
         address: SocketAddr,
         incarnation: u64,
         first: Vec<VmMessage>,
@@ -100,6 +104,7 @@
         let worker = DialWorker {
             fleet: Arc::clone(fleet),
             vm,
+            zone,
             address,
             incarnation,
             state: Arc::clone(&state),
@@ -151,6 +156,7 @@
 struct DialWorker {
     fleet: Arc<FleetState>,
     vm: VmName,
+    zone: AvailabilityZone,
     address: SocketAddr,
     incarnation: u64,
     state: Arc<Mutex<LinkState>>,
@@ -230,8 +236,14 @@
         let mut heard = clock::now();
         let mut beat = interval(BEAT);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut sharing = RecordSharing::new(&self.fleet, self.zone == self.fleet.zone);
         loop {
             tokio::select! {
+                message = sharing.next() => {
+                    if send(&mut socket, &message).await.is_err() {
+                        return heard;
+                    }
+                }
                 message = outbound.recv() => {
                     let Some(message) = message else { return heard };
                     if send(&mut socket, &message).await.is_err() {
@@ -241,6 +253,11 @@
                 received = receive(&mut socket) => match received {
                     Ok(Some(message)) => {
                         heard = clock::now();
+                        if let Some(answer) = sharing.answer(&message)
+                            && send(&mut socket, &answer).await.is_err()
+                        {
+                            return heard;
+                        }
                         self.take(message);
                     }
                     Ok(None) | Err(_) => return heard,
@@ -260,6 +277,10 @@
         let (number, reply) = match message {
             VmMessage::Placed(number, answer) => (number, PlaceReply::Answer(answer)),
             VmMessage::NotHolder(number) => (number, PlaceReply::NotHolder),
+            VmMessage::Records(records) => {
+                self.fleet.take_passed(records);
+                return;
+            }
             _ => return,
         };
         let waiting = self
@@ -275,6 +296,64 @@
     }
 }
 
+/// What one link passes on of the platform's log.
+struct RecordSharing {
+    fleet: Arc<FleetState>,
+    is_same_zone: bool,
+    news: broadcast::Receiver<Arc<PassedRecord>>,
+    pulls: watch::Receiver<u64>,
+}
+
+impl RecordSharing {
+    fn new(fleet: &Arc<FleetState>, is_same_zone: bool) -> Self {
+        Self {
+            fleet: Arc::clone(fleet),
+            is_same_zone,
+            news: fleet.watch_news(),
+            pulls: fleet.watch_pulls(),
+        }
+    }
+
+    /// The next message that the other side should have. Safe to drop while it waits.
+    async fn next(&mut self) -> VmMessage {
+        loop {
+            tokio::select! {
+                news = self.news.recv() => match news {
+                    Ok(record) if self.is_worth(&record) => {
+                        return VmMessage::Records(vec![PassedRecord::clone(&record)]);
+                    }
+                    // What a lagging link misses is asked for when it is needed.
+                    Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
+                    // The books live as long as the process.
+                    Err(broadcast::error::RecvError::Closed) => pending::<()>().await,
+                },
+                _ = self.pulls.changed() => return VmMessage::Wanted(self.fleet.wanted()),
+            }
+        }
+    }
+
+    /// Within a zone everything is passed on; between zones bytes have a price, so only what is small and urgent.
+    fn is_worth(&self, record: &PassedRecord) -> bool {
+        self.is_same_zone
+            || match record.topic {
+                FeedTopic::Targets => self.fleet.is_leaving(&record.key),
+                FeedTopic::Operators | FeedTopic::Fleet => record
+                    .value
+                    .as_ref()
+                    .is_none_or(|value| value.len() <= SMALL_RECORD),
+            }
+    }
+
+    /// The answer to a question for records.
+    fn answer(&self, message: &VmMessage) -> Option<VmMessage> {
+        let VmMessage::Wanted(wanted) = message else {
+            return None;
+        };
+        let records = self.fleet.records_since(wanted);
+        (!records.is_empty()).then_some(VmMessage::Records(records))
+    }
+}
+
 /// Accepts links until the process ends.
 pub async fn accept_links(
     listener: TcpListener,
@@ -298,7 +377,7 @@
 
 async fn serve_link(
     stream: TcpStream,
-    fleet: &FleetState,
+    fleet: &Arc<FleetState>,
     zone: &mpsc::Sender<ZoneEvent>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -306,7 +385,14 @@
         let mut socket = accept_async_with_config(stream, Some(socket_config()))
             .await
             .map_err(io::Error::other)?;
-        let Some(VmMessage::Hello { version, vm, .. }) = receive(&mut socket).await? else {
+        let hello = receive(&mut socket).await?;
+        let Some(VmMessage::Hello {
+            version,
+            vm,
+            zone: their_zone,
+            ..
+        }) = hello
+        else {
             return Err(io::Error::other("no hello"));
         };
         let welcome = VmMessage::Welcome {
@@ -315,18 +401,24 @@
         };
         send(&mut socket, &welcome).await?;
         if version == MESSAGE_VERSION {
-            Ok((socket, vm))
+            Ok((socket, vm, their_zone))
         } else {
             Err(io::Error::other("another version"))
         }
     };
-    let (mut socket, vm) = timeout(CONNECT_WITHIN, handshake).await??;
+    let (mut socket, vm, their_zone) = timeout(CONNECT_WITHIN, handshake).await??;
+    let mut sharing = RecordSharing::new(fleet, their_zone == fleet.zone);
     let (outbound, mut replies) = mpsc::channel(OUTBOUND);
     let mut heard = clock::now();
     let mut beat = interval(BEAT);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let ended = loop {
         tokio::select! {
+            message = sharing.next() => {
+                if let Err(error) = send(&mut socket, &message).await {
+                    break Err(error);
+                }
+            }
             reply = replies.recv() => {
                 let Some(reply) = reply else { break Ok(()) };
                 if let Err(error) = send(&mut socket, &reply).await {
@@ -336,6 +428,15 @@
             received = receive(&mut socket) => match received {
                 Ok(Some(message)) => {
                     heard = clock::now();
+                    if let Some(answer) = sharing.answer(&message)
+                        && let Err(error) = send(&mut socket, &answer).await
+                    {
+                        break Err(error);
+                    }
+                    if let VmMessage::Records(records) = message {
+                        fleet.take_passed(records);
+                        continue;
+                    }
                     if let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
                     {
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -67,7 +67,7 @@
 }
 
 /// The topics that VMs read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum FeedTopic {
     /// What operators write.
     Operators,
@@ -77,6 +77,11 @@
     Fleet,
 }
 
+impl FeedTopic {
+    /// All topics.
+    pub const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Fleet];
+}
+
 /// A message between VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VmMessage {
@@ -112,6 +117,8 @@
     Withdrawn(u64),
     /// A call that was open before the link.
     Open(u64, TargetName, AdapterName),
-    /// Newer records than the other side may have.
+    /// Records that may be news.
     Records(Vec<PassedRecord>),
+    /// Send records of these topics from these offsets on: the log is out of the sender's reach.
+    Wanted(Vec<(FeedTopic, LogOffset)>),
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! | [`zone`] | the worker that holds a zone: planner, orders, reports |
 //! | [`access`] | the gateway's way to the holder of a zone |
 //! | [`links`], [`message`] | links between VMs |
+//! | [`records`] | what VMs pass on to each other of the platform's log |
 //! | [`claims`] | claims of a zone's lease |
 
 pub mod access;
@@ -27,6 +28,7 @@
 pub mod front;
 pub mod links;
 pub mod message;
+pub mod records;
 pub mod sender;
 pub mod settings;
 pub mod whole;
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -118,7 +118,7 @@
     PaceSettings {
         list_every: section.millis("list_every_ms", 1000, 10, 60_000),
         config_every: section.millis("config_every_ms", 200, 0, 60_000),
-        platform_timeout: section.millis("platform_timeout_ms", 1500, 10, 60_000),
+        platform_timeout: section.millis("platform_timeout_ms", 900, 10, 60_000),
         stop_notice: section.millis("stop_notice_ms", 2500, 0, 60_000),
         stop_bound: section.millis("stop_bound_ms", 7700, 100, 3_600_000),
     }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -170,7 +170,7 @@
                 };
                 let health = ending.outcome.and_then(CallEnd::health);
                 if ending.outcome == Some(CallEnd::Absent) {
-                    held.planner.doubt_copy(&ending.target, now);
+                    held.planner.doubt_copy(&key, &ending.target, now);
                 }
                 held.planner.ended(&key, Some(&ending.target), health, now);
             }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -123,7 +123,7 @@
     /// A target refused this VM's token.
     LeaseFenced = 705, Warn, "orders refused in favour of a newer holder";
     /// An order was taken.
-    OrderGiven = 710, Debug, "order taken";
+    OrderGiven = 710, Info, "order taken";
     /// An order came to nothing.
     OrderFailed = 711, Warn, "order not taken";
     /// A report could not be read.
