--- /dev/null
+++ b/crates/core/tests/direct_planner.rs
@@ -0,0 +1,452 @@
+//! The planner of a zone against a small model of engines: orders that are late, lost or refused, adapters in use,
+//! reports that lag. An engine must never be ordered beyond its places, and every call must be answered.
+
+use hoplanding_core::{
+    direct::{
+        catalog::{ResidentAdapter, TargetEntry, TargetStage},
+        config::EngineLimits,
+        engine::{EngineOrder, EngineReport, OrderKind, OrderOutcome},
+        health::CallOutcome,
+        planner::{
+            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
+        },
+    },
+    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetName, VmName},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+const PLACES: usize = 4;
+const LOAD_MICROS: u64 = 250_000;
+const LAG_MICROS: u64 = 150_000;
+
+fn limits() -> EngineLimits {
+    EngineLimits {
+        slots: 8,
+        kv_tokens: 1_000_000,
+        adapter_slots: PLACES as u32,
+        event_waiters: 4,
+        loads_per_s: 3.0,
+        models: vec![AdapterName::new("base")],
+    }
+}
+
+fn entry(name: &str) -> Arc<TargetEntry> {
+    Arc::new(TargetEntry {
+        name: TargetName::new(name),
+        service: ServiceName::new("scribe"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: AvailabilityZone::new("hall"),
+        slots: 8,
+        stage: TargetStage::Ready,
+        remaining: None,
+        cold: Duration::ZERO,
+        orders_taken: 0,
+        models: vec![("base".to_owned(), 1)],
+        adapters: Vec::new(),
+    })
+}
+
+fn key(number: u64) -> CallKey {
+    CallKey {
+        vm: VmName::new("vm"),
+        number,
+    }
+}
+
+fn ask(adapter: &str) -> PlacementAsk {
+    PlacementAsk {
+        subject: AdapterName::new(adapter),
+        prompt_tokens: 400,
+        output_tokens: 50,
+        prefix: Vec::new(),
+        priority: 1,
+        bound_ms: 60_000,
+        exclude: Vec::new(),
+        may_load: true,
+    }
+}
+
+fn report(adapters: &[&str], orders_taken: u64) -> EngineReport {
+    EngineReport {
+        orders_taken,
+        models: vec![AdapterName::new("base")],
+        adapters: adapters
+            .iter()
+            .map(|adapter| (AdapterName::new(adapter), 1))
+            .collect(),
+        coming: Vec::new(),
+        is_busy: false,
+    }
+}
+
+/// A planner over engines whose reports were read.
+fn planner(names: &[&str], now: Instant) -> ZonePlanner {
+    let mut planner = ZonePlanner::new(EngineFigures::shared_by(1, 3.0), limits(), now);
+    planner.set_targets(names.iter().map(|name| entry(name)).collect(), now);
+    planner.tick(now);
+    for name in names {
+        planner.report_came(&TargetName::new(name), Some(&report(&[], 0)), now);
+    }
+    planner.take_actions();
+    planner
+}
+
+fn orders(actions: VecDeque<PlannerAction>) -> Vec<(TargetName, EngineOrder)> {
+    let given = actions.into_iter().filter_map(|action| match action {
+        PlannerAction::Order(entry, order) => Some((entry.name.clone(), order)),
+        _ => None,
+    });
+    given.collect()
+}
+
+fn answers(actions: &VecDeque<PlannerAction>) -> Vec<(CallKey, PlacementAnswer)> {
+    let given = actions.iter().filter_map(|action| match action {
+        PlannerAction::Answer(key, answer) => Some((key.clone(), answer.clone())),
+        _ => None,
+    });
+    given.collect()
+}
+
+fn after(now: Instant, ms: u64) -> Instant {
+    now.after(Duration::from_millis(ms))
+}
+
+#[test]
+fn calls_for_one_absent_adapter_share_one_load() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1", "e2"], now);
+    planner.place(key(1), ask("base/a1"), now);
+    planner.place(key(2), ask("base/a1"), now);
+    let given = orders(planner.take_actions());
+    assert_eq!(given.len(), 1, "{given:?}");
+    planner.order_ended(&given[0].0, OrderOutcome::Begun, now);
+    let actions = planner.take_actions();
+    let placed = answers(&actions);
+    assert_eq!(placed.len(), 2);
+    for (_, answer) in placed {
+        let PlacementAnswer::Send {
+            target, wait_ms, ..
+        } = answer
+        else {
+            panic!("not placed");
+        };
+        assert_eq!(target, given[0].0);
+        assert!(wait_ms >= 250, "waits for its load, not {wait_ms} ms");
+    }
+}
+
+#[test]
+fn an_unload_of_an_adapter_in_use_blocks_its_engine_until_the_report_shows_it_gone() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1"], now);
+    let name = TargetName::new("e1");
+    // Four adapters that the holder believes unused: one of them has a run that nobody counts.
+    let full = report(&["base/a1", "base/a2", "base/a3", "base/a4"], 4);
+    planner.report_came(&name, Some(&full), now);
+    planner.take_actions();
+    let now = after(now, 4_000);
+    planner.place(key(1), ask("base/a9"), now);
+    let given = orders(planner.take_actions());
+    assert_eq!(given[0].1.kind, OrderKind::Unload);
+    planner.order_ended(&name, OrderOutcome::Begun, now);
+    let actions = planner.take_actions();
+    assert!(orders(actions.clone()).is_empty(), "no order while it waits");
+    // The call that waited is turned away at once, as there is no other engine.
+    assert!(matches!(
+        answers(&actions)[0].1,
+        PlacementAnswer::Refuse { .. }
+    ));
+    let now = after(now, 400);
+    planner.tick(now);
+    planner.report_came(&name, Some(&EngineReport { orders_taken: 5, ..full.clone() }), now);
+    planner.place(key(2), ask("base/a9"), now);
+    assert!(orders(planner.take_actions()).is_empty(), "still leaving");
+    let now = after(now, 400);
+    planner.tick(now);
+    let gone: Vec<_> = full
+        .adapters
+        .iter()
+        .map(|(adapter, _)| adapter.as_str())
+        .filter(|adapter| *adapter != given[0].1.subject.as_str())
+        .collect();
+    planner.report_came(&name, Some(&report(&gone, 5)), now);
+    planner.place(key(3), ask("base/a9"), now);
+    let given = orders(planner.take_actions());
+    assert_eq!(given[0].1.kind, OrderKind::Load);
+    assert_eq!(given[0].1.expected, 5);
+}
+
+#[test]
+fn a_call_that_comes_too_early_for_its_load_waits_at_the_same_engine() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1", "e2"], now);
+    planner.place(key(1), ask("base/a1"), now);
+    let given = orders(planner.take_actions());
+    planner.order_ended(&given[0].0, OrderOutcome::Begun, now);
+    planner.take_actions();
+    let now = after(now, 265);
+    planner.tick(now);
+    planner.doubt_copy(&key(1), &given[0].0, now);
+    planner.ended(&key(1), Some(&given[0].0), None, now);
+    planner.place(key(2), ask("base/a1"), now);
+    let actions = planner.take_actions();
+    assert!(orders(actions.clone()).is_empty(), "no second load");
+    let PlacementAnswer::Send {
+        target, wait_ms, ..
+    } = &answers(&actions)[0].1
+    else {
+        panic!("not placed");
+    };
+    assert_eq!(*target, given[0].0);
+    assert!(*wait_ms > 0);
+}
+
+#[test]
+fn a_named_version_bars_old_copies_and_replaces_them_once_unused() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1"], now);
+    let name = TargetName::new("e1");
+    planner.report_came(&name, Some(&report(&["base/a1"], 1)), now);
+    let now = after(now, 3_000);
+    planner.place(key(1), ask("base/a1"), now);
+    planner.take_actions();
+    planner.set_version(&AdapterName::new("base/a1"), 2, now);
+    assert!(orders(planner.take_actions()).is_empty(), "in use");
+    planner.place(key(2), ask("base/a1"), now);
+    assert!(
+        answers(&planner.take_actions())
+            .iter()
+            .all(|(_, answer)| !matches!(answer, PlacementAnswer::Send { .. })),
+        "no call goes to the old version"
+    );
+    planner.ended(&key(1), Some(&name), Some(CallOutcome::Good), now);
+    planner.tick(now);
+    let given = orders(planner.take_actions());
+    assert_eq!(given.len(), 1, "one replacement: {given:?}");
+    assert_eq!(given[0].1.version, Some(2));
+    for _ in 0..10 {
+        planner.tick(now);
+    }
+    assert!(orders(planner.take_actions()).is_empty());
+}
+
+#[test]
+fn a_resident_adapter_of_an_entry_is_not_loaded_again() {
+    let now = Instant(1_000_000);
+    let mut listed = TargetEntry::clone(&entry("e1"));
+    listed.adapters.push(ResidentAdapter {
+        model: "base".to_owned(),
+        adapter: AdapterName::new("base/a1"),
+        version: 1,
+    });
+    let mut planner = ZonePlanner::new(EngineFigures::default(), limits(), after(now, 3_000));
+    planner.set_targets(vec![Arc::new(listed)], now);
+    planner.place(key(1), ask("base/a1"), now);
+    let actions = planner.take_actions();
+    assert!(matches!(
+        answers(&actions)[0].1,
+        PlacementAnswer::Send { wait_ms: 0, .. }
+    ));
+}
+
+/// An engine as the users' pages describe it.
+#[derive(Clone, Debug, Default)]
+struct EngineModel {
+    sequence: u64,
+    here: BTreeSet<AdapterName>,
+    coming: BTreeMap<AdapterName, u64>,
+    leaving: Option<AdapterName>,
+    running: BTreeMap<CallKey, AdapterName>,
+    history: VecDeque<(u64, EngineReport)>,
+}
+
+impl EngineModel {
+    fn places(&self) -> usize {
+        self.here.len() + self.coming.len()
+    }
+
+    fn uses(&self, adapter: &AdapterName) -> bool {
+        self.running.values().any(|used| used == adapter)
+    }
+
+    fn advance(&mut self, now: u64) {
+        let done: Vec<_> = self
+            .coming
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(adapter, _)| adapter.clone())
+            .collect();
+        for adapter in done {
+            self.coming.remove(&adapter);
+            self.here.insert(adapter);
+        }
+        if let Some(adapter) = self.leaving.clone()
+            && !self.uses(&adapter)
+        {
+            self.here.remove(&adapter);
+            self.leaving = None;
+        }
+        let report = EngineReport {
+            orders_taken: self.sequence,
+            models: vec![AdapterName::new("base")],
+            adapters: self.here.iter().map(|held| (held.clone(), 1)).collect(),
+            coming: self.coming.keys().map(|held| (held.clone(), 1)).collect(),
+            is_busy: false,
+        };
+        self.history.push_back((now, report));
+        while self
+            .history
+            .get(1)
+            .is_some_and(|(at, _)| at + LAG_MICROS <= now)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    fn report(&self) -> EngineReport {
+        self.history.front().expect("it advanced").1.clone()
+    }
+
+    fn take(&mut self, order: &EngineOrder, now: u64) -> OrderOutcome {
+        if self.leaving.as_ref() == Some(&order.subject) && order.kind == OrderKind::Unload {
+            return OrderOutcome::Begun;
+        }
+        if self.leaving.is_some() || order.expected != self.sequence {
+            return OrderOutcome::Conflict;
+        }
+        match order.kind {
+            OrderKind::Load if self.here.contains(&order.subject) => OrderOutcome::Done,
+            OrderKind::Load => {
+                self.sequence += 1;
+                self.coming.insert(order.subject.clone(), now + LOAD_MICROS);
+                assert!(self.places() <= PLACES, "ordered beyond its places: {order:?}");
+                OrderOutcome::Begun
+            }
+            OrderKind::Unload if self.coming.contains_key(&order.subject) => OrderOutcome::Conflict,
+            OrderKind::Unload if !self.here.contains(&order.subject) => OrderOutcome::Done,
+            OrderKind::Unload => {
+                self.sequence += 1;
+                if self.uses(&order.subject) {
+                    self.leaving = Some(order.subject.clone());
+                    OrderOutcome::Begun
+                } else {
+                    self.here.remove(&order.subject);
+                    OrderOutcome::Done
+                }
+            }
+        }
+    }
+}
+
+/// One random run; calls whose gateway is gone run on, orders get lost and are carried out late.
+fn run_schedule(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let names = ["e1", "e2", "e3"].map(TargetName::new);
+    let mut engines: BTreeMap<_, _> = names
+        .iter()
+        .map(|name| (name.clone(), EngineModel::default()))
+        .collect();
+    let mut now = Instant(1_000_000);
+    let mut planner = ZonePlanner::new(EngineFigures::shared_by(1, 3.0), limits(), now);
+    planner.set_targets(names.iter().map(|name| entry(name.as_str())).collect(), now);
+    let mut asked = BTreeSet::new();
+    let mut running: Vec<(CallKey, TargetName, u64)> = Vec::new();
+    let mut late: Vec<(u64, TargetName, EngineOrder)> = Vec::new();
+    let mut next = 1;
+    for step in 0..3_000_u64 {
+        now = now.after(Duration::from_millis(5));
+        for engine in engines.values_mut() {
+            engine.advance(now.0);
+        }
+        let due: Vec<_> = late.extract_if(.., |(at, ..)| *at <= now.0).collect();
+        for (_, name, order) in due {
+            engines.get_mut(&name).expect("an engine").take(&order, now.0);
+        }
+        if step < 2_400 && random.random_bool(0.2) {
+            let rank = random.random_range(0.0_f64..1.0).powi(2) * 30.0;
+            let call = CallKey {
+                vm: VmName::new(["vm1", "vm2"][random.random_range(0..2)]),
+                number: next,
+            };
+            next += 1;
+            asked.insert(call.clone());
+            planner.place(call, ask(&format!("base/a{}", rank as u32)), now);
+        }
+        let ended: Vec<_> = running.extract_if(.., |(.., at)| *at <= now.0).collect();
+        for (call, name, _) in ended {
+            engines.get_mut(&name).expect("an engine").running.remove(&call);
+            planner.ended(&call, Some(&name), Some(CallOutcome::Good), now);
+        }
+        if random.random_bool(0.002) {
+            // The link to a gateway breaks; its calls run on for a while.
+            let vm = VmName::new("vm1");
+            planner.forget_gateway(&vm, now);
+            asked.retain(|call| call.vm != vm);
+        }
+        if step % 10 == 0 {
+            planner.tick(now);
+        }
+        loop {
+            let actions = planner.take_actions();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                match action {
+                    PlannerAction::Answer(call, answer) => {
+                        asked.remove(&call);
+                        if let PlacementAnswer::Send { target, .. } = answer {
+                            let engine = engines.get_mut(&target).expect("an engine");
+                            let subject = planner.engines()[&target]
+                                .calls
+                                .get(&call)
+                                .map(|sent| sent.subject.clone());
+                            if let Some(subject) = subject
+                                && engine.here.contains(&subject)
+                            {
+                                engine.running.insert(call.clone(), subject);
+                            }
+                            let until = now.0 + random.random_range(50_000..2_000_000);
+                            running.push((call, target, until));
+                        }
+                    }
+                    PlannerAction::Order(entry, order) => {
+                        let fate = random.random_range(0..100);
+                        let engine = engines.get_mut(&entry.name).expect("an engine");
+                        let outcome = match fate {
+                            0..3 => {
+                                let at = now.0 + random.random_range(300_000..6_000_000);
+                                late.push((at, entry.name.clone(), order));
+                                OrderOutcome::Unanswered
+                            }
+                            3..5 => {
+                                engine.take(&order, now.0);
+                                OrderOutcome::Unanswered
+                            }
+                            _ => engine.take(&order, now.0),
+                        };
+                        planner.order_ended(&entry.name, outcome, now);
+                    }
+                    PlannerAction::Report(entry) => {
+                        let report = engines[&entry.name].report();
+                        let report = random.random_bool(0.95).then_some(report);
+                        planner.report_came(&entry.name, report.as_ref(), now);
+                    }
+                }
+            }
+        }
+    }
+    assert!(asked.is_empty(), "seed {seed}: never answered: {asked:?}");
+}
+
+#[test]
+fn no_engine_is_ordered_beyond_its_places_whatever_happens_to_orders() {
+    for seed in 0..60 {
+        run_schedule(seed);
+    }
+}
