--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -155,7 +155,10 @@
     assert_eq!(given[0].1.kind, OrderKind::Unload);
     planner.order_ended(&name, OrderOutcome::Begun, now);
     let actions = planner.take_actions();
-    assert!(orders(actions.clone()).is_empty(), "no order while it waits");
+    assert!(
+        orders(actions.clone()).is_empty(),
+        "no order while it waits"
+    );
     // The call that waited is turned away at once, as there is no other engine.
     assert!(matches!(
         answers(&actions)[0].1,
@@ -163,7 +166,14 @@
     ));
     let now = after(now, 400);
     planner.tick(now);
-    planner.report_came(&name, Some(&EngineReport { orders_taken: 5, ..full.clone() }), now);
+    planner.report_came(
+        &name,
+        Some(&EngineReport {
+            orders_taken: 5,
+            ..full.clone()
+        }),
+        now,
+    );
     planner.place(key(2), ask("base/a9"), now);
     assert!(orders(planner.take_actions()).is_empty(), "still leaving");
     let now = after(now, 400);
@@ -324,7 +334,10 @@
             OrderKind::Load => {
                 self.sequence += 1;
                 self.coming.insert(order.subject.clone(), now + LOAD_MICROS);
-                assert!(self.places() <= PLACES, "ordered beyond its places: {order:?}");
+                assert!(
+                    self.places() <= PLACES,
+                    "ordered beyond its places: {order:?}"
+                );
                 OrderOutcome::Begun
             }
             OrderKind::Unload if self.coming.contains_key(&order.subject) => OrderOutcome::Conflict,
@@ -365,7 +378,10 @@
         }
         let due: Vec<_> = late.extract_if(.., |(at, ..)| *at <= now.0).collect();
         for (_, name, order) in due {
-            engines.get_mut(&name).expect("an engine").take(&order, now.0);
+            engines
+                .get_mut(&name)
+                .expect("an engine")
+                .take(&order, now.0);
         }
         if step < 2_400 && random.random_bool(0.2) {
             let rank = random.random_range(0.0_f64..1.0).powi(2) * 30.0;
@@ -379,7 +395,11 @@
         }
         let ended: Vec<_> = running.extract_if(.., |(.., at)| *at <= now.0).collect();
         for (call, name, _) in ended {
-            engines.get_mut(&name).expect("an engine").running.remove(&call);
+            engines
+                .get_mut(&name)
+                .expect("an engine")
+                .running
+                .remove(&call);
             planner.ended(&call, Some(&name), Some(CallOutcome::Good), now);
         }
         if random.random_bool(0.002) {
--- a/crates/daemon/src/direct/call.rs
+++ b/crates/daemon/src/direct/call.rs
@@ -395,6 +395,7 @@
             };
         }
         let mut come_back = COME_BACK;
+        let mut is_home_out = false;
         for pass in [
             PlacingPass::Swift,
             PlacingPass::Bearable,
@@ -406,8 +407,9 @@
             }
             let bound = self.wait_bound(pass);
             for (turn, zone) in self.zones_in_order().into_iter().enumerate() {
-                // Another zone's load comes from the same store: at first only what is there already counts.
-                let may_load = turn == 0 || pass != PlacingPass::Swift;
+                // Another zone's load comes from the same store, so only what is there already counts in it, unless
+                // nobody loads at home.
+                let may_load = turn == 0 || is_home_out;
                 let ask = self.ask(bound, may_load);
                 match self.context.access.place(&zone, ask).await {
                     Some((
@@ -431,6 +433,7 @@
                         come_back = Duration::from_millis(u64::from(retry_after_ms));
                     }
                     None => {
+                        is_home_out |= turn == 0;
                         if let Some(found) = self.place_alone(&zone) {
                             return found;
                         }
