Load ahead only into free places

Cause: at 1.4 times the load some 170 of 252 places are in use by running streams, so what was loaded ahead was the next to be evicted (a1368: loaded at 22.206, gone at 22.500) and its caller came back to nothing.

--- a/crates/core/src/direct/planner.rs
+++ b/crates/core/src/direct/planner.rs
@@ -438,13 +438,15 @@
         Duration::from_secs_f64(f64::from(tokens) / self.figures.prompt_tokens_per_ms / 1e3)
     }
 
-    /// Orders the load of an adapter whose caller was told to come back.
+    /// Orders the load of an adapter whose caller was told to come back, if that drives nothing out: under load most
+    /// places are in use, and what is brought in ahead would go again before its caller is back.
     fn load_ahead(&mut self, name: &TargetName, ask: &PlacementAsk, now: Instant) {
         let has_adapter = split_subject(&ask.subject).1.is_some();
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
-        if has_adapter && ask.may_load && !engine.copies.contains_key(&ask.subject) {
+        let has_place = engine.copies.len() < self.limits.adapter_slots as usize;
+        if has_adapter && ask.may_load && has_place && !engine.copies.contains_key(&ask.subject) {
             engine.want(&ask.subject, now);
             self.advance(name, now);
         }
