Let few VMs of a zone read the log, the strongest give its orders, and weigh full slots as long as calls last

Change: a VM reads the log while it holds its zone, is one of two stand-ins or does not hear its holder; only changes that lead calls elsewhere are passed on; claims in the order of strength; a full slot weighs its share of a call's time.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -62,6 +62,19 @@
     pub adapters: Vec<ResidentAdapter>,
 }
 
+impl TargetEntry {
+    /// Whether calls go to the same place by both entries; what an engine holds is its holder's concern.
+    #[must_use]
+    pub fn leads_alike(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+            && self.slots == other.slots
+            && self.stage == other.stage
+            && self.models == other.models
+    }
+}
+
 #[derive(Clone, Debug)]
 struct CatalogRow {
     offset: LogOffset,
@@ -91,45 +104,49 @@
         self.end
     }
 
-    /// Folds one record; none for a removal.
+    /// Folds one record; none for a removal. Says whether it changes where calls may go.
     pub fn apply(
         &mut self,
         name: &TargetName,
         offset: LogOffset,
         entry: Option<TargetEntry>,
         now: Instant,
-    ) {
+    ) -> bool {
         self.end = self.end.max(offset);
         let in_doubt = self
             .outage_ended
             .is_some_and(|ended| now.since(ended) < LAPSE_RETURN);
-        match self.rows.get_mut(name) {
-            Some(row) if row.offset >= offset && row.offset.0 > 0 => {}
-            Some(row) => {
-                row.offset = offset;
-                match entry {
-                    Some(entry) => {
-                        row.entry = Some(Arc::new(entry));
-                        row.lapses_at = None;
-                    }
-                    None if in_doubt && row.entry.is_some() => {
-                        row.lapses_at = Some(now.after(LAPSE_RETURN));
-                    }
-                    None => {
-                        row.entry = None;
-                        row.lapses_at = None;
-                    }
-                }
+        let Some(row) = self.rows.get_mut(name) else {
+            let is_known = entry.is_some();
+            let row = CatalogRow {
+                offset,
+                entry: entry.map(Arc::new),
+                lapses_at: None,
+            };
+            self.rows.insert(name.clone(), row);
+            return is_known;
+        };
+        if row.offset >= offset && row.offset.0 > 0 {
+            return false;
+        }
+        row.offset = offset;
+        match entry {
+            Some(entry) => {
+                let is_news = row
+                    .entry
+                    .as_ref()
+                    .is_none_or(|known| !known.leads_alike(&entry));
+                row.entry = Some(Arc::new(entry));
+                row.lapses_at = None;
+                is_news
+            }
+            None if in_doubt && row.entry.is_some() => {
+                row.lapses_at = Some(now.after(LAPSE_RETURN));
+                false
             }
             None => {
-                self.rows.insert(
-                    name.clone(),
-                    CatalogRow {
-                        offset,
-                        entry: entry.map(Arc::new),
-                        lapses_at: None,
-                    },
-                );
+                row.lapses_at = None;
+                row.entry.take().is_some()
             }
         }
     }
--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -7,8 +7,10 @@
     },
     ids::{AdapterName, Instant},
 };
+use siphasher::sip::SipHasher13;
 use std::{
     collections::{HashMap, VecDeque},
+    hash::{Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
@@ -163,7 +165,43 @@
     /// When it will have read all prompts sent to it.
     pub prompts_done: Instant,
     lately: VecDeque<AdapterName>,
-    prefixes: VecDeque<(AdapterName, u64)>,
+    prefixes: PrefixMemory,
+    tokens_sent: u64,
+}
+
+/// Prompt parts that an engine has likely kept, by hash of adapter and part; the oldest go first.
+#[derive(Clone, Debug, Default)]
+struct PrefixMemory {
+    /// How often each part stands in the order.
+    known: HashMap<u64, u32>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixMemory {
+    fn note(&mut self, part: u64) {
+        *self.known.entry(part).or_default() += 1;
+        self.order.push_back(part);
+        if self.order.len() > PREFIXES_KEPT
+            && let Some(oldest) = self.order.pop_front()
+            && let Some(count) = self.known.get_mut(&oldest)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.known.remove(&oldest);
+            }
+        }
+    }
+
+    fn knows(&self, part: u64) -> bool {
+        self.known.contains_key(&part)
+    }
+}
+
+fn prefix_hash(subject: &AdapterName, part: u64) -> u64 {
+    let mut hasher = SipHasher13::new();
+    subject.as_str().hash(&mut hasher);
+    part.hash(&mut hasher);
+    hasher.finish()
 }
 
 impl EngineState {
@@ -184,7 +222,8 @@
             is_reporting: false,
             prompts_done: now,
             lately: VecDeque::new(),
-            prefixes: VecDeque::new(),
+            prefixes: PrefixMemory::default(),
+            tokens_sent: 0,
             entry,
         };
         let entry = Arc::clone(&engine.entry);
@@ -290,7 +329,22 @@
     /// Tokens that running calls may take in memory.
     #[must_use]
     pub fn tokens_sent(&self) -> u64 {
-        self.calls.values().map(|call| call.tokens).sum()
+        self.tokens_sent
+    }
+
+    /// Counts a call that was sent to it.
+    pub fn add_call(&mut self, key: CallKey, call: SentCall) {
+        self.tokens_sent += call.tokens;
+        if let Some(old) = self.calls.insert(key, call) {
+            self.tokens_sent -= old.tokens;
+        }
+    }
+
+    /// Counts a call no more.
+    pub fn remove_call(&mut self, key: &CallKey) -> Option<SentCall> {
+        let call = self.calls.remove(key)?;
+        self.tokens_sent -= call.tokens;
+        Some(call)
     }
 
     /// Adds a copy whose load waits for its turn.
@@ -321,11 +375,7 @@
     pub fn kept_tokens(&self, subject: &AdapterName, prefix: &[(u64, u32)]) -> u32 {
         prefix
             .iter()
-            .take_while(|(part, _)| {
-                self.prefixes
-                    .iter()
-                    .any(|(kept, id)| id == part && kept == subject)
-            })
+            .take_while(|(part, _)| self.prefixes.knows(prefix_hash(subject, *part)))
             .map(|(_, tokens)| tokens)
             .sum()
     }
@@ -334,12 +384,7 @@
     pub fn note_prefix(&mut self, subject: &AdapterName, prefix: &[(u64, u32)]) {
         let shared = prefix.len().saturating_sub(1);
         for (part, _) in &prefix[..shared] {
-            self.prefixes
-                .retain(|(kept, id)| id != part || kept != subject);
-            self.prefixes.push_back((subject.clone(), *part));
-        }
-        while self.prefixes.len() > PREFIXES_KEPT {
-            self.prefixes.pop_front();
+            self.prefixes.note(prefix_hash(subject, *part));
         }
     }
 }
--- a/crates/core/src/direct/planner.rs
+++ b/crates/core/src/direct/planner.rs
@@ -100,6 +100,8 @@
     pub load_penalty: Duration,
     /// What each running call adds to a newcomer's wait.
     pub per_call: Duration,
+    /// Time that a call holds its slot.
+    pub slot_time: Duration,
     /// Loads that may be on their way in this zone at full speed.
     pub loads_at_full_speed: u32,
     /// What all zones at their share are beyond full speed: shares are whole loads.
@@ -117,6 +119,7 @@
             lately_load: Duration::from_millis(25),
             load_penalty: Duration::from_millis(250),
             per_call: Duration::from_micros(1_200),
+            slot_time: Duration::from_millis(2_000),
             loads_at_full_speed: 3,
             share_excess: 1.0,
             model_load_pause: Duration::from_millis(950),
@@ -339,7 +342,7 @@
         let wait = prompts.max(load.time)
             + own
             + self.figures.per_call * calls
-            + Duration::from_millis(60) * over
+            + self.figures.slot_time / engine.entry.slots.max(1) * over
             + full
             + engine.entry.cold.min(Duration::from_secs(1));
         Some(PlacementCost {
@@ -502,13 +505,11 @@
         let time = Duration::from_secs_f64(f64::from(fresh) / tokens_per_ms / 1e3);
         engine.prompts_done = engine.prompts_done.max(now).after(time);
         engine.note_prefix(&ask.subject, &ask.prefix);
-        engine.calls.insert(
-            key,
-            SentCall {
-                subject: ask.subject.clone(),
-                tokens: call_tokens(ask),
-            },
-        );
+        let call = SentCall {
+            subject: ask.subject.clone(),
+            tokens: call_tokens(ask),
+        };
+        engine.add_call(key, call);
     }
 
     /// A gateway tells of a call that it had open before this planner began.
@@ -523,7 +524,7 @@
             subject: subject.clone(),
             tokens: 0,
         };
-        engine.calls.insert(key, call);
+        engine.add_call(key, call);
     }
 
     /// A call ended, or its gateway gave it up.
@@ -542,7 +543,7 @@
             for copy in engine.copies.values_mut() {
                 copy.waiters.retain(|(waiter, _)| waiter != key);
             }
-            if let Some(call) = engine.calls.remove(key)
+            if let Some(call) = engine.remove_call(key)
                 && let Some(copy) = engine.copies.get_mut(&call.subject)
             {
                 copy.users = copy.users.saturating_sub(1);
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -203,6 +203,19 @@
         }
     }
 
+    /// Whether the holder by a lease is heard over a link.
+    #[must_use]
+    pub fn is_linked(&self, lease: &ZoneLease) -> bool {
+        let links = self.links.lock().expect("no holder of the lock panics");
+        lease
+            .vm
+            .as_ref()
+            .and_then(|vm| links.get(vm))
+            .is_some_and(|link| {
+                link.incarnation == lease.incarnation && link.contact() == LinkContact::Up
+            })
+    }
+
     /// Dials a zone's holder anew if its link has ended.
     pub fn redial(&self, zone: &AvailabilityZone, lease: &ZoneLease) {
         if !self.is_mine(lease) {
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -10,21 +10,12 @@
     event,
     events::Event,
 };
-use hoplanding_core::{
-    direct::lease::{HolderContact, LeaseStep, ZoneLease},
-    ids::VmName,
-};
+use hoplanding_core::direct::lease::{HolderContact, LeaseStep, ZoneLease};
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
 };
-use siphasher::sip::SipHasher13;
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 /// Pause between two looks at the holder.
@@ -69,14 +60,11 @@
             }
             _ => HolderContact::Ended,
         };
+        let rank = self.fleet.rank();
         let mut books = self.fleet.books();
         if books.fleet_end.is_none() || books.active.is_none() {
             return false;
         }
-        let rank = self.rank(books.vms.iter().filter_map(|(vm, record)| {
-            let is_holder = lease.as_ref().and_then(|lease| lease.vm.as_ref()) == Some(vm);
-            (record.zone == self.fleet.zone && !is_holder).then_some(vm)
-        }));
         let state = books.leases.entry(self.fleet.zone.clone()).or_default();
         let step = state.step(&self.settings.leases, contact, rank, clock::now());
         match step {
@@ -88,13 +76,6 @@
         }
     }
 
-    /// This VM's place in the order of claimants, the same at all of them.
-    fn rank<'a>(&self, vms: impl Iterator<Item = &'a VmName>) -> u32 {
-        let mine = claim_order(&self.fleet.vm);
-        let before = vms.filter(|vm| claim_order(vm) < mine).count();
-        u32::try_from(before).unwrap_or(u32::MAX)
-    }
-
     async fn claim(&self, client: &mut StoreClient) {
         let Some(end) = self.fleet.books().fleet_end else {
             return;
@@ -118,12 +99,6 @@
     }
 }
 
-fn claim_order(vm: &VmName) -> u64 {
-    let mut hasher = SipHasher13::new();
-    vm.as_str().hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Records that this VM gave its zone up, so that another claims it at once.
 pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) {
     let mut client = StoreClient::new(platform);
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -75,7 +75,7 @@
             settings.zone,
             settings.peer_address
         );
-        start_feeds(&settings, &fleet);
+        start_feeds(&settings, &fleet, &access);
         let zones = u32::try_from(settings.zones.len()).unwrap_or(u32::MAX);
         let worker = ZoneWorker::new(Arc::clone(&fleet), Arc::clone(&pool), zone.clone(), zones);
         tokio::spawn(worker.run(zone_receiver));
@@ -152,7 +152,7 @@
     }
 }
 
-fn start_feeds(settings: &Arc<DirectSettings>, fleet: &Arc<FleetState>) {
+fn start_feeds(settings: &Arc<DirectSettings>, fleet: &Arc<FleetState>, access: &Arc<ZoneAccess>) {
     let reach = StoreReach::new();
     for topic in [FeedTopic::Operators, FeedTopic::Targets, FeedTopic::Fleet] {
         let worker = FeedWorker {
@@ -160,6 +160,7 @@
             address: settings.platform_address,
             pace: settings.pace,
             fleet: Arc::clone(fleet),
+            access: Arc::clone(access),
             reach: reach.clone(),
         };
         tokio::spawn(worker.run());
@@ -172,6 +173,7 @@
         zone: settings.zone.clone(),
         address: settings.peer_address,
         incarnation,
+        strength: settings.strength,
     };
     let value = serde_json::to_vec(&record).expect("a record has a JSON form");
     let key = vm_key(&settings.vm);
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -5,7 +5,7 @@
 //! anew.
 
 use crate::{
-    direct::{fleet::FleetState, message::FeedTopic, settings::PaceSettings},
+    direct::{access::ZoneAccess, fleet::FleetState, message::FeedTopic, settings::PaceSettings},
     event,
     events::Event,
 };
@@ -22,6 +22,12 @@
 const READ_WAIT: Duration = Duration::from_secs(20);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
+/// VMs of a zone that read the log beside its holder.
+const STAND_INS: u32 = 2;
+/// VMs of a zone that read the log once when another VM can't.
+const ANSWERERS: u32 = 5;
+/// Pause between two looks at whether this VM has to read.
+const DUTY_LOOK: Duration = Duration::from_millis(300);
 /// Pause after a call that brought nothing; varied by half.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -58,6 +64,8 @@
     pub pace: PaceSettings,
     /// The books.
     pub fleet: Arc<FleetState>,
+    /// Links to holders.
+    pub access: Arc<ZoneAccess>,
     /// Shared by all feeds.
     pub reach: StoreReach,
 }
@@ -91,6 +99,7 @@
         let mut from = from;
         let topic = topic_name(self.topic);
         loop {
+            self.wait_for_duty().await;
             let mut returns = self.reach.returns.subscribe();
             let reading = client.read(topic, from, self.wait(), self.pace.platform_timeout);
             let read = tokio::select! {
@@ -114,6 +123,33 @@
         }
     }
 
+    /// Waits while the holder of the zone passes on what it reads, and others stand in for it.
+    async fn wait_for_duty(&self) {
+        let mut asked = self.fleet.watch_asked();
+        while !self.has_duty() {
+            tokio::select! {
+                () = sleep(DUTY_LOOK) => {}
+                // A VM that can't read asks: one read of this VM's own answers it.
+                _ = asked.changed() => {
+                    if self.fleet.rank() < ANSWERERS {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it.
+    fn has_duty(&self) -> bool {
+        let Some(lease) = self.fleet.lease(&self.fleet.zone) else {
+            return true;
+        };
+        if lease.vm.as_ref().is_none_or(|vm| *vm == self.fleet.vm) {
+            return true;
+        }
+        !self.access.is_linked(&lease) || self.fleet.rank() < STAND_INS
+    }
+
     fn wait(&self) -> Duration {
         match self.topic {
             FeedTopic::Targets => LIST_WAIT,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -31,8 +31,11 @@
     targets::decode_target,
 };
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 use std::{
+    cmp::Reverse,
     collections::HashMap,
+    hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -57,6 +60,9 @@
     pub address: SocketAddr,
     /// The run of its process.
     pub incarnation: u64,
+    /// Thousandths of a core that it has: the strongest VM of a zone gives its orders.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// A configuration in force.
@@ -110,9 +116,12 @@
     pub incarnation: u64,
     /// This VM's zone.
     pub zone: AvailabilityZone,
+    /// Thousandths of a core that this VM has.
+    pub strength: u32,
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
     pulls: watch::Sender<u64>,
+    asked: watch::Sender<u64>,
     news: broadcast::Sender<Arc<PassedRecord>>,
 }
 
@@ -124,6 +133,7 @@
             vm: settings.vm.clone(),
             incarnation,
             zone: settings.zone.clone(),
+            strength: settings.strength,
             books: Mutex::new(FleetBooks {
                 active: None,
                 catalog: TargetCatalog::default(),
@@ -141,6 +151,7 @@
             }),
             changes: watch::channel(0).0,
             pulls: watch::channel(0).0,
+            asked: watch::channel(0).0,
             news: broadcast::channel(NEWS_KEPT).0,
         }
     }
@@ -166,6 +177,23 @@
         books.active.is_some() && books.has_targets
     }
 
+    /// This VM's place in the order in which its zone's VMs take on duties, the strongest first.
+    #[must_use]
+    pub fn rank(&self) -> u32 {
+        let books = self.books();
+        let holder = books
+            .leases
+            .get(&self.zone)
+            .and_then(|state| state.holder().cloned());
+        let mine = duty_order(&self.vm, self.strength);
+        let before = books.vms.iter().filter(|(vm, record)| {
+            record.zone == self.zone
+                && Some(*vm) != holder.as_ref()
+                && duty_order(vm, record.strength) < mine
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// A signal that fires after changes.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<u64> {
@@ -201,9 +229,9 @@
 
     /// Folds records in the order of their offsets.
     pub fn take_records(&self, topic: FeedTopic, batch: &ReadBatch) {
-        self.fold(topic, &batch.records, clock::now());
+        let has_news = self.fold(topic, &batch.records, clock::now());
         self.note_end(topic, batch.end);
-        if !batch.records.is_empty() {
+        if has_news {
             self.signal();
         }
     }
@@ -211,6 +239,7 @@
     /// Folds records that another VM passed on.
     pub fn take_passed(&self, passed: Vec<PassedRecord>) {
         let now = clock::now();
+        let mut has_news = false;
         for record in passed {
             let topic = record.topic;
             let record = KeyedRecord {
@@ -218,14 +247,18 @@
                 value: record.value,
                 offset: record.offset,
             };
-            self.fold(topic, std::slice::from_ref(&record), now);
+            has_news |= self.fold(topic, std::slice::from_ref(&record), now);
+        }
+        if has_news {
+            self.signal();
         }
-        self.signal();
     }
 
-    /// Records of topics from offsets on, for a VM that can't read them itself.
+    /// Records of topics from offsets on, for a VM that can't read them itself. What this VM reads next is passed on
+    /// as news.
     #[must_use]
     pub fn records_since(&self, wanted: &[(FeedTopic, LogOffset)]) -> Vec<PassedRecord> {
+        self.asked.send_modify(|count| *count += 1);
         let books = self.books();
         wanted
             .iter()
@@ -254,6 +287,12 @@
         self.pulls.subscribe()
     }
 
+    /// A signal that another VM asked for records.
+    #[must_use]
+    pub fn watch_asked(&self) -> watch::Receiver<u64> {
+        self.asked.subscribe()
+    }
+
     /// Records as they become known.
     #[must_use]
     pub fn watch_news(&self) -> broadcast::Receiver<Arc<PassedRecord>> {
@@ -267,21 +306,33 @@
         }
     }
 
-    fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) {
+    /// Folds records; says whether any of them is news for others.
+    fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) -> bool {
+        let mut has_news = false;
         let mut books = self.books();
         for record in records {
-            let is_news =
+            let is_newer =
                 books
                     .records
                     .keep(topic, &record.key, record.offset, record.value.as_ref());
-            if !is_news {
+            if !is_newer {
                 continue;
             }
-            match topic {
-                FeedTopic::Operators => fold_operator_record(&mut books, record),
+            let is_news = match topic {
+                FeedTopic::Operators => {
+                    fold_operator_record(&mut books, record);
+                    true
+                }
                 FeedTopic::Targets => fold_target_record(&mut books, record, now),
-                FeedTopic::Fleet => fold_fleet_record(&mut books, record),
+                FeedTopic::Fleet => {
+                    fold_fleet_record(&mut books, record);
+                    true
+                }
+            };
+            if !is_news {
+                continue;
             }
+            has_news = true;
             // Nobody listening is no fault: there may be no link.
             drop(self.news.send(Arc::new(PassedRecord {
                 topic,
@@ -290,6 +341,7 @@
                 offset: record.offset,
             })));
         }
+        has_news
     }
 
     /// Removes targets whose removal is no longer in doubt.
@@ -331,7 +383,7 @@
     }
 }
 
-fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) {
+fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) -> bool {
     let name = TargetName::new(&record.key);
     let entry = match &record.value {
         None => None,
@@ -340,11 +392,11 @@
             Err(error) => {
                 // What can't be decoded is kept out; the last good entry stays.
                 event!(Event::RecordSkipped, "target {name}: {error}");
-                return;
+                return false;
             }
         },
     };
-    books.catalog.apply(&name, record.offset, entry, now);
+    books.catalog.apply(&name, record.offset, entry, now)
 }
 
 fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) {
@@ -434,6 +486,12 @@
     }
 }
 
+fn duty_order(vm: &VmName, strength: u32) -> (Reverse<u32>, u64) {
+    let mut hasher = SipHasher13::new();
+    vm.as_str().hash(&mut hasher);
+    (Reverse(strength), hasher.finish())
+}
+
 /// Key of a VM's record.
 #[must_use]
 pub fn vm_key(vm: &VmName) -> String {
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -15,6 +15,8 @@
     pub vm: VmName,
     /// Its availability zone.
     pub zone: AvailabilityZone,
+    /// Thousandths of a core that this VM has.
+    pub strength: u32,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where the balancer asks whether the VM takes callers.
@@ -82,6 +84,7 @@
     DirectSettings {
         vm: VmName::new(&root.text("vm", "write the name of this VM")),
         zone: AvailabilityZone::new(&root.text("zone", "write the name of its availability zone")),
+        strength: (root.fraction("cores", 1.0, 0.001, 1024.0) * 1000.0) as u32,
         caller_address: root.address("caller_address"),
         ready_address: root.address("ready_address"),
         peer_address: root.address("peer_address"),
