Test the direct mode over sockets; let a stopping VM not claim its zone again

Found by the test of a planned stop (it failed first): the VM that gave its zone up saw it vacant and claimed it again while it stopped, so orders came from a process that was about to end.

Change: claims end when a planned stop begins.

--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -5,6 +5,7 @@
     direct::{
         access::ZoneAccess,
         fleet::{FleetState, zone_key},
+        front::StopPhase,
         settings::DirectSettings,
     },
     event,
@@ -16,7 +17,7 @@
     store::{StoreClient, StoreError},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 /// Pause between two looks at the holder.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
@@ -33,14 +34,19 @@
     pub access: Arc<ZoneAccess>,
     /// Settings.
     pub settings: Arc<DirectSettings>,
+    /// How far a planned stop is.
+    pub stop: watch::Receiver<StopPhase>,
 }
 
 impl ClaimWorker {
-    /// Watches until the process ends.
+    /// Watches until a planned stop begins: what is given up then is for another VM to claim.
     pub async fn run(self) {
         let mut client = StoreClient::new(self.settings.platform_address);
         loop {
             sleep(LOOK_EVERY).await;
+            if *self.stop.borrow() != StopPhase::Serving {
+                return;
+            }
             if self.wants_claim() {
                 self.claim(&mut client).await;
                 sleep(AFTER_CLAIM).await;
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -84,6 +84,7 @@
             fleet: Arc::clone(&fleet),
             access: Arc::clone(&access),
             settings: Arc::clone(&settings),
+            stop: stop_watch.clone(),
         };
         tokio::spawn(claims.run());
         tokio::spawn(record_vm(Arc::clone(&settings), incarnation));
--- /dev/null
+++ b/crates/standins/src/keyed_log.rs
@@ -0,0 +1,308 @@
+//! The users' platform as the direct mode meets it: a log of keyed topics over HTTP.
+//!
+//! Only what the direct mode uses: appends with and without a condition, reads that wait, and the newest of each key.
+
+use crate::RunningServer;
+use poem::{
+    Body, EndpointExt, Response, Route, get, handler,
+    http::StatusCode,
+    post,
+    web::{Data, Query},
+};
+use serde::Deserialize;
+use serde_json::json;
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::{sync::Notify, time::timeout};
+
+/// Faults of the log.
+#[derive(Clone, Debug, Default)]
+pub struct LogFaults {
+    /// Every call is refused.
+    pub is_out: bool,
+    /// Every read answers bytes that are no records.
+    pub talks_nonsense: bool,
+    /// Appends that are done, but whose answer is lost.
+    pub lose_answers: usize,
+}
+
+#[derive(Clone, Debug)]
+struct StoredRecord {
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Default)]
+struct LogState {
+    topics: HashMap<String, Vec<StoredRecord>>,
+    /// First offset kept of each topic.
+    first: HashMap<String, usize>,
+    faults: LogFaults,
+    calls: u64,
+}
+
+#[derive(Default)]
+struct SharedLog {
+    state: Mutex<LogState>,
+    grown: Notify,
+}
+
+impl SharedLog {
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Refuses a call as the faults say.
+    fn refusal(&self) -> Option<Response> {
+        let mut state = self.lock();
+        state.calls += 1;
+        state.faults.is_out.then(|| {
+            Response::builder()
+                .status(StatusCode::SERVICE_UNAVAILABLE)
+                .finish()
+        })
+    }
+}
+
+impl SharedLog {
+    /// Appends a record if its condition holds; says whether the answer is lost.
+    fn take(&self, query: &AppendQuery, record: StoredRecord) -> (Response, bool) {
+        let mut state = self.lock();
+        let records = state.topics.entry(query.topic.clone()).or_default();
+        if query.store_revision.is_some_and(|end| end != records.len()) {
+            let end = json!({ "end": records.len() }).to_string();
+            let refusal = Response::builder()
+                .status(StatusCode::PRECONDITION_FAILED)
+                .body(end);
+            return (refusal, false);
+        }
+        records.push(record);
+        let end = records.len();
+        let is_lost = state.faults.lose_answers > 0;
+        state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+        let answer = json!({ "offset": end - 1, "end": end }).to_string();
+        (Response::builder().body(answer), is_lost)
+    }
+}
+
+/// A running log.
+pub struct KeyedLog {
+    server: RunningServer,
+    shared: Arc<SharedLog>,
+}
+
+impl KeyedLog {
+    /// Starts an empty log.
+    ///
+    /// # Errors
+    /// Returns the error of the system when no port can be had.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(SharedLog::default());
+        let app = Route::new()
+            .at("/hoplanding/log-append", post(append))
+            .at("/hoplanding/log-read", get(read))
+            .at("/hoplanding/log-newest", get(newest))
+            .data(Arc::clone(&shared));
+        let server = RunningServer::start(app).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.server.address
+    }
+
+    /// Writes a record, as an operator or a target does; none drops the key.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&str>) {
+        let record = StoredRecord {
+            key: key.to_owned(),
+            value: value.map(|value| value.as_bytes().to_vec()),
+        };
+        self.shared
+            .lock()
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .push(record);
+        self.shared.grown.notify_waiters();
+    }
+
+    /// Forgets the history of a topic; the newest of each key stay.
+    pub fn compact(&self, topic: &str) {
+        let mut state = self.shared.lock();
+        let end = state.topics.get(topic).map_or(0, Vec::len);
+        state.first.insert(topic.to_owned(), end);
+        drop(state);
+        self.shared.grown.notify_waiters();
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut LogFaults)) {
+        change(&mut self.shared.lock().faults);
+        self.shared.grown.notify_waiters();
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+
+    /// Values under a key, oldest first.
+    #[must_use]
+    pub fn values(&self, topic: &str, key: &str) -> Vec<String> {
+        let state = self.shared.lock();
+        let records = state.topics.get(topic).into_iter().flatten();
+        records
+            .filter(|record| record.key == key)
+            .filter_map(|record| record.value.as_ref())
+            .map(|value| String::from_utf8_lossy(value).into_owned())
+            .collect()
+    }
+}
+
+#[derive(Deserialize)]
+struct AppendQuery {
+    topic: String,
+    store_revision: Option<usize>,
+}
+
+#[handler]
+async fn append(
+    body: Body,
+    Query(query): Query<AppendQuery>,
+    Data(shared): Data<&Arc<SharedLog>>,
+) -> Response {
+    if let Some(refusal) = shared.refusal() {
+        return refusal;
+    }
+    let bytes = body.into_vec().await.unwrap_or_default();
+    let Some(record) = decode(&bytes) else {
+        return Response::builder().status(StatusCode::BAD_REQUEST).finish();
+    };
+    let (answer, is_lost) = shared.take(&query, record);
+    shared.grown.notify_waiters();
+    if is_lost {
+        std::future::pending::<()>().await;
+    }
+    answer
+}
+
+fn decode(bytes: &[u8]) -> Option<StoredRecord> {
+    let (length, rest) = bytes.split_first_chunk::<4>()?;
+    let record = rest.get(..u32::from_be_bytes(*length) as usize)?;
+    let (key_length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*key_length))?;
+    Some(StoredRecord {
+        key: String::from_utf8(key.to_vec()).ok()?,
+        value: (!value.is_empty()).then(|| value.to_vec()),
+    })
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    topic: String,
+    from: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+#[handler]
+async fn read(Query(query): Query<ReadQuery>, Data(shared): Data<&Arc<SharedLog>>) -> Response {
+    if let Some(refusal) = shared.refusal() {
+        return refusal;
+    }
+    let has_more = || {
+        let state = shared.lock();
+        let end = state.topics.get(&query.topic).map_or(0, Vec::len);
+        end > query.from
+            || state
+                .first
+                .get(&query.topic)
+                .is_some_and(|first| *first > query.from)
+    };
+    let waiting = async {
+        loop {
+            let grown = shared.grown.notified();
+            if has_more() {
+                return;
+            }
+            grown.await;
+        }
+    };
+    // Out of time: the answer then holds no records.
+    let _ = timeout(Duration::from_millis(query.wait_ms), waiting).await;
+    if let Some(refusal) = shared.refusal() {
+        return refusal;
+    }
+    let state = shared.lock();
+    if state.faults.talks_nonsense {
+        return Response::builder().body("what?");
+    }
+    let first = state.first.get(&query.topic).copied().unwrap_or(0);
+    if first > query.from {
+        return Response::builder()
+            .status(StatusCode::GONE)
+            .body(json!({ "first": first }).to_string());
+    }
+    let records = state
+        .topics
+        .get(&query.topic)
+        .map_or(&[][..], Vec::as_slice);
+    let mut body = Vec::new();
+    body.extend((records.len() as u64).to_be_bytes());
+    body.extend((first as u64).to_be_bytes());
+    for record in records.get(query.from..).unwrap_or_default() {
+        let value = record.value.as_deref().unwrap_or_default();
+        let length = 1 + record.key.len() + value.len();
+        body.extend((length as u32).to_be_bytes());
+        body.push(record.key.len() as u8);
+        body.extend(record.key.as_bytes());
+        body.extend(value);
+    }
+    Response::builder().body(body)
+}
+
+#[derive(Deserialize)]
+struct NewestQuery {
+    topic: String,
+}
+
+#[handler]
+async fn newest(Query(query): Query<NewestQuery>, Data(shared): Data<&Arc<SharedLog>>) -> Response {
+    if let Some(refusal) = shared.refusal() {
+        return refusal;
+    }
+    let state = shared.lock();
+    if state.faults.talks_nonsense {
+        return Response::builder().body("what?");
+    }
+    let records = state
+        .topics
+        .get(&query.topic)
+        .map_or(&[][..], Vec::as_slice);
+    let newest: BTreeMap<_, _> = records
+        .iter()
+        .enumerate()
+        .map(|(offset, record)| (&record.key, (offset, &record.value)))
+        .collect();
+    let items: Vec<_> = newest
+        .into_iter()
+        .filter_map(|(key, (offset, value))| Some((key, offset, value.as_ref()?)))
+        .map(|(key, offset, value)| {
+            json!({ "private_key": key, "value": base64(value), "offset": offset })
+        })
+        .collect();
+    let page = json!({ "items": items, "has_more": false, "end": records.len() });
+    Response::builder().body(page.to_string())
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::{Engine as _, engine::general_purpose::STANDARD};
+    STANDARD.encode(bytes)
+}
--- /dev/null
+++ b/crates/standins/src/raw_target.rs
@@ -0,0 +1,191 @@
+//! A target whose answers are given as bytes, so that broken ones can be made.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::sleep,
+};
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct RawRequest {
+    /// Request line and headers.
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl RawRequest {
+    /// The value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// Method and path.
+    #[must_use]
+    pub fn line(&self) -> &str {
+        self.head.lines().next().unwrap_or_default()
+    }
+}
+
+/// What is written for a request.
+#[derive(Clone, Debug)]
+pub struct RawAnswer {
+    /// Pieces, each after a pause.
+    pub pieces: Vec<(Duration, Vec<u8>)>,
+    /// Whether the connection is closed behind them.
+    pub closes: bool,
+}
+
+impl RawAnswer {
+    /// A whole answer with a length.
+    #[must_use]
+    pub fn whole(status: &str, headers: &str, body: &str) -> Self {
+        let length = body.len();
+        let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        Self {
+            pieces: vec![(Duration::ZERO, text.into_bytes())],
+            closes: false,
+        }
+    }
+
+    /// Nothing: the connection is closed.
+    #[must_use]
+    pub fn close() -> Self {
+        Self {
+            pieces: Vec::new(),
+            closes: true,
+        }
+    }
+}
+
+type AnswerFn = dyn Fn(&RawRequest) -> RawAnswer + Send + Sync;
+
+/// A running target; ends when dropped.
+pub struct RawTarget {
+    /// Where it listens.
+    pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<RawRequest>>>,
+    connections: Arc<Mutex<usize>>,
+    task: JoinHandle<()>,
+}
+
+impl RawTarget {
+    /// Starts a target on loopback.
+    ///
+    /// # Errors
+    /// Returns the error of the system when no port can be had.
+    pub async fn start(
+        answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let connections = Arc::new(Mutex::new(0));
+        let answer: Arc<AnswerFn> = Arc::new(answer);
+        let (seen, opened) = (Arc::clone(&requests), Arc::clone(&connections));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                *opened.lock().expect("no holder panics") += 1;
+                let (seen, answer) = (Arc::clone(&seen), Arc::clone(&answer));
+                // A connection that breaks is the other side's affair.
+                tokio::spawn(async move { drop(serve(stream, &seen, &*answer).await) });
+            }
+        });
+        Ok(Self {
+            address,
+            requests,
+            connections,
+            task,
+        })
+    }
+
+    /// The requests so far, in order.
+    ///
+    /// # Panics
+    /// If a holder of the lock panicked.
+    #[must_use]
+    pub fn requests(&self) -> Vec<RawRequest> {
+        self.requests.lock().expect("no holder panics").clone()
+    }
+
+    /// Connections accepted so far.
+    ///
+    /// # Panics
+    /// If a holder of the lock panicked.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        *self.connections.lock().expect("no holder panics")
+    }
+}
+
+impl Drop for RawTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<RawRequest>>,
+    answer: &AnswerFn,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut bytes = Vec::new();
+    loop {
+        let Some(request) = read_request(&mut stream, &mut bytes).await? else {
+            return Ok(());
+        };
+        seen.lock().expect("no holder panics").push(request.clone());
+        let answer = answer(&request);
+        for (pause, piece) in answer.pieces {
+            sleep(pause).await;
+            stream.write_all(&piece).await?;
+        }
+        if answer.closes {
+            return Ok(());
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+) -> io::Result<Option<RawRequest>> {
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|end| end == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(bytes).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    bytes.drain(..end + 4);
+    let mut request = RawRequest {
+        head,
+        body: Vec::new(),
+    };
+    let length = request
+        .header("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
+    while bytes.len() < length {
+        if stream.read_buf(bytes).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = bytes.drain(..length).collect();
+    Ok(Some(request))
+}
