Read less at a common start, and make up over a new link for what was recorded before it

A VM that stops reading when its link comes up missed what was recorded between its last read and the link's first news.

--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -163,6 +163,7 @@
             fleet: Arc::clone(fleet),
             access: Arc::clone(access),
             reach: reach.clone(),
+            started: Instant::now(),
         };
         tokio::spawn(worker.run());
     }
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -16,16 +16,23 @@
 };
 use rand::Rng;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
+/// Time after the start in which only those first in rank read on.
+const START_GRACE: Duration = Duration::from_secs(3);
+/// Pause between two reads of the fleet's records: after a common start they come by the dozen.
+const FLEET_EVERY: Duration = Duration::from_secs(1);
 /// VMs of a zone that read the log beside its holder.
 const STAND_INS: u32 = 2;
 /// VMs of a zone that read the log once when another VM can't.
-const ANSWERERS: u32 = 5;
+const ANSWERERS: u32 = 3;
 /// Pause between two looks at whether this VM has to read.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
 /// Pause after a call that brought nothing; varied by half.
@@ -68,6 +75,8 @@
     pub access: Arc<ZoneAccess>,
     /// Shared by all feeds.
     pub reach: StoreReach,
+    /// When the process started.
+    pub started: Instant,
 }
 
 impl FeedWorker {
@@ -139,8 +148,13 @@
         }
     }
 
-    /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it.
+    /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it. At
+    /// its start a VM waits for its first link rather than read what the holder is about to pass on.
     fn has_duty(&self) -> bool {
+        let is_starting = self.started.elapsed() < START_GRACE;
+        if is_starting && self.topic != FeedTopic::Fleet {
+            return self.fleet.rank() < STAND_INS;
+        }
         let Some(lease) = self.fleet.lease(&self.fleet.zone) else {
             return true;
         };
@@ -160,7 +174,8 @@
     fn pause_between(&self) -> Duration {
         match self.topic {
             FeedTopic::Targets => self.pace.list_every,
-            FeedTopic::Operators | FeedTopic::Fleet => self.pace.config_every,
+            FeedTopic::Operators => self.pace.config_every,
+            FeedTopic::Fleet => FLEET_EVERY.min(self.pace.list_every),
         }
     }
 
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -272,7 +272,15 @@
         let mut heard = clock::now();
         let mut beat = interval(BEAT);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut sharing = RecordSharing::new(&self.fleet, self.zone == self.fleet.zone);
+        let is_same_zone = self.zone == self.fleet.zone;
+        let mut sharing = RecordSharing::new(&self.fleet, is_same_zone);
+        // What was recorded since this VM last read, and before the other side began to pass its news on here.
+        if is_same_zone {
+            let wanted = VmMessage::Wanted(self.fleet.wanted());
+            if send(&mut socket, &wanted).await.is_err() {
+                return;
+            }
+        }
         loop {
             tokio::select! {
                 message = sharing.next() => {
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -793,3 +793,37 @@
     }
     assert!(slow <= 6, "{slow} of 30 calls waited for a silent holder");
 }
+
+#[tokio::test]
+async fn a_new_link_makes_up_for_what_was_recorded_before_it() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    let first = site(&log, &[("i-1", "ledger", target.address)]).await;
+    let relay = LinkRelay::start().await.expect("a relay");
+    relay.set_target(log.address());
+    let mut settings = settings("vm-2", &log);
+    settings.platform_address = relay.address;
+    // It reads its listings, and nothing after them; its first look at the holder comes later than the change.
+    settings.pace.list_every = Duration::from_secs(60);
+    settings.pace.config_every = Duration::from_secs(60);
+    let second = DirectDaemon::start(settings)
+        .await
+        .expect("the daemon starts");
+    wait_for("its listings", async || second.fleet().is_ready()).await;
+    relay.set(LinkState::Frozen);
+    log.put("keyed.op", "config", Some(&config(4)));
+    wait_for("the news at the holder", async || {
+        first
+            .fleet()
+            .active()
+            .is_some_and(|active| active.config.version == 4)
+    })
+    .await;
+    wait_for("the news over the new link", async || {
+        second
+            .fleet()
+            .active()
+            .is_some_and(|active| active.config.version == 4)
+    })
+    .await;
+}
