--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -6,12 +6,16 @@
         access::ZoneAccess,
         fleet::{FleetState, zone_key},
         front::StopPhase,
+        message::FeedTopic,
         settings::DirectSettings,
     },
     event,
     events::Event,
 };
-use hoplanding_core::direct::lease::{HolderContact, LeaseStep, ZoneLease};
+use hoplanding_core::{
+    direct::lease::{HolderContact, LeaseStep, ZoneLease},
+    ids::LogOffset,
+};
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
@@ -21,8 +25,10 @@
 
 /// Pause between two looks at the holder.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
-/// Pause after a claim that did not go through, until the log was read on.
-const AFTER_CLAIM: Duration = Duration::from_millis(500);
+/// Claims in a row while others' records come in between.
+const CLAIM_TRIES: u32 = 4;
+/// Pause after a claim without an answer: it may be recorded yet.
+const AFTER_LOST_CLAIM: Duration = Duration::from_millis(500);
 /// Tries to record that the lease was given up.
 const RELEASE_TRIES: u32 = 3;
 
@@ -47,9 +53,10 @@
             if *self.stop.borrow() != StopPhase::Serving {
                 return;
             }
-            if self.wants_claim() {
-                self.claim(&mut client).await;
-                sleep(AFTER_CLAIM).await;
+            for _ in 0..CLAIM_TRIES {
+                if !self.wants_claim() || !self.claim(&mut client).await {
+                    break;
+                }
             }
         }
     }
@@ -82,9 +89,10 @@
         }
     }
 
-    async fn claim(&self, client: &mut StoreClient) {
+    /// Appends a claim; says whether it is worth another try at once, as others' records came in between.
+    async fn claim(&self, client: &mut StoreClient) -> bool {
         let Some(end) = self.fleet.books().fleet_end else {
-            return;
+            return false;
         };
         let lease = ZoneLease {
             vm: Some(self.fleet.vm.clone()),
@@ -98,9 +106,33 @@
             .append(FLEET_TOPIC, &key, &value, Some(end), within)
             .await;
         match appended {
-            // The feed reads it back; that is when the zone is held.
-            Ok(offset) => event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone),
-            Err(error) => event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone),
+            Ok(offset) => {
+                event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone);
+                // Read back at once: that is when the zone is held.
+                self.read_on(client, end).await;
+                false
+            }
+            Err(StoreError::EndMoved(_)) => self.read_on(client, end).await,
+            Err(error) => {
+                event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
+                sleep(AFTER_LOST_CLAIM).await;
+                false
+            }
+        }
+    }
+
+    /// Reads the fleet's records from an offset on; says whether that went well.
+    async fn read_on(&self, client: &mut StoreClient, from: LogOffset) -> bool {
+        let within = self.settings.pace.platform_timeout;
+        match client.read(FLEET_TOPIC, from, Duration::ZERO, within).await {
+            Ok(batch) => {
+                self.fleet.take_records(FeedTopic::Fleet, &batch);
+                true
+            }
+            Err(error) => {
+                event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
+                false
+            }
         }
     }
 }
