Accept callers late in a stop, and tell those that could not be finished when to come back

Where a whole zone stops the balancer goes on sending callers, and the listener was closed 2.5 s after the signal. Change: the listener stays until 0.25 s before the exit; from 2.5 s on only calls that are sure to end in time are taken, others get a promise with the time of the restart.

--- a/crates/daemon/src/direct/call.rs
+++ b/crates/daemon/src/direct/call.rs
@@ -36,7 +36,7 @@
 use siphasher::sip::SipHasher13;
 use std::{
     hash::{Hash, Hasher},
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -55,6 +55,11 @@
 const BEARABLE_PARTS: [f64; 3] = [2.0, 1.5, 0.95];
 /// Requests a second at one VM from which an adapter is at home in every zone.
 const POPULAR_RATE: f64 = 0.4;
+/// Time to a stream's first event, and between two tokens, that a stream is sure not to exceed, by the users' sheets.
+const STREAM_START: Duration = Duration::from_millis(1_000);
+const TOKEN_TIME: Duration = Duration::from_millis(15);
+/// Time from the process's end until it serves again.
+const RESTART: Duration = Duration::from_millis(900);
 /// When a caller is told to come back, where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(400);
 
@@ -79,6 +84,36 @@
     pub pool: Arc<ConnectionPool>,
     /// Settings.
     pub settings: Arc<DirectSettings>,
+    /// The planned stop, once it has begun.
+    pub stop: Arc<OnceLock<StopPlan>>,
+}
+
+/// When a planned stop takes what.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPlan {
+    /// From here on only what is sure to end in time is taken.
+    pub choosy_from: Instant,
+    /// When the process ends with whatever is left.
+    pub exit: Instant,
+}
+
+impl StopPlan {
+    /// Whether a call can be taken; if not, when its caller should come back.
+    fn admits(&self, route: &RouteRule, head: &CallHead) -> Result<(), Duration> {
+        let now = Instant::now();
+        let left = self.exit.saturating_duration_since(now);
+        let longest = match route.shape {
+            AnswerShape::Whole => route.timeout,
+            AnswerShape::Events { .. } => {
+                (STREAM_START + TOKEN_TIME * head.most_output).min(route.timeout)
+            }
+        };
+        if now < self.choosy_from || longest < left {
+            Ok(())
+        } else {
+            Err(left + RESTART)
+        }
+    }
 }
 
 /// One call under way.
@@ -204,6 +239,17 @@
         );
         return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
     };
+    if let Some(plan) = context.stop.get()
+        && let Err(come_back) = plan.admits(&route, &head)
+    {
+        event!(
+            Event::CallRefused,
+            "{}: route {} not run, as this VM stops; come back after {come_back:?}",
+            head.id,
+            route.name
+        );
+        return Ok(refusal(&head.id, come_back));
+    }
     let (parts, body) = request.into_parts();
     let limit = active.config.limits.body_bytes;
     let within = route.timeout.max(active.config.limits.header_timeout);
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -3,7 +3,7 @@
 use crate::{
     direct::{
         access::ZoneAccess,
-        call::GatewayContext,
+        call::{GatewayContext, StopPlan},
         claims::{ClaimWorker, release_lease},
         feeds::{FeedWorker, StoreReach},
         fleet::{FleetState, VmRecord, vm_key},
@@ -18,7 +18,11 @@
     events::Event,
 };
 use hoplanding_platform::{names::FLEET_TOPIC, store::StoreClient};
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
@@ -31,6 +35,8 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// Pause between two tries to record this VM.
 const RECORD_AGAIN: Duration = Duration::from_millis(700);
+/// Time before the end of a planned stop in which no connection is accepted.
+const ENDING: Duration = Duration::from_millis(250);
 /// Pause between two looks at connections that are still open.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -41,6 +47,7 @@
     zone: mpsc::Sender<ZoneEvent>,
     connections: Arc<OpenConnections>,
     stop: watch::Sender<StopPhase>,
+    plan: Arc<OnceLock<StopPlan>>,
     /// Where callers connect.
     pub caller_address: std::net::SocketAddr,
     /// Where the balancer asks.
@@ -94,7 +101,9 @@
             Arc::clone(&fleet),
             stop_watch.clone(),
         ));
+        let plan = Arc::new(OnceLock::new());
         let context = Arc::new(GatewayContext {
+            stop: Arc::clone(&plan),
             fleet: Arc::clone(&fleet),
             access,
             pool,
@@ -112,6 +121,7 @@
             zone,
             connections,
             stop,
+            plan,
             caller_address,
             ready_address,
         })
@@ -128,11 +138,21 @@
         event!(Event::Stopping, "{} connections", self.connections.count());
         let begun = Instant::now();
         let bound = begun + self.settings.pace.stop_bound;
+        let choosy_from = begun + self.settings.pace.stop_notice;
+        let plan = StopPlan {
+            choosy_from,
+            exit: bound,
+        };
+        // Only one stop begins.
+        let _ = self.plan.set(plan);
         self.stop.send_replace(StopPhase::Leaving);
         self.release().await;
-        sleep_until(begun + self.settings.pace.stop_notice).await;
+        sleep_until(choosy_from).await;
         self.stop.send_replace(StopPhase::Closing);
         while self.connections.count() > 0 && Instant::now() < bound {
+            if Instant::now() + ENDING >= bound {
+                self.stop.send_replace(StopPhase::Ending);
+            }
             sleep(STOP_LOOK).await;
         }
         let left = self.connections.count();
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -33,7 +33,7 @@
 const HEAD_LEAST: usize = 8 * 1024;
 
 /// How far a planned stop is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
     /// The daemon serves.
     Serving,
@@ -41,6 +41,8 @@
     Leaving,
     /// Open connections end with the answer that is under way.
     Closing,
+    /// No connection is accepted any more.
+    Ending,
 }
 
 /// Callers' connections that are open.
@@ -57,8 +59,8 @@
     }
 }
 
-/// Accepts callers until the stop closes connections. From then on new ones are refused, as a call taken late in the
-/// stop could not be finished.
+/// Accepts callers until the process is about to end. Where a whole zone stops the balancer goes on sending callers: they
+/// are better told when to come back than refused a connection.
 pub async fn accept_callers(
     listener: TcpListener,
     context: Arc<GatewayContext>,
@@ -69,7 +71,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|phase| *phase == StopPhase::Closing) => return,
+            _ = closing.wait_for(|phase| *phase == StopPhase::Ending) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -111,7 +113,7 @@
     tokio::pin!(connection);
     let closing = async {
         // The sender lives as long as the daemon.
-        let _ = stop.wait_for(|phase| *phase == StopPhase::Closing).await;
+        let _ = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
     };
     // Callers that leave end connections with errors: nothing to be done about them.
     tokio::select! {
