--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -58,6 +58,23 @@
     /// Undrains a target.
     #[options(help = "give a drained target work again: undrain NAME")]
     Undrain(StatementArgs),
+    /// Explains a request or a target from logs.
+    #[options(help = "explain from logs: explain-log REQUEST-OR-TARGET FILE...")]
+    ExplainLog(LogArgs),
+}
+
+/// What is looked for, and in which logs.
+#[derive(Debug, Options)]
+pub struct LogArgs {
+    /// Prints the help.
+    #[options(help = "print this help; docs/EVENTS.md has every event")]
+    pub help: bool,
+    /// Id of a request, or name of a target.
+    #[options(free, required, help = "id of a request, or name of a target")]
+    pub subject: String,
+    /// Logs of daemons.
+    #[options(free, help = "files that the daemons' output went to")]
+    pub files: Vec<String>,
 }
 
 /// Words of a statement.
@@ -72,22 +89,23 @@
 }
 
 impl CliCommand {
-    /// The statement that the subcommand stands for.
+    /// The statement that the subcommand stands for; none where it asks no daemon.
     #[must_use]
-    pub fn statement(&self) -> String {
+    pub fn statement(&self) -> Option<String> {
         let (prefix, args) = match self {
             Self::Do(args) => ("", args),
             Self::Show(args) => ("show ", args),
             Self::Explain(args) => ("explain ", args),
             Self::Drain(args) => ("drain target ", args),
             Self::Undrain(args) => ("undrain target ", args),
+            Self::ExplainLog(_) => return None,
         };
-        format!("{prefix}{}", args.words.join(" "))
+        Some(format!("{prefix}{}", args.words.join(" ")))
     }
 }
 
 /// Subcommands; any other first word begins a statement.
-const COMMANDS: [&str; 5] = ["do", "show", "explain", "drain", "undrain"];
+const COMMANDS: [&str; 6] = ["do", "show", "explain", "drain", "undrain", "explain-log"];
 /// Options that take a value.
 const WITH_VALUE: [&str; 4] = ["-u", "--url", "-t", "--token"];
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,19 +4,22 @@
 //! |---|---|
 //! | [`args`] | arguments and subcommands |
 //! | [`client`] | the daemon's operators' interface |
+//! | [`explain_log`] | a request's way through the logs of several daemons |
 //! | [`show`] | tables and JSON for people and scripts |
 //! | [`prompt`] | the prompt that `hoplanding` alone opens |
 
 pub mod args;
 pub mod client;
+pub mod explain_log;
 pub mod prompt;
 pub mod show;
 
 pub use args::CliArgs;
 
 use crate::{
-    args::OutputFormat,
+    args::{CliCommand, LogArgs, OutputFormat},
     client::{DaemonClient, StatementError},
+    explain_log::{find_lines, verdict},
 };
 use std::process::ExitCode;
 
@@ -37,11 +40,41 @@
     };
     let client = DaemonClient::new(&args.daemon_url(), &args.operator_token());
     match &args.command {
-        Some(command) => run_statement(&client, &command.statement(), format).await,
+        Some(CliCommand::ExplainLog(args)) => explain_logs(args),
+        Some(command) => {
+            let statement = command.statement().unwrap_or_default();
+            run_statement(&client, &statement, format).await
+        }
         None => prompt::run(&client, format).await,
     }
 }
 
+/// Shows the lines of logs that name a request or a target, and how the request ended.
+fn explain_logs(args: &LogArgs) -> ExitCode {
+    match find_lines(&args.subject, &args.files) {
+        Ok(lines) if lines.is_empty() => {
+            println!(
+                "no line names {}: name the logs of all VMs, or look whether lines of its time are there at all",
+                args.subject
+            );
+            ExitCode::from(1)
+        }
+        Ok(lines) => {
+            for line in &lines {
+                println!("{line}");
+            }
+            if let Some(verdict) = verdict(&lines) {
+                println!("\n{verdict}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 /// Sends one statement and shows the answer.
 pub async fn run_statement(client: &DaemonClient, text: &str, format: OutputFormat) -> ExitCode {
     match client.send(text).await {
--- /dev/null
+++ b/crates/cli/tests/explain_log.rs
@@ -0,0 +1,60 @@
+//! A request's way through the logs of several daemons.
+
+use hoplanding::explain_log::{find_lines, verdict};
+use std::{fs, process::Command};
+
+const FIRST: &str = "\
+2026-02-21T14:06:28.659Z [INFO] E812 request turned away by a target: 562d93ff at i-e032: Misdirected 421
+2026-02-21T14:06:28.700Z [INFO] E812 request turned away by a target: 562d93ff00 at i-e032: Misdirected 421
+noise without a time
+2026-02-21T14:06:29.900Z [INFO] E800 request refused as not run: 562d93ff: route r not run after 1.2s
+";
+const SECOND: &str = "\
+   0.5 vm-2 2026-02-21T14:06:28.100Z [WARN] E810 target out of reach for a request: 562d93ff at i-a8: refused
+";
+
+fn written(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("hoplanding-{}-{name}", std::process::id()));
+    fs::write(&path, text).expect("a file");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn lines_of_all_files_come_in_order_and_the_last_one_tells_the_end() {
+    let files = [written("a.log", FIRST), written("b.log", SECOND)];
+    let lines = find_lines("562d93ff", &files).expect("lines");
+    let events: Vec<_> = lines.iter().map(|line| line.event).collect();
+    assert_eq!(events, [810, 812, 800]);
+    assert!(
+        verdict(&lines)
+            .expect("a verdict")
+            .contains("No target ran it")
+    );
+    assert_eq!(find_lines("i-a8", &files).expect("lines").len(), 1);
+}
+
+#[test]
+fn the_tool_says_what_to_do_where_nothing_is_found_or_read() {
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_hoplanding"))
+            .arg("explain-log")
+            .args(args)
+            .output()
+            .expect("the tool runs");
+        let text = [output.stdout, output.stderr].concat();
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
+    };
+    let file = written("c.log", FIRST);
+    let (code, text) = run(&["562d93ff", &file]);
+    assert!(code == Some(0) && text.contains("E800"), "{text}");
+    let (code, text) = run(&["nobody", &file]);
+    assert!(
+        code == Some(1) && text.contains("name the logs of all VMs"),
+        "{text}"
+    );
+    let (code, text) = run(&["562d93ff", "/nowhere/x.log"]);
+    assert!(code == Some(2) && text.contains("can't be read"), "{text}");
+}
