--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -203,6 +203,22 @@
     daemon
 }
 
+#[test]
+fn the_sample_settings_are_in_order_and_faults_name_their_remedy() {
+    let sample = include_str!("../../../docs/hoplandingd.direct.sample.json");
+    DirectSettings::parse(sample).expect("the sample is in order");
+    let wrong = sample
+        .replace("\"cores\": 0.25", "\"cores\": \"many\"")
+        .replace("list_every_ms", "list_evry_ms")
+        .replace("\"10.1.0.38:8141\"", "\"nowhere\"");
+    let faults = DirectSettings::parse(&wrong).expect_err("three faults");
+    let faults = faults.to_string();
+    assert!(faults.starts_with("3 faults"), "{faults}");
+    for remedy in ["write a number", "unknown key", "write IP:port"] {
+        assert!(faults.contains(remedy), "{faults}");
+    }
+}
+
 #[tokio::test]
 async fn a_vm_without_a_configuration_promises_and_never_denies() {
     let log = KeyedLog::start().await.expect("a log");
