Give up calls whose load is late, refuse at once where all targets are lost, shorten order and connect timeouts

Change: a target out of reach twice in a row takes no call until its pause ends; 200 ms to connect, 250 ms for an order; a waiting call is turned away 250 ms after the wait it was placed for. Tests fail without them.

--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -96,6 +96,17 @@
     Leaving,
 }
 
+/// A call that waits for a load to be accepted.
+#[derive(Clone, Debug)]
+pub struct WaitingCall {
+    /// The call.
+    pub key: CallKey,
+    /// What it asks for.
+    pub ask: PlacementAsk,
+    /// When it is given up, as its load takes longer than it can bear.
+    pub until: Instant,
+}
+
 /// One adapter at an engine.
 #[derive(Clone, Debug)]
 pub struct ResidentCopy {
@@ -106,7 +117,7 @@
     /// Calls sent to it that have not ended.
     pub users: u32,
     /// Calls that wait for its load to be accepted.
-    pub waiters: Vec<(CallKey, PlacementAsk)>,
+    pub waiters: Vec<WaitingCall>,
     /// When it was last asked for.
     pub used_at: Instant,
     /// Until when calls that nobody counts any more may still run on it.
--- a/crates/core/src/direct/health.rs
+++ b/crates/core/src/direct/health.rs
@@ -12,6 +12,8 @@
 const DOUBT_FROM: f64 = 0.45;
 /// Failed connections in a row from which a target counts as out of reach.
 const UNREACHED_FROM: u32 = 1;
+/// Failed connections in a row from which calls are refused rather than sent there.
+const LOST_FROM: u32 = 2;
 /// Pause after a failed connection; doubles up to the longest.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
 const UNREACHED_LONGEST: Duration = Duration::from_millis(2_400);
@@ -100,6 +102,16 @@
         })
     }
 
+    /// Whether a target was out of reach more than once, the last time a moment ago: no call should wait for it.
+    #[must_use]
+    pub fn is_lost(&self, target: &TargetName, now: Instant) -> bool {
+        self.is_out(target, now)
+            && self
+                .records
+                .get(target)
+                .is_some_and(|record| record.unreached >= LOST_FROM)
+    }
+
     /// Whether a target turned calls away a moment ago.
     #[must_use]
     pub fn is_shedding(&self, target: &TargetName, now: Instant) -> bool {
--- a/crates/core/src/direct/planner.rs
+++ b/crates/core/src/direct/planner.rs
@@ -12,7 +12,7 @@
         demand::DemandTable,
         engine::{
             EngineOrder, EngineReport, EngineState, OrderKind, OrderOutcome, ResidentState,
-            SentCall, UNCOUNTED_RUN,
+            SentCall, UNCOUNTED_RUN, WaitingCall,
         },
         health::{CallOutcome, HealthTable},
     },
@@ -147,6 +147,8 @@
 const COMING_MOST: usize = 4;
 /// Pause after an order without an answer, or a conflict, until the report shows it.
 const SETTLE: Duration = Duration::from_millis(300);
+/// Time by which a call may wait longer for its load than it was placed for.
+const WAIT_OVERRUN: Duration = Duration::from_millis(250);
 /// Time by which a load is taken to be longer once a call came too early for it.
 const LOAD_OVERRUN: Duration = Duration::from_millis(90);
 /// Bounds of the time after which a caller is told to come back.
@@ -467,7 +469,9 @@
         let copy = engine.copies.get_mut(&ask.subject);
         let wait_ms = match copy {
             Some(copy) if matches!(copy.state, ResidentState::Wanted | ResidentState::Outdated) => {
-                copy.waiters.push((key, ask));
+                let bound = Duration::from_millis(u64::from(ask.bound_ms));
+                let until = now.after(bound + WAIT_OVERRUN);
+                copy.waiters.push(WaitingCall { key, ask, until });
                 copy.used_at = now;
                 self.advance(name, now);
                 return;
@@ -541,7 +545,7 @@
         let mut freed = None;
         for engine in self.engines.values_mut() {
             for copy in engine.copies.values_mut() {
-                copy.waiters.retain(|(waiter, _)| waiter != key);
+                copy.waiters.retain(|waiting| waiting.key != *key);
             }
             if let Some(call) = engine.remove_call(key)
                 && let Some(copy) = engine.copies.get_mut(&call.subject)
@@ -583,7 +587,10 @@
             .values()
             .flat_map(|engine| {
                 let waiting = engine.copies.values().flat_map(|copy| &copy.waiters);
-                engine.calls.keys().chain(waiting.map(|(key, _)| key))
+                engine
+                    .calls
+                    .keys()
+                    .chain(waiting.map(|waiting| &waiting.key))
             })
             .filter(|key| key.vm == *vm)
             .cloned()
@@ -697,21 +704,16 @@
     }
 
     /// Places calls anew that waited for a load at an engine.
-    fn place_elsewhere(
-        &mut self,
-        name: &TargetName,
-        waiters: Vec<(CallKey, PlacementAsk)>,
-        now: Instant,
-    ) {
-        let waiters = waiters.into_iter().map(|(key, mut ask)| {
-            ask.exclude.push(name.clone());
-            (key, ask)
+    fn place_elsewhere(&mut self, name: &TargetName, waiters: Vec<WaitingCall>, now: Instant) {
+        let waiters = waiters.into_iter().map(|mut waiting| {
+            waiting.ask.exclude.push(name.clone());
+            waiting
         });
         self.place_waiters_again(waiters.collect(), now);
     }
 
-    fn place_waiters_again(&mut self, waiters: Vec<(CallKey, PlacementAsk)>, now: Instant) {
-        for (key, ask) in waiters {
+    fn place_waiters_again(&mut self, waiters: Vec<WaitingCall>, now: Instant) {
+        for WaitingCall { key, ask, .. } in waiters {
             if ask.exclude.len() >= MOST_PLACINGS {
                 self.answer(
                     key,
@@ -725,13 +727,8 @@
         }
     }
 
-    fn release_waiters(
-        &mut self,
-        name: &TargetName,
-        waiters: Vec<(CallKey, PlacementAsk)>,
-        now: Instant,
-    ) {
-        for (key, ask) in waiters {
+    fn release_waiters(&mut self, name: &TargetName, waiters: Vec<WaitingCall>, now: Instant) {
+        for WaitingCall { key, ask, .. } in waiters {
             let version = self.versions.get(&ask.subject).copied();
             let mut wait_ms = 0;
             if let Some(copy) = self
@@ -787,6 +784,7 @@
         let names: Vec<_> = self.engines.keys().cloned().collect();
         for name in &names {
             self.settle(name, now);
+            self.give_up_waiters(name, now);
             self.fill_empty(name, now);
         }
         self.advance_all(names, now);
@@ -829,6 +827,21 @@
         }
     }
 
+    /// Turns calls away whose load takes longer than they can bear; it goes on for whoever comes back.
+    fn give_up_waiters(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let mut late = Vec::new();
+        for copy in engine.copies.values_mut() {
+            late.extend(copy.waiters.extract_if(.., |waiting| now >= waiting.until));
+        }
+        for waiting in late {
+            let retry_after_ms = millis(self.figures.store_load);
+            self.answer(waiting.key, PlacementAnswer::Refuse { retry_after_ms });
+        }
+    }
+
     fn fill_empty(&mut self, name: &TargetName, now: Instant) {
         let Some(engine) = self.engines.get_mut(name) else {
             return;
@@ -989,7 +1002,12 @@
         .queue
         .front()
         .and_then(|(_, subject)| engine.copies.get(subject))
-        .and_then(|copy| copy.waiters.iter().map(|(_, ask)| ask.priority).min())
+        .and_then(|copy| {
+            copy.waiters
+                .iter()
+                .map(|waiting| waiting.ask.priority)
+                .min()
+        })
         .unwrap_or(u8::MAX)
 }
 
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -6,7 +6,7 @@
         catalog::{ResidentAdapter, TargetEntry, TargetStage},
         config::EngineLimits,
         engine::{EngineOrder, EngineReport, OrderKind, OrderOutcome},
-        health::CallOutcome,
+        health::{CallOutcome, HealthTable},
         planner::{
             CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
         },
@@ -264,6 +264,56 @@
     ));
 }
 
+#[test]
+fn a_call_whose_load_is_not_accepted_in_time_is_turned_away_and_the_load_goes_on() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1"], now);
+    let urgent = PlacementAsk {
+        bound_ms: 600,
+        ..ask("base/a1")
+    };
+    planner.place(key(1), urgent, now);
+    let given = orders(planner.take_actions());
+    assert_eq!(given.len(), 1);
+    planner.tick(after(now, 500));
+    assert!(
+        answers(&planner.take_actions()).is_empty(),
+        "it may come yet"
+    );
+    let now = after(now, 900);
+    planner.tick(now);
+    let turned_away = answers(&planner.take_actions());
+    assert!(matches!(
+        turned_away[..],
+        [(_, PlacementAnswer::Refuse { .. })]
+    ));
+    planner.order_ended(&given[0].0, OrderOutcome::Begun, now);
+    planner.place(key(2), ask("base/a1"), after(now, 300));
+    assert!(matches!(
+        answers(&planner.take_actions())[..],
+        [(_, PlacementAnswer::Send { .. })]
+    ));
+}
+
+#[test]
+fn a_target_out_of_reach_twice_is_lost_until_its_pause_ends() {
+    let mut health = HealthTable::default();
+    let target = TargetName::new("i-1");
+    let now = Instant(1_000_000);
+    health.note(&target, CallOutcome::Unreached, now);
+    assert!(health.is_out(&target, now) && !health.is_lost(&target, now));
+    health.note(&target, CallOutcome::Unreached, now);
+    assert!(health.is_lost(&target, now));
+    let later = after(now, 3_000);
+    assert!(!health.is_out(&target, later) && !health.is_lost(&target, later));
+    health.note(&target, CallOutcome::Good, later);
+    health.note(&target, CallOutcome::Unreached, later);
+    assert!(
+        !health.is_lost(&target, later),
+        "an answer in between clears it"
+    );
+}
+
 /// An engine as the users' pages describe it.
 #[derive(Clone, Debug, Default)]
 struct EngineModel {
--- /dev/null
+++ b/crates/core/tests/direct_state.rs
@@ -0,0 +1,224 @@
+//! Routes, the target catalog, the retry budget and leases of the direct mode.
+
+use hoplanding_core::{
+    direct::{
+        budget::{RetryRule, RetryShare},
+        catalog::{TargetCatalog, TargetEntry, TargetStage},
+        config::{AnswerShape, FleetConfig, RepeatRule, RouteRule},
+        lease::{HolderContact, LeaseState, LeaseStep, LeaseTimes, ZoneLease},
+        routes::RouteTable,
+    },
+    ids::{AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
+};
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+fn at(ms: u64) -> Instant {
+    Instant(1_000_000 + ms * 1_000)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<RouteRule> {
+    Arc::new(RouteRule {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeat: RepeatRule::Idempotent,
+        shape: AnswerShape::Whole,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        priority: 0,
+        services: vec![(ServiceName::new("s"), 1)],
+        max_attempts: 2,
+    })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(&FleetConfig {
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/"),
+        ],
+        ..FleetConfig::default()
+    });
+    let found = |host, path| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(found("a.example", "/x/y/z").as_deref(), Some("long"));
+    assert_eq!(found("A.example:8080", "/x/yy").as_deref(), Some("short"));
+    assert_eq!(found("b.example", "/any").as_deref(), Some("other"));
+    assert_eq!(found("a.example", "/x"), None);
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+fn entry(name: &str, stage: TargetStage) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::new(name),
+        service: ServiceName::new("s"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: AvailabilityZone::new("hall"),
+        slots: 4,
+        stage,
+        remaining: None,
+        cold: Duration::ZERO,
+        orders_taken: 0,
+        models: Vec::new(),
+        adapters: Vec::new(),
+    }
+}
+
+#[test]
+fn records_count_by_offset_in_whatever_order_they_come() {
+    let name = TargetName::new("i-1");
+    let mut catalog = TargetCatalog::default();
+    let leaving = entry("i-1", TargetStage::Draining);
+    assert!(catalog.apply(&name, LogOffset(7), Some(leaving), at(0)));
+    let older = entry("i-1", TargetStage::Ready);
+    assert!(!catalog.apply(&name, LogOffset(5), Some(older), at(1)));
+    assert_eq!(
+        catalog.get(&name).expect("listed").stage,
+        TargetStage::Draining
+    );
+    // A listing that is older than what is known removes nothing.
+    catalog.remove_unlisted(&HashSet::new(), LogOffset(6), at(2));
+    assert!(catalog.get(&name).is_some());
+    catalog.remove_unlisted(&HashSet::new(), LogOffset(8), at(3));
+    assert!(catalog.get(&name).is_none());
+}
+
+#[test]
+fn what_an_engine_holds_is_no_news_for_others() {
+    let name = TargetName::new("i-1");
+    let mut catalog = TargetCatalog::default();
+    let first = entry("i-1", TargetStage::Ready);
+    assert!(catalog.apply(&name, LogOffset(1), Some(first.clone()), at(0)));
+    let moved_on = TargetEntry {
+        orders_taken: 9,
+        ..first
+    };
+    assert!(!catalog.apply(&name, LogOffset(2), Some(moved_on), at(1)));
+    assert_eq!(catalog.get(&name).expect("listed").orders_taken, 9);
+}
+
+#[test]
+fn an_entry_that_lapses_in_an_outage_is_gone_only_if_it_stays_away() {
+    let back = TargetName::new("i-1");
+    let gone = TargetName::new("i-2");
+    let mut catalog = TargetCatalog::default();
+    for (offset, name) in [(1, "i-1"), (2, "i-2")] {
+        let listed = entry(name, TargetStage::Ready);
+        catalog.apply(
+            &TargetName::new(name),
+            LogOffset(offset),
+            Some(listed),
+            at(0),
+        );
+    }
+    catalog.outage_ended(at(10_000));
+    catalog.apply(&back, LogOffset(3), None, at(10_050));
+    catalog.apply(&gone, LogOffset(4), None, at(10_050));
+    assert_eq!(catalog.iter().count(), 2, "both may come back");
+    let listed = entry("i-1", TargetStage::Ready);
+    catalog.apply(&back, LogOffset(5), Some(listed), at(11_500));
+    assert!(catalog.expire(at(12_400)));
+    assert!(catalog.get(&back).is_some() && catalog.get(&gone).is_none());
+    // Long after the outage a removal counts at once.
+    catalog.apply(&back, LogOffset(6), None, at(20_000));
+    assert!(catalog.get(&back).is_none());
+}
+
+#[test]
+fn repeats_stay_within_the_vms_share_of_any_window() {
+    let rule = RetryRule {
+        ratio: 0.2,
+        slack: 54.0,
+        window: Duration::from_secs(10),
+    };
+    let service = ServiceName::new("s");
+    let mut share = RetryShare::new(rule, 8);
+    let mut repeated = Vec::new();
+    for ms in (0..30_000).step_by(20) {
+        share.count_request(&service, at(ms));
+        if share.try_repeat(&service, at(ms)) {
+            repeated.push(ms);
+        }
+    }
+    for start in (0..20_000).step_by(500) {
+        let count = repeated
+            .iter()
+            .filter(|at| (start..start + 10_000).contains(*at))
+            .count();
+        // 500 requests in each window, and an eighth of the slack.
+        assert!(
+            count as f64 <= 0.2 * 500.0 + 54.0 / 8.0,
+            "{count} from {start}"
+        );
+    }
+    assert!(repeated.len() > 100);
+    let quiet = ServiceName::new("quiet");
+    let at_once = (0..50)
+        .filter(|_| share.try_repeat(&quiet, at(40_000)))
+        .count();
+    assert!(at_once <= 6, "an eighth of 54");
+}
+
+const TIMES: LeaseTimes = LeaseTimes {
+    silence: Duration::from_millis(1_500),
+    stagger: Duration::from_millis(100),
+    turn: Duration::from_millis(3_000),
+};
+
+fn held_by(vm: &str) -> Option<ZoneLease> {
+    Some(ZoneLease {
+        vm: Some(VmName::new(vm)),
+        incarnation: 1,
+        address: "127.0.0.1:9".parse().expect("an address"),
+    })
+}
+
+#[test]
+fn older_leases_are_passed_over_and_tokens_only_rise() {
+    let mut state = LeaseState::default();
+    assert!(state.apply(LogOffset(5), held_by("a")));
+    assert!(!state.apply(LogOffset(4), held_by("b")));
+    assert_eq!(state.holder().map(VmName::as_str), Some("a"));
+    assert!(state.apply(LogOffset(9), held_by("b")));
+    assert_eq!(state.token().0, LogOffset(9));
+}
+
+#[test]
+fn a_holder_that_may_still_give_orders_is_followed_after_a_quiet_time_only() {
+    let mut state = LeaseState::default();
+    state.apply(LogOffset(1), held_by("a"));
+    let heard = state.step(&TIMES, HolderContact::Heard, 0, at(0));
+    assert_eq!(heard, LeaseStep::Stay);
+    let silent = HolderContact::Silent(at(0));
+    assert_eq!(state.step(&TIMES, silent, 0, at(1_400)), LeaseStep::Stay);
+    let quiet = TIMES.turn;
+    assert_eq!(
+        state.step(&TIMES, silent, 0, at(1_500)),
+        LeaseStep::Claim { quiet }
+    );
+    // One whose process has ended gives none any more.
+    let mut ended = LeaseState::default();
+    ended.apply(LogOffset(1), held_by("a"));
+    let quiet = Duration::ZERO;
+    let step = ended.step(&TIMES, HolderContact::Ended, 0, at(0));
+    assert_eq!(step, LeaseStep::Claim { quiet });
+}
+
+#[test]
+fn claimants_take_their_turns_and_the_second_waits_for_the_first() {
+    let mut state = LeaseState::default();
+    let ended = HolderContact::Ended;
+    assert_eq!(state.step(&TIMES, ended, 2, at(0)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, ended, 2, at(150)), LeaseStep::Stay);
+    assert!(matches!(
+        state.step(&TIMES, ended, 2, at(200)),
+        LeaseStep::Claim { .. }
+    ));
+    // The first one's claim arrives: there is nothing to claim any more.
+    state.apply(LogOffset(3), held_by("first"));
+    assert_eq!(
+        state.step(&TIMES, HolderContact::Heard, 2, at(400)),
+        LeaseStep::Stay
+    );
+}
--- a/crates/daemon/src/direct/call.rs
+++ b/crates/daemon/src/direct/call.rs
@@ -46,7 +46,7 @@
 /// Targets that may turn out to be out of reach before a call is given up.
 const MOST_UNREACHED: u32 = 3;
 /// Time to connect to a target.
-const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+const CONNECT_WITHIN: Duration = Duration::from_millis(200);
 /// Time that a call waits before it is placed again.
 const PLACE_AGAIN: Duration = Duration::from_millis(60);
 /// Part of the time left to the objective that a call may wait without asking a second zone.
--- a/crates/daemon/src/direct/whole.rs
+++ b/crates/daemon/src/direct/whole.rs
@@ -109,7 +109,11 @@
         .iter()
         .filter(|entry| !books.health.is_out(&entry.name, now));
     let best = reachable.min_by(|left, right| price(left).total_cmp(&price(right)));
-    // If all of them seem out of reach, that is more likely this VM's trouble: try anyway.
-    best.or_else(|| candidates.first())
-        .map(|entry| Arc::clone(entry))
+    // One failed connection is no proof where there is nothing else; after more of them callers are told at once.
+    best.or_else(|| {
+        candidates
+            .iter()
+            .find(|entry| !books.health.is_lost(&entry.name, now))
+    })
+    .map(|entry| Arc::clone(entry))
 }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -37,8 +37,8 @@
 
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Time after which an order or a report counts as unanswered.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after which an order or a report counts as unanswered: engines answer within a few milliseconds, and calls wait.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest report.
 const REPORT_BYTES: usize = 1 << 20;
 
