--- /dev/null
+++ b/crates/core/src/direct/planner/ask.rs
@@ -0,0 +1,68 @@
+//! What a gateway asks, what it is told, and what the holder has to do for it.
+
+use crate::{
+    direct::{catalog::TargetEntry, engine::EngineOrder},
+    ids::{AdapterName, TargetName, VmName},
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Identifies a call in a zone: the gateway's VM and its counter.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallKey {
+    /// The gateway.
+    pub vm: VmName,
+    /// Its counter.
+    pub number: u64,
+}
+
+/// What the holder has to know about a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementAsk {
+    /// The model, with its adapter behind a slash where one is meant.
+    pub subject: AdapterName,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Tokens that it is likely to make.
+    pub output_tokens: u32,
+    /// Parts of its prompt and their tokens; the last is its own.
+    pub prefix: Vec<(u64, u32)>,
+    /// Rank of its route; 0 is the most urgent.
+    pub priority: u8,
+    /// Longest wait for its first token that it is worth placing for, in milliseconds.
+    pub bound_ms: u32,
+    /// Targets that it has been to.
+    pub exclude: Vec<TargetName>,
+    /// Whether its adapter may be loaded for it.
+    pub may_load: bool,
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementAnswer {
+    /// Send it to a target.
+    Send {
+        /// The target.
+        target: TargetName,
+        /// Milliseconds until its adapter is there.
+        wait_ms: u32,
+        /// Version of the adapter to ask for, if one was named.
+        version: Option<u64>,
+    },
+    /// The zone has no room for it now.
+    Refuse {
+        /// Milliseconds after which it is worth coming back.
+        retry_after_ms: u32,
+    },
+}
+
+/// What the holder has to do for the planner.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlannerAction {
+    /// Tell a gateway where its call goes.
+    Answer(CallKey, PlacementAnswer),
+    /// Give an order to an engine.
+    Order(Arc<TargetEntry>, EngineOrder),
+    /// Read an engine's report.
+    Report(Arc<TargetEntry>),
+}
--- /dev/null
+++ b/crates/core/src/direct/planner/figures.rs
@@ -0,0 +1,65 @@
+//! Figures of the engines and of the weight store that decisions are made with.
+
+use std::time::Duration;
+
+/// Loads that run at full speed, for each one that the weight store serves at once; from the users' letter.
+const FULL_SPEED_LOADS: f64 = 8.0;
+
+/// Loads a second for each one that the store serves at once, by the users' sheets.
+const LOADS_FOR_EACH: f64 = 8.0;
+
+/// Figures of the engines that decisions are made with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineFigures {
+    /// Prompt tokens that an engine reads in a millisecond, other work beside it.
+    pub prompt_tokens_per_ms: f64,
+    /// Time for an adapter from the weight store while few are on their way.
+    pub store_load: Duration,
+    /// Time for an adapter that the engine had lately.
+    pub lately_load: Duration,
+    /// What a load costs beside its time: what it evicts, and its price.
+    pub load_penalty: Duration,
+    /// What each running call adds to a newcomer's wait.
+    pub per_call: Duration,
+    /// Time that a call holds its slot.
+    pub slot_time: Duration,
+    /// Loads that may be on their way in this zone at full speed.
+    pub loads_at_full_speed: u32,
+    /// What all zones at their share are beyond full speed: shares are whole loads.
+    pub share_excess: f64,
+    /// Pause between two loads of whole models in this zone.
+    pub model_load_pause: Duration,
+}
+
+impl Default for EngineFigures {
+    /// From the users' sheets: 19.2 tokens a ms less the steps between, 250 ms a load, a tenth of it for a recent one.
+    fn default() -> Self {
+        Self {
+            prompt_tokens_per_ms: 16.0,
+            store_load: Duration::from_millis(250),
+            lately_load: Duration::from_millis(25),
+            load_penalty: Duration::from_millis(250),
+            per_call: Duration::from_micros(1_200),
+            slot_time: Duration::from_millis(2_000),
+            loads_at_full_speed: 3,
+            share_excess: 1.0,
+            model_load_pause: Duration::from_millis(950),
+        }
+    }
+}
+
+impl EngineFigures {
+    /// The share of one of `zones` that load from one weight store.
+    #[must_use]
+    pub fn shared_by(zones: u32, loads_per_s: f64) -> Self {
+        let zones = f64::from(zones.max(1));
+        let at_once = (loads_per_s / LOADS_FOR_EACH).round().max(1.0);
+        let share = (FULL_SPEED_LOADS * at_once / zones).ceil();
+        Self {
+            loads_at_full_speed: share as u32,
+            share_excess: (share * zones / (FULL_SPEED_LOADS * at_once)).max(1.0),
+            model_load_pause: Duration::from_secs_f64(zones / loads_per_s.max(0.1)),
+            ..Self::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/planner/mod.rs
@@ -0,0 +1,294 @@
+//! The holder's view of a zone's engines: where calls go, what is loaded and what makes way.
+//!
+//! Everything that the engines of a zone are sent passes through one planner, so it knows the calls in flight, the
+//! prompts that wait and the adapters in use. It is soft state: after a takeover it is rebuilt from the engines' own
+//! reports and from the calls that gateways still have open. Engines check what matters (adapter, version, fence,
+//! sequence), so a mistake here costs time and never a wrong answer.
+//!
+//! | module | job |
+//! |---|---|
+//! | `ask` | what gateways ask, and what the holder has to do |
+//! | `figures` | figures of engines and weight store |
+//! | `placing` | where a call goes |
+//! | `ordering` | what engines are ordered |
+
+mod ask;
+mod figures;
+mod ordering;
+mod placing;
+
+pub use ask::{CallKey, PlacementAnswer, PlacementAsk, PlannerAction};
+pub use figures::EngineFigures;
+
+use crate::{
+    direct::{
+        catalog::TargetEntry,
+        config::EngineLimits,
+        demand::DemandTable,
+        engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
+        health::{CallOutcome, HealthTable},
+    },
+    ids::{AdapterName, Instant, TargetName, VmName},
+};
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Adapters that may be on their way to one engine; from the users' pages.
+const COMING_MOST: usize = 4;
+/// Pause after an order without an answer, or a conflict, until the report shows it.
+const SETTLE: Duration = Duration::from_millis(300);
+/// Time by which a load is taken to be longer once a call came too early for it.
+const LOAD_OVERRUN: Duration = Duration::from_millis(90);
+/// Margin after which an adapter that is coming is taken for there.
+const LOAD_MARGIN: Duration = Duration::from_millis(12);
+
+/// Plans the work of one zone's engines.
+#[derive(Debug)]
+pub struct ZonePlanner {
+    figures: EngineFigures,
+    limits: EngineLimits,
+    engines: BTreeMap<TargetName, EngineState>,
+    versions: HashMap<AdapterName, u64>,
+    demand: DemandTable,
+    health: HealthTable,
+    orders_from: Instant,
+    model_load_at: Instant,
+    actions: VecDeque<PlannerAction>,
+}
+
+impl ZonePlanner {
+    /// A planner that gives no order before `orders_from`.
+    #[must_use]
+    pub fn new(figures: EngineFigures, limits: EngineLimits, orders_from: Instant) -> Self {
+        Self {
+            figures,
+            limits,
+            engines: BTreeMap::new(),
+            versions: HashMap::new(),
+            demand: DemandTable::default(),
+            health: HealthTable::default(),
+            orders_from,
+            model_load_at: orders_from,
+            actions: VecDeque::new(),
+        }
+    }
+
+    /// What has to be done since the last call.
+    pub fn take_actions(&mut self) -> VecDeque<PlannerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Its engines.
+    #[must_use]
+    pub fn engines(&self) -> &BTreeMap<TargetName, EngineState> {
+        &self.engines
+    }
+
+    /// Sets what the service's engines can hold.
+    pub fn set_limits(&mut self, limits: EngineLimits) {
+        self.limits = limits;
+    }
+
+    /// Takes over the list of the zone's engines.
+    pub fn set_targets(&mut self, entries: Vec<Arc<TargetEntry>>, now: Instant) {
+        let gone: Vec<_> = self
+            .engines
+            .keys()
+            .filter(|name| !entries.iter().any(|entry| entry.name == **name))
+            .cloned()
+            .collect();
+        for name in gone {
+            if let Some(engine) = self.engines.remove(&name) {
+                let waiters = engine.copies.into_values().flat_map(|copy| copy.waiters);
+                self.place_waiters_again(waiters.collect(), now);
+            }
+        }
+        for entry in entries {
+            match self.engines.get_mut(&entry.name) {
+                Some(engine) => engine.entry = entry,
+                None => {
+                    let engine = EngineState::new(Arc::clone(&entry), now);
+                    self.engines.insert(entry.name.clone(), engine);
+                }
+            }
+        }
+        let engines = &self.engines;
+        self.health.retain(|target| engines.contains_key(target));
+    }
+
+    /// A version of an adapter was named.
+    pub fn set_version(&mut self, adapter: &AdapterName, version: u64, now: Instant) {
+        let known = self.versions.entry(adapter.clone()).or_default();
+        if *known >= version {
+            return;
+        }
+        *known = version;
+        self.replace_stale(adapter, now);
+    }
+
+    /// A gateway tells of a call that it had open before this planner began.
+    pub fn adopt(&mut self, key: CallKey, target: &TargetName, subject: &AdapterName) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        if let Some(copy) = engine.copies.get_mut(subject) {
+            copy.users += 1;
+        }
+        let call = SentCall {
+            subject: subject.clone(),
+            tokens: 0,
+        };
+        engine.add_call(key, call);
+    }
+
+    /// A call ended, or its gateway gave it up.
+    pub fn ended(
+        &mut self,
+        key: &CallKey,
+        target: Option<&TargetName>,
+        outcome: Option<CallOutcome>,
+        now: Instant,
+    ) {
+        if let (Some(target), Some(outcome)) = (target, outcome) {
+            self.health.note(target, outcome, now);
+        }
+        let mut freed = None;
+        for engine in self.engines.values_mut() {
+            for copy in engine.copies.values_mut() {
+                copy.waiters.retain(|waiting| waiting.key != *key);
+            }
+            if let Some(call) = engine.remove_call(key)
+                && let Some(copy) = engine.copies.get_mut(&call.subject)
+            {
+                copy.users = copy.users.saturating_sub(1);
+                if copy.users == 0 {
+                    freed = Some(call.subject);
+                }
+            }
+        }
+        if let Some(subject) = freed
+            && self.versions.contains_key(&subject)
+        {
+            self.replace_stale(&subject, now);
+        }
+    }
+
+    /// A target said that it lacks what a call asked for: most likely its load takes longer than expected.
+    pub fn doubt_copy(&mut self, key: &CallKey, target: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        engine.report_at = Some(now);
+        let copy = engine
+            .calls
+            .get(key)
+            .and_then(|call| engine.copies.get_mut(&call.subject));
+        if let Some(copy) = copy
+            && matches!(copy.state, ResidentState::Here | ResidentState::Coming(_))
+        {
+            copy.state = ResidentState::Coming(now.after(LOAD_OVERRUN));
+        }
+    }
+
+    /// All calls of a gateway that can't be reached.
+    pub fn forget_gateway(&mut self, vm: &VmName, now: Instant) {
+        let keys: Vec<_> = self
+            .engines
+            .values()
+            .flat_map(|engine| {
+                let waiting = engine.copies.values().flat_map(|copy| &copy.waiters);
+                engine
+                    .calls
+                    .keys()
+                    .chain(waiting.map(|waiting| &waiting.key))
+            })
+            .filter(|key| key.vm == *vm)
+            .cloned()
+            .collect();
+        for key in keys {
+            let subjects = self.engines.values_mut().filter_map(|engine| {
+                let call = engine.calls.get(&key)?;
+                engine.copies.get_mut(&call.subject)
+            });
+            for copy in subjects {
+                copy.held_until = now.after(UNCOUNTED_RUN);
+            }
+            self.ended(&key, None, None, now);
+        }
+    }
+
+    /// Regular work: loads that are done, reports that are due, empty engines.
+    pub fn tick(&mut self, now: Instant) {
+        let names: Vec<_> = self.engines.keys().cloned().collect();
+        for name in &names {
+            self.settle(name, now);
+            self.give_up_waiters(name, now);
+            self.fill_empty(name, now);
+        }
+        self.advance_all(names, now);
+    }
+
+    fn settle(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let mut is_stale = Vec::new();
+        for (adapter, copy) in &mut engine.copies {
+            if matches!(copy.state, ResidentState::Coming(at) if now >= at) {
+                copy.state = ResidentState::Here;
+            }
+            let version = self.versions.get(adapter).copied().unwrap_or(0);
+            if copy.state == ResidentState::Here && copy.version < version {
+                is_stale.push(adapter.clone());
+            }
+        }
+        for adapter in is_stale {
+            self.replace_stale(&adapter, now);
+        }
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let is_due = engine.report_at.is_some_and(|at| now >= at);
+        if is_due && !engine.is_reporting && engine.pending.is_none() {
+            engine.report_at = None;
+            engine.is_reporting = true;
+            self.actions
+                .push_back(PlannerAction::Report(Arc::clone(&engine.entry)));
+        }
+    }
+
+    /// Turns calls away whose load takes longer than they can bear; it goes on for whoever comes back.
+    fn give_up_waiters(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let mut late = Vec::new();
+        for copy in engine.copies.values_mut() {
+            late.extend(copy.waiters.extract_if(.., |waiting| now >= waiting.until));
+        }
+        for waiting in late {
+            let retry_after_ms = millis(self.figures.store_load);
+            self.answer(waiting.key, PlacementAnswer::Refuse { retry_after_ms });
+        }
+    }
+
+    fn answer(&mut self, key: CallKey, answer: PlacementAnswer) {
+        self.actions.push_back(PlannerAction::Answer(key, answer));
+    }
+}
+
+/// Splits `model/adapter`.
+#[must_use]
+pub fn split_subject(subject: &AdapterName) -> (&str, Option<&str>) {
+    match subject.as_str().split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (subject.as_str(), None),
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -0,0 +1,375 @@
+//! What engines are ordered, one order at a time each, and what becomes of the calls behind it.
+
+use crate::{
+    direct::{
+        catalog::TargetStage,
+        engine::{
+            EngineOrder, EngineReport, EngineState, OrderKind, OrderOutcome, ResidentState,
+            UNCOUNTED_RUN, WaitingCall,
+        },
+        planner::{
+            COMING_MOST, LOAD_MARGIN, PlacementAnswer, PlannerAction, SETTLE, ZonePlanner, millis,
+            split_subject,
+        },
+    },
+    ids::{AdapterName, Instant, TargetName},
+};
+use std::{sync::Arc, time::Duration};
+
+/// Times that one call is placed anew because a load came to nothing.
+const MOST_PLACINGS: usize = 3;
+/// Time that a model load may take before the report is read again.
+const MODEL_LOAD_CHECK: Duration = Duration::from_millis(700);
+
+impl ZonePlanner {
+    /// An order was answered, or its answer is overdue.
+    pub fn order_ended(&mut self, name: &TargetName, outcome: OrderOutcome, now: Instant) {
+        // Those under way share the store only beyond this zone's part of it, and no load is begun beyond that.
+        let store_time = self.store_time(0);
+        let version = self
+            .engines
+            .get(name)
+            .and_then(|engine| engine.pending.as_ref())
+            .and_then(|order| self.versions.get(&order.subject).copied());
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let Some(order) = engine.pending.take() else {
+            return;
+        };
+        let subject = order.subject.clone();
+        let is_model = split_subject(&subject).1.is_none();
+        let mut failed = false;
+        engine.ordered_at = now;
+        match (outcome, order.kind) {
+            (OrderOutcome::Done | OrderOutcome::Begun, _) if is_model => {
+                engine.sequence += 1;
+                engine.report_at = Some(now.after(MODEL_LOAD_CHECK));
+            }
+            (OrderOutcome::Done | OrderOutcome::Begun, OrderKind::Load) => {
+                if outcome == OrderOutcome::Begun {
+                    engine.sequence += 1;
+                }
+                let time = match outcome {
+                    OrderOutcome::Done => Duration::ZERO,
+                    _ if engine.had_lately(&subject) => self.figures.lately_load,
+                    _ => store_time,
+                };
+                engine.note_lately(&subject);
+                if let Some(copy) = engine.copies.get_mut(&subject) {
+                    copy.state = if time.is_zero() {
+                        ResidentState::Here
+                    } else {
+                        ResidentState::Coming(now.after(time))
+                    };
+                    copy.version = order.version.or(version).unwrap_or(copy.version);
+                    let waiters = std::mem::take(&mut copy.waiters);
+                    self.release_waiters(name, waiters, now);
+                }
+            }
+            (OrderOutcome::Done, OrderKind::Unload) => {
+                engine.sequence += 1;
+                engine.copies.remove(&subject);
+            }
+            (OrderOutcome::Begun, OrderKind::Unload) => {
+                // It is in use after all: the engine takes no other order until its runs have ended.
+                engine.sequence += 1;
+                engine.leaving = Some(subject);
+                engine.report_at = Some(now.after(SETTLE));
+                self.empty_queue(name, now);
+            }
+            (OrderOutcome::Fenced, _) => failed = true,
+            (OrderOutcome::Conflict, OrderKind::Unload) => {
+                // It may be on its way in still: it is passed over until the report shows it.
+                if let Some(copy) = engine.copies.get_mut(&subject) {
+                    copy.state = ResidentState::Here;
+                    copy.held_until = now.after(UNCOUNTED_RUN);
+                }
+                failed = true;
+                engine.report_at = Some(now.after(SETTLE));
+                engine.is_known = false;
+            }
+            (OrderOutcome::Conflict | OrderOutcome::Refused | OrderOutcome::Unanswered, _) => {
+                failed = true;
+                engine.report_at = Some(now.after(SETTLE));
+                engine.is_known = false;
+            }
+        }
+        if failed {
+            self.empty_queue(name, now);
+        }
+        self.advance(name, now);
+    }
+
+    /// Drops what was planned for an engine that takes no orders for now; whoever waits is placed elsewhere.
+    fn empty_queue(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        engine.queue.clear();
+        let mut waiters = Vec::new();
+        engine.copies.retain(|_, copy| {
+            waiters.append(&mut copy.waiters);
+            if copy.state == ResidentState::Outdated {
+                copy.state = ResidentState::Here;
+            }
+            copy.state != ResidentState::Wanted
+        });
+        self.place_elsewhere(name, waiters, now);
+    }
+
+    /// Places calls anew that waited for a load at an engine.
+    fn place_elsewhere(&mut self, name: &TargetName, waiters: Vec<WaitingCall>, now: Instant) {
+        let waiters = waiters.into_iter().map(|mut waiting| {
+            waiting.ask.exclude.push(name.clone());
+            waiting
+        });
+        self.place_waiters_again(waiters.collect(), now);
+    }
+
+    pub(super) fn place_waiters_again(&mut self, waiters: Vec<WaitingCall>, now: Instant) {
+        for WaitingCall { key, ask, .. } in waiters {
+            if ask.exclude.len() >= MOST_PLACINGS {
+                self.answer(
+                    key,
+                    PlacementAnswer::Refuse {
+                        retry_after_ms: 300,
+                    },
+                );
+            } else {
+                self.place_known(key, ask, now);
+            }
+        }
+    }
+
+    fn release_waiters(&mut self, name: &TargetName, waiters: Vec<WaitingCall>, now: Instant) {
+        for WaitingCall { key, ask, .. } in waiters {
+            let version = self.versions.get(&ask.subject).copied();
+            let mut wait_ms = 0;
+            if let Some(copy) = self
+                .engines
+                .get_mut(name)
+                .and_then(|engine| engine.copies.get_mut(&ask.subject))
+            {
+                copy.users += 1;
+                if let ResidentState::Coming(at) = copy.state {
+                    wait_ms = millis(at.since(now) + LOAD_MARGIN);
+                }
+            }
+            self.note_sent(name, key.clone(), &ask, now);
+            self.answer(
+                key,
+                PlacementAnswer::Send {
+                    target: name.clone(),
+                    wait_ms,
+                    version,
+                },
+            );
+        }
+    }
+
+    /// An engine's report came; none if it could not be read.
+    pub fn report_came(&mut self, name: &TargetName, report: Option<&EngineReport>, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        engine.is_reporting = false;
+        match report {
+            Some(report) if engine.is_outdated(report, now) => {
+                engine.report_at = Some(now.after(SETTLE));
+            }
+            Some(report) => {
+                engine.take_report(report, now);
+                if report.is_busy || engine.leaving.is_some() {
+                    engine.report_at = Some(now.after(SETTLE));
+                }
+                let held: Vec<_> = engine.copies.keys().cloned().collect();
+                for adapter in held {
+                    self.replace_stale(&adapter, now);
+                }
+            }
+            None => engine.report_at = Some(now.after(SETTLE)),
+        }
+        self.advance(name, now);
+    }
+
+    /// Gives the next orders, those for the most urgent calls first.
+    pub(super) fn advance_all(&mut self, mut names: Vec<TargetName>, now: Instant) {
+        names.sort_by_cached_key(|name| self.engines.get(name).map(most_urgent));
+        for name in names {
+            self.advance(&name, now);
+        }
+    }
+
+    pub(super) fn fill_empty(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let is_empty = engine.is_known && engine.models.is_empty() && engine.report_at.is_none();
+        let may = now >= self.orders_from && now >= self.model_load_at;
+        if is_empty
+            && may
+            && engine.pending.is_none()
+            && engine.queue.is_empty()
+            && !engine.is_reporting
+            && engine.entry.stage == TargetStage::Ready
+            && let Some(model) = self.limits.models.first()
+        {
+            self.model_load_at = now.after(self.figures.model_load_pause);
+            engine.queue.push_back((OrderKind::Load, model.clone()));
+        }
+    }
+
+    /// Gives the next order to an engine, if its turn has come.
+    pub(super) fn advance(&mut self, name: &TargetName, now: Instant) {
+        if now < self.orders_from {
+            return;
+        }
+        loop {
+            let Some(engine) = self.engines.get(name) else {
+                return;
+            };
+            let is_blocked = engine.pending.is_some()
+                || engine.leaving.is_some()
+                || !engine.is_known
+                || engine.is_reporting;
+            if is_blocked {
+                return;
+            }
+            let Some((kind, subject)) = engine.queue.front().cloned() else {
+                return;
+            };
+            let is_adapter = split_subject(&subject).1.is_some();
+            let is_held = engine
+                .copies
+                .get(&subject)
+                .is_some_and(|copy| copy.state != ResidentState::Wanted);
+            if kind == OrderKind::Load && is_adapter && !is_held {
+                let is_fast = engine.had_lately(&subject);
+                let crowd = self.loads_under_way(now);
+                if engine.coming(now) >= COMING_MOST
+                    || (!is_fast && crowd >= self.figures.loads_at_full_speed)
+                {
+                    return;
+                }
+                if engine.places_taken() >= self.limits.adapter_slots as usize {
+                    let Some(victim) = self.victim(engine, now) else {
+                        self.drop_front(name, now);
+                        continue;
+                    };
+                    self.issue(name, OrderKind::Unload, &victim);
+                    return;
+                }
+            }
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.queue.pop_front();
+            }
+            self.issue(name, kind, &subject);
+            return;
+        }
+    }
+
+    /// Gives up a load for which no room can be made.
+    fn drop_front(&mut self, name: &TargetName, now: Instant) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let Some((_, subject)) = engine.queue.pop_front() else {
+            return;
+        };
+        if let Some(copy) = engine.copies.remove(&subject) {
+            self.place_elsewhere(name, copy.waiters, now);
+        }
+    }
+
+    fn issue(&mut self, name: &TargetName, kind: OrderKind, subject: &AdapterName) {
+        let version = self.versions.get(subject).copied();
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let order = EngineOrder {
+            kind,
+            subject: subject.clone(),
+            version: if kind == OrderKind::Load {
+                version
+            } else {
+                None
+            },
+            expected: engine.sequence,
+        };
+        if kind == OrderKind::Unload
+            && let Some(copy) = engine.copies.get_mut(subject)
+        {
+            copy.state = ResidentState::Leaving;
+        }
+        engine.pending = Some(order.clone());
+        self.actions
+            .push_back(PlannerAction::Order(Arc::clone(&engine.entry), order));
+    }
+
+    /// The copy that is missed least: unused, and of little demand for its number of copies in the zone.
+    pub(super) fn victim(&self, engine: &EngineState, now: Instant) -> Option<AdapterName> {
+        engine
+            .copies
+            .iter()
+            .filter(|(_, copy)| {
+                copy.users == 0
+                    && copy.waiters.is_empty()
+                    && copy.state == ResidentState::Here
+                    && now >= copy.held_until
+            })
+            .min_by(|(left, left_copy), (right, right_copy)| {
+                let worth = |subject| self.demand.count(subject, now) / self.copies_of(subject);
+                worth(left)
+                    .total_cmp(&worth(right))
+                    .then(left_copy.used_at.cmp(&right_copy.used_at))
+            })
+            .map(|(subject, _)| subject.clone())
+    }
+
+    fn copies_of(&self, subject: &AdapterName) -> f64 {
+        let copies = self
+            .engines
+            .values()
+            .filter(|engine| engine.copies.contains_key(subject))
+            .count();
+        copies.max(1) as f64
+    }
+
+    /// Orders the replacement of copies that are older than the named version and not in use.
+    pub(super) fn replace_stale(&mut self, adapter: &AdapterName, now: Instant) {
+        let Some(version) = self.versions.get(adapter).copied() else {
+            return;
+        };
+        let mut touched = Vec::new();
+        for (name, engine) in &mut self.engines {
+            let Some(copy) = engine.copies.get_mut(adapter) else {
+                continue;
+            };
+            let is_free = copy.users == 0 && now >= copy.held_until;
+            if copy.version < version && is_free && copy.state == ResidentState::Here {
+                copy.state = ResidentState::Outdated;
+                engine.queue.push_back((OrderKind::Load, adapter.clone()));
+                touched.push(name.clone());
+            }
+        }
+        for name in touched {
+            self.advance(&name, now);
+        }
+    }
+}
+
+/// Rank of the most urgent call that waits for an engine's next load.
+fn most_urgent(engine: &EngineState) -> u8 {
+    engine
+        .queue
+        .front()
+        .and_then(|(_, subject)| engine.copies.get(subject))
+        .and_then(|copy| {
+            copy.waiters
+                .iter()
+                .map(|waiting| waiting.ask.priority)
+                .min()
+        })
+        .unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/crates/core/src/direct/planner/placing.rs
@@ -0,0 +1,306 @@
+//! Where a call goes: what each engine would make it wait, and what its load would cost.
+
+use crate::{
+    direct::{
+        catalog::TargetStage,
+        engine::{EngineState, ResidentState, SentCall, WaitingCall},
+        planner::{
+            COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer, PlacementAsk, ZonePlanner, millis,
+            split_subject,
+        },
+    },
+    ids::{AdapterName, Instant, TargetName},
+};
+use std::time::Duration;
+
+/// Bounds of the time after which a caller is told to come back.
+const COME_BACK_LEAST: Duration = Duration::from_millis(100);
+const COME_BACK_MOST: Duration = Duration::from_millis(1_500);
+/// Time by which a call may wait longer for its load than it was placed for.
+const WAIT_OVERRUN: Duration = Duration::from_millis(250);
+
+impl ZonePlanner {
+    /// Places a call.
+    pub fn place(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
+        self.demand.record(&ask.subject, now);
+        self.place_known(key, ask, now);
+    }
+
+    pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
+        let Some((name, cost)) = self.cheapest(&ask, now) else {
+            let retry_after_ms = 300;
+            self.answer(key, PlacementAnswer::Refuse { retry_after_ms });
+            return;
+        };
+        if cost.wait > Duration::from_millis(u64::from(ask.bound_ms)) {
+            // It is loaded all the same, so that it is there when the caller comes back.
+            self.load_ahead(&name, &ask, now);
+            let retry_after = cost.wait.clamp(COME_BACK_LEAST, COME_BACK_MOST);
+            self.answer(
+                key,
+                PlacementAnswer::Refuse {
+                    retry_after_ms: millis(retry_after),
+                },
+            );
+            return;
+        }
+        self.send_to(&name, key, ask, now);
+    }
+
+    fn cheapest(&self, ask: &PlacementAsk, now: Instant) -> Option<(TargetName, PlacementCost)> {
+        let crowd = self.loads_under_way(now) + self.loads_waiting();
+        let all_doubted = self.engines.keys().all(|name| self.health.is_doubted(name));
+        self.engines
+            .iter()
+            .filter(|(name, engine)| {
+                engine.entry.stage == TargetStage::Ready
+                    && !ask.exclude.contains(name)
+                    && !self.health.is_out(name, now)
+            })
+            .filter_map(|(name, engine)| {
+                let mut cost = self.cost(engine, ask, crowd, now)?;
+                if self.health.is_doubted(name) && !all_doubted {
+                    cost.total += Duration::from_secs(2);
+                }
+                cost.total += Duration::from_millis(400).mul_f64(self.health.failing(name));
+                if self.health.is_shedding(name, now) {
+                    cost.total += Duration::from_millis(100);
+                }
+                Some((name.clone(), cost))
+            })
+            .min_by_key(|(name, cost)| (cost.total, home_rank(name, &ask.subject)))
+    }
+
+    fn cost(
+        &self,
+        engine: &EngineState,
+        ask: &PlacementAsk,
+        crowd: u32,
+        now: Instant,
+    ) -> Option<PlacementCost> {
+        let load = self.load_wait(engine, ask, crowd, now)?;
+        let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
+        let prompts = engine.prompts_done.since(now);
+        let own = self.prompt_time(ask.prompt_tokens.saturating_sub(kept));
+        let calls = u32::try_from(engine.calls.len()).unwrap_or(u32::MAX);
+        let over = calls.saturating_sub(engine.entry.slots.saturating_sub(1));
+        let tokens = engine.tokens_sent() + call_tokens(ask);
+        let full = if tokens > self.limits.kv_tokens * 95 / 100 {
+            Duration::from_millis(500)
+        } else {
+            Duration::ZERO
+        };
+        let wait = prompts.max(load.time)
+            + own
+            + self.figures.per_call * calls
+            + self.figures.slot_time / engine.entry.slots.max(1) * over
+            + full
+            + engine.entry.cold.min(Duration::from_secs(1));
+        Some(PlacementCost {
+            wait,
+            total: wait + load.penalty,
+        })
+    }
+
+    fn load_wait(
+        &self,
+        engine: &EngineState,
+        ask: &PlacementAsk,
+        crowd: u32,
+        now: Instant,
+    ) -> Option<LoadCost> {
+        let (model, adapter) = split_subject(&ask.subject);
+        if !engine.has_model(model) {
+            return None;
+        }
+        if adapter.is_none() {
+            return Some(LoadCost::default());
+        }
+        match engine.copies.get(&ask.subject) {
+            Some(copy) if copy.state != ResidentState::Leaving => {
+                let is_stale = self
+                    .versions
+                    .get(&ask.subject)
+                    .is_some_and(|version| copy.version < *version);
+                match copy.state {
+                    ResidentState::Here if is_stale => None,
+                    ResidentState::Coming(at) => Some(LoadCost {
+                        time: at.since(now),
+                        penalty: Duration::ZERO,
+                    }),
+                    ResidentState::Wanted | ResidentState::Outdated => Some(LoadCost {
+                        time: self.figures.store_load,
+                        penalty: Duration::ZERO,
+                    }),
+                    _ => Some(LoadCost::default()),
+                }
+            }
+            Some(_) => None,
+            None => {
+                if !ask.may_load
+                    || now < self.orders_from
+                    || !engine.is_known
+                    || engine.leaving.is_some()
+                {
+                    return None;
+                }
+                let waiting = engine.queue.len() + engine.coming(now);
+                if waiting >= 2 * COMING_MOST || !self.can_make_room(engine, now) {
+                    return None;
+                }
+                let time = if engine.had_lately(&ask.subject) {
+                    self.figures.lately_load
+                } else {
+                    self.store_time(crowd)
+                };
+                let turn = u32::try_from(engine.queue.len()).unwrap_or(0);
+                Some(LoadCost {
+                    time: time + Duration::from_millis(8) * turn,
+                    penalty: self.figures.load_penalty,
+                })
+            }
+        }
+    }
+
+    fn can_make_room(&self, engine: &EngineState, now: Instant) -> bool {
+        let wanted = engine.copies.len();
+        wanted < self.limits.adapter_slots as usize || self.victim(engine, now).is_some()
+    }
+
+    pub(super) fn store_time(&self, crowd: u32) -> Duration {
+        let most = self.figures.loads_at_full_speed.max(1);
+        let stretch = f64::from(crowd + 1) / f64::from(most);
+        let alone = self.figures.store_load.mul_f64(self.figures.share_excess);
+        alone.mul_f64(stretch.max(1.0))
+    }
+
+    pub(super) fn loads_under_way(&self, now: Instant) -> u32 {
+        let coming: usize = self.engines.values().map(|engine| engine.coming(now)).sum();
+        u32::try_from(coming).unwrap_or(u32::MAX)
+    }
+
+    fn loads_waiting(&self) -> u32 {
+        let wanted: usize = self
+            .engines
+            .values()
+            .map(|engine| engine.copies.len() - engine.places_taken())
+            .sum();
+        u32::try_from(wanted).unwrap_or(u32::MAX)
+    }
+
+    fn prompt_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.figures.prompt_tokens_per_ms / 1e3)
+    }
+
+    /// Orders the load of an adapter whose caller was told to come back, if that drives nothing out: under load most
+    /// places are in use, and what is brought in ahead would go again before its caller is back.
+    pub(super) fn load_ahead(&mut self, name: &TargetName, ask: &PlacementAsk, now: Instant) {
+        let has_adapter = split_subject(&ask.subject).1.is_some();
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let has_place = engine.copies.len() < self.limits.adapter_slots as usize;
+        if has_adapter && ask.may_load && has_place && !engine.copies.contains_key(&ask.subject) {
+            engine.want(&ask.subject, now);
+            self.advance(name, now);
+        }
+    }
+
+    pub(super) fn send_to(
+        &mut self,
+        name: &TargetName,
+        key: CallKey,
+        ask: PlacementAsk,
+        now: Instant,
+    ) {
+        let (_, adapter) = split_subject(&ask.subject);
+        let is_adapter = adapter.is_some();
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        if is_adapter && !engine.copies.contains_key(&ask.subject) {
+            engine.want(&ask.subject, now);
+        }
+        let copy = engine.copies.get_mut(&ask.subject);
+        let wait_ms = match copy {
+            Some(copy) if matches!(copy.state, ResidentState::Wanted | ResidentState::Outdated) => {
+                let bound = Duration::from_millis(u64::from(ask.bound_ms));
+                let until = now.after(bound + WAIT_OVERRUN);
+                copy.waiters.push(WaitingCall { key, ask, until });
+                copy.used_at = now;
+                self.advance(name, now);
+                return;
+            }
+            Some(copy) => {
+                copy.users += 1;
+                copy.used_at = now;
+                match copy.state {
+                    ResidentState::Coming(at) if at > now => millis(at.since(now) + LOAD_MARGIN),
+                    _ => 0,
+                }
+            }
+            None => 0,
+        };
+        self.note_sent(name, key.clone(), &ask, now);
+        let version = self.versions.get(&ask.subject).copied();
+        self.answer(
+            key,
+            PlacementAnswer::Send {
+                target: name.clone(),
+                wait_ms,
+                version,
+            },
+        );
+    }
+
+    pub(super) fn note_sent(
+        &mut self,
+        name: &TargetName,
+        key: CallKey,
+        ask: &PlacementAsk,
+        now: Instant,
+    ) {
+        let tokens_per_ms = self.figures.prompt_tokens_per_ms;
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
+        let fresh = ask.prompt_tokens.saturating_sub(kept);
+        let time = Duration::from_secs_f64(f64::from(fresh) / tokens_per_ms / 1e3);
+        engine.prompts_done = engine.prompts_done.max(now).after(time);
+        engine.note_prefix(&ask.subject, &ask.prefix);
+        let call = SentCall {
+            subject: ask.subject.clone(),
+            tokens: call_tokens(ask),
+        };
+        engine.add_call(key, call);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PlacementCost {
+    /// Expected wait for the first token.
+    wait: Duration,
+    /// The wait, and what the placement costs others.
+    total: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadCost {
+    time: Duration,
+    penalty: Duration,
+}
+
+/// Rank by rendezvous hashing, so that equal costs lead an adapter to the same engine.
+fn home_rank(target: &TargetName, subject: &AdapterName) -> u64 {
+    use siphasher::sip::SipHasher13;
+    use std::hash::{Hash, Hasher};
+    let mut hasher = SipHasher13::new();
+    target.as_str().hash(&mut hasher);
+    subject.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+fn call_tokens(ask: &PlacementAsk) -> u64 {
+    u64::from(ask.prompt_tokens) + u64::from(ask.output_tokens)
+}
--- /dev/null
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -0,0 +1,346 @@
+//! One caller's request, from its head to its answer.
+//!
+//! What may be said at its end depends on what was done with it. A call that no target ran ends with a promise (503,
+//! with the time to come back); one that may have run never does.
+//!
+//! | module | job |
+//! |---|---|
+//! | `placing` | where the next send goes |
+//! | `sending` | one send, and what its answer is worth |
+//! | `answers` | answers as they go to callers |
+//! | `stop` | what is still taken while this VM stops |
+
+mod answers;
+mod placing;
+mod sending;
+mod stop;
+
+pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
+pub use placing::Placing;
+pub use sending::{InFlightCount, OpenAnswer, SendOutcome, give_back};
+pub use stop::StopPlan;
+
+use crate::{
+    clock,
+    direct::{
+        access::ZoneAccess,
+        call::answers::{passed_answer, refusal},
+        events::relay_events,
+        fleet::{ActiveConfig, FleetState},
+        sender::ConnectionPool,
+        settings::DirectSettings,
+        whole::take_whole,
+    },
+    event,
+    events::Event,
+};
+use bytes::Bytes;
+use hoplanding_core::{
+    direct::config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
+    ids::TargetName,
+};
+use hoplanding_platform::front::{CallHead, decode_call};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Sends of one call that no target ran, beyond which it is given up.
+const MOST_REFUSED_SENDS: u32 = 2;
+/// Targets that may turn out to be out of reach before a call is given up.
+const MOST_UNREACHED: u32 = 3;
+/// When a caller is told to come back, where nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(400);
+
+/// What all calls of this VM share.
+#[derive(Debug)]
+pub struct GatewayContext {
+    /// The books.
+    pub fleet: Arc<FleetState>,
+    /// The way to holders.
+    pub access: Arc<ZoneAccess>,
+    /// Connections to targets.
+    pub pool: Arc<ConnectionPool>,
+    /// Settings.
+    pub settings: Arc<DirectSettings>,
+    /// The planned stop, once it has begun.
+    pub stop: Arc<OnceLock<StopPlan>>,
+}
+
+/// One call under way.
+pub struct CallState {
+    /// Shared by all calls.
+    pub context: Arc<GatewayContext>,
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// The service that it goes to.
+    pub service: ServiceRule,
+    /// What its head says.
+    pub head: CallHead,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it has to be answered.
+    pub deadline: Instant,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Targets that it need not be sent to again.
+    pub tried: Vec<TargetName>,
+    /// Targets that may have run it.
+    pub runs: u32,
+    /// Sends that targets turned away.
+    pub refused: u32,
+    /// Targets that could not be reached.
+    pub unreached: u32,
+}
+
+/// Answers a caller's request.
+///
+/// # Errors
+/// When the caller broke its request off; its connection is closed.
+pub async fn answer_call(
+    context: Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, BrokenAnswer> {
+    let arrived = Instant::now();
+    let head = decode_call(request.headers());
+    let Some(active) = context.fleet.active() else {
+        event!(Event::CallRefused, "{}: no configuration yet", head.id);
+        return Ok(refusal(&head.id, COME_BACK));
+    };
+    let host = request
+        .headers()
+        .get(http::header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let Some(route) = active.routes.find(host, request.uri().path()).cloned() else {
+        event!(
+            Event::NoRoute,
+            "{}: {host}{} in version {}",
+            head.id,
+            request.uri().path(),
+            active.config.version
+        );
+        return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
+    };
+    if let Some(plan) = context.stop.get()
+        && let Err(come_back) = plan.admits(&route, &head)
+    {
+        event!(
+            Event::CallRefused,
+            "{}: route {} not run, as this VM stops; come back after {come_back:?}",
+            head.id,
+            route.name
+        );
+        return Ok(refusal(&head.id, come_back));
+    }
+    let (parts, body) = request.into_parts();
+    let limit = active.config.limits.body_bytes;
+    let within = route.timeout.max(active.config.limits.header_timeout);
+    let body = match timeout(within, Limited::new(body, limit).collect()).await {
+        Err(_) => {
+            return Ok(own_answer(&head.id, StatusCode::REQUEST_TIMEOUT, None));
+        }
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Ok(own_answer(&head.id, StatusCode::PAYLOAD_TOO_LARGE, None));
+        }
+        Ok(Err(error)) => return Err(BrokenAnswer(error.to_string())),
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    let Some(service) = find_service(&active, &route, &head.id) else {
+        event!(
+            Event::CallRefused,
+            "{}: route {} names no known service",
+            head.id,
+            route.name
+        );
+        return Ok(refusal(&head.id, COME_BACK));
+    };
+    {
+        let now = clock::now();
+        let mut books = context.fleet.books();
+        books.retries.count_request(&service.name, now);
+        if let (Some(subject), true) = (&head.subject, service.engine.is_some()) {
+            books.demand.record(subject, now);
+        }
+    }
+    let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let call = CallState {
+        context,
+        service,
+        head,
+        arrived,
+        deadline: arrived + patience,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        tried: Vec::new(),
+        runs: 0,
+        refused: 0,
+        unreached: 0,
+        route,
+    };
+    Ok(call.drive().await)
+}
+
+fn find_service(active: &ActiveConfig, route: &RouteRule, id: &str) -> Option<ServiceRule> {
+    let mut hasher = SipHasher13::new();
+    id.hash(&mut hasher);
+    let name = route.service(hasher.finish())?;
+    active.config.services.get(name).cloned()
+}
+
+impl CallState {
+    /// Sends the call until it has an answer, or nothing more can be done.
+    async fn drive(mut self) -> Response<AnswerBody> {
+        let mut come_back = COME_BACK;
+        let mut failure = None;
+        loop {
+            let placed = match timeout_at(self.deadline, self.place()).await {
+                Ok(placed) => placed,
+                Err(_) => break,
+            };
+            let (entry, version, ticket) = match placed {
+                Placing::At(entry, version, ticket) => (entry, version, ticket),
+                Placing::Nowhere(after) => {
+                    come_back = after;
+                    break;
+                }
+            };
+            // A failure that came before is passed on only if nothing better comes.
+            match self.send(&entry, version, ticket, None).await {
+                SendOutcome::Success(open) => match self.pass_on(*open).await {
+                    Ok(answer) => return answer,
+                    Err(call) => {
+                        self = call;
+                        if !self.may_repeat() {
+                            break;
+                        }
+                    }
+                },
+                SendOutcome::Failure(open) => {
+                    let (parts, taken) = take_whole(*open, &self).await;
+                    if let Ok(body) = taken {
+                        failure = Some(passed_answer(&parts, body));
+                    }
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
+                SendOutcome::NotRun => {
+                    if self.refused > MOST_REFUSED_SENDS || !self.pay_for_repeat() {
+                        break;
+                    }
+                }
+                SendOutcome::NotSent => {
+                    if self.unreached > MOST_UNREACHED {
+                        break;
+                    }
+                }
+                SendOutcome::Unknown => {
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
+            }
+        }
+        self.give_up(failure, come_back)
+    }
+
+    /// The answer of a call for which nothing more can be done.
+    fn give_up(
+        &self,
+        failure: Option<Response<AnswerBody>>,
+        come_back: Duration,
+    ) -> Response<AnswerBody> {
+        let id = &self.head.id;
+        let held = self.arrived.elapsed();
+        if let Some(failure) = failure {
+            event!(
+                Event::CallFailed,
+                "{id}: route {} passes on {} after {held:?}, {} runs, tried {:?}",
+                self.route.name,
+                failure.status(),
+                self.runs,
+                self.tried
+            );
+            return failure;
+        }
+        if self.runs == 0 {
+            event!(
+                Event::CallRefused,
+                "{id}: route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}",
+                self.route.name,
+                self.refused,
+                self.unreached,
+                self.tried
+            );
+            return refusal(id, come_back);
+        }
+        let is_late = Instant::now() >= self.deadline;
+        let status = if is_late {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        event!(
+            Event::CallFailed,
+            "{id}: route {} ends with {status} after {held:?}, {} runs, tried {:?}",
+            self.route.name,
+            self.runs,
+            self.tried
+        );
+        own_answer(id, status, None)
+    }
+
+    /// Whether it may run again: its route allows it, and the fleet's budget pays for it.
+    pub fn may_repeat(&mut self) -> bool {
+        self.route.repeat == RepeatRule::Idempotent
+            && self.runs < self.route.max_attempts
+            && self.has_time()
+            && self.pay_for_repeat()
+    }
+
+    fn has_time(&self) -> bool {
+        Instant::now() + Duration::from_millis(5) < self.deadline
+    }
+
+    fn pay_for_repeat(&self) -> bool {
+        self.has_time()
+            && self
+                .context
+                .fleet
+                .books()
+                .retries
+                .try_repeat(&self.service.name, clock::now())
+    }
+
+    /// Passes a success on to the caller; gives the call back if the answer broke before its first byte went out.
+    async fn pass_on(self, open: OpenAnswer) -> Result<Response<AnswerBody>, Self> {
+        match self.route.shape {
+            AnswerShape::Events { resumable } => Ok(relay_events(self, open, resumable)),
+            AnswerShape::Whole => {
+                let mut call = self;
+                let target = call.tried.len();
+                let (parts, taken) = take_whole(open, &call).await;
+                match taken {
+                    Ok(body) => Ok(passed_answer(&parts, body)),
+                    Err(name) => {
+                        call.tried.truncate(target);
+                        call.tried.push(name);
+                        Err(call)
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -0,0 +1,249 @@
+//! One send of a call to a target, and what its answer is worth.
+
+use crate::{
+    clock,
+    direct::{
+        access::CallTicket,
+        call::CallState,
+        fleet::FleetState,
+        message::CallEnd,
+        sender::{ConnectionPool, ReuseRule, SendError, TargetConnection, TargetRequest},
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::{
+    direct::{catalog::TargetEntry, config::RepeatRule},
+    ids::TargetName,
+};
+use hoplanding_platform::front::{
+    AnswerKind, SendHead, encode_send, is_closing, judge_answer, keep_alive,
+};
+use http::{HeaderMap, Request};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Time to connect to a target.
+const CONNECT_WITHIN: Duration = Duration::from_millis(200);
+
+/// An answer whose head has come.
+pub struct OpenAnswer {
+    /// Its head.
+    pub parts: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection, to be given back after a whole answer.
+    pub connection: TargetConnection,
+    /// The holder's count of the call.
+    pub ticket: Option<CallTicket>,
+    /// This VM's count of the call.
+    pub count: InFlightCount,
+}
+
+/// What came of one send.
+pub enum SendOutcome {
+    /// A signed success; its body follows.
+    Success(Box<OpenAnswer>),
+    /// The target ran it and states a failure.
+    Failure(Box<OpenAnswer>),
+    /// The target did not run it.
+    NotRun,
+    /// It was never handed over.
+    NotSent,
+    /// It may have run; no answer that could be used came.
+    Unknown,
+}
+
+/// Counts a call of this VM at a target until dropped.
+#[derive(Debug)]
+pub struct InFlightCount {
+    fleet: Arc<FleetState>,
+    target: TargetName,
+}
+
+impl InFlightCount {
+    fn new(fleet: &Arc<FleetState>, target: &TargetName) -> Self {
+        *fleet.books().in_flight.entry(target.clone()).or_default() += 1;
+        Self {
+            fleet: Arc::clone(fleet),
+            target: target.clone(),
+        }
+    }
+
+    /// Notes how the call ended.
+    pub fn note(&self, end: CallEnd) {
+        if let Some(outcome) = end.health() {
+            let now = clock::now();
+            self.fleet.books().health.note(&self.target, outcome, now);
+        }
+    }
+}
+
+impl Drop for InFlightCount {
+    fn drop(&mut self) {
+        let mut books = self.fleet.books();
+        if let Some(count) = books.in_flight.get_mut(&self.target) {
+            *count -= 1;
+            if *count == 0 {
+                books.in_flight.remove(&self.target);
+            }
+        }
+    }
+}
+
+impl CallState {
+    /// Sends it to a target.
+    pub async fn send(
+        &mut self,
+        entry: &TargetEntry,
+        version: Option<u64>,
+        ticket: Option<CallTicket>,
+        last_event: Option<u64>,
+    ) -> SendOutcome {
+        let count = InFlightCount::new(&self.context.fleet, &entry.name);
+        let end = |ticket: Option<CallTicket>, count: &InFlightCount, end: CallEnd| {
+            count.note(end);
+            if let Some(ticket) = ticket {
+                ticket.end(end);
+            }
+        };
+        let reuse = match self.route.repeat {
+            RepeatRule::Idempotent => ReuseRule::Any,
+            RepeatRule::AtMostOnce => ReuseRule::FreshOnly,
+        };
+        let taken = self
+            .context
+            .pool
+            .take(&entry.name, entry.address, reuse, CONNECT_WITHIN)
+            .await;
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let sent = match taken {
+            Ok(mut connection) => {
+                let request = self.request(entry, version, remaining, last_event);
+                match timeout(remaining, connection.send(request)).await {
+                    Ok(Ok(response)) => Ok((connection, response)),
+                    Ok(Err(error)) => Err(error),
+                    Err(_) => Err(SendError::Unanswered {
+                        target: entry.name.clone(),
+                        cause: "no head before the deadline".to_owned(),
+                    }),
+                }
+            }
+            Err(error) => Err(error),
+        };
+        let (connection, response) = match sent {
+            Ok(answered) => answered,
+            Err(SendError::NotSent { target, cause }) => {
+                event!(
+                    Event::TargetUnreached,
+                    "{} at {target}: {cause}",
+                    self.head.id
+                );
+                end(ticket, &count, CallEnd::Unreached);
+                self.unreached += 1;
+                self.tried.push(target);
+                return SendOutcome::NotSent;
+            }
+            Err(SendError::Unanswered { target, cause }) => {
+                event!(
+                    Event::AnswerMissing,
+                    "{} at {target}: {cause}",
+                    self.head.id
+                );
+                end(ticket, &count, CallEnd::Failed);
+                self.runs += 1;
+                self.tried.push(target);
+                return SendOutcome::Unknown;
+            }
+        };
+        let kind = judge_answer(&self.head.id, response.status(), response.headers());
+        let (parts, body) = response.into_parts();
+        let open = |ticket, count| {
+            Box::new(OpenAnswer {
+                parts: parts.clone(),
+                body,
+                connection,
+                ticket,
+                count,
+            })
+        };
+        match kind {
+            AnswerKind::Success => {
+                self.runs += 1;
+                SendOutcome::Success(open(ticket, count))
+            }
+            AnswerKind::Failure => {
+                self.runs += 1;
+                self.tried.push(entry.name.clone());
+                SendOutcome::Failure(open(ticket, count))
+            }
+            AnswerKind::Misdirected | AnswerKind::NotRun => {
+                event!(
+                    Event::TurnedAway,
+                    "{} at {}: {kind:?} {} for {} version {version:?}",
+                    self.head.id,
+                    entry.name,
+                    parts.status,
+                    self.subject()
+                );
+                let is_absent = kind == AnswerKind::Misdirected;
+                let outcome = if is_absent {
+                    CallEnd::Absent
+                } else {
+                    CallEnd::Shed
+                };
+                end(ticket, &count, outcome);
+                self.refused += 1;
+                // An adapter that is late is soon there: its holder knows whether another target is better.
+                if !is_absent {
+                    self.tried.push(entry.name.clone());
+                }
+                SendOutcome::NotRun
+            }
+            AnswerKind::Foreign => {
+                event!(
+                    Event::AnswerForeign,
+                    "{} at {}: status {}",
+                    self.head.id,
+                    entry.name,
+                    parts.status
+                );
+                self.context.pool.close(entry.address);
+                end(ticket, &count, CallEnd::Failed);
+                self.runs += 1;
+                self.tried.push(entry.name.clone());
+                SendOutcome::Unknown
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        entry: &TargetEntry,
+        version: Option<u64>,
+        remaining: Duration,
+        last_event: Option<u64>,
+    ) -> TargetRequest {
+        let send = SendHead {
+            target: &entry.name,
+            remaining,
+            priority: self.service.engine.as_ref().map(|_| self.route.priority),
+            version,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = encode_send(&self.headers, &send);
+        request
+    }
+}
+
+/// Gives a connection back for further calls, unless its answer says that it ends.
+pub fn give_back(pool: &ConnectionPool, connection: TargetConnection, headers: &HeaderMap) {
+    if !is_closing(headers) {
+        pool.give_back(connection, keep_alive(headers));
+    }
+}
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -7,7 +7,8 @@
     clock,
     direct::{
         fleet::FleetState,
-        message::{FeedTopic, MESSAGE_VERSION, PassedRecord, VmMessage},
+        message::{MESSAGE_VERSION, VmMessage},
+        sharing::RecordSharing,
         zone::{PlaceReply, ReplyTo, ZoneEvent},
     },
     event,
@@ -21,7 +22,6 @@
 };
 use std::{
     collections::HashMap,
-    future::pending,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -29,7 +29,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{broadcast, mpsc, oneshot, watch},
+    sync::{mpsc, oneshot},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_tungstenite::{
@@ -47,8 +47,6 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(600);
 /// Bytes that a socket buffers for reading.
 const READ_BUFFER: usize = 4 * 1024;
-/// Bytes of a record that is passed on to other zones unasked.
-const SMALL_RECORD: usize = 1024;
 /// Largest message.
 const MESSAGE_BYTES: usize = 8 << 20;
 
@@ -341,64 +339,6 @@
     }
 }
 
-/// What one link passes on of the platform's log.
-struct RecordSharing {
-    fleet: Arc<FleetState>,
-    is_same_zone: bool,
-    news: broadcast::Receiver<Arc<PassedRecord>>,
-    pulls: watch::Receiver<u64>,
-}
-
-impl RecordSharing {
-    fn new(fleet: &Arc<FleetState>, is_same_zone: bool) -> Self {
-        Self {
-            fleet: Arc::clone(fleet),
-            is_same_zone,
-            news: fleet.watch_news(),
-            pulls: fleet.watch_pulls(),
-        }
-    }
-
-    /// The next message that the other side should have. Safe to drop while it waits.
-    async fn next(&mut self) -> VmMessage {
-        loop {
-            tokio::select! {
-                news = self.news.recv() => match news {
-                    Ok(record) if self.is_worth(&record) => {
-                        return VmMessage::Records(vec![PassedRecord::clone(&record)]);
-                    }
-                    // What a lagging link misses is asked for when it is needed.
-                    Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
-                    // The books live as long as the process.
-                    Err(broadcast::error::RecvError::Closed) => pending::<()>().await,
-                },
-                _ = self.pulls.changed() => return VmMessage::Wanted(self.fleet.wanted()),
-            }
-        }
-    }
-
-    /// Within a zone everything is passed on; between zones bytes have a price, so only what is small and urgent.
-    fn is_worth(&self, record: &PassedRecord) -> bool {
-        self.is_same_zone
-            || match record.topic {
-                FeedTopic::Targets => self.fleet.is_leaving(&record.key),
-                FeedTopic::Operators | FeedTopic::Fleet => record
-                    .value
-                    .as_ref()
-                    .is_none_or(|value| value.len() <= SMALL_RECORD),
-            }
-    }
-
-    /// The answer to a question for records.
-    fn answer(&self, message: &VmMessage) -> Option<VmMessage> {
-        let VmMessage::Wanted(wanted) = message else {
-            return None;
-        };
-        let records = self.fleet.records_since(wanted);
-        (!records.is_empty()).then_some(VmMessage::Records(records))
-    }
-}
-
 /// Accepts links until the process ends.
 pub async fn accept_links(
     listener: TcpListener,
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! | [`zone`] | the worker that holds a zone: planner, orders, reports |
 //! | [`access`] | the gateway's way to the holder of a zone |
 //! | [`links`], [`message`] | links between VMs |
+//! | [`sharing`] | what a link passes on of the log |
 //! | [`records`] | what VMs pass on to each other of the platform's log |
 //! | [`claims`] | claims of a zone's lease |
 
@@ -31,5 +32,6 @@
 pub mod records;
 pub mod sender;
 pub mod settings;
+pub mod sharing;
 pub mod whole;
 pub mod zone;
