Hand leases to stronger VMs, fill empty engines by need, copy crowded adapters early

Ruled out: placing itself (4 to 17 ms for the late ones) and late loads (71 of 99 had none).

Change: a stronger VM that has heard a weaker holder for a turn asks it for the lease; that one finishes the orders under way and gives it up by a record, which both fold at once in place of a read. A copy that crowds its engine gets a second one ahead of need.

--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -77,6 +77,8 @@
     pub adapters: Vec<(AdapterName, u64)>,
     /// Adapters on their way.
     pub coming: Vec<(AdapterName, u64)>,
+    /// Base models that it loads from a copy of its own, without the weight store.
+    pub own_copies: Vec<AdapterName>,
     /// Whether an order on a whole model is under way.
     pub is_busy: bool,
 }
@@ -157,6 +159,8 @@
     pub is_known: bool,
     /// Base models that it holds.
     pub models: Vec<AdapterName>,
+    /// Base models that it loads without the weight store.
+    pub own_copies: Vec<AdapterName>,
     /// Its adapters.
     pub copies: HashMap<AdapterName, ResidentCopy>,
     /// Calls sent to it.
@@ -223,6 +227,7 @@
             sequence: entry.orders_taken,
             is_known: false,
             models: Vec::new(),
+            own_copies: Vec::new(),
             copies: HashMap::new(),
             calls: HashMap::new(),
             queue: VecDeque::new(),
@@ -264,6 +269,7 @@
         self.is_known = true;
         self.sequence = report.orders_taken;
         self.models.clone_from(&report.models);
+        self.own_copies.clone_from(&report.own_copies);
         let mut old = std::mem::take(&mut self.copies);
         for (adapter, version) in &report.adapters {
             let copy = self.renewed(&mut old, adapter, ResidentState::Here, *version, now);
--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -3,6 +3,9 @@
 //! A claim is a record under the zone's key, appended only if nothing was appended since the claimant read; its offset
 //! is the fencing token, so a later claim always has a higher one. A holder stops as soon as it reads a newer record or
 //! a target refuses its token. A successor of a holder that may still be giving orders waits before its first one.
+//!
+//! Orders and placements of a whole zone are work, so a strong VM should do it. A weak one that took over while the
+//! strong ones were away is asked for the lease once they are back: it finishes the orders under way and gives it up.
 
 use crate::ids::{FencingToken, Instant, LogOffset, VmName};
 use serde::{Deserialize, Serialize};
@@ -35,6 +38,8 @@
 pub enum LeaseStep {
     /// Nothing for now.
     Stay,
+    /// Ask the holder for it, as it is weaker than this VM.
+    AskFor,
     /// Claim it; orders may begin this long after the claim was recorded.
     Claim {
         /// Pause before the first order.
@@ -53,6 +58,17 @@
     pub turn: Duration,
 }
 
+/// What a VM sees of its zone's holder, and its own place in the order of claimants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HolderView {
+    /// How the contact with the holder stands.
+    pub contact: HolderContact,
+    /// Whether this VM is stronger than the holder.
+    pub is_weaker: bool,
+    /// VMs that claim before this one.
+    pub rank: u32,
+}
+
 /// One zone's lease, as this VM knows it.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseState {
@@ -62,6 +78,8 @@
     pub offset: LogOffset,
     /// Since when the zone has had no holder that can be reached.
     vacant_since: Option<Instant>,
+    /// Since when this VM has heard a holder that is weaker, or asked it last.
+    weaker_since: Option<Instant>,
 }
 
 impl LeaseState {
@@ -73,6 +91,7 @@
         self.offset = offset;
         self.lease = lease;
         self.vacant_since = None;
+        self.weaker_since = None;
         true
     }
 
@@ -88,15 +107,9 @@
         self.lease.as_ref()?.vm.as_ref()
     }
 
-    /// Decides whether this VM, `rank`-th in the order of claimants, claims now.
-    pub fn step(
-        &mut self,
-        times: &LeaseTimes,
-        contact: HolderContact,
-        rank: u32,
-        now: Instant,
-    ) -> LeaseStep {
-        let (vacant_from, quiet) = match (self.holder(), contact) {
+    /// Decides what this VM does about the lease.
+    pub fn step(&mut self, times: &LeaseTimes, view: HolderView, now: Instant) -> LeaseStep {
+        let (vacant_from, quiet) = match (self.holder(), view.contact) {
             (None, _) => (Some(now), Duration::ZERO),
             (Some(_), HolderContact::Heard) => (None, Duration::ZERO),
             (Some(_), HolderContact::Ended) => (Some(now), Duration::ZERO),
@@ -107,13 +120,28 @@
         };
         let Some(from) = vacant_from else {
             self.vacant_since = None;
-            return LeaseStep::Stay;
+            return self.ask_weaker(times, view, now);
         };
+        self.weaker_since = None;
         let since = *self.vacant_since.get_or_insert(from);
-        if now.since(since) >= times.stagger * rank {
+        if now.since(since) >= times.stagger * view.rank {
             LeaseStep::Claim { quiet }
         } else {
             LeaseStep::Stay
         }
     }
+
+    /// Asks a weaker holder for the lease, once a turn: that long it has held it, and this VM has heard it.
+    fn ask_weaker(&mut self, times: &LeaseTimes, view: HolderView, now: Instant) -> LeaseStep {
+        if view.contact != HolderContact::Heard || !view.is_weaker {
+            self.weaker_since = None;
+            return LeaseStep::Stay;
+        }
+        let since = *self.weaker_since.get_or_insert(now);
+        if now.since(since) < times.turn {
+            return LeaseStep::Stay;
+        }
+        self.weaker_since = Some(now);
+        LeaseStep::AskFor
+    }
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -11,11 +11,15 @@
 //! | `figures` | figures of engines and weight store |
 //! | `placing` | where a call goes |
 //! | `ordering` | what engines are ordered |
+//! | `spreading` | second copies of adapters that crowd their engines |
+//! | `filling` | which engines that hold no base model are given one |
 
 mod ask;
 mod figures;
+mod filling;
 mod ordering;
 mod placing;
+mod spreading;
 
 pub use ask::{CallKey, PlacementAnswer, PlacementAsk, PlannerAction};
 pub use figures::EngineFigures;
@@ -56,6 +60,8 @@
     health: HealthTable,
     orders_from: Instant,
     model_load_at: Instant,
+    /// Part of the zone's engines that has been busy lately.
+    busy: f64,
     actions: VecDeque<PlannerAction>,
 }
 
@@ -72,6 +78,7 @@
             health: HealthTable::default(),
             orders_from,
             model_load_at: orders_from,
+            busy: 0.0,
             actions: VecDeque::new(),
         }
     }
@@ -87,6 +94,17 @@
         &self.engines
     }
 
+    /// Gives no order from now on.
+    pub fn stop_orders(&mut self) {
+        self.orders_from = Instant(u64::MAX);
+    }
+
+    /// Whether the answer to an order is awaited.
+    #[must_use]
+    pub fn awaits_orders(&self) -> bool {
+        self.engines.values().any(|engine| engine.pending.is_some())
+    }
+
     /// Sets what the service's engines can hold.
     pub fn set_limits(&mut self, limits: EngineLimits) {
         self.limits = limits;
@@ -222,6 +240,7 @@
 
     /// Regular work: loads that are done, reports that are due, empty engines.
     pub fn tick(&mut self, now: Instant) {
+        self.look_at_load(now);
         let names: Vec<_> = self.engines.keys().cloned().collect();
         for name in &names {
             self.settle(name, now);
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     direct::{
-        catalog::TargetStage,
         engine::{
             EngineOrder, EngineReport, EngineState, OrderKind, OrderOutcome, ResidentState,
             UNCOUNTED_RUN, WaitingCall,
@@ -201,25 +200,6 @@
         }
     }
 
-    pub(super) fn fill_empty(&mut self, name: &TargetName, now: Instant) {
-        let Some(engine) = self.engines.get_mut(name) else {
-            return;
-        };
-        let is_empty = engine.is_known && engine.models.is_empty() && engine.report_at.is_none();
-        let may = now >= self.orders_from && now >= self.model_load_at;
-        if is_empty
-            && may
-            && engine.pending.is_none()
-            && engine.queue.is_empty()
-            && !engine.is_reporting
-            && engine.entry.stage == TargetStage::Ready
-            && let Some(model) = self.limits.models.first()
-        {
-            self.model_load_at = now.after(self.figures.model_load_pause);
-            engine.queue.push_back((OrderKind::Load, model.clone()));
-        }
-    }
-
     /// Gives the next order to an engine, if its turn has come.
     pub(super) fn advance(&mut self, name: &TargetName, now: Instant) {
         if now < self.orders_from {
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -23,7 +23,11 @@
     /// Places a call.
     pub fn place(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
         self.demand.record(&ask.subject, now);
+        let subject = ask.may_load.then(|| ask.subject.clone());
         self.place_known(key, ask, now);
+        if let Some(subject) = subject {
+            self.spread(&subject, now);
+        }
     }
 
     pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
@@ -162,7 +166,7 @@
         }
     }
 
-    fn can_make_room(&self, engine: &EngineState, now: Instant) -> bool {
+    pub(super) fn can_make_room(&self, engine: &EngineState, now: Instant) -> bool {
         let wanted = engine.copies.len();
         wanted < self.limits.adapter_slots as usize || self.victim(engine, now).is_some()
     }
@@ -179,7 +183,7 @@
         u32::try_from(coming).unwrap_or(u32::MAX)
     }
 
-    fn loads_waiting(&self) -> u32 {
+    pub(super) fn loads_waiting(&self) -> u32 {
         let wanted: usize = self
             .engines
             .values()
--- /dev/null
+++ b/crates/core/src/direct/planner/spreading.rs
@@ -0,0 +1,88 @@
+//! Second copies of adapters that crowd their engines.
+//!
+//! A copy that is sought after is cheaper than another one until its engine's places are nearly full, and by then each
+//! newcomer waits for a place. So a copy is brought in elsewhere before that, while nobody waits for it.
+
+use crate::{
+    direct::{
+        catalog::TargetStage,
+        engine::{EngineState, ResidentState},
+        planner::{COMING_MOST, ZonePlanner, split_subject},
+    },
+    ids::{AdapterName, Instant, TargetName},
+};
+use std::time::Duration;
+
+/// Part of an engine's places from which it counts as crowded: what is left has to bear the arrivals of one load.
+const CROWDED_FROM: f64 = 0.55;
+/// Prompts that wait from which an engine counts as crowded.
+const CROWDED_BACKLOG: Duration = Duration::from_millis(150);
+/// Part of a crowded engine's calls that one adapter makes up if a second copy of it would help.
+const BLAMED_FROM: f64 = 0.3;
+/// Part of the loads at full speed that may be on their way when one is begun that nobody waits for.
+const SPARE_PART: f64 = 0.5;
+
+impl ZonePlanner {
+    /// Brings in another copy of an adapter that was just asked for, if all engines that have it are crowded by it.
+    pub(super) fn spread(&mut self, subject: &AdapterName, now: Instant) {
+        if split_subject(subject).1.is_none() || now < self.orders_from {
+            return;
+        }
+        let under_way = self.loads_under_way(now) + self.loads_waiting();
+        let spare = f64::from(self.figures.loads_at_full_speed) * SPARE_PART;
+        if f64::from(under_way) >= spare || !self.is_crowded_by(subject, now) {
+            return;
+        }
+        let Some(name) = self.calmest_without(subject, now) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&name) {
+            engine.want(subject, now);
+            self.advance(&name, now);
+        }
+    }
+
+    /// Whether every copy is there, in use, and on an engine that it crowds.
+    fn is_crowded_by(&self, subject: &AdapterName, now: Instant) -> bool {
+        let mut copies = self
+            .engines
+            .values()
+            .filter_map(|engine| Some((engine, engine.copies.get(subject)?)))
+            .filter(|(_, copy)| copy.state != ResidentState::Leaving)
+            .peekable();
+        copies.peek().is_some()
+            && copies.all(|(engine, copy)| {
+                let calls = engine.calls.len().max(1) as f64;
+                copy.state == ResidentState::Here
+                    && is_crowded(engine, now)
+                    && f64::from(copy.users) >= calls * BLAMED_FROM
+            })
+    }
+
+    /// The engine with the fewest calls that could take a copy.
+    fn calmest_without(&self, subject: &AdapterName, now: Instant) -> Option<TargetName> {
+        let (model, _) = split_subject(subject);
+        self.engines
+            .iter()
+            .filter(|(name, engine)| {
+                engine.entry.stage == TargetStage::Ready
+                    && engine.is_known
+                    && engine.leaving.is_none()
+                    && engine.has_model(model)
+                    && !engine.copies.contains_key(subject)
+                    && engine.queue.len() + engine.coming(now) < COMING_MOST
+                    && !is_crowded(engine, now)
+                    && !self.health.is_doubted(name)
+                    && !self.health.is_out(name, now)
+                    && self.can_make_room(engine, now)
+            })
+            .min_by_key(|(_, engine)| (engine.calls.len(), engine.copies.len()))
+            .map(|(name, _)| name.clone())
+    }
+}
+
+fn is_crowded(engine: &EngineState, now: Instant) -> bool {
+    let places = f64::from(engine.entry.slots.max(1));
+    engine.calls.len() as f64 >= places * CROWDED_FROM
+        || engine.prompts_done.since(now) >= CROWDED_BACKLOG
+}
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -80,6 +80,7 @@
             .map(|adapter| (AdapterName::new(adapter), 1))
             .collect(),
         coming: Vec::new(),
+        own_copies: Vec::new(),
         is_busy: false,
     }
 }
@@ -295,6 +296,99 @@
     ));
 }
 
+/// A planner over an engine with the model and an empty one; `own_copies` are those of the empty one.
+fn planner_beside_empty(own_copies: &[&str], now: Instant) -> ZonePlanner {
+    let mut planner = ZonePlanner::new(EngineFigures::shared_by(1, 3.0), limits(), now);
+    let mut empty = (*entry("empty")).clone();
+    empty.models.clear();
+    planner.set_targets(vec![entry("full"), Arc::new(empty)], now);
+    planner.tick(now);
+    planner.report_came(&TargetName::new("full"), Some(&report(&[], 0)), now);
+    let nothing = EngineReport {
+        models: Vec::new(),
+        own_copies: own_copies
+            .iter()
+            .map(|name| AdapterName::new(name))
+            .collect(),
+        ..report(&[], 0)
+    };
+    planner.report_came(&TargetName::new("empty"), Some(&nothing), now);
+    planner.take_actions();
+    planner
+}
+
+/// Base models ordered over some seconds of regular work.
+fn models_ordered(planner: &mut ZonePlanner, from: Instant) -> usize {
+    let mut ordered = 0;
+    for step in 1..60 {
+        planner.tick(after(from, 50 * step));
+        ordered += orders(planner.take_actions())
+            .iter()
+            .filter(|(name, order)| name.as_str() == "empty" && order.subject.as_str() == "base")
+            .count();
+    }
+    ordered
+}
+
+#[test]
+fn an_adapter_that_crowds_its_engine_gets_a_second_copy_before_the_places_are_full() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["one", "two"], now);
+    planner.report_came(&TargetName::new("one"), Some(&report(&["base/a"], 0)), now);
+    let mut loads = Vec::new();
+    for number in 0..5 {
+        planner.place(key(number), ask("base/a"), now);
+        loads.extend(orders(planner.take_actions()));
+        // Its prompt is read before the next one comes.
+        planner.tick(after(now, 30 * (number + 1)));
+        planner.take_actions();
+    }
+    // Five of eight places: one load, at the other engine, and no call waits for it.
+    assert_eq!(loads.len(), 1);
+    assert_eq!(loads[0].0.as_str(), "two");
+    assert_eq!(loads[0].1.subject.as_str(), "base/a");
+    // While it comes, no third one.
+    planner.order_ended(&loads[0].0, OrderOutcome::Begun, after(now, 150));
+    planner.place(key(9), ask("base/a"), after(now, 160));
+    assert!(orders(planner.take_actions()).is_empty());
+}
+
+#[test]
+fn adapters_that_share_a_crowded_engine_get_no_second_copies() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["one", "two"], now);
+    let held = report(&["base/a", "base/b", "base/c", "base/d"], 0);
+    planner.report_came(&TargetName::new("one"), Some(&held), now);
+    let mut loads = 0;
+    for (number, adapter) in (0..).zip(["base/a", "base/b", "base/c", "base/d", "base/a", "base/b"])
+    {
+        planner.place(key(number), ask(adapter), after(now, 30 * number));
+        loads += orders(planner.take_actions()).len();
+    }
+    assert_eq!(loads, 1, "only the one that makes up a third of the calls");
+}
+
+#[test]
+fn an_empty_engine_is_filled_from_the_store_only_where_the_zone_needs_it() {
+    let now = Instant(1_000_000);
+    let mut calm = planner_beside_empty(&[], now);
+    assert_eq!(models_ordered(&mut calm, now), 0);
+    let mut busy = planner_beside_empty(&[], now);
+    for number in 0..8 {
+        busy.place(key(number), ask("base"), now);
+    }
+    busy.take_actions();
+    assert_eq!(models_ordered(&mut busy, now), 1);
+    let mut with_copy = planner_beside_empty(&["base"], now);
+    assert_eq!(models_ordered(&mut with_copy, now), 1);
+    // Where no engine is left that could serve, none is needed to be busy.
+    let mut bereft = planner_beside_empty(&[], now);
+    let mut empty = (*entry("empty")).clone();
+    empty.models.clear();
+    bereft.set_targets(vec![Arc::new(empty)], now);
+    assert_eq!(models_ordered(&mut bereft, now), 1);
+}
+
 #[test]
 fn a_target_out_of_reach_twice_is_lost_until_its_pause_ends() {
     let mut health = HealthTable::default();
@@ -356,6 +450,7 @@
             models: vec![AdapterName::new("base")],
             adapters: self.here.iter().map(|held| (held.clone(), 1)).collect(),
             coming: self.coming.keys().map(|held| (held.clone(), 1)).collect(),
+            own_copies: Vec::new(),
             is_busy: false,
         };
         self.history.push_back((now, report));
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -5,7 +5,7 @@
         budget::{RetryRule, RetryShare},
         catalog::{TargetCatalog, TargetEntry, TargetStage},
         config::{AnswerShape, FleetConfig, RepeatRule, RouteRule},
-        lease::{HolderContact, LeaseState, LeaseStep, LeaseTimes, ZoneLease},
+        lease::{HolderContact, HolderView, LeaseState, LeaseStep, LeaseTimes, ZoneLease},
         routes::RouteTable,
     },
     ids::{AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
@@ -174,6 +174,14 @@
     })
 }
 
+fn view(contact: HolderContact, rank: u32) -> HolderView {
+    HolderView {
+        contact,
+        is_weaker: false,
+        rank,
+    }
+}
+
 #[test]
 fn older_leases_are_passed_over_and_tokens_only_rise() {
     let mut state = LeaseState::default();
@@ -188,20 +196,23 @@
 fn a_holder_that_may_still_give_orders_is_followed_after_a_quiet_time_only() {
     let mut state = LeaseState::default();
     state.apply(LogOffset(1), held_by("a"));
-    let heard = state.step(&TIMES, HolderContact::Heard, 0, at(0));
+    let heard = state.step(&TIMES, view(HolderContact::Heard, 0), at(0));
     assert_eq!(heard, LeaseStep::Stay);
     let silent = HolderContact::Silent(at(0));
-    assert_eq!(state.step(&TIMES, silent, 0, at(1_400)), LeaseStep::Stay);
+    assert_eq!(
+        state.step(&TIMES, view(silent, 0), at(1_400)),
+        LeaseStep::Stay
+    );
     let quiet = TIMES.turn;
     assert_eq!(
-        state.step(&TIMES, silent, 0, at(1_500)),
+        state.step(&TIMES, view(silent, 0), at(1_500)),
         LeaseStep::Claim { quiet }
     );
     // One whose process has ended gives none any more.
     let mut ended = LeaseState::default();
     ended.apply(LogOffset(1), held_by("a"));
     let quiet = Duration::ZERO;
-    let step = ended.step(&TIMES, HolderContact::Ended, 0, at(0));
+    let step = ended.step(&TIMES, view(HolderContact::Ended, 0), at(0));
     assert_eq!(step, LeaseStep::Claim { quiet });
 }
 
@@ -209,16 +220,42 @@
 fn claimants_take_their_turns_and_the_second_waits_for_the_first() {
     let mut state = LeaseState::default();
     let ended = HolderContact::Ended;
-    assert_eq!(state.step(&TIMES, ended, 2, at(0)), LeaseStep::Stay);
-    assert_eq!(state.step(&TIMES, ended, 2, at(150)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, view(ended, 2), at(0)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, view(ended, 2), at(150)), LeaseStep::Stay);
     assert!(matches!(
-        state.step(&TIMES, ended, 2, at(200)),
+        state.step(&TIMES, view(ended, 2), at(200)),
         LeaseStep::Claim { .. }
     ));
     // The first one's claim arrives: there is nothing to claim any more.
     state.apply(LogOffset(3), held_by("first"));
     assert_eq!(
-        state.step(&TIMES, HolderContact::Heard, 2, at(400)),
+        state.step(&TIMES, view(HolderContact::Heard, 2), at(400)),
         LeaseStep::Stay
     );
 }
+
+#[test]
+fn a_weaker_holder_is_asked_for_the_lease_once_a_turn_and_only_while_it_is_heard() {
+    let mut state = LeaseState::default();
+    state.apply(LogOffset(1), held_by("weak"));
+    let weaker = |contact| HolderView {
+        is_weaker: true,
+        ..view(contact, 0)
+    };
+    let heard = weaker(HolderContact::Heard);
+    assert_eq!(state.step(&TIMES, heard, at(0)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, heard, at(2_900)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, heard, at(3_000)), LeaseStep::AskFor);
+    assert_eq!(state.step(&TIMES, heard, at(3_100)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, heard, at(6_000)), LeaseStep::AskFor);
+    // Silence begins the count anew, and so does another holder.
+    let silent = weaker(HolderContact::Silent(at(8_900)));
+    assert_eq!(state.step(&TIMES, silent, at(8_950)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, heard, at(9_000)), LeaseStep::Stay);
+    assert_eq!(state.step(&TIMES, heard, at(12_000)), LeaseStep::AskFor);
+    state.apply(LogOffset(4), held_by("other"));
+    assert_eq!(state.step(&TIMES, heard, at(15_000)), LeaseStep::Stay);
+    // A holder that is as strong keeps it.
+    let equal = view(HolderContact::Heard, 0);
+    assert_eq!(state.step(&TIMES, equal, at(30_000)), LeaseStep::Stay);
+}
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -14,7 +14,7 @@
         lease::{HolderContact, ZoneLease},
         planner::{CallKey, PlacementAnswer, PlacementAsk},
     },
-    ids::{AdapterName, AvailabilityZone, TargetName, VmName},
+    ids::{AdapterName, AvailabilityZone, LogOffset, TargetName, VmName},
 };
 use std::{
     collections::HashMap,
@@ -276,6 +276,13 @@
         }
     }
 
+    /// Asks a zone's holder for its lease, which was recorded at an offset.
+    pub fn ask_for_lease(&self, zone: &AvailabilityZone, lease: &ZoneLease, offset: LogOffset) {
+        if let Some(link) = self.link(zone, lease) {
+            link.tell(VmMessage::LeaseWanted(offset));
+        }
+    }
+
     fn tell(&self, zone: &AvailabilityZone, ending: CallEnding) {
         let Some(lease) = self.fleet.lease(zone) else {
             return;
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -7,6 +7,8 @@
         call::{COME_BACK, CallState},
         whole::pick_target,
     },
+    event,
+    events::Event,
 };
 use hoplanding_core::{
     direct::{
@@ -87,6 +89,13 @@
                         },
                         ticket,
                     )) => {
+                        event!(
+                            Event::CallPlaced,
+                            "{}: at {target} in {zone} after {:?} by a {pass:?} look, its adapter {} there in {wait_ms} ms",
+                            self.head.id,
+                            self.arrived.elapsed(),
+                            self.subject()
+                        );
                         sleep(Duration::from_millis(u64::from(wait_ms))).await;
                         let entry = self.context.fleet.books().catalog.get(&target).cloned();
                         // It may have begun to leave while the adapter came.
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -13,7 +13,7 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::lease::{HolderContact, LeaseStep, ZoneLease},
+    direct::lease::{HolderContact, HolderView, LeaseStep, ZoneLease},
     ids::LogOffset,
 };
 use hoplanding_platform::{
@@ -78,15 +78,26 @@
         if books.fleet_end.is_none() || books.active.is_none() {
             return false;
         }
+        let holder = lease.as_ref().and_then(|lease| lease.vm.as_ref());
+        let view = HolderView {
+            contact,
+            is_weaker: holder
+                .and_then(|vm| books.vms.get(vm))
+                .is_some_and(|record| record.strength < self.fleet.strength),
+            rank,
+        };
         let state = books.leases.entry(self.fleet.zone.clone()).or_default();
-        let step = state.step(&self.settings.leases, contact, rank, clock::now());
-        match step {
-            LeaseStep::Stay => false,
-            LeaseStep::Claim { quiet } => {
-                books.claim_quiet = quiet;
-                true
-            }
+        let offset = state.offset;
+        let step = state.step(&self.settings.leases, view, clock::now());
+        if let LeaseStep::Claim { quiet } = step {
+            books.claim_quiet = quiet;
+        }
+        drop(books);
+        if let (LeaseStep::AskFor, Some(lease)) = (step, &lease) {
+            event!(Event::LeaseAsked, "{} at {offset}", self.fleet.zone);
+            self.access.ask_for_lease(&self.fleet.zone, lease, offset);
         }
+        matches!(step, LeaseStep::Claim { .. })
     }
 
     /// Appends a claim; says whether it is worth another try at once, as others' records came in between.
@@ -108,8 +119,7 @@
         match appended {
             Ok(offset) => {
                 event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone);
-                // Read back at once: that is when the zone is held.
-                self.read_on(client, end).await;
+                self.fleet.take_own(key, value, offset);
                 false
             }
             Err(StoreError::EndMoved(_)) => self.read_on(client, end).await,
@@ -137,8 +147,8 @@
     }
 }
 
-/// Records that this VM gave its zone up, so that another claims it at once.
-pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) {
+/// Records that this VM gave its zone up, so that another claims it at once. Says whether that holds.
+pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) -> bool {
     let mut client = StoreClient::new(platform);
     let lease = ZoneLease {
         vm: None,
@@ -153,15 +163,24 @@
             .lease(&fleet.zone)
             .is_some_and(|lease| lease.vm.as_ref() == Some(&fleet.vm));
         if !is_mine {
-            return;
+            return true;
         }
         match client.append(FLEET_TOPIC, &key, &value, end, within).await {
-            Ok(_) => return,
+            Ok(offset) => {
+                fleet.take_own(key, value, offset);
+                return true;
+            }
             Err(StoreError::EndMoved(moved)) => end = Some(moved),
             Err(error) => {
                 event!(Event::ClaimFailed, "release of {}: {error}", fleet.zone);
-                return;
+                return false;
             }
         }
     }
+    event!(
+        Event::ClaimFailed,
+        "release of {}: others' records came in between",
+        fleet.zone
+    );
+    false
 }
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -83,8 +83,12 @@
             settings.peer_address
         );
         start_feeds(&settings, &fleet, &access);
-        let zones = u32::try_from(settings.zones.len()).unwrap_or(u32::MAX);
-        let worker = ZoneWorker::new(Arc::clone(&fleet), Arc::clone(&pool), zone.clone(), zones);
+        let worker = ZoneWorker::new(
+            Arc::clone(&fleet),
+            Arc::clone(&pool),
+            zone.clone(),
+            Arc::clone(&settings),
+        );
         tokio::spawn(worker.run(zone_receiver));
         tokio::spawn(accept_links(peers, Arc::clone(&fleet), zone.clone()));
         let claims = ClaimWorker {
@@ -168,7 +172,8 @@
         }
         let within = self.settings.pace.platform_timeout;
         if let Ok(Ok(true)) = timeout(within, released).await {
-            release_lease(&self.fleet, self.settings.platform_address, within).await;
+            // Where it fails, the others find this process ended and claim the zone.
+            let _ = release_lease(&self.fleet, self.settings.platform_address, within).await;
         }
     }
 }
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -29,6 +29,8 @@
     open: Option<OpenAnswer>,
     cutter: EventCutter,
     resumable: bool,
+    /// Whether an event went out.
+    has_begun: bool,
 }
 
 /// Starts to pass a stream on.
@@ -40,6 +42,7 @@
         open: Some(open),
         cutter: EventCutter::default(),
         resumable,
+        has_begun: false,
     };
     let stream = futures_util::stream::unfold(relay, |mut relay| async move {
         let step = relay.next().await?;
@@ -65,7 +68,10 @@
                     };
                     match self.cutter.take(&data) {
                         Ok(events) if events.is_empty() => continue,
-                        Ok(events) => return Some(Ok(events)),
+                        Ok(events) => {
+                            self.note_first();
+                            return Some(Ok(events));
+                        }
                         Err(error) => error.to_string(),
                     }
                 }
@@ -93,6 +99,18 @@
         }
     }
 
+    fn note_first(&mut self) {
+        if !self.has_begun {
+            self.has_begun = true;
+            event!(
+                Event::FirstEvent,
+                "{}: {:?} after it came",
+                self.call.head.id,
+                self.call.arrived.elapsed()
+            );
+        }
+    }
+
     /// How long the next event may take: a stream that can go on elsewhere is not waited for until its caller leaves.
     fn patience(&self) -> Instant {
         if self.resumable {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -12,6 +12,7 @@
     event,
     events::Event,
 };
+use bytes::Bytes;
 use hoplanding_core::{
     direct::{
         budget::RetryShare,
@@ -254,6 +255,20 @@
         }
     }
 
+    /// Folds a record of the fleet that this VM appended. Where it lies at the end that was known, nothing remains to be
+    /// read before it.
+    pub fn take_own(&self, key: String, value: Vec<u8>, offset: LogOffset) {
+        if self.books().fleet_end == Some(offset) {
+            self.note_end(FeedTopic::Fleet, LogOffset(offset.0 + 1));
+        }
+        self.take_passed(vec![PassedRecord {
+            topic: FeedTopic::Fleet,
+            key,
+            value: Some(Bytes::from(value)),
+            offset,
+        }]);
+    }
+
     /// Records of topics from offsets on, for a VM that can't read them itself. What this VM reads next is passed on
     /// as news.
     #[must_use]
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -18,7 +18,7 @@
 use futures_util::{SinkExt, StreamExt};
 use hoplanding_core::{
     direct::planner::CallKey,
-    ids::{AvailabilityZone, Instant, VmName},
+    ids::{AvailabilityZone, FencingToken, Instant, VmName},
 };
 use std::{
     collections::HashMap,
@@ -466,6 +466,7 @@
         VmMessage::Open(number, target, subject) => {
             Some(ZoneEvent::Open(key(number), target, subject))
         }
+        VmMessage::LeaseWanted(offset) => Some(ZoneEvent::Wanted(vm.clone(), FencingToken(offset))),
         _ => None,
     }
 }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 1;
+pub const MESSAGE_VERSION: u32 = 2;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,6 +117,8 @@
     Withdrawn(u64),
     /// A call that was open before the link.
     Open(u64, TargetName, AdapterName),
+    /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
+    LeaseWanted(LogOffset),
     /// Records that may be news.
     Records(Vec<PassedRecord>),
     /// Send records of these topics from these offsets on: the log is out of the sender's reach.
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -5,9 +5,11 @@
 use crate::{
     clock,
     direct::{
+        claims::release_lease,
         fleet::FleetState,
         message::{CallEnd, CallEnding, VmMessage},
         sender::{ConnectionPool, ReuseRule, SendError, TargetRequest},
+        settings::DirectSettings,
     },
     event,
     events::Event,
@@ -32,7 +34,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{MissedTickBehavior, interval, timeout},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 /// Pause between two looks at what is due.
@@ -79,12 +81,18 @@
     Reported(TargetName, Option<EngineReport>),
     /// The VM stops: give no further orders, and say when that holds.
     Release(oneshot::Sender<bool>),
+    /// A stronger VM asks for the lease with this token.
+    Wanted(VmName, FencingToken),
+    /// The lease with this token could not be given up: it is held again.
+    Kept(FencingToken),
 }
 
 struct HeldZone {
     token: FencingToken,
     service: ServiceName,
     planner: ZonePlanner,
+    /// Whether it is given up once the orders under way are answered.
+    is_yielding: bool,
 }
 
 /// Holds a zone.
@@ -94,9 +102,8 @@
     events: mpsc::Sender<ZoneEvent>,
     held: Option<HeldZone>,
     replies: HashMap<CallKey, ReplyTo>,
-    /// Zones that share the weight store.
-    zones: u32,
-    /// Token that a target refused: it is never used again.
+    settings: Arc<DirectSettings>,
+    /// Token that is not used: a target refused it, or it is being given up.
     refused: Option<FencingToken>,
     is_released: bool,
 }
@@ -108,13 +115,13 @@
         fleet: Arc<FleetState>,
         pool: Arc<ConnectionPool>,
         events: mpsc::Sender<ZoneEvent>,
-        zones: u32,
+        settings: Arc<DirectSettings>,
     ) -> Self {
         Self {
             fleet,
             pool,
             events,
-            zones,
+            settings,
             held: None,
             replies: HashMap::new(),
             refused: None,
@@ -141,6 +148,7 @@
                 }
             }
             self.carry_out();
+            self.yield_when_quiet();
         }
     }
 
@@ -154,6 +162,10 @@
                     // Whoever asked may have ended since.
                     let _ = done.send(false);
                 }
+                ZoneEvent::Kept(token) if self.refused == Some(token) => {
+                    self.refused = None;
+                    self.refresh();
+                }
                 _ => {}
             }
             return;
@@ -200,9 +212,41 @@
                 self.give_up();
                 let _ = done.send(true);
             }
+            ZoneEvent::Wanted(vm, token) if held.token == token && !held.is_yielding => {
+                event!(Event::LeaseYielded, "{} to {vm}", self.fleet.zone);
+                held.is_yielding = true;
+                held.planner.stop_orders();
+            }
+            // Asked for by an older record, or a second time.
+            ZoneEvent::Wanted(..) | ZoneEvent::Kept(_) => {}
         }
     }
 
+    /// Gives the lease up for a stronger VM once no order is under way, so that the successor's are the next ones.
+    fn yield_when_quiet(&mut self) {
+        let Some(held) = &self.held else {
+            return;
+        };
+        if !held.is_yielding || held.planner.awaits_orders() {
+            return;
+        }
+        let token = held.token;
+        self.refused = Some(token);
+        self.give_up();
+        let fleet = Arc::clone(&self.fleet);
+        let settings = Arc::clone(&self.settings);
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let within = settings.pace.platform_timeout;
+            if !release_lease(&fleet, settings.platform_address, within).await {
+                // It may be recorded yet, and a successor may act on that: the zone rests for a turn.
+                sleep(settings.leases.turn).await;
+                // The worker ends with the process.
+                let _ = events.send(ZoneEvent::Kept(token)).await;
+            }
+        });
+    }
+
     /// Stops holding: whoever waits has to ask elsewhere.
     fn give_up(&mut self) {
         if self.held.take().is_some() {
@@ -254,7 +298,7 @@
                 token.0
             );
         }
-        let zones = self.zones;
+        let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
         let held = self
             .held
             .get_or_insert_with(|| hold(token, &service, &limits, zones, now.after(quiet)));
@@ -321,6 +365,7 @@
             limits.clone(),
             orders_from,
         ),
+        is_yielding: false,
     }
 }
 
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -122,6 +122,10 @@
     LeaseLost = 704, Info, "zone no longer held";
     /// A target refused this VM's token.
     LeaseFenced = 705, Warn, "orders refused in favour of a newer holder";
+    /// This VM asks a weaker holder for the lease.
+    LeaseAsked = 706, Info, "lease asked for";
+    /// This VM gives a zone up for a stronger one.
+    LeaseYielded = 707, Info, "lease given up for a stronger VM";
     /// An order was taken.
     OrderGiven = 710, Info, "order taken";
     /// An order came to nothing.
@@ -134,6 +138,10 @@
     CallFailed = 801, Info, "request failed";
     /// A request has no route.
     NoRoute = 802, Info, "no route for a request";
+    /// A request was given a target.
+    CallPlaced = 803, Debug, "request placed";
+    /// A stream's first event went out.
+    FirstEvent = 804, Debug, "first event passed on";
     /// A target could not be reached for a request.
     TargetUnreached = 810, Info, "target out of reach for a request";
     /// A target answered nothing.
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -778,6 +778,65 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_weak_holder_gives_its_zone_up_for_a_stronger_vm() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engine = RawTarget::start(|request: &RawRequest| {
+        if request.line().contains("/hoplanding/order") {
+            RawAnswer::whole("202 Accepted", "", "")
+        } else {
+            good(request)
+        }
+    })
+    .await
+    .expect("an engine");
+    log.put(
+        "keyed.servers",
+        "i-1",
+        Some(&entry("scribe", engine.address, "ready", &["a1@1"])),
+    );
+    log.put("keyed.op", "config", Some(&config(1)));
+    let mut weak = settings("vm-1", &log);
+    weak.strength = 120;
+    let weak = DirectDaemon::start(weak).await.expect("the daemon starts");
+    let holds = |vm: &'static str| {
+        let log = &log;
+        async move || {
+            let leases = log.values("keyed.fleet", "zone/hall");
+            leases.last().is_some_and(|lease| lease.contains(vm))
+        }
+    };
+    wait_for("the weak VM's claim", holds("vm-1")).await;
+    let mut strong = settings("vm-2", &log);
+    strong.strength = 500;
+    let _strong = DirectDaemon::start(strong)
+        .await
+        .expect("the daemon starts");
+    wait_for("the strong VM's claim", holds("vm-2")).await;
+    // Given up by a record in between: at no moment did both hold it.
+    let leases = log.values("keyed.fleet", "zone/hall");
+    let vms: Vec<_> = leases
+        .iter()
+        .map(|lease| {
+            let lease: serde_json::Value = serde_json::from_str(lease).expect("JSON");
+            lease["vm"].as_str().map(str::to_owned)
+        })
+        .collect();
+    assert_eq!(vms, [Some("vm-1".into()), None, Some("vm-2".into())]);
+    wait_for("a load by the new holder", async || {
+        let request = post("/plan/1", "r1", &model("a2"));
+        ask(weak.caller_address, &request).await.status == 200
+    })
+    .await;
+    let orders: Vec<serde_json::Value> = engine
+        .requests()
+        .iter()
+        .filter(|request| request.line().contains("order"))
+        .map(|request| serde_json::from_slice(&request.body).expect("JSON"))
+        .collect();
+    assert!(orders.iter().all(|order| order["holder"] == "vm-2"));
+}
+
 #[tokio::test]
 async fn no_call_waits_for_a_holder_that_is_out_of_reach() {
     let log = KeyedLog::start().await.expect("a log");
