Learn at the start from the zone's holder, read and retry less

Change: a VM that finds a holder of its zone takes configuration and targets from it over the link (an answer says which topics it covers whole) and lists them itself only where that fails; at the first start of a fleet weak VMs come after the strong ones; a VM's record is written only if it changed; stand-ins read in zones of up to four VMs only, and every VM reads once its holder was silent for 0.9 s; while the log is out one worker of a VM probes it, and claims wait longer.

Both new tests fail on the code before.

--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -256,16 +256,18 @@
         }
     }
 
-    /// Whether the holder by a lease is heard over a link.
+    /// Whether the holder by a lease was heard over a link within a span.
     #[must_use]
-    pub fn is_linked(&self, lease: &ZoneLease) -> bool {
+    pub fn is_heard(&self, lease: &ZoneLease, within: Duration) -> bool {
         let links = self.links.lock().expect("no holder of the lock panics");
         lease
             .vm
             .as_ref()
             .and_then(|vm| links.get(vm))
             .is_some_and(|link| {
-                link.incarnation == lease.incarnation && link.contact() == LinkContact::Up
+                link.incarnation == lease.incarnation
+                    && link.contact() == LinkContact::Up
+                    && link.is_heard_within(within)
             })
     }
 
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -27,8 +27,10 @@
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// Claims in a row while others' records come in between.
 const CLAIM_TRIES: u32 = 4;
-/// Pause after a claim without an answer: it may be recorded yet.
+/// Pause after a claim without an answer: it may be recorded yet. Doubles while the log stays out of reach, as all VMs
+/// of a zone without a holder are at it.
 const AFTER_LOST_CLAIM: Duration = Duration::from_millis(500);
+const AFTER_LOST_LONGEST: Duration = Duration::from_secs(2);
 /// Tries to record that the lease was given up.
 const RELEASE_TRIES: u32 = 3;
 
@@ -44,19 +46,42 @@
     pub stop: watch::Receiver<StopPhase>,
 }
 
+/// What came of a claim.
+enum ClaimResult {
+    /// It is in force.
+    Recorded,
+    /// Others' records came in between, and are known now: it is worth another try at once.
+    EndMoved,
+    /// The log could not be asked, or did not answer.
+    Unanswered,
+}
+
 impl ClaimWorker {
     /// Watches until a planned stop begins: what is given up then is for another VM to claim.
     pub async fn run(self) {
         let mut client = StoreClient::new(self.settings.platform_address);
+        let mut pause = AFTER_LOST_CLAIM;
         loop {
             sleep(LOOK_EVERY).await;
             if *self.stop.borrow() != StopPhase::Serving {
                 return;
             }
             for _ in 0..CLAIM_TRIES {
-                if !self.wants_claim() || !self.claim(&mut client).await {
+                if !self.wants_claim() {
                     break;
                 }
+                match self.claim(&mut client).await {
+                    ClaimResult::EndMoved => {}
+                    ClaimResult::Recorded => {
+                        pause = AFTER_LOST_CLAIM;
+                        break;
+                    }
+                    ClaimResult::Unanswered => {
+                        sleep(pause).await;
+                        pause = (pause * 2).min(AFTER_LOST_LONGEST);
+                        break;
+                    }
+                }
             }
         }
     }
@@ -100,10 +125,10 @@
         matches!(step, LeaseStep::Claim { .. })
     }
 
-    /// Appends a claim; says whether it is worth another try at once, as others' records came in between.
-    async fn claim(&self, client: &mut StoreClient) -> bool {
+    /// Appends a claim.
+    async fn claim(&self, client: &mut StoreClient) -> ClaimResult {
         let Some(end) = self.fleet.books().fleet_end else {
-            return false;
+            return ClaimResult::Unanswered;
         };
         let lease = ZoneLease {
             vm: Some(self.fleet.vm.clone()),
@@ -120,13 +145,15 @@
             Ok(offset) => {
                 event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone);
                 self.fleet.take_own(key, value, offset);
-                false
+                ClaimResult::Recorded
+            }
+            Err(StoreError::EndMoved(_)) if self.read_on(client, end).await => {
+                ClaimResult::EndMoved
             }
-            Err(StoreError::EndMoved(_)) => self.read_on(client, end).await,
+            Err(StoreError::EndMoved(_)) => ClaimResult::Unanswered,
             Err(error) => {
                 event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
-                sleep(AFTER_LOST_CLAIM).await;
-                false
+                ClaimResult::Unanswered
             }
         }
     }
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -5,11 +5,12 @@
         access::ZoneAccess,
         call::{GatewayContext, StopPlan},
         claims::{ClaimWorker, release_lease},
-        feeds::{FeedWorker, StoreReach},
+        feeds::FeedWorker,
         fleet::{FleetState, VmRecord, vm_key},
         front::{OpenConnections, StopPhase, accept_callers, accept_questions},
         links::accept_links,
         message::FeedTopic,
+        reach::StoreReach,
         sender::ConnectionPool,
         settings::DirectSettings,
         zone::{ZoneEvent, ZoneWorker},
@@ -18,6 +19,7 @@
     events::Event,
 };
 use hoplanding_platform::{names::FLEET_TOPIC, store::StoreClient};
+use rand::Rng;
 use std::{
     io,
     sync::{Arc, OnceLock},
@@ -35,6 +37,10 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// Pause between two tries to record this VM.
 const RECORD_AGAIN: Duration = Duration::from_millis(700);
+/// Strength, in thousandths of a core, below which a VM waits at the first start of a fleet.
+const WEAK_BELOW: u32 = 200;
+/// Its shortest pause; the longest is three times as long, so that the weak ones do not come at once either.
+const WEAK_PAUSE: Duration = Duration::from_millis(700);
 /// Time before the end of a planned stop in which no connection is accepted.
 const ENDING: Duration = Duration::from_millis(250);
 /// Pause between two looks at connections that are still open.
@@ -98,7 +104,7 @@
             stop: stop_watch.clone(),
         };
         tokio::spawn(claims.run());
-        tokio::spawn(record_vm(Arc::clone(&settings), incarnation));
+        tokio::spawn(record_vm(Arc::clone(&settings), Arc::clone(&fleet)));
         tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
         tokio::spawn(accept_questions(
             questions,
@@ -180,6 +186,7 @@
 
 fn start_feeds(settings: &Arc<DirectSettings>, fleet: &Arc<FleetState>, access: &Arc<ZoneAccess>) {
     let reach = StoreReach::new();
+    let first_pause = first_pause(settings);
     for topic in [FeedTopic::Operators, FeedTopic::Targets, FeedTopic::Fleet] {
         let worker = FeedWorker {
             topic,
@@ -188,20 +195,30 @@
             fleet: Arc::clone(fleet),
             access: Arc::clone(access),
             reach: reach.clone(),
+            first_pause,
             started: Instant::now(),
+            failures: 0,
         };
         tokio::spawn(worker.run());
     }
 }
 
-/// Records this VM, so that others know where it is reached.
-async fn record_vm(settings: Arc<DirectSettings>, incarnation: u64) {
+/// Records this VM, so that others know where it is reached, unless an earlier run left the same record.
+async fn record_vm(settings: Arc<DirectSettings>, fleet: Arc<FleetState>) {
     let record = VmRecord {
         zone: settings.zone.clone(),
         address: settings.peer_address,
-        incarnation,
         strength: settings.strength,
     };
+    let mut changes = fleet.watch();
+    while !fleet.knows_whole(FeedTopic::Fleet) {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    if fleet.books().vms.get(&settings.vm) == Some(&record) {
+        return;
+    }
     let value = serde_json::to_vec(&record).expect("a record has a JSON form");
     let key = vm_key(&settings.vm);
     let within = settings.pace.platform_timeout;
@@ -212,6 +229,16 @@
     }
 }
 
+/// Pause before the first listing. At the first start of a whole fleet nobody is served yet, so weak VMs let the strong
+/// ones claim their zones, and learn from them what they would each have to list.
+fn first_pause(settings: &DirectSettings) -> Duration {
+    if settings.is_first_start && settings.strength < WEAK_BELOW {
+        WEAK_PAUSE.mul_f64(rand::rng().random_range(1.0..3.0))
+    } else {
+        Duration::ZERO
+    }
+}
+
 async fn sweep(fleet: Arc<FleetState>, pool: Arc<ConnectionPool>) {
     loop {
         sleep(SWEEP_EVERY).await;
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -1,25 +1,24 @@
 //! One worker a topic of the platform's log.
 //!
-//! A worker lists the newest record of each key once, then reads on from there. When the log is out of reach it tries
-//! again after a pause, and tells the others when it is back, so that a read that hangs on a dead connection is begun
-//! anew.
+//! A worker lists the newest record of each key once, or is told them by its zone's holder, then reads on from there.
+//! When the log is out of reach one worker of a VM tries again after pauses, and tells the others when it is back.
 
 use crate::{
-    direct::{access::ZoneAccess, fleet::FleetState, message::FeedTopic, settings::PaceSettings},
+    direct::{
+        access::ZoneAccess, fleet::FleetState, message::FeedTopic, reach::StoreReach,
+        settings::PaceSettings,
+    },
     event,
     events::Event,
 };
-use hoplanding_core::ids::LogOffset;
+use hoplanding_core::{direct::lease::HolderContact, ids::LogOffset};
 use hoplanding_platform::{
     names::{FLEET_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC},
     store::{ReadBatch, StoreClient, StoreError},
 };
 use rand::Rng;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
@@ -29,36 +28,28 @@
 const START_GRACE: Duration = Duration::from_secs(3);
 /// Pause between two reads of the fleet's records: after a common start they come by the dozen.
 const FLEET_EVERY: Duration = Duration::from_secs(1);
-/// VMs of a zone that read the log beside its holder.
+/// VMs of a small zone that read the log beside its holder.
 const STAND_INS: u32 = 2;
+/// VMs of a zone up to which it counts as small. In a larger one stand-ins would inform hardly anybody: the others hear
+/// the holder, and read themselves once they do not.
+const SMALL_ZONE: usize = 4;
+/// Silence of the holder from which a VM reads itself. Signs of life come every 400 ms, and a leaving target has to be
+/// known within the users' `drain_ms`, 2 s at the least.
+const READ_SILENCE: Duration = Duration::from_millis(900);
+/// Time that a VM gives its zone's holder to tell what a listing would, once it knows who that is.
+const HOLDER_TELLS: Duration = Duration::from_millis(400);
+/// Pause between two looks at whether it has.
+const TELL_LOOK: Duration = Duration::from_millis(20);
 /// VMs of a zone that read the log once when another VM can't.
 const ANSWERERS: u32 = 3;
 /// Pause between two looks at whether this VM has to read.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
-/// Pause after a call that brought nothing; varied by half.
+/// Pause after a call that brought nothing; varied by a quarter. Doubles once: every call has a price, but a holder that
+/// the log turns away asks others after each one, and its zone has to know of a leaving target within 2 s.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
-
-/// Whether the log is in reach, counted up at each return.
-#[derive(Clone, Debug)]
-pub struct StoreReach {
-    returns: watch::Sender<u64>,
-}
-
-impl StoreReach {
-    /// A store that was never out of reach.
-    #[must_use]
-    pub fn new() -> Self {
-        Self {
-            returns: watch::channel(0).0,
-        }
-    }
-}
-
-impl Default for StoreReach {
-    fn default() -> Self {
-        Self::new()
-    }
-}
+const RETRY_LONGEST: Duration = Duration::from_millis(800);
+/// Time after which a worker tries for itself though another one is at it.
+const PROBE_WAIT: Duration = Duration::from_secs(2);
 
 /// Reads one topic into the books.
 #[derive(Debug)]
@@ -75,15 +66,24 @@
     pub access: Arc<ZoneAccess>,
     /// Shared by all feeds.
     pub reach: StoreReach,
+    /// Pause before the first listing.
+    pub first_pause: Duration,
     /// When the process started.
     pub started: Instant,
+    /// Calls in a row that brought nothing.
+    pub failures: u32,
 }
 
 impl FeedWorker {
     /// Reads until the process ends.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let mut client = StoreClient::new(self.address);
-        let mut is_out = false;
+        if self.topic == FeedTopic::Fleet {
+            sleep(self.first_pause).await;
+        } else if self.is_told().await {
+            let end = self.fleet.known_end(self.topic);
+            self.read_on(&mut client, end).await;
+        }
         loop {
             let listing = client
                 .newest(topic_name(self.topic), self.pace.platform_timeout)
@@ -91,25 +91,68 @@
             let listing = match listing {
                 Ok(listing) => listing,
                 Err(error) => {
-                    self.note_out(&mut is_out, &error);
-                    pause().await;
+                    self.note_out(&error);
+                    self.wait_to_retry().await;
                     continue;
                 }
             };
-            self.note_back(&mut is_out);
+            self.note_back();
             let end = listing.end;
             self.fleet.take_listing(self.topic, &listing);
-            self.read_on(&mut client, end, &mut is_out).await;
+            self.wait_for_link().await;
+            self.read_on(&mut client, end).await;
         }
     }
 
+    /// Waits until the zone's holder has told all of the topic; says whether it did. Where there is no holder, or it
+    /// can't be reached, there is nothing to wait for.
+    async fn is_told(&self) -> bool {
+        sleep(self.first_pause).await;
+        let mut until = None;
+        loop {
+            if self.fleet.knows_whole(self.topic) {
+                return true;
+            }
+            if self.fleet.knows_whole(FeedTopic::Fleet) && !self.may_be_told() {
+                return false;
+            }
+            let until = *until.get_or_insert_with(|| Instant::now() + HOLDER_TELLS);
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(TELL_LOOK).await;
+        }
+    }
+
+    /// Gives the link to the zone's holder time to come up, so that nothing is read that it passes on.
+    async fn wait_for_link(&self) {
+        let until = Instant::now() + HOLDER_TELLS;
+        while Instant::now() < until && self.may_be_told() && !self.hears_holder() {
+            sleep(TELL_LOOK).await;
+        }
+    }
+
+    fn hears_holder(&self) -> bool {
+        let lease = self.fleet.lease(&self.fleet.zone);
+        lease.is_some_and(|lease| self.access.is_heard(&lease, READ_SILENCE))
+    }
+
+    /// Whether the zone has a holder that is being dialled, or heard.
+    fn may_be_told(&self) -> bool {
+        let lease = self.fleet.lease(&self.fleet.zone);
+        lease.is_some_and(|lease| {
+            lease.vm.as_ref().is_some_and(|vm| *vm != self.fleet.vm)
+                && self.access.contact(&self.fleet.zone, &lease) != HolderContact::Ended
+        })
+    }
+
     /// Reads records until those from the wanted offset on are gone.
-    async fn read_on(&self, client: &mut StoreClient, from: LogOffset, is_out: &mut bool) {
+    async fn read_on(&mut self, client: &mut StoreClient, from: LogOffset) {
         let mut from = from;
         let topic = topic_name(self.topic);
         loop {
             self.wait_for_duty().await;
-            let mut returns = self.reach.returns.subscribe();
+            let mut returns = self.reach.watch();
             let reading = client.read(topic, from, self.wait(), self.pace.platform_timeout);
             let read = tokio::select! {
                 read = reading => read,
@@ -118,15 +161,15 @@
             };
             match read {
                 Ok(batch) => {
-                    self.note_back(is_out);
+                    self.note_back();
                     from = next_offset(from, &batch);
                     self.fleet.take_records(self.topic, &batch);
                     sleep(self.pause_between()).await;
                 }
                 Err(StoreError::Expired(_)) => return,
                 Err(error) => {
-                    self.note_out(is_out, &error);
-                    pause().await;
+                    self.note_out(&error);
+                    self.wait_to_retry().await;
                 }
             }
         }
@@ -136,6 +179,7 @@
     async fn wait_for_duty(&self) {
         let mut asked = self.fleet.watch_asked();
         while !self.has_duty() {
+            self.reach.stop_probing(self.topic);
             tokio::select! {
                 () = sleep(DUTY_LOOK) => {}
                 // A VM that can't read asks: one read of this VM's own answers it.
@@ -153,7 +197,7 @@
     fn has_duty(&self) -> bool {
         let is_starting = self.started.elapsed() < START_GRACE;
         if is_starting && self.topic != FeedTopic::Fleet {
-            return self.fleet.rank() < STAND_INS;
+            return self.is_stand_in();
         }
         let Some(lease) = self.fleet.lease(&self.fleet.zone) else {
             return true;
@@ -161,7 +205,11 @@
         if lease.vm.as_ref().is_none_or(|vm| *vm == self.fleet.vm) {
             return true;
         }
-        !self.access.is_linked(&lease) || self.fleet.rank() < STAND_INS
+        !self.hears_holder() || self.is_stand_in()
+    }
+
+    fn is_stand_in(&self) -> bool {
+        self.fleet.zone_vms() <= SMALL_ZONE && self.fleet.rank() < STAND_INS
     }
 
     fn wait(&self) -> Duration {
@@ -179,20 +227,37 @@
         }
     }
 
-    fn note_out(&self, is_out: &mut bool, error: &StoreError) {
+    fn note_out(&mut self, error: &StoreError) {
         self.fleet.ask_others();
-        if !*is_out {
-            *is_out = true;
+        if self.failures == 0 {
             event!(Event::LogOut, "{:?}: {error}", self.topic);
         }
+        self.failures += 1;
     }
 
-    fn note_back(&self, is_out: &mut bool) {
-        if *is_out {
-            *is_out = false;
+    fn note_back(&mut self) {
+        if self.failures > 0 {
+            self.failures = 0;
             event!(Event::LogBack, "{:?}", self.topic);
             self.fleet.outage_ended();
-            self.reach.returns.send_modify(|returns| *returns += 1);
+            self.reach.note_back();
+        }
+    }
+
+    /// Waits after a failed call: the worker that probes for a pause that grows, the others until it has the log back.
+    async fn wait_to_retry(&self) {
+        if self.reach.probes(self.topic) {
+            let pause = if self.failures > 1 {
+                RETRY_LONGEST
+            } else {
+                RETRY_PAUSE
+            };
+            let part = rand::rng().random_range(0.75..1.25);
+            sleep(pause.mul_f64(part)).await;
+        } else {
+            let mut returns = self.reach.watch();
+            // Whether it is back or this worker has waited long enough: it tries.
+            let _ = timeout(PROBE_WAIT, returns.changed()).await;
         }
     }
 }
@@ -204,11 +269,6 @@
         .map_or(from, |record| LogOffset(record.offset.0 + 1))
 }
 
-async fn pause() {
-    let part = rand::rng().random_range(0.75..1.25);
-    sleep(RETRY_PAUSE.mul_f64(part)).await;
-}
-
 fn topic_name(topic: FeedTopic) -> &'static str {
     match topic {
         FeedTopic::Operators => OPERATOR_TOPIC,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -35,7 +35,7 @@
 use siphasher::sip::SipHasher13;
 use std::{
     cmp::Reverse,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -52,15 +52,13 @@
 /// VMs that the retry budget is shared among until more are known.
 const VMS_ASSUMED: u32 = 8;
 
-/// A VM as recorded by itself at its start.
+/// A VM as recorded by itself; the record outlives its process, and a restart at the same address leaves it alone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmRecord {
     /// Its zone.
     pub zone: AvailabilityZone,
     /// Where other VMs reach it.
     pub address: SocketAddr,
-    /// The run of its process.
-    pub incarnation: u64,
     /// Thousandths of a core that it has: the strongest VM of a zone gives its orders.
     #[serde(default)]
     pub strength: u32,
@@ -92,8 +90,8 @@
     pub vms: HashMap<VmName, VmRecord>,
     /// End of the fleet's topic as read.
     pub fleet_end: Option<LogOffset>,
-    /// Whether the target list was read since the start.
-    pub has_targets: bool,
+    /// Topics of which every key is known, by a listing of this VM's own or another's.
+    pub whole: BTreeSet<FeedTopic>,
     /// Outcomes of this VM's calls.
     pub health: HealthTable,
     /// This VM's calls under way by target.
@@ -142,7 +140,7 @@
                 leases: HashMap::new(),
                 vms: HashMap::new(),
                 fleet_end: None,
-                has_targets: false,
+                whole: BTreeSet::new(),
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
@@ -175,7 +173,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let books = self.books();
-        books.active.is_some() && books.has_targets
+        books.active.is_some() && books.whole.contains(&FeedTopic::Targets)
     }
 
     /// This VM's place in the order in which its zone's VMs take on duties, the strongest first.
@@ -221,8 +219,8 @@
             books
                 .catalog
                 .remove_unlisted(&listed.collect(), listing.end, now);
-            books.has_targets = true;
         }
+        books.whole.insert(topic);
         drop(books);
         self.note_end(topic, listing.end);
         self.signal();
@@ -281,16 +279,57 @@
             .collect()
     }
 
-    /// What this VM lacks, for the VMs that it asks.
+    /// Folds what another VM answered, and with it the topics of which that one knows every key.
+    pub fn take_answer(&self, records: Vec<PassedRecord>, whole: &[FeedTopic]) {
+        self.take_passed(records);
+        let was_ready = self.is_ready();
+        self.books().whole.extend(whole);
+        if self.is_ready() && !was_ready {
+            event!(Event::Ready, "by what another VM knows");
+            self.signal();
+        }
+    }
+
+    /// Topics of which every key is known.
+    #[must_use]
+    pub fn whole_topics(&self) -> Vec<FeedTopic> {
+        self.books().whole.iter().copied().collect()
+    }
+
+    /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything.
     #[must_use]
     pub fn wanted(&self) -> Vec<(FeedTopic, LogOffset)> {
-        let books = self.books();
         FeedTopic::ALL
             .into_iter()
-            .map(|topic| (topic, books.records.end(topic)))
+            .map(|topic| (topic, self.known_end(topic)))
             .collect()
     }
 
+    /// Offset up to which every record of a topic is known; 0 as long as it is not known whole.
+    #[must_use]
+    pub fn known_end(&self, topic: FeedTopic) -> LogOffset {
+        let books = self.books();
+        if books.whole.contains(&topic) {
+            books.records.end(topic)
+        } else {
+            LogOffset(0)
+        }
+    }
+
+    /// Whether every key of a topic is known.
+    #[must_use]
+    pub fn knows_whole(&self, topic: FeedTopic) -> bool {
+        self.books().whole.contains(&topic)
+    }
+
+    /// VMs recorded in this VM's zone.
+    #[must_use]
+    pub fn zone_vms(&self) -> usize {
+        let books = self.books();
+        let zone = books.vms.values().filter(|record| record.zone == self.zone);
+        zone.count()
+    }
+
     /// Asks all linked VMs for records: the log is out of reach.
     pub fn ask_others(&self) {
         self.pulls.send_modify(|count| *count += 1);
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -301,7 +301,9 @@
                         {
                             return;
                         }
-                        self.take(message);
+                        if let Some(message) = sharing.take(message) {
+                            self.take(message);
+                        }
                     }
                     Ok(None) | Err(_) => return,
                 },
@@ -320,10 +322,6 @@
         let (number, reply) = match message {
             VmMessage::Placed(number, answer) => (number, PlaceReply::Answer(answer)),
             VmMessage::NotHolder(number) => (number, PlaceReply::NotHolder),
-            VmMessage::Records(records) => {
-                self.fleet.take_passed(records);
-                return;
-            }
             _ => return,
         };
         let waiting = self
@@ -418,11 +416,8 @@
                     {
                         break Err(error);
                     }
-                    if let VmMessage::Records(records) = message {
-                        fleet.take_passed(records);
-                        continue;
-                    }
-                    if let Some(event) = zone_event(&vm, message, &outbound)
+                    if let Some(message) = sharing.take(message)
+                        && let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
                     {
                         break Ok(());
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -121,6 +121,13 @@
     LeaseWanted(LogOffset),
     /// Records that may be news.
     Records(Vec<PassedRecord>),
-    /// Send records of these topics from these offsets on: the log is out of the sender's reach.
+    /// The records that were asked for.
+    Answer {
+        /// Every record of the topics from the wanted offsets on.
+        records: Vec<PassedRecord>,
+        /// Topics of which the sender knows every key, and so the receiver does now.
+        whole: Vec<FeedTopic>,
+    },
+    /// Send records of these topics from these offsets on: the sender has not read them itself.
     Wanted(Vec<(FeedTopic, LogOffset)>),
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -6,6 +6,7 @@
 //! | [`daemon`] | starts and stops everything |
 //! | [`fleet`] | what this VM knows of configuration, targets, leases and VMs |
 //! | [`feeds`] | one worker a topic of the platform's log |
+//! | [`reach`] | what these workers tell each other about it |
 //! | [`front`] | callers' connections and the balancer's question |
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`whole`], [`events`] | answers taken whole, and answers passed on event by event |
@@ -29,6 +30,7 @@
 pub mod front;
 pub mod links;
 pub mod message;
+pub mod reach;
 pub mod records;
 pub mod sender;
 pub mod settings;
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -27,6 +27,8 @@
     pub platform_address: SocketAddr,
     /// All availability zones.
     pub zones: Vec<AvailabilityZone>,
+    /// Whether the whole fleet starts for the first time, before there are callers.
+    pub is_first_start: bool,
     /// The fleet's rule for repeats.
     pub retries: RetryRule,
     /// Spans that decide about claims.
@@ -94,6 +96,7 @@
             .iter()
             .map(|zone| AvailabilityZone::new(zone))
             .collect(),
+        is_first_start: root.flag("first_start"),
         retries: root.section("retries", read_retries),
         leases: root.section("leases", read_leases),
         pace: root.section("pace", read_pace),
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -63,7 +63,19 @@
         let VmMessage::Wanted(wanted) = message else {
             return None;
         };
-        let records = self.fleet.records_since(wanted);
-        (!records.is_empty()).then_some(VmMessage::Records(records))
+        Some(VmMessage::Answer {
+            records: self.fleet.records_since(wanted),
+            whole: self.fleet.whole_topics(),
+        })
+    }
+
+    /// Takes records in; gives other messages back.
+    pub fn take(&self, message: VmMessage) -> Option<VmMessage> {
+        match message {
+            VmMessage::Records(records) => self.fleet.take_passed(records),
+            VmMessage::Answer { records, whole } => self.fleet.take_answer(records, &whole),
+            other => return Some(other),
+        }
+        None
     }
 }
--- a/crates/daemon/src/options/reader.rs
+++ b/crates/daemon/src/options/reader.rs
@@ -210,6 +210,18 @@
         texts
     }
 
+    /// A yes or no; no if it is missing.
+    pub(crate) fn flag(&self, name: &'static str) -> bool {
+        match self.get(name) {
+            None => false,
+            Some(Value::Bool(flag)) => *flag,
+            Some(_) => {
+                self.note(name, "write true or false, or leave it out for false");
+                false
+            }
+        }
+    }
+
     /// One word of several.
     pub(crate) fn word(&self, name: &'static str, default: &str, words: &[&str]) -> String {
         match self.get(name) {
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -642,6 +642,53 @@
     drop(first);
 }
 
+#[tokio::test]
+async fn a_vm_that_starts_learns_from_its_zones_holder_what_it_need_not_list() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    let first = site(&log, &[("i-1", "ledger", target.address)]).await;
+    wait_for("a holder", async || {
+        first
+            .fleet()
+            .lease(&AvailabilityZone::new("hall"))
+            .is_some()
+    })
+    .await;
+    log.set_faults(|faults| {
+        faults.unlisted = vec!["keyed.op".into(), "keyed.servers".into()];
+    });
+    let second = DirectDaemon::start(settings("vm-2", &log))
+        .await
+        .expect("the daemon starts");
+    wait_for("readiness", async || is_ready(&second).await).await;
+    let answer = ask(second.caller_address, &post("/scan/1", "r1", "")).await;
+    assert_eq!(answer.status, 200);
+}
+
+#[tokio::test]
+async fn a_restart_at_the_same_address_leaves_the_vms_record_alone() {
+    let log = KeyedLog::start().await.expect("a log");
+    let free = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = free.local_addr().expect("an address");
+    drop(free);
+    let record = json!({ "zone": "hall", "address": address.to_string(), "strength": 1000 });
+    log.put("keyed.fleet", "vm/vm-1", Some(&record.to_string()));
+    log.put("keyed.op", "config", Some(&config(1)));
+    let mut settings = settings("vm-1", &log);
+    settings.peer_address = address;
+    let daemon = DirectDaemon::start(settings)
+        .await
+        .expect("the daemon starts");
+    wait_for("its lease", async || {
+        daemon
+            .fleet()
+            .lease(&AvailabilityZone::new("hall"))
+            .is_some()
+    })
+    .await;
+    assert_eq!(log.values("keyed.fleet", "vm/vm-1").len(), 1);
+}
+
 #[tokio::test]
 async fn an_absent_adapter_is_ordered_once_and_its_calls_wait_for_it() {
     let log = KeyedLog::start().await.expect("a log");
--- a/crates/standins/src/keyed_log.rs
+++ b/crates/standins/src/keyed_log.rs
@@ -28,6 +28,8 @@
     pub talks_nonsense: bool,
     /// Appends that are done, but whose answer is lost.
     pub lose_answers: usize,
+    /// Topics whose listings are refused.
+    pub unlisted: Vec<String>,
 }
 
 #[derive(Clone, Debug)]
@@ -282,6 +284,11 @@
     if state.faults.talks_nonsense {
         return Response::builder().body("what?");
     }
+    if state.faults.unlisted.contains(&query.topic) {
+        return Response::builder()
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .finish();
+    }
     let records = state
         .topics
         .get(&query.topic)
