Write JSON lines through a bounded lossy queue, and serve a metrics page

Lines were plain text written in the event loop, requests stood somewhere in the text, and no figures were kept in direct mode.

Change: each event is one JSON object with its number, the request and the text; a queue of 2,048 lines in front of the output drops and counts what does not fit (E107). explain-log reads these lines. A metrics page in OpenMetrics text counts requests by kind and outcome, repeats, calls to the log, waits for a placing and for first events, targets, memory, and dropped lines.

--- a/crates/cli/src/explain_log.rs
+++ b/crates/cli/src/explain_log.rs
@@ -2,6 +2,8 @@
 //!
 //! Lines of all files that name it are put in the order of their times; the last event of a request says how it ended.
 
+use jiff::Timestamp;
+use serde::Deserialize;
 use std::{fmt, fs, io};
 
 /// A line that names what is asked for.
@@ -68,20 +70,33 @@
     })
 }
 
-/// Parses `TIME [LEVEL] E123 text`; anything before the time is passed over.
+/// Parses a JSON line of the daemon; what stands before the object is passed over.
 fn parse_line(file: &str, line: &str) -> Option<LogLine> {
-    let (head, rest) = line.split_once(" [")?;
-    let time = head.split_whitespace().next_back()?;
-    let (_, rest) = rest.split_once("] E")?;
-    let (event, text) = rest.split_once(' ')?;
+    let object = &line[line.find('{')?..];
+    let written: WrittenLine = serde_json::from_str(object).ok()?;
+    let time = Timestamp::from_millisecond(written.timestamp).ok()?;
+    let text = match written.request {
+        Some(request) => format!("[{request}] {}", written.message),
+        None => written.message,
+    };
     Some(LogLine {
-        time: time.to_owned(),
+        time: format!("{time:.3}"),
         file: file.to_owned(),
-        event: event.parse().ok()?,
-        text: text.to_owned(),
+        event: written.event,
+        text,
     })
 }
 
+/// A line as the daemon writes it.
+#[derive(Deserialize)]
+struct WrittenLine {
+    /// Milliseconds since 1970.
+    timestamp: i64,
+    event: u16,
+    message: String,
+    request: Option<String>,
+}
+
 /// Says in words how a request ended, by its last event; nothing if no line tells.
 #[must_use]
 pub fn verdict(lines: &[LogLine]) -> Option<&'static str> {
--- a/crates/cli/tests/explain_log.rs
+++ b/crates/cli/tests/explain_log.rs
@@ -3,15 +3,15 @@
 use hoplanding::explain_log::{find_lines, verdict};
 use std::{fs, process::Command};
 
-const FIRST: &str = "\
-2026-02-21T14:06:28.659Z [INFO] E812 request turned away by a target: 562d93ff at i-e032: Misdirected 421
-2026-02-21T14:06:28.700Z [INFO] E812 request turned away by a target: 562d93ff00 at i-e032: Misdirected 421
+const FIRST: &str = r#"
+{"event":812,"level":"INFO","message":"request turned away by a target: at i-e032: Misdirected 421","request":"562d93ff","target":"hoplanding","timestamp":1771682788659}
+{"event":812,"level":"INFO","message":"request turned away by a target: at i-e032: Misdirected 421","request":"562d93ff00","target":"hoplanding","timestamp":1771682788700}
 noise without a time
-2026-02-21T14:06:29.900Z [INFO] E800 request refused as not run: 562d93ff: route r not run after 1.2s
-";
-const SECOND: &str = "\
-   0.5 vm-2 2026-02-21T14:06:28.100Z [WARN] E810 target out of reach for a request: 562d93ff at i-a8: refused
-";
+{"event":800,"level":"INFO","message":"request refused as not run: route r after 1.2s","request":"562d93ff","target":"hoplanding","timestamp":1771682789900}
+"#;
+const SECOND: &str = r#"
+   0.5 vm-2 {"event":810,"level":"INFO","message":"target out of reach for a request: at i-a8: refused","request":"562d93ff","target":"hoplanding","timestamp":1771682788100}
+"#;
 
 fn written(name: &str, text: &str) -> String {
     let path = std::env::temp_dir().join(format!("hoplanding-{}-{name}", std::process::id()));
@@ -25,6 +25,7 @@
     let lines = find_lines("562d93ff", &files).expect("lines");
     let events: Vec<_> = lines.iter().map(|line| line.event).collect();
     assert_eq!(events, [810, 812, 800]);
+    assert_eq!(lines[0].time, "2026-02-21T14:06:28.100Z");
     assert!(
         verdict(&lines)
             .expect("a verdict")
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -26,6 +26,7 @@
         access::ZoneAccess,
         call::answers::{passed_answer, refusal},
         events::relay_events,
+        figures::{RequestKind, RequestOutcome},
         fleet::{ActiveConfig, FleetState},
         sender::ConnectionPool,
         settings::DirectSettings,
@@ -112,7 +113,8 @@
     let arrived = Instant::now();
     let head = decode_call(request.headers());
     let Some(active) = context.fleet.active() else {
-        event!(Event::CallRefused, "{}: no configuration yet", head.id);
+        event!(Event::CallRefused, request = head.id; "no configuration yet");
+        count(&context, RequestKind::Unrouted, RequestOutcome::Refused);
         return Ok(refusal(&head.id, COME_BACK));
     };
     let host = request
@@ -122,24 +124,20 @@
         .or_else(|| request.uri().host())
         .unwrap_or_default();
     let Some(route) = active.routes.find(host, request.uri().path()).cloned() else {
-        event!(
-            Event::NoRoute,
-            "{}: {host}{} in version {}",
-            head.id,
+        event!(Event::NoRoute, request = head.id; "{host}{} in version {}",
             request.uri().path(),
             active.config.version
         );
+        count(&context, RequestKind::Unrouted, RequestOutcome::Refused);
         return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
     };
     if let Some(plan) = context.stop.get()
         && let Err(come_back) = plan.admits(&route, &head)
     {
-        event!(
-            Event::CallRefused,
-            "{}: route {} not run, as this VM stops; come back after {come_back:?}",
-            head.id,
+        event!(Event::CallRefused, request = head.id; "route {} not run, as this VM stops; come back after {come_back:?}",
             route.name
         );
+        count(&context, RequestKind::of(&route), RequestOutcome::Refused);
         return Ok(refusal(&head.id, come_back));
     }
     let (parts, body) = request.into_parts();
@@ -156,10 +154,7 @@
         Ok(Ok(body)) => body.to_bytes(),
     };
     let Some(service) = find_service(&active, &route, &head.id) else {
-        event!(
-            Event::CallRefused,
-            "{}: route {} names no known service",
-            head.id,
+        event!(Event::CallRefused, request = head.id; "route {} names no known service",
             route.name
         );
         return Ok(refusal(&head.id, COME_BACK));
@@ -199,6 +194,10 @@
     active.config.services.get(name).cloned()
 }
 
+fn count(context: &GatewayContext, kind: RequestKind, outcome: RequestOutcome) {
+    context.fleet.figures.count_request(kind, outcome);
+}
+
 impl CallState {
     /// Sends the call until it has an answer, or nothing more can be done.
     async fn drive(mut self) -> Response<AnswerBody> {
@@ -265,36 +264,33 @@
         let id = &self.head.id;
         let held = self.arrived.elapsed();
         if let Some(failure) = failure {
-            event!(
-                Event::CallFailed,
-                "{id}: route {} passes on {} after {held:?}, {} runs, tried {:?}",
+            event!(Event::CallFailed, request = id; "route {} passes on {} after {held:?}, {} runs, tried {:?}",
                 self.route.name,
                 failure.status(),
                 self.runs,
                 self.tried
             );
+            self.count(RequestOutcome::TargetFailed);
             return failure;
         }
         if self.runs == 0 {
-            event!(
-                Event::CallRefused,
-                "{id}: route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}",
+            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}",
                 self.route.name,
                 self.refused,
                 self.unreached,
                 self.tried
             );
+            self.count(RequestOutcome::Refused);
             return refusal(id, come_back);
         }
+        self.count(RequestOutcome::Lost);
         let is_late = Instant::now() >= self.deadline;
         let status = if is_late {
             StatusCode::GATEWAY_TIMEOUT
         } else {
             StatusCode::BAD_GATEWAY
         };
-        event!(
-            Event::CallFailed,
-            "{id}: route {} ends with {status} after {held:?}, {} runs, tried {:?}",
+        event!(Event::CallFailed, request = id; "route {} ends with {status} after {held:?}, {} runs, tried {:?}",
             self.route.name,
             self.runs,
             self.tried
@@ -310,18 +306,24 @@
             && self.pay_for_repeat()
     }
 
+    /// Counts its end.
+    pub fn count(&self, outcome: RequestOutcome) {
+        count(&self.context, RequestKind::of(&self.route), outcome);
+    }
+
     fn has_time(&self) -> bool {
         Instant::now() + Duration::from_millis(5) < self.deadline
     }
 
     fn pay_for_repeat(&self) -> bool {
-        self.has_time()
-            && self
-                .context
-                .fleet
-                .books()
-                .retries
-                .try_repeat(&self.service.name, clock::now())
+        if !self.has_time() {
+            return false;
+        }
+        let fleet = &self.context.fleet;
+        let service = &self.service.name;
+        let is_allowed = fleet.books().retries.try_repeat(service, clock::now());
+        fleet.figures.count_repeat(is_allowed);
+        is_allowed
     }
 
     /// Passes a success on to the caller; gives the call back if the answer broke before its first byte went out.
@@ -333,7 +335,10 @@
                 let target = call.tried.len();
                 let (parts, taken) = take_whole(open, &call).await;
                 match taken {
-                    Ok(body) => Ok(passed_answer(&parts, body)),
+                    Ok(body) => {
+                        call.count(RequestOutcome::Answered);
+                        Ok(passed_answer(&parts, body))
+                    }
                     Err(name) => {
                         call.tried.truncate(target);
                         call.tried.push(name);
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -89,13 +89,12 @@
                         },
                         ticket,
                     )) => {
-                        event!(
-                            Event::CallPlaced,
-                            "{}: at {target} in {zone} after {:?} by a {pass:?} look, its adapter {} there in {wait_ms} ms",
-                            self.head.id,
+                        event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?} by a {pass:?} look, its adapter {} there in {wait_ms} ms",
                             self.arrived.elapsed(),
                             self.subject()
                         );
+                        let figures = &self.context.fleet.figures;
+                        figures.note_placing(self.arrived.elapsed());
                         sleep(Duration::from_millis(u64::from(wait_ms))).await;
                         let entry = self.context.fleet.books().catalog.get(&target).cloned();
                         // It may have begun to leave while the adapter came.
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -136,10 +136,7 @@
         let (connection, response) = match sent {
             Ok(answered) => answered,
             Err(SendError::NotSent { target, cause }) => {
-                event!(
-                    Event::TargetUnreached,
-                    "{} at {target}: {cause}",
-                    self.head.id
+                event!(Event::TargetUnreached, request = self.head.id; "at {target}: {cause}"
                 );
                 end(ticket, &count, CallEnd::Unreached);
                 self.unreached += 1;
@@ -147,10 +144,7 @@
                 return SendOutcome::NotSent;
             }
             Err(SendError::Unanswered { target, cause }) => {
-                event!(
-                    Event::AnswerMissing,
-                    "{} at {target}: {cause}",
-                    self.head.id
+                event!(Event::AnswerMissing, request = self.head.id; "at {target}: {cause}"
                 );
                 end(ticket, &count, CallEnd::Failed);
                 self.runs += 1;
@@ -180,10 +174,7 @@
                 SendOutcome::Failure(open(ticket, count))
             }
             AnswerKind::Misdirected | AnswerKind::NotRun => {
-                event!(
-                    Event::TurnedAway,
-                    "{} at {}: {kind:?} {} for {} version {version:?}",
-                    self.head.id,
+                event!(Event::TurnedAway, request = self.head.id; "at {}: {kind:?} {} for {} version {version:?}",
                     entry.name,
                     parts.status,
                     self.subject()
@@ -203,10 +194,7 @@
                 SendOutcome::NotRun
             }
             AnswerKind::Foreign => {
-                event!(
-                    Event::AnswerForeign,
-                    "{} at {}: status {}",
-                    self.head.id,
+                event!(Event::AnswerForeign, request = self.head.id; "at {}: status {}",
                     entry.name,
                     parts.status
                 );
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -7,9 +7,10 @@
         claims::{ClaimWorker, release_lease},
         feeds::FeedWorker,
         fleet::{FleetState, VmRecord, vm_key},
-        front::{OpenConnections, StopPhase, accept_callers, accept_questions},
+        front::{OpenConnections, StopPhase, accept_callers},
         links::accept_links,
         message::FeedTopic,
+        questions::{accept_questions, answer_metrics, answer_ready},
         reach::StoreReach,
         sender::ConnectionPool,
         settings::DirectSettings,
@@ -17,6 +18,7 @@
     },
     event,
     events::Event,
+    logging::report_dropped,
 };
 use hoplanding_platform::{names::FLEET_TOPIC, store::StoreClient};
 use rand::Rng;
@@ -58,6 +60,8 @@
     pub caller_address: std::net::SocketAddr,
     /// Where the balancer asks.
     pub ready_address: std::net::SocketAddr,
+    /// Where metrics collectors ask.
+    pub metrics_address: Option<std::net::SocketAddr>,
 }
 
 impl DirectDaemon {
@@ -69,8 +73,16 @@
         let callers = TcpListener::bind(settings.caller_address).await?;
         let questions = TcpListener::bind(settings.ready_address).await?;
         let peers = TcpListener::bind(settings.peer_address).await?;
+        let collectors = match settings.metrics_address {
+            Some(address) => Some(TcpListener::bind(address).await?),
+            None => None,
+        };
         let mut settings = settings;
         settings.peer_address = peers.local_addr()?;
+        let metrics_address = match &collectors {
+            Some(listener) => Some(listener.local_addr()?),
+            None => None,
+        };
         let caller_address = callers.local_addr()?;
         let ready_address = questions.local_addr()?;
         let settings = Arc::new(settings);
@@ -106,11 +118,7 @@
         tokio::spawn(claims.run());
         tokio::spawn(record_vm(Arc::clone(&settings), Arc::clone(&fleet)));
         tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
-        tokio::spawn(accept_questions(
-            questions,
-            Arc::clone(&fleet),
-            stop_watch.clone(),
-        ));
+        answer_questions(questions, collectors, &fleet, stop_watch.clone());
         let plan = Arc::new(OnceLock::new());
         let context = Arc::new(GatewayContext {
             stop: Arc::clone(&plan),
@@ -134,6 +142,7 @@
             plan,
             caller_address,
             ready_address,
+            metrics_address,
         })
     }
 
@@ -184,6 +193,26 @@
     }
 }
 
+/// Answers the balancer, and metrics collectors where the settings name an address for them.
+fn answer_questions(
+    questions: TcpListener,
+    collectors: Option<TcpListener>,
+    fleet: &Arc<FleetState>,
+    stop: watch::Receiver<StopPhase>,
+) {
+    let asked = Arc::clone(fleet);
+    tokio::spawn(accept_questions(questions, move |path| {
+        let is_up = asked.is_ready() && *stop.borrow() == StopPhase::Serving;
+        answer_ready(path, is_up)
+    }));
+    if let Some(collectors) = collectors {
+        let asked = Arc::clone(fleet);
+        tokio::spawn(accept_questions(collectors, move |path| {
+            answer_metrics(path, || asked.figures.page(&asked))
+        }));
+    }
+}
+
 fn start_feeds(settings: &Arc<DirectSettings>, fleet: &Arc<FleetState>, access: &Arc<ZoneAccess>) {
     let reach = StoreReach::new();
     let first_pause = first_pause(settings);
@@ -240,9 +269,11 @@
 }
 
 async fn sweep(fleet: Arc<FleetState>, pool: Arc<ConnectionPool>) {
+    let mut dropped = 0;
     loop {
         sleep(SWEEP_EVERY).await;
         pool.sweep();
         fleet.expire();
+        dropped = report_dropped(dropped);
     }
 }
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -8,6 +8,7 @@
     direct::{
         call::{AnswerBody, BrokenAnswer, CallState, OpenAnswer, Placing, SendOutcome, give_back},
         cutter::EventCutter,
+        figures::RequestOutcome,
         message::CallEnd,
     },
     event,
@@ -87,10 +88,7 @@
                 }
             };
             let target = self.end_open(CallEnd::Failed);
-            event!(
-                Event::StreamBroken,
-                "{} at {target}: {cause}, last event {:?}",
-                self.call.head.id,
+            event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}",
                 self.cutter.last_id()
             );
             if !self.resumable || !self.resume().await {
@@ -102,10 +100,9 @@
     fn note_first(&mut self) {
         if !self.has_begun {
             self.has_begun = true;
-            event!(
-                Event::FirstEvent,
-                "{}: {:?} after it came",
-                self.call.head.id,
+            let held = self.call.arrived.elapsed();
+            self.call.context.fleet.figures.note_first_event(held);
+            event!(Event::FirstEvent, request = self.call.head.id; "{:?} after it came",
                 self.call.arrived.elapsed()
             );
         }
@@ -121,12 +118,10 @@
     }
 
     fn broken(&mut self, cause: &str) -> BrokenAnswer {
-        event!(
-            Event::AnswerIncomplete,
-            "{}: {cause}, last event {:?}",
-            self.call.head.id,
+        event!(Event::AnswerIncomplete, request = self.call.head.id; "{cause}, last event {:?}",
             self.cutter.last_id()
         );
+        self.call.count(RequestOutcome::BrokenOff);
         BrokenAnswer(cause.to_owned())
     }
 
@@ -153,6 +148,7 @@
             return Err("the connection ended inside an event".to_owned());
         }
         if let Some(open) = self.open.take() {
+            self.call.count(RequestOutcome::Answered);
             open.count.note(CallEnd::Good);
             if let Some(ticket) = open.ticket {
                 ticket.end(CallEnd::Good);
@@ -177,10 +173,7 @@
             };
             match self.call.send(&entry, version, ticket, last).await {
                 SendOutcome::Success(open) => {
-                    event!(
-                        Event::StreamResumed,
-                        "{} at {} from {last:?}",
-                        self.call.head.id,
+                    event!(Event::StreamResumed, request = self.call.head.id; "at {} from {last:?}",
                         entry.name
                     );
                     self.open = Some(*open);
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -5,8 +5,8 @@
 
 use crate::{
     direct::{
-        access::ZoneAccess, fleet::FleetState, message::FeedTopic, reach::StoreReach,
-        settings::PaceSettings,
+        access::ZoneAccess, figures::LogOutcome, fleet::FleetState, message::FeedTopic,
+        reach::StoreReach, settings::PaceSettings,
     },
     event,
     events::Event,
@@ -228,6 +228,8 @@
     }
 
     fn note_out(&mut self, error: &StoreError) {
+        let figures = &self.fleet.figures;
+        figures.count_log_call(topic_name(self.topic), LogOutcome::Failed);
         self.fleet.ask_others();
         if self.failures == 0 {
             event!(Event::LogOut, "{:?}: {error}", self.topic);
@@ -236,6 +238,8 @@
     }
 
     fn note_back(&mut self) {
+        let figures = &self.fleet.figures;
+        figures.count_log_call(topic_name(self.topic), LogOutcome::Answered);
         if self.failures > 0 {
             self.failures = 0;
             event!(Event::LogBack, "{:?}", self.topic);
--- /dev/null
+++ b/crates/daemon/src/direct/figures.rs
@@ -0,0 +1,271 @@
+//! Counts of this VM, as a page in the text format that collectors read.
+//!
+//! `cadence` counts towards statsd and knows no such page, so the direct mode counts with `prometheus-client`.
+
+use crate::{direct::fleet::FleetState, event, events::Event, logging::dropped_lines};
+use hoplanding_core::direct::{
+    catalog::TargetStage,
+    config::{AnswerShape, RepeatRule, RouteRule},
+};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+use std::{fs, time::Duration};
+
+/// Upper bounds of the histograms' buckets, in seconds: what the users' objectives and deadlines lie between.
+const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
+/// Bytes of a page of memory, as `/proc/self/statm` counts them.
+const PAGE_BYTES: u64 = 4096;
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RequestKind {
+    /// Its answer is a stream of events.
+    Stream,
+    /// It may run more than once.
+    Idempotent,
+    /// It may run once.
+    Once,
+    /// Its host and path have no route.
+    Unrouted,
+}
+
+impl RequestKind {
+    /// The kind that a route's requests are of.
+    #[must_use]
+    pub fn of(route: &RouteRule) -> Self {
+        match (&route.shape, route.repeat) {
+            (AnswerShape::Events { .. }, _) => Self::Stream,
+            (AnswerShape::Whole, RepeatRule::Idempotent) => Self::Idempotent,
+            (AnswerShape::Whole, RepeatRule::AtMostOnce) => Self::Once,
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RequestOutcome {
+    /// Its whole answer went out.
+    Answered,
+    /// A target's own failure went out.
+    TargetFailed,
+    /// It was refused as not run.
+    Refused,
+    /// It may have run, and its answer was lost.
+    Lost,
+    /// Its stream broke off.
+    BrokenOff,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: RequestKind,
+    outcome: RequestOutcome,
+}
+
+/// What came of a call to the platform's log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum LogOutcome {
+    /// It was answered.
+    Answered,
+    /// It was refused, or had no answer.
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LogLabels {
+    topic: &'static str,
+    outcome: LogOutcome,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RepeatLabels {
+    allowed: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+}
+
+/// Counts of this VM.
+#[derive(Debug)]
+pub struct DirectFigures {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    repeats: Family<RepeatLabels, Counter>,
+    log_calls: Family<LogLabels, Counter>,
+    placing: Histogram,
+    first_event: Histogram,
+    targets: Family<StageLabels, Gauge>,
+    in_flight: Gauge,
+    config_version: Gauge,
+    vms: Gauge,
+    is_holder: Gauge,
+    lines_dropped: Gauge,
+    memory: Gauge,
+}
+
+impl DirectFigures {
+    /// Counts that begin at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut figures = Self {
+            registry: Registry::with_prefix("hoplanding"),
+            requests: Family::default(),
+            repeats: Family::default(),
+            log_calls: Family::default(),
+            placing: Histogram::new(BUCKETS),
+            first_event: Histogram::new(BUCKETS),
+            targets: Family::default(),
+            in_flight: Gauge::default(),
+            config_version: Gauge::default(),
+            vms: Gauge::default(),
+            is_holder: Gauge::default(),
+            lines_dropped: Gauge::default(),
+            memory: Gauge::default(),
+        };
+        figures.register();
+        figures
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by kind and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Repeats asked of the retry budget",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "log_calls",
+            "Calls to the platform's log",
+            self.log_calls.clone(),
+        );
+        registry.register_with_unit(
+            "placing",
+            "Time until a request had a target",
+            Unit::Seconds,
+            self.placing.clone(),
+        );
+        registry.register_with_unit(
+            "first_event",
+            "Time until a stream's first event went out",
+            Unit::Seconds,
+            self.first_event.clone(),
+        );
+        registry.register("targets", "Targets by stage", self.targets.clone());
+        registry.register("in_flight", "Requests at targets", self.in_flight.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force; 0 before the first",
+            self.config_version.clone(),
+        );
+        registry.register("vms", "VMs that recorded themselves", self.vms.clone());
+        registry.register(
+            "zone_held",
+            "Whether this VM holds its zone's lease",
+            self.is_holder.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that were not written",
+            self.lines_dropped.clone(),
+        );
+        registry.register_with_unit(
+            "memory",
+            "Resident memory",
+            Unit::Bytes,
+            self.memory.clone(),
+        );
+    }
+
+    /// A request ended.
+    pub fn count_request(&self, kind: RequestKind, outcome: RequestOutcome) {
+        let labels = RequestLabels { kind, outcome };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// A repeat was asked for.
+    pub fn count_repeat(&self, allowed: bool) {
+        self.repeats.get_or_create(&RepeatLabels { allowed }).inc();
+    }
+
+    /// The log was called.
+    pub fn count_log_call(&self, topic: &'static str, outcome: LogOutcome) {
+        let labels = LogLabels { topic, outcome };
+        self.log_calls.get_or_create(&labels).inc();
+    }
+
+    /// A request was given a target after this time.
+    pub fn note_placing(&self, held: Duration) {
+        self.placing.observe(held.as_secs_f64());
+    }
+
+    /// A stream's first event went out after this time.
+    pub fn note_first_event(&self, held: Duration) {
+        self.first_event.observe(held.as_secs_f64());
+    }
+
+    /// The page, with what the books say now.
+    #[must_use]
+    pub fn page(&self, fleet: &FleetState) -> String {
+        self.take_books(fleet);
+        self.lines_dropped.set(signed(dropped_lines() as u64));
+        self.memory.set(signed(resident_bytes()));
+        let mut page = String::new();
+        if let Err(error) = encode(&mut page, &self.registry) {
+            event!(Event::MetricsFailed, "{error}");
+        }
+        page
+    }
+
+    fn take_books(&self, fleet: &FleetState) {
+        let books = fleet.books();
+        for (stage, name) in [
+            (TargetStage::Ready, "ready"),
+            (TargetStage::Draining, "draining"),
+        ] {
+            let count = books.catalog.iter().filter(|entry| entry.stage == stage);
+            let gauge = self.targets.get_or_create(&StageLabels { stage: name });
+            gauge.set(signed(count.count() as u64));
+        }
+        let in_flight: u32 = books.in_flight.values().sum();
+        self.in_flight.set(i64::from(in_flight));
+        let version = books
+            .active
+            .as_ref()
+            .map_or(0, |active| active.config.version);
+        self.config_version.set(signed(version));
+        self.vms.set(signed(books.vms.len() as u64));
+        let holder = books
+            .leases
+            .get(&fleet.zone)
+            .and_then(|state| state.holder());
+        self.is_holder.set(i64::from(holder == Some(&fleet.vm)));
+    }
+}
+
+impl Default for DirectFigures {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Resident memory of this process; 0 where the system does not tell.
+fn resident_bytes() -> u64 {
+    let pages = fs::read_to_string("/proc/self/statm")
+        .ok()
+        .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock,
     direct::{
+        figures::DirectFigures,
         message::{FeedTopic, PassedRecord},
         records::RecordBook,
         settings::DirectSettings,
@@ -117,6 +118,8 @@
     pub zone: AvailabilityZone,
     /// Thousandths of a core that this VM has.
     pub strength: u32,
+    /// Counts for the metrics page.
+    pub figures: DirectFigures,
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
     pulls: watch::Sender<u64>,
@@ -133,6 +136,7 @@
             incarnation,
             zone: settings.zone.clone(),
             strength: settings.strength,
+            figures: DirectFigures::default(),
             books: Mutex::new(FleetBooks {
                 active: None,
                 catalog: TargetCatalog::default(),
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -1,20 +1,13 @@
-//! Callers' connections, and the balancer's question.
+//! Callers' connections.
 
 use crate::{
-    direct::{
-        call::{GatewayContext, answer_call, full, own_answer},
-        fleet::FleetState,
-    },
+    direct::call::{GatewayContext, answer_call},
     event,
     events::Event,
 };
-use bytes::Bytes;
-use hoplanding_platform::names::READY_PATH;
-use http::{Request, Response, StatusCode};
-use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
+use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
-    convert::Infallible,
     future::pending,
     sync::{
         Arc,
@@ -138,39 +131,3 @@
         }
     }
 }
-
-/// Answers the balancer until the process ends.
-pub async fn accept_questions(
-    listener: TcpListener,
-    fleet: Arc<FleetState>,
-    stop: watch::Receiver<StopPhase>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let fleet = Arc::clone(&fleet);
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let is_up = fleet.is_ready() && *stop.borrow() == StopPhase::Serving;
-                let answer = answer_question(request.uri().path(), is_up);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            // The balancer asks again after a broken connection.
-            let _ = Builder::new()
-                .max_buf_size(HEAD_LEAST)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
-fn answer_question(path: &str, is_up: bool) -> Response<crate::direct::call::AnswerBody> {
-    match (path, is_up) {
-        (READY_PATH, true) => Response::new(full(Bytes::from_static(b"ready"))),
-        (READY_PATH, false) => own_answer("", StatusCode::SERVICE_UNAVAILABLE, None),
-        _ => own_answer("", StatusCode::NOT_FOUND, None),
-    }
-}
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -23,6 +23,8 @@
     pub ready_address: SocketAddr,
     /// Where other VMs connect.
     pub peer_address: SocketAddr,
+    /// Where metrics collectors ask; none for nowhere.
+    pub metrics_address: Option<SocketAddr>,
     /// The platform's log.
     pub platform_address: SocketAddr,
     /// All availability zones.
@@ -90,6 +92,7 @@
         caller_address: root.address("caller_address"),
         ready_address: root.address("ready_address"),
         peer_address: root.address("peer_address"),
+        metrics_address: root.optional_address("metrics_address"),
         platform_address: root.address("platform_address"),
         zones: root
             .texts("zones", "write the names of all availability zones")
--- a/crates/daemon/src/direct/whole.rs
+++ b/crates/daemon/src/direct/whole.rs
@@ -58,14 +58,11 @@
             (end, Ok(body.to_bytes()))
         }
         Ok(Err(error)) => {
-            event!(Event::AnswerBroken, "{} at {target}: {error}", call.head.id);
+            event!(Event::AnswerBroken, request = call.head.id; "at {target}: {error}");
             (CallEnd::Failed, Err(target))
         }
         Err(_) => {
-            event!(
-                Event::AnswerBroken,
-                "{} at {target}: not whole before the deadline",
-                call.head.id
+            event!(Event::AnswerBroken, request = call.head.id; "at {target}: not whole before the deadline"
             );
             (CallEnd::Failed, Err(target))
         }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -50,6 +50,10 @@
     SettingsWrong = 105, Error, "settings refused";
     /// A hang-up signal came.
     HangUp = 106, Info, "hang-up signal";
+    /// Log lines were dropped.
+    LinesDropped = 107, Warn, "log lines dropped";
+    /// The metrics page could not be written.
+    MetricsFailed = 108, Warn, "metrics page not written";
     /// The log can't be reached.
     LogOut = 200, Warn, "platform log out of reach";
     /// The log can be reached again.
@@ -158,15 +162,25 @@
     AcceptFailed = 820, Warn, "connection not accepted";
 }
 
-/// Writes a numbered event.
+/// Writes a numbered event: its number, its text, the request that it is about and what decided it.
 #[macro_export]
 macro_rules! event {
     ($event:expr) => {{
         let event = $event;
-        log::log!(target: "hoplanding", event.level(), "E{} {}", event.number(), event.text());
+        log::log!(target: "hoplanding", event.level(), event = event.number(); "{}", event.text());
+    }};
+    ($event:expr, request = $request:expr; $($arg:tt)+) => {{
+        let event = $event;
+        log::log!(
+            target: "hoplanding", event.level(), event = event.number(), request:% = $request;
+            "{}: {}", event.text(), format_args!($($arg)+)
+        );
     }};
     ($event:expr, $($arg:tt)+) => {{
         let event = $event;
-        log::log!(target: "hoplanding", event.level(), "E{} {}: {}", event.number(), event.text(), format_args!($($arg)+));
+        log::log!(
+            target: "hoplanding", event.level(), event = event.number();
+            "{}: {}", event.text(), format_args!($($arg)+)
+        );
     }};
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`direct`] | the mode in which gateways send straight to targets: its own map |
 //! | [`calls`] | frames of answers, between daemons or within one |
 //! | [`options`] | arguments and settings |
-//! | [`events`], [`metrics`], [`clock`] | numbered log events, statsd, time |
+//! | [`events`], [`logging`], [`metrics`], [`clock`] | numbered log events, where they go, statsd, time |
 
 pub mod app;
 pub mod calls;
@@ -19,6 +19,7 @@
 pub mod direct;
 pub mod events;
 pub mod gateway;
+pub mod logging;
 pub mod metrics;
 pub mod operators;
 pub mod options;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,12 +6,10 @@
     direct::{daemon::DirectDaemon, settings::DirectSettings},
     event,
     events::Event,
-    options::{DaemonArgs, DaemonSettings, LogSettings, Settings},
+    logging::LogWriter,
+    options::{DaemonArgs, DaemonSettings, Settings},
 };
-use simplelog::{
-    ColorChoice, Config, ConfigBuilder, LevelFilter, TermLogger, TerminalMode, WriteLogger,
-};
-use std::{fs::OpenOptions, io, process::ExitCode};
+use std::{io, process::ExitCode};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that can't be used.
@@ -40,11 +38,14 @@
         println!("settings are in order");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = start_logging(settings.log()) {
-        eprintln!("the log file can't be opened ({error}): change log.file");
-        return ExitCode::from(EXIT_SETTINGS);
-    }
-    match run(settings) {
+    let log = match LogWriter::start(settings.log()) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("the log file can't be opened ({error}): change log.file");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let code = match run(settings) {
         Ok(code) => code,
         Err(error) => {
             event!(
@@ -53,7 +54,10 @@
             );
             ExitCode::from(EXIT_SETTINGS)
         }
-    }
+    };
+    // Writes the lines that wait.
+    drop(log);
+    code
 }
 
 /// Runs until a stop signal.
@@ -106,22 +110,3 @@
         }
     }
 }
-
-fn start_logging(settings: &LogSettings) -> io::Result<()> {
-    let level: LevelFilter = settings.level.parse().unwrap_or(LevelFilter::Info);
-    let config: Config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .add_filter_allow_str("hoplanding")
-        .build();
-    let result = match &settings.file {
-        Some(path) => WriteLogger::init(
-            level,
-            config,
-            OpenOptions::new().create(true).append(true).open(path)?,
-        ),
-        None => TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never),
-    };
-    // A second logger can't be set, and there is none before this one.
-    debug_assert!(result.is_ok());
-    Ok(())
-}
--- a/crates/daemon/tests/binary.rs
+++ b/crates/daemon/tests/binary.rs
@@ -83,7 +83,19 @@
         .expect("it ends");
     let text = text(&ended);
     assert!(ended.status.success(), "{text}");
-    for event in ["E100", "E101", "E102", "E103"] {
-        assert!(text.contains(event), "{event} is missing in\n{text}");
+    let events: Vec<_> = text
+        .lines()
+        .map(|line| {
+            let line: serde_json::Value =
+                serde_json::from_str(line).expect("one JSON object a line");
+            assert!(
+                line["timestamp"].is_u64() && line["message"].is_string(),
+                "{line}"
+            );
+            line["event"].as_u64().expect("a number")
+        })
+        .collect();
+    for event in [100, 101, 102, 103] {
+        assert!(events.contains(&event), "E{event} is missing in\n{text}");
     }
 }
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -256,6 +256,41 @@
     assert!((1..=4000).contains(&left));
 }
 
+#[tokio::test]
+async fn the_metrics_page_counts_what_became_of_requests() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    log.put(
+        "keyed.servers",
+        "i-1",
+        Some(&entry("ledger", target.address, "ready", &[])),
+    );
+    log.put("keyed.op", "config", Some(&config(7)));
+    let mut settings = settings("vm-1", &log);
+    settings.metrics_address = Some("127.0.0.1:0".parse().expect("an address"));
+    let daemon = DirectDaemon::start(settings)
+        .await
+        .expect("the daemon starts");
+    wait_for("readiness", async || is_ready(&daemon).await).await;
+    ask(daemon.caller_address, &post("/scan/1", "r1", "")).await;
+    ask(daemon.caller_address, &post("/nowhere/1", "r2", "")).await;
+    let metrics = daemon.metrics_address.expect("an address");
+    let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let answer = ask(metrics, request).await;
+    let page = String::from_utf8_lossy(&answer.body).into_owned();
+    for line in [
+        "hoplanding_requests_total{kind=\"Once\",outcome=\"Answered\"} 1",
+        "hoplanding_requests_total{kind=\"Unrouted\",outcome=\"Refused\"} 1",
+        "hoplanding_targets{stage=\"ready\"} 1",
+        "hoplanding_config_version 7",
+        "hoplanding_in_flight 0",
+        "hoplanding_log_lines_dropped 0",
+    ] {
+        assert!(page.contains(line), "{line} is missing in\n{page}");
+    }
+    assert!(answer.has("openmetrics-text"));
+}
+
 #[tokio::test]
 async fn unknown_hosts_large_bodies_and_large_heads_are_refused_and_reach_nobody() {
     let log = KeyedLog::start().await.expect("a log");
