Keep a zone's lease in a planned stop until another VM can take it

Change: VMs tell their holder when they begin to stop, so it knows who could succeed it; without such a VM it holds the zone to its own end. The new test fails on the code before.

--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -30,7 +30,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Events that wait for the zone's worker.
@@ -164,16 +164,24 @@
         };
         // Only one stop begins.
         let _ = self.plan.set(plan);
-        self.stop.send_replace(StopPhase::Leaving);
-        self.release().await;
-        sleep_until(choosy_from).await;
-        self.stop.send_replace(StopPhase::Closing);
-        while self.connections.count() > 0 && Instant::now() < bound {
-            if Instant::now() + ENDING >= bound {
-                self.stop.send_replace(StopPhase::Ending);
+        self.fleet.begin_stop();
+        let mut is_released = false;
+        loop {
+            // Without another VM of the zone nobody would give its orders: then this one does so to its end.
+            if !is_released && self.fleet.has_successor() {
+                self.release().await;
+                is_released = true;
+            }
+            let now = Instant::now();
+            self.stop.send_replace(phase_at(now, choosy_from, bound));
+            if now >= bound || (now >= choosy_from && self.connections.count() == 0) {
+                break;
             }
             sleep(STOP_LOOK).await;
         }
+        if !is_released {
+            self.release().await;
+        }
         let left = self.connections.count();
         event!(Event::Stopped, "{left} connections left");
         left
@@ -193,6 +201,16 @@
     }
 }
 
+fn phase_at(now: Instant, choosy_from: Instant, bound: Instant) -> StopPhase {
+    if now + ENDING >= bound {
+        StopPhase::Ending
+    } else if now >= choosy_from {
+        StopPhase::Closing
+    } else {
+        StopPhase::Leaving
+    }
+}
+
 /// Answers the balancer, and metrics collectors where the settings name an address for them.
 fn answer_questions(
     questions: TcpListener,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -36,7 +36,7 @@
 use siphasher::sip::SipHasher13;
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -120,6 +120,9 @@
     pub strength: u32,
     /// Counts for the metrics page.
     pub figures: DirectFigures,
+    /// VMs of this zone that are linked to this one and could take its lease over.
+    successors: Mutex<HashSet<VmName>>,
+    stopping: watch::Sender<bool>,
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
     pulls: watch::Sender<u64>,
@@ -137,6 +140,8 @@
             zone: settings.zone.clone(),
             strength: settings.strength,
             figures: DirectFigures::default(),
+            successors: Mutex::default(),
+            stopping: watch::channel(false).0,
             books: Mutex::new(FleetBooks {
                 active: None,
                 catalog: TargetCatalog::default(),
@@ -167,6 +172,38 @@
         self.books.lock().expect("no holder of the lock panics")
     }
 
+    /// A planned stop of this VM begins.
+    pub fn begin_stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Whether a planned stop of this VM has begun, as it changes.
+    #[must_use]
+    pub fn watch_stop(&self) -> watch::Receiver<bool> {
+        self.stopping.subscribe()
+    }
+
+    /// Whether another VM of the zone could take the lease over now.
+    #[must_use]
+    pub fn has_successor(&self) -> bool {
+        !self.successors().is_empty()
+    }
+
+    /// A VM could take the lease over from now on, or no longer.
+    pub fn note_successor(&self, vm: &VmName, is_one: bool) {
+        if is_one {
+            self.successors().insert(vm.clone());
+        } else {
+            self.successors().remove(vm);
+        }
+    }
+
+    fn successors(&self) -> MutexGuard<'_, HashSet<VmName>> {
+        self.successors
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn active(&self) -> Option<Arc<ActiveConfig>> {
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -29,7 +29,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_tungstenite::{
@@ -279,6 +279,8 @@
                 return;
             }
         }
+        let mut stopping = self.fleet.watch_stop();
+        let mut is_told = !is_same_zone;
         loop {
             tokio::select! {
                 message = sharing.next() => {
@@ -286,6 +288,12 @@
                         return;
                     }
                 }
+                () = stop_begun(&mut stopping), if !is_told => {
+                    is_told = true;
+                    if send(&mut socket, &VmMessage::Stopping).await.is_err() {
+                        return;
+                    }
+                }
                 message = outbound.recv() => {
                     let Some(message) = message else { return };
                     if send(&mut socket, &message).await.is_err() {
@@ -337,6 +345,12 @@
     }
 }
 
+/// Waits until a planned stop of this VM begins.
+async fn stop_begun(stopping: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the books.
+    let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
+}
+
 /// Accepts links until the process ends.
 pub async fn accept_links(
     listener: TcpListener,
@@ -390,7 +404,9 @@
         }
     };
     let (mut socket, vm, their_zone) = timeout(CONNECT_WITHIN, handshake).await??;
-    let mut sharing = RecordSharing::new(fleet, their_zone == fleet.zone);
+    let is_same_zone = their_zone == fleet.zone;
+    let mut sharing = RecordSharing::new(fleet, is_same_zone);
+    fleet.note_successor(&vm, is_same_zone);
     let (outbound, mut replies) = mpsc::channel(OUTBOUND);
     let mut heard = clock::now();
     let mut beat = interval(BEAT);
@@ -416,6 +432,9 @@
                     {
                         break Err(error);
                     }
+                    if matches!(message, VmMessage::Stopping) {
+                        fleet.note_successor(&vm, false);
+                    }
                     if let Some(message) = sharing.take(message)
                         && let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
@@ -436,6 +455,7 @@
             }
         }
     };
+    fleet.note_successor(&vm, false);
     // The worker ends with the process.
     let _ = zone.send(ZoneEvent::GatewayGone(vm)).await;
     ended
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 2;
+pub const MESSAGE_VERSION: u32 = 3;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,6 +119,8 @@
     Open(u64, TargetName, AdapterName),
     /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
     LeaseWanted(LogOffset),
+    /// The sender's planned stop has begun: it takes on no duty any more.
+    Stopping,
     /// Records that may be news.
     Records(Vec<PassedRecord>),
     /// The records that were asked for.
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -838,6 +838,47 @@
     );
 }
 
+#[tokio::test]
+async fn the_last_vm_of_a_zone_keeps_its_lease_in_a_stop_until_another_one_can_take_it() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engine = RawTarget::start(|request: &RawRequest| {
+        let mut answer = stream(request, None);
+        for (pause, _) in answer.pieces.iter_mut().skip(1) {
+            *pause = Duration::from_millis(400);
+        }
+        answer
+    })
+    .await
+    .expect("an engine");
+    let daemon = site(&log, &[("i-1", "scribe", engine.address)]).await;
+    let address = daemon.caller_address;
+    let request = post("/plan/1", "r1", &model("a1"));
+    let running = tokio::spawn(async move { ask(address, &request).await });
+    wait_for("the stream's start", async || {
+        let seen = engine.requests();
+        seen.iter().any(|request| request.line().contains("/plan/"))
+    })
+    .await;
+    let leases = |log: &KeyedLog| log.values("keyed.fleet", "zone/hall");
+    let held = leases(&log).len();
+    let stopping = tokio::spawn(daemon.stop());
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(leases(&log).len(), held, "nobody could take it over");
+    let _second = DirectDaemon::start(settings("vm-2", &log))
+        .await
+        .expect("the daemon starts");
+    wait_for("the second VM's claim", async || {
+        leases(&log)
+            .last()
+            .is_some_and(|lease| lease.contains("vm-2"))
+    })
+    .await;
+    assert!(!stopping.is_finished(), "the first still serves its stream");
+    assert!(leases(&log)[held].contains("\"vm\":null"));
+    assert!(running.await.expect("an answer").is_whole);
+    assert_eq!(stopping.await.expect("it ends"), 0);
+}
+
 #[tokio::test]
 async fn a_holder_that_has_fallen_silent_is_replaced_though_it_is_dialled_again_and_again() {
     let log = KeyedLog::start().await.expect("a log");
