--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,156 @@
+//! Requests through the daemons, over plain sockets, so that what came back is known to the byte.
+
+use crate::{
+    fleet::SoakVm,
+    history::{CallAnswer, CallKind, SeenEntry, SharedHistory},
+};
+use hoplanding_platform::names::{DEADLINE, MODEL, REQUEST_ID, TOKEN_COUNT};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// Host of every route.
+pub const HOST: &str = "mill.example";
+/// Time that a caller waits.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct SoakCall {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: CallKind,
+    /// Its adapter; empty for plain calls.
+    pub adapter: String,
+}
+
+impl SoakCall {
+    fn text(&self) -> String {
+        let Self { id, kind, adapter } = self;
+        let path = match kind {
+            CallKind::Once => "/scan/1",
+            CallKind::Idempotent => "/lookup/1",
+            CallKind::Stream => "/plan/1",
+            CallKind::Resumable => "/resumed/1",
+        };
+        let model = if adapter.is_empty() {
+            String::new()
+        } else {
+            format!("{MODEL}: base/{adapter}\r\n{TOKEN_COUNT}: 100,20\r\n")
+        };
+        let deadline = PATIENCE.as_millis();
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{model}Content-Length: 2\r\n\r\nhi"
+        )
+    }
+}
+
+/// Sends a request through a VM and writes down what came back.
+pub async fn send_call(vm: Arc<SoakVm>, call: SoakCall, history: SharedHistory) {
+    let Some((address, _)) = vm.callers() else {
+        return;
+    };
+    history.add(SeenEntry::Sent {
+        id: call.id.clone(),
+        kind: call.kind,
+        vm: vm.index,
+        adapter: call.adapter.clone(),
+    });
+    let exchanged = timeout(PATIENCE, exchange(address, &call.text())).await;
+    let answer = match exchanged {
+        Ok(Ok(answer)) => answer,
+        // The caller leaves, or the connection failed before an answer.
+        Ok(Err(_)) | Err(_) => CallAnswer::Nothing,
+    };
+    let id = call.id;
+    history.add(SeenEntry::Answered { id, answer });
+}
+
+/// Asks a VM whether it has the route of a version; nothing if it does not say.
+pub async fn probe_version(vm: &SoakVm, version: u64) -> Option<(u32, bool)> {
+    let (address, run) = vm.callers()?;
+    let text = format!("GET /v{version}/x HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: probe\r\n\r\n");
+    let answer = timeout(PATIENCE, exchange(address, &text))
+        .await
+        .ok()?
+        .ok()?;
+    match answer {
+        CallAnswer::Whole(404, _) => Some((run, false)),
+        // A VM without any configuration says nothing about versions.
+        CallAnswer::Whole(503, _) | CallAnswer::Nothing | CallAnswer::Broken(503) => None,
+        CallAnswer::Whole(..) | CallAnswer::Broken(_) => Some((run, true)),
+    }
+}
+
+async fn exchange(address: SocketAddr, text: &str) -> io::Result<CallAnswer> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.write_all(text.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|end| end == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(CallAnswer::Nothing);
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+    let body = bytes.split_off(end + 4);
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .unwrap_or(0);
+    if head.contains("transfer-encoding: chunked") {
+        return Ok(read_chunks(&mut stream, body, status).await);
+    }
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok())
+        .unwrap_or(0);
+    Ok(read_length(&mut stream, body, status, length).await)
+}
+
+async fn read_length(
+    stream: &mut TcpStream,
+    mut body: Vec<u8>,
+    status: u16,
+    length: usize,
+) -> CallAnswer {
+    while body.len() < length {
+        if stream.read_buf(&mut body).await.unwrap_or(0) == 0 {
+            return CallAnswer::Broken(status);
+        }
+    }
+    CallAnswer::Whole(status, String::from_utf8_lossy(&body).into_owned())
+}
+
+async fn read_chunks(stream: &mut TcpStream, mut raw: Vec<u8>, status: u16) -> CallAnswer {
+    let mut body = Vec::new();
+    loop {
+        while let Some((chunk, used)) = next_chunk(&raw) {
+            if chunk.is_empty() {
+                return CallAnswer::Whole(status, String::from_utf8_lossy(&body).into_owned());
+            }
+            body.extend_from_slice(chunk);
+            raw.drain(..used);
+        }
+        if stream.read_buf(&mut raw).await.unwrap_or(0) == 0 {
+            return CallAnswer::Broken(status);
+        }
+    }
+}
+
+/// The first chunk, if it is whole, and the bytes that it takes.
+fn next_chunk(raw: &[u8]) -> Option<(&[u8], usize)> {
+    let line = raw.windows(2).position(|end| end == b"\r\n")?;
+    let length = std::str::from_utf8(&raw[..line]).ok()?;
+    let length = usize::from_str_radix(length, 16).ok()?;
+    let start = line + 2;
+    let end = start + length + 2;
+    (raw.len() >= end).then(|| (&raw[start..start + length], end))
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,337 @@
+//! The promises, checked on a history.
+//!
+//! Promises with a time bound hold for VMs in touch: those that nothing struck for `TOUCH` before, and only while the log
+//! was undisturbed as long.
+
+use crate::history::{CallAnswer, CallKind, SeenEntry, TimedEntry};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    fmt,
+    time::Duration,
+};
+
+/// Time without faults after which a VM is in touch; the users' `contact_ms`.
+const TOUCH: Duration = Duration::from_secs(3);
+/// Time after which nothing new reaches a leaving target; the users' `drain_ms`.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Repeats allowed for each request of a service, and beside them; the settings that the daemons are given.
+pub const REPEAT_RATIO: f64 = 0.2;
+/// See [`REPEAT_RATIO`].
+pub const REPEAT_SLACK: f64 = 50.0;
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Promise {
+    /// What may run once runs at most once.
+    AtMostOnce,
+    /// What was refused as not run has not run.
+    NotRun,
+    /// A request runs on the adapter that its caller named.
+    NamedAdapter,
+    /// An answer that looks whole is the target's own, without a gap or a repeat.
+    WholeAnswer,
+    /// A leaving target gets no new work after its bound.
+    Draining,
+    /// A planned stop interrupts nothing.
+    PlannedStop,
+    /// A configuration in force never goes back within a process.
+    ConfigForward,
+    /// Orders come from one holder a token, and tokens only rise.
+    OneHolder,
+    /// An engine is never ordered beyond its places.
+    Places,
+    /// Repeats stay within the fleet's budget.
+    RetryBudget,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: Promise,
+    /// When, and what broke it.
+    pub what: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.promise, self.what)
+    }
+}
+
+/// Checks every promise.
+#[must_use]
+pub fn check(history: &[TimedEntry]) -> Vec<Violation> {
+    let calls = CallTable::new(history);
+    let mut found = Vec::new();
+    found.extend(check_runs(&calls));
+    found.extend(check_answers(&calls));
+    found.extend(check_leaving(history, &calls));
+    found.extend(check_stops(history, &calls));
+    found.extend(check_config(history));
+    found.extend(check_orders(history));
+    found.extend(check_budget(&calls));
+    found
+}
+
+/// The whole body of a request's answer: every event of a stream, or a plain text.
+#[must_use]
+pub fn whole_body(kind: CallKind, id: &str, events: u32) -> String {
+    match kind {
+        CallKind::Once | CallKind::Idempotent => format!("done {id}"),
+        CallKind::Stream | CallKind::Resumable => {
+            (1..=events).map(|event| event_text(id, event)).collect()
+        }
+    }
+}
+
+/// One event of a stream.
+#[must_use]
+pub fn event_text(id: &str, event: u32) -> String {
+    format!("id: {event}\ndata: {id} {event}\n\n")
+}
+
+/// Events of every stream.
+pub const EVENTS: u32 = 12;
+
+#[derive(Debug)]
+struct CallRow<'a> {
+    sent: Duration,
+    kind: CallKind,
+    vm: usize,
+    adapter: &'a str,
+    answer: Option<(Duration, &'a CallAnswer)>,
+    runs: Vec<RunRow<'a>>,
+}
+
+#[derive(Debug)]
+struct RunRow<'a> {
+    at: Duration,
+    target: &'a str,
+    adapter: &'a str,
+    breaks_off: bool,
+}
+
+struct CallTable<'a> {
+    rows: BTreeMap<&'a str, CallRow<'a>>,
+}
+
+impl<'a> CallTable<'a> {
+    fn new(history: &'a [TimedEntry]) -> Self {
+        let mut rows: BTreeMap<&str, CallRow<'_>> = BTreeMap::new();
+        for TimedEntry { at, seen } in history {
+            match seen {
+                SeenEntry::Sent {
+                    id,
+                    kind,
+                    vm,
+                    adapter,
+                } => {
+                    let row = CallRow {
+                        sent: *at,
+                        kind: *kind,
+                        vm: *vm,
+                        adapter,
+                        answer: None,
+                        runs: Vec::new(),
+                    };
+                    rows.insert(id, row);
+                }
+                SeenEntry::Answered { id, answer } => {
+                    if let Some(row) = rows.get_mut(id.as_str()) {
+                        row.answer = Some((*at, answer));
+                    }
+                }
+                SeenEntry::Ran {
+                    id,
+                    target,
+                    adapter,
+                    breaks_off,
+                } => {
+                    if let Some(row) = rows.get_mut(id.as_str()) {
+                        row.runs.push(RunRow {
+                            at: *at,
+                            target,
+                            adapter,
+                            breaks_off: *breaks_off,
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+        Self { rows }
+    }
+}
+
+fn check_runs(calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        if row.kind.runs_once() && row.runs.len() > 1 {
+            let what = format!("{id} ran at {:?}", row.runs);
+            found.push(broken(Promise::AtMostOnce, what));
+        }
+        let promised = matches!(
+            row.answer,
+            Some((_, CallAnswer::Whole(408 | 421 | 429 | 503, _)))
+        );
+        if promised && !row.runs.is_empty() {
+            let what = format!("{id} was refused as not run, and ran at {:?}", row.runs);
+            found.push(broken(Promise::NotRun, what));
+        }
+        for run in row.runs.iter().filter(|run| run.adapter != row.adapter) {
+            let what = format!("{id} for {} ran as {run:?}", row.adapter);
+            found.push(broken(Promise::NamedAdapter, what));
+        }
+    }
+    found
+}
+
+fn check_answers(calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        if let Some((at, CallAnswer::Whole(status @ 200..=299, body))) = &row.answer
+            && *body != whole_body(row.kind, id, EVENTS)
+        {
+            let what = format!("{id} got {status} with {body:?} at {at:?}");
+            found.push(broken(Promise::WholeAnswer, what));
+        }
+    }
+    found
+}
+
+/// Whether nothing struck a VM, or the log, for [`TOUCH`] before a time.
+fn is_in_touch(history: &[TimedEntry], vm: usize, at: Duration) -> bool {
+    !history.iter().any(|entry| {
+        let is_near = entry.at <= at && at - entry.at <= TOUCH;
+        is_near
+            && match entry.seen {
+                SeenEntry::Struck { vm: struck, .. } => struck == vm,
+                SeenEntry::Disturbed => true,
+                _ => false,
+            }
+    })
+}
+
+fn check_leaving(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let leaving: HashMap<&str, Duration> = history
+        .iter()
+        .filter_map(|entry| match &entry.seen {
+            SeenEntry::Leaving { target } => Some((target.as_str(), entry.at)),
+            _ => None,
+        })
+        .collect();
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        for RunRow { at, target, .. } in &row.runs {
+            if let Some(since) = leaving.get(target)
+                && *at > *since + DRAIN
+                && is_in_touch(history, row.vm, *at)
+            {
+                let what = format!("{id} ran at {target} at {at:?}, which leaves since {since:?}");
+                found.push(broken(Promise::Draining, what));
+            }
+        }
+    }
+    found
+}
+
+/// A request that a planned stop met, and nothing else, has a whole answer once it ran.
+fn check_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        let Some((at, answer)) = row.answer else {
+            continue;
+        };
+        let is_broken = matches!(answer, CallAnswer::Broken(_) | CallAnswer::Nothing);
+        let strikes: Vec<_> = history
+            .iter()
+            .filter(|entry| row.sent <= entry.at + TOUCH && entry.at <= at)
+            .filter_map(|entry| match entry.seen {
+                SeenEntry::Struck { vm, is_planned } if vm == row.vm => Some(is_planned),
+                SeenEntry::Disturbed => Some(false),
+                _ => None,
+            })
+            .collect();
+        let only_planned = !strikes.is_empty() && strikes.iter().all(|is_planned| *is_planned);
+        let has_run = !row.runs.is_empty() && row.runs.iter().all(|run| !run.breaks_off);
+        if is_broken && only_planned && has_run {
+            let what = format!("{id} was broken off at {at:?} by the stop of VM {}", row.vm);
+            found.push(broken(Promise::PlannedStop, what));
+        }
+    }
+    found
+}
+
+fn check_config(history: &[TimedEntry]) -> Vec<Violation> {
+    let mut newest: HashMap<(usize, u32), u64> = HashMap::new();
+    let mut found = Vec::new();
+    for TimedEntry { at, seen } in history {
+        let SeenEntry::Probed {
+            vm,
+            run,
+            version,
+            has_route,
+        } = seen
+        else {
+            continue;
+        };
+        let known = newest.entry((*vm, *run)).or_default();
+        if *has_route {
+            *known = (*known).max(*version);
+        } else if version <= known {
+            let what = format!("VM {vm} lacks version {version} at {at:?}, and had {known}");
+            found.push(broken(Promise::ConfigForward, what));
+        }
+    }
+    found
+}
+
+fn check_orders(history: &[TimedEntry]) -> Vec<Violation> {
+    let mut highest: HashMap<&str, u64> = HashMap::new();
+    let mut holders: HashMap<u64, HashSet<&str>> = HashMap::new();
+    let mut found = Vec::new();
+    for TimedEntry { at, seen } in history {
+        match seen {
+            SeenEntry::Ordered {
+                target,
+                holder,
+                token,
+            } => {
+                let known = highest.entry(target).or_default();
+                if token < known {
+                    let what =
+                        format!("{target} took token {token} of {holder} after {known}, {at:?}");
+                    found.push(broken(Promise::OneHolder, what));
+                }
+                *known = (*known).max(*token);
+                let users = holders.entry(*token).or_default();
+                users.insert(holder);
+                if users.len() > 1 {
+                    let what = format!("token {token} is used by {users:?}, {at:?}");
+                    found.push(broken(Promise::OneHolder, what));
+                }
+            }
+            SeenEntry::Overfilled { target } => {
+                found.push(broken(Promise::Places, format!("{target} at {at:?}")));
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+fn check_budget(calls: &CallTable<'_>) -> Vec<Violation> {
+    let sends: usize = calls.rows.values().map(|row| row.runs.len().max(1)).sum();
+    let repeats = sends.saturating_sub(calls.rows.len());
+    let allowed = REPEAT_RATIO * calls.rows.len() as f64 + REPEAT_SLACK;
+    if repeats as f64 <= allowed {
+        return Vec::new();
+    }
+    let what = format!("{repeats} repeats where {allowed:.0} are allowed");
+    vec![broken(Promise::RetryBudget, what)]
+}
+
+fn broken(promise: Promise, what: String) -> Violation {
+    Violation { promise, what }
+}
--- /dev/null
+++ b/crates/soak/src/history.rs
@@ -0,0 +1,181 @@
+//! What callers, targets and the fault schedule saw, each entry with its time.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A plain call that may run once.
+    Once,
+    /// A plain call that may run more than once.
+    Idempotent,
+    /// A stream that may run once.
+    Stream,
+    /// A stream that may be resumed.
+    Resumable,
+}
+
+impl CallKind {
+    /// Every kind.
+    pub const ALL: [Self; 4] = [Self::Once, Self::Idempotent, Self::Stream, Self::Resumable];
+
+    /// Whether a second run breaks a promise.
+    #[must_use]
+    pub fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Stream)
+    }
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallAnswer {
+    /// A status and a body that its framing says is whole.
+    Whole(u16, String),
+    /// A status and a body that broke off.
+    Broken(u16),
+    /// A connection that closed, or was refused, without an answer.
+    Nothing,
+}
+
+/// One entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SeenEntry {
+    /// A caller sent a request to a VM.
+    Sent {
+        /// The request.
+        id: String,
+        /// Its kind.
+        kind: CallKind,
+        /// The VM.
+        vm: usize,
+        /// Its adapter; empty for plain calls.
+        adapter: String,
+    },
+    /// A caller has its answer.
+    Answered {
+        /// The request.
+        id: String,
+        /// The answer.
+        answer: CallAnswer,
+    },
+    /// A target began to run a request.
+    Ran {
+        /// The request.
+        id: String,
+        /// The target.
+        target: String,
+        /// The adapter that it ran on; empty for plain calls.
+        adapter: String,
+        /// Whether the target will break its answer off.
+        breaks_off: bool,
+    },
+    /// An engine took an order.
+    Ordered {
+        /// The engine.
+        target: String,
+        /// The VM that gave it.
+        holder: String,
+        /// Its fencing token.
+        token: u64,
+    },
+    /// An engine was ordered beyond its places.
+    Overfilled {
+        /// The engine.
+        target: String,
+    },
+    /// The list says from now on that a target leaves.
+    Leaving {
+        /// The target.
+        target: String,
+    },
+    /// A configuration with this version was accepted.
+    Configured {
+        /// The version; the route `/vN/` exists from version N on.
+        version: u64,
+    },
+    /// A VM answered whether it has the route of a version.
+    Probed {
+        /// The VM.
+        vm: usize,
+        /// The run of its process.
+        run: u32,
+        /// The version whose route was asked for.
+        version: u64,
+        /// Whether it had the route.
+        has_route: bool,
+    },
+    /// A fault, a signal or its end struck a VM.
+    Struck {
+        /// The VM.
+        vm: usize,
+        /// Whether it was a planned stop and nothing else.
+        is_planned: bool,
+    },
+    /// The log or all links were disturbed, or came back.
+    Disturbed,
+}
+
+/// An entry with its time since the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TimedEntry {
+    /// When it was seen.
+    pub at: Duration,
+    /// What was seen.
+    pub seen: SeenEntry,
+}
+
+/// A history that is being written.
+#[derive(Clone, Debug)]
+pub struct SharedHistory {
+    start: Instant,
+    entries: Arc<Mutex<Vec<TimedEntry>>>,
+}
+
+impl SharedHistory {
+    /// An empty history that begins now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            entries: Arc::default(),
+        }
+    }
+
+    /// Adds an entry.
+    ///
+    /// # Panics
+    /// If a holder of the lock panicked.
+    pub fn add(&self, seen: SeenEntry) {
+        let at = self.start.elapsed();
+        let mut entries = self.entries.lock().expect("no holder of the lock panics");
+        entries.push(TimedEntry { at, seen });
+    }
+
+    /// What was seen so far.
+    ///
+    /// # Panics
+    /// If a holder of the lock panicked.
+    #[must_use]
+    pub fn entries(&self) -> Vec<TimedEntry> {
+        self.entries
+            .lock()
+            .expect("no holder of the lock panics")
+            .clone()
+    }
+
+    /// Time since its start.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+impl Default for SharedHistory {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,396 @@
+//! One seed: a small fleet, its callers and its faults, from start to outcome.
+
+use crate::{
+    callers::{SoakCall, probe_version, send_call},
+    checks::{Violation, check},
+    fleet::SoakVm,
+    history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
+    schedule::{FaultKind, PlannedFault, faults_of},
+    targets::{PlantedFault, SoakTarget, TargetRole, service_of},
+};
+use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
+use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
+use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::json;
+use std::{
+    fs, io,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+/// Time for the fleet to come up.
+const START_WITHIN: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+/// Pause between two probes of a VM's configuration.
+const PROBE_EVERY: Duration = Duration::from_millis(150);
+/// Time for calls and faults to end after the last request.
+const END_WITHIN: Duration = Duration::from_secs(20);
+
+/// What a run consists of.
+#[derive(Clone, Debug)]
+pub struct RunPlan {
+    /// Seed of faults and requests.
+    pub seed: u64,
+    /// Requests.
+    pub requests: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// Availability zones.
+    pub zones: usize,
+    /// VMs of each zone.
+    pub vms_per_zone: usize,
+    /// Engines of each zone.
+    pub engines_per_zone: usize,
+    /// Adapters that are asked for.
+    pub adapters: usize,
+    /// The faults; those of the seed if none are given.
+    pub faults: Option<Vec<PlannedFault>>,
+    /// Faults of a seed.
+    pub fault_count: usize,
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// Where settings, logs and schedule of the run are kept.
+    pub folder: PathBuf,
+    /// A fault of the stand-ins that the checks have to find.
+    pub planted: PlantedFault,
+}
+
+impl RunPlan {
+    /// The faults that strike.
+    #[must_use]
+    pub fn schedule(&self) -> Vec<PlannedFault> {
+        let span = Duration::from_secs_f64(self.requests as f64 / self.rate);
+        self.faults
+            .clone()
+            .unwrap_or_else(|| faults_of(self.seed, span, self.fault_count))
+    }
+}
+
+/// What became of a run.
+#[derive(Clone, Debug)]
+pub struct RunOutcome {
+    /// Its seed.
+    pub seed: u64,
+    /// Its faults.
+    pub faults: Vec<PlannedFault>,
+    /// What was seen.
+    pub history: Vec<TimedEntry>,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+/// A running fleet and its surroundings.
+struct SoakSite {
+    log: KeyedLog,
+    vms: Vec<Arc<SoakVm>>,
+    targets: Mutex<Vec<Arc<SoakTarget>>>,
+    zones: Vec<String>,
+    history: SharedHistory,
+    version: AtomicU64,
+    adapter_version: AtomicU64,
+    adapters: usize,
+    planted: PlantedFault,
+}
+
+/// Plays a run.
+///
+/// # Errors
+/// Returns the error of the system when ports, files or the program can't be had, or when the fleet does not come up.
+pub async fn play(plan: &RunPlan) -> io::Result<RunOutcome> {
+    fs::create_dir_all(&plan.folder)?;
+    let faults = plan.schedule();
+    let written = serde_json::to_string_pretty(&faults)?;
+    fs::write(plan.folder.join("faults.json"), written)?;
+    let site = Arc::new(SoakSite::start(plan).await?);
+    site.wait_for_callers().await?;
+    let prober = tokio::spawn(Arc::clone(&site).probe());
+    let begun = Instant::now();
+    let mut work = JoinSet::new();
+    for fault in faults.clone() {
+        let site = Arc::clone(&site);
+        work.spawn(async move {
+            sleep_until(begun + fault.at()).await;
+            site.strike(&fault).await;
+        });
+    }
+    site.send_calls(plan, begun, &mut work).await;
+    // What hangs beyond the callers' patience shows as calls without an answer.
+    let _ = timeout(END_WITHIN, async {
+        while work.join_next().await.is_some() {}
+    })
+    .await;
+    prober.abort();
+    let history = site.history.entries();
+    let violations = check(&history);
+    Ok(RunOutcome {
+        seed: plan.seed,
+        faults,
+        history,
+        violations,
+    })
+}
+
+impl SoakSite {
+    async fn start(plan: &RunPlan) -> io::Result<Self> {
+        let history = SharedHistory::new();
+        let log = KeyedLog::start().await?;
+        let zones: Vec<_> = (1..=plan.zones)
+            .map(|zone| format!("zone-{zone}"))
+            .collect();
+        let mut vms = Vec::new();
+        for index in 0..plan.zones * plan.vms_per_zone {
+            let vm = SoakVm::new(
+                index,
+                &zones,
+                log.address(),
+                &plan.program,
+                &plan.folder,
+                history.clone(),
+            );
+            vms.push(Arc::new(vm.await?));
+        }
+        let site = Self {
+            log,
+            vms,
+            targets: Mutex::default(),
+            zones,
+            history,
+            version: AtomicU64::new(1),
+            adapter_version: AtomicU64::new(1),
+            adapters: plan.adapters,
+            planted: plan.planted,
+        };
+        for index in 0..plan.zones * plan.engines_per_zone {
+            site.add_target(TargetRole::Engine, index).await?;
+        }
+        for index in 0..plan.zones {
+            site.add_target(TargetRole::Plain, index).await?;
+        }
+        site.configure();
+        for vm in &site.vms {
+            vm.start()?;
+        }
+        Ok(site)
+    }
+
+    async fn add_target(&self, role: TargetRole, index: usize) -> io::Result<()> {
+        let zone = &self.zones[index % self.zones.len()];
+        let number = self.lock_targets().len();
+        let name = format!("i-{}-{number}", service_of(role));
+        let history = self.history.clone();
+        let target = SoakTarget::start(&name, role, zone, history, self.planted).await?;
+        self.log
+            .put(TARGET_TOPIC, &name, Some(&target.entry(false)));
+        self.lock_targets().push(Arc::new(target));
+        Ok(())
+    }
+
+    async fn wait_for_callers(&self) -> io::Result<()> {
+        let ready = async {
+            for vm in &self.vms {
+                while probe_version(vm, 1)
+                    .await
+                    .is_none_or(|(_, has_route)| !has_route)
+                {
+                    sleep(LOOK).await;
+                }
+            }
+        };
+        let late = |_| io::Error::other("the fleet did not come up: look at the logs of the run");
+        timeout(START_WITHIN, ready).await.map_err(late)
+    }
+
+    /// Writes the newest configuration: the routes of all versions so far, so that a route tells the version.
+    fn configure(&self) {
+        let version = self.version.load(Ordering::SeqCst);
+        let route = |name: String, kind: &str, service: &str, can_resume: bool| {
+            json!({
+                "name": name, "host": crate::callers::HOST, "path_prefix": format!("/{name}/"),
+                "route_type": kind, "timeout_ms": 6000, "target_latency_ms": 1000, "priority": 1,
+                "service": service, "max_attempts": 2, "can_resume": can_resume,
+            })
+        };
+        let mut routes = vec![
+            route("scan".into(), "non_idempotent", "ledger", false),
+            route("lookup".into(), "idempotent", "ledger", false),
+            route("plan".into(), "streaming", "scribe", false),
+            route("resumed".into(), "streaming", "scribe", true),
+        ];
+        routes.extend((1..=version).map(|n| route(format!("v{n}"), "idempotent", "ledger", false)));
+        let config = json!({
+            "version": version,
+            "routes": routes,
+            "services": [
+                { "name": "ledger", "max_connections": 100 },
+                { "name": "scribe", "max_connections": 100, "engine": {
+                    "slots": 8, "kv_capacity": 100_000, "adapter_slots": crate::targets::PLACES,
+                    "loads_per_s": 100.0, "models": [{ "name": "base" }] } },
+            ],
+            "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
+                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+        });
+        self.log
+            .put(OPERATOR_TOPIC, CONFIG_KEY, Some(&config.to_string()));
+        self.history.add(SeenEntry::Configured { version });
+    }
+
+    async fn send_calls(self: &Arc<Self>, plan: &RunPlan, begun: Instant, work: &mut JoinSet<()>) {
+        let mut random = StdRng::seed_from_u64(plan.seed ^ 0x5eed);
+        for number in 0..plan.requests {
+            sleep_until(begun + Duration::from_secs_f64(number as f64 / plan.rate)).await;
+            let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
+            // The square of an even draw: a few adapters are asked for most.
+            let draw: f64 = random.random();
+            let adapter = match kind {
+                CallKind::Once | CallKind::Idempotent => String::new(),
+                _ => format!("a{}", (draw * draw * self.adapters as f64) as usize),
+            };
+            let call = SoakCall {
+                id: format!("r{number}"),
+                kind,
+                adapter,
+            };
+            let start = random.random_range(0..self.vms.len());
+            let open = (0..self.vms.len())
+                .map(|step| &self.vms[(start + step) % self.vms.len()])
+                .find(|vm| vm.callers().is_some());
+            if let Some(vm) = open {
+                work.spawn(send_call(Arc::clone(vm), call, self.history.clone()));
+            }
+        }
+    }
+
+    /// Asks VMs for the newest route and the one before, over and over.
+    async fn probe(self: Arc<Self>) {
+        loop {
+            for vm in &self.vms {
+                let newest = self.version.load(Ordering::SeqCst);
+                for version in newest.saturating_sub(1).max(1)..=newest {
+                    if let Some((run, has_route)) = probe_version(vm, version).await {
+                        self.history.add(SeenEntry::Probed {
+                            vm: vm.index,
+                            run,
+                            version,
+                            has_route,
+                        });
+                    }
+                }
+            }
+            sleep(PROBE_EVERY).await;
+        }
+    }
+
+    async fn strike(&self, fault: &PlannedFault) {
+        let vm = &self.vms[fault.index % self.vms.len()];
+        match fault.kind {
+            FaultKind::Kill => {
+                vm.kill().await;
+                self.restart(vm, fault).await;
+            }
+            FaultKind::KillAll => {
+                for vm in &self.vms {
+                    vm.kill().await;
+                }
+                sleep(fault.length()).await;
+                for vm in &self.vms {
+                    self.restart_now(vm);
+                }
+            }
+            FaultKind::PlannedStop => {
+                vm.stop().await;
+                self.restart(vm, fault).await;
+            }
+            FaultKind::Pause => {
+                vm.note_strike(false);
+                vm.signal(Signal::SIGSTOP);
+                sleep(fault.length()).await;
+                vm.note_strike(false);
+                vm.signal(Signal::SIGCONT);
+            }
+            FaultKind::LogOut => {
+                self.disturb(|faults| faults.is_out = true);
+                sleep(fault.length()).await;
+                self.disturb(|faults| faults.is_out = false);
+            }
+            FaultKind::LogLosesAnswers => self.disturb(|faults| faults.lose_answers += 2),
+            FaultKind::LogSilent => self.strike_link(vm, LinkState::Frozen, fault).await,
+            FaultKind::LogCut => self.strike_link(vm, LinkState::Cut, fault).await,
+            FaultKind::Leave => self.replace_target(fault).await,
+            FaultKind::Break => {
+                let target = self.target(fault.index);
+                target.set_breaking(true);
+                sleep(fault.length()).await;
+                target.set_breaking(false);
+            }
+            FaultKind::Configure => {
+                self.version.fetch_add(1, Ordering::SeqCst);
+                self.configure();
+            }
+            FaultKind::NameVersion => {
+                let version = 1 + self.adapter_version.fetch_add(1, Ordering::SeqCst);
+                let adapter = format!("a{}", fault.index % self.adapters);
+                let key = format!("{VERSION_KEY}base.{adapter}");
+                let value = json!({ "model": "base", "adapter": adapter, "version": version });
+                self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
+            }
+        }
+    }
+
+    fn disturb(&self, change: impl FnOnce(&mut hoplanding_standins::keyed_log::LogFaults)) {
+        self.history.add(SeenEntry::Disturbed);
+        self.log.set_faults(change);
+    }
+
+    async fn strike_link(&self, vm: &SoakVm, state: LinkState, fault: &PlannedFault) {
+        vm.set_log_link(state);
+        sleep(fault.length()).await;
+        vm.set_log_link(LinkState::Open);
+    }
+
+    async fn restart(&self, vm: &SoakVm, fault: &PlannedFault) {
+        sleep(fault.length()).await;
+        self.restart_now(vm);
+    }
+
+    fn restart_now(&self, vm: &SoakVm) {
+        vm.note_strike(false);
+        // Another fault may have started it already: a VM runs one daemon.
+        if vm.is_down()
+            && let Err(error) = vm.start()
+        {
+            eprintln!("VM {} was not started again: {error}", vm.index);
+        }
+    }
+
+    /// A target says that it leaves; another one of its kind comes. It stays reachable: the list is what counts.
+    async fn replace_target(&self, fault: &PlannedFault) {
+        let target = self.target(fault.index);
+        self.log
+            .put(TARGET_TOPIC, &target.name, Some(&target.entry(true)));
+        self.history.add(SeenEntry::Leaving {
+            target: target.name.clone(),
+        });
+        if let Err(error) = self.add_target(target.role, fault.index).await {
+            eprintln!("no target comes in place of {}: {error}", target.name);
+        }
+    }
+
+    fn target(&self, index: usize) -> Arc<SoakTarget> {
+        let targets = self.lock_targets();
+        Arc::clone(&targets[index % targets.len()])
+    }
+
+    fn lock_targets(&self) -> std::sync::MutexGuard<'_, Vec<Arc<SoakTarget>>> {
+        self.targets.lock().expect("no holder of the lock panics")
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,192 @@
+//! Each check finds the fault that it is for, in histories made by hand.
+
+use hoplanding_soak::{
+    checks::{EVENTS, Promise, check, whole_body},
+    history::{CallAnswer, CallKind, SeenEntry, TimedEntry},
+};
+use std::time::Duration;
+
+fn at(ms: u64, seen: SeenEntry) -> TimedEntry {
+    TimedEntry {
+        at: Duration::from_millis(ms),
+        seen,
+    }
+}
+
+fn sent(ms: u64, id: &str, kind: CallKind, adapter: &str) -> TimedEntry {
+    let seen = SeenEntry::Sent {
+        id: id.into(),
+        kind,
+        vm: 0,
+        adapter: adapter.into(),
+    };
+    at(ms, seen)
+}
+
+fn ran(ms: u64, id: &str, target: &str, adapter: &str) -> TimedEntry {
+    let seen = SeenEntry::Ran {
+        id: id.into(),
+        target: target.into(),
+        adapter: adapter.into(),
+        breaks_off: false,
+    };
+    at(ms, seen)
+}
+
+fn answered(ms: u64, id: &str, answer: CallAnswer) -> TimedEntry {
+    let id = id.into();
+    at(ms, SeenEntry::Answered { id, answer })
+}
+
+fn ordered(ms: u64, holder: &str, token: u64) -> TimedEntry {
+    let seen = SeenEntry::Ordered {
+        target: "i-1".into(),
+        holder: holder.into(),
+        token,
+    };
+    at(ms, seen)
+}
+
+fn probed(ms: u64, run: u32, version: u64, has_route: bool) -> TimedEntry {
+    let seen = SeenEntry::Probed {
+        vm: 0,
+        run,
+        version,
+        has_route,
+    };
+    at(ms, seen)
+}
+
+fn struck(ms: u64, is_planned: bool) -> TimedEntry {
+    at(ms, SeenEntry::Struck { vm: 0, is_planned })
+}
+
+fn found(history: &[TimedEntry]) -> Vec<Promise> {
+    check(history)
+        .into_iter()
+        .map(|violation| violation.promise)
+        .collect()
+}
+
+#[test]
+fn a_second_run_counts_only_where_it_was_promised_not_to_happen() {
+    let twice = |kind| {
+        found(&[
+            sent(0, "r1", kind, ""),
+            ran(1, "r1", "i-1", ""),
+            ran(2, "r1", "i-2", ""),
+        ])
+    };
+    assert_eq!(twice(CallKind::Once), [Promise::AtMostOnce]);
+    assert_eq!(twice(CallKind::Idempotent), []);
+}
+
+#[test]
+fn what_was_refused_as_not_run_must_not_run_before_or_after() {
+    let refusal = answered(5, "r1", CallAnswer::Whole(503, String::new()));
+    let sent = sent(0, "r1", CallKind::Idempotent, "");
+    let after = [sent.clone(), refusal.clone(), ran(9, "r1", "i-1", "")];
+    assert_eq!(found(&after), [Promise::NotRun]);
+    let before = [sent.clone(), ran(2, "r1", "i-1", ""), refusal.clone()];
+    assert_eq!(found(&before), [Promise::NotRun]);
+    assert_eq!(found(&[sent, refusal]), []);
+}
+
+#[test]
+fn a_run_on_another_adapter_is_found() {
+    let history = [
+        sent(0, "r1", CallKind::Stream, "a1"),
+        ran(1, "r1", "i-1", "a2"),
+    ];
+    assert_eq!(found(&history), [Promise::NamedAdapter]);
+}
+
+#[test]
+fn an_answer_that_looks_whole_has_every_event_once() {
+    let whole = whole_body(CallKind::Stream, "r1", EVENTS);
+    let verdict = |answer: CallAnswer| {
+        found(&[
+            sent(0, "r1", CallKind::Stream, "a1"),
+            ran(1, "r1", "i-1", "a1"),
+            answered(9, "r1", answer),
+        ])
+    };
+    assert_eq!(verdict(CallAnswer::Whole(200, whole.clone())), []);
+    let short = whole_body(CallKind::Stream, "r1", EVENTS - 1);
+    assert_eq!(
+        verdict(CallAnswer::Whole(200, short)),
+        [Promise::WholeAnswer]
+    );
+    let other = whole.replace("r1", "r2");
+    assert_eq!(
+        verdict(CallAnswer::Whole(200, other)),
+        [Promise::WholeAnswer]
+    );
+    assert_eq!(verdict(CallAnswer::Broken(200)), []);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new_from_a_vm_in_touch() {
+    let leaving = at(
+        5_000,
+        SeenEntry::Leaving {
+            target: "i-1".into(),
+        },
+    );
+    let late = |extra: Vec<TimedEntry>| {
+        let mut history = vec![
+            leaving.clone(),
+            sent(7_400, "r1", CallKind::Once, ""),
+            ran(7_500, "r1", "i-1", ""),
+        ];
+        history.extend(extra);
+        found(&history)
+    };
+    assert_eq!(late(Vec::new()), [Promise::Draining]);
+    assert_eq!(late(vec![struck(6_000, false)]), []);
+    assert_eq!(late(vec![at(6_000, SeenEntry::Disturbed)]), []);
+}
+
+#[test]
+fn a_planned_stop_interrupts_nothing() {
+    let broken = |strikes: Vec<TimedEntry>| {
+        let mut history = vec![
+            sent(900, "r1", CallKind::Stream, "a1"),
+            ran(950, "r1", "i-1", "a1"),
+            answered(3_000, "r1", CallAnswer::Broken(200)),
+        ];
+        history.extend(strikes);
+        found(&history)
+    };
+    assert_eq!(broken(vec![struck(1_000, true)]), [Promise::PlannedStop]);
+    assert_eq!(broken(vec![struck(1_000, true), struck(2_000, false)]), []);
+}
+
+#[test]
+fn a_configuration_goes_back_only_with_its_process() {
+    let history = [probed(1, 1, 3, true), probed(2, 1, 2, false)];
+    assert_eq!(found(&history), [Promise::ConfigForward]);
+    let restarted = [probed(1, 1, 3, true), probed(2, 2, 2, false)];
+    assert_eq!(found(&restarted), []);
+}
+
+#[test]
+fn orders_come_from_one_holder_a_token_and_tokens_only_rise() {
+    assert_eq!(found(&[ordered(1, "vm-1", 4), ordered(2, "vm-2", 5)]), []);
+    let back = [ordered(1, "vm-1", 4), ordered(2, "vm-2", 3)];
+    assert_eq!(found(&back), [Promise::OneHolder]);
+    let shared = [ordered(1, "vm-1", 4), ordered(2, "vm-2", 4)];
+    assert_eq!(found(&shared), [Promise::OneHolder]);
+    let target = "i-1".into();
+    assert_eq!(
+        found(&[at(1, SeenEntry::Overfilled { target })]),
+        [Promise::Places]
+    );
+}
+
+#[test]
+fn repeats_beyond_the_budget_are_found() {
+    let mut history = vec![sent(0, "r1", CallKind::Idempotent, "")];
+    history.extend((0..60).map(|n| ran(n, "r1", "i-1", "")));
+    assert_eq!(found(&history), [Promise::RetryBudget]);
+}
--- /dev/null
+++ b/crates/soak/tests/seeded.rs
@@ -0,0 +1,99 @@
+//! The same seed gives the same faults; a short run holds every promise, and finds faults that were planted.
+
+use hoplanding_soak::{
+    checks::Promise,
+    run::{RunPlan, play},
+    schedule::{FaultKind, PlannedFault, faults_of},
+    targets::PlantedFault,
+};
+use std::{path::PathBuf, process::Command, time::Duration};
+
+/// The daemon beside this test's own program; built first where only this crate's tests were asked for.
+fn daemon() -> PathBuf {
+    let tests = std::env::current_exe().expect("a path");
+    let folder = tests.parent().and_then(|deps| deps.parent());
+    let program = folder.expect("a target folder").join("hoplandingd");
+    if !program.exists() {
+        let built = Command::new(env!("CARGO"))
+            .args(["build", "-p", "hoplandingd"])
+            .status()
+            .expect("cargo runs");
+        assert!(built.success());
+    }
+    program
+}
+
+fn plan(name: &str, requests: usize) -> RunPlan {
+    let folder =
+        std::env::temp_dir().join(format!("hoplanding-soak-{}-{name}", std::process::id()));
+    RunPlan {
+        seed: 7,
+        requests,
+        rate: 60.0,
+        zones: 2,
+        vms_per_zone: 2,
+        engines_per_zone: 1,
+        adapters: 6,
+        faults: Some(Vec::new()),
+        fault_count: 0,
+        program: daemon(),
+        folder,
+        planted: PlantedFault::None,
+    }
+}
+
+fn fault(at_ms: u64, kind: FaultKind, index: usize, for_ms: u64) -> PlannedFault {
+    PlannedFault {
+        at_ms,
+        kind,
+        index,
+        for_ms,
+    }
+}
+
+#[test]
+fn a_seed_gives_the_same_faults_each_time() {
+    let span = Duration::from_secs(60);
+    assert_eq!(faults_of(3, span, 40), faults_of(3, span, 40));
+    assert_ne!(faults_of(3, span, 40), faults_of(4, span, 40));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_run_under_overlapping_faults_holds_every_promise() {
+    let mut plan = plan("holds", 240);
+    plan.faults = Some(vec![
+        fault(300, FaultKind::Kill, 0, 500),
+        fault(500, FaultKind::Configure, 0, 0),
+        fault(700, FaultKind::LogOut, 0, 600),
+        fault(900, FaultKind::Leave, 1, 0),
+        fault(1_200, FaultKind::PlannedStop, 3, 300),
+        fault(1_500, FaultKind::NameVersion, 1, 0),
+        fault(1_800, FaultKind::Pause, 2, 800),
+        fault(2_000, FaultKind::Break, 0, 500),
+        fault(2_300, FaultKind::LogLosesAnswers, 0, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let figures = hoplanding_soak::report::figures(&outcome.history);
+    assert!(figures.answered * 2 > figures.sent, "{figures:?}");
+    assert!(hoplanding_soak::report::page(&[outcome]).is_ok());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_planted_in_the_stand_ins_are_found() {
+    for (planted, promise) in [
+        (PlantedFault::RunsTwice, Promise::AtMostOnce),
+        (PlantedFault::WrongAdapter, Promise::NamedAdapter),
+        (PlantedFault::DropsEvent, Promise::WholeAnswer),
+    ] {
+        let mut plan = plan(&format!("{planted:?}"), 40);
+        plan.planted = planted;
+        let outcome = play(&plan).await.expect("it plays");
+        let found: Vec<_> = outcome
+            .violations
+            .iter()
+            .map(|violation| violation.promise)
+            .collect();
+        assert!(found.contains(&promise), "{planted:?}: {found:?}");
+    }
+}
