Take changed settings over while the daemon runs

The file is read again at a hang-up and compared every five seconds; the log's level and the retry rule change at once, E109 names the keys that wait for a restart, and wrong settings leave the old ones in force with E110. Test: the real binary, a wrong file, then one with another level and zone.

--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Sets the fleet's rule.
+    pub fn set_rule(&mut self, rule: RetryRule) {
+        self.rule = rule;
+    }
+
     /// Sets how many VMs share the budget.
     pub fn set_vms(&mut self, vms: u32) {
         self.vms = vms.max(1);
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -146,6 +146,12 @@
         })
     }
 
+    /// The settings that it was started with.
+    #[must_use]
+    pub fn settings(&self) -> &DirectSettings {
+        &self.settings
+    }
+
     /// What this VM knows.
     #[must_use]
     pub fn fleet(&self) -> &Arc<FleetState> {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -34,6 +34,7 @@
 pub mod questions;
 pub mod reach;
 pub mod records;
+pub mod reload;
 pub mod sender;
 pub mod settings;
 pub mod sharing;
--- /dev/null
+++ b/crates/daemon/src/direct/reload.rs
@@ -0,0 +1,129 @@
+//! Settings that change while the daemon runs.
+//!
+//! A hang-up signal says that the file has changed, and it may also change without one, so it is compared from time to
+//! time. What can be changed in a running process is; the rest is named and waits for a restart.
+
+use crate::{
+    direct::{daemon::DirectDaemon, settings::DirectSettings},
+    event,
+    events::Event,
+    logging::set_level,
+    options::SettingsError,
+};
+use std::{fs, time::Duration};
+use tokio::{
+    signal::unix::Signal,
+    time::{MissedTickBehavior, interval},
+};
+
+/// Pause between two looks at the file.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+
+/// The settings file, as it was last read.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: String,
+    text: String,
+}
+
+impl SettingsFile {
+    /// The file as it is now.
+    ///
+    /// # Errors
+    /// When it can't be read.
+    pub fn open(path: &str) -> Result<Self, SettingsError> {
+        let mut file = Self {
+            path: path.to_owned(),
+            text: String::new(),
+        };
+        file.text = file.read()?;
+        Ok(file)
+    }
+
+    fn read(&self) -> Result<String, SettingsError> {
+        fs::read_to_string(&self.path).map_err(|source| SettingsError::Unreadable {
+            path: self.path.clone(),
+            source,
+        })
+    }
+
+    /// Its settings, if it has changed since the last look.
+    ///
+    /// # Errors
+    /// When it can't be read, or the settings are wrong; the same text is not complained about twice.
+    pub fn changed(&mut self) -> Result<Option<DirectSettings>, SettingsError> {
+        let text = self.read()?;
+        if text == self.text {
+            return Ok(None);
+        }
+        self.text = text;
+        DirectSettings::parse(&self.text).map(Some)
+    }
+}
+
+impl DirectDaemon {
+    /// Takes over changes of the settings file until the future is dropped.
+    pub async fn follow(&self, mut file: SettingsFile, mut hang_up: Signal) {
+        let mut look = interval(LOOK_EVERY);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = hang_up.recv() => event!(Event::HangUp),
+                _ = look.tick() => {}
+            }
+            match file.changed() {
+                Ok(Some(settings)) => self.take_over(&settings),
+                Ok(None) => {}
+                Err(error) => event!(Event::SettingsKept, "{error}"),
+            }
+        }
+    }
+
+    /// Takes over what can change in a running process.
+    pub fn take_over(&self, settings: &DirectSettings) {
+        self.fleet().books().retries.set_rule(settings.retries);
+        // The line about the change is written whatever the level was and will be.
+        set_level("info");
+        let waiting = self.settings().needs_restart(settings);
+        if waiting.is_empty() {
+            event!(Event::SettingsChanged, "all of it");
+        } else {
+            event!(
+                Event::SettingsChanged,
+                "but for {}: restart the daemon for these",
+                waiting.join(", ")
+            );
+        }
+        set_level(&settings.log.level);
+    }
+}
+
+impl DirectSettings {
+    /// Keys whose changes wait for a restart.
+    #[must_use]
+    pub fn needs_restart(&self, new: &Self) -> Vec<&'static str> {
+        let differs = [
+            ("vm", self.vm != new.vm),
+            ("zone", self.zone != new.zone),
+            ("zones", self.zones != new.zones),
+            ("cores", self.strength != new.strength),
+            ("caller_address", self.caller_address != new.caller_address),
+            ("ready_address", self.ready_address != new.ready_address),
+            (
+                "platform_address",
+                self.platform_address != new.platform_address,
+            ),
+            (
+                "metrics_address",
+                self.metrics_address != new.metrics_address,
+            ),
+            ("leases", self.leases != new.leases),
+            ("pace", self.pace != new.pace),
+            ("log.file", self.log.file != new.log.file),
+        ];
+        differs
+            .into_iter()
+            .filter_map(|(key, differs)| differs.then_some(key))
+            .collect()
+    }
+}
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -42,7 +42,7 @@
 }
 
 /// Pauses and bounds of the direct mode.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PaceSettings {
     /// Pause between two reads of the target list.
     pub list_every: Duration,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -50,6 +50,10 @@
     SettingsWrong = 105, Error, "settings refused";
     /// A hang-up signal came.
     HangUp = 106, Info, "hang-up signal";
+    /// Changed settings are in force.
+    SettingsChanged = 109, Info, "changed settings taken over";
+    /// Changed settings are wrong, and the ones before stay in force.
+    SettingsKept = 110, Error, "changed settings refused, the old ones stay";
     /// Log lines were dropped.
     LinesDropped = 107, Warn, "log lines dropped";
     /// The metrics page could not be written.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -45,17 +45,23 @@
             .finish(output);
         // Only one writer starts in a process.
         let _ = DROPPED.set(writer.error_counter());
-        let logger = Builder::with_level(level)
+        let logger = Builder::with_level("trace")
             // Libraries' lines are theirs: only numbered events go out.
             .with_default_writer(new_writer(io::sink()))
             .with_target_writer("hoplanding", new_writer(writer))
             .try_init();
         // A second logger can't be set, and there is none before this one.
         debug_assert!(logger.is_ok());
+        set_level(level);
         Self { _guard: guard }
     }
 }
 
+/// Sets the least level that is written.
+pub fn set_level(level: &str) {
+    log::set_max_level(level.parse().unwrap_or(log::LevelFilter::Info));
+}
+
 /// Lines that were dropped since the start.
 #[must_use]
 pub fn dropped_lines() -> usize {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,14 +3,14 @@
 use gumdrop::Options;
 use hoplandingd::{
     RunningDaemon,
-    direct::{daemon::DirectDaemon, settings::DirectSettings},
+    direct::{daemon::DirectDaemon, reload::SettingsFile, settings::DirectSettings},
     event,
     events::Event,
     logging::LogWriter,
     options::{DaemonArgs, DaemonSettings, Settings},
 };
 use std::{io, process::ExitCode};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -23,8 +23,10 @@
         println!("hoplandingd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let settings = match DaemonSettings::read(args.config_path()) {
-        Ok(settings) => settings,
+    let path = args.config_path();
+    let opened = SettingsFile::open(path).and_then(|file| Ok((DaemonSettings::read(path)?, file)));
+    let (settings, file) = match opened {
+        Ok(opened) => opened,
         Err(error) => {
             eprintln!(
                 "E{} {}: {error}",
@@ -45,7 +47,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    let code = match run(settings) {
+    let code = match run(settings, file) {
         Ok(code) => code,
         Err(error) => {
             event!(
@@ -61,7 +63,7 @@
 }
 
 /// Runs until a stop signal.
-fn run(settings: DaemonSettings) -> io::Result<ExitCode> {
+fn run(settings: DaemonSettings, file: SettingsFile) -> io::Result<ExitCode> {
     match settings {
         DaemonSettings::Held(settings) => tokio::runtime::Builder::new_multi_thread()
             .enable_all()
@@ -71,19 +73,24 @@
         DaemonSettings::Direct(settings) => tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?
-            .block_on(run_direct(*settings)),
+            .block_on(run_direct(*settings, file)),
     }
 }
 
-async fn run_direct(settings: DirectSettings) -> io::Result<ExitCode> {
+async fn run_direct(settings: DirectSettings, file: SettingsFile) -> io::Result<ExitCode> {
     let daemon = DirectDaemon::start(settings).await?;
-    stop_signal().await?;
+    let hang_up = signal(SignalKind::hangup())?;
+    tokio::select! {
+        () = daemon.follow(file, hang_up) => {}
+        stopped = stop_signal() => stopped?,
+    }
     let left = daemon.stop().await;
     Ok(exit_code(left > 0))
 }
 
 async fn run_held(settings: Settings) -> io::Result<ExitCode> {
     let daemon = RunningDaemon::start(settings).await?;
+    tokio::spawn(note_hang_ups(signal(SignalKind::hangup())?));
     stop_signal().await?;
     let report = daemon.stop().await;
     Ok(exit_code(report.open_requests > 0))
@@ -97,16 +104,20 @@
     }
 }
 
-/// Waits for a signal to stop. A hang-up changes nothing: settings are read at the start.
+/// Waits for a signal to stop.
 async fn stop_signal() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => event!(Event::HangUp),
-        }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Says that a hang-up came, which changes nothing in this mode: its settings are read at the start.
+async fn note_hang_ups(mut hang_up: Signal) {
+    while hang_up.recv().await.is_some() {
+        event!(Event::HangUp);
     }
 }
--- a/crates/daemon/tests/binary.rs
+++ b/crates/daemon/tests/binary.rs
@@ -1,6 +1,6 @@
 //! The real binary: settings, and a planned stop by signal.
 
-use hoplanding_standins::platform::PlatformStandin;
+use hoplanding_standins::{keyed_log::KeyedLog, platform::PlatformStandin};
 use std::{
     fs,
     path::PathBuf,
@@ -99,3 +99,44 @@
         assert!(events.contains(&event), "E{event} is missing in\n{text}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_settings_file_is_taken_over_and_a_wrong_one_is_not() {
+    let log = KeyedLog::start().await.expect("a port");
+    let settings = |level: &str, zone: &str| {
+        format!(
+            r#"{{ "mode": "direct", "vm": "a1", "zone": "{zone}", "caller_address": "127.0.0.1:0",
+                "ready_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0", "platform_address": "{}",
+                "zones": ["z"], "pace": {{ "stop_notice_ms": 50 }}, "log": {{ "level": "{level}" }} }}"#,
+            log.address()
+        )
+    };
+    let (mut command, path) = daemon("reload", &settings("info", "z"), &[]);
+    let child = command.spawn().expect("the binary runs");
+    let pid = child.id().to_string();
+    let signal = async |name: &str| {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    };
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fs::write(&path, settings("loud", "z")).expect("a file");
+    signal("-HUP").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fs::write(&path, settings("warn", "other")).expect("a file");
+    signal("-HUP").await;
+    signal("-TERM").await;
+    let ended = tokio::task::spawn_blocking(move || child.wait_with_output())
+        .await
+        .expect("no panic")
+        .expect("it ends");
+    let text = text(&ended);
+    assert!(ended.status.success(), "{text}");
+    let line = |event: &str| {
+        let mut lines = text.lines().filter(|line| line.contains(event));
+        lines.next().unwrap_or_default()
+    };
+    assert!(line("\"event\":110").contains("log.level"), "{text}");
+    assert!(line("\"event\":109").contains("but for zone:"), "{text}");
+    assert_eq!(line("\"event\":102"), "", "no info line after the change");
+}
