Ask again for what a holder has to know in time

Each read logged: both VMs of the zone began to wait at 13.219, while the operator's append was being made; the log did not wake them, and answered both records at the next append. Ruled out: links, duty and the offset that was asked from.

Change: a holder's read of the configuration waits at most config_bound_ms less 600 ms (of the fleet's records 5 s), and what it reads goes to its zone. The new test fails on the code before.

--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -22,6 +22,9 @@
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
+/// The same for the fleet's records at a zone's holder. The log does not wake a read that comes in the milliseconds in
+/// which a record is appended (found by a hunt), so what a holder has to know in time it asks for again and again.
+const HOLDER_WAIT: Duration = Duration::from_secs(5);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
 /// Time after the start in which only those first in rank read on.
@@ -212,9 +215,17 @@
         self.fleet.zone_vms() <= SMALL_ZONE && self.fleet.rank() < STAND_INS
     }
 
+    fn is_holder(&self) -> bool {
+        let lease = self.fleet.lease(&self.fleet.zone);
+        lease.is_some_and(|lease| lease.vm.as_ref() == Some(&self.fleet.vm))
+    }
+
     fn wait(&self) -> Duration {
         match self.topic {
             FeedTopic::Targets => LIST_WAIT,
+            // What a holder reads it passes on, so its zone need not ask as often.
+            FeedTopic::Operators if self.is_holder() => self.pace.config_wait,
+            FeedTopic::Fleet if self.is_holder() => HOLDER_WAIT,
             FeedTopic::Operators | FeedTopic::Fleet => READ_WAIT,
         }
     }
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -8,6 +8,9 @@
 use serde_json::Value;
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
+/// Part of the time until a configuration has to be in force that is left for reading it and passing it on.
+const CONFIG_MARGIN: Duration = Duration::from_millis(600);
+
 /// Settings of a daemon in direct mode.
 #[derive(Clone, Debug)]
 pub struct DirectSettings {
@@ -48,6 +51,8 @@
     pub list_every: Duration,
     /// Shortest pause between two reads of the configuration.
     pub config_every: Duration,
+    /// Longest time that a holder's read of the configuration waits for a change.
+    pub config_wait: Duration,
     /// Time after which a call to the log counts as unanswered.
     pub platform_timeout: Duration,
     /// Time from the stop signal until open connections are told to end.
@@ -127,6 +132,9 @@
     PaceSettings {
         list_every: section.millis("list_every_ms", 1000, 10, 60_000),
         config_every: section.millis("config_every_ms", 200, 0, 60_000),
+        config_wait: section
+            .millis("config_bound_ms", 2000, 0, 600_000)
+            .saturating_sub(CONFIG_MARGIN),
         platform_timeout: section.millis("platform_timeout_ms", 900, 10, 60_000),
         stop_notice: section.millis("stop_notice_ms", 2500, 0, 60_000),
         stop_bound: section.millis("stop_bound_ms", 7700, 100, 3_600_000),
--- a/crates/daemon/tests/direct_calls.rs
+++ b/crates/daemon/tests/direct_calls.rs
@@ -626,6 +626,29 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_configuration_is_in_force_though_the_log_does_not_wake_the_read_that_waits_for_it() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    let daemon = site(&log, &[("i-1", "ledger", target.address)]).await;
+    wait_for("its lease", async || {
+        let zone = AvailabilityZone::new("hall");
+        daemon.fleet().lease(&zone).is_some()
+    })
+    .await;
+    // The read that began before the lease waits longer: it ends with this version.
+    log.put("keyed.op", "config", Some(&config(2)));
+    let is_in_force = |version| {
+        let active = daemon.fleet().active();
+        active.is_some_and(|active| active.config.version == version)
+    };
+    wait_for("version 2", async || is_in_force(2)).await;
+    sleep(Duration::from_millis(100)).await;
+    log.set_faults(|faults| faults.is_deaf = true);
+    log.put("keyed.op", "config", Some(&config(3)));
+    wait_for("version 3", async || is_in_force(3)).await;
+}
+
 #[tokio::test]
 async fn a_history_that_is_gone_is_made_up_for_by_a_listing() {
     let log = KeyedLog::start().await.expect("a log");
--- a/crates/standins/src/keyed_log.rs
+++ b/crates/standins/src/keyed_log.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use std::{
     collections::{BTreeMap, HashMap},
+    future::pending,
     io,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -28,6 +29,8 @@
     pub talks_nonsense: bool,
     /// Appends that are done, but whose answer is lost.
     pub lose_answers: usize,
+    /// Reads that wait are not woken by new records.
+    pub is_deaf: bool,
     /// Topics whose listings are refused.
     pub unlisted: Vec<String>,
 }
@@ -190,7 +193,7 @@
     let (answer, is_lost) = shared.take(&query, record);
     shared.grown.notify_waiters();
     if is_lost {
-        std::future::pending::<()>().await;
+        pending::<()>().await;
     }
     answer
 }
@@ -235,6 +238,9 @@
                 return;
             }
             grown.await;
+            if shared.lock().faults.is_deaf {
+                pending::<()>().await;
+            }
         }
     };
     // Out of time: the answer then holds no records.
