Make room at once where nothing runs uncounted, say why a zone refuses, spare holders of large zones

A report also says how many requests run: with none, nothing is held, and an engine is asked again every 0.3 s until then. (2) E800 did not say what the zones had answered; it does now. Zones of more than 48 VMs list it themselves again.

Tests: a_new_holder_makes_room_as_soon_as_nothing_runs_that_it_does_not_know (did not compile before the report had the field).

--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -79,6 +79,8 @@
     pub coming: Vec<(AdapterName, u64)>,
     /// Base models that it loads from a copy of its own, without the weight store.
     pub own_copies: Vec<AdapterName>,
+    /// Requests that run or wait.
+    pub requests: u32,
     /// Whether an order on a whole model is under way.
     pub is_busy: bool,
 }
@@ -286,6 +288,12 @@
                 self.copies.insert(adapter, copy);
             }
         }
+        if report.requests == 0 {
+            // Nothing runs that nobody counts: what was held for it may make way.
+            for copy in self.copies.values_mut() {
+                copy.held_until = Instant::default();
+            }
+        }
         let still_there = self
             .leaving
             .as_ref()
@@ -319,6 +327,12 @@
         }
     }
 
+    /// Whether it has copies on which calls may run that nobody counts.
+    #[must_use]
+    pub fn holds_uncounted(&self, now: Instant) -> bool {
+        self.copies.values().any(|copy| copy.held_until > now)
+    }
+
     /// Whether it holds a base model.
     #[must_use]
     pub fn has_model(&self, model: &str) -> bool {
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -53,9 +53,24 @@
     Refuse {
         /// Milliseconds after which it is worth coming back.
         retry_after_ms: u32,
+        /// Why.
+        cause: RefusalCause,
     },
 }
 
+/// Why a zone has no room for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefusalCause {
+    /// No engine has its adapter, or could make room for it.
+    NoEngine,
+    /// The best engine would make it wait this long, in milliseconds, which is more than it can bear.
+    TooLong(u32),
+    /// Its loads came to nothing at several engines.
+    LoadsFailed,
+    /// Its load did not begin in time.
+    LoadLate,
+}
+
 /// What the holder has to do for the planner.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlannerAction {
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -21,7 +21,7 @@
 mod placing;
 mod spreading;
 
-pub use ask::{CallKey, PlacementAnswer, PlacementAsk, PlannerAction};
+pub use ask::{CallKey, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause};
 pub use figures::EngineFigures;
 
 use crate::{
@@ -46,6 +46,8 @@
 const SETTLE: Duration = Duration::from_millis(300);
 /// Time by which a load is taken to be longer once a call came too early for it.
 const LOAD_OVERRUN: Duration = Duration::from_millis(90);
+/// When a call for which no engine can do anything now is worth placing again: about as long as a load takes.
+const COME_BACK_MS: u32 = 300;
 /// Margin after which an adapter that is coming is taken for there.
 const LOAD_MARGIN: Duration = Duration::from_millis(12);
 
@@ -290,10 +292,19 @@
         }
         for waiting in late {
             let retry_after_ms = millis(self.figures.store_load);
-            self.answer(waiting.key, PlacementAnswer::Refuse { retry_after_ms });
+            let cause = RefusalCause::LoadLate;
+            self.refuse(waiting.key, retry_after_ms, cause);
         }
     }
 
+    fn refuse(&mut self, key: CallKey, retry_after_ms: u32, cause: RefusalCause) {
+        let answer = PlacementAnswer::Refuse {
+            retry_after_ms,
+            cause,
+        };
+        self.answer(key, answer);
+    }
+
     fn answer(&mut self, key: CallKey, answer: PlacementAnswer) {
         self.actions.push_back(PlannerAction::Answer(key, answer));
     }
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -7,8 +7,8 @@
             UNCOUNTED_RUN, WaitingCall,
         },
         planner::{
-            COMING_MOST, LOAD_MARGIN, PlacementAnswer, PlannerAction, SETTLE, ZonePlanner, millis,
-            split_subject,
+            COME_BACK_MS, COMING_MOST, LOAD_MARGIN, PlacementAnswer, PlannerAction, RefusalCause,
+            SETTLE, ZonePlanner, millis, split_subject,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -129,12 +129,7 @@
     pub(super) fn place_waiters_again(&mut self, waiters: Vec<WaitingCall>, now: Instant) {
         for WaitingCall { key, ask, .. } in waiters {
             if ask.exclude.len() >= MOST_PLACINGS {
-                self.answer(
-                    key,
-                    PlacementAnswer::Refuse {
-                        retry_after_ms: 300,
-                    },
-                );
+                self.refuse(key, COME_BACK_MS, RefusalCause::LoadsFailed);
             } else {
                 self.place_known(key, ask, now);
             }
@@ -179,7 +174,7 @@
             }
             Some(report) => {
                 engine.take_report(report, now);
-                if report.is_busy || engine.leaving.is_some() {
+                if report.is_busy || engine.leaving.is_some() || engine.holds_uncounted(now) {
                     engine.report_at = Some(now.after(SETTLE));
                 }
                 let held: Vec<_> = engine.copies.keys().cloned().collect();
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -5,8 +5,8 @@
         catalog::TargetStage,
         engine::{EngineState, ResidentState, SentCall, WaitingCall},
         planner::{
-            COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer, PlacementAsk, ZonePlanner, millis,
-            split_subject,
+            COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer, PlacementAsk,
+            RefusalCause, ZonePlanner, millis, split_subject,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -32,20 +32,15 @@
 
     pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
         let Some((name, cost)) = self.cheapest(&ask, now) else {
-            let retry_after_ms = 300;
-            self.answer(key, PlacementAnswer::Refuse { retry_after_ms });
+            self.refuse(key, COME_BACK_MS, RefusalCause::NoEngine);
             return;
         };
         if cost.wait > Duration::from_millis(u64::from(ask.bound_ms)) {
             // It is loaded all the same, so that it is there when the caller comes back.
             self.load_ahead(&name, &ask, now);
             let retry_after = cost.wait.clamp(COME_BACK_LEAST, COME_BACK_MOST);
-            self.answer(
-                key,
-                PlacementAnswer::Refuse {
-                    retry_after_ms: millis(retry_after),
-                },
-            );
+            let cause = RefusalCause::TooLong(millis(cost.wait));
+            self.refuse(key, millis(retry_after), cause);
             return;
         }
         self.send_to(&name, key, ask, now);
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -81,6 +81,7 @@
             .collect(),
         coming: Vec::new(),
         own_copies: Vec::new(),
+        requests: 1,
         is_busy: false,
     }
 }
@@ -389,6 +390,31 @@
     assert_eq!(models_ordered(&mut bereft, now), 1);
 }
 
+#[test]
+fn a_new_holder_makes_room_as_soon_as_nothing_runs_that_it_does_not_know() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["one"], now);
+    let one = TargetName::new("one");
+    let full = ["base/a", "base/b", "base/c", "base/d"];
+    planner.report_came(&one, Some(&report(&full, 0)), now);
+    planner.place(key(1), ask("base/e"), now);
+    let refused = answers(&planner.take_actions());
+    assert!(matches!(refused[0].1, PlacementAnswer::Refuse { .. }));
+    // It asks again without being told to, and the engine has become idle.
+    let later = after(now, 350);
+    planner.tick(later);
+    let asks = planner.take_actions();
+    assert!(matches!(asks[0], PlannerAction::Report(_)));
+    let idle = EngineReport {
+        requests: 0,
+        ..report(&full, 0)
+    };
+    planner.report_came(&one, Some(&idle), later);
+    planner.place(key(2), ask("base/e"), later);
+    let given = orders(planner.take_actions());
+    assert_eq!(given[0].1.kind, OrderKind::Unload);
+}
+
 #[test]
 fn a_target_out_of_reach_twice_is_lost_until_its_pause_ends() {
     let mut health = HealthTable::default();
@@ -451,6 +477,7 @@
             adapters: self.here.iter().map(|held| (held.clone(), 1)).collect(),
             coming: self.coming.keys().map(|held| (held.clone(), 1)).collect(),
             own_copies: Vec::new(),
+            requests: u32::try_from(self.running.len()).expect("few"),
             is_busy: false,
         };
         self.history.push_back((now, report));
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -37,8 +37,11 @@
 };
 use bytes::Bytes;
 use hoplanding_core::{
-    direct::config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
-    ids::TargetName,
+    direct::{
+        config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
+        planner::RefusalCause,
+    },
+    ids::{AvailabilityZone, TargetName},
 };
 use hoplanding_platform::front::{CallHead, decode_call};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -96,6 +99,8 @@
     pub tried: Vec<TargetName>,
     /// Targets that may have run it.
     pub runs: u32,
+    /// Zones that had no room for it when it was placed last, and why.
+    pub refusals: Vec<(AvailabilityZone, RefusalCause)>,
     /// Sends that targets turned away.
     pub refused: u32,
     /// Targets that could not be reached.
@@ -180,6 +185,7 @@
         body,
         tried: Vec::new(),
         runs: 0,
+        refusals: Vec::new(),
         refused: 0,
         unreached: 0,
         route,
@@ -274,11 +280,12 @@
             return failure;
         }
         if self.runs == 0 {
-            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}",
+            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}, zones {:?}",
                 self.route.name,
                 self.refused,
                 self.unreached,
-                self.tried
+                self.tried,
+                self.refusals
             );
             self.count(RequestOutcome::Refused);
             return refusal(id, come_back);
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -56,6 +56,7 @@
 impl CallState {
     /// Finds the target of the next send, and waits until it has what is asked for.
     pub async fn place(&mut self) -> Placing {
+        self.refusals.clear();
         if self.service.engine.is_none() {
             return match pick_target(&self.context.fleet, &self.service.name, &self.tried) {
                 Some(entry) => Placing::At(entry, None, None),
@@ -103,7 +104,14 @@
                             None => self.tried.push(target),
                         }
                     }
-                    Some((PlacementAnswer::Refuse { retry_after_ms }, _)) => {
+                    Some((
+                        PlacementAnswer::Refuse {
+                            retry_after_ms,
+                            cause,
+                        },
+                        _,
+                    )) => {
+                        self.refusals.push((zone, cause));
                         come_back = Duration::from_millis(u64::from(retry_after_ms));
                     }
                     None => {
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -116,7 +116,8 @@
             if self.fleet.knows_whole(self.topic) {
                 return true;
             }
-            if self.fleet.knows_whole(FeedTopic::Fleet) && !self.may_be_told() {
+            let knows_fleet = self.fleet.knows_whole(FeedTopic::Fleet);
+            if knows_fleet && !(self.fleet.learns_from_holder() && self.may_be_told()) {
                 return false;
             }
             let until = *until.get_or_insert_with(|| Instant::now() + HOLDER_TELLS);
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -50,6 +50,9 @@
 const ZONE_KEY: &str = "zone/";
 /// News that a link may lag behind.
 const NEWS_KEPT: usize = 256;
+/// VMs of a zone up to which its holder tells those that start all it knows. Beyond that its own link and memory would
+/// carry the whole list many times over, and the platform's log does that better.
+const MOST_TOLD: usize = 48;
 /// VMs that the retry budget is shared among until more are known.
 const VMS_ASSUMED: u32 = 8;
 
@@ -337,15 +340,24 @@
         self.books().whole.iter().copied().collect()
     }
 
-    /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything.
+    /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything, unless its zone is
+    /// too large for that.
     #[must_use]
     pub fn wanted(&self) -> Vec<(FeedTopic, LogOffset)> {
+        let may_be_all = self.learns_from_holder();
         FeedTopic::ALL
             .into_iter()
+            .filter(|topic| may_be_all || self.knows_whole(*topic))
             .map(|topic| (topic, self.known_end(topic)))
             .collect()
     }
 
+    /// Whether a VM of this zone that knows nothing yet is told everything by the zone's holder.
+    #[must_use]
+    pub fn learns_from_holder(&self) -> bool {
+        self.zone_vms() <= MOST_TOLD
+    }
+
     /// Offset up to which every record of a topic is known; 0 as long as it is not known whole.
     #[must_use]
     pub fn known_end(&self, topic: FeedTopic) -> LogOffset {
