Hold what only a report shows for 0.9 s, read settings in one place, drop fields that nothing reads

Cause: on the smaller sites calls come at once after all VMs are back, so an engine hardly ever reports that nothing runs, and a new holder held every adapter for 2.5 s (E800: NoEngine in all zones). Gateways tell a new holder of their open calls within a second, so 0.9 s do.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -27,8 +27,6 @@
 /// An adapter and its version on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResidentAdapter {
-    /// The model that it belongs to.
-    pub model: String,
     /// The adapter.
     pub adapter: AdapterName,
     /// Its version.
--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -79,8 +79,6 @@
     pub kv_tokens: u64,
     /// Places for adapters.
     pub adapter_slots: u32,
-    /// Most calls that may wait for cache events.
-    pub event_waiters: u32,
     /// Loads of whole models that the weight store allows a second.
     pub loads_per_s: f64,
     /// Base models; the first fills an empty engine.
--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -22,6 +22,9 @@
 
 /// Time for which a call may run on at an engine though its gateway is gone.
 pub const UNCOUNTED_RUN: Duration = Duration::from_millis(2_500);
+/// Time within which gateways tell a new holder of the calls that they have open; until then an adapter that only the
+/// engine's report shows may be in use.
+pub const ADOPTED_WITHIN: Duration = Duration::from_millis(900);
 /// Time after which an adapter that a report lists as coming is taken for there.
 const COMING_ON: Duration = Duration::from_millis(100);
 /// Age that a report may have.
@@ -252,7 +255,7 @@
             .collect();
         for resident in &entry.adapters {
             let mut copy = ResidentCopy::new(ResidentState::Here, resident.version, now);
-            copy.held_until = now.after(UNCOUNTED_RUN);
+            copy.held_until = now.after(ADOPTED_WITHIN);
             engine.copies.insert(resident.adapter.clone(), copy);
         }
         engine
@@ -321,7 +324,7 @@
             },
             None => {
                 let mut copy = ResidentCopy::new(state, version, now);
-                copy.held_until = now.after(UNCOUNTED_RUN);
+                copy.held_until = now.after(ADOPTED_WITHIN);
                 copy
             }
         }
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -29,7 +29,6 @@
         slots: 8,
         kv_tokens: 1_000_000,
         adapter_slots: PLACES as u32,
-        event_waiters: 4,
         loads_per_s: 3.0,
         models: vec![AdapterName::new("base")],
     }
@@ -252,7 +251,6 @@
     let now = Instant(1_000_000);
     let mut listed = TargetEntry::clone(&entry("e1"));
     listed.adapters.push(ResidentAdapter {
-        model: "base".to_owned(),
         adapter: AdapterName::new("base/a1"),
         version: 1,
     });
@@ -415,6 +413,31 @@
     assert_eq!(given[0].1.kind, OrderKind::Unload);
 }
 
+#[test]
+fn what_only_a_report_shows_is_held_until_gateways_told_of_their_calls() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["one"], now);
+    let one = TargetName::new("one");
+    let full = ["base/a", "base/b", "base/c", "base/d"];
+    planner.report_came(&one, Some(&report(&full, 0)), now);
+    for number in 1..4 {
+        let adapter = AdapterName::new(full[number as usize - 1]);
+        planner.adopt(key(number), &one, &adapter);
+    }
+    let told = after(now, 950);
+    planner.tick(told);
+    planner.report_came(&one, Some(&report(&full, 0)), told);
+    planner.place(key(9), ask("base/e"), told);
+    let given = orders(planner.take_actions());
+    assert_eq!(given.len(), 1);
+    assert_eq!(given[0].1.kind, OrderKind::Unload);
+    assert_eq!(
+        given[0].1.subject.as_str(),
+        "base/d",
+        "the one without a call"
+    );
+}
+
 #[test]
 fn a_target_out_of_reach_twice_is_lost_until_its_pause_ends() {
     let mut health = HealthTable::default();
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -8,9 +8,9 @@
     event,
     events::Event,
     logging::set_level,
-    options::SettingsError,
+    options::{SettingsError, read_text},
 };
-use std::{fs, time::Duration};
+use std::time::Duration;
 use tokio::{
     signal::unix::Signal,
     time::{MissedTickBehavior, interval},
@@ -32,19 +32,16 @@
     /// # Errors
     /// When it can't be read.
     pub fn open(path: &str) -> Result<Self, SettingsError> {
-        let mut file = Self {
+        Ok(Self {
             path: path.to_owned(),
-            text: String::new(),
-        };
-        file.text = file.read()?;
-        Ok(file)
+            text: read_text(path)?,
+        })
     }
 
-    fn read(&self) -> Result<String, SettingsError> {
-        fs::read_to_string(&self.path).map_err(|source| SettingsError::Unreadable {
-            path: self.path.clone(),
-            source,
-        })
+    /// Its text at the last look.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
     }
 
     /// Its settings, if it has changed since the last look.
@@ -52,7 +49,7 @@
     /// # Errors
     /// When it can't be read, or the settings are wrong; the same text is not complained about twice.
     pub fn changed(&mut self) -> Result<Option<DirectSettings>, SettingsError> {
-        let text = self.read()?;
+        let text = read_text(&self.path)?;
         if text == self.text {
             return Ok(None);
         }
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -1,12 +1,12 @@
 //! The settings of the direct mode.
 
-use crate::options::{LogSettings, SectionReader, SettingsError, read_log};
+use crate::options::{LogSettings, SectionReader, SettingsError, parse_settings, read_log};
 use hoplanding_core::{
     direct::{budget::RetryRule, lease::LeaseTimes},
     ids::{AvailabilityZone, VmName},
 };
 use serde_json::Value;
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 /// Part of the time until a configuration has to be in force that is left for reading it and passing it on.
 const CONFIG_MARGIN: Duration = Duration::from_millis(600);
@@ -74,17 +74,7 @@
     /// # Errors
     /// Lists every fault with its key, value and remedy.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let value: Value = serde_json::from_str(text)?;
-        let faults = RefCell::default();
-        let root = SectionReader::root(&value, &faults);
-        let settings = read_settings(&root);
-        root.finish();
-        let faults = faults.take();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Faults(faults))
-        }
+        parse_settings(text, read_settings)
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -23,8 +23,8 @@
         println!("hoplandingd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let path = args.config_path();
-    let opened = SettingsFile::open(path).and_then(|file| Ok((DaemonSettings::read(path)?, file)));
+    let opened = SettingsFile::open(args.config_path())
+        .and_then(|file| Ok((DaemonSettings::parse(file.text())?, file)));
     let (settings, file) = match opened {
         Ok(opened) => opened,
         Err(error) => {
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -7,8 +7,8 @@
 
 pub use args::DaemonArgs;
 pub use mode::DaemonSettings;
-pub(crate) use reader::SectionReader;
-pub use reader::{SettingsError, SettingsFault};
+pub(crate) use reader::{SectionReader, parse_settings};
+pub use reader::{SettingsError, SettingsFault, read_text};
 pub(crate) use settings::read_log;
 pub use settings::{
     CallerSettings, LimitSettings, LogSettings, MembershipSettings, OperatorSettings,
--- a/crates/daemon/src/options/mode.rs
+++ b/crates/daemon/src/options/mode.rs
@@ -15,19 +15,15 @@
 }
 
 impl DaemonSettings {
-    /// Reads settings from a file; `"mode": "direct"` asks for the direct mode.
+    /// Reads settings from JSON; `"mode": "direct"` asks for the direct mode.
     ///
     /// # Errors
     /// Lists every fault with its key, value and remedy.
-    pub fn read(path: &str) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
-        if DirectSettings::is_asked_for(&text) {
-            DirectSettings::parse(&text).map(|settings| Self::Direct(Box::new(settings)))
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        if DirectSettings::is_asked_for(text) {
+            DirectSettings::parse(text).map(|settings| Self::Direct(Box::new(settings)))
         } else {
-            Settings::parse(&text).map(|settings| Self::Held(Box::new(settings)))
+            Settings::parse(text).map(|settings| Self::Held(Box::new(settings)))
         }
     }
 
--- a/crates/daemon/src/options/reader.rs
+++ b/crates/daemon/src/options/reader.rs
@@ -4,7 +4,7 @@
 //! keys that nobody asked for are noted as unknown.
 
 use serde_json::{Map, Value};
-use std::{cell::RefCell, collections::BTreeSet, fmt, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, fmt, fs, net::SocketAddr, time::Duration};
 
 /// One fault of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,6 +50,35 @@
         .join("\n")
 }
 
+/// The text of a settings file.
+///
+/// # Errors
+/// When it can't be read.
+pub fn read_text(path: &str) -> Result<String, SettingsError> {
+    fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Reads settings from JSON, and notes every fault of theirs.
+pub(crate) fn parse_settings<T>(
+    text: &str,
+    read: impl FnOnce(&SectionReader<'_>) -> T,
+) -> Result<T, SettingsError> {
+    let value: Value = serde_json::from_str(text)?;
+    let faults = RefCell::default();
+    let root = SectionReader::root(&value, &faults);
+    let settings = read(&root);
+    root.finish();
+    let faults = faults.take();
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(SettingsError::Faults(faults))
+    }
+}
+
 /// One section of the settings.
 pub(crate) struct SectionReader<'a> {
     path: String,
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -1,9 +1,8 @@
 //! The settings, their defaults and their bounds.
 
-use crate::options::reader::{SectionReader, SettingsError};
+use crate::options::reader::{SectionReader, SettingsError, parse_settings, read_text};
 use hoplanding_core::{config::OperatorRole, membership::MembershipTimes};
-use serde_json::Value;
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 /// Settings of a daemon.
 #[derive(Clone, Debug)]
@@ -136,11 +135,7 @@
     /// # Errors
     /// Lists every fault with its key, value and remedy.
     pub fn read(path: &str) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
-        Self::parse(&text)
+        Self::parse(&read_text(path)?)
     }
 
     /// Reads settings from JSON.
@@ -148,17 +143,7 @@
     /// # Errors
     /// Lists every fault with its key, value and remedy.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let value: Value = serde_json::from_str(text)?;
-        let faults = RefCell::default();
-        let root = SectionReader::root(&value, &faults);
-        let settings = read_settings(&root);
-        root.finish();
-        let faults = faults.take();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Faults(faults))
-        }
+        parse_settings(text, read_settings)
     }
 }
 
