Let an adapter that takes much of its home zone be at home everywhere at once

A VM's own count needs six seconds to say that an adapter is popular, so until then all of its calls went to one zone of 336 places. Ruled out: placing (5 to 10 ms at the median) and turned away calls (2).

Change: a holder sees it at once. It says with each placement whether the adapter's calls take 15% of the zone's places, and for six seconds the gateway then asks its own zone first.

--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -48,6 +48,8 @@
         wait_ms: u32,
         /// Version of the adapter to ask for, if one was named.
         version: Option<u64>,
+        /// Whether its adapter is sought after so much that other zones should have it too.
+        is_sought: bool,
     },
     /// The zone has no room for it now.
     Refuse {
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -7,8 +7,8 @@
             UNCOUNTED_RUN, WaitingCall,
         },
         planner::{
-            COME_BACK_MS, COMING_MOST, LOAD_MARGIN, PlacementAnswer, PlannerAction, RefusalCause,
-            SETTLE, ZonePlanner, millis, split_subject,
+            COME_BACK_MS, COMING_MOST, LOAD_MARGIN, PlannerAction, RefusalCause, SETTLE,
+            ZonePlanner, millis, split_subject,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -138,7 +138,6 @@
 
     fn release_waiters(&mut self, name: &TargetName, waiters: Vec<WaitingCall>, now: Instant) {
         for WaitingCall { key, ask, .. } in waiters {
-            let version = self.versions.get(&ask.subject).copied();
             let mut wait_ms = 0;
             if let Some(copy) = self
                 .engines
@@ -151,14 +150,7 @@
                 }
             }
             self.note_sent(name, key.clone(), &ask, now);
-            self.answer(
-                key,
-                PlacementAnswer::Send {
-                    target: name.clone(),
-                    wait_ms,
-                    version,
-                },
-            );
+            self.answer_send(name, key, &ask.subject, wait_ms);
         }
     }
 
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -241,15 +241,23 @@
             None => 0,
         };
         self.note_sent(name, key.clone(), &ask, now);
-        let version = self.versions.get(&ask.subject).copied();
-        self.answer(
-            key,
-            PlacementAnswer::Send {
-                target: name.clone(),
-                wait_ms,
-                version,
-            },
-        );
+        self.answer_send(name, key, &ask.subject, wait_ms);
+    }
+
+    pub(super) fn answer_send(
+        &mut self,
+        name: &TargetName,
+        key: CallKey,
+        subject: &AdapterName,
+        wait_ms: u32,
+    ) {
+        let answer = PlacementAnswer::Send {
+            target: name.clone(),
+            wait_ms,
+            version: self.versions.get(subject).copied(),
+            is_sought: self.is_sought(subject),
+        };
+        self.answer(key, answer);
     }
 
     pub(super) fn note_sent(
--- a/crates/core/src/direct/planner/spreading.rs
+++ b/crates/core/src/direct/planner/spreading.rs
@@ -19,6 +19,9 @@
 const CROWDED_BACKLOG: Duration = Duration::from_millis(150);
 /// Part of a crowded engine's calls that one adapter makes up if a second copy of it would help.
 const BLAMED_FROM: f64 = 0.3;
+/// Part of a zone's places that one adapter's calls take from which other zones should have it too. Kilindini's grown
+/// zones have 336 places, and calls last some two seconds: that is 25 calls a second of the fleet's 430.
+const SOUGHT_FROM: f64 = 0.15;
 /// Part of the loads at full speed that may be on their way when one is begun that nobody waits for.
 const SPARE_PART: f64 = 0.5;
 
@@ -42,6 +45,21 @@
         }
     }
 
+    /// Whether calls for one adapter take so much of the zone that others should have it too.
+    pub(super) fn is_sought(&self, subject: &AdapterName) -> bool {
+        if split_subject(subject).1.is_none() {
+            return false;
+        }
+        let (mut places, mut users) = (0, 0);
+        for engine in self.engines.values() {
+            if engine.entry.stage == TargetStage::Ready {
+                places += engine.entry.slots;
+            }
+            users += engine.copies.get(subject).map_or(0, |copy| copy.users);
+        }
+        f64::from(users) >= f64::from(places.max(1)) * SOUGHT_FROM
+    }
+
     /// Whether every copy is there, in use, and on an engine that it crowds.
     fn is_crowded_by(&self, subject: &AdapterName, now: Instant) -> bool {
         let mut copies = self
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -352,6 +352,30 @@
     assert!(orders(planner.take_actions()).is_empty());
 }
 
+#[test]
+fn an_adapter_that_takes_much_of_its_zone_is_said_to_be_sought() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["one", "two", "three"], now);
+    let held = report(&["base/a", "base/b"], 0);
+    planner.report_came(&TargetName::new("one"), Some(&held), now);
+    let sought: Vec<_> = (0..6)
+        .map(|number| {
+            let adapter = if number == 5 { "base/b" } else { "base/a" };
+            planner.place(key(number), ask(adapter), after(now, 30 * number));
+            let answers = answers(&planner.take_actions());
+            matches!(
+                answers[0].1,
+                PlacementAnswer::Send {
+                    is_sought: true,
+                    ..
+                }
+            )
+        })
+        .collect();
+    // 15% of 24 places are 3.6 calls.
+    assert_eq!(sought, [false, false, false, true, true, false]);
+}
+
 #[test]
 fn adapters_that_share_a_crowded_engine_get_no_second_copies() {
     let now = Instant(1_000_000);
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -86,7 +86,7 @@
                             target,
                             wait_ms,
                             version,
-                            ..
+                            is_sought,
                         },
                         ticket,
                     )) => {
@@ -94,6 +94,9 @@
                             self.arrived.elapsed(),
                             self.subject()
                         );
+                        if is_sought {
+                            self.context.fleet.note_sought(&self.subject());
+                        }
                         let figures = &self.context.fleet.figures;
                         figures.note_placing(self.arrived.elapsed());
                         sleep(Duration::from_millis(u64::from(wait_ms))).await;
@@ -144,18 +147,16 @@
         }
     }
 
-    /// The adapter's home zone first. An adapter that this VM is asked for all the time is at home in its own zone, so
-    /// that the most popular ones are spread; so is a base model.
+    /// The adapter's home zone first. An adapter that this VM is asked for all the time, or that takes much of its home
+    /// zone, is at home in the VM's own zone, so that the most popular ones are spread; so is a base model.
     fn zones_in_order(&self) -> Vec<AvailabilityZone> {
         let subject = self.subject();
         let own = &self.context.fleet.zone;
-        let is_popular = self
-            .context
-            .fleet
-            .books()
-            .demand
-            .rate(&subject, clock::now())
-            >= POPULAR_RATE;
+        let is_popular = {
+            let now = clock::now();
+            let books = self.context.fleet.books();
+            books.demand.rate(&subject, now) >= POPULAR_RATE || books.is_sought(&subject, now)
+        };
         let has_adapter = split_subject(&subject).1.is_some();
         let mut zones = self.context.settings.zones.clone();
         zones.sort_by_cached_key(|zone| {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -53,6 +53,9 @@
 /// VMs of a zone up to which its holder tells those that start all it knows. Beyond that its own link and memory would
 /// carry the whole list many times over, and the platform's log does that better.
 const MOST_TOLD: usize = 48;
+/// Time for which an adapter that takes much of its home zone counts as at home everywhere. By then this VM's own count
+/// tells; it takes that long to rise after a shift of demand.
+const SOUGHT_FOR: Duration = Duration::from_secs(6);
 /// VMs that the retry budget is shared among until more are known.
 const VMS_ASSUMED: u32 = 8;
 
@@ -104,12 +107,22 @@
     pub retries: RetryShare,
     /// How often callers of this VM ask for each adapter.
     pub demand: DemandTable,
+    /// Adapters that take much of their home zone, and until when that counts.
+    pub sought: HashMap<AdapterName, Instant>,
     /// The newest records, to be passed on.
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
     pub claim_quiet: Duration,
 }
 
+impl FleetBooks {
+    /// Whether a holder said lately that an adapter takes much of its zone.
+    #[must_use]
+    pub fn is_sought(&self, adapter: &AdapterName, now: Instant) -> bool {
+        self.sought.get(adapter).is_some_and(|until| now < *until)
+    }
+}
+
 /// The books, and a signal of their changes.
 #[derive(Debug)]
 pub struct FleetState {
@@ -157,6 +170,7 @@
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
                 demand: DemandTable::default(),
+                sought: HashMap::new(),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
             }),
@@ -311,6 +325,14 @@
         }]);
     }
 
+    /// A holder said that an adapter takes much of its zone.
+    pub fn note_sought(&self, adapter: &AdapterName) {
+        let now = clock::now();
+        let mut books = self.books();
+        books.sought.retain(|_, until| now < *until);
+        books.sought.insert(adapter.clone(), now.after(SOUGHT_FOR));
+    }
+
     /// Records of topics from offsets on, for a VM that can't read them itself. What this VM reads next is passed on
     /// as news.
     #[must_use]
