--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -6,14 +6,12 @@
     clock,
     direct::{
         figures::DirectFigures,
+        folding::{fold_fleet_record, fold_operator_record, fold_target_record},
         message::{FeedTopic, PassedRecord},
         records::RecordBook,
         settings::DirectSettings,
     },
-    event,
-    events::Event,
 };
-use bytes::Bytes;
 use hoplanding_core::{
     direct::{
         budget::RetryShare,
@@ -26,12 +24,7 @@
     },
     ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
 };
-use hoplanding_platform::{
-    config::{decode_config, decode_version},
-    names::{CONFIG_KEY, VERSION_KEY},
-    store::{KeyedRecord, ReadBatch},
-    targets::decode_target,
-};
+use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::{
@@ -45,19 +38,16 @@
 use tokio::sync::{broadcast, watch};
 
 /// Start of the keys of VM records.
-const VM_KEY: &str = "vm/";
+pub const VM_KEY: &str = "vm/";
 /// Start of the keys of zone leases.
-const ZONE_KEY: &str = "zone/";
+pub const ZONE_KEY: &str = "zone/";
 /// News that a link may lag behind.
 const NEWS_KEPT: usize = 256;
-/// VMs of a zone up to which its holder tells those that start all it knows. Beyond that its own link and memory would
-/// carry the whole list many times over, and the platform's log does that better.
-const MOST_TOLD: usize = 48;
 /// Time for which an adapter that takes much of its home zone counts as at home everywhere. By then this VM's own count
 /// tells; it takes that long to rise after a shift of demand.
 const SOUGHT_FOR: Duration = Duration::from_secs(6);
 /// VMs that the retry budget is shared among until more are known.
-const VMS_ASSUMED: u32 = 8;
+pub const VMS_ASSUMED: u32 = 8;
 
 /// A VM as recorded by itself; the record outlives its process, and a restart at the same address leaves it alone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,9 +131,9 @@
     stopping: watch::Sender<bool>,
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
-    pulls: watch::Sender<u64>,
-    asked: watch::Sender<u64>,
-    news: broadcast::Sender<Arc<PassedRecord>>,
+    pub(super) pulls: watch::Sender<u64>,
+    pub(super) asked: watch::Sender<u64>,
+    pub(super) news: broadcast::Sender<Arc<PassedRecord>>,
 }
 
 impl FleetState {
@@ -293,38 +283,6 @@
         }
     }
 
-    /// Folds records that another VM passed on.
-    pub fn take_passed(&self, passed: Vec<PassedRecord>) {
-        let now = clock::now();
-        let mut has_news = false;
-        for record in passed {
-            let topic = record.topic;
-            let record = KeyedRecord {
-                key: record.key,
-                value: record.value,
-                offset: record.offset,
-            };
-            has_news |= self.fold(topic, std::slice::from_ref(&record), now);
-        }
-        if has_news {
-            self.signal();
-        }
-    }
-
-    /// Folds a record of the fleet that this VM appended. Where it lies at the end that was known, nothing remains to be
-    /// read before it.
-    pub fn take_own(&self, key: String, value: Vec<u8>, offset: LogOffset) {
-        if self.books().fleet_end == Some(offset) {
-            self.note_end(FeedTopic::Fleet, LogOffset(offset.0 + 1));
-        }
-        self.take_passed(vec![PassedRecord {
-            topic: FeedTopic::Fleet,
-            key,
-            value: Some(Bytes::from(value)),
-            offset,
-        }]);
-    }
-
     /// A holder said that an adapter takes much of its zone.
     pub fn note_sought(&self, adapter: &AdapterName) {
         let now = clock::now();
@@ -333,53 +291,6 @@
         books.sought.insert(adapter.clone(), now.after(SOUGHT_FOR));
     }
 
-    /// Records of topics from offsets on, for a VM that can't read them itself. What this VM reads next is passed on
-    /// as news.
-    #[must_use]
-    pub fn records_since(&self, wanted: &[(FeedTopic, LogOffset)]) -> Vec<PassedRecord> {
-        self.asked.send_modify(|count| *count += 1);
-        let books = self.books();
-        wanted
-            .iter()
-            .flat_map(|(topic, from)| books.records.since(*topic, *from))
-            .collect()
-    }
-
-    /// Folds what another VM answered, and with it the topics of which that one knows every key.
-    pub fn take_answer(&self, records: Vec<PassedRecord>, whole: &[FeedTopic]) {
-        self.take_passed(records);
-        let was_ready = self.is_ready();
-        self.books().whole.extend(whole);
-        if self.is_ready() && !was_ready {
-            event!(Event::Ready, "by what another VM knows");
-            self.signal();
-        }
-    }
-
-    /// Topics of which every key is known.
-    #[must_use]
-    pub fn whole_topics(&self) -> Vec<FeedTopic> {
-        self.books().whole.iter().copied().collect()
-    }
-
-    /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything, unless its zone is
-    /// too large for that.
-    #[must_use]
-    pub fn wanted(&self) -> Vec<(FeedTopic, LogOffset)> {
-        let may_be_all = self.learns_from_holder();
-        FeedTopic::ALL
-            .into_iter()
-            .filter(|topic| may_be_all || self.knows_whole(*topic))
-            .map(|topic| (topic, self.known_end(topic)))
-            .collect()
-    }
-
-    /// Whether a VM of this zone that knows nothing yet is told everything by the zone's holder.
-    #[must_use]
-    pub fn learns_from_holder(&self) -> bool {
-        self.zone_vms() <= MOST_TOLD
-    }
-
     /// Offset up to which every record of a topic is known; 0 as long as it is not known whole.
     #[must_use]
     pub fn known_end(&self, topic: FeedTopic) -> LogOffset {
@@ -405,30 +316,7 @@
         zone.count()
     }
 
-    /// Asks all linked VMs for records: the log is out of reach.
-    pub fn ask_others(&self) {
-        self.pulls.send_modify(|count| *count += 1);
-    }
-
-    /// A signal to ask the linked VMs for records.
-    #[must_use]
-    pub fn watch_pulls(&self) -> watch::Receiver<u64> {
-        self.pulls.subscribe()
-    }
-
-    /// A signal that another VM asked for records.
-    #[must_use]
-    pub fn watch_asked(&self) -> watch::Receiver<u64> {
-        self.asked.subscribe()
-    }
-
-    /// Records as they become known.
-    #[must_use]
-    pub fn watch_news(&self) -> broadcast::Receiver<Arc<PassedRecord>> {
-        self.news.subscribe()
-    }
-
-    fn note_end(&self, topic: FeedTopic, end: LogOffset) {
+    pub(super) fn note_end(&self, topic: FeedTopic, end: LogOffset) {
         if topic == FeedTopic::Fleet {
             let mut books = self.books();
             books.fleet_end = books.fleet_end.max(Some(end));
@@ -436,7 +324,7 @@
     }
 
     /// Folds records; says whether any of them is news for others.
-    fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) -> bool {
+    pub(super) fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) -> bool {
         let mut has_news = false;
         let mut books = self.books();
         for record in records {
@@ -512,109 +400,6 @@
     }
 }
 
-fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) -> bool {
-    let name = TargetName::new(&record.key);
-    let entry = match &record.value {
-        None => None,
-        Some(value) => match decode_target(&record.key, value) {
-            Ok(entry) => Some(entry),
-            Err(error) => {
-                // What can't be decoded is kept out; the last good entry stays.
-                event!(Event::RecordSkipped, "target {name}: {error}");
-                return false;
-            }
-        },
-    };
-    books.catalog.apply(&name, record.offset, entry, now)
-}
-
-fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) {
-    // A dropped key takes nothing back: what was in force stays until something newer comes.
-    let Some(value) = &record.value else {
-        return;
-    };
-    if record.key == CONFIG_KEY {
-        if books
-            .active
-            .as_ref()
-            .is_some_and(|active| active.offset >= record.offset)
-        {
-            return;
-        }
-        match decode_config(value) {
-            Ok(config) => {
-                event!(
-                    Event::ConfigInForce,
-                    "version {} at offset {}, {} routes",
-                    config.version,
-                    record.offset,
-                    config.routes.len()
-                );
-                let routes = RouteTable::new(&config);
-                let offset = record.offset;
-                books.active = Some(Arc::new(ActiveConfig {
-                    config,
-                    routes,
-                    offset,
-                }));
-            }
-            Err(error) => {
-                event!(
-                    Event::RecordSkipped,
-                    "configuration at {}: {error}",
-                    record.offset
-                );
-            }
-        }
-    } else if record.key.starts_with(VERSION_KEY) {
-        match decode_version(value) {
-            Ok((subject, version)) => {
-                let known = books.versions.entry(subject).or_default();
-                *known = version.max(*known);
-            }
-            Err(error) => {
-                event!(Event::RecordSkipped, "version {}: {error}", record.key);
-            }
-        }
-    }
-}
-
-fn fold_fleet_record(books: &mut FleetBooks, record: &KeyedRecord) {
-    if let Some(vm) = record.key.strip_prefix(VM_KEY) {
-        let Some(value) = &record.value else {
-            return;
-        };
-        match serde_json::from_slice(value) {
-            Ok(recorded) => {
-                books.vms.insert(VmName::new(vm), recorded);
-                let count = u32::try_from(books.vms.len()).unwrap_or(u32::MAX);
-                books.retries.set_vms(count.max(VMS_ASSUMED));
-            }
-            Err(error) => event!(Event::RecordSkipped, "VM {vm}: {error}"),
-        }
-    } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
-        let lease = record
-            .value
-            .as_ref()
-            .and_then(|value| match serde_json::from_slice(value) {
-                Ok(lease) => Some(lease),
-                Err(error) => {
-                    event!(Event::RecordSkipped, "lease of {zone}: {error}");
-                    None
-                }
-            });
-        let state = books.leases.entry(AvailabilityZone::new(zone)).or_default();
-        if state.apply(record.offset, lease) {
-            event!(
-                Event::LeaseSeen,
-                "{zone}: {} at offset {}",
-                state.holder().map_or("nobody", VmName::as_str),
-                state.offset
-            );
-        }
-    }
-}
-
 fn duty_order(vm: &VmName, strength: u32) -> (Reverse<u32>, u64) {
     let mut hasher = SipHasher13::new();
     vm.as_str().hash(&mut hasher);
--- /dev/null
+++ b/crates/daemon/src/direct/folding.rs
@@ -0,0 +1,124 @@
+//! Folding of the log's records into the books. What can't be decoded is kept out, and the last good one stays.
+
+use crate::{
+    direct::fleet::{ActiveConfig, FleetBooks, VM_KEY, VMS_ASSUMED, ZONE_KEY},
+    event,
+    events::Event,
+};
+use hoplanding_core::{
+    direct::routes::RouteTable,
+    ids::{AvailabilityZone, Instant, TargetName, VmName},
+};
+use hoplanding_platform::{
+    config::{decode_config, decode_version},
+    names::{CONFIG_KEY, VERSION_KEY},
+    store::KeyedRecord,
+    targets::decode_target,
+};
+use std::sync::Arc;
+
+/// Folds a target's entry; says whether it changes where calls may go.
+pub fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) -> bool {
+    let name = TargetName::new(&record.key);
+    let entry = match &record.value {
+        None => None,
+        Some(value) => match decode_target(&record.key, value) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                // What can't be decoded is kept out; the last good entry stays.
+                event!(Event::RecordSkipped, "target {name}: {error}");
+                return false;
+            }
+        },
+    };
+    books.catalog.apply(&name, record.offset, entry, now)
+}
+
+/// Folds a configuration or a named version.
+pub fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) {
+    // A dropped key takes nothing back: what was in force stays until something newer comes.
+    let Some(value) = &record.value else {
+        return;
+    };
+    if record.key == CONFIG_KEY {
+        if books
+            .active
+            .as_ref()
+            .is_some_and(|active| active.offset >= record.offset)
+        {
+            return;
+        }
+        match decode_config(value) {
+            Ok(config) => {
+                event!(
+                    Event::ConfigInForce,
+                    "version {} at offset {}, {} routes",
+                    config.version,
+                    record.offset,
+                    config.routes.len()
+                );
+                let routes = RouteTable::new(&config);
+                let offset = record.offset;
+                books.active = Some(Arc::new(ActiveConfig {
+                    config,
+                    routes,
+                    offset,
+                }));
+            }
+            Err(error) => {
+                event!(
+                    Event::RecordSkipped,
+                    "configuration at {}: {error}",
+                    record.offset
+                );
+            }
+        }
+    } else if record.key.starts_with(VERSION_KEY) {
+        match decode_version(value) {
+            Ok((subject, version)) => {
+                let known = books.versions.entry(subject).or_default();
+                *known = version.max(*known);
+            }
+            Err(error) => {
+                event!(Event::RecordSkipped, "version {}: {error}", record.key);
+            }
+        }
+    }
+}
+
+/// Folds a VM's record or a zone's lease.
+pub fn fold_fleet_record(books: &mut FleetBooks, record: &KeyedRecord) {
+    if let Some(vm) = record.key.strip_prefix(VM_KEY) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        match serde_json::from_slice(value) {
+            Ok(recorded) => {
+                books.vms.insert(VmName::new(vm), recorded);
+                let count = u32::try_from(books.vms.len()).unwrap_or(u32::MAX);
+                books.retries.set_vms(count.max(VMS_ASSUMED));
+            }
+            Err(error) => event!(Event::RecordSkipped, "VM {vm}: {error}"),
+        }
+    } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
+        let lease = record
+            .value
+            .as_ref()
+            .and_then(|value| match serde_json::from_slice(value) {
+                Ok(lease) => Some(lease),
+                Err(error) => {
+                    event!(Event::RecordSkipped, "lease of {zone}: {error}");
+                    None
+                }
+            });
+        let state = books.leases.entry(AvailabilityZone::new(zone)).or_default();
+        if state.apply(record.offset, lease) {
+            event!(
+                Event::LeaseSeen,
+                "{zone}: {} at offset {}",
+                state.holder().map_or("nobody", VmName::as_str),
+                state.offset
+            );
+        }
+    }
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -4,11 +4,14 @@
 //! |---|---|
 //! | [`settings`] | the settings of this mode |
 //! | [`daemon`] | starts and stops everything |
-//! | [`fleet`] | what this VM knows of configuration, targets, leases and VMs |
+//! | [`fleet`], [`folding`] | what this VM knows of configuration, targets, leases and VMs, and how records change it |
+//! | [`exchange`] | what VMs tell each other of the platform's log |
 //! | [`feeds`] | one worker a topic of the platform's log |
 //! | [`listing`] | a listing of a topic, page by page |
 //! | [`reach`] | what these workers tell each other about it |
-//! | [`front`] | callers' connections and the balancer's question |
+//! | [`front`] | callers' connections |
+//! | [`questions`], [`figures`] | the balancer's and the collectors' questions, and what is counted |
+//! | [`reload`] | settings that change while the daemon runs |
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`whole`], [`events`] | answers taken whole, and answers passed on event by event |
 //! | [`cutter`] | whole events out of a stream's bytes |
@@ -26,9 +29,11 @@
 pub mod cutter;
 pub mod daemon;
 pub mod events;
+pub mod exchange;
 pub mod feeds;
 pub mod figures;
 pub mod fleet;
+pub mod folding;
 pub mod front;
 pub mod links;
 pub mod listing;
--- /dev/null
+++ b/crates/daemon/tests/direct/main.rs
@@ -0,0 +1,5 @@
+//! The direct mode over real sockets, against stand-ins of the users' platform and targets.
+
+mod calls;
+mod fleet;
+mod support;
--- /dev/null
+++ b/crates/daemon/tests/direct/support.rs
@@ -0,0 +1,253 @@
+//! What the tests of the direct mode share: small sites, requests as bytes, and answers.
+
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    raw_target::{RawAnswer, RawRequest},
+};
+use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
+use serde_json::json;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+pub const HOST: &str = "mill.example";
+pub const BOUND: Duration = Duration::from_secs(20);
+
+pub fn settings(vm: &str, log: &KeyedLog) -> DirectSettings {
+    let text = json!({
+        "mode": "direct",
+        "vm": vm,
+        "zone": "hall",
+        "caller_address": "127.0.0.1:0",
+        "ready_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "platform_address": log.address().to_string(),
+        "zones": ["hall"],
+        "leases": { "silence_ms": 600, "stagger_ms": 40, "turn_ms": 100 },
+        "pace": { "list_every_ms": 30, "config_every_ms": 10, "stop_notice_ms": 200, "stop_bound_ms": 3000 },
+    });
+    DirectSettings::parse(&text.to_string()).expect("settings in order")
+}
+
+pub fn route(name: &str, kind: &str, service: &str) -> serde_json::Value {
+    json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "route_type": kind,
+        "timeout_ms": 5000, "target_latency_ms": 1000, "priority": 1, "service": service,
+        "max_attempts": 2, "can_resume": name == "resumed",
+    })
+}
+
+pub fn config(version: u64) -> String {
+    json!({
+        "version": version,
+        "routes": [
+            route("scan", "non_idempotent", "ledger"), route("lookup", "idempotent", "ledger"),
+            route("plan", "streaming", "scribe"), route("resumed", "streaming", "scribe"),
+        ],
+        "services": [
+            { "name": "ledger", "max_connections": 100 },
+            { "name": "scribe", "max_connections": 100, "engine": {
+                "slots": 8, "kv_capacity": 100_000, "adapter_slots": 4, "loads_per_s": 3.3,
+                "models": [{ "name": "base" }] } },
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
+                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+    })
+    .to_string()
+}
+
+pub fn entry(service: &str, address: SocketAddr, state: &str, adapters: &[&str]) -> String {
+    json!({
+        "service": service, "address": address.to_string(), "zone": "hall", "version": "v1", "slots": 8,
+        "state": state, "cold_remaining_ms": 0, "sequence": 0,
+        "models": [{ "name": "base", "version": 1, "adapters": adapters }],
+    })
+    .to_string()
+}
+
+/// Headers of a good answer to a request.
+pub fn sealed(request: &RawRequest) -> String {
+    let id = request.header("hoplanding-request-id").unwrap_or_default();
+    format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: seal\r\n")
+}
+
+pub fn good(request: &RawRequest) -> RawAnswer {
+    if request.line().starts_with("GET /hoplanding/report") {
+        let report = json!({ "sequence": 0, "models": [{ "name": "base", "adapters": ["a1@1"] }] });
+        return RawAnswer::whole("200 OK", "", &report.to_string());
+    }
+    RawAnswer::whole("200 OK", &sealed(request), "done")
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the answer's framing says that it is whole.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn has(&self, header: &str) -> bool {
+        self.head.to_ascii_lowercase().contains(header)
+    }
+}
+
+pub async fn ask(address: SocketAddr, request: &str) -> Answer {
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the front accepts");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it reads");
+    timeout(BOUND, read_answer(&mut stream))
+        .await
+        .expect("an answer in time")
+}
+
+pub async fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|end| end == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+            break bytes.len();
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut body = bytes.split_off((end + 4).min(bytes.len()));
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let lower = head.to_ascii_lowercase();
+    let length = lower
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+    let is_chunked = lower.contains("transfer-encoding: chunked");
+    let is_done = |body: &[u8]| match length {
+        Some(length) => body.len() >= length,
+        None => is_chunked && body.ends_with(b"0\r\n\r\n"),
+    };
+    while !is_done(&body) {
+        if stream.read_buf(&mut body).await.unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    Answer {
+        status: status.unwrap_or(0),
+        is_whole: is_done(&body),
+        head,
+        body,
+    }
+}
+
+pub fn post(path: &str, id: &str, headers: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nHoplanding-Request-Id: {id}\r\n\
+         Hoplanding-Deadline-Ms: 4000\r\n{headers}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+pub fn model(adapter: &str) -> String {
+    format!("Hoplanding-Model: base/{adapter}\r\nHoplanding-Token-Count: 100,20\r\n")
+}
+
+pub async fn wait_for(what: &str, mut done: impl AsyncFnMut() -> bool) {
+    for _ in 0..400 {
+        if done().await {
+            return;
+        }
+        sleep(Duration::from_millis(25)).await;
+    }
+    panic!("{what} did not happen in time");
+}
+
+pub async fn is_ready(daemon: &DirectDaemon) -> bool {
+    let question = "GET /hoplanding/ready HTTP/1.1\r\nHost: vm\r\n\r\n";
+    ask(daemon.ready_address, question).await.status == 200
+}
+
+/// A daemon in front of targets, each with its service; ready, and with its zone's lease.
+pub async fn site(log: &KeyedLog, targets: &[(&str, &str, SocketAddr)]) -> DirectDaemon {
+    for (name, service, address) in targets {
+        log.put(
+            "keyed.servers",
+            name,
+            Some(&entry(service, *address, "ready", &["a1@1"])),
+        );
+    }
+    log.put("keyed.op", "config", Some(&config(1)));
+    let daemon = DirectDaemon::start(settings("vm-1", log))
+        .await
+        .expect("the daemon starts");
+    wait_for("readiness", async || is_ready(&daemon).await).await;
+    wait_for("a lease", async || {
+        !log.values("keyed.fleet", "zone/hall").is_empty()
+    })
+    .await;
+    daemon
+}
+
+pub fn event(id: u32) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+pub fn stream_head(request: &RawRequest) -> Vec<u8> {
+    let headers = sealed(request);
+    format!("HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .into_bytes()
+}
+
+pub fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// Streams events from an id on; breaks off inside the event `breaks_at`.
+pub fn stream(request: &RawRequest, breaks_at: Option<u32>) -> RawAnswer {
+    if request.line().contains("/hoplanding/report") {
+        return good(request);
+    }
+    let last: u32 = request
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let mut pieces = vec![(Duration::ZERO, stream_head(request))];
+    for id in last + 1..=6 {
+        let text = event(id);
+        if breaks_at == Some(id) {
+            pieces.push((Duration::from_millis(5), chunk(&text[..9])));
+            return RawAnswer {
+                pieces,
+                closes: true,
+            };
+        }
+        pieces.push((Duration::from_millis(5), chunk(&text)));
+    }
+    pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+    RawAnswer {
+        pieces,
+        closes: false,
+    }
+}
+
+/// The text of a chunked body.
+pub fn unchunk(mut body: &[u8]) -> String {
+    let mut text = Vec::new();
+    while let Some(line) = body.windows(2).position(|end| end == b"\r\n") {
+        let length = std::str::from_utf8(&body[..line])
+            .ok()
+            .and_then(|length| usize::from_str_radix(length, 16).ok())
+            .unwrap_or(0);
+        let start = line + 2;
+        let end = (start + length).min(body.len());
+        text.extend(&body[start..end]);
+        body = body.get(end + 2..).unwrap_or_default();
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
