End the daemons of a soak that is told to end

Found: a soak that was ended from outside (not by an interrupt from the keyboard) left four daemons running. It takes SIGTERM and SIGHUP as well now, and its daemons along; a test ends one in the middle.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,6 +8,7 @@
     targets::PlantedFault,
 };
 use std::{fs, io, path::PathBuf, process::ExitCode};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Arguments of `hoplanding-soak`.
 #[derive(Debug, Options)]
@@ -64,10 +65,14 @@
     match tokio::select! {
         result = run_all(&args) => result,
         // Dropping the runs ends what they started.
-        _ = tokio::signal::ctrl_c() => Err(io::Error::other("interrupted")),
+        result = interrupted() => result,
     } {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+            eprintln!("the soak was interrupted; the daemons that it started have ended");
+            ExitCode::from(2)
+        }
         Err(error) => {
             eprintln!(
                 "the soak can't go on ({error}): build the daemon with `cargo build --release`, or name it with --daemon"
@@ -77,6 +82,19 @@
     }
 }
 
+/// Waits for a signal that asks this program to end.
+async fn interrupted() -> io::Result<usize> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+        _ = hang_up.recv() => {}
+    }
+    Err(io::ErrorKind::Interrupted.into())
+}
+
 /// Plays every seed; returns how many broke a promise.
 async fn run_all(args: &SoakArgs) -> io::Result<usize> {
     let mut outcomes = Vec::new();
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -6,7 +6,13 @@
     schedule::{FaultKind, PlannedFault, faults_of},
     targets::PlantedFault,
 };
-use std::{path::PathBuf, process::Command, time::Duration};
+use std::{
+    fs,
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 /// The daemon beside this test's own program; built first where only this crate's tests were asked for.
 fn daemon() -> PathBuf {
@@ -97,3 +103,47 @@
         assert!(found.contains(&promise), "{planted:?}: {found:?}");
     }
 }
+
+/// The callers' address that a daemon named in its log.
+fn address_in(log: &str) -> Option<SocketAddr> {
+    let text = log.split("callers ").nth(1)?;
+    text.split(',').next()?.parse().ok()
+}
+
+#[test]
+fn an_interrupted_soak_ends_the_daemons_that_it_started() {
+    let out = std::env::temp_dir().join(format!("hoplanding-soak-{}-ends", std::process::id()));
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_hoplanding-soak"))
+        .args(["--requests", "6000", "--faults", "0", "--daemon"])
+        .arg(daemon())
+        .arg("--out")
+        .arg(&out)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let started = || {
+        (0..4)
+            .filter_map(|vm| fs::read_to_string(out.join(format!("seed-1/vm-{vm}.log"))).ok())
+            .filter_map(|log| address_in(&log))
+            .collect::<Vec<_>>()
+    };
+    for _ in 0..400 {
+        if started().len() == 4 {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(25));
+    }
+    let addresses = started();
+    assert_eq!(addresses.len(), 4, "{}", out.display());
+    let sent = Command::new("kill")
+        .args(["-TERM", &soak.id().to_string()])
+        .status();
+    assert!(sent.expect("kill runs").success());
+    assert!(!soak.wait().expect("it ends").success());
+    for address in addresses {
+        assert!(
+            TcpStream::connect(address).is_err(),
+            "{address} still answers"
+        );
+    }
+}
