--- a/crates/core/src/direct/planner/filling.rs
+++ b/crates/core/src/direct/planner/filling.rs
@@ -14,8 +14,8 @@
 
 /// Weight of the newest look at how busy the zone is; looks come every 50 ms, so bursts of a second count.
 const NEWEST_WEIGHT: f64 = 0.08;
-/// Part of the zone's engines that is busy from which it needs more of them. At Kettleby's grown deployment a calm day
-/// keeps a third of the places busy, a burst of 1.7 times the callers less than this.
+/// Part of the zone's engines that is busy from which it needs more of them. At Kettleby's grown deployment the bursts of
+/// scale-1 reach it, and calm days do not (39 loads there, none on quiet-1; docs/MEASUREMENTS.md).
 const BUSY_FROM: f64 = 0.6;
 
 impl ZonePlanner {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -12,7 +12,8 @@
 use structured_logger::{Builder, json::new_writer};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 
-/// Lines that wait to be written: some seconds of a VM's lines at the peak of a bad day, 200 bytes each.
+/// Lines that wait to be written: fourteen seconds of the most that a VM wrote in one second of four bad days (147 lines
+/// of some 190 bytes, kettleby-reels-grown scale-1).
 const WAITING_LINES: usize = 2_048;
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
--- a/crates/daemon/tests/binary.rs
+++ b/crates/daemon/tests/binary.rs
@@ -4,7 +4,7 @@
 use std::{
     fs,
     path::PathBuf,
-    process::{Command, Output, Stdio},
+    process::{Child, Command, Output, Stdio},
     time::Duration,
 };
 
@@ -29,6 +29,17 @@
     )
 }
 
+/// What a daemon wrote that ended as it should.
+async fn text_of_success(child: Child) -> String {
+    let ended = tokio::task::spawn_blocking(move || child.wait_with_output())
+        .await
+        .expect("no panic")
+        .expect("it ends");
+    let text = text(&ended);
+    assert!(ended.status.success(), "{text}");
+    text
+}
+
 #[test]
 fn the_sample_settings_are_in_order() {
     let (mut command, _) = daemon(
@@ -77,12 +88,7 @@
         .status()
         .expect("kill runs");
     assert!(sent.success());
-    let ended = tokio::task::spawn_blocking(move || child.wait_with_output())
-        .await
-        .expect("no panic")
-        .expect("it ends");
-    let text = text(&ended);
-    assert!(ended.status.success(), "{text}");
+    let text = text_of_success(child).await;
     let events: Vec<_> = text
         .lines()
         .map(|line| {
@@ -126,12 +132,7 @@
     fs::write(&path, settings("warn", "other")).expect("a file");
     signal("-HUP").await;
     signal("-TERM").await;
-    let ended = tokio::task::spawn_blocking(move || child.wait_with_output())
-        .await
-        .expect("no panic")
-        .expect("it ends");
-    let text = text(&ended);
-    assert!(ended.status.success(), "{text}");
+    let text = text_of_success(child).await;
     let line = |event: &str| {
         let mut lines = text.lines().filter(|line| line.contains(event));
         lines.next().unwrap_or_default()
--- a/crates/daemon/tests/direct/fleet.rs
+++ b/crates/daemon/tests/direct/fleet.rs
@@ -1,8 +1,8 @@
 //! What VMs know and do together: records, leases, orders, starts and stops.
 
 use crate::support::{
-    ask, config, entry, event, good, is_ready, model, post, settings, site, stream, unchunk,
-    wait_for,
+    ask, config, entry, event, good, is_ready, model, post, settings, site, slow_engine,
+    start_stream, unchunk, wait_for,
 };
 use hoplanding_core::ids::AvailabilityZone;
 use hoplanding_standins::{
@@ -272,26 +272,10 @@
 #[tokio::test]
 async fn a_planned_stop_finishes_what_runs_and_takes_nothing_late() {
     let log = KeyedLog::start().await.expect("a log");
-    let engine = RawTarget::start(|request: &RawRequest| {
-        let mut answer = stream(request, None);
-        for (pause, _) in answer.pieces.iter_mut().skip(1) {
-            *pause = Duration::from_millis(120);
-        }
-        answer
-    })
-    .await
-    .expect("an engine");
+    let engine = slow_engine(Duration::from_millis(120)).await;
     let daemon = site(&log, &[("i-1", "scribe", engine.address)]).await;
     let address = daemon.caller_address;
-    let request = post("/plan/1", "r1", &model("a1"));
-    let running = tokio::spawn(async move { ask(address, &request).await });
-    wait_for("the stream's start", async || {
-        engine
-            .requests()
-            .iter()
-            .any(|request| request.line().contains("/plan/"))
-    })
-    .await;
+    let running = start_stream(address, &engine).await;
     let stopping = tokio::spawn(daemon.stop());
     sleep(Duration::from_millis(350)).await;
     // A stream of up to 600 tokens could not end in time: its caller is told when to come back.
@@ -326,24 +310,9 @@
 #[tokio::test]
 async fn the_last_vm_of_a_zone_keeps_its_lease_in_a_stop_until_another_one_can_take_it() {
     let log = KeyedLog::start().await.expect("a log");
-    let engine = RawTarget::start(|request: &RawRequest| {
-        let mut answer = stream(request, None);
-        for (pause, _) in answer.pieces.iter_mut().skip(1) {
-            *pause = Duration::from_millis(400);
-        }
-        answer
-    })
-    .await
-    .expect("an engine");
+    let engine = slow_engine(Duration::from_millis(400)).await;
     let daemon = site(&log, &[("i-1", "scribe", engine.address)]).await;
-    let address = daemon.caller_address;
-    let request = post("/plan/1", "r1", &model("a1"));
-    let running = tokio::spawn(async move { ask(address, &request).await });
-    wait_for("the stream's start", async || {
-        let seen = engine.requests();
-        seen.iter().any(|request| request.line().contains("/plan/"))
-    })
-    .await;
+    let running = start_stream(daemon.caller_address, &engine).await;
     let leases = |log: &KeyedLog| log.values("keyed.fleet", "zone/hall");
     let held = leases(&log).len();
     let stopping = tokio::spawn(daemon.stop());
--- a/crates/daemon/tests/direct/support.rs
+++ b/crates/daemon/tests/direct/support.rs
@@ -2,7 +2,7 @@
 
 use hoplanding_standins::{
     keyed_log::KeyedLog,
-    raw_target::{RawAnswer, RawRequest},
+    raw_target::{RawAnswer, RawRequest, RawTarget},
 };
 use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::json;
@@ -10,6 +10,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
@@ -251,3 +252,28 @@
     }
     String::from_utf8_lossy(&text).into_owned()
 }
+
+/// An engine whose streams make a pause before each event.
+pub async fn slow_engine(pause: Duration) -> RawTarget {
+    RawTarget::start(move |request: &RawRequest| {
+        let mut answer = stream(request, None);
+        for (before, _) in answer.pieces.iter_mut().skip(1) {
+            *before = pause;
+        }
+        answer
+    })
+    .await
+    .expect("an engine")
+}
+
+/// Asks for a stream, and waits until its engine has the request.
+pub async fn start_stream(address: SocketAddr, engine: &RawTarget) -> JoinHandle<Answer> {
+    let request = post("/plan/1", "r1", &model("a1"));
+    let running = tokio::spawn(async move { ask(address, &request).await });
+    wait_for("the stream's start", async || {
+        let seen = engine.requests();
+        seen.iter().any(|request| request.line().contains("/plan/"))
+    })
+    .await;
+    running
+}
