Give every header one owner, and let callers set only their own

Ruled out: a list of the five names in encode_send; it would not say who owns the rest, and Connection could still name the request's id or model away.

Change: platform/headers.rs holds one table of every name with its owner (caller, caller or system, system, target, one connection). A send carries what callers own and what the system sets itself. The soak's callers forge every header of the system's, and an eleventh promise watches for them.

--- a/crates/daemon/src/direct/call/answers.rs
+++ b/crates/daemon/src/direct/call/answers.rs
@@ -1,7 +1,7 @@
 //! Answers as they go to callers.
 
 use bytes::Bytes;
-use hoplanding_platform::front::{own_answer_headers, travelling};
+use hoplanding_platform::{front::own_answer_headers, headers::travelling};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use std::time::Duration;
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -15,7 +15,7 @@
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_platform::front::travelling;
+use hoplanding_platform::headers::travelling;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -2,4 +2,5 @@
 
 mod calls;
 mod fleet;
+mod headers;
 mod support;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,10 @@
     fleet::SoakVm,
     history::{CallAnswer, CallKind, SeenEntry, SharedHistory},
 };
-use hoplanding_platform::names::{DEADLINE, MODEL, REQUEST_ID, TOKEN_COUNT};
+use hoplanding_platform::names::{
+    DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, HOLD, KV_BACKUP, KV_FETCH, KV_FROM, MODEL, PIN,
+    PRIORITY, REQUEST_ID, TOKEN_COUNT,
+};
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -17,6 +20,20 @@
 /// Time that a caller waits.
 const PATIENCE: Duration = Duration::from_secs(6);
 
+/// What every caller writes into headers that only the system may set.
+pub const FORGED: &str = "forged";
+/// Those headers; the deadline is a caller's to name, and the system makes its own of it.
+const SYSTEM_HEADERS: [&str; 8] = [
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    PRIORITY,
+    PIN,
+    HOLD,
+    KV_BACKUP,
+    KV_FROM,
+    KV_FETCH,
+];
+
 /// One request.
 #[derive(Clone, Debug)]
 pub struct SoakCall {
@@ -43,8 +60,12 @@
             format!("{MODEL}: base/{adapter}\r\n{TOKEN_COUNT}: 100,20\r\n")
         };
         let deadline = PATIENCE.as_millis();
+        let forged: String = SYSTEM_HEADERS
+            .iter()
+            .map(|name| format!("{name}: {FORGED}\r\n"))
+            .collect();
         format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{model}Content-Length: 2\r\n\r\nhi"
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{model}{forged}Content-Length: 2\r\n\r\nhi"
         )
     }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -28,6 +28,8 @@
     NotRun,
     /// A request runs on the adapter that its caller named.
     NamedAdapter,
+    /// Headers that only the system may set reach no target as a caller wrote them.
+    HeaderOwner,
     /// An answer that looks whole is the target's own, without a gap or a repeat.
     WholeAnswer,
     /// A leaving target gets no new work after its bound.
@@ -71,6 +73,7 @@
     found.extend(check_config(history));
     found.extend(check_orders(history));
     found.extend(check_budget(&calls));
+    found.extend(check_headers(history));
     found
 }
 
@@ -332,6 +335,20 @@
     vec![broken(Promise::RetryBudget, what)]
 }
 
+fn check_headers(history: &[TimedEntry]) -> Vec<Violation> {
+    let forged = history.iter().filter_map(|entry| match &entry.seen {
+        SeenEntry::Forged { id, target } => {
+            let what = format!(
+                "{target} was handed a forged header of {id} at {:?}",
+                entry.at
+            );
+            Some(broken(Promise::HeaderOwner, what))
+        }
+        _ => None,
+    });
+    forged.collect()
+}
+
 fn broken(promise: Promise, what: String) -> Violation {
     Violation { promise, what }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -73,6 +73,13 @@
         /// Whether the target will break its answer off.
         breaks_off: bool,
     },
+    /// A target was handed a header of the system's own that a caller had forged.
+    Forged {
+        /// The request.
+        id: String,
+        /// The target.
+        target: String,
+    },
     /// An engine took an order.
     Ordered {
         /// The engine.
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -1,6 +1,7 @@
 //! Engines and plain services that write down what reaches them.
 
 use crate::{
+    callers::FORGED,
     checks::{EVENTS, event_text, whole_body},
     history::{CallKind, SeenEntry, SharedHistory},
 };
@@ -216,6 +217,12 @@
 
     fn run(&self, request: &RawRequest, path: &str) -> RawAnswer {
         let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
+        if request.head.contains(FORGED) {
+            self.history.add(SeenEntry::Forged {
+                id: id.clone(),
+                target: self.name.clone(),
+            });
+        }
         let named = request.header(MODEL).unwrap_or_default();
         let adapter = named.split_once('/').map_or("", |(_, adapter)| adapter);
         let breaks_off = {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -101,6 +101,17 @@
     assert_eq!(found(&history), [Promise::NamedAdapter]);
 }
 
+#[test]
+fn a_forged_header_that_reached_a_target_is_found() {
+    let forged = SeenEntry::Forged {
+        id: "r1".into(),
+        target: "i-1".into(),
+    };
+    let sent = sent(0, "r1", CallKind::Once, "");
+    assert_eq!(found(std::slice::from_ref(&sent)), []);
+    assert_eq!(found(&[sent, at(1, forged)]), [Promise::HeaderOwner]);
+}
+
 #[test]
 fn an_answer_that_looks_whole_has_every_event_once() {
     let whole = whole_body(CallKind::Stream, "r1", EVENTS);
