--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -16,8 +16,6 @@
     time::Duration,
 };
 
-/// Adapters that an engine reloads quickly because it had them lately.
-const LATELY_KEPT: usize = 100;
 /// Prompt parts whose use is remembered for each engine.
 const PREFIXES_KEPT: usize = 256;
 
@@ -392,10 +390,10 @@
     }
 
     /// Notes that it had an adapter.
-    pub fn note_lately(&mut self, adapter: &AdapterName) {
+    pub fn note_lately(&mut self, adapter: &AdapterName, kept: usize) {
         self.lately.retain(|kept| kept != adapter);
         self.lately.push_back(adapter.clone());
-        if self.lately.len() > LATELY_KEPT {
+        if self.lately.len() > kept {
             self.lately.pop_front();
         }
     }
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,7 +8,9 @@
 //! | [`lease`] | which VM gives the orders in a zone |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
+//! | [`policy`] | what placing and refusing weigh |
 //! | [`reading`] | how fast engines read prompts, and what each still has to read |
+//! | [`search`] | which zones a gateway asks to take a call, and on which terms |
 //! | [`demand`] | how often each adapter is asked for |
 //! | [`health`] | doubt about targets, from the outcomes of calls |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
@@ -21,5 +23,7 @@
 pub mod health;
 pub mod lease;
 pub mod planner;
+pub mod policy;
 pub mod reading;
 pub mod routes;
+pub mod search;
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -16,6 +16,17 @@
     pub number: u64,
 }
 
+/// What a gateway wants of a zone for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AskTerms {
+    /// Take it if an engine that has its adapter keeps it within the bound; otherwise say what it would cost.
+    Inquire,
+    /// Take it at a cost below this, in milliseconds: another zone's offer, less the price of going elsewhere.
+    Beat(u32),
+    /// Take it within the bound.
+    Take,
+}
+
 /// What the holder has to know about a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementAsk {
@@ -29,12 +40,16 @@
     pub prefix: Vec<(u64, u32)>,
     /// Rank of its route; 0 is the most urgent.
     pub priority: u8,
+    /// Time left to its objective, in milliseconds.
+    pub objective_ms: u32,
     /// Longest wait for its first token that it is worth placing for, in milliseconds.
     pub bound_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
     /// Whether its adapter may be loaded for it.
     pub may_load: bool,
+    /// What is wanted.
+    pub terms: AskTerms,
 }
 
 /// Where a call goes.
@@ -46,6 +61,10 @@
         target: TargetName,
         /// Milliseconds until its adapter is there.
         wait_ms: u32,
+        /// Rank at the engine; 0 is read first.
+        rank: u8,
+        /// Milliseconds until its first event, as expected now.
+        expected_ms: u32,
         /// Version of the adapter to ask for, if one was named.
         version: Option<u64>,
         /// Whether its adapter is sought after so much that other zones should have it too.
@@ -65,6 +84,8 @@
 pub enum RefusalCause {
     /// No engine has its adapter, or could make room for it.
     NoEngine,
+    /// It could be taken at this cost, in milliseconds: its wait, and what the placement costs others.
+    Offer(u32),
     /// The best engine would make it wait this long, in milliseconds, which is more than it can bear.
     TooLong(u32),
     /// Its loads came to nothing at several engines.
--- a/crates/core/src/direct/planner/figures.rs
+++ b/crates/core/src/direct/planner/figures.rs
@@ -15,16 +15,16 @@
     pub store_load: Duration,
     /// Time for an adapter that the engine had lately.
     pub lately_load: Duration,
-    /// What a load costs beside its time: what it evicts, and its price.
-    pub load_penalty: Duration,
     /// What each running call adds to a newcomer's wait.
     pub per_call: Duration,
     /// Time that a call holds its slot.
     pub slot_time: Duration,
     /// Loads that may be on their way in this zone at full speed.
     pub loads_at_full_speed: u32,
-    /// What all zones at their share are beyond full speed: shares are whole loads.
-    pub share_excess: f64,
+    /// Zones that load from the one store.
+    pub zones: u32,
+    /// Loads that run at full speed over all zones.
+    pub full_speed_loads: f64,
     /// Pause between two loads of whole models in this zone.
     pub model_load_pause: Duration,
 }
@@ -35,11 +35,11 @@
         Self {
             store_load: Duration::from_millis(250),
             lately_load: Duration::from_millis(25),
-            load_penalty: Duration::from_millis(250),
             per_call: Duration::from_micros(1_200),
             slot_time: Duration::from_millis(2_000),
             loads_at_full_speed: 3,
-            share_excess: 1.0,
+            zones: 1,
+            full_speed_loads: FULL_SPEED_LOADS,
             model_load_pause: Duration::from_millis(950),
         }
     }
@@ -49,12 +49,14 @@
     /// The share of one of `zones` that load from one weight store.
     #[must_use]
     pub fn shared_by(zones: u32, loads_per_s: f64) -> Self {
-        let zones = f64::from(zones.max(1));
+        let count = zones.max(1);
+        let zones = f64::from(count);
         let at_once = (loads_per_s / LOADS_FOR_EACH).round().max(1.0);
         let share = (FULL_SPEED_LOADS * at_once / zones).ceil();
         Self {
             loads_at_full_speed: share as u32,
-            share_excess: (share * zones / (FULL_SPEED_LOADS * at_once)).max(1.0),
+            zones: count,
+            full_speed_loads: FULL_SPEED_LOADS * at_once,
             model_load_pause: Duration::from_secs_f64(zones / loads_per_s.max(0.1)),
             ..Self::default()
         }
--- a/crates/core/src/direct/planner/filling.rs
+++ b/crates/core/src/direct/planner/filling.rs
@@ -14,9 +14,6 @@
 
 /// Weight of the newest look at how busy the zone is; looks come every 50 ms, so bursts of a second count.
 const NEWEST_WEIGHT: f64 = 0.08;
-/// Part of the zone's engines that is busy from which it needs more of them. At Kettleby's grown deployment the bursts of
-/// scale-1 reach it, and calm days do not (39 loads there, none on quiet-1; docs/MEASUREMENTS.md).
-const BUSY_FROM: f64 = 0.6;
 
 impl ZonePlanner {
     /// Looks how busy the zone's engines are.
@@ -58,7 +55,7 @@
             .engines
             .values()
             .any(|engine| can_serve(engine) && engine.has_model(model.as_str()));
-        !has_one || self.busy >= BUSY_FROM
+        !has_one || self.busy >= self.policy.busy_part
     }
 
     fn queue_model(&mut self, name: &TargetName, model: AdapterName) {
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -10,6 +10,7 @@
 //! | `ask` | what gateways ask, and what the holder has to do |
 //! | `figures` | figures of engines and weight store |
 //! | `placing` | where a call goes |
+//! | `ranking` | in which order engines read prompts |
 //! | `ordering` | what engines are ordered |
 //! | `spreading` | second copies of adapters that crowd their engines |
 //! | `filling` | which engines that hold no base model are given one |
@@ -19,10 +20,12 @@
 mod filling;
 mod ordering;
 mod placing;
+mod ranking;
 mod spreading;
 
-pub use ask::{CallKey, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause};
+pub use ask::{AskTerms, CallKey, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause};
 pub use figures::EngineFigures;
+pub use ranking::plain_rank;
 
 use crate::{
     direct::{
@@ -31,6 +34,7 @@
         demand::DemandTable,
         engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
+        policy::PlacementPolicy,
         reading::ReadingPace,
     },
     ids::{AdapterName, Instant, TargetName, VmName},
@@ -56,6 +60,7 @@
 #[derive(Debug)]
 pub struct ZonePlanner {
     figures: EngineFigures,
+    policy: PlacementPolicy,
     limits: EngineLimits,
     engines: BTreeMap<TargetName, EngineState>,
     versions: HashMap<AdapterName, u64>,
@@ -75,6 +80,7 @@
     pub fn new(figures: EngineFigures, limits: EngineLimits, orders_from: Instant) -> Self {
         Self {
             figures,
+            policy: PlacementPolicy::default(),
             limits,
             engines: BTreeMap::new(),
             versions: HashMap::new(),
@@ -110,6 +116,11 @@
         self.engines.values().any(|engine| engine.pending.is_some())
     }
 
+    /// Sets what decisions weigh.
+    pub fn set_policy(&mut self, policy: PlacementPolicy) {
+        self.policy = policy;
+    }
+
     /// Sets what the service's engines can hold.
     pub fn set_limits(&mut self, limits: EngineLimits) {
         self.limits = limits;
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -23,8 +23,7 @@
 impl ZonePlanner {
     /// An order was answered, or its answer is overdue.
     pub fn order_ended(&mut self, name: &TargetName, outcome: OrderOutcome, now: Instant) {
-        // Those under way share the store only beyond this zone's part of it, and no load is begun beyond that.
-        let store_time = self.store_time(0);
+        let store_time = self.store_time(self.loads_under_way(now));
         let version = self
             .engines
             .get(name)
@@ -54,7 +53,7 @@
                     _ if engine.had_lately(&subject) => self.figures.lately_load,
                     _ => store_time,
                 };
-                engine.note_lately(&subject);
+                engine.note_lately(&subject, self.policy.lately_kept);
                 if let Some(copy) = engine.copies.get_mut(&subject) {
                     copy.state = if time.is_zero() {
                         ResidentState::Here
@@ -149,8 +148,8 @@
                     wait_ms = millis(at.since(now) + LOAD_MARGIN);
                 }
             }
-            self.note_sent(name, key.clone(), &ask, wait_ms, now);
-            self.answer_send(name, key, &ask.subject, wait_ms);
+            let sent = self.note_sent(name, key.clone(), &ask, wait_ms, now);
+            self.answer_send(name, key, &ask.subject, wait_ms, sent);
         }
     }
 
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -5,8 +5,8 @@
         catalog::TargetStage,
         engine::{EngineState, ResidentState, SentCall, WaitingCall},
         planner::{
-            COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer, PlacementAsk,
-            RefusalCause, ZonePlanner, millis, split_subject,
+            AskTerms, COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer,
+            PlacementAsk, RefusalCause, ZonePlanner, millis, plain_rank, split_subject,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -22,8 +22,11 @@
 impl ZonePlanner {
     /// Places a call.
     pub fn place(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
-        self.demand.record(&ask.subject, now);
-        let subject = ask.may_load.then(|| ask.subject.clone());
+        let is_ours = !matches!(ask.terms, AskTerms::Beat(_));
+        if is_ours {
+            self.demand.record(&ask.subject, now);
+        }
+        let subject = (ask.may_load && is_ours).then(|| ask.subject.clone());
         self.place_known(key, ask, now);
         if let Some(subject) = subject {
             self.spread(&subject, now);
@@ -35,7 +38,18 @@
             self.refuse(key, COME_BACK_MS, RefusalCause::NoEngine);
             return;
         };
-        if cost.wait > Duration::from_millis(u64::from(ask.bound_ms)) {
+        let is_over = cost.wait > Duration::from_millis(u64::from(ask.bound_ms));
+        let is_declined = match ask.terms {
+            AskTerms::Inquire => is_over || cost.loads,
+            AskTerms::Beat(most) => is_over || millis(cost.total) >= most,
+            AskTerms::Take => false,
+        };
+        if is_declined {
+            let cause = RefusalCause::Offer(millis(cost.total));
+            self.refuse(key, COME_BACK_MS, cause);
+            return;
+        }
+        if is_over {
             // It is loaded all the same, so that it is there when the caller comes back.
             self.load_ahead(&name, &ask, now);
             let retry_after = cost.wait.clamp(COME_BACK_LEAST, COME_BACK_MOST);
@@ -59,11 +73,11 @@
             .filter_map(|(name, engine)| {
                 let mut cost = self.cost(engine, ask, crowd, now)?;
                 if self.health.is_doubted(name) && !all_doubted {
-                    cost.total += Duration::from_secs(2);
+                    cost.total += self.policy.doubt_price;
                 }
-                cost.total += Duration::from_millis(400).mul_f64(self.health.failing(name));
+                cost.total += self.policy.failing_price.mul_f64(self.health.failing(name));
                 if self.health.is_shedding(name, now) {
-                    cost.total += Duration::from_millis(100);
+                    cost.total += self.policy.shed_price;
                 }
                 Some((name.clone(), cost))
             })
@@ -79,9 +93,10 @@
     ) -> Option<PlacementCost> {
         let load = self.load_wait(engine, ask, crowd, now)?;
         let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
-        let prompts = engine.prompts.backlog(ask.priority, &self.pace, now);
         let fresh = ask.prompt_tokens.saturating_sub(kept);
         let own = engine.prompts.own_time(fresh, &self.pace, now);
+        let rank = self.rank(ask, own);
+        let prompts = engine.prompts.backlog(rank, &self.pace, now);
         let calls = u32::try_from(engine.calls.len()).unwrap_or(u32::MAX);
         let over = calls.saturating_sub(engine.entry.slots.saturating_sub(1));
         let tokens = engine.tokens_sent() + call_tokens(ask);
@@ -99,6 +114,7 @@
         Some(PlacementCost {
             wait,
             total: wait + load.penalty,
+            loads: load.is_new,
         })
     }
 
@@ -126,11 +142,11 @@
                     ResidentState::Here if is_stale => None,
                     ResidentState::Coming(at) => Some(LoadCost {
                         time: at.since(now),
-                        penalty: Duration::ZERO,
+                        ..LoadCost::default()
                     }),
                     ResidentState::Wanted | ResidentState::Outdated => Some(LoadCost {
                         time: self.figures.store_load,
-                        penalty: Duration::ZERO,
+                        ..LoadCost::default()
                     }),
                     _ => Some(LoadCost::default()),
                 }
@@ -148,15 +164,17 @@
                 if waiting >= 2 * COMING_MOST || !self.can_make_room(engine, now) {
                     return None;
                 }
-                let time = if engine.had_lately(&ask.subject) {
-                    self.figures.lately_load
+                let is_new = !engine.had_lately(&ask.subject);
+                let (time, price) = if is_new {
+                    (self.store_time(crowd), self.policy.load_price)
                 } else {
-                    self.store_time(crowd)
+                    (self.figures.lately_load, self.policy.reload_price)
                 };
                 let turn = u32::try_from(engine.queue.len()).unwrap_or(0);
                 Some(LoadCost {
                     time: time + Duration::from_millis(8) * turn,
-                    penalty: self.figures.load_penalty,
+                    penalty: price,
+                    is_new,
                 })
             }
         }
@@ -167,11 +185,11 @@
         wanted < self.limits.adapter_slots as usize || self.victim(engine, now).is_some()
     }
 
+    /// Time of one more load from the store beside `crowd` of this zone, if the other zones load as much.
     pub(super) fn store_time(&self, crowd: u32) -> Duration {
-        let most = self.figures.loads_at_full_speed.max(1);
-        let stretch = f64::from(crowd + 1) / f64::from(most);
-        let alone = self.figures.store_load.mul_f64(self.figures.share_excess);
-        alone.mul_f64(stretch.max(1.0))
+        let loads = f64::from(crowd + 1) * f64::from(self.figures.zones);
+        let stretch = loads / self.figures.full_speed_loads;
+        self.figures.store_load.mul_f64(stretch.max(1.0))
     }
 
     pub(super) fn loads_under_way(&self, now: Instant) -> u32 {
@@ -206,9 +224,11 @@
         &mut self,
         name: &TargetName,
         key: CallKey,
-        ask: PlacementAsk,
+        mut ask: PlacementAsk,
         now: Instant,
     ) {
+        // From here on it is this zone's call, also if its load comes to nothing.
+        ask.terms = AskTerms::Take;
         let (_, adapter) = split_subject(&ask.subject);
         let is_adapter = adapter.is_some();
         let Some(engine) = self.engines.get_mut(name) else {
@@ -237,8 +257,8 @@
             }
             None => 0,
         };
-        self.note_sent(name, key.clone(), &ask, wait_ms, now);
-        self.answer_send(name, key, &ask.subject, wait_ms);
+        let sent = self.note_sent(name, key.clone(), &ask, wait_ms, now);
+        self.answer_send(name, key, &ask.subject, wait_ms, sent);
     }
 
     pub(super) fn answer_send(
@@ -247,16 +267,20 @@
         key: CallKey,
         subject: &AdapterName,
         wait_ms: u32,
+        sent: SentRank,
     ) {
         let answer = PlacementAnswer::Send {
             target: name.clone(),
             wait_ms,
+            rank: sent.rank,
+            expected_ms: millis(sent.expected),
             version: self.versions.get(subject).copied(),
             is_sought: self.is_sought(subject),
         };
         self.answer(key, answer);
     }
 
+    /// Counts a call that is sent now; returns its rank at the engine and its expected wait.
     pub(super) fn note_sent(
         &mut self,
         name: &TargetName,
@@ -264,21 +288,47 @@
         ask: &PlacementAsk,
         wait_ms: u32,
         now: Instant,
-    ) {
-        let Some(engine) = self.engines.get_mut(name) else {
-            return;
+    ) -> SentRank {
+        let Some(engine) = self.engines.get(name) else {
+            return SentRank::unknown(ask);
         };
         let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
         let fresh = ask.prompt_tokens.saturating_sub(kept);
-        let ready_at = now.after(Duration::from_millis(u64::from(wait_ms)));
-        let prompts = &mut engine.prompts;
-        prompts.add(key.clone(), fresh, ask.priority, ready_at);
-        engine.note_prefix(&ask.subject, &ask.prefix);
+        let load = Duration::from_millis(u64::from(wait_ms));
+        let own = engine.prompts.own_time(fresh, &self.pace, now);
+        let rank = self.rank(ask, own);
+        let wait = engine.prompts.backlog(rank, &self.pace, now).max(load);
+        let rank = self.sent_rank(ask, own, wait);
         let call = SentCall {
             subject: ask.subject.clone(),
             tokens: call_tokens(ask),
         };
-        engine.add_call(key, call);
+        if let Some(engine) = self.engines.get_mut(name) {
+            let prompts = &mut engine.prompts;
+            prompts.add(key.clone(), fresh, rank, now.after(load));
+            engine.note_prefix(&ask.subject, &ask.prefix);
+            engine.add_call(key, call);
+        }
+        SentRank {
+            rank,
+            expected: wait + own,
+        }
+    }
+}
+
+/// What a call is sent with.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentRank {
+    rank: u8,
+    expected: Duration,
+}
+
+impl SentRank {
+    fn unknown(ask: &PlacementAsk) -> Self {
+        Self {
+            rank: plain_rank(ask.priority),
+            expected: Duration::ZERO,
+        }
     }
 }
 
@@ -288,12 +338,16 @@
     wait: Duration,
     /// The wait, and what the placement costs others.
     total: Duration,
+    /// Whether its adapter has to come from the store.
+    loads: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LoadCost {
     time: Duration,
     penalty: Duration,
+    /// Whether it is a load from the store that is not planned yet.
+    is_new: bool,
 }
 
 /// Rank by rendezvous hashing, so that equal costs lead an adapter to the same engine.
--- a/crates/core/src/direct/planner/spreading.rs
+++ b/crates/core/src/direct/planner/spreading.rs
@@ -11,19 +11,6 @@
     },
     ids::{AdapterName, Instant, TargetName},
 };
-use std::time::Duration;
-
-/// Part of an engine's places from which it counts as crowded: what is left has to bear the arrivals of one load.
-const CROWDED_FROM: f64 = 0.55;
-/// Prompts that wait from which an engine counts as crowded.
-const CROWDED_BACKLOG: Duration = Duration::from_millis(150);
-/// Part of a crowded engine's calls that one adapter makes up if a second copy of it would help.
-const BLAMED_FROM: f64 = 0.3;
-/// Part of a zone's places that one adapter's calls take from which other zones should have it too. Kilindini's grown
-/// zones have 336 places, and calls last some two seconds: that is 25 calls a second of the fleet's 430.
-const SOUGHT_FROM: f64 = 0.15;
-/// Part of the loads at full speed that may be on their way when one is begun that nobody waits for.
-const SPARE_PART: f64 = 0.5;
 
 impl ZonePlanner {
     /// Brings in another copy of an adapter that was just asked for, if all engines that have it are crowded by it.
@@ -32,7 +19,7 @@
             return;
         }
         let under_way = self.loads_under_way(now) + self.loads_waiting();
-        let spare = f64::from(self.figures.loads_at_full_speed) * SPARE_PART;
+        let spare = f64::from(self.figures.loads_at_full_speed) * self.policy.spare_part;
         if f64::from(under_way) >= spare || !self.is_crowded_by(subject, now) {
             return;
         }
@@ -57,7 +44,7 @@
             }
             users += engine.copies.get(subject).map_or(0, |copy| copy.users);
         }
-        f64::from(users) >= f64::from(places.max(1)) * SOUGHT_FROM
+        f64::from(users) >= f64::from(places.max(1)) * self.policy.sought_part
     }
 
     /// Whether every copy is there, in use, and on an engine that it crowds.
@@ -73,7 +60,7 @@
                 let calls = engine.calls.len().max(1) as f64;
                 copy.state == ResidentState::Here
                     && self.is_crowded(engine, now)
-                    && f64::from(copy.users) >= calls * BLAMED_FROM
+                    && f64::from(copy.users) >= calls * self.policy.crowding_part
             })
     }
 
@@ -100,7 +87,7 @@
 
     fn is_crowded(&self, engine: &EngineState, now: Instant) -> bool {
         let places = f64::from(engine.entry.slots.max(1));
-        engine.calls.len() as f64 >= places * CROWDED_FROM
-            || engine.prompts.backlog(u8::MAX, &self.pace, now) >= CROWDED_BACKLOG
+        engine.calls.len() as f64 >= places * self.policy.crowded_places
+            || engine.prompts.backlog(u8::MAX, &self.pace, now) >= self.policy.crowded_backlog
     }
 }
--- /dev/null
+++ b/crates/core/src/direct/policy.rs
@@ -0,0 +1,75 @@
+//! What placing and refusing weigh: one structure for all of it, which settings may override.
+//!
+//! How fast engines are is observed ([`super::reading`]), and places, memory and loads at once come from the
+//! configuration. What is left are prices and bounds; docs/POLICY.md names the rounds that each value comes from.
+
+use std::time::Duration;
+
+/// Weights and limits of decisions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementPolicy {
+    /// Part of the time left to the objective that a call may wait in its home zone without other zones being asked.
+    pub swift_part: f64,
+    /// Wait, in objectives, beyond which a call is turned away; by rank, the most urgent first.
+    pub bearable_parts: [f64; 3],
+    /// Requests a second at one VM from which an adapter is at home in every zone.
+    pub popular_per_s: f64,
+    /// What another zone has to be better by.
+    pub away_price: Duration,
+    /// What a load from the store costs beside its time: what it evicts, and its price.
+    pub load_price: Duration,
+    /// The same for an adapter that the engine had lately.
+    pub reload_price: Duration,
+    /// Whether calls that will be late are read after those that are in time.
+    pub late_last: bool,
+    /// Whether of calls of one rank the short prompts are read first.
+    pub short_first: bool,
+    /// Adapters that an engine is taken to reload quickly.
+    pub lately_kept: usize,
+    /// Prompt tokens that an engine is taken to keep beside those of running calls, as a part of its memory.
+    pub kept_part: f64,
+    /// Part of an engine's places from which it counts as crowded: what is left has to bear the arrivals of one load.
+    pub crowded_places: f64,
+    /// Prompts that wait from which an engine counts as crowded.
+    pub crowded_backlog: Duration,
+    /// Part of a crowded engine's calls that one adapter makes up if a second copy of it would help.
+    pub crowding_part: f64,
+    /// Part of a zone's places that one adapter's calls take from which other zones should have it too.
+    pub sought_part: f64,
+    /// Part of the loads at full speed that may be on their way when one is begun that nobody waits for.
+    pub spare_part: f64,
+    /// Part of the zone's engines that is busy from which it needs more of them.
+    pub busy_part: f64,
+    /// What a doubted engine has to be better by.
+    pub doubt_price: Duration,
+    /// What a full share of failures counts.
+    pub failing_price: Duration,
+    /// What an engine counts that turned a call away a moment ago.
+    pub shed_price: Duration,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> Self {
+        Self {
+            swift_part: 0.75,
+            bearable_parts: [2.0, 1.5, 0.95],
+            popular_per_s: 0.4,
+            away_price: Duration::from_millis(60),
+            load_price: Duration::from_millis(250),
+            reload_price: Duration::from_millis(250),
+            late_last: false,
+            short_first: false,
+            lately_kept: 100,
+            kept_part: 0.0,
+            crowded_places: 0.55,
+            crowded_backlog: Duration::from_millis(150),
+            crowding_part: 0.3,
+            sought_part: 0.15,
+            spare_part: 0.5,
+            busy_part: 0.6,
+            doubt_price: Duration::from_secs(2),
+            failing_price: Duration::from_millis(400),
+            shed_price: Duration::from_millis(100),
+        }
+    }
+}
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -8,7 +8,8 @@
         engine::{EngineOrder, EngineReport, OrderKind, OrderOutcome},
         health::{CallOutcome, HealthTable},
         planner::{
-            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
+            AskTerms, CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction,
+            RefusalCause, ZonePlanner,
         },
     },
     ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetName, VmName},
@@ -64,9 +65,11 @@
         output_tokens: 50,
         prefix: Vec::new(),
         priority: 1,
+        objective_ms: 800,
         bound_ms: 60_000,
         exclude: Vec::new(),
         may_load: true,
+        terms: AskTerms::Take,
     }
 }
 
@@ -689,3 +692,31 @@
         run_schedule(seed);
     }
 }
+
+#[test]
+fn a_zone_offers_what_it_would_have_to_load_and_takes_it_only_for_less() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1"], now);
+    let with = |terms| PlacementAsk {
+        terms,
+        ..ask("base/a1")
+    };
+    planner.place(key(1), with(AskTerms::Inquire), now);
+    let actions = planner.take_actions();
+    let [(_, PlacementAnswer::Refuse { cause, .. })] = &answers(&actions)[..] else {
+        panic!("not one refusal");
+    };
+    let RefusalCause::Offer(cost) = *cause else {
+        panic!("no offer: {cause:?}");
+    };
+    assert!(orders(actions).is_empty(), "an inquiry loads nothing");
+    planner.place(key(2), with(AskTerms::Beat(cost)), now);
+    let actions = planner.take_actions();
+    assert!(matches!(
+        answers(&actions)[..],
+        [(_, PlacementAnswer::Refuse { .. })]
+    ));
+    assert!(orders(actions).is_empty(), "it is no cheaper");
+    planner.place(key(3), with(AskTerms::Beat(cost + 1)), now);
+    assert_eq!(orders(planner.take_actions()).len(), 1);
+}
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -5,3 +5,4 @@
 
 mod play;
 mod speeds;
+mod zones;
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -8,6 +8,8 @@
         planner::{
             CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
         },
+        policy::PlacementPolicy,
+        search::ZoneSearch,
     },
     ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetName, VmName},
 };
@@ -115,6 +117,7 @@
 
 struct ModelEngine {
     kind: EngineKind,
+    zone: usize,
     waiting: Vec<SentPrompt>,
     /// The prompt being read, and the tokens left of it.
     reading: Option<(SentPrompt, f64)>,
@@ -125,6 +128,10 @@
 }
 
 struct OpenCall {
+    adapter: u32,
+    /// Zones in the order in which they are asked.
+    zones: Vec<usize>,
+    search: ZoneSearch,
     class: usize,
     arrived: u64,
     tokens: u32,
@@ -133,7 +140,8 @@
 
 /// One play.
 pub struct LoadPlay {
-    planner: ZonePlanner,
+    planners: Vec<ZonePlanner>,
+    policy: PlacementPolicy,
     engines: BTreeMap<TargetName, ModelEngine>,
     classes: Vec<CallClass>,
     next_arrival: Vec<u64>,
@@ -178,40 +186,54 @@
     }
 }
 
+/// A planner whose engines were found empty but for the base model.
+fn planner(names: &[String], zones: u32) -> ZonePlanner {
+    let now = Instant::default();
+    let mut planner = ZonePlanner::new(EngineFigures::shared_by(zones, 2.8), limits(), now);
+    planner.set_targets(names.iter().map(|name| entry(name)).collect(), now);
+    planner.tick(now);
+    let report = EngineReport {
+        models: vec![AdapterName::new("base")],
+        ..EngineReport::default()
+    };
+    for name in names {
+        planner.report_came(&TargetName::new(name), Some(&report), now);
+    }
+    planner.take_actions();
+    planner
+}
+
 impl LoadPlay {
+    /// One zone of engines.
     pub fn new(kinds: &[EngineKind], classes: &[CallClass], seed: u64) -> Self {
-        let names: Vec<_> = (0..kinds.len()).map(|at| format!("e{at}")).collect();
-        let mut planner = ZonePlanner::new(
-            EngineFigures::shared_by(1, 2.8),
-            limits(),
-            Instant::default(),
-        );
-        let entries = names.iter().map(|name| entry(name)).collect();
-        planner.set_targets(entries, Instant::default());
-        planner.tick(Instant::default());
-        let report = EngineReport {
-            models: vec![AdapterName::new("base")],
-            ..EngineReport::default()
-        };
-        for name in &names {
-            planner.report_came(&TargetName::new(name), Some(&report), Instant::default());
+        Self::over_zones(&[kinds], classes, seed)
+    }
+
+    /// Several zones of engines before one store.
+    pub fn over_zones(zones: &[&[EngineKind]], classes: &[CallClass], seed: u64) -> Self {
+        let mut engines = BTreeMap::new();
+        let mut planners = Vec::new();
+        let count = u32::try_from(zones.len()).expect("few zones");
+        for (zone, kinds) in zones.iter().enumerate() {
+            let names: Vec<_> = (0..kinds.len()).map(|at| format!("e{zone}-{at}")).collect();
+            planners.push(planner(&names, count));
+            for (name, kind) in names.iter().zip(*kinds) {
+                let engine = ModelEngine {
+                    kind: *kind,
+                    zone,
+                    waiting: Vec::new(),
+                    reading: None,
+                    streaming: Vec::new(),
+                    adapters: Vec::new(),
+                    sequence: 0,
+                };
+                engines.insert(TargetName::new(name), engine);
+            }
         }
-        planner.take_actions();
-        let engine = |kind: &EngineKind| ModelEngine {
-            kind: *kind,
-            waiting: Vec::new(),
-            reading: None,
-            streaming: Vec::new(),
-            adapters: Vec::new(),
-            sequence: 0,
-        };
         Self {
-            planner,
-            engines: names
-                .iter()
-                .zip(kinds)
-                .map(|(name, kind)| (TargetName::new(name), engine(kind)))
-                .collect(),
+            planners,
+            policy: PlacementPolicy::default(),
+            engines,
             classes: classes.to_vec(),
             next_arrival: vec![0; classes.len()],
             open: HashMap::new(),
@@ -222,6 +244,14 @@
         }
     }
 
+    /// Decides with another policy.
+    pub fn set_policy(&mut self, policy: PlacementPolicy) {
+        self.policy = policy;
+        for planner in &mut self.planners {
+            planner.set_policy(policy);
+        }
+    }
+
     /// Plays a span, and says what the callers of each class got of it.
     pub fn run(mut self, span: Duration) -> Vec<CallerShares> {
         let end = u64::try_from(span.as_micros()).expect("a short span");
@@ -229,7 +259,9 @@
         while now < end {
             self.arrive(now);
             if now % 50_000 == 0 {
-                self.planner.tick(Instant(now));
+                for planner in &mut self.planners {
+                    planner.tick(Instant(now));
+                }
             }
             self.carry_out(now);
             self.work(now);
@@ -258,7 +290,18 @@
         let adapter = popular.sample(&mut self.random) as u32;
         let number = self.next_number;
         self.next_number += 1;
+        let count = self.planners.len();
+        // The most popular adapters are at home where their callers are.
+        let own = self.random.random_range(0..count);
+        let home = if adapter <= 3 {
+            own
+        } else {
+            adapter as usize % count
+        };
         let call = OpenCall {
+            adapter,
+            zones: (0..count).map(|turn| (home + turn) % count).collect(),
+            search: ZoneSearch::new(self.policy, count),
             class: at,
             arrived: now,
             tokens,
@@ -266,59 +309,94 @@
         };
         self.open.insert(number, call);
         self.shares[at].asked += 1.0;
+        self.ask_next(number, now);
+    }
+
+    /// Puts a call's next question; it is refused where there is none.
+    fn ask_next(&mut self, number: u64, now: u64) {
+        let Some(call) = self.open.get_mut(&number) else {
+            return;
+        };
+        let class = self.classes[call.class];
+        let Some(question) = call.search.ask_next() else {
+            let shares = &mut self.shares[call.class];
+            shares.refused += 1.0;
+            shares.refusal_waits.push((now - call.arrived) / 1_000);
+            self.open.remove(&number);
+            return;
+        };
+        let objective = Duration::from_millis(class.objective_ms);
+        let left = objective.saturating_sub(Duration::from_micros(now - call.arrived));
+        let bound = call
+            .search
+            .wait_bound(question.pass, class.rank, objective, left);
         let ask = PlacementAsk {
-            subject: AdapterName::new(&format!("base/a{adapter}")),
-            prompt_tokens: tokens,
+            subject: AdapterName::new(&format!("base/a{}", call.adapter)),
+            prompt_tokens: call.tokens,
             output_tokens: class.output,
             prefix: Vec::new(),
             priority: class.rank,
-            bound_ms: class.patience_ms as u32,
+            objective_ms: left.as_millis() as u32,
+            bound_ms: bound.as_millis() as u32,
             exclude: Vec::new(),
-            may_load: true,
+            may_load: question.may_load,
+            terms: question.terms,
         };
-        self.planner.place(key(number), ask, Instant(now));
+        let zone = call.zones[question.zone];
+        self.planners[zone].place(key(number), ask, Instant(now));
     }
 
     fn carry_out(&mut self, now: u64) {
         loop {
-            let actions = self.planner.take_actions();
-            if actions.is_empty() {
+            let mut is_quiet = true;
+            for zone in 0..self.planners.len() {
+                for action in self.planners[zone].take_actions() {
+                    is_quiet = false;
+                    self.take_action(zone, action, now);
+                }
+            }
+            if is_quiet {
                 return;
             }
-            for action in actions {
-                match action {
-                    PlannerAction::Answer(key, answer) => self.take_answer(&key, answer, now),
-                    PlannerAction::Order(entry, order) => {
-                        let engine = self.engines.get_mut(&entry.name).expect("an engine");
-                        engine.sequence += 1;
-                        let outcome = match order.kind {
-                            OrderKind::Load => {
-                                engine.adapters.push(order.subject);
-                                assert!(engine.adapters.len() <= PLACES as usize, "overfilled");
-                                OrderOutcome::Begun
-                            }
-                            OrderKind::Unload => {
-                                engine.adapters.retain(|held| *held != order.subject);
-                                OrderOutcome::Done
-                            }
-                        };
-                        self.planner.order_ended(&entry.name, outcome, Instant(now));
+        }
+    }
+
+    fn take_action(&mut self, zone: usize, action: PlannerAction, now: u64) {
+        let planner = &mut self.planners[zone];
+        match action {
+            PlannerAction::Answer(key, answer) => self.take_answer(zone, &key, answer, now),
+            PlannerAction::Order(entry, order) => {
+                let engine = self.engines.get_mut(&entry.name).expect("an engine");
+                engine.sequence += 1;
+                let outcome = match order.kind {
+                    OrderKind::Load => {
+                        engine.adapters.push(order.subject);
+                        assert!(engine.adapters.len() <= PLACES as usize, "overfilled");
+                        OrderOutcome::Begun
                     }
-                    PlannerAction::Report(entry) => {
-                        self.planner.report_came(&entry.name, None, Instant(now));
+                    OrderKind::Unload => {
+                        engine.adapters.retain(|held| *held != order.subject);
+                        OrderOutcome::Done
                     }
-                }
+                };
+                planner.order_ended(&entry.name, outcome, Instant(now));
+            }
+            PlannerAction::Report(entry) => {
+                planner.report_came(&entry.name, None, Instant(now));
             }
         }
     }
 
-    fn take_answer(&mut self, key: &CallKey, answer: PlacementAnswer, now: u64) {
+    fn take_answer(&mut self, zone: usize, key: &CallKey, answer: PlacementAnswer, now: u64) {
         let Some(call) = self.open.get_mut(&key.number) else {
             return;
         };
         match answer {
             PlacementAnswer::Send {
-                target, wait_ms, ..
+                target,
+                wait_ms,
+                rank,
+                ..
             } => {
                 assert!(
                     u64::from(wait_ms) * 1_000 <= 4 * LOAD_MICROS,
@@ -327,18 +405,21 @@
                 let prompt = SentPrompt {
                     key: key.clone(),
                     tokens: call.tokens,
-                    rank: self.classes[call.class].rank,
+                    rank,
                     reaches_at: now + u64::from(wait_ms) * 1_000 + 1_000,
                 };
                 call.target = Some(target.clone());
                 let engine = self.engines.get_mut(&target).expect("an engine");
                 engine.waiting.push(prompt);
             }
-            PlacementAnswer::Refuse { .. } => {
-                let shares = &mut self.shares[call.class];
-                shares.refused += 1.0;
-                shares.refusal_waits.push((now - call.arrived) / 1_000);
-                self.open.remove(&key.number);
+            PlacementAnswer::Refuse {
+                retry_after_ms,
+                cause,
+            } => {
+                let turn = call.zones.iter().position(|asked| *asked == zone);
+                let turn = turn.expect("a zone that was asked");
+                call.search.take_refusal(turn, cause, retry_after_ms);
+                self.ask_next(key.number, now);
             }
         }
     }
@@ -347,6 +428,7 @@
         let names: Vec<_> = self.engines.keys().cloned().collect();
         for name in names {
             let engine = self.engines.get_mut(&name).expect("an engine");
+            let zone = engine.zone;
             let ended: Vec<_> = engine
                 .streaming
                 .extract_if(.., |(_, until)| *until <= now)
@@ -383,7 +465,7 @@
                     .push((key.clone(), now + u64::from(output) * 12_000));
             }
             for (key, _) in ended {
-                self.planner.ended(&key, Some(&name), None, Instant(now));
+                self.planners[zone].ended(&key, Some(&name), None, Instant(now));
             }
             for key in begun {
                 self.begin(&key, &name, now);
@@ -393,7 +475,8 @@
 
     fn begin(&mut self, key: &CallKey, target: &TargetName, now: u64) {
         if self.tells_first_events {
-            self.planner.begun(key, target, Instant(now));
+            let zone = self.engines[target].zone;
+            self.planners[zone].begun(key, target, Instant(now));
         }
         if let Some(call) = self.open.remove(&key.number) {
             let class = self.classes[call.class];
@@ -425,8 +508,9 @@
                     .take()
                     .filter(|(prompt, _)| prompt.key.number != number);
             }
-            self.planner
-                .ended(&key(number), target.as_ref(), None, Instant(now));
+            for planner in &mut self.planners {
+                planner.ended(&key(number), target.as_ref(), None, Instant(now));
+            }
         }
     }
 }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -102,6 +102,8 @@
     body: Bytes,
     /// Targets that it need not be sent to again.
     pub tried: Vec<TargetName>,
+    /// Rank at the engine that its holder gave it.
+    pub rank: Option<u8>,
     /// Targets that may have run it.
     pub runs: u32,
     /// Zones that had no room for it when it was placed last, and why.
@@ -190,6 +192,7 @@
         headers: parts.headers,
         body,
         tried: Vec::new(),
+        rank: None,
         runs: 0,
         refusals: Vec::new(),
         refused: 0,
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -14,6 +14,7 @@
     direct::{
         catalog::{TargetEntry, TargetStage},
         planner::{PlacementAnswer, PlacementAsk, split_subject},
+        search::{SearchPass, ZoneQuestion, ZoneSearch},
     },
     ids::{AdapterName, AvailabilityZone},
 };
@@ -27,23 +28,6 @@
 
 /// Time that a call waits before it is placed again.
 const PLACE_AGAIN: Duration = Duration::from_millis(60);
-/// Part of the time left to the objective that a call may wait without asking a second zone.
-const SWIFT_PART: f64 = 0.75;
-/// Wait, in objectives, beyond which a call is turned away; by rank, the most urgent first.
-const BEARABLE_PARTS: [f64; 3] = [2.0, 1.5, 0.95];
-/// Requests a second at one VM from which an adapter is at home in every zone.
-const POPULAR_RATE: f64 = 0.4;
-
-/// How much wait a placing allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PlacingPass {
-    /// Only where the objective is kept.
-    Swift,
-    /// Wherever the wait is worth it.
-    Bearable,
-    /// The same after a pause.
-    Again,
-}
 
 /// Where the next send goes.
 pub enum Placing {
@@ -57,94 +41,90 @@
     /// Finds the target of the next send, and waits until it has what is asked for.
     pub async fn place(&mut self) -> Placing {
         self.refusals.clear();
+        self.rank = None;
         if self.service.engine.is_none() {
             return match pick_target(&self.context.fleet, &self.service.name, &self.tried) {
                 Some(entry) => Placing::At(entry, None, None),
                 None => Placing::Nowhere(COME_BACK),
             };
         }
-        let mut come_back = COME_BACK;
-        let mut is_home_out = false;
-        for pass in [
-            PlacingPass::Swift,
-            PlacingPass::Bearable,
-            PlacingPass::Again,
-        ] {
-            if pass == PlacingPass::Again {
-                // A zone that changes hands answers again within moments.
-                sleep(PLACE_AGAIN).await;
-            }
-            let bound = self.wait_bound(pass);
-            for (turn, zone) in self.zones_in_order().into_iter().enumerate() {
-                // Another zone's load comes from the same store, so only what is there already counts in it, unless
-                // nobody loads at home.
-                let may_load = turn == 0 || is_home_out;
-                let ask = self.ask(bound, may_load);
-                match self.context.access.place(&zone, ask).await {
-                    Some((
-                        PlacementAnswer::Send {
-                            target,
-                            wait_ms,
-                            version,
-                            is_sought,
-                        },
-                        ticket,
-                    )) => {
-                        event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?} by a {pass:?} look, its adapter {} there in {wait_ms} ms",
-                            self.arrived.elapsed(),
-                            self.subject()
-                        );
-                        if is_sought {
-                            self.context.fleet.note_sought(&self.subject());
-                        }
-                        let figures = &self.context.fleet.figures;
-                        figures.note_placing(self.arrived.elapsed());
-                        self.timeline.note_placed();
-                        sleep(Duration::from_millis(u64::from(wait_ms))).await;
-                        self.timeline.note_there();
-                        let entry = self.context.fleet.books().catalog.get(&target).cloned();
-                        // It may have begun to leave while the adapter came.
-                        match entry.filter(|entry| entry.stage == TargetStage::Ready) {
-                            Some(entry) => return Placing::At(entry, version, ticket),
-                            None => self.tried.push(target),
-                        }
-                    }
-                    Some((
-                        PlacementAnswer::Refuse {
-                            retry_after_ms,
-                            cause,
-                        },
-                        _,
-                    )) => {
-                        self.refusals.push((zone, cause));
-                        come_back = Duration::from_millis(u64::from(retry_after_ms));
-                    }
-                    None => {
-                        is_home_out |= turn == 0;
-                        if let Some(found) = self.place_alone(&zone) {
-                            return found;
-                        }
-                    }
+        let zones = self.zones_in_order();
+        let policy = self.context.fleet.books().policy;
+        let mut search = ZoneSearch::new(policy, zones.len());
+        let mut pass = SearchPass::Compare;
+        while let Some(question) = search.ask_next() {
+            if question.pass != pass {
+                pass = question.pass;
+                if !self.has_time() {
+                    break;
+                }
+                if pass == SearchPass::Again {
+                    sleep(PLACE_AGAIN).await;
                 }
             }
-            if !self.has_time() {
-                break;
+            let zone = &zones[question.zone];
+            if let Some(found) = self.ask_zone(zone, &question, &mut search).await {
+                return found;
             }
         }
-        Placing::Nowhere(come_back)
+        Placing::Nowhere(search.come_back().unwrap_or(COME_BACK))
     }
 
-    /// Wait up to which a zone is asked to take the call.
-    fn wait_bound(&self, pass: PlacingPass) -> Duration {
-        let left = self.route.objective.saturating_sub(self.arrived.elapsed());
-        let is_first = self.runs == 0;
-        match pass {
-            PlacingPass::Swift => left.mul_f64(SWIFT_PART),
-            _ if !is_first => self.deadline.saturating_duration_since(Instant::now()),
-            _ => {
-                let parts = &BEARABLE_PARTS;
-                let part = parts[usize::from(self.route.priority).min(parts.len() - 1)];
-                self.route.objective.mul_f64(part)
+    /// Asks one zone; nothing if it does not take the call.
+    async fn ask_zone(
+        &mut self,
+        zone: &AvailabilityZone,
+        question: &ZoneQuestion,
+        search: &mut ZoneSearch,
+    ) -> Option<Placing> {
+        let ask = self.ask(question, search);
+        let Some((answer, ticket)) = self.context.access.place(zone, ask).await else {
+            search.take_silence(question.zone);
+            // While the home zone's offer stands: a zone that can't be heard may be cut off with its targets.
+            let is_compared = question.pass == SearchPass::Compare && question.zone > 0;
+            return if is_compared {
+                None
+            } else {
+                self.place_alone(zone)
+            };
+        };
+        match answer {
+            PlacementAnswer::Send {
+                target,
+                wait_ms,
+                rank,
+                expected_ms,
+                version,
+                is_sought,
+            } => {
+                event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?}, its adapter {} there in {wait_ms} ms",
+                    self.arrived.elapsed(),
+                    self.subject()
+                );
+                if is_sought {
+                    self.context.fleet.note_sought(&self.subject());
+                }
+                let figures = &self.context.fleet.figures;
+                figures.note_placing(self.arrived.elapsed());
+                self.timeline.note_placed(expected_ms);
+                sleep(Duration::from_millis(u64::from(wait_ms))).await;
+                self.timeline.note_there();
+                let entry = self.context.fleet.books().catalog.get(&target).cloned();
+                // It may have begun to leave while the adapter came.
+                let Some(entry) = entry.filter(|entry| entry.stage == TargetStage::Ready) else {
+                    self.tried.push(target);
+                    return None;
+                };
+                self.rank = Some(rank);
+                Some(Placing::At(entry, version, ticket))
+            }
+            PlacementAnswer::Refuse {
+                retry_after_ms,
+                cause,
+            } => {
+                search.take_refusal(question.zone, cause, retry_after_ms);
+                self.refusals.push((zone.clone(), cause));
+                None
             }
         }
     }
@@ -157,7 +137,8 @@
         let is_popular = {
             let now = clock::now();
             let books = self.context.fleet.books();
-            books.demand.rate(&subject, now) >= POPULAR_RATE || books.is_sought(&subject, now)
+            books.demand.rate(&subject, now) >= books.policy.popular_per_s
+                || books.is_sought(&subject, now)
         };
         let has_adapter = split_subject(&subject).1.is_some();
         let mut zones = self.context.settings.zones.clone();
@@ -171,7 +152,15 @@
         zones
     }
 
-    fn ask(&self, bound: Duration, may_load: bool) -> PlacementAsk {
+    fn ask(&self, question: &ZoneQuestion, search: &ZoneSearch) -> PlacementAsk {
+        let objective = self.route.objective;
+        let left = objective.saturating_sub(self.arrived.elapsed());
+        let bound = if self.runs > 0 && question.pass != SearchPass::Compare {
+            // It has run already: its caller is served late rather than told that it failed.
+            self.deadline.saturating_duration_since(Instant::now())
+        } else {
+            search.wait_bound(question.pass, self.route.priority, objective, left)
+        };
         let output = self
             .head
             .output_hint
@@ -183,9 +172,11 @@
             output_tokens: output,
             prefix: self.head.prefix.clone(),
             priority: self.route.priority,
+            objective_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             bound_ms: u32::try_from(bound.as_millis()).unwrap_or(u32::MAX),
             exclude: self.tried.clone(),
-            may_load,
+            may_load: question.may_load,
+            terms: question.terms,
         }
     }
 
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -13,7 +13,7 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::{catalog::TargetEntry, config::RepeatRule},
+    direct::{catalog::TargetEntry, config::RepeatRule, planner::plain_rank},
     ids::TargetName,
 };
 use hoplanding_platform::front::{
@@ -217,7 +217,12 @@
         let send = SendHead {
             target: &entry.name,
             remaining,
-            priority: self.service.engine.as_ref().map(|_| self.route.priority),
+            priority: self.rank.or_else(|| {
+                self.service
+                    .engine
+                    .as_ref()
+                    .map(|_| plain_rank(self.route.priority))
+            }),
             version,
             last_event,
         };
--- a/crates/daemon/src/direct/call/timeline.rs
+++ b/crates/daemon/src/direct/call/timeline.rs
@@ -8,6 +8,7 @@
 pub struct CallTimeline {
     arrived: Instant,
     placed: Option<Duration>,
+    expected: Option<Duration>,
     there: Option<Duration>,
     first: Option<Duration>,
     last_at: Option<Instant>,
@@ -21,6 +22,7 @@
         Self {
             arrived,
             placed: None,
+            expected: None,
             there: None,
             first: None,
             last_at: None,
@@ -28,9 +30,11 @@
         }
     }
 
-    /// A holder gave it a target.
-    pub fn note_placed(&mut self) {
-        self.placed = Some(self.arrived.elapsed());
+    /// A holder gave it a target, and expects its first event after this time.
+    pub fn note_placed(&mut self, expected_ms: u32) {
+        let placed = self.arrived.elapsed();
+        self.placed = Some(placed);
+        self.expected = Some(placed + Duration::from_millis(u64::from(expected_ms)));
     }
 
     /// Its adapter is taken for there, and it is sent.
@@ -62,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let steps = [
             ("placed", self.placed),
+            ("expected", self.expected),
             ("there", self.there),
             ("first", self.first),
             ("pause", Some(self.longest_pause)),
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -20,6 +20,7 @@
         demand::DemandTable,
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
+        policy::PlacementPolicy,
         routes::RouteTable,
     },
     ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
@@ -95,6 +96,8 @@
     pub in_flight: HashMap<TargetName, u32>,
     /// This VM's share of the retry budget.
     pub retries: RetryShare,
+    /// What decisions weigh.
+    pub policy: PlacementPolicy,
     /// How often callers of this VM ask for each adapter.
     pub demand: DemandTable,
     /// Adapters that take much of their home zone, and until when that counts.
@@ -159,6 +162,7 @@
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
+                policy: settings.policy,
                 demand: DemandTable::default(),
                 sought: HashMap::new(),
                 records: RecordBook::default(),
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -78,7 +78,11 @@
 
     /// Takes over what can change in a running process.
     pub fn take_over(&self, settings: &DirectSettings) {
-        self.fleet().books().retries.set_rule(settings.retries);
+        {
+            let mut books = self.fleet().books();
+            books.retries.set_rule(settings.retries);
+            books.policy = settings.policy;
+        }
         // The line about the change is written whatever the level was and will be.
         set_level("info");
         let waiting = self.settings().needs_restart(settings);
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::options::{LogSettings, SectionReader, SettingsError, parse_settings, read_log};
 use hoplanding_core::{
-    direct::{budget::RetryRule, lease::LeaseTimes},
+    direct::{budget::RetryRule, lease::LeaseTimes, policy::PlacementPolicy},
     ids::{AvailabilityZone, VmName},
 };
 use serde_json::Value;
@@ -38,6 +38,8 @@
     pub retries: RetryRule,
     /// Spans that decide about claims.
     pub leases: LeaseTimes,
+    /// What decisions weigh.
+    pub policy: PlacementPolicy,
     /// Pauses and bounds.
     pub pace: PaceSettings,
     /// Logs.
@@ -97,6 +99,7 @@
         is_first_start: root.flag("first_start"),
         retries: root.section("retries", read_retries),
         leases: root.section("leases", read_leases),
+        policy: root.section("policy", read_policy),
         pace: root.section("pace", read_pace),
         log: root.section("log", read_log),
     }
@@ -118,6 +121,44 @@
     }
 }
 
+/// Weights and limits of decisions; docs/POLICY.md says where each value comes from.
+fn read_policy(section: &SectionReader<'_>) -> PlacementPolicy {
+    let known = PlacementPolicy::default();
+    let part = |name, value| section.fraction(name, value, 0.0, 100.0);
+    let span = |name, value: Duration| {
+        let known = u64::try_from(value.as_millis()).unwrap_or(u64::MAX);
+        section.millis(name, known, 0, 600_000)
+    };
+    let count = |name, value: usize| section.number(name, value as u64, 0, 100_000) as usize;
+    let is_on = |name, value| section.number(name, u64::from(value), 0, 1) == 1;
+    let [urgent, normal, batch] = known.bearable_parts;
+    PlacementPolicy {
+        swift_part: part("swift_part", known.swift_part),
+        bearable_parts: [
+            part("bearable_urgent", urgent),
+            part("bearable_normal", normal),
+            part("bearable_batch", batch),
+        ],
+        popular_per_s: part("popular_per_s", known.popular_per_s),
+        away_price: span("away_price_ms", known.away_price),
+        load_price: span("load_price_ms", known.load_price),
+        reload_price: span("reload_price_ms", known.reload_price),
+        late_last: is_on("late_last", known.late_last),
+        short_first: is_on("short_first", known.short_first),
+        lately_kept: count("lately_kept", known.lately_kept),
+        kept_part: part("kept_part", known.kept_part),
+        crowded_places: part("crowded_places", known.crowded_places),
+        crowded_backlog: span("crowded_backlog_ms", known.crowded_backlog),
+        crowding_part: part("crowding_part", known.crowding_part),
+        sought_part: part("sought_part", known.sought_part),
+        spare_part: part("spare_part", known.spare_part),
+        busy_part: part("busy_part", known.busy_part),
+        doubt_price: span("doubt_price_ms", known.doubt_price),
+        failing_price: span("failing_price_ms", known.failing_price),
+        shed_price: span("shed_price_ms", known.shed_price),
+    }
+}
+
 fn read_pace(section: &SectionReader<'_>) -> PaceSettings {
     PaceSettings {
         list_every: section.millis("list_every_ms", 1000, 10, 60_000),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -272,6 +272,7 @@
         });
         let token = lease.map(hoplanding_core::direct::lease::LeaseState::token);
         let quiet = books.claim_quiet;
+        let policy = books.policy;
         let service = books.active.as_ref().and_then(|active| {
             let service = active
                 .config
@@ -307,6 +308,7 @@
             .get_or_insert_with(|| hold(token, &service, &limits, zones, now.after(quiet)));
         held.service.clone_from(&service);
         held.planner.set_limits(limits);
+        held.planner.set_policy(policy);
         held.planner
             .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
         for (subject, version) in versions {
