Take late in a stop only streams that would end in time by those that ended before

The bound was 1 s and 15 ms a token, written down from the sheets of other engines; loaded engines here take 36 ms a step. Ruled out: the engine, which was still at work when the connection closed.

Change: core/direct/streams.rs keeps decayed peaks of the time to first events, between events, and of events a token, and the stop takes what fits with a quarter to spare. Both tests fail with the old bound.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -11,6 +11,7 @@
 //! | [`policy`] | what placing and refusing weigh |
 //! | [`reading`] | how fast engines read prompts, and what each still has to read |
 //! | [`search`] | which zones a gateway asks to take a call, and on which terms |
+//! | [`streams`] | how long a stream may take |
 //! | [`demand`] | how often each adapter is asked for |
 //! | [`health`] | doubt about targets, from the outcomes of calls |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
@@ -27,3 +28,4 @@
 pub mod reading;
 pub mod routes;
 pub mod search;
+pub mod streams;
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -7,6 +7,7 @@
         config::{AnswerShape, FleetConfig, RepeatRule, RouteRule},
         lease::{HolderContact, HolderView, LeaseState, LeaseStep, LeaseTimes, ZoneLease},
         routes::RouteTable,
+        streams::StreamPace,
     },
     ids::{AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
 };
@@ -259,3 +260,22 @@
     let equal = view(HolderContact::Heard, 0);
     assert_eq!(state.step(&TIMES, equal, at(30_000)), LeaseStep::Stay);
 }
+
+#[test]
+fn streams_that_take_long_raise_what_a_stream_may_take_and_are_forgotten() {
+    let mut pace = StreamPace::default();
+    let guessed = pace.longest(100, at(0));
+    assert!(guessed >= Duration::from_secs(5), "{guessed:?}");
+    // 25 events of four tokens each, 60 ms apart.
+    pace.note_start(Duration::from_millis(300), at(1_000));
+    pace.note_end(25, Duration::from_millis(1_440), 100, at(1_000));
+    let calm = pace.longest(100, at(1_000));
+    assert!(calm < Duration::from_millis(2_600), "{calm:?}");
+    // The stream that was cut in a stop: 1.35 s to its first event, and over 3.2 s for up to 208 tokens.
+    pace.note_start(Duration::from_millis(1_350), at(2_000));
+    pace.note_end(52, Duration::from_millis(3_300), 208, at(2_000));
+    let loaded = pace.longest(208, at(2_000));
+    assert!(loaded > Duration::from_millis(4_650), "{loaded:?}");
+    let later = pace.longest(208, at(40_000));
+    assert!(later < loaded / 2, "{later:?}");
+}
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -144,7 +144,7 @@
         return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
     };
     if let Some(plan) = context.stop.get()
-        && let Err(come_back) = plan.admits(&route, &head)
+        && let Err(come_back) = plan.admits(&route, &head, &context.fleet.streams())
     {
         event!(Event::CallRefused, request = head.id; "route {} not run, as this VM stops; come back after {come_back:?}",
             route.name
--- a/crates/daemon/src/direct/call/stop.rs
+++ b/crates/daemon/src/direct/call/stop.rs
@@ -1,13 +1,14 @@
 //! What is still taken while this VM stops.
 
-use hoplanding_core::direct::config::{AnswerShape, RouteRule};
+use crate::clock;
+use hoplanding_core::direct::{
+    config::{AnswerShape, RouteRule},
+    streams::StreamPace,
+};
 use hoplanding_platform::front::CallHead;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time to a stream's first event, and between two tokens, that a stream is sure not to exceed, by the users' sheets.
-const STREAM_START: Duration = Duration::from_millis(1_000);
-const TOKEN_TIME: Duration = Duration::from_millis(15);
 /// Time from the process's end until it serves again.
 const RESTART: Duration = Duration::from_millis(900);
 
@@ -21,14 +22,20 @@
 }
 
 impl StopPlan {
-    /// Whether a call can be taken; if not, when its caller should come back.
-    pub(super) fn admits(&self, route: &RouteRule, head: &CallHead) -> Result<(), Duration> {
+    /// Whether a call can be taken, by how long streams take; if not, when its caller should come back.
+    pub(super) fn admits(
+        &self,
+        route: &RouteRule,
+        head: &CallHead,
+        streams: &StreamPace,
+    ) -> Result<(), Duration> {
         let now = Instant::now();
         let left = self.exit.saturating_duration_since(now);
         let longest = match route.shape {
             AnswerShape::Whole => route.timeout,
             AnswerShape::Events { .. } => {
-                (STREAM_START + TOKEN_TIME * head.most_output).min(route.timeout)
+                let longest = streams.longest(head.most_output, clock::now());
+                longest.min(route.timeout)
             }
         };
         if now < self.choosy_from || longest < left {
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -5,6 +5,7 @@
 //! under the head that the caller already has.
 
 use crate::{
+    clock,
     direct::{
         call::{AnswerBody, BrokenAnswer, CallState, OpenAnswer, Placing, SendOutcome, give_back},
         cutter::EventCutter,
@@ -100,7 +101,9 @@
     fn note_events(&mut self) {
         if self.call.timeline.note_event() {
             let held = self.call.arrived.elapsed();
-            self.call.context.fleet.figures.note_first_event(held);
+            let fleet = &self.call.context.fleet;
+            fleet.figures.note_first_event(held);
+            fleet.books().streams.note_start(held, clock::now());
         }
         let ticket = self.open.as_ref().and_then(|open| open.ticket.as_ref());
         if let (true, Some(ticket)) = (self.awaits_first, ticket) {
@@ -109,6 +112,20 @@
         }
     }
 
+    /// Notes how long the stream took, for what may be taken while this VM stops.
+    fn note_span(&self) {
+        let call = &self.call;
+        let (Some(first), Some(events)) = (call.timeline.first(), self.cutter.last_id()) else {
+            return;
+        };
+        let span = call.arrived.elapsed().saturating_sub(first);
+        let mut books = call.context.fleet.books();
+        let most_output = call.head.most_output;
+        books
+            .streams
+            .note_end(events, span, most_output, clock::now());
+    }
+
     /// How long the next event may take: a stream that can go on elsewhere is not waited for until its caller leaves.
     fn patience(&self) -> Instant {
         if self.resumable {
@@ -150,6 +167,7 @@
         }
         if let Some(open) = self.open.take() {
             self.call.count(RequestOutcome::Answered);
+            self.note_span();
             event!(Event::StreamAnswered, request = self.call.head.id; "route {} objective {} prompt {} at {}:{}",
                 self.call.route.name,
                 self.call.route.objective.as_millis(),
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -22,6 +22,7 @@
         lease::{LeaseState, ZoneLease},
         policy::PlacementPolicy,
         routes::RouteTable,
+        streams::StreamPace,
     },
     ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
 };
@@ -96,6 +97,8 @@
     pub in_flight: HashMap<TargetName, u32>,
     /// This VM's share of the retry budget.
     pub retries: RetryShare,
+    /// How long streams of this VM took lately.
+    pub streams: StreamPace,
     /// What decisions weigh.
     pub policy: PlacementPolicy,
     /// How often callers of this VM ask for each adapter.
@@ -162,6 +165,7 @@
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
+                streams: StreamPace::default(),
                 policy: settings.policy,
                 demand: DemandTable::default(),
                 sought: HashMap::new(),
@@ -175,6 +179,12 @@
         }
     }
 
+    /// How long streams of this VM took lately.
+    #[must_use]
+    pub fn streams(&self) -> StreamPace {
+        self.books().streams
+    }
+
     /// The books.
     ///
     /// # Panics
--- a/crates/daemon/tests/direct/fleet.rs
+++ b/crates/daemon/tests/direct/fleet.rs
@@ -307,6 +307,27 @@
     );
 }
 
+#[tokio::test]
+async fn a_stopping_vm_takes_no_stream_that_would_end_too_late_by_those_before() {
+    let log = KeyedLog::start().await.expect("a log");
+    // Six events, 400 ms apart: longer than 1 s and 15 ms a token.
+    let engine = slow_engine(Duration::from_millis(400)).await;
+    let daemon = site(&log, &[("i-1", "scribe", engine.address)]).await;
+    let address = daemon.caller_address;
+    let first = ask(address, &post("/plan/1", "r0", &model("a1"))).await;
+    assert!(first.is_whole);
+    let running = start_stream(address, &engine).await;
+    let stopping = tokio::spawn(daemon.stop());
+    sleep(Duration::from_millis(600)).await;
+    let late = ask(address, &post("/plan/1", "r2", &model("a1"))).await;
+    assert_eq!(late.status, 503);
+    assert!(late.has("retry-after"));
+    assert!(running.await.expect("an answer").is_whole);
+    assert_eq!(stopping.await.expect("it ends"), 0);
+    let is_late = |request: &RawRequest| request.header("hoplanding-request-id") == Some("r2");
+    assert!(!engine.requests().iter().any(is_late));
+}
+
 #[tokio::test]
 async fn the_last_vm_of_a_zone_keeps_its_lease_in_a_stop_until_another_one_can_take_it() {
     let log = KeyedLog::start().await.expect("a log");
