Let only marked factors of engines count

Its prompts are short; an engine's factor scatters there by a third, and placements followed the scatter away from the engines that kept the prompts.

Change: a factor of 0.7 to 1.4 counts as 1.

--- a/crates/core/src/direct/reading.rs
+++ b/crates/core/src/direct/reading.rs
@@ -10,7 +10,7 @@
 //! engine's factor against that line, which few calls suffice for.
 
 use crate::{direct::planner::CallKey, ids::Instant};
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 /// Starting guess for the time of a prompt of no tokens, in ms: a step and two ways on the network.
 const START_GUESS_MS: f64 = 12.0;
@@ -32,6 +32,9 @@
 const FACTOR_HALF_LIFE_S: f64 = 6.0;
 /// Bounds of an engine's factor.
 const FACTOR_BOUNDS: [f64; 2] = [0.25, 16.0];
+/// Factors that say nothing: short prompts beside running calls scatter as far, and calls that follow the scatter lose the
+/// engines that kept their prompts.
+const ALIKE: Range<f64> = 0.7..1.4;
 /// Part of the time that an overdue prompt has taken already which it is expected to take on top.
 const OVERDUE_PART: f64 = 0.5;
 
@@ -209,7 +212,8 @@
     #[must_use]
     pub fn factor(&self, now: Instant) -> f64 {
         let age = now.since(self.seen_at).as_secs_f64();
-        self.factor.powf(0.5_f64.powf(age / FACTOR_HALF_LIFE_S))
+        let factor = self.factor.powf(0.5_f64.powf(age / FACTOR_HALF_LIFE_S));
+        if ALIKE.contains(&factor) { 1.0 } else { factor }
     }
 
     /// What is left of the prompt that the engine is at; one that is overdue takes as long again in part.
