--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -55,6 +55,17 @@
     }
 }
 
+/// What a share stands at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryStanding {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Repeats in the window.
+    pub repeats: u32,
+    /// Repeats allowed in it.
+    pub allowed: f64,
+}
+
 /// Counts requests and repeats by service, and allows further repeats.
 #[derive(Clone, Debug)]
 pub struct RetryShare {
@@ -92,17 +103,25 @@
         }
     }
 
-    /// Whether one more repeat is allowed; counts it if so.
-    pub fn try_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
+    /// What the share of a service stands at.
+    pub fn standing(&mut self, service: &ServiceName, now: Instant) -> RetryStanding {
         let share = self.rule.slack / f64::from(self.vms);
         let ratio = self.rule.ratio;
-        let window = self.window(service, now);
-        let (requests, repeats) = window.totals();
-        let allowed = (ratio * f64::from(requests) + share) * USED_PART;
-        if f64::from(repeats) + 1.0 > allowed {
+        let (requests, repeats) = self.window(service, now).totals();
+        RetryStanding {
+            requests,
+            repeats,
+            allowed: (ratio * f64::from(requests) + share) * USED_PART,
+        }
+    }
+
+    /// Whether one more repeat is allowed; counts it if so.
+    pub fn try_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let standing = self.standing(service, now);
+        if f64::from(standing.repeats) + 1.0 > standing.allowed {
             return false;
         }
-        if let Some(step) = window.steps.back_mut() {
+        if let Some(step) = self.window(service, now).steps.back_mut() {
             step.2 += 1;
         }
         true
--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -178,6 +178,21 @@
         changed
     }
 
+    /// Whether the removal of a target's entry is in doubt.
+    #[must_use]
+    pub fn is_doubted(&self, name: &TargetName) -> bool {
+        self.rows
+            .get(name)
+            .is_some_and(|row| row.lapses_at.is_some())
+    }
+
+    /// Targets whose removal is in doubt.
+    #[must_use]
+    pub fn doubted(&self) -> usize {
+        let rows = self.rows.values();
+        rows.filter(|row| row.lapses_at.is_some()).count()
+    }
+
     /// A target by name.
     #[must_use]
     pub fn get(&self, name: &TargetName) -> Option<&Arc<TargetEntry>> {
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -338,8 +338,24 @@
         }
         let fleet = &self.context.fleet;
         let service = &self.service.name;
-        let is_allowed = fleet.books().retries.try_repeat(service, clock::now());
+        let now = clock::now();
+        let (standing, is_allowed) = {
+            let retries = &mut fleet.books().retries;
+            let standing = retries.standing(service, now);
+            (standing, retries.try_repeat(service, now))
+        };
         fleet.figures.count_repeat(is_allowed);
+        let decided = if is_allowed {
+            Event::RepeatAllowed
+        } else {
+            Event::RepeatDenied
+        };
+        event!(decided, request = self.head.id; "of {service}, {} repeats of {:.1} for {} requests, {:?} after the start",
+            standing.repeats,
+            standing.allowed,
+            standing.requests,
+            fleet.age()
+        );
         is_allowed
     }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock,
     direct::{
-        fleet::FleetState,
+        fleet::{FleetState, RecordSource},
         message::{FeedTopic, PassedRecord},
     },
     event,
@@ -31,7 +31,7 @@
                 value: record.value,
                 offset: record.offset,
             };
-            has_news |= self.fold(topic, slice::from_ref(&record), now);
+            has_news |= self.fold(topic, slice::from_ref(&record), RecordSource::Passed, now);
         }
         if has_news {
             self.signal();
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -100,6 +100,7 @@
     placing: Histogram,
     first_event: Histogram,
     targets: Family<StageLabels, Gauge>,
+    doubted: Gauge,
     in_flight: Gauge,
     config_version: Gauge,
     vms: Gauge,
@@ -120,6 +121,7 @@
             placing: Histogram::new(BUCKETS),
             first_event: Histogram::new(BUCKETS),
             targets: Family::default(),
+            doubted: Gauge::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             vms: Gauge::default(),
@@ -161,6 +163,11 @@
             self.first_event.clone(),
         );
         registry.register("targets", "Targets by stage", self.targets.clone());
+        registry.register(
+            "targets_doubted",
+            "Targets whose removal is in doubt",
+            self.doubted.clone(),
+        );
         registry.register("in_flight", "Requests at targets", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -236,6 +243,7 @@
             let gauge = self.targets.get_or_create(&StageLabels { stage: name });
             gauge.set(signed(count.count() as u64));
         }
+        self.doubted.set(signed(books.catalog.doubted() as u64));
         let in_flight: u32 = books.in_flight.values().sum();
         self.in_flight.set(i64::from(in_flight));
         let version = books
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -63,6 +63,17 @@
     pub strength: u32,
 }
 
+/// How a record came to this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordSource {
+    /// In a listing of its own.
+    Listed,
+    /// In a read of its own.
+    Read,
+    /// From another VM.
+    Passed,
+}
+
 /// A configuration in force.
 #[derive(Debug)]
 pub struct ActiveConfig {
@@ -126,6 +137,7 @@
     pub vm: VmName,
     /// The run of this process.
     pub incarnation: u64,
+    started: Instant,
     /// This VM's zone.
     pub zone: AvailabilityZone,
     /// Thousandths of a core that this VM has.
@@ -149,6 +161,7 @@
         Self {
             vm: settings.vm.clone(),
             incarnation,
+            started: clock::now(),
             zone: settings.zone.clone(),
             strength: settings.strength,
             figures: DirectFigures::default(),
@@ -193,6 +206,12 @@
         self.books.lock().expect("no holder of the lock panics")
     }
 
+    /// Time since this process started.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        clock::now().since(self.started)
+    }
+
     /// A planned stop of this VM begins.
     pub fn begin_stop(&self) {
         self.stopping.send_replace(true);
@@ -274,7 +293,7 @@
     /// Folds a listing of the newest record of each key.
     pub fn take_listing(&self, topic: FeedTopic, listing: &ReadBatch) {
         let now = clock::now();
-        self.fold(topic, &listing.records, now);
+        self.fold(topic, &listing.records, RecordSource::Listed, now);
         let mut books = self.books();
         if topic == FeedTopic::Targets {
             let listed = listing.records.iter().map(|record| record.key.as_str());
@@ -290,7 +309,7 @@
 
     /// Folds records in the order of their offsets.
     pub fn take_records(&self, topic: FeedTopic, batch: &ReadBatch) {
-        let has_news = self.fold(topic, &batch.records, clock::now());
+        let has_news = self.fold(topic, &batch.records, RecordSource::Read, clock::now());
         self.note_end(topic, batch.end);
         if has_news {
             self.signal();
@@ -338,7 +357,13 @@
     }
 
     /// Folds records; says whether any of them is news for others.
-    pub(super) fn fold(&self, topic: FeedTopic, records: &[KeyedRecord], now: Instant) -> bool {
+    pub(super) fn fold(
+        &self,
+        topic: FeedTopic,
+        records: &[KeyedRecord],
+        source: RecordSource,
+        now: Instant,
+    ) -> bool {
         let mut has_news = false;
         let mut books = self.books();
         for record in records {
@@ -354,7 +379,7 @@
                     fold_operator_record(&mut books, record);
                     true
                 }
-                FeedTopic::Targets => fold_target_record(&mut books, record, now),
+                FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
                 FeedTopic::Fleet => {
                     fold_fleet_record(&mut books, record);
                     true
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -1,12 +1,15 @@
 //! Folding of the log's records into the books. What can't be decoded is kept out, and the last good one stays.
 
 use crate::{
-    direct::fleet::{ActiveConfig, FleetBooks, VM_KEY, VMS_ASSUMED, ZONE_KEY},
+    direct::fleet::{ActiveConfig, FleetBooks, RecordSource, VM_KEY, VMS_ASSUMED, ZONE_KEY},
     event,
     events::Event,
 };
 use hoplanding_core::{
-    direct::routes::RouteTable,
+    direct::{
+        catalog::{TargetCatalog, TargetStage},
+        routes::RouteTable,
+    },
     ids::{AvailabilityZone, Instant, TargetName, VmName},
 };
 use hoplanding_platform::{
@@ -18,7 +21,12 @@
 use std::sync::Arc;
 
 /// Folds a target's entry; says whether it changes where calls may go.
-pub fn fold_target_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) -> bool {
+pub fn fold_target_record(
+    books: &mut FleetBooks,
+    record: &KeyedRecord,
+    source: RecordSource,
+    now: Instant,
+) -> bool {
     let name = TargetName::new(&record.key);
     let entry = match &record.value {
         None => None,
@@ -31,7 +39,28 @@
             }
         },
     };
-    books.catalog.apply(&name, record.offset, entry, now)
+    let was_ready = is_ready(&books.catalog, &name);
+    let is_news = books.catalog.apply(&name, record.offset, entry, now);
+    if books.catalog.is_doubted(&name) {
+        event!(
+            Event::RemovalDoubted,
+            "{name} at offset {}, {source:?}",
+            record.offset
+        );
+    } else if was_ready && !is_ready(&books.catalog, &name) {
+        event!(
+            Event::TargetLeft,
+            "{name} at offset {}, {source:?}",
+            record.offset
+        );
+    }
+    is_news
+}
+
+fn is_ready(catalog: &TargetCatalog, name: &TargetName) -> bool {
+    catalog
+        .get(name)
+        .is_some_and(|entry| entry.stage == TargetStage::Ready)
 }
 
 /// Folds a configuration or a named version.
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -1,8 +1,12 @@
 //! What one link passes on of the platform's log.
 
-use crate::direct::{
-    fleet::FleetState,
-    message::{FeedTopic, PassedRecord, VmMessage},
+use crate::{
+    direct::{
+        fleet::FleetState,
+        message::{FeedTopic, PassedRecord, VmMessage},
+    },
+    event,
+    events::Event,
 };
 use std::{future::pending, sync::Arc};
 use tokio::sync::{broadcast, watch};
@@ -36,8 +40,11 @@
                     Ok(record) if self.is_worth(&record) => {
                         return VmMessage::Records(vec![PassedRecord::clone(&record)]);
                     }
+                    Ok(_) => {}
                     // What a lagging link misses is asked for when it is needed.
-                    Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
+                    Err(broadcast::error::RecvError::Lagged(missed)) => {
+                        event!(Event::RecordsMissed, "{missed} of them");
+                    }
                     // The books live as long as the process.
                     Err(broadcast::error::RecvError::Closed) => pending::<()>().await,
                 },
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -84,6 +84,8 @@
     LinkUp = 402, Info, "peer link up";
     /// A peer was refused.
     PeerRefused = 403, Warn, "peer refused";
+    /// A link lagged behind the records to pass on.
+    RecordsMissed = 404, Warn, "records missed on a link";
     /// A target was taken over.
     TargetTaken = 500, Info, "target taken over";
     /// A target was lost to another holder.
@@ -134,6 +136,10 @@
     LeaseAsked = 706, Info, "lease asked for";
     /// This VM gives a zone up for a stronger one.
     LeaseYielded = 707, Info, "lease given up for a stronger VM";
+    /// A target takes no new work any more.
+    TargetLeft = 720, Info, "target takes no new work";
+    /// The removal of a target's entry may be a lapse.
+    RemovalDoubted = 721, Info, "removal of a target in doubt";
     /// An order was taken.
     OrderGiven = 710, Info, "order taken";
     /// An order came to nothing.
@@ -162,6 +168,10 @@
     AnswerBroken = 814, Info, "answer broken off by a target";
     /// A stream broke off.
     StreamBroken = 815, Info, "stream broken off by a target";
+    /// The retry budget paid for a repeat.
+    RepeatAllowed = 830, Info, "repeat allowed";
+    /// The retry budget did not pay for a repeat.
+    RepeatDenied = 831, Info, "repeat denied";
     /// A connection could not be accepted.
     AcceptFailed = 820, Warn, "connection not accepted";
 }
