--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -3,4 +3,5 @@
 mod calls;
 mod fleet;
 mod headers;
+mod leaving;
 mod support;
