Let the fleet decide whether a removal is in doubt, and pass every removal on

It told nobody of a removal in doubt, neither then nor when the doubt was over; a removal known by a listing was told to nobody at all; and the copy that another VM passed on was dropped, as the record was known. A link that lagged by 256 records dropped them for good; the offset from which a VM asks for more was the newest it had, gaps or not. Class: what one process sees of the log taken for the state of the log, and one-shot notices that can be lost.

Change: core/direct/contact.rs folds this VM's contact with the target list and what others say of theirs (with each sign of life); an outage counts from the first VM's return, and not at all while another was answered. A doubt ends 2.2 s after that return and is never set anew. The VM that read a removal decides, and passes it on when it counts. News has an order of its own and each link a place in it, so a lagging link finds the newest record of each key. VMs say with their signs of life up to where everything is known. While the log turns a VM away three others of its zone read on rather than once; a read after a failure does not wait for records, so the log's return shows at once (it took 2 to 14 s); the target list is always probed for itself. A listing's removals keep clear of the record behind it.

Three tests of the catalog name its new calls; what they assert is as it was, the one that expires is stricter.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -1,8 +1,9 @@
 //! The targets that may be sent to.
 //!
 //! Entries come from the platform's list, each with the offset of its record; the newest record of a target wins, in
-//! whatever order records arrive. While the list's service is away entries may lapse though their targets live, so a
-//! removal seen soon after an outage waits for the entry's return before it counts.
+//! whatever order records arrive. While the log is away entries may lapse though their targets live, so a removal that
+//! this VM reads soon after the log's return waits for the entry's own return before it counts. A removal that another VM
+//! passes on counts at once: that VM has read it, and waited where it had to.
 
 use crate::ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName};
 use std::{
@@ -12,7 +13,7 @@
     time::Duration,
 };
 
-/// Time after an outage's end within which lapsed entries come back.
+/// Time after the log's return within which lapsed entries come back; the users name two seconds.
 pub const LAPSE_RETURN: Duration = Duration::from_millis(2_200);
 
 /// Whether a target takes new work.
@@ -81,28 +82,44 @@
     lapses_at: Option<Instant>,
 }
 
+impl CatalogRow {
+    /// Takes the entry away, at once or when the doubt ends; says whether it is gone now.
+    fn remove(&mut self, doubt_ends: Option<Instant>) -> bool {
+        if let Some(ends) = doubt_ends.filter(|_| self.entry.is_some()) {
+            self.lapses_at = Some(self.lapses_at.map_or(ends, |known| known.min(ends)));
+            return false;
+        }
+        self.lapses_at = None;
+        self.entry.take().is_some()
+    }
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct TargetCatalog {
     rows: HashMap<TargetName, CatalogRow>,
-    outage_ended: Option<Instant>,
-    /// Highest offset folded.
-    end: LogOffset,
+    /// When the log came back from its last outage.
+    returned: Option<Instant>,
 }
 
-impl TargetCatalog {
-    /// The list's service is reached again after an outage.
-    pub fn outage_ended(&mut self, now: Instant) {
-        self.outage_ended = Some(now);
-    }
+/// A removal that counts, and the offset of its record.
+pub type CountedRemoval = (TargetName, LogOffset);
 
-    /// Highest offset folded.
-    #[must_use]
-    pub fn end(&self) -> LogOffset {
-        self.end
+impl TargetCatalog {
+    /// The log came back from its last outage then; none if there was no outage. Doubts end sooner if that is earlier
+    /// than was thought, and never later: a log that goes and comes again would keep a target that is gone for good.
+    pub fn log_returned(&mut self, returned: Option<Instant>) {
+        if self.returned == returned {
+            return;
+        }
+        self.returned = returned;
+        let ends = returned.map_or(Instant(0), |at| at.after(LAPSE_RETURN));
+        for row in self.rows.values_mut() {
+            row.lapses_at = row.lapses_at.map(|at| at.min(ends));
+        }
     }
 
-    /// Folds one record; none for a removal. Says whether it changes where calls may go.
+    /// Folds one record that this VM read; none for a removal. Says whether it changes where calls may go.
     pub fn apply(
         &mut self,
         name: &TargetName,
@@ -110,10 +127,7 @@
         entry: Option<TargetEntry>,
         now: Instant,
     ) -> bool {
-        self.end = self.end.max(offset);
-        let in_doubt = self
-            .outage_ended
-            .is_some_and(|ended| now.since(ended) < LAPSE_RETURN);
+        let doubt_ends = self.doubt_ends(now);
         let Some(row) = self.rows.get_mut(name) else {
             let is_known = entry.is_some();
             let row = CatalogRow {
@@ -138,44 +152,74 @@
                 row.lapses_at = None;
                 is_news
             }
-            None if in_doubt && row.entry.is_some() => {
-                row.lapses_at = Some(now.after(LAPSE_RETURN));
-                false
-            }
-            None => {
-                row.lapses_at = None;
-                row.entry.take().is_some()
-            }
+            None => row.remove(doubt_ends),
         }
     }
 
-    /// Removes what a whole listing taken at `end` lacks. A listing older than what is known counts for nothing.
-    pub fn remove_unlisted(&mut self, listed: &HashSet<&str>, end: LogOffset, now: Instant) {
-        if end < self.end {
-            return;
+    /// Until when a removal that is read now is in doubt.
+    fn doubt_ends(&self, now: Instant) -> Option<Instant> {
+        let ends = self.returned?.after(LAPSE_RETURN);
+        (now < ends).then_some(ends)
+    }
+
+    /// Folds a removal that is beyond doubt; says whether it changes where calls may go.
+    pub fn settle(&mut self, name: &TargetName, offset: LogOffset) -> bool {
+        let row = self.rows.entry(name.clone()).or_insert(CatalogRow {
+            offset,
+            entry: None,
+            lapses_at: None,
+        });
+        if row.offset > offset {
+            return false;
         }
-        let missing: Vec<_> = self
-            .rows
-            .iter()
-            .filter(|(name, row)| row.entry.is_some() && !listed.contains(name.as_str()))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in missing {
-            self.apply(&name, end, None, now);
+        row.offset = offset;
+        row.remove(None)
+    }
+
+    /// Removes what a whole listing taken at `end` lacks, unless it is known by a later record; gives the removals that
+    /// count at once.
+    pub fn remove_unlisted(
+        &mut self,
+        listed: &HashSet<&str>,
+        end: LogOffset,
+        now: Instant,
+    ) -> Vec<CountedRemoval> {
+        let doubt_ends = self.doubt_ends(now);
+        // A record at `end` itself comes after the listing.
+        let last = LogOffset(end.0.saturating_sub(1));
+        let missing = self.rows.iter_mut().filter(|(name, row)| {
+            row.entry.is_some() && row.offset < end && !listed.contains(name.as_str())
+        });
+        let mut counted = Vec::new();
+        for (name, row) in missing {
+            row.offset = last;
+            if row.remove(doubt_ends) {
+                counted.push((name.clone(), last));
+            }
         }
+        counted
     }
 
-    /// Removes what was in doubt and did not come back; says whether anything changed.
-    pub fn expire(&mut self, now: Instant) -> bool {
-        let mut changed = false;
-        for row in self.rows.values_mut() {
+    /// Removes what was in doubt and did not come back; gives the removals.
+    pub fn expire(&mut self, now: Instant) -> Vec<CountedRemoval> {
+        let mut counted = Vec::new();
+        for (name, row) in &mut self.rows {
             if row.lapses_at.is_some_and(|at| now >= at) {
                 row.lapses_at = None;
                 row.entry = None;
-                changed = true;
+                counted.push((name.clone(), row.offset));
             }
         }
-        changed
+        counted
+    }
+
+    /// Lowest offset of a removal in doubt.
+    #[must_use]
+    pub fn first_doubted(&self) -> Option<LogOffset> {
+        let rows = self.rows.values();
+        rows.filter(|row| row.lapses_at.is_some())
+            .map(|row| row.offset)
+            .min()
     }
 
     /// Whether the removal of a target's entry is in doubt.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! | [`config`] | the fleet's configuration: routes, services, engines, limits |
 //! | [`routes`] | from host and path to a route |
 //! | [`catalog`] | the targets that may be sent to, and those that lapsed |
+//! | [`contact`] | since when the platform's log has been in reach |
 //! | [`lease`] | which VM gives the orders in a zone |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
@@ -19,6 +20,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod config;
+pub mod contact;
 pub mod demand;
 pub mod engine;
 pub mod health;
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -5,6 +5,7 @@
         budget::{RetryRule, RetryShare},
         catalog::{TargetCatalog, TargetEntry, TargetStage},
         config::{AnswerShape, FleetConfig, RepeatRule, RouteRule},
+        contact::{AnswerRun, LogContact},
         lease::{HolderContact, HolderView, LeaseState, LeaseStep, LeaseTimes, ZoneLease},
         routes::RouteTable,
         streams::StreamPace,
@@ -113,19 +114,136 @@
             at(0),
         );
     }
-    catalog.outage_ended(at(10_000));
+    catalog.log_returned(Some(at(10_000)));
     catalog.apply(&back, LogOffset(3), None, at(10_050));
     catalog.apply(&gone, LogOffset(4), None, at(10_050));
     assert_eq!(catalog.iter().count(), 2, "both may come back");
     let listed = entry("i-1", TargetStage::Ready);
     catalog.apply(&back, LogOffset(5), Some(listed), at(11_500));
-    assert!(catalog.expire(at(12_400)));
+    assert_eq!(catalog.expire(at(12_400)), [(gone.clone(), LogOffset(4))]);
     assert!(catalog.get(&back).is_some() && catalog.get(&gone).is_none());
     // Long after the outage a removal counts at once.
     catalog.apply(&back, LogOffset(6), None, at(20_000));
     assert!(catalog.get(&back).is_none());
 }
 
+#[test]
+fn a_doubt_ends_two_seconds_after_the_logs_return_however_often_it_goes_again() {
+    let name = TargetName::new("i-1");
+    let mut catalog = TargetCatalog::default();
+    let listed = entry("i-1", TargetStage::Ready);
+    catalog.apply(&name, LogOffset(1), Some(listed), at(0));
+    catalog.log_returned(Some(at(10_000)));
+    // Read 2.1 s after the return: it is in doubt for a tenth of a second, not for another two.
+    assert!(!catalog.apply(&name, LogOffset(2), None, at(12_100)));
+    assert!(catalog.is_doubted(&name));
+    assert_eq!(catalog.first_doubted(), Some(LogOffset(2)));
+    // A later return, and a listing after it, leave the doubt's end as it was.
+    catalog.log_returned(Some(at(12_150)));
+    let counted = catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(12_160));
+    assert!(counted.is_empty());
+    assert!(catalog.expire(at(12_190)).is_empty());
+    assert_eq!(catalog.expire(at(12_200)), [(name, LogOffset(4))]);
+}
+
+#[test]
+fn a_doubt_ends_when_another_vm_was_served_or_has_counted_the_removal() {
+    let mut catalog = TargetCatalog::default();
+    for (offset, name) in [(1, "i-1"), (2, "i-2")] {
+        let listed = entry(name, TargetStage::Ready);
+        let name = TargetName::new(name);
+        catalog.apply(&name, LogOffset(offset), Some(listed), at(0));
+    }
+    catalog.log_returned(Some(at(10_000)));
+    for (offset, name) in [(3, "i-1"), (4, "i-2")] {
+        assert!(!catalog.apply(&TargetName::new(name), LogOffset(offset), None, at(10_100)));
+    }
+    assert!(catalog.settle(&TargetName::new("i-1"), LogOffset(3)));
+    assert_eq!(catalog.doubted(), 1);
+    catalog.log_returned(None);
+    assert_eq!(catalog.expire(at(10_200)).len(), 1);
+    assert_eq!(catalog.iter().count(), 0);
+}
+
+#[test]
+fn a_listing_removes_nothing_that_is_recorded_behind_it() {
+    let name = TargetName::new("i-1");
+    let mut catalog = TargetCatalog::default();
+    catalog.apply(
+        &name,
+        LogOffset(1),
+        Some(entry("i-1", TargetStage::Ready)),
+        at(0),
+    );
+    assert_eq!(
+        catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(1)),
+        [(name.clone(), LogOffset(4))]
+    );
+    // The next record after the listing: it is back.
+    assert!(catalog.apply(
+        &name,
+        LogOffset(5),
+        Some(entry("i-1", TargetStage::Ready)),
+        at(2)
+    ));
+    let counted = catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(3));
+    assert!(counted.is_empty() && catalog.get(&name).is_some());
+}
+
+fn run(since: u64, last: u64) -> Option<AnswerRun> {
+    Some(AnswerRun {
+        since: at(since),
+        last: at(last),
+    })
+}
+
+/// A VM whose calls were answered until 5 s, and failed from 6 to 7 s.
+fn turned_away() -> LogContact {
+    let mut contact = LogContact::default();
+    contact.answered(at(1_000));
+    contact.answered(at(5_000));
+    contact.failed(at(6_000));
+    contact.failed(at(7_000));
+    contact
+}
+
+#[test]
+fn an_outage_of_one_vm_is_none_of_the_log_while_another_is_answered() {
+    let other = VmName::new("other");
+    let mut contact = turned_away();
+    assert_eq!(contact.run(), None, "nobody can rely on it meanwhile");
+    contact.answered(at(8_000));
+    assert_eq!(contact.returned(), Some(at(8_000)));
+    // Its last answer came before this VM's last failure: it may be turned away too.
+    contact.take_report(&other, run(2_000, 6_500));
+    assert_eq!(contact.returned(), Some(at(8_000)));
+    contact.take_report(&other, run(2_000, 7_100));
+    assert_eq!(contact.returned(), None);
+    contact.take_report(&other, None);
+    assert_eq!(contact.returned(), Some(at(8_000)));
+}
+
+#[test]
+fn the_logs_return_is_when_the_first_vm_was_answered_again() {
+    let mut contact = turned_away();
+    contact.answered(at(8_000));
+    contact.take_report(&VmName::new("later"), run(7_900, 8_300));
+    contact.take_report(&VmName::new("first"), run(7_200, 8_300));
+    assert_eq!(contact.returned(), Some(at(7_200)));
+}
+
+#[test]
+fn an_outage_that_was_none_leaves_the_one_before_it() {
+    let other = VmName::new("other");
+    let mut contact = turned_away();
+    contact.answered(at(8_000));
+    contact.answered(at(8_500));
+    contact.failed(at(9_000));
+    contact.answered(at(9_500));
+    contact.take_report(&other, run(8_100, 9_400));
+    assert_eq!(contact.returned(), Some(at(8_000)));
+}
+
 #[test]
 fn repeats_stay_within_the_vms_share_of_any_window() {
     let rule = RetryRule {
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -163,7 +163,7 @@
         let within = self.settings.pace.platform_timeout;
         match client.read(FLEET_TOPIC, from, Duration::ZERO, within).await {
             Ok(batch) => {
-                self.fleet.take_records(FeedTopic::Fleet, &batch);
+                self.fleet.take_records(FeedTopic::Fleet, from, &batch);
                 true
             }
             Err(error) => {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -4,20 +4,26 @@
     clock,
     direct::{
         fleet::{FleetState, RecordSource},
-        message::{FeedTopic, PassedRecord},
+        message::{ContactReport, FeedTopic, PassedRecord, TopicEnd, VmMessage},
     },
     event,
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_core::ids::LogOffset;
+use hoplanding_core::{
+    direct::contact::AnswerRun,
+    ids::{Instant, LogOffset, VmName},
+};
 use hoplanding_platform::store::KeyedRecord;
-use std::{slice, sync::Arc};
-use tokio::sync::{broadcast, watch};
+use std::{slice, time::Duration};
+use tokio::sync::watch;
 
 /// VMs of a zone up to which its holder tells those that start all it knows. Beyond that its own link and memory would
 /// carry the whole list many times over, and the platform's log does that better.
 const MOST_TOLD: usize = 48;
+/// Time for which a VM reads for another one that the log turns away. One that stays turned away asks again within 3.3 s:
+/// 0.9 s and the longest wait until a silent read has failed, then a pause of 1 s at most.
+const READS_FOR_OTHERS: Duration = Duration::from_secs(4);
 
 impl FleetState {
     /// Folds records that another VM passed on.
@@ -52,39 +58,101 @@
         }]);
     }
 
-    /// Records of topics from offsets on, for a VM that can't read them itself. What this VM reads next is passed on
-    /// as news.
+    /// Another VM can't read the log: this one may have to read for it. What it reads is passed on as news.
+    pub fn note_asked(&self) {
+        let until = clock::now().after(READS_FOR_OTHERS);
+        self.asked.send_replace(until);
+    }
+
+    /// Whether another VM has lately said that it can't read the log.
     #[must_use]
-    pub fn records_since(&self, wanted: &[(FeedTopic, LogOffset)]) -> Vec<PassedRecord> {
-        self.asked.send_modify(|count| *count += 1);
+    pub fn is_asked(&self) -> bool {
+        clock::now() < *self.asked.borrow()
+    }
+
+    /// The answer with the records of topics from offsets on, for a VM that has not read them itself.
+    #[must_use]
+    pub fn records_since(&self, wanted: &[TopicEnd]) -> VmMessage {
+        let told = self.tellable_ends();
         let books = self.books();
-        wanted
+        let records = wanted
             .iter()
-            .flat_map(|(topic, from)| books.records.since(*topic, *from))
-            .collect()
+            .flat_map(|(topic, from)| books.records.since(*topic, *from));
+        let is_wanted = |(topic, _): &TopicEnd| wanted.iter().any(|(wanted, _)| wanted == topic);
+        VmMessage::Answer {
+            records: records.collect(),
+            ends: told.into_iter().filter(is_wanted).collect(),
+        }
     }
 
     /// Folds what another VM answered, and with it the topics of which that one knows every key.
-    pub fn take_answer(&self, records: Vec<PassedRecord>, whole: &[FeedTopic]) {
+    pub fn take_answer(&self, records: Vec<PassedRecord>, ends: &[TopicEnd]) {
         self.take_passed(records);
         let was_ready = self.is_ready();
-        self.books().whole.extend(whole);
+        for (topic, end) in ends {
+            self.note_whole(*topic, *end);
+        }
         if self.is_ready() && !was_ready {
             event!(Event::Ready, "by what another VM knows");
             self.signal();
         }
     }
 
-    /// Topics of which every key is known.
+    /// Takes over up to where another VM, whose news this one has, knows everything.
+    pub fn take_ends(&self, ends: &[TopicEnd]) {
+        let mut books = self.books();
+        for (topic, end) in ends {
+            books.advance(*topic, *end);
+        }
+    }
+
+    /// Offsets up to which others know everything once they have this VM's records: not beyond a removal that is in doubt
+    /// here, as that is passed on when it counts.
+    #[must_use]
+    pub fn tellable_ends(&self) -> Vec<TopicEnd> {
+        let books = self.books();
+        let doubted = books.catalog.first_doubted();
+        let ends = books
+            .ends
+            .iter()
+            .map(|(topic, end)| match (topic, doubted) {
+                (FeedTopic::Targets, Some(doubted)) => (*topic, doubted.min(*end)),
+                _ => (*topic, *end),
+            });
+        ends.collect()
+    }
+
+    /// How this VM's contact with the log stands, for others.
     #[must_use]
-    pub fn whole_topics(&self) -> Vec<FeedTopic> {
-        self.books().whole.iter().copied().collect()
+    pub fn log_report(&self) -> Option<ContactReport> {
+        let run = self.books().contact.run()?;
+        let now = clock::now();
+        Some(ContactReport {
+            since_ms: age_ms(run.since, now),
+            last_ms: age_ms(run.last, now),
+        })
+    }
+
+    /// Another VM says how its contact with the log stands: an outage of this VM's own may turn out to be none of the
+    /// log's.
+    pub fn take_log_report(&self, vm: &VmName, report: Option<ContactReport>) {
+        let now = clock::now();
+        let run = report.map(|report| AnswerRun {
+            since: before(now, report.since_ms),
+            last: before(now, report.last_ms),
+        });
+        {
+            let mut books = self.books();
+            books.contact.take_report(vm, run);
+            books.note_return();
+        }
+        self.expire();
     }
 
     /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything, unless its zone is
     /// too large for that.
     #[must_use]
-    pub fn wanted(&self) -> Vec<(FeedTopic, LogOffset)> {
+    pub fn wanted(&self) -> Vec<TopicEnd> {
         let may_be_all = self.learns_from_holder();
         FeedTopic::ALL
             .into_iter()
@@ -110,15 +178,23 @@
         self.pulls.subscribe()
     }
 
-    /// A signal that another VM asked for records.
+    /// Until when this VM is asked to read for others, as it changes.
     #[must_use]
-    pub fn watch_asked(&self) -> watch::Receiver<u64> {
+    pub fn watch_asked(&self) -> watch::Receiver<Instant> {
         self.asked.subscribe()
     }
 
-    /// Records as they become known.
+    /// A signal of records to pass on.
     #[must_use]
-    pub fn watch_news(&self) -> broadcast::Receiver<Arc<PassedRecord>> {
+    pub fn watch_news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
     }
 }
+
+fn age_ms(at: Instant, now: Instant) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+fn before(now: Instant, ms: u32) -> Instant {
+    Instant(now.0.saturating_sub(u64::from(ms) * 1_000))
+}
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -43,7 +43,7 @@
 const HOLDER_TELLS: Duration = Duration::from_millis(400);
 /// Pause between two looks at whether it has.
 const TELL_LOOK: Duration = Duration::from_millis(20);
-/// VMs of a zone that read the log once when another VM can't.
+/// VMs of a zone that read the log while another VM can't.
 const ANSWERERS: u32 = 3;
 /// Pause between two looks at whether this VM has to read.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
@@ -155,6 +155,8 @@
         let topic = topic_name(self.topic);
         loop {
             self.wait_for_duty().await;
+            // What was passed on meanwhile need not be read again.
+            from = from.max(self.fleet.known_end(self.topic));
             let mut returns = self.reach.watch();
             let reading = client.read(topic, from, self.wait(), self.pace.platform_timeout);
             let read = tokio::select! {
@@ -165,8 +167,8 @@
             match read {
                 Ok(batch) => {
                     self.note_back();
+                    self.fleet.take_records(self.topic, from, &batch);
                     from = next_offset(from, &batch);
-                    self.fleet.take_records(self.topic, &batch);
                     sleep(self.pause_between()).await;
                 }
                 Err(StoreError::Expired(_)) => return,
@@ -183,20 +185,14 @@
         let mut asked = self.fleet.watch_asked();
         while !self.has_duty() {
             self.reach.stop_probing(self.topic);
-            tokio::select! {
-                () = sleep(DUTY_LOOK) => {}
-                // A VM that can't read asks: one read of this VM's own answers it.
-                _ = asked.changed() => {
-                    if self.fleet.rank() < ANSWERERS {
-                        return;
-                    }
-                }
-            }
+            // The sender lives as long as the books.
+            let _ = timeout(DUTY_LOOK, asked.changed()).await;
         }
     }
 
-    /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it. At
-    /// its start a VM waits for its first link rather than read what the holder is about to pass on.
+    /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it. While
+    /// the log turns a VM away a few others read on in its place: a holder that is heard and can't read left its zone
+    /// blind for 3.5 s between two of its tries. At its start a VM waits for its first link rather than read what the holder is about to pass on.
     fn has_duty(&self) -> bool {
         let is_starting = self.started.elapsed() < START_GRACE;
         if is_starting && self.topic != FeedTopic::Fleet {
@@ -208,7 +204,8 @@
         if lease.vm.as_ref().is_none_or(|vm| *vm == self.fleet.vm) {
             return true;
         }
-        !self.hears_holder() || self.is_stand_in()
+        let reads_for_others = self.fleet.is_asked() && self.fleet.rank() < ANSWERERS;
+        !self.hears_holder() || self.is_stand_in() || reads_for_others
     }
 
     fn is_stand_in(&self) -> bool {
@@ -220,7 +217,12 @@
         lease.is_some_and(|lease| lease.vm.as_ref() == Some(&self.fleet.vm))
     }
 
+    /// How long a read waits for a record. After a failure it does not, as its answer shows that the log is back: a read
+    /// that waited hid that for 2 to 14 s, in a play with the log out for 0.6 s.
     fn wait(&self) -> Duration {
+        if self.failures > 0 {
+            return Duration::ZERO;
+        }
         match self.topic {
             FeedTopic::Targets => LIST_WAIT,
             // What a holder reads it passes on, so its zone need not ask as often.
@@ -241,6 +243,9 @@
     fn note_out(&mut self, error: &StoreError) {
         let figures = &self.fleet.figures;
         figures.count_log_call(topic_name(self.topic), LogOutcome::Failed);
+        if self.topic == FeedTopic::Targets {
+            self.fleet.note_list_call(false);
+        }
         self.fleet.ask_others();
         if self.failures == 0 {
             event!(Event::LogOut, "{:?}: {error}", self.topic);
@@ -251,17 +256,20 @@
     fn note_back(&mut self) {
         let figures = &self.fleet.figures;
         figures.count_log_call(topic_name(self.topic), LogOutcome::Answered);
+        if self.topic == FeedTopic::Targets {
+            self.fleet.note_list_call(true);
+        }
         if self.failures > 0 {
             self.failures = 0;
             event!(Event::LogBack, "{:?}", self.topic);
-            self.fleet.outage_ended();
             self.reach.note_back();
         }
     }
 
-    /// Waits after a failed call: the worker that probes for a pause that grows, the others until it has the log back.
+    /// Waits after a failed call: the worker that probes for a pause that grows, the others until it has the log back. The
+    /// target list is probed in any case, as nothing else has to be known as soon.
     async fn wait_to_retry(&self) {
-        if self.reach.probes(self.topic) {
+        if self.reach.probes(self.topic) || self.topic == FeedTopic::Targets {
             let pause = if self.failures > 1 {
                 RETRY_LONGEST
             } else {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -6,17 +6,20 @@
     clock,
     direct::{
         figures::DirectFigures,
-        folding::{fold_fleet_record, fold_operator_record, fold_target_record},
-        message::{FeedTopic, PassedRecord},
+        folding::{FoldedRecord, fold_fleet_record, fold_operator_record, fold_target_record},
+        message::FeedTopic,
         records::RecordBook,
         settings::DirectSettings,
     },
+    event,
+    events::Event,
 };
 use hoplanding_core::{
     direct::{
         budget::RetryShare,
-        catalog::{TargetCatalog, TargetEntry, TargetStage},
+        catalog::{CountedRemoval, TargetCatalog, TargetEntry, TargetStage},
         config::FleetConfig,
+        contact::LogContact,
         demand::DemandTable,
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
@@ -31,20 +34,18 @@
 use siphasher::sip::SipHasher13;
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::sync::{broadcast, watch};
+use tokio::sync::watch;
 
 /// Start of the keys of VM records.
 pub const VM_KEY: &str = "vm/";
 /// Start of the keys of zone leases.
 pub const ZONE_KEY: &str = "zone/";
-/// News that a link may lag behind.
-const NEWS_KEPT: usize = 256;
 /// Time for which an adapter that takes much of its home zone counts as at home everywhere. By then this VM's own count
 /// tells; it takes that long to rise after a shift of demand.
 const SOUGHT_FOR: Duration = Duration::from_secs(6);
@@ -100,8 +101,11 @@
     pub vms: HashMap<VmName, VmRecord>,
     /// End of the fleet's topic as read.
     pub fleet_end: Option<LogOffset>,
-    /// Topics of which every key is known, by a listing of this VM's own or another's.
-    pub whole: BTreeSet<FeedTopic>,
+    /// The topics of which every key is known, by a listing of this VM's own or another's, and the offset before which no
+    /// record is missing.
+    pub ends: BTreeMap<FeedTopic, LogOffset>,
+    /// This VM's contact with the target list, and what others say of theirs.
+    pub contact: LogContact,
     /// Outcomes of this VM's calls.
     pub health: HealthTable,
     /// This VM's calls under way by target.
@@ -128,6 +132,18 @@
     pub fn is_sought(&self, adapter: &AdapterName, now: Instant) -> bool {
         self.sought.get(adapter).is_some_and(|until| now < *until)
     }
+
+    /// No record of a topic that is known whole is missing before an offset.
+    pub(super) fn advance(&mut self, topic: FeedTopic, end: LogOffset) {
+        if let Some(known) = self.ends.get_mut(&topic) {
+            *known = end.max(*known);
+        }
+    }
+
+    /// Tells the catalog when the log came back, as it looks now.
+    pub(super) fn note_return(&mut self) {
+        self.catalog.log_returned(self.contact.returned());
+    }
 }
 
 /// The books, and a signal of their changes.
@@ -150,8 +166,8 @@
     books: Mutex<FleetBooks>,
     changes: watch::Sender<u64>,
     pub(super) pulls: watch::Sender<u64>,
-    pub(super) asked: watch::Sender<u64>,
-    pub(super) news: broadcast::Sender<Arc<PassedRecord>>,
+    pub(super) asked: watch::Sender<Instant>,
+    pub(super) news: watch::Sender<u64>,
 }
 
 impl FleetState {
@@ -174,7 +190,8 @@
                 leases: HashMap::new(),
                 vms: HashMap::new(),
                 fleet_end: None,
-                whole: BTreeSet::new(),
+                ends: BTreeMap::new(),
+                contact: LogContact::default(),
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::new(settings.retries, VMS_ASSUMED),
@@ -187,8 +204,8 @@
             }),
             changes: watch::channel(0).0,
             pulls: watch::channel(0).0,
-            asked: watch::channel(0).0,
-            news: broadcast::channel(NEWS_KEPT).0,
+            asked: watch::channel(Instant(0)).0,
+            news: watch::channel(0).0,
         }
     }
 
@@ -254,7 +271,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let books = self.books();
-        books.active.is_some() && books.whole.contains(&FeedTopic::Targets)
+        books.active.is_some() && books.ends.contains_key(&FeedTopic::Targets)
     }
 
     /// This VM's place in the order in which its zone's VMs take on duties, the strongest first.
@@ -285,32 +302,50 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// The log is reached again after an outage.
-    pub fn outage_ended(&self) {
-        self.books().catalog.outage_ended(clock::now());
+    /// A read or listing of the target list was answered, or failed.
+    pub fn note_list_call(&self, is_answered: bool) {
+        let now = clock::now();
+        let mut books = self.books();
+        if is_answered {
+            books.contact.answered(now);
+        } else {
+            books.contact.failed(now);
+        }
+        books.note_return();
     }
 
     /// Folds a listing of the newest record of each key.
     pub fn take_listing(&self, topic: FeedTopic, listing: &ReadBatch) {
         let now = clock::now();
         self.fold(topic, &listing.records, RecordSource::Listed, now);
-        let mut books = self.books();
         if topic == FeedTopic::Targets {
             let listed = listing.records.iter().map(|record| record.key.as_str());
-            books
+            let mut books = self.books();
+            let gone = books
                 .catalog
                 .remove_unlisted(&listed.collect(), listing.end, now);
+            self.pass_removals(&mut books, gone, "not listed any more");
         }
-        books.whole.insert(topic);
-        drop(books);
+        self.note_whole(topic, listing.end);
         self.note_end(topic, listing.end);
         self.signal();
     }
 
-    /// Folds records in the order of their offsets.
-    pub fn take_records(&self, topic: FeedTopic, batch: &ReadBatch) {
+    /// Every key of a topic is known, and no record before an offset is missing.
+    pub(super) fn note_whole(&self, topic: FeedTopic, end: LogOffset) {
+        let mut books = self.books();
+        books.ends.entry(topic).or_insert(end);
+        books.advance(topic, end);
+    }
+
+    /// Folds the records of a read that began at `from`, in the order of their offsets.
+    pub fn take_records(&self, topic: FeedTopic, from: LogOffset, batch: &ReadBatch) {
         let has_news = self.fold(topic, &batch.records, RecordSource::Read, clock::now());
         self.note_end(topic, batch.end);
+        if from <= self.known_end(topic) {
+            let read = LogOffset(from.0 + batch.records.len() as u64);
+            self.books().advance(topic, read);
+        }
         if has_news {
             self.signal();
         }
@@ -328,17 +363,13 @@
     #[must_use]
     pub fn known_end(&self, topic: FeedTopic) -> LogOffset {
         let books = self.books();
-        if books.whole.contains(&topic) {
-            books.records.end(topic)
-        } else {
-            LogOffset(0)
-        }
+        books.ends.get(&topic).copied().unwrap_or(LogOffset(0))
     }
 
     /// Whether every key of a topic is known.
     #[must_use]
     pub fn knows_whole(&self, topic: FeedTopic) -> bool {
-        self.books().whole.contains(&topic)
+        self.books().ends.contains_key(&topic)
     }
 
     /// VMs recorded in this VM's zone.
@@ -367,44 +398,65 @@
         let mut has_news = false;
         let mut books = self.books();
         for record in records {
-            let is_newer =
-                books
-                    .records
-                    .keep(topic, &record.key, record.offset, record.value.as_ref());
-            if !is_newer {
+            if !books.records.is_newer(topic, &record.key, record.offset) {
                 continue;
             }
-            let is_news = match topic {
+            let folded = match topic {
                 FeedTopic::Operators => {
                     fold_operator_record(&mut books, record);
-                    true
+                    FoldedRecord::News
                 }
                 FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
                 FeedTopic::Fleet => {
                     fold_fleet_record(&mut books, record);
-                    true
+                    FoldedRecord::News
                 }
             };
-            if !is_news {
+            // A removal in doubt is kept, and passed on, when it counts.
+            if folded == FoldedRecord::Doubted {
                 continue;
             }
-            has_news = true;
-            // Nobody listening is no fault: there may be no link.
-            drop(self.news.send(Arc::new(PassedRecord {
-                topic,
-                key: record.key.clone(),
-                value: record.value.clone(),
-                offset: record.offset,
-            })));
+            let is_news = folded == FoldedRecord::News;
+            let (key, value) = (&record.key, record.value.as_ref());
+            books
+                .records
+                .keep(topic, key, record.offset, value, is_news);
+            has_news |= is_news;
         }
+        self.announce(&books);
         has_news
     }
 
+    /// Tells the links how far the news goes.
+    fn announce(&self, books: &FleetBooks) {
+        let head = books.records.head();
+        self.news.send_if_modified(|known| {
+            let is_more = *known != head;
+            *known = head;
+            is_more
+        });
+    }
+
+    /// Keeps removals that count now as news for others.
+    fn pass_removals(&self, books: &mut FleetBooks, gone: Vec<CountedRemoval>, why: &str) {
+        for (name, offset) in gone {
+            event!(Event::TargetLeft, "{name} at offset {offset}, {why}");
+            let topic = FeedTopic::Targets;
+            books.records.keep(topic, name.as_str(), offset, None, true);
+        }
+        self.announce(books);
+    }
+
     /// Removes targets whose removal is no longer in doubt.
     pub fn expire(&self) {
-        if self.books().catalog.expire(clock::now()) {
-            self.signal();
+        let mut books = self.books();
+        let gone = books.catalog.expire(clock::now());
+        if gone.is_empty() {
+            return;
         }
+        self.pass_removals(&mut books, gone, "doubt over");
+        drop(books);
+        self.signal();
     }
 
     /// Whether a target is about to leave, or gone.
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -20,41 +20,58 @@
 };
 use std::sync::Arc;
 
-/// Folds a target's entry; says whether it changes where calls may go.
+/// What a folded record is to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FoldedRecord {
+    /// It changes what others do.
+    News,
+    /// It is of no concern to others.
+    Kept,
+    /// It removes a target that may come back; nothing is changed yet.
+    Doubted,
+}
+
+/// Folds a target's entry.
 pub fn fold_target_record(
     books: &mut FleetBooks,
     record: &KeyedRecord,
     source: RecordSource,
     now: Instant,
-) -> bool {
+) -> FoldedRecord {
     let name = TargetName::new(&record.key);
-    let entry = match &record.value {
-        None => None,
+    let was_ready = is_ready(&books.catalog, &name);
+    let is_news = match &record.value {
+        None if source == RecordSource::Passed => books.catalog.settle(&name, record.offset),
+        None => books.catalog.apply(&name, record.offset, None, now),
         Some(value) => match decode_target(&record.key, value) {
-            Ok(entry) => Some(entry),
+            Ok(entry) => books.catalog.apply(&name, record.offset, Some(entry), now),
             Err(error) => {
                 // What can't be decoded is kept out; the last good entry stays.
                 event!(Event::RecordSkipped, "target {name}: {error}");
-                return false;
+                return FoldedRecord::Kept;
             }
         },
     };
-    let was_ready = is_ready(&books.catalog, &name);
-    let is_news = books.catalog.apply(&name, record.offset, entry, now);
     if books.catalog.is_doubted(&name) {
         event!(
             Event::RemovalDoubted,
             "{name} at offset {}, {source:?}",
             record.offset
         );
-    } else if was_ready && !is_ready(&books.catalog, &name) {
+        return FoldedRecord::Doubted;
+    }
+    if was_ready && !is_ready(&books.catalog, &name) {
         event!(
             Event::TargetLeft,
             "{name} at offset {}, {source:?}",
             record.offset
         );
     }
-    is_news
+    if is_news {
+        FoldedRecord::News
+    } else {
+        FoldedRecord::Kept
+    }
 }
 
 fn is_ready(catalog: &TargetCatalog, name: &TargetName) -> bool {
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -272,12 +272,10 @@
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let is_same_zone = self.zone == self.fleet.zone;
         let mut sharing = RecordSharing::new(&self.fleet, is_same_zone);
-        // What was recorded since this VM last read, and before the other side began to pass its news on here.
-        if is_same_zone {
-            let wanted = VmMessage::Wanted(self.fleet.wanted());
-            if send(&mut socket, &wanted).await.is_err() {
-                return;
-            }
+        if let Some(question) = sharing.first_question()
+            && send(&mut socket, &question).await.is_err()
+        {
+            return;
         }
         let mut stopping = self.fleet.watch_stop();
         let mut is_told = !is_same_zone;
@@ -309,7 +307,7 @@
                         {
                             return;
                         }
-                        if let Some(message) = sharing.take(message) {
+                        if let Some(message) = sharing.take(&self.vm, message) {
                             self.take(message);
                         }
                     }
@@ -317,7 +315,7 @@
                 },
                 _ = beat.tick() => {
                     if clock::now().since(heard) > SILENCE
-                        || send(&mut socket, &VmMessage::Beat).await.is_err()
+                        || send(&mut socket, &sharing.beat()).await.is_err()
                     {
                         return;
                     }
@@ -435,7 +433,7 @@
                     if matches!(message, VmMessage::Stopping) {
                         fleet.note_successor(&vm, false);
                     }
-                    if let Some(message) = sharing.take(message)
+                    if let Some(message) = sharing.take(&vm, message)
                         && let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
                     {
@@ -449,7 +447,7 @@
                 if clock::now().since(heard) > SILENCE {
                     break Err(io::ErrorKind::TimedOut.into());
                 }
-                if let Err(error) = send(&mut socket, &VmMessage::Beat).await {
+                if let Err(error) = send(&mut socket, &sharing.beat()).await {
                     break Err(error);
                 }
             }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 5;
+pub const MESSAGE_VERSION: u32 = 6;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +66,18 @@
     pub offset: LogOffset,
 }
 
+/// An offset of a topic before which everything is known.
+pub type TopicEnd = (FeedTopic, LogOffset);
+
+/// A run of answers from the platform's log, by the ages of its ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContactReport {
+    /// Age of its first answer, in milliseconds.
+    pub since_ms: u32,
+    /// Age of its last answer, in milliseconds.
+    pub last_ms: u32,
+}
+
 /// The topics that VMs read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum FeedTopic {
@@ -104,7 +116,12 @@
         incarnation: u64,
     },
     /// Sign of life.
-    Beat,
+    Beat {
+        /// The sender's present run of answers from the log; none if it has none.
+        contact: Option<ContactReport>,
+        /// Offsets up to which the receiver knows all that the sender knows, if it has asked before.
+        ends: Vec<TopicEnd>,
+    },
     /// Place a call.
     Place(u64, Box<PlacementAsk>),
     /// Where a call goes.
@@ -129,9 +146,14 @@
     Answer {
         /// Every record of the topics from the wanted offsets on.
         records: Vec<PassedRecord>,
-        /// Topics of which the sender knows every key, and so the receiver does now.
-        whole: Vec<FeedTopic>,
+        /// Of the wanted topics those of which the sender knows every key, and so the receiver does now.
+        ends: Vec<TopicEnd>,
     },
     /// Send records of these topics from these offsets on: the sender has not read them itself.
-    Wanted(Vec<(FeedTopic, LogOffset)>),
+    Wanted {
+        /// Where to begin.
+        from: Vec<TopicEnd>,
+        /// Whether the log does not serve the sender, so that others should read for it.
+        is_turned_away: bool,
+    },
 }
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -2,36 +2,98 @@
 //!
 //! The platform may turn some VMs away while it serves the others. What one VM reads goes to the others, and offsets
 //! say what is newer, so a VM that is turned away stays up to date as long as it reaches one that is not.
+//!
+//! News has an order of its own, and each link keeps its place in it. A link that lags finds the newest record of each
+//! key when it goes on, so nothing is dropped and nothing is queued for it.
 
 use crate::direct::message::{FeedTopic, PassedRecord};
 use bytes::Bytes;
 use hoplanding_core::ids::LogOffset;
 use std::collections::BTreeMap;
 
+/// Records and bytes of one message of news, so that a weak link's other messages are not held up for long: a tenth of a
+/// second at 10 Mbit/s.
+const MESSAGE_RECORDS: usize = 64;
+const MESSAGE_BYTES: usize = 96 * 1024;
+
+type RecordKey = (FeedTopic, String);
+
+#[derive(Debug)]
+struct KeptRecord {
+    offset: LogOffset,
+    value: Option<Bytes>,
+    /// Its place in the news, if it is any.
+    place: Option<u64>,
+}
+
 /// The newest record of each key, as read from the log or passed on.
 #[derive(Debug, Default)]
 pub struct RecordBook {
-    records: BTreeMap<(FeedTopic, String), (LogOffset, Option<Bytes>)>,
+    records: BTreeMap<RecordKey, KeptRecord>,
+    news: BTreeMap<u64, RecordKey>,
+    /// Place behind the newest news.
+    head: u64,
 }
 
 impl RecordBook {
-    /// Keeps a record if it is newer than what is kept of its key; says whether it is.
+    /// Whether a record is newer than what is kept of its key.
+    #[must_use]
+    pub fn is_newer(&self, topic: FeedTopic, key: &str, offset: LogOffset) -> bool {
+        let kept = self.records.get(&(topic, key.to_owned()));
+        kept.is_none_or(|kept| kept.offset < offset)
+    }
+
+    /// Keeps a record, which is newer than what is kept of its key. One that is no news takes the place of news that is
+    /// still to be passed on.
     pub fn keep(
         &mut self,
         topic: FeedTopic,
         key: &str,
         offset: LogOffset,
         value: Option<&Bytes>,
-    ) -> bool {
-        let kept = self.records.get(&(topic, key.to_owned()));
-        if kept.is_some_and(|(known, _)| *known >= offset) {
-            return false;
+        is_news: bool,
+    ) {
+        let key = (topic, key.to_owned());
+        let mut place = self.records.get(&key).and_then(|kept| kept.place);
+        if is_news {
+            if let Some(place) = place {
+                self.news.remove(&place);
+            }
+            place = Some(self.head);
+            self.news.insert(self.head, key.clone());
+            self.head += 1;
         }
         // A copy of its own: the bytes may be a small part of a large answer.
         let value = value.map(|value| Bytes::copy_from_slice(value));
-        self.records
-            .insert((topic, key.to_owned()), (offset, value));
-        true
+        let record = KeptRecord {
+            offset,
+            value,
+            place,
+        };
+        self.records.insert(key, record);
+    }
+
+    /// Place behind the newest news.
+    #[must_use]
+    pub fn head(&self) -> u64 {
+        self.head
+    }
+
+    /// News from a place on, as much as goes into one message, and the place behind it.
+    #[must_use]
+    pub fn news_from(&self, place: u64) -> (Vec<PassedRecord>, u64) {
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for (place, key) in self.news.range(place..) {
+            if records.len() == MESSAGE_RECORDS || bytes >= MESSAGE_BYTES {
+                return (records, *place);
+            }
+            if let Some(kept) = self.records.get(key) {
+                bytes += kept.value.as_ref().map_or(0, Bytes::len);
+                records.push(passed(key, kept));
+            }
+        }
+        (records, self.head)
     }
 
     /// Records of a topic from an offset on.
@@ -39,25 +101,17 @@
     pub fn since(&self, topic: FeedTopic, from: LogOffset) -> Vec<PassedRecord> {
         self.records
             .iter()
-            .filter(|((kept, _), (offset, _))| *kept == topic && *offset >= from)
-            .map(|((topic, key), (offset, value))| PassedRecord {
-                topic: *topic,
-                key: key.clone(),
-                value: value.clone(),
-                offset: *offset,
-            })
+            .filter(|((kept, _), record)| *kept == topic && record.offset >= from)
+            .map(|(key, record)| passed(key, record))
             .collect()
     }
+}
 
-    /// Offset behind the newest record of a topic.
-    #[must_use]
-    pub fn end(&self, topic: FeedTopic) -> LogOffset {
-        let newest = self
-            .records
-            .iter()
-            .filter(|((kept, _), _)| *kept == topic)
-            .map(|(_, (offset, _))| offset.0 + 1)
-            .max();
-        LogOffset(newest.unwrap_or(0))
+fn passed((topic, key): &RecordKey, kept: &KeptRecord) -> PassedRecord {
+    PassedRecord {
+        topic: *topic,
+        key: key.clone(),
+        value: kept.value.clone(),
+        offset: kept.offset,
     }
 }
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -1,15 +1,12 @@
 //! What one link passes on of the platform's log.
 
-use crate::{
-    direct::{
-        fleet::FleetState,
-        message::{FeedTopic, PassedRecord, VmMessage},
-    },
-    event,
-    events::Event,
+use crate::direct::{
+    fleet::FleetState,
+    message::{FeedTopic, PassedRecord, VmMessage},
 };
-use std::{future::pending, sync::Arc};
-use tokio::sync::{broadcast, watch};
+use hoplanding_core::ids::VmName;
+use std::sync::Arc;
+use tokio::sync::watch;
 
 /// Bytes of a record that is passed on to other zones unasked.
 const SMALL_RECORD: usize = 1024;
@@ -18,8 +15,12 @@
 pub struct RecordSharing {
     fleet: Arc<FleetState>,
     is_same_zone: bool,
-    news: broadcast::Receiver<Arc<PassedRecord>>,
+    /// This link's place in the news: all before it has been passed on.
+    place: u64,
+    news: watch::Receiver<u64>,
     pulls: watch::Receiver<u64>,
+    /// Whether the other side has answered what it knew, so that with its news this VM misses nothing of it.
+    is_caught_up: bool,
 }
 
 impl RecordSharing {
@@ -27,32 +28,70 @@
         Self {
             fleet: Arc::clone(fleet),
             is_same_zone,
+            place: fleet.books().records.head(),
             news: fleet.watch_news(),
             pulls: fleet.watch_pulls(),
+            is_caught_up: false,
         }
     }
 
     /// The next message that the other side should have. Safe to drop while it waits.
     pub async fn next(&mut self) -> VmMessage {
         loop {
+            if let Some(records) = self.take_news() {
+                return VmMessage::Records(records);
+            }
+            // The senders live as long as the books.
             tokio::select! {
-                news = self.news.recv() => match news {
-                    Ok(record) if self.is_worth(&record) => {
-                        return VmMessage::Records(vec![PassedRecord::clone(&record)]);
-                    }
-                    Ok(_) => {}
-                    // What a lagging link misses is asked for when it is needed.
-                    Err(broadcast::error::RecvError::Lagged(missed)) => {
-                        event!(Event::RecordsMissed, "{missed} of them");
-                    }
-                    // The books live as long as the process.
-                    Err(broadcast::error::RecvError::Closed) => pending::<()>().await,
+                _ = self.news.changed() => {}
+                _ = self.pulls.changed() => return VmMessage::Wanted {
+                    from: self.fleet.wanted(),
+                    is_turned_away: true,
                 },
-                _ = self.pulls.changed() => return VmMessage::Wanted(self.fleet.wanted()),
             }
         }
     }
 
+    /// The news since this link's place that is worth passing on, as much as goes into one message.
+    fn take_news(&mut self) -> Option<Vec<PassedRecord>> {
+        while !self.is_drained() {
+            let (mut records, place) = self.fleet.books().records.news_from(self.place);
+            self.place = place;
+            records.retain(|record| self.is_worth(record));
+            if !records.is_empty() {
+                return Some(records);
+            }
+        }
+        None
+    }
+
+    fn is_drained(&self) -> bool {
+        self.place >= self.fleet.books().records.head()
+    }
+
+    /// A sign of life, with how this VM's contact with the log stands. In the same zone it says up to where the other
+    /// side knows everything, once all news is passed on.
+    pub fn beat(&self) -> VmMessage {
+        let is_whole = self.is_same_zone && self.is_drained();
+        VmMessage::Beat {
+            contact: self.fleet.log_report(),
+            ends: if is_whole {
+                self.fleet.tellable_ends()
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// The first question over a new link: what was recorded since this VM last read, and before the other side began to
+    /// pass its news on here.
+    pub fn first_question(&self) -> Option<VmMessage> {
+        self.is_same_zone.then(|| VmMessage::Wanted {
+            from: self.fleet.wanted(),
+            is_turned_away: false,
+        })
+    }
+
     /// Within a zone everything is passed on; between zones bytes have a price, so only what is small and urgent.
     fn is_worth(&self, record: &PassedRecord) -> bool {
         self.is_same_zone
@@ -67,20 +106,33 @@
 
     /// The answer to a question for records.
     pub fn answer(&self, message: &VmMessage) -> Option<VmMessage> {
-        let VmMessage::Wanted(wanted) = message else {
+        let VmMessage::Wanted {
+            from,
+            is_turned_away,
+        } = message
+        else {
             return None;
         };
-        Some(VmMessage::Answer {
-            records: self.fleet.records_since(wanted),
-            whole: self.fleet.whole_topics(),
-        })
+        if *is_turned_away {
+            self.fleet.note_asked();
+        }
+        Some(self.fleet.records_since(from))
     }
 
-    /// Takes records in; gives other messages back.
-    pub fn take(&self, message: VmMessage) -> Option<VmMessage> {
+    /// Takes in what a VM tells of the log; gives other messages back.
+    pub fn take(&mut self, vm: &VmName, message: VmMessage) -> Option<VmMessage> {
         match message {
             VmMessage::Records(records) => self.fleet.take_passed(records),
-            VmMessage::Answer { records, whole } => self.fleet.take_answer(records, &whole),
+            VmMessage::Answer { records, ends } => {
+                self.fleet.take_answer(records, &ends);
+                self.is_caught_up = true;
+            }
+            VmMessage::Beat { contact, ends } => {
+                self.fleet.take_log_report(vm, contact);
+                if self.is_caught_up {
+                    self.fleet.take_ends(&ends);
+                }
+            }
             other => return Some(other),
         }
         None
