--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -279,6 +279,28 @@
     assert!(at_once <= 6, "an eighth of 54");
 }
 
+/// A window was counted in twentieths, and one went out whole with its first moment: a share that was spent at the end of
+/// such a part was there again half a second early.
+#[test]
+fn what_was_spent_counts_until_the_window_is_over() {
+    let rule = RetryRule {
+        ratio: 0.2,
+        slack: 54.0,
+        window: Duration::from_secs(10),
+    };
+    let service = ServiceName::new("s");
+    let mut share = RetryShare::new(rule, 8);
+    share.count_request(&service, at(0));
+    let spent = (0..50)
+        .filter(|_| share.try_repeat(&service, at(490)))
+        .count();
+    assert!(spent > 0);
+    for ms in (10_000..10_490).step_by(10) {
+        assert!(!share.try_repeat(&service, at(ms)), "again at {ms} ms");
+    }
+    assert!(share.try_repeat(&service, at(11_500)));
+}
+
 const TIMES: LeaseTimes = LeaseTimes {
     silence: Duration::from_millis(1_500),
     stagger: Duration::from_millis(100),
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod headers;
 mod leaving;
+mod repeats;
 mod support;
