Judge the soak's repeats by service and window, and let targets vanish and shed, and daemons die in series

The check is stricter: each service, every window of ten seconds, arrivals that were turned away too.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,10 @@
 //! Promises with a time bound hold for VMs in touch: those that nothing struck for `TOUCH` before, and only while the log
 //! was undisturbed as long.
 
-use crate::history::{CallAnswer, CallKind, SeenEntry, TimedEntry};
+use crate::{
+    history::{CallAnswer, CallKind, SeenEntry, TimedEntry},
+    targets::{TargetRole, service_of},
+};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     fmt,
@@ -18,6 +21,8 @@
 pub const REPEAT_RATIO: f64 = 0.2;
 /// See [`REPEAT_RATIO`].
 pub const REPEAT_SLACK: f64 = 50.0;
+/// Length of the window that they count in.
+const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 
 /// A promise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -105,6 +110,18 @@
     adapter: &'a str,
     answer: Option<(Duration, &'a CallAnswer)>,
     runs: Vec<RunRow<'a>>,
+    /// When targets turned it away.
+    turned_away: Vec<Duration>,
+}
+
+impl CallRow<'_> {
+    /// Arrivals at targets beyond the first.
+    fn repeats(&self) -> Vec<Duration> {
+        let runs = self.runs.iter().map(|run| run.at);
+        let mut arrivals: Vec<_> = runs.chain(self.turned_away.iter().copied()).collect();
+        arrivals.sort();
+        arrivals.into_iter().skip(1).collect()
+    }
 }
 
 #[derive(Debug)]
@@ -137,6 +154,7 @@
                         adapter,
                         answer: None,
                         runs: Vec::new(),
+                        turned_away: Vec::new(),
                     };
                     rows.insert(id, row);
                 }
@@ -160,6 +178,11 @@
                         });
                     }
                 }
+                SeenEntry::TurnedAway { id, .. } => {
+                    if let Some(row) = rows.get_mut(id.as_str()) {
+                        row.turned_away.push(*at);
+                    }
+                }
                 _ => {}
             }
         }
@@ -324,15 +347,46 @@
     found
 }
 
+/// In no window does a service have more arrivals beyond the first of their request than its requests and the fixed number
+/// allow. Requests count in that window, in the one before it or in the one half a window before, where most are.
 fn check_budget(calls: &CallTable<'_>) -> Vec<Violation> {
-    let sends: usize = calls.rows.values().map(|row| row.runs.len().max(1)).sum();
-    let repeats = sends.saturating_sub(calls.rows.len());
-    let allowed = REPEAT_RATIO * calls.rows.len() as f64 + REPEAT_SLACK;
-    if repeats as f64 <= allowed {
-        return Vec::new();
+    let mut found = Vec::new();
+    for service in [TargetRole::Plain, TargetRole::Engine].map(service_of) {
+        let rows = || {
+            calls
+                .rows
+                .values()
+                .filter(|row| row.kind.service() == service)
+        };
+        let sent: Vec<_> = rows().map(|row| row.sent).collect();
+        let mut repeats: Vec<_> = rows().flat_map(CallRow::repeats).collect();
+        repeats.sort();
+        let worst = repeats.iter().map(|start| {
+            let repeats = in_window(&repeats, *start);
+            let earlier = [Duration::ZERO, REPEAT_WINDOW / 2, REPEAT_WINDOW];
+            let requests = earlier
+                .iter()
+                .map(|span| in_window(&sent, start.saturating_sub(*span)))
+                .max();
+            let allowed = REPEAT_RATIO * requests.unwrap_or(0) as f64 + REPEAT_SLACK;
+            (repeats as f64 - allowed, *start, repeats, allowed)
+        });
+        let worst = worst.max_by(|left, right| left.0.total_cmp(&right.0));
+        if let Some((excess, start, repeats, allowed)) = worst
+            && excess > 0.0
+        {
+            let what = format!(
+                "{service}: {repeats} repeats within {REPEAT_WINDOW:?} from {start:?}, {allowed:.0} are allowed"
+            );
+            found.push(broken(Promise::RetryBudget, what));
+        }
     }
-    let what = format!("{repeats} repeats where {allowed:.0} are allowed");
-    vec![broken(Promise::RetryBudget, what)]
+    found
+}
+
+fn in_window(times: &[Duration], start: Duration) -> usize {
+    let is_in = |at: &&Duration| **at >= start && **at < start + REPEAT_WINDOW;
+    times.iter().filter(is_in).count()
 }
 
 fn check_headers(history: &[TimedEntry]) -> Vec<Violation> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! What callers, targets and the fault schedule saw, each entry with its time.
 
+use crate::targets::{TargetRole, service_of};
 use std::{
     sync::{Arc, Mutex},
     time::Duration,
@@ -23,6 +24,15 @@
     /// Every kind.
     pub const ALL: [Self; 4] = [Self::Once, Self::Idempotent, Self::Stream, Self::Resumable];
 
+    /// The service that it goes to.
+    #[must_use]
+    pub fn service(self) -> &'static str {
+        service_of(match self {
+            Self::Once | Self::Idempotent => TargetRole::Plain,
+            Self::Stream | Self::Resumable => TargetRole::Engine,
+        })
+    }
+
     /// Whether a second run breaks a promise.
     #[must_use]
     pub fn runs_once(self) -> bool {
@@ -73,6 +83,13 @@
         /// Whether the target will break its answer off.
         breaks_off: bool,
     },
+    /// A target turned a request away without running it.
+    TurnedAway {
+        /// The request.
+        id: String,
+        /// The target.
+        target: String,
+    },
     /// A target was handed a header of the system's own that a caller had forged.
     Forged {
         /// The request.
@@ -94,7 +111,7 @@
         /// The engine.
         target: String,
     },
-    /// The list says from now on that a target leaves.
+    /// The list says from now on that a target leaves, or lacks it.
     Leaving {
         /// The target.
         target: String,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -33,6 +33,9 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Pause between two probes of a VM's configuration.
 const PROBE_EVERY: Duration = Duration::from_millis(150);
+/// Kills of a series, and the time that the daemons run between two of them.
+const SERIES_KILLS: usize = 5;
+const SERIES_LIFE: Duration = Duration::from_millis(700);
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -306,6 +309,17 @@
                     self.restart_now(vm);
                 }
             }
+            FaultKind::KillSeries => {
+                for _ in 0..SERIES_KILLS {
+                    for vm in &self.vms {
+                        vm.kill().await;
+                    }
+                    for vm in &self.vms {
+                        self.restart_now(vm);
+                    }
+                    sleep(SERIES_LIFE).await;
+                }
+            }
             FaultKind::PlannedStop => {
                 vm.stop().await;
                 self.restart(vm, fault).await;
@@ -325,7 +339,21 @@
             FaultKind::LogLosesAnswers => self.disturb(|faults| faults.lose_answers += 2),
             FaultKind::LogSilent => self.strike_link(vm, LinkState::Frozen, fault).await,
             FaultKind::LogCut => self.strike_link(vm, LinkState::Cut, fault).await,
-            FaultKind::Leave => self.replace_target(fault).await,
+            FaultKind::Leave => {
+                let target = self.target(fault.index);
+                let entry = target.entry(true);
+                self.replace_target(&target, Some(&entry), fault).await;
+            }
+            FaultKind::Vanish => {
+                let target = self.target(fault.index);
+                self.replace_target(&target, None, fault).await;
+            }
+            FaultKind::Shed => {
+                let targets = self.lock_targets().clone();
+                targets.iter().for_each(|target| target.set_shedding(true));
+                sleep(fault.length()).await;
+                targets.iter().for_each(|target| target.set_shedding(false));
+            }
             FaultKind::Break => {
                 let target = self.target(fault.index);
                 target.set_breaking(true);
@@ -372,11 +400,10 @@
         }
     }
 
-    /// A target says that it leaves; another one of its kind comes. It stays reachable: the list is what counts.
-    async fn replace_target(&self, fault: &PlannedFault) {
-        let target = self.target(fault.index);
-        self.log
-            .put(TARGET_TOPIC, &target.name, Some(&target.entry(true)));
+    /// A target says that it leaves, or its entry goes; another one of its kind comes. It stays reachable: the list is
+    /// what counts.
+    async fn replace_target(&self, target: &SoakTarget, entry: Option<&str>, fault: &PlannedFault) {
+        self.log.put(TARGET_TOPIC, &target.name, entry);
         self.history.add(SeenEntry::Leaving {
             target: target.name.clone(),
         });
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -34,11 +34,17 @@
     Configure,
     /// A new version of an adapter is named.
     NameVersion,
+    /// A target's entry goes without a word, and another target comes.
+    Vanish,
+    /// All targets turn most of their calls away.
+    Shed,
+    /// All daemons are killed at once, again and again.
+    KillSeries,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 15] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -51,6 +57,9 @@
         Self::Break,
         Self::Configure,
         Self::NameVersion,
+        Self::Vanish,
+        Self::Shed,
+        Self::KillSeries,
     ];
 }
 
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -59,6 +59,9 @@
     orders_taken: u64,
     token: u64,
     breaks: bool,
+    sheds: bool,
+    /// Requests seen while it sheds.
+    shed_count: u64,
 }
 
 /// A running target.
@@ -113,6 +116,11 @@
         lock(&self.state).breaks = breaks;
     }
 
+    /// Whether it turns two of three requests away from now on.
+    pub fn set_shedding(&self, sheds: bool) {
+        lock(&self.state).sheds = sheds;
+    }
+
     /// Its entry in the list of targets.
     #[must_use]
     pub fn entry(&self, is_leaving: bool) -> String {
@@ -226,7 +234,15 @@
         let named = request.header(MODEL).unwrap_or_default();
         let adapter = named.split_once('/').map_or("", |(_, adapter)| adapter);
         let breaks_off = {
-            let state = lock(&self.state);
+            let mut state = lock(&self.state);
+            state.shed_count += 1;
+            if state.sheds && !state.shed_count.is_multiple_of(3) {
+                self.history.add(SeenEntry::TurnedAway {
+                    id,
+                    target: self.name.clone(),
+                });
+                return refusal(request, "503 Service Unavailable");
+            }
             if !adapter.is_empty() && !state.adapters.contains_key(adapter) {
                 return refusal(request, "421 Misdirected Request");
             }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -201,3 +201,32 @@
     history.extend((0..60).map(|n| ran(n, "r1", "i-1", "")));
     assert_eq!(found(&history), [Promise::RetryBudget]);
 }
+
+/// What the whole run allows may be spent neither in one window nor by another service.
+#[test]
+fn repeats_are_judged_by_service_and_in_every_window() {
+    let spread = |requests: u64, kind| {
+        let calls = (0..requests).map(move |n| sent(n * 100, &format!("r{n}"), kind, "a1"));
+        calls.collect::<Vec<_>>()
+    };
+    // 600 requests in a minute allow 170 repeats; 80 of them come within one second.
+    let mut history = spread(600, CallKind::Idempotent);
+    history.extend((0..80).map(|n| turned_away(30_000 + n * 10, "r290")));
+    assert_eq!(found(&history), [Promise::RetryBudget]);
+    let mut within = spread(600, CallKind::Idempotent);
+    within.extend((0..60).map(|n| turned_away(30_000 + n * 10, "r290")));
+    assert_eq!(found(&within), []);
+    // Streams do not pay for plain calls.
+    let mut other = spread(600, CallKind::Stream);
+    other.push(sent(29_000, "plain", CallKind::Idempotent, ""));
+    other.extend((0..60).map(|n| turned_away(30_000 + n * 10, "plain")));
+    assert_eq!(found(&other), [Promise::RetryBudget]);
+}
+
+fn turned_away(ms: u64, id: &str) -> TimedEntry {
+    let seen = SeenEntry::TurnedAway {
+        id: id.into(),
+        target: "i-1".into(),
+    };
+    at(ms, seen)
+}
