--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -414,6 +414,27 @@
     assert_eq!(models_ordered(&mut bereft, now), 1);
 }
 
+/// Holders follow each other within less than the pause between two loads of models: none of them knows when the one before
+/// it began its last, and together they must not go beyond the zone's share of the store.
+#[test]
+fn holders_in_series_load_no_more_models_than_one_would() {
+    let start = Instant(1_000_000);
+    let pause = EngineFigures::shared_by(1, 3.0).model_load_pause;
+    let life = pause / 2;
+    let mut ordered = 0;
+    for holder in 0..20 {
+        let from = start.after(life * holder);
+        let mut planner = planner_beside_empty(&["base"], from);
+        for step in 1..=10 {
+            planner.tick(from.after(life * step / 10));
+            let given = orders(planner.take_actions());
+            let is_model = |order: &EngineOrder| order.subject.as_str() == "base";
+            ordered += given.iter().filter(|(_, order)| is_model(order)).count();
+        }
+    }
+    assert!(ordered <= 10, "{ordered} loads in the time of ten");
+}
+
 #[test]
 fn a_new_holder_makes_room_as_soon_as_nothing_runs_that_it_does_not_know() {
     let now = Instant(1_000_000);
