Let a new holder wait one pause before its first load of a model

Cause: a holder counts its loads of models from its own first one, and began it at once. Class: a limit of the fleet that a restart resets. Change: the planner's first load comes a pause after its first order.

--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -77,6 +77,8 @@
     /// A planner that gives no order before `orders_from`.
     #[must_use]
     pub fn new(figures: EngineFigures, limits: EngineLimits, orders_from: Instant) -> Self {
+        // The holder before may have begun a load a moment ago: holders in series loaded twice what the store's rate allows.
+        let model_load_at = orders_from.after(figures.model_load_pause);
         Self {
             figures,
             policy: PlacementPolicy::default(),
@@ -87,7 +89,7 @@
             health: HealthTable::default(),
             pace: ReadingPace::default(),
             orders_from,
-            model_load_at: orders_from,
+            model_load_at,
             busy: 0.0,
             actions: VecDeque::new(),
         }
