--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -84,8 +84,6 @@
     LinkUp = 402, Info, "peer link up";
     /// A peer was refused.
     PeerRefused = 403, Warn, "peer refused";
-    /// A link lagged behind the records to pass on.
-    RecordsMissed = 404, Warn, "records missed on a link";
     /// A target was taken over.
     TargetTaken = 500, Info, "target taken over";
     /// A target was lost to another holder.
