--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -192,7 +192,8 @@
 
     /// Whether this VM reads the log itself: the holder does, a few that would succeed it, and all who don't hear it. While
     /// the log turns a VM away a few others read on in its place: a holder that is heard and can't read left its zone
-    /// blind for 3.5 s between two of its tries. At its start a VM waits for its first link rather than read what the holder is about to pass on.
+    /// blind for 3.5 s between two of its tries. At its start a VM waits for its first link rather than read what the
+    /// holder is about to pass on.
     fn has_duty(&self) -> bool {
         let is_starting = self.started.elapsed() < START_GRACE;
         if is_starting && self.topic != FeedTopic::Fleet {
--- a/crates/daemon/tests/direct/fleet.rs
+++ b/crates/daemon/tests/direct/fleet.rs
@@ -1,7 +1,7 @@
 //! What VMs know and do together: records, leases, orders, starts and stops.
 
 use crate::support::{
-    ask, config, entry, event, good, is_ready, model, post, settings, site, slow_engine,
+    ask, config, entry, event, good, is_ready, model, post, second_vm, settings, site, slow_engine,
     start_stream, unchunk, wait_for,
 };
 use hoplanding_core::ids::AvailabilityZone;
@@ -117,15 +117,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let target = RawTarget::start(good).await.expect("a target");
     let first = site(&log, &[("i-1", "ledger", target.address)]).await;
-    let relay = LinkRelay::start().await.expect("a relay");
-    relay.set_target(log.address());
-    let mut settings = settings("vm-2", &log);
-    settings.platform_address = relay.address;
-    let second = DirectDaemon::start(settings)
-        .await
-        .expect("the daemon starts");
-    wait_for("both ready", async || is_ready(&second).await).await;
-    wait_for("both known", async || second.fleet().books().vms.len() == 2).await;
+    let (second, relay) = second_vm(&log).await;
     relay.set(LinkState::Cut);
     log.put(
         "keyed.servers",
--- a/crates/daemon/tests/direct/leaving.rs
+++ b/crates/daemon/tests/direct/leaving.rs
@@ -11,14 +11,10 @@
 //! of the configuration had come back; its reads of the target list had never failed. With removals never in doubt 0 of
 //! 33 such plays had late requests, with doubt 15.
 
-use crate::support::{entry, good, is_ready, settings, site, wait_for};
+use crate::support::{entry, good, is_ready, second_vm, settings, site, wait_for};
 use futures_util::FutureExt;
 use hoplanding_core::ids::{LogOffset, TargetName};
-use hoplanding_standins::{
-    keyed_log::KeyedLog,
-    raw_target::RawTarget,
-    relay::{LinkRelay, LinkState},
-};
+use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget, relay::LinkState};
 use hoplandingd::direct::{
     daemon::DirectDaemon,
     fleet::FleetState,
@@ -43,15 +39,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let target = RawTarget::start(good).await.expect("a target");
     let first = site(&log, &[("i-1", "ledger", target.address)]).await;
-    let relay = LinkRelay::start().await.expect("a relay");
-    relay.set_target(log.address());
-    let mut settings = settings("vm-2", &log);
-    settings.platform_address = relay.address;
-    let second = DirectDaemon::start(settings)
-        .await
-        .expect("the daemon starts");
-    wait_for("both ready", async || is_ready(&second).await).await;
-    wait_for("both known", async || second.fleet().books().vms.len() == 2).await;
+    let (second, relay) = second_vm(&log).await;
     // Only the second VM is turned away, and is served again.
     relay.set(LinkState::Cut);
     wait_for("its failure", async || list_calls(&second, "Failed") > 0).await;
--- a/crates/daemon/tests/direct/support.rs
+++ b/crates/daemon/tests/direct/support.rs
@@ -3,6 +3,7 @@
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawAnswer, RawRequest, RawTarget},
+    relay::LinkRelay,
 };
 use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::json;
@@ -278,3 +279,17 @@
     .await;
     running
 }
+
+/// A second VM whose path to the log is a link of its own; ready, and known to itself beside the first.
+pub async fn second_vm(log: &KeyedLog) -> (DirectDaemon, LinkRelay) {
+    let relay = LinkRelay::start().await.expect("a relay");
+    relay.set_target(log.address());
+    let mut settings = settings("vm-2", log);
+    settings.platform_address = relay.address;
+    let second = DirectDaemon::start(settings)
+        .await
+        .expect("the daemon starts");
+    wait_for("both ready", async || is_ready(&second).await).await;
+    wait_for("both known", async || second.fleet().books().vms.len() == 2).await;
+    (second, relay)
+}
