--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -61,6 +61,23 @@
     /// Explains a request or a target from logs.
     #[options(help = "explain from logs: explain-log REQUEST-OR-TARGET FILE...")]
     ExplainLog(LogArgs),
+    /// Sums what became of requests, from logs.
+    #[options(help = "late, refused and failed requests by cause, from logs: account FILE...")]
+    Account(AccountArgs),
+}
+
+/// The logs that are summed.
+#[derive(Debug, Options)]
+pub struct AccountArgs {
+    /// Prints the help.
+    #[options(help = "print this help; docs/OPERATIONS.md says what the causes mean")]
+    pub help: bool,
+    /// Seconds of a span; all in one if 0.
+    #[options(help = "seconds of a span (default: all in one)", meta = "SECONDS")]
+    pub span: u32,
+    /// Logs of daemons.
+    #[options(free, help = "files that the daemons' output went to")]
+    pub files: Vec<String>,
 }
 
 /// What is looked for, and in which logs.
@@ -98,14 +115,22 @@
             Self::Explain(args) => ("explain ", args),
             Self::Drain(args) => ("drain target ", args),
             Self::Undrain(args) => ("undrain target ", args),
-            Self::ExplainLog(_) => return None,
+            Self::ExplainLog(_) | Self::Account(_) => return None,
         };
         Some(format!("{prefix}{}", args.words.join(" ")))
     }
 }
 
 /// Subcommands; any other first word begins a statement.
-const COMMANDS: [&str; 6] = ["do", "show", "explain", "drain", "undrain", "explain-log"];
+const COMMANDS: [&str; 7] = [
+    "do",
+    "show",
+    "explain",
+    "drain",
+    "undrain",
+    "explain-log",
+    "account",
+];
 /// Options that take a value.
 const WITH_VALUE: [&str; 4] = ["-u", "--url", "-t", "--token"];
 
--- a/crates/cli/src/explain_log.rs
+++ b/crates/cli/src/explain_log.rs
@@ -2,9 +2,9 @@
 //!
 //! Lines of all files that name it are put in the order of their times; the last event of a request says how it ended.
 
+use crate::log_lines::{LogError, parse_line, read_log};
 use jiff::Timestamp;
-use serde::Deserialize;
-use std::{fmt, fs, io};
+use std::fmt;
 
 /// A line that names what is asked for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,16 +29,6 @@
     }
 }
 
-/// A log that can't be read.
-#[derive(Debug, thiserror::Error)]
-#[error("log {file} can't be read ({source}): name the files that the daemons' output went to")]
-pub struct LogError {
-    /// The file.
-    pub file: String,
-    /// The error of the system.
-    pub source: io::Error,
-}
-
 /// Finds the lines of files that name `subject`, in the order of their times.
 ///
 /// # Errors
@@ -46,14 +36,11 @@
 pub fn find_lines(subject: &str, files: &[String]) -> Result<Vec<LogLine>, LogError> {
     let mut lines = Vec::new();
     for file in files {
-        let text = fs::read_to_string(file).map_err(|source| LogError {
-            file: file.clone(),
-            source,
-        })?;
+        let text = read_log(file)?;
         lines.extend(
             text.lines()
                 .filter(|line| names(line, subject))
-                .filter_map(|line| parse_line(file, line)),
+                .filter_map(|line| log_line(file, line)),
         );
     }
     lines.sort();
@@ -70,10 +57,8 @@
     })
 }
 
-/// Parses a JSON line of the daemon; what stands before the object is passed over.
-fn parse_line(file: &str, line: &str) -> Option<LogLine> {
-    let object = &line[line.find('{')?..];
-    let written: WrittenLine = serde_json::from_str(object).ok()?;
+fn log_line(file: &str, line: &str) -> Option<LogLine> {
+    let (_, written) = parse_line(line)?;
     let time = Timestamp::from_millisecond(written.timestamp).ok()?;
     let text = match written.request {
         Some(request) => format!("[{request}] {}", written.message),
@@ -87,16 +72,6 @@
     })
 }
 
-/// A line as the daemon writes it.
-#[derive(Deserialize)]
-struct WrittenLine {
-    /// Milliseconds since 1970.
-    timestamp: i64,
-    event: u16,
-    message: String,
-    request: Option<String>,
-}
-
 /// Says in words how a request ended, by its last event; nothing if no line tells.
 #[must_use]
 pub fn verdict(lines: &[LogLine]) -> Option<&'static str> {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,22 +2,27 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | [`account`] | what became of requests, and why, from the logs of several daemons |
 //! | [`args`] | arguments and subcommands |
 //! | [`client`] | the daemon's operators' interface |
 //! | [`explain_log`] | a request's way through the logs of several daemons |
+//! | [`log_lines`] | lines of the daemons' logs |
 //! | [`show`] | tables and JSON for people and scripts |
 //! | [`prompt`] | the prompt that `hoplanding` alone opens |
 
+pub mod account;
 pub mod args;
 pub mod client;
 pub mod explain_log;
+pub mod log_lines;
 pub mod prompt;
 pub mod show;
 
 pub use args::CliArgs;
 
 use crate::{
-    args::{CliCommand, LogArgs, OutputFormat},
+    account::{RequestLog, account},
+    args::{AccountArgs, CliCommand, LogArgs, OutputFormat},
     client::{DaemonClient, StatementError},
     explain_log::{find_lines, verdict},
 };
@@ -41,6 +46,7 @@
     let client = DaemonClient::new(&args.daemon_url(), &args.operator_token());
     match &args.command {
         Some(CliCommand::ExplainLog(args)) => explain_logs(args),
+        Some(CliCommand::Account(args)) => show_account(args, format),
         Some(command) => {
             let statement = command.statement().unwrap_or_default();
             run_statement(&client, &statement, format).await
@@ -75,6 +81,27 @@
     }
 }
 
+/// Shows what became of the requests in logs, and why.
+fn show_account(args: &AccountArgs, format: OutputFormat) -> ExitCode {
+    if args.files.is_empty() {
+        eprintln!("no log is named: name the files that the daemons' output went to");
+        return ExitCode::from(2);
+    }
+    let log = match RequestLog::read(&args.files) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    let table = account(&log, args.span);
+    match format {
+        OutputFormat::Table => println!("{table}"),
+        OutputFormat::Json => println!("{}", serde_json::json!(table)),
+    }
+    ExitCode::SUCCESS
+}
+
 /// Sends one statement and shows the answer.
 pub async fn run_statement(client: &DaemonClient, text: &str, format: OutputFormat) -> ExitCode {
     match client.send(text).await {
