--- a/crates/cli/src/account/cause.rs
+++ b/crates/cli/src/account/cause.rs
@@ -66,8 +66,10 @@
     Deadline,
     /// The VM was stopping.
     VmStopped,
-    /// The VM knew no configuration, route or service for it.
+    /// The VM knew no configuration yet, or no service for its route.
     NoConfiguration,
+    /// The configuration in force had no route for it.
+    NoRoute,
     /// No zone was heard, or no target is listed.
     NoTarget,
     /// The lines don't tell.
@@ -101,7 +103,7 @@
     let (end, cause) = match last.line.event {
         STREAM_ANSWERED => judge_answered(message),
         REFUSED => (RequestEnd::Refused, judge_refused(message, lines)),
-        NO_ROUTE => (RequestEnd::Refused, LossCause::NoConfiguration),
+        NO_ROUTE => (RequestEnd::Refused, LossCause::NoRoute),
         STREAM_BROKEN_OFF if message.contains("deadline") => {
             (RequestEnd::BrokenOff, LossCause::Deadline)
         }
@@ -115,7 +117,7 @@
     Some(RequestLoss {
         end,
         cause,
-        route: word_after(message, "route").unwrap_or_else(|| "?".to_owned()),
+        route: route_of(message),
         held_ms: held_ms(message),
     })
 }
@@ -201,6 +203,12 @@
         .collect()
 }
 
+/// The route that a message names as `route NAME`; the text of an event itself may say `no route for a request`.
+fn route_of(message: &str) -> String {
+    let (_, told) = message.split_once(": ").unwrap_or(("", message));
+    word_after(told, "route").unwrap_or_else(|| "?".to_owned())
+}
+
 fn word_after(message: &str, word: &str) -> Option<String> {
     let mut words = message.split_whitespace();
     words.find(|next| *next == word)?;
