--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -3,7 +3,8 @@
 use crate::{
     clock,
     direct::{
-        fleet::{FleetState, RecordSource},
+        fleet::FleetState,
+        intake::RecordSource,
         message::{ContactReport, FeedTopic, PassedRecord, TopicEnd, VmMessage},
     },
     event,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -5,19 +5,13 @@
 use crate::{
     clock,
     direct::{
-        figures::DirectFigures,
-        folding::{FoldedRecord, fold_fleet_record, fold_operator_record, fold_target_record},
-        message::FeedTopic,
-        records::RecordBook,
-        settings::DirectSettings,
+        figures::DirectFigures, message::FeedTopic, records::RecordBook, settings::DirectSettings,
     },
-    event,
-    events::Event,
 };
 use hoplanding_core::{
     direct::{
         budget::RetryShare,
-        catalog::{CountedRemoval, TargetCatalog, TargetEntry, TargetStage},
+        catalog::{TargetCatalog, TargetEntry, TargetStage},
         config::FleetConfig,
         contact::LogContact,
         demand::DemandTable,
@@ -29,7 +23,6 @@
     },
     ids::{AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, VmName},
 };
-use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::{
@@ -65,17 +58,6 @@
     pub strength: u32,
 }
 
-/// How a record came to this VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RecordSource {
-    /// In a listing of its own.
-    Listed,
-    /// In a read of its own.
-    Read,
-    /// From another VM.
-    Passed,
-}
-
 /// A configuration in force.
 #[derive(Debug)]
 pub struct ActiveConfig {
@@ -313,56 +295,6 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// A read or listing of the target list was answered, or failed.
-    pub fn note_list_call(&self, is_answered: bool) {
-        let now = clock::now();
-        let mut books = self.books();
-        if is_answered {
-            books.contact.answered(now);
-        } else {
-            books.contact.failed(now);
-        }
-        books.note_return();
-    }
-
-    /// Folds a listing of the newest record of each key.
-    pub fn take_listing(&self, topic: FeedTopic, listing: &ReadBatch) {
-        let now = clock::now();
-        self.fold(topic, &listing.records, RecordSource::Listed, now);
-        if topic == FeedTopic::Targets {
-            let listed = listing.records.iter().map(|record| record.key.as_str());
-            let mut books = self.books();
-            let gone = books
-                .catalog
-                .remove_unlisted(&listed.collect(), listing.end, now);
-            self.pass_removals(&mut books, gone, "not listed any more");
-        }
-        self.note_whole(topic, listing.end);
-        self.note_end(topic, listing.end);
-        self.signal();
-    }
-
-    /// Every key of a topic is known, and no record before an offset is missing.
-    pub(super) fn note_whole(&self, topic: FeedTopic, end: LogOffset) {
-        let mut books = self.books();
-        books.ends.entry(topic).or_insert(end);
-        books.advance(topic, end);
-        books.share_retries();
-    }
-
-    /// Folds the records of a read that began at `from`, in the order of their offsets.
-    pub fn take_records(&self, topic: FeedTopic, from: LogOffset, batch: &ReadBatch) {
-        let has_news = self.fold(topic, &batch.records, RecordSource::Read, clock::now());
-        self.note_end(topic, batch.end);
-        if from <= self.known_end(topic) {
-            let read = LogOffset(from.0 + batch.records.len() as u64);
-            self.books().advance(topic, read);
-        }
-        if has_news {
-            self.signal();
-        }
-    }
-
     /// A holder said that an adapter takes much of its zone.
     pub fn note_sought(&self, adapter: &AdapterName) {
         let now = clock::now();
@@ -392,85 +324,6 @@
         zone.count()
     }
 
-    pub(super) fn note_end(&self, topic: FeedTopic, end: LogOffset) {
-        if topic == FeedTopic::Fleet {
-            let mut books = self.books();
-            books.fleet_end = books.fleet_end.max(Some(end));
-        }
-    }
-
-    /// Folds records; says whether any of them is news for others.
-    pub(super) fn fold(
-        &self,
-        topic: FeedTopic,
-        records: &[KeyedRecord],
-        source: RecordSource,
-        now: Instant,
-    ) -> bool {
-        let mut has_news = false;
-        let mut books = self.books();
-        for record in records {
-            if !books.records.is_newer(topic, &record.key, record.offset) {
-                continue;
-            }
-            let folded = match topic {
-                FeedTopic::Operators => {
-                    fold_operator_record(&mut books, record);
-                    FoldedRecord::News
-                }
-                FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
-                FeedTopic::Fleet => {
-                    fold_fleet_record(&mut books, record);
-                    FoldedRecord::News
-                }
-            };
-            // A removal in doubt is kept, and passed on, when it counts.
-            if folded == FoldedRecord::Doubted {
-                continue;
-            }
-            let is_news = folded == FoldedRecord::News;
-            let (key, value) = (&record.key, record.value.as_ref());
-            books
-                .records
-                .keep(topic, key, record.offset, value, is_news);
-            has_news |= is_news;
-        }
-        self.announce(&books);
-        has_news
-    }
-
-    /// Tells the links how far the news goes.
-    fn announce(&self, books: &FleetBooks) {
-        let head = books.records.head();
-        self.news.send_if_modified(|known| {
-            let is_more = *known != head;
-            *known = head;
-            is_more
-        });
-    }
-
-    /// Keeps removals that count now as news for others.
-    fn pass_removals(&self, books: &mut FleetBooks, gone: Vec<CountedRemoval>, why: &str) {
-        for (name, offset) in gone {
-            event!(Event::TargetLeft, "{name} at offset {offset}, {why}");
-            let topic = FeedTopic::Targets;
-            books.records.keep(topic, name.as_str(), offset, None, true);
-        }
-        self.announce(books);
-    }
-
-    /// Removes targets whose removal is no longer in doubt.
-    pub fn expire(&self) {
-        let mut books = self.books();
-        let gone = books.catalog.expire(clock::now());
-        if gone.is_empty() {
-            return;
-        }
-        self.pass_removals(&mut books, gone, "doubt over");
-        drop(books);
-        self.signal();
-    }
-
     /// Whether a target is about to leave, or gone.
     #[must_use]
     pub fn is_leaving(&self, target: &str) -> bool {
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -1,7 +1,10 @@
 //! Folding of the log's records into the books. What can't be decoded is kept out, and the last good one stays.
 
 use crate::{
-    direct::fleet::{ActiveConfig, FleetBooks, RecordSource, VM_KEY, ZONE_KEY},
+    direct::{
+        fleet::{ActiveConfig, FleetBooks, VM_KEY, ZONE_KEY},
+        intake::RecordSource,
+    },
     event,
     events::Event,
 };
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! | [`settings`] | the settings of this mode |
 //! | [`daemon`] | starts and stops everything |
 //! | [`fleet`], [`folding`] | what this VM knows of configuration, targets, leases and VMs, and how records change it |
+//! | [`intake`] | what comes into these books, and what of it is news for others |
 //! | [`exchange`] | what VMs tell each other of the platform's log |
 //! | [`feeds`] | one worker a topic of the platform's log |
 //! | [`listing`] | a listing of a topic, page by page |
@@ -35,6 +36,7 @@
 pub mod fleet;
 pub mod folding;
 pub mod front;
+pub mod intake;
 pub mod links;
 pub mod listing;
 pub mod message;
