Failing test: in the end every VM knows what the log says

Sixty drawn worlds of a hub and four VMs: reads, listings, calls that fail, links that lag, deliver in pieces and break.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -4,5 +4,6 @@
 mod fleet;
 mod headers;
 mod leaving;
+mod news;
 mod repeats;
 mod support;
--- /dev/null
+++ b/crates/daemon/tests/direct/news.rs
@@ -0,0 +1,242 @@
+//! Whatever happens to links and readers, in the end every VM knows of every target what the log says.
+//!
+//! Worlds are drawn from seeds: a hub that the others are linked to reads the target list, now and then another VM reads
+//! too, the log turns VMs away, links lag, deliver in pieces, break in the middle and come up again. Nothing reads at the
+//! end but the hub, so what a link dropped, or a VM was told that it knew, stays missing.
+
+use crate::support::{entry, settings};
+use futures_util::FutureExt;
+use hoplanding_core::ids::{LogOffset, TargetName, VmName};
+use hoplanding_platform::store::{KeyedRecord, ReadBatch};
+use hoplanding_standins::keyed_log::KeyedLog;
+use hoplandingd::direct::{
+    fleet::FleetState,
+    message::{FeedTopic, VmMessage},
+    sharing::RecordSharing,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+const SEEDS: u64 = 60;
+const STEPS: usize = 600;
+const OTHERS: usize = 4;
+const TARGETS: usize = 25;
+
+/// One side of a link: what it passes on, and what is on its way from it.
+struct LinkSide {
+    sharing: RecordSharing,
+    vm: VmName,
+    sent: VecDeque<VmMessage>,
+}
+
+impl LinkSide {
+    fn new(fleet: &Arc<FleetState>) -> Self {
+        Self {
+            sharing: RecordSharing::new(fleet, true),
+            vm: fleet.vm.clone(),
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Puts what is due on its way.
+    fn push(&mut self) {
+        while let Some(message) = self.sharing.next().now_or_never() {
+            self.sent.push_back(message);
+        }
+    }
+
+    fn beat(&mut self) {
+        let beat = self.sharing.beat();
+        self.sent.push_back(beat);
+    }
+
+    /// Takes the oldest message of the other side; says whether there was one.
+    fn take_from(&mut self, other: &mut Self) -> bool {
+        let Some(message) = other.sent.pop_front() else {
+            return false;
+        };
+        if let Some(answer) = self.sharing.answer(&message) {
+            self.sent.push_back(answer);
+        }
+        self.sharing.take(&other.vm, message);
+        true
+    }
+}
+
+struct World {
+    random: StdRng,
+    log: Vec<(usize, Option<&'static str>)>,
+    hub: Arc<FleetState>,
+    others: Vec<Arc<FleetState>>,
+    /// The hub's side and the other VM's side of each link.
+    links: Vec<(LinkSide, LinkSide)>,
+    address: SocketAddr,
+}
+
+impl World {
+    fn new(seed: u64, log: &KeyedLog) -> Self {
+        let fleet = |name: String| Arc::new(FleetState::new(&settings(&name, log), seed));
+        let hub = fleet("hub".to_owned());
+        let others: Vec<_> = (0..OTHERS)
+            .map(|number| fleet(format!("vm-{number}")))
+            .collect();
+        let mut world = Self {
+            random: StdRng::seed_from_u64(seed),
+            log: Vec::new(),
+            links: Vec::new(),
+            hub,
+            others,
+            address: log.address(),
+        };
+        for target in 0..TARGETS {
+            world.log.push((target, Some("ready")));
+        }
+        // Everybody begins with the list as it is.
+        let listing = world.batch(0);
+        let hub = Arc::clone(&world.hub);
+        for fleet in world.others.iter().chain([&hub]) {
+            fleet.take_listing(FeedTopic::Targets, &listing);
+        }
+        world.links = world
+            .others
+            .iter()
+            .map(|other| linked(&hub, other))
+            .collect();
+        world
+    }
+
+    fn batch(&self, from: usize) -> ReadBatch {
+        let records = self.log.iter().enumerate().skip(from);
+        let record = |(offset, (target, state)): (usize, &(usize, Option<&str>))| KeyedRecord {
+            key: format!("i-{target}"),
+            value: state.map(|state| entry("ledger", self.address, state, &[]).into()),
+            offset: LogOffset(offset as u64),
+        };
+        ReadBatch {
+            records: records.map(record).collect(),
+            end: LogOffset(self.log.len() as u64),
+        }
+    }
+
+    fn read(&self, fleet: &FleetState) {
+        let from = fleet.known_end(FeedTopic::Targets);
+        fleet.note_list_call(true);
+        fleet.take_records(FeedTopic::Targets, from, &self.batch(from.0 as usize));
+    }
+
+    fn list(&self, fleet: &FleetState) {
+        let mut listing = self.batch(0);
+        let newest = |record: &KeyedRecord| {
+            let later = listing.records.iter();
+            record.value.is_some()
+                && !later
+                    .clone()
+                    .any(|other| other.key == record.key && other.offset > record.offset)
+        };
+        let kept: Vec<_> = listing
+            .records
+            .iter()
+            .filter(|record| newest(record))
+            .cloned()
+            .collect();
+        listing.records = kept;
+        fleet.note_list_call(true);
+        fleet.take_listing(FeedTopic::Targets, &listing);
+    }
+
+    fn step(&mut self) {
+        let at = self.random.random_range(0..OTHERS);
+        match self.random.random_range(0..100) {
+            0..30 => {
+                let states = [Some("ready"), Some("draining"), None, None];
+                let target = self.random.random_range(0..TARGETS);
+                let state = states[self.random.random_range(0..states.len())];
+                self.log.push((target, state));
+            }
+            30..42 => self.read(&self.hub),
+            42..44 => self.read(&self.others[at]),
+            44..46 => self.list(&self.hub),
+            46..50 => self.hub.note_list_call(false),
+            50..52 => self.others[at].note_list_call(false),
+            52..55 => self.links[at] = linked(&self.hub, &self.others[at]),
+            55..60 => self.links[at].0.beat(),
+            60..63 => self.links[at].1.beat(),
+            63..75 => self.links[at].0.push(),
+            75..80 => self.links[at].1.push(),
+            80..92 => {
+                let (hub, other) = &mut self.links[at];
+                other.take_from(hub);
+            }
+            _ => {
+                let (hub, other) = &mut self.links[at];
+                hub.take_from(other);
+            }
+        }
+    }
+
+    /// The hub reads on, its doubts are over, and all links pass on what they have.
+    fn settle(&mut self) {
+        self.read(&self.hub);
+        self.hub.expire();
+        self.others.iter().for_each(|other| other.expire());
+        for (hub, other) in &mut self.links {
+            loop {
+                hub.push();
+                other.push();
+                if !hub.take_from(other) & !other.take_from(hub) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Targets of which a VM knows something else than the log says.
+    fn wrong(&self, fleet: &FleetState) -> Vec<String> {
+        let newest = |target| {
+            let records = self.log.iter().rev();
+            records
+                .clone()
+                .find(|record| record.0 == target)
+                .and_then(|record| record.1)
+        };
+        (0..TARGETS)
+            .filter(|target| {
+                let name = TargetName::new(&format!("i-{target}"));
+                let known = fleet.books().catalog.get(&name).map(|entry| entry.stage);
+                let said = newest(*target).map(|state| state == "draining");
+                known.map(|stage| format!("{stage:?}") == "Draining") != said
+            })
+            .map(|target| format!("i-{target}"))
+            .collect()
+    }
+}
+
+/// A new link that the other VM dials: what was on its way over the one before is lost.
+fn linked(hub: &Arc<FleetState>, other: &Arc<FleetState>) -> (LinkSide, LinkSide) {
+    let (hub, mut other) = (LinkSide::new(hub), LinkSide::new(other));
+    other.sent.extend(other.sharing.first_question());
+    (hub, other)
+}
+
+#[tokio::test]
+async fn in_the_end_every_vm_knows_what_the_log_says() {
+    let log = KeyedLog::start().await.expect("a log");
+    let mut worlds: Vec<_> = (0..SEEDS).map(|seed| World::new(seed, &log)).collect();
+    for world in &mut worlds {
+        for _ in 0..STEPS {
+            world.step();
+        }
+        // The log serves the hub again from here on.
+        world.read(&world.hub);
+    }
+    // Until the last removal is in doubt no more.
+    sleep(Duration::from_millis(2_300)).await;
+    for (seed, world) in worlds.iter_mut().enumerate() {
+        world.settle();
+        for fleet in world.others.iter().chain([&world.hub]) {
+            let wrong = world.wrong(fleet);
+            assert!(wrong.is_empty(), "seed {seed}, {}: {wrong:?}", fleet.vm);
+        }
+    }
+}
