Pass an entry's return on though its removal was only in doubt here

Cause: whether an entry is news was judged by what this VM knew before, and others may know more: they had counted the removal. Such a VM kept a live target as gone until its next change.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -144,10 +144,12 @@
         row.offset = offset;
         match entry {
             Some(entry) => {
-                let is_news = row
-                    .entry
-                    .as_ref()
-                    .is_none_or(|known| !known.leads_alike(&entry));
+                // Others may have counted a removal that is in doubt here: that the entry is back is news to them.
+                let is_news = row.lapses_at.is_some()
+                    || row
+                        .entry
+                        .as_ref()
+                        .is_none_or(|known| !known.leads_alike(&entry));
                 row.entry = Some(Arc::new(entry));
                 row.lapses_at = None;
                 is_news
