--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -2,17 +2,22 @@
 
 use hoplanding_soak::{
     checks::Promise,
+    fleet::SoakVm,
+    history::SharedHistory,
     run::{RunPlan, play},
     schedule::{FaultKind, PlannedFault, faults_of},
     targets::PlantedFault,
 };
+use hoplanding_standins::keyed_log::KeyedLog;
 use std::{
     fs,
     net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Command, Stdio},
+    thread,
     time::Duration,
 };
+use tokio::time::sleep;
 
 /// The daemon beside this test's own program; built first where only this crate's tests were asked for.
 fn daemon() -> PathBuf {
@@ -102,6 +107,36 @@
     assert_eq!(outcome.violations, [], "{}", plan.folder.display());
 }
 
+/// Faults that overlap start a VM at the same moment. A second daemon of it was left running behind the run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_several_faults_start_at_once_runs_one_daemon() {
+    let log = KeyedLog::start().await.expect("a log");
+    let plan = plan("starts", 1);
+    fs::create_dir_all(&plan.folder).expect("a folder");
+    let zones = ["zone-1".to_owned()];
+    let history = SharedHistory::new();
+    let vm = SoakVm::new(
+        0,
+        &zones,
+        log.address(),
+        &plan.program,
+        &plan.folder,
+        history,
+    );
+    let vm = vm.await.expect("a VM");
+    thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| vm.start().expect("it starts"));
+        }
+    });
+    while vm.callers().is_none() {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let run = vm.callers().map(|(_, run)| run);
+    vm.kill().await;
+    assert_eq!(run, Some(1));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn faults_planted_in_the_stand_ins_are_found() {
     for (planted, promise) in [
