Start a VM of the soak under one lock

Cause: whether a daemon runs was looked at in one step and it was started in another, so faults that overlap started two, of which one was left behind.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -93,12 +93,17 @@
         })
     }
 
-    /// Starts its daemon; its lines go to the folder of the run.
+    /// Starts its daemon if none runs; its lines go to the folder of the run. Faults overlap, so that is looked at and done
+    /// under one lock: of two daemons one would be left behind.
     ///
     /// # Errors
     /// Returns the error of the system when the program can't be started.
     pub fn start(&self) -> io::Result<()> {
         let settings = self.folder.join(format!("vm-{}.json", self.index));
+        let mut state = self.lock();
+        if state.child.is_some() {
+            return Ok(());
+        }
         let mut child = Command::new(&self.program)
             .arg("--config")
             .arg(settings)
@@ -106,7 +111,6 @@
             .stderr(Stdio::null())
             .spawn()?;
         let output = child.stdout.take();
-        let mut state = self.lock();
         state.child = Some(child);
         state.callers = None;
         state.is_ending = false;
@@ -128,12 +132,6 @@
         Some((callers, state.run))
     }
 
-    /// Whether it has no process.
-    #[must_use]
-    pub fn is_down(&self) -> bool {
-        self.lock().child.is_none()
-    }
-
     /// Sends a signal to its process, if it runs.
     pub fn signal(&self, signal: Signal) {
         let state = self.lock();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -392,10 +392,7 @@
 
     fn restart_now(&self, vm: &SoakVm) {
         vm.note_strike(false);
-        // Another fault may have started it already: a VM runs one daemon.
-        if vm.is_down()
-            && let Err(error) = vm.start()
-        {
+        if let Err(error) = vm.start() {
             eprintln!("VM {} was not started again: {error}", vm.index);
         }
     }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -183,7 +183,7 @@
         if started().len() == 4 {
             break;
         }
-        std::thread::sleep(Duration::from_millis(25));
+        thread::sleep(Duration::from_millis(25));
     }
     let addresses = started();
     assert_eq!(addresses.len(), 4, "{}", out.display());
