--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,11 +7,13 @@
 //! | [`engine`] | a model engine with adapter slots and continuous batching |
 //! | [`weights`] | the weight store, shared by the engines of a site |
 //! | [`service`] | a plain service whose calls count |
+//! | [`kept_memory`] | what engines keep of prompts, by the version that made it |
 //! | [`keyed_log`] | the users' log of keyed topics, as the direct mode reads it |
 //! | [`raw_target`] | a target whose answers are given as bytes |
 //! | [`relay`] | a TCP link that can be cut or frozen |
 
 pub mod engine;
+pub mod kept_memory;
 pub mod keyed_log;
 pub mod platform;
 pub mod raw_target;
