Say which versions memory moves between, and what an answer was made by

Cause: logs and metrics can't tell the hypotheses of the incident apart. The version that an answer names was read by nobody. Change: an engine's copy keeps the version with what told it and when (list, report, order, answer); E715 and the counter hoplanding_prompt_moves name both copies of each move; a stream's first event tells its holder the answer's version (messages of version 8); E805 says what a stream with moved memory was made by; E803 names the holder's number of the call. No decision changes.

--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -6,6 +6,7 @@
         loading::StoreLoad,
         planner::{CallKey, PlacementAsk, split_subject},
         reading::PromptQueue,
+        versions::{VersionSight, VersionTeller},
     },
     ids::{AdapterName, Instant, TargetLife},
 };
@@ -123,8 +124,8 @@
 pub struct ResidentCopy {
     /// Its state.
     pub state: ResidentState,
-    /// Its version; 0 if it is only known to have been the newest when loaded.
-    pub version: u64,
+    /// Its version, if anything told it.
+    pub sight: Option<VersionSight>,
     /// Calls sent to it that have not ended.
     pub users: u32,
     /// Calls that wait for its load to be accepted.
@@ -138,10 +139,10 @@
 }
 
 impl ResidentCopy {
-    fn new(state: ResidentState, version: u64, now: Instant) -> Self {
+    fn new(state: ResidentState, sight: Option<VersionSight>, now: Instant) -> Self {
         Self {
             state,
-            version,
+            sight,
             users: 0,
             waiters: Vec::new(),
             used_at: now,
@@ -149,6 +150,12 @@
             load: None,
         }
     }
+
+    /// Whether it has to be replaced now that a version is named: it is older, or nobody knows what it is.
+    #[must_use]
+    pub fn is_behind(&self, named: u64) -> bool {
+        self.sight.is_none_or(|sight| sight.version < named)
+    }
 }
 
 /// A call that runs at an engine.
@@ -273,7 +280,8 @@
             .map(|(model, _)| AdapterName::new(model))
             .collect();
         for resident in &entry.adapters {
-            let mut copy = ResidentCopy::new(ResidentState::Here, resident.version, now);
+            let sight = VersionSight::told(resident.version, VersionTeller::List, now);
+            let mut copy = ResidentCopy::new(ResidentState::Here, sight, now);
             copy.held_until = now.after(ADOPTED_WITHIN);
             engine.copies.insert(resident.adapter.clone(), copy);
         }
@@ -389,15 +397,16 @@
         version: u64,
         now: Instant,
     ) -> ResidentCopy {
+        let sight = VersionSight::told(version, VersionTeller::Report, now);
         match old.remove(adapter) {
-            Some(copy) if copy.state == ResidentState::Outdated => ResidentCopy { version, ..copy },
+            Some(copy) if copy.state == ResidentState::Outdated => ResidentCopy { sight, ..copy },
             Some(copy) => ResidentCopy {
                 state,
-                version,
+                sight,
                 ..copy
             },
             None => {
-                let mut copy = ResidentCopy::new(state, version, now);
+                let mut copy = ResidentCopy::new(state, sight, now);
                 copy.held_until = now.after(ADOPTED_WITHIN);
                 copy
             }
@@ -486,7 +495,7 @@
     pub fn want(&mut self, adapter: &AdapterName, now: Instant) {
         self.copies
             .entry(adapter.clone())
-            .or_insert_with(|| ResidentCopy::new(ResidentState::Wanted, 0, now));
+            .or_insert_with(|| ResidentCopy::new(ResidentState::Wanted, None, now));
         self.queue.push_back((OrderKind::Load, adapter.clone()));
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -16,6 +16,7 @@
 //! | [`streams`] | how long a stream may take |
 //! | [`demand`] | how often each adapter is asked for |
 //! | [`health`] | doubt about targets, from the outcomes of calls |
+//! | [`versions`] | which version of an adapter a copy has, and how that is known |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
 
 pub mod budget;
@@ -33,3 +34,4 @@
 pub mod routes;
 pub mod search;
 pub mod streams;
+pub mod versions;
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -1,7 +1,7 @@
 //! What a gateway asks, what it is told, and what the holder has to do for it.
 
 use crate::{
-    direct::{catalog::TargetEntry, engine::EngineOrder},
+    direct::{catalog::TargetEntry, engine::EngineOrder, versions::VersionSight},
     ids::{AdapterName, TargetLife, TargetName, VmName},
 };
 use serde::{Deserialize, Serialize};
@@ -94,6 +94,48 @@
     LoadLate,
 }
 
+/// How the versions of two copies stand to each other, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum VersionMatch {
+    /// Both are known and the same.
+    Same,
+    /// Both are known and unlike.
+    Unlike,
+    /// One of them is not known.
+    Unknown,
+}
+
+/// An engine is told to take parts of a prompt from another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptMove {
+    /// The call.
+    pub key: CallKey,
+    /// Its adapter, or its base model.
+    pub subject: AdapterName,
+    /// The engine that has kept them.
+    pub source: TargetName,
+    /// The source's version.
+    pub source_sight: Option<VersionSight>,
+    /// The engine that the call goes to.
+    pub target: TargetName,
+    /// The target's version.
+    pub target_sight: Option<VersionSight>,
+    /// The version that was named last.
+    pub named: Option<u64>,
+}
+
+impl PromptMove {
+    /// How the versions of both copies stand to each other.
+    #[must_use]
+    pub fn versions(&self) -> VersionMatch {
+        match (self.source_sight, self.target_sight) {
+            (Some(source), Some(target)) if source.version == target.version => VersionMatch::Same,
+            (Some(_), Some(_)) => VersionMatch::Unlike,
+            _ => VersionMatch::Unknown,
+        }
+    }
+}
+
 /// What the holder has to do for the planner.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlannerAction {
@@ -103,4 +145,6 @@
     Order(Arc<TargetEntry>, EngineOrder),
     /// Read an engine's report.
     Report(Arc<TargetEntry>),
+    /// Say that memory moves.
+    Moved(Box<PromptMove>),
 }
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -16,21 +16,22 @@
 use std::{net::SocketAddr, time::Duration};
 
 /// The engine that has kept most of a prompt.
+#[derive(Debug)]
 pub(super) struct PromptSource {
-    name: TargetName,
-    address: SocketAddr,
+    pub name: TargetName,
+    pub address: SocketAddr,
     tokens: u32,
 }
 
 /// What an engine has to do for a prompt.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PromptWork {
+pub(super) struct PromptWork<'a> {
     /// Tokens that it reads.
     pub tokens: u32,
     /// Time for all of it.
     pub time: Duration,
     /// Where it takes kept parts from.
-    pub fetch: Option<SocketAddr>,
+    pub fetch: Option<&'a PromptSource>,
 }
 
 impl ZonePlanner {
@@ -53,13 +54,13 @@
     }
 
     /// What an engine has to do for a prompt, if it may take parts from a source.
-    pub(super) fn prompt_work(
+    pub(super) fn prompt_work<'a>(
         &self,
         engine: &EngineState,
         ask: &PlacementAsk,
-        source: Option<&PromptSource>,
+        source: Option<&'a PromptSource>,
         now: Instant,
-    ) -> PromptWork {
+    ) -> PromptWork<'a> {
         let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
         let tokens = ask.prompt_tokens.saturating_sub(kept);
         let time = engine.prompts.own_time(tokens, &self.pace, now);
@@ -82,7 +83,7 @@
         PromptWork {
             tokens,
             time,
-            fetch: Some(source.address),
+            fetch: Some(source),
         }
     }
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -23,7 +23,10 @@
 mod placing;
 mod spreading;
 
-pub use ask::{AskTerms, CallKey, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause};
+pub use ask::{
+    AskTerms, CallKey, PlacementAnswer, PlacementAsk, PlannerAction, PromptMove, RefusalCause,
+    VersionMatch,
+};
 pub use figures::EngineFigures;
 
 use crate::{
@@ -212,8 +215,14 @@
         engine.add_call(key, call);
     }
 
-    /// The first event of a call came from an engine: its prompt is read.
-    pub fn begun(&mut self, key: &CallKey, target: &TargetName, now: Instant) {
+    /// The first event of a call came from an engine: its prompt is read, by the version that the answer tells.
+    pub fn begun(
+        &mut self,
+        key: &CallKey,
+        target: &TargetName,
+        _version: Option<u64>,
+        now: Instant,
+    ) {
         if let Some(engine) = self.engines.get_mut(target) {
             engine.prompts.begun(key, &mut self.pace, now);
             if let Some(load) = engine.judge_load(key)
@@ -325,8 +334,9 @@
             if matches!(copy.state, ResidentState::Coming(at) if now >= at) {
                 copy.state = ResidentState::Here;
             }
-            let version = self.versions.get(adapter).copied().unwrap_or(0);
-            if copy.state == ResidentState::Here && copy.version < version {
+            let named = self.versions.get(adapter);
+            let is_behind = named.is_some_and(|named| copy.is_behind(*named));
+            if copy.state == ResidentState::Here && is_behind {
                 is_stale.push(adapter.clone());
             }
         }
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -11,6 +11,7 @@
             COME_BACK_MS, COMING_MOST, LOAD_MARGIN, PlannerAction, RefusalCause, SETTLE,
             ZonePlanner, millis, split_subject,
         },
+        versions::{VersionSight, VersionTeller},
     },
     ids::{AdapterName, Instant, TargetName},
 };
@@ -63,7 +64,9 @@
                         ResidentState::Coming(now.after(time))
                     };
                     copy.load = load;
-                    copy.version = order.version.or(version).unwrap_or(copy.version);
+                    if let Some(version) = order.version.or(version) {
+                        copy.sight = VersionSight::told(version, VersionTeller::Order, now);
+                    }
                     let waiters = std::mem::take(&mut copy.waiters);
                     self.release_waiters(name, waiters, now);
                 }
@@ -328,7 +331,7 @@
                 continue;
             };
             let is_free = copy.users == 0 && now >= copy.held_until;
-            if copy.version < version && is_free && copy.state == ResidentState::Here {
+            if copy.is_behind(version) && is_free && copy.state == ResidentState::Here {
                 copy.state = ResidentState::Outdated;
                 engine.queue.push_back((OrderKind::Load, adapter.clone()));
                 touched.push(name.clone());
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -6,8 +6,10 @@
         engine::{EngineState, ResidentState, SentCall, WaitingCall},
         planner::{
             AskTerms, COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer,
-            PlacementAsk, RefusalCause, ZonePlanner, fetching::PromptSource, millis, split_subject,
+            PlacementAsk, PlannerAction, PromptMove, RefusalCause, ZonePlanner,
+            fetching::PromptSource, millis, split_subject,
         },
+        versions::VersionSight,
     },
     ids::{AdapterName, Instant, TargetName},
 };
@@ -136,7 +138,7 @@
                 let is_stale = self
                     .versions
                     .get(&ask.subject)
-                    .is_some_and(|version| copy.version < *version);
+                    .is_some_and(|named| copy.is_behind(*named));
                 match copy.state {
                     ResidentState::Here if is_stale => None,
                     ResidentState::Coming(at) => Some(LoadCost {
@@ -278,6 +280,11 @@
         self.answer(key, answer);
     }
 
+    /// The version of an engine's copy.
+    fn sight(&self, name: &TargetName, subject: &AdapterName) -> Option<VersionSight> {
+        self.engines.get(name)?.copies.get(subject)?.sight
+    }
+
     /// Counts a call that is sent now; returns what it is sent with.
     pub(super) fn note_sent(
         &mut self,
@@ -294,6 +301,15 @@
         let source = self.prompt_source(ask, now);
         let work = self.prompt_work(engine, ask, source.as_ref(), now);
         let backlog = engine.prompts.backlog(ask.priority, &self.pace, now);
+        let moved = work.fetch.map(|source| PromptMove {
+            key: key.clone(),
+            subject: ask.subject.clone(),
+            source: source.name.clone(),
+            source_sight: self.sight(&source.name, &ask.subject),
+            target: name.clone(),
+            target_sight: self.sight(name, &ask.subject),
+            named: self.versions.get(&ask.subject).copied(),
+        });
         let call = SentCall {
             subject: ask.subject.clone(),
             tokens: call_tokens(ask),
@@ -304,10 +320,15 @@
             engine.note_prefix(&ask.subject, &ask.prefix);
             engine.add_call(key, call);
         }
-        SentHow {
+        let sent = SentHow {
             expected: backlog.max(load) + work.time,
-            fetch: work.fetch,
+            fetch: work.fetch.map(|source| source.address),
+        };
+        if let Some(moved) = moved {
+            self.actions
+                .push_back(PlannerAction::Moved(Box::new(moved)));
         }
+        sent
     }
 }
 
--- /dev/null
+++ b/crates/core/src/direct/versions.rs
@@ -0,0 +1,68 @@
+//! Which version of an adapter an engine's copy has, and how its holder knows.
+//!
+//! An engine lists and reports it, an order that names a version brings it, and each answer says which version made it. Of a copy
+//! that was loaded without a named version nobody knows which one it is until one of these tells.
+
+use crate::ids::Instant;
+use std::fmt;
+
+/// What told a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionTeller {
+    /// The platform's list, which may be seconds old.
+    List,
+    /// The engine's report.
+    Report,
+    /// An order that named it, and was taken.
+    Order,
+    /// The answer to a call.
+    Answer,
+}
+
+/// A version as it was last told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionSight {
+    /// The version.
+    pub version: u64,
+    /// What told it.
+    pub teller: VersionTeller,
+    /// When it was told.
+    pub at: Instant,
+}
+
+impl VersionSight {
+    /// A version that was told now; nothing where what told it names none.
+    #[must_use]
+    pub fn told(version: u64, teller: VersionTeller, at: Instant) -> Option<Self> {
+        (version > 0).then_some(Self {
+            version,
+            teller,
+            at,
+        })
+    }
+}
+
+/// Shows a version with its age, for a log line.
+#[derive(Clone, Copy, Debug)]
+pub struct SightAge {
+    /// What is known.
+    pub sight: Option<VersionSight>,
+    /// The present.
+    pub now: Instant,
+}
+
+impl fmt::Display for SightAge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.sight {
+            Some(sight) => {
+                let age = self.now.since(sight.at).as_millis();
+                write!(
+                    f,
+                    "version {} by {:?} {age} ms ago",
+                    sight.version, sight.teller
+                )
+            }
+            None => f.write_str("unknown version"),
+        }
+    }
+}
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -704,6 +704,7 @@
                         let report = random.random_bool(0.95).then_some(report);
                         planner.report_came(&entry.name, report.as_ref(), now);
                     }
+                    PlannerAction::Moved(_) => {}
                 }
             }
         }
@@ -809,7 +810,7 @@
     for _ in 0..80 {
         now = after(now, 350);
         for (key, target) in open.drain(..) {
-            planner.begun(&key, &target, now);
+            planner.begun(&key, &target, Some(1), now);
             planner.ended(&key, Some(&target), None, now);
         }
         planner.tick(now);
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -422,6 +422,7 @@
             PlannerAction::Report(entry) => {
                 planner.report_came(&entry.name, None, Instant(now));
             }
+            PlannerAction::Moved(_) => {}
         }
     }
 
@@ -521,7 +522,7 @@
     fn begin(&mut self, key: &CallKey, target: &TargetName, now: u64) {
         if self.tells_first_events {
             let zone = self.engines[target].zone;
-            self.planners[zone].begun(key, target, Instant(now));
+            self.planners[zone].begun(key, target, Some(1), Instant(now));
         }
         if let Some(call) = self.open.remove(&key.number) {
             let class = self.classes[call.class];
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -300,7 +300,13 @@
         }
     }
 
-    fn tell_begun(&self, zone: &AvailabilityZone, number: u64, target: TargetName) {
+    fn tell_begun(
+        &self,
+        zone: &AvailabilityZone,
+        number: u64,
+        target: TargetName,
+        version: Option<u64>,
+    ) {
         let Some(lease) = self.fleet.lease(zone) else {
             return;
         };
@@ -308,10 +314,10 @@
             // A full channel: the call's end says the same, later.
             drop(
                 self.zone
-                    .try_send(ZoneEvent::Begun(self.key(number), target)),
+                    .try_send(ZoneEvent::Begun(self.key(number), target, version)),
             );
         } else if let Some(link) = self.link(zone, &lease) {
-            link.tell(VmMessage::Begun(number, target));
+            link.tell(VmMessage::Begun(number, target, version));
         }
     }
 
@@ -353,8 +359,14 @@
 }
 
 impl CallTicket {
-    /// Tells the holder that the stream's first event came: its prompt has been read.
-    pub fn note_first_event(&self) {
+    /// The holder's number of the call.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Tells the holder that the stream's first event came: its prompt has been read, by this version.
+    pub fn note_first_event(&self, version: Option<u64>) {
         let call = self
             .access
             .open
@@ -363,7 +375,8 @@
             .get(&self.number)
             .cloned();
         if let Some(call) = call {
-            self.access.tell_begun(&call.zone, self.number, call.target);
+            self.access
+                .tell_begun(&call.zone, self.number, call.target, version);
         }
     }
 
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -98,9 +98,10 @@
                 version,
                 is_sought,
             } => {
-                event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?}, its adapter {} there in {wait_ms} ms",
+                event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?}, its adapter {} of version {version:?} there in {wait_ms} ms, call {:?} of the holder",
                     self.arrived.elapsed(),
-                    self.subject()
+                    self.subject(),
+                    ticket.as_ref().map(CallTicket::number)
                 );
                 if is_sought {
                     self.context.fleet.note_sought(&self.subject());
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -16,7 +16,7 @@
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_platform::headers::travelling;
+use hoplanding_platform::{front::answer_version, headers::travelling};
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -105,10 +105,18 @@
             fleet.figures.note_first_event(held);
             fleet.books().streams.note_start(held, clock::now());
         }
-        let ticket = self.open.as_ref().and_then(|open| open.ticket.as_ref());
-        if let (true, Some(ticket)) = (self.awaits_first, ticket) {
-            self.awaits_first = false;
-            ticket.note_first_event();
+        let Some(open) = self.open.as_ref().filter(|_| self.awaits_first) else {
+            return;
+        };
+        self.awaits_first = false;
+        let version = answer_version(&open.parts.headers);
+        if let Some(source) = self.call.fetch {
+            event!(Event::MemoryUsed, request = self.call.head.id; "at {} with parts from {source}, by version {version:?}",
+                open.connection.target()
+            );
+        }
+        if let Some(ticket) = &open.ticket {
+            ticket.note_first_event(version);
         }
     }
 
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -2,10 +2,12 @@
 //!
 //! `cadence` counts towards statsd and knows no such page, so the direct mode counts with `prometheus-client`.
 
-use crate::{direct::fleet::FleetState, event, events::Event, logging::dropped_lines};
+use crate::{clock, direct::fleet::FleetState, event, events::Event, logging::dropped_lines};
 use hoplanding_core::direct::{
     catalog::TargetStage,
     config::{AnswerShape, RepeatRule, RouteRule},
+    planner::{PromptMove, VersionMatch},
+    versions::SightAge,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -85,6 +87,11 @@
     allowed: bool,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MoveLabels {
+    versions: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageLabels {
     stage: &'static str,
@@ -101,6 +108,7 @@
     first_event: Histogram,
     targets: Family<StageLabels, Gauge>,
     doubted: Gauge,
+    moves: Family<MoveLabels, Counter>,
     in_flight: Gauge,
     config_version: Gauge,
     vms: Gauge,
@@ -122,6 +130,7 @@
             first_event: Histogram::new(BUCKETS),
             targets: Family::default(),
             doubted: Gauge::default(),
+            moves: Family::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             vms: Gauge::default(),
@@ -168,6 +177,11 @@
             "Targets whose removal is in doubt",
             self.doubted.clone(),
         );
+        registry.register(
+            "prompt_moves",
+            "Prompts whose target was told to take parts from another one, by how the versions of both stand",
+            self.moves.clone(),
+        );
         registry.register("in_flight", "Requests at targets", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -204,6 +218,30 @@
         self.repeats.get_or_create(&RepeatLabels { allowed }).inc();
     }
 
+    /// An engine is told to take parts of a prompt from another one.
+    pub fn tell_move(&self, moved: &PromptMove) {
+        let now = clock::now();
+        let versions = match moved.versions() {
+            VersionMatch::Same => "same",
+            VersionMatch::Unlike => "unlike",
+            VersionMatch::Unknown => "unknown",
+        };
+        self.moves.get_or_create(&MoveLabels { versions }).inc();
+        let age = |sight| SightAge { sight, now };
+        event!(
+            Event::MemoryMoved,
+            "{}#{}: {} from {}, {}, to {}, {}, named {:?}",
+            moved.key.vm,
+            moved.key.number,
+            moved.subject,
+            moved.source,
+            age(moved.source_sight),
+            moved.target,
+            age(moved.target_sight),
+            moved.named
+        );
+    }
+
     /// The log was called.
     pub fn count_log_call(&self, topic: &'static str, outcome: LogOutcome) {
         let labels = LogLabels { topic, outcome };
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -474,7 +474,9 @@
             ask,
             ReplyTo::Link(outbound.clone()),
         )),
-        VmMessage::Begun(number, target) => Some(ZoneEvent::Begun(key(number), target)),
+        VmMessage::Begun(number, target, version) => {
+            Some(ZoneEvent::Begun(key(number), target, version))
+        }
         VmMessage::Ended(ending) => Some(ZoneEvent::Ended(vm.clone(), ending)),
         VmMessage::Withdrawn(number) => Some(ZoneEvent::Withdrawn(key(number))),
         VmMessage::Open(number, target, life, subject) => {
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 7;
+pub const MESSAGE_VERSION: u32 = 8;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -130,8 +130,8 @@
     Placed(u64, PlacementAnswer),
     /// The receiver does not hold the zone.
     NotHolder(u64),
-    /// The first event of a call came from the target that it was sent to.
-    Begun(u64, TargetName),
+    /// The first event of a call came from the target that it was sent to, made by this version, if the answer tells it.
+    Begun(u64, TargetName, Option<u64>),
     /// A call ended.
     Ended(CallEnding),
     /// The gateway no longer wants a placement.
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -68,8 +68,8 @@
 pub enum ZoneEvent {
     /// Place a call.
     Place(CallKey, Box<PlacementAsk>, ReplyTo),
-    /// The first event of a call came from this target.
-    Begun(CallKey, TargetName),
+    /// The first event of a call came from this target, made by this version.
+    Begun(CallKey, TargetName, Option<u64>),
     /// A call ended.
     Ended(VmName, CallEnding),
     /// A placement is no longer wanted.
@@ -198,7 +198,9 @@
                 self.replies.insert(key.clone(), reply);
                 held.planner.place(key, *ask, now);
             }
-            ZoneEvent::Begun(key, target) => held.planner.begun(&key, &target, now),
+            ZoneEvent::Begun(key, target, version) => {
+                held.planner.begun(&key, &target, version, now);
+            }
             ZoneEvent::Ended(vm, ending) => {
                 let key = CallKey {
                     vm,
@@ -374,6 +376,7 @@
                             .await;
                     });
                 }
+                PlannerAction::Moved(moved) => self.fleet.figures.tell_move(&moved),
                 PlannerAction::Report(entry) => {
                     let pool = Arc::clone(&self.pool);
                     let events = self.events.clone();
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -154,6 +154,8 @@
     OrderOutlived = 713, Info, "answer to an order of an earlier life passed over";
     /// What is learned of the weight store has changed.
     LoadsLimited = 714, Info, "loads from the weight store";
+    /// An engine takes prompt parts from another one.
+    MemoryMoved = 715, Debug, "memory of a prompt moves";
     /// A request was refused as not run.
     CallRefused = 800, Info, "request refused as not run";
     /// A request failed.
@@ -164,6 +166,8 @@
     CallPlaced = 803, Debug, "request placed";
     /// A stream's first event went out.
     StreamAnswered = 804, Info, "stream answered";
+    /// A stream whose target took prompt parts from another one has begun.
+    MemoryUsed = 805, Debug, "stream begun with moved memory";
     /// A target could not be reached for a request.
     TargetUnreached = 810, Info, "target out of reach for a request";
     /// A target answered nothing.
