--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine.rs
@@ -6,7 +6,7 @@
         loading::StoreLoad,
         planner::{CallKey, PlacementAsk, split_subject},
         reading::PromptQueue,
-        versions::{VersionSight, VersionTeller},
+        versions::{MemoryVersions, VersionSight, VersionTeller},
     },
     ids::{AdapterName, Instant, TargetLife},
 };
@@ -79,8 +79,8 @@
     pub life: TargetLife,
     /// Orders that it has taken.
     pub orders_taken: u64,
-    /// Base models that it holds.
-    pub models: Vec<AdapterName>,
+    /// Base models that it holds, with their versions.
+    pub models: Vec<(AdapterName, u64)>,
     /// Adapters that it holds, with their versions.
     pub adapters: Vec<(AdapterName, u64)>,
     /// Adapters on their way.
@@ -158,6 +158,15 @@
     }
 }
 
+/// A base model that an engine holds.
+#[derive(Clone, Debug)]
+pub struct HeldModel {
+    /// Its name.
+    pub name: AdapterName,
+    /// Its version, if anything told it.
+    pub sight: Option<VersionSight>,
+}
+
 /// A call that runs at an engine.
 #[derive(Clone, Debug)]
 pub struct SentCall {
@@ -177,7 +186,7 @@
     /// Whether what it holds is known from its own report since the holder began.
     pub is_known: bool,
     /// Base models that it holds.
-    pub models: Vec<AdapterName>,
+    pub models: Vec<HeldModel>,
     /// Base models that it loads without the weight store.
     pub own_copies: Vec<AdapterName>,
     /// Its adapters.
@@ -277,7 +286,10 @@
         engine.models = entry
             .models
             .iter()
-            .map(|(model, _)| AdapterName::new(model))
+            .map(|(model, version)| HeldModel {
+                name: AdapterName::new(model),
+                sight: VersionSight::told(*version, VersionTeller::List, now),
+            })
             .collect();
         for resident in &entry.adapters {
             let sight = VersionSight::told(resident.version, VersionTeller::List, now);
@@ -355,7 +367,11 @@
     pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
         self.is_known = true;
         self.sequence = report.orders_taken;
-        self.models.clone_from(&report.models);
+        let models = report.models.iter().map(|(name, version)| HeldModel {
+            name: name.clone(),
+            sight: VersionSight::told(*version, VersionTeller::Report, now),
+        });
+        self.models = models.collect();
         self.own_copies.clone_from(&report.own_copies);
         let mut old = std::mem::take(&mut self.copies);
         for (adapter, version) in &report.adapters {
@@ -422,7 +438,7 @@
     /// Whether it holds a base model.
     #[must_use]
     pub fn has_model(&self, model: &str) -> bool {
-        self.models.iter().any(|held| held.as_str() == model)
+        self.models.iter().any(|held| held.name.as_str() == model)
     }
 
     /// Places that are taken, those of copies on their way included.
@@ -469,6 +485,29 @@
         Some(known)
     }
 
+    /// Versions of what makes its memory of a prompt for an adapter, or for a base model, as far as is known.
+    #[must_use]
+    pub fn memory_versions(&self, subject: &AdapterName) -> MemoryVersions {
+        let (model, _) = split_subject(subject);
+        let base = self.models.iter().find(|held| held.name.as_str() == model);
+        MemoryVersions {
+            base: base.and_then(|held| held.sight),
+            adapter: self.copies.get(subject).and_then(|copy| copy.sight),
+        }
+    }
+
+    /// Notes the version of the base model that made a call's answer.
+    pub fn note_answer(&mut self, key: &CallKey, version: Option<u64>, now: Instant) {
+        let (Some(call), Some(version)) = (self.calls.get(key), version) else {
+            return;
+        };
+        let (model, _) = split_subject(&call.subject);
+        let mut models = self.models.iter_mut();
+        if let Some(held) = models.find(|held| held.name.as_str() == model) {
+            held.sight = VersionSight::told(version, VersionTeller::Answer, now);
+        }
+    }
+
     /// Tokens that running calls may take in memory.
     #[must_use]
     pub fn tokens_sent(&self) -> u64 {
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -1,7 +1,12 @@
 //! What a gateway asks, what it is told, and what the holder has to do for it.
 
 use crate::{
-    direct::{catalog::TargetEntry, engine::EngineOrder, versions::VersionSight},
+    direct::{
+        catalog::TargetEntry,
+        engine::EngineOrder,
+        planner::split_subject,
+        versions::{MemoryVersions, VersionMatch},
+    },
     ids::{AdapterName, TargetLife, TargetName, VmName},
 };
 use serde::{Deserialize, Serialize};
@@ -94,17 +99,6 @@
     LoadLate,
 }
 
-/// How the versions of two copies stand to each other, as far as is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum VersionMatch {
-    /// Both are known and the same.
-    Same,
-    /// Both are known and unlike.
-    Unlike,
-    /// One of them is not known.
-    Unknown,
-}
-
 /// An engine is told to take parts of a prompt from another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptMove {
@@ -114,25 +108,26 @@
     pub subject: AdapterName,
     /// The engine that has kept them.
     pub source: TargetName,
-    /// The source's version.
-    pub source_sight: Option<VersionSight>,
+    /// What made them, as far as is known.
+    pub source_versions: MemoryVersions,
     /// The engine that the call goes to.
     pub target: TargetName,
-    /// The target's version.
-    pub target_sight: Option<VersionSight>,
-    /// The version that was named last.
+    /// The versions that it will run under, as far as is known.
+    pub target_versions: MemoryVersions,
+    /// The version of the adapter, or of the base model, that was named last.
     pub named: Option<u64>,
 }
 
 impl PromptMove {
-    /// How the versions of both copies stand to each other.
+    /// How the versions of both stand to each other.
     #[must_use]
     pub fn versions(&self) -> VersionMatch {
-        match (self.source_sight, self.target_sight) {
-            (Some(source), Some(target)) if source.version == target.version => VersionMatch::Same,
-            (Some(_), Some(_)) => VersionMatch::Unlike,
-            _ => VersionMatch::Unknown,
+        let (source, target) = (&self.source_versions, &self.target_versions);
+        let base = VersionMatch::of(source.base, target.base);
+        if split_subject(&self.subject).1.is_none() {
+            return base;
         }
+        base.and(VersionMatch::of(source.adapter, target.adapter))
     }
 }
 
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -25,7 +25,6 @@
 
 pub use ask::{
     AskTerms, CallKey, PlacementAnswer, PlacementAsk, PlannerAction, PromptMove, RefusalCause,
-    VersionMatch,
 };
 pub use figures::EngineFigures;
 
@@ -215,15 +214,17 @@
         engine.add_call(key, call);
     }
 
-    /// The first event of a call came from an engine: its prompt is read, by the version that the answer tells.
+    /// The first event of a call came from an engine: its prompt is read, by the version of the
+    /// base model that the answer tells.
     pub fn begun(
         &mut self,
         key: &CallKey,
         target: &TargetName,
-        _version: Option<u64>,
+        version: Option<u64>,
         now: Instant,
     ) {
         if let Some(engine) = self.engines.get_mut(target) {
+            engine.note_answer(key, version, now);
             engine.prompts.begun(key, &mut self.pace, now);
             if let Some(load) = engine.judge_load(key)
                 && !load.is_judged
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -9,7 +9,7 @@
             PlacementAsk, PlannerAction, PromptMove, RefusalCause, ZonePlanner,
             fetching::PromptSource, millis, split_subject,
         },
-        versions::VersionSight,
+        versions::MemoryVersions,
     },
     ids::{AdapterName, Instant, TargetName},
 };
@@ -280,9 +280,11 @@
         self.answer(key, answer);
     }
 
-    /// The version of an engine's copy.
-    fn sight(&self, name: &TargetName, subject: &AdapterName) -> Option<VersionSight> {
-        self.engines.get(name)?.copies.get(subject)?.sight
+    fn memory_versions(&self, name: &TargetName, subject: &AdapterName) -> MemoryVersions {
+        let engine = self.engines.get(name);
+        engine.map_or_else(MemoryVersions::default, |engine| {
+            engine.memory_versions(subject)
+        })
     }
 
     /// Counts a call that is sent now; returns what it is sent with.
@@ -305,9 +307,9 @@
             key: key.clone(),
             subject: ask.subject.clone(),
             source: source.name.clone(),
-            source_sight: self.sight(&source.name, &ask.subject),
+            source_versions: self.memory_versions(&source.name, &ask.subject),
             target: name.clone(),
-            target_sight: self.sight(name, &ask.subject),
+            target_versions: self.memory_versions(name, &ask.subject),
             named: self.versions.get(&ask.subject).copied(),
         });
         let call = SentCall {
--- a/crates/core/src/direct/versions.rs
+++ b/crates/core/src/direct/versions.rs
@@ -1,7 +1,7 @@
-//! Which version of an adapter an engine's copy has, and how its holder knows.
+//! Which versions of a base model and of an adapter an engine has, and how its holder knows.
 //!
-//! An engine lists and reports it, an order that names a version brings it, and each answer says which version made it. Of a copy
-//! that was loaded without a named version nobody knows which one it is until one of these tells.
+//! An engine lists and reports both, an order that names a version brings it, and each answer tells the version of the base model
+//! that made it. Of what was loaded without a named version nobody knows which one it is until one of these tells.
 
 use crate::ids::Instant;
 use std::fmt;
@@ -42,6 +42,48 @@
     }
 }
 
+/// How two engines' versions stand to each other, as far as is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionMatch {
+    /// They are known and the same.
+    Same,
+    /// They are known and unlike.
+    Unlike,
+    /// One of them is not known.
+    Unknown,
+}
+
+impl VersionMatch {
+    /// Compares what is known of two versions.
+    #[must_use]
+    pub fn of(left: Option<VersionSight>, right: Option<VersionSight>) -> Self {
+        match (left, right) {
+            (Some(left), Some(right)) if left.version == right.version => Self::Same,
+            (Some(_), Some(_)) => Self::Unlike,
+            _ => Self::Unknown,
+        }
+    }
+
+    /// Both comparisons in one.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unlike, _) | (_, Self::Unlike) => Self::Unlike,
+            (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
+            (Self::Same, Self::Same) => Self::Same,
+        }
+    }
+}
+
+/// Versions of what makes an engine's memory of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryVersions {
+    /// Of the base model.
+    pub base: Option<VersionSight>,
+    /// Of the adapter.
+    pub adapter: Option<VersionSight>,
+}
+
 /// Shows a version with its age, for a log line.
 #[derive(Clone, Copy, Debug)]
 pub struct SightAge {
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -365,7 +365,8 @@
         self.number
     }
 
-    /// Tells the holder that the stream's first event came: its prompt has been read, by this version.
+    /// Tells the holder that the stream's first event came: its prompt has been read, by this version of
+    /// the base model.
     pub fn note_first_event(&self, version: Option<u64>) {
         let call = self
             .access
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -6,8 +6,8 @@
 use hoplanding_core::direct::{
     catalog::TargetStage,
     config::{AnswerShape, RepeatRule, RouteRule},
-    planner::{PromptMove, VersionMatch},
-    versions::SightAge,
+    planner::PromptMove,
+    versions::{MemoryVersions, SightAge, VersionMatch},
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -227,17 +227,21 @@
             VersionMatch::Unknown => "unknown",
         };
         self.moves.get_or_create(&MoveLabels { versions }).inc();
-        let age = |sight| SightAge { sight, now };
+        let told = |versions: &MemoryVersions| {
+            let [base, adapter] =
+                [versions.base, versions.adapter].map(|sight| SightAge { sight, now });
+            format!("base {base}, adapter {adapter}")
+        };
         event!(
             Event::MemoryMoved,
-            "{}#{}: {} from {}, {}, to {}, {}, named {:?}",
+            "{}#{}: {} from {} ({}) to {} ({}), named {:?}",
             moved.key.vm,
             moved.key.number,
             moved.subject,
             moved.source,
-            age(moved.source_sight),
+            told(&moved.source_versions),
             moved.target,
-            age(moved.target_sight),
+            told(&moved.target_versions),
             moved.named
         );
     }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -130,7 +130,8 @@
     Placed(u64, PlacementAnswer),
     /// The receiver does not hold the zone.
     NotHolder(u64),
-    /// The first event of a call came from the target that it was sent to, made by this version, if the answer tells it.
+    /// The first event of a call came from the target that it was sent to, made by this version of the base model,
+    /// if the answer tells it.
     Begun(u64, TargetName, Option<u64>),
     /// A call ended.
     Ended(CallEnding),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -68,7 +68,7 @@
 pub enum ZoneEvent {
     /// Place a call.
     Place(CallKey, Box<PlacementAsk>, ReplyTo),
-    /// The first event of a call came from this target, made by this version.
+    /// The first event of a call came from this target, made by this version of the base model.
     Begun(CallKey, TargetName, Option<u64>),
     /// A call ended.
     Ended(VmName, CallEnding),
