Move memory of prompts only between versions that are known and equal

Cause: memory belongs to the weights that made it, base model and adapter, and was known by the adapter's name alone; a version that nobody knew passed for any other. Ruled out: engines that keep parts of their own over a replacement (the calls shown took memory from another engine). Change: what an engine has read is noted when its first event tells the base model's version, under the generation of the copy that read it; a source's versions have to be told by itself, and fit the call; where nobody knows the target's adapter the call names the version that the memory was made by, so that another one turns it away; a copy that lends is neither replaced nor unloaded; a new holder names no source while orders of the one before it may act late; versions of copies that were loaded unnamed are taken from the list. Calls for the base model ask for no named version: engines have new weights from their next start on. Beside: a copy reported as there and as coming lost its calls and those that waited for it. The load play lists what engines hold, as the platform does.

--- /dev/null
+++ b/crates/core/src/direct/engine/copies.rs
@@ -0,0 +1,121 @@
+//! What an engine holds, and the calls sent to it.
+
+use crate::{
+    direct::{
+        loading::StoreLoad,
+        planner::{CallKey, PlacementAsk},
+        versions::VersionSight,
+    },
+    ids::{AdapterName, Instant, TargetName},
+};
+
+/// State of one adapter at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResidentState {
+    /// Its load waits for its turn.
+    Wanted,
+    /// It is there in an old version, and the load of the new one waits for its turn.
+    Outdated,
+    /// It is on its way, and there at this time.
+    Coming(Instant),
+    /// It is there.
+    Here,
+    /// It goes once its runs have ended.
+    Leaving,
+}
+
+/// A call that waits for a load to be accepted.
+#[derive(Clone, Debug)]
+pub struct WaitingCall {
+    /// The call.
+    pub key: CallKey,
+    /// What it asks for.
+    pub ask: PlacementAsk,
+    /// When it is given up, as its load takes longer than it can bear.
+    pub until: Instant,
+}
+
+/// One adapter at an engine.
+#[derive(Clone, Debug)]
+pub struct ResidentCopy {
+    /// Its state.
+    pub state: ResidentState,
+    /// Its version, if anything told it.
+    pub sight: Option<VersionSight>,
+    /// Which copy this is: another one after each load, so that no memory outlives what made it.
+    pub generation: u64,
+    /// Calls sent to it that have not ended.
+    pub users: u32,
+    /// Calls that wait for its load to be accepted.
+    pub waiters: Vec<WaitingCall>,
+    /// When it was last asked for.
+    pub used_at: Instant,
+    /// Until when calls that nobody counts any more may still run on it.
+    pub held_until: Instant,
+    /// Calls elsewhere whose engines take memory that it made: until they have begun it is neither replaced nor unloaded.
+    pub lent_to: Vec<CallKey>,
+    /// The load that brought it here from the weight store.
+    pub load: Option<StoreLoad>,
+}
+
+impl ResidentCopy {
+    pub(super) fn new(
+        state: ResidentState,
+        sight: Option<VersionSight>,
+        generation: u64,
+        now: Instant,
+    ) -> Self {
+        Self {
+            state,
+            sight,
+            generation,
+            users: 0,
+            waiters: Vec::new(),
+            used_at: now,
+            held_until: Instant::default(),
+            lent_to: Vec::new(),
+            load: None,
+        }
+    }
+
+    /// Whether nothing runs on it, waits for it or takes its memory.
+    #[must_use]
+    pub fn is_free(&self, now: Instant) -> bool {
+        self.users == 0
+            && self.waiters.is_empty()
+            && self.lent_to.is_empty()
+            && now >= self.held_until
+    }
+
+    /// Whether it has to be replaced now that a version is named: it is older, or nobody knows what it is.
+    #[must_use]
+    pub fn is_behind(&self, named: u64) -> bool {
+        self.sight.is_none_or(|sight| sight.version < named)
+    }
+}
+
+/// A base model that an engine holds.
+#[derive(Clone, Debug)]
+pub struct HeldModel {
+    /// Its name.
+    pub name: AdapterName,
+    /// Its version, if anything told it.
+    pub sight: Option<VersionSight>,
+    /// Which loading of it this is, as for a copy.
+    pub generation: u64,
+}
+
+/// A call that runs at an engine.
+#[derive(Clone, Debug)]
+pub struct SentCall {
+    /// Its adapter.
+    pub subject: AdapterName,
+    /// Tokens that it may take in memory.
+    pub tokens: u64,
+    /// Parts of its prompt that others may share.
+    pub shared: Vec<u64>,
+    /// Generation of the copy that it was sent to.
+    pub generation: u64,
+    /// The engine that its engine takes memory from.
+    pub source: Option<TargetName>,
+}
--- a/crates/core/src/direct/engine.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -1,26 +1,38 @@
 //! One engine in its holder's view: what it holds, what is on its way, and the calls sent to it.
+//!
+//! | module | job |
+//! |---|---|
+//! | `orders` | what it is ordered, and what it reports |
+//! | `copies` | what it holds, and the calls sent to it |
+//! | `parts` | what it has likely kept of prompts |
+//! | `lending` | which memory of prompts others may take from it |
+
+mod copies;
+mod lending;
+mod orders;
+mod parts;
+
+pub use copies::{HeldModel, ResidentCopy, ResidentState, SentCall, WaitingCall};
+pub use orders::{EngineOrder, EngineReport, OrderKind, OrderOutcome};
+pub use parts::shared_parts;
 
 use crate::{
     direct::{
         catalog::TargetEntry,
+        engine::parts::PartMemory,
         loading::StoreLoad,
-        planner::{CallKey, PlacementAsk, split_subject},
+        planner::{CallKey, split_subject},
         reading::PromptQueue,
-        versions::{MemoryVersions, VersionSight, VersionTeller},
+        versions::{VersionMatch, VersionSight, VersionTeller},
     },
     ids::{AdapterName, Instant, TargetLife},
 };
-use siphasher::sip::SipHasher13;
 use std::{
     collections::{HashMap, VecDeque},
-    hash::{Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
 
-/// Prompt parts whose use is remembered for each engine.
-const PREFIXES_KEPT: usize = 256;
-
 /// Time for which a call may run on at an engine though its gateway is gone.
 pub const UNCOUNTED_RUN: Duration = Duration::from_millis(2_500);
 /// Time within which gateways tell a new holder of the calls that they have open; until then an adapter that only the
@@ -31,150 +43,7 @@
 /// Age that a report may have.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which an order without an answer is no longer carried out; the users tell of 12 seconds at the most.
-const LATE_ORDER: Duration = Duration::from_millis(12_500);
-
-/// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineOrder {
-    /// What to do.
-    pub kind: OrderKind,
-    /// The model, with its adapter behind a slash where one is meant.
-    pub subject: AdapterName,
-    /// Version to load, if one was named.
-    pub version: Option<u64>,
-    /// Orders that the engine must have taken before, so that a late copy of this one does nothing.
-    pub expected: u64,
-}
-
-/// What an order does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderKind {
-    /// Bring it in, or replace it by another version.
-    Load,
-    /// Drop it.
-    Unload,
-}
-
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// It holds already.
-    Done,
-    /// It is being done.
-    Begun,
-    /// Another is under way, or the engine has taken others.
-    Conflict,
-    /// A newer holder has given orders.
-    Fenced,
-    /// The engine refused it, or is another run of the target.
-    Refused,
-    /// No answer: it may be carried out later.
-    Unanswered,
-}
-
-/// What an engine reports about itself; some hundred milliseconds old.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EngineReport {
-    /// The life of the engine that reports.
-    pub life: TargetLife,
-    /// Orders that it has taken.
-    pub orders_taken: u64,
-    /// Base models that it holds, with their versions.
-    pub models: Vec<(AdapterName, u64)>,
-    /// Adapters that it holds, with their versions.
-    pub adapters: Vec<(AdapterName, u64)>,
-    /// Adapters on their way.
-    pub coming: Vec<(AdapterName, u64)>,
-    /// Base models that it loads from a copy of its own, without the weight store.
-    pub own_copies: Vec<AdapterName>,
-    /// Requests that run or wait.
-    pub requests: u32,
-    /// Whether an order on a whole model is under way.
-    pub is_busy: bool,
-}
-
-/// State of one adapter at an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResidentState {
-    /// Its load waits for its turn.
-    Wanted,
-    /// It is there in an old version, and the load of the new one waits for its turn.
-    Outdated,
-    /// It is on its way, and there at this time.
-    Coming(Instant),
-    /// It is there.
-    Here,
-    /// It goes once its runs have ended.
-    Leaving,
-}
-
-/// A call that waits for a load to be accepted.
-#[derive(Clone, Debug)]
-pub struct WaitingCall {
-    /// The call.
-    pub key: CallKey,
-    /// What it asks for.
-    pub ask: PlacementAsk,
-    /// When it is given up, as its load takes longer than it can bear.
-    pub until: Instant,
-}
-
-/// One adapter at an engine.
-#[derive(Clone, Debug)]
-pub struct ResidentCopy {
-    /// Its state.
-    pub state: ResidentState,
-    /// Its version, if anything told it.
-    pub sight: Option<VersionSight>,
-    /// Calls sent to it that have not ended.
-    pub users: u32,
-    /// Calls that wait for its load to be accepted.
-    pub waiters: Vec<WaitingCall>,
-    /// When it was last asked for.
-    pub used_at: Instant,
-    /// Until when calls that nobody counts any more may still run on it.
-    pub held_until: Instant,
-    /// The load that brought it here from the weight store.
-    pub load: Option<StoreLoad>,
-}
-
-impl ResidentCopy {
-    fn new(state: ResidentState, sight: Option<VersionSight>, now: Instant) -> Self {
-        Self {
-            state,
-            sight,
-            users: 0,
-            waiters: Vec::new(),
-            used_at: now,
-            held_until: Instant::default(),
-            load: None,
-        }
-    }
-
-    /// Whether it has to be replaced now that a version is named: it is older, or nobody knows what it is.
-    #[must_use]
-    pub fn is_behind(&self, named: u64) -> bool {
-        self.sight.is_none_or(|sight| sight.version < named)
-    }
-}
-
-/// A base model that an engine holds.
-#[derive(Clone, Debug)]
-pub struct HeldModel {
-    /// Its name.
-    pub name: AdapterName,
-    /// Its version, if anything told it.
-    pub sight: Option<VersionSight>,
-}
-
-/// A call that runs at an engine.
-#[derive(Clone, Debug)]
-pub struct SentCall {
-    /// Its adapter.
-    pub subject: AdapterName,
-    /// Tokens that it may take in memory.
-    pub tokens: u64,
-}
+pub const LATE_ORDER: Duration = Duration::from_millis(12_500);
 
 /// One engine.
 #[derive(Clone, Debug)]
@@ -211,7 +80,14 @@
     /// The prompts that it has to read.
     pub prompts: PromptQueue,
     lately: VecDeque<AdapterName>,
-    prefixes: PrefixMemory,
+    /// Parts of the prompts that were sent, by the version that was named then.
+    sent_parts: PartMemory,
+    /// Parts of the prompts that were read here, by generation.
+    read_parts: PartMemory,
+    /// Generations given out.
+    generations: u64,
+    /// Whether it has taken an order of this holder, so that none of an earlier one is carried out any more.
+    pub is_ours: bool,
     tokens_sent: u64,
 }
 
@@ -222,41 +98,6 @@
     until: Instant,
 }
 
-/// Prompt parts that an engine has likely kept, by hash of adapter and part; the oldest go first.
-#[derive(Clone, Debug, Default)]
-struct PrefixMemory {
-    /// How often each part stands in the order.
-    known: HashMap<u64, u32>,
-    order: VecDeque<u64>,
-}
-
-impl PrefixMemory {
-    fn note(&mut self, part: u64) {
-        *self.known.entry(part).or_default() += 1;
-        self.order.push_back(part);
-        if self.order.len() > PREFIXES_KEPT
-            && let Some(oldest) = self.order.pop_front()
-            && let Some(count) = self.known.get_mut(&oldest)
-        {
-            *count -= 1;
-            if *count == 0 {
-                self.known.remove(&oldest);
-            }
-        }
-    }
-
-    fn knows(&self, part: u64) -> bool {
-        self.known.contains_key(&part)
-    }
-}
-
-fn prefix_hash(subject: &AdapterName, part: u64) -> u64 {
-    let mut hasher = SipHasher13::new();
-    subject.as_str().hash(&mut hasher);
-    part.hash(&mut hasher);
-    hasher.finish()
-}
-
 impl EngineState {
     /// An engine as listed; its report has yet to be read.
     #[must_use]
@@ -278,7 +119,10 @@
             is_reporting: false,
             prompts: PromptQueue::default(),
             lately: VecDeque::new(),
-            prefixes: PrefixMemory::default(),
+            sent_parts: PartMemory::default(),
+            read_parts: PartMemory::default(),
+            generations: 0,
+            is_ours: false,
             tokens_sent: 0,
             entry,
         };
@@ -289,11 +133,13 @@
             .map(|(model, version)| HeldModel {
                 name: AdapterName::new(model),
                 sight: VersionSight::told(*version, VersionTeller::List, now),
+                generation: 0,
             })
             .collect();
         for resident in &entry.adapters {
             let sight = VersionSight::told(resident.version, VersionTeller::List, now);
-            let mut copy = ResidentCopy::new(ResidentState::Here, sight, now);
+            let generation = engine.next_generation();
+            let mut copy = ResidentCopy::new(ResidentState::Here, sight, generation, now);
             copy.held_until = now.after(ADOPTED_WITHIN);
             engine.copies.insert(resident.adapter.clone(), copy);
         }
@@ -315,10 +161,11 @@
 
     /// Takes over how it is listed now. A report may have told of a new life before the list does, and then what is listed
     /// of an older one says nothing; a list that tells no lives goes on to say whether the engine takes work.
-    pub fn take_entry(&mut self, entry: Arc<TargetEntry>) {
+    pub fn take_entry(&mut self, entry: Arc<TargetEntry>, now: Instant) {
         let life = self.entry.life;
         if entry.life == life {
             self.entry = entry;
+            self.take_listed_versions(now);
         } else if entry.life == TargetLife::default() {
             let entry = (*entry).clone();
             self.entry = Arc::new(TargetEntry { life, ..entry });
@@ -367,11 +214,7 @@
     pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
         self.is_known = true;
         self.sequence = report.orders_taken;
-        let models = report.models.iter().map(|(name, version)| HeldModel {
-            name: name.clone(),
-            sight: VersionSight::told(*version, VersionTeller::Report, now),
-        });
-        self.models = models.collect();
+        self.take_models(&report.models, now);
         self.own_copies.clone_from(&report.own_copies);
         let mut old = std::mem::take(&mut self.copies);
         for (adapter, version) in &report.adapters {
@@ -405,8 +248,9 @@
         }
     }
 
+    /// A copy as reported, with what is known of it already.
     fn renewed(
-        &self,
+        &mut self,
         old: &mut HashMap<AdapterName, ResidentCopy>,
         adapter: &AdapterName,
         state: ResidentState,
@@ -414,18 +258,29 @@
         now: Instant,
     ) -> ResidentCopy {
         let sight = VersionSight::told(version, VersionTeller::Report, now);
-        match old.remove(adapter) {
-            Some(copy) if copy.state == ResidentState::Outdated => ResidentCopy { sight, ..copy },
-            Some(copy) => ResidentCopy {
-                state,
-                sight,
-                ..copy
-            },
-            None => {
-                let mut copy = ResidentCopy::new(state, sight, now);
-                copy.held_until = now.after(ADOPTED_WITHIN);
-                copy
-            }
+        // One that is being replaced is listed twice: as it is, and as it comes.
+        let known = old.remove(adapter).or_else(|| self.copies.remove(adapter));
+        let Some(known) = known else {
+            let generation = self.next_generation();
+            let mut copy = ResidentCopy::new(state, sight, generation, now);
+            copy.held_until = now.after(ADOPTED_WITHIN);
+            return copy;
+        };
+        let is_other = VersionMatch::of(known.sight, sight) == VersionMatch::Unlike;
+        let generation = if is_other {
+            self.next_generation()
+        } else {
+            known.generation
+        };
+        let state = match known.state {
+            ResidentState::Outdated => ResidentState::Outdated,
+            _ => state,
+        };
+        ResidentCopy {
+            state,
+            sight: sight.or(known.sight),
+            generation,
+            ..known
         }
     }
 
@@ -485,29 +340,6 @@
         Some(known)
     }
 
-    /// Versions of what makes its memory of a prompt for an adapter, or for a base model, as far as is known.
-    #[must_use]
-    pub fn memory_versions(&self, subject: &AdapterName) -> MemoryVersions {
-        let (model, _) = split_subject(subject);
-        let base = self.models.iter().find(|held| held.name.as_str() == model);
-        MemoryVersions {
-            base: base.and_then(|held| held.sight),
-            adapter: self.copies.get(subject).and_then(|copy| copy.sight),
-        }
-    }
-
-    /// Notes the version of the base model that made a call's answer.
-    pub fn note_answer(&mut self, key: &CallKey, version: Option<u64>, now: Instant) {
-        let (Some(call), Some(version)) = (self.calls.get(key), version) else {
-            return;
-        };
-        let (model, _) = split_subject(&call.subject);
-        let mut models = self.models.iter_mut();
-        if let Some(held) = models.find(|held| held.name.as_str() == model) {
-            held.sight = VersionSight::told(version, VersionTeller::Answer, now);
-        }
-    }
-
     /// Tokens that running calls may take in memory.
     #[must_use]
     pub fn tokens_sent(&self) -> u64 {
@@ -532,9 +364,10 @@
 
     /// Adds a copy whose load waits for its turn.
     pub fn want(&mut self, adapter: &AdapterName, now: Instant) {
+        let generation = self.next_generation();
         self.copies
             .entry(adapter.clone())
-            .or_insert_with(|| ResidentCopy::new(ResidentState::Wanted, None, now));
+            .or_insert_with(|| ResidentCopy::new(ResidentState::Wanted, None, generation, now));
         self.queue.push_back((OrderKind::Load, adapter.clone()));
     }
 
@@ -552,22 +385,4 @@
     pub fn had_lately(&self, adapter: &AdapterName) -> bool {
         self.lately.contains(adapter)
     }
-
-    /// Tokens at the start of a prompt that it has likely kept for the same adapter.
-    #[must_use]
-    pub fn kept_tokens(&self, subject: &AdapterName, prefix: &[(u64, u32)]) -> u32 {
-        prefix
-            .iter()
-            .take_while(|(part, _)| self.prefixes.knows(prefix_hash(subject, *part)))
-            .map(|(_, tokens)| tokens)
-            .sum()
-    }
-
-    /// Notes the parts of a prompt that was sent to it; the last part is the call's own.
-    pub fn note_prefix(&mut self, subject: &AdapterName, prefix: &[(u64, u32)]) {
-        let shared = prefix.len().saturating_sub(1);
-        for (part, _) in &prefix[..shared] {
-            self.prefixes.note(prefix_hash(subject, *part));
-        }
-    }
 }
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -55,6 +55,14 @@
     pub terms: AskTerms,
 }
 
+impl PlacementAsk {
+    /// Tokens that it may take in memory.
+    #[must_use]
+    pub fn most_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
+    }
+}
+
 /// Where a call goes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlacementAnswer {
@@ -70,7 +78,7 @@
         fetch: Option<SocketAddr>,
         /// Milliseconds until its first event, as expected now.
         expected_ms: u32,
-        /// Version of the adapter to ask for, if one was named.
+        /// Version to ask for: the adapter's that was named, or what the memory that moves was made by.
         version: Option<u64>,
         /// Whether its adapter is sought after so much that other zones should have it too.
         is_sought: bool,
@@ -99,7 +107,7 @@
     LoadLate,
 }
 
-/// An engine is told to take parts of a prompt from another one.
+/// An engine could take parts of a prompt from another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptMove {
     /// The call.
@@ -114,8 +122,10 @@
     pub target: TargetName,
     /// The versions that it will run under, as far as is known.
     pub target_versions: MemoryVersions,
-    /// The version of the adapter, or of the base model, that was named last.
+    /// The version of the adapter that was named last.
     pub named: Option<u64>,
+    /// Whether it is told to; otherwise their versions do not fit.
+    pub is_told: bool,
 }
 
 impl PromptMove {
@@ -140,6 +150,6 @@
     Order(Arc<TargetEntry>, EngineOrder),
     /// Read an engine's report.
     Report(Arc<TargetEntry>),
-    /// Say that memory moves.
+    /// Say that memory moves, or that it does not as the versions do not fit.
     Moved(Box<PromptMove>),
 }
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -2,24 +2,26 @@
 //!
 //! The load that this answers: long prompts that share most of their tokens with others for the same adapter, while an
 //! adapter in demand stands on several engines, and each would read the same parts anew. An engine reads 6,000 tokens in
-//! some 200 ms, and takes them from a neighbour in some 20, so what is compared is time against time; engines do what they
-//! are asked and read what the other has lost, so a wrong belief costs the reading that it would have cost anyway.
+//! some 200 ms, and takes them from a neighbour in some 20, so what is compared is time against time. Engines take what they
+//! are told to, whatever made it, so a source is named only where its versions are those that the call runs under.
 
 use crate::{
     direct::{
         catalog::TargetStage,
         engine::EngineState,
-        planner::{PlacementAsk, ZonePlanner},
+        planner::{CallKey, PlacementAsk, PlannerAction, PromptMove, ZonePlanner},
+        versions::MemoryMark,
     },
     ids::{Instant, TargetName},
 };
 use std::{net::SocketAddr, time::Duration};
 
-/// The engine that has kept most of a prompt.
-#[derive(Debug)]
+/// An engine that has read parts of a prompt.
+#[derive(Clone, Debug)]
 pub(super) struct PromptSource {
     pub name: TargetName,
     pub address: SocketAddr,
+    pub mark: MemoryMark,
     tokens: u32,
 }
 
@@ -35,33 +37,47 @@
 }
 
 impl ZonePlanner {
-    /// The zone's engine that has kept most of a prompt.
-    pub(super) fn prompt_source(&self, ask: &PlacementAsk, now: Instant) -> Option<PromptSource> {
-        self.engines
-            .iter()
-            .filter(|(name, engine)| {
-                engine.entry.stage == TargetStage::Ready
-                    && !self.health.is_out(name, now)
-                    && !self.health.is_doubted(name)
-            })
-            .map(|(name, engine)| PromptSource {
+    /// Of the zone's engines that can lend memory of a prompt, for each mark the one with the most.
+    pub(super) fn prompt_sources(&self, ask: &PlacementAsk, now: Instant) -> Vec<PromptSource> {
+        let mut best: Vec<PromptSource> = Vec::new();
+        for (name, engine) in &self.engines {
+            let is_fit = engine.entry.stage == TargetStage::Ready
+                && self.is_settled(engine, now)
+                && !self.health.is_out(name, now)
+                && !self.health.is_doubted(name);
+            let Some(memory) = engine.lendable(ask).filter(|_| is_fit) else {
+                continue;
+            };
+            let source = PromptSource {
                 name: name.clone(),
                 address: engine.entry.address,
-                tokens: engine.kept_tokens(&ask.subject, &ask.prefix),
-            })
-            .filter(|source| source.tokens > 0)
-            .max_by_key(|source| source.tokens)
+                mark: memory.mark,
+                tokens: memory.tokens,
+            };
+            match best.iter_mut().find(|known| known.mark == memory.mark) {
+                Some(known) if known.tokens < source.tokens => *known = source,
+                Some(_) => {}
+                None => best.push(source),
+            }
+        }
+        best
+    }
+
+    /// Whether no order of an earlier holder is carried out at an engine any more: such a one could replace a copy unseen.
+    fn is_settled(&self, engine: &EngineState, now: Instant) -> bool {
+        engine.is_ours || now >= self.settled_from
     }
 
-    /// What an engine has to do for a prompt, if it may take parts from a source.
+    /// What an engine has to do for a prompt, if it may take parts from one of these.
     pub(super) fn prompt_work<'a>(
         &self,
         engine: &EngineState,
         ask: &PlacementAsk,
-        source: Option<&'a PromptSource>,
+        sources: &'a [PromptSource],
         now: Instant,
     ) -> PromptWork<'a> {
-        let kept = engine.kept_tokens(&ask.subject, &ask.prefix);
+        let named = self.named_version(&ask.subject);
+        let kept = engine.kept_tokens(ask, named);
         let tokens = ask.prompt_tokens.saturating_sub(kept);
         let time = engine.prompts.own_time(tokens, &self.pace, now);
         let alone = PromptWork {
@@ -69,7 +85,10 @@
             time,
             fetch: None,
         };
-        let Some(source) = source else {
+        let fitting = sources
+            .iter()
+            .filter(|source| engine.may_use(source.mark, &ask.subject, named));
+        let Some(source) = fitting.max_by_key(|source| source.tokens) else {
             return alone;
         };
         if source.name == engine.entry.name || source.tokens <= kept {
@@ -86,4 +105,56 @@
             fetch: Some(source),
         }
     }
+
+    /// Says that a call takes memory from a source, or that it takes none as what there is does not fit.
+    pub(super) fn tell_move(
+        &mut self,
+        name: &TargetName,
+        key: &CallKey,
+        ask: &PlacementAsk,
+        sources: &[PromptSource],
+        fetch: Option<&PromptSource>,
+    ) {
+        let Some(engine) = self.engines.get(name) else {
+            return;
+        };
+        let named = self.named_version(&ask.subject);
+        let kept = engine.kept_tokens(ask, named);
+        let unfit = sources.iter().find(|source| {
+            source.tokens > kept && !engine.may_use(source.mark, &ask.subject, named)
+        });
+        let Some(source) = fetch.or(unfit) else {
+            return;
+        };
+        let lender = self.engines.get(&source.name);
+        let lender = lender.map(|lender| lender.memory_versions(&ask.subject));
+        let moved = PromptMove {
+            key: key.clone(),
+            subject: ask.subject.clone(),
+            source: source.name.clone(),
+            source_versions: lender.unwrap_or_default(),
+            target: name.clone(),
+            target_versions: engine.memory_versions(&ask.subject),
+            named,
+            is_told: fetch.is_some(),
+        };
+        self.actions
+            .push_back(PlannerAction::Moved(Box::new(moved)));
+    }
+
+    /// Lets go of the memory that a call was to take.
+    pub(super) fn end_loans(&mut self, key: &CallKey) {
+        let calls = self
+            .engines
+            .values_mut()
+            .filter_map(|engine| engine.calls.get_mut(key));
+        let loans: Vec<_> = calls
+            .filter_map(|call| Some((call.source.take()?, call.subject.clone())))
+            .collect();
+        for (source, subject) in loans {
+            if let Some(engine) = self.engines.get_mut(&source) {
+                engine.end_loan(&subject, key);
+            }
+        }
+    }
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -33,7 +33,7 @@
         catalog::TargetEntry,
         config::EngineLimits,
         demand::DemandTable,
-        engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
+        engine::{EngineState, LATE_ORDER, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
         loading::LoadLimiter,
         policy::PlacementPolicy,
@@ -71,6 +71,8 @@
     pace: ReadingPace,
     loads: LoadLimiter,
     orders_from: Instant,
+    /// From when on no order of an earlier holder is carried out any more.
+    settled_from: Instant,
     model_load_at: Instant,
     /// Part of the zone's engines that has been busy lately.
     busy: f64,
@@ -94,6 +96,7 @@
             pace: ReadingPace::default(),
             loads: LoadLimiter::default(),
             orders_from,
+            settled_from: orders_from.after(LATE_ORDER),
             model_load_at,
             busy: 0.0,
             actions: VecDeque::new(),
@@ -157,7 +160,7 @@
                 Some(engine) if entry.life > engine.entry.life => {
                     self.replace_engine(&entry.name.clone(), entry, now);
                 }
-                Some(engine) => engine.take_entry(entry),
+                Some(engine) => engine.take_entry(entry, now),
                 None => {
                     let engine = EngineState::new(Arc::clone(&entry), now);
                     self.engines.insert(entry.name.clone(), engine);
@@ -199,6 +202,14 @@
         self.replace_stale(adapter, now);
     }
 
+    /// The version of an adapter that calls have to ask for. New weights of a base model bind no call: engines have them from
+    /// their next start on, and until then each call that asked for them would be turned away everywhere.
+    pub(super) fn named_version(&self, subject: &AdapterName) -> Option<u64> {
+        let has_adapter = split_subject(subject).1.is_some();
+        let named = self.versions.get(subject).filter(|_| has_adapter);
+        named.copied()
+    }
+
     /// A gateway tells of a call that it had open before this planner began.
     pub fn adopt(&mut self, key: CallKey, target: &TargetName, subject: &AdapterName) {
         let Some(engine) = self.engines.get_mut(target) else {
@@ -210,6 +221,9 @@
         let call = SentCall {
             subject: subject.clone(),
             tokens: 0,
+            shared: Vec::new(),
+            generation: 0,
+            source: None,
         };
         engine.add_call(key, call);
     }
@@ -223,8 +237,9 @@
         version: Option<u64>,
         now: Instant,
     ) {
+        self.end_loans(key);
         if let Some(engine) = self.engines.get_mut(target) {
-            engine.note_answer(key, version, now);
+            engine.note_read(key, version, now);
             engine.prompts.begun(key, &mut self.pace, now);
             if let Some(load) = engine.judge_load(key)
                 && !load.is_judged
@@ -245,6 +260,7 @@
         if let (Some(target), Some(outcome)) = (target, outcome) {
             self.health.note(target, outcome, now);
         }
+        self.end_loans(key);
         let mut freed = None;
         for engine in self.engines.values_mut() {
             for copy in engine.copies.values_mut() {
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -27,11 +27,6 @@
     pub fn order_ended(&mut self, name: &TargetName, outcome: OrderOutcome, now: Instant) {
         let store_time = self.loads.expected(name);
         let is_bound = self.store_loads(now) + self.loads_waiting() >= self.loads.limit();
-        let version = self
-            .engines
-            .get(name)
-            .and_then(|engine| engine.pending.as_ref())
-            .and_then(|order| self.versions.get(&order.subject).copied());
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
@@ -50,6 +45,7 @@
             (OrderOutcome::Done | OrderOutcome::Begun, OrderKind::Load) => {
                 if outcome == OrderOutcome::Begun {
                     engine.sequence += 1;
+                    engine.is_ours = true;
                 }
                 let (time, load) = match outcome {
                     OrderOutcome::Done => (Duration::ZERO, None),
@@ -64,15 +60,17 @@
                         ResidentState::Coming(now.after(time))
                     };
                     copy.load = load;
-                    if let Some(version) = order.version.or(version) {
-                        copy.sight = VersionSight::told(version, VersionTeller::Order, now);
-                    }
+                    // Without a named version it is the newest of when the engine began, which nobody here knows.
+                    let named = order.version;
+                    copy.sight = named
+                        .and_then(|version| VersionSight::told(version, VersionTeller::Order, now));
                     let waiters = std::mem::take(&mut copy.waiters);
                     self.release_waiters(name, waiters, now);
                 }
             }
             (OrderOutcome::Done, OrderKind::Unload) => {
                 engine.sequence += 1;
+                engine.is_ours = true;
                 engine.copies.remove(&subject);
             }
             (OrderOutcome::Begun, OrderKind::Unload) => {
@@ -281,10 +279,13 @@
             },
             expected: engine.sequence,
         };
-        if kind == OrderKind::Unload
-            && let Some(copy) = engine.copies.get_mut(subject)
-        {
-            copy.state = ResidentState::Leaving;
+        match kind {
+            OrderKind::Load => engine.outdate_copy(subject),
+            OrderKind::Unload => {
+                if let Some(copy) = engine.copies.get_mut(subject) {
+                    copy.state = ResidentState::Leaving;
+                }
+            }
         }
         engine.pending = Some(order.clone());
         self.actions
@@ -297,10 +298,7 @@
             .copies
             .iter()
             .filter(|(_, copy)| {
-                copy.users == 0
-                    && copy.waiters.is_empty()
-                    && copy.state == ResidentState::Here
-                    && now >= copy.held_until
+                copy.is_free(now) && copy.state == ResidentState::Here
             })
             // Once each, and not in every comparison: a zone's engines are looked at for each of them.
             .map(|(subject, copy)| {
@@ -330,8 +328,7 @@
             let Some(copy) = engine.copies.get_mut(adapter) else {
                 continue;
             };
-            let is_free = copy.users == 0 && now >= copy.held_until;
-            if copy.is_behind(version) && is_free && copy.state == ResidentState::Here {
+            if copy.is_behind(version) && copy.is_free(now) && copy.state == ResidentState::Here {
                 copy.state = ResidentState::Outdated;
                 engine.queue.push_back((OrderKind::Load, adapter.clone()));
                 touched.push(name.clone());
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -3,13 +3,11 @@
 use crate::{
     direct::{
         catalog::TargetStage,
-        engine::{EngineState, ResidentState, SentCall, WaitingCall},
+        engine::{EngineState, ResidentState, WaitingCall},
         planner::{
             AskTerms, COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer,
-            PlacementAsk, PlannerAction, PromptMove, RefusalCause, ZonePlanner,
-            fetching::PromptSource, millis, split_subject,
+            PlacementAsk, RefusalCause, ZonePlanner, fetching::PromptSource, millis, split_subject,
         },
-        versions::MemoryVersions,
     },
     ids::{AdapterName, Instant, TargetName},
 };
@@ -64,7 +62,7 @@
 
     fn cheapest(&self, ask: &PlacementAsk, now: Instant) -> Option<(TargetName, PlacementCost)> {
         let crowd = self.store_loads(now) + self.loads_waiting();
-        let source = self.prompt_source(ask, now);
+        let sources = self.prompt_sources(ask, now);
         let all_doubted = self.engines.keys().all(|name| self.health.is_doubted(name));
         self.engines
             .iter()
@@ -74,7 +72,7 @@
                     && !self.health.is_out(name, now)
             })
             .filter_map(|(name, engine)| {
-                let mut cost = self.cost(engine, ask, source.as_ref(), crowd, now)?;
+                let mut cost = self.cost(engine, ask, &sources, crowd, now)?;
                 if self.health.is_doubted(name) && !all_doubted {
                     cost.total += self.policy.doubt_price;
                 }
@@ -91,16 +89,16 @@
         &self,
         engine: &EngineState,
         ask: &PlacementAsk,
-        source: Option<&PromptSource>,
+        sources: &[PromptSource],
         crowd: u32,
         now: Instant,
     ) -> Option<PlacementCost> {
         let load = self.load_wait(engine, ask, crowd, now)?;
-        let own = self.prompt_work(engine, ask, source, now).time;
+        let own = self.prompt_work(engine, ask, sources, now).time;
         let prompts = engine.prompts.backlog(ask.priority, &self.pace, now);
         let calls = u32::try_from(engine.calls.len()).unwrap_or(u32::MAX);
         let over = calls.saturating_sub(engine.entry.slots.saturating_sub(1));
-        let tokens = engine.tokens_sent() + call_tokens(ask);
+        let tokens = engine.tokens_sent() + ask.most_tokens();
         let full = if tokens > self.limits.kv_tokens * 95 / 100 {
             Duration::from_millis(500)
         } else {
@@ -135,10 +133,8 @@
         }
         match engine.copies.get(&ask.subject) {
             Some(copy) if copy.state != ResidentState::Leaving => {
-                let is_stale = self
-                    .versions
-                    .get(&ask.subject)
-                    .is_some_and(|named| copy.is_behind(*named));
+                let named = self.named_version(&ask.subject);
+                let is_stale = named.is_some_and(|named| copy.is_behind(named));
                 match copy.state {
                     ResidentState::Here if is_stale => None,
                     ResidentState::Coming(at) => Some(LoadCost {
@@ -274,19 +270,12 @@
             wait_ms,
             fetch: sent.fetch,
             expected_ms: millis(sent.expected),
-            version: self.versions.get(subject).copied(),
+            version: self.named_version(subject).or(sent.expected_version),
             is_sought: self.is_sought(subject),
         };
         self.answer(key, answer);
     }
 
-    fn memory_versions(&self, name: &TargetName, subject: &AdapterName) -> MemoryVersions {
-        let engine = self.engines.get(name);
-        engine.map_or_else(MemoryVersions::default, |engine| {
-            engine.memory_versions(subject)
-        })
-    }
-
     /// Counts a call that is sent now; returns what it is sent with.
     pub(super) fn note_sent(
         &mut self,
@@ -300,37 +289,28 @@
             return SentHow::default();
         };
         let load = Duration::from_millis(u64::from(wait_ms));
-        let source = self.prompt_source(ask, now);
-        let work = self.prompt_work(engine, ask, source.as_ref(), now);
+        let sources = self.prompt_sources(ask, now);
+        let work = self.prompt_work(engine, ask, &sources, now);
         let backlog = engine.prompts.backlog(ask.priority, &self.pace, now);
-        let moved = work.fetch.map(|source| PromptMove {
-            key: key.clone(),
-            subject: ask.subject.clone(),
-            source: source.name.clone(),
-            source_versions: self.memory_versions(&source.name, &ask.subject),
-            target: name.clone(),
-            target_versions: self.memory_versions(name, &ask.subject),
-            named: self.versions.get(&ask.subject).copied(),
-        });
-        let call = SentCall {
-            subject: ask.subject.clone(),
-            tokens: call_tokens(ask),
-        };
+        let named = self.named_version(&ask.subject);
+        self.tell_move(name, &key, ask, &sources, work.fetch);
+        if let Some(source) = work.fetch
+            && let Some(engine) = self.engines.get_mut(&source.name)
+        {
+            engine.lend(&ask.subject, &key);
+        }
         if let Some(engine) = self.engines.get_mut(name) {
             let prompts = &mut engine.prompts;
             prompts.add(key.clone(), work.tokens, ask.priority, now.after(load));
-            engine.note_prefix(&ask.subject, &ask.prefix);
+            let source = work.fetch.map(|source| source.name.clone());
+            let call = engine.sent_call(ask, named, source);
             engine.add_call(key, call);
         }
-        let sent = SentHow {
+        SentHow {
             expected: backlog.max(load) + work.time,
             fetch: work.fetch.map(|source| source.address),
-        };
-        if let Some(moved) = moved {
-            self.actions
-                .push_back(PlannerAction::Moved(Box::new(moved)));
+            expected_version: work.fetch.map(|source| source.mark.expected()),
         }
-        sent
     }
 }
 
@@ -339,6 +319,8 @@
 pub(super) struct SentHow {
     expected: Duration,
     fetch: Option<SocketAddr>,
+    /// The version that the memory which moves was made by.
+    expected_version: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -368,7 +350,3 @@
     subject.as_str().hash(&mut hasher);
     hasher.finish()
 }
-
-fn call_tokens(ask: &PlacementAsk) -> u64 {
-    u64::from(ask.prompt_tokens) + u64::from(ask.output_tokens)
-}
--- a/crates/core/src/direct/versions.rs
+++ b/crates/core/src/direct/versions.rs
@@ -84,6 +84,23 @@
     pub adapter: Option<VersionSight>,
 }
 
+/// Versions that are known to have made an engine's memory of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryMark {
+    /// Of the base model.
+    pub base: u64,
+    /// Of the adapter, where one was asked for.
+    pub adapter: Option<u64>,
+}
+
+impl MemoryMark {
+    /// The version that a call has to expect of an engine that uses the memory.
+    #[must_use]
+    pub fn expected(&self) -> u64 {
+        self.adapter.unwrap_or(self.base)
+    }
+}
+
 /// Shows a version with its age, for a log line.
 #[derive(Clone, Copy, Debug)]
 pub struct SightAge {
--- a/crates/core/tests/direct_versions.rs
+++ b/crates/core/tests/direct_versions.rs
@@ -9,9 +9,9 @@
 
 use hoplanding_core::{
     direct::{
-        catalog::{TargetEntry, TargetStage},
+        catalog::{ResidentAdapter, TargetEntry, TargetStage},
         config::EngineLimits,
-        engine::EngineReport,
+        engine::{EngineReport, OrderKind, OrderOutcome},
         planner::{
             AskTerms, CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction,
             ZonePlanner,
@@ -64,8 +64,20 @@
     }
 }
 
+fn ordered_report(base: u64, adapter: u64, orders_taken: u64) -> EngineReport {
+    EngineReport {
+        orders_taken,
+        ..report(base, adapter)
+    }
+}
+
 /// A planner that has long held its zone, with engines of these versions of base model and adapter.
 fn planner(versions: &[(u64, u64)]) -> ZonePlanner {
+    held_from(Instant(1_000_000), versions)
+}
+
+/// A planner that may give orders from a time on.
+fn held_from(began: Instant, versions: &[(u64, u64)]) -> ZonePlanner {
     let limits = EngineLimits {
         slots: 8,
         kv_tokens: 1_000_000,
@@ -74,7 +86,7 @@
         models: vec![AdapterName::new("base")],
     };
     let figures = EngineFigures::shared_by(1, 3.0);
-    let mut planner = ZonePlanner::new(figures, limits, Instant(1_000_000));
+    let mut planner = ZonePlanner::new(figures, limits, began);
     let entries = (1..).zip(versions).map(|(number, _)| entry(number));
     planner.set_targets(entries.collect(), SETTLED);
     planner.tick(SETTLED);
@@ -132,12 +144,30 @@
 
 /// A call is placed at the first engine, runs there and has its first event.
 fn read_at_first(planner: &mut ZonePlanner, subject: &str, base: u64) {
-    let placed = place(planner, 1, subject, &["e2"]);
+    let placed = place(planner, 1, subject, &["e2", "e3"]);
     let now = SETTLED.after(READING);
     planner.begun(&key(1), &placed.target, Some(base), now);
     planner.ended(&key(1), Some(&placed.target), None, now);
 }
 
+/// A call for the adapter is placed at the first engine and has its first event.
+fn place_and_read(planner: &mut ZonePlanner, number: u64, now: Instant) {
+    let placed = place(planner, number, "base/a1", &["e2"]);
+    planner.begun(&key(number), &placed.target, Some(1), now);
+}
+
+/// Engines that have been ordered to load since the last look.
+fn replaced(planner: &mut ZonePlanner) -> Vec<TargetName> {
+    let actions = planner.take_actions().into_iter();
+    let loads = actions.filter_map(|action| match action {
+        PlannerAction::Order(entry, order) if order.kind == OrderKind::Load => {
+            Some(entry.name.clone())
+        }
+        _ => None,
+    });
+    loads.collect()
+}
+
 #[test]
 fn memory_of_another_version_is_no_source_after_new_weights() {
     for subject in ["base/a1", "base"] {
@@ -183,3 +213,133 @@
     let placed = place(&mut planner, 1, "base", &[]);
     assert!(matches!(placed.version, None | Some(1)), "{placed:?}");
 }
+
+#[test]
+fn memory_moves_to_a_copy_of_a_version_that_nobody_knows_only_with_the_version_named() {
+    // The second engine's copy was reported without a version: it may be older or newer.
+    let mut planner = planner(&[(1, 3), (1, 0)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    let placed = place(&mut planner, 2, "base/a1", &["e1"]);
+    assert_eq!(placed.fetch, Some(address(1)));
+    assert_eq!(
+        placed.version,
+        Some(3),
+        "another version turns the call away"
+    );
+}
+
+#[test]
+fn memory_of_a_copy_of_a_version_that_nobody_knows_does_not_move() {
+    let mut planner = planner(&[(1, 0), (1, 3), (1, 3)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    assert_eq!(place(&mut planner, 2, "base/a1", &["e1", "e3"]).fetch, None);
+    // The list tells it, in an entry that is as new as what the engine was last ordered.
+    let mut listed = (*entry(1)).clone();
+    listed.adapters.push(ResidentAdapter {
+        adapter: AdapterName::new("base/a1"),
+        version: 3,
+    });
+    planner.set_targets(vec![Arc::new(listed), entry(2), entry(3)], SETTLED);
+    let placed = place(&mut planner, 3, "base/a1", &["e1", "e2"]);
+    assert_eq!(placed.fetch, Some(address(1)));
+}
+
+#[test]
+fn an_engine_whose_weights_only_the_list_tells_takes_no_memory() {
+    let mut planner = planner(&[(1, 1), (1, 1)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    // It came a moment ago, and may have started again since it was listed.
+    let mut listed = (*entry(3)).clone();
+    listed.adapters.push(ResidentAdapter {
+        adapter: AdapterName::new("base/a1"),
+        version: 1,
+    });
+    planner.set_targets(vec![entry(1), entry(2), Arc::new(listed)], SETTLED);
+    let placed = place(&mut planner, 2, "base/a1", &["e1", "e2"]);
+    assert_eq!(placed.target, TargetName::new("e3"));
+    assert_eq!(placed.fetch, None);
+}
+
+#[test]
+fn memory_read_before_new_weights_came_is_no_source() {
+    let mut planner = planner(&[(1, 1), (7, 1)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    // The first engine has started again unseen, with new weights: the next answer tells it.
+    let placed = place(&mut planner, 2, "base/a1", &["e2"]);
+    let now = SETTLED.after(READING);
+    planner.begun(&key(2), &placed.target, Some(7), now);
+    let placed = place(&mut planner, 3, "base/a1", &["e1"]);
+    assert_eq!(placed.fetch, None, "nobody knows which weights read it");
+}
+
+#[test]
+fn a_copy_is_not_replaced_while_another_engine_takes_its_memory() {
+    let mut planner = planner(&[(1, 1), (1, 1)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    let now = SETTLED.after(READING);
+    let borrower = place(&mut planner, 2, "base/a1", &["e1"]);
+    assert_eq!(borrower.fetch, Some(address(1)));
+    planner.set_version(&AdapterName::new("base/a1"), 2, now);
+    assert_eq!(replaced(&mut planner), [], "one lends, the other runs");
+    planner.begun(&key(2), &borrower.target, Some(1), now);
+    planner.tick(now);
+    assert_eq!(replaced(&mut planner), [TargetName::new("e1")]);
+    planner.ended(&key(2), Some(&borrower.target), None, now);
+    assert_eq!(replaced(&mut planner), [TargetName::new("e2")]);
+}
+
+#[test]
+fn a_loan_ends_with_a_call_that_never_begins() {
+    let mut planner = planner(&[(1, 1), (1, 1)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    let now = SETTLED.after(READING);
+    let borrower = place(&mut planner, 2, "base/a1", &["e1"]);
+    planner.set_version(&AdapterName::new("base/a1"), 2, now);
+    planner.ended(&key(2), Some(&borrower.target), None, now);
+    planner.tick(now);
+    let mut names = replaced(&mut planner);
+    names.sort();
+    assert_eq!(names, [TargetName::new("e1"), TargetName::new("e2")]);
+}
+
+// An order of the holder before may be carried out seconds after its lease has ended, and replace a copy unseen.
+#[test]
+fn a_new_holder_names_no_source_while_orders_of_the_one_before_may_be_carried_out() {
+    let began = Instant(50_000_000);
+    let mut planner = held_from(began, &[(1, 1), (1, 1)]);
+    read_at_first(&mut planner, "base/a1", 1);
+    assert_eq!(place(&mut planner, 2, "base/a1", &["e1"]).fetch, None);
+    // An order of its own makes any earlier one void.
+    let name = TargetName::new("e1");
+    planner.set_version(&AdapterName::new("base/a1"), 2, SETTLED);
+    planner.tick(SETTLED);
+    assert_eq!(replaced(&mut planner), std::slice::from_ref(&name));
+    planner.order_ended(&name, OrderOutcome::Begun, SETTLED);
+    let now = SETTLED.after(Duration::from_millis(500));
+    planner.tick(now);
+    planner.report_came(&name, Some(&ordered_report(1, 2, 1)), now);
+    place_and_read(&mut planner, 3, now);
+    planner.ended(&key(2), Some(&TargetName::new("e2")), None, now);
+    planner.tick(now);
+    let second = TargetName::new("e2");
+    planner.order_ended(&second, OrderOutcome::Begun, now);
+    let later = now.after(Duration::from_millis(500));
+    planner.tick(later);
+    planner.report_came(&second, Some(&ordered_report(1, 2, 1)), later);
+    let placed = place(&mut planner, 4, "base/a1", &["e1"]);
+    assert_eq!(placed.fetch, Some(address(1)));
+}
+
+// An adapter that is being replaced is listed as it is and as it comes: calls on it were counted no more, and those that
+// waited for it were never answered.
+#[test]
+fn a_copy_that_is_reported_as_there_and_as_coming_keeps_its_calls() {
+    let mut planner = planner(&[(1, 1)]);
+    place(&mut planner, 1, "base/a1", &[]);
+    let mut twice = report(1, 1);
+    twice.coming = vec![(AdapterName::new("base/a1"), 2)];
+    let name = TargetName::new("e1");
+    planner.report_came(&name, Some(&twice), SETTLED);
+    let copies = &planner.engines()[&name].copies;
+    assert_eq!(copies[&AdapterName::new("base/a1")].users, 1);
+}
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -2,7 +2,7 @@
 
 use hoplanding_core::{
     direct::{
-        catalog::{TargetEntry, TargetStage},
+        catalog::{ResidentAdapter, TargetEntry, TargetStage},
         config::EngineLimits,
         engine::{EngineReport, OrderKind, OrderOutcome},
         planner::{
@@ -22,6 +22,8 @@
     time::Duration,
 };
 
+/// Time between two entries of an engine in the platform's list.
+const BEAT_MICROS: u64 = 1_200_000;
 /// Virtual microseconds of one step of the play.
 const STEP_MICROS: u64 = 1_000;
 /// Time of an adapter from the store, in microseconds.
@@ -301,6 +303,9 @@
                     planner.tick(Instant(now));
                 }
             }
+            if now % BEAT_MICROS == 0 {
+                self.list(now);
+            }
             self.carry_out(now);
             self.work(now);
             self.leave(now);
@@ -309,6 +314,28 @@
         self.shares
     }
 
+    /// The platform's list says what the engines hold.
+    fn list(&mut self, now: u64) {
+        for (zone, planner) in self.planners.iter_mut().enumerate() {
+            let engines = self
+                .engines
+                .iter()
+                .filter(|(_, engine)| engine.zone == zone);
+            let entries = engines.map(|(name, engine)| {
+                let held = engine.adapters.iter().map(|adapter| ResidentAdapter {
+                    adapter: adapter.clone(),
+                    version: 1,
+                });
+                Arc::new(TargetEntry {
+                    orders_taken: engine.sequence,
+                    adapters: held.collect(),
+                    ..(*entry(name.as_str())).clone()
+                })
+            });
+            planner.set_targets(entries.collect(), Instant(now));
+        }
+    }
+
     fn arrive(&mut self, now: u64) {
         for at in 0..self.classes.len() {
             while self.next_arrival[at] <= now {
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -196,7 +196,10 @@
     fn place_alone(&self, zone: &AvailabilityZone) -> Option<Placing> {
         let subject = self.subject();
         let books = self.context.fleet.books();
-        let version = books.versions.get(&subject).copied();
+        // New weights of a base model bind no call: engines have them from their next start on.
+        let has_adapter = split_subject(&subject).1.is_some();
+        let named = books.versions.get(&subject).filter(|_| has_adapter);
+        let version = named.copied();
         let now = clock::now();
         books
             .catalog
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -90,6 +90,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct MoveLabels {
     versions: &'static str,
+    told: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -179,7 +180,7 @@
         );
         registry.register(
             "prompt_moves",
-            "Prompts whose target was told to take parts from another one, by how the versions of both stand",
+            "Prompts of which another target has read parts, by how the versions of both stand and whether the parts move",
             self.moves.clone(),
         );
         registry.register("in_flight", "Requests at targets", self.in_flight.clone());
@@ -218,7 +219,7 @@
         self.repeats.get_or_create(&RepeatLabels { allowed }).inc();
     }
 
-    /// An engine is told to take parts of a prompt from another one.
+    /// An engine could take parts of a prompt from another one, and is told to or not.
     pub fn tell_move(&self, moved: &PromptMove) {
         let now = clock::now();
         let versions = match moved.versions() {
@@ -226,22 +227,24 @@
             VersionMatch::Unlike => "unlike",
             VersionMatch::Unknown => "unknown",
         };
-        self.moves.get_or_create(&MoveLabels { versions }).inc();
-        let told = |versions: &MemoryVersions| {
+        let told = moved.is_told;
+        let labels = MoveLabels { versions, told };
+        self.moves.get_or_create(&labels).inc();
+        let known = |versions: &MemoryVersions| {
             let [base, adapter] =
                 [versions.base, versions.adapter].map(|sight| SightAge { sight, now });
             format!("base {base}, adapter {adapter}")
         };
         event!(
             Event::MemoryMoved,
-            "{}#{}: {} from {} ({}) to {} ({}), named {:?}",
+            "{}#{}: {} from {} ({}) to {} ({}), named {:?}, told {told}",
             moved.key.vm,
             moved.key.number,
             moved.subject,
             moved.source,
-            told(&moved.source_versions),
+            known(&moved.source_versions),
             moved.target,
-            told(&moved.target_versions),
+            known(&moved.target_versions),
             moved.named
         );
     }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -154,8 +154,8 @@
     OrderOutlived = 713, Info, "answer to an order of an earlier life passed over";
     /// What is learned of the weight store has changed.
     LoadsLimited = 714, Info, "loads from the weight store";
-    /// An engine takes prompt parts from another one.
-    MemoryMoved = 715, Debug, "memory of a prompt moves";
+    /// An engine could take prompt parts from another one.
+    MemoryMoved = 715, Debug, "memory of a prompt may move";
     /// A request was refused as not run.
     CallRefused = 800, Info, "request refused as not run";
     /// A request failed.
