Test over the whole path that memory of another version is not used

Two engines keep parts of prompts by version and take them from each other. A version is named while a long answer keeps one engine's copy in use; the next call goes to the new copy, and takes its prompt's shared part from the old one.

--- /dev/null
+++ b/crates/daemon/tests/direct/keeping.rs
@@ -0,0 +1,433 @@
+//! Engines that keep what they read of prompts and take parts from each other, whatever version made them.
+//!
+//! A yard holds the engines of a site, what each of them runs, and every run that used memory of another version. Engines
+//! serve one base model. What is due at an engine (a load, an order that is carried out late) happens when anybody looks at
+//! the yard next, in the order of the times at which it was due.
+
+use crate::support::{chunk, event, sealed};
+use hoplanding_standins::{
+    kept_memory::{MemoryMismatch, MemoryNet, ReadPrompt},
+    raw_target::{RawAnswer, RawRequest, RawTarget},
+};
+use serde::Deserialize;
+use serde_json::json;
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+/// Time to read a token; engines of the users read some 25 in a millisecond.
+const READ_TOKEN: Duration = Duration::from_micros(40);
+/// Time to take parts from another engine, by the users' sheets.
+const TAKE_PARTS: Duration = Duration::from_millis(20);
+/// Time between two tokens of an answer: one of 200 tokens keeps its copy in use for four seconds.
+pub const TOKEN_PAUSE: Duration = Duration::from_millis(20);
+/// Time that a copy takes to come.
+const COPY_LOAD: Duration = Duration::from_millis(60);
+/// Time after which an order without an answer is carried out; the users tell of seconds.
+const LATE_BY: Duration = Duration::from_millis(1_500);
+
+/// A run at an engine.
+#[derive(Clone, Debug)]
+pub struct PromptRun {
+    /// Its request.
+    pub id: String,
+    /// The engine.
+    pub engine: String,
+    /// Version that it runs under.
+    pub version: u64,
+    /// Version that it was asked for.
+    pub expected: Option<u64>,
+    /// The engine that it took parts from.
+    pub source: Option<SocketAddr>,
+}
+
+/// The engines of a site.
+#[derive(Default)]
+pub struct EngineYard {
+    net: MemoryNet,
+    state: Mutex<YardState>,
+}
+
+#[derive(Default)]
+struct YardState {
+    newest: u64,
+    desks: BTreeMap<String, EngineDesk>,
+    runs: Vec<PromptRun>,
+    mismatches: Vec<MemoryMismatch>,
+    /// Orders that are yet to be left without an answer.
+    to_silence: usize,
+    /// Orders that were carried out late.
+    late_done: usize,
+}
+
+struct EngineDesk {
+    address: SocketAddr,
+    sequence: u64,
+    token: u64,
+    copies: BTreeMap<String, AdapterCopy>,
+    late: Vec<(Instant, WireOrder)>,
+    /// When it will have read the prompts that it has.
+    read_until: Instant,
+}
+
+/// An adapter at an engine.
+struct AdapterCopy {
+    /// Its version; none until it has come.
+    version: Option<u64>,
+    change: Option<CopyChange>,
+    /// When its runs will have ended.
+    busy_until: Instant,
+    /// Parts kept for it, whoever made them.
+    kept: HashMap<u64, u32>,
+}
+
+/// What becomes of a copy.
+#[derive(Clone, Copy)]
+struct CopyChange {
+    /// Its next version; none where it goes.
+    to: Option<u64>,
+    at: Instant,
+}
+
+#[derive(Clone, Deserialize)]
+struct WireOrder {
+    operation: String,
+    model: String,
+    adapter: Option<String>,
+    version: Option<u64>,
+    expected: Option<u64>,
+    fencing_token: u64,
+}
+
+impl AdapterCopy {
+    fn new(version: Option<u64>, now: Instant) -> Self {
+        Self {
+            version,
+            change: None,
+            busy_until: now,
+            kept: HashMap::new(),
+        }
+    }
+}
+
+impl EngineYard {
+    /// A yard whose store has a version as the newest.
+    pub fn new(newest: u64) -> Arc<Self> {
+        let yard = Self::default();
+        yard.lock().newest = newest;
+        Arc::new(yard)
+    }
+
+    /// Starts an engine that holds these adapters, by name and version.
+    pub async fn engine(self: &Arc<Self>, name: &'static str, held: &[(&str, u64)]) -> RawTarget {
+        let yard = Arc::clone(self);
+        let target = RawTarget::start(move |request| yard.answer(name, request))
+            .await
+            .expect("an engine");
+        let now = Instant::now();
+        let copies = held.iter().map(|(adapter, version)| {
+            let copy = AdapterCopy::new(Some(*version), now);
+            ((*adapter).to_owned(), copy)
+        });
+        let desk = EngineDesk {
+            address: target.address,
+            sequence: 0,
+            token: 0,
+            copies: copies.collect(),
+            late: Vec::new(),
+            read_until: now,
+        };
+        self.lock().desks.insert(name.to_owned(), desk);
+        target
+    }
+
+    /// The store has a new version from now on.
+    pub fn set_newest(&self, version: u64) {
+        self.lock().newest = version;
+    }
+
+    /// Leaves the next order without an answer, and carries it out late.
+    pub fn silence_order(&self) {
+        self.lock().to_silence += 1;
+    }
+
+    /// Orders that were carried out late.
+    pub fn late_done(&self) -> usize {
+        self.settled().late_done
+    }
+
+    /// Version of an adapter at an engine.
+    pub fn version(&self, engine: &str, adapter: &str) -> Option<u64> {
+        let state = self.settled();
+        state.desks.get(engine)?.copies.get(adapter)?.version
+    }
+
+    /// The runs so far, in order.
+    pub fn runs(&self) -> Vec<PromptRun> {
+        self.lock().runs.clone()
+    }
+
+    /// Runs that used memory of another version.
+    pub fn mismatches(&self) -> Vec<MemoryMismatch> {
+        self.lock().mismatches.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, YardState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// The yard as it stands now.
+    fn settled(&self) -> MutexGuard<'_, YardState> {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let YardState {
+            newest,
+            desks,
+            late_done,
+            ..
+        } = &mut *state;
+        for desk in desks.values_mut() {
+            let (due, waiting) = desk.late.drain(..).partition(|(at, _)| *at <= now);
+            desk.late = waiting;
+            for (at, order) in due {
+                desk.change_copies(&self.net, at);
+                *late_done += usize::from(desk.take_order(&order, *newest, at) == 202);
+            }
+            desk.change_copies(&self.net, now);
+        }
+        state
+    }
+
+    fn answer(&self, name: &str, request: &RawRequest) -> RawAnswer {
+        let mut state = self.settled();
+        let is_meant = request
+            .header("hoplanding-expect-instance")
+            .is_none_or(|meant| meant == name);
+        if !is_meant {
+            return turned_away(request, "421 Misdirected Request");
+        }
+        if request.line().starts_with("GET /hoplanding/report") {
+            return state.report(name);
+        }
+        if request.line().starts_with("POST /hoplanding/order") {
+            return state.order(name, request);
+        }
+        match state.run(name, request, &self.net) {
+            Ok(answer) => answer,
+            Err(status) => turned_away(request, status),
+        }
+    }
+}
+
+impl YardState {
+    fn report(&self, name: &str) -> RawAnswer {
+        let now = Instant::now();
+        let desk = &self.desks[name];
+        let held = desk.copies.iter().filter_map(|(adapter, copy)| {
+            let version = copy.version?;
+            Some(format!("{adapter}@{version}"))
+        });
+        let coming = desk.copies.iter().filter_map(|(adapter, copy)| {
+            let version = copy.change?.to?;
+            Some(format!("base/{adapter}@{version}"))
+        });
+        let active = desk.copies.values().filter(|copy| copy.busy_until > now);
+        let report = json!({
+            "sequence": desk.sequence,
+            "models": [{ "name": "base", "version": 1, "adapters": held.collect::<Vec<_>>() }],
+            "coming": coming.collect::<Vec<_>>(),
+            "active": active.count(),
+        });
+        RawAnswer::whole("200 OK", "", &report.to_string())
+    }
+
+    fn order(&mut self, name: &str, request: &RawRequest) -> RawAnswer {
+        let order: WireOrder = serde_json::from_slice(&request.body).expect("an order");
+        let now = Instant::now();
+        let newest = self.newest;
+        let desk = self.desks.get_mut(name).expect("it is in the yard");
+        if self.to_silence > 0 && order.operation == "load" {
+            self.to_silence -= 1;
+            desk.late.push((now + LATE_BY, order));
+            return RawAnswer {
+                pieces: vec![(LATE_BY, Vec::new())],
+                closes: true,
+            };
+        }
+        let status = match desk.take_order(&order, newest, now) {
+            200 => "200 OK",
+            202 => "202 Accepted",
+            409 => "409 Conflict",
+            412 => "412 Precondition Failed",
+            _ => "400 Bad Request",
+        };
+        RawAnswer::whole(status, "", "")
+    }
+
+    fn run(
+        &mut self,
+        name: &str,
+        request: &RawRequest,
+        net: &MemoryNet,
+    ) -> Result<RawAnswer, &'static str> {
+        let subject = request.header("hoplanding-model").unwrap_or_default();
+        let (_, adapter) = subject.split_once('/').unwrap_or_default();
+        let expected = number(request, "hoplanding-expect-version");
+        let source = request
+            .header("kv-fetch")
+            .and_then(|source| source.parse().ok());
+        let lent: HashMap<_, _> = source
+            .and_then(|source| self.desks.values().find(|desk| desk.address == source))
+            .and_then(|desk| Some(desk.copies.get(adapter)?.kept.clone()))
+            .unwrap_or_default();
+        let desk = self.desks.get_mut(name).expect("it is in the yard");
+        let copy = desk.copies.get_mut(adapter);
+        let Some(copy) = copy.filter(|copy| copy.version.is_some()) else {
+            return Err("421 Misdirected Request");
+        };
+        let version = copy.version.unwrap_or_default();
+        if copy.change.is_some() {
+            return Err("503 Service Unavailable");
+        }
+        if expected.is_some_and(|expected| expected != version) {
+            return Err("421 Misdirected Request");
+        }
+        let prompt = prompt_parts(request);
+        let parts: Vec<_> = prompt.iter().map(|(part, _)| *part).collect();
+        let read = ReadPrompt {
+            adapter,
+            version,
+            parts: &parts,
+            source,
+        };
+        self.mismatches.extend(net.read(desk.address, &read));
+        let now = Instant::now();
+        let took = reading_time(&prompt, &copy.kept, &lent);
+        copy.kept.extend(prompt);
+        desk.read_until = desk.read_until.max(now) + took;
+        let tokens = most_output(request);
+        let end = desk.read_until + TOKEN_PAUSE * tokens;
+        copy.busy_until = copy.busy_until.max(end);
+        self.runs.push(PromptRun {
+            id: request
+                .header("hoplanding-request-id")
+                .unwrap_or_default()
+                .to_owned(),
+            engine: name.to_owned(),
+            version,
+            expected,
+            source,
+        });
+        Ok(events(request, version, desk.read_until - now, tokens))
+    }
+}
+
+impl EngineDesk {
+    /// Takes an order; returns the status of its answer.
+    fn take_order(&mut self, order: &WireOrder, newest: u64, now: Instant) -> u16 {
+        let Some(adapter) = order.adapter.as_ref().filter(|_| order.model == "base") else {
+            return 400;
+        };
+        if order.fencing_token < self.token {
+            return 412;
+        }
+        self.token = order.fencing_token;
+        let is_next = order.expected.is_none_or(|taken| taken == self.sequence);
+        let copy = self.copies.get(adapter);
+        if !is_next || copy.is_some_and(|copy| copy.change.is_some()) {
+            return 409;
+        }
+        let is_load = order.operation == "load";
+        let to = is_load.then(|| order.version.unwrap_or(newest));
+        if copy.and_then(|copy| copy.version) == to {
+            return 200;
+        }
+        self.sequence += 1;
+        let copy = self.copies.entry(adapter.clone());
+        let copy = copy.or_insert_with(|| AdapterCopy::new(None, now));
+        let takes = if is_load { COPY_LOAD } else { Duration::ZERO };
+        let at = copy.busy_until.max(now) + takes;
+        copy.change = Some(CopyChange { to, at });
+        if is_load || at > now { 202 } else { 200 }
+    }
+
+    /// Carries out the changes that are due; what was kept for such a copy is dropped.
+    fn change_copies(&mut self, net: &MemoryNet, now: Instant) {
+        let address = self.address;
+        self.copies.retain(|adapter, copy| {
+            let Some(change) = copy.change.filter(|change| change.at <= now) else {
+                return true;
+            };
+            net.drop_adapter(address, adapter);
+            copy.kept.clear();
+            copy.change = None;
+            copy.version = change.to;
+            copy.version.is_some()
+        });
+    }
+}
+
+fn turned_away(request: &RawRequest, status: &str) -> RawAnswer {
+    let headers = format!("{}Hoplanding-Not-Executed: 1\r\n", sealed(request));
+    RawAnswer::whole(status, &headers, "")
+}
+
+fn number(request: &RawRequest, name: &str) -> Option<u64> {
+    request.header(name)?.parse().ok()
+}
+
+/// Parts of a prompt and their tokens.
+fn prompt_parts(request: &RawRequest) -> Vec<(u64, u32)> {
+    let text = request
+        .header("hoplanding-prompt-prefix")
+        .unwrap_or_default();
+    text.split(',')
+        .filter_map(|part| {
+            let (id, tokens) = part.split_once(':')?;
+            Some((u64::from_str_radix(id, 16).ok()?, tokens.parse().ok()?))
+        })
+        .collect()
+}
+
+fn most_output(request: &RawRequest) -> u32 {
+    let counts = request.header("hoplanding-token-count").unwrap_or_default();
+    let most = counts
+        .split_once(',')
+        .and_then(|(_, most)| most.parse().ok());
+    most.unwrap_or(1)
+}
+
+/// Time until a prompt is read: what the engine has kept costs nothing, what another one lends the way.
+fn reading_time(
+    prompt: &[(u64, u32)],
+    kept: &HashMap<u64, u32>,
+    lent: &HashMap<u64, u32>,
+) -> Duration {
+    let found = prompt
+        .iter()
+        .take_while(|(part, _)| kept.contains_key(part) || lent.contains_key(part));
+    let is_lent = found.clone().any(|(part, _)| !kept.contains_key(part));
+    let found: u32 = found.map(|(_, tokens)| tokens).sum();
+    let all: u32 = prompt.iter().map(|(_, tokens)| tokens).sum();
+    READ_TOKEN * (all - found) + if is_lent { TAKE_PARTS } else { Duration::ZERO }
+}
+
+/// A stream of events whose first one comes when the prompt is read.
+fn events(request: &RawRequest, version: u64, read: Duration, tokens: u32) -> RawAnswer {
+    let headers = sealed(request);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{headers}Hoplanding-Weight-Versions: {version}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut pieces = vec![(read, head.into_bytes())];
+    pieces.push((Duration::ZERO, chunk(&event(1))));
+    pieces.extend((2..=tokens).map(|id| (TOKEN_PAUSE, chunk(&event(id)))));
+    pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+    RawAnswer {
+        pieces,
+        closes: false,
+    }
+}
