Test that an engine which lends memory is not replaced before the borrower is there

A call waits for its engine's load; a version is named meanwhile; the lender is replaced and reads the same prompt anew.

--- a/crates/daemon/tests/direct/keeping.rs
+++ b/crates/daemon/tests/direct/keeping.rs
@@ -25,8 +25,8 @@
 const TAKE_PARTS: Duration = Duration::from_millis(20);
 /// Time between two tokens of an answer; one of 200 tokens keeps its copy in use for four seconds.
 const TOKEN_PAUSE: Duration = Duration::from_millis(20);
-/// Time that a copy takes to come.
-const COPY_LOAD: Duration = Duration::from_millis(60);
+/// Time that a copy takes to come; one that an engine had lately takes the users' engines 25 ms.
+const COPY_LOAD: Duration = Duration::from_millis(20);
 /// Time after which an order without an answer is carried out; nobody waits so long for an answer or a report.
 const LATE_BY: Duration = Duration::from_secs(1);
 /// Age of what a report tells; the users' pages speak of some hundred milliseconds.
@@ -66,6 +66,8 @@
     to_silence: usize,
     /// Orders that were carried out late.
     late_done: usize,
+    /// Requests that are yet to be turned away.
+    to_turn_away: usize,
 }
 
 struct EngineDesk {
@@ -172,6 +174,11 @@
         self.lock().to_silence += 1;
     }
 
+    /// Turns the next request away.
+    pub fn turn_away(&self) {
+        self.lock().to_turn_away += 1;
+    }
+
     /// Whether an order waits to be carried out late.
     pub fn is_silent(&self) -> bool {
         let state = self.settled();
@@ -274,6 +281,10 @@
         request: &RawRequest,
         net: &MemoryNet,
     ) -> Result<RawAnswer, &'static str> {
+        if self.to_turn_away > 0 {
+            self.to_turn_away -= 1;
+            return Err("503 Service Unavailable");
+        }
         let subject = request.header("hoplanding-model").unwrap_or_default();
         let (_, adapter) = subject.split_once('/').unwrap_or_default();
         let expected = number(request, "hoplanding-expect-version");
--- a/crates/daemon/tests/direct/versions.rs
+++ b/crates/daemon/tests/direct/versions.rs
@@ -11,6 +11,7 @@
     keeping::EngineYard,
     support::{Answer, BOUND, HOST, ask, entry, second_vm, site, wait_for},
 };
+use hoplanding_core::ids::AdapterName;
 use hoplanding_standins::{
     kept_memory::MemoryMismatch, keyed_log::KeyedLog, raw_target::RawTarget,
 };
@@ -177,6 +178,31 @@
     yard.mismatches()
 }
 
+/// A version is named while a call that is to take memory waits for its own engine's load. The engine that lends is
+/// free: it is replaced, and reads the same prompt for others, all before the call is there.
+async fn a_lender_is_replaced() -> Vec<MemoryMismatch> {
+    /// So many that some go to the lender, though the borrower's engine has kept their prompt too.
+    const OTHERS: u32 = 16;
+    let site = PairSite::start(&[], &[]).await;
+    let (yard, address) = (&site.yard, site.daemon.caller_address);
+    name_version(&site.log, yard, 2);
+    wait_for("version 2", async || yard.version("i-1", "a1") == Some(2)).await;
+    served(address, 0, SHORT_ANSWER).await;
+    yard.turn_away();
+    let borrower = tokio::spawn(served(address, 1, SHORT_ANSWER));
+    wait_for("its load", async || yard.version("i-2", "a1") == Some(2)).await;
+    name_version(&site.log, yard, 3);
+    let subject = AdapterName::new("base/a1");
+    wait_for("version 3 at the VM", async || {
+        site.daemon.fleet().books().versions.get(&subject) == Some(&3)
+    })
+    .await;
+    let others = (2..2 + OTHERS).map(|number| served(address, number, SHORT_ANSWER));
+    JoinSet::from_iter(others).join_all().await;
+    borrower.await.expect("it is served");
+    yard.mismatches()
+}
+
 /// Version that an answer says it was made under.
 fn version_of(answer: &Answer) -> Option<u64> {
     let head = answer.head.to_ascii_lowercase();
@@ -278,19 +304,21 @@
 }
 
 /// What callers would see: part of an answer that says version 2 was computed from version 1's weights. Order of events:
-/// the incident's; the same with an order that the engine carries out late; and versions in series, late orders and a
-/// takeover beside callers who ask all the time.
+/// the incident's; the same with an order that the engine carries out late; one in which the engine that lends memory is
+/// replaced before the borrower's call is there; and versions in series, late orders and a takeover beside callers who
+/// ask all the time.
 #[tokio::test]
 async fn memory_of_another_version_is_not_used_after_a_new_one_is_named() {
-    let (behind, late, series) = tokio::join!(
+    let (behind, late, lent, series) = tokio::join!(
         a_copy_in_use_stays_behind(OrderWay::Answered),
         a_copy_in_use_stays_behind(OrderWay::Late),
+        a_lender_is_replaced(),
         versions_in_series()
     );
-    let mismatches = [behind, late, series.yard.mismatches()];
+    let mismatches = [behind, late, lent, series.yard.mismatches()];
     assert!(
         mismatches.iter().all(Vec::is_empty),
-        "after answered orders, after late ones, in series: {mismatches:?}"
+        "after an answered order, a late one, of a lender, in series: {mismatches:?}"
     );
 }
 
