Test that memory of other weights of the base model is not used

Found by reading: the planner knows nothing of the base model's version, though the list and the reports tell it, and memory is made by the base model as much as by the adapter. Engines of the tests have a version of the base model now; the story is part of versions::memory_of_another_version_is_not_used_where_none_is_named, which fails in all its parts.

--- a/crates/daemon/tests/direct/keeping.rs
+++ b/crates/daemon/tests/direct/keeping.rs
@@ -1,8 +1,9 @@
 //! Engines that keep what they read of prompts and take parts from each other, whatever version made them.
 //!
 //! A yard holds the engines of a site, what each of them runs, and every run that used memory of another version.
-//! Engines serve one base model. What is due at an engine (a load, an order that is carried out late) happens when
-//! somebody looks at the yard next, which a task of the yard does all the time.
+//! Engines serve one base model, each with the weights that it started with; memory is made by both the base model and
+//! the adapter. What is due at an engine (a load, an order that is carried out late) happens when somebody looks at the
+//! yard next, which a task of the yard does all the time.
 
 use crate::support::{chunk, event, sealed};
 use hoplanding_standins::{
@@ -34,6 +35,9 @@
 /// Pause between two looks at the yard; a small part of the spans above.
 const YARD_LOOK: Duration = Duration::from_millis(10);
 
+/// What a version of the base model counts in the mark of memory; the adapter's version is added.
+const BASE_MARK: u64 = 1_000;
+
 /// A run at an engine.
 #[derive(Clone, Debug)]
 pub struct PromptRun {
@@ -72,6 +76,8 @@
 
 struct EngineDesk {
     address: SocketAddr,
+    /// Version of its base model.
+    base: u64,
     sequence: u64,
     token: u64,
     copies: BTreeMap<String, AdapterCopy>,
@@ -139,8 +145,13 @@
         yard
     }
 
-    /// Starts an engine that holds these adapters, by name and version.
-    pub async fn engine(self: &Arc<Self>, name: &'static str, held: &[(&str, u64)]) -> RawTarget {
+    /// Starts an engine with a version of the base model and these adapters, by name and version.
+    pub async fn engine(
+        self: &Arc<Self>,
+        name: &'static str,
+        base: u64,
+        held: &[(&str, u64)],
+    ) -> RawTarget {
         let yard = Arc::clone(self);
         let target = RawTarget::start(move |request| yard.answer(name, request))
             .await
@@ -152,6 +163,7 @@
         });
         let desk = EngineDesk {
             address: target.address,
+            base,
             sequence: 0,
             token: 0,
             copies: copies.collect(),
@@ -311,7 +323,7 @@
         let parts: Vec<_> = prompt.iter().map(|(part, _)| *part).collect();
         let read = ReadPrompt {
             adapter,
-            version,
+            version: desk.base * BASE_MARK + version,
             parts: &parts,
             source,
         };
@@ -379,7 +391,7 @@
         let active = self.copies.values().filter(|copy| copy.busy_until > now);
         let report = json!({
             "sequence": self.sequence,
-            "models": [{ "name": "base", "version": 1, "adapters": held.collect::<Vec<_>>() }],
+            "models": [{ "name": "base", "version": self.base, "adapters": held.collect::<Vec<_>>() }],
             "coming": coming.collect::<Vec<_>>(),
             "active": active.count(),
         });
--- a/crates/daemon/tests/direct/versions.rs
+++ b/crates/daemon/tests/direct/versions.rs
@@ -85,23 +85,30 @@
 impl PairSite {
     /// Both hold version 1.
     async fn alike() -> Self {
-        Self::start(&[("a1", 1)], &["a1@1"]).await
+        Self::start(1, &[("a1", 1)], &["a1@1"]).await
+    }
+
+    /// Both hold version 1 of the adapter; one started later, with newer weights of the base model.
+    async fn alike_but_for_the_base() -> Self {
+        Self::start(7, &[("a1", 1)], &["a1@1"]).await
     }
 
     /// One holds version 1; the other brings in version 2 once it is told to load, and no VM has been told of that.
     async fn unlike() -> Self {
-        let site = Self::start(&[], &[]).await;
+        let site = Self::start(1, &[], &[]).await;
         site.yard.set_newest(2);
         site
     }
 
-    async fn start(held: &[(&str, u64)], listed: &[&str]) -> Self {
+    /// The first engine has version 1 of the base model and of the adapter, the second what is given.
+    async fn start(base: u64, held: &[(&str, u64)], listed: &[&str]) -> Self {
         let log = KeyedLog::start().await.expect("a log");
         let yard = EngineYard::new(1);
-        let one = yard.engine("i-1", &[("a1", 1)]).await;
-        let two = yard.engine("i-2", held).await;
+        let one = yard.engine("i-1", 1, &[("a1", 1)]).await;
+        let two = yard.engine("i-2", base, held).await;
         let daemon = site(&log, &[("i-1", "scribe", one.address)]).await;
         let text = entry("scribe", two.address, "ready", listed);
+        let text = text.replace("\"version\":1", &format!("\"version\":{base}"));
         log.put("keyed.servers", "i-2", Some(&text));
         wait_for("both engines", async || {
             let engines = daemon.fleet().books().catalog.iter().count();
@@ -183,7 +190,7 @@
 async fn a_lender_is_replaced() -> Vec<MemoryMismatch> {
     /// So many that some go to the lender, though the borrower's engine has kept their prompt too.
     const OTHERS: u32 = 16;
-    let site = PairSite::start(&[], &[]).await;
+    let site = PairSite::start(1, &[], &[]).await;
     let (yard, address) = (&site.yard, site.daemon.caller_address);
     name_version(&site.log, yard, 2);
     wait_for("version 2", async || yard.version("i-1", "a1") == Some(2)).await;
@@ -322,23 +329,29 @@
     );
 }
 
-/// What callers would see: the same, though no version was ever named. Order of events: an engine holds version 1; calls
-/// crowd it; its neighbour is told to load the adapter, without a version, and brings in the newest that the store has;
-/// the next call goes there. The cause is that two versions which nobody knows pass for the same, and that an engine is
-/// told to take memory without being asked for the version that made it.
+/// What callers would see: the same, though no version of the adapter was ever named. Order of events: calls crowd an
+/// engine, and the next goes to its neighbour, which has other weights. In one story the neighbour was told to load the
+/// adapter, without a version, and brought in the newest that the store has; in another it started later than the first,
+/// with newer weights of the base model under the same version of the adapter. The cause is that two versions which
+/// nobody knows pass for the same, that the base model's count for nothing, and that an engine is told to take memory
+/// without being asked for the version that made it.
 #[tokio::test]
 async fn memory_of_another_version_is_not_used_where_none_is_named() {
-    let (unlike, alike) = (PairSite::unlike().await, PairSite::alike().await);
-    tokio::join!(unlike.crowd(), alike.crowd());
-    let mismatches = unlike.yard.mismatches();
-    let unchecked: Vec<_> = [unlike.yard.runs(), alike.yard.runs()]
-        .concat()
-        .into_iter()
+    let sites = [
+        PairSite::unlike().await,
+        PairSite::alike_but_for_the_base().await,
+        PairSite::alike().await,
+    ];
+    let [unlike, base, alike] = &sites;
+    tokio::join!(unlike.crowd(), base.crowd(), alike.crowd());
+    let mismatches = sites.each_ref().map(|site| site.yard.mismatches());
+    let runs = sites.iter().flat_map(|site| site.yard.runs());
+    let unchecked: Vec<_> = runs
         .filter(|run| run.source.is_some() && run.expected.is_none())
         .collect();
     assert!(
-        mismatches.is_empty() && unchecked.is_empty(),
-        "mismatches: {mismatches:?}, moves without a version: {unchecked:?}"
+        mismatches.iter().all(Vec::is_empty) && unchecked.is_empty(),
+        "of unlike adapters, base models, none: {mismatches:?}, moves without a version: {unchecked:?}"
     );
 }
 
