Engines of the tests tell the base model's version with their answers

The users' page speaks of weights where it means the base model, and makes an exception for adapters only at Hoplanding-Expect-Version. So the check of answers is two now: an answer names the weights that its run was made with, and a run is under the version of the adapter that its engine was asked for. The engines of that test have unlike weights, so that answers which are mixed up would show.

--- a/crates/daemon/tests/direct/keeping.rs
+++ b/crates/daemon/tests/direct/keeping.rs
@@ -45,9 +45,11 @@
     pub id: String,
     /// The engine.
     pub engine: String,
-    /// Version that it runs under.
+    /// Version of the base model that it runs under; its answer tells this one.
+    pub base: u64,
+    /// Version of the adapter that it runs under.
     pub version: u64,
-    /// Version that it was asked for.
+    /// Version of the adapter that it was asked for.
     pub expected: Option<u64>,
     /// The engine that it took parts from.
     pub source: Option<SocketAddr>,
@@ -341,11 +343,12 @@
                 .unwrap_or_default()
                 .to_owned(),
             engine: name.to_owned(),
+            base: desk.base,
             version,
             expected,
             source,
         });
-        Ok(events(request, version, desk.read_until - now, tokens))
+        Ok(events(request, desk.base, desk.read_until - now, tokens))
     }
 }
 
@@ -484,11 +487,11 @@
     READ_TOKEN * (all - found) + if is_lent { TAKE_PARTS } else { Duration::ZERO }
 }
 
-/// A stream of events whose first one comes when the prompt is read.
-fn events(request: &RawRequest, version: u64, read: Duration, tokens: u32) -> RawAnswer {
+/// A stream of events whose first one comes when the prompt is read. Its head tells the version of the base model.
+fn events(request: &RawRequest, base: u64, read: Duration, tokens: u32) -> RawAnswer {
     let headers = sealed(request);
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{headers}Hoplanding-Weight-Versions: {version}\r\n\
+        "HTTP/1.1 200 OK\r\n{headers}Hoplanding-Weight-Versions: {base}\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     let mut pieces = vec![(read, head.into_bytes())];
--- a/crates/daemon/tests/direct/versions.rs
+++ b/crates/daemon/tests/direct/versions.rs
@@ -176,10 +176,10 @@
     })
     .await;
     assert_eq!(yard.late_done() > 0, way == OrderWay::Late);
-    let answer = served(address, 3, SHORT_ANSWER).await;
-    assert_eq!(version_of(&answer), Some(2), "{}", answer.head);
+    served(address, 3, SHORT_ANSWER).await;
     let runs = yard.runs();
-    assert_eq!(runs[2].engine, other, "{runs:?}");
+    let last = (runs[2].engine.as_str(), runs[2].version);
+    assert_eq!(last, (other, 2), "{runs:?}");
     assert_eq!(yard.version(&busy, "a1"), Some(1), "it is in use still");
     long.await.expect("it is served");
     yard.mismatches()
@@ -210,8 +210,8 @@
     yard.mismatches()
 }
 
-/// Version that an answer says it was made under.
-fn version_of(answer: &Answer) -> Option<u64> {
+/// Version of the base model that an answer says it was made under.
+fn base_of(answer: &Answer) -> Option<u64> {
     let head = answer.head.to_ascii_lowercase();
     head.lines().find_map(|line| {
         line.strip_prefix("hoplanding-weight-versions: ")?
@@ -220,7 +220,7 @@
     })
 }
 
-/// Callers that ask one after the other, by the ids of their answers the versions that these name.
+/// Callers that ask one after the other; by the ids of their answers the versions that these name.
 struct CallerCrowd {
     is_over: Arc<AtomicBool>,
     callers: JoinSet<Vec<(String, Option<u64>)>>,
@@ -243,7 +243,7 @@
                         SHORT_ANSWER
                     };
                     let answer = served(address, number, tokens).await;
-                    told.push((format!("r{number}"), version_of(&answer)));
+                    told.push((format!("r{number}"), base_of(&answer)));
                 }
                 told
             }
@@ -270,10 +270,9 @@
 
 /// Versions in series beside calls. The first order of every other one is left unanswered and carried out late; in
 /// the middle the VM that gives the orders stops, and another one takes over while such an order is on its way.
-async fn versions_in_series() -> SeriesOutcome {
+async fn versions_in_series(site: PairSite) -> SeriesOutcome {
     const NEWEST: u64 = 7;
     const STOPS_AT: u64 = 4;
-    let site = PairSite::alike().await;
     let (second, _relay) = second_vm(&site.log).await;
     let PairSite {
         log,
@@ -320,7 +319,7 @@
         a_copy_in_use_stays_behind(OrderWay::Answered),
         a_copy_in_use_stays_behind(OrderWay::Late),
         a_lender_is_replaced(),
-        versions_in_series()
+        versions_in_series(PairSite::alike().await)
     );
     let mismatches = [behind, late, lent, series.yard.mismatches()];
     assert!(
@@ -367,20 +366,18 @@
     assert_eq!(site.yard.mismatches(), []);
 }
 
-/// What callers would see: answers whose version is another one than that of their run. Versions come in series; each
-/// answer names the version that its run was made under, and that is the one that the engine was asked for.
+/// What callers would see: answers that name another version than that of their run. Versions of the adapter come in
+/// series, and the engines have unlike weights of the base model; each run is under the version of the adapter that its
+/// engine was asked for, and each answer names the weights that it was made with.
 #[tokio::test]
-async fn answers_name_the_version_that_was_asked_for() {
-    let SeriesOutcome { yard, told } = versions_in_series().await;
+async fn answers_name_the_weights_and_runs_are_under_the_version_that_was_asked_for() {
+    let site = PairSite::alike_but_for_the_base().await;
+    let SeriesOutcome { yard, told } = versions_in_series(site).await;
     let runs = yard.runs();
-    let asked = runs.iter().filter(|run| run.expected.is_some()).count();
-    assert!(asked > 0, "{runs:?}");
+    let asked: Vec<_> = runs.iter().filter_map(|run| run.expected).collect();
+    assert!(asked.contains(&2) && asked.contains(&6), "{runs:?}");
     for run in runs {
-        let named = told[&run.id];
-        assert_eq!(named, Some(run.version), "{run:?}");
-        assert!(
-            run.expected.is_none_or(|asked| named == Some(asked)),
-            "{run:?}"
-        );
+        assert_eq!(told[&run.id], Some(run.base), "{run:?}");
+        assert_eq!(run.expected.unwrap_or(run.version), run.version, "{run:?}");
     }
 }
