--- a/crates/daemon/tests/direct/keeping.rs
+++ b/crates/daemon/tests/direct/keeping.rs
@@ -28,6 +28,8 @@
 const TOKEN_PAUSE: Duration = Duration::from_millis(20);
 /// Time that a copy takes to come; one that an engine had lately takes the users' engines 25 ms.
 const COPY_LOAD: Duration = Duration::from_millis(20);
+/// The same where copies come slowly; a report tells of it in this time.
+const SLOW_LOAD: Duration = Duration::from_millis(600);
 /// Time after which an order without an answer is carried out; nobody waits so long for an answer or a report.
 const LATE_BY: Duration = Duration::from_secs(1);
 /// Age of what a report tells; the users' pages speak of some hundred milliseconds.
@@ -74,6 +76,8 @@
     late_done: usize,
     /// Requests that are yet to be turned away.
     to_turn_away: usize,
+    /// Requests that came for another version than the engine's.
+    misdirected: usize,
 }
 
 struct EngineDesk {
@@ -85,6 +89,8 @@
     copies: BTreeMap<String, AdapterCopy>,
     /// Orders that were left without an answer, and when they are carried out.
     late: Vec<(Instant, WireOrder)>,
+    /// Whether copies come slowly, and one that is being replaced is told as held and as on its way.
+    replaces_slowly: bool,
     /// What it held, and since when: what its reports tell now, and what they will.
     told: VecDeque<(Instant, String)>,
     /// When it will have read the prompts that it has.
@@ -170,6 +176,7 @@
             token: 0,
             copies: copies.collect(),
             late: Vec::new(),
+            replaces_slowly: false,
             told: VecDeque::new(),
             read_until: now,
         };
@@ -193,6 +200,18 @@
         self.lock().to_turn_away += 1;
     }
 
+    /// From now on copies come slowly, and reports tell one that is being replaced twice: as held, and as on its way.
+    pub fn replace_slowly(&self) {
+        for desk in self.lock().desks.values_mut() {
+            desk.replaces_slowly = true;
+        }
+    }
+
+    /// Requests that came for another version than the engine's.
+    pub fn misdirected(&self) -> usize {
+        self.lock().misdirected
+    }
+
     /// Whether an order waits to be carried out late.
     pub fn is_silent(&self) -> bool {
         let state = self.settled();
@@ -300,8 +319,10 @@
             return Err("503 Service Unavailable");
         }
         let subject = request.header("hoplanding-model").unwrap_or_default();
-        let (_, adapter) = subject.split_once('/').unwrap_or_default();
         let expected = number(request, "hoplanding-expect-version");
+        let Some((_, adapter)) = subject.split_once('/') else {
+            return self.run_base(name, request, expected);
+        };
         let source = request
             .header("kv-fetch")
             .and_then(|source| source.parse().ok());
@@ -319,6 +340,7 @@
             return Err("503 Service Unavailable");
         }
         if expected.is_some_and(|expected| expected != version) {
+            self.misdirected += 1;
             return Err("421 Misdirected Request");
         }
         let prompt = prompt_parts(request);
@@ -352,6 +374,24 @@
     }
 }
 
+impl YardState {
+    /// Runs a request for the base model itself.
+    fn run_base(
+        &mut self,
+        name: &str,
+        request: &RawRequest,
+        expected: Option<u64>,
+    ) -> Result<RawAnswer, &'static str> {
+        let version = self.desks[name].base;
+        if expected.is_some_and(|expected| expected != version) {
+            self.misdirected += 1;
+            return Err("421 Misdirected Request");
+        }
+        let took = READ_TOKEN * prompt_parts(request).iter().map(|(_, tokens)| tokens).sum();
+        Ok(events(request, version, took, most_output(request)))
+    }
+}
+
 impl EngineDesk {
     /// Takes an order; returns the status of its answer.
     fn take_order(&mut self, order: &WireOrder, newest: u64, now: Instant) -> u16 {
@@ -375,7 +415,11 @@
         self.sequence += 1;
         let copy = self.copies.entry(adapter.clone());
         let copy = copy.or_insert_with(|| AdapterCopy::new(None, now));
-        let takes = if is_load { COPY_LOAD } else { Duration::ZERO };
+        let takes = match (is_load, self.replaces_slowly) {
+            (true, true) => SLOW_LOAD,
+            (true, false) => COPY_LOAD,
+            (false, _) => Duration::ZERO,
+        };
         let at = copy.busy_until.max(now) + takes;
         copy.change = Some(CopyChange { to, at });
         if is_load || at > now { 202 } else { 200 }
@@ -384,7 +428,9 @@
     /// Notes what it tells from now on. A copy that is being replaced is one on its way.
     fn note_report(&mut self, now: Instant) {
         let held = self.copies.iter().filter_map(|(adapter, copy)| {
-            let version = copy.version.filter(|_| copy.change.is_none())?;
+            let version = copy
+                .version
+                .filter(|_| self.replaces_slowly || copy.change.is_none())?;
             Some(format!("{adapter}@{version}"))
         });
         let coming = self.copies.iter().filter_map(|(adapter, copy)| {
--- a/crates/daemon/tests/direct/versions.rs
+++ b/crates/daemon/tests/direct/versions.rs
@@ -187,7 +187,7 @@
 
 /// A version is named while a call that is to take memory waits for its own engine's load. The engine that lends is
 /// free: it is replaced, and reads the same prompt for others, all before the call is there.
-async fn a_lender_is_replaced() -> Vec<MemoryMismatch> {
+async fn a_lender_is_replaced() -> Arc<EngineYard> {
     /// So many that some go to the lender, though the borrower's engine has kept their prompt too.
     const OTHERS: u32 = 16;
     let site = PairSite::start(1, &[], &[]).await;
@@ -207,7 +207,7 @@
     let others = (2..2 + OTHERS).map(|number| served(address, number, SHORT_ANSWER));
     JoinSet::from_iter(others).join_all().await;
     borrower.await.expect("it is served");
-    yard.mismatches()
+    site.yard
 }
 
 /// Version of the base model that an answer says it was made under.
@@ -321,7 +321,7 @@
         a_lender_is_replaced(),
         versions_in_series(PairSite::alike().await)
     );
-    let mismatches = [behind, late, lent, series.yard.mismatches()];
+    let mismatches = [behind, late, lent.mismatches(), series.yard.mismatches()];
     assert!(
         mismatches.iter().all(Vec::is_empty),
         "after an answered order, a late one, of a lender, in series: {mismatches:?}"
@@ -381,3 +381,51 @@
         assert_eq!(run.expected.unwrap_or(run.version), run.version, "{run:?}");
     }
 }
+
+/// What callers would see: they are turned away, or wait, while an engine with the new version stands ready. Order of
+/// events: a copy is on its way; a newer version is named; calls are sent to the copy all the same, with the newer
+/// version, and come back. The cause is that only a copy which is there is compared with the version that was named.
+#[tokio::test]
+async fn no_call_is_sent_to_a_copy_that_comes_in_an_older_version() {
+    let yard = a_lender_is_replaced().await;
+    assert_eq!(yard.misdirected(), 0, "{:?}", yard.runs());
+}
+
+/// What a caller would see: no answer until its deadline. Order of events: its call waits for the replacement of a copy;
+/// the order's answer does not come; the engine's report tells the copy as held, and its new version as on its way. The
+/// cause is that what is told twice is taken for new the second time, without the calls that use it or wait for it.
+#[tokio::test]
+async fn a_call_that_waits_for_a_copy_which_is_told_twice_is_answered() {
+    let site = PairSite::alike().await;
+    let (yard, address) = (&site.yard, site.daemon.caller_address);
+    let long = tokio::spawn(served(address, 0, LONG_ANSWER));
+    wait_for("the long run", async || yard.runs().len() == 1).await;
+    yard.replace_slowly();
+    yard.silence_order();
+    name_version(&site.log, yard, 2);
+    wait_for("an order without an answer", async || yard.is_silent()).await;
+    served(address, 1, SHORT_ANSWER).await;
+    assert!(
+        !long.is_finished(),
+        "it was answered after one that ran for four seconds"
+    );
+}
+
+/// What callers of the base model would see: they are turned away for as long as the engines live. Order of events: new
+/// weights of the base model are named; engines keep those that they have; each call asks for the new ones. The cause is
+/// that a version is asked for which nobody brings in.
+#[tokio::test]
+async fn calls_for_a_base_model_are_served_while_its_engines_keep_older_weights() {
+    let site = PairSite::alike().await;
+    let record = json!({ "model": "base", "version": 7 });
+    site.log
+        .put("keyed.op", "version/base", Some(&record.to_string()));
+    let subject = AdapterName::new("base");
+    wait_for("the version at the VM", async || {
+        site.daemon.fleet().books().versions.get(&subject) == Some(&7)
+    })
+    .await;
+    let request = request(0, SHORT_ANSWER).replace("base/a1", "base");
+    let answer = ask(site.daemon.caller_address, &request).await;
+    assert_eq!(answer.status, 200, "{}", answer.head);
+}
