Let calls name the version that their engine's copy is known to have

Cause: a copy that a late order replaces unseen made memory that was taken for the version before; a new holder therefore named no source for 12.5 s. Change: each call names the version that is known, so that such a copy turns it away, and the wait is gone; an entry that tells of more orders than are known has the report read; no call goes to a copy on its way in an older version.

--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -51,6 +51,16 @@
         (sight.teller != VersionTeller::List).then_some(sight.version)
     }
 
+    /// The version that a call has to ask for so that it runs under no other than the one that is known here. A copy that is
+    /// replaced unseen, by a late order of an earlier holder, would else make memory that is taken for the known version's.
+    #[must_use]
+    pub fn told_version(&self, subject: &AdapterName) -> Option<u64> {
+        match self.copies.get(subject) {
+            Some(copy) => Some(copy.sight?.version),
+            None => self.own_base(subject),
+        }
+    }
+
     /// Which loading of an adapter, or of a base model, a call that is sent now will run on.
     fn generation(&self, subject: &AdapterName) -> u64 {
         let copy = self.copies.get(subject).map(|copy| copy.generation);
@@ -103,11 +113,15 @@
         }
     }
 
-    /// Takes over versions from the list for copies of which nothing else told them, if the entry is as new as what is known.
+    /// Takes over versions from the list for copies of which nothing else told them, if the entry is as new as what is known. Where
+    /// it tells of more orders than are known here, others gave them, and the engine's own report is read.
     pub(super) fn take_listed_versions(&mut self, now: Instant) {
         if !self.is_known || self.pending.is_some() || self.entry.orders_taken < self.sequence {
             return;
         }
+        if self.entry.orders_taken > self.sequence {
+            self.report_at = Some(now);
+        }
         for resident in &self.entry.adapters {
             if let Some(copy) = self.copies.get_mut(&resident.adapter)
                 && copy.sight.is_none()
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -43,7 +43,7 @@
 /// Age that a report may have.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which an order without an answer is no longer carried out; the users tell of 12 seconds at the most.
-pub const LATE_ORDER: Duration = Duration::from_millis(12_500);
+const LATE_ORDER: Duration = Duration::from_millis(12_500);
 
 /// One engine.
 #[derive(Clone, Debug)]
@@ -87,8 +87,6 @@
     read_parts: PartMemory,
     /// Generations given out.
     generations: u64,
-    /// Whether it has taken an order of this holder, so that none of an earlier one is carried out any more.
-    pub is_ours: bool,
     tokens_sent: u64,
 }
 
@@ -123,7 +121,6 @@
             sent_parts: PartMemory::default(),
             read_parts: PartMemory::default(),
             generations: 0,
-            is_ours: false,
             tokens_sent: 0,
             entry,
         };
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -42,7 +42,6 @@
         let mut best: Vec<PromptSource> = Vec::new();
         for (name, engine) in &self.engines {
             let is_fit = engine.entry.stage == TargetStage::Ready
-                && self.is_settled(engine, now)
                 && !self.health.is_out(name, now)
                 && !self.health.is_doubted(name);
             let Some(memory) = engine.lendable(ask).filter(|_| is_fit) else {
@@ -63,11 +62,6 @@
         best
     }
 
-    /// Whether no order of an earlier holder is carried out at an engine any more: such a one could replace a copy unseen.
-    fn is_settled(&self, engine: &EngineState, now: Instant) -> bool {
-        engine.is_ours || now >= self.settled_from
-    }
-
     /// What an engine has to do for a prompt, if it may take parts from one of these.
     pub(super) fn prompt_work<'a>(
         &self,
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -33,7 +33,7 @@
         catalog::TargetEntry,
         config::EngineLimits,
         demand::DemandTable,
-        engine::{EngineState, LATE_ORDER, ResidentState, SentCall, UNCOUNTED_RUN},
+        engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
         loading::LoadLimiter,
         policy::PlacementPolicy,
@@ -71,8 +71,6 @@
     pace: ReadingPace,
     loads: LoadLimiter,
     orders_from: Instant,
-    /// From when on no order of an earlier holder is carried out any more.
-    settled_from: Instant,
     model_load_at: Instant,
     /// Part of the zone's engines that has been busy lately.
     busy: f64,
@@ -96,7 +94,6 @@
             pace: ReadingPace::default(),
             loads: LoadLimiter::default(),
             orders_from,
-            settled_from: orders_from.after(LATE_ORDER),
             model_load_at,
             busy: 0.0,
             actions: VecDeque::new(),
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -136,7 +136,7 @@
                 let named = self.named_version(&ask.subject);
                 let is_stale = named.is_some_and(|named| copy.is_behind(named));
                 match copy.state {
-                    ResidentState::Here if is_stale => None,
+                    ResidentState::Here | ResidentState::Coming(_) if is_stale => None,
                     ResidentState::Coming(at) => Some(LoadCost {
                         time: at.since(now),
                         ..LoadCost::default()
@@ -270,7 +270,7 @@
             wait_ms,
             fetch: sent.fetch,
             expected_ms: millis(sent.expected),
-            version: self.named_version(subject).or(sent.expected_version),
+            version: sent.version,
             is_sought: self.is_sought(subject),
         };
         self.answer(key, answer);
@@ -293,6 +293,8 @@
         let work = self.prompt_work(engine, ask, &sources, now);
         let backlog = engine.prompts.backlog(ask.priority, &self.pace, now);
         let named = self.named_version(&ask.subject);
+        let moved = work.fetch.map(|source| source.mark.expected());
+        let version = named.or(moved).or(engine.told_version(&ask.subject));
         self.tell_move(name, &key, ask, &sources, work.fetch);
         if let Some(source) = work.fetch
             && let Some(engine) = self.engines.get_mut(&source.name)
@@ -309,7 +311,7 @@
         SentHow {
             expected: backlog.max(load) + work.time,
             fetch: work.fetch.map(|source| source.address),
-            expected_version: work.fetch.map(|source| source.mark.expected()),
+            version,
         }
     }
 }
@@ -319,8 +321,8 @@
 pub(super) struct SentHow {
     expected: Duration,
     fetch: Option<SocketAddr>,
-    /// The version that the memory which moves was made by.
-    expected_version: Option<u64>,
+    /// The version that it asks for.
+    version: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
