Let no loan, no late news and no holder that may be replaced bring memory of other versions

A holder's reads of the fleet's records wait 1.5 s in place of 5 so that this covers ordinary times; - a late first event of before a reload, an old entry after a restart, an entry that tells other weights, a base model that is told anew: a version that is no longer certain takes what was read under it along; - parts that were sent are noted by generation too; a call turned away for the version of moved memory is no late load; a queued replacement whose copy has gone is dropped, and replacements keep to four on their way to an engine. The load play's engines drop what they kept with an unloaded adapter, as the pages say, and list what they hold.

--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     direct::{
+        engine::ADOPTED_WITHIN,
         loading::StoreLoad,
         planner::{CallKey, PlacementAsk},
         versions::VersionSight,
     },
-    ids::{AdapterName, Instant, TargetName},
+    ids::{AdapterName, Instant},
 };
 
 /// State of one adapter at an engine.
@@ -54,6 +55,8 @@
     pub held_until: Instant,
     /// Calls elsewhere whose engines take memory that it made: until they have begun it is neither replaced nor unloaded.
     pub lent_to: Vec<CallKey>,
+    /// Until when calls elsewhere that nobody counts may still take its memory.
+    pub lent_until: Instant,
     /// The load that brought it here from the weight store.
     pub load: Option<StoreLoad>,
 }
@@ -74,10 +77,17 @@
             used_at: now,
             held_until: Instant::default(),
             lent_to: Vec::new(),
+            lent_until: Instant::default(),
             load: None,
         }
     }
 
+    /// Holds it as it is while gateways tell of calls that they had open before.
+    pub(super) fn hold_for_unknown(&mut self, now: Instant) {
+        self.held_until = now.after(ADOPTED_WITHIN);
+        self.lent_until = now.after(ADOPTED_WITHIN);
+    }
+
     /// Whether nothing runs on it, waits for it or takes its memory.
     #[must_use]
     pub fn is_free(&self, now: Instant) -> bool {
@@ -87,6 +97,12 @@
             && now >= self.held_until
     }
 
+    /// Whether it may be replaced: what another engine takes of it would be the new version's. One that is unloaded lends nothing.
+    #[must_use]
+    pub fn is_replaceable(&self, now: Instant) -> bool {
+        self.is_free(now) && now >= self.lent_until
+    }
+
     /// Whether it has to be replaced now that a version is named: it is older, or nobody knows what it is.
     #[must_use]
     pub fn is_behind(&self, named: u64) -> bool {
@@ -114,8 +130,6 @@
     pub tokens: u64,
     /// Parts of its prompt that others may share.
     pub shared: Vec<u64>,
-    /// Generation of the copy that it was sent to.
-    pub generation: u64,
-    /// The engine that its engine takes memory from.
-    pub source: Option<TargetName>,
+    /// Generation of the copy that it was sent to, if it is known.
+    pub generation: Option<u64>,
 }
--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -1,10 +1,9 @@
 //! Which memory of prompts other engines may take from an engine.
 //!
 //! Nothing on the way from one engine to another says which weights made the memory that moves, and the engine that takes it
-//! does not look. So only memory moves whose versions are known, of the base model as well as of the adapter: engines that
-//! started again have newer weights than their neighbours, and copies that are in use are replaced later than others. Moves by
-//! the adapter's name alone gave callers answers computed from two versions: 318 of some 7,000 runs on a day on which
-//! targets came back with new weights, by the targets' own account.
+//! does not look: where some engines have newer weights than their neighbours, callers would get answers that are computed from
+//! two versions. So memory moves only if its versions are known, of the base model as well as of the adapter, and are those that
+//! the call runs under.
 
 use crate::{
     direct::{
@@ -12,7 +11,7 @@
         planner::{CallKey, PlacementAsk, split_subject},
         versions::{MemoryMark, MemoryVersions, VersionMatch, VersionSight, VersionTeller},
     },
-    ids::{AdapterName, Instant, TargetName},
+    ids::{AdapterName, Instant},
 };
 
 /// Memory of a prompt that an engine can lend.
@@ -62,10 +61,11 @@
     }
 
     /// Which loading of an adapter, or of a base model, a call that is sent now will run on.
-    fn generation(&self, subject: &AdapterName) -> u64 {
-        let copy = self.copies.get(subject).map(|copy| copy.generation);
-        copy.or_else(|| self.base(subject).map(|held| held.generation))
-            .unwrap_or(0)
+    fn generation(&self, subject: &AdapterName) -> Option<u64> {
+        match split_subject(subject).1 {
+            Some(_) => self.copies.get(subject).map(|copy| copy.generation),
+            None => self.base(subject).map(|held| held.generation),
+        }
     }
 
     /// Takes over the base models that a report lists.
@@ -73,28 +73,45 @@
         let old = std::mem::take(&mut self.models);
         for (name, version) in models {
             let sight = VersionSight::told(*version, VersionTeller::Report, now);
-            let known = old.iter().find(|held| held.name == *name);
-            let held = HeldModel {
-                name: name.clone(),
-                sight: sight.or(known.and_then(|held| held.sight)),
-                generation: known.map_or(0, |held| held.generation),
-            };
-            let is_same = known
-                .is_some_and(|held| VersionMatch::of(held.sight, sight) != VersionMatch::Unlike);
-            self.models.push(held);
-            if !is_same {
-                self.outdate_memory(name.as_str());
+            match old.iter().find(|held| held.name == *name) {
+                Some(known) => self.models.push(known.clone()),
+                None => {
+                    self.models.push(HeldModel {
+                        name: name.clone(),
+                        sight: None,
+                        generation: 0,
+                    });
+                    self.outdate_memory(name.as_str());
+                }
             }
+            self.see_base(name.as_str(), sight);
+        }
+    }
+
+    /// Takes over what told the version of a base model.
+    fn see_base(&mut self, model: &str, sight: Option<VersionSight>) {
+        let mut models = self.models.iter();
+        let known = models.find(|held| held.name.as_str() == model);
+        let known = known.and_then(|held| held.sight);
+        if VersionMatch::of(known, sight) == VersionMatch::Unlike {
+            self.outdate_memory(model);
+        }
+        let mut models = self.models.iter_mut();
+        if let Some(held) = models.find(|held| held.name.as_str() == model)
+            && sight.is_some()
+        {
+            held.sight = sight;
         }
     }
 
-    /// A base model was loaded anew: what was read before is worth nothing now, for its adapters neither.
+    /// A base model was loaded anew, or may have been: what was read before is worth nothing now, for its adapters neither. A sight that
+    /// goes takes its generation with it, so that no later one speaks for what was read before.
     fn outdate_memory(&mut self, model: &str) {
-        self.generations += 1;
-        let generation = self.generations;
+        let generation = self.next_generation();
         for held in &mut self.models {
             if held.name.as_str() == model {
                 held.generation = generation;
+                held.sight = None;
             }
         }
         for (subject, copy) in &mut self.copies {
@@ -116,12 +133,28 @@
     /// Takes over versions from the list for copies of which nothing else told them, if the entry is as new as what is known. Where
     /// it tells of more orders than are known here, others gave them, and the engine's own report is read.
     pub(super) fn take_listed_versions(&mut self, now: Instant) {
-        if !self.is_known || self.pending.is_some() || self.entry.orders_taken < self.sequence {
+        let is_behind = self.entry_is_old || self.entry.orders_taken < self.sequence;
+        if !self.is_known || self.pending.is_some() || is_behind {
             return;
         }
         if self.entry.orders_taken > self.sequence {
             self.report_at = Some(now);
         }
+        let mut unlike = Vec::new();
+        for (model, version) in &self.entry.models {
+            let listed = VersionSight::told(*version, VersionTeller::List, now);
+            let mut models = self.models.iter();
+            let held = models.find(|held| held.name.as_str() == model);
+            if let Some(held) = held
+                && VersionMatch::of(held.sight, listed) == VersionMatch::Unlike
+            {
+                unlike.push(model.clone());
+            }
+        }
+        for model in unlike {
+            self.outdate_memory(&model);
+            self.report_at = Some(now);
+        }
         for resident in &self.entry.adapters {
             if let Some(copy) = self.copies.get_mut(&resident.adapter)
                 && copy.sight.is_none()
@@ -132,61 +165,55 @@
         }
     }
 
-    /// Notes that a call's prompt has been read, by this version of the base model if its answer tells one.
-    pub fn note_read(&mut self, key: &CallKey, version: Option<u64>, now: Instant) {
+    /// Notes that a call's prompt has been read by this version of the base model. What comes from before its adapter or its base model
+    /// was loaded anew says nothing.
+    pub fn note_read(&mut self, key: &CallKey, version: u64, now: Instant) {
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
-        let (subject, sent_to) = (call.subject.clone(), call.generation);
+        let Some(generation) = call.generation else {
+            return;
+        };
+        let subject = call.subject.clone();
         let shared = std::mem::take(&mut call.shared);
-        let (model, _) = split_subject(&subject);
-        let sight =
-            version.and_then(|version| VersionSight::told(version, VersionTeller::Answer, now));
-        if sight.is_some() {
-            let known = self.base(&subject).and_then(|held| held.sight);
-            if VersionMatch::of(known, sight) == VersionMatch::Unlike {
-                self.outdate_memory(model);
-            }
-            let mut models = self.models.iter_mut();
-            if let Some(held) = models.find(|held| held.name.as_str() == model) {
-                held.sight = sight;
-            }
+        if self.generation(&subject) != Some(generation) {
+            return;
         }
-        // Where it was loaded anew meanwhile nobody knows which of the two has read it, and this generation is asked for no more.
-        self.read_parts.note(&subject, sent_to, &shared);
+        let sight = VersionSight::told(version, VersionTeller::Answer, now);
+        self.see_base(split_subject(&subject).0, sight);
+        self.read_parts.note(&subject, generation, &shared);
     }
 
     /// A call that is sent to it now.
-    pub fn sent_call(
-        &mut self,
-        ask: &PlacementAsk,
-        named: Option<u64>,
-        source: Option<TargetName>,
-    ) -> SentCall {
+    pub fn sent_call(&mut self, ask: &PlacementAsk) -> SentCall {
         let shared = shared_parts(&ask.prefix);
-        let mark = named.unwrap_or(0);
-        self.sent_parts.note(&ask.subject, mark, &shared);
+        let generation = self.generation(&ask.subject);
+        if let Some(generation) = generation {
+            self.sent_parts.note(&ask.subject, generation, &shared);
+        }
         SentCall {
             subject: ask.subject.clone(),
             tokens: ask.most_tokens(),
             shared,
-            generation: self.generation(&ask.subject),
-            source,
+            generation,
         }
     }
 
-    /// Tokens at the start of a prompt that it has likely kept since this version was named.
+    /// Tokens at the start of a prompt that it has likely kept.
     #[must_use]
-    pub fn kept_tokens(&self, ask: &PlacementAsk, named: Option<u64>) -> u32 {
-        let mark = named.unwrap_or(0);
-        self.sent_parts.tokens(&ask.subject, mark, &ask.prefix)
+    pub fn kept_tokens(&self, ask: &PlacementAsk) -> u32 {
+        let generation = self.generation(&ask.subject);
+        generation.map_or(0, |generation| {
+            let sent = &self.sent_parts;
+            sent.tokens(&ask.subject, generation, &ask.prefix)
+        })
     }
 
     /// Memory of a prompt that it has read, of which it is known what made it.
     #[must_use]
     pub fn lendable(&self, ask: &PlacementAsk) -> Option<LendableMemory> {
         let subject = &ask.subject;
-        let generation = self.generation(subject);
+        let generation = self.generation(subject)?;
         let tokens = self.read_parts.tokens(subject, generation, &ask.prefix);
         if tokens == 0 || !self.is_known {
             return None;
@@ -205,13 +232,16 @@
     }
 
     /// Whether a call may use memory with this mark here. Where nobody knows the version of the adapter here, the call has to
-    /// name the one that it expects: the engine turns it away if it has another.
+    /// name the one that it expects: the engine turns it away if it has another, and then its report comes first.
     #[must_use]
     pub fn may_use(&self, mark: MemoryMark, subject: &AdapterName, named: Option<u64>) -> bool {
         let own = self.copies.get(subject).and_then(|copy| copy.sight);
-        let adapter = named.or(own.map(|sight| sight.version));
-        let is_fit = mark.adapter.is_none() || adapter.is_none() || adapter == mark.adapter;
-        is_fit && self.own_base(subject) == Some(mark.base)
+        let is_fit = match (mark.adapter, named.or(own.map(|sight| sight.version))) {
+            (None, _) => true,
+            (Some(_), None) => self.report_at.is_none() && !self.is_reporting,
+            (made_by, known) => made_by == known,
+        };
+        self.is_known && is_fit && self.own_base(subject) == Some(mark.base)
     }
 
     /// Holds a copy as it is until a call elsewhere has its memory.
@@ -221,10 +251,11 @@
         }
     }
 
-    /// A call elsewhere has the memory, or does not need it any more.
-    pub fn end_loan(&mut self, subject: &AdapterName, key: &CallKey) {
+    /// A call elsewhere has the memory, or does not need it any more. One whose gateway can't be reached may yet take it until a time.
+    pub fn end_loan(&mut self, subject: &AdapterName, key: &CallKey, held_until: Instant) {
         if let Some(copy) = self.copies.get_mut(subject) {
             copy.lent_to.retain(|borrower| borrower != key);
+            copy.lent_until = copy.lent_until.max(held_until);
         }
     }
 }
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -81,10 +81,12 @@
     pub prompts: PromptQueue,
     /// Adapters that it had, with the version that was named then.
     lately: VecDeque<(AdapterName, Option<u64>)>,
-    /// Parts of the prompts that were sent, by the version that was named then.
+    /// Parts of the prompts that were sent, by generation.
     sent_parts: PartMemory,
     /// Parts of the prompts that were read here, by generation.
     read_parts: PartMemory,
+    /// Whether the list's entry is from before the engine was seen to start again.
+    entry_is_old: bool,
     /// Generations given out.
     generations: u64,
     tokens_sent: u64,
@@ -120,6 +122,7 @@
             lately: VecDeque::new(),
             sent_parts: PartMemory::default(),
             read_parts: PartMemory::default(),
+            entry_is_old: false,
             generations: 0,
             tokens_sent: 0,
             entry,
@@ -138,7 +141,7 @@
             let sight = VersionSight::told(resident.version, VersionTeller::List, now);
             let generation = engine.next_generation();
             let mut copy = ResidentCopy::new(ResidentState::Here, sight, generation, now);
-            copy.held_until = now.after(ADOPTED_WITHIN);
+            copy.hold_for_unknown(now);
             engine.copies.insert(resident.adapter.clone(), copy);
         }
         engine
@@ -162,6 +165,7 @@
     pub fn take_entry(&mut self, entry: Arc<TargetEntry>, now: Instant) {
         let life = self.entry.life;
         if entry.life == life {
+            self.entry_is_old &= *entry == *self.entry;
             self.entry = entry;
             self.take_listed_versions(now);
         } else if entry.life == TargetLife::default() {
@@ -211,6 +215,7 @@
     /// Takes over what the engine reports. Copies whose load waits here are kept.
     pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
         self.is_known = true;
+        self.entry_is_old |= report.orders_taken < self.sequence;
         self.sequence = report.orders_taken;
         self.take_models(&report.models, now);
         self.own_copies.clone_from(&report.own_copies);
@@ -261,7 +266,7 @@
         let Some(known) = known else {
             let generation = self.next_generation();
             let mut copy = ResidentCopy::new(state, sight, generation, now);
-            copy.held_until = now.after(ADOPTED_WITHIN);
+            copy.hold_for_unknown(now);
             return copy;
         };
         let is_other = VersionMatch::of(known.sight, sight) == VersionMatch::Unlike;
--- a/crates/core/src/direct/engine/parts.rs
+++ b/crates/core/src/direct/engine/parts.rs
@@ -1,9 +1,8 @@
 //! What an engine has likely kept of prompts.
 //!
-//! Memory of a prompt is worth something only to the weights that made it. What an engine keeps is therefore noted under a mark:
-//! the version that was named when a prompt was sent, where only the engine's own reading time depends on it, and the
-//! generation of the copy that read it, where another engine may take it. A wrong belief of the first kind costs reading, one of
-//! the second kind a wrong answer.
+//! Memory of a prompt is worth something only to the weights that made it, so parts are noted under the generation of what the
+//! prompt was sent to. Those of prompts that were sent say what an engine need not read: a wrong belief costs reading. Those
+//! of prompts that were read say what others may take from it: a wrong belief there costs a wrong answer.
 
 use crate::ids::AdapterName;
 use siphasher::sip::SipHasher13;
@@ -15,7 +14,7 @@
 /// Prompt parts whose use is remembered for each engine.
 const PARTS_KEPT: usize = 256;
 
-/// Prompt parts by adapter and mark; the oldest go first.
+/// Prompt parts by adapter and generation; the oldest go first.
 #[derive(Clone, Debug, Default)]
 pub struct PartMemory {
     /// How often each part stands in the order.
@@ -25,9 +24,9 @@
 
 impl PartMemory {
     /// Notes parts of a prompt.
-    pub fn note(&mut self, subject: &AdapterName, mark: u64, parts: &[u64]) {
+    pub fn note(&mut self, subject: &AdapterName, generation: u64, parts: &[u64]) {
         for part in parts {
-            self.note_one(part_hash(subject, mark, *part));
+            self.note_one(part_hash(subject, generation, *part));
         }
     }
 
@@ -47,10 +46,13 @@
 
     /// Tokens at the start of a prompt whose parts are known one after the other.
     #[must_use]
-    pub fn tokens(&self, subject: &AdapterName, mark: u64, prefix: &[(u64, u32)]) -> u32 {
+    pub fn tokens(&self, subject: &AdapterName, generation: u64, prefix: &[(u64, u32)]) -> u32 {
         prefix
             .iter()
-            .take_while(|(part, _)| self.known.contains_key(&part_hash(subject, mark, *part)))
+            .take_while(|(part, _)| {
+                self.known
+                    .contains_key(&part_hash(subject, generation, *part))
+            })
             .map(|(_, tokens)| tokens)
             .sum()
     }
@@ -63,10 +65,10 @@
     prefix[..shared].iter().map(|(part, _)| *part).collect()
 }
 
-fn part_hash(subject: &AdapterName, mark: u64, part: u64) -> u64 {
+fn part_hash(subject: &AdapterName, generation: u64, part: u64) -> u64 {
     let mut hasher = SipHasher13::new();
     subject.as_str().hash(&mut hasher);
-    mark.hash(&mut hasher);
+    generation.hash(&mut hasher);
     part.hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -12,7 +12,7 @@
         planner::{CallKey, PlacementAsk, PlannerAction, PromptMove, ZonePlanner},
         versions::MemoryMark,
     },
-    ids::{Instant, TargetName},
+    ids::{AdapterName, Instant, TargetName},
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -25,6 +25,13 @@
     tokens: u32,
 }
 
+/// Memory that a call takes from a source.
+#[derive(Clone, Debug)]
+pub(super) struct MemoryLoan {
+    source: TargetName,
+    subject: AdapterName,
+}
+
 /// What an engine has to do for a prompt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PromptWork<'a> {
@@ -40,8 +47,12 @@
     /// Of the zone's engines that can lend memory of a prompt, for each mark the one with the most.
     pub(super) fn prompt_sources(&self, ask: &PlacementAsk, now: Instant) -> Vec<PromptSource> {
         let mut best: Vec<PromptSource> = Vec::new();
+        if now >= self.led_until {
+            return best;
+        }
         for (name, engine) in &self.engines {
             let is_fit = engine.entry.stage == TargetStage::Ready
+                && self.has_own_address(engine)
                 && !self.health.is_out(name, now)
                 && !self.health.is_doubted(name);
             let Some(memory) = engine.lendable(ask).filter(|_| is_fit) else {
@@ -62,6 +73,15 @@
         best
     }
 
+    /// Whether no other engine is listed where an engine is: one that has ended may be listed still, beside the one that followed
+    /// it there.
+    fn has_own_address(&self, engine: &EngineState) -> bool {
+        let mut others = self.engines.values();
+        !others.any(|other| {
+            other.entry.address == engine.entry.address && other.entry.name != engine.entry.name
+        })
+    }
+
     /// What an engine has to do for a prompt, if it may take parts from one of these.
     pub(super) fn prompt_work<'a>(
         &self,
@@ -71,7 +91,7 @@
         now: Instant,
     ) -> PromptWork<'a> {
         let named = self.named_version(&ask.subject);
-        let kept = engine.kept_tokens(ask, named);
+        let kept = engine.kept_tokens(ask);
         let tokens = ask.prompt_tokens.saturating_sub(kept);
         let time = engine.prompts.own_time(tokens, &self.pace, now);
         let alone = PromptWork {
@@ -113,7 +133,7 @@
             return;
         };
         let named = self.named_version(&ask.subject);
-        let kept = engine.kept_tokens(ask, named);
+        let kept = engine.kept_tokens(ask);
         let unfit = sources.iter().find(|source| {
             source.tokens > kept && !engine.may_use(source.mark, &ask.subject, named)
         });
@@ -136,19 +156,25 @@
             .push_back(PlannerAction::Moved(Box::new(moved)));
     }
 
-    /// Lets go of the memory that a call was to take.
-    pub(super) fn end_loans(&mut self, key: &CallKey) {
-        let calls = self
-            .engines
-            .values_mut()
-            .filter_map(|engine| engine.calls.get_mut(key));
-        let loans: Vec<_> = calls
-            .filter_map(|call| Some((call.source.take()?, call.subject.clone())))
-            .collect();
-        for (source, subject) in loans {
-            if let Some(engine) = self.engines.get_mut(&source) {
-                engine.end_loan(&subject, key);
-            }
+    /// Holds what a call takes from a source as it is.
+    pub(super) fn lend(&mut self, source: &PromptSource, ask: &PlacementAsk, key: &CallKey) {
+        if let Some(engine) = self.engines.get_mut(&source.name) {
+            engine.lend(&ask.subject, key);
+            let loan = MemoryLoan {
+                source: source.name.clone(),
+                subject: ask.subject.clone(),
+            };
+            self.loans.insert(key.clone(), loan);
+        }
+    }
+
+    /// Lets go of the memory that a call was to take, but for one that may yet take it until a time.
+    pub(super) fn end_loan(&mut self, key: &CallKey, held_until: Instant) {
+        let Some(loan) = self.loans.remove(key) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&loan.source) {
+            engine.end_loan(&loan.subject, key, held_until);
         }
     }
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -3,7 +3,8 @@
 //! Everything that the engines of a zone are sent passes through one planner, so it knows the calls in flight, the
 //! prompts that wait and the adapters in use. It is soft state: after a takeover it is rebuilt from the engines' own
 //! reports and from the calls that gateways still have open. Engines check what matters (adapter, version, fence,
-//! sequence), so a mistake here costs time and never a wrong answer.
+//! sequence), so a mistake here costs time and never a wrong answer, but for the memory of prompts that engines take from each
+//! other: nothing checks which versions made that but `fetching`.
 //!
 //! | module | job |
 //! |---|---|
@@ -36,6 +37,7 @@
         engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
         loading::LoadLimiter,
+        planner::fetching::MemoryLoan,
         policy::PlacementPolicy,
         reading::ReadingPace,
     },
@@ -70,6 +72,10 @@
     health: HealthTable,
     pace: ReadingPace,
     loads: LoadLimiter,
+    /// Memory that calls are about to take.
+    loans: HashMap<CallKey, MemoryLoan>,
+    /// Until when no other holder can have given orders to these engines.
+    led_until: Instant,
     orders_from: Instant,
     model_load_at: Instant,
     /// Part of the zone's engines that has been busy lately.
@@ -93,6 +99,8 @@
             health: HealthTable::default(),
             pace: ReadingPace::default(),
             loads: LoadLimiter::default(),
+            loans: HashMap::new(),
+            led_until: Instant::default(),
             orders_from,
             model_load_at,
             busy: 0.0,
@@ -122,6 +130,12 @@
         self.orders_from = Instant(u64::MAX);
     }
 
+    /// Until then no other holder can have given orders to these engines. A holder that is cut off from the log, or stood still, may
+    /// have been replaced: its callers are still served, but what copies have read since is not known.
+    pub fn lead_until(&mut self, time: Instant) {
+        self.led_until = time;
+    }
+
     /// Whether the answer to an order is awaited.
     #[must_use]
     pub fn awaits_orders(&self) -> bool {
@@ -209,6 +223,7 @@
 
     /// A gateway tells of a call that it had open before this planner began.
     pub fn adopt(&mut self, key: CallKey, target: &TargetName, subject: &AdapterName) {
+        self.drop_call(&key);
         let Some(engine) = self.engines.get_mut(target) else {
             return;
         };
@@ -219,8 +234,7 @@
             subject: subject.clone(),
             tokens: 0,
             shared: Vec::new(),
-            generation: 0,
-            source: None,
+            generation: None,
         };
         engine.add_call(key, call);
     }
@@ -234,9 +248,11 @@
         version: Option<u64>,
         now: Instant,
     ) {
-        self.end_loans(key);
+        self.end_loan(key, now);
         if let Some(engine) = self.engines.get_mut(target) {
-            engine.note_read(key, version, now);
+            if let Some(version) = version {
+                engine.note_read(key, version, now);
+            }
             engine.prompts.begun(key, &mut self.pace, now);
             if let Some(load) = engine.judge_load(key)
                 && !load.is_judged
@@ -257,12 +273,25 @@
         if let (Some(target), Some(outcome)) = (target, outcome) {
             self.health.note(target, outcome, now);
         }
-        self.end_loans(key);
+        self.end_loan(key, now);
+        for copy in self
+            .engines
+            .values_mut()
+            .flat_map(|engine| engine.copies.values_mut())
+        {
+            copy.waiters.retain(|waiting| waiting.key != *key);
+        }
+        if let Some(subject) = self.drop_call(key)
+            && self.versions.contains_key(&subject)
+        {
+            self.replace_stale(&subject, now);
+        }
+    }
+
+    /// Counts a call no more; returns its adapter if nothing else runs on the copy.
+    pub(super) fn drop_call(&mut self, key: &CallKey) -> Option<AdapterName> {
         let mut freed = None;
         for engine in self.engines.values_mut() {
-            for copy in engine.copies.values_mut() {
-                copy.waiters.retain(|waiting| waiting.key != *key);
-            }
             if let Some(call) = engine.remove_call(key)
                 && let Some(copy) = engine.copies.get_mut(&call.subject)
             {
@@ -272,11 +301,7 @@
                 }
             }
         }
-        if let Some(subject) = freed
-            && self.versions.contains_key(&subject)
-        {
-            self.replace_stale(&subject, now);
-        }
+        freed
     }
 
     /// A target said that it lacks what a call asked for: most likely its load takes longer than expected.
@@ -285,14 +310,19 @@
             return;
         };
         engine.report_at = Some(now);
-        if let Some(load) = engine.judge_load(key) {
+        // What it lacks may be the version that made the memory which the call was to use.
+        let takes_memory = self.loans.contains_key(key);
+        if let Some(load) = engine.judge_load(key).filter(|_| !takes_memory) {
             self.loads.came_late(target, load, now);
         }
-        let copy = engine
-            .calls
-            .get(key)
-            .and_then(|call| engine.copies.get_mut(&call.subject));
-        if let Some(copy) = copy
+        let Some(subject) = engine.calls.get(key).map(|call| call.subject.clone()) else {
+            return;
+        };
+        if !self.versions.contains_key(&subject) {
+            // Where none is named the call may have asked for a version that is not there.
+            engine.outdate_copy(&subject);
+        }
+        if let Some(copy) = engine.copies.get_mut(&subject)
             && matches!(copy.state, ResidentState::Here | ResidentState::Coming(_))
         {
             copy.state = ResidentState::Coming(now.after(LOAD_OVERRUN));
@@ -322,6 +352,7 @@
             for copy in subjects {
                 copy.held_until = now.after(UNCOUNTED_RUN);
             }
+            self.end_loan(&key, now.after(UNCOUNTED_RUN));
             self.ended(&key, None, None, now);
         }
     }
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -226,11 +226,19 @@
                 .copies
                 .get(&subject)
                 .is_some_and(|copy| copy.state != ResidentState::Wanted);
+            if kind == OrderKind::Load && is_adapter {
+                if !engine.copies.contains_key(&subject) {
+                    // It has gone since it was to be replaced.
+                    self.drop_front(name, now);
+                    continue;
+                }
+                if engine.coming(now) >= COMING_MOST {
+                    return;
+                }
+            }
             if kind == OrderKind::Load && is_adapter && !is_held {
                 let is_fast = engine.had_lately(&subject, self.named_version(&subject));
-                if engine.coming(now) >= COMING_MOST
-                    || (!is_fast && self.store_loads(now) >= self.loads.limit())
-                {
+                if !is_fast && self.store_loads(now) >= self.loads.limit() {
                     return;
                 }
                 let taken = engine.places_taken() + engine.late_places(now);
@@ -328,7 +336,10 @@
             let Some(copy) = engine.copies.get_mut(adapter) else {
                 continue;
             };
-            if copy.is_behind(version) && copy.is_free(now) && copy.state == ResidentState::Here {
+            if copy.is_behind(version)
+                && copy.is_replaceable(now)
+                && copy.state == ResidentState::Here
+            {
                 copy.state = ResidentState::Outdated;
                 engine.queue.push_back((OrderKind::Load, adapter.clone()));
                 touched.push(name.clone());
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -296,16 +296,14 @@
         let moved = work.fetch.map(|source| source.mark.expected());
         let version = named.or(moved).or(engine.told_version(&ask.subject));
         self.tell_move(name, &key, ask, &sources, work.fetch);
-        if let Some(source) = work.fetch
-            && let Some(engine) = self.engines.get_mut(&source.name)
-        {
-            engine.lend(&ask.subject, &key);
+        self.drop_call(&key);
+        if let Some(source) = work.fetch {
+            self.lend(source, ask, &key);
         }
         if let Some(engine) = self.engines.get_mut(name) {
             let prompts = &mut engine.prompts;
             prompts.add(key.clone(), work.tokens, ask.priority, now.after(load));
-            let source = work.fetch.map(|source| source.name.clone());
-            let call = engine.sent_call(ask, named, source);
+            let call = engine.sent_call(ask);
             engine.add_call(key, call);
         }
         SentHow {
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -22,6 +22,8 @@
     time::Duration,
 };
 
+/// Time for which a holder knows that there is no other.
+const LEAD: Duration = Duration::from_secs(3);
 /// Time between two entries of an engine in the platform's list.
 const BEAT_MICROS: u64 = 1_200_000;
 /// Virtual microseconds of one step of the play.
@@ -300,6 +302,7 @@
             self.arrive(now);
             if now % 50_000 == 0 {
                 for planner in &mut self.planners {
+                    planner.lead_until(Instant(now).after(LEAD));
                     planner.tick(Instant(now));
                 }
             }
@@ -441,6 +444,7 @@
                     }
                     OrderKind::Unload => {
                         engine.adapters.retain(|held| *held != order.subject);
+                        engine.forget_parts(&order.subject);
                         OrderOutcome::Done
                     }
                 };
@@ -589,6 +593,12 @@
 }
 
 impl ModelEngine {
+    /// Drops what it kept for an adapter, as engines do that unload one.
+    fn forget_parts(&mut self, subject: &AdapterName) {
+        self.kept
+            .retain(|(adapter, _)| format!("base/a{adapter}") != subject.as_str());
+    }
+
     /// Takes up the next prompt, with the tokens that it has to read of it.
     fn next_prompt(
         &mut self,
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -21,6 +21,7 @@
 use siphasher::sip::SipHasher13;
 use std::{
     hash::{Hash, Hasher},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -109,8 +110,10 @@
                 let figures = &self.context.fleet.figures;
                 figures.note_placing(self.arrived.elapsed());
                 self.timeline.note_placed(expected_ms);
+                let lease = self.context.fleet.lease(zone);
                 sleep(Duration::from_millis(u64::from(wait_ms))).await;
                 self.timeline.note_there();
+                let is_led = lease == self.context.fleet.lease(zone);
                 let entry = self.context.fleet.books().catalog.get(&target).cloned();
                 // It may have begun to leave while the adapter came.
                 let Some(entry) = entry.filter(|entry| entry.stage == TargetStage::Ready) else {
@@ -121,7 +124,8 @@
                     // It has started again meanwhile: what was placed there is gone.
                     return None;
                 }
-                self.fetch = fetch;
+                // Another holder knows nothing of the loan, and an address may have passed to another target.
+                self.fetch = fetch.filter(|source| is_led && self.is_one_targets(*source));
                 Some(Placing::At(entry, version, ticket))
             }
             PlacementAnswer::Refuse {
@@ -135,6 +139,16 @@
         }
     }
 
+    /// Whether one target is listed at an address.
+    fn is_one_targets(&self, address: SocketAddr) -> bool {
+        let books = self.context.fleet.books();
+        let listed = books
+            .catalog
+            .iter()
+            .filter(|entry| entry.address == address);
+        listed.count() == 1
+    }
+
     /// The adapter's home zone first. An adapter that this VM is asked for all the time, or that takes much of its home
     /// zone, is at home in the VM's own zone, so that the most popular ones are spread; so is a base model.
     fn zones_in_order(&self) -> Vec<AvailabilityZone> {
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -138,6 +138,7 @@
         let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
         let key = zone_key(&self.fleet.zone);
         let within = self.settings.pace.platform_timeout;
+        let began = clock::now();
         let appended = client
             .append(FLEET_TOPIC, &key, &value, Some(end), within)
             .await;
@@ -145,6 +146,7 @@
             Ok(offset) => {
                 event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone);
                 self.fleet.take_own(key, value, offset);
+                self.fleet.note_fleet_read(began);
                 ClaimResult::Recorded
             }
             Err(StoreError::EndMoved(_)) if self.read_on(client, end).await => {
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -4,6 +4,7 @@
 //! When the log is out of reach one worker of a VM tries again after pauses, and tells the others when it is back.
 
 use crate::{
+    clock,
     direct::{
         access::ZoneAccess, figures::LogOutcome, fleet::FleetState, listing::list_topic,
         message::FeedTopic, reach::StoreReach, settings::PaceSettings,
@@ -22,9 +23,9 @@
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
-/// The same for the fleet's records at a zone's holder. The log does not wake a read that comes in the milliseconds in
-/// which a record is appended (found by a hunt), so what a holder has to know in time it asks for again and again.
-const HOLDER_WAIT: Duration = Duration::from_secs(5);
+/// How long a holder's read of the fleet's records waits: what it knows of leases has to be renewed well within a turn, as it names
+/// no source of memory otherwise. With 1 s between two reads it is 2.5 s old at most; longer waits save calls to the log.
+const HOLDER_WAIT: Duration = Duration::from_millis(1_500);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
 /// Time after the start in which only those first in rank read on.
@@ -89,6 +90,7 @@
         }
         loop {
             let topic = topic_name(self.topic);
+            let began = clock::now();
             let listing = list_topic(&mut client, topic, self.pace.platform_timeout).await;
             let listing = match listing {
                 Ok(listing) => listing,
@@ -101,6 +103,7 @@
             self.note_back();
             let end = listing.end;
             self.fleet.take_listing(self.topic, &listing);
+            self.note_fleet_read(began);
             self.wait_for_link().await;
             self.read_on(&mut client, end).await;
         }
@@ -135,6 +138,13 @@
         }
     }
 
+    /// The newest leases are known as of then: an answer may have waited for a VM that stood still.
+    fn note_fleet_read(&self, known_at: hoplanding_core::ids::Instant) {
+        if self.topic == FeedTopic::Fleet {
+            self.fleet.note_fleet_read(known_at);
+        }
+    }
+
     fn hears_holder(&self) -> bool {
         let lease = self.fleet.lease(&self.fleet.zone);
         lease.is_some_and(|lease| self.access.is_heard(&lease, READ_SILENCE))
@@ -158,7 +168,9 @@
             // What was passed on meanwhile need not be read again.
             from = from.max(self.fleet.known_end(self.topic));
             let mut returns = self.reach.watch();
-            let reading = client.read(topic, from, self.wait(), self.pace.platform_timeout);
+            let began = clock::now();
+            let wait = self.wait();
+            let reading = client.read(topic, from, wait, self.pace.platform_timeout);
             let read = tokio::select! {
                 read = reading => read,
                 // Another feed lost the log and has it back: this connection may be dead.
@@ -168,6 +180,15 @@
                 Ok(batch) => {
                     self.note_back();
                     self.fleet.take_records(self.topic, from, &batch);
+                    if batch.next == batch.end {
+                        // Without a record the log has waited all the time that it was to.
+                        let waited = if batch.records.is_empty() {
+                            wait
+                        } else {
+                            Duration::ZERO
+                        };
+                        self.note_fleet_read(began.after(waited));
+                    }
                     from = batch.next;
                     sleep(self.pause_between()).await;
                 }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -88,6 +88,8 @@
     pub vms: HashMap<VmName, VmRecord>,
     /// End of the fleet's topic as read.
     pub fleet_end: Option<LogOffset>,
+    /// Time up to which all of the fleet's topic is known, and so the newest leases.
+    pub fleet_read_at: Option<Instant>,
     /// The topics of which every key is known, by a listing of this VM's own or another's, and the offset before which no
     /// record is missing.
     pub ends: BTreeMap<FeedTopic, LogOffset>,
@@ -202,6 +204,7 @@
                 leases: HashMap::new(),
                 vms: HashMap::new(),
                 fleet_end: None,
+                fleet_read_at: None,
                 ends: BTreeMap::new(),
                 contact: LogContact::default(),
                 health: HealthTable::default(),
@@ -361,6 +364,13 @@
         self.books().leases.get(zone)?.lease.clone()
     }
 
+    /// All of the fleet's topic is known as of then.
+    pub fn note_fleet_read(&self, known_at: Instant) {
+        let mut books = self.books();
+        let known = books.fleet_read_at.get_or_insert(known_at);
+        *known = known_at.max(*known);
+    }
+
     /// Targets of a service in a zone, whatever their stage.
     #[must_use]
     pub fn zone_targets(
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -164,7 +164,9 @@
                 },
                 _ = changes.changed() => self.refresh(),
                 _ = tick.tick(), if self.held.is_some() => {
+                    let led_until = self.led_until();
                     if let Some(held) = &mut self.held {
+                        held.planner.lead_until(led_until);
                         held.planner.tick(clock::now());
                         held.tell_loads();
                     }
@@ -257,6 +259,12 @@
         }
     }
 
+    /// A successor gives no order for a turn after it has claimed the zone, unless this VM has given it up or ended.
+    fn led_until(&self) -> hoplanding_core::ids::Instant {
+        let read_at = self.fleet.books().fleet_read_at;
+        read_at.unwrap_or_default().after(self.settings.leases.turn)
+    }
+
     /// Gives the lease up for a stronger VM once no order is under way, so that the successor's are the next ones.
     fn yield_when_quiet(&mut self) {
         let Some(held) = &self.held else {
@@ -295,6 +303,7 @@
     /// Compares what is held with the books.
     fn refresh(&mut self) {
         let now = clock::now();
+        let led_until = self.led_until();
         let books = self.fleet.books();
         let lease = books.leases.get(&self.fleet.zone).filter(|state| {
             state.lease.as_ref().is_some_and(|lease| {
@@ -341,6 +350,7 @@
         held.service.clone_from(&service);
         held.planner.set_limits(limits);
         held.planner.set_policy(policy);
+        held.planner.lead_until(led_until);
         held.planner
             .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
         for (subject, version) in versions {
