Bar sources after a takeover, unknown restarts, and calls without the holder from making memory of other versions

Found by drawn worlds and by the model of versions: a call that a gateway places without the holder asked for no version and could make memory at a copy that a late order had replaced unseen; an engine that has taken no order may have started again unseen and takes the next order all the same. Now such a call asks for the listed version; a successor names no source for 12.5 s where the zone had another holder, unless the engine has taken an order of its own; an engine's weights are unknown from its first order to its next answer.

--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     direct::{
-        engine::{EngineState, HeldModel, ResidentState, SentCall, shared_parts},
+        engine::{EngineOrder, EngineState, HeldModel, ResidentState, SentCall, shared_parts},
         planner::{CallKey, PlacementAsk, split_subject},
         versions::{MemoryMark, MemoryVersions, VersionMatch, VersionSight, VersionTeller},
     },
@@ -130,6 +130,18 @@
         }
     }
 
+    /// It has taken an order. One that expects none before it is taken as well by an engine that has started again unseen, with other
+    /// weights: its next answer or report tells.
+    pub fn note_taken(&mut self, order: &EngineOrder) {
+        self.is_ours = true;
+        if order.expected == 0 {
+            let models: Vec<_> = self.models.iter().map(|held| held.name.clone()).collect();
+            for model in models {
+                self.outdate_memory(model.as_str());
+            }
+        }
+    }
+
     /// Takes over versions from the list for copies of which nothing else told them, if the entry is as new as what is known. Where
     /// it tells of more orders than are known here, others gave them, and the engine's own report is read.
     pub(super) fn take_listed_versions(&mut self, now: Instant) {
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -43,7 +43,7 @@
 /// Age that a report may have.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which an order without an answer is no longer carried out; the users tell of 12 seconds at the most.
-const LATE_ORDER: Duration = Duration::from_millis(12_500);
+pub const LATE_ORDER: Duration = Duration::from_millis(12_500);
 
 /// One engine.
 #[derive(Clone, Debug)]
@@ -85,6 +85,8 @@
     sent_parts: PartMemory,
     /// Parts of the prompts that were read here, by generation.
     read_parts: PartMemory,
+    /// Whether it has taken an order of this holder, so that none of an earlier one is carried out any more.
+    pub is_ours: bool,
     /// Whether the list's entry is from before the engine was seen to start again.
     entry_is_old: bool,
     /// Generations given out.
@@ -122,6 +124,7 @@
             lately: VecDeque::new(),
             sent_parts: PartMemory::default(),
             read_parts: PartMemory::default(),
+            is_ours: false,
             entry_is_old: false,
             generations: 0,
             tokens_sent: 0,
--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -76,6 +76,8 @@
     pub lease: Option<ZoneLease>,
     /// Its offset.
     pub offset: LogOffset,
+    /// Whether the zone has had a holder before the newest record's.
+    pub had_holder: bool,
     /// Since when the zone has had no holder that can be reached.
     vacant_since: Option<Instant>,
     /// Since when this VM has heard a holder that is weaker, or asked it last.
@@ -88,6 +90,7 @@
         if self.lease.is_some() && offset <= self.offset {
             return false;
         }
+        self.had_holder |= self.lease.is_some();
         self.offset = offset;
         self.lease = lease;
         self.vacant_since = None;
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -52,6 +52,7 @@
         }
         for (name, engine) in &self.engines {
             let is_fit = engine.entry.stage == TargetStage::Ready
+                && (engine.is_ours || now >= self.settled_from)
                 && self.has_own_address(engine)
                 && !self.health.is_out(name, now)
                 && !self.health.is_doubted(name);
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -34,7 +34,7 @@
         catalog::TargetEntry,
         config::EngineLimits,
         demand::DemandTable,
-        engine::{EngineState, ResidentState, SentCall, UNCOUNTED_RUN},
+        engine::{EngineState, LATE_ORDER, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
         loading::LoadLimiter,
         planner::fetching::MemoryLoan,
@@ -76,6 +76,8 @@
     loans: HashMap<CallKey, MemoryLoan>,
     /// Until when no other holder can have given orders to these engines.
     led_until: Instant,
+    /// From when on no order of an earlier holder is carried out any more.
+    settled_from: Instant,
     orders_from: Instant,
     model_load_at: Instant,
     /// Part of the zone's engines that has been busy lately.
@@ -101,6 +103,7 @@
             loads: LoadLimiter::default(),
             loans: HashMap::new(),
             led_until: Instant::default(),
+            settled_from: Instant::default(),
             orders_from,
             model_load_at,
             busy: 0.0,
@@ -130,6 +133,11 @@
         self.orders_from = Instant(u64::MAX);
     }
 
+    /// The zone had another holder before: an order of that one may be carried out late, and replace a copy unseen.
+    pub fn succeed(&mut self, now: Instant) {
+        self.settled_from = now.after(LATE_ORDER);
+    }
+
     /// Until then no other holder can have given orders to these engines. A holder that is cut off from the log, or stood still, may
     /// have been replaced: its callers are still served, but what copies have read since is not known.
     pub fn lead_until(&mut self, time: Instant) {
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -37,6 +37,9 @@
         let is_model = split_subject(&subject).1.is_none();
         let mut failed = false;
         engine.ordered_at = now;
+        if matches!(outcome, OrderOutcome::Begun | OrderOutcome::Done) {
+            engine.note_taken(&order);
+        }
         match (outcome, order.kind) {
             (OrderOutcome::Done | OrderOutcome::Begun, _) if is_model => {
                 engine.sequence += 1;
--- a/crates/core/tests/direct_lending.rs
+++ b/crates/core/tests/direct_lending.rs
@@ -406,6 +406,8 @@
 fn a_load_is_not_late_where_only_the_version_of_moved_memory_is_another() {
     let mut without = report(1, 0);
     without.adapters.clear();
+    // The load of its base model: it can't have started again unseen.
+    without.orders_taken = 1;
     let mut engines = engines(&[(1, 1), (1, 0)]);
     engines[1].1 = without;
     let mut planner = planner(&engines);
@@ -529,3 +531,31 @@
     planner.set_targets(vec![Arc::new(listed(1, 1, 3))], SETTLED);
     assert_eq!(sight(&planner).map(|sight| sight.version), Some(1));
 }
+
+// The engine may have started again unseen, with other weights: an order that expects none before it is taken all the same.
+#[test]
+fn an_engine_that_takes_its_first_order_takes_no_memory_until_it_tells_its_weights() {
+    let mut without = report(1, 0);
+    without.adapters.clear();
+    let mut engines = engines(&[(1, 1), (1, 0)]);
+    engines[1].1 = without;
+    let mut planner = planner(&engines);
+    read(&mut planner, 1, &["e2"], 1, SETTLED);
+    planner.place(key(2), loading(&["e1"]), SETTLED);
+    assert_eq!(replaced(&mut planner), [target(2)]);
+    planner.order_ended(&target(2), OrderOutcome::Begun, SETTLED);
+    assert_eq!(placed(&mut planner).fetch, None);
+}
+
+// An order of the holder before may be carried out seconds after its lease has ended, and replace a copy unseen.
+#[test]
+fn a_successor_names_no_source_while_orders_of_the_holder_before_may_be_carried_out() {
+    let later = SETTLED.after(Duration::from_secs(13));
+    for (now, fetch) in [(SETTLED, None), (later, Some(address(1)))] {
+        let mut planner = planner(&engines(&[(1, 1), (1, 1)]));
+        planner.succeed(SETTLED);
+        read(&mut planner, 1, &["e2"], 1, SETTLED);
+        planner.lead_until(now.after(READING));
+        assert_eq!(place(&mut planner, 2, &["e1"], now).fetch, fetch);
+    }
+}
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -222,10 +222,26 @@
             .filter(|entry| !books.health.is_out(&entry.name, now))
             .filter(|entry| holds(entry, &subject, version))
             .min_by_key(|entry| books.in_flight.get(&entry.run()).copied().unwrap_or(0))
-            .map(|entry| Placing::At(Arc::clone(entry), version, None))
+            .map(|entry| {
+                // The holder does not know of this call: it must not make memory that is taken for another version's.
+                let version = version.or_else(|| listed_version(entry, &subject));
+                Placing::At(Arc::clone(entry), version, None)
+            })
     }
 }
 
+/// The version of an adapter, or of a base model, by its target's entry.
+fn listed_version(entry: &TargetEntry, subject: &AdapterName) -> Option<u64> {
+    let mut adapters = entry.adapters.iter();
+    let adapter = adapters.find(|resident| resident.adapter == *subject);
+    let mut models = entry.models.iter();
+    let model = models.find(|(model, _)| model == subject.as_str());
+    let version = adapter
+        .map(|resident| resident.version)
+        .or(model.map(|(_, version)| *version));
+    version.filter(|version| *version > 0)
+}
+
 fn holds(entry: &TargetEntry, subject: &AdapterName, version: Option<u64>) -> bool {
     if !subject.as_str().contains('/') {
         return entry
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -312,6 +312,10 @@
             })
         });
         let token = lease.map(hoplanding_core::direct::lease::LeaseState::token);
+        let had_holder = books
+            .leases
+            .get(&self.fleet.zone)
+            .is_some_and(|state| state.had_holder);
         let quiet = books.claim_quiet;
         let policy = books.policy;
         let service = books.active.as_ref().and_then(|active| {
@@ -344,9 +348,13 @@
             );
         }
         let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
-        let held = self
-            .held
-            .get_or_insert_with(|| hold(token, &service, &limits, zones, now.after(quiet)));
+        let held = self.held.get_or_insert_with(|| {
+            let mut held = hold(token, &service, &limits, zones, now.after(quiet));
+            if had_holder {
+                held.planner.succeed(now.after(quiet));
+            }
+            held
+        });
         held.service.clone_from(&service);
         held.planner.set_limits(limits);
         held.planner.set_policy(policy);
