--- a/specs/versions.pml
+++ b/specs/versions.pml
@@ -3,16 +3,16 @@
  *
  * An operator names versions of one adapter; the log tells the zone's holder of them late, and of some not at all. Each
  * target has one copy, and parts of one prompt with the version that made them. The holder orders loads and unloads,
- * reads reports and places requests, with or without a source of memory. Whatever is sent arrives in a step of its own: a
- * request takes memory as it arrives and begins later; a load that was taken is done later, after the copy's runs; an
- * order without an answer is lost, or carried out later. A successor knows the reports and the open requests.
+ * reads reports and places requests, with or without a source of memory. A request arrives and takes memory in a step of
+ * its own, and begins in another; a load that was taken is done later, after the copy's runs; an order without an answer
+ * is lost, or carried out later. A successor knows the reports and the open requests.
  *
  * The invariants:
  *   MEMORY   no run uses memory made under another version than it runs under (assert in begin)
  *   VERSION  no run is on an older version than its holder knew when it placed the request (assert in begin)
- *   IN USE   an order whose answer the holder awaits meets no request at the copy, and no loan of it (assert in target)
- *   NEWEST   once nothing more can happen, every copy has the newest version (assert in last). The check for cycles shows
- *            that no state comes back, so this end is reached whatever goes first
+ *   IN USE   an order that is answered meets no request at the copy, and no loan of it (assert in give)
+ *   NEWEST   once nothing more can happen, every copy has the newest version (assert in last). The check for cycles
+ *            shows that no state comes back, so this end is reached whatever goes first
  *
  * A target keeps parts over a replacement and lends them by name alone, and uses none of another version that it made
  * itself. It checks the version that a request expects as the request arrives.
@@ -37,8 +37,8 @@
  *   NO_LOOK          (i) no report is read after a missing answer or a 421
  * MEMORY_ONLY leaves the asserts of VERSION and IN USE out, to see what MEMORY owes to a measure; SEEK_MOVE looks for a
  * run with memory of the newest version after the takeover, so that the others don't hold for want of moves.
- * CHECK_AT_BEGIN chooses a target that checks the version as a request begins, DROPS_PARTS one that drops parts with the
- * version that made them.
+ * CHECK_AT_BEGIN chooses a target that checks the version as a request begins, DROPS_PARTS one that drops parts with
+ * the version that made them.
  */
 #ifndef T
 #define T 2        /* targets */
@@ -61,7 +61,6 @@
 #ifndef RESTARTS
 #define RESTARTS 0
 #endif
-#define LATE 2     /* orders without an answer that one target may yet get */
 
 /* A copy's version, or what the holder takes it for. */
 #define ABSENT 0
@@ -90,10 +89,7 @@
 bool barred[T];   
 byte noted[T];           /* versions that made parts there, one bit each */
 
-/* Orders on their way; one is void once the target has taken others than it expects. */
-byte awaited[T];
-bool awaitedVoid[T];
-byte late[T * LATE];
+byte late[T];            /* an order without an answer that the target may yet get */
 byte lost = 0;
 byte unloads = 0;
 byte takes = 0;
@@ -158,17 +154,16 @@
 #ifdef NO_EXPECTED
 #define IN_TURN(t) true
 #else
-#define IN_TURN(t) !awaitedVoid[t]
+#define IN_TURN(t) (behind[t] == false)
 #endif
 
-#define HAS_LATE(t) (late[(t) * LATE] != NOTHING || late[(t) * LATE + 1] != NOTHING)
 #define VERSION_OF(order) (order == NEWEST -> named : order)
 #define HAS_DONE(t, order) (order == UNLOAD -> copy[t] == ABSENT : copy[t] == VERSION_OF(order))
 #define BELIEVED(order) (order == UNLOAD -> ABSENT : order)
 
 /* A request may be placed here; the version that it asks for, if known. */
 #define IS_FRESH(t) (told == 0 || (sight[t] != UNKNOWN && sight[t] >= told))
-#define CAN_SERVE(t) (awaited[t] == NOTHING && sight[t] != ABSENT && IS_FRESH(t))
+#define CAN_SERVE(t) (sight[t] != ABSENT && IS_FRESH(t))
 #define ASKED(t) (told != 0 -> told : sight[t])
 #ifdef BAR_SOURCE_ONLY
 #define BORROWER_BARRED(t) false
@@ -176,7 +171,7 @@
 #define BORROWER_BARRED(t) IS_BARRED(t)
 #endif
 #define CAN_BORROW(t) (CAN_SERVE(t) && ASKED(t) != UNKNOWN && sight[t] == ASKED(t) && !BORROWER_BARRED(t))
-#define CAN_LEND(s, v) (awaited[s] == NOTHING && COPY_IS(s, v) && PARTS_ARE(s, v) && !IS_BARRED(s))
+#define CAN_LEND(s, v) (COPY_IS(s, v) && PARTS_ARE(s, v) && !IS_BARRED(s))
 
 inline send(r, t) {
   placed++; state[r] = SENT; at[r] = t; knew[r] = told; uses[r] = true; expects[r] = told;
@@ -265,46 +260,27 @@
   od
 }
 
-/* An order is taken, and those that did not expect it are void. */
+/* An order is taken, and a late one that did not expect it is void. */
 inline take(t, what) {
   under[t] = (what == UNLOAD -> UNLOAD : VERSION_OF(what));
   behind[t] = known[t];
 #ifndef NO_EXPECTED
-  late[t * LATE] = NOTHING; late[t * LATE + 1] = NOTHING;
+  late[t] = NOTHING
 #endif
-  awaitedVoid[t] = (awaited[t] != NOTHING)
-}
-
-inline arriveLate(t, i) {
-  what = late[i]; late[i] = NOTHING;
-  if
-  :: under[t] == NOTHING && !HAS_DONE(t, what) -> take(t, what)
-  :: true -> skip                                             /* never */
-  fi;
-  what = NOTHING
 }
 
 proctype target(byte t) {
   byte what;
 end:
   do
-  /* The order that the holder awaits arrives. */
-  :: atomic { awaited[t] != NOTHING ->
-       what = awaited[t]; awaited[t] = NOTHING;
+  /* A late order arrives, or never does. */
+  :: atomic { late[t] != NOTHING ->
+       what = late[t]; late[t] = NOTHING;
        if
-       :: IN_TURN(t) && under[t] == NOTHING && !HAS_DONE(t, what) ->
-#ifndef MEMORY_ONLY
-            assert(!ANY(IS_AT, t) && !ANY(TAKES_FROM, t));        /* IN USE */
-#endif
-            take(t, what);
-            sight[t] = BELIEVED(what); behind[t] = false; barred[t] = false
-       :: IN_TURN(t) && under[t] == NOTHING && HAS_DONE(t, what) -> sight[t] = BELIEVED(what)
-       :: else -> lookAnew(t)
+       :: under[t] == NOTHING && !HAS_DONE(t, what) -> take(t, what)
+       :: true -> skip
        fi;
-       what = NOTHING; awaitedVoid[t] = false }
-  /* A late one arrives, or never does. */
-  :: atomic { late[t * LATE] != NOTHING -> arriveLate(t, t * LATE) }
-  :: atomic { late[t * LATE + 1] != NOTHING -> arriveLate(t, t * LATE + 1) }
+       what = NOTHING }
   /* What was taken is done; it waits for the copy's runs. */
   :: atomic { under[t] != NOTHING && !ANY(RUNS_AT, t) ->
        if
@@ -319,21 +295,28 @@
   od
 }
 
-inline give(t, what) { awaited[t] = what; awaitedVoid[t] = behind[t] }
-
-/* An order's answer does not come. */
-inline giveUp(t) {
-#ifndef NO_EXPECTED
-  if :: awaitedVoid[t] -> awaited[t] = NOTHING :: else fi;
-#endif
+/*
+ * An order is given. The holder does nothing at a target while it awaits an answer, so one that is answered takes one
+ * step; one that is given up is late.
+ */
+inline give(t, what) {
   if
-  :: late[t * LATE] == NOTHING -> late[t * LATE] = awaited[t]
-  :: else -> late[t * LATE + 1] = awaited[t]
-  fi;
-  awaited[t] = NOTHING; awaitedVoid[t] = false; lookAnew(t)
+  :: IN_TURN(t) && under[t] == NOTHING && !HAS_DONE(t, what) ->
+#ifndef MEMORY_ONLY
+       assert(!ANY(IS_AT, t) && !ANY(TAKES_FROM, t));        /* IN USE */
+#endif
+       take(t, what);
+       sight[t] = BELIEVED(what); behind[t] = false; barred[t] = false
+  :: IN_TURN(t) && under[t] == NOTHING && HAS_DONE(t, what) -> sight[t] = BELIEVED(what)
+  :: !IN_TURN(t) || under[t] != NOTHING -> lookAnew(t)
+  :: IN_TURN(t) && lost < LOST && late[t] == NOTHING -> lost++; late[t] = what; lookAnew(t);
+#ifndef BAR_OLD_ONLY
+       barred[t] = true
+#endif
+  fi
 }
 
-#define FREE_TO_ORDER(t) (known[t] && awaited[t] == NOTHING && !IN_USE(t) && !IS_LENT(t))
+#define FREE_TO_ORDER(t) (known[t] && !IN_USE(t) && !IS_LENT(t))
 
 #ifdef UNKNOWN_IS_OLD
 #define IS_OLD(t) (sight[t] < told || sight[t] == UNKNOWN)
@@ -343,11 +326,9 @@
 #ifdef NO_LOOK
 #define IS_DUE(t) (sight[t] == UNKNOWN)
 #else
-#define IS_DUE(t) (!known[t] || sight[t] == UNKNOWN || (barred[t] && !HAS_LATE(t)))
+#define IS_DUE(t) (!known[t] || sight[t] == UNKNOWN || (barred[t] && late[t] == NOTHING))
 #endif
 
-#define IS_QUIET(t) (awaited[t] == NOTHING && under[t] == NOTHING)
-
 /* The holder's work on one target. */
 proctype holder(byte t) {
 #ifdef LOAN_OF_COPY
@@ -362,13 +343,8 @@
   :: atomic { FREE_TO_ORDER(t) && sight[t] == ABSENT && told == 0 -> give(t, NEWEST) }
   /* Make room. */
   :: atomic { FREE_TO_ORDER(t) && sight[t] != ABSENT && unloads < UNLOADS -> unloads++; give(t, UNLOAD) }
-  :: atomic { awaited[t] != NOTHING && lost < LOST -> lost++; giveUp(t);
-#ifndef BAR_OLD_ONLY
-       barred[t] = true
-#endif
-     }
   /* Read the report. */
-  :: atomic { IS_QUIET(t) && IS_DUE(t) ->
+  :: atomic { under[t] == NOTHING && IS_DUE(t) ->
        known[t] = true; sight[t] = copy[t]; behind[t] = false;
 #ifdef LOAN_OF_COPY
        if
@@ -376,12 +352,12 @@
        :: else
        fi;
 #endif
-       if :: !HAS_LATE(t) -> barred[t] = false :: else fi }
+       if :: late[t] == NOTHING -> barred[t] = false :: else fi }
 #ifdef BAR_NO_SIGHT
-  :: atomic { barred[t] && !HAS_LATE(t) -> barred[t] = false }
+  :: atomic { barred[t] && late[t] == NOTHING -> barred[t] = false }
 #endif
   /* Somebody asks for a copy that is not what it is taken for, and gets 421. */
-  :: atomic { placed == R && told == named && known[t] && IS_QUIET(t) && sight[t] != copy[t] -> lookAnew(t) }
+  :: atomic { placed == R && told == named && known[t] && under[t] == NOTHING && sight[t] != copy[t] -> lookAnew(t) }
   od
 }
 
@@ -407,7 +383,6 @@
 end:
   atomic { takes < TAKES -> takes++; told = 0;
     for (t : 0 .. T - 1) {
-      if :: awaited[t] != NOTHING -> giveUp(t) :: else fi;
       sight[t] = copy[t]; behind[t] = false; known[t] = false; barred[t] = true; noted[t] = 0
     }
     for (r : 0 .. R - 1) {
@@ -429,7 +404,7 @@
 end:
   atomic { restarts < RESTARTS -> restarts++;
     copy[t] = ABSENT; parts[t] = 0; under[t] = NOTHING; noted[t] = 0; known[t] = false; behind[t] = false;
-    awaited[t] = NOTHING; awaitedVoid[t] = false; late[t * LATE] = NOTHING; late[t * LATE + 1] = NOTHING;
+    late[t] = NOTHING;
     for (r : 0 .. R - 1) {
       if
       :: state[r] == SENT && at[r] == t -> expects[r] = OTHER_LIFE
