--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -279,10 +279,12 @@
     args.push(model.to_str().expect("the path is text"));
     run("spin", &args, &folder);
     let is_ending = check.question == SpecQuestion::IsEnding;
+    // A counterexample turns up soon, so there the compiler's time counts for more than the checker's.
+    let is_short = check.question == SpecQuestion::IsBroken;
     run(
         "gcc",
         &[
-            "-O2",
+            if is_short { "-O1" } else { "-O2" },
             if is_ending { "-DNP" } else { "-DSAFETY" },
             "-DMEMLIM=4000",
             "-w",
--- a/specs/versions.pml
+++ b/specs/versions.pml
@@ -223,28 +223,41 @@
   fi
 }
 
-#define NEXT(r) (state[r] == FREE && placed == r)
-#define PLACE(t) :: atomic { NEXT(r) && CAN_SERVE(t) -> send(r, t) }
-#define PLACE_WITH(t, s) \
-  :: atomic { NEXT(r) && CAN_BORROW(t) && CAN_LEND(s, ASKED(t)) -> send(r, t); sendWith(r, t, s) }
+#if T == 3
+#define SOME_SERVES (CAN_SERVE(0) || CAN_SERVE(1) || CAN_SERVE(2))
+#else
+#define SOME_SERVES (CAN_SERVE(0) || CAN_SERVE(1))
+#endif
+#define SOURCE(s) t != s && CAN_BORROW(t) && CAN_LEND(s, ASKED(t)) -> sendWith(r, t, s)
 
 proctype request(byte r) {
+  byte t;
 end:
   do
-  PLACE(0) PLACE(1) PLACE_WITH(0, 1) PLACE_WITH(1, 0)
+  :: atomic { state[r] == FREE && placed == r && SOME_SERVES ->
+       if
+       :: CAN_SERVE(0) -> t = 0
+       :: CAN_SERVE(1) -> t = 1
 #if T == 3
-  PLACE(2) PLACE_WITH(0, 2) PLACE_WITH(1, 2) PLACE_WITH(2, 0) PLACE_WITH(2, 1)
+       :: CAN_SERVE(2) -> t = 2
 #endif
-  /* It arrives, and begins or takes what the source has of the prompt, if the target has nothing of use itself. */
-  :: atomic { state[r] == SENT ->
+       fi;
+       send(r, t);
        if
-       :: MISMATCH(r) -> refuse(r)
-       :: !MISMATCH(r) && from[r] == NOWHERE -> begin(r)
-       :: else ->
-            state[r] = TOOK;
-            if :: parts[at[r]] != copy[at[r]] -> memory[r] = parts[from[r]] :: else fi
-       fi }
-  :: atomic { state[r] == TOOK -> begin(r) }
+       :: SOURCE(0)
+       :: SOURCE(1)
+#if T == 3
+       :: SOURCE(2)
+#endif
+       :: true -> skip
+       fi;
+       t = 0 }
+  :: atomic { state[r] == SENT && MISMATCH(r) -> refuse(r) }
+  /* It arrives, and takes what the source has of the prompt, if the target has nothing of use itself. */
+  :: atomic { state[r] == SENT && !MISMATCH(r) && from[r] != NOWHERE ->
+       state[r] = TOOK;
+       if :: parts[at[r]] != copy[at[r]] -> memory[r] = parts[from[r]] :: else fi }
+  :: atomic { (state[r] == SENT && !MISMATCH(r) && from[r] == NOWHERE) || state[r] == TOOK -> begin(r) }
   :: atomic { state[r] == RUNS -> if :: says[r] != 0 -> state[r] = DONE :: else -> ends(r) fi }
 #ifdef LEFT_UNCOUNTED
   /* Its caller leaves, and it goes on. */
@@ -319,7 +332,7 @@
 #define FREE_TO_ORDER(t) (known[t] && !IN_USE(t) && !IS_LENT(t))
 
 #ifdef UNKNOWN_IS_OLD
-#define IS_OLD(t) (sight[t] < told || sight[t] == UNKNOWN)
+#define IS_OLD(t) (sight[t] < told || (sight[t] == UNKNOWN && told != 0))
 #else
 #define IS_OLD(t) (sight[t] < told)
 #endif
@@ -329,20 +342,24 @@
 #define IS_DUE(t) (!known[t] || sight[t] == UNKNOWN || (barred[t] && late[t] == NOTHING))
 #endif
 
+#define HAS_ROOM_TO_MAKE(t) (sight[t] != ABSENT && unloads < UNLOADS)
+
 /* The holder's work on one target. */
 proctype holder(byte t) {
+  byte what;
 #ifdef LOAN_OF_COPY
   byte r;
 #endif
 end:
   do
-  /* Replace an old copy. */
-  :: atomic { FREE_TO_ORDER(t) && told != 0 && sight[t] != ABSENT && IS_OLD(t) -> give(t, told) }
-  /* Bring it in. */
-  :: atomic { FREE_TO_ORDER(t) && sight[t] == ABSENT && told != 0 -> give(t, told) }
-  :: atomic { FREE_TO_ORDER(t) && sight[t] == ABSENT && told == 0 -> give(t, NEWEST) }
-  /* Make room. */
-  :: atomic { FREE_TO_ORDER(t) && sight[t] != ABSENT && unloads < UNLOADS -> unloads++; give(t, UNLOAD) }
+  :: atomic { FREE_TO_ORDER(t) && (IS_OLD(t) || sight[t] == ABSENT || HAS_ROOM_TO_MAKE(t)) ->
+       if
+       :: IS_OLD(t) -> what = told                            /* replace it, or bring it in */
+       :: sight[t] == ABSENT && told == 0 -> what = NEWEST
+       :: HAS_ROOM_TO_MAKE(t) -> unloads++; what = UNLOAD
+       fi;
+       give(t, what);
+       what = NOTHING }
   /* Read the report. */
   :: atomic { under[t] == NOTHING && IS_DUE(t) ->
        known[t] = true; sight[t] = copy[t]; behind[t] = false;
