The model of versions: a base model's version, and calls that name what is known of their copy

An answer tells the base model's version only, so parts count as made under an adapter's version once a call that named it began. A removal more: without the bar, a call of the holder before that names another version makes memory unseen.

--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -14,11 +14,11 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum SpecQuestion {
     /// Every state is sound.
-    IsSound,
+    Sound,
     /// A state is not: a measure is missing.
-    IsBroken,
+    Broken,
     /// No state comes back, so every run comes to its end.
-    IsEnding,
+    Ending,
 }
 
 /// One run of the checker.
@@ -32,7 +32,7 @@
     SpecCheck {
         model,
         flags,
-        question: SpecQuestion::IsSound,
+        question: SpecQuestion::Sound,
     }
 }
 
@@ -40,7 +40,7 @@
     SpecCheck {
         model,
         flags,
-        question: SpecQuestion::IsBroken,
+        question: SpecQuestion::Broken,
     }
 }
 
@@ -48,7 +48,7 @@
     SpecCheck {
         model,
         flags,
-        question: SpecQuestion::IsEnding,
+        question: SpecQuestion::Ending,
     }
 }
 
@@ -190,6 +190,17 @@
             "-DCHECK_AT_BEGIN",
         ],
     ),
+    // That calls name the version known of their copy does not stand in for the bar: a call of the holder before names another.
+    fails(
+        "versions",
+        &[
+            "-DV=2",
+            "-DR=3",
+            "-DUNLOADS=0",
+            "-DNO_BAR",
+            "-DCHECK_AT_BEGIN",
+        ],
+    ),
     // The holder's own late orders matter where another measure fails as well.
     holds(
         "versions",
@@ -242,6 +253,17 @@
         ],
     ),
     fails("versions", &["-DV=2", "-DR=2", "-DNO_EXPECTED"]),
+    fails(
+        "versions",
+        &[
+            "-DV=2",
+            "-DR=2",
+            "-DTAKES=0",
+            "-DUNLOADS=0",
+            "-DRESTARTS=1",
+            "-DNO_BASE",
+        ],
+    ),
     fails(
         "versions",
         &["-DV=3", "-DR=3", "-DTAKES=0", "-DUNKNOWN_IS_OLD"],
@@ -278,9 +300,9 @@
     args.extend(check.flags);
     args.push(model.to_str().expect("the path is text"));
     run("spin", &args, &folder);
-    let is_ending = check.question == SpecQuestion::IsEnding;
+    let is_ending = check.question == SpecQuestion::Ending;
     // A counterexample turns up soon, so there the compiler's time counts for more than the checker's.
-    let is_short = check.question == SpecQuestion::IsBroken;
+    let is_short = check.question == SpecQuestion::Broken;
     run(
         "gcc",
         &[
@@ -316,8 +338,8 @@
             for (spec, run) in runs {
                 let report = run.join().expect("the run ends");
                 let expected = match spec.question {
-                    SpecQuestion::IsBroken => "errors: 1",
-                    SpecQuestion::IsSound | SpecQuestion::IsEnding => "errors: 0",
+                    SpecQuestion::Broken => "errors: 1",
+                    SpecQuestion::Sound | SpecQuestion::Ending => "errors: 0",
                 };
                 assert!(
                     report.contains(expected),
--- a/specs/versions.pml
+++ b/specs/versions.pml
@@ -78,12 +78,14 @@
 
 /* The targets. */
 byte copy[T];            /* version */
-byte parts[T];           /* version that made the parts, or 0 */
+bool base[T];            /* its base model is the newer one */
+byte parts[T];           /* mark of what made the parts, or 0 */
 byte under[T];           /* order taken and not done yet */
 
 /* What the present holder knows. */
 byte told = 0;           /* newest version named, or 0 */
 byte sight[T];           /* version of the copy by the newest sight */
+bool baseSight[T];       /* its base model by the newest sight */
 bool behind[T];          /* the target has taken orders since that sight */
 bool known[T];           /* that sight is no older than the last order */
 bool barred[T];   
@@ -107,8 +109,8 @@
 byte from[R];            /* source, until the holder knows that the run began */
 byte expects[R];         /* version, or 0 */
 byte knew[R];            /* version that the holder knew */
-byte memory[R];          /* version that made the memory taken, or 0 */
-byte says[R];            /* version in the answer that is on its way to the holder, or 0 */
+byte memory[R];          /* mark of what made the memory taken, or 0 */
+byte says[R];            /* version proved by the answer that is on its way to the holder, UNKNOWN, or 0 */
 bool uses[R];            /* counted at its target by the holder */
 bool lends[R];           /* counted at its source by the holder */
 byte placed = 0;
@@ -125,6 +127,10 @@
 #define COUNTED_AT(r, t) (uses[r] && at[r] == t)
 #define LENT_BY(r, t) (lends[r] && from[r] == t)
 
+/* What makes memory: the version of the copy and that of its base model. */
+#define BASE 8
+#define MARK(t) (copy[t] + BASE * base[t])
+
 /* Guards, with the measure that a switch removes. */
 #ifdef NO_SOURCE_SIGHT
 #define COPY_IS(s, v) true
@@ -136,6 +142,11 @@
 #else
 #define PARTS_ARE(s, v) (noted[s] & (1 << (v)))
 #endif
+#ifdef NO_BASE
+#define SAME_BASE(s, t) true
+#else
+#define SAME_BASE(s, t) (baseSight[s] == baseSight[t])
+#endif
 #ifdef NO_BAR
 #define IS_BARRED(s) false
 #else
@@ -164,27 +175,31 @@
 /* A request may be placed here; the version that it asks for, if known. */
 #define IS_FRESH(t) (told == 0 || (sight[t] != UNKNOWN && sight[t] >= told))
 #define CAN_SERVE(t) (sight[t] != ABSENT && IS_FRESH(t))
-#define ASKED(t) (told != 0 -> told : sight[t])
 #ifdef BAR_SOURCE_ONLY
 #define BORROWER_BARRED(t) false
 #else
 #define BORROWER_BARRED(t) IS_BARRED(t)
 #endif
-#define CAN_BORROW(t) (CAN_SERVE(t) && ASKED(t) != UNKNOWN && sight[t] == ASKED(t) && !BORROWER_BARRED(t))
-#define CAN_LEND(s, v) (COPY_IS(s, v) && PARTS_ARE(s, v) && !IS_BARRED(s))
+#define CAN_BORROW(t) (CAN_SERVE(t) && sight[t] != UNKNOWN && !BORROWER_BARRED(t))
+#define CAN_LEND(s, t) (COPY_IS(s, sight[t]) && PARTS_ARE(s, sight[t]) && SAME_BASE(s, t) && !IS_BARRED(s))
 
 inline send(r, t) {
-  placed++; state[r] = SENT; at[r] = t; knew[r] = told; uses[r] = true; expects[r] = told;
+  placed++; state[r] = SENT; at[r] = t; knew[r] = told; uses[r] = true;
+#ifdef EXPECT_NAMED
+  expects[r] = told;
+#else
+  expects[r] = (sight[t] == UNKNOWN -> 0 : sight[t]);
+#endif
 #ifdef PARTS_AS_SENT
-  if :: ASKED(t) != UNKNOWN -> noted[t] = noted[t] | (1 << ASKED(t)) :: else fi
+  if :: sight[t] != UNKNOWN -> noted[t] = noted[t] | (1 << sight[t]) :: else fi
 #endif
 }
 
 inline sendWith(r, t, s) {
-#ifndef NO_EXPECT
-  expects[r] = ASKED(t);
-#else
+#ifdef NO_EXPECT
   expects[r] = 0;
+#else
+  expects[r] = sight[t];
 #endif
   from[r] = s; lends[r] = true
 }
@@ -211,14 +226,14 @@
   if
   :: MISMATCH_AT_BEGIN(r) -> refuse(r)
   :: else ->
-       assert(memory[r] == 0 || memory[r] == copy[at[r]]);   /* MEMORY */
+       assert(memory[r] == 0 || memory[r] == MARK(at[r]));   /* MEMORY */
 #ifndef MEMORY_ONLY
        assert(copy[at[r]] >= knew[r]);                       /* VERSION */
 #endif
 #ifdef SEEK_MOVE
-       assert(memory[r] != V || takes < TAKES);
+       assert(memory[r] % BASE != V || takes < TAKES);
 #endif
-       state[r] = RUNS; parts[at[r]] = copy[at[r]]; says[r] = copy[at[r]];
+       state[r] = RUNS; parts[at[r]] = MARK(at[r]); says[r] = (expects[r] != 0 -> expects[r] : UNKNOWN);
        expects[r] = 0; knew[r] = 0; memory[r] = 0
   fi
 }
@@ -228,7 +243,7 @@
 #else
 #define SOME_SERVES (CAN_SERVE(0) || CAN_SERVE(1))
 #endif
-#define SOURCE(s) t != s && CAN_BORROW(t) && CAN_LEND(s, ASKED(t)) -> sendWith(r, t, s)
+#define SOURCE(s) t != s && CAN_BORROW(t) && CAN_LEND(s, t) -> sendWith(r, t, s)
 
 proctype request(byte r) {
   byte t;
@@ -256,7 +271,7 @@
   /* It arrives, and takes what the source has of the prompt, if the target has nothing of use itself. */
   :: atomic { state[r] == SENT && !MISMATCH(r) && from[r] != NOWHERE ->
        state[r] = TOOK;
-       if :: parts[at[r]] != copy[at[r]] -> memory[r] = parts[from[r]] :: else fi }
+       if :: parts[at[r]] != MARK(at[r]) -> memory[r] = parts[from[r]] :: else fi }
   :: atomic { (state[r] == SENT && !MISMATCH(r) && from[r] == NOWHERE) || state[r] == TOOK -> begin(r) }
   :: atomic { state[r] == RUNS -> if :: says[r] != 0 -> state[r] = DONE :: else -> ends(r) fi }
 #ifdef LEFT_UNCOUNTED
@@ -266,7 +281,7 @@
   /* The holder hears that it began, and under which version. */
   :: atomic { says[r] != 0 ->
 #ifndef PARTS_AS_SENT
-       noted[at[r]] = noted[at[r]] | (1 << says[r]);
+       if :: says[r] != UNKNOWN -> noted[at[r]] = noted[at[r]] | (1 << says[r]) :: else fi;
 #endif
        says[r] = 0; from[r] = NOWHERE; lends[r] = false;
        if :: state[r] == DONE -> ends(r) :: else fi }
@@ -362,7 +377,7 @@
        what = NOTHING }
   /* Read the report. */
   :: atomic { under[t] == NOTHING && IS_DUE(t) ->
-       known[t] = true; sight[t] = copy[t]; behind[t] = false;
+       known[t] = true; sight[t] = copy[t]; baseSight[t] = base[t]; behind[t] = false;
 #ifdef LOAN_OF_COPY
        if
        :: copy[t] == ABSENT -> for (r : 0 .. R - 1) { if :: from[r] == t -> lends[r] = false :: else fi }; r = 0
@@ -400,7 +415,7 @@
 end:
   atomic { takes < TAKES -> takes++; told = 0;
     for (t : 0 .. T - 1) {
-      sight[t] = copy[t]; behind[t] = false; known[t] = false; barred[t] = true; noted[t] = 0
+      sight[t] = copy[t]; baseSight[t] = base[t]; behind[t] = false; known[t] = false; barred[t] = true; noted[t] = 0
     }
     for (r : 0 .. R - 1) {
 #ifdef NO_ADOPTED
@@ -420,7 +435,7 @@
   byte r;
 end:
   atomic { restarts < RESTARTS -> restarts++;
-    copy[t] = ABSENT; parts[t] = 0; under[t] = NOTHING; noted[t] = 0; known[t] = false; behind[t] = false;
+    copy[t] = ABSENT; base[t] = true; parts[t] = 0; under[t] = NOTHING; noted[t] = 0; known[t] = false; behind[t] = false;
     late[t] = NOTHING;
     for (r : 0 .. R - 1) {
       if
@@ -449,7 +464,7 @@
   atomic {
     for (i : 0 .. T - 1) { copy[i] = 1; sight[i] = 1; known[i] = true; run target(i); run holder(i) }
     for (i : 0 .. R - 1) { from[i] = NOWHERE; run request(i) }
-    parts[0] = 1; noted[0] = 1 << 1;
+    parts[0] = MARK(0); noted[0] = 1 << 1;
     run operator(); run platformLog(); run takeover(); run last();
 #if RESTARTS > 0
     for (i : 0 .. T - 1) { run restart(i) }
