--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -140,6 +140,7 @@
             "-DMEMORY_ONLY",
         ],
     ),
+    holds("versions", &["-DV=2", "-DR=2", "-DEXPECT_NAMED"]),
     fails("versions", &["-DV=2", "-DR=2", "-DNO_LOAN"]),
     fails(
         "versions",
@@ -268,6 +269,16 @@
         "versions",
         &["-DV=3", "-DR=3", "-DTAKES=0", "-DUNKNOWN_IS_OLD"],
     ),
+    holds(
+        "versions",
+        &[
+            "-DV=3",
+            "-DR=3",
+            "-DTAKES=0",
+            "-DUNKNOWN_IS_OLD",
+            "-DFORGETS",
+        ],
+    ),
     fails(
         "versions",
         &["-DV=2", "-DR=2", "-DTAKES=0", "-DUNLOADS=0", "-DNO_LOOK"],
--- a/specs/versions.pml
+++ b/specs/versions.pml
@@ -2,13 +2,14 @@
  * A version's way at the targets of one zone, and the memory of prompts that targets take from each other.
  *
  * An operator names versions of one adapter; the log tells the zone's holder of them late, and of some not at all. Each
- * target has one copy, and parts of one prompt with the version that made them. The holder orders loads and unloads,
- * reads reports and places requests, with or without a source of memory. A request arrives and takes memory in a step of
- * its own, and begins in another; a load that was taken is done later, after the copy's runs; an order without an answer
- * is lost, or carried out later. A successor knows the reports and the open requests.
+ * target has one copy, and parts of one prompt with the versions of copy and base model that made them. The holder
+ * orders loads and unloads, reads reports and places requests, with or without a source of memory. A request arrives and
+ * takes memory in one step, and begins in another; a load that was taken is done later, after the copy's runs; an order
+ * without an answer is lost, or carried out later. A target that starts again has the newer base model. A successor
+ * knows the reports and the open requests.
  *
  * The invariants:
- *   MEMORY   no run uses memory made under another version than it runs under (assert in begin)
+ *   MEMORY   no run uses memory made under other versions than it runs under (assert in begin)
  *   VERSION  no run is on an older version than its holder knew when it placed the request (assert in begin)
  *   IN USE   an order that is answered meets no request at the copy, and no loan of it (assert in give)
  *   NEWEST   once nothing more can happen, every copy has the newest version (assert in last). The check for cycles
@@ -19,9 +20,11 @@
  *
  * Switches that remove a safety measure, each of which must give a counterexample:
  *   NO_SOURCE_SIGHT  (a) a source's copy need not be known to have the version asked for
+ *   NO_BASE          (a) source and borrower need not have the same base model
  *   PARTS_BY_NAME    (b) parts count whatever version made them
- *   PARTS_AS_SENT    (b) parts count as made under the version asked for once their request is sent
+ *   PARTS_AS_SENT    (b) parts count as made under the version asked for once their request is sent, not once it began
  *   NO_EXPECT        (c) a request with a source does not name the version that it expects
+ *   EXPECT_NAMED     (c) a request without a source names only a version that was told; alone it is safe
  *   NO_LOAN          (d) a copy that lends may be replaced
  *   NO_LOAN_ADOPTED  (d) a successor does not learn of loans
  *   LOAN_OF_COPY     (d) a loan is forgotten once its copy is gone; with RESTARTS, or with BAR_OLD_ONLY
@@ -33,12 +36,13 @@
  *   NO_ADOPTED       (f) a successor does not learn of open requests
  *   LEFT_UNCOUNTED   (f) a request whose caller left counts no more, though it may go on
  *   NO_EXPECTED      (g) orders do not name how many the target has taken
- *   UNKNOWN_IS_OLD   (h) a copy of an unknown version is replaced without a look
+ *   UNKNOWN_IS_OLD   (h) a copy of an unknown version is replaced without a look; safe with FORGETS
  *   NO_LOOK          (i) no report is read after a missing answer or a 421
- * MEMORY_ONLY leaves the asserts of VERSION and IN USE out, to see what MEMORY owes to a measure; SEEK_MOVE looks for a
- * run with memory of the newest version after the takeover, so that the others don't hold for want of moves.
+ * What is called safe is checked, too. MEMORY_ONLY leaves the asserts of VERSION and IN USE out, to see what MEMORY owes
+ * to a measure; SEEK_MOVE looks for a run with memory of the newest version after the takeover, so that the others
+ * don't hold for want of moves.
  * CHECK_AT_BEGIN chooses a target that checks the version as a request begins, DROPS_PARTS one that drops parts with
- * the version that made them.
+ * the version that made them, FORGETS a holder that forgets what it noted of a target once that takes its order.
  */
 #ifndef T
 #define T 2        /* targets */
@@ -334,6 +338,9 @@
        assert(!ANY(IS_AT, t) && !ANY(TAKES_FROM, t));        /* IN USE */
 #endif
        take(t, what);
+#ifdef FORGETS
+       noted[t] = 0;
+#endif
        sight[t] = BELIEVED(what); behind[t] = false; barred[t] = false
   :: IN_TURN(t) && under[t] == NOTHING && HAS_DONE(t, what) -> sight[t] = BELIEVED(what)
   :: !IN_TURN(t) || under[t] != NOTHING -> lookAnew(t)
@@ -435,7 +442,7 @@
   byte r;
 end:
   atomic { restarts < RESTARTS -> restarts++;
-    copy[t] = ABSENT; base[t] = true; parts[t] = 0; under[t] = NOTHING; noted[t] = 0; known[t] = false; behind[t] = false;
+    copy[t] = ABSENT; base[t] = true; parts[t] = 0; under[t] = NOTHING; noted[t] = 0; lookAnew(t);
     late[t] = NOTHING;
     for (r : 0 .. R - 1) {
       if
