Give the soak's engines a memory of prompts, and promise that runs use only their own version's

Engines read prompts one after another, keep the parts by the version that made them, take parts by name from the engine that a request names, say and heed versions, and replace a copy a moment later, once its runs have ended. Whatever an engine turns away counts as an arrival for the budget of repeats, as the rule has it; before, only what it shed did.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,10 +3,11 @@
 use crate::{
     fleet::SoakVm,
     history::{CallAnswer, CallKind, SeenEntry, SharedHistory},
+    prompts::{PromptPart, encode_parts},
 };
 use hoplanding_platform::names::{
     DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, HOLD, KV_BACKUP, KV_FETCH, KV_FROM, MODEL, PIN,
-    PRIORITY, REQUEST_ID, TOKEN_COUNT,
+    PRIORITY, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT,
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -43,11 +44,18 @@
     pub kind: CallKind,
     /// Its adapter; empty for plain calls.
     pub adapter: String,
+    /// The parts of its prompt; none for plain calls.
+    pub parts: Vec<PromptPart>,
 }
 
 impl SoakCall {
     fn text(&self) -> String {
-        let Self { id, kind, adapter } = self;
+        let Self {
+            id,
+            kind,
+            adapter,
+            parts,
+        } = self;
         let path = match kind {
             CallKind::Once => "/scan/1",
             CallKind::Idempotent => "/lookup/1",
@@ -57,7 +65,10 @@
         let model = if adapter.is_empty() {
             String::new()
         } else {
-            format!("{MODEL}: base/{adapter}\r\n{TOKEN_COUNT}: 100,20\r\n")
+            let (counts, parts) = encode_parts(parts);
+            format!(
+                "{MODEL}: base/{adapter}\r\n{TOKEN_COUNT}: {counts}\r\n{PROMPT_PREFIX}: {parts}\r\n"
+            )
         };
         let deadline = PATIENCE.as_millis();
         let forged: String = SYSTEM_HEADERS
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -49,6 +49,8 @@
     Places,
     /// Repeats stay within the fleet's budget.
     RetryBudget,
+    /// A run uses memory of its prompt only if it was made under the version of the adapter that it runs under.
+    OwnMemory,
 }
 
 /// A broken promise.
@@ -79,6 +81,7 @@
     found.extend(check_orders(history));
     found.extend(check_budget(&calls));
     found.extend(check_headers(history));
+    found.extend(check_memory(history));
     found
 }
 
@@ -403,6 +406,26 @@
     forged.collect()
 }
 
+fn check_memory(history: &[TimedEntry]) -> Vec<Violation> {
+    let mixed = history.iter().filter_map(|entry| match &entry.seen {
+        SeenEntry::Mixed {
+            id,
+            target,
+            adapter,
+            made_under,
+            runs_under,
+        } => {
+            let what = format!(
+                "{id} for {adapter} ran at {target} at {:?}, used memory made under version {made_under}, and runs under version {runs_under}",
+                entry.at
+            );
+            Some(broken(Promise::OwnMemory, what))
+        }
+        _ => None,
+    });
+    mixed.collect()
+}
+
 fn broken(promise: Promise, what: String) -> Violation {
     Violation { promise, what }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -90,6 +90,26 @@
         /// The target.
         target: String,
     },
+    /// An engine takes parts of a request's prompt from another engine.
+    Moved {
+        /// The request.
+        id: String,
+        /// The engine.
+        target: String,
+    },
+    /// A run used memory of its prompt that was made under another version of its adapter.
+    Mixed {
+        /// The request.
+        id: String,
+        /// The engine.
+        target: String,
+        /// The adapter.
+        adapter: String,
+        /// Version that made the memory.
+        made_under: u64,
+        /// Version of the run.
+        runs_under: u64,
+    },
     /// A target was handed a header of the system's own that a caller had forged.
     Forged {
         /// The request.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,8 @@
 //! | [`schedule`] | the faults of a seed |
 //! | [`history`] | what was seen, in order |
 //! | [`checks`] | the promises, checked on a history |
+//! | [`shelf`] | the adapters of an engine, and its orders |
+//! | [`prompts`] | what prompts consist of, and how long an engine reads one |
 //! | [`targets`] | engines and a plain service that write down what reaches them |
 //! | [`fleet`] | the daemons: started, paused, killed and stopped by their process ids |
 //! | [`callers`] | requests through the daemons, and what came back |
@@ -16,7 +18,9 @@
 pub mod checks;
 pub mod fleet;
 pub mod history;
+pub mod prompts;
 pub mod report;
 pub mod run;
 pub mod schedule;
+pub mod shelf;
 pub mod targets;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -28,6 +28,8 @@
     pub refused: usize,
     /// Everything else.
     pub failed: usize,
+    /// Prompts of which an engine took parts from another one.
+    pub moved: usize,
     /// Median and 99th percentile of the time to a whole answer, in milliseconds.
     pub latency_ms: (u64, u64),
 }
@@ -53,6 +55,7 @@
                 CallAnswer::Whole(408 | 421 | 429 | 503, _) => figures.refused += 1,
                 _ => figures.failed += 1,
             },
+            SeenEntry::Moved { .. } => figures.moved += 1,
             _ => {}
         }
     }
@@ -71,6 +74,7 @@
         answered,
         refused,
         failed,
+        moved,
         latency_ms: (median, high),
     } = figures(&outcome.history);
     let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
@@ -79,7 +83,7 @@
     }
     let mut text = format!(
         "seed {}: {sent} sent, {answered} answered, {refused} refused as not run, {failed} failed; \
-         {median} ms median, {high} ms p99; faults {kinds:?}; {} broken promises",
+         {moved} prompts moved; {median} ms median, {high} ms p99; faults {kinds:?}; {} broken promises",
         outcome.seed,
         outcome.violations.len()
     );
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,8 +5,10 @@
     checks::{Violation, check},
     fleet::SoakVm,
     history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
+    prompts::parts_of,
     schedule::{FaultKind, PlannedFault, faults_of},
-    targets::{PlantedFault, SoakTarget, TargetRole, service_of},
+    shelf::{FIRST_VERSION, PLACES},
+    targets::{PlantedFault, SoakTarget, TargetRole, TargetSite, service_of},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
@@ -92,7 +94,7 @@
     pub violations: Vec<Violation>,
 }
 
-/// A running fleet and its surroundings.
+/// A running fleet and its target_site.
 struct SoakSite {
     log: KeyedLog,
     vms: Vec<Arc<SoakVm>>,
@@ -100,9 +102,10 @@
     zones: Vec<String>,
     history: SharedHistory,
     version: AtomicU64,
-    adapter_version: AtomicU64,
+    /// The newest version of any adapter; held while it is named, so that the log has versions in their order.
+    adapter_version: Mutex<u64>,
     adapters: usize,
-    planted: PlantedFault,
+    target_site: TargetSite,
 }
 
 /// Plays a run.
@@ -167,11 +170,11 @@
             vms,
             targets: Mutex::default(),
             zones,
+            target_site: TargetSite::new(history.clone(), plan.planted),
             history,
             version: AtomicU64::new(1),
-            adapter_version: AtomicU64::new(1),
+            adapter_version: Mutex::new(FIRST_VERSION),
             adapters: plan.adapters,
-            planted: plan.planted,
         };
         for index in 0..plan.zones * plan.engines_per_zone {
             site.add_target(TargetRole::Engine, index).await?;
@@ -190,8 +193,8 @@
         let zone = &self.zones[index % self.zones.len()];
         let number = self.lock_targets().len();
         let name = format!("i-{}-{number}", service_of(role));
-        let history = self.history.clone();
-        let target = SoakTarget::start(&name, role, zone, history, self.planted).await?;
+        let site = self.target_site.clone();
+        let target = SoakTarget::start(&name, role, zone, site).await?;
         self.log
             .put(TARGET_TOPIC, &name, Some(&target.entry(false)));
         self.lock_targets().push(Arc::new(target));
@@ -236,7 +239,7 @@
             "services": [
                 { "name": "ledger", "max_connections": 100 },
                 { "name": "scribe", "max_connections": 100, "engine": {
-                    "slots": 8, "kv_capacity": 100_000, "adapter_slots": crate::targets::PLACES,
+                    "slots": 8, "kv_capacity": 100_000, "adapter_slots": PLACES,
                     "loads_per_s": 100.0, "models": [{ "name": "base" }] } },
             ],
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
@@ -258,10 +261,15 @@
                 CallKind::Once | CallKind::Idempotent => String::new(),
                 _ => format!("a{}", (draw * draw * self.adapters as f64) as usize),
             };
+            let parts = match kind {
+                CallKind::Once | CallKind::Idempotent => Vec::new(),
+                _ => parts_of(number).to_vec(),
+            };
             let call = SoakCall {
                 id: format!("r{number}"),
                 kind,
                 adapter,
+                parts,
             };
             let start = random.random_range(0..self.vms.len());
             let open = (0..self.vms.len())
@@ -364,16 +372,24 @@
                 self.version.fetch_add(1, Ordering::SeqCst);
                 self.configure();
             }
-            FaultKind::NameVersion => {
-                let version = 1 + self.adapter_version.fetch_add(1, Ordering::SeqCst);
-                let adapter = format!("a{}", fault.index % self.adapters);
-                let key = format!("{VERSION_KEY}base.{adapter}");
-                let value = json!({ "model": "base", "adapter": adapter, "version": version });
-                self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
-            }
+            FaultKind::NameVersion => self.name_version(fault.index % self.adapters),
         }
     }
 
+    fn name_version(&self, adapter: usize) {
+        let mut newest = self
+            .adapter_version
+            .lock()
+            .expect("no holder of the lock panics");
+        *newest += 1;
+        let version = *newest;
+        let adapter = format!("a{adapter}");
+        let key = format!("{VERSION_KEY}base.{adapter}");
+        let value = json!({ "model": "base", "adapter": adapter, "version": version });
+        self.target_site.name_version(&adapter, version);
+        self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
+    }
+
     fn disturb(&self, change: impl FnOnce(&mut hoplanding_standins::keyed_log::LogFaults)) {
         self.history.add(SeenEntry::Disturbed);
         self.log.set_faults(change);
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -4,22 +4,27 @@
     callers::FORGED,
     checks::{EVENTS, event_text, whole_body},
     history::{CallKind, SeenEntry, SharedHistory},
+    prompts::{GivenPrompt, MOVE_TIME, PromptDesk, ReadingWork, decode_parts},
+    shelf::{AdapterOrder, AdapterShelf, CopySight, FIRST_VERSION, OrderVerdict},
 };
 use hoplanding_platform::names::{
-    EXPECT_INSTANCE, LAST_EVENT, MODEL, NOT_EXECUTED, ORDER_PATH, REPORT_PATH, REQUEST_ID, SEAL,
+    EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, MODEL, NOT_EXECUTED, ORDER_PATH,
+    PROMPT_PREFIX, REPORT_PATH, REQUEST_ID, SEAL, WEIGHT_VERSIONS,
 };
-use hoplanding_standins::raw_target::{RawAnswer, RawRequest, RawTarget};
-use serde_json::{Value, json};
+use hoplanding_standins::{
+    kept_memory::MemoryNet,
+    raw_target::{RawAnswer, RawRequest, RawTarget},
+};
+use serde_json::json;
 use std::{
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
     time::Duration,
 };
+use tokio::time::{Instant, sleep, sleep_until};
 
-/// Places for adapters at an engine.
-pub const PLACES: usize = 4;
 /// Requests that a target works on at once, as it is listed.
 const SLOTS: usize = 8;
 /// Pause between two events.
@@ -50,14 +55,52 @@
     WrongAdapter,
     /// A stream leaves an event out.
     DropsEvent,
+    /// An engine goes on using what it kept when an adapter is replaced.
+    KeepsMemory,
+}
+
+/// What the targets of a run share.
+#[derive(Clone)]
+pub struct TargetSite {
+    /// What is seen of them.
+    pub history: SharedHistory,
+    /// What engines keep of prompts.
+    pub memory: Arc<MemoryNet>,
+    /// The newest version of each adapter for which one was named.
+    pub versions: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// A fault that they have.
+    pub planted: PlantedFault,
+}
+
+impl TargetSite {
+    /// Nothing seen, kept or named yet.
+    #[must_use]
+    pub fn new(history: SharedHistory, planted: PlantedFault) -> Self {
+        Self {
+            history,
+            memory: Arc::default(),
+            versions: Arc::default(),
+            planted,
+        }
+    }
+
+    /// Names a version of an adapter.
+    pub fn name_version(&self, adapter: &str, version: u64) {
+        let mut versions = lock(&self.versions);
+        let newest = versions.entry(adapter.to_owned()).or_default();
+        *newest = version.max(*newest);
+    }
+
+    fn newest(&self, adapter: &str) -> u64 {
+        let versions = lock(&self.versions);
+        versions.get(adapter).copied().unwrap_or(FIRST_VERSION)
+    }
 }
 
 #[derive(Debug, Default)]
 struct TargetState {
-    /// Versions by adapter.
-    adapters: BTreeMap<String, u64>,
-    orders_taken: u64,
-    token: u64,
+    shelf: AdapterShelf,
+    prompts: PromptDesk,
     breaks: bool,
     sheds: bool,
     /// Requests seen while it sheds.
@@ -81,21 +124,25 @@
     ///
     /// # Errors
     /// Returns the error of the system when no port can be had.
+    ///
+    /// # Panics
+    /// Never: its address is noted once.
     pub async fn start(
         name: &str,
         role: TargetRole,
         zone: &str,
-        history: SharedHistory,
-        planted: PlantedFault,
+        site: TargetSite,
     ) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(TargetState::default()));
-        let desk = TargetDesk {
+        let address = Arc::new(OnceLock::new());
+        let desk = Arc::new(TargetDesk {
             name: name.to_owned(),
-            history,
+            address: Arc::clone(&address),
+            site,
             state: Arc::clone(&state),
-            planted,
-        };
+        });
         let server = RawTarget::start(move |request: &RawRequest| desk.answer(request)).await?;
+        address.set(server.address).expect("it is set once");
         Ok(Self {
             name: name.to_owned(),
             role,
@@ -127,7 +174,7 @@
         let state = lock(&self.state);
         let models = match self.role {
             TargetRole::Engine => json!([{
-                "name": "base", "version": 1, "adapters": listed(&state.adapters),
+                "name": "base", "version": 1, "adapters": state.shelf.listed(),
             }]),
             TargetRole::Plain => json!([]),
         };
@@ -139,7 +186,7 @@
             "slots": SLOTS,
             "state": if is_leaving { "draining" } else { "ready" },
             "cold_remaining_ms": 0,
-            "sequence": state.orders_taken,
+            "sequence": state.shelf.orders_taken(),
             "models": models,
         })
         .to_string()
@@ -158,13 +205,14 @@
 /// Answers requests.
 struct TargetDesk {
     name: String,
-    history: SharedHistory,
+    /// Where it is reached; known once it listens.
+    address: Arc<OnceLock<SocketAddr>>,
+    site: TargetSite,
     state: Arc<Mutex<TargetState>>,
-    planted: PlantedFault,
 }
 
 impl TargetDesk {
-    fn answer(&self, request: &RawRequest) -> RawAnswer {
+    fn answer(self: &Arc<Self>, request: &RawRequest) -> RawAnswer {
         let path = request.line().split(' ').nth(1).unwrap_or_default();
         if request
             .header(EXPECT_INSTANCE)
@@ -182,92 +230,181 @@
     fn report(&self) -> RawAnswer {
         let state = lock(&self.state);
         let report = json!({
-            "sequence": state.orders_taken,
-            "models": [{ "name": "base", "adapters": listed(&state.adapters) }],
+            "sequence": state.shelf.orders_taken(),
+            "models": [{ "name": "base", "adapters": state.shelf.listed() }],
+            "coming": state.shelf.coming(),
         });
         RawAnswer::whole("200 OK", "", &report.to_string())
     }
 
-    fn take_order(&self, request: &RawRequest) -> RawAnswer {
-        let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let token = order["fencing_token"].as_u64().unwrap_or(0);
-        let adapter = order["adapter"].as_str().unwrap_or_default().to_owned();
+    fn take_order(self: &Arc<Self>, request: &RawRequest) -> RawAnswer {
+        let order = AdapterOrder::decode(&request.body);
+        let status = match self.carry_out(&order) {
+            OrderVerdict::Done => "200 OK",
+            OrderVerdict::Begun(_) => "202 Accepted",
+            OrderVerdict::Conflict => "409 Conflict",
+            OrderVerdict::Fenced => "412 Precondition Failed",
+        };
+        RawAnswer::whole(status, "", "")
+    }
+
+    fn carry_out(self: &Arc<Self>, order: &AdapterOrder) -> OrderVerdict {
+        let newest = self.site.newest(&order.adapter);
         let mut state = lock(&self.state);
-        if token < state.token {
-            return RawAnswer::whole("412 Precondition Failed", "", "");
+        let verdict = state.shelf.take(order, newest, Instant::now());
+        if !verdict.is_taken() {
+            return verdict;
         }
-        if order["expected"]
-            .as_u64()
-            .is_some_and(|expected| expected != state.orders_taken)
-        {
-            return RawAnswer::whole("409 Conflict", "", "");
-        }
-        state.token = token;
-        state.orders_taken += 1;
-        self.history.add(SeenEntry::Ordered {
+        self.site.history.add(SeenEntry::Ordered {
             target: self.name.clone(),
-            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
-            token,
+            holder: order.holder.clone(),
+            token: order.token,
         });
-        if order["operation"] == "unload" {
-            state.adapters.remove(&adapter);
-            return RawAnswer::whole("200 OK", "", "");
-        }
-        let version = order["version"].as_u64().unwrap_or(1);
-        state.adapters.insert(adapter, version);
-        if state.adapters.len() > PLACES {
-            self.history.add(SeenEntry::Overfilled {
+        if state.shelf.is_overfilled() {
+            self.site.history.add(SeenEntry::Overfilled {
                 target: self.name.clone(),
             });
         }
-        RawAnswer::whole("202 Accepted", "", "")
+        match verdict {
+            OrderVerdict::Begun(at) => {
+                let (desk, adapter) = (Arc::clone(self), order.adapter.clone());
+                tokio::spawn(async move {
+                    sleep_until(at).await;
+                    let mut state = lock(&desk.state);
+                    state.shelf.finish(&adapter);
+                    desk.forget(&adapter);
+                });
+            }
+            _ if order.is_unload => self.forget(&order.adapter),
+            _ => {}
+        }
+        verdict
+    }
+
+    /// Drops what was kept for an adapter that was replaced or went.
+    fn forget(&self, adapter: &str) {
+        if self.site.planted != PlantedFault::KeepsMemory {
+            self.site.memory.drop_adapter(self.address(), adapter);
+        }
     }
 
-    fn run(&self, request: &RawRequest, path: &str) -> RawAnswer {
+    fn run(self: &Arc<Self>, request: &RawRequest, path: &str) -> RawAnswer {
         let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
         if request.head.contains(FORGED) {
-            self.history.add(SeenEntry::Forged {
+            self.site.history.add(SeenEntry::Forged {
                 id: id.clone(),
                 target: self.name.clone(),
             });
         }
         let named = request.header(MODEL).unwrap_or_default();
         let adapter = named.split_once('/').map_or("", |(_, adapter)| adapter);
-        let breaks_off = {
-            let mut state = lock(&self.state);
-            state.shed_count += 1;
-            if state.sheds && !state.shed_count.is_multiple_of(3) {
-                self.history.add(SeenEntry::TurnedAway {
-                    id,
-                    target: self.name.clone(),
-                });
-                return refusal(request, "503 Service Unavailable");
-            }
-            if !adapter.is_empty() && !state.adapters.contains_key(adapter) {
-                return refusal(request, "421 Misdirected Request");
+        let mut state = lock(&self.state);
+        state.shed_count += 1;
+        if state.sheds && !state.shed_count.is_multiple_of(3) {
+            return self.turn_away(request, "503 Service Unavailable");
+        }
+        if adapter.is_empty() {
+            self.note_run(&id, adapter, state.breaks);
+            return plain_answer(request, &id, state.breaks);
+        }
+        let version = match state.shelf.sight(adapter) {
+            CopySight::Here(version) if is_meant(request, version) => version,
+            CopySight::Leaving => return self.turn_away(request, "503 Service Unavailable"),
+            CopySight::Here(_) | CopySight::Absent => {
+                return self.turn_away(request, "421 Misdirected Request");
             }
-            state.breaks
         };
-        let noted = match self.planted {
+        self.note_run(&id, adapter, state.breaks);
+        let prompt = GivenPrompt {
+            adapter: adapter.to_owned(),
+            version,
+            parts: decode_parts(request.header(PROMPT_PREFIX).unwrap_or_default()),
+            source: request
+                .header(KV_FETCH)
+                .and_then(|source| source.parse().ok()),
+        };
+        let now = Instant::now();
+        let memory = &self.site.memory;
+        let reading = state.prompts.take(self.address(), &prompt, memory, now);
+        state
+            .shelf
+            .note_run(adapter, now + reading.time + EVENT_PAUSE * EVENTS);
+        let breaks_off = state.breaks;
+        self.read_prompt(&id, prompt, reading);
+        drop(state);
+        let stream = StreamAnswer {
+            id,
+            version,
+            reading: reading.time,
+            breaks_off,
+            skipped: (self.site.planted == PlantedFault::DropsEvent).then_some(3),
+        };
+        stream.answer(request, path)
+    }
+
+    fn turn_away(&self, request: &RawRequest, status: &str) -> RawAnswer {
+        self.site.history.add(SeenEntry::TurnedAway {
+            id: request.header(REQUEST_ID).unwrap_or_default().to_owned(),
+            target: self.name.clone(),
+        });
+        refusal(request, status)
+    }
+
+    fn note_run(&self, id: &str, adapter: &str, breaks_off: bool) {
+        let noted = match self.site.planted {
             PlantedFault::WrongAdapter => "another",
             _ => adapter,
         };
-        let runs = 1 + usize::from(self.planted == PlantedFault::RunsTwice);
+        let runs = 1 + usize::from(self.site.planted == PlantedFault::RunsTwice);
         for _ in 0..runs {
-            self.history.add(SeenEntry::Ran {
-                id: id.clone(),
+            self.site.history.add(SeenEntry::Ran {
+                id: id.to_owned(),
                 target: self.name.clone(),
                 adapter: noted.to_owned(),
                 breaks_off,
             });
         }
-        if adapter.is_empty() {
-            plain_answer(request, &id, breaks_off)
-        } else {
-            let skipped = (self.planted == PlantedFault::DropsEvent).then_some(3);
-            stream_answer(request, &id, path, breaks_off, skipped)
+    }
+
+    /// Uses what is kept of a prompt; what another engine keeps is here a moment later, as it stands there by then.
+    fn read_prompt(self: &Arc<Self>, id: &str, prompt: GivenPrompt, reading: ReadingWork) {
+        if !reading.is_move {
+            self.use_memory(id, &prompt);
+            return;
+        }
+        self.site.history.add(SeenEntry::Moved {
+            id: id.to_owned(),
+            target: self.name.clone(),
+        });
+        let (desk, id) = (Arc::clone(self), id.to_owned());
+        tokio::spawn(async move {
+            sleep(MOVE_TIME).await;
+            desk.use_memory(&id, &prompt);
+        });
+    }
+
+    fn use_memory(&self, id: &str, prompt: &GivenPrompt) {
+        if let Some(made_under) = prompt.read(self.address(), &self.site.memory) {
+            self.site.history.add(SeenEntry::Mixed {
+                id: id.to_owned(),
+                target: self.name.clone(),
+                adapter: prompt.adapter.clone(),
+                made_under,
+                runs_under: prompt.version,
+            });
         }
     }
+
+    fn address(&self) -> SocketAddr {
+        *self.address.wait()
+    }
+}
+
+/// Whether a request is for an adapter in this version, or says nothing of one.
+fn is_meant(request: &RawRequest, version: u64) -> bool {
+    request
+        .header(EXPECT_VERSION)
+        .is_none_or(|meant| meant.parse() == Ok(version))
 }
 
 fn plain_answer(request: &RawRequest, id: &str, breaks_off: bool) -> RawAnswer {
@@ -281,41 +418,49 @@
     answer
 }
 
-fn stream_answer(
-    request: &RawRequest,
-    id: &str,
-    path: &str,
+/// A stream as an engine gives it.
+struct StreamAnswer {
+    id: String,
+    version: u64,
+    /// Time until the prompt is read.
+    reading: Duration,
     breaks_off: bool,
+    /// An event that is left out.
     skipped: Option<u32>,
-) -> RawAnswer {
-    let from = request
-        .header(LAST_EVENT)
-        .and_then(|last| last.parse::<u32>().ok())
-        .filter(|_| path.starts_with("/resumed/"))
-        .unwrap_or(0);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        sealed(request)
-    );
-    let mut pieces = vec![(Duration::ZERO, head.into_bytes())];
-    for event in from + 1..=EVENTS {
-        let text = event_text(id, event);
-        if breaks_off && event >= BREAKS_AT {
-            pieces.push((EVENT_PAUSE, chunk(&text[..8])));
-            return RawAnswer {
-                pieces,
-                closes: true,
-            };
+}
+
+impl StreamAnswer {
+    fn answer(&self, request: &RawRequest, path: &str) -> RawAnswer {
+        let from = request
+            .header(LAST_EVENT)
+            .and_then(|last| last.parse::<u32>().ok())
+            .filter(|_| path.starts_with("/resumed/"))
+            .unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}{WEIGHT_VERSIONS}: {}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            sealed(request),
+            self.version
+        );
+        let mut pieces = vec![(self.reading, head.into_bytes())];
+        for event in from + 1..=EVENTS {
+            let text = event_text(&self.id, event);
+            if self.breaks_off && event >= BREAKS_AT {
+                pieces.push((EVENT_PAUSE, chunk(&text[..8])));
+                return RawAnswer {
+                    pieces,
+                    closes: true,
+                };
+            }
+            if self.skipped != Some(event) {
+                pieces.push((EVENT_PAUSE, chunk(&text)));
+            }
         }
-        if skipped != Some(event) {
-            pieces.push((EVENT_PAUSE, chunk(&text)));
+        pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+        RawAnswer {
+            pieces,
+            closes: false,
         }
     }
-    pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
-    RawAnswer {
-        pieces,
-        closes: false,
-    }
 }
 
 fn refusal(request: &RawRequest, status: &str) -> RawAnswer {
@@ -332,13 +477,6 @@
     format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
 }
 
-fn listed(adapters: &BTreeMap<String, u64>) -> Vec<String> {
-    adapters
-        .iter()
-        .map(|(adapter, version)| format!("{adapter}@{version}"))
-        .collect()
-}
-
-fn lock(state: &Mutex<TargetState>) -> MutexGuard<'_, TargetState> {
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().expect("no holder of the lock panics")
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -101,6 +101,29 @@
     assert_eq!(found(&history), [Promise::NamedAdapter]);
 }
 
+#[test]
+fn a_run_on_memory_of_another_version_is_found() {
+    let mixed = SeenEntry::Mixed {
+        id: "r1".into(),
+        target: "i-1".into(),
+        adapter: "a1".into(),
+        made_under: 1,
+        runs_under: 7,
+    };
+    let moved = SeenEntry::Moved {
+        id: "r1".into(),
+        target: "i-1".into(),
+    };
+    let own = [
+        sent(0, "r1", CallKind::Stream, "a1"),
+        ran(1, "r1", "i-1", "a1"),
+        at(1, moved),
+    ];
+    assert_eq!(found(&own), []);
+    let other = [own.as_slice(), &[at(21, mixed)]].concat();
+    assert_eq!(found(&other), [Promise::OwnMemory]);
+}
+
 #[test]
 fn a_forged_header_that_reached_a_target_is_found() {
     let forged = SeenEntry::Forged {
--- a/crates/standins/src/kept_memory.rs
+++ b/crates/standins/src/kept_memory.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    iter,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
 };
@@ -72,6 +73,21 @@
         mismatch
     }
 
+    /// Parts at the start of a prompt that an engine need not make itself: it has them, or the source does.
+    #[must_use]
+    pub fn found(&self, at: SocketAddr, prompt: &ReadPrompt<'_>) -> usize {
+        let engines = self.lock();
+        let holders: Vec<_> = iter::once(at)
+            .chain(prompt.source)
+            .filter_map(|holder| engines.get(&holder))
+            .collect();
+        let is_kept = |part: &&u64| {
+            let key = (prompt.adapter.to_owned(), **part);
+            holders.iter().any(|kept| kept.contains_key(&key))
+        };
+        prompt.parts.iter().take_while(is_kept).count()
+    }
+
     /// An engine replaces or drops an adapter, and what it kept for it.
     pub fn drop_adapter(&self, at: SocketAddr, adapter: &str) {
         if let Some(own) = self.lock().get_mut(&at) {
