--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -38,6 +38,11 @@
 /// Kills of a series, and the time that the daemons run between two of them.
 const SERIES_KILLS: usize = 5;
 const SERIES_LIFE: Duration = Duration::from_millis(700);
+/// New versions of a series, and the time between two of them: shorter than a run, so that copies in use stay behind.
+const SERIES_VERSIONS: usize = 8;
+const VERSION_EVERY: Duration = Duration::from_millis(350);
+/// Adapters that are asked for most.
+const IN_DEMAND: usize = 3;
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -373,6 +378,18 @@
                 self.configure();
             }
             FaultKind::NameVersion => self.name_version(fault.index % self.adapters),
+            FaultKind::VersionSeries => {
+                for _ in 0..SERIES_VERSIONS {
+                    self.name_version(fault.index % IN_DEMAND.min(self.adapters));
+                    sleep(VERSION_EVERY).await;
+                }
+            }
+            FaultKind::LateOrders => {
+                let engine = self.engine(fault.index);
+                engine.set_delaying_orders(true);
+                sleep(fault.length()).await;
+                engine.set_delaying_orders(false);
+            }
         }
     }
 
@@ -430,6 +447,17 @@
         Arc::clone(&targets[index % targets.len()])
     }
 
+    /// An engine, counted from the newest: those whose place others have taken get no orders.
+    fn engine(&self, index: usize) -> Arc<SoakTarget> {
+        let targets = self.lock_targets();
+        let engines: Vec<_> = targets
+            .iter()
+            .rev()
+            .filter(|target| target.role == TargetRole::Engine)
+            .collect();
+        Arc::clone(engines[index % engines.len()])
+    }
+
     fn lock_targets(&self) -> std::sync::MutexGuard<'_, Vec<Arc<SoakTarget>>> {
         self.targets.lock().expect("no holder of the lock panics")
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -40,11 +40,15 @@
     Shed,
     /// All daemons are killed at once, again and again.
     KillSeries,
+    /// New versions of an adapter in demand are named, one after the other.
+    VersionSeries,
+    /// An engine leaves orders without an answer, and carries them out seconds later.
+    LateOrders,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -60,6 +64,8 @@
         Self::Vanish,
         Self::Shed,
         Self::KillSeries,
+        Self::VersionSeries,
+        Self::LateOrders,
     ];
 }
 
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -33,6 +33,17 @@
 const PLAIN_WORK: Duration = Duration::from_millis(15);
 /// Event within which a breaking target stops.
 const BREAKS_AT: u32 = 5;
+/// While an engine delays orders, every how many of them it leaves without an answer.
+const DELAYED_EVERY: u64 = 2;
+/// Times after which orders without an answer are carried out, in turn; the users tell of 12 seconds at the most.
+const LATE_BY: [Duration; 4] = [
+    Duration::from_millis(1_200),
+    Duration::from_millis(2_500),
+    Duration::from_millis(4_000),
+    Duration::from_millis(7_000),
+];
+/// Time after which the connection of an order without an answer is closed; nobody waits as long.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// What a target serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +116,9 @@
     sheds: bool,
     /// Requests seen while it sheds.
     shed_count: u64,
+    delays_orders: bool,
+    /// Orders seen while it delays some.
+    order_count: u64,
 }
 
 /// A running target.
@@ -168,6 +182,11 @@
         lock(&self.state).sheds = sheds;
     }
 
+    /// Whether it leaves some orders without an answer from now on, and carries them out seconds later.
+    pub fn set_delaying_orders(&self, delays: bool) {
+        lock(&self.state).delays_orders = delays;
+    }
+
     /// Its entry in the list of targets.
     #[must_use]
     pub fn entry(&self, is_leaving: bool) -> String {
@@ -239,6 +258,17 @@
 
     fn take_order(self: &Arc<Self>, request: &RawRequest) -> RawAnswer {
         let order = AdapterOrder::decode(&request.body);
+        if let Some(late_by) = self.late_by() {
+            let desk = Arc::clone(self);
+            tokio::spawn(async move {
+                sleep(late_by).await;
+                desk.carry_out(&order);
+            });
+            return RawAnswer {
+                pieces: vec![(SILENCE, Vec::new())],
+                closes: true,
+            };
+        }
         let status = match self.carry_out(&order) {
             OrderVerdict::Done => "200 OK",
             OrderVerdict::Begun(_) => "202 Accepted",
@@ -248,6 +278,18 @@
         RawAnswer::whole(status, "", "")
     }
 
+    /// By how much the next order is late, if it is left without an answer.
+    fn late_by(&self) -> Option<Duration> {
+        let mut state = lock(&self.state);
+        if !state.delays_orders {
+            return None;
+        }
+        state.order_count += 1;
+        let is_delayed = state.order_count.is_multiple_of(DELAYED_EVERY);
+        let turn = (state.order_count / DELAYED_EVERY) as usize;
+        is_delayed.then(|| LATE_BY[turn % LATE_BY.len()])
+    }
+
     fn carry_out(self: &Arc<Self>, order: &AdapterOrder) -> OrderVerdict {
         let newest = self.site.newest(&order.adapter);
         let mut state = lock(&self.state);
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -143,9 +143,15 @@
         (PlantedFault::RunsTwice, Promise::AtMostOnce),
         (PlantedFault::WrongAdapter, Promise::NamedAdapter),
         (PlantedFault::DropsEvent, Promise::WholeAnswer),
+        (PlantedFault::KeepsMemory, Promise::OwnMemory),
     ] {
         let mut plan = plan(&format!("{planted:?}"), 40);
         plan.planted = planted;
+        if planted == PlantedFault::KeepsMemory {
+            // It shows where an adapter that was used is replaced, and used again.
+            plan.requests = 240;
+            plan.faults = Some(vec![fault(800, FaultKind::VersionSeries, 0, 0)]);
+        }
         let outcome = play(&plan).await.expect("it plays");
         let found: Vec<_> = outcome
             .violations
