--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -39,7 +39,7 @@
     WholeAnswer,
     /// A leaving target gets no new work after its bound.
     Draining,
-    /// A planned stop interrupts nothing.
+    /// A planned stop interrupts nothing, and neither does a change of settings.
     PlannedStop,
     /// A configuration in force never goes back within a process.
     ConfigForward,
@@ -265,7 +265,7 @@
     found
 }
 
-/// A request that a planned stop met, and nothing else, has a whole answer once it ran.
+/// A request that a planned stop or a change of settings met, and nothing else, has a whole answer once it ran.
 fn check_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
     for (id, row) in &calls.rows {
@@ -278,6 +278,7 @@
             .filter(|entry| row.sent <= entry.at + TOUCH && entry.at <= at)
             .filter_map(|entry| match entry.seen {
                 SeenEntry::Struck { vm, is_planned } if vm == row.vm => Some(is_planned),
+                SeenEntry::Reloaded { vm } if vm == row.vm => Some(true),
                 SeenEntry::Disturbed => Some(false),
                 _ => None,
             })
@@ -285,7 +286,10 @@
         let only_planned = !strikes.is_empty() && strikes.iter().all(|is_planned| *is_planned);
         let has_run = !row.runs.is_empty() && row.runs.iter().all(|run| !run.breaks_off);
         if is_broken && only_planned && has_run {
-            let what = format!("{id} was broken off at {at:?} by the stop of VM {}", row.vm);
+            let what = format!(
+                "{id} was broken off at {at:?} by the stop or the reload of VM {}",
+                row.vm
+            );
             found.push(broken(Promise::PlannedStop, what));
         }
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -45,6 +45,7 @@
     pub log_link: LinkRelay,
     folder: PathBuf,
     program: PathBuf,
+    settings: Value,
     history: SharedHistory,
     state: Arc<Mutex<ProcessState>>,
 }
@@ -78,19 +79,43 @@
             "retries": { "ratio": crate::checks::REPEAT_RATIO, "slack": crate::checks::REPEAT_SLACK as u64 },
             "log": { "level": "debug" },
         });
-        fs::write(
-            folder.join(format!("vm-{index}.json")),
-            settings.to_string(),
-        )?;
-        Ok(Self {
+        let vm = Self {
             index,
             zone,
             log_link,
             folder: folder.to_owned(),
             program: program.to_owned(),
+            settings,
             history,
             state: Arc::default(),
-        })
+        };
+        vm.write_settings(&vm.settings)?;
+        Ok(vm)
+    }
+
+    /// Writes its settings file, which a daemon that starts meanwhile reads whole: as it was or as it is.
+    fn write_settings(&self, settings: &Value) -> io::Result<()> {
+        let written = self.folder.join(format!("vm-{}.new", self.index));
+        fs::write(&written, settings.to_string())?;
+        fs::rename(written, self.settings_path())
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.join(format!("vm-{}.json", self.index))
+    }
+
+    /// Changes its settings file and tells its process, once that has said where it takes callers: before, it would be
+    /// ended by the signal. Step 0 stands for the first settings, every other one for settings of its own.
+    ///
+    /// # Errors
+    /// Returns the error of the system when the file can't be written.
+    pub fn reload(&self, step: usize) -> io::Result<()> {
+        self.write_settings(&changed_settings(&self.settings, step))?;
+        if self.callers().is_some() {
+            self.history.add(SeenEntry::Reloaded { vm: self.index });
+            self.signal(Signal::SIGHUP);
+        }
+        Ok(())
     }
 
     /// Starts its daemon if none runs; its lines go to the folder of the run. Faults overlap, so that is looked at and done
@@ -99,7 +124,7 @@
     /// # Errors
     /// Returns the error of the system when the program can't be started.
     pub fn start(&self) -> io::Result<()> {
-        let settings = self.folder.join(format!("vm-{}.json", self.index));
+        let settings = self.settings_path();
         let mut state = self.lock();
         if state.child.is_some() {
             return Ok(());
@@ -208,6 +233,22 @@
     }
 }
 
+/// Settings that take in what may change in a running process, and a pause that waits for its restart. The budget for repeats
+/// only shrinks, so that what is checked holds for them all.
+fn changed_settings(first: &Value, step: usize) -> Value {
+    let mut settings = first.clone();
+    if step > 0 {
+        let part = 1.0 / (1 + step) as f64;
+        settings["retries"] = json!({
+            "ratio": crate::checks::REPEAT_RATIO * part,
+            "slack": crate::checks::REPEAT_SLACK * part,
+        });
+        settings["policy"] = json!({ "away_price_ms": 60 + step, "fetch_gain_ms": 60 + step });
+        settings["pace"] = json!({ "config_every_ms": 200 + step });
+    }
+    settings
+}
+
 /// Copies a daemon's lines to its log, and takes its address from the first.
 fn keep_lines(output: ChildStdout, mut log: File, state: &Mutex<ProcessState>, run: u32) {
     for line in BufReader::new(output).lines() {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -159,6 +159,11 @@
         /// Whether it was a planned stop and nothing else.
         is_planned: bool,
     },
+    /// A VM's settings file was changed, and its process told so.
+    Reloaded {
+        /// The VM.
+        vm: usize,
+    },
     /// The log or all links were disturbed, or came back.
     Disturbed,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -43,6 +43,9 @@
 const VERSION_EVERY: Duration = Duration::from_millis(350);
 /// Adapters that are asked for most.
 const IN_DEMAND: usize = 3;
+/// Changes of settings of a series, and the time between two of them.
+const SERIES_RELOADS: usize = 6;
+const RELOAD_EVERY: Duration = Duration::from_millis(250);
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -390,6 +393,15 @@
                 sleep(fault.length()).await;
                 engine.set_delaying_orders(false);
             }
+            FaultKind::ReloadSeries => {
+                for step in 1..=SERIES_RELOADS {
+                    for vm in &self.vms {
+                        // The last step puts back what was there at first.
+                        self.reload(vm, SERIES_RELOADS - step);
+                    }
+                    sleep(RELOAD_EVERY).await;
+                }
+            }
         }
     }
 
@@ -407,6 +419,12 @@
         self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
     }
 
+    fn reload(&self, vm: &SoakVm, step: usize) {
+        if let Err(error) = vm.reload(step) {
+            eprintln!("VM {} was not given other settings: {error}", vm.index);
+        }
+    }
+
     fn disturb(&self, change: impl FnOnce(&mut hoplanding_standins::keyed_log::LogFaults)) {
         self.history.add(SeenEntry::Disturbed);
         self.log.set_faults(change);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -44,11 +44,13 @@
     VersionSeries,
     /// An engine leaves orders without an answer, and carries them out seconds later.
     LateOrders,
+    /// The settings of all daemons change, again and again.
+    ReloadSeries,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -66,6 +68,7 @@
         Self::KillSeries,
         Self::VersionSeries,
         Self::LateOrders,
+        Self::ReloadSeries,
     ];
 }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -196,6 +196,37 @@
     assert_eq!(broken(vec![struck(1_000, true), struck(2_000, false)]), []);
 }
 
+#[test]
+fn a_change_of_settings_interrupts_nothing() {
+    let broken = |vm, extra: Vec<TimedEntry>| {
+        let mut history = vec![
+            sent(900, "r1", CallKind::Stream, "a1"),
+            ran(950, "r1", "i-1", "a1"),
+            at(1_000, SeenEntry::Reloaded { vm }),
+            answered(3_000, "r1", CallAnswer::Broken(200)),
+        ];
+        history.extend(extra);
+        found(&history)
+    };
+    assert_eq!(broken(0, Vec::new()), [Promise::PlannedStop]);
+    assert_eq!(broken(1, Vec::new()), []);
+    assert_eq!(broken(0, vec![struck(2_000, false)]), []);
+}
+
+/// It is no fault that excuses what reaches a leaving target.
+#[test]
+fn a_change_of_settings_leaves_a_vm_in_touch() {
+    let target = "i-1".into();
+    let history = [
+        at(5_000, SeenEntry::Leaving { target }),
+        at(6_000, SeenEntry::Reloaded { vm: 0 }),
+        sent(7_400, "r1", CallKind::Once, ""),
+        ran(7_500, "r1", "i-1", ""),
+        answered(7_600, "r1", CallAnswer::Whole(200, "done r1".into())),
+    ];
+    assert_eq!(found(&history), [Promise::Draining]);
+}
+
 #[test]
 fn a_configuration_goes_back_only_with_its_process() {
     let history = [probed(1, 1, 3, true), probed(2, 1, 2, false)];
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -162,6 +162,29 @@
     }
 }
 
+/// Settings change again and again while calls run: every daemon takes each change over, and nothing is interrupted.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_change_again_and_again_interrupt_nothing() {
+    let mut plan = plan("reloads", 300);
+    plan.faults = Some(vec![
+        fault(500, FaultKind::ReloadSeries, 0, 0),
+        fault(600, FaultKind::Shed, 0, 2_000),
+        fault(2_500, FaultKind::ReloadSeries, 0, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    for vm in 0..4 {
+        let log = fs::read_to_string(plan.folder.join(format!("vm-{vm}.log"))).expect("a log");
+        let changes = log.matches("changed settings taken over").count();
+        let refused = log.matches("changed settings refused").count();
+        // Two changes within one look are taken over as one.
+        assert!(
+            changes >= 6 && refused == 0,
+            "VM {vm}: {changes}, {refused}"
+        );
+    }
+}
+
 /// The callers' address that a daemon named in its log.
 fn address_in(log: &str) -> Option<SocketAddr> {
     let text = log.split("callers ").nth(1)?;
