--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -162,6 +162,54 @@
     }
 }
 
+/// Several engines a zone, of which adapters in demand stand on more than one: the plan of runs by hand.
+fn spread_plan(name: &str) -> RunPlan {
+    let mut plan = plan(name, 600);
+    plan.seed = 23;
+    plan.engines_per_zone = 2;
+    plan.adapters = 12;
+    plan
+}
+
+/// What users saw as memory of another version, on real processes: adapters in demand get new versions in series, while engines
+/// are replaced. Engines that have the new version took parts of prompts from neighbours whose copies were in use and behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_another_version_while_versions_come_in_series() {
+    let mut plan = spread_plan("versions");
+    plan.faults = Some(vec![
+        fault(1_000, FaultKind::VersionSeries, 0, 0),
+        fault(1_500, FaultKind::VersionSeries, 1, 0),
+        fault(2_000, FaultKind::Leave, 0, 0),
+        fault(4_000, FaultKind::VersionSeries, 0, 0),
+        fault(4_500, FaultKind::Vanish, 1, 0),
+        fault(5_000, FaultKind::VersionSeries, 1, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
+/// The same beside orders that are carried out late, and holders that are killed, stand still or lose the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_another_version_beside_late_orders_and_takeovers() {
+    let mut plan = spread_plan("takeovers");
+    plan.faults = Some(vec![
+        fault(1_000, FaultKind::VersionSeries, 0, 0),
+        fault(1_200, FaultKind::LateOrders, 0, 2_500),
+        fault(1_400, FaultKind::LateOrders, 1, 2_500),
+        fault(2_000, FaultKind::Kill, 0, 800),
+        fault(2_600, FaultKind::Kill, 1, 800),
+        fault(3_000, FaultKind::VersionSeries, 1, 0),
+        fault(4_800, FaultKind::Pause, 0, 1_500),
+        fault(5_000, FaultKind::VersionSeries, 0, 0),
+        fault(5_000, FaultKind::LateOrders, 2, 2_000),
+        fault(5_000, FaultKind::LateOrders, 3, 2_000),
+        fault(6_000, FaultKind::LogSilent, 1, 1_500),
+        fault(6_500, FaultKind::VersionSeries, 1, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
 /// Settings change again and again while calls run: every daemon takes each change over, and nothing is interrupted.
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_that_change_again_and_again_interrupt_nothing() {
