Let the soak's engines differ in their base models too

Memory is made by base model and adapter; an answer tells the version of the base model, and what a request expects is the adapter's. An engine in place of one that vanished comes empty and loads the newest weights. A play without faults moves prompts and breaks none.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -49,7 +49,8 @@
     Places,
     /// Repeats stay within the fleet's budget.
     RetryBudget,
-    /// A run uses memory of its prompt only if it was made under the version of the adapter that it runs under.
+    /// A run uses memory of its prompt only if it was made under the versions of base model and adapter that it runs
+    /// under.
     OwnMemory,
 }
 
@@ -420,7 +421,7 @@
             runs_under,
         } => {
             let what = format!(
-                "{id} for {adapter} ran at {target} at {:?}, used memory made under version {made_under}, and runs under version {runs_under}",
+                "{id} for {adapter} ran at {target} at {:?}, used memory made under {made_under}, and runs under {runs_under}",
                 entry.at
             );
             Some(broken(Promise::OwnMemory, what))
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,9 @@
 //! What callers, targets and the fault schedule saw, each entry with its time.
 
-use crate::targets::{TargetRole, service_of};
+use crate::{
+    shelf::WeightVersions,
+    targets::{TargetRole, service_of},
+};
 use std::{
     sync::{Arc, Mutex},
     time::Duration,
@@ -97,7 +100,7 @@
         /// The engine.
         target: String,
     },
-    /// A run used memory of its prompt that was made under another version of its adapter.
+    /// A run used memory of its prompt that was made under another version of its adapter or of the base model.
     Mixed {
         /// The request.
         id: String,
@@ -105,10 +108,10 @@
         target: String,
         /// The adapter.
         adapter: String,
-        /// Version that made the memory.
-        made_under: u64,
-        /// Version of the run.
-        runs_under: u64,
+        /// Versions that made the memory.
+        made_under: WeightVersions,
+        /// Versions of the run.
+        runs_under: WeightVersions,
     },
     /// A target was handed a header of the system's own that a caller had forged.
     Forged {
--- a/crates/soak/src/prompts.rs
+++ b/crates/soak/src/prompts.rs
@@ -3,6 +3,7 @@
 //! Most of a prompt is shared with others of its adapter, and the shared parts change as the run goes on, so that engines meet
 //! parts that a neighbour has read and they have not.
 
+use crate::shelf::WeightVersions;
 use hoplanding_standins::kept_memory::{MemoryNet, ReadPrompt};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -76,8 +77,8 @@
 pub struct GivenPrompt {
     /// Its adapter.
     pub adapter: String,
-    /// Version of the adapter at the engine.
-    pub version: u64,
+    /// Versions that the engine runs it under.
+    pub versions: WeightVersions,
     /// Its parts.
     pub parts: Vec<PromptPart>,
     /// The engine to take parts from.
@@ -85,12 +86,12 @@
 }
 
 impl GivenPrompt {
-    /// Reads it into an engine's memory; the version that the memory was made under, if that is another than its own.
+    /// Reads it into an engine's memory; the versions that the memory was made under, if they are others than its own.
     #[must_use]
-    pub fn read(&self, at: SocketAddr, memory: &MemoryNet) -> Option<u64> {
+    pub fn read(&self, at: SocketAddr, memory: &MemoryNet) -> Option<WeightVersions> {
         let ids = self.ids();
         let mismatch = memory.read(at, &self.view(&ids, self.source));
-        mismatch.map(|mismatch| mismatch.made_under)
+        mismatch.map(|mismatch| WeightVersions::of_mark(mismatch.made_under))
     }
 
     fn ids(&self) -> Vec<u64> {
@@ -100,7 +101,7 @@
     fn view<'a>(&'a self, ids: &'a [u64], source: Option<SocketAddr>) -> ReadPrompt<'a> {
         ReadPrompt {
             adapter: &self.adapter,
-            version: self.version,
+            version: self.versions.mark(),
             parts: ids,
             source,
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
     history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
     prompts::parts_of,
     schedule::{FaultKind, PlannedFault, faults_of},
-    shelf::{FIRST_VERSION, PLACES},
+    shelf::{BASE, FIRST_VERSION, PLACES},
     targets::{PlantedFault, SoakTarget, TargetRole, TargetSite, service_of},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
@@ -110,8 +110,8 @@
     zones: Vec<String>,
     history: SharedHistory,
     version: AtomicU64,
-    /// The newest version of any adapter; held while it is named, so that the log has versions in their order.
-    adapter_version: Mutex<u64>,
+    /// The newest version of anything; held while it is named, so that the log has versions in their order.
+    newest_version: Mutex<u64>,
     adapters: usize,
     target_site: TargetSite,
 }
@@ -181,14 +181,15 @@
             target_site: TargetSite::new(history.clone(), plan.planted),
             history,
             version: AtomicU64::new(1),
-            adapter_version: Mutex::new(FIRST_VERSION),
+            newest_version: Mutex::new(FIRST_VERSION),
             adapters: plan.adapters,
         };
         for index in 0..plan.zones * plan.engines_per_zone {
-            site.add_target(TargetRole::Engine, index).await?;
+            site.add_target(TargetRole::Engine, index, Some(FIRST_VERSION))
+                .await?;
         }
         for index in 0..plan.zones {
-            site.add_target(TargetRole::Plain, index).await?;
+            site.add_target(TargetRole::Plain, index, None).await?;
         }
         site.configure();
         for vm in &site.vms {
@@ -197,12 +198,17 @@
         Ok(site)
     }
 
-    async fn add_target(&self, role: TargetRole, index: usize) -> io::Result<()> {
+    async fn add_target(
+        &self,
+        role: TargetRole,
+        index: usize,
+        base: Option<u64>,
+    ) -> io::Result<()> {
         let zone = &self.zones[index % self.zones.len()];
         let number = self.lock_targets().len();
         let name = format!("i-{}-{number}", service_of(role));
         let site = self.target_site.clone();
-        let target = SoakTarget::start(&name, role, zone, site).await?;
+        let target = SoakTarget::start(&name, role, zone, base, site).await?;
         self.log
             .put(TARGET_TOPIC, &name, Some(&target.entry(false)));
         self.lock_targets().push(Arc::new(target));
@@ -248,7 +254,7 @@
                 { "name": "ledger", "max_connections": 100 },
                 { "name": "scribe", "max_connections": 100, "engine": {
                     "slots": 8, "kv_capacity": 100_000, "adapter_slots": PLACES,
-                    "loads_per_s": 100.0, "models": [{ "name": "base" }] } },
+                    "loads_per_s": 100.0, "models": [{ "name": BASE }] } },
             ],
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
                         "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
@@ -358,11 +364,12 @@
             FaultKind::Leave => {
                 let target = self.target(fault.index);
                 let entry = target.entry(true);
-                self.replace_target(&target, Some(&entry), fault).await;
+                self.replace_target(&target, Some(&entry), Some(FIRST_VERSION), fault)
+                    .await;
             }
             FaultKind::Vanish => {
                 let target = self.target(fault.index);
-                self.replace_target(&target, None, fault).await;
+                self.replace_target(&target, None, None, fault).await;
             }
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
@@ -380,10 +387,16 @@
                 self.version.fetch_add(1, Ordering::SeqCst);
                 self.configure();
             }
-            FaultKind::NameVersion => self.name_version(fault.index % self.adapters),
+            FaultKind::NameVersion => self.name_version(Some(fault.index % self.adapters)),
             FaultKind::VersionSeries => {
                 for _ in 0..SERIES_VERSIONS {
-                    self.name_version(fault.index % IN_DEMAND.min(self.adapters));
+                    self.name_version(Some(fault.index % IN_DEMAND.min(self.adapters)));
+                    sleep(VERSION_EVERY).await;
+                }
+            }
+            FaultKind::WeightSeries => {
+                for _ in 0..SERIES_VERSIONS {
+                    self.name_version(None);
                     sleep(VERSION_EVERY).await;
                 }
             }
@@ -405,17 +418,23 @@
         }
     }
 
-    fn name_version(&self, adapter: usize) {
+    /// Names a new version of an adapter, or of the base model.
+    fn name_version(&self, adapter: Option<usize>) {
         let mut newest = self
-            .adapter_version
+            .newest_version
             .lock()
             .expect("no holder of the lock panics");
         *newest += 1;
         let version = *newest;
-        let adapter = format!("a{adapter}");
-        let key = format!("{VERSION_KEY}base.{adapter}");
-        let value = json!({ "model": "base", "adapter": adapter, "version": version });
-        self.target_site.name_version(&adapter, version);
+        let mut value = json!({ "model": BASE, "version": version });
+        let mut key = format!("{VERSION_KEY}{BASE}");
+        let adapter = adapter.map(|adapter| format!("a{adapter}"));
+        if let Some(adapter) = &adapter {
+            value["adapter"] = json!(adapter);
+            key += &format!(".{adapter}");
+        }
+        self.target_site
+            .name_version(adapter.as_deref().unwrap_or_default(), version);
         self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
     }
 
@@ -450,12 +469,18 @@
 
     /// A target says that it leaves, or its entry goes; another one of its kind comes. It stays reachable: the list is
     /// what counts.
-    async fn replace_target(&self, target: &SoakTarget, entry: Option<&str>, fault: &PlannedFault) {
+    async fn replace_target(
+        &self,
+        target: &SoakTarget,
+        entry: Option<&str>,
+        base: Option<u64>,
+        fault: &PlannedFault,
+    ) {
         self.log.put(TARGET_TOPIC, &target.name, entry);
         self.history.add(SeenEntry::Leaving {
             target: target.name.clone(),
         });
-        if let Err(error) = self.add_target(target.role, fault.index).await {
+        if let Err(error) = self.add_target(target.role, fault.index, base).await {
             eprintln!("no target comes in place of {}: {error}", target.name);
         }
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -34,7 +34,7 @@
     Configure,
     /// A new version of an adapter is named.
     NameVersion,
-    /// A target's entry goes without a word, and another target comes.
+    /// A target's entry goes without a word, and another target comes: an engine comes empty.
     Vanish,
     /// All targets turn most of their calls away.
     Shed,
@@ -42,6 +42,8 @@
     KillSeries,
     /// New versions of an adapter in demand are named, one after the other.
     VersionSeries,
+    /// New versions of the base model are named, one after the other: engines that come empty load the newest.
+    WeightSeries,
     /// An engine leaves orders without an answer, and carries them out seconds later.
     LateOrders,
     /// The settings of all daemons change, again and again.
@@ -50,7 +52,7 @@
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -67,6 +69,7 @@
         Self::Shed,
         Self::KillSeries,
         Self::VersionSeries,
+        Self::WeightSeries,
         Self::LateOrders,
         Self::ReloadSeries,
     ];
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -5,7 +5,9 @@
     checks::{EVENTS, event_text, whole_body},
     history::{CallKind, SeenEntry, SharedHistory},
     prompts::{GivenPrompt, MOVE_TIME, PromptDesk, ReadingWork, decode_parts},
-    shelf::{AdapterOrder, AdapterShelf, CopySight, FIRST_VERSION, OrderVerdict},
+    shelf::{
+        AdapterOrder, AdapterShelf, BASE, CopySight, FIRST_VERSION, OrderVerdict, WeightVersions,
+    },
 };
 use hoplanding_platform::names::{
     EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, MODEL, NOT_EXECUTED, ORDER_PATH,
@@ -77,7 +79,7 @@
     pub history: SharedHistory,
     /// What engines keep of prompts.
     pub memory: Arc<MemoryNet>,
-    /// The newest version of each adapter for which one was named.
+    /// The newest version of the base model and of each adapter for which one was named.
     pub versions: Arc<Mutex<BTreeMap<String, u64>>>,
     /// A fault that they have.
     pub planted: PlantedFault,
@@ -95,7 +97,7 @@
         }
     }
 
-    /// Names a version of an adapter.
+    /// Names a version of an adapter, or of the base model where that is empty.
     pub fn name_version(&self, adapter: &str, version: u64) {
         let mut versions = lock(&self.versions);
         let newest = versions.entry(adapter.to_owned()).or_default();
@@ -108,7 +110,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct TargetState {
     shelf: AdapterShelf,
     prompts: PromptDesk,
@@ -121,6 +123,20 @@
     order_count: u64,
 }
 
+impl TargetState {
+    fn new(base: Option<u64>) -> Self {
+        Self {
+            shelf: AdapterShelf::new(base),
+            prompts: PromptDesk::default(),
+            breaks: false,
+            sheds: false,
+            shed_count: 0,
+            delays_orders: false,
+            order_count: 0,
+        }
+    }
+}
+
 /// A running target.
 pub struct SoakTarget {
     /// Its name, as it is listed.
@@ -134,7 +150,7 @@
 }
 
 impl SoakTarget {
-    /// Starts a target.
+    /// Starts a target; an engine with the base model in this version, or empty.
     ///
     /// # Errors
     /// Returns the error of the system when no port can be had.
@@ -145,9 +161,10 @@
         name: &str,
         role: TargetRole,
         zone: &str,
+        base: Option<u64>,
         site: TargetSite,
     ) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(TargetState::default()));
+        let state = Arc::new(Mutex::new(TargetState::new(base)));
         let address = Arc::new(OnceLock::new());
         let desk = Arc::new(TargetDesk {
             name: name.to_owned(),
@@ -192,9 +209,7 @@
     pub fn entry(&self, is_leaving: bool) -> String {
         let state = lock(&self.state);
         let models = match self.role {
-            TargetRole::Engine => json!([{
-                "name": "base", "version": 1, "adapters": state.shelf.listed(),
-            }]),
+            TargetRole::Engine => state.shelf.listed(),
             TargetRole::Plain => json!([]),
         };
         json!({
@@ -250,8 +265,10 @@
         let state = lock(&self.state);
         let report = json!({
             "sequence": state.shelf.orders_taken(),
-            "models": [{ "name": "base", "adapters": state.shelf.listed() }],
+            "models": state.shelf.listed(),
+            "utilization": state.shelf.is_loading_base(),
             "coming": state.shelf.coming(),
+            "at_hand": { "in_memory": [], "on_disk": [BASE] },
         });
         RawAnswer::whole("200 OK", "", &report.to_string())
     }
@@ -349,8 +366,8 @@
             self.note_run(&id, adapter, state.breaks);
             return plain_answer(request, &id, state.breaks);
         }
-        let version = match state.shelf.sight(adapter) {
-            CopySight::Here(version) if is_meant(request, version) => version,
+        let versions = match state.shelf.sight(adapter) {
+            CopySight::Here(versions) if is_meant(request, versions.adapter) => versions,
             CopySight::Leaving => return self.turn_away(request, "503 Service Unavailable"),
             CopySight::Here(_) | CopySight::Absent => {
                 return self.turn_away(request, "421 Misdirected Request");
@@ -359,7 +376,7 @@
         self.note_run(&id, adapter, state.breaks);
         let prompt = GivenPrompt {
             adapter: adapter.to_owned(),
-            version,
+            versions,
             parts: decode_parts(request.header(PROMPT_PREFIX).unwrap_or_default()),
             source: request
                 .header(KV_FETCH)
@@ -376,7 +393,7 @@
         drop(state);
         let stream = StreamAnswer {
             id,
-            version,
+            versions,
             reading: reading.time,
             breaks_off,
             skipped: (self.site.planted == PlantedFault::DropsEvent).then_some(3),
@@ -432,7 +449,7 @@
                 target: self.name.clone(),
                 adapter: prompt.adapter.clone(),
                 made_under,
-                runs_under: prompt.version,
+                runs_under: prompt.versions,
             });
         }
     }
@@ -463,7 +480,7 @@
 /// A stream as an engine gives it.
 struct StreamAnswer {
     id: String,
-    version: u64,
+    versions: WeightVersions,
     /// Time until the prompt is read.
     reading: Duration,
     breaks_off: bool,
@@ -481,7 +498,7 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\n{}{WEIGHT_VERSIONS}: {}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             sealed(request),
-            self.version
+            self.versions.base
         );
         let mut pieces = vec![(self.reading, head.into_bytes())];
         for event in from + 1..=EVENTS {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,6 +3,7 @@
 use hoplanding_soak::{
     checks::{EVENTS, Promise, check, whole_body},
     history::{CallAnswer, CallKind, SeenEntry, TimedEntry},
+    shelf::WeightVersions,
 };
 use std::time::Duration;
 
@@ -103,12 +104,13 @@
 
 #[test]
 fn a_run_on_memory_of_another_version_is_found() {
-    let mixed = SeenEntry::Mixed {
+    let versions = |base, adapter| WeightVersions { base, adapter };
+    let mixed = |made_under, runs_under| SeenEntry::Mixed {
         id: "r1".into(),
         target: "i-1".into(),
         adapter: "a1".into(),
-        made_under: 1,
-        runs_under: 7,
+        made_under,
+        runs_under,
     };
     let moved = SeenEntry::Moved {
         id: "r1".into(),
@@ -120,8 +122,11 @@
         at(1, moved),
     ];
     assert_eq!(found(&own), []);
-    let other = [own.as_slice(), &[at(21, mixed)]].concat();
-    assert_eq!(found(&other), [Promise::OwnMemory]);
+    for made_under in [versions(1, 1), versions(2, 7)] {
+        let mixed = mixed(made_under, versions(1, 7));
+        let other = [own.as_slice(), &[at(21, mixed)]].concat();
+        assert_eq!(found(&other), [Promise::OwnMemory]);
+    }
 }
 
 #[test]
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -171,6 +171,16 @@
     plan
 }
 
+/// Without it, promises about moved memory would hold as nothing moves.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_move_between_engines_of_the_same_versions() {
+    let plan = spread_plan("moves");
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let figures = hoplanding_soak::report::figures(&outcome.history);
+    assert!(figures.moved > 0, "{figures:?}");
+}
+
 /// What users saw as memory of another version, on real processes: adapters in demand get new versions in series, while engines
 /// are replaced. Engines that have the new version took parts of prompts from neighbours whose copies were in use and behind.
 #[tokio::test(flavor = "multi_thread")]
@@ -188,6 +198,21 @@
     assert_eq!(outcome.violations, [], "{}", plan.folder.display());
 }
 
+/// The same for weights of the base model: engines that come empty load the newest, and their neighbours keep the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_other_weights_of_the_base_model() {
+    let mut plan = spread_plan("weights");
+    plan.faults = Some(vec![
+        fault(500, FaultKind::WeightSeries, 0, 0),
+        fault(2_000, FaultKind::Vanish, 0, 0),
+        fault(2_500, FaultKind::Vanish, 1, 0),
+        fault(4_000, FaultKind::WeightSeries, 0, 0),
+        fault(6_000, FaultKind::Vanish, 2, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
 /// The same beside orders that are carried out late, and holders that are killed, stand still or lose the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_run_uses_memory_of_another_version_beside_late_orders_and_takeovers() {
