--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -39,7 +39,7 @@
     WholeAnswer,
     /// A leaving target gets no new work after its bound.
     Draining,
-    /// A planned stop interrupts nothing.
+    /// A planned stop interrupts nothing, and neither does a change of settings.
     PlannedStop,
     /// A configuration in force never goes back within a process.
     ConfigForward,
@@ -49,6 +49,9 @@
     Places,
     /// Repeats stay within the fleet's budget.
     RetryBudget,
+    /// A run uses memory of its prompt only if it was made under the versions of base model and adapter that it runs
+    /// under.
+    OwnMemory,
 }
 
 /// A broken promise.
@@ -79,6 +82,7 @@
     found.extend(check_orders(history));
     found.extend(check_budget(&calls));
     found.extend(check_headers(history));
+    found.extend(check_memory(history));
     found
 }
 
@@ -262,7 +266,7 @@
     found
 }
 
-/// A request that a planned stop met, and nothing else, has a whole answer once it ran.
+/// A request that a planned stop or a change of settings met, and nothing else, has a whole answer once it ran.
 fn check_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
     for (id, row) in &calls.rows {
@@ -275,6 +279,7 @@
             .filter(|entry| row.sent <= entry.at + TOUCH && entry.at <= at)
             .filter_map(|entry| match entry.seen {
                 SeenEntry::Struck { vm, is_planned } if vm == row.vm => Some(is_planned),
+                SeenEntry::Reloaded { vm } if vm == row.vm => Some(true),
                 SeenEntry::Disturbed => Some(false),
                 _ => None,
             })
@@ -282,7 +287,10 @@
         let only_planned = !strikes.is_empty() && strikes.iter().all(|is_planned| *is_planned);
         let has_run = !row.runs.is_empty() && row.runs.iter().all(|run| !run.breaks_off);
         if is_broken && only_planned && has_run {
-            let what = format!("{id} was broken off at {at:?} by the stop of VM {}", row.vm);
+            let what = format!(
+                "{id} was broken off at {at:?} by the stop or the reload of VM {}",
+                row.vm
+            );
             found.push(broken(Promise::PlannedStop, what));
         }
     }
@@ -403,6 +411,26 @@
     forged.collect()
 }
 
+fn check_memory(history: &[TimedEntry]) -> Vec<Violation> {
+    let mixed = history.iter().filter_map(|entry| match &entry.seen {
+        SeenEntry::Mixed {
+            id,
+            target,
+            adapter,
+            made_under,
+            runs_under,
+        } => {
+            let what = format!(
+                "{id} for {adapter} ran at {target} at {:?}, used memory made under {made_under}, and runs under {runs_under}",
+                entry.at
+            );
+            Some(broken(Promise::OwnMemory, what))
+        }
+        _ => None,
+    });
+    mixed.collect()
+}
+
 fn broken(promise: Promise, what: String) -> Violation {
     Violation { promise, what }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,9 @@
 //! What callers, targets and the fault schedule saw, each entry with its time.
 
-use crate::targets::{TargetRole, service_of};
+use crate::{
+    shelf::WeightVersions,
+    targets::{TargetRole, service_of},
+};
 use std::{
     sync::{Arc, Mutex},
     time::Duration,
@@ -90,6 +93,26 @@
         /// The target.
         target: String,
     },
+    /// An engine takes parts of a request's prompt from another engine.
+    Moved {
+        /// The request.
+        id: String,
+        /// The engine.
+        target: String,
+    },
+    /// A run used memory of its prompt that was made under another version of its adapter or of the base model.
+    Mixed {
+        /// The request.
+        id: String,
+        /// The engine.
+        target: String,
+        /// The adapter.
+        adapter: String,
+        /// Versions that made the memory.
+        made_under: WeightVersions,
+        /// Versions of the run.
+        runs_under: WeightVersions,
+    },
     /// A target was handed a header of the system's own that a caller had forged.
     Forged {
         /// The request.
@@ -139,6 +162,11 @@
         /// Whether it was a planned stop and nothing else.
         is_planned: bool,
     },
+    /// A VM's settings file was changed, and its process told so.
+    Reloaded {
+        /// The VM.
+        vm: usize,
+    },
     /// The log or all links were disturbed, or came back.
     Disturbed,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,8 +5,10 @@
     checks::{Violation, check},
     fleet::SoakVm,
     history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
+    prompts::parts_of,
     schedule::{FaultKind, PlannedFault, faults_of},
-    targets::{PlantedFault, SoakTarget, TargetRole, service_of},
+    shelf::{BASE, FIRST_VERSION, PLACES},
+    targets::{PlantedFault, SoakTarget, TargetRole, TargetSite, service_of},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
@@ -36,6 +38,16 @@
 /// Kills of a series, and the time that the daemons run between two of them.
 const SERIES_KILLS: usize = 5;
 const SERIES_LIFE: Duration = Duration::from_millis(700);
+/// New versions of a series, and the time between two of them: shorter than a run, so that copies in use stay behind.
+const SERIES_VERSIONS: usize = 8;
+const VERSION_EVERY: Duration = Duration::from_millis(350);
+/// Adapters that are asked for most.
+const IN_DEMAND: usize = 3;
+/// Changes of settings of a series, and the time between two of them.
+const SERIES_RELOADS: usize = 6;
+const RELOAD_EVERY: Duration = Duration::from_millis(250);
+/// Pause between two looks of a target at its entry in the list.
+const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -92,7 +104,7 @@
     pub violations: Vec<Violation>,
 }
 
-/// A running fleet and its surroundings.
+/// A running fleet and its target_site.
 struct SoakSite {
     log: KeyedLog,
     vms: Vec<Arc<SoakVm>>,
@@ -100,9 +112,10 @@
     zones: Vec<String>,
     history: SharedHistory,
     version: AtomicU64,
-    adapter_version: AtomicU64,
+    /// The newest version of anything; held while it is named, so that the log has versions in their order.
+    newest_version: Mutex<u64>,
     adapters: usize,
-    planted: PlantedFault,
+    target_site: TargetSite,
 }
 
 /// Plays a run.
@@ -117,6 +130,7 @@
     let site = Arc::new(SoakSite::start(plan).await?);
     site.wait_for_callers().await?;
     let prober = tokio::spawn(Arc::clone(&site).probe());
+    let lister = tokio::spawn(Arc::clone(&site).renew_list());
     let begun = Instant::now();
     let mut work = JoinSet::new();
     for fault in faults.clone() {
@@ -133,6 +147,7 @@
     })
     .await;
     prober.abort();
+    lister.abort();
     let history = site.history.entries();
     let violations = check(&history);
     Ok(RunOutcome {
@@ -167,17 +182,18 @@
             vms,
             targets: Mutex::default(),
             zones,
+            target_site: TargetSite::new(history.clone(), plan.planted),
             history,
             version: AtomicU64::new(1),
-            adapter_version: AtomicU64::new(1),
+            newest_version: Mutex::new(FIRST_VERSION),
             adapters: plan.adapters,
-            planted: plan.planted,
         };
         for index in 0..plan.zones * plan.engines_per_zone {
-            site.add_target(TargetRole::Engine, index).await?;
+            site.add_target(TargetRole::Engine, index, Some(FIRST_VERSION))
+                .await?;
         }
         for index in 0..plan.zones {
-            site.add_target(TargetRole::Plain, index).await?;
+            site.add_target(TargetRole::Plain, index, None).await?;
         }
         site.configure();
         for vm in &site.vms {
@@ -186,18 +202,38 @@
         Ok(site)
     }
 
-    async fn add_target(&self, role: TargetRole, index: usize) -> io::Result<()> {
+    async fn add_target(
+        &self,
+        role: TargetRole,
+        index: usize,
+        base: Option<u64>,
+    ) -> io::Result<()> {
         let zone = &self.zones[index % self.zones.len()];
         let number = self.lock_targets().len();
         let name = format!("i-{}-{number}", service_of(role));
-        let history = self.history.clone();
-        let target = SoakTarget::start(&name, role, zone, history, self.planted).await?;
-        self.log
-            .put(TARGET_TOPIC, &name, Some(&target.entry(false)));
+        let site = self.target_site.clone();
+        let target = SoakTarget::start(&name, role, zone, base, site).await?;
         self.lock_targets().push(Arc::new(target));
+        self.list_news();
         Ok(())
     }
 
+    /// Writes the entries of targets that hold something else than listed.
+    fn list_news(&self) {
+        for target in self.lock_targets().iter() {
+            if let Some(entry) = target.news() {
+                self.log.put(TARGET_TOPIC, &target.name, Some(&entry));
+            }
+        }
+    }
+
+    async fn renew_list(self: Arc<Self>) {
+        loop {
+            sleep(HEARTBEAT).await;
+            self.list_news();
+        }
+    }
+
     async fn wait_for_callers(&self) -> io::Result<()> {
         let ready = async {
             for vm in &self.vms {
@@ -236,8 +272,8 @@
             "services": [
                 { "name": "ledger", "max_connections": 100 },
                 { "name": "scribe", "max_connections": 100, "engine": {
-                    "slots": 8, "kv_capacity": 100_000, "adapter_slots": crate::targets::PLACES,
-                    "loads_per_s": 100.0, "models": [{ "name": "base" }] } },
+                    "slots": 8, "kv_capacity": 100_000, "adapter_slots": PLACES,
+                    "loads_per_s": 100.0, "models": [{ "name": BASE }] } },
             ],
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
                         "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
@@ -258,10 +294,15 @@
                 CallKind::Once | CallKind::Idempotent => String::new(),
                 _ => format!("a{}", (draw * draw * self.adapters as f64) as usize),
             };
+            let parts = match kind {
+                CallKind::Once | CallKind::Idempotent => Vec::new(),
+                _ => parts_of(number).to_vec(),
+            };
             let call = SoakCall {
                 id: format!("r{number}"),
                 kind,
                 adapter,
+                parts,
             };
             let start = random.random_range(0..self.vms.len());
             let open = (0..self.vms.len())
@@ -341,12 +382,12 @@
             FaultKind::LogCut => self.strike_link(vm, LinkState::Cut, fault).await,
             FaultKind::Leave => {
                 let target = self.target(fault.index);
-                let entry = target.entry(true);
-                self.replace_target(&target, Some(&entry), fault).await;
+                self.replace_target(&target, true, Some(FIRST_VERSION), fault)
+                    .await;
             }
             FaultKind::Vanish => {
                 let target = self.target(fault.index);
-                self.replace_target(&target, None, fault).await;
+                self.replace_target(&target, false, None, fault).await;
             }
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
@@ -364,16 +405,63 @@
                 self.version.fetch_add(1, Ordering::SeqCst);
                 self.configure();
             }
-            FaultKind::NameVersion => {
-                let version = 1 + self.adapter_version.fetch_add(1, Ordering::SeqCst);
-                let adapter = format!("a{}", fault.index % self.adapters);
-                let key = format!("{VERSION_KEY}base.{adapter}");
-                let value = json!({ "model": "base", "adapter": adapter, "version": version });
-                self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
+            FaultKind::NameVersion => self.name_version(Some(fault.index % self.adapters)),
+            FaultKind::VersionSeries => {
+                for _ in 0..SERIES_VERSIONS {
+                    self.name_version(Some(fault.index % IN_DEMAND.min(self.adapters)));
+                    sleep(VERSION_EVERY).await;
+                }
+            }
+            FaultKind::WeightSeries => {
+                for _ in 0..SERIES_VERSIONS {
+                    self.name_version(None);
+                    sleep(VERSION_EVERY).await;
+                }
+            }
+            FaultKind::LateOrders => {
+                let engine = self.engine(fault.index);
+                engine.set_delaying_orders(true);
+                sleep(fault.length()).await;
+                engine.set_delaying_orders(false);
+            }
+            FaultKind::ReloadSeries => {
+                for step in 1..=SERIES_RELOADS {
+                    for vm in &self.vms {
+                        // The last step puts back what was there at first.
+                        self.reload(vm, SERIES_RELOADS - step);
+                    }
+                    sleep(RELOAD_EVERY).await;
+                }
             }
         }
     }
 
+    /// Names a new version of an adapter, or of the base model.
+    fn name_version(&self, adapter: Option<usize>) {
+        let mut newest = self
+            .newest_version
+            .lock()
+            .expect("no holder of the lock panics");
+        *newest += 1;
+        let version = *newest;
+        let mut value = json!({ "model": BASE, "version": version });
+        let mut key = format!("{VERSION_KEY}{BASE}");
+        let adapter = adapter.map(|adapter| format!("a{adapter}"));
+        if let Some(adapter) = &adapter {
+            value["adapter"] = json!(adapter);
+            key += &format!(".{adapter}");
+        }
+        self.target_site
+            .name_version(adapter.as_deref().unwrap_or_default(), version);
+        self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
+    }
+
+    fn reload(&self, vm: &SoakVm, step: usize) {
+        if let Err(error) = vm.reload(step) {
+            eprintln!("VM {} was not given other settings: {error}", vm.index);
+        }
+    }
+
     fn disturb(&self, change: impl FnOnce(&mut hoplanding_standins::keyed_log::LogFaults)) {
         self.history.add(SeenEntry::Disturbed);
         self.log.set_faults(change);
@@ -399,12 +487,23 @@
 
     /// A target says that it leaves, or its entry goes; another one of its kind comes. It stays reachable: the list is
     /// what counts.
-    async fn replace_target(&self, target: &SoakTarget, entry: Option<&str>, fault: &PlannedFault) {
-        self.log.put(TARGET_TOPIC, &target.name, entry);
+    async fn replace_target(
+        &self,
+        target: &SoakTarget,
+        says_so: bool,
+        base: Option<u64>,
+        fault: &PlannedFault,
+    ) {
+        {
+            // No entry of before is written behind the last one.
+            let _targets = self.lock_targets();
+            let entry = Some(target.farewell()).filter(|_| says_so);
+            self.log.put(TARGET_TOPIC, &target.name, entry.as_deref());
+        }
         self.history.add(SeenEntry::Leaving {
             target: target.name.clone(),
         });
-        if let Err(error) = self.add_target(target.role, fault.index).await {
+        if let Err(error) = self.add_target(target.role, fault.index, base).await {
             eprintln!("no target comes in place of {}: {error}", target.name);
         }
     }
@@ -414,6 +513,17 @@
         Arc::clone(&targets[index % targets.len()])
     }
 
+    /// An engine, counted from the newest: those whose place others have taken get no orders.
+    fn engine(&self, index: usize) -> Arc<SoakTarget> {
+        let targets = self.lock_targets();
+        let engines: Vec<_> = targets
+            .iter()
+            .rev()
+            .filter(|target| target.role == TargetRole::Engine)
+            .collect();
+        Arc::clone(engines[index % engines.len()])
+    }
+
     fn lock_targets(&self) -> std::sync::MutexGuard<'_, Vec<Arc<SoakTarget>>> {
         self.targets.lock().expect("no holder of the lock panics")
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -34,17 +34,25 @@
     Configure,
     /// A new version of an adapter is named.
     NameVersion,
-    /// A target's entry goes without a word, and another target comes.
+    /// A target's entry goes without a word, and another target comes: an engine comes empty.
     Vanish,
     /// All targets turn most of their calls away.
     Shed,
     /// All daemons are killed at once, again and again.
     KillSeries,
+    /// New versions of an adapter in demand are named, one after the other.
+    VersionSeries,
+    /// New versions of the base model are named, one after the other: engines that come empty load the newest.
+    WeightSeries,
+    /// An engine leaves orders without an answer, and carries them out seconds later.
+    LateOrders,
+    /// The settings of all daemons change, again and again.
+    ReloadSeries,
 }
 
 impl FaultKind {
     /// Every kind.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 19] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -60,6 +68,10 @@
         Self::Vanish,
         Self::Shed,
         Self::KillSeries,
+        Self::VersionSeries,
+        Self::WeightSeries,
+        Self::LateOrders,
+        Self::ReloadSeries,
     ];
 }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,6 +3,7 @@
 use hoplanding_soak::{
     checks::{EVENTS, Promise, check, whole_body},
     history::{CallAnswer, CallKind, SeenEntry, TimedEntry},
+    shelf::WeightVersions,
 };
 use std::time::Duration;
 
@@ -101,6 +102,33 @@
     assert_eq!(found(&history), [Promise::NamedAdapter]);
 }
 
+#[test]
+fn a_run_on_memory_of_another_version_is_found() {
+    let versions = |base, adapter| WeightVersions { base, adapter };
+    let mixed = |made_under, runs_under| SeenEntry::Mixed {
+        id: "r1".into(),
+        target: "i-1".into(),
+        adapter: "a1".into(),
+        made_under,
+        runs_under,
+    };
+    let moved = SeenEntry::Moved {
+        id: "r1".into(),
+        target: "i-1".into(),
+    };
+    let own = [
+        sent(0, "r1", CallKind::Stream, "a1"),
+        ran(1, "r1", "i-1", "a1"),
+        at(1, moved),
+    ];
+    assert_eq!(found(&own), []);
+    for made_under in [versions(1, 1), versions(2, 7)] {
+        let mixed = mixed(made_under, versions(1, 7));
+        let other = [own.as_slice(), &[at(21, mixed)]].concat();
+        assert_eq!(found(&other), [Promise::OwnMemory]);
+    }
+}
+
 #[test]
 fn a_forged_header_that_reached_a_target_is_found() {
     let forged = SeenEntry::Forged {
@@ -173,6 +201,37 @@
     assert_eq!(broken(vec![struck(1_000, true), struck(2_000, false)]), []);
 }
 
+#[test]
+fn a_change_of_settings_interrupts_nothing() {
+    let broken = |vm, extra: Vec<TimedEntry>| {
+        let mut history = vec![
+            sent(900, "r1", CallKind::Stream, "a1"),
+            ran(950, "r1", "i-1", "a1"),
+            at(1_000, SeenEntry::Reloaded { vm }),
+            answered(3_000, "r1", CallAnswer::Broken(200)),
+        ];
+        history.extend(extra);
+        found(&history)
+    };
+    assert_eq!(broken(0, Vec::new()), [Promise::PlannedStop]);
+    assert_eq!(broken(1, Vec::new()), []);
+    assert_eq!(broken(0, vec![struck(2_000, false)]), []);
+}
+
+/// It is no fault that excuses what reaches a leaving target.
+#[test]
+fn a_change_of_settings_leaves_a_vm_in_touch() {
+    let target = "i-1".into();
+    let history = [
+        at(5_000, SeenEntry::Leaving { target }),
+        at(6_000, SeenEntry::Reloaded { vm: 0 }),
+        sent(7_400, "r1", CallKind::Once, ""),
+        ran(7_500, "r1", "i-1", ""),
+        answered(7_600, "r1", CallAnswer::Whole(200, "done r1".into())),
+    ];
+    assert_eq!(found(&history), [Promise::Draining]);
+}
+
 #[test]
 fn a_configuration_goes_back_only_with_its_process() {
     let history = [probed(1, 1, 3, true), probed(2, 1, 2, false)];
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -143,9 +143,15 @@
         (PlantedFault::RunsTwice, Promise::AtMostOnce),
         (PlantedFault::WrongAdapter, Promise::NamedAdapter),
         (PlantedFault::DropsEvent, Promise::WholeAnswer),
+        (PlantedFault::KeepsMemory, Promise::OwnMemory),
     ] {
         let mut plan = plan(&format!("{planted:?}"), 40);
         plan.planted = planted;
+        if planted == PlantedFault::KeepsMemory {
+            // It shows where an adapter that was used is replaced, and used again.
+            plan.requests = 240;
+            plan.faults = Some(vec![fault(800, FaultKind::VersionSeries, 0, 0)]);
+        }
         let outcome = play(&plan).await.expect("it plays");
         let found: Vec<_> = outcome
             .violations
@@ -156,6 +162,102 @@
     }
 }
 
+/// Several engines a zone, of which adapters in demand stand on more than one: the plan of runs by hand.
+fn spread_plan(name: &str) -> RunPlan {
+    let mut plan = plan(name, 600);
+    plan.seed = 23;
+    plan.engines_per_zone = 2;
+    plan.adapters = 12;
+    plan
+}
+
+/// Without it, promises about moved memory would hold as nothing moves.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompts_move_between_engines_of_the_same_versions() {
+    let plan = spread_plan("moves");
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let figures = hoplanding_soak::report::figures(&outcome.history);
+    assert!(figures.moved > 0, "{figures:?}");
+}
+
+/// What users saw as memory of another version, on real processes: adapters in demand get new versions in series, while engines
+/// are replaced. Engines that have the new version took parts of prompts from neighbours whose copies were in use and behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_another_version_while_versions_come_in_series() {
+    let mut plan = spread_plan("versions");
+    plan.faults = Some(vec![
+        fault(1_000, FaultKind::VersionSeries, 0, 0),
+        fault(1_500, FaultKind::VersionSeries, 1, 0),
+        fault(2_000, FaultKind::Leave, 0, 0),
+        fault(4_000, FaultKind::VersionSeries, 0, 0),
+        fault(4_500, FaultKind::Vanish, 1, 0),
+        fault(5_000, FaultKind::VersionSeries, 1, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
+/// The same for weights of the base model: engines that come empty load the newest, and their neighbours keep the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_other_weights_of_the_base_model() {
+    let mut plan = spread_plan("weights");
+    plan.faults = Some(vec![
+        fault(500, FaultKind::WeightSeries, 0, 0),
+        fault(2_000, FaultKind::Vanish, 0, 0),
+        fault(2_500, FaultKind::Vanish, 1, 0),
+        fault(4_000, FaultKind::WeightSeries, 0, 0),
+        fault(6_000, FaultKind::Vanish, 2, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
+/// The same beside orders that are carried out late, and holders that are killed, stand still or lose the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_uses_memory_of_another_version_beside_late_orders_and_takeovers() {
+    let mut plan = spread_plan("takeovers");
+    plan.faults = Some(vec![
+        fault(1_000, FaultKind::VersionSeries, 0, 0),
+        fault(1_200, FaultKind::LateOrders, 0, 2_500),
+        fault(1_400, FaultKind::LateOrders, 1, 2_500),
+        fault(2_000, FaultKind::Kill, 0, 800),
+        fault(2_600, FaultKind::Kill, 1, 800),
+        fault(3_000, FaultKind::VersionSeries, 1, 0),
+        fault(4_800, FaultKind::Pause, 0, 1_500),
+        fault(5_000, FaultKind::VersionSeries, 0, 0),
+        fault(5_000, FaultKind::LateOrders, 2, 2_000),
+        fault(5_000, FaultKind::LateOrders, 3, 2_000),
+        fault(6_000, FaultKind::LogSilent, 1, 1_500),
+        fault(6_500, FaultKind::VersionSeries, 1, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
+/// Settings change again and again while calls run: every daemon takes each change over, and nothing is interrupted.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_change_again_and_again_interrupt_nothing() {
+    let mut plan = plan("reloads", 300);
+    plan.faults = Some(vec![
+        fault(500, FaultKind::ReloadSeries, 0, 0),
+        fault(600, FaultKind::Shed, 0, 2_000),
+        fault(2_500, FaultKind::ReloadSeries, 0, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    for vm in 0..4 {
+        let log = fs::read_to_string(plan.folder.join(format!("vm-{vm}.log"))).expect("a log");
+        let changes = log.matches("changed settings taken over").count();
+        let refused = log.matches("changed settings refused").count();
+        // Two changes within one look are taken over as one.
+        assert!(
+            changes >= 6 && refused == 0,
+            "VM {vm}: {changes}, {refused}"
+        );
+    }
+}
+
 /// The callers' address that a daemon named in its log.
 fn address_in(log: &str) -> Option<SocketAddr> {
     let text = log.split("callers ").nth(1)?;
