--- /dev/null
+++ b/crates/core/tests/direct_memory/main.rs
@@ -0,0 +1,68 @@
+//! Memory of prompts that engines take from each other, over drawn worlds: new versions, crashes, late orders, old reports and
+//! lists, takeovers. Engines here are what the users' pages describe, and know what made each part of their memory; the
+//! planner is the real one and is told only what gateways, reports and lists tell.
+//!
+//! | module | job |
+//! |---|---|
+//! | `drawn` | what is drawn of a world |
+//! | `engine` | what an engine truly is and has |
+//! | `world` | the zone around them, step by step |
+
+mod drawn;
+mod engine;
+mod world;
+
+use drawn::{DrawnWorld, calm_world, world};
+use proptest::{
+    prelude::Strategy,
+    test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner},
+};
+use std::{cell::Cell, env};
+use world::{World, WorldCounts};
+
+/// Worlds that are tried, unless `MEMORY_WORLDS` says how many.
+const WORLDS: u32 = 200;
+/// What they are drawn from, unless `MEMORY_SEED` says what.
+const SEED: u64 = 33;
+
+/// A number that the environment sets, or else a usual one.
+fn setting(name: &str, usual: u64) -> u64 {
+    env::var(name)
+        .ok()
+        .map_or(usual, |text| text.parse().expect("a number"))
+}
+
+/// Plays worlds, the same ones in every run, and gives what happened in all of them.
+fn play_worlds(cases: u32, worlds: &impl Strategy<Value = DrawnWorld>) -> WorldCounts {
+    let mut runner = TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(setting("MEMORY_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    });
+    let total = Cell::new(WorldCounts::default());
+    let played = runner.run(worlds, |drawn| {
+        let counts =
+            World::play(&drawn).map_err(|broken| TestCaseError::fail(broken.to_string()))?;
+        total.set(total.get().and(counts));
+        Ok(())
+    });
+    match played {
+        Ok(()) => total.get(),
+        Err(TestError::Fail(reason, drawn)) => panic!("{reason}\n{drawn:?}"),
+        Err(TestError::Abort(reason)) => panic!("{reason}"),
+    }
+}
+
+#[test]
+fn no_run_uses_memory_of_other_versions_than_its_own() {
+    let cases = u32::try_from(setting("MEMORY_WORLDS", WORLDS.into())).expect("a small number");
+    let counts = play_worlds(cases, &world());
+    println!("{cases} worlds: {counts:?}");
+}
+
+#[test]
+fn memory_of_equal_versions_moves_where_nothing_happens() {
+    let counts = play_worlds(1, &calm_world());
+    println!("{counts:?}");
+}
