--- a/crates/core/tests/direct_memory/main.rs
+++ b/crates/core/tests/direct_memory/main.rs
@@ -25,6 +25,9 @@
 /// What they are drawn from, unless `MEMORY_SEED` says what.
 const SEED: u64 = 33;
 
+/// Times that a world which broke a rule is made smaller, for a trace that can be read.
+const SHRINKINGS: u32 = 20_000;
+
 /// A number that the environment sets, or else a usual one.
 fn setting(name: &str, usual: u64) -> u64 {
     env::var(name)
@@ -38,6 +41,7 @@
         cases,
         rng_seed: RngSeed::Fixed(setting("MEMORY_SEED", SEED)),
         failure_persistence: None,
+        max_shrink_iters: SHRINKINGS,
         ..Config::default()
     });
     let total = Cell::new(WorldCounts::default());
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -33,10 +33,10 @@
 const SETTLED_MS: u64 = 20_000;
 /// Time between two turns of the holder's regular work, in ms.
 const TICK_MS: u64 = 50;
-/// Time that a world goes on after its last event, in ms: longer than a call is placed for.
-const DRAIN_MS: u64 = 8_000;
+/// Time that a world goes on after its last event, in ms: longer than a call waits at three engines one after the other.
+const DRAIN_MS: u64 = 9_000;
 /// Longest wait that a call is placed for, in ms.
-const BOUND_MS: u32 = 5_000;
+const BOUND_MS: u32 = 2_500;
 /// Time after which an order or a question counts as without an answer, in ms.
 const TIMEOUT_MS: u64 = 250;
 /// Pause before a call is placed again, in ms.
