--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -129,6 +129,9 @@
     Return(usize, bool),
 }
 
+/// How the platform lists a target from a time on, in ms; nothing once it is gone.
+type ListedState = (u64, Option<Arc<TargetEntry>>);
+
 /// An engine in one of its lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct EngineLife {
@@ -180,7 +183,7 @@
     /// What reports of each engine said, with the time from which, in ms.
     reports: Vec<Vec<(u64, EngineReport)>>,
     /// The same of the platform's list.
-    entries: BTreeMap<TargetName, Vec<(u64, Option<Arc<TargetEntry>>)>>,
+    entries: BTreeMap<TargetName, Vec<ListedState>>,
     named: NamedVersions,
     heard: BTreeMap<AdapterName, u64>,
     planner: ZonePlanner,
