--- a/crates/core/tests/direct_memory/drawn.rs
+++ b/crates/core/tests/direct_memory/drawn.rs
@@ -133,6 +133,8 @@
     pub engines: u8,
     pub telling: LifeTelling,
     pub checks_fences: bool,
+    /// Whether engines load a new version of an adapter beside the old one.
+    pub loads_beside: bool,
     /// Whether the engines have adapters from the start.
     pub has_adapters: bool,
     /// Whether the first holder has been there for long.
@@ -263,21 +265,16 @@
         Just(LifeTelling::All)
     ];
     let pause_ms = prop_oneof![6 => 0..60_u64, 6 => 0..600_u64, 1 => 0..14_000_u64];
-    let kind = (
-        2..5_u8,
-        telling,
-        any::<bool>(),
-        any::<bool>(),
-        any::<bool>(),
-    );
+    let kind = (2..5_u8, telling, any::<[bool; 4]>());
     let fates = (vec(order_fate(), 1..12), vec(report_fate(), 1..12));
     let events = vec((pause_ms, events), 1..60);
     (kind, events, fates).prop_map(|(kind, events, fates)| DrawnWorld {
         engines: kind.0,
         telling: kind.1,
-        checks_fences: kind.2,
-        has_adapters: kind.3,
-        is_settled: kind.4,
+        checks_fences: kind.2[0],
+        loads_beside: kind.2[1],
+        has_adapters: kind.2[2],
+        is_settled: kind.2[3],
         events,
         order_fates: fates.0,
         report_fates: fates.1,
@@ -312,6 +309,7 @@
             engines: 2,
             telling: LifeTelling::All,
             checks_fences: true,
+            loads_beside: false,
             has_adapters: true,
             is_settled: true,
             events: calls
--- a/crates/core/tests/direct_memory/engine.rs
+++ b/crates/core/tests/direct_memory/engine.rs
@@ -1,6 +1,6 @@
 //! What an engine truly is and has, whatever its holder believes.
 
-use crate::drawn::LifeTelling;
+use crate::drawn::{DrawnWorld, LifeTelling};
 use hoplanding_core::{
     direct::{
         catalog::{ResidentAdapter, TargetEntry, TargetStage},
@@ -59,6 +59,15 @@
     Leaving,
     /// This version comes in its place once its runs have ended.
     Replaced(u64),
+    /// This version is loaded beside it, is there at this time, in ms, and takes its place once its runs have ended.
+    Swapped(u64, u64),
+}
+
+impl CopyState {
+    /// Whether an order on it waits for runs, or for what comes beside it; its requests are turned away until then.
+    fn is_under_order(self) -> bool {
+        matches!(self, Self::Leaving | Self::Replaced(_) | Self::Swapped(..))
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -109,11 +118,13 @@
     /// Highest fencing token that it has seen.
     fence: u64,
     checks_fences: bool,
+    /// Whether a replacement is loaded while the copy that it replaces is still there.
+    loads_beside: bool,
     telling: LifeTelling,
 }
 
 impl TrueEngine {
-    pub fn new(number: u16, checks_fences: bool, telling: LifeTelling) -> Self {
+    pub fn new(number: u16, drawn: &DrawnWorld) -> Self {
         Self {
             name: TargetName::new(&format!("e{number}")),
             address: SocketAddr::from(([127, 0, 0, 1], number)),
@@ -127,8 +138,9 @@
             lately: Vec::new(),
             sequence: 0,
             fence: 0,
-            checks_fences,
-            telling,
+            checks_fences: drawn.checks_fences,
+            loads_beside: drawn.loads_beside,
+            telling: drawn.telling,
         }
     }
 
@@ -140,15 +152,16 @@
 
     /// It crashes: nothing is left but the name of the machine.
     pub fn crash(&mut self) {
-        let empty = Self::new(0, self.checks_fences, self.telling);
-        *self = Self {
-            name: self.name.clone(),
-            address: self.address,
-            is_up: false,
-            life: self.life + 1,
-            base: None,
-            ..empty
-        };
+        self.is_up = false;
+        self.life += 1;
+        self.base = None;
+        self.base_coming = None;
+        self.runs.clear();
+        self.copies.clear();
+        self.kept.clear();
+        self.lately.clear();
+        self.sequence = 0;
+        self.fence = 0;
     }
 
     /// Time passes: loads end.
@@ -157,11 +170,21 @@
             self.base = Some(version);
             self.base_coming = None;
         }
-        for copy in self.copies.values_mut() {
-            if matches!(copy.state, CopyState::Coming(at) if at <= now_ms) {
-                copy.state = CopyState::Here;
+        let mut swapped = Vec::new();
+        for (adapter, copy) in &mut self.copies {
+            match copy.state {
+                CopyState::Coming(at) if at <= now_ms => copy.state = CopyState::Here,
+                CopyState::Swapped(version, at) if at <= now_ms => {
+                    swapped.push((adapter.clone(), version));
+                }
+                _ => {}
             }
         }
+        swapped.retain(|(adapter, _)| !self.is_used(adapter));
+        for (adapter, version) in swapped {
+            self.drop_copy(&adapter);
+            self.hold(adapter, version);
+        }
     }
 
     /// The versions that a run for a subject is made under now.
@@ -178,8 +201,8 @@
 
     /// A request comes.
     pub fn receive(&self, subject: &AdapterName, expected: Option<u64>) -> Reception {
-        let state = self.copies.get(subject).map(|copy| copy.state);
-        if matches!(state, Some(CopyState::Leaving | CopyState::Replaced(_))) {
+        let copy = self.copies.get(subject);
+        if copy.is_some_and(|copy| copy.state.is_under_order()) {
             return Reception::Deferred;
         }
         let Some(mark) = self.mark(subject) else {
@@ -272,9 +295,8 @@
 
     /// Whether an order waits for runs.
     fn is_blocked(&self) -> bool {
-        let is_waiting =
-            |state: CopyState| matches!(state, CopyState::Leaving | CopyState::Replaced(_));
-        self.copies.values().any(|copy| is_waiting(copy.state))
+        let mut copies = self.copies.values();
+        copies.any(|copy| copy.state.is_under_order())
     }
 
     fn take_base(
@@ -312,10 +334,14 @@
             Some(copy) if copy.version == version => Ok(OrderOutcome::Done),
             Some(copy) => {
                 self.sequence += 1;
-                let state = CopyState::Replaced(version);
+                let state = if self.loads_beside {
+                    CopyState::Swapped(version, now_ms + self.load_time_ms(adapter))
+                } else {
+                    CopyState::Replaced(version)
+                };
                 self.copies
                     .insert(adapter.clone(), TrueCopy { state, ..copy });
-                if !self.is_used(adapter) {
+                if !self.loads_beside && !self.is_used(adapter) {
                     self.replace(adapter, version, now_ms);
                 }
                 Ok(OrderOutcome::Begun)
@@ -366,33 +392,39 @@
     }
 
     fn bring(&mut self, adapter: &AdapterName, version: u64, now_ms: u64) {
-        let is_fast = self.lately.contains(adapter);
-        if !is_fast {
-            self.lately.push(adapter.clone());
-        }
-        let time_ms = if is_fast {
-            LATELY_LOAD_MS
-        } else {
-            ADAPTER_LOAD_MS
-        };
-        let state = CopyState::Coming(now_ms + time_ms);
+        let state = CopyState::Coming(now_ms + self.load_time_ms(adapter));
         self.copies
             .insert(adapter.clone(), TrueCopy { version, state });
     }
 
+    /// Time of an adapter's load, which from now on it had lately.
+    fn load_time_ms(&mut self, adapter: &AdapterName) -> u64 {
+        if self.lately.contains(adapter) {
+            return LATELY_LOAD_MS;
+        }
+        self.lately.push(adapter.clone());
+        ADAPTER_LOAD_MS
+    }
+
     fn told_life(&self) -> TargetLife {
         TargetLife::begun_at(self.life)
     }
 
     /// What it says of itself now.
     pub fn report(&self) -> EngineReport {
-        let listed = |is_coming: bool| {
-            let copies = self.copies.iter();
-            copies
-                .filter(|(_, copy)| matches!(copy.state, CopyState::Coming(_)) == is_coming)
-                .map(|(adapter, copy)| (adapter.clone(), copy.version))
-                .collect()
-        };
+        let mut adapters = Vec::new();
+        let mut coming = Vec::new();
+        for (adapter, copy) in &self.copies {
+            let listed = (adapter.clone(), copy.version);
+            match copy.state {
+                CopyState::Coming(_) => coming.push(listed),
+                CopyState::Swapped(version, _) => {
+                    adapters.push(listed);
+                    coming.push((adapter.clone(), version));
+                }
+                _ => adapters.push(listed),
+            }
+        }
         EngineReport {
             life: match self.telling {
                 LifeTelling::Nobody => TargetLife::default(),
@@ -404,8 +436,8 @@
                 .map(|base| (base_model(), base))
                 .into_iter()
                 .collect(),
-            adapters: listed(false),
-            coming: listed(true),
+            adapters,
+            coming,
             own_copies: vec![base_model()],
             requests: u32::try_from(self.runs.len()).expect("few"),
             is_busy: self.base_coming.is_some(),
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -248,7 +248,7 @@
 
     fn new(drawn: DrawnWorld, rule: Rule) -> Self {
         let engines: Vec<_> = (1..=u16::from(drawn.engines))
-            .map(|number| TrueEngine::new(number, drawn.checks_fences, drawn.telling))
+            .map(|number| TrueEngine::new(number, &drawn))
             .collect();
         let mut world = Self {
             now_ms: BEGIN_MS,
