--- a/crates/core/tests/direct_memory/found.rs
+++ b/crates/core/tests/direct_memory/found.rs
@@ -113,3 +113,19 @@
         ..world(&events)
     }
 }
+
+/// The engine that has the memory has started again with new weights and made it anew while a call elsewhere was on its way to take
+/// it.
+pub fn source_that_started_again_under_a_loan() -> DrawnWorld {
+    let slow = DrawnCall {
+        travel_ms: 200,
+        ..call(BASE, FIRST)
+    };
+    world(&[
+        (0, DrawnEvent::Call(call(BASE, SECOND))),
+        (LONG_MS, name(BASE)),
+        (0, crash(FIRST)),
+        (DOWN_MS, DrawnEvent::Call(slow)),
+        (5, DrawnEvent::Call(call(BASE, SECOND))),
+    ])
+}
--- a/crates/core/tests/direct_memory/main.rs
+++ b/crates/core/tests/direct_memory/main.rs
@@ -102,6 +102,11 @@
     play_found(&found::target_with_a_late_load());
 }
 
+#[test]
+fn no_memory_moves_from_an_engine_that_started_again_under_a_loan() {
+    play_found(&found::source_that_started_again_under_a_loan());
+}
+
 #[test]
 fn no_engine_is_ordered_beyond_its_places_in_any_world() {
     play_many(Rule::Places, &world());
