--- a/crates/core/tests/direct_memory/drawn.rs
+++ b/crates/core/tests/direct_memory/drawn.rs
@@ -230,6 +230,8 @@
         3 => name(0..2),
         4 => crash(),
         4 => list(),
+        1 => take_over(),
+        1 => cut(),
     ]
 }
 
--- a/crates/core/tests/direct_memory/found.rs
+++ b/crates/core/tests/direct_memory/found.rs
@@ -129,3 +129,58 @@
         (5, DrawnEvent::Call(call(BASE, SECOND))),
     ])
 }
+
+/// The engine that has the memory has started again with new weights, and has made it anew for a call that the holder does not
+/// know of.
+pub fn source_that_started_again_for_a_call_without_the_holder() -> DrawnWorld {
+    world(&[
+        (0, DrawnEvent::Call(call(BASE, SECOND))),
+        (LONG_MS, name(BASE)),
+        (0, crash(FIRST)),
+        (BACK_MS, cut_off_for_long()),
+        (0, DrawnEvent::Call(call_of_the_cut(BASE))),
+        (50, DrawnEvent::Call(call(BASE, FIRST))),
+    ])
+}
+
+/// An order of an earlier holder was carried out late at the engine that has the memory, and it has made that anew for a call that
+/// the holder does not know of.
+pub fn source_with_a_late_order_for_a_call_without_the_holder() -> DrawnWorld {
+    let take_over = DrawnEvent::TakeOver {
+        quiet_ms: LONG_MS,
+        adopted_ms: 0,
+        age_ms: 0,
+        knows_names: false,
+    };
+    let events = [
+        (0, name(ADAPTER)),
+        (100, take_over),
+        (100, DrawnEvent::Call(call(ADAPTER, SECOND))),
+        (3 * LONG_MS, cut_off_for_long()),
+        (0, DrawnEvent::Call(call_of_the_cut(ADAPTER))),
+        (50, DrawnEvent::Call(call(ADAPTER, FIRST))),
+    ];
+    let late = OrderFate::Late { after_ms: 2_000 };
+    DrawnWorld {
+        has_adapters: true,
+        order_fates: vec![late, OrderFate::Lost],
+        ..world(&events)
+    }
+}
+
+/// A gateway that is cut off from the holder.
+const CUT: u8 = 1;
+
+fn cut_off_for_long() -> DrawnEvent {
+    DrawnEvent::Cut {
+        vm: CUT,
+        for_ms: LONG_MS,
+    }
+}
+
+fn call_of_the_cut(subject: u8) -> DrawnCall {
+    DrawnCall {
+        vm: CUT,
+        ..call(subject, SECOND)
+    }
+}
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -170,6 +170,8 @@
 struct GatewayCall {
     new: NewCall,
     sent: Option<SentTo>,
+    /// Whether the holder does not know of it.
+    is_alone: bool,
     is_over: bool,
 }
 
@@ -553,7 +555,8 @@
         }
         self.cut.remove(vm);
         for (number, call) in &self.calls {
-            let Some(sent) = call.sent.as_ref().filter(|_| !call.is_over) else {
+            let is_told = !call.is_over && !call.is_alone;
+            let Some(sent) = call.sent.as_ref().filter(|_| is_told) else {
                 continue;
             };
             let key = call_key(*number, &call.new.drawn);
@@ -572,7 +575,7 @@
     fn place(&mut self, new: NewCall) {
         let drawn = new.drawn;
         if self.cut.contains_key(&vm(drawn.vm)) {
-            self.put_after(AGAIN_MS, Due::Place(new));
+            self.place_alone(new);
             return;
         }
         self.calls_made += 1;
@@ -594,6 +597,7 @@
         let call = GatewayCall {
             new,
             sent: None,
+            is_alone: false,
             is_over: false,
         };
         self.calls.insert(number, call);
@@ -601,6 +605,40 @@
         self.planner.place(key, ask, instant(self.now_ms));
     }
 
+    /// A gateway that has no link to the holder sends a call to a target that is listed with what it asks for, and tells nobody.
+    fn place_alone(&mut self, new: NewCall) {
+        let subject = subject(new.drawn.subject);
+        let version = self.heard.get(&subject).copied();
+        let version = version.filter(|_| subject != base_model());
+        let mut listed = self.list.iter().filter(|entry| {
+            !new.tried.contains(&entry.name) && lists(entry, &subject, version.unwrap_or(0))
+        });
+        let Some(entry) = listed.next() else {
+            self.put_after(AGAIN_MS, Due::Place(new));
+            return;
+        };
+        let sent = SentTo {
+            target: entry.name.clone(),
+            life: entry.life,
+            fetch: None,
+            version,
+        };
+        self.calls_made += 1;
+        let number = self.calls_made;
+        self.note(&format!(
+            "call {number} for {subject} is sent to {} without the holder, version {version:?}",
+            sent.target
+        ));
+        let call = GatewayCall {
+            new,
+            sent: Some(sent),
+            is_alone: true,
+            is_over: false,
+        };
+        self.calls.insert(number, call);
+        self.put_after(0, Due::Depart(number));
+    }
+
     /// Does what the planner wants done.
     fn carry_out(&mut self) -> Result<(), String> {
         loop {
@@ -856,28 +894,27 @@
     }
 
     fn tell_begun(&mut self, number: u64, base: u64) {
-        let key = self.key(number);
-        let call = &self.calls[&number];
-        if let Some(sent) = call
-            .sent
-            .as_ref()
-            .filter(|_| !self.cut.contains_key(&key.vm))
-        {
+        if let Some(sent) = self.told_of(number) {
             let now = instant(self.now_ms);
-            self.planner.begun(&key, &sent.target, Some(base), now);
+            let target = sent.target.clone();
+            self.planner
+                .begun(&self.key(number), &target, Some(base), now);
         }
     }
 
-    fn tell_ended(&mut self, number: u64, end: CallEnd) {
-        let key = self.key(number);
+    /// Where a call was sent, if its gateway can tell the holder of it.
+    fn told_of(&self, number: u64) -> Option<&SentTo> {
         let call = &self.calls[&number];
-        let Some(sent) = call
-            .sent
-            .as_ref()
-            .filter(|_| !self.cut.contains_key(&key.vm))
-        else {
+        let is_cut = self.cut.contains_key(&vm(call.new.drawn.vm));
+        let is_told = !is_cut && !call.is_alone;
+        call.sent.as_ref().filter(|_| is_told)
+    }
+
+    fn tell_ended(&mut self, number: u64, end: CallEnd) {
+        let Some(sent) = self.told_of(number).cloned() else {
             return;
         };
+        let key = self.key(number);
         let now = instant(self.now_ms);
         if end.is_absent {
             self.planner.doubt_copy(&key, &sent.target, now);
@@ -974,6 +1011,15 @@
     }
 }
 
+/// Whether a target is listed with what a call asks for, an adapter in this version at least.
+fn lists(entry: &TargetEntry, subject: &AdapterName, version: u64) -> bool {
+    if *subject == base_model() {
+        return !entry.models.is_empty();
+    }
+    let mut adapters = entry.adapters.iter();
+    adapters.any(|resident| resident.adapter == *subject && resident.version >= version)
+}
+
 fn shared_parts(drawn: &DrawnCall) -> impl Iterator<Item = (u64, u32)> {
     PROMPTS[usize::from(drawn.prompt)].into_iter()
 }
