--- a/crates/core/tests/direct_memory/found.rs
+++ b/crates/core/tests/direct_memory/found.rs
@@ -168,6 +168,32 @@
     }
 }
 
+/// The machine of the engine that has the memory is back as another target with new weights at the same address, and the old
+/// one is still listed.
+pub fn source_whose_address_has_another_target() -> DrawnWorld {
+    let long_run = DrawnCall {
+        run_ms: 4 * LONG_MS,
+        ..call(BASE, SECOND)
+    };
+    let replaced = DrawnEvent::Crash {
+        engine: FIRST,
+        down_ms: DOWN_MS,
+        back: Return::NewTarget,
+        has_base: true,
+    };
+    world(&[
+        (0, DrawnEvent::Call(call(BASE, SECOND))),
+        (LONG_MS, name(BASE)),
+        // What fails with it makes its neighbour the better choice for the last call.
+        (0, DrawnEvent::Call(long_run)),
+        (0, DrawnEvent::Call(long_run)),
+        (100, replaced),
+        (BACK_MS, DrawnEvent::List { age_ms: 0 }),
+        (0, DrawnEvent::Call(call(BASE, SECOND))),
+        (LONG_MS, DrawnEvent::Call(call(BASE, FIRST))),
+    ])
+}
+
 /// A gateway that is cut off from the holder.
 const CUT: u8 = 1;
 
--- a/crates/core/tests/direct_memory/main.rs
+++ b/crates/core/tests/direct_memory/main.rs
@@ -117,6 +117,11 @@
     play_found(&found::source_with_a_late_order_for_a_call_without_the_holder());
 }
 
+#[test]
+fn no_memory_moves_from_an_address_that_another_target_has() {
+    play_found(&found::source_whose_address_has_another_target());
+}
+
 #[test]
 fn no_engine_is_ordered_beyond_its_places_in_any_world() {
     play_many(Rule::Places, &world());
