--- /dev/null
+++ b/crates/core/tests/direct_memory/main.rs
@@ -0,0 +1,140 @@
+//! Memory of prompts that engines take from each other, over drawn worlds: new versions, crashes, late orders, old reports and
+//! lists, takeovers. Engines here are what the users' pages describe, and know what made each part of their memory; the
+//! planner is the real one and is told only what gateways, reports and lists tell.
+//!
+//! | module | job |
+//! |---|---|
+//! | `drawn` | what is drawn of a world |
+//! | `found` | worlds that broke a rule |
+//! | `engine` | what an engine truly is and has |
+//! | `world` | the zone around them, step by step |
+
+mod drawn;
+mod engine;
+mod found;
+mod world;
+
+use drawn::{DrawnWorld, calm_world, restart_world, world};
+use proptest::{
+    prelude::Strategy,
+    test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner},
+};
+use std::{cell::Cell, env};
+use world::{Rule, World, WorldCounts};
+
+/// Worlds that are tried, unless `MEMORY_WORLDS` says how many.
+const WORLDS: u32 = 400;
+/// Worlds without any trouble that are tried.
+const CALM_WORLDS: u32 = 20;
+/// Worlds for each part that moves at least: some 200 parts moved in 200 worlds.
+const WORLDS_A_PART: u32 = 2;
+/// What they are drawn from, unless `MEMORY_SEED` says what.
+const SEED: u64 = 33;
+
+/// Times that a world which broke a rule is made smaller, for a trace that can be read.
+const SHRINKINGS: u32 = 20_000;
+
+/// A number that the environment sets, or else a usual one.
+fn setting(name: &str, usual: u64) -> u64 {
+    env::var(name)
+        .ok()
+        .map_or(usual, |text| text.parse().expect("a number"))
+}
+
+/// Plays worlds, the same ones in every run, and gives what happened in all of them.
+fn play_worlds(rule: Rule, cases: u32, worlds: &impl Strategy<Value = DrawnWorld>) -> WorldCounts {
+    let mut runner = TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(setting("MEMORY_SEED", SEED)),
+        failure_persistence: None,
+        max_shrink_iters: SHRINKINGS,
+        ..Config::default()
+    });
+    let total = Cell::new(WorldCounts::default());
+    let played = runner.run(worlds, |drawn| {
+        let counts = World::play(&drawn, rule);
+        let counts = counts.map_err(|broken| TestCaseError::fail(broken.to_string()))?;
+        total.set(total.get().and(counts));
+        Ok(())
+    });
+    match played {
+        Ok(()) => total.get(),
+        Err(TestError::Fail(reason, drawn)) => panic!("{reason}\n{drawn:?}"),
+        Err(TestError::Abort(reason)) => panic!("{reason}"),
+    }
+}
+
+/// Plays as many worlds as are wanted, in which memory moves all the same.
+fn play_many(rule: Rule, worlds: &impl Strategy<Value = DrawnWorld>) {
+    let cases = u32::try_from(setting("MEMORY_WORLDS", WORLDS.into())).expect("a small number");
+    let counts = play_worlds(rule, cases, worlds);
+    println!("{cases} worlds: {counts:?}");
+    assert!(counts.parts >= cases / WORLDS_A_PART, "{counts:?}");
+}
+
+#[test]
+fn no_run_uses_memory_of_other_versions_than_its_own() {
+    play_many(Rule::OwnMemory, &world());
+}
+
+#[test]
+fn no_run_uses_memory_of_other_versions_where_engines_start_again() {
+    play_many(Rule::OwnMemory, &restart_world());
+}
+
+/// Plays a world that is written down.
+fn play_found(drawn: &DrawnWorld) {
+    if let Err(broken) = World::play(drawn, Rule::OwnMemory) {
+        panic!("{broken}");
+    }
+}
+
+#[test]
+fn no_memory_moves_to_an_engine_that_started_again() {
+    play_found(&found::target_that_started_again());
+}
+
+#[test]
+fn no_memory_moves_from_an_engine_that_started_again() {
+    play_found(&found::source_that_started_again());
+}
+
+#[test]
+fn no_memory_moves_to_an_engine_whose_late_load_outlived_its_start() {
+    play_found(&found::target_with_a_late_load());
+}
+
+#[test]
+fn no_memory_moves_from_an_engine_that_started_again_under_a_loan() {
+    play_found(&found::source_that_started_again_under_a_loan());
+}
+
+#[test]
+fn no_memory_moves_that_was_made_without_the_holder_after_a_start() {
+    play_found(&found::source_that_started_again_for_a_call_without_the_holder());
+}
+
+#[test]
+fn no_memory_moves_that_was_made_without_the_holder_after_a_late_order() {
+    play_found(&found::source_with_a_late_order_for_a_call_without_the_holder());
+}
+
+#[test]
+fn no_memory_moves_from_an_address_that_another_target_has() {
+    play_found(&found::source_whose_address_has_another_target());
+}
+
+#[test]
+fn no_engine_is_ordered_beyond_its_places_in_any_world() {
+    play_many(Rule::Places, &world());
+}
+
+#[test]
+fn every_call_is_answered_in_any_world() {
+    play_many(Rule::Answers, &world());
+}
+
+#[test]
+fn memory_of_equal_versions_moves_where_nothing_happens() {
+    play_worlds(Rule::Moves, CALM_WORLDS, &calm_world());
+}
