--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -233,7 +233,14 @@
             let copy = self.renewed(&mut old, adapter, state, *version, now);
             self.copies.insert(adapter.clone(), copy);
         }
-        for (adapter, copy) in old {
+        for (adapter, mut copy) in old {
+            // One that was to be replaced and has gone is brought in anew for whoever waits.
+            let is_awaited = copy.state == ResidentState::Outdated && !copy.waiters.is_empty();
+            if is_awaited {
+                copy.state = ResidentState::Wanted;
+                copy.sight = None;
+                copy.generation = self.next_generation();
+            }
             if copy.state == ResidentState::Wanted {
                 self.copies.insert(adapter, copy);
             }
