--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -18,7 +18,7 @@
             ZonePlanner,
         },
     },
-    ids::{AdapterName, TargetLife, TargetName, VmName},
+    ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -232,7 +232,10 @@
 
 fn new_planner(orders_from_ms: u64) -> ZonePlanner {
     let figures = EngineFigures::shared_by(1, 3.0);
-    ZonePlanner::new(figures, limits(), instant(orders_from_ms))
+    let mut planner = ZonePlanner::new(figures, limits(), instant(orders_from_ms));
+    // Worlds have one holder at a time.
+    planner.lead_until(Instant(u64::MAX));
+    planner
 }
 
 impl World {
@@ -519,6 +522,7 @@
         ));
         self.token += 1;
         self.planner = new_planner(self.now_ms + quiet_ms);
+        self.planner.succeed(instant(self.now_ms));
         self.listed_ms = 0;
         self.read_list(self.now_ms.saturating_sub(age_ms).max(BEGIN_MS));
         if knows_names {
