--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -625,13 +625,13 @@
             target: entry.name.clone(),
             life: entry.life,
             fetch: None,
-            version,
+            version: version.or_else(|| listed_version(entry, &subject)),
         };
         self.calls_made += 1;
         let number = self.calls_made;
         self.note(&format!(
-            "call {number} for {subject} is sent to {} without the holder, version {version:?}",
-            sent.target
+            "call {number} for {subject} is sent to {} without the holder, version {:?}",
+            sent.target, sent.version
         ));
         let call = GatewayCall {
             new,
@@ -1024,6 +1024,17 @@
     adapters.any(|resident| resident.adapter == *subject && resident.version >= version)
 }
 
+/// The version of what a call asks for, by its target's entry.
+fn listed_version(entry: &TargetEntry, subject: &AdapterName) -> Option<u64> {
+    let mut adapters = entry.adapters.iter();
+    let adapter = adapters.find(|resident| resident.adapter == *subject);
+    let mut models = entry.models.iter();
+    let model = models.find(|(model, _)| model == subject.as_str());
+    adapter
+        .map(|resident| resident.version)
+        .or(model.map(|(_, version)| *version))
+}
+
 fn shared_parts(drawn: &DrawnCall) -> impl Iterator<Item = (u64, u32)> {
     PROMPTS[usize::from(drawn.prompt)].into_iter()
 }
