--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -18,7 +18,7 @@
             ZonePlanner,
         },
     },
-    ids::{AdapterName, TargetLife, TargetName, VmName},
+    ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -232,7 +232,10 @@
 
 fn new_planner(orders_from_ms: u64) -> ZonePlanner {
     let figures = EngineFigures::shared_by(1, 3.0);
-    ZonePlanner::new(figures, limits(), instant(orders_from_ms))
+    let mut planner = ZonePlanner::new(figures, limits(), instant(orders_from_ms));
+    // Worlds have one holder at a time.
+    planner.lead_until(Instant(u64::MAX));
+    planner
 }
 
 impl World {
@@ -519,6 +522,7 @@
         ));
         self.token += 1;
         self.planner = new_planner(self.now_ms + quiet_ms);
+        self.planner.succeed(instant(self.now_ms));
         self.listed_ms = 0;
         self.read_list(self.now_ms.saturating_sub(age_ms).max(BEGIN_MS));
         if knows_names {
@@ -621,13 +625,13 @@
             target: entry.name.clone(),
             life: entry.life,
             fetch: None,
-            version,
+            version: version.or_else(|| listed_version(entry, &subject)),
         };
         self.calls_made += 1;
         let number = self.calls_made;
         self.note(&format!(
-            "call {number} for {subject} is sent to {} without the holder, version {version:?}",
-            sent.target
+            "call {number} for {subject} is sent to {} without the holder, version {:?}",
+            sent.target, sent.version
         ));
         let call = GatewayCall {
             new,
@@ -1020,6 +1024,17 @@
     adapters.any(|resident| resident.adapter == *subject && resident.version >= version)
 }
 
+/// The version of what a call asks for, by its target's entry.
+fn listed_version(entry: &TargetEntry, subject: &AdapterName) -> Option<u64> {
+    let mut adapters = entry.adapters.iter();
+    let adapter = adapters.find(|resident| resident.adapter == *subject);
+    let mut models = entry.models.iter();
+    let model = models.find(|(model, _)| model == subject.as_str());
+    adapter
+        .map(|resident| resident.version)
+        .or(model.map(|(_, version)| *version))
+}
+
 fn shared_parts(drawn: &DrawnCall) -> impl Iterator<Item = (u64, u32)> {
     PROMPTS[usize::from(drawn.prompt)].into_iter()
 }
