--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -61,7 +61,8 @@
     }
 
     /// Which loading of an adapter, or of a base model, a call that is sent now will run on.
-    fn generation(&self, subject: &AdapterName) -> Option<u64> {
+    #[must_use]
+    pub fn generation(&self, subject: &AdapterName) -> Option<u64> {
         match split_subject(subject).1 {
             Some(_) => self.copies.get(subject).map(|copy| copy.generation),
             None => self.base(subject).map(|held| held.generation),
@@ -133,7 +134,6 @@
     /// It has taken an order. One that expects none before it is taken as well by an engine that has started again unseen, with other
     /// weights: its next answer or report tells.
     pub fn note_taken(&mut self, order: &EngineOrder) {
-        self.is_ours = true;
         if order.expected == 0 {
             let models: Vec<_> = self.models.iter().map(|held| held.name.clone()).collect();
             for model in models {
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -85,8 +85,10 @@
     sent_parts: PartMemory,
     /// Parts of the prompts that were read here, by generation.
     read_parts: PartMemory,
-    /// Whether it has taken an order of this holder, so that none of an earlier one is carried out any more.
+    /// Whether its count of orders has moved by one of this holder, so that none of an earlier one is carried out any more.
     pub is_ours: bool,
+    /// When its report was last taken over.
+    pub reported_at: Instant,
     /// Whether the list's entry is from before the engine was seen to start again.
     entry_is_old: bool,
     /// Generations given out.
@@ -125,6 +127,7 @@
             sent_parts: PartMemory::default(),
             read_parts: PartMemory::default(),
             is_ours: false,
+            reported_at: Instant::default(),
             entry_is_old: false,
             generations: 0,
             tokens_sent: 0,
@@ -218,6 +221,7 @@
     /// Takes over what the engine reports. Copies whose load waits here are kept.
     pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
         self.is_known = true;
+        self.reported_at = now;
         self.entry_is_old |= report.orders_taken < self.sequence;
         self.sequence = report.orders_taken;
         self.take_models(&report.models, now);
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -30,6 +30,8 @@
 pub(super) struct MemoryLoan {
     source: TargetName,
     subject: AdapterName,
+    /// The source's generation that made it; none once the source has started again or is gone.
+    generation: Option<u64>,
 }
 
 /// What an engine has to do for a prompt.
@@ -52,7 +54,7 @@
         }
         for (name, engine) in &self.engines {
             let is_fit = engine.entry.stage == TargetStage::Ready
-                && (engine.is_ours || now >= self.settled_from)
+                && self.is_settled(engine)
                 && self.has_own_address(engine)
                 && !self.health.is_out(name, now)
                 && !self.health.is_doubted(name);
@@ -74,6 +76,11 @@
         best
     }
 
+    /// Whether no order of an earlier holder is carried out at an engine any more, and what such a one did is known.
+    pub(super) fn is_settled(&self, engine: &EngineState) -> bool {
+        engine.is_ours || engine.reported_at >= self.settled_from
+    }
+
     /// Whether no other engine is listed where an engine is: one that has ended may be listed still, beside the one that followed
     /// it there.
     fn has_own_address(&self, engine: &EngineState) -> bool {
@@ -164,11 +171,32 @@
             let loan = MemoryLoan {
                 source: source.name.clone(),
                 subject: ask.subject.clone(),
+                generation: engine.generation(&ask.subject),
             };
             self.loans.insert(key.clone(), loan);
         }
     }
 
+    /// Whether a call is yet to take memory from an engine that was made before the engine loaded anew: what is read there now would be
+    /// taken for it.
+    pub(super) fn lends_older(&self, engine: &EngineState, subject: &AdapterName) -> bool {
+        let mut loans = self.loans.values();
+        loans.any(|loan| {
+            loan.source == engine.entry.name
+                && loan.subject == *subject
+                && (loan.generation.is_none() || loan.generation != engine.generation(subject))
+        })
+    }
+
+    /// An engine has started again, or is gone.
+    pub(super) fn outlive_loans(&mut self, name: &TargetName) {
+        for loan in self.loans.values_mut() {
+            if loan.source == *name {
+                loan.generation = None;
+            }
+        }
+    }
+
     /// Lets go of the memory that a call was to take, but for one that may yet take it until a time.
     pub(super) fn end_loan(&mut self, key: &CallKey, held_until: Instant) {
         let Some(loan) = self.loans.remove(key) else {
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -169,6 +169,7 @@
             .cloned()
             .collect();
         for name in gone {
+            self.outlive_loans(&name);
             if let Some(engine) = self.engines.remove(&name) {
                 let waiters = engine.copies.into_values().flat_map(|copy| copy.waiters);
                 self.place_waiters_again(waiters.collect(), now);
@@ -198,6 +199,7 @@
         };
         let reborn = engine.reborn(entry, now);
         let old = std::mem::replace(engine, reborn);
+        self.outlive_loans(name);
         self.health.forget(name);
         self.loads.forget(name);
         let waiters = old.copies.into_values().flat_map(|copy| copy.waiters);
@@ -281,7 +283,8 @@
         if let (Some(target), Some(outcome)) = (target, outcome) {
             self.health.note(target, outcome, now);
         }
-        self.end_loan(key, now);
+        // Where the caller has left, the call may be on its way still.
+        self.end_loan(key, now.after(UNCOUNTED_RUN));
         for copy in self
             .engines
             .values_mut()
@@ -399,6 +402,9 @@
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
+        if now >= self.settled_from && !engine.is_ours && engine.reported_at < self.settled_from {
+            engine.report_at.get_or_insert(now);
+        }
         let is_due = engine.report_at.is_some_and(|at| now >= at);
         if is_due && !engine.is_reporting && engine.pending.is_none() {
             engine.report_at = None;
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -48,6 +48,7 @@
             (OrderOutcome::Done | OrderOutcome::Begun, OrderKind::Load) => {
                 if outcome == OrderOutcome::Begun {
                     engine.sequence += 1;
+                    engine.is_ours = true;
                 }
                 let (time, load) = match outcome {
                     OrderOutcome::Done => (Duration::ZERO, None),
@@ -74,6 +75,7 @@
             }
             (OrderOutcome::Done, OrderKind::Unload) => {
                 engine.sequence += 1;
+                engine.is_ours = true;
                 engine.copies.remove(&subject);
             }
             (OrderOutcome::Begun, OrderKind::Unload) => {
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -125,7 +125,7 @@
         now: Instant,
     ) -> Option<LoadCost> {
         let (model, adapter) = split_subject(&ask.subject);
-        if !engine.has_model(model) {
+        if !engine.has_model(model) || self.lends_older(engine, &ask.subject) {
             return None;
         }
         if adapter.is_none() {
