List what the soak's engines hold, as they change

Targets write their entry again when what it says of models has changed; before, an engine was listed as it came. The number of adapters of a run can be given.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -34,6 +34,9 @@
     /// VMs of a zone.
     #[options(help = "VMs of a zone", default = "2")]
     vms: usize,
+    /// Adapters that are asked for.
+    #[options(no_short, help = "adapters that are asked for", default = "12")]
+    adapters: usize,
     /// Drops faults that a failure does not need.
     #[options(
         no_short,
@@ -105,8 +108,8 @@
         if !outcome.violations.is_empty() {
             let kept = plan.folder.display();
             println!(
-                "  again: hoplanding-soak --seed {seed} --requests {} --zones {} --vms {} --schedule {kept}/faults.json",
-                args.requests, args.zones, args.vms
+                "  again: hoplanding-soak --seed {seed} --requests {} --zones {} --vms {} --adapters {} --schedule {kept}/faults.json",
+                args.requests, args.zones, args.vms, args.adapters
             );
             if args.shrink {
                 shrink(&plan, &outcome).await?;
@@ -136,7 +139,7 @@
         zones: args.zones,
         vms_per_zone: args.vms,
         engines_per_zone: 2,
-        adapters: 12,
+        adapters: args.adapters,
         faults,
         fault_count: args.faults,
         program: args.daemon.clone(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,6 +46,8 @@
 /// Changes of settings of a series, and the time between two of them.
 const SERIES_RELOADS: usize = 6;
 const RELOAD_EVERY: Duration = Duration::from_millis(250);
+/// Pause between two looks of a target at its entry in the list.
+const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -128,6 +130,7 @@
     let site = Arc::new(SoakSite::start(plan).await?);
     site.wait_for_callers().await?;
     let prober = tokio::spawn(Arc::clone(&site).probe());
+    let lister = tokio::spawn(Arc::clone(&site).renew_list());
     let begun = Instant::now();
     let mut work = JoinSet::new();
     for fault in faults.clone() {
@@ -144,6 +147,7 @@
     })
     .await;
     prober.abort();
+    lister.abort();
     let history = site.history.entries();
     let violations = check(&history);
     Ok(RunOutcome {
@@ -209,12 +213,27 @@
         let name = format!("i-{}-{number}", service_of(role));
         let site = self.target_site.clone();
         let target = SoakTarget::start(&name, role, zone, base, site).await?;
-        self.log
-            .put(TARGET_TOPIC, &name, Some(&target.entry(false)));
         self.lock_targets().push(Arc::new(target));
+        self.list_news();
         Ok(())
     }
 
+    /// Writes the entries of targets that hold something else than listed.
+    fn list_news(&self) {
+        for target in self.lock_targets().iter() {
+            if let Some(entry) = target.news() {
+                self.log.put(TARGET_TOPIC, &target.name, Some(&entry));
+            }
+        }
+    }
+
+    async fn renew_list(self: Arc<Self>) {
+        loop {
+            sleep(HEARTBEAT).await;
+            self.list_news();
+        }
+    }
+
     async fn wait_for_callers(&self) -> io::Result<()> {
         let ready = async {
             for vm in &self.vms {
@@ -363,13 +382,12 @@
             FaultKind::LogCut => self.strike_link(vm, LinkState::Cut, fault).await,
             FaultKind::Leave => {
                 let target = self.target(fault.index);
-                let entry = target.entry(true);
-                self.replace_target(&target, Some(&entry), Some(FIRST_VERSION), fault)
+                self.replace_target(&target, true, Some(FIRST_VERSION), fault)
                     .await;
             }
             FaultKind::Vanish => {
                 let target = self.target(fault.index);
-                self.replace_target(&target, None, None, fault).await;
+                self.replace_target(&target, false, None, fault).await;
             }
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
@@ -472,11 +490,16 @@
     async fn replace_target(
         &self,
         target: &SoakTarget,
-        entry: Option<&str>,
+        says_so: bool,
         base: Option<u64>,
         fault: &PlannedFault,
     ) {
-        self.log.put(TARGET_TOPIC, &target.name, entry);
+        {
+            // No entry of before is written behind the last one.
+            let _targets = self.lock_targets();
+            let entry = Some(target.farewell()).filter(|_| says_so);
+            self.log.put(TARGET_TOPIC, &target.name, entry.as_deref());
+        }
         self.history.add(SeenEntry::Leaving {
             target: target.name.clone(),
         });
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -17,7 +17,7 @@
     kept_memory::MemoryNet,
     raw_target::{RawAnswer, RawRequest, RawTarget},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
     io,
@@ -121,6 +121,8 @@
     delays_orders: bool,
     /// Orders seen while it delays some.
     order_count: u64,
+    /// What its entry said last that it holds; none once the entry goes, or says that it leaves.
+    listed: Option<Value>,
 }
 
 impl TargetState {
@@ -133,6 +135,7 @@
             shed_count: 0,
             delays_orders: false,
             order_count: 0,
+            listed: Some(Value::Null),
         }
     }
 }
@@ -204,24 +207,38 @@
         lock(&self.state).delays_orders = delays;
     }
 
-    /// Its entry in the list of targets.
+    /// Its entry in the list of targets, if it is listed and what it holds has changed since the last one.
     #[must_use]
-    pub fn entry(&self, is_leaving: bool) -> String {
-        let state = lock(&self.state);
-        let models = match self.role {
-            TargetRole::Engine => state.shelf.listed(),
-            TargetRole::Plain => json!([]),
-        };
+    pub fn news(&self) -> Option<String> {
+        let mut state = lock(&self.state);
+        let holds = state.shelf.listed();
+        let listed = state.listed.as_mut()?;
+        if *listed == holds {
+            return None;
+        }
+        *listed = holds;
+        Some(self.entry(&state, "ready"))
+    }
+
+    /// Its last entry, which says that it leaves.
+    #[must_use]
+    pub fn farewell(&self) -> String {
+        let mut state = lock(&self.state);
+        state.listed = None;
+        self.entry(&state, "draining")
+    }
+
+    fn entry(&self, state: &TargetState, stage: &str) -> String {
         json!({
             "service": service_of(self.role),
             "address": self.address().to_string(),
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
-            "state": if is_leaving { "draining" } else { "ready" },
+            "state": stage,
             "cold_remaining_ms": 0,
             "sequence": state.shelf.orders_taken(),
-            "models": models,
+            "models": state.shelf.listed(),
         })
         .to_string()
     }
