Hand what the list says of engines to their planner twice a second

Cause: an entry that changes only in what an engine holds is no news between VMs, and the holder of its zone was not woken for it either, so copies that were loaded without a version stayed unknown and lent nothing.

--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -40,6 +40,9 @@
 
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
+/// Pause between two looks at what the list says that engines hold: such entries are news to their holder alone, and copies that were loaded
+/// without a version lend no memory until one tells it.
+const LIST_LOOK: Duration = Duration::from_millis(500);
 /// Time after which an order or a report counts as unanswered: engines answer within a few milliseconds, and calls wait.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest report.
@@ -156,6 +159,8 @@
         let mut changes = self.fleet.watch();
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut look = interval(LIST_LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 event = receiver.recv() => match event {
@@ -163,6 +168,7 @@
                     None => return,
                 },
                 _ = changes.changed() => self.refresh(),
+                _ = look.tick(), if self.held.is_some() => self.look_at_list(),
                 _ = tick.tick(), if self.held.is_some() => {
                     let led_until = self.led_until();
                     if let Some(held) = &mut self.held {
@@ -300,6 +306,14 @@
         }
     }
 
+    /// Takes over what the list says of the zone's engines.
+    fn look_at_list(&mut self) {
+        if let Some(held) = &mut self.held {
+            let targets = self.fleet.zone_targets(&held.service, &self.fleet.zone);
+            held.planner.set_targets(targets, clock::now());
+        }
+    }
+
     /// Compares what is held with the books.
     fn refresh(&mut self) {
         let now = clock::now();
