Take a listed version only if the list was without the copy since its load

Change: a listed version counts once the list has been seen without the copy since it was loaded; a changed entry that tells other weights has the report read.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -61,7 +61,8 @@
     pub remaining: Option<Duration>,
     /// Time for which it is still slow from its start.
     pub cold: Duration,
-    /// Orders that it has taken.
+    /// The count in its entry. An engine's report counts orders under the same name; on the users' platform the entry's moves with each
+    /// write, so it says nothing of orders.
     pub orders_taken: u64,
     /// Its base models and their versions.
     pub models: Vec<(String, u64)>,
--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -53,6 +53,8 @@
     pub used_at: Instant,
     /// Until when calls that nobody counts any more may still run on it.
     pub held_until: Instant,
+    /// Whether the list was seen without it since it was last loaded, so that what the list says of it now is of this loading.
+    pub was_unlisted: bool,
     /// Calls elsewhere whose engines take memory that it made: until they have begun it is neither replaced nor unloaded.
     pub lent_to: Vec<CallKey>,
     /// Until when calls elsewhere that nobody counts may still take its memory.
@@ -76,6 +78,7 @@
             waiters: Vec::new(),
             used_at: now,
             held_until: Instant::default(),
+            was_unlisted: false,
             lent_to: Vec::new(),
             lent_until: Instant::default(),
             load: None,
--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -13,6 +13,7 @@
     },
     ids::{AdapterName, Instant},
 };
+use std::sync::Arc;
 
 /// Memory of a prompt that an engine can lend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,7 +129,9 @@
         if let Some(copy) = self.copies.get_mut(subject) {
             copy.sight = None;
             copy.generation = generation;
+            copy.was_unlisted = false;
         }
+        self.note_unlisted();
     }
 
     /// It has taken an order. One that expects none before it is taken as well by an engine that has started again unseen, with other
@@ -142,33 +145,15 @@
         }
     }
 
-    /// Takes over versions from the list for copies of which nothing else told them, if the entry is as new as what is known. Where
-    /// it tells of more orders than are known here, others gave them, and the engine's own report is read.
+    /// Takes over versions from the list for copies of which nothing else told them. An entry may be seconds old, so it speaks of a
+    /// copy only if the list has been seen without it since it was loaded.
     pub(super) fn take_listed_versions(&mut self, now: Instant) {
-        let is_behind = self.entry_is_old || self.entry.orders_taken < self.sequence;
-        if !self.is_known || self.pending.is_some() || is_behind {
+        if !self.is_known || self.pending.is_some() || self.entry_is_old {
             return;
         }
-        if self.entry.orders_taken > self.sequence {
-            self.report_at = Some(now);
-        }
-        let mut unlike = Vec::new();
-        for (model, version) in &self.entry.models {
-            let listed = VersionSight::told(*version, VersionTeller::List, now);
-            let mut models = self.models.iter();
-            let held = models.find(|held| held.name.as_str() == model);
-            if let Some(held) = held
-                && VersionMatch::of(held.sight, listed) == VersionMatch::Unlike
-            {
-                unlike.push(model.clone());
-            }
-        }
-        for model in unlike {
-            self.outdate_memory(&model);
-            self.report_at = Some(now);
-        }
         for resident in &self.entry.adapters {
             if let Some(copy) = self.copies.get_mut(&resident.adapter)
+                && copy.was_unlisted
                 && copy.sight.is_none()
                 && copy.state == ResidentState::Here
             {
@@ -177,6 +162,29 @@
         }
     }
 
+    /// Notes which copies the list is without.
+    pub(super) fn note_unlisted(&mut self) {
+        for (subject, copy) in &mut self.copies {
+            let mut listed = self.entry.adapters.iter();
+            copy.was_unlisted |= !listed.any(|resident| resident.adapter == *subject);
+        }
+    }
+
+    /// Where a changed entry tells other weights of a base model than are known, nobody knows which are there until the report tells.
+    pub(super) fn doubt_models(&mut self, now: Instant) {
+        let entry = Arc::clone(&self.entry);
+        for (model, version) in &entry.models {
+            let listed = VersionSight::told(*version, VersionTeller::List, now);
+            let mut models = self.models.iter();
+            let known = models.find(|held| held.name.as_str() == model);
+            let known = known.and_then(|held| held.sight);
+            if VersionMatch::of(known, listed) == VersionMatch::Unlike {
+                self.outdate_memory(model);
+                self.report_at = Some(now);
+            }
+        }
+    }
+
     /// Notes that a call's prompt has been read by this version of the base model. What comes from before its adapter or its base model
     /// was loaded anew says nothing.
     pub fn note_read(&mut self, key: &CallKey, version: u64, now: Instant) {
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -171,8 +171,13 @@
     pub fn take_entry(&mut self, entry: Arc<TargetEntry>, now: Instant) {
         let life = self.entry.life;
         if entry.life == life {
-            self.entry_is_old &= *entry == *self.entry;
+            let is_changed = *entry != *self.entry;
             self.entry = entry;
+            if is_changed {
+                self.entry_is_old = false;
+                self.doubt_models(now);
+            }
+            self.note_unlisted();
             self.take_listed_versions(now);
         } else if entry.life == TargetLife::default() {
             let entry = (*entry).clone();
@@ -221,8 +226,9 @@
     /// Takes over what the engine reports. Copies whose load waits here are kept.
     pub fn take_report(&mut self, report: &EngineReport, now: Instant) {
         self.is_known = true;
+        let was_told = self.reported_at > Instant::default();
+        self.entry_is_old |= was_told && report.orders_taken < self.sequence;
         self.reported_at = now;
-        self.entry_is_old |= report.orders_taken < self.sequence;
         self.sequence = report.orders_taken;
         self.take_models(&report.models, now);
         self.own_copies.clone_from(&report.own_copies);
@@ -249,6 +255,7 @@
                 self.copies.insert(adapter, copy);
             }
         }
+        self.note_unlisted();
         if report.requests == 0 {
             // Nothing runs that nobody counts: what was held for it may make way.
             for copy in self.copies.values_mut() {
@@ -283,7 +290,12 @@
             copy.hold_for_unknown(now);
             return copy;
         };
-        let is_other = VersionMatch::of(known.sight, sight) == VersionMatch::Unlike;
+        // The list may have told it as it was before.
+        let known_sight = known
+            .sight
+            .filter(|known| known.teller != VersionTeller::List);
+        let is_other = VersionMatch::of(known.sight, sight) == VersionMatch::Unlike
+            || (known.sight != known_sight && sight.is_none());
         let generation = if is_other {
             self.next_generation()
         } else {
@@ -295,7 +307,7 @@
         };
         ResidentCopy {
             state,
-            sight: sight.or(known.sight),
+            sight: sight.or(known_sight),
             generation,
             ..known
         }
