--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -55,8 +55,8 @@
     /// replaced unseen, by a late order of an earlier holder, would else make memory that is taken for the known version's.
     #[must_use]
     pub fn told_version(&self, subject: &AdapterName) -> Option<u64> {
-        match self.copies.get(subject) {
-            Some(copy) => Some(copy.sight?.version),
+        match split_subject(subject).1 {
+            Some(_) => Some(self.copies.get(subject)?.sight?.version),
             None => self.own_base(subject),
         }
     }
