End a loan whose key another call has, and look for sources where there is something to lend

A gateway that starts again counts its calls from the beginning, so a call could take the key of one whose loan was open; the first loan's copy was then never replaced. The new test failed with that engine left out of the replacements.

--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -41,7 +41,10 @@
     }
 
     fn base(&self, subject: &AdapterName) -> Option<&HeldModel> {
-        let (model, _) = split_subject(subject);
+        self.held(split_subject(subject).0)
+    }
+
+    fn held(&self, model: &str) -> Option<&HeldModel> {
         self.models.iter().find(|held| held.name.as_str() == model)
     }
 
@@ -92,9 +95,7 @@
 
     /// Takes over what told the version of a base model.
     fn see_base(&mut self, model: &str, sight: Option<VersionSight>) {
-        let mut models = self.models.iter();
-        let known = models.find(|held| held.name.as_str() == model);
-        let known = known.and_then(|held| held.sight);
+        let known = self.held(model).and_then(|held| held.sight);
         if VersionMatch::of(known, sight) == VersionMatch::Unlike {
             self.outdate_memory(model);
         }
@@ -175,9 +176,7 @@
         let entry = Arc::clone(&self.entry);
         for (model, version) in &entry.models {
             let listed = VersionSight::told(*version, VersionTeller::List, now);
-            let mut models = self.models.iter();
-            let known = models.find(|held| held.name.as_str() == model);
-            let known = known.and_then(|held| held.sight);
+            let known = self.held(model).and_then(|held| held.sight);
             if VersionMatch::of(known, listed) == VersionMatch::Unlike {
                 self.outdate_memory(model);
                 self.report_at = Some(now);
--- a/crates/core/src/direct/planner/fetching.rs
+++ b/crates/core/src/direct/planner/fetching.rs
@@ -53,14 +53,17 @@
             return best;
         }
         for (name, engine) in &self.engines {
+            let Some(memory) = engine.lendable(ask) else {
+                continue;
+            };
             let is_fit = engine.entry.stage == TargetStage::Ready
                 && self.is_settled(engine)
                 && self.has_own_address(engine)
                 && !self.health.is_out(name, now)
                 && !self.health.is_doubted(name);
-            let Some(memory) = engine.lendable(ask).filter(|_| is_fit) else {
+            if !is_fit {
                 continue;
-            };
+            }
             let source = PromptSource {
                 name: name.clone(),
                 address: engine.entry.address,
@@ -166,6 +169,8 @@
 
     /// Holds what a call takes from a source as it is.
     pub(super) fn lend(&mut self, source: &PromptSource, ask: &PlacementAsk, key: &CallKey) {
+        // A gateway that has started again counts its calls anew: one of before may have this key.
+        self.end_loan(key, Instant::default());
         if let Some(engine) = self.engines.get_mut(&source.name) {
             engine.lend(&ask.subject, key);
             let loan = MemoryLoan {
--- a/crates/core/tests/direct_lending.rs
+++ b/crates/core/tests/direct_lending.rs
@@ -567,3 +567,34 @@
         assert_eq!(place(&mut planner, 2, &["e1"], now).fetch, fetch);
     }
 }
+
+// A gateway that starts again counts its calls from the beginning, and the holder knows one of before by the same key.
+#[test]
+fn a_loan_ends_with_another_call_of_the_same_key() {
+    let mut planner = planner(&engines(&[(1, 1), (1, 1), (1, 1)]));
+    read(&mut planner, 1, &["e2", "e3"], 1, SETTLED);
+    assert_eq!(
+        place(&mut planner, 2, &["e1", "e3"], SETTLED).fetch,
+        Some(address(1))
+    );
+    // The first engine is about to leave, so that the second lends to the next call.
+    planner.begun(&key(2), &target(2), Some(1), SETTLED.after(READING));
+    planner.ended(&key(2), Some(&target(2)), None, SETTLED.after(READING));
+    let now = SETTLED.after(LOADED);
+    assert!(place(&mut planner, 3, &["e1", "e2"], now).fetch.is_some());
+    let leaving = TargetEntry {
+        stage: TargetStage::Draining,
+        ..entry(1)
+    };
+    let listed = [leaving, entry(2), entry(3), entry(4)].map(Arc::new);
+    planner.set_targets(listed.to_vec(), now);
+    planner.report_came(&target(4), Some(&report(1, 1)), now);
+    planner.take_actions();
+    let again = place(&mut planner, 3, &["e1", "e2", "e3"], now);
+    assert_eq!(again.fetch, Some(address(2)));
+    planner.ended(&key(3), Some(&target(4)), None, now);
+    name_version(&mut planner, 2, now.after(LOADED));
+    let mut names = replaced(&mut planner);
+    names.sort();
+    assert_eq!(names, [target(1), target(2), target(3), target(4)]);
+}
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -311,7 +311,7 @@
             return;
         };
         if self.is_mine(&lease) {
-            // A full channel: the call's end says the same, later.
+            // A full channel: the call's end frees what it holds, and what it has read lends nothing.
             drop(
                 self.zone
                     .try_send(ZoneEvent::Begun(self.key(number), target, version)),
