Order no loads that an earlier holder's could overtake where engines check no fences

An engine starts again, another VM takes the zone and gives the new life as many orders as the old one had taken; an unanswered load of the holder before then takes one place more. The successor can't know how many such loads there are.

--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -78,6 +78,8 @@
     led_until: Instant,
     /// From when on no order of an earlier holder is carried out any more.
     settled_from: Instant,
+    /// Whether engines refuse orders of earlier holders.
+    are_orders_fenced: bool,
     orders_from: Instant,
     model_load_at: Instant,
     /// Part of the zone's engines that has been busy lately.
@@ -104,6 +106,7 @@
             loans: HashMap::new(),
             led_until: Instant::default(),
             settled_from: Instant::default(),
+            are_orders_fenced: false,
             orders_from,
             model_load_at,
             busy: 0.0,
@@ -138,6 +141,11 @@
         self.settled_from = now.after(LATE_ORDER);
     }
 
+    /// Says whether engines refuse an order with an older fencing token than one that they have seen.
+    pub fn set_fenced(&mut self, is_fenced: bool) {
+        self.are_orders_fenced = is_fenced;
+    }
+
     /// Until then no other holder can have given orders to these engines. A holder that is cut off from the log, or stood still, may
     /// have been replaced: its callers are still served, but what copies have read since is not known.
     pub fn lead_until(&mut self, time: Instant) {
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -246,6 +246,9 @@
                 if !is_fast && self.store_loads(now) >= self.loads.limit() {
                     return;
                 }
+                if self.may_take_foreign_loads(now) {
+                    return;
+                }
                 let taken = engine.places_taken() + engine.late_places(now);
                 if taken >= self.limits.adapter_slots as usize {
                     let Some(victim) = self.victim(engine, now) else {
@@ -264,6 +267,13 @@
         }
     }
 
+    /// Whether loads that an earlier holder ordered may yet take places of engines, nobody knows how many: an engine that has
+    /// started again since has taken fewer orders than those expect. Guards against engines that fall as they are given
+    /// more than they have places for (seed 11 of the drawn worlds); engines that check fencing tokens refuse such loads.
+    fn may_take_foreign_loads(&self, now: Instant) -> bool {
+        now < self.settled_from && !self.are_orders_fenced
+    }
+
     /// Gives up a load for which no room can be made.
     fn drop_front(&mut self, name: &TargetName, now: Instant) {
         let Some(engine) = self.engines.get_mut(name) else {
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -230,9 +230,10 @@
     }
 }
 
-fn new_planner(orders_from_ms: u64) -> ZonePlanner {
+fn new_planner(orders_from_ms: u64, checks_fences: bool) -> ZonePlanner {
     let figures = EngineFigures::shared_by(1, 3.0);
     let mut planner = ZonePlanner::new(figures, limits(), instant(orders_from_ms));
+    planner.set_fenced(checks_fences);
     // Worlds have one holder at a time.
     planner.lead_until(Instant(u64::MAX));
     planner
@@ -265,7 +266,7 @@
             entries: BTreeMap::new(),
             named: NamedVersions::default(),
             heard: BTreeMap::new(),
-            planner: new_planner(BEGIN_MS),
+            planner: new_planner(BEGIN_MS, drawn.checks_fences),
             token: 1,
             listed_ms: BEGIN_MS,
             list: Vec::new(),
@@ -521,7 +522,7 @@
             "another VM holds the zone, orders after {quiet_ms} ms"
         ));
         self.token += 1;
-        self.planner = new_planner(self.now_ms + quiet_ms);
+        self.planner = new_planner(self.now_ms + quiet_ms, self.drawn.checks_fences);
         self.planner.succeed(instant(self.now_ms));
         self.listed_ms = 0;
         self.read_list(self.now_ms.saturating_sub(age_ms).max(BEGIN_MS));
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -119,6 +119,10 @@
                 self.metrics_address != new.metrics_address,
             ),
             ("leases", self.leases != new.leases),
+            (
+                "orders_fenced",
+                self.are_orders_fenced != new.are_orders_fenced,
+            ),
             ("pace", self.pace != new.pace),
             ("log.file", self.log.file != new.log.file),
         ];
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -38,6 +38,8 @@
     pub retries: RetryRule,
     /// Spans that decide about claims.
     pub leases: LeaseTimes,
+    /// Whether engines refuse orders with an older fencing token than one that they have seen.
+    pub are_orders_fenced: bool,
     /// What decisions weigh.
     pub policy: PlacementPolicy,
     /// Pauses and bounds.
@@ -99,6 +101,7 @@
         is_first_start: root.flag("first_start"),
         retries: root.section("retries", read_retries),
         leases: root.section("leases", read_leases),
+        are_orders_fenced: root.flag("orders_fenced"),
         policy: root.section("policy", read_policy),
         pace: root.section("pace", read_pace),
         log: root.section("log", read_log),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -372,6 +372,7 @@
         held.service.clone_from(&service);
         held.planner.set_limits(limits);
         held.planner.set_policy(policy);
+        held.planner.set_fenced(self.settings.are_orders_fenced);
         held.planner.lead_until(led_until);
         held.planner
             .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
