--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -1,6 +1,9 @@
 //! The fleet's configuration, as the product sees it.
 
-use crate::ids::{AdapterName, ServiceName};
+use crate::{
+    direct::organisations::OrganisationTable,
+    ids::{AdapterName, ServiceName},
+};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Whether a call may run more than once.
@@ -47,6 +50,8 @@
     pub services: Vec<(ServiceName, u32)>,
     /// Most targets that one call may be sent to.
     pub max_attempts: u32,
+    /// Whether its calls need no key.
+    pub is_open: bool,
 }
 
 impl RouteRule {
@@ -132,4 +137,6 @@
     pub services: HashMap<ServiceName, ServiceRule>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// The organisations that callers act for; none where calls need no key.
+    pub organisations: Option<OrganisationTable>,
 }
--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -5,6 +5,7 @@
         engine::ADOPTED_WITHIN,
         loading::StoreLoad,
         planner::{CallKey, PlacementAsk},
+        suspects::RequestPrint,
         versions::VersionSight,
     },
     ids::{AdapterName, Instant},
@@ -135,4 +136,6 @@
     pub shared: Vec<u64>,
     /// Generation of the copy that it was sent to, if it is known.
     pub generation: Option<u64>,
+    /// The request by what it asks, if it is known.
+    pub print: Option<RequestPrint>,
 }
--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -215,6 +215,7 @@
             tokens: ask.most_tokens(),
             shared,
             generation,
+            print: Some(ask.print),
         }
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -17,6 +17,10 @@
 //! | [`demand`] | how often each adapter is asked for |
 //! | [`health`] | doubt about targets, from the outcomes of calls |
 //! | [`versions`] | which version of an adapter a copy has, and how that is known |
+//! | [`organisations`] | for whom a caller acts, by its key |
+//! | [`freshness`] | since when the configuration in force is known to be the newest |
+//! | [`quotas`] | organisations' quotas over the whole fleet |
+//! | [`suspects`] | requests under which targets ended |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
 
 pub mod budget;
@@ -25,13 +29,17 @@
 pub mod contact;
 pub mod demand;
 pub mod engine;
+pub mod freshness;
 pub mod health;
 pub mod lease;
 pub mod loading;
+pub mod organisations;
 pub mod planner;
 pub mod policy;
+pub mod quotas;
 pub mod reading;
 pub mod routes;
 pub mod search;
 pub mod streams;
+pub mod suspects;
 pub mod versions;
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -5,6 +5,8 @@
         catalog::TargetEntry,
         engine::EngineOrder,
         planner::split_subject,
+        quotas::QuotaCharge,
+        suspects::RequestPrint,
         versions::{MemoryVersions, VersionMatch},
     },
     ids::{AdapterName, TargetLife, TargetName, VmName},
@@ -53,6 +55,10 @@
     pub may_load: bool,
     /// What is wanted.
     pub terms: AskTerms,
+    /// The request by what it asks.
+    pub print: RequestPrint,
+    /// What it is charged, unless it is paid for.
+    pub charge: Option<QuotaCharge>,
 }
 
 impl PlacementAsk {
@@ -105,6 +111,12 @@
     LoadsFailed,
     /// Its load did not begin in time.
     LoadLate,
+    /// Targets ended under the same request: it is sent nowhere for now.
+    EndsTargets,
+    /// A target ended under the same request, which runs already: it runs once at a time.
+    RunsAlready,
+    /// Its organisation's quota is used up in this zone.
+    QuotaUsedUp,
 }
 
 /// An engine could take parts of a prompt from another one.
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -15,6 +15,7 @@
 //! | `ordering` | what engines are ordered |
 //! | `spreading` | second copies of adapters that crowd their engines |
 //! | `filling` | which engines that hold no base model are given one |
+//! | `suspecting` | requests under which engines ended |
 
 mod ask;
 mod fetching;
@@ -23,6 +24,7 @@
 mod ordering;
 mod placing;
 mod spreading;
+mod suspecting;
 
 pub use ask::{
     AskTerms, CallKey, PlacementAnswer, PlacementAsk, PlannerAction, PromptMove, RefusalCause,
@@ -40,6 +42,7 @@
         planner::fetching::MemoryLoan,
         policy::PlacementPolicy,
         reading::ReadingPace,
+        suspects::SuspectTable,
     },
     ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
 };
@@ -82,6 +85,8 @@
     are_orders_fenced: bool,
     orders_from: Instant,
     model_load_at: Instant,
+    /// Requests under which engines ended lately.
+    suspects: SuspectTable,
     /// Part of the zone's engines that has been busy lately.
     busy: f64,
     actions: VecDeque<PlannerAction>,
@@ -109,6 +114,7 @@
             are_orders_fenced: false,
             orders_from,
             model_load_at,
+            suspects: SuspectTable::default(),
             busy: 0.0,
             actions: VecDeque::new(),
         }
@@ -253,6 +259,7 @@
             tokens: 0,
             shared: Vec::new(),
             generation: None,
+            print: None,
         };
         engine.add_call(key, call);
     }
@@ -290,6 +297,9 @@
     ) {
         if let (Some(target), Some(outcome)) = (target, outcome) {
             self.health.note(target, outcome, now);
+            if outcome == CallOutcome::Good {
+                self.clear_suspect(key, target);
+            }
         }
         // Where the caller has left, the call may be on its way still.
         self.end_loan(key, now.after(UNCOUNTED_RUN));
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -7,6 +7,7 @@
         planner::{
             AskTerms, COME_BACK_MS, COMING_MOST, CallKey, LOAD_MARGIN, PlacementAnswer,
             PlacementAsk, RefusalCause, ZonePlanner, fetching::PromptSource, millis, split_subject,
+            suspecting::SHARED_END_PRICE,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -34,6 +35,10 @@
     }
 
     pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
+        if let Some((retry_after, cause)) = self.bars_suspect(ask.print, now) {
+            self.refuse(key, millis(retry_after), cause);
+            return;
+        }
         let Some((name, cost)) = self.cheapest(&ask, now) else {
             self.refuse(key, COME_BACK_MS, RefusalCause::NoEngine);
             return;
@@ -63,6 +68,7 @@
     fn cheapest(&self, ask: &PlacementAsk, now: Instant) -> Option<(TargetName, PlacementCost)> {
         let crowd = self.store_loads(now) + self.loads_waiting();
         let sources = self.prompt_sources(ask, now);
+        let shared_ends = self.shared_ends(ask.print, now);
         let all_doubted = self.engines.keys().all(|name| self.health.is_doubted(name));
         self.engines
             .iter()
@@ -77,6 +83,9 @@
                     cost.total += self.policy.doubt_price;
                 }
                 cost.total += self.policy.failing_price.mul_f64(self.health.failing(name));
+                if shared_ends.contains(name) {
+                    cost.total += SHARED_END_PRICE;
+                }
                 if self.health.is_shedding(name, now) {
                     cost.total += self.policy.shed_price;
                 }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -76,6 +76,10 @@
     /// Name of a caller: a service that sends requests.
     CallerName
 );
+name_type!(
+    /// Name of an organisation that callers act for.
+    OrganisationName
+);
 name_type!(
     /// Name of a plain service behind one or more targets.
     ServiceName
@@ -157,7 +161,7 @@
 }
 
 /// A target in one of its lives. What is counted or kept by it ends with that life.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TargetRun {
     /// The target.
     pub name: TargetName,
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -61,6 +61,8 @@
 
 fn ask(adapter: &str) -> PlacementAsk {
     PlacementAsk {
+        print: Default::default(),
+        charge: None,
         subject: AdapterName::new(adapter),
         prompt_tokens: 400,
         output_tokens: 50,
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -33,6 +33,7 @@
         objective: Duration::from_millis(150),
         priority: 0,
         services: vec![(ServiceName::new("s"), 1)],
+        is_open: false,
         max_attempts: 2,
     })
 }
--- /dev/null
+++ b/crates/core/tests/direct_suspects.rs
@@ -0,0 +1,86 @@
+//! Requests under which targets ended: the second end is the last one, and those that ran beside them are served.
+
+use hoplanding_core::{
+    direct::suspects::{EndedUnder, RequestPrint, SuspectTable, Suspicion},
+    ids::{Instant, TargetLife, TargetName, TargetRun},
+};
+
+fn at(ms: u64) -> Instant {
+    Instant(1_000_000 + ms * 1_000)
+}
+
+fn ended(print: u64, target: &str) -> EndedUnder {
+    EndedUnder {
+        print: RequestPrint(print),
+        run: TargetRun {
+            name: TargetName::new(target),
+            life: TargetLife::default(),
+        },
+    }
+}
+
+fn suspicion(table: &SuspectTable, print: u64, ms: u64) -> Suspicion {
+    table.suspicion(RequestPrint(print), at(ms))
+}
+
+#[test]
+fn the_second_target_that_ends_under_a_request_condemns_it_for_a_time() {
+    let mut table = SuspectTable::default();
+    assert!(table.note_ended(&ended(1, "a"), at(0)));
+    // The same end, told by another VM.
+    assert!(!table.note_ended(&ended(1, "a"), at(5)));
+    assert_eq!(suspicion(&table, 1, 10), Suspicion::Suspected);
+    assert!(table.note_ended(&ended(1, "b"), at(20)));
+    assert!(matches!(suspicion(&table, 1, 30), Suspicion::Condemned(_)));
+    assert_eq!(suspicion(&table, 1, 31_000), Suspicion::Clear);
+    assert_eq!(suspicion(&table, 2, 30), Suspicion::Clear);
+}
+
+#[test]
+fn the_third_end_bars_a_request_for_long() {
+    let mut table = SuspectTable::default();
+    for (ms, target) in [(0, "a"), (10, "b"), (20, "c")] {
+        table.note_ended(&ended(1, target), at(ms));
+    }
+    assert!(matches!(
+        suspicion(&table, 1, 600_000),
+        Suspicion::Condemned(_)
+    ));
+}
+
+#[test]
+fn a_good_answer_clears_a_suspect_and_time_does_too() {
+    let mut table = SuspectTable::default();
+    table.note_ended(&ended(1, "a"), at(0));
+    table.note_ended(&ended(2, "a"), at(0));
+    table.clear(RequestPrint(1));
+    assert_eq!(suspicion(&table, 1, 10), Suspicion::Clear);
+    assert_eq!(suspicion(&table, 2, 10), Suspicion::Suspected);
+    assert_eq!(suspicion(&table, 2, 21_000), Suspicion::Clear);
+}
+
+#[test]
+fn suspects_of_one_end_know_each_other() {
+    let mut table = SuspectTable::default();
+    table.note_ended(&ended(1, "a"), at(0));
+    table.note_ended(&ended(2, "a"), at(0));
+    table.note_ended(&ended(3, "b"), at(0));
+    assert!(table.share_an_end(RequestPrint(1), RequestPrint(2)));
+    assert!(!table.share_an_end(RequestPrint(1), RequestPrint(3)));
+}
+
+#[test]
+fn the_table_is_bounded_and_what_it_tells_is_all_that_it_knows() {
+    let mut table = SuspectTable::default();
+    for print in 0..10_000 {
+        table.note_ended(&ended(print, "a"), at(print));
+    }
+    let (suspected, condemned) = table.counts(at(10_000));
+    assert!(suspected <= 2_048 && condemned == 0, "{suspected}");
+    let mut other = SuspectTable::default();
+    for told in table.told(at(10_000)) {
+        other.note_ended(&told, at(10_000));
+    }
+    assert_eq!(other.counts(at(10_000)), (suspected, condemned));
+    assert_eq!(suspicion(&other, 9_999, 10_000), Suspicion::Suspected);
+}
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -402,6 +402,8 @@
             .search
             .wait_bound(question.pass, class.rank, objective, left);
         let ask = PlacementAsk {
+            print: Default::default(),
+            charge: None,
             subject: AdapterName::new(&format!("base/a{}", call.adapter)),
             prompt_tokens: call.tokens,
             output_tokens: class.output,
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -13,6 +13,8 @@
     direct::{
         lease::{HolderContact, ZoneLease},
         planner::{CallKey, PlacementAnswer, PlacementAsk},
+        quotas::QuotaCharge,
+        suspects::EndedUnder,
     },
     ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
 };
@@ -45,6 +47,30 @@
     subject: AdapterName,
 }
 
+/// What a holder is asked.
+enum HolderQuestion {
+    /// Where a call goes.
+    Place(Box<PlacementAsk>),
+    /// Whether a charge is paid.
+    Pay(QuotaCharge),
+}
+
+impl HolderQuestion {
+    fn into_event(self, key: CallKey, reply: ReplyTo) -> ZoneEvent {
+        match self {
+            Self::Place(ask) => ZoneEvent::Place(key, ask, reply),
+            Self::Pay(charge) => ZoneEvent::Pay(key, charge, reply),
+        }
+    }
+
+    fn into_message(self, number: u64) -> VmMessage {
+        match self {
+            Self::Place(ask) => VmMessage::Place(number, ask),
+            Self::Pay(charge) => VmMessage::Pay(number, charge),
+        }
+    }
+}
+
 /// Asks holders, and tells them how calls ended.
 #[derive(Debug)]
 pub struct ZoneAccess {
@@ -83,25 +109,50 @@
             number,
             is_settled: false,
         };
-        let receiver = if self.is_mine(&lease) {
+        let question = HolderQuestion::Place(Box::new(ask));
+        let reply = self.question(zone, &lease, number, question).await?;
+        self.settle(withdrawal, zone, number, subject, reply)
+    }
+
+    /// Pays a charge at the holder of a zone, or tells the time until that one has enough; nothing where no holder answers.
+    pub async fn pay(
+        &self,
+        zone: &AvailabilityZone,
+        charge: QuotaCharge,
+    ) -> Option<Result<(), Duration>> {
+        let lease = self.fleet.lease(zone)?;
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let question = HolderQuestion::Pay(charge);
+        match self.question(zone, &lease, number, question).await? {
+            PlaceReply::Paid(None) => Some(Ok(())),
+            PlaceReply::Paid(Some(ms)) => Some(Err(Duration::from_millis(u64::from(ms)))),
+            PlaceReply::Answer(_) | PlaceReply::NotHolder => None,
+        }
+    }
+
+    /// Asks a zone's holder; nothing where it does not answer.
+    async fn question(
+        &self,
+        zone: &AvailabilityZone,
+        lease: &ZoneLease,
+        number: u64,
+        question: HolderQuestion,
+    ) -> Option<PlaceReply> {
+        if self.is_mine(lease) {
             let (sender, receiver) = oneshot::channel();
-            let event = ZoneEvent::Place(self.key(number), Box::new(ask), ReplyTo::Local(sender));
+            let event = question.into_event(self.key(number), ReplyTo::Local(sender));
             self.zone.send(event).await.ok()?;
-            receiver
-        } else {
-            let link = self.usable_link(zone, &lease)?;
-            let mut receiver = link.ask(number, VmMessage::Place(number, Box::new(ask)))?;
-            let reply = loop {
-                match timeout(HOLDER_LOOK, &mut receiver).await {
-                    Ok(reply) => break reply.ok()?,
-                    Err(_) if !link.is_heard_within(HOLDER_SILENCE) => return None,
-                    Err(_) => {}
-                }
-            };
-            return self.settle(withdrawal, zone, number, subject, reply);
-        };
-        let reply = receiver.await.ok()?;
-        self.settle(withdrawal, zone, number, subject, reply)
+            return receiver.await.ok();
+        }
+        let link = self.usable_link(zone, lease)?;
+        let mut receiver = link.ask(number, question.into_message(number))?;
+        loop {
+            match timeout(HOLDER_LOOK, &mut receiver).await {
+                Ok(reply) => return reply.ok(),
+                Err(_) if !link.is_heard_within(HOLDER_SILENCE) => return None,
+                Err(_) => {}
+            }
+        }
     }
 
     /// Takes a holder's reply to a question.
@@ -115,7 +166,7 @@
     ) -> Option<(PlacementAnswer, Option<CallTicket>)> {
         withdrawal.is_settled = true;
         match reply {
-            PlaceReply::NotHolder => None,
+            PlaceReply::NotHolder | PlaceReply::Paid(_) => None,
             PlaceReply::Answer(answer) => {
                 let ticket = match &answer {
                     PlacementAnswer::Send { target, life, .. } => {
@@ -192,6 +243,8 @@
         {
             return Some(link.clone());
         }
+        let suspects = self.fleet.books().suspects.clone();
+        let told = suspects.told(clock::now()).map(VmMessage::EndedUnder);
         let first = self
             .open
             .lock()
@@ -206,6 +259,7 @@
                 let target = call.target.clone();
                 VmMessage::Open(*number, target, call.life, call.subject.clone())
             })
+            .chain(told)
             .collect();
         let link = VmLink::dial(
             &self.fleet,
@@ -300,6 +354,36 @@
         }
     }
 
+    /// Gives a charge back to this VM's own zone's holder.
+    pub fn give_back(&self, charge: QuotaCharge) {
+        let zone = &self.fleet.zone;
+        let Some(lease) = self.fleet.lease(zone) else {
+            return;
+        };
+        if self.is_mine(&lease) {
+            // A full channel: the charge is lost to its organisation.
+            drop(self.zone.try_send(ZoneEvent::GiveBack(charge)));
+        } else if let Some(link) = self.link(zone, &lease) {
+            link.tell(VmMessage::GiveBack(charge));
+        }
+    }
+
+    /// Tells every zone's holder that a target ended while a request ran there.
+    pub fn tell_ended_under(&self, ended: &EndedUnder) {
+        let leases = self.fleet.books().leases.clone();
+        for (zone, state) in &leases {
+            let Some(lease) = state.lease.as_ref().filter(|lease| lease.vm.is_some()) else {
+                continue;
+            };
+            if self.is_mine(lease) {
+                // A full channel: other VMs tell of the same end.
+                drop(self.zone.try_send(ZoneEvent::EndedUnder(ended.clone())));
+            } else if let Some(link) = self.link(zone, lease) {
+                link.tell(VmMessage::EndedUnder(ended.clone()));
+            }
+        }
+    }
+
     fn tell_begun(
         &self,
         zone: &AvailabilityZone,
--- /dev/null
+++ b/crates/daemon/src/direct/call/admission.rs
@@ -0,0 +1,101 @@
+//! For whom a call is made, and whether that still holds right before it is sent.
+
+use crate::{
+    direct::{
+        call::{
+            COME_BACK, CallState, GatewayContext,
+            answers::{AnswerBody, own_answer, refusal},
+        },
+        figures::{RequestKind, RequestOutcome},
+        fleet::ActiveConfig,
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::direct::{
+    config::RouteRule,
+    organisations::{CallerIdentity, KeyFault},
+};
+use hoplanding_platform::front::CallHead;
+use http::{Response, StatusCode};
+
+/// Why a call is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryFault {
+    /// Its key is none that is in force.
+    Key(KeyFault),
+    /// Keys may have been taken away that this VM does not know of yet.
+    Stale,
+}
+
+impl EntryFault {
+    /// The answer to a call that is not let in, and was not run.
+    pub(super) fn answer(
+        self,
+        context: &GatewayContext,
+        route: &RouteRule,
+        id: &str,
+    ) -> Response<AnswerBody> {
+        let figures = &context.fleet.figures;
+        figures.count_request(RequestKind::of(route), RequestOutcome::Refused);
+        figures.count_entry_fault(self);
+        match self {
+            Self::Key(fault) => {
+                event!(Event::KeyRefused, request = id; "route {}: {fault:?}", route.name);
+                own_answer(id, StatusCode::UNAUTHORIZED, None)
+            }
+            Self::Stale => {
+                event!(Event::KeysUncertain, request = id; "route {} not run, come back after {COME_BACK:?}", route.name
+                );
+                refusal(id, COME_BACK)
+            }
+        }
+    }
+
+    /// Its name in the metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Key(KeyFault::Absent) => "no_key",
+            Self::Key(KeyFault::Malformed) => "malformed_key",
+            Self::Key(KeyFault::Unknown) => "unknown_key",
+            Self::Stale => "stale_configuration",
+        }
+    }
+}
+
+/// Decides for whom a call is made. What a VM says of keys holds only while it knows its configuration to be the newest, so until then it
+/// promises, and does not deny.
+pub(super) fn let_in(
+    context: &GatewayContext,
+    active: &ActiveConfig,
+    route: &RouteRule,
+    head: &CallHead,
+) -> Result<CallerIdentity, EntryFault> {
+    let table = active.config.organisations.as_ref();
+    let identity = CallerIdentity::of(table, route, &head.key);
+    let needs_proof = !matches!(
+        identity,
+        Ok(CallerIdentity::Unkeyed | CallerIdentity::Anyone)
+    );
+    if needs_proof && !context.fleet.may_trust_keys() {
+        return Err(EntryFault::Stale);
+    }
+    identity.map_err(EntryFault::Key)
+}
+
+impl CallState {
+    /// Looks at its key again, right before a send: while it waited for its adapter the key may have been taken away, or this VM cut off.
+    pub(super) fn is_still_let_in(&self) -> Result<(), EntryFault> {
+        let Some(organisation) = self.identity.organisation() else {
+            return Ok(());
+        };
+        let Some(active) = self.context.fleet.active() else {
+            return Err(EntryFault::Stale);
+        };
+        let identity = let_in(&self.context, &active, &self.route, &self.head)?;
+        match identity.organisation() {
+            Some(held) if held.name == organisation.name => Ok(()),
+            _ => Err(EntryFault::Key(KeyFault::Unknown)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -0,0 +1,96 @@
+//! Whether a target ended under a call, and the word of it.
+//!
+//! A connection that breaks says little: the target may have closed it, or the link may be cut. That a target ended shows as its
+//! address refusing connections, or as another target answering there.
+
+use crate::{
+    clock,
+    direct::{
+        call::CallState,
+        sender::{ReuseRule, exchange},
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::direct::{
+    catalog::TargetEntry,
+    suspects::{EndedUnder, RequestPrint},
+};
+use hoplanding_platform::{front::CallHead, orders::encode_report_request};
+use http::{Method, StatusCode, Uri};
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    io,
+    time::Duration,
+};
+use tokio::{net::TcpStream, time::timeout};
+
+/// Time for each of the two questions to a target that broke a connection off: a target that lives answers within a few milliseconds, and the
+/// call waits to be sent elsewhere.
+const QUESTION_WITHIN: Duration = Duration::from_millis(100);
+/// Bytes of the answer that are read.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// The request by what it asks. Its id and its caller's deadline are other ones each time.
+pub(super) fn request_print(
+    method: &Method,
+    uri: &Uri,
+    head: &CallHead,
+    body: &[u8],
+) -> RequestPrint {
+    let mut hasher = SipHasher13::new();
+    method.as_str().hash(&mut hasher);
+    uri.path().hash(&mut hasher);
+    uri.query().hash(&mut hasher);
+    head.subject.hash(&mut hasher);
+    head.prompt_tokens.hash(&mut hasher);
+    head.most_output.hash(&mut hasher);
+    head.prefix.hash(&mut hasher);
+    body.hash(&mut hasher);
+    RequestPrint(hasher.finish())
+}
+
+impl CallState {
+    /// Looks whether a target that broke this call off has ended, and tells all holders if so, before the call is placed again.
+    pub async fn look_at_break(&self, entry: &TargetEntry) {
+        if self.service.engine.is_none() || !self.has_ended(entry).await {
+            return;
+        }
+        let ended = EndedUnder {
+            print: self.print,
+            run: entry.run(),
+        };
+        event!(Event::TargetEndedUnder, request = self.head.id; "at {}, request {:016x}", entry.name, self.print.0
+        );
+        let is_news = {
+            let mut books = self.context.fleet.books();
+            books.suspects.note_ended(&ended, clock::now())
+        };
+        if is_news {
+            self.context.access.tell_ended_under(&ended);
+        }
+    }
+
+    async fn has_ended(&self, entry: &TargetEntry) -> bool {
+        match timeout(QUESTION_WITHIN, TcpStream::connect(entry.address)).await {
+            Err(_) => return false,
+            Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) => {}
+        }
+        let request = encode_report_request(&entry.name);
+        let asked = exchange(
+            &self.context.pool,
+            entry,
+            request,
+            ReuseRule::Never,
+            QUESTION_WITHIN,
+            ANSWER_BYTES,
+        );
+        // Nothing is known where no answer comes: the target may be busy with its end, or with anything else.
+        matches!(
+            timeout(QUESTION_WITHIN, asked).await,
+            Ok(Ok((StatusCode::MISDIRECTED_REQUEST, _)))
+        )
+    }
+}
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -5,19 +5,27 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | `admission` | for whom it is made, and whether that still holds |
+//! | `paying` | what it is charged to its organisation's quota |
 //! | `placing` | where the next send goes |
 //! | `sending` | one send, and what its answer is worth |
+//! | `ends` | whether a target ended under it |
 //! | `answers` | answers as they go to callers |
 //! | `timeline` | what the time of an answered stream went to |
 //! | `stop` | what is still taken while this VM stops |
 
+mod admission;
 mod answers;
+mod ends;
+mod paying;
 mod placing;
 mod sending;
 mod stop;
 mod timeline;
 
+pub use admission::EntryFault;
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
+pub use paying::CallPayment;
 pub use placing::Placing;
 pub use sending::{InFlightCount, OpenAnswer, SendOutcome, give_back};
 pub use stop::StopPlan;
@@ -27,7 +35,11 @@
     clock,
     direct::{
         access::ZoneAccess,
-        call::answers::{passed_answer, refusal},
+        call::{
+            admission::let_in,
+            answers::{passed_answer, refusal},
+            ends::request_print,
+        },
         events::relay_events,
         figures::{RequestKind, RequestOutcome},
         fleet::{ActiveConfig, FleetState},
@@ -42,7 +54,9 @@
 use hoplanding_core::{
     direct::{
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
+        organisations::CallerIdentity,
         planner::RefusalCause,
+        suspects::RequestPrint,
     },
     ids::{AvailabilityZone, TargetName},
 };
@@ -87,6 +101,14 @@
     pub context: Arc<GatewayContext>,
     /// Its route.
     pub route: Arc<RouteRule>,
+    /// For whom it is made.
+    pub identity: CallerIdentity,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// What it is charged.
+    pub payment: CallPayment,
+    /// The request by what it asks.
+    pub print: RequestPrint,
     /// The service that it goes to.
     pub service: ServiceRule,
     /// What its head says.
@@ -144,6 +166,10 @@
         count(&context, RequestKind::Unrouted, RequestOutcome::Refused);
         return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
     };
+    let identity = match let_in(&context, &active, &route, &head) {
+        Ok(identity) => identity,
+        Err(fault) => return Ok(fault.answer(&context, &route, &head.id)),
+    };
     if let Some(plan) = context.stop.get()
         && let Err(come_back) = plan.admits(&route, &head, &context.fleet.streams())
     {
@@ -181,8 +207,13 @@
         }
     }
     let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let payment = CallPayment::of(&identity, &head);
     let call = CallState {
         context,
+        rank: identity.rank(&route),
+        identity,
+        payment,
+        print: request_print(&parts.method, &parts.uri, &head, &body),
         service,
         head,
         arrived,
@@ -230,7 +261,14 @@
                     come_back = after;
                     break;
                 }
+                Placing::OverQuota(after) => return self.over_quota(after),
             };
+            if let Err(fault) = self.is_still_let_in()
+                && self.runs == 0
+            {
+                self.take_back_payment();
+                return fault.answer(&self.context, &self.route, &self.head.id);
+            }
             // A failure that came before is passed on only if nothing better comes.
             match self.send(&entry, version, ticket, None).await {
                 SendOutcome::Success(open) => match self.pass_on(*open).await {
@@ -297,6 +335,7 @@
                 self.tried,
                 self.refusals
             );
+            self.take_back_payment();
             self.count(RequestOutcome::Refused);
             return refusal(id, come_back);
         }
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -4,7 +4,7 @@
     clock,
     direct::{
         access::CallTicket,
-        call::{COME_BACK, CallState},
+        call::{COME_BACK, CallState, paying::PaymentOutcome},
         whole::pick_target,
     },
     event,
@@ -13,8 +13,9 @@
 use hoplanding_core::{
     direct::{
         catalog::{TargetEntry, TargetStage},
-        planner::{PlacementAnswer, PlacementAsk, split_subject},
+        planner::{PlacementAnswer, PlacementAsk, RefusalCause, split_subject},
         search::{SearchPass, ZoneQuestion, ZoneSearch},
+        suspects::Suspicion,
     },
     ids::{AdapterName, AvailabilityZone},
 };
@@ -36,6 +37,8 @@
     At(Arc<TargetEntry>, Option<u64>, Option<CallTicket>),
     /// Nowhere now; it is worth coming back after this.
     Nowhere(Duration),
+    /// Nowhere, as its organisation's quota is used up until then.
+    OverQuota(Duration),
 }
 
 impl CallState {
@@ -44,6 +47,9 @@
         self.refusals.clear();
         self.fetch = None;
         if self.service.engine.is_none() {
+            if let Some(unpaid) = self.unpaid(None).await {
+                return unpaid;
+            }
             return match pick_target(&self.context.fleet, &self.service.name, &self.tried) {
                 Some(entry) => Placing::At(entry, None, None),
                 None => Placing::Nowhere(COME_BACK),
@@ -83,11 +89,12 @@
             search.take_silence(question.zone);
             // While the home zone's offer stands: a zone that can't be heard may be cut off with its targets.
             let is_compared = question.pass == SearchPass::Compare && question.zone > 0;
-            return if is_compared {
-                None
-            } else {
-                self.place_alone(zone)
-            };
+            if is_compared {
+                return None;
+            }
+            let placing = self.place_alone(zone)?;
+            let unpaid = self.unpaid(Some(zone)).await;
+            return Some(unpaid.unwrap_or(placing));
         };
         match answer {
             PlacementAnswer::Send {
@@ -104,6 +111,7 @@
                     self.subject(),
                     ticket.as_ref().map(CallTicket::number)
                 );
+                self.payment.settle();
                 if is_sought {
                     self.context.fleet.note_sought(&self.subject());
                 }
@@ -132,13 +140,41 @@
                 retry_after_ms,
                 cause,
             } => {
-                search.take_refusal(question.zone, cause, retry_after_ms);
                 self.refusals.push((zone.clone(), cause));
-                None
+                let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+                match cause {
+                    // Every zone says the same of it.
+                    RefusalCause::EndsTargets | RefusalCause::RunsAlready => {
+                        Some(Placing::Nowhere(retry_after))
+                    }
+                    RefusalCause::QuotaUsedUp => match self.pay(Some(zone)).await {
+                        // The zone has not looked at the call itself yet.
+                        PaymentOutcome::Settled => {
+                            Box::pin(self.ask_zone(zone, question, search)).await
+                        }
+                        PaymentOutcome::UsedUp(other) => {
+                            Some(Placing::OverQuota(retry_after.min(other)))
+                        }
+                        PaymentOutcome::Unanswered => Some(Placing::OverQuota(retry_after)),
+                    },
+                    _ => {
+                        search.take_refusal(question.zone, cause, retry_after_ms);
+                        None
+                    }
+                }
             }
         }
     }
 
+    /// Pays for the call; says where it goes if that can't be done.
+    async fn unpaid(&mut self, but: Option<&AvailabilityZone>) -> Option<Placing> {
+        match self.pay(but).await {
+            PaymentOutcome::Settled => None,
+            PaymentOutcome::UsedUp(after) => Some(Placing::OverQuota(after)),
+            PaymentOutcome::Unanswered => Some(Placing::Nowhere(COME_BACK)),
+        }
+    }
+
     /// Whether one target is listed at an address.
     fn is_one_targets(&self, address: SocketAddr) -> bool {
         let books = self.context.fleet.books();
@@ -179,7 +215,7 @@
             // It has run already: its caller is served late rather than told that it failed.
             self.deadline.saturating_duration_since(Instant::now())
         } else {
-            search.wait_bound(question.pass, self.route.priority, objective, left)
+            search.wait_bound(question.pass, self.rank, objective, left)
         };
         let output = self
             .head
@@ -191,11 +227,13 @@
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: output,
             prefix: self.head.prefix.clone(),
-            priority: self.route.priority,
+            priority: self.rank,
             bound_ms: u32::try_from(bound.as_millis()).unwrap_or(u32::MAX),
             exclude: self.tried.clone(),
             may_load: question.may_load,
             terms: question.terms,
+            print: self.print,
+            charge: self.payment.due().cloned(),
         }
     }
 
@@ -215,6 +253,9 @@
         let named = books.versions.get(&subject).filter(|_| has_adapter);
         let version = named.copied();
         let now = clock::now();
+        if books.suspects.suspicion(self.print, now) != Suspicion::Clear {
+            return None;
+        }
         books
             .catalog
             .ready(&self.service.name)
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -150,6 +150,7 @@
             Err(SendError::Unanswered { target, cause }) => {
                 event!(Event::AnswerMissing, request = self.head.id; "at {target}: {cause}"
                 );
+                self.look_at_break(entry).await;
                 end(ticket, &count, CallEnd::Failed);
                 self.runs += 1;
                 self.tried.push(target);
@@ -221,10 +222,11 @@
         let send = SendHead {
             target: &entry.name,
             remaining,
-            priority: self.service.engine.as_ref().map(|_| self.route.priority),
+            priority: self.service.engine.as_ref().map(|_| self.rank),
             version,
             last_event,
             fetch: self.fetch,
+            identity: &self.identity,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -63,6 +63,7 @@
             let patience = self.patience();
             let open = self.open.as_mut()?;
             let frame = timeout_at(patience, open.body.frame()).await;
+            let is_silent = frame.is_err();
             let cause = match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
@@ -88,6 +89,7 @@
                     return Some(Err(self.broken("the deadline passed")));
                 }
             };
+            self.look_at_break(is_silent).await;
             let target = self.end_open(CallEnd::Failed);
             event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}",
                 self.cutter.last_id()
@@ -151,6 +153,20 @@
         BrokenAnswer(cause.to_owned())
     }
 
+    /// Looks whether the target that broke the stream off has ended; one that was merely silent has not broken it off.
+    async fn look_at_break(&self, is_silent: bool) {
+        let Some(open) = self.open.as_ref().filter(|_| !is_silent) else {
+            return;
+        };
+        let entry = {
+            let books = self.call.context.fleet.books();
+            books.catalog.get(open.connection.target()).cloned()
+        };
+        if let Some(entry) = entry {
+            self.call.look_at_break(&entry).await;
+        }
+    }
+
     /// Ends the counts of the open answer; returns its target.
     fn end_open(&mut self, end: CallEnd) -> String {
         let Some(open) = self.open.take() else {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -12,7 +12,10 @@
 };
 use bytes::Bytes;
 use hoplanding_core::{
-    direct::contact::AnswerRun,
+    direct::{
+        contact::AnswerRun,
+        freshness::{BeatEcho, PassedProof},
+    },
     ids::{Instant, LogOffset, VmName},
 };
 use hoplanding_platform::store::KeyedRecord;
@@ -150,6 +153,15 @@
         self.expire();
     }
 
+    /// Another VM passes on its proof that the configuration is the newest.
+    pub fn take_proof(&self, proof: &PassedProof, echo: &BeatEcho) {
+        let mut books = self.books();
+        let Some(known) = books.active.as_ref().map(|active| active.offset) else {
+            return;
+        };
+        books.proof.take_passed(proof, echo, known);
+    }
+
     /// What this VM lacks, for the VMs that it asks: of a topic that it never knew whole, everything, unless its zone is
     /// too large for that.
     #[must_use]
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -29,6 +29,10 @@
 const HOLDER_WAIT: Duration = Duration::from_millis(1_500);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
+/// The same for the operators' records where keys are taken away within a bound also on VMs that are out of touch: each answer
+/// is the proof that nothing was, and counts from when its read was sent. With the pause between two reads a holder's is
+/// 1 s old at most, and 1.8 s when others have it; the users' bound is 5 s.
+const PROOF_WAIT: Duration = Duration::from_millis(400);
 /// Time after the start in which only those first in rank read on.
 const START_GRACE: Duration = Duration::from_secs(3);
 /// Pause between two reads of the fleet's records: after a common start they come by the dozen.
@@ -104,6 +108,7 @@
             self.note_back();
             let end = listing.end;
             self.fleet.take_listing(self.topic, &listing);
+            self.note_config_read(began);
             self.note_fleet_read(began);
             self.wait_for_link().await;
             self.read_on(&mut client, end).await;
@@ -146,6 +151,14 @@
         }
     }
 
+    /// What operators wrote before a read was sent is known. How long it waited says nothing, as a read is not woken by a
+    /// record that comes with it.
+    fn note_config_read(&self, sent: hoplanding_core::ids::Instant) {
+        if self.topic == FeedTopic::Operators {
+            self.fleet.note_config_read(sent);
+        }
+    }
+
     fn hears_holder(&self) -> bool {
         let lease = self.fleet.lease(&self.fleet.zone);
         lease.is_some_and(|lease| self.access.is_heard(&lease, READ_SILENCE))
@@ -182,6 +195,7 @@
                     self.note_back();
                     self.fleet.take_records(self.topic, from, &batch);
                     if batch.next == batch.end {
+                        self.note_config_read(began);
                         // Without a record the log has waited all the time that it was to.
                         let waited = if batch.records.is_empty() {
                             wait
@@ -248,6 +262,7 @@
         }
         match self.topic {
             FeedTopic::Targets => LIST_WAIT,
+            FeedTopic::Operators if self.fleet.revocation.is_some() => PROOF_WAIT,
             // What a holder reads it passes on, so its zone need not ask as often.
             FeedTopic::Operators if self.is_holder() => self.pace.config_wait,
             FeedTopic::Fleet if self.is_holder() => HOLDER_WAIT,
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -2,7 +2,13 @@
 //!
 //! `cadence` counts towards statsd and knows no such page, so the direct mode counts with `prometheus-client`.
 
-use crate::{clock, direct::fleet::FleetState, event, events::Event, logging::dropped_lines};
+use crate::{
+    clock,
+    direct::{call::EntryFault, fleet::FleetState},
+    event,
+    events::Event,
+    logging::dropped_lines,
+};
 use hoplanding_core::direct::{
     catalog::TargetStage,
     config::{AnswerShape, RepeatRule, RouteRule},
@@ -82,6 +88,11 @@
     outcome: LogOutcome,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EntryLabels {
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RepeatLabels {
     allowed: bool,
@@ -104,6 +115,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     repeats: Family<RepeatLabels, Counter>,
+    entries: Family<EntryLabels, Counter>,
     log_calls: Family<LogLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
@@ -126,6 +138,7 @@
             registry: Registry::with_prefix("hoplanding"),
             requests: Family::default(),
             repeats: Family::default(),
+            entries: Family::default(),
             log_calls: Family::default(),
             placing: Histogram::new(BUCKETS),
             first_event: Histogram::new(BUCKETS),
@@ -155,6 +168,11 @@
             "Repeats asked of the retry budget",
             self.repeats.clone(),
         );
+        registry.register(
+            "key_refusals",
+            "Requests that were not let in for their key, by cause",
+            self.entries.clone(),
+        );
         registry.register(
             "log_calls",
             "Calls to the platform's log",
@@ -214,6 +232,12 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// A request was not let in for its key.
+    pub fn count_entry_fault(&self, fault: EntryFault) {
+        let cause = fault.label();
+        self.entries.get_or_create(&EntryLabels { cause }).inc();
+    }
+
     /// A repeat was asked for.
     pub fn count_repeat(&self, allowed: bool) {
         self.repeats.get_or_create(&RepeatLabels { allowed }).inc();
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -16,11 +16,13 @@
         config::FleetConfig,
         contact::LogContact,
         demand::DemandTable,
+        freshness::{ConfigProof, PassedProof, RevocationRule},
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
         policy::PlacementPolicy,
         routes::RouteTable,
         streams::StreamPace,
+        suspects::SuspectTable,
     },
     ids::{
         AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, TargetRun,
@@ -109,6 +111,10 @@
     pub demand: DemandTable,
     /// Adapters that take much of their home zone, and until when that counts.
     pub sought: HashMap<AdapterName, Instant>,
+    /// Since when the configuration is known to be the newest.
+    pub proof: ConfigProof,
+    /// Requests under which targets ended while this VM's calls ran there.
+    pub suspects: SuspectTable,
     /// The newest records, to be passed on.
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
@@ -144,6 +150,21 @@
         }
     }
 
+    /// Whether keys that the configuration names are known to hold still: none of them was taken away so long ago that it has to be refused.
+    #[must_use]
+    pub fn may_trust_keys(&self, rule: Option<RevocationRule>, now: Instant) -> bool {
+        let is_keyed = |active: &Arc<ActiveConfig>| active.config.organisations.is_some();
+        rule.is_none_or(|rule| self.proof.holds(rule, now))
+            || !self.active.as_ref().is_some_and(is_keyed)
+    }
+
+    /// This VM's proof that its configuration is the newest, for others.
+    #[must_use]
+    pub fn passed_proof(&self, now: Instant) -> Option<PassedProof> {
+        let offset = self.active.as_ref()?.offset;
+        self.proof.pass_on(offset, now)
+    }
+
     /// Shares the retry budget among the VMs that are known, once all of them are.
     pub(super) fn share_retries(&mut self) {
         if self.ends.contains_key(&FeedTopic::Fleet) {
@@ -168,6 +189,8 @@
     started: Instant,
     /// This VM's zone.
     pub zone: AvailabilityZone,
+    /// How long keys that were taken away may still be served.
+    pub revocation: Option<RevocationRule>,
     /// Thousandths of a core that this VM has.
     pub strength: u32,
     /// Counts for the metrics page.
@@ -193,6 +216,7 @@
             incarnation,
             started,
             zone: settings.zone.clone(),
+            revocation: settings.revocation,
             strength: settings.strength,
             figures: DirectFigures::default(),
             successors: Mutex::default(),
@@ -214,6 +238,8 @@
                 policy: settings.policy,
                 demand: DemandTable::default(),
                 sought: HashMap::new(),
+                proof: ConfigProof::default(),
+                suspects: SuspectTable::default(),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
@@ -288,7 +314,9 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let books = self.books();
-        books.active.is_some() && books.ends.contains_key(&FeedTopic::Targets)
+        books.active.is_some()
+            && books.ends.contains_key(&FeedTopic::Targets)
+            && books.may_trust_keys(self.revocation, clock::now())
     }
 
     /// This VM's place in the order in which its zone's VMs take on duties, the strongest first.
@@ -364,6 +392,17 @@
         self.books().leases.get(zone)?.lease.clone()
     }
 
+    /// All of the operators' records that were acknowledged before a read was sent are known.
+    pub fn note_config_read(&self, sent: Instant) {
+        self.books().proof.note_read(sent);
+    }
+
+    /// Whether keys are known to hold still.
+    #[must_use]
+    pub fn may_trust_keys(&self) -> bool {
+        self.books().may_trust_keys(self.revocation, clock::now())
+    }
+
     /// All of the fleet's topic is known as of then.
     pub fn note_fleet_read(&self, known_at: Instant) {
         let mut books = self.books();
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -327,6 +327,7 @@
     fn take(&self, message: VmMessage) {
         let (number, reply) = match message {
             VmMessage::Placed(number, answer) => (number, PlaceReply::Answer(answer)),
+            VmMessage::Paid(number, after_ms) => (number, PlaceReply::Paid(after_ms)),
             VmMessage::NotHolder(number) => (number, PlaceReply::NotHolder),
             _ => return,
         };
@@ -474,6 +475,13 @@
             ask,
             ReplyTo::Link(outbound.clone()),
         )),
+        VmMessage::Pay(number, charge) => Some(ZoneEvent::Pay(
+            key(number),
+            charge,
+            ReplyTo::Link(outbound.clone()),
+        )),
+        VmMessage::GiveBack(charge) => Some(ZoneEvent::GiveBack(charge)),
+        VmMessage::EndedUnder(ended) => Some(ZoneEvent::EndedUnder(ended)),
         VmMessage::Begun(number, target, version) => {
             Some(ZoneEvent::Begun(key(number), target, version))
         }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -3,15 +3,18 @@
 use bytes::Bytes;
 use hoplanding_core::{
     direct::{
+        freshness::{BeatEcho, PassedProof},
         health::CallOutcome,
         planner::{PlacementAnswer, PlacementAsk},
+        quotas::QuotaCharge,
+        suspects::EndedUnder,
     },
     ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
 };
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 8;
+pub const MESSAGE_VERSION: u32 = 9;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,6 +126,12 @@
         contact: Option<ContactReport>,
         /// Offsets up to which the receiver knows all that the sender knows, if it has asked before.
         ends: Vec<TopicEnd>,
+        /// The sender's clock, in microseconds, to be given back.
+        sent: u64,
+        /// The receiver's last sign of life that came over this link.
+        echo: Option<BeatEcho>,
+        /// The sender's proof that its configuration is the newest.
+        proof: Option<PassedProof>,
     },
     /// Place a call.
     Place(u64, Box<PlacementAsk>),
@@ -137,6 +146,14 @@
     Ended(CallEnding),
     /// The gateway no longer wants a placement.
     Withdrawn(u64),
+    /// Pay a call's charge out of the receiver's part of its organisation's quota.
+    Pay(u64, QuotaCharge),
+    /// It is paid, or there will be enough after so many milliseconds.
+    Paid(u64, Option<u32>),
+    /// A call that was paid for did not run.
+    GiveBack(QuotaCharge),
+    /// A target ended while a request ran there.
+    EndedUnder(EndedUnder),
     /// A call that was open before the link.
     Open(u64, TargetName, TargetLife, AdapterName),
     /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -118,6 +118,8 @@
                 "metrics_address",
                 self.metrics_address != new.metrics_address,
             ),
+            ("revocation", self.revocation != new.revocation),
+            ("quotas", self.quotas != new.quotas),
             ("leases", self.leases != new.leases),
             (
                 "orders_fenced",
--- a/crates/daemon/src/direct/sender.rs
+++ b/crates/daemon/src/direct/sender.rs
@@ -4,9 +4,12 @@
 //! after an answer; the client of the same libraries above it hides that.
 
 use bytes::Bytes;
-use hoplanding_core::ids::{TargetName, TargetRun};
-use http::{Request, Response};
-use http_body_util::Full;
+use hoplanding_core::{
+    direct::catalog::TargetEntry,
+    ids::{TargetName, TargetRun},
+};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -204,6 +207,35 @@
     })
 }
 
+/// Asks a target something that is no caller's request.
+///
+/// # Errors
+/// When no whole answer came.
+pub async fn exchange(
+    pool: &ConnectionPool,
+    entry: &TargetEntry,
+    request: TargetRequest,
+    reuse: ReuseRule,
+    within: Duration,
+    answer_bytes: usize,
+) -> Result<(StatusCode, Bytes), SendError> {
+    let mut connection = pool
+        .take(&entry.run(), entry.address, reuse, within)
+        .await?;
+    let response = connection.send(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), answer_bytes)
+        .collect()
+        .await
+        .map_err(|error| SendError::Unanswered {
+            target: entry.name.clone(),
+            cause: error.to_string(),
+        })?
+        .to_bytes();
+    pool.give_back(connection, None);
+    Ok((status, body))
+}
+
 impl TargetConnection {
     /// Sends a request and waits for the head of its answer. From here on it may run.
     ///
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -2,7 +2,10 @@
 
 use crate::options::{LogSettings, SectionReader, SettingsError, parse_settings, read_log};
 use hoplanding_core::{
-    direct::{budget::RetryRule, lease::LeaseTimes, policy::PlacementPolicy},
+    direct::{
+        budget::RetryRule, freshness::RevocationRule, lease::LeaseTimes, policy::PlacementPolicy,
+        quotas::QuotaBounds,
+    },
     ids::{AvailabilityZone, VmName},
 };
 use serde_json::Value;
@@ -36,6 +39,10 @@
     pub is_first_start: bool,
     /// The fleet's rule for repeats.
     pub retries: RetryRule,
+    /// How long a key that was taken away may still be served; none where a VM that is out of touch need not know.
+    pub revocation: Option<RevocationRule>,
+    /// How exactly quotas are kept.
+    pub quotas: QuotaBounds,
     /// Spans that decide about claims.
     pub leases: LeaseTimes,
     /// Whether engines refuse orders with an older fencing token than one that they have seen.
@@ -100,6 +107,8 @@
             .collect(),
         is_first_start: root.flag("first_start"),
         retries: root.section("retries", read_retries),
+        revocation: root.section("revocation", read_revocation),
+        quotas: root.section("quotas", read_quotas),
         leases: root.section("leases", read_leases),
         are_orders_fenced: root.flag("orders_fenced"),
         policy: root.section("policy", read_policy),
@@ -116,6 +125,19 @@
     }
 }
 
+fn read_revocation(section: &SectionReader<'_>) -> Option<RevocationRule> {
+    let bound = section.span("bound_ms", 5000, 500, 86_400_000);
+    section.flag("strict").then_some(RevocationRule { bound })
+}
+
+fn read_quotas(section: &SectionReader<'_>) -> QuotaBounds {
+    QuotaBounds {
+        window: Duration::from_secs_f64(section.fraction("window_s", 10.0, 0.1, 86_400.0)),
+        over: section.fraction("over", 0.1, 0.0, 10.0),
+        slack: section.fraction("slack", 0.0, 0.0, 1e15),
+    }
+}
+
 fn read_leases(section: &SectionReader<'_>) -> LeaseTimes {
     LeaseTimes {
         silence: section.span("silence_ms", 1500, 100, 60_000),
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -1,10 +1,16 @@
 //! What one link passes on of the platform's log.
 
-use crate::direct::{
-    fleet::FleetState,
-    message::{FeedTopic, PassedRecord, VmMessage},
+use crate::{
+    clock,
+    direct::{
+        fleet::FleetState,
+        message::{FeedTopic, PassedRecord, VmMessage},
+    },
+};
+use hoplanding_core::{
+    direct::freshness::BeatEcho,
+    ids::{Instant, VmName},
 };
-use hoplanding_core::ids::VmName;
 use std::sync::Arc;
 use tokio::sync::watch;
 
@@ -21,6 +27,8 @@
     pulls: watch::Receiver<u64>,
     /// Whether the other side has answered what it knew, so that with its news this VM misses nothing of it.
     is_caught_up: bool,
+    /// The other side's last sign of life: its clock then, and when it came.
+    last_beat: Option<(u64, Instant)>,
 }
 
 impl RecordSharing {
@@ -32,6 +40,7 @@
             news: fleet.watch_news(),
             pulls: fleet.watch_pulls(),
             is_caught_up: false,
+            last_beat: None,
         }
     }
 
@@ -73,6 +82,8 @@
     /// side knows everything, once all news is passed on.
     pub fn beat(&self) -> VmMessage {
         let is_whole = self.is_same_zone && self.is_drained();
+        let now = clock::now();
+        let proof = self.fleet.books().passed_proof(now);
         VmMessage::Beat {
             contact: self.fleet.log_report(),
             ends: if is_whole {
@@ -80,6 +91,12 @@
             } else {
                 Vec::new()
             },
+            sent: now.0,
+            echo: self.last_beat.map(|(sent, came)| BeatEcho {
+                sent,
+                held_ms: u32::try_from(now.since(came).as_millis()).unwrap_or(u32::MAX),
+            }),
+            proof,
         }
     }
 
@@ -127,7 +144,17 @@
                 self.fleet.take_answer(records, &ends);
                 self.is_caught_up = true;
             }
-            VmMessage::Beat { contact, ends } => {
+            VmMessage::Beat {
+                contact,
+                ends,
+                sent,
+                echo,
+                proof,
+            } => {
+                self.last_beat = Some((sent, clock::now()));
+                if let (Some(proof), Some(echo)) = (proof, echo) {
+                    self.fleet.take_proof(&proof, &echo);
+                }
                 self.fleet.take_log_report(vm, contact);
                 if self.is_caught_up {
                     self.fleet.take_ends(&ends);
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -8,7 +8,7 @@
         claims::release_lease,
         fleet::FleetState,
         message::{CallEnd, CallEnding, VmMessage},
-        sender::{ConnectionPool, ReuseRule, SendError, TargetRequest},
+        sender::{ConnectionPool, ReuseRule, SendError, TargetRequest, exchange},
         settings::DirectSettings,
     },
     event,
@@ -22,8 +22,11 @@
         engine::{EngineOrder, EngineReport, OrderOutcome},
         loading::LoadSummary,
         planner::{
-            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
+            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause,
+            ZonePlanner,
         },
+        quotas::{BucketStart, QuotaCharge, QuotaLedger, StandingTimes},
+        suspects::EndedUnder,
     },
     ids::{AdapterName, FencingToken, ServiceName, TargetLife, TargetName, VmName},
 };
@@ -31,7 +34,6 @@
     decode_order_status, decode_report, encode_order, encode_report_request,
 };
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -53,6 +55,8 @@
 pub enum PlaceReply {
     /// The holder's answer.
     Answer(PlacementAnswer),
+    /// A charge is paid, or there will be enough after so many milliseconds.
+    Paid(Option<u32>),
     /// The VM asked does not hold the zone.
     NotHolder,
 }
@@ -71,6 +75,12 @@
 pub enum ZoneEvent {
     /// Place a call.
     Place(CallKey, Box<PlacementAsk>, ReplyTo),
+    /// Pay a charge.
+    Pay(CallKey, QuotaCharge, ReplyTo),
+    /// A call that was paid for did not run.
+    GiveBack(QuotaCharge),
+    /// A target ended while a request ran there.
+    EndedUnder(EndedUnder),
     /// The first event of a call came from this target, made by this version of the base model.
     Begun(CallKey, TargetName, Option<u64>),
     /// A call ended.
@@ -120,13 +130,24 @@
     }
 }
 
+/// The quotas' part that came with a lease.
+struct HeldLedger {
+    token: FencingToken,
+    ledger: QuotaLedger,
+    times: StandingTimes,
+}
+
 /// Holds a zone.
 pub struct ZoneWorker {
     fleet: Arc<FleetState>,
     pool: Arc<ConnectionPool>,
     events: mpsc::Sender<ZoneEvent>,
     held: Option<HeldZone>,
+    /// The holder's part of every quota.
+    ledger: Option<HeldLedger>,
     replies: HashMap<CallKey, ReplyTo>,
+    /// Charges of calls that are paid and wait for a place.
+    charges: HashMap<CallKey, QuotaCharge>,
     settings: Arc<DirectSettings>,
     /// Token that is not used: a target refused it, or it is being given up.
     refused: Option<FencingToken>,
@@ -148,7 +169,9 @@
             events,
             settings,
             held: None,
+            ledger: None,
             replies: HashMap::new(),
+            charges: HashMap::new(),
             refused: None,
             is_released: false,
         }
@@ -169,8 +192,9 @@
                 },
                 _ = changes.changed() => self.refresh(),
                 _ = look.tick(), if self.held.is_some() => self.look_at_list(),
-                _ = tick.tick(), if self.held.is_some() => {
+                _ = tick.tick(), if self.held.is_some() || self.ledger.is_some() => {
                     let led_until = self.led_until();
+                    self.stand(led_until);
                     if let Some(held) = &mut self.held {
                         held.planner.lead_until(led_until);
                         held.planner.tick(clock::now());
@@ -185,6 +209,9 @@
 
     fn take(&mut self, event: ZoneEvent) {
         let now = clock::now();
+        let Some(event) = self.take_charge(event, now) else {
+            return;
+        };
         let Some(held) = &mut self.held else {
             match event {
                 ZoneEvent::Place(key, _, reply) => send_reply(&key, reply, PlaceReply::NotHolder),
@@ -223,6 +250,17 @@
                 }
                 held.planner.ended(&key, Some(&ending.target), health, now);
             }
+            ZoneEvent::EndedUnder(ended) => {
+                if held.planner.target_ended(&ended, now) {
+                    let (suspected, condemned) = held.planner.suspect_counts(now);
+                    event!(
+                        Event::RequestSuspected,
+                        "{:016x}: {} ended under it, {suspected} suspected, {condemned} sent nowhere",
+                        ended.print.0,
+                        ended.run.name
+                    );
+                }
+            }
             ZoneEvent::Withdrawn(key) => {
                 self.replies.remove(&key);
                 held.planner.ended(&key, None, None, now);
@@ -234,6 +272,7 @@
             }
             ZoneEvent::GatewayGone(vm) => {
                 self.replies.retain(|key, _| key.vm != vm);
+                self.charges.retain(|key, _| key.vm != vm);
                 held.planner.forget_gateway(&vm, now);
             }
             ZoneEvent::OrderEnded(target, life, outcome) => {
@@ -261,7 +300,109 @@
                 held.planner.stop_orders();
             }
             // Asked for by an older record, or a second time.
-            ZoneEvent::Wanted(..) | ZoneEvent::Kept(_) => {}
+            ZoneEvent::Wanted(..)
+            | ZoneEvent::Kept(_)
+            | ZoneEvent::Pay(..)
+            | ZoneEvent::GiveBack(_) => {}
+        }
+    }
+
+    /// Does what an event asks of the quotas; gives it back if something else is left to do.
+    fn take_charge(
+        &mut self,
+        event: ZoneEvent,
+        now: hoplanding_core::ids::Instant,
+    ) -> Option<ZoneEvent> {
+        match event {
+            ZoneEvent::Pay(key, charge, reply) => {
+                let answer = match &mut self.ledger {
+                    Some(held) => PlaceReply::Paid(held.ledger.pay(&charge, now).err().map(millis)),
+                    None => PlaceReply::NotHolder,
+                };
+                send_reply(&key, reply, answer);
+                None
+            }
+            ZoneEvent::GiveBack(charge) => {
+                self.give_back(&charge);
+                None
+            }
+            ZoneEvent::Withdrawn(ref key) => {
+                if let Some(charge) = self.charges.remove(key) {
+                    self.give_back(&charge);
+                }
+                Some(event)
+            }
+            ZoneEvent::Place(key, ask, reply) => {
+                let (Some(held), Some(charge)) = (&mut self.ledger, &ask.charge) else {
+                    return Some(ZoneEvent::Place(key, ask, reply));
+                };
+                match held.ledger.pay(charge, now) {
+                    Ok(()) => {
+                        self.charges.insert(key.clone(), charge.clone());
+                        Some(ZoneEvent::Place(key, ask, reply))
+                    }
+                    Err(wait) => {
+                        let answer = PlacementAnswer::Refuse {
+                            retry_after_ms: millis(wait),
+                            cause: RefusalCause::QuotaUsedUp,
+                        };
+                        send_reply(&key, reply, PlaceReply::Answer(answer));
+                        None
+                    }
+                }
+            }
+            other => Some(other),
+        }
+    }
+
+    fn give_back(&mut self, charge: &QuotaCharge) {
+        if let Some(held) = &mut self.ledger {
+            held.ledger.give_back(charge, clock::now());
+        }
+    }
+
+    /// Keeps a ledger as long as the lease with a token can be used.
+    fn keep_ledger(&mut self, token: Option<FencingToken>, had_holder: bool, quiet: Duration) {
+        let now = clock::now();
+        if self.ledger.as_ref().map(|held| held.token) != token {
+            self.ledger = token.map(|token| self.new_ledger(token, had_holder, quiet));
+        }
+        let Some(active) = self.fleet.active() else {
+            return;
+        };
+        if let (Some(held), Some(table)) = (&mut self.ledger, &active.config.organisations) {
+            held.ledger.declare(table.quotas(), now);
+        }
+        self.stand(self.led_until());
+    }
+
+    fn new_ledger(&self, token: FencingToken, had_holder: bool, quiet: Duration) -> HeldLedger {
+        let is_first = self.settings.is_first_start && !had_holder;
+        let start = if is_first {
+            BucketStart::Full
+        } else {
+            BucketStart::Spent
+        };
+        let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
+        let bounds = self.settings.quotas;
+        HeldLedger {
+            token,
+            ledger: QuotaLedger::new(bounds, zones, start),
+            times: StandingTimes {
+                led_until: self.led_until(),
+                began: clock::now().after(quiet),
+                is_contested: !quiet.is_zero(),
+                window: bounds.window,
+            },
+        }
+    }
+
+    /// Looks at whether there may be another holder of the zone.
+    fn stand(&mut self, led_until: hoplanding_core::ids::Instant) {
+        if let Some(held) = &mut self.ledger {
+            let now = clock::now();
+            held.times.led_until = led_until;
+            held.ledger.stand(held.times.standing(now), now);
         }
     }
 
@@ -301,6 +442,7 @@
         if self.held.take().is_some() {
             event!(Event::LeaseLost, "{}", self.fleet.zone);
         }
+        self.charges.clear();
         for (key, reply) in self.replies.drain() {
             send_reply(&key, reply, PlaceReply::NotHolder);
         }
@@ -347,6 +489,7 @@
             .collect();
         drop(books);
         let usable = token.filter(|token| Some(*token) != self.refused && !self.is_released);
+        self.keep_ledger(usable, had_holder, quiet);
         if self.held.as_ref().map(|held| held.token) != usable {
             self.give_up();
         }
@@ -388,6 +531,12 @@
         for action in held.planner.take_actions() {
             match action {
                 PlannerAction::Answer(key, answer) => {
+                    let charge = self.charges.remove(&key);
+                    if let (Some(charge), PlacementAnswer::Refuse { .. }, Some(held)) =
+                        (charge, &answer, &mut self.ledger)
+                    {
+                        held.ledger.give_back(&charge, clock::now());
+                    }
                     if let Some(reply) = self.replies.remove(&key) {
                         send_reply(&key, reply, PlaceReply::Answer(answer));
                     }
@@ -445,6 +594,10 @@
     }
 }
 
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn send_reply(key: &CallKey, reply: ReplyTo, answer: PlaceReply) {
     match reply {
         // A caller that left needs no reply.
@@ -452,6 +605,7 @@
         ReplyTo::Link(sender) => {
             let message = match answer {
                 PlaceReply::Answer(answer) => VmMessage::Placed(key.number, answer),
+                PlaceReply::Paid(after_ms) => VmMessage::Paid(key.number, after_ms),
                 PlaceReply::NotHolder => VmMessage::NotHolder(key.number),
             };
             // A full or closed link: the gateway's own timeout takes it from here.
@@ -466,7 +620,7 @@
     order: &EngineOrder,
     request: TargetRequest,
 ) -> OrderOutcome {
-    let exchanged = timeout(ORDER_TIMEOUT, exchange(pool, entry, request)).await;
+    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
     let outcome = match &exchanged {
         Ok(Ok((status, _))) => decode_order_status(*status),
         Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
@@ -497,7 +651,7 @@
 
 async fn read_report(pool: &ConnectionPool, entry: &TargetEntry) -> Option<EngineReport> {
     let request = encode_report_request(&entry.name);
-    let exchanged = timeout(ORDER_TIMEOUT, exchange(pool, entry, request)).await;
+    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
     let problem = match exchanged {
         Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
             Ok(report) => return Some(report),
@@ -511,29 +665,18 @@
     None
 }
 
-async fn exchange(
+async fn ask_engine(
     pool: &ConnectionPool,
     entry: &TargetEntry,
     request: TargetRequest,
 ) -> Result<(StatusCode, Bytes), SendError> {
-    let mut connection = pool
-        .take(
-            &entry.run(),
-            entry.address,
-            ReuseRule::FreshOnly,
-            ORDER_TIMEOUT,
-        )
-        .await?;
-    let response = connection.send(request).await?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), REPORT_BYTES)
-        .collect()
-        .await
-        .map_err(|error| SendError::Unanswered {
-            target: entry.name.clone(),
-            cause: error.to_string(),
-        })?
-        .to_bytes();
-    pool.give_back(connection, None);
-    Ok((status, body))
+    exchange(
+        pool,
+        entry,
+        request,
+        ReuseRule::FreshOnly,
+        ORDER_TIMEOUT,
+        REPORT_BYTES,
+    )
+    .await
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -162,6 +162,16 @@
     CallFailed = 801, Info, "request failed";
     /// A request has no route.
     NoRoute = 802, Info, "no route for a request";
+    /// A request has no key that is in force.
+    KeyRefused = 806, Info, "key refused";
+    /// Keys may have been taken away that this VM does not know of.
+    KeysUncertain = 807, Info, "request refused as not run, keys uncertain";
+    /// An organisation's quota is used up.
+    QuotaUsedUp = 808, Info, "request refused as not run, quota used up";
+    /// A target ended while a request ran there.
+    TargetEndedUnder = 816, Info, "target ended under a request";
+    /// A holder heard of a target that ended under a request.
+    RequestSuspected = 716, Warn, "request suspected";
     /// A request was given a target.
     CallPlaced = 803, Debug, "request placed";
     /// A stream's first event went out.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod foreign;
 mod headers;
 mod keeping;
+mod keys;
 mod leaving;
 mod lives;
 mod news;
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -1,6 +1,7 @@
 //! A target whose answers are given as bytes, so that broken ones can be made.
 
 use std::{
+    future::pending,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -9,6 +10,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::JoinHandle,
     time::sleep,
 };
@@ -71,6 +73,7 @@
 }
 
 type AnswerFn = dyn Fn(&RawRequest) -> RawAnswer + Send + Sync;
+type DeadlyFn = dyn Fn(&RawRequest) -> bool + Send + Sync;
 
 /// A running target; ends when dropped.
 pub struct RawTarget {
@@ -88,19 +91,44 @@
     /// Returns the error of the system when no port can be had.
     pub async fn start(
         answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_mortal(answer, |_| false).await
+    }
+
+    /// Starts a target that a request can crash: all its connections break, and its address refuses others.
+    ///
+    /// # Errors
+    /// Returns the error of the system when no port can be had.
+    pub async fn start_mortal(
+        answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
+        is_deadly: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let requests = Arc::new(Mutex::new(Vec::new()));
         let connections = Arc::new(Mutex::new(0));
         let answer: Arc<AnswerFn> = Arc::new(answer);
+        let is_deadly: Arc<DeadlyFn> = Arc::new(is_deadly);
         let (seen, opened) = (Arc::clone(&requests), Arc::clone(&connections));
+        let (end, mut ended) = watch::channel(false);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = ended.wait_for(|ended| *ended) => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
                 *opened.lock().expect("no holder panics") += 1;
                 let (seen, answer) = (Arc::clone(&seen), Arc::clone(&answer));
-                // A connection that breaks is the other side's affair.
-                tokio::spawn(async move { drop(serve(stream, &seen, &*answer).await) });
+                let is_deadly = Arc::clone(&is_deadly);
+                let (end, mut ended) = (end.clone(), ended.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        // A connection that breaks is the other side's affair.
+                        served = serve(stream, &seen, &*answer, &*is_deadly, &end) => drop(served),
+                        _ = ended.wait_for(|ended| *ended) => {}
+                    }
+                });
             }
         });
         Ok(Self {
@@ -140,6 +168,8 @@
     mut stream: TcpStream,
     seen: &Mutex<Vec<RawRequest>>,
     answer: &AnswerFn,
+    is_deadly: &DeadlyFn,
+    end: &watch::Sender<bool>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut bytes = Vec::new();
@@ -148,6 +178,10 @@
             return Ok(());
         };
         seen.lock().expect("no holder panics").push(request.clone());
+        if is_deadly(&request) {
+            end.send_replace(true);
+            pending::<()>().await;
+        }
         let answer = answer(&request);
         for (pause, piece) in answer.pieces {
             sleep(pause).await;
