Specify the proof that no key was taken away

A Promela model of read, relay, records and gateway: messages of any delay, a log that does not wake reads, either side standing still. 5,866,094 states without an error; four measures taken out give a counterexample each.

--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -92,6 +92,12 @@
     fails("once", &["-DHAND_OVER_OPEN"]),
     fails("once", &["-DHAND_OVER_AS_FRESH"]),
     fails("once", &["-DNOT_RUN_AFTER_SEND"]),
+    holds("freshness", &[]),
+    holds("freshness", &["-DREADS=1", "-DBEATS=2"]),
+    fails("freshness", &["-DPROOF_AT_ANSWER"]),
+    fails("freshness", &["-DAGE_AT_RECEIPT"]),
+    fails("freshness", &["-DANY_OFFSET"]),
+    fails("freshness", &["-DLOOK_AT_HEAD"]),
     // All faults at once with two requests and versions, and each of them with more of the rest.
     holds("versions", &["-DV=2", "-DR=2"]),
     holds("versions", &["-DV=3", "-DR=2", "-DUNLOADS=0"]),
