--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -56,6 +56,7 @@
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
         organisations::CallerIdentity,
         planner::RefusalCause,
+        returning::RouteKind,
         suspects::RequestPrint,
     },
     ids::{AvailabilityZone, TargetName},
@@ -208,7 +209,7 @@
             books.demand.record(subject, now);
         }
         head.deadline.map_or(Duration::ZERO, |wait| {
-            books.returns.spent(&route.name, wait)
+            books.returns.spent(RouteKind::of(&route), wait)
         })
     };
     let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -186,9 +186,6 @@
                     config.routes.len()
                 );
                 let routes = RouteTable::new(&config);
-                books
-                    .returns
-                    .retain(|name| config.routes.iter().any(|route| route.name == name));
                 let offset = record.offset;
                 books.active = Some(Arc::new(ActiveConfig {
                     config,
