--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -9,21 +9,27 @@
     events::Event,
     logging::dropped_lines,
 };
-use hoplanding_core::direct::{
-    catalog::TargetStage,
-    config::{AnswerShape, RepeatRule, RouteRule},
-    planner::PromptMove,
-    versions::{MemoryVersions, SightAge, VersionMatch},
+use hoplanding_core::{
+    direct::{
+        catalog::TargetStage,
+        config::{AnswerShape, RepeatRule, RouteRule},
+        planner::PromptMove,
+        quotas::BucketCounts,
+        versions::{MemoryVersions, SightAge, VersionMatch},
+    },
+    ids::OrganisationName,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
-use std::{fs, time::Duration};
+use std::{cmp::Reverse, fs, time::Duration};
 
 /// Upper bounds of the histograms' buckets, in seconds: what the users' objectives and deadlines lie between.
 const BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 10.0];
+/// Organisations that the page names.
+const ORGANISATIONS_MOST: usize = 64;
 /// Bytes of a page of memory, as `/proc/self/statm` counts them.
 const PAGE_BYTES: u64 = 4096;
 
@@ -93,6 +99,17 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SuspectLabels {
+    state: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QuotaLabels {
+    organisation: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RepeatLabels {
     allowed: bool,
@@ -116,6 +133,8 @@
     requests: Family<RequestLabels, Counter>,
     repeats: Family<RepeatLabels, Counter>,
     entries: Family<EntryLabels, Counter>,
+    quotas: Family<QuotaLabels, Gauge>,
+    suspects: Family<SuspectLabels, Gauge>,
     log_calls: Family<LogLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
@@ -139,6 +158,8 @@
             requests: Family::default(),
             repeats: Family::default(),
             entries: Family::default(),
+            quotas: Family::default(),
+            suspects: Family::default(),
             log_calls: Family::default(),
             placing: Histogram::new(BUCKETS),
             first_event: Histogram::new(BUCKETS),
@@ -173,6 +194,16 @@
             "Requests that were not let in for their key, by cause",
             self.entries.clone(),
         );
+        registry.register(
+            "quota_units",
+            "Units of organisations' quotas that this VM paid out as its zone's holder, and that it did not, since it holds it",
+            self.quotas.clone(),
+        );
+        registry.register(
+            "suspects",
+            "Requests under which targets ended, as this VM knows as its zone's holder",
+            self.suspects.clone(),
+        );
         registry.register(
             "log_calls",
             "Calls to the platform's log",
@@ -238,6 +269,37 @@
         self.entries.get_or_create(&EntryLabels { cause }).inc();
     }
 
+    /// What a zone's holder has paid out of organisations' quotas; of those that asked for most, so that their number is bounded.
+    pub fn tell_quotas<'a>(
+        &self,
+        counts: impl Iterator<Item = (&'a OrganisationName, BucketCounts)>,
+    ) {
+        let mut counts: Vec<_> = counts.collect();
+        counts.sort_by_key(|(name, counts)| (Reverse(counts.paid + counts.refused), *name));
+        counts.truncate(ORGANISATIONS_MOST);
+        self.quotas.clear();
+        for (name, counts) in counts {
+            for (outcome, units) in [("paid", counts.paid), ("refused", counts.refused)] {
+                let organisation = name.to_string();
+                let labels = QuotaLabels {
+                    organisation,
+                    outcome,
+                };
+                self.quotas.get_or_create(&labels).set(signed(units));
+            }
+        }
+    }
+
+    /// Requests that a zone's holder suspects, and those of them that it sends nowhere.
+    pub fn tell_suspects(&self, (suspected, condemned): (usize, usize)) {
+        for (state, count) in [("suspected", suspected), ("sent_nowhere", condemned)] {
+            let labels = SuspectLabels { state };
+            self.suspects
+                .get_or_create(&labels)
+                .set(signed(count as u64));
+        }
+    }
+
     /// A repeat was asked for.
     pub fn count_repeat(&self, allowed: bool) {
         self.repeats.get_or_create(&RepeatLabels { allowed }).inc();
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -196,7 +196,10 @@
                     None => return,
                 },
                 _ = changes.changed() => self.refresh(),
-                _ = look.tick(), if self.held.is_some() => self.look_at_list(),
+                _ = look.tick(), if self.held.is_some() || self.ledger.is_some() => {
+                    self.look_at_list();
+                    self.tell_figures();
+                }
                 _ = tick.tick(), if self.held.is_some() || self.ledger.is_some() => {
                     let led_until = self.led_until();
                     self.stand(led_until);
@@ -532,6 +535,16 @@
         }
     }
 
+    fn tell_figures(&self) {
+        let figures = &self.fleet.figures;
+        if let Some(held) = &self.ledger {
+            figures.tell_quotas(held.ledger.counts());
+        }
+        if let Some(held) = &self.held {
+            figures.tell_suspects(held.planner.suspect_counts(clock::now()));
+        }
+    }
+
     /// Compares what is held with the books.
     fn refresh(&mut self) {
         let now = clock::now();
--- a/crates/daemon/tests/direct/keys.rs
+++ b/crates/daemon/tests/direct/keys.rs
@@ -369,3 +369,36 @@
     }
     assert_eq!(calls(&engine).len(), 6);
 }
+
+#[tokio::test]
+async fn the_metrics_page_tells_quotas_and_refused_keys_and_no_key() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    let mut settings = strict_settings("vm-1", &log);
+    settings.metrics_address = Some("127.0.0.1:0".parse().expect("an address"));
+    let daemon = site_of(settings, &log, &[("i-1", "ledger", target.address)]).await;
+    log.put("keyed.op", "config", Some(&keyed_config(2, &limited())));
+    wait_for("a call in the quota", async || {
+        call(&daemon, "/scan/1", "r1", KEY).await.status == 200
+    })
+    .await;
+    call(&daemon, "/scan/1", "r2", "Authorization: Bearer k7\r\n").await;
+    call(&daemon, "/scan/1", "r3", "").await;
+    let metrics = daemon.metrics_address.expect("an address");
+    let page = async || {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let answer = ask(metrics, request).await;
+        String::from_utf8_lossy(&answer.body).into_owned()
+    };
+    let paid = "hoplanding_quota_units{organisation=\"mill\",outcome=\"paid\"}";
+    wait_for("the quota's figures", async || page().await.contains(paid)).await;
+    let page = page().await;
+    for line in [
+        "hoplanding_key_refusals_total{cause=\"unknown_key\"} 1",
+        "hoplanding_key_refusals_total{cause=\"no_key\"}",
+        "hoplanding_suspects{state=\"sent_nowhere\"} 0",
+    ] {
+        assert!(page.contains(line), "{line} is missing in\n{page}");
+    }
+    assert!(!page.contains("k1") && !page.contains("k7"), "{page}");
+}
