--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,7 +13,6 @@
 //! | [`policy`] | what placing and refusing weigh |
 //! | [`loading`] | how many loads from the weight store may be on their way, and how long one takes |
 //! | [`reading`] | how fast engines read prompts, and what each still has to read |
-//! | [`returning`] | how long a caller has been at it when its request comes |
 //! | [`search`] | which zones a gateway asks to take a call, and on which terms |
 //! | [`streams`] | how long a stream may take |
 //! | [`demand`] | how often each adapter is asked for |
@@ -41,7 +40,6 @@
 pub mod policy;
 pub mod quotas;
 pub mod reading;
-pub mod returning;
 pub mod routes;
 pub mod search;
 pub mod streams;
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -56,7 +56,6 @@
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
         organisations::CallerIdentity,
         planner::RefusalCause,
-        returning::RouteKind,
         suspects::RequestPrint,
     },
     ids::{AvailabilityZone, TargetName},
@@ -116,8 +115,6 @@
     pub head: CallHead,
     /// When it came.
     pub arrived: Instant,
-    /// Time that its caller has spent before, with requests that were refused.
-    pub spent: Duration,
     /// What its time went to.
     pub timeline: CallTimeline,
     /// When it has to be answered.
@@ -201,17 +198,14 @@
         );
         return Ok(refusal(&head.id, COME_BACK));
     };
-    let spent = {
+    {
         let now = clock::now();
         let mut books = context.fleet.books();
         books.retries.count_request(&service.name, now);
         if let (Some(subject), true) = (&head.subject, service.engine.is_some()) {
             books.demand.record(subject, now);
         }
-        head.deadline.map_or(Duration::ZERO, |wait| {
-            books.returns.spent(RouteKind::of(&route), wait)
-        })
-    };
+    }
     let patience = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let payment = CallPayment::of(&identity, &head);
     let call = CallState {
@@ -223,7 +217,6 @@
         service,
         head,
         arrived,
-        spent,
         timeline: CallTimeline::new(arrived),
         deadline: arrived + patience,
         method: parts.method,
@@ -374,12 +367,6 @@
         count(&self.context, RequestKind::of(&self.route), outcome);
     }
 
-    /// Time left to its objective, as its caller counts it.
-    fn left(&self) -> Duration {
-        let spent = self.spent + self.arrived.elapsed();
-        self.route.objective.saturating_sub(spent)
-    }
-
     fn has_time(&self) -> bool {
         Instant::now() + Duration::from_millis(5) < self.deadline
     }
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -123,7 +123,7 @@
         &self,
         zone: &AvailabilityZone,
     ) -> Option<(PlacementAnswer, Option<CallTicket>)> {
-        let left = self.left();
+        let left = self.route.objective.saturating_sub(self.arrived.elapsed());
         let ask = PlainAsk {
             service: self.service.name.clone(),
             rank: self.rank,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -20,7 +20,6 @@
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
         policy::PlacementPolicy,
-        returning::ReturnClock,
         routes::RouteTable,
         streams::StreamPace,
         suspects::SuspectTable,
@@ -108,8 +107,6 @@
     pub streams: StreamPace,
     /// What decisions weigh.
     pub policy: PlacementPolicy,
-    /// What callers have spent before they come back.
-    pub returns: ReturnClock,
     /// How often callers of this VM ask for each adapter.
     pub demand: DemandTable,
     /// Adapters that take much of their home zone, and until when that counts.
@@ -239,7 +236,6 @@
                 retries: RetryShare::starting(settings.retries, restarted),
                 streams: StreamPace::default(),
                 policy: settings.policy,
-                returns: ReturnClock::default(),
                 demand: DemandTable::default(),
                 sought: HashMap::new(),
                 proof: ConfigProof::default(),
