Soak with keys: revocation, organisations and quotas are promises, checked on what targets saw

Callers give keys, of which each configuration takes one away; one organisation has a quota of 4 requests a second.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -6,8 +6,8 @@
     prompts::{PromptPart, encode_parts},
 };
 use hoplanding_platform::names::{
-    DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, HOLD, KV_BACKUP, KV_FETCH, KV_FROM, MODEL, PIN,
-    PRIORITY, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT,
+    AUTHORIZATION, DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, HOLD, KV_BACKUP, KV_FETCH, KV_FROM,
+    MODEL, ORGANISATION, PIN, PRIORITY, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT,
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -24,7 +24,8 @@
 /// What every caller writes into headers that only the system may set.
 pub const FORGED: &str = "forged";
 /// Those headers; the deadline is a caller's to name, and the system makes its own of it.
-const SYSTEM_HEADERS: [&str; 8] = [
+const SYSTEM_HEADERS: [&str; 9] = [
+    ORGANISATION,
     EXPECT_INSTANCE,
     EXPECT_VERSION,
     PRIORITY,
@@ -46,6 +47,8 @@
     pub adapter: String,
     /// The parts of its prompt; none for plain calls.
     pub parts: Vec<PromptPart>,
+    /// Its caller's key.
+    pub key: String,
 }
 
 impl SoakCall {
@@ -55,6 +58,7 @@
             kind,
             adapter,
             parts,
+            key,
         } = self;
         let path = match kind {
             CallKind::Once => "/scan/1",
@@ -76,7 +80,7 @@
             .map(|name| format!("{name}: {FORGED}\r\n"))
             .collect();
         format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{model}{forged}Content-Length: 2\r\n\r\nhi"
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{AUTHORIZATION}: Bearer {key}\r\n{model}{forged}Content-Length: 2\r\n\r\nhi"
         )
     }
 }
@@ -92,6 +96,10 @@
         vm: vm.index,
         adapter: call.adapter.clone(),
     });
+    history.add(SeenEntry::Keyed {
+        id: call.id.clone(),
+        key: call.key.clone(),
+    });
     let exchanged = timeout(PATIENCE, exchange(address, &call.text())).await;
     let answer = match exchanged {
         Ok(Ok(answer)) => answer,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     history::{CallAnswer, CallKind, SeenEntry, TimedEntry},
+    organisations::{QUOTA_WINDOW, REVOKE, allowed, organisation_of},
     targets::{TargetRole, service_of},
 };
 use std::{
@@ -49,6 +50,12 @@
     Places,
     /// Repeats stay within the fleet's budget.
     RetryBudget,
+    /// A request runs for the organisation that its caller's key is of.
+    OwnOrganisation,
+    /// No call is begun with a key that was taken away too long ago, by any VM.
+    Revocation,
+    /// No organisation has more requests run than its quota allows, over all VMs.
+    Quota,
     /// A run uses memory of its prompt only if it was made under the versions of base model and adapter that it runs
     /// under.
     OwnMemory,
@@ -83,6 +90,8 @@
     found.extend(check_budget(&calls));
     found.extend(check_headers(history));
     found.extend(check_memory(history));
+    found.extend(check_keys(history, &calls));
+    found.extend(check_quotas(history, &calls));
     found
 }
 
@@ -431,6 +440,81 @@
     mixed.collect()
 }
 
+/// Keys of requests by id.
+fn keys_of(history: &[TimedEntry]) -> HashMap<&str, &str> {
+    let keys = history.iter().filter_map(|entry| match &entry.seen {
+        SeenEntry::Keyed { id, key } => Some((id.as_str(), key.as_str())),
+        _ => None,
+    });
+    keys.collect()
+}
+
+fn check_keys(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let keys = keys_of(history);
+    let mut gone: HashMap<&str, Duration> = HashMap::new();
+    let mut found = Vec::new();
+    for TimedEntry { at, seen } in history {
+        match seen {
+            SeenEntry::Revoked { key } => {
+                gone.entry(key).or_insert(*at);
+            }
+            SeenEntry::RanFor { id, organisation } => {
+                if let Some(key) = keys.get(id.as_str())
+                    && organisation_of(key) != organisation
+                {
+                    let what = format!("{id} with {key} ran for {organisation:?} at {at:?}");
+                    found.push(broken(Promise::OwnOrganisation, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    for (id, row) in &calls.rows {
+        let since = keys.get(id).and_then(|key| gone.get(key));
+        let is_late = since.is_some_and(|since| row.sent > *since + REVOKE);
+        if is_late && !row.runs.is_empty() {
+            let what = format!(
+                "{id} ran at {:?}, its key is gone since {since:?}",
+                row.runs
+            );
+            found.push(broken(Promise::Revocation, what));
+        }
+    }
+    found
+}
+
+fn check_quotas(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut runs: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
+    for (id, key) in keys_of(history) {
+        let run = calls.rows.get(id).and_then(|row| row.runs.first());
+        if let Some(run) = run {
+            runs.entry(organisation_of(key)).or_default().push(run.at);
+        }
+    }
+    let mut found = Vec::new();
+    for (organisation, times) in &mut runs {
+        let Some(allowed) = allowed(organisation) else {
+            continue;
+        };
+        times.sort();
+        let within = |start: &Duration| {
+            let ends = *start + QUOTA_WINDOW;
+            times
+                .iter()
+                .filter(|at| **at >= *start && **at < ends)
+                .count()
+        };
+        let most = times.iter().map(|start| (within(start), *start)).max();
+        if let Some((most, start)) = most.filter(|(most, _)| *most as f64 > allowed) {
+            let what = format!(
+                "{organisation}: {most} requests within {QUOTA_WINDOW:?} from {start:?}, {allowed:.0} are allowed"
+            );
+            found.push(broken(Promise::Quota, what));
+        }
+    }
+    found
+}
+
 fn broken(promise: Promise, what: String) -> Violation {
     Violation { promise, what }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,6 +1,9 @@
 //! The daemons, as processes of their own; only these are ever signalled, by the ids that they were started with.
 
-use crate::history::{SeenEntry, SharedHistory};
+use crate::{
+    history::{SeenEntry, SharedHistory},
+    organisations::{QUOTA_OVER, QUOTA_SLACK, QUOTA_WINDOW, REVOKE},
+};
 use hoplanding_standins::relay::{LinkRelay, LinkState};
 use nix::{
     sys::signal::{Signal, kill},
@@ -77,6 +80,9 @@
             "platform_address": log_link.address.to_string(),
             "zones": zones,
             "retries": { "ratio": crate::checks::REPEAT_RATIO, "slack": crate::checks::REPEAT_SLACK as u64 },
+            "revocation": { "strict": true, "bound_ms": REVOKE.as_millis() as u64 },
+            "quotas": { "window_s": QUOTA_WINDOW.as_secs(), "over": QUOTA_OVER, "slack": QUOTA_SLACK },
+            "orders_fenced": true,
             "log": { "level": "debug" },
         });
         let vm = Self {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -68,6 +68,25 @@
         /// Its adapter; empty for plain calls.
         adapter: String,
     },
+    /// A caller gives a key with its request.
+    Keyed {
+        /// The request.
+        id: String,
+        /// The key.
+        key: String,
+    },
+    /// A configuration that takes a key away is acknowledged.
+    Revoked {
+        /// The key.
+        key: String,
+    },
+    /// A target is told for which organisation it runs a request.
+    RanFor {
+        /// The request.
+        id: String,
+        /// The organisation; empty if it is told none.
+        organisation: String,
+    },
     /// A caller has its answer.
     Answered {
         /// The request.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`history`] | what was seen, in order |
 //! | [`checks`] | the promises, checked on a history |
 //! | [`shelf`] | the adapters of an engine, and its orders |
+//! | [`organisations`] | callers' keys, which configurations take away, and quotas |
 //! | [`prompts`] | what prompts consist of, and how long an engine reads one |
 //! | [`targets`] | engines and a plain service that write down what reaches them |
 //! | [`fleet`] | the daemons: started, paused, killed and stopped by their process ids |
@@ -18,6 +19,7 @@
 pub mod checks;
 pub mod fleet;
 pub mod history;
+pub mod organisations;
 pub mod prompts;
 pub mod report;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,6 +5,7 @@
     checks::{Violation, check},
     fleet::SoakVm,
     history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
+    organisations::{declared, draw_key, passing_key},
     prompts::parts_of,
     schedule::{FaultKind, PlannedFault, faults_of},
     shelf::{BASE, FIRST_VERSION, PLACES},
@@ -265,7 +266,12 @@
             route("plan".into(), "streaming", "scribe", false),
             route("resumed".into(), "streaming", "scribe", true),
         ];
-        routes.extend((1..=version).map(|n| route(format!("v{n}"), "idempotent", "ledger", false)));
+        // Probes give no key.
+        routes.extend((1..=version).map(|n| {
+            let mut route = route(format!("v{n}"), "idempotent", "ledger", false);
+            route["anonymous"] = json!(true);
+            route
+        }));
         let config = json!({
             "version": version,
             "routes": routes,
@@ -275,12 +281,17 @@
                     "slots": 8, "kv_capacity": 100_000, "adapter_slots": PLACES,
                     "loads_per_s": 100.0, "models": [{ "name": BASE }] } },
             ],
+            "tenants": declared(version),
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
                         "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
         });
         self.log
             .put(OPERATOR_TOPIC, CONFIG_KEY, Some(&config.to_string()));
         self.history.add(SeenEntry::Configured { version });
+        for gone in 1..version {
+            let key = passing_key(gone);
+            self.history.add(SeenEntry::Revoked { key });
+        }
     }
 
     async fn send_calls(self: &Arc<Self>, plan: &RunPlan, begun: Instant, work: &mut JoinSet<()>) {
@@ -303,6 +314,7 @@
                 kind,
                 adapter,
                 parts,
+                key: draw_key(&mut random, self.version.load(Ordering::SeqCst)),
             };
             let start = random.random_range(0..self.vms.len());
             let open = (0..self.vms.len())
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -10,8 +10,8 @@
     },
 };
 use hoplanding_platform::names::{
-    EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, MODEL, NOT_EXECUTED, ORDER_PATH,
-    PROMPT_PREFIX, REPORT_PATH, REQUEST_ID, SEAL, WEIGHT_VERSIONS,
+    AUTHORIZATION, EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, MODEL, NOT_EXECUTED,
+    ORDER_PATH, ORGANISATION, PROMPT_PREFIX, REPORT_PATH, REQUEST_ID, SEAL, WEIGHT_VERSIONS,
 };
 use hoplanding_standins::{
     kept_memory::MemoryNet,
@@ -366,7 +366,12 @@
 
     fn run(self: &Arc<Self>, request: &RawRequest, path: &str) -> RawAnswer {
         let id = request.header(REQUEST_ID).unwrap_or_default().to_owned();
-        if request.head.contains(FORGED) {
+        self.site.history.add(SeenEntry::RanFor {
+            id: id.clone(),
+            organisation: request.header(ORGANISATION).unwrap_or_default().to_owned(),
+        });
+        let is_key_told = request.header(AUTHORIZATION).is_some();
+        if request.head.contains(FORGED) || is_key_told {
             self.site.history.add(SeenEntry::Forged {
                 id: id.clone(),
                 target: self.name.clone(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -289,3 +289,70 @@
     };
     at(ms, seen)
 }
+
+fn keyed(id: &str, key: &str) -> TimedEntry {
+    let (id, key) = (id.into(), key.into());
+    at(0, SeenEntry::Keyed { id, key })
+}
+
+#[test]
+fn a_run_under_a_key_that_is_gone_counts_from_the_bound_on() {
+    let history = |sent_ms| {
+        vec![
+            at(
+                1_000,
+                SeenEntry::Revoked {
+                    key: "mill-v1".into(),
+                },
+            ),
+            // Taken away again by every later configuration: the first time counts.
+            at(
+                9_000,
+                SeenEntry::Revoked {
+                    key: "mill-v1".into(),
+                },
+            ),
+            keyed("r1", "mill-v1"),
+            sent(sent_ms, "r1", CallKind::Once, ""),
+            ran(sent_ms + 10, "r1", "i-1", ""),
+        ]
+    };
+    assert!(found(&history(5_900)).is_empty());
+    assert_eq!(found(&history(6_100)), [Promise::Revocation]);
+}
+
+#[test]
+fn a_run_for_another_organisation_than_its_keys_is_found() {
+    let ran_for = |organisation: &str| {
+        let organisation = organisation.into();
+        let id = "r1".into();
+        vec![
+            sent(0, "r1", CallKind::Once, ""),
+            keyed("r1", "mill-key"),
+            at(5, SeenEntry::RanFor { id, organisation }),
+        ]
+    };
+    assert!(found(&ran_for("mill")).is_empty());
+    assert_eq!(found(&ran_for("port")), [Promise::OwnOrganisation]);
+    assert_eq!(found(&ran_for("")), [Promise::OwnOrganisation]);
+}
+
+#[test]
+fn an_organisation_over_its_quota_is_found_in_any_window() {
+    let history = |count: u64| {
+        let calls = (0..count).flat_map(|number| {
+            let id = format!("r{number}");
+            // The last moments of one second and the first of another.
+            let ms = 3_900 + number * 5;
+            [
+                keyed(&id, "port-key"),
+                sent(ms, &id, CallKind::Once, ""),
+                ran(ms + 1, &id, "i-1", ""),
+            ]
+        });
+        calls.collect::<Vec<_>>()
+    };
+    // 36 beside a tenth and 4.
+    assert!(found(&history(43)).is_empty());
+    assert_eq!(found(&history(44)), [Promise::Quota]);
+}
