--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod fetching;
 mod plain;
 mod play;
+mod quotas;
 mod speeds;
 mod stores;
 mod zones;
