Give a holder's quotas and plain calls a module of their own, and let both end with the lease

A holder's standing was looked at on its tick, so one that stood still paid its whole part out for up to 50 ms after it woke: now the ledger has the times, and each payment and each filling follows from them, without state beside them; a new test of a holder that stood still, and the drawn orders of cuts and deaths play the product's own code in place of a copy of that look. And a holder that gave its zone up kept paying until it read so: now the ledger ends as it gives up (no test shows this one: it takes a lost answer and a cut at once).

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -45,3 +45,11 @@
 pub mod streams;
 pub mod suspects;
 pub mod versions;
+
+use std::time::Duration;
+
+/// A span in whole milliseconds, as messages and settings carry it.
+#[must_use]
+pub fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -10,6 +10,7 @@
     direct::{
         catalog::TargetEntry,
         health::{CallOutcome, HealthTable},
+        millis,
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
     },
@@ -296,7 +297,3 @@
         cause,
     }
 }
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -39,6 +39,7 @@
         engine::{EngineState, LATE_ORDER, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
         loading::LoadLimiter,
+        millis,
         planner::fetching::MemoryLoan,
         policy::PlacementPolicy,
         reading::ReadingPace,
@@ -469,7 +470,3 @@
         None => (subject.as_str(), None),
     }
 }
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/direct/quotas.rs
+++ b/crates/core/src/direct/quotas.rs
@@ -105,6 +105,17 @@
     Out,
 }
 
+impl HolderStanding {
+    /// Part of its part that a holder pays out.
+    fn paid_part(self) -> f64 {
+        match self {
+            Self::Sole => 1.0,
+            Self::Shared => SHARED_HOLD,
+            Self::Out => 0.0,
+        }
+    }
+}
+
 /// How long a holder's standing lasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StandingTimes {
@@ -131,6 +142,25 @@
             HolderStanding::Sole
         }
     }
+
+    /// Seconds for which the whole part is paid out between two times; where only half of it is, half of them.
+    fn paid_seconds(&self, from: Instant, to: Instant) -> f64 {
+        let mut turns = [
+            from,
+            self.began,
+            self.began.after(self.window),
+            self.led_until,
+            self.led_until.after(self.window),
+            to,
+        ]
+        .map(|turn| turn.clamp(from, to.max(from)));
+        turns.sort();
+        let spans = turns.windows(2).map(|span| {
+            let seconds = span[1].since(span[0]).as_secs_f64();
+            seconds * self.standing(span[0]).paid_part()
+        });
+        spans.sum()
+    }
 }
 
 /// The part of one quota that a holder has.
@@ -154,13 +184,8 @@
 
 impl QuotaBucket {
     /// Fills it up to now.
-    fn fill(&mut self, standing: HolderStanding, now: Instant) {
-        let per_s = match standing {
-            HolderStanding::Sole => self.part.per_s,
-            HolderStanding::Shared => self.part.per_s * SHARED_HOLD,
-            HolderStanding::Out => 0.0,
-        };
-        let earned = now.since(self.at).as_secs_f64() * per_s;
+    fn fill(&mut self, times: &StandingTimes, now: Instant) {
+        let earned = times.paid_seconds(self.at, now) * self.part.per_s;
         self.level = (self.level + earned).min(self.part.most);
         self.at = now;
     }
@@ -182,23 +207,28 @@
     /// Parts that each quota has.
     parts: u32,
     start: BucketStart,
-    standing: HolderStanding,
+    times: StandingTimes,
     buckets: HashMap<OrganisationName, QuotaBucket>,
 }
 
 impl QuotaLedger {
-    /// A ledger with one of `parts` parts of every quota, which pays nothing out until it is told its standing.
+    /// A ledger with one of `parts` parts of every quota.
     #[must_use]
-    pub fn new(bounds: QuotaBounds, parts: u32, start: BucketStart) -> Self {
+    pub fn new(bounds: QuotaBounds, parts: u32, start: BucketStart, times: StandingTimes) -> Self {
         Self {
             bounds,
             parts: parts.max(1),
             start,
-            standing: HolderStanding::Out,
+            times,
             buckets: HashMap::new(),
         }
     }
 
+    /// Until then it is known that no other VM was the zone's holder.
+    pub fn lead_until(&mut self, time: Instant) {
+        self.times.led_until = time;
+    }
+
     fn part(&self, rule: &QuotaRule) -> QuotaPart {
         let parts = f64::from(self.parts);
         let (per_s, burst) = (rule.per_s as f64, rule.burst as f64);
@@ -224,7 +254,6 @@
                 BucketStart::Full => part.most,
                 BucketStart::Spent => -part.debt,
             };
-            let standing = self.standing;
             let bucket = self.buckets.entry(name.clone()).or_insert(QuotaBucket {
                 part,
                 level: first,
@@ -232,7 +261,7 @@
                 paid: 0,
                 refused: 0,
             });
-            bucket.fill(standing, now);
+            bucket.fill(&self.times, now);
             bucket.part = part;
             bucket.level = bucket.level.min(part.most);
         }
@@ -241,30 +270,18 @@
             .retain(|_, bucket| now.since(bucket.at) < FORGOTTEN_AFTER);
     }
 
-    /// Takes over its standing.
-    pub fn stand(&mut self, standing: HolderStanding, now: Instant) {
-        if self.standing == standing {
-            return;
-        }
-        for bucket in self.buckets.values_mut() {
-            bucket.fill(self.standing, now);
-        }
-        self.standing = standing;
-    }
-
     /// Pays a charge; one of an organisation without a quota costs nothing.
     ///
     /// # Errors
     /// When the bucket has too little: the time until it has enough.
     pub fn pay(&mut self, charge: &QuotaCharge, now: Instant) -> Result<(), Duration> {
-        let standing = self.standing;
         let Some(bucket) = self.buckets.get_mut(&charge.organisation) else {
             return Ok(());
         };
-        bucket.fill(standing, now);
+        bucket.fill(&self.times, now);
         let units = charge.units as f64;
         let missing = units - (bucket.level + bucket.part.debt);
-        if missing <= 0.0 && standing != HolderStanding::Out {
+        if missing <= 0.0 && self.times.standing(now) != HolderStanding::Out {
             bucket.level -= units;
             bucket.paid += charge.units;
             return Ok(());
@@ -277,9 +294,8 @@
 
     /// Gives a charge back whose call did not run.
     pub fn give_back(&mut self, charge: &QuotaCharge, now: Instant) {
-        let standing = self.standing;
         if let Some(bucket) = self.buckets.get_mut(&charge.organisation) {
-            bucket.fill(standing, now);
+            bucket.fill(&self.times, now);
             bucket.level = (bucket.level + charge.units as f64).min(bucket.part.most);
             bucket.paid = bucket.paid.saturating_sub(charge.units);
         }
--- a/crates/core/src/direct/search.rs
+++ b/crates/core/src/direct/search.rs
@@ -9,6 +9,7 @@
 //! pause, as a zone that changes hands answers again within moments.
 
 use crate::direct::{
+    millis,
     planner::{AskTerms, RefusalCause},
     policy::PlacementPolicy,
 };
@@ -90,7 +91,7 @@
         match (pass, zone) {
             (SearchPass::Compare, 0) => AskTerms::Inquire,
             (SearchPass::Compare, _) => {
-                let away = u32::try_from(self.policy.away_price.as_millis()).unwrap_or(u32::MAX);
+                let away = millis(self.policy.away_price);
                 AskTerms::Beat(self.offer.unwrap_or(u32::MAX).saturating_sub(away))
             }
             (SearchPass::Bearable | SearchPass::Again, _) => AskTerms::Take,
--- a/crates/core/tests/direct_quotas.rs
+++ b/crates/core/tests/direct_quotas.rs
@@ -62,33 +62,41 @@
 }
 
 fn ledger(start: BucketStart, rule: &QuotaRule, now_ms: u64) -> QuotaLedger {
-    let mut ledger = QuotaLedger::new(BOUNDS, ZONES, start);
-    ledger.stand(HolderStanding::Sole, at(now_ms));
+    let mut ledger = QuotaLedger::new(BOUNDS, ZONES, start, sole());
     ledger.declare([(&mill(), rule)], at(now_ms));
     ledger
 }
 
+/// The times of a holder that nobody replaces.
+fn sole() -> StandingTimes {
+    StandingTimes {
+        led_until: Instant(u64::MAX >> 1),
+        began: Instant(0),
+        is_contested: false,
+        window: BOUNDS.window,
+    }
+}
+
 /// One of a zone's holders, which may not know that it was replaced.
 struct Holder {
     ledger: QuotaLedger,
-    times: StandingTimes,
-    /// Time up to which it has read the log, in ms; none once it is dead.
+    /// Whether it reads the log no more.
     is_cut: bool,
     is_frozen: bool,
 }
 
 impl Holder {
     fn new(start: BucketStart, rule: &QuotaRule, now_ms: u64, quiet_ms: u64) -> Self {
-        let mut ledger = QuotaLedger::new(BOUNDS, ZONES, start);
+        let times = StandingTimes {
+            led_until: at(now_ms + TURN_MS),
+            began: at(now_ms + quiet_ms),
+            is_contested: quiet_ms > 0,
+            window: BOUNDS.window,
+        };
+        let mut ledger = QuotaLedger::new(BOUNDS, ZONES, start, times);
         ledger.declare([(&mill(), rule)], at(now_ms));
         Self {
             ledger,
-            times: StandingTimes {
-                led_until: at(now_ms + TURN_MS),
-                began: at(now_ms + quiet_ms),
-                is_contested: quiet_ms > 0,
-                window: BOUNDS.window,
-            },
             is_cut: false,
             is_frozen: false,
         }
@@ -99,11 +107,9 @@
             return false;
         }
         if !self.is_cut {
-            self.times.led_until = at(now_ms + TURN_MS);
+            self.ledger.lead_until(at(now_ms + TURN_MS));
         }
-        let now = at(now_ms);
-        self.ledger.stand(self.times.standing(now), now);
-        self.ledger.pay(&charge(units), now).is_ok()
+        self.ledger.pay(&charge(units), at(now_ms)).is_ok()
     }
 }
 
@@ -298,6 +304,31 @@
     assert_eq!(seen(12_000), (Out, Sole));
 }
 
+/// A holder stands still, or is cut off, and wakes with what waited for it: it pays out by what it is by then, and what it earned
+/// meanwhile counts by what it was.
+#[test]
+fn a_holder_that_stood_still_pays_nothing_out_and_earns_half_after_its_time() {
+    let rule = rule(30_000, 300_000);
+    let times = StandingTimes {
+        led_until: at(3_000),
+        ..sole()
+    };
+    let begin = |start| {
+        let mut ledger = QuotaLedger::new(BOUNDS, ZONES, start, times);
+        ledger.declare([(&mill(), &rule)], at(0));
+        ledger
+    };
+    let mut woken = begin(BucketStart::Full);
+    assert!(woken.pay(&charge(100), at(11_001)).is_err());
+    // Three seconds at 10,000 a second, and five at half of it.
+    let mut late = begin(BucketStart::Spent);
+    let mut paid = 0;
+    while late.pay(&charge(100), at(8_000)).is_ok() {
+        paid += 100;
+    }
+    assert_eq!(paid, 55_000);
+}
+
 #[test]
 fn organisations_without_a_quota_pay_nothing() {
     let mut holder = ledger(BucketStart::Spent, &rule(1, 0), 0);
--- a/crates/core/tests/load/quotas.rs
+++ b/crates/core/tests/load/quotas.rs
@@ -3,7 +3,7 @@
 
 use hoplanding_core::{
     direct::quotas::{
-        BucketStart, HolderStanding, QuotaBounds, QuotaCharge, QuotaLedger, QuotaRule, QuotaUnit,
+        BucketStart, QuotaBounds, QuotaCharge, QuotaLedger, QuotaRule, QuotaUnit, StandingTimes,
     },
     ids::{Instant, OrganisationName},
 };
@@ -72,8 +72,13 @@
     let rules: Vec<_> = (0..SHARES.len()).map(|at| (name(at), rule(at))).collect();
     let mut ledgers: Vec<_> = (0..count)
         .map(|_| {
-            let mut ledger = QuotaLedger::new(BOUNDS, count as u32, BucketStart::Full);
-            ledger.stand(HolderStanding::Sole, Instant(1));
+            let times = StandingTimes {
+                led_until: Instant(u64::MAX >> 1),
+                began: Instant(0),
+                is_contested: false,
+                window: BOUNDS.window,
+            };
+            let mut ledger = QuotaLedger::new(BOUNDS, count as u32, BucketStart::Full, times);
             ledger.declare(rules.iter().map(|(name, rule)| (name, rule)), Instant(1));
             ledger
         })
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -12,6 +12,7 @@
 use hoplanding_core::{
     direct::{
         catalog::{TargetEntry, TargetStage},
+        millis,
         plain::{PlainAsk, pick_alone, placing_zones},
         planner::{PlacementAnswer, PlacementAsk, RefusalCause, split_subject},
         search::{SearchPass, ZoneQuestion, ZoneSearch},
@@ -127,7 +128,7 @@
         let ask = PlainAsk {
             service: self.service.name.clone(),
             rank: self.rank,
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            left_ms: millis(left),
             exclude: self.tried.clone(),
             charge: self.payment.due().cloned(),
         };
@@ -314,7 +315,7 @@
             output_tokens: output,
             prefix: self.head.prefix.clone(),
             priority: self.rank,
-            bound_ms: u32::try_from(bound.as_millis()).unwrap_or(u32::MAX),
+            bound_ms: millis(bound),
             exclude: self.tried.clone(),
             may_load: question.may_load,
             terms: question.terms,
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -15,6 +15,7 @@
     direct::{
         contact::AnswerRun,
         freshness::{BeatEcho, PassedProof},
+        millis,
     },
     ids::{Instant, LogOffset, VmName},
 };
@@ -205,7 +206,7 @@
 }
 
 fn age_ms(at: Instant, now: Instant) -> u32 {
-    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+    millis(now.since(at))
 }
 
 fn before(now: Instant, ms: u32) -> Instant {
--- /dev/null
+++ b/crates/daemon/src/direct/ledger.rs
@@ -0,0 +1,153 @@
+//! What a zone's holder has beside its engines: a part of every quota, and the calls of plain services.
+
+use crate::direct::{fleet::FleetState, settings::DirectSettings};
+use hoplanding_core::{
+    direct::{
+        health::CallOutcome,
+        millis,
+        plain::{PlainAsk, PlainPlanner},
+        planner::{CallKey, PlacementAnswer, RefusalCause},
+        quotas::{BucketCounts, BucketStart, QuotaCharge, QuotaLedger, StandingTimes},
+    },
+    ids::{FencingToken, Instant, LogOffset, OrganisationName, VmName},
+};
+use std::time::Duration;
+
+/// How a lease was come by.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseOrigin {
+    /// Its token.
+    pub token: FencingToken,
+    /// Whether the zone had a holder before.
+    pub had_holder: bool,
+    /// Time from now for which that one may go on as before.
+    pub quiet: Duration,
+}
+
+/// What came with a lease, and ends with it.
+pub struct ZoneLedger {
+    /// The lease's token.
+    pub token: FencingToken,
+    plain: PlainPlanner,
+    quotas: QuotaLedger,
+    /// Offset of the configuration whose quotas are declared.
+    declared: Option<LogOffset>,
+}
+
+impl ZoneLedger {
+    /// The ledger of a lease.
+    #[must_use]
+    pub fn new(
+        settings: &DirectSettings,
+        lease: LeaseOrigin,
+        led_until: Instant,
+        now: Instant,
+    ) -> Self {
+        let is_first = settings.is_first_start && !lease.had_holder;
+        let start = if is_first {
+            BucketStart::Full
+        } else {
+            BucketStart::Spent
+        };
+        let zones = u32::try_from(settings.zones.len()).unwrap_or(u32::MAX);
+        let times = StandingTimes {
+            led_until,
+            began: now.after(lease.quiet),
+            is_contested: !lease.quiet.is_zero(),
+            window: settings.quotas.window,
+        };
+        Self {
+            token: lease.token,
+            plain: PlainPlanner::default(),
+            quotas: QuotaLedger::new(settings.quotas, zones, start, times),
+            declared: None,
+        }
+    }
+
+    /// Takes over what the books say of quotas and targets.
+    pub fn refresh(&mut self, fleet: &FleetState, now: Instant) {
+        let books = fleet.books();
+        if let Some(active) = &books.active
+            && self.declared != Some(active.offset)
+            && let Some(table) = &active.config.organisations
+        {
+            self.quotas.declare(table.quotas(), now);
+            self.declared = Some(active.offset);
+        }
+        self.plain
+            .retain(|run| books.catalog.get(&run.name).is_some());
+    }
+
+    /// Until then it is known that no other VM was the zone's holder.
+    pub fn lead_until(&mut self, time: Instant) {
+        self.quotas.lead_until(time);
+    }
+
+    /// Pays a charge.
+    ///
+    /// # Errors
+    /// When too little is left: the time until there is enough.
+    pub fn pay(&mut self, charge: &QuotaCharge, now: Instant) -> Result<(), Duration> {
+        self.quotas.pay(charge, now)
+    }
+
+    /// Pays for a call that is to be placed.
+    ///
+    /// # Errors
+    /// When too little is left: the answer to the call.
+    pub fn pay_for_place(
+        &mut self,
+        charge: Option<&QuotaCharge>,
+        now: Instant,
+    ) -> Result<(), PlacementAnswer> {
+        let paid = charge.map_or(Ok(()), |charge| self.pay(charge, now));
+        paid.map_err(|wait| PlacementAnswer::Refuse {
+            retry_after_ms: millis(wait),
+            cause: RefusalCause::QuotaUsedUp,
+        })
+    }
+
+    /// Gives a charge back whose call did not run, or found no place.
+    pub fn give_back(&mut self, charge: &QuotaCharge, now: Instant) {
+        self.quotas.give_back(charge, now);
+    }
+
+    /// Places a call of a plain service, and pays for it if it finds a place.
+    pub fn place_plain(
+        &mut self,
+        fleet: &FleetState,
+        key: CallKey,
+        ask: &PlainAsk,
+        now: Instant,
+    ) -> PlacementAnswer {
+        if let Err(refusal) = self.pay_for_place(ask.charge.as_ref(), now) {
+            return refusal;
+        }
+        let targets: Vec<_> = {
+            let books = fleet.books();
+            books.catalog.ready(&ask.service).cloned().collect()
+        };
+        let answer = self.plain.place(key, ask, &targets, now);
+        if let (PlacementAnswer::Refuse { .. }, Some(charge)) = (&answer, &ask.charge) {
+            self.give_back(charge, now);
+        }
+        answer
+    }
+
+    /// Ends a call of a plain service; says whether it was one.
+    pub fn end_plain(&mut self, key: &CallKey, outcome: Option<CallOutcome>, now: Instant) -> bool {
+        let is_plain = self.plain.knows(key);
+        self.plain.ended(key, outcome, now);
+        is_plain
+    }
+
+    /// All calls of a gateway that can't be reached.
+    pub fn forget_gateway(&mut self, vm: &VmName, now: Instant) {
+        self.plain.forget_gateway(vm, now);
+    }
+
+    /// What was paid out of every quota.
+    pub fn counts(&self) -> impl Iterator<Item = (&OrganisationName, BucketCounts)> {
+        self.quotas.counts()
+    }
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -17,6 +17,8 @@
 //! | [`whole`], [`events`] | answers taken whole, and answers passed on event by event |
 //! | [`cutter`] | whole events out of a stream's bytes |
 //! | [`sender`] | connections to targets, and one send over one of them |
+//! | [`engine_calls`] | orders to engines, and their reports |
+//! | [`ledger`] | the holder's part of quotas, and the calls of plain services |
 //! | [`zone`] | the worker that holds a zone: planner, orders, reports |
 //! | [`access`] | the gateway's way to the holder of a zone |
 //! | [`links`], [`message`] | links between VMs |
@@ -30,6 +32,7 @@
 pub mod claims;
 pub mod cutter;
 pub mod daemon;
+pub mod engine_calls;
 pub mod events;
 pub mod exchange;
 pub mod feeds;
@@ -38,6 +41,7 @@
 pub mod folding;
 pub mod front;
 pub mod intake;
+pub mod ledger;
 pub mod links;
 pub mod listing;
 pub mod message;
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -8,7 +8,7 @@
     },
 };
 use hoplanding_core::{
-    direct::freshness::BeatEcho,
+    direct::{freshness::BeatEcho, millis},
     ids::{Instant, VmName},
 };
 use std::sync::Arc;
@@ -94,7 +94,7 @@
             sent: now.0,
             echo: self.last_beat.map(|(sent, came)| BeatEcho {
                 sent,
-                held_ms: u32::try_from(now.since(came).as_millis()).unwrap_or(u32::MAX),
+                held_ms: millis(now.since(came)),
             }),
             proof,
         }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -6,40 +6,36 @@
     clock,
     direct::{
         claims::release_lease,
+        engine_calls::{give_order, read_report},
         fleet::FleetState,
+        ledger::{LeaseOrigin, ZoneLedger},
         message::{CallEnd, CallEnding, VmMessage},
-        sender::{ConnectionPool, ReuseRule, SendError, TargetRequest, exchange},
+        sender::ConnectionPool,
         settings::DirectSettings,
     },
     event,
     events::Event,
 };
-use bytes::Bytes;
 use hoplanding_core::{
     direct::{
-        catalog::TargetEntry,
         config::EngineLimits,
-        engine::{EngineOrder, EngineReport, OrderOutcome},
-        health::CallOutcome,
+        engine::{EngineReport, OrderOutcome},
         loading::LoadSummary,
-        plain::{PlainAsk, PlainPlanner},
+        millis,
+        plain::PlainAsk,
         planner::{
-            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, RefusalCause,
-            ZonePlanner,
+            CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
         },
-        quotas::{BucketStart, QuotaCharge, QuotaLedger, StandingTimes},
+        quotas::QuotaCharge,
         suspects::EndedUnder,
     },
-    ids::{AdapterName, FencingToken, ServiceName, TargetLife, TargetName, VmName},
+    ids::{AdapterName, FencingToken, Instant, ServiceName, TargetLife, TargetName, VmName},
 };
-use hoplanding_platform::orders::{
-    decode_order_status, decode_report, encode_order, encode_report_request,
-};
-use http::StatusCode;
+use hoplanding_platform::orders::encode_order;
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 /// Pause between two looks at what is due.
@@ -47,11 +43,6 @@
 /// Pause between two looks at what the list says that engines hold: such entries are news to their holder alone, and copies that were loaded
 /// without a version lend no memory until one tells it.
 const LIST_LOOK: Duration = Duration::from_millis(500);
-/// Time after which an order or a report counts as unanswered: engines answer within a few milliseconds, and calls wait.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Largest report.
-const REPORT_BYTES: usize = 1 << 20;
-
 /// What a gateway gets for its question.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlaceReply {
@@ -134,12 +125,11 @@
     }
 }
 
-/// What came with a lease beside the engines: a part of the quotas, and calls of plain services.
-struct HeldLedger {
-    token: FencingToken,
-    plain: PlainPlanner,
-    ledger: QuotaLedger,
-    times: StandingTimes,
+/// A call that waits for a place.
+struct PendingAsk {
+    reply: ReplyTo,
+    /// What was paid for it.
+    charge: Option<QuotaCharge>,
 }
 
 /// Holds a zone.
@@ -148,11 +138,9 @@
     pool: Arc<ConnectionPool>,
     events: mpsc::Sender<ZoneEvent>,
     held: Option<HeldZone>,
-    /// The holder's part of every quota.
-    ledger: Option<HeldLedger>,
-    replies: HashMap<CallKey, ReplyTo>,
-    /// Charges of calls that are paid and wait for a place.
-    charges: HashMap<CallKey, QuotaCharge>,
+    /// There as long as the lease can be used, also where no service has engines.
+    ledger: Option<ZoneLedger>,
+    pending: HashMap<CallKey, PendingAsk>,
     settings: Arc<DirectSettings>,
     /// Token that is not used: a target refused it, or it is being given up.
     refused: Option<FencingToken>,
@@ -175,8 +163,7 @@
             settings,
             held: None,
             ledger: None,
-            replies: HashMap::new(),
-            charges: HashMap::new(),
+            pending: HashMap::new(),
             refused: None,
             is_released: false,
         }
@@ -196,13 +183,15 @@
                     None => return,
                 },
                 _ = changes.changed() => self.refresh(),
-                _ = look.tick(), if self.held.is_some() || self.ledger.is_some() => {
+                _ = look.tick(), if self.ledger.is_some() => {
                     self.look_at_list();
                     self.tell_figures();
                 }
-                _ = tick.tick(), if self.held.is_some() || self.ledger.is_some() => {
+                _ = tick.tick(), if self.ledger.is_some() => {
                     let led_until = self.led_until();
-                    self.stand(led_until);
+                    if let Some(ledger) = &mut self.ledger {
+                        ledger.lead_until(led_until);
+                    }
                     if let Some(held) = &mut self.held {
                         held.planner.lead_until(led_until);
                         held.planner.tick(clock::now());
@@ -217,7 +206,7 @@
 
     fn take(&mut self, event: ZoneEvent) {
         let now = clock::now();
-        let Some(event) = self.take_charge(event, now) else {
+        let Some(event) = self.take_for_ledger(event, now) else {
             return;
         };
         let Some(held) = &mut self.held else {
@@ -238,7 +227,17 @@
         };
         match event {
             ZoneEvent::Place(key, ask, reply) => {
-                self.replies.insert(key.clone(), reply);
+                let charge = ask.charge.clone();
+                let paid = self
+                    .ledger
+                    .as_mut()
+                    .map_or(Ok(()), |ledger| ledger.pay_for_place(charge.as_ref(), now));
+                if let Err(refusal) = paid {
+                    send_reply(&key, reply, PlaceReply::Answer(refusal));
+                    return;
+                }
+                let pending = PendingAsk { reply, charge };
+                self.pending.insert(key.clone(), pending);
                 held.planner.place(key, *ask, now);
             }
             ZoneEvent::Begun(key, target, version) => {
@@ -270,7 +269,12 @@
                 }
             }
             ZoneEvent::Withdrawn(key) => {
-                self.replies.remove(&key);
+                let pending = self.pending.remove(&key);
+                if let (Some(charge), Some(ledger)) =
+                    (pending.and_then(|pending| pending.charge), &mut self.ledger)
+                {
+                    ledger.give_back(&charge, now);
+                }
                 held.planner.ended(&key, None, None, now);
             }
             ZoneEvent::Open(key, target, life, subject) => {
@@ -279,8 +283,7 @@
                 }
             }
             ZoneEvent::GatewayGone(vm) => {
-                self.replies.retain(|key, _| key.vm != vm);
-                self.charges.retain(|key, _| key.vm != vm);
+                self.pending.retain(|key, _| key.vm != vm);
                 held.planner.forget_gateway(&vm, now);
             }
             ZoneEvent::OrderEnded(target, life, outcome) => {
@@ -316,177 +319,55 @@
         }
     }
 
-    /// Does what an event asks of the quotas; gives it back if something else is left to do.
-    fn take_charge(
-        &mut self,
-        event: ZoneEvent,
-        now: hoplanding_core::ids::Instant,
-    ) -> Option<ZoneEvent> {
+    /// Does what an event asks of the ledger; gives the event back if something else is left to do.
+    fn take_for_ledger(&mut self, event: ZoneEvent, now: Instant) -> Option<ZoneEvent> {
+        let Some(ledger) = &mut self.ledger else {
+            return match event {
+                ZoneEvent::Pay(key, _, reply) | ZoneEvent::PlacePlain(key, _, reply) => {
+                    send_reply(&key, reply, PlaceReply::NotHolder);
+                    None
+                }
+                other => Some(other),
+            };
+        };
         match event {
             ZoneEvent::Pay(key, charge, reply) => {
-                let answer = match &mut self.ledger {
-                    Some(held) => PlaceReply::Paid(held.ledger.pay(&charge, now).err().map(millis)),
-                    None => PlaceReply::NotHolder,
-                };
-                send_reply(&key, reply, answer);
+                let short = ledger.pay(&charge, now).err();
+                send_reply(&key, reply, PlaceReply::Paid(short.map(millis)));
                 None
             }
             ZoneEvent::GiveBack(charge) => {
-                self.give_back(&charge);
+                ledger.give_back(&charge, now);
                 None
             }
-            ZoneEvent::Withdrawn(ref key) => {
-                if let Some(charge) = self.charges.remove(key) {
-                    self.give_back(&charge);
-                }
-                self.end_plain(key, None, now);
-                Some(event)
-            }
             ZoneEvent::PlacePlain(key, ask, reply) => {
-                let answer = self.place_plain(&key, &ask, now);
-                send_reply(&key, reply, answer);
+                let answer = ledger.place_plain(&self.fleet, key.clone(), &ask, now);
+                send_reply(&key, reply, PlaceReply::Answer(answer));
                 None
             }
+            ZoneEvent::Withdrawn(ref key) => {
+                let is_plain = ledger.end_plain(key, None, now);
+                (!is_plain).then_some(event)
+            }
             ZoneEvent::Ended(ref vm, ref ending) => {
                 let key = CallKey {
                     vm: vm.clone(),
                     number: ending.number,
                 };
                 let outcome = ending.outcome.and_then(CallEnd::health);
-                let is_plain = self.end_plain(&key, outcome, now);
+                let is_plain = ledger.end_plain(&key, outcome, now);
                 (!is_plain).then_some(event)
             }
             ZoneEvent::GatewayGone(ref vm) => {
-                if let Some(held) = &mut self.ledger {
-                    held.plain.forget_gateway(vm, now);
-                }
+                ledger.forget_gateway(vm, now);
                 Some(event)
             }
-            ZoneEvent::Place(key, ask, reply) => {
-                let (Some(held), Some(charge)) = (&mut self.ledger, &ask.charge) else {
-                    return Some(ZoneEvent::Place(key, ask, reply));
-                };
-                match held.ledger.pay(charge, now) {
-                    Ok(()) => {
-                        self.charges.insert(key.clone(), charge.clone());
-                        Some(ZoneEvent::Place(key, ask, reply))
-                    }
-                    Err(wait) => {
-                        let answer = PlacementAnswer::Refuse {
-                            retry_after_ms: millis(wait),
-                            cause: RefusalCause::QuotaUsedUp,
-                        };
-                        send_reply(&key, reply, PlaceReply::Answer(answer));
-                        None
-                    }
-                }
-            }
             other => Some(other),
         }
     }
 
-    /// Places a call of a plain service, and pays for it if it finds a place.
-    fn place_plain(
-        &mut self,
-        key: &CallKey,
-        ask: &PlainAsk,
-        now: hoplanding_core::ids::Instant,
-    ) -> PlaceReply {
-        let Some(held) = &mut self.ledger else {
-            return PlaceReply::NotHolder;
-        };
-        if let Some(charge) = &ask.charge
-            && let Err(wait) = held.ledger.pay(charge, now)
-        {
-            return PlaceReply::Answer(PlacementAnswer::Refuse {
-                retry_after_ms: millis(wait),
-                cause: RefusalCause::QuotaUsedUp,
-            });
-        }
-        let targets: Vec<_> = {
-            let books = self.fleet.books();
-            books.catalog.ready(&ask.service).cloned().collect()
-        };
-        let answer = held.plain.place(key.clone(), ask, &targets, now);
-        if let (PlacementAnswer::Refuse { .. }, Some(charge)) = (&answer, &ask.charge) {
-            held.ledger.give_back(charge, now);
-        }
-        PlaceReply::Answer(answer)
-    }
-
-    /// Ends a call of a plain service; says whether it was one.
-    fn end_plain(
-        &mut self,
-        key: &CallKey,
-        outcome: Option<CallOutcome>,
-        now: hoplanding_core::ids::Instant,
-    ) -> bool {
-        let Some(held) = self.ledger.as_mut().filter(|held| held.plain.knows(key)) else {
-            return false;
-        };
-        held.plain.ended(key, outcome, now);
-        true
-    }
-
-    fn give_back(&mut self, charge: &QuotaCharge) {
-        if let Some(held) = &mut self.ledger {
-            held.ledger.give_back(charge, clock::now());
-        }
-    }
-
-    /// Keeps a ledger as long as the lease with a token can be used.
-    fn keep_ledger(&mut self, token: Option<FencingToken>, had_holder: bool, quiet: Duration) {
-        let now = clock::now();
-        if self.ledger.as_ref().map(|held| held.token) != token {
-            self.ledger = token.map(|token| self.new_ledger(token, had_holder, quiet));
-        }
-        let Some(active) = self.fleet.active() else {
-            return;
-        };
-        if let (Some(held), Some(table)) = (&mut self.ledger, &active.config.organisations) {
-            held.ledger.declare(table.quotas(), now);
-        }
-        if let Some(held) = &mut self.ledger {
-            let books = self.fleet.books();
-            held.plain
-                .retain(|run| books.catalog.get(&run.name).is_some());
-        }
-        self.stand(self.led_until());
-    }
-
-    fn new_ledger(&self, token: FencingToken, had_holder: bool, quiet: Duration) -> HeldLedger {
-        let is_first = self.settings.is_first_start && !had_holder;
-        let start = if is_first {
-            BucketStart::Full
-        } else {
-            BucketStart::Spent
-        };
-        let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
-        let bounds = self.settings.quotas;
-        HeldLedger {
-            token,
-            plain: PlainPlanner::default(),
-            ledger: QuotaLedger::new(bounds, zones, start),
-            times: StandingTimes {
-                led_until: self.led_until(),
-                began: clock::now().after(quiet),
-                is_contested: !quiet.is_zero(),
-                window: bounds.window,
-            },
-        }
-    }
-
-    /// Looks at whether there may be another holder of the zone.
-    fn stand(&mut self, led_until: hoplanding_core::ids::Instant) {
-        if let Some(held) = &mut self.ledger {
-            let now = clock::now();
-            held.times.led_until = led_until;
-            held.ledger.stand(held.times.standing(now), now);
-        }
-    }
-
     /// A successor gives no order for a turn after it has claimed the zone, unless this VM has given it up or ended.
-    fn led_until(&self) -> hoplanding_core::ids::Instant {
+    fn led_until(&self) -> Instant {
         let read_at = self.fleet.books().fleet_read_at;
         read_at.unwrap_or_default().after(self.settings.leases.turn)
     }
@@ -521,9 +402,9 @@
         if self.held.take().is_some() {
             event!(Event::LeaseLost, "{}", self.fleet.zone);
         }
-        self.charges.clear();
-        for (key, reply) in self.replies.drain() {
-            send_reply(&key, reply, PlaceReply::NotHolder);
+        self.ledger = None;
+        for (key, pending) in self.pending.drain() {
+            send_reply(&key, pending.reply, PlaceReply::NotHolder);
         }
     }
 
@@ -537,8 +418,8 @@
 
     fn tell_figures(&self) {
         let figures = &self.fleet.figures;
-        if let Some(held) = &self.ledger {
-            figures.tell_quotas(held.ledger.counts());
+        if let Some(ledger) = &self.ledger {
+            figures.tell_quotas(ledger.counts());
         }
         if let Some(held) = &self.held {
             figures.tell_suspects(held.planner.suspect_counts(clock::now()));
@@ -578,11 +459,23 @@
             .collect();
         drop(books);
         let usable = token.filter(|token| Some(*token) != self.refused && !self.is_released);
-        self.keep_ledger(usable, had_holder, quiet);
-        if self.held.as_ref().map(|held| held.token) != usable {
+        if self.ledger.as_ref().map(|ledger| ledger.token) != usable {
             self.give_up();
         }
-        let (Some(token), Some((service, limits))) = (usable, service) else {
+        let Some(token) = usable else {
+            return;
+        };
+        let ledger = self.ledger.get_or_insert_with(|| {
+            let lease = LeaseOrigin {
+                token,
+                had_holder,
+                quiet,
+            };
+            ZoneLedger::new(&self.settings, lease, led_until, now)
+        });
+        ledger.refresh(&self.fleet, now);
+        ledger.lead_until(led_until);
+        let Some((service, limits)) = service else {
             return;
         };
         if self.held.is_none() {
@@ -620,15 +513,16 @@
         for action in held.planner.take_actions() {
             match action {
                 PlannerAction::Answer(key, answer) => {
-                    let charge = self.charges.remove(&key);
-                    if let (Some(charge), PlacementAnswer::Refuse { .. }, Some(held)) =
-                        (charge, &answer, &mut self.ledger)
+                    let Some(pending) = self.pending.remove(&key) else {
+                        continue;
+                    };
+                    let is_refused = matches!(answer, PlacementAnswer::Refuse { .. });
+                    if let (Some(charge), Some(ledger)) = (&pending.charge, &mut self.ledger)
+                        && is_refused
                     {
-                        held.ledger.give_back(&charge, clock::now());
-                    }
-                    if let Some(reply) = self.replies.remove(&key) {
-                        send_reply(&key, reply, PlaceReply::Answer(answer));
+                        ledger.give_back(charge, clock::now());
                     }
+                    send_reply(&key, pending.reply, PlaceReply::Answer(answer));
                 }
                 PlannerAction::Order(entry, order) => {
                     let vm = self.fleet.vm.clone();
@@ -668,7 +562,7 @@
     service: &ServiceName,
     limits: &EngineLimits,
     zones: u32,
-    orders_from: hoplanding_core::ids::Instant,
+    orders_from: Instant,
 ) -> HeldZone {
     HeldZone {
         token,
@@ -683,10 +577,6 @@
     }
 }
 
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn send_reply(key: &CallKey, reply: ReplyTo, answer: PlaceReply) {
     match reply {
         // A caller that left needs no reply.
@@ -702,70 +592,3 @@
         }
     }
 }
-
-async fn give_order(
-    pool: &ConnectionPool,
-    entry: &TargetEntry,
-    order: &EngineOrder,
-    request: TargetRequest,
-) -> OrderOutcome {
-    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
-    let outcome = match &exchanged {
-        Ok(Ok((status, _))) => decode_order_status(*status),
-        Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
-        Ok(Err(SendError::Unanswered { .. })) | Err(_) => OrderOutcome::Unanswered,
-    };
-    let is_fine = matches!(outcome, OrderOutcome::Done | OrderOutcome::Begun);
-    let event = if is_fine {
-        Event::OrderGiven
-    } else {
-        Event::OrderFailed
-    };
-    event!(
-        event,
-        "{} {:?} {} version {:?} expected {}: {outcome:?} {}",
-        entry.name,
-        order.kind,
-        order.subject,
-        order.version,
-        order.expected,
-        match &exchanged {
-            Ok(Ok((status, body))) => format!("{status} {}", String::from_utf8_lossy(body)),
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no answer in time".to_owned(),
-        }
-    );
-    outcome
-}
-
-async fn read_report(pool: &ConnectionPool, entry: &TargetEntry) -> Option<EngineReport> {
-    let request = encode_report_request(&entry.name);
-    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
-    let problem = match exchanged {
-        Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
-            Ok(report) => return Some(report),
-            Err(error) => error.to_string(),
-        },
-        Ok(Ok((status, _))) => status.to_string(),
-        Ok(Err(error)) => error.to_string(),
-        Err(_) => "no answer in time".to_owned(),
-    };
-    event!(Event::ReportMissing, "{}: {problem}", entry.name);
-    None
-}
-
-async fn ask_engine(
-    pool: &ConnectionPool,
-    entry: &TargetEntry,
-    request: TargetRequest,
-) -> Result<(StatusCode, Bytes), SendError> {
-    exchange(
-        pool,
-        entry,
-        request,
-        ReuseRule::FreshOnly,
-        ORDER_TIMEOUT,
-        REPORT_BYTES,
-    )
-    .await
-}
