One way to tell a holder, one to pay, one question to a target that broke off

Read again: five methods chose between this VM's own worker and a link, with the same words; two ways to pay elsewhere differed in one value; whether a target ended was asked over two connections where the first one's error tells. Now a notice like the question there was, one unpaid(), and SendError says whether nothing listens. Told suspects are no longer copied as a table at each dial.

--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -78,6 +78,42 @@
     }
 }
 
+/// What a holder is told.
+enum HolderNotice {
+    /// The first event of a call came from this target, made by this version of the base model.
+    Begun(u64, TargetName, Option<u64>),
+    /// A placement is no longer wanted.
+    Withdrawn(u64),
+    /// A call that was paid for did not run.
+    GiveBack(QuotaCharge),
+    /// A target ended while a request ran there.
+    EndedUnder(EndedUnder),
+}
+
+impl HolderNotice {
+    fn into_event(self, vm: &VmName) -> ZoneEvent {
+        let key = |number| CallKey {
+            vm: vm.clone(),
+            number,
+        };
+        match self {
+            Self::Begun(number, target, version) => ZoneEvent::Begun(key(number), target, version),
+            Self::Withdrawn(number) => ZoneEvent::Withdrawn(key(number)),
+            Self::GiveBack(charge) => ZoneEvent::GiveBack(charge),
+            Self::EndedUnder(ended) => ZoneEvent::EndedUnder(ended),
+        }
+    }
+
+    fn into_message(self) -> VmMessage {
+        match self {
+            Self::Begun(number, target, version) => VmMessage::Begun(number, target, version),
+            Self::Withdrawn(number) => VmMessage::Withdrawn(number),
+            Self::GiveBack(charge) => VmMessage::GiveBack(charge),
+            Self::EndedUnder(ended) => VmMessage::EndedUnder(ended),
+        }
+    }
+}
+
 /// Asks holders, and tells them how calls ended.
 #[derive(Debug)]
 pub struct ZoneAccess {
@@ -270,8 +306,10 @@
         {
             return Some(link.clone());
         }
-        let suspects = self.fleet.books().suspects.clone();
-        let told = suspects.told(clock::now()).map(VmMessage::EndedUnder);
+        let suspects: Vec<_> = {
+            let books = self.fleet.books();
+            books.suspects.told(clock::now()).collect()
+        };
         let first = self
             .open
             .lock()
@@ -286,7 +324,7 @@
                 let target = call.target.clone();
                 VmMessage::Open(*number, target, call.life, call.subject.clone())
             })
-            .chain(told)
+            .chain(suspects.into_iter().map(VmMessage::EndedUnder))
             .collect();
         let link = VmLink::dial(
             &self.fleet,
@@ -383,64 +421,28 @@
 
     /// Gives a charge back to this VM's own zone's holder.
     pub fn give_back(&self, charge: QuotaCharge) {
-        let zone = &self.fleet.zone;
-        let Some(lease) = self.fleet.lease(zone) else {
-            return;
-        };
-        if self.is_mine(&lease) {
-            // A full channel: the charge is lost to its organisation.
-            drop(self.zone.try_send(ZoneEvent::GiveBack(charge)));
-        } else if let Some(link) = self.link(zone, &lease) {
-            link.tell(VmMessage::GiveBack(charge));
-        }
+        self.notify(&self.fleet.zone, HolderNotice::GiveBack(charge));
     }
 
     /// Tells every zone's holder that a target ended while a request ran there.
     pub fn tell_ended_under(&self, ended: &EndedUnder) {
-        let leases = self.fleet.books().leases.clone();
-        for (zone, state) in &leases {
-            let Some(lease) = state.lease.as_ref().filter(|lease| lease.vm.is_some()) else {
-                continue;
-            };
-            if self.is_mine(lease) {
-                // A full channel: other VMs tell of the same end.
-                drop(self.zone.try_send(ZoneEvent::EndedUnder(ended.clone())));
-            } else if let Some(link) = self.link(zone, lease) {
-                link.tell(VmMessage::EndedUnder(ended.clone()));
-            }
+        let zones: Vec<_> = self.fleet.books().leases.keys().cloned().collect();
+        for zone in &zones {
+            self.notify(zone, HolderNotice::EndedUnder(ended.clone()));
         }
     }
 
-    fn tell_begun(
-        &self,
-        zone: &AvailabilityZone,
-        number: u64,
-        target: TargetName,
-        version: Option<u64>,
-    ) {
+    /// Tells a zone's holder what it need not answer.
+    fn notify(&self, zone: &AvailabilityZone, notice: HolderNotice) {
         let Some(lease) = self.fleet.lease(zone) else {
             return;
         };
         if self.is_mine(&lease) {
-            // A full channel: the call's end frees what it holds, and what it has read lends nothing.
-            drop(
-                self.zone
-                    .try_send(ZoneEvent::Begun(self.key(number), target, version)),
-            );
+            // What a full channel loses: a charge is lost to its organisation, and other VMs tell of the same end. A call that was
+            // begun or withdrawn is freed by its end, and what it has read lends nothing.
+            drop(self.zone.try_send(notice.into_event(&self.fleet.vm)));
         } else if let Some(link) = self.link(zone, &lease) {
-            link.tell(VmMessage::Begun(number, target, version));
-        }
-    }
-
-    fn withdraw(&self, zone: &AvailabilityZone, number: u64) {
-        let Some(lease) = self.fleet.lease(zone) else {
-            return;
-        };
-        if self.is_mine(&lease) {
-            // A full channel: the planner forgets the call with its engine's waiters.
-            drop(self.zone.try_send(ZoneEvent::Withdrawn(self.key(number))));
-        } else if let Some(link) = self.link(zone, &lease) {
-            link.tell(VmMessage::Withdrawn(number));
+            link.tell(notice.into_message());
         }
     }
 }
@@ -456,7 +458,8 @@
 impl Drop for WithdrawnAsk<'_> {
     fn drop(&mut self) {
         if !self.is_settled {
-            self.access.withdraw(self.zone, self.number);
+            self.access
+                .notify(self.zone, HolderNotice::Withdrawn(self.number));
         }
     }
 }
@@ -487,8 +490,8 @@
             .get(&self.number)
             .cloned();
         if let Some(call) = call {
-            self.access
-                .tell_begun(&call.zone, self.number, call.target, version);
+            let notice = HolderNotice::Begun(self.number, call.target, version);
+            self.access.notify(&call.zone, notice);
         }
     }
 
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -7,7 +7,7 @@
     clock,
     direct::{
         call::CallState,
-        sender::{ReuseRule, exchange},
+        sender::{ReuseRule, SendError, exchange},
     },
     event,
     events::Event,
@@ -21,14 +21,14 @@
 use siphasher::sip::SipHasher13;
 use std::{
     hash::{Hash, Hasher},
-    io,
     time::Duration,
 };
-use tokio::{net::TcpStream, time::timeout};
+use tokio::time::timeout;
 
-/// Time for each of the two questions to a target that broke a connection off: a target that lives answers within a few milliseconds, and the
-/// call waits to be sent elsewhere.
-const QUESTION_WITHIN: Duration = Duration::from_millis(100);
+/// Time for a connection to a target that broke one off, and for its answer: a target that lives answers within a few
+/// milliseconds, and the call waits to be sent elsewhere.
+const CONNECT_WITHIN: Duration = Duration::from_millis(100);
+const ANSWER_WITHIN: Duration = Duration::from_millis(200);
 /// Bytes of the answer that are read.
 const ANSWER_BYTES: usize = 1 << 20;
 
@@ -73,24 +73,22 @@
     }
 
     async fn has_ended(&self, entry: &TargetEntry) -> bool {
-        match timeout(QUESTION_WITHIN, TcpStream::connect(entry.address)).await {
-            Err(_) => return false,
-            Ok(Err(error)) => return error.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) => {}
-        }
-        let request = encode_report_request(&entry.name);
         let asked = exchange(
             &self.context.pool,
             entry,
-            request,
+            encode_report_request(&entry.name),
             ReuseRule::Never,
-            QUESTION_WITHIN,
+            CONNECT_WITHIN,
             ANSWER_BYTES,
         );
         // Nothing is known where no answer comes: the target may be busy with its end, or with anything else.
         matches!(
-            timeout(QUESTION_WITHIN, asked).await,
-            Ok(Ok((StatusCode::MISDIRECTED_REQUEST, _)))
+            timeout(ANSWER_WITHIN, asked).await,
+            Ok(Ok((StatusCode::MISDIRECTED_REQUEST, _))
+                | Err(SendError::NotSent {
+                    is_refused: true,
+                    ..
+                }))
         )
     }
 }
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -86,7 +86,8 @@
             )) = &asked
                 && *cause == RefusalCause::QuotaUsedUp
             {
-                if let Some(unpaid) = self.pay_elsewhere(zone, *retry_after_ms).await {
+                let retry_after = Duration::from_millis(u64::from(*retry_after_ms));
+                if let Some(unpaid) = self.unpaid(Some(zone), Some(retry_after)).await {
                     return unpaid;
                 }
                 asked = self.ask_plain(zone).await;
@@ -114,7 +115,7 @@
                 None => {}
             }
         }
-        if let Some(unpaid) = self.unpaid(None).await {
+        if let Some(unpaid) = self.unpaid(None, None).await {
             return unpaid;
         }
         self.pick_alone()
@@ -169,7 +170,7 @@
                 return None;
             }
             let placing = self.place_alone(zone)?;
-            let unpaid = self.unpaid(Some(zone)).await;
+            let unpaid = self.unpaid(Some(zone), None).await;
             return Some(unpaid.unwrap_or(placing));
         };
         match answer {
@@ -224,7 +225,7 @@
                         Some(Placing::Nowhere(retry_after))
                     }
                     RefusalCause::QuotaUsedUp => {
-                        match self.pay_elsewhere(zone, retry_after_ms).await {
+                        match self.unpaid(Some(zone), Some(retry_after)).await {
                             // The zone has not looked at the call itself yet.
                             None => Box::pin(self.ask_zone(zone, question, search)).await,
                             unpaid => unpaid,
@@ -239,27 +240,18 @@
         }
     }
 
-    /// Pays at another zone's holder than one that will have enough after some time; says where the call goes if that can't be done.
-    async fn pay_elsewhere(
+    /// Pays for the call; says where it goes if that can't be done. A zone `but` is not asked: it is silent, or will have enough after `known`.
+    async fn unpaid(
         &mut self,
-        but: &AvailabilityZone,
-        retry_after_ms: u32,
+        but: Option<&AvailabilityZone>,
+        known: Option<Duration>,
     ) -> Option<Placing> {
-        let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-        match self.pay(Some(but)).await {
-            PaymentOutcome::Settled => None,
-            PaymentOutcome::UsedUp(other) => Some(Placing::OverQuota(retry_after.min(other))),
-            PaymentOutcome::Unanswered => Some(Placing::OverQuota(retry_after)),
-        }
-    }
-
-    /// Pays for the call; says where it goes if that can't be done.
-    async fn unpaid(&mut self, but: Option<&AvailabilityZone>) -> Option<Placing> {
-        match self.pay(but).await {
-            PaymentOutcome::Settled => None,
-            PaymentOutcome::UsedUp(after) => Some(Placing::OverQuota(after)),
-            PaymentOutcome::Unanswered => Some(Placing::Nowhere(COME_BACK)),
-        }
+        let used_up = match self.pay(but).await {
+            PaymentOutcome::Settled => return None,
+            PaymentOutcome::UsedUp(other) => Some(known.map_or(other, |known| known.min(other))),
+            PaymentOutcome::Unanswered => known,
+        };
+        Some(used_up.map_or(Placing::Nowhere(COME_BACK), Placing::OverQuota))
     }
 
     /// Whether one target is listed at an address.
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -139,7 +139,7 @@
         };
         let (connection, response) = match sent {
             Ok(answered) => answered,
-            Err(SendError::NotSent { target, cause }) => {
+            Err(SendError::NotSent { target, cause, .. }) => {
                 event!(Event::TargetUnreached, request = self.head.id; "at {target}: {cause}"
                 );
                 end(ticket, &count, CallEnd::Unreached);
--- a/crates/daemon/src/direct/sender.rs
+++ b/crates/daemon/src/direct/sender.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::Mutex,
     time::{Duration, Instant},
@@ -47,6 +48,8 @@
         target: TargetName,
         /// What went wrong.
         cause: String,
+        /// Whether nothing listens at its address.
+        is_refused: bool,
     },
     /// It was sent, and may have run.
     #[error(
@@ -178,24 +181,28 @@
     address: SocketAddr,
     within: Duration,
 ) -> Result<TargetConnection, SendError> {
-    let not_sent = |cause: String| SendError::NotSent {
+    let not_sent = |cause: String, is_refused| SendError::NotSent {
         target: run.name.clone(),
         cause,
+        is_refused,
     };
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok::<_, std::io::Error>(stream)
+        Ok::<_, io::Error>(stream)
     };
     let stream = timeout(within, opening)
         .await
-        .map_err(|_| not_sent(format!("no connection within {within:?}")))?
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|_| not_sent(format!("no connection within {within:?}"), false))?
+        .map_err(|error| {
+            let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            not_sent(error.to_string(), is_refused)
+        })?;
     let (sender, connection) = Builder::new()
         .max_buf_size(READ_BUFFER)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| not_sent(error.to_string()))?;
+        .map_err(|error| not_sent(error.to_string(), false))?;
     // Ends with its sender; an error is seen by the call that is under way.
     tokio::spawn(async move {
         let _ = connection.await;
@@ -248,7 +255,11 @@
             let cause = error.error().to_string();
             let target = self.run.name.clone();
             if was_taken_back {
-                SendError::NotSent { target, cause }
+                SendError::NotSent {
+                    target,
+                    cause,
+                    is_refused: false,
+                }
             } else {
                 SendError::Unanswered { target, cause }
             }
