--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -101,7 +101,8 @@
             && now >= self.held_until
     }
 
-    /// Whether it may be replaced: what another engine takes of it would be the new version's. One that is unloaded lends nothing.
+    /// Whether it may be replaced: what another engine takes of it would be the new version's. One that is unloaded
+    /// lends nothing.
     #[must_use]
     pub fn is_replaceable(&self, now: Instant) -> bool {
         self.is_free(now) && now >= self.lent_until
--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -107,8 +107,8 @@
         }
     }
 
-    /// A base model was loaded anew, or may have been: what was read before is worth nothing now, for its adapters neither. A sight that
-    /// goes takes its generation with it, so that no later one speaks for what was read before.
+    /// A base model was loaded anew, or may have been: what was read before is worth nothing now, for its adapters
+    /// neither. A sight that goes takes its generation with it, so that no later one speaks for what was read before.
     fn outdate_memory(&mut self, model: &str) {
         let generation = self.next_generation();
         for held in &mut self.models {
@@ -135,8 +135,8 @@
         self.note_unlisted();
     }
 
-    /// It has taken an order. One that expects none before it is taken as well by an engine that has started again unseen, with other
-    /// weights: its next answer or report tells.
+    /// It has taken an order. One that expects none before it is taken as well by an engine that has started again
+    /// unseen, with other weights: its next answer or report tells.
     pub fn note_taken(&mut self, order: &EngineOrder) {
         if order.expected == 0 {
             let models: Vec<_> = self.models.iter().map(|held| held.name.clone()).collect();
@@ -146,8 +146,8 @@
         }
     }
 
-    /// Takes over versions from the list for copies of which nothing else told them. An entry may be seconds old, so it speaks of a
-    /// copy only if the list has been seen without it since it was loaded.
+    /// Takes over versions from the list for copies of which nothing else told them. An entry may be seconds old, so it
+    /// speaks of a copy only if the list has been seen without it since it was loaded.
     pub(super) fn take_listed_versions(&mut self, now: Instant) {
         if !self.is_known || self.pending.is_some() || self.entry_is_old {
             return;
@@ -171,7 +171,8 @@
         }
     }
 
-    /// Where a changed entry tells other weights of a base model than are known, nobody knows which are there until the report tells.
+    /// Where a changed entry tells other weights of a base model than are known, nobody knows which are there until the
+    /// report tells.
     pub(super) fn doubt_models(&mut self, now: Instant) {
         let entry = Arc::clone(&self.entry);
         for (model, version) in &entry.models {
@@ -184,8 +185,8 @@
         }
     }
 
-    /// Notes that a call's prompt has been read by this version of the base model. What comes from before its adapter or its base model
-    /// was loaded anew says nothing.
+    /// Notes that a call's prompt has been read by this version of the base model. What comes from before its adapter
+    /// or its base model was loaded anew says nothing.
     pub fn note_read(&mut self, key: &CallKey, version: u64, now: Instant) {
         let Some(call) = self.calls.get_mut(key) else {
             return;
@@ -271,7 +272,8 @@
         }
     }
 
-    /// A call elsewhere has the memory, or does not need it any more. One whose gateway can't be reached may yet take it until a time.
+    /// A call elsewhere has the memory, or does not need it any more. One whose gateway can't be reached may yet take
+    /// it until a time.
     pub fn end_loan(&mut self, subject: &AdapterName, key: &CallKey, held_until: Instant) {
         if let Some(copy) = self.copies.get_mut(subject) {
             copy.lent_to.retain(|borrower| borrower != key);
--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Time that a call takes from the last look at the proof until its target has it, at the most: a hop and a turn of a slowed processor.
+/// Time that a call takes from the last look at the proof until its target has it, at the most: a hop and a turn of a
+/// slowed processor.
 const ON_ITS_WAY: Duration = Duration::from_millis(100);
 
 /// A VM's proof as it passes it on.
--- a/crates/core/src/direct/loading.rs
+++ b/crates/core/src/direct/loading.rs
@@ -24,15 +24,15 @@
 
 /// Loads on their way at the start, at the least.
 const START_LIMIT: f64 = 6.0;
-/// What a load in time adds to the limit until loads are late together. With half of it 87 in 100 loads from a store that bears 48 were there
-/// within half a second from the fifth second on, 97 with this; twice as much gains nothing more, and sends calls too early
-/// to a store that bears 8.
+/// What a load in time adds to the limit until loads are late together. With half of it 87 in 100 loads from a store
+/// that bears 48 were there within half a second from the fifth second on, 97 with this; twice as much gains nothing
+/// more, and sends calls too early to a store that bears 8.
 const START_GROWTH: f64 = 0.5;
 /// Time of a load at the start, in ms, until one has come in time.
 const START_MS: f64 = 250.0;
-/// Factor up to which loads may take longer than that before the first has come in time, and the store is not held for crowded: it is the load's
-/// own time then. With 288 ms held for stretched, three zones of a store that bears 48 had 18 of 750 loads there within half a
-/// second in their first five seconds, and 690 with this.
+/// Factor up to which loads may take longer than that before the first has come in time, and the store is not held for
+/// crowded: it is the load's own time then. With 288 ms held for stretched, three zones of a store that bears 48 had 18
+/// of 750 loads there within half a second in their first five seconds, and 690 with this.
 const START_UNSURE: f64 = 1.5;
 /// Bounds of the time of a load, in ms: below, the way of an order counts more; above, no caller waits for it.
 const TIME_BOUNDS_MS: [f64; 2] = [10.0, 20_000.0];
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -1,10 +1,11 @@
 //! Which target of a plain service a call goes to.
 //!
-//! Plain services have few targets of few places each. Seventy gateways that each see their own calls alone pick targets that are full:
-//! on a heavy day, with one target of three left, 45 in 100 sends were turned away, and of the calls that ran a third came late
-//! from a queue. So one zone's holder places all calls of a service: it knows every call that is under way, takes one only
-//! where it can expect an answer in time, and has the others refused before they are sent. Which zone's it is follows from the
-//! service's name; where that one does not answer the next takes its place, and at last each gateway picks by what it sees.
+//! Plain services have few targets of few places each. Seventy gateways that each see their own calls alone pick
+//! targets that are full: on a heavy day, with one target of three left, 45 in 100 sends were turned away, and of the
+//! calls that ran a third came late from a queue. So one zone's holder places all calls of a service: it knows every
+//! call that is under way, takes one only where it can expect an answer in time, and has the others refused before they
+//! are sent. Which zone's it is follows from the service's name; where that one does not answer the next takes its
+//! place, and at last each gateway picks by what it sees.
 
 use crate::{
     direct::{
@@ -29,11 +30,13 @@
 const FIRST_PACE: Duration = Duration::from_millis(50);
 /// Weight of the newest call in a target's pace: a target that turns slow shows within some ten calls.
 const NEWEST_WEIGHT: f64 = 0.1;
-/// Times of the pace beyond which a call counts no more: one whose end is told late, or that was held up on its way, says little of its target.
-/// One of 4 s on a quiet day had a holder expect 420 ms of each call, and refuse 380 of them for three seconds.
+/// Times of the pace beyond which a call counts no more: one whose end is told late, or that was held up on its way,
+/// says little of its target. One of 4 s on a quiet day had a holder expect 420 ms of each call, and refuse 380 of them
+/// for three seconds.
 const OUTLIER_FROM: u32 = 3;
-/// Part of the time left to its objective within which a call has to be expected back, by rank, the most urgent first: calls take half as
-/// long again as usual now and then, and where all are too many the least urgent wait for their turn.
+/// Part of the time left to its objective within which a call has to be expected back, by rank, the most urgent first:
+/// calls take half as long again as usual now and then, and where all are too many the least urgent wait for their
+/// turn.
 const EXPECTED_PARTS: [f64; 3] = [0.85, 0.75, 0.65];
 /// What a target with a full share of failures has to be better by, in calls under way.
 const FAILING_PRICE: f64 = 12.0;
--- a/crates/core/src/direct/planner/figures.rs
+++ b/crates/core/src/direct/planner/figures.rs
@@ -13,9 +13,9 @@
     pub slot_time: Duration,
     /// Pause between two loads of whole models in this zone.
     pub model_load_pause: Duration,
-    /// Loads of adapters that are on their way at the start. The store of every one of the users' sheets bears at least as many as
-    /// the models that it allows a second. With 6 for a store that bears 48, 10 in 100 loads of the first five seconds were there
-    /// within half a second, and 70 with 13.
+    /// Loads of adapters that are on their way at the start. The store of every one of the users' sheets bears at least
+    /// as many as the models that it allows a second. With 6 for a store that bears 48, 10 in 100 loads of the first
+    /// five seconds were there within half a second, and 70 with 13.
     pub start_loads: f64,
 }
 
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -153,8 +153,8 @@
         self.are_orders_fenced = is_fenced;
     }
 
-    /// Until then no other holder can have given orders to these engines. A holder that is cut off from the log, or stood still, may
-    /// have been replaced: its callers are still served, but what copies have read since is not known.
+    /// Until then no other holder can have given orders to these engines. A holder that is cut off from the log, or
+    /// stood still, may have been replaced: its callers are still served, but what copies have read since is not known.
     pub fn lead_until(&mut self, time: Instant) {
         self.led_until = time;
     }
--- a/crates/core/src/direct/planner/suspecting.rs
+++ b/crates/core/src/direct/planner/suspecting.rs
@@ -10,8 +10,8 @@
 };
 use std::{collections::HashSet, time::Duration};
 
-/// What an engine counts on which another request runs that was there when the same engine ended: any other engine is better, so that a
-/// second end tells which of the two is the cause.
+/// What an engine counts on which another request runs that was there when the same engine ended: any other engine is
+/// better, so that a second end tells which of the two is the cause.
 pub(super) const SHARED_END_PRICE: Duration = Duration::from_secs(10);
 
 impl ZonePlanner {
--- a/crates/core/src/direct/quotas.rs
+++ b/crates/core/src/direct/quotas.rs
@@ -1,24 +1,25 @@
 //! Organisations' quotas over the whole fleet.
 //!
-//! Within any window an organisation may be served its rate times the window, plus a burst, over all VMs together. Each zone's
-//! holder has an equal part of every quota, in a bucket. A call is paid for at the holder that places it, or at its own zone's for a plain
-//! service, and where that bucket is empty at the other zones'. So nothing is shared out ahead that a VM could keep
-//! while it is cut off, frozen or killed, buckets need not follow the load, and a part of the quota is lost only while its zone
-//! has no holder.
+//! Within any window an organisation may be served its rate times the window, plus a burst, over all VMs together. Each
+//! zone's holder has an equal part of every quota, in a bucket. A call is paid for at the holder that places it, or at
+//! its own zone's for a plain service, and where that bucket is empty at the other zones'. So nothing is shared out
+//! ahead that a VM could keep while it is cut off, frozen or killed, buckets need not follow the load, and a part of
+//! the quota is lost only while its zone has no holder.
 //!
-//! The sum over all VMs holds by arithmetic. A bucket with the part `p` of rate `r` and burst `b` pays out at most
-//! `p * (r * window + b)` in a window, and what it may owe, `p * DEBT_PART * spare`, where `spare` is what the users'
-//! rule leaves beyond the quota. It begins empty and in full debt, since nobody knows what the holder before it paid out; only at the very first
-//! start of a fleet is it full. A holder that may have been replaced, and one that may have a predecessor, pay out
-//! half of their part, so that both together have one.
+//! The sum over all VMs holds by arithmetic. A bucket with the part `p` of rate `r` and burst `b` pays out at most `p *
+//! (r * window + b)` in a window, and what it may owe, `p * DEBT_PART * spare`, where `spare` is what the users' rule
+//! leaves beyond the quota. It begins empty and in full debt, since nobody knows what the holder before it paid out;
+//! only at the very first start of a fleet is it full. A holder that may have been replaced, and one that may have a
+//! predecessor, pay out half of their part, so that both together have one.
 
 use crate::ids::{Instant, OrganisationName};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
 
-/// Part of what the rule leaves beyond a quota that buckets may owe. An organisation with a small rate has calls that are larger than its
-/// part of the burst, so without debt they were never paid for: a rate of 2,700 tokens a second, in three parts, has buckets of 900 and calls of up to
-/// 4,400. The rest covers what is given back in another window than it was paid in.
+/// Part of what the rule leaves beyond a quota that buckets may owe. An organisation with a small rate has calls that
+/// are larger than its part of the burst, so without debt they were never paid for: a rate of 2,700 tokens a second, in
+/// three parts, has buckets of 900 and calls of up to 4,400. The rest covers what is given back in another window than
+/// it was paid in.
 const DEBT_PART: f64 = 0.8;
 /// Part of its rate that a holder pays out while there may be two.
 const SHARED_HOLD: f64 = 0.5;
@@ -241,8 +242,8 @@
         }
     }
 
-    /// Takes over the quotas in force. A lower one counts at once, and a higher one fills from now on. An organisation that is new has
-    /// paid nothing out as far as this holder knows, and another one may know better.
+    /// Takes over the quotas in force. A lower one counts at once, and a higher one fills from now on. An organisation
+    /// that is new has paid nothing out as far as this holder knows, and another one may know better.
     pub fn declare<'a>(
         &mut self,
         quotas: impl IntoIterator<Item = (&'a OrganisationName, &'a QuotaRule)>,
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -1,12 +1,14 @@
 //! Requests under which targets ended.
 //!
-//! A request may crash whatever runs it. Its caller comes back, and others send the same, so what has to be known is the request by what it
-//! asks, not its id. When a target ends, every request that ran on it is suspected: one of them may be the cause. A second target
-//! that ends under the same request condemns it, and it is sent nowhere until the suspicion ends.
+//! A request may crash whatever runs it. Its caller comes back, and others send the same, so what has to be known is
+//! the request by what it asks, not its id. When a target ends, every request that ran on it is suspected: one of them
+//! may be the cause. A second target that ends under the same request condemns it, and it is sent nowhere until the
+//! suspicion ends.
 //!
-//! The others that ran on the target must not be condemned with it. So a suspected request that is answered well is cleared, the same request
-//! runs once at a time while it is suspected, and no two suspects of one end share a target again where there is another.
-//! A suspicion ends by itself; each end after the second makes it last longer, as the first trial after it costs a target.
+//! The others that ran on the target must not be condemned with it. So a suspected request that is answered well is
+//! cleared, the same request runs once at a time while it is suspected, and no two suspects of one end share a target
+//! again where there is another. A suspicion ends by itself; each end after the second makes it last longer, as the
+//! first trial after it costs a target.
 
 use crate::ids::{Instant, TargetRun};
 use serde::{Deserialize, Serialize};
@@ -14,13 +16,14 @@
 
 /// Targets that ended under a request, from which it is sent nowhere. The users bear three.
 const CONDEMNED_FROM: usize = 2;
-/// Time from the last end until a suspicion is over, by the number of ends: a suspect, one that is condemned, and one whose trial ended a
-/// third target. A suspect's caller is back within its deadline, 15 s; one that is condemned wrongly waits for half a minute.
+/// Time from the last end until a suspicion is over, by the number of ends: a suspect, one that is condemned, and one
+/// whose trial ended a third target. A suspect's caller is back within its deadline, 15 s; one that is condemned
+/// wrongly waits for half a minute.
 const SUSPECTED_FOR: Duration = Duration::from_secs(20);
 const CONDEMNED_FOR: Duration = Duration::from_secs(30);
 const PROVEN_FOR: Duration = Duration::from_secs(3_600);
-/// Suspicions that are kept; beyond that those that end first go. A fleet that loses a quarter of 140 engines with 12 requests each has
-/// 420 of them.
+/// Suspicions that are kept; beyond that those that end first go. A fleet that loses a quarter of 140 engines with 12
+/// requests each has 420 of them.
 const KEPT_MOST: usize = 2_048;
 
 /// A request by what it asks: method, path, adapter, parts of the prompt and body.
--- a/crates/core/tests/direct_freshness.rs
+++ b/crates/core/tests/direct_freshness.rs
@@ -1,5 +1,5 @@
-//! Proofs that no key was taken away: over relays that stand still, answers that come late and reads that are not woken, a call is let
-//! through only while no key can have been gone for longer than the bound.
+//! Proofs that no key was taken away: over relays that stand still, answers that come late and reads that are not
+//! woken, a call is let through only while no key can have been gone for longer than the bound.
 
 use hoplanding_core::{
     direct::freshness::{BeatEcho, ConfigProof, RevocationRule},
@@ -71,8 +71,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 4_000, rng_seed: proptest::test_runner::RngSeed::Fixed(36), failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// A read was sent at a time, and a key was taken away right after it was answered. However the proof went on from VM to VM, none
-    /// lets a call through later than the bound after that.
+    /// A read was sent at a time, and a key was taken away right after it was answered. However the proof went on from
+    /// VM to VM, none lets a call through later than the bound after that.
     #[test]
     fn no_relay_makes_a_proof_younger(
         answered in 0..3_000_u64,
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -36,7 +36,8 @@
 const HOLDER_SILENCE: Duration = Duration::from_millis(650);
 /// Pause between two looks at whether a holder is still heard.
 const HOLDER_LOOK: Duration = Duration::from_millis(50);
-/// Time that a call of a plain service waits for a holder's answer, which takes a few milliseconds: their objectives begin at 150 ms.
+/// Time that a call of a plain service waits for a holder's answer, which takes a few milliseconds: their objectives
+/// begin at 150 ms.
 const PLAIN_WAIT: Duration = Duration::from_millis(60);
 /// Pause after a link ended before it is dialled again for a call.
 const REDIAL_PAUSE: Duration = Duration::from_millis(700);
@@ -438,8 +439,8 @@
             return;
         };
         if self.is_mine(&lease) {
-            // What a full channel loses: a charge is lost to its organisation, and other VMs tell of the same end. A call that was
-            // begun or withdrawn is freed by its end, and what it has read lends nothing.
+            // What a full channel loses: a charge is lost to its organisation, and other VMs tell of the same end. A
+            // call that was begun or withdrawn is freed by its end, and what it has read lends nothing.
             drop(self.zone.try_send(notice.into_event(&self.fleet.vm)));
         } else if let Some(link) = self.link(zone, &lease) {
             link.tell(notice.into_message());
--- a/crates/daemon/src/direct/call/admission.rs
+++ b/crates/daemon/src/direct/call/admission.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Decides for whom a call is made. What a VM says of keys holds only while it knows its configuration to be the newest, so until then it
-/// promises, and does not deny.
+/// Decides for whom a call is made. What a VM says of keys holds only while it knows its configuration to be the
+/// newest, so until then it promises, and does not deny.
 pub(super) fn let_in(
     context: &GatewayContext,
     active: &ActiveConfig,
@@ -84,7 +84,8 @@
 }
 
 impl CallState {
-    /// Looks at its key again, right before a send: while it waited for its adapter the key may have been taken away, or this VM cut off.
+    /// Looks at its key again, right before a send: while it waited for its adapter the key may have been taken away,
+    /// or this VM cut off.
     pub(super) fn is_still_let_in(&self) -> Result<(), EntryFault> {
         let Some(organisation) = self.identity.organisation() else {
             return Ok(());
--- a/crates/daemon/src/direct/call/paying.rs
+++ b/crates/daemon/src/direct/call/paying.rs
@@ -74,8 +74,8 @@
 }
 
 impl CallState {
-    /// Pays at this VM's own zone's holder, or at another's where that one has too little or does not answer; but not at `but`, which was
-    /// asked already.
+    /// Pays at this VM's own zone's holder, or at another's where that one has too little or does not answer; but not
+    /// at `but`, which was asked already.
     pub(super) async fn pay(&mut self, but: Option<&AvailabilityZone>) -> PaymentOutcome {
         let Some(charge) = self.payment.due().cloned() else {
             return PaymentOutcome::Settled;
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -240,7 +240,8 @@
         }
     }
 
-    /// Pays for the call; says where it goes if that can't be done. A zone `but` is not asked: it is silent, or will have enough after `known`.
+    /// Pays for the call; says where it goes if that can't be done. A zone `but` is not asked: it is silent, or will
+    /// have enough after `known`.
     async fn unpaid(
         &mut self,
         but: Option<&AvailabilityZone>,
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -23,9 +23,10 @@
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
-/// The same for the fleet's records at a zone's holder. The log does not wake a read that comes in the milliseconds in which a record is
-/// appended, so what a holder has to know in time it asks for again and again. What it knows of leases has to be renewed well within a turn, as it names
-/// no source of memory otherwise. With 1 s between two reads it is 2.5 s old at most; longer waits save calls to the log.
+/// The same for the fleet's records at a zone's holder. The log does not wake a read that comes in the milliseconds in
+/// which a record is appended, so what a holder has to know in time it asks for again and again. What it knows of
+/// leases has to be renewed well within a turn, as it names no source of memory otherwise. With 1 s between two reads
+/// it is 2.5 s old at most; longer waits save calls to the log.
 const HOLDER_WAIT: Duration = Duration::from_millis(1_500);
 /// The same for the target list, whose reads also show whether the log is in reach.
 const LIST_WAIT: Duration = Duration::from_millis(600);
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -150,7 +150,8 @@
         }
     }
 
-    /// Whether keys that the configuration names are known to hold still: none of them was taken away so long ago that it has to be refused.
+    /// Whether keys that the configuration names are known to hold still: none of them was taken away so long ago that
+    /// it has to be refused.
     #[must_use]
     pub fn may_trust_keys(&self, rule: Option<RevocationRule>, now: Instant) -> bool {
         let is_keyed = |active: &Arc<ActiveConfig>| active.config.organisations.is_some();
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -40,8 +40,8 @@
 
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Pause between two looks at what the list says that engines hold: such entries are news to their holder alone, and copies that were loaded
-/// without a version lend no memory until one tells it.
+/// Pause between two looks at what the list says that engines hold: such entries are news to their holder alone, and
+/// copies that were loaded without a version lend no memory until one tells it.
 const LIST_LOOK: Duration = Duration::from_millis(500);
 /// What a gateway gets for its question.
 #[derive(Clone, Debug, PartialEq, Eq)]
