Keep idle connections as far as all VMs together may

Cause: a target accepts max_connections from all VMs and resets those beyond; each VM kept up to eight a target for 3.5 s, whatever the others kept. The figure stood in the configuration, unused. Why it holds: a VM keeps its part of half of what the target accepts; the other half is for calls under way. Test: connections.rs, with a stand-in that turns connections away; fails without the share (502 three times).

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -27,7 +27,7 @@
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
 pub use paying::CallPayment;
 pub use placing::Placing;
-pub use sending::{InFlightCount, OpenAnswer, SendOutcome, give_back};
+pub use sending::{InFlightCount, OpenAnswer, SendOutcome};
 pub use stop::StopPlan;
 pub use timeline::CallTimeline;
 
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -236,9 +236,15 @@
     }
 }
 
-/// Gives a connection back for further calls, unless its answer says that it ends.
-pub fn give_back(pool: &ConnectionPool, connection: TargetConnection, headers: &HeaderMap) {
-    if !is_closing(headers) {
-        pool.give_back(connection, keep_alive(headers));
+impl CallState {
+    /// Gives a connection back for further calls, unless its answer says that it ends.
+    pub fn give_back(&self, connection: TargetConnection, headers: &HeaderMap) {
+        if is_closing(headers) {
+            return;
+        }
+        let vms = self.context.fleet.books().vms.len();
+        let share = self.service.idle_share(vms);
+        let pool = &self.context.pool;
+        pool.give_back(connection, keep_alive(headers), share);
     }
 }
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock,
     direct::{
-        call::{AnswerBody, BrokenAnswer, CallState, OpenAnswer, Placing, SendOutcome, give_back},
+        call::{AnswerBody, BrokenAnswer, CallState, OpenAnswer, Placing, SendOutcome},
         cutter::EventCutter,
         figures::RequestOutcome,
         message::CallEnd,
@@ -203,11 +203,7 @@
             if let Some(ticket) = open.ticket {
                 ticket.end(CallEnd::Good);
             }
-            give_back(
-                &self.call.context.pool,
-                open.connection,
-                &open.parts.headers,
-            );
+            self.call.give_back(open.connection, &open.parts.headers);
         }
         Ok((!rest.is_empty()).then_some(rest))
     }
--- a/crates/daemon/src/direct/sender.rs
+++ b/crates/daemon/src/direct/sender.rs
@@ -138,8 +138,13 @@
         Some(newest.connection)
     }
 
-    /// Gives a connection back after a whole answer.
-    pub fn give_back(&self, connection: TargetConnection, keep_alive: Option<Duration>) {
+    /// Gives a connection back after a whole answer; keeps up to `share` of its target.
+    pub fn give_back(
+        &self,
+        connection: TargetConnection,
+        keep_alive: Option<Duration>,
+        share: usize,
+    ) {
         if connection.sender.is_closed() {
             return;
         }
@@ -154,7 +159,7 @@
             since: now,
             until: now + most,
         });
-        if kept.len() > IDLE_MOST {
+        while kept.len() > share.min(IDLE_MOST) {
             kept.remove(0);
         }
     }
@@ -239,7 +244,7 @@
             cause: error.to_string(),
         })?
         .to_bytes();
-    pool.give_back(connection, None);
+    pool.give_back(connection, None, IDLE_MOST);
     Ok((status, body))
 }
 
--- a/crates/daemon/src/direct/whole.rs
+++ b/crates/daemon/src/direct/whole.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     direct::{
-        call::{CallState, OpenAnswer, give_back},
+        call::{CallState, OpenAnswer},
         message::CallEnd,
     },
     event,
@@ -40,7 +40,7 @@
             } else {
                 CallEnd::Good
             };
-            give_back(&call.context.pool, connection, &parts.headers);
+            call.give_back(connection, &parts.headers);
             (end, Ok(body.to_bytes()))
         }
         Ok(Err(error)) => {
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! The direct mode over real sockets, against stand-ins of the users' platform and targets.
 
 mod calls;
+mod connections;
 mod fleet;
 mod foreign;
 mod headers;
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -4,7 +4,10 @@
     future::pending,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -72,6 +75,29 @@
     }
 }
 
+/// Connections of a target that are open, and how many it accepts.
+#[derive(Debug)]
+struct OpenCount {
+    open: AtomicUsize,
+    most: usize,
+}
+
+impl OpenCount {
+    /// Counts one more, unless the target accepts no more.
+    fn take(self: &Arc<Self>) -> Option<OpenPlace> {
+        let place = OpenPlace(Arc::clone(self));
+        (self.open.fetch_add(1, Ordering::SeqCst) < self.most).then_some(place)
+    }
+}
+
+struct OpenPlace(Arc<OpenCount>);
+
+impl Drop for OpenPlace {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 type AnswerFn = dyn Fn(&RawRequest) -> RawAnswer + Send + Sync;
 type DeadlyFn = dyn Fn(&RawRequest) -> bool + Send + Sync;
 
@@ -92,7 +118,18 @@
     pub async fn start(
         answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        Self::start_mortal(answer, |_| false).await
+        Self::start_with(answer, |_| false, usize::MAX).await
+    }
+
+    /// Starts a target that closes connections beyond so many at once unread.
+    ///
+    /// # Errors
+    /// Returns the error of the system when no port can be had.
+    pub async fn start_bounded(
+        answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
+        most: usize,
+    ) -> io::Result<Self> {
+        Self::start_with(answer, |_| false, most).await
     }
 
     /// Starts a target that a request can crash: all its connections break, and its address refuses others.
@@ -103,6 +140,18 @@
         answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
         is_deadly: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
     ) -> io::Result<Self> {
+        Self::start_with(answer, is_deadly, usize::MAX).await
+    }
+
+    async fn start_with(
+        answer: impl Fn(&RawRequest) -> RawAnswer + Send + Sync + 'static,
+        is_deadly: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
+        most: usize,
+    ) -> io::Result<Self> {
+        let count = Arc::new(OpenCount {
+            open: AtomicUsize::new(0),
+            most,
+        });
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let requests = Arc::new(Mutex::new(Vec::new()));
@@ -119,10 +168,14 @@
                 };
                 let Ok((stream, _)) = accepted else { return };
                 *opened.lock().expect("no holder panics") += 1;
+                let Some(place) = count.take() else {
+                    continue;
+                };
                 let (seen, answer) = (Arc::clone(&seen), Arc::clone(&answer));
                 let is_deadly = Arc::clone(&is_deadly);
                 let (end, mut ended) = (end.clone(), ended.clone());
                 tokio::spawn(async move {
+                    let _place = place;
                     tokio::select! {
                         // A connection that breaks is the other side's affair.
                         served = serve(stream, &seen, &*answer, &*is_deadly, &end) => drop(served),
