--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -7,7 +7,7 @@
         call::CallState,
         fleet::FleetState,
         message::CallEnd,
-        sender::{ConnectionPool, ReuseRule, SendError, TargetConnection, TargetRequest},
+        sender::{ReuseRule, SendError, TargetConnection, TargetRequest},
     },
     event,
     events::Event,
