--- a/crates/core/tests/load/fetching.rs
+++ b/crates/core/tests/load/fetching.rs
@@ -1,14 +1,25 @@
 //! Long prompts that share most of their tokens, for adapters that several engines hold.
 
-use crate::play::{CASE, CHAT, CallClass, LoadPlay, steady, told};
+use crate::play::{CASE, CHAT, CallClass, LoadPlay, seeds, steady, told};
 use hoplanding_core::direct::policy::PlacementPolicy;
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 /// Plays of each kind: their difference scatters by 0.013 from seed to seed.
 const SEEDS: u64 = 24;
 
 #[test]
 fn prompts_that_another_engine_has_read_are_taken_from_it() {
+    check_gain(seeds(SEEDS));
+}
+
+// Not traced: the gain of calls in time is 0.0035 to 0.0100 a play for 13 of 16 other sets of 24 seeds, where more than 0.01 is
+// asked. Either fetching gains less than was believed, or this play's load is not the one that it is for.
+#[test]
+fn gain_of_fetched_prompts_at_seeds_from_1001() {
+    check_gain(1_001..1_001 + SEEDS);
+}
+
+fn check_gain(seeds: Range<u64>) {
     let kinds = [steady(30.0); 4];
     let case = CallClass {
         per_s: 10.0,
@@ -27,7 +38,7 @@
         play.run(Duration::from_secs(30))
     };
     let mut gain = 0.0;
-    for seed in 1..=SEEDS {
+    for seed in seeds {
         let fetched = play(PlacementPolicy::default().fetch_gain, seed);
         // Nothing saves a minute: as if nothing were fetched.
         let alone = play(Duration::from_secs(60), seed);
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -17,7 +17,9 @@
 use rand_distr::{Distribution, Exp, LogNormal, Zipf};
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
+    env,
     net::SocketAddr,
+    ops::Range,
     sync::Arc,
     time::Duration,
 };
@@ -299,9 +301,14 @@
     /// Plays a span, and says what the callers of each class got of it.
     pub fn run(mut self, span: Duration) -> Vec<CallerShares> {
         let end = u64::try_from(span.as_micros()).expect("a short span");
+        // Calls of the last moments have their time, too: else they count as not served, though nobody has left.
+        let patience_ms = self.classes.iter().map(|class| class.patience_ms).max();
+        let over = end + patience_ms.unwrap_or_default() * 1_000;
         let mut now = 0;
-        while now < end {
-            self.arrive(now);
+        while now < over {
+            if now < end {
+                self.arrive(now);
+            }
             if now % 50_000 == 0 {
                 for planner in &mut self.planners {
                     planner.lead_until(Instant(now).after(LEAD));
@@ -650,6 +657,13 @@
     lines.collect::<Vec<_>>().join("; ")
 }
 
+/// Seeds of so many plays; `LOAD_SEED` names another first one.
+pub fn seeds(count: u64) -> Range<u64> {
+    let named = env::var("LOAD_SEED").ok();
+    let first = named.map_or(1, |text| text.parse().expect("a number"));
+    first..first + count
+}
+
 /// A number in a range, so that plays differ by more than their seed where a test wants that.
 pub fn drawn(seed: u64, low: f64, high: f64) -> f64 {
     StdRng::seed_from_u64(seed).random_range(low..high)
--- a/crates/core/tests/load/quotas.rs
+++ b/crates/core/tests/load/quotas.rs
@@ -1,6 +1,7 @@
 //! Quotas under the usual load of seventy VMs, and while one organisation sends six times as much: equal parts at the zones'
 //! holders, or fixed shares at every VM.
 
+use crate::play::seeds;
 use hoplanding_core::{
     direct::quotas::{
         BucketStart, QuotaBounds, QuotaCharge, QuotaLedger, QuotaRule, QuotaUnit, StandingTimes,
@@ -137,7 +138,7 @@
 
 #[test]
 fn zones_parts_refuse_nobody_below_a_quota_and_hold_a_hot_organisation_to_it() {
-    for seed in 1..=3 {
+    for seed in seeds(3) {
         let zones = play(Payer::Zones, seed);
         let vms = play(Payer::Vms, seed);
         println!("seed {seed}: zones {zones:?}, VMs {vms:?}");
--- a/crates/core/tests/load/speeds.rs
+++ b/crates/core/tests/load/speeds.rs
@@ -1,7 +1,7 @@
 //! Engines whose speed nobody wrote down: other makes, and ones that turn slow.
 
-use crate::play::{CASE, CHAT, CallClass, EngineKind, LoadPlay, drawn, steady, told};
-use std::time::Duration;
+use crate::play::{CASE, CHAT, CallClass, EngineKind, LoadPlay, drawn, seeds, steady, told};
+use std::{ops::Range, time::Duration};
 
 const SPAN: Duration = Duration::from_secs(30);
 
@@ -21,7 +21,19 @@
 
 #[test]
 fn callers_are_served_alike_by_engines_of_any_speed() {
-    for seed in 1..=3 {
+    check_speeds(seeds(3));
+}
+
+// Of the long prompts 0.932 were served at 15 tokens a ms, where 0.95 are asked, though nobody was refused and nobody had left: nine of
+// 132 calls still ran as the play ended. Since plays go on until their last callers have been served or have left, the
+// seed and 15 other sets of three hold.
+#[test]
+fn service_by_a_slow_engine_at_seed_8001() {
+    check_speeds(8_001..8_004);
+}
+
+fn check_speeds(seeds: Range<u64>) {
+    for seed in seeds {
         let speed = drawn(seed, 12.0, 90.0);
         let kinds = [steady(speed); 4];
         // Long prompts take longer than 800 ms on slow engines, and an adapter 250 ms on any, whatever is decided.
--- a/crates/core/tests/load/stores.rs
+++ b/crates/core/tests/load/stores.rs
@@ -1,11 +1,12 @@
 //! Zones that load adapters from one store and learn, each for itself, how much it bears.
 
+use crate::play::seeds;
 use hoplanding_core::{
     direct::loading::{LoadLimiter, StoreLoad},
     ids::{Instant, TargetName},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, ops::Range, time::Duration};
 
 /// Virtual microseconds of one step of the play.
 const STEP_MICROS: u64 = 2_000;
@@ -221,9 +222,20 @@
 
 #[test]
 fn callers_of_any_store_wait_hardly_longer_than_where_its_figure_is_told() {
+    check_learned(seeds(4));
+}
+
+// Not traced: a store that bears 8 holds 261 of 686 calls back early with the figure learned, where 0.35 of them are allowed, or as
+// many as with the figure told.
+#[test]
+fn learned_figure_of_a_small_store_at_seeds_from_6001() {
+    check_learned(6_001..6_005);
+}
+
+fn check_learned(seeds: Range<u64>) {
     let mut alike = 0;
     for bears in [8.0, 24.0, 32.0, 64.0, 160.0] {
-        for seed in 1..=4 {
+        for seed in seeds.clone() {
             let plan = StorePlan::bearing(bears, 0.8);
             let told = play(&plan, StoreKnowledge::Told, 30.0, 5.0, seed);
             let learned = play(&plan, StoreKnowledge::Learned, 30.0, 5.0, seed);
@@ -242,7 +254,7 @@
 #[test]
 fn a_store_that_is_asked_for_all_that_it_bears_is_neither_idle_nor_flooded() {
     for bears in [24.0, 32.0, 64.0, 160.0] {
-        for seed in 1..=3 {
+        for seed in seeds(3) {
             let plan = StorePlan::bearing(bears, 1.3);
             let learned = play(&plan, StoreKnowledge::Learned, 30.0, 5.0, seed);
             let part = learned.mean_under_way() / bears;
@@ -256,7 +268,7 @@
 
 #[test]
 fn a_store_that_bears_less_from_now_on_is_relieved_within_two_seconds() {
-    for seed in 1..=3 {
+    for seed in seeds(3) {
         let plan = StorePlan {
             bears: vec![(0.0, 64.0), (15.0, 16.0)],
             ..StorePlan::bearing(64.0, 1.0)
@@ -280,7 +292,7 @@
 
 #[test]
 fn a_zone_that_asks_for_more_gets_what_the_others_leave() {
-    for seed in 1..=3 {
+    for seed in seeds(3) {
         let plan = StorePlan {
             zones: vec![6.0, 1.0, 1.0, 1.0, 0.3],
             ..StorePlan::bearing(32.0, 0.8)
@@ -298,7 +310,7 @@
 
 #[test]
 fn the_share_of_a_zone_that_falls_silent_goes_to_the_others() {
-    for seed in 1..=3 {
+    for seed in seeds(3) {
         let plan = StorePlan {
             silent: Some((4, 10.0)),
             ..StorePlan::bearing(32.0, 1.25)
@@ -313,7 +325,7 @@
 
 #[test]
 fn an_engine_that_is_slow_by_itself_does_not_lower_the_limit() {
-    for seed in 1..=3 {
+    for seed in seeds(3) {
         let plan = StorePlan {
             slow_engine: Some(3.0),
             ..StorePlan::bearing(32.0, 0.65)
@@ -431,7 +443,7 @@
 #[test]
 fn a_load_time_that_is_a_little_longer_than_assumed_is_learned() {
     let (mut first, mut first_told) = (0.0, 0.0);
-    for seed in 1..=4 {
+    for seed in seeds(4) {
         let plan = StorePlan {
             load_micros: 288_000.0,
             zones: vec![1.0; 3],
