--- a/crates/core/tests/direct_memory/main.rs
+++ b/crates/core/tests/direct_memory/main.rs
@@ -168,8 +168,8 @@
 // such orders there are nobody can tell, so where engines check no fencing tokens a successor orders no load until the last of
 // them can act.
 //
-// Evidence: the trace of seed 11 with the hold taken out ends in "ordered beyond its places", one more than the engine has, by a
-// load with the number that the new life expects. With it seed 11 and twenty others, 6,000 worlds each, hold.
+// Evidence: with the hold taken out the world of seed 11 ends in "e2 is ordered beyond its places", by a load that expects two orders
+// before it, as many as the new life has taken. With it all 6,000 worlds hold.
 #[test]
 fn no_order_of_an_earlier_holder_takes_a_place_in_a_new_life() {
     play_seed(Rule::Places, 6_000, &world(), 11);
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -184,3 +184,25 @@
     }
     assert_eq!(records, TARGETS);
 }
+
+// Open: a listing names no removals. The other VM listed while the target was there, the holder after it had gone, and neither
+// has its removal; the holder's sign of life says that the other VM knows all up to behind it, and that VM reads nothing while it
+// hears the holder. Found by reading; it was so before lists ceased to be news, as these name no removals either.
+#[tokio::test]
+async fn a_removal_between_the_lists_of_two_vms_is_known_to_both() {
+    let log = KeyedLog::start().await.expect("a log");
+    let holder = fleet("vm-0", &log, 10);
+    let dialler = fleet("vm-1", &log, 10);
+    let mut link = StartLink::new(&holder, &dialler);
+    dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
+    let mut later = listing(log.address(), 50, &[]);
+    later.records.retain(|record| record.key != "i-5");
+    later.end = LogOffset(51);
+    holder.take_listing(FeedTopic::Targets, &later);
+    link.settle();
+    let reads_on_from = dialler.known_end(FeedTopic::Targets);
+    assert!(
+        dialler.is_leaving("i-5") || reads_on_from <= LogOffset(50),
+        "it is kept, and its removal will not be read"
+    );
+}
