--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -101,15 +101,15 @@
     pub engine: Option<EngineLimits>,
 }
 
-/// Part of a target's connections that idle ones may take; the rest is left for calls under way, and for VMs that start.
-const IDLE_DIVISOR: usize = 2;
+/// Quarters of a target's connections that idle ones may take; the rest is left for calls under way.
+const IDLE_QUARTERS: usize = 3;
 
 impl ServiceRule {
     /// Idle connections that one VM of so many may keep to a target. A target resets connections beyond what it accepts, and a call
     /// that went out over one of them may have run as far as its VM can tell. 100 VMs that keep one each leave none.
     #[must_use]
     pub fn idle_share(&self, vms: usize) -> usize {
-        self.max_connections as usize / IDLE_DIVISOR / vms.max(1)
+        self.max_connections as usize / 4 * IDLE_QUARTERS / vms.max(1)
     }
 }
 
