--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -5,7 +5,7 @@
         engine::ADOPTED_WITHIN,
         loading::StoreLoad,
         planner::{CallKey, PlacementAsk},
-        suspects::RequestPrint,
+        suspects::RequestFingerprint,
         versions::VersionSight,
     },
     ids::{AdapterName, Instant},
@@ -138,5 +138,5 @@
     /// Generation of the copy that it was sent to, if it is known.
     pub generation: Option<u64>,
     /// The request by what it asks, if it is known.
-    pub print: Option<RequestPrint>,
+    pub fingerprint: Option<RequestFingerprint>,
 }
--- a/crates/core/src/direct/engine/lending.rs
+++ b/crates/core/src/direct/engine/lending.rs
@@ -216,7 +216,7 @@
             tokens: ask.most_tokens(),
             shared,
             generation,
-            print: Some(ask.print),
+            fingerprint: Some(ask.fingerprint),
         }
     }
 
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -6,7 +6,7 @@
         engine::EngineOrder,
         planner::split_subject,
         quotas::QuotaCharge,
-        suspects::RequestPrint,
+        suspects::RequestFingerprint,
         versions::{MemoryVersions, VersionMatch},
     },
     ids::{AdapterName, TargetLife, TargetName, VmName},
@@ -56,7 +56,7 @@
     /// What is wanted.
     pub terms: AskTerms,
     /// The request by what it asks.
-    pub print: RequestPrint,
+    pub fingerprint: RequestFingerprint,
     /// What it is charged, unless it is paid for.
     pub charge: Option<QuotaCharge>,
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -260,7 +260,7 @@
             tokens: 0,
             shared: Vec::new(),
             generation: None,
-            print: None,
+            fingerprint: None,
         };
         engine.add_call(key, call);
     }
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -35,7 +35,7 @@
     }
 
     pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
-        if let Some((retry_after, cause)) = self.bars_suspect(ask.print, now) {
+        if let Some((retry_after, cause)) = self.bars_suspect(ask.fingerprint, now) {
             self.refuse(key, millis(retry_after), cause);
             return;
         }
@@ -70,7 +70,7 @@
     fn cheapest(&self, ask: &PlacementAsk, now: Instant) -> Option<(TargetName, PlacementCost)> {
         let crowd = self.store_loads(now) + self.loads_waiting();
         let sources = self.prompt_sources(ask, now);
-        let shared_ends = self.shared_ends(ask.print, now);
+        let shared_ends = self.shared_ends(ask.fingerprint, now);
         let all_doubted = self.engines.keys().all(|name| self.health.is_doubted(name));
         self.engines
             .iter()
--- a/crates/core/src/direct/planner/suspecting.rs
+++ b/crates/core/src/direct/planner/suspecting.rs
@@ -4,7 +4,7 @@
     direct::{
         engine::SentCall,
         planner::{COME_BACK_MS, CallKey, RefusalCause, ZonePlanner},
-        suspects::{EndedUnder, RequestPrint, Suspicion},
+        suspects::{EndedUnder, RequestFingerprint, Suspicion},
     },
     ids::{Instant, TargetName},
 };
@@ -29,36 +29,40 @@
     /// Why a request is sent nowhere now, and when it is worth coming back.
     pub(super) fn bars_suspect(
         &self,
-        print: RequestPrint,
+        fingerprint: RequestFingerprint,
         now: Instant,
     ) -> Option<(Duration, RefusalCause)> {
-        match self.suspects.suspicion(print, now) {
+        match self.suspects.suspicion(fingerprint, now) {
             Suspicion::Clear => None,
-            Suspicion::Condemned(until) => Some((until.since(now), RefusalCause::EndsTargets)),
-            Suspicion::Suspected => self.runs_or_waits(print).then(|| {
+            Suspicion::Quarantined(until) => Some((until.since(now), RefusalCause::EndsTargets)),
+            Suspicion::Suspected => self.runs_or_waits(fingerprint).then(|| {
                 let retry_after = Duration::from_millis(u64::from(COME_BACK_MS));
                 (retry_after, RefusalCause::RunsAlready)
             }),
         }
     }
 
-    fn runs_or_waits(&self, print: RequestPrint) -> bool {
+    fn runs_or_waits(&self, fingerprint: RequestFingerprint) -> bool {
         self.engines.values().any(|engine| {
             let mut running = engine.calls.values();
             let mut waiting = engine.copies.values().flat_map(|copy| &copy.waiters);
-            running.any(|call| call.print == Some(print))
-                || waiting.any(|waiting| waiting.ask.print == print)
+            running.any(|call| call.fingerprint == Some(fingerprint))
+                || waiting.any(|waiting| waiting.ask.fingerprint == fingerprint)
         })
     }
 
     /// Engines on which another request runs that was at a target which ended under this one.
-    pub(super) fn shared_ends(&self, print: RequestPrint, now: Instant) -> HashSet<TargetName> {
-        if self.suspects.suspicion(print, now) == Suspicion::Clear {
+    pub(super) fn shared_ends(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> HashSet<TargetName> {
+        if self.suspects.suspicion(fingerprint, now) == Suspicion::Clear {
             return HashSet::new();
         }
         let shares = |call: &SentCall| {
-            call.print
-                .is_some_and(|other| self.suspects.share_an_end(print, other))
+            call.fingerprint
+                .is_some_and(|other| self.suspects.share_an_end(fingerprint, other))
         };
         self.engines
             .iter()
@@ -70,9 +74,9 @@
     /// A call was answered well: its request ended no target.
     pub(super) fn clear_suspect(&mut self, key: &CallKey, target: &TargetName) {
         let engine = self.engines.get(target);
-        let print = engine.and_then(|engine| engine.calls.get(key)?.print);
-        if let Some(print) = print {
-            self.suspects.clear(print);
+        let fingerprint = engine.and_then(|engine| engine.calls.get(key)?.fingerprint);
+        if let Some(fingerprint) = fingerprint {
+            self.suspects.clear(fingerprint);
         }
     }
 }
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -603,7 +603,7 @@
         let avoided = drawn.avoids.map(|at| usize::from(at) % self.engines.len());
         let avoided = avoided.map(|at| self.engines[at].name.clone());
         let ask = PlacementAsk {
-            print: Default::default(),
+            fingerprint: Default::default(),
             charge: None,
             subject: subject(drawn.subject),
             prompt_tokens: prompt(&drawn, number).map(|(_, tokens)| tokens).sum(),
--- a/crates/core/tests/direct_outdated.rs
+++ b/crates/core/tests/direct_outdated.rs
@@ -59,7 +59,7 @@
 
 fn ask(adapter: &str) -> PlacementAsk {
     PlacementAsk {
-        print: Default::default(),
+        fingerprint: Default::default(),
         charge: None,
         subject: AdapterName::new(adapter),
         prompt_tokens: 400,
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -1,7 +1,7 @@
 //! Requests under which targets ended: the second end is the last one, and those that ran beside them are served.
 
 use hoplanding_core::{
-    direct::suspects::{EndedUnder, RequestPrint, SuspectTable, Suspicion},
+    direct::suspects::{EndedUnder, RequestFingerprint, SuspectTable, Suspicion},
     ids::{Instant, TargetLife, TargetName, TargetRun},
 };
 
@@ -9,9 +9,9 @@
     Instant(1_000_000 + ms * 1_000)
 }
 
-fn ended(print: u64, target: &str) -> EndedUnder {
+fn ended(fingerprint: u64, target: &str) -> EndedUnder {
     EndedUnder {
-        print: RequestPrint(print),
+        fingerprint: RequestFingerprint(fingerprint),
         run: TargetRun {
             name: TargetName::new(target),
             life: TargetLife::default(),
@@ -19,19 +19,22 @@
     }
 }
 
-fn suspicion(table: &SuspectTable, print: u64, ms: u64) -> Suspicion {
-    table.suspicion(RequestPrint(print), at(ms))
+fn suspicion(table: &SuspectTable, fingerprint: u64, ms: u64) -> Suspicion {
+    table.suspicion(RequestFingerprint(fingerprint), at(ms))
 }
 
 #[test]
-fn the_second_target_that_ends_under_a_request_condemns_it_for_a_time() {
+fn the_second_target_that_ends_under_a_request_quarantines_it_for_a_time() {
     let mut table = SuspectTable::default();
     assert!(table.note_ended(&ended(1, "a"), at(0)));
     // The same end, told by another VM.
     assert!(!table.note_ended(&ended(1, "a"), at(5)));
     assert_eq!(suspicion(&table, 1, 10), Suspicion::Suspected);
     assert!(table.note_ended(&ended(1, "b"), at(20)));
-    assert!(matches!(suspicion(&table, 1, 30), Suspicion::Condemned(_)));
+    assert!(matches!(
+        suspicion(&table, 1, 30),
+        Suspicion::Quarantined(_)
+    ));
     assert_eq!(suspicion(&table, 1, 31_000), Suspicion::Clear);
     assert_eq!(suspicion(&table, 2, 30), Suspicion::Clear);
 }
@@ -44,7 +47,7 @@
     }
     assert!(matches!(
         suspicion(&table, 1, 600_000),
-        Suspicion::Condemned(_)
+        Suspicion::Quarantined(_)
     ));
 }
 
@@ -53,7 +56,7 @@
     let mut table = SuspectTable::default();
     table.note_ended(&ended(1, "a"), at(0));
     table.note_ended(&ended(2, "a"), at(0));
-    table.clear(RequestPrint(1));
+    table.clear(RequestFingerprint(1));
     assert_eq!(suspicion(&table, 1, 10), Suspicion::Clear);
     assert_eq!(suspicion(&table, 2, 10), Suspicion::Suspected);
     assert_eq!(suspicion(&table, 2, 21_000), Suspicion::Clear);
@@ -65,22 +68,22 @@
     table.note_ended(&ended(1, "a"), at(0));
     table.note_ended(&ended(2, "a"), at(0));
     table.note_ended(&ended(3, "b"), at(0));
-    assert!(table.share_an_end(RequestPrint(1), RequestPrint(2)));
-    assert!(!table.share_an_end(RequestPrint(1), RequestPrint(3)));
+    assert!(table.share_an_end(RequestFingerprint(1), RequestFingerprint(2)));
+    assert!(!table.share_an_end(RequestFingerprint(1), RequestFingerprint(3)));
 }
 
 #[test]
 fn the_table_is_bounded_and_what_it_tells_is_all_that_it_knows() {
     let mut table = SuspectTable::default();
-    for print in 0..10_000 {
-        table.note_ended(&ended(print, "a"), at(print));
+    for fingerprint in 0..10_000 {
+        table.note_ended(&ended(fingerprint, "a"), at(fingerprint));
     }
-    let (suspected, condemned) = table.counts(at(10_000));
-    assert!(suspected <= 2_048 && condemned == 0, "{suspected}");
+    let (suspected, quarantined) = table.counts(at(10_000));
+    assert!(suspected <= 2_048 && quarantined == 0, "{suspected}");
     let mut other = SuspectTable::default();
     for told in table.told(at(10_000)) {
         other.note_ended(&told, at(10_000));
     }
-    assert_eq!(other.counts(at(10_000)), (suspected, condemned));
+    assert_eq!(other.counts(at(10_000)), (suspected, quarantined));
     assert_eq!(suspicion(&other, 9_999, 10_000), Suspicion::Suspected);
 }
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -132,7 +132,7 @@
 
 pub fn ask_for(subject: &str, tried: &[&str]) -> PlacementAsk {
     PlacementAsk {
-        print: Default::default(),
+        fingerprint: Default::default(),
         charge: None,
         subject: AdapterName::new(subject),
         prompt_tokens: PROMPT.iter().map(|(_, tokens)| tokens).sum(),
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -409,7 +409,7 @@
             .search
             .wait_bound(question.pass, class.rank, objective, left);
         let ask = PlacementAsk {
-            print: Default::default(),
+            fingerprint: Default::default(),
             charge: None,
             subject: AdapterName::new(&format!("base/a{}", call.adapter)),
             prompt_tokens: call.tokens,
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -14,7 +14,7 @@
 };
 use hoplanding_core::direct::{
     catalog::TargetEntry,
-    suspects::{EndedUnder, RequestPrint},
+    suspects::{EndedUnder, RequestFingerprint},
 };
 use hoplanding_platform::{front::CallHead, orders::encode_report_request};
 use http::{Method, StatusCode, Uri};
@@ -33,12 +33,12 @@
 const ANSWER_BYTES: usize = 1 << 20;
 
 /// The request by what it asks. Its id and its caller's deadline are other ones each time.
-pub(super) fn request_print(
+pub(super) fn request_fingerprint(
     method: &Method,
     uri: &Uri,
     head: &CallHead,
     body: &[u8],
-) -> RequestPrint {
+) -> RequestFingerprint {
     let mut hasher = SipHasher13::new();
     method.as_str().hash(&mut hasher);
     uri.path().hash(&mut hasher);
@@ -48,7 +48,7 @@
     head.most_output.hash(&mut hasher);
     head.prefix.hash(&mut hasher);
     body.hash(&mut hasher);
-    RequestPrint(hasher.finish())
+    RequestFingerprint(hasher.finish())
 }
 
 impl CallState {
@@ -58,10 +58,10 @@
             return;
         }
         let ended = EndedUnder {
-            print: self.print,
+            fingerprint: self.fingerprint,
             run: entry.run(),
         };
-        event!(Event::TargetEndedUnder, request = self.head.id; "at {}, request {:016x}", entry.name, self.print.0
+        event!(Event::TargetEndedUnder, request = self.head.id; "at {}, request {:016x}", entry.name, self.fingerprint.0
         );
         let is_news = {
             let mut books = self.context.fleet.books();
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -38,7 +38,7 @@
         call::{
             admission::let_in,
             answers::{passed_answer, refusal},
-            ends::request_print,
+            ends::request_fingerprint,
         },
         events::relay_events,
         figures::{RequestKind, RequestOutcome},
@@ -56,7 +56,7 @@
         config::{AnswerShape, RepeatRule, RouteRule, ServiceRule},
         organisations::CallerIdentity,
         planner::RefusalCause,
-        suspects::RequestPrint,
+        suspects::RequestFingerprint,
     },
     ids::{AvailabilityZone, TargetName},
 };
@@ -108,7 +108,7 @@
     /// What it is charged.
     pub payment: CallPayment,
     /// The request by what it asks.
-    pub print: RequestPrint,
+    pub fingerprint: RequestFingerprint,
     /// The service that it goes to.
     pub service: ServiceRule,
     /// What its head says.
@@ -213,7 +213,7 @@
         rank: identity.rank(&route),
         identity,
         payment,
-        print: request_print(&parts.method, &parts.uri, &head, &body),
+        fingerprint: request_fingerprint(&parts.method, &parts.uri, &head, &body),
         service,
         head,
         arrived,
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -312,7 +312,7 @@
             exclude: self.tried.clone(),
             may_load: question.may_load,
             terms: question.terms,
-            print: self.print,
+            fingerprint: self.fingerprint,
             charge: self.payment.due().cloned(),
         }
     }
@@ -333,7 +333,7 @@
         let named = books.versions.get(&subject).filter(|_| has_adapter);
         let version = named.copied();
         let now = clock::now();
-        if books.suspects.suspicion(self.print, now) != Suspicion::Clear {
+        if books.suspects.suspicion(self.fingerprint, now) != Suspicion::Clear {
             return None;
         }
         books
--- a/crates/daemon/src/direct/figures.rs
+++ b/crates/daemon/src/direct/figures.rs
@@ -312,8 +312,8 @@
     }
 
     /// Requests that a zone's holder suspects, and those of them that it sends nowhere.
-    pub fn tell_suspects(&self, (suspected, condemned): (usize, usize)) {
-        for (state, count) in [("suspected", suspected), ("sent_nowhere", condemned)] {
+    pub fn tell_suspects(&self, (suspected, quarantined): (usize, usize)) {
+        for (state, count) in [("suspected", suspected), ("sent_nowhere", quarantined)] {
             let labels = SuspectLabels { state };
             self.suspects
                 .get_or_create(&labels)
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 9;
+pub const MESSAGE_VERSION: u32 = 10;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -259,11 +259,11 @@
             }
             ZoneEvent::EndedUnder(ended) => {
                 if held.planner.target_ended(&ended, now) {
-                    let (suspected, condemned) = held.planner.suspect_counts(now);
+                    let (suspected, quarantined) = held.planner.suspect_counts(now);
                     event!(
                         Event::RequestSuspected,
-                        "{:016x}: {} ended under it, {suspected} suspected, {condemned} sent nowhere",
-                        ended.print.0,
+                        "{:016x}: {} ended under it, {suspected} suspected, {quarantined} sent nowhere",
+                        ended.fingerprint.0,
                         ended.run.name
                     );
                 }
