--- a/crates/core/src/direct/planner/suspecting.rs
+++ b/crates/core/src/direct/planner/suspecting.rs
@@ -71,6 +71,19 @@
             .collect()
     }
 
+    /// The request of a call at an engine, if it is suspected.
+    #[must_use]
+    pub fn suspect_of(
+        &self,
+        key: &CallKey,
+        target: &TargetName,
+        now: Instant,
+    ) -> Option<RequestFingerprint> {
+        let fingerprint = self.engines.get(target)?.calls.get(key)?.fingerprint?;
+        let is_clear = self.suspects.suspicion(fingerprint, now) == Suspicion::Clear;
+        (!is_clear).then_some(fingerprint)
+    }
+
     /// A call was answered well: its request ended no target.
     pub(super) fn clear_suspect(&mut self, key: &CallKey, target: &TargetName) {
         let engine = self.engines.get(target);
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -51,10 +51,27 @@
     RequestFingerprint(hasher.finish())
 }
 
+/// What a look at a target that broke a call off showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LookVerdict {
+    /// Nothing listens at its address, or another target answers there.
+    Ended,
+    /// It answers.
+    Lives,
+    /// It does not answer: it may be busy with its end, or with anything else.
+    Unknown,
+}
+
 impl CallState {
     /// Looks whether a target that broke this call off has ended, and tells all holders if so, before the call is placed again.
     pub async fn look_at_break(&self, entry: &TargetEntry) {
-        if self.service.engine.is_none() || !self.has_ended(entry).await {
+        if self.service.engine.is_none() {
+            return;
+        }
+        let verdict = self.look(entry).await;
+        if verdict != LookVerdict::Ended {
+            event!(Event::EndNotShown, request = self.head.id; "at {}, request {:016x}: {verdict:?}", entry.name, self.fingerprint.0
+            );
             return;
         }
         let ended = EndedUnder {
@@ -72,7 +89,7 @@
         }
     }
 
-    async fn has_ended(&self, entry: &TargetEntry) -> bool {
+    async fn look(&self, entry: &TargetEntry) -> LookVerdict {
         let asked = exchange(
             &self.context.pool,
             entry,
@@ -81,14 +98,15 @@
             CONNECT_WITHIN,
             ANSWER_BYTES,
         );
-        // Nothing is known where no answer comes: the target may be busy with its end, or with anything else.
-        matches!(
-            timeout(ANSWER_WITHIN, asked).await,
-            Ok(Ok((StatusCode::MISDIRECTED_REQUEST, _))
+        match timeout(ANSWER_WITHIN, asked).await {
+            Ok(
+                Ok((StatusCode::MISDIRECTED_REQUEST, _))
                 | Err(SendError::NotSent {
-                    is_refused: true,
-                    ..
-                }))
-        )
+                    is_refused: true, ..
+                }),
+            ) => LookVerdict::Ended,
+            Ok(Ok(_)) => LookVerdict::Lives,
+            Ok(Err(_)) | Err(_) => LookVerdict::Unknown,
+        }
     }
 }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -328,8 +328,9 @@
             return failure;
         }
         if self.runs == 0 {
-            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, come back after {come_back:?}, {} turned away, {} out of reach, tried {:?}, zones {:?}",
+            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, come back after {come_back:?}, request {:016x}, {} turned away, {} out of reach, tried {:?}, zones {:?}",
                 self.route.name,
+                self.fingerprint.0,
                 self.refused,
                 self.unreached,
                 self.tried,
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -20,6 +20,7 @@
     direct::{
         config::EngineLimits,
         engine::{EngineReport, OrderOutcome},
+        health::CallOutcome,
         loading::LoadSummary,
         millis,
         plain::PlainAsk,
@@ -255,6 +256,11 @@
                 if ending.outcome == Some(CallEnd::Absent) {
                     held.planner.doubt_copy(&key, &ending.target, now);
                 }
+                if health == Some(CallOutcome::Good)
+                    && let Some(fingerprint) = held.planner.suspect_of(&key, &ending.target, now)
+                {
+                    event!(Event::SuspicionCleared, "{:016x}", fingerprint.0);
+                }
                 held.planner.ended(&key, Some(&ending.target), health, now);
             }
             ZoneEvent::EndedUnder(ended) => {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -174,6 +174,10 @@
     TargetEndedUnder = 816, Info, "target ended under a request";
     /// A holder heard of a target that ended under a request.
     RequestSuspected = 716, Warn, "request suspected";
+    /// A suspect was answered well.
+    SuspicionCleared = 717, Info, "suspicion of a request cleared";
+    /// A target broke a call off, and nothing showed that it had ended.
+    EndNotShown = 817, Info, "no end shown of a target that broke a call off";
     /// A request was given a target.
     CallPlaced = 803, Debug, "request placed";
     /// A stream's first event went out.
