--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -87,3 +87,15 @@
     assert_eq!(other.counts(at(10_000)), (suspected, quarantined));
     assert_eq!(suspicion(&other, 9_999, 10_000), Suspicion::Suspected);
 }
+
+#[test]
+fn a_quarantine_that_is_over_keeps_its_count() {
+    let mut table = SuspectTable::default();
+    table.note_ended(&ended(1, "a"), at(0));
+    table.note_ended(&ended(1, "b"), at(10));
+    table.note_ended(&ended(1, "c"), at(31_000));
+    assert!(matches!(
+        suspicion(&table, 1, 62_000),
+        Suspicion::Quarantined(_)
+    ));
+}
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod lives;
 mod news;
+mod poison;
 mod reloads;
 mod repeats;
 mod settings;
--- /dev/null
+++ b/crates/daemon/tests/direct/poison.rs
@@ -0,0 +1,225 @@
+//! Requests that crash whatever runs them, and come back.
+
+use crate::support::{
+    ask, config, entry, good, is_ready, model, post, settings, site_of, stream, wait_for,
+};
+use hoplanding_core::ids::AvailabilityZone;
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    raw_target::{RawRequest, RawTarget},
+};
+use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    runtime::{Builder, Runtime},
+    time::sleep,
+};
+
+const ZONES: [&str; 2] = ["hall", "yard"];
+
+fn is_poison(request: &RawRequest) -> bool {
+    request.body == b"kill"
+}
+
+fn poison(path: &str, id: &str) -> String {
+    post(path, id, &model("a1")).replace("\r\n\r\nbody", "\r\n\r\nkill")
+}
+
+/// Engines whose events come after a pause each.
+async fn mortal_engines(
+    count: usize,
+    pause: Duration,
+    is_deadly: impl Fn(&RawRequest) -> bool + Clone + Send + Sync + 'static,
+) -> Vec<RawTarget> {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let answer = move |request: &RawRequest| {
+            let mut answer = stream(request, None);
+            for (before, _) in answer.pieces.iter_mut().skip(1) {
+                *before = pause;
+            }
+            answer
+        };
+        let engine = RawTarget::start_mortal(answer, is_deadly.clone()).await;
+        engines.push(engine.expect("an engine"));
+    }
+    engines
+}
+
+fn listed<'a>(
+    names: &[&'a str],
+    service: &'a str,
+    targets: &[RawTarget],
+) -> Vec<(&'a str, &'a str, SocketAddr)> {
+    names
+        .iter()
+        .zip(targets)
+        .map(|(name, target)| (*name, service, target.address))
+        .collect()
+}
+
+fn poisoned(targets: &[RawTarget]) -> usize {
+    let seen = targets.iter().flat_map(RawTarget::requests);
+    seen.filter(is_poison).count()
+}
+
+async fn serves_streams(daemon: &DirectDaemon) {
+    wait_for("a stream", async || {
+        let request = post("/plan/1", "r0", &model("a1"));
+        ask(daemon.caller_address, &request).await.status == 200
+    })
+    .await;
+}
+
+/// A runtime whose end ends a daemon as a kill does.
+fn process() -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+async fn start_in(process: &Runtime, settings: DirectSettings) -> DirectDaemon {
+    let started = process.spawn(DirectDaemon::start(settings));
+    let daemon = started.await.expect("a task").expect("the daemon starts");
+    wait_for("readiness", async || is_ready(&daemon).await).await;
+    daemon
+}
+
+#[tokio::test]
+async fn a_poison_request_to_a_plain_service_reaches_two_of_its_targets() {
+    let log = KeyedLog::start().await.expect("a log");
+    let mut targets = Vec::new();
+    for _ in 0..4 {
+        let target = RawTarget::start_mortal(good, is_poison).await;
+        targets.push(target.expect("a target"));
+    }
+    let names = ["l-1", "l-2", "l-3", "l-4"];
+    let daemon = site_of(
+        settings("vm-1", &log),
+        &log,
+        &listed(&names, "ledger", &targets),
+    )
+    .await;
+    for number in 0..8 {
+        let id = format!("d{number}");
+        ask(daemon.caller_address, &poison("/scan/1", &id)).await;
+    }
+    assert_eq!(poisoned(&targets), 2);
+    let innocent = ask(daemon.caller_address, &post("/scan/1", "r1", "")).await;
+    assert_eq!(innocent.status, 200);
+}
+
+#[tokio::test]
+async fn a_poison_request_stays_quarantined_when_all_vms_start_again() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engines = mortal_engines(5, Duration::from_millis(5), is_poison).await;
+    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
+    for (name, service, address) in listed(&names, "scribe", &engines) {
+        let entry = entry(service, address, "ready", &["a1@1"]);
+        log.put("keyed.servers", name, Some(&entry));
+    }
+    log.put("keyed.op", "config", Some(&config(1)));
+    let first_life = process();
+    let daemon = start_in(&first_life, settings("vm-1", &log)).await;
+    serves_streams(&daemon).await;
+    for number in 0..4 {
+        let request = poison("/plan/1", &format!("d{number}"));
+        ask(daemon.caller_address, &request).await;
+    }
+    assert_eq!(poisoned(&engines), 2);
+    sleep(Duration::from_millis(200)).await;
+    first_life.shutdown_background();
+
+    let second_life = process();
+    let mut settings = settings("vm-1", &log);
+    settings.is_first_start = false;
+    let daemon = start_in(&second_life, settings).await;
+    serves_streams(&daemon).await;
+    for number in 0..4 {
+        let request = poison("/plan/1", &format!("e{number}"));
+        ask(daemon.caller_address, &request).await;
+    }
+    assert_eq!(poisoned(&engines), 2);
+    second_life.shutdown_background();
+}
+
+/// A VM of each of two zones, each its zone's holder.
+async fn two_zones(
+    log: &KeyedLog,
+    targets: &[(&str, &str, SocketAddr)],
+    adjust: impl Fn(&mut DirectSettings),
+) -> Vec<DirectDaemon> {
+    for (number, (name, service, address)) in targets.iter().enumerate() {
+        let zone = format!("\"{}\"", ZONES[number % ZONES.len()]);
+        let entry = entry(service, *address, "ready", &["a1@1"]).replace("\"hall\"", &zone);
+        log.put("keyed.servers", name, Some(&entry));
+    }
+    log.put("keyed.op", "config", Some(&config(1)));
+    let mut daemons = Vec::new();
+    for (vm, zone) in ["vm-1", "vm-2"].iter().zip(ZONES) {
+        let mut settings = settings(vm, log);
+        settings.zone = AvailabilityZone::new(zone);
+        settings.zones = ZONES
+            .iter()
+            .map(|zone| AvailabilityZone::new(zone))
+            .collect();
+        adjust(&mut settings);
+        let daemon = DirectDaemon::start(settings).await;
+        daemons.push(daemon.expect("the daemon starts"));
+    }
+    for daemon in &daemons {
+        wait_for("readiness and holders", async || {
+            let zones = ZONES.map(AvailabilityZone::new);
+            let are_held = zones
+                .iter()
+                .all(|zone| daemon.fleet().lease(zone).is_some());
+            are_held && is_ready(daemon).await
+        })
+        .await;
+        serves_streams(daemon).await;
+    }
+    daemons
+}
+
+#[tokio::test]
+async fn a_suspect_runs_once_at_a_time_in_the_whole_fleet() {
+    const NAMES: [&str; 6] = ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6"];
+    let log = KeyedLog::start().await.expect("a log");
+    let is_suspect = |request: &RawRequest| request.line().contains("/plan/suspect");
+    // Its first target ends, whatever the cause; the later ones live.
+    let has_ended = Arc::new(AtomicBool::new(false));
+    let ends_once =
+        move |request: &RawRequest| is_suspect(request) && !has_ended.swap(true, Ordering::SeqCst);
+    let engines = mortal_engines(NAMES.len(), Duration::from_millis(150), ends_once).await;
+    let daemons = two_zones(&log, &listed(&NAMES, "scribe", &engines), |_| {}).await;
+    let runs = || {
+        let seen = engines.iter().flat_map(RawTarget::requests);
+        seen.filter(is_suspect).count()
+    };
+    let ask_for = |daemon: &DirectDaemon, id: &str| {
+        let address = daemon.caller_address;
+        // A base model is at home in each zone.
+        let request = post("/plan/suspect", id, "Hoplanding-Model: base\r\n");
+        tokio::spawn(async move { ask(address, &request).await })
+    };
+    let first = ask_for(&daemons[0], "s0").await.expect("an answer");
+    assert_ne!(first.status, 200);
+    let before = runs();
+    let again: Vec<_> = (0..6)
+        .map(|number| ask_for(&daemons[number % 2], &format!("c{number}")))
+        .collect();
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(runs() - before, 1);
+    for answer in again {
+        answer.await.expect("an answer");
+    }
+}
