--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -23,6 +23,7 @@
 //! | [`freshness`] | since when the configuration in force is known to be the newest |
 //! | [`quotas`] | organisations' quotas over the whole fleet |
 //! | [`suspects`] | requests under which targets ended |
+//! | [`trials`] | when a suspect may run again, and one at a time |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
 
 pub mod budget;
@@ -46,6 +47,7 @@
 pub mod search;
 pub mod streams;
 pub mod suspects;
+pub mod trials;
 pub mod versions;
 
 use std::time::Duration;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -14,6 +14,7 @@
         millis,
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
+        suspects::RequestFingerprint,
     },
     ids::{AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, TargetRun, VmName},
 };
@@ -63,6 +64,10 @@
     pub left_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
+    /// The request by what it asks.
+    pub fingerprint: RequestFingerprint,
+    /// Whether it is sent as a granted trial of a suspect.
+    pub is_trial: bool,
     /// What it is charged, unless it is paid for.
     pub charge: Option<QuotaCharge>,
 }
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -57,6 +57,8 @@
     pub terms: AskTerms,
     /// The request by what it asks.
     pub fingerprint: RequestFingerprint,
+    /// Whether it is sent as a granted trial of a suspect.
+    pub is_trial: bool,
     /// What it is charged, unless it is paid for.
     pub charge: Option<QuotaCharge>,
 }
@@ -111,10 +113,12 @@
     LoadsFailed,
     /// Its load did not begin in time.
     LoadLate,
-    /// Targets ended under the same request: it is sent nowhere for now.
-    EndsTargets,
-    /// A target ended under the same request, which runs already: it runs once at a time.
-    RunsAlready,
+    /// Targets ended under the same request: it is sent as a granted trial only.
+    NeedsTrial,
+    /// No trial of it is granted for now.
+    Quarantined,
+    /// A trial of it runs.
+    TrialRuns,
     /// Its organisation's quota is used up in this zone.
     QuotaUsedUp,
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -298,9 +298,6 @@
     ) {
         if let (Some(target), Some(outcome)) = (target, outcome) {
             self.health.note(target, outcome, now);
-            if outcome == CallOutcome::Good {
-                self.clear_suspect(key, target);
-            }
         }
         // Where the caller has left, the call may be on its way still.
         self.end_loan(key, now.after(UNCOUNTED_RUN));
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -35,8 +35,8 @@
     }
 
     pub(super) fn place_known(&mut self, key: CallKey, ask: PlacementAsk, now: Instant) {
-        if let Some((retry_after, cause)) = self.bars_suspect(ask.fingerprint, now) {
-            self.refuse(key, millis(retry_after), cause);
+        if !ask.is_trial && self.needs_trial(ask.fingerprint, now) {
+            self.refuse(key, COME_BACK_MS, RefusalCause::NeedsTrial);
             return;
         }
         let Some((name, cost)) = self.cheapest(&ask, now) else {
--- a/crates/core/src/direct/planner/suspecting.rs
+++ b/crates/core/src/direct/planner/suspecting.rs
@@ -3,8 +3,8 @@
 use crate::{
     direct::{
         engine::SentCall,
-        planner::{COME_BACK_MS, CallKey, RefusalCause, ZonePlanner},
-        suspects::{EndedUnder, RequestFingerprint, Suspicion},
+        planner::ZonePlanner,
+        suspects::{RequestFingerprint, SuspectTable, Suspicion},
     },
     ids::{Instant, TargetName},
 };
@@ -15,40 +15,20 @@
 pub(super) const SHARED_END_PRICE: Duration = Duration::from_secs(10);
 
 impl ZonePlanner {
-    /// A target ended while a request ran there; says whether that is news.
-    pub fn target_ended(&mut self, ended: &EndedUnder, now: Instant) -> bool {
-        self.suspects.note_ended(ended, now)
-    }
-
-    /// Requests that are suspected, and those of them that are sent nowhere.
+    /// The requests under which engines ended, as the planner knows them.
     #[must_use]
-    pub fn suspect_counts(&self, now: Instant) -> (usize, usize) {
-        self.suspects.counts(now)
+    pub fn suspects(&self) -> &SuspectTable {
+        &self.suspects
     }
 
-    /// Why a request is sent nowhere now, and when it is worth coming back.
-    pub(super) fn bars_suspect(
-        &self,
-        fingerprint: RequestFingerprint,
-        now: Instant,
-    ) -> Option<(Duration, RefusalCause)> {
-        match self.suspects.suspicion(fingerprint, now) {
-            Suspicion::Clear => None,
-            Suspicion::Quarantined(until) => Some((until.since(now), RefusalCause::EndsTargets)),
-            Suspicion::Suspected => self.runs_or_waits(fingerprint).then(|| {
-                let retry_after = Duration::from_millis(u64::from(COME_BACK_MS));
-                (retry_after, RefusalCause::RunsAlready)
-            }),
-        }
+    /// Takes over what is known of requests under which engines ended.
+    pub fn set_suspects(&mut self, suspects: SuspectTable) {
+        self.suspects = suspects;
     }
 
-    fn runs_or_waits(&self, fingerprint: RequestFingerprint) -> bool {
-        self.engines.values().any(|engine| {
-            let mut running = engine.calls.values();
-            let mut waiting = engine.copies.values().flat_map(|copy| &copy.waiters);
-            running.any(|call| call.fingerprint == Some(fingerprint))
-                || waiting.any(|waiting| waiting.ask.fingerprint == fingerprint)
-        })
+    /// Whether a request may be sent as a trial only.
+    pub(super) fn needs_trial(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+        self.suspects.suspicion(fingerprint, now) != Suspicion::Clear
     }
 
     /// Engines on which another request runs that was at a target which ended under this one.
@@ -57,7 +37,7 @@
         fingerprint: RequestFingerprint,
         now: Instant,
     ) -> HashSet<TargetName> {
-        if self.suspects.suspicion(fingerprint, now) == Suspicion::Clear {
+        if !self.needs_trial(fingerprint, now) {
             return HashSet::new();
         }
         let shares = |call: &SentCall| {
@@ -70,26 +50,4 @@
             .map(|(name, _)| name.clone())
             .collect()
     }
-
-    /// The request of a call at an engine, if it is suspected.
-    #[must_use]
-    pub fn suspect_of(
-        &self,
-        key: &CallKey,
-        target: &TargetName,
-        now: Instant,
-    ) -> Option<RequestFingerprint> {
-        let fingerprint = self.engines.get(target)?.calls.get(key)?.fingerprint?;
-        let is_clear = self.suspects.suspicion(fingerprint, now) == Suspicion::Clear;
-        (!is_clear).then_some(fingerprint)
-    }
-
-    /// A call was answered well: its request ended no target.
-    pub(super) fn clear_suspect(&mut self, key: &CallKey, target: &TargetName) {
-        let engine = self.engines.get(target);
-        let fingerprint = engine.and_then(|engine| engine.calls.get(key)?.fingerprint);
-        if let Some(fingerprint) = fingerprint {
-            self.suspects.clear(fingerprint);
-        }
-    }
 }
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -604,6 +604,7 @@
         let avoided = avoided.map(|at| self.engines[at].name.clone());
         let ask = PlacementAsk {
             fingerprint: Default::default(),
+            is_trial: false,
             charge: None,
             subject: subject(drawn.subject),
             prompt_tokens: prompt(&drawn, number).map(|(_, tokens)| tokens).sum(),
--- a/crates/core/tests/direct_outdated.rs
+++ b/crates/core/tests/direct_outdated.rs
@@ -60,6 +60,7 @@
 fn ask(adapter: &str) -> PlacementAsk {
     PlacementAsk {
         fingerprint: Default::default(),
+        is_trial: false,
         charge: None,
         subject: AdapterName::new(adapter),
         prompt_tokens: 400,
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -133,6 +133,7 @@
 pub fn ask_for(subject: &str, tried: &[&str]) -> PlacementAsk {
     PlacementAsk {
         fingerprint: Default::default(),
+        is_trial: false,
         charge: None,
         subject: AdapterName::new(subject),
         prompt_tokens: PROMPT.iter().map(|(_, tokens)| tokens).sum(),
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -75,6 +75,8 @@
                     rank: 1,
                     left_ms: (OBJECTIVE_US / 1_000) as u32,
                     exclude: Vec::new(),
+                    fingerprint: Default::default(),
+                    is_trial: false,
                     charge: None,
                 };
                 match planner.place(key(call, gateway), &ask, targets, now) {
@@ -241,6 +243,8 @@
         rank: 1,
         left_ms: 300,
         exclude: Vec::new(),
+        fingerprint: Default::default(),
+        is_trial: false,
         charge: None,
     };
     let begin = Instant(1_000_000);
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -410,6 +410,7 @@
             .wait_bound(question.pass, class.rank, objective, left);
         let ask = PlacementAsk {
             fingerprint: Default::default(),
+            is_trial: false,
             charge: None,
             subject: AdapterName::new(&format!("base/a{}", call.adapter)),
             prompt_tokens: call.tokens,
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -6,6 +6,7 @@
         fleet::FleetState,
         links::{LinkContact, VmLink},
         message::{CallEnd, CallEnding, VmMessage},
+        trials::TrialPermit,
         zone::{PlaceReply, ReplyTo, ZoneEvent},
     },
 };
@@ -15,7 +16,8 @@
         plain::PlainAsk,
         planner::{CallKey, PlacementAnswer, PlacementAsk},
         quotas::QuotaCharge,
-        suspects::EndedUnder,
+        suspects::{EndedUnder, RequestFingerprint},
+        trials::{TrialAnswer, trial_zones},
     },
     ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
 };
@@ -39,6 +41,8 @@
 /// Time that a call of a plain service waits for a holder's answer, which takes a few milliseconds: their objectives
 /// begin at 150 ms.
 const PLAIN_WAIT: Duration = Duration::from_millis(60);
+/// Time that a call waits for a holder's word on a trial before it asks the next one.
+const TRIAL_WAIT: Duration = Duration::from_millis(250);
 /// Pause after a link ended before it is dialled again for a call.
 const REDIAL_PAUSE: Duration = Duration::from_millis(700);
 
@@ -59,6 +63,8 @@
     Plain(Box<PlainAsk>),
     /// Whether a charge is paid.
     Pay(QuotaCharge),
+    /// Whether a trial of a suspect is granted.
+    Trial(RequestFingerprint),
 }
 
 impl HolderQuestion {
@@ -67,6 +73,7 @@
             Self::Place(ask) => ZoneEvent::Place(key, ask, reply),
             Self::Plain(ask) => ZoneEvent::PlacePlain(key, ask, reply),
             Self::Pay(charge) => ZoneEvent::Pay(key, charge, reply),
+            Self::Trial(fingerprint) => ZoneEvent::Trial(key, fingerprint, reply),
         }
     }
 
@@ -75,6 +82,7 @@
             Self::Place(ask) => VmMessage::Place(number, ask),
             Self::Plain(ask) => VmMessage::PlacePlain(number, ask),
             Self::Pay(charge) => VmMessage::Pay(number, charge),
+            Self::Trial(fingerprint) => VmMessage::Trial(number, fingerprint),
         }
     }
 }
@@ -89,6 +97,8 @@
     GiveBack(QuotaCharge),
     /// A target ended while a request ran there.
     EndedUnder(EndedUnder),
+    /// A trial ended, answered well or not.
+    TrialEnded(u64, RequestFingerprint, bool),
 }
 
 impl HolderNotice {
@@ -102,6 +112,9 @@
             Self::Withdrawn(number) => ZoneEvent::Withdrawn(key(number)),
             Self::GiveBack(charge) => ZoneEvent::GiveBack(charge),
             Self::EndedUnder(ended) => ZoneEvent::EndedUnder(ended),
+            Self::TrialEnded(number, fingerprint, is_good) => {
+                ZoneEvent::TrialEnded(key(number), fingerprint, is_good)
+            }
         }
     }
 
@@ -111,6 +124,9 @@
             Self::Withdrawn(number) => VmMessage::Withdrawn(number),
             Self::GiveBack(charge) => VmMessage::GiveBack(charge),
             Self::EndedUnder(ended) => VmMessage::EndedUnder(ended),
+            Self::TrialEnded(number, fingerprint, is_good) => {
+                VmMessage::TrialEnded(number, fingerprint, is_good)
+            }
         }
     }
 }
@@ -190,8 +206,54 @@
         match self.question(zone, &lease, number, question).await? {
             PlaceReply::Paid(None) => Some(Ok(())),
             PlaceReply::Paid(Some(ms)) => Some(Err(Duration::from_millis(u64::from(ms)))),
-            PlaceReply::Answer(_) | PlaceReply::NotHolder => None,
+            PlaceReply::Answer(_) | PlaceReply::Trial(_) | PlaceReply::NotHolder => None,
+        }
+    }
+
+    /// Asks for a trial of a suspect: the first zone in their order whose holder answers.
+    pub async fn ask_trial(
+        self: &Arc<Self>,
+        zones: &[AvailabilityZone],
+        fingerprint: RequestFingerprint,
+    ) -> Option<(TrialAnswer, TrialPermit)> {
+        for zone in trial_zones(fingerprint, zones) {
+            let Some(lease) = self.fleet.lease(&zone) else {
+                continue;
+            };
+            let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+            // Dropped where nobody answers, as a trial may have been granted that nobody heard of.
+            let permit = TrialPermit::new(self, &zone, number, fingerprint);
+            let question = HolderQuestion::Trial(fingerprint);
+            let asked = self.question(&zone, &lease, number, question);
+            if let Ok(Some(PlaceReply::Trial(answer))) = timeout(TRIAL_WAIT, asked).await {
+                return Some((answer, permit));
+            }
+        }
+        None
+    }
+
+    /// Tells of a trial's end: the holder that granted it, and all of one that was answered well.
+    pub(super) fn end_trial(
+        &self,
+        zone: &AvailabilityZone,
+        number: u64,
+        fingerprint: RequestFingerprint,
+        is_good: bool,
+    ) {
+        let notice = |zone: &AvailabilityZone| {
+            let notice = HolderNotice::TrialEnded(number, fingerprint, is_good);
+            self.notify(zone, notice);
+        };
+        if !is_good {
+            notice(zone);
+            return;
         }
+        self.fleet.pardon(fingerprint);
+        self.all_zones().iter().for_each(notice);
+    }
+
+    fn all_zones(&self) -> Vec<AvailabilityZone> {
+        self.fleet.books().leases.keys().cloned().collect()
     }
 
     /// Asks a zone's holder; nothing where it does not answer.
@@ -230,7 +292,7 @@
     ) -> Option<(PlacementAnswer, Option<CallTicket>)> {
         withdrawal.is_settled = true;
         match reply {
-            PlaceReply::NotHolder | PlaceReply::Paid(_) => None,
+            PlaceReply::NotHolder | PlaceReply::Paid(_) | PlaceReply::Trial(_) => None,
             PlaceReply::Answer(answer) => {
                 let ticket = match &answer {
                     PlacementAnswer::Send { target, life, .. } => {
@@ -427,8 +489,7 @@
 
     /// Tells every zone's holder that a target ended while a request ran there.
     pub fn tell_ended_under(&self, ended: &EndedUnder) {
-        let zones: Vec<_> = self.fleet.books().leases.keys().cloned().collect();
-        for zone in &zones {
+        for zone in &self.all_zones() {
             self.notify(zone, HolderNotice::EndedUnder(ended.clone()));
         }
     }
@@ -439,8 +500,9 @@
             return;
         };
         if self.is_mine(&lease) {
-            // What a full channel loses: a charge is lost to its organisation, and other VMs tell of the same end. A
-            // call that was begun or withdrawn is freed by its end, and what it has read lends nothing.
+            // What a full channel loses: a charge is lost to its organisation, other VMs tell of the same end, and a
+            // trial holds up others until its time is over. A call that was begun or withdrawn is freed by its end, and
+            // what it has read lends nothing.
             drop(self.zone.try_send(notice.into_event(&self.fleet.vm)));
         } else if let Some(link) = self.link(zone, &lease) {
             link.tell(notice.into_message());
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -4,7 +4,6 @@
 //! address refusing connections, or as another target answering there.
 
 use crate::{
-    clock,
     direct::{
         call::CallState,
         sender::{ReuseRule, SendError, exchange},
@@ -23,12 +22,14 @@
     hash::{Hash, Hasher},
     time::Duration,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time for a connection to a target that broke one off, and for its answer: a target that lives answers within a few
 /// milliseconds, and the call waits to be sent elsewhere.
 const CONNECT_WITHIN: Duration = Duration::from_millis(100);
 const ANSWER_WITHIN: Duration = Duration::from_millis(200);
+/// Pause before a look that showed nothing is repeated.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Bytes of the answer that are read.
 const ANSWER_BYTES: usize = 1 << 20;
 
@@ -64,15 +65,21 @@
 
 impl CallState {
     /// Looks whether a target that broke this call off has ended, and tells all holders if so, before the call is placed again.
-    pub async fn look_at_break(&self, entry: &TargetEntry) {
-        if self.service.engine.is_none() {
-            return;
+    /// A trial whose target says nothing counts as one that ended it.
+    pub async fn look_at_break(&self, entry: &TargetEntry, is_trial: bool) {
+        let mut verdict = self.look(entry).await;
+        if verdict == LookVerdict::Unknown {
+            // Its connections may end a moment before its address does.
+            sleep(LOOK_AGAIN).await;
+            verdict = self.look(entry).await;
         }
-        let verdict = self.look(entry).await;
+        let is_taken_for_ended = verdict == LookVerdict::Unknown && is_trial;
         if verdict != LookVerdict::Ended {
-            event!(Event::EndNotShown, request = self.head.id; "at {}, request {:016x}: {verdict:?}", entry.name, self.fingerprint.0
+            event!(Event::EndNotShown, request = self.head.id; "at {}, request {:016x}: {verdict:?}, trial {is_trial}", entry.name, self.fingerprint.0
             );
-            return;
+            if !is_taken_for_ended {
+                return;
+            }
         }
         let ended = EndedUnder {
             fingerprint: self.fingerprint,
@@ -80,16 +87,24 @@
         };
         event!(Event::TargetEndedUnder, request = self.head.id; "at {}, request {:016x}", entry.name, self.fingerprint.0
         );
-        let is_news = {
-            let mut books = self.context.fleet.books();
-            books.suspects.note_ended(&ended, clock::now())
-        };
-        if is_news {
+        if self.context.fleet.note_ended_under(&ended) {
             self.context.access.tell_ended_under(&ended);
         }
     }
 
     async fn look(&self, entry: &TargetEntry) -> LookVerdict {
+        let looked = async {
+            if self.service.engine.is_some() {
+                self.ask_engine(entry).await
+            } else {
+                self.dial(entry).await
+            }
+        };
+        let looked = timeout(ANSWER_WITHIN, looked).await;
+        looked.unwrap_or(LookVerdict::Unknown)
+    }
+
+    async fn ask_engine(&self, entry: &TargetEntry) -> LookVerdict {
         let asked = exchange(
             &self.context.pool,
             entry,
@@ -98,15 +113,29 @@
             CONNECT_WITHIN,
             ANSWER_BYTES,
         );
-        match timeout(ANSWER_WITHIN, asked).await {
-            Ok(
-                Ok((StatusCode::MISDIRECTED_REQUEST, _))
-                | Err(SendError::NotSent {
-                    is_refused: true, ..
-                }),
-            ) => LookVerdict::Ended,
-            Ok(Ok(_)) => LookVerdict::Lives,
-            Ok(Err(_)) | Err(_) => LookVerdict::Unknown,
+        match asked.await {
+            Ok((StatusCode::MISDIRECTED_REQUEST, _)) => LookVerdict::Ended,
+            Ok(_) => LookVerdict::Lives,
+            Err(error) => verdict_of(&error),
+        }
+    }
+
+    /// Targets of plain services have no report: one that accepts a connection lives.
+    async fn dial(&self, entry: &TargetEntry) -> LookVerdict {
+        let (pool, run) = (&self.context.pool, entry.run());
+        let taken = pool.take(&run, entry.address, ReuseRule::Never, CONNECT_WITHIN);
+        match taken.await {
+            Ok(_) => LookVerdict::Lives,
+            Err(error) => verdict_of(&error),
         }
     }
 }
+
+fn verdict_of(error: &SendError) -> LookVerdict {
+    match error {
+        SendError::NotSent {
+            is_refused: true, ..
+        } => LookVerdict::Ended,
+        SendError::NotSent { .. } | SendError::Unanswered { .. } => LookVerdict::Unknown,
+    }
+}
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -45,6 +45,7 @@
         fleet::{ActiveConfig, FleetState},
         sender::ConnectionPool,
         settings::DirectSettings,
+        trials::TrialPermit,
         whole::take_whole,
     },
     event,
@@ -109,6 +110,8 @@
     pub payment: CallPayment,
     /// The request by what it asks.
     pub fingerprint: RequestFingerprint,
+    /// Leave to send it once though targets ended under it.
+    pub trial: Option<TrialPermit>,
     /// The service that it goes to.
     pub service: ServiceRule,
     /// What its head says.
@@ -214,6 +217,7 @@
         identity,
         payment,
         fingerprint: request_fingerprint(&parts.method, &parts.uri, &head, &body),
+        trial: None,
         service,
         head,
         arrived,
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -17,6 +17,7 @@
         planner::{PlacementAnswer, PlacementAsk, RefusalCause, split_subject},
         search::{SearchPass, ZoneQuestion, ZoneSearch},
         suspects::Suspicion,
+        trials::TrialAnswer,
     },
     ids::{AdapterName, AvailabilityZone},
 };
@@ -47,6 +48,11 @@
     pub async fn place(&mut self) -> Placing {
         self.refusals.clear();
         self.fetch = None;
+        if self.is_suspected()
+            && let Some(barred) = self.ask_trial().await
+        {
+            return barred;
+        }
         if self.service.engine.is_none() {
             return self.place_plain().await;
         }
@@ -77,6 +83,12 @@
         let zones = placing_zones(&self.service.name, &self.context.settings.zones);
         for zone in &zones {
             let mut asked = self.ask_plain(zone).await;
+            if is_refused_for(&asked, RefusalCause::NeedsTrial) {
+                if let Some(barred) = self.ask_trial().await {
+                    return barred;
+                }
+                asked = self.ask_plain(zone).await;
+            }
             if let Some((
                 PlacementAnswer::Refuse {
                     retry_after_ms,
@@ -131,6 +143,8 @@
             rank: self.rank,
             left_ms: millis(left),
             exclude: self.tried.clone(),
+            fingerprint: self.fingerprint,
+            is_trial: self.trial.is_some(),
             charge: self.payment.due().cloned(),
         };
         self.context.access.place_plain(zone, ask).await
@@ -220,10 +234,10 @@
                 self.refusals.push((zone.clone(), cause));
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
                 match cause {
-                    // Every zone says the same of it.
-                    RefusalCause::EndsTargets | RefusalCause::RunsAlready => {
-                        Some(Placing::Nowhere(retry_after))
-                    }
+                    RefusalCause::NeedsTrial => match self.ask_trial().await {
+                        None => Box::pin(self.ask_zone(zone, question, search)).await,
+                        barred => barred,
+                    },
                     RefusalCause::QuotaUsedUp => {
                         match self.unpaid(Some(zone), Some(retry_after)).await {
                             // The zone has not looked at the call itself yet.
@@ -313,10 +327,47 @@
             may_load: question.may_load,
             terms: question.terms,
             fingerprint: self.fingerprint,
+            is_trial: self.trial.is_some(),
             charge: self.payment.due().cloned(),
         }
     }
 
+    /// Whether targets ended under the request, as far as this VM knows.
+    fn is_suspected(&self) -> bool {
+        let books = self.context.fleet.books();
+        books.suspects.suspicion(self.fingerprint, clock::now()) != Suspicion::Clear
+    }
+
+    /// Asks for a trial unless one is granted already; says where the call goes if none is.
+    async fn ask_trial(&mut self) -> Option<Placing> {
+        if self.trial.is_some() {
+            return None;
+        }
+        let zones = &self.context.settings.zones;
+        let asked = self.context.access.ask_trial(zones, self.fingerprint).await;
+        let Some((answer, permit)) = asked else {
+            return Some(Placing::Nowhere(COME_BACK));
+        };
+        let (retry_after_ms, is_running) = match answer {
+            TrialAnswer::Granted | TrialAnswer::Clear => {
+                self.trial = Some(permit);
+                return None;
+            }
+            TrialAnswer::Refused {
+                retry_after_ms,
+                is_running,
+            } => (retry_after_ms, is_running),
+        };
+        let cause = if is_running {
+            RefusalCause::TrialRuns
+        } else {
+            RefusalCause::Quarantined
+        };
+        self.refusals.push((permit.zone().clone(), cause));
+        let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+        Some(Placing::Nowhere(retry_after))
+    }
+
     pub(super) fn subject(&self) -> AdapterName {
         self.head
             .subject
@@ -333,9 +384,6 @@
         let named = books.versions.get(&subject).filter(|_| has_adapter);
         let version = named.copied();
         let now = clock::now();
-        if books.suspects.suspicion(self.fingerprint, now) != Suspicion::Clear {
-            return None;
-        }
         books
             .catalog
             .ready(&self.service.name)
@@ -351,6 +399,13 @@
     }
 }
 
+fn is_refused_for(
+    asked: &Option<(PlacementAnswer, Option<CallTicket>)>,
+    why: RefusalCause,
+) -> bool {
+    matches!(asked, Some((PlacementAnswer::Refuse { cause, .. }, _)) if *cause == why)
+}
+
 /// The version of an adapter, or of a base model, by its target's entry.
 fn listed_version(entry: &TargetEntry, subject: &AdapterName) -> Option<u64> {
     let mut adapters = entry.adapters.iter();
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -8,6 +8,7 @@
         fleet::FleetState,
         message::CallEnd,
         sender::{ReuseRule, SendError, TargetConnection, TargetRequest},
+        trials::TrialPermit,
     },
     event,
     events::Event,
@@ -36,6 +37,8 @@
     pub body: Incoming,
     /// The connection, to be given back after a whole answer.
     pub connection: TargetConnection,
+    /// The target as it was listed when the call was sent.
+    pub entry: Arc<TargetEntry>,
     /// The holder's count of the call.
     pub ticket: Option<CallTicket>,
     /// This VM's count of the call.
@@ -61,19 +64,31 @@
 pub struct InFlightCount {
     fleet: Arc<FleetState>,
     run: TargetRun,
+    /// The trial that the call is.
+    trial: Option<TrialPermit>,
 }
 
 impl InFlightCount {
-    fn new(fleet: &Arc<FleetState>, entry: &TargetEntry) -> Self {
+    fn new(fleet: &Arc<FleetState>, entry: &TargetEntry, trial: Option<TrialPermit>) -> Self {
         *fleet.books().in_flight.entry(entry.run()).or_default() += 1;
         Self {
             fleet: Arc::clone(fleet),
             run: entry.run(),
+            trial,
         }
     }
 
+    /// Whether the call is a trial.
+    #[must_use]
+    pub fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     /// Notes how the call ended.
-    pub fn note(&self, end: CallEnd) {
+    pub fn note(mut self, end: CallEnd) {
+        if let Some(trial) = self.trial.as_mut().filter(|_| end == CallEnd::Good) {
+            trial.note_good();
+        }
         let TargetRun { name, life } = &self.run;
         let mut books = self.fleet.books();
         // What an earlier life did says nothing about this one.
@@ -101,13 +116,13 @@
     /// Sends it to a target.
     pub async fn send(
         &mut self,
-        entry: &TargetEntry,
+        entry: &Arc<TargetEntry>,
         version: Option<u64>,
         ticket: Option<CallTicket>,
         last_event: Option<u64>,
     ) -> SendOutcome {
-        let count = InFlightCount::new(&self.context.fleet, entry);
-        let end = |ticket: Option<CallTicket>, count: &InFlightCount, end: CallEnd| {
+        let count = InFlightCount::new(&self.context.fleet, entry, self.trial.take());
+        let end = |ticket: Option<CallTicket>, count: InFlightCount, end: CallEnd| {
             count.note(end);
             if let Some(ticket) = ticket {
                 ticket.end(end);
@@ -142,7 +157,7 @@
             Err(SendError::NotSent { target, cause, .. }) => {
                 event!(Event::TargetUnreached, request = self.head.id; "at {target}: {cause}"
                 );
-                end(ticket, &count, CallEnd::Unreached);
+                end(ticket, count, CallEnd::Unreached);
                 self.unreached += 1;
                 self.tried.push(target);
                 return SendOutcome::NotSent;
@@ -150,8 +165,8 @@
             Err(SendError::Unanswered { target, cause }) => {
                 event!(Event::AnswerMissing, request = self.head.id; "at {target}: {cause}"
                 );
-                self.look_at_break(entry).await;
-                end(ticket, &count, CallEnd::Failed);
+                self.look_at_break(entry, count.is_trial()).await;
+                end(ticket, count, CallEnd::Failed);
                 self.runs += 1;
                 self.tried.push(target);
                 return SendOutcome::Unknown;
@@ -164,6 +179,7 @@
                 parts: parts.clone(),
                 body,
                 connection,
+                entry: Arc::clone(entry),
                 ticket,
                 count,
             })
@@ -190,7 +206,7 @@
                 } else {
                     CallEnd::Shed
                 };
-                end(ticket, &count, outcome);
+                end(ticket, count, outcome);
                 self.refused += 1;
                 // An adapter that is late is soon there: its holder knows whether another target is better.
                 if !is_absent {
@@ -204,7 +220,7 @@
                     parts.status
                 );
                 self.context.pool.close(entry.address);
-                end(ticket, &count, CallEnd::Failed);
+                end(ticket, count, CallEnd::Failed);
                 self.runs += 1;
                 self.tried.push(entry.name.clone());
                 SendOutcome::Unknown
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -14,6 +14,7 @@
         reach::StoreReach,
         sender::ConnectionPool,
         settings::DirectSettings,
+        trials::QuarantineRecorder,
         zone::{ZoneEvent, ZoneWorker},
     },
     event,
@@ -35,6 +36,8 @@
 
 /// Events that wait for the zone's worker.
 const ZONE_EVENTS: usize = 1024;
+/// Requests whose quarantine waits to be recorded.
+const QUARANTINES: usize = 256;
 /// Pause between two looks at what has rested too long.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// Pause between two tries to record this VM.
@@ -102,11 +105,18 @@
             settings.peer_address
         );
         start_feeds(&settings, &fleet, &access);
+        let (quarantines, quarantine_receiver) = mpsc::channel(QUARANTINES);
+        let recorder = QuarantineRecorder {
+            fleet: Arc::clone(&fleet),
+            settings: Arc::clone(&settings),
+        };
+        tokio::spawn(recorder.run(quarantine_receiver));
         let worker = ZoneWorker::new(
             Arc::clone(&fleet),
             Arc::clone(&pool),
             zone.clone(),
             Arc::clone(&settings),
+            quarantines,
         );
         tokio::spawn(worker.run(zone_receiver));
         tokio::spawn(accept_links(peers, Arc::clone(&fleet), zone.clone()));
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -155,15 +155,9 @@
 
     /// Looks whether the target that broke the stream off has ended; one that was merely silent has not broken it off.
     async fn look_at_break(&self, is_silent: bool) {
-        let Some(open) = self.open.as_ref().filter(|_| !is_silent) else {
-            return;
-        };
-        let entry = {
-            let books = self.call.context.fleet.books();
-            books.catalog.get(open.connection.target()).cloned()
-        };
-        if let Some(entry) = entry {
-            self.call.look_at_break(&entry).await;
+        if let Some(open) = self.open.as_ref().filter(|_| !is_silent) {
+            let is_trial = open.count.is_trial();
+            self.call.look_at_break(&open.entry, is_trial).await;
         }
     }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -60,7 +60,8 @@
         self.take_passed(vec![PassedRecord {
             topic: FeedTopic::Fleet,
             key,
-            value: Some(Bytes::from(value)),
+            // A key without a value is dropped.
+            value: (!value.is_empty()).then(|| Bytes::from(value)),
             offset,
         }]);
     }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -22,7 +22,7 @@
         policy::PlacementPolicy,
         routes::RouteTable,
         streams::StreamPace,
-        suspects::SuspectTable,
+        suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
         AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, TargetRun,
@@ -43,6 +43,8 @@
 
 /// Start of the keys of VM records.
 pub const VM_KEY: &str = "vm/";
+/// Start of the keys of quarantined requests.
+pub const SUSPECT_KEY: &str = "suspect/";
 /// Start of the keys of zone leases.
 pub const ZONE_KEY: &str = "zone/";
 /// Time for which an adapter that takes much of its home zone counts as at home everywhere. By then this VM's own count
@@ -113,7 +115,7 @@
     pub sought: HashMap<AdapterName, Instant>,
     /// Since when the configuration is known to be the newest.
     pub proof: ConfigProof,
-    /// Requests under which targets ended while this VM's calls ran there.
+    /// Requests under which targets ended, by this VM's calls, others' word and the log.
     pub suspects: SuspectTable,
     /// The newest records, to be passed on.
     pub records: RecordBook,
@@ -441,6 +443,12 @@
     format!("{VM_KEY}{vm}")
 }
 
+/// Key of a quarantined request.
+#[must_use]
+pub fn suspect_key(fingerprint: RequestFingerprint) -> String {
+    format!("{SUSPECT_KEY}{:016x}", fingerprint.0)
+}
+
 /// Key of a zone's lease.
 #[must_use]
 pub fn zone_key(zone: &AvailabilityZone) -> String {
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     direct::{
-        fleet::{ActiveConfig, FleetBooks, VM_KEY, ZONE_KEY},
+        fleet::{ActiveConfig, FleetBooks, SUSPECT_KEY, VM_KEY, ZONE_KEY},
         intake::RecordSource,
         message::FeedTopic,
     },
@@ -16,8 +16,9 @@
     direct::{
         catalog::{TargetCatalog, TargetEntry, TargetStage},
         routes::RouteTable,
+        suspects::{EndedUnder, RequestFingerprint},
     },
-    ids::{AvailabilityZone, Instant, TargetName, VmName},
+    ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
 };
 use hoplanding_platform::{
     DecodeError,
@@ -214,8 +215,29 @@
     }
 }
 
-/// Folds a VM's record or a zone's lease.
-pub fn fold_fleet_record(books: &mut FleetBooks, record: &KeyedRecord) {
+/// Folds the record of a quarantined request, or the end of its quarantine.
+fn fold_suspect(books: &mut FleetBooks, text: &str, record: &KeyedRecord, now: Instant) {
+    let Ok(fingerprint) = u64::from_str_radix(text, 16).map(RequestFingerprint) else {
+        event!(Event::RecordSkipped, "{}: no fingerprint", record.key);
+        return;
+    };
+    let Some(value) = &record.value else {
+        books.suspects.pardon(fingerprint);
+        return;
+    };
+    match serde_json::from_slice::<Vec<TargetRun>>(value) {
+        Ok(runs) => {
+            for run in runs {
+                let ended = EndedUnder { fingerprint, run };
+                books.suspects.note_ended(&ended, now);
+            }
+        }
+        Err(error) => event!(Event::RecordSkipped, "{}: {error}", record.key),
+    }
+}
+
+/// Folds a VM's record, a quarantined request or a zone's lease.
+pub fn fold_fleet_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) {
     if let Some(vm) = record.key.strip_prefix(VM_KEY) {
         let Some(value) = &record.value else {
             return;
@@ -227,6 +249,8 @@
             }
             Err(error) => event!(Event::RecordSkipped, "VM {vm}: {error}"),
         }
+    } else if let Some(text) = record.key.strip_prefix(SUSPECT_KEY) {
+        fold_suspect(books, text, record, now);
     } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
         let lease = record
             .value
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -129,7 +129,7 @@
                 }
                 FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
                 FeedTopic::Fleet => {
-                    fold_fleet_record(&mut books, record);
+                    fold_fleet_record(&mut books, record, now);
                     FoldedRecord::News
                 }
             };
--- a/crates/daemon/src/direct/ledger.rs
+++ b/crates/daemon/src/direct/ledger.rs
@@ -8,6 +8,8 @@
         plain::{PlainAsk, PlainPlanner},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::{BucketCounts, BucketStart, QuotaCharge, QuotaLedger, StandingTimes},
+        suspects::{RequestFingerprint, Suspicion},
+        trials::{TrialAnswer, TrialTable},
     },
     ids::{FencingToken, Instant, LogOffset, OrganisationName, VmName},
 };
@@ -30,6 +32,7 @@
     pub token: FencingToken,
     plain: PlainPlanner,
     quotas: QuotaLedger,
+    trials: TrialTable,
     /// Offset of the configuration whose quotas are declared.
     declared: Option<LogOffset>,
 }
@@ -59,6 +62,7 @@
         Self {
             token: lease.token,
             plain: PlainPlanner::default(),
+            trials: TrialTable::new(settings.trials),
             quotas: QuotaLedger::new(settings.quotas, zones, start, times),
             declared: None,
         }
@@ -120,6 +124,13 @@
         ask: &PlainAsk,
         now: Instant,
     ) -> PlacementAnswer {
+        let suspicion = fleet.books().suspects.suspicion(ask.fingerprint, now);
+        if !ask.is_trial && suspicion != Suspicion::Clear {
+            return PlacementAnswer::Refuse {
+                retry_after_ms: 0,
+                cause: RefusalCause::NeedsTrial,
+            };
+        }
         if let Err(refusal) = self.pay_for_place(ask.charge.as_ref(), now) {
             return refusal;
         }
@@ -141,8 +152,27 @@
         is_plain
     }
 
-    /// All calls of a gateway that can't be reached.
+    /// Grants a trial of a suspect, or says when to come back.
+    pub fn ask_trial(
+        &mut self,
+        fleet: &FleetState,
+        fingerprint: RequestFingerprint,
+        key: CallKey,
+        now: Instant,
+    ) -> TrialAnswer {
+        let mut books = fleet.books();
+        books.suspects.note_return(fingerprint, now);
+        self.trials.ask(&books.suspects, fingerprint, key, now)
+    }
+
+    /// A trial ended.
+    pub fn end_trial(&mut self, fingerprint: RequestFingerprint, key: &CallKey) {
+        self.trials.end(fingerprint, key);
+    }
+
+    /// All calls and trials of a gateway that can't be reached.
     pub fn forget_gateway(&mut self, vm: &VmName, now: Instant) {
+        self.trials.forget_gateway(vm);
         self.plain.forget_gateway(vm, now);
     }
 
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -324,6 +324,7 @@
         let (number, reply) = match message {
             VmMessage::Placed(number, answer) => (number, PlaceReply::Answer(answer)),
             VmMessage::Paid(number, after_ms) => (number, PlaceReply::Paid(after_ms)),
+            VmMessage::TrialAnswered(number, answer) => (number, PlaceReply::Trial(answer)),
             VmMessage::NotHolder(number) => (number, PlaceReply::NotHolder),
             _ => return,
         };
@@ -479,6 +480,14 @@
         )),
         VmMessage::GiveBack(charge) => Some(ZoneEvent::GiveBack(charge)),
         VmMessage::EndedUnder(ended) => Some(ZoneEvent::EndedUnder(ended)),
+        VmMessage::Trial(number, fingerprint) => Some(ZoneEvent::Trial(
+            key(number),
+            fingerprint,
+            ReplyTo::Link(outbound.clone()),
+        )),
+        VmMessage::TrialEnded(number, fingerprint, is_good) => {
+            Some(ZoneEvent::TrialEnded(key(number), fingerprint, is_good))
+        }
         VmMessage::Begun(number, target, version) => {
             Some(ZoneEvent::Begun(key(number), target, version))
         }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -8,7 +8,8 @@
         plain::PlainAsk,
         planner::{PlacementAnswer, PlacementAsk},
         quotas::QuotaCharge,
-        suspects::EndedUnder,
+        suspects::{EndedUnder, RequestFingerprint},
+        trials::TrialAnswer,
     },
     ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
 };
@@ -157,6 +158,12 @@
     GiveBack(QuotaCharge),
     /// A target ended while a request ran there.
     EndedUnder(EndedUnder),
+    /// Grant a trial of a suspect.
+    Trial(u64, RequestFingerprint),
+    /// Whether a trial is granted.
+    TrialAnswered(u64, TrialAnswer),
+    /// A trial ended, answered well or not.
+    TrialEnded(u64, RequestFingerprint, bool),
     /// A call that was open before the link.
     Open(u64, TargetName, TargetLife, AdapterName),
     /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -25,6 +25,7 @@
 //! | [`sharing`] | what a link passes on of the log |
 //! | [`skipped`] | how often entries that can't be used are told of |
 //! | [`records`] | what VMs pass on to each other of the platform's log |
+//! | [`trials`] | permits for trials of suspects, and records of quarantines |
 //! | [`claims`] | claims of a zone's lease |
 
 pub mod access;
@@ -53,5 +54,6 @@
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
+pub mod trials;
 pub mod whole;
 pub mod zone;
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -50,6 +50,13 @@
         kept.is_some_and(|kept| kept.offset == offset)
     }
 
+    /// The value that is kept of a key; none where it has none.
+    #[must_use]
+    pub fn value(&self, topic: FeedTopic, key: &str) -> Option<&[u8]> {
+        let kept = self.records.get(&(topic, key.to_owned()))?;
+        kept.value.as_deref()
+    }
+
     /// Keeps a record, which is newer than what is kept of its key. One that is no news takes the place of news that is
     /// still to be passed on.
     pub fn keep(
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -4,7 +4,7 @@
 use hoplanding_core::{
     direct::{
         budget::RetryRule, freshness::RevocationRule, lease::LeaseTimes, policy::PlacementPolicy,
-        quotas::QuotaBounds,
+        quotas::QuotaBounds, trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
 };
@@ -43,6 +43,8 @@
     pub revocation: Option<RevocationRule>,
     /// How exactly quotas are kept.
     pub quotas: QuotaBounds,
+    /// Pauses before trials of requests under which targets ended.
+    pub trials: TrialRule,
     /// Spans that decide about claims.
     pub leases: LeaseTimes,
     /// Whether engines refuse orders with an older fencing token than one that they have seen.
@@ -109,6 +111,7 @@
         retries: root.section("retries", read_retries),
         revocation: root.section("revocation", read_revocation),
         quotas: root.section("quotas", read_quotas),
+        trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         are_orders_fenced: root.flag("orders_fenced"),
         policy: root.section("policy", read_policy),
@@ -138,6 +141,13 @@
     }
 }
 
+fn read_trials(section: &SectionReader<'_>) -> TrialRule {
+    TrialRule {
+        pause: section.span("pause_ms", 30_000, 0, 86_400_000),
+        long_pause: section.span("long_pause_ms", 3_600_000, 0, 86_400_000),
+    }
+}
+
 fn read_leases(section: &SectionReader<'_>) -> LeaseTimes {
     LeaseTimes {
         silence: section.span("silence_ms", 1500, 100, 60_000),
--- a/crates/daemon/src/direct/whole.rs
+++ b/crates/daemon/src/direct/whole.rs
@@ -28,6 +28,7 @@
         parts,
         body,
         connection,
+        entry,
         ticket,
         count,
     } = open;
@@ -45,6 +46,7 @@
         }
         Ok(Err(error)) => {
             event!(Event::AnswerBroken, request = call.head.id; "at {target}: {error}");
+            call.look_at_break(&entry, count.is_trial()).await;
             (CallEnd::Failed, Err(target))
         }
         Err(_) => {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -20,7 +20,6 @@
     direct::{
         config::EngineLimits,
         engine::{EngineReport, OrderOutcome},
-        health::CallOutcome,
         loading::LoadSummary,
         millis,
         plain::PlainAsk,
@@ -28,7 +27,8 @@
             CallKey, EngineFigures, PlacementAnswer, PlacementAsk, PlannerAction, ZonePlanner,
         },
         quotas::QuotaCharge,
-        suspects::EndedUnder,
+        suspects::{EndedUnder, RequestFingerprint},
+        trials::{TrialAnswer, trial_zones},
     },
     ids::{AdapterName, FencingToken, Instant, ServiceName, TargetLife, TargetName, VmName},
 };
@@ -51,6 +51,8 @@
     Answer(PlacementAnswer),
     /// A charge is paid, or there will be enough after so many milliseconds.
     Paid(Option<u32>),
+    /// Whether a trial is granted.
+    Trial(TrialAnswer),
     /// The VM asked does not hold the zone.
     NotHolder,
 }
@@ -77,6 +79,10 @@
     GiveBack(QuotaCharge),
     /// A target ended while a request ran there.
     EndedUnder(EndedUnder),
+    /// Grant a trial of a suspect.
+    Trial(CallKey, RequestFingerprint, ReplyTo),
+    /// A trial ended, answered well or not.
+    TrialEnded(CallKey, RequestFingerprint, bool),
     /// The first event of a call came from this target, made by this version of the base model.
     Begun(CallKey, TargetName, Option<u64>),
     /// A call ended.
@@ -143,6 +149,8 @@
     ledger: Option<ZoneLedger>,
     pending: HashMap<CallKey, PendingAsk>,
     settings: Arc<DirectSettings>,
+    /// Requests whose quarantine has to be recorded.
+    quarantines: mpsc::Sender<RequestFingerprint>,
     /// Token that is not used: a target refused it, or it is being given up.
     refused: Option<FencingToken>,
     is_released: bool,
@@ -156,12 +164,14 @@
         pool: Arc<ConnectionPool>,
         events: mpsc::Sender<ZoneEvent>,
         settings: Arc<DirectSettings>,
+        quarantines: mpsc::Sender<RequestFingerprint>,
     ) -> Self {
         Self {
             fleet,
             pool,
             events,
             settings,
+            quarantines,
             held: None,
             ledger: None,
             pending: HashMap::new(),
@@ -210,6 +220,7 @@
         let Some(event) = self.take_for_ledger(event, now) else {
             return;
         };
+        self.sync_suspects();
         let Some(held) = &mut self.held else {
             match event {
                 ZoneEvent::Place(key, _, reply) => send_reply(&key, reply, PlaceReply::NotHolder),
@@ -256,24 +267,8 @@
                 if ending.outcome == Some(CallEnd::Absent) {
                     held.planner.doubt_copy(&key, &ending.target, now);
                 }
-                if health == Some(CallOutcome::Good)
-                    && let Some(fingerprint) = held.planner.suspect_of(&key, &ending.target, now)
-                {
-                    event!(Event::SuspicionCleared, "{:016x}", fingerprint.0);
-                }
                 held.planner.ended(&key, Some(&ending.target), health, now);
             }
-            ZoneEvent::EndedUnder(ended) => {
-                if held.planner.target_ended(&ended, now) {
-                    let (suspected, quarantined) = held.planner.suspect_counts(now);
-                    event!(
-                        Event::RequestSuspected,
-                        "{:016x}: {} ended under it, {suspected} suspected, {quarantined} sent nowhere",
-                        ended.fingerprint.0,
-                        ended.run.name
-                    );
-                }
-            }
             ZoneEvent::Withdrawn(key) => {
                 let pending = self.pending.remove(&key);
                 if let (Some(charge), Some(ledger)) =
@@ -321,7 +316,10 @@
             | ZoneEvent::Kept(_)
             | ZoneEvent::PlacePlain(..)
             | ZoneEvent::Pay(..)
-            | ZoneEvent::GiveBack(_) => {}
+            | ZoneEvent::GiveBack(_)
+            | ZoneEvent::EndedUnder(_)
+            | ZoneEvent::Trial(..)
+            | ZoneEvent::TrialEnded(..) => {}
         }
     }
 
@@ -329,7 +327,9 @@
     fn take_for_ledger(&mut self, event: ZoneEvent, now: Instant) -> Option<ZoneEvent> {
         let Some(ledger) = &mut self.ledger else {
             return match event {
-                ZoneEvent::Pay(key, _, reply) | ZoneEvent::PlacePlain(key, _, reply) => {
+                ZoneEvent::Pay(key, _, reply)
+                | ZoneEvent::PlacePlain(key, _, reply)
+                | ZoneEvent::Trial(key, _, reply) => {
                     send_reply(&key, reply, PlaceReply::NotHolder);
                     None
                 }
@@ -346,6 +346,24 @@
                 ledger.give_back(&charge, now);
                 None
             }
+            ZoneEvent::Trial(key, fingerprint, reply) => {
+                let answer = ledger.ask_trial(&self.fleet, fingerprint, key.clone(), now);
+                send_reply(&key, reply, PlaceReply::Trial(answer));
+                None
+            }
+            ZoneEvent::TrialEnded(key, fingerprint, is_good) => {
+                ledger.end_trial(fingerprint, &key);
+                if is_good {
+                    self.fleet.pardon(fingerprint);
+                    self.record_quarantine(fingerprint);
+                }
+                None
+            }
+            ZoneEvent::EndedUnder(ended) => {
+                self.fleet.note_ended_under(&ended);
+                self.record_quarantine(ended.fingerprint);
+                None
+            }
             ZoneEvent::PlacePlain(key, ask, reply) => {
                 let answer = ledger.place_plain(&self.fleet, key.clone(), &ask, now);
                 send_reply(&key, reply, PlaceReply::Answer(answer));
@@ -372,6 +390,26 @@
         }
     }
 
+    /// Has the record of a request's quarantine brought up to date, if that is for this zone's holder to do.
+    fn record_quarantine(&self, fingerprint: RequestFingerprint) {
+        let zones = trial_zones(fingerprint, &self.settings.zones);
+        if zones.first() == Some(&self.fleet.zone) {
+            // A full channel: the next end or the next holder's first word of it brings it again.
+            let _ = self.quarantines.try_send(fingerprint);
+        }
+    }
+
+    /// Has the planner know what the books do of requests under which engines ended.
+    fn sync_suspects(&mut self) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        let books = self.fleet.books();
+        if held.planner.suspects().revision() != books.suspects.revision() {
+            held.planner.set_suspects(books.suspects.clone());
+        }
+    }
+
     /// A successor gives no order for a turn after it has claimed the zone, unless this VM has given it up or ended.
     fn led_until(&self) -> Instant {
         let read_at = self.fleet.books().fleet_read_at;
@@ -426,9 +464,8 @@
         let figures = &self.fleet.figures;
         if let Some(ledger) = &self.ledger {
             figures.tell_quotas(ledger.counts());
-        }
-        if let Some(held) = &self.held {
-            figures.tell_suspects(held.planner.suspect_counts(clock::now()));
+            let books = self.fleet.books();
+            figures.tell_suspects(books.suspects.counts(clock::now()));
         }
     }
 
@@ -591,6 +628,7 @@
             let message = match answer {
                 PlaceReply::Answer(answer) => VmMessage::Placed(key.number, answer),
                 PlaceReply::Paid(after_ms) => VmMessage::Paid(key.number, after_ms),
+                PlaceReply::Trial(answer) => VmMessage::TrialAnswered(key.number, answer),
                 PlaceReply::NotHolder => VmMessage::NotHolder(key.number),
             };
             // A full or closed link: the gateway's own timeout takes it from here.
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -3,7 +3,7 @@
 use crate::support::{
     ask, config, entry, good, is_ready, model, post, settings, site_of, stream, wait_for,
 };
-use hoplanding_core::ids::AvailabilityZone;
+use hoplanding_core::{direct::lease::ZoneLease, ids::AvailabilityZone};
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
@@ -90,7 +90,12 @@
 async fn start_in(process: &Runtime, settings: DirectSettings) -> DirectDaemon {
     let started = process.spawn(DirectDaemon::start(settings));
     let daemon = started.await.expect("a task").expect("the daemon starts");
-    wait_for("readiness", async || is_ready(&daemon).await).await;
+    wait_for("readiness and a lease of its own", async || {
+        let lease = daemon.fleet().lease(&AvailabilityZone::new(ZONES[0]));
+        let is_own = |lease: ZoneLease| lease.incarnation == daemon.fleet().incarnation;
+        lease.is_some_and(is_own) && is_ready(&daemon).await
+    })
+    .await;
     daemon
 }
 
@@ -223,3 +228,47 @@
         answer.await.expect("an answer");
     }
 }
+
+#[tokio::test]
+async fn callers_of_all_vms_that_return_after_a_quarantine_make_one_trial() {
+    const NAMES: [&str; 6] = ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6"];
+    const PAUSE: Duration = Duration::from_millis(1_500);
+    let log = KeyedLog::start().await.expect("a log");
+    let engines = mortal_engines(NAMES.len(), Duration::from_millis(5), is_poison).await;
+    let daemons = two_zones(&log, &listed(&NAMES, "scribe", &engines), |settings| {
+        settings.trials.pause = PAUSE;
+    })
+    .await;
+    let herd = async |round: usize| {
+        let asked: Vec<_> = (0..12)
+            .map(|number| {
+                let address = daemons[number % 2].caller_address;
+                let id = format!("h{round}-{number}");
+                let request = post("/plan/1", &id, "Hoplanding-Model: base\r\n")
+                    .replace("\r\n\r\nbody", "\r\n\r\nkill");
+                tokio::spawn(async move { ask(address, &request).await.status })
+            })
+            .collect();
+        for answer in asked {
+            answer.await.expect("an answer");
+        }
+    };
+    for (number, daemon) in daemons.iter().enumerate() {
+        let request = post(
+            "/plan/1",
+            &format!("d{number}"),
+            "Hoplanding-Model: base\r\n",
+        );
+        let request = request.replace("\r\n\r\nbody", "\r\n\r\nkill");
+        ask(daemon.caller_address, &request).await;
+    }
+    assert_eq!(poisoned(&engines), 2);
+    herd(0).await;
+    assert_eq!(poisoned(&engines), 2);
+    sleep(PAUSE + Duration::from_millis(100)).await;
+    herd(1).await;
+    assert_eq!(poisoned(&engines), 3);
+    sleep(PAUSE + Duration::from_millis(100)).await;
+    herd(2).await;
+    assert_eq!(poisoned(&engines), 3);
+}
