Let the daemon's clock count suspensions

Cause: clock::now read the monotonic clock, which stands still while a VM is suspended, and idle connections, payments and the time left to a call were aged by the runtime's clock, which does so too. Class: elapsed time read from a clock that stops.

A call whose time is over when it is placed is refused as not run.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -59,7 +59,7 @@
         planner::RefusalCause,
         suspects::RequestFingerprint,
     },
-    ids::{AvailabilityZone, TargetName},
+    ids::{self, AvailabilityZone, TargetName},
 };
 use hoplanding_platform::front::{CallHead, decode_call};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -78,6 +78,8 @@
 const MOST_REFUSED_SENDS: u32 = 2;
 /// Targets that may turn out to be out of reach before a call is given up.
 const MOST_UNREACHED: u32 = 3;
+/// Time left below which a call is not sent again.
+const LEAST_TIME: Duration = Duration::from_millis(5);
 /// When a caller is told to come back, where nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(400);
 
@@ -122,6 +124,8 @@
     pub timeline: CallTimeline,
     /// When it has to be answered.
     pub deadline: Instant,
+    /// The same by the daemon's clock, which goes on while the VM is suspended.
+    pub due: ids::Instant,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -149,6 +153,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, BrokenAnswer> {
     let arrived = Instant::now();
+    let arrived_at = clock::now();
     let head = decode_call(request.headers());
     let Some(active) = context.fleet.active() else {
         event!(Event::CallRefused, request = head.id; "no configuration yet");
@@ -223,6 +228,7 @@
         arrived,
         timeline: CallTimeline::new(arrived),
         deadline: arrived + patience,
+        due: arrived_at.after(patience),
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
@@ -267,6 +273,9 @@
                 }
                 Placing::OverQuota(after) => return self.over_quota(after),
             };
+            if self.remaining().is_zero() {
+                break;
+            }
             if let Err(fault) = self.is_still_let_in()
                 && self.runs == 0
             {
@@ -345,7 +354,7 @@
             return refusal(id, come_back);
         }
         self.count(RequestOutcome::Lost);
-        let is_late = Instant::now() >= self.deadline;
+        let is_late = self.remaining().is_zero();
         let status = if is_late {
             StatusCode::GATEWAY_TIMEOUT
         } else {
@@ -373,7 +382,12 @@
     }
 
     fn has_time(&self) -> bool {
-        Instant::now() + Duration::from_millis(5) < self.deadline
+        self.remaining() > LEAST_TIME
+    }
+
+    /// Time until its deadline.
+    fn remaining(&self) -> Duration {
+        self.due.since(clock::now())
     }
 
     fn pay_for_repeat(&self) -> bool {
--- a/crates/daemon/src/direct/call/paying.rs
+++ b/crates/daemon/src/direct/call/paying.rs
@@ -1,6 +1,7 @@
 //! What a call is charged to its organisation's quota.
 
 use crate::{
+    clock,
     direct::{
         call::{CallState, answers::AnswerBody, answers::own_answer},
         figures::RequestOutcome,
@@ -13,12 +14,11 @@
         organisations::CallerIdentity,
         quotas::{GIVEN_BACK_WITHIN, QuotaCharge},
     },
-    ids::AvailabilityZone,
+    ids::{AvailabilityZone, Instant},
 };
 use hoplanding_platform::front::CallHead;
 use http::{Response, StatusCode};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How a call's charge stands.
 #[derive(Clone, Debug)]
@@ -68,7 +68,7 @@
     /// It was paid just now.
     pub(super) fn settle(&mut self) {
         if let Self::Due(charge) = self {
-            *self = Self::Paid(charge.clone(), Instant::now());
+            *self = Self::Paid(charge.clone(), clock::now());
         }
     }
 }
@@ -102,7 +102,7 @@
     /// Gives the charge of a call back that did not run.
     pub(super) fn take_back_payment(&self) {
         if let CallPayment::Paid(charge, at) = &self.payment
-            && at.elapsed() < GIVEN_BACK_WITHIN
+            && clock::now().since(*at) < GIVEN_BACK_WITHIN
         {
             self.context.access.give_back(charge.clone());
         }
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -28,7 +28,7 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// Time that a call waits before it is placed again.
 const PLACE_AGAIN: Duration = Duration::from_millis(60);
@@ -307,7 +307,7 @@
         let left = objective.saturating_sub(self.arrived.elapsed());
         let bound = if self.runs > 0 && question.pass != SearchPass::Compare {
             // It has run already: its caller is served late rather than told that it failed.
-            self.deadline.saturating_duration_since(Instant::now())
+            self.remaining()
         } else {
             search.wait_bound(question.pass, self.rank, objective, left)
         };
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -24,7 +24,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 /// Time to connect to a target.
 const CONNECT_WITHIN: Duration = Duration::from_millis(200);
@@ -137,7 +137,7 @@
             .pool
             .take(&entry.run(), entry.address, reuse, CONNECT_WITHIN)
             .await;
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let remaining = self.remaining();
         let sent = match taken {
             Ok(mut connection) => {
                 let request = self.request(entry, version, remaining, last_event);
--- a/crates/daemon/src/direct/sender.rs
+++ b/crates/daemon/src/direct/sender.rs
@@ -3,10 +3,11 @@
 //! `hyper`'s connection interface is used because it matters here how old a connection is, who closed it and what came
 //! after an answer; the client of the same libraries above it hides that.
 
+use crate::clock;
 use bytes::Bytes;
 use hoplanding_core::{
     direct::catalog::TargetEntry,
-    ids::{TargetName, TargetRun},
+    ids::{Instant, TargetName, TargetRun},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,13 +16,7 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use std::{
-    collections::HashMap,
-    io,
-    net::SocketAddr,
-    sync::Mutex,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Mutex, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
 /// Idle connections kept for one target.
@@ -123,7 +118,7 @@
         if reuse == ReuseRule::Never {
             return None;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let kept = idle.get_mut(&address)?;
         kept.retain(|idle| {
@@ -131,7 +126,7 @@
         });
         // The newest one is the least likely to have been forgotten by the target.
         let newest = kept.pop()?;
-        let is_fresh = now.duration_since(newest.since) <= FRESH;
+        let is_fresh = now.since(newest.since) <= FRESH;
         if (reuse == ReuseRule::FreshOnly && !is_fresh) || !newest.connection.sender.is_ready() {
             return None;
         }
@@ -148,7 +143,7 @@
         if connection.sender.is_closed() {
             return;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let most = keep_alive.map_or(IDLE_DEFAULT, |span| {
             span.mul_f64(IDLE_PART).min(IDLE_DEFAULT)
         });
@@ -157,7 +152,7 @@
         kept.push(IdleConnection {
             connection,
             since: now,
-            until: now + most,
+            until: now.after(most),
         });
         while kept.len() > share.min(IDLE_MOST) {
             kept.remove(0);
@@ -166,7 +161,7 @@
 
     /// Closes what has rested too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         idle.retain(|_, kept| {
             kept.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
