Read the limits that targets name, and failing tests that they are kept

Nothing read Server-Limit, so hypothesis 1 (nobody reads the header) can't be told from others without it: E818 says what targets name. The decisions are as before.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -22,6 +22,7 @@
 //! | [`organisations`] | for whom a caller acts, by its key |
 //! | [`freshness`] | since when the configuration in force is known to be the newest |
 //! | [`quotas`] | organisations' quotas over the whole fleet |
+//! | [`limits`] | how many requests a second a target takes |
 //! | [`suspects`] | requests under which targets ended |
 //! | [`trials`] | when a suspect may run again, and one at a time |
 //! | [`budget`] | this VM's share of the fleet's retry budget |
@@ -36,6 +37,7 @@
 pub mod freshness;
 pub mod health;
 pub mod lease;
+pub mod limits;
 pub mod loading;
 pub mod organisations;
 pub mod plain;
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -14,11 +14,15 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::{catalog::TargetEntry, config::RepeatRule},
+    direct::{
+        catalog::TargetEntry,
+        config::RepeatRule,
+        limits::{NamedLimit, RequestRate},
+    },
     ids::TargetRun,
 };
 use hoplanding_platform::front::{
-    AnswerKind, SendHead, encode_send, is_closing, judge_answer, keep_alive,
+    AnswerKind, SendHead, answer_limit, encode_send, is_closing, judge_answer, keep_alive,
 };
 use http::{HeaderMap, Request};
 use http_body_util::Full;
@@ -173,6 +177,9 @@
             }
         };
         let kind = judge_answer(&self.head.id, response.status(), response.headers());
+        if kind != AnswerKind::Foreign {
+            self.note_limit(entry, response.headers());
+        }
         let (parts, body) = response.into_parts();
         let open = |ticket, count| {
             Box::new(OpenAnswer {
@@ -253,6 +260,22 @@
 }
 
 impl CallState {
+    /// Notes what an answer says of its target's limit.
+    fn note_limit(&self, entry: &TargetEntry, headers: &HeaderMap) {
+        let named = NamedLimit {
+            run: entry.run(),
+            rate: answer_limit(headers),
+        };
+        let is_change = {
+            let mut books = self.context.fleet.books();
+            books.limits.note(&named, clock::now())
+        };
+        if is_change {
+            let rate = named.rate.map(RequestRate::as_f64);
+            event!(Event::LimitNamed, request = self.head.id; "{}: {rate:?} a second", entry.name);
+        }
+    }
+
     /// Gives a connection back for further calls, unless its answer says that it ends.
     pub fn give_back(&self, connection: TargetConnection, headers: &HeaderMap) {
         if is_closing(headers) {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -19,6 +19,7 @@
         freshness::{ConfigProof, PassedProof, RevocationRule},
         health::HealthTable,
         lease::{LeaseState, ZoneLease},
+        limits::LimitTable,
         policy::PlacementPolicy,
         routes::RouteTable,
         streams::StreamPace,
@@ -117,6 +118,8 @@
     pub proof: ConfigProof,
     /// Requests under which targets ended, by this VM's calls, others' word and the log.
     pub suspects: SuspectTable,
+    /// Limits that targets named to this VM, or that others told of.
+    pub limits: LimitTable,
     /// The newest records, to be passed on.
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
@@ -244,6 +247,7 @@
                 sought: HashMap::new(),
                 proof: ConfigProof::default(),
                 suspects: SuspectTable::default(),
+                limits: LimitTable::default(),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -178,6 +178,8 @@
     SuspicionCleared = 717, Info, "suspicion of a request cleared";
     /// A target broke a call off, and nothing showed that it had ended.
     EndNotShown = 817, Info, "no end shown of a target that broke a call off";
+    /// A target named a limit, another one or none any more.
+    LimitNamed = 818, Info, "limit of a target";
     /// A request was given a target.
     CallPlaced = 803, Debug, "request placed";
     /// A stream's first event went out.
--- /dev/null
+++ b/crates/daemon/tests/direct/limits.rs
@@ -0,0 +1,155 @@
+//! Targets that name how many requests a second they take from all VMs together.
+
+use crate::support::{
+    Answer, ask, good, model, post, sealed, second_vm, settings, site_of, stream, wait_for,
+};
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    raw_target::{RawAnswer, RawRequest, RawTarget},
+};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::time::sleep;
+
+/// Requests a second that the targets of these tests take.
+const LIMIT: f64 = 2.0;
+
+/// What the users allow in a span, over all VMs that know the limit.
+fn allowed(span: Duration) -> f64 {
+    1.5 * LIMIT * span.as_secs_f64().max(4.0) + 5.0
+}
+
+fn limited(answer: RawAnswer) -> RawAnswer {
+    let mut answer = answer;
+    let head = String::from_utf8_lossy(&answer.pieces[0].1).into_owned();
+    let head = head.replacen("\r\n", &format!("\r\nServer-Limit: {LIMIT:.1}\r\n"), 1);
+    answer.pieces[0].1 = head.into_bytes();
+    answer
+}
+
+fn calls(target: &RawTarget, path: &str) -> usize {
+    let seen = target.requests();
+    let is_call = |request: &&RawRequest| request.line().contains(path);
+    seen.iter().filter(is_call).count()
+}
+
+/// Sends a call every few milliseconds, to each address in turn, and waits for all answers.
+async fn send_many(
+    addresses: &[SocketAddr],
+    path: &str,
+    headers: &str,
+    count: usize,
+) -> Vec<Answer> {
+    let mut asked = Vec::new();
+    for number in 0..count {
+        let request = post(path, &format!("m{number}"), headers);
+        let address = addresses[number % addresses.len()];
+        asked.push(tokio::spawn(async move { ask(address, &request).await }));
+        sleep(Duration::from_millis(25)).await;
+    }
+    let mut answers = Vec::new();
+    for answer in asked {
+        answers.push(answer.await.expect("an answer"));
+    }
+    answers
+}
+
+#[tokio::test]
+async fn a_plain_target_gets_no_more_than_the_limit_that_it_names() {
+    let log = KeyedLog::start().await.expect("a log");
+    let narrow = RawTarget::start(|request: &RawRequest| limited(good(request))).await;
+    let narrow = narrow.expect("a target");
+    let listed = [("l-1", "ledger", narrow.address)];
+    let first = site_of(settings("vm-1", &log), &log, &listed).await;
+    let (second, _relay) = second_vm(&log).await;
+    let addresses = [first.caller_address, second.caller_address];
+    send_many(&addresses, "/lookup/0", "", 8).await;
+    let before = calls(&narrow, "/lookup/");
+    let began = Instant::now();
+    let answers = send_many(&addresses, "/lookup/1", "", 120).await;
+    let got = (calls(&narrow, "/lookup/") - before) as f64;
+    assert!(
+        got <= allowed(began.elapsed()),
+        "{got} of {}",
+        answers.len()
+    );
+}
+
+#[tokio::test]
+async fn an_engine_gets_no_more_than_the_limit_that_it_names() {
+    let log = KeyedLog::start().await.expect("a log");
+    let narrow = RawTarget::start(|request: &RawRequest| {
+        let answer = stream(request, None);
+        if request.line().contains("/plan/") {
+            return limited(answer);
+        }
+        answer
+    });
+    let narrow = narrow.await.expect("an engine");
+    let wide = RawTarget::start(|request: &RawRequest| stream(request, None)).await;
+    let wide = wide.expect("an engine");
+    let listed = [
+        ("e-1", "scribe", narrow.address),
+        ("e-2", "scribe", wide.address),
+    ];
+    let first = site_of(settings("vm-1", &log), &log, &listed).await;
+    let (second, _relay) = second_vm(&log).await;
+    let addresses = [first.caller_address, second.caller_address];
+    wait_for("both engines at work", async || {
+        send_many(&addresses, "/plan/0", &model("a1"), 8).await;
+        calls(&narrow, "/plan/") > 0 && calls(&wide, "/plan/") > 0
+    })
+    .await;
+    let before = calls(&narrow, "/plan/");
+    let began = Instant::now();
+    let answers = send_many(&addresses, "/plan/1", &model("a1"), 120).await;
+    let got = (calls(&narrow, "/plan/") - before) as f64;
+    assert!(
+        got <= allowed(began.elapsed()),
+        "{got} of {}",
+        answers.len()
+    );
+    assert!(answers.iter().all(|answer| answer.status == 200));
+}
+
+#[tokio::test]
+async fn calls_beyond_the_limit_of_all_targets_are_refused_at_once_with_the_time_to_come_back() {
+    let log = KeyedLog::start().await.expect("a log");
+    let only = RawTarget::start(|request: &RawRequest| limited(good(request))).await;
+    let only = only.expect("a target");
+    let listed = [("l-1", "ledger", only.address)];
+    let daemon = site_of(settings("vm-1", &log), &log, &listed).await;
+    let answers = send_many(&[daemon.caller_address], "/lookup/1", "", 60).await;
+    let refused: Vec<_> = answers
+        .iter()
+        .filter(|answer| answer.status != 200)
+        .collect();
+    assert!(refused.len() > 20, "{} refused", refused.len());
+    for answer in refused {
+        assert_eq!(answer.status, 503);
+        assert!(answer.has("retry-after: "), "{}", answer.head);
+    }
+}
+
+#[tokio::test]
+async fn a_limit_that_a_target_names_no_more_is_lifted() {
+    let log = KeyedLog::start().await.expect("a log");
+    let is_need = |request: &RawRequest| request.line().contains("/lookup/need");
+    let target = RawTarget::start(move |request: &RawRequest| {
+        if is_need(request) {
+            return limited(good(request));
+        }
+        RawAnswer::whole("200 OK", &sealed(request), "done")
+    });
+    let target = target.await.expect("a target");
+    let listed = [("l-1", "ledger", target.address)];
+    let daemon = site_of(settings("vm-1", &log), &log, &listed).await;
+    send_many(&[daemon.caller_address], "/lookup/need", "", 4).await;
+    wait_for("all served", async || {
+        let answers = send_many(&[daemon.caller_address], "/lookup/1", "", 40).await;
+        answers.iter().all(|answer| answer.status == 200)
+    })
+    .await;
+}
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod keeping;
 mod keys;
 mod leaving;
+mod limits;
 mod lives;
 mod news;
 mod poison;
