Keep the limits that targets name, over all VMs together

Cause: Server-Limit was passed on to callers and read by nobody. Class: backpressure that is not propagated.

Change: the holder that places a target's calls has a bucket for each target that names a limit. The wait for a token is part of what the target costs, so another target takes the call or it is refused with the time to come back. Holders of all zones hear of each limit, and VMs that place alone use a part of it.

--- a/crates/core/src/direct/limits.rs
+++ b/crates/core/src/direct/limits.rs
@@ -25,7 +25,7 @@
     #[must_use]
     pub fn per_second(rate: f64) -> Option<Self> {
         let is_rate = rate.is_finite() && rate >= 0.0;
-        is_rate.then(|| Self((rate * 1000.0) as u64))
+        is_rate.then_some(Self((rate * 1000.0) as u64))
     }
 
     /// In requests a second.
@@ -63,7 +63,8 @@
 
     fn level(&self, share: f64, now: Instant) -> f64 {
         let earned = now.since(self.at).as_secs_f64() * self.per_s(share);
-        (self.level + earned).min(BURST)
+        // A part of a limit too sends one request now and then.
+        (self.level + earned).min((BURST * share).max(1.0))
     }
 }
 
@@ -77,14 +78,20 @@
 
 impl Default for LimitTable {
     fn default() -> Self {
+        Self::with_share(1.0)
+    }
+}
+
+impl LimitTable {
+    /// A table that uses a part of each limit.
+    #[must_use]
+    pub fn with_share(share: f64) -> Self {
         Self {
             rows: HashMap::new(),
-            share: 1.0,
+            share,
         }
     }
-}
 
-impl LimitTable {
     /// Uses a part of each limit only, where others use the rest.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -11,6 +11,7 @@
     direct::{
         catalog::TargetEntry,
         health::{CallOutcome, HealthTable},
+        limits::{LimitTable, NamedLimit},
         millis,
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
@@ -130,6 +131,8 @@
     calls: HashMap<CallKey, PlainCall>,
     lives: HashMap<TargetName, TargetLife>,
     health: HealthTable,
+    /// Limits that targets named.
+    rates: LimitTable,
 }
 
 impl PlainPlanner {
@@ -143,32 +146,36 @@
     ) -> PlacementAnswer {
         self.note_lives(targets);
         let Some(entry) = self.best(ask, targets, now) else {
-            return refuse(NO_TARGET, RefusalCause::NoEngine);
+            return refuse(NO_TARGET, Duration::ZERO, RefusalCause::NoEngine);
         };
         let run = entry.run();
         let load = self.loads.entry(run.clone()).or_default();
         let sharing = sharing(load.calls + 1, entry.slots);
-        let expected = load.pace.mul_f64(sharing);
+        let turn = self.rates.wait(&entry.name, now);
+        let expected = turn + load.pace.mul_f64(sharing);
         let bound = ask.bound();
-        if expected > bound && load.calls >= entry.slots {
+        let is_taken = load.calls >= entry.slots || !turn.is_zero();
+        if expected > bound && is_taken {
             let cause = RefusalCause::TooLong(millis(expected));
-            return refuse(expected.saturating_sub(bound), cause);
+            return refuse(expected.saturating_sub(bound), turn, cause);
         }
+        self.rates.take(&entry.name, now);
         load.calls += 1;
         let call = PlainCall {
             run,
-            sent: now,
+            sent: now.after(turn),
             sharing,
         };
         self.calls.insert(key, call);
         PlacementAnswer::Send {
             target: entry.name.clone(),
             life: entry.life,
-            wait_ms: 0,
+            wait_ms: millis(turn),
             fetch: None,
             expected_ms: millis(expected),
             version: None,
             is_sought: false,
+            is_limited: self.rates.is_limited(&entry.name),
         }
     }
 
@@ -194,7 +201,7 @@
             let turn = load.pace.div_f64(f64::from(entry.slots.max(1)));
             // Among places that are free the target with the fewest calls is the better one.
             let calls = f64::from(load.calls) * 0.1 + health_price(&self.health, &entry.name, now);
-            wait + turn.mul_f64(calls)
+            self.rates.wait(&entry.name, now) + wait + turn.mul_f64(calls)
         };
         pick(&self.health, &ask.exclude, targets, now, |left, right| {
             price(left).cmp(&price(right))
@@ -239,6 +246,11 @@
         }
     }
 
+    /// An answer told of a target's limit.
+    pub fn note_limit(&mut self, named: &NamedLimit, now: Instant) {
+        self.rates.note(named, now);
+    }
+
     /// Forgets targets that are gone.
     pub fn retain(&mut self, keep: impl Fn(&TargetRun) -> bool) {
         self.loads.retain(|run, load| load.calls > 0 || keep(run));
@@ -246,6 +258,7 @@
         let is_there = |name: &TargetName| loads.keys().any(|run| run.name == *name);
         self.health.retain(is_there);
         self.lives.retain(|name, _| is_there(name));
+        self.rates.retain(&keep);
     }
 }
 
@@ -299,9 +312,11 @@
     best.or_else(|| candidates().find(|entry| !health.is_lost(&entry.name, now)))
 }
 
-fn refuse(retry_after: Duration, cause: RefusalCause) -> PlacementAnswer {
+/// Refuses a call; it is in vain to come back before `turn` where that is what it waits for.
+fn refuse(retry_after: Duration, turn: Duration, cause: RefusalCause) -> PlacementAnswer {
+    let most = COME_BACK_MOST.max(turn);
     PlacementAnswer::Refuse {
-        retry_after_ms: millis(retry_after.clamp(COME_BACK_LEAST, COME_BACK_MOST)),
+        retry_after_ms: millis(retry_after.clamp(COME_BACK_LEAST, most)),
         cause,
     }
 }
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -80,7 +80,7 @@
         target: TargetName,
         /// The target's life that has its adapter.
         life: TargetLife,
-        /// Milliseconds until its adapter is there.
+        /// Milliseconds until its adapter is there, and the target's limit has room for it.
         wait_ms: u32,
         /// The engine that its engine takes kept parts of its prompt from.
         fetch: Option<SocketAddr>,
@@ -90,6 +90,8 @@
         version: Option<u64>,
         /// Whether its adapter is sought after so much that other zones should have it too.
         is_sought: bool,
+        /// Whether the target named a limit, so that its holder has to hear what its answer says of that.
+        is_limited: bool,
     },
     /// The zone has no room for it now.
     Refuse {
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -38,6 +38,7 @@
         demand::DemandTable,
         engine::{EngineState, LATE_ORDER, ResidentState, SentCall, UNCOUNTED_RUN},
         health::{CallOutcome, HealthTable},
+        limits::{LimitTable, NamedLimit},
         loading::LoadLimiter,
         millis,
         planner::fetching::MemoryLoan,
@@ -70,6 +71,8 @@
     figures: EngineFigures,
     policy: PlacementPolicy,
     limits: EngineLimits,
+    /// Limits that engines named.
+    rates: LimitTable,
     engines: BTreeMap<TargetName, EngineState>,
     versions: HashMap<AdapterName, u64>,
     demand: DemandTable,
@@ -103,6 +106,7 @@
             figures,
             policy: PlacementPolicy::default(),
             limits,
+            rates: LimitTable::default(),
             engines: BTreeMap::new(),
             versions: HashMap::new(),
             demand: DemandTable::default(),
@@ -205,6 +209,14 @@
         let engines = &self.engines;
         self.health.retain(|target| engines.contains_key(target));
         self.loads.retain(|target| engines.contains_key(target));
+        self.rates.retain(|run| engines.contains_key(&run.name));
+    }
+
+    /// An answer told of an engine's limit.
+    pub fn note_limit(&mut self, named: &NamedLimit, now: Instant) {
+        if self.engines.contains_key(&named.run.name) {
+            self.rates.note(named, now);
+        }
     }
 
     /// An engine has started again under its name: what belonged to its life before is forgotten.
--- a/crates/core/src/direct/planner/ordering.rs
+++ b/crates/core/src/direct/planner/ordering.rs
@@ -160,8 +160,7 @@
                     wait_ms = millis(at.since(now) + LOAD_MARGIN);
                 }
             }
-            let sent = self.note_sent(name, key.clone(), &ask, wait_ms, now);
-            self.answer_send(name, key, &ask.subject, wait_ms, sent);
+            self.send_after(name, key, &ask, wait_ms, now);
         }
     }
 
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -115,7 +115,8 @@
         } else {
             Duration::ZERO
         };
-        let wait = prompts.max(load.time)
+        let turn = self.rates.wait(&engine.entry.name, now);
+        let wait = prompts.max(load.time).max(turn)
             + own
             + self.figures.per_call * calls
             + self.figures.slot_time / engine.entry.slots.max(1) * over
@@ -266,11 +267,26 @@
             }
             None => 0,
         };
-        let sent = self.note_sent(name, key.clone(), &ask, wait_ms, now);
+        self.send_after(name, key, &ask, wait_ms, now);
+    }
+
+    /// Sends a call once its adapter is there and its engine's limit has room for it.
+    pub(super) fn send_after(
+        &mut self,
+        name: &TargetName,
+        key: CallKey,
+        ask: &PlacementAsk,
+        adapter_ms: u32,
+        now: Instant,
+    ) {
+        let turn = self.rates.wait(name, now);
+        self.rates.take(name, now);
+        let wait_ms = adapter_ms.max(millis(turn));
+        let sent = self.note_sent(name, key.clone(), ask, wait_ms, now);
         self.answer_send(name, key, &ask.subject, wait_ms, sent);
     }
 
-    pub(super) fn answer_send(
+    fn answer_send(
         &mut self,
         name: &TargetName,
         key: CallKey,
@@ -287,12 +303,13 @@
             expected_ms: millis(sent.expected),
             version: sent.version,
             is_sought: self.is_sought(subject),
+            is_limited: self.rates.is_limited(name),
         };
         self.answer(key, answer);
     }
 
     /// Counts a call that is sent now; returns what it is sent with.
-    pub(super) fn note_sent(
+    fn note_sent(
         &mut self,
         name: &TargetName,
         key: CallKey,
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -49,7 +49,7 @@
     /// Each gateway by its own calls.
     Alone(Vec<(HealthTable, HashMap<TargetRun, u32>)>),
     /// One holder.
-    Holder(PlainPlanner),
+    Holder(Box<PlainPlanner>),
 }
 
 impl Chooser {
@@ -194,7 +194,7 @@
 }
 
 fn holder() -> Chooser {
-    Chooser::Holder(PlainPlanner::default())
+    Chooser::Holder(Box::default())
 }
 
 /// 190 calls a second on the six places of one target, which serve 97: most of them can't be served, and the others are in
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -13,6 +13,7 @@
 use hoplanding_core::{
     direct::{
         lease::{HolderContact, ZoneLease},
+        limits::NamedLimit,
         plain::PlainAsk,
         planner::{CallKey, PlacementAnswer, PlacementAsk},
         quotas::QuotaCharge,
@@ -97,6 +98,8 @@
     GiveBack(QuotaCharge),
     /// A target ended while a request ran there.
     EndedUnder(EndedUnder),
+    /// An answer told of a target's limit.
+    LimitNamed(NamedLimit),
     /// A trial ended, answered well or not.
     TrialEnded(u64, RequestFingerprint, bool),
 }
@@ -112,6 +115,7 @@
             Self::Withdrawn(number) => ZoneEvent::Withdrawn(key(number)),
             Self::GiveBack(charge) => ZoneEvent::GiveBack(charge),
             Self::EndedUnder(ended) => ZoneEvent::EndedUnder(ended),
+            Self::LimitNamed(named) => ZoneEvent::LimitNamed(named),
             Self::TrialEnded(number, fingerprint, is_good) => {
                 ZoneEvent::TrialEnded(key(number), fingerprint, is_good)
             }
@@ -124,6 +128,7 @@
             Self::Withdrawn(number) => VmMessage::Withdrawn(number),
             Self::GiveBack(charge) => VmMessage::GiveBack(charge),
             Self::EndedUnder(ended) => VmMessage::EndedUnder(ended),
+            Self::LimitNamed(named) => VmMessage::LimitNamed(named),
             Self::TrialEnded(number, fingerprint, is_good) => {
                 VmMessage::TrialEnded(number, fingerprint, is_good)
             }
@@ -369,9 +374,11 @@
         {
             return Some(link.clone());
         }
-        let suspects: Vec<_> = {
+        let known: Vec<_> = {
             let books = self.fleet.books();
-            books.suspects.told(clock::now()).collect()
+            let suspects = books.suspects.told(clock::now());
+            let limits = books.limits.told().map(VmMessage::LimitNamed);
+            suspects.map(VmMessage::EndedUnder).chain(limits).collect()
         };
         let first = self
             .open
@@ -387,7 +394,7 @@
                 let target = call.target.clone();
                 VmMessage::Open(*number, target, call.life, call.subject.clone())
             })
-            .chain(suspects.into_iter().map(VmMessage::EndedUnder))
+            .chain(known)
             .collect();
         let link = VmLink::dial(
             &self.fleet,
@@ -494,6 +501,13 @@
         }
     }
 
+    /// Tells every zone's holder what an answer said of its target's limit.
+    pub fn tell_limit(&self, named: &NamedLimit) {
+        for zone in &self.all_zones() {
+            self.notify(zone, HolderNotice::LimitNamed(named.clone()));
+        }
+    }
+
     /// Tells a zone's holder what it need not answer.
     fn notify(&self, zone: &AvailabilityZone, notice: HolderNotice) {
         let Some(lease) = self.fleet.lease(zone) else {
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -130,6 +130,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether its holder knows a limit of the target that it is sent to.
+    pub is_limited: bool,
     /// Targets that it need not be sent to again.
     pub tried: Vec<TargetName>,
     /// The engine that its engine takes kept parts of its prompt from.
@@ -233,6 +235,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        is_limited: false,
         tried: Vec::new(),
         fetch: None,
         runs: 0,
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -48,6 +48,7 @@
     pub async fn place(&mut self) -> Placing {
         self.refusals.clear();
         self.fetch = None;
+        self.is_limited = false;
         if self.is_suspected()
             && let Some(barred) = self.ask_trial().await
         {
@@ -105,8 +106,18 @@
                 asked = self.ask_plain(zone).await;
             }
             match asked {
-                Some((PlacementAnswer::Send { target, .. }, ticket)) => {
+                Some((
+                    PlacementAnswer::Send {
+                        target,
+                        wait_ms,
+                        is_limited,
+                        ..
+                    },
+                    ticket,
+                )) => {
                     self.payment.settle();
+                    self.is_limited = is_limited;
+                    sleep(Duration::from_millis(u64::from(wait_ms))).await;
                     let entry = self.context.fleet.books().catalog.get(&target).cloned();
                     match entry.filter(|entry| entry.stage == TargetStage::Ready) {
                         Some(entry) => return Placing::At(entry, None, ticket),
@@ -152,20 +163,26 @@
 
     /// Picks a plain service's target by what this VM sees alone.
     fn pick_alone(&self) -> Placing {
-        let books = self.context.fleet.books();
+        let mut books = self.context.fleet.books();
+        let now = clock::now();
         let ready = books.catalog.ready(&self.service.name);
-        let targets: Vec<_> = ready.cloned().collect();
+        let targets: Vec<_> = ready
+            .filter(|entry| books.limits.wait(&entry.name, now).is_zero())
+            .cloned()
+            .collect();
         let picked = pick_alone(
             &self.context.fleet.zone,
             &books.health,
             &books.in_flight,
             &self.tried,
             &targets,
-            clock::now(),
+            now,
         );
-        picked.map_or(Placing::Nowhere(COME_BACK), |entry| {
-            Placing::At(Arc::clone(entry), None, None)
-        })
+        let Some(entry) = picked else {
+            return Placing::Nowhere(COME_BACK);
+        };
+        books.limits.take(&entry.name, now);
+        Placing::At(Arc::clone(entry), None, None)
     }
 
     /// Asks one zone; nothing if it does not take the call.
@@ -196,6 +213,7 @@
                 expected_ms,
                 version,
                 is_sought,
+                is_limited,
             } => {
                 event!(Event::CallPlaced, request = self.head.id; "at {target} in {zone} after {:?}, its adapter {} of version {version:?} there in {wait_ms} ms, call {:?} of the holder",
                     self.arrived.elapsed(),
@@ -203,6 +221,7 @@
                     ticket.as_ref().map(CallTicket::number)
                 );
                 self.payment.settle();
+                self.is_limited = is_limited;
                 if is_sought {
                     self.context.fleet.note_sought(&self.subject());
                 }
@@ -378,24 +397,25 @@
     /// Places a call without its holder: at a target that is listed with its adapter.
     fn place_alone(&self, zone: &AvailabilityZone) -> Option<Placing> {
         let subject = self.subject();
-        let books = self.context.fleet.books();
+        let mut books = self.context.fleet.books();
         // New weights of a base model bind no call: engines have them from their next start on.
         let has_adapter = split_subject(&subject).1.is_some();
         let named = books.versions.get(&subject).filter(|_| has_adapter);
         let version = named.copied();
         let now = clock::now();
-        books
+        let entry = books
             .catalog
             .ready(&self.service.name)
             .filter(|entry| entry.zone == *zone && !self.tried.contains(&entry.name))
             .filter(|entry| !books.health.is_out(&entry.name, now))
+            .filter(|entry| books.limits.wait(&entry.name, now).is_zero())
             .filter(|entry| holds(entry, &subject, version))
             .min_by_key(|entry| books.in_flight.get(&entry.run()).copied().unwrap_or(0))
-            .map(|entry| {
-                // The holder does not know of this call: it must not make memory that is taken for another version's.
-                let version = version.or_else(|| listed_version(entry, &subject));
-                Placing::At(Arc::clone(entry), version, None)
-            })
+            .cloned()?;
+        books.limits.take(&entry.name, now);
+        // The holder does not know of this call: it must not make memory that is taken for another version's.
+        let version = version.or_else(|| listed_version(&entry, &subject));
+        Some(Placing::At(entry, version, None))
     }
 }
 
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -274,6 +274,9 @@
             let rate = named.rate.map(RequestRate::as_f64);
             event!(Event::LimitNamed, request = self.head.id; "{}: {rate:?} a second", entry.name);
         }
+        if named.rate.is_some() || self.is_limited {
+            self.context.access.tell_limit(&named);
+        }
     }
 
     /// Gives a connection back for further calls, unless its answer says that it ends.
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -171,11 +171,14 @@
         self.proof.pass_on(offset, now)
     }
 
-    /// Shares the retry budget among the VMs that are known, once all of them are.
+    /// Shares the retry budget, and what VMs without a holder send to limited targets, among the VMs that are known, once
+    /// all of them are.
     pub(super) fn share_retries(&mut self) {
         if self.ends.contains_key(&FeedTopic::Fleet) {
             let count = u32::try_from(self.vms.len()).unwrap_or(u32::MAX);
             self.retries.set_vms(count.max(FEWEST_SHARES));
+            self.limits
+                .set_share(1.0 / f64::from(count.max(FEWEST_SHARES)));
         }
     }
 
@@ -247,7 +250,7 @@
                 sought: HashMap::new(),
                 proof: ConfigProof::default(),
                 suspects: SuspectTable::default(),
-                limits: LimitTable::default(),
+                limits: LimitTable::with_share(1.0 / f64::from(FEWEST_SHARES)),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -178,7 +178,11 @@
     /// Removes targets whose removal is no longer in doubt.
     pub fn expire(&self) {
         let mut books = self.books();
-        let gone = books.catalog.expire(clock::now());
+        let FleetBooks {
+            catalog, limits, ..
+        } = &mut *books;
+        limits.retain(|run| catalog.get(&run.name).is_some());
+        let gone = catalog.expire(clock::now());
         if gone.is_empty() {
             return;
         }
--- a/crates/daemon/src/direct/ledger.rs
+++ b/crates/daemon/src/direct/ledger.rs
@@ -4,6 +4,7 @@
 use hoplanding_core::{
     direct::{
         health::CallOutcome,
+        limits::NamedLimit,
         millis,
         plain::{PlainAsk, PlainPlanner},
         planner::{CallKey, PlacementAnswer, RefusalCause},
@@ -170,6 +171,11 @@
         self.trials.end(fingerprint, key);
     }
 
+    /// An answer told of a target's limit.
+    pub fn note_limit(&mut self, named: &NamedLimit, now: Instant) {
+        self.plain.note_limit(named, now);
+    }
+
     /// All calls and trials of a gateway that can't be reached.
     pub fn forget_gateway(&mut self, vm: &VmName, now: Instant) {
         self.trials.forget_gateway(vm);
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -479,6 +479,7 @@
             ReplyTo::Link(outbound.clone()),
         )),
         VmMessage::GiveBack(charge) => Some(ZoneEvent::GiveBack(charge)),
+        VmMessage::LimitNamed(named) => Some(ZoneEvent::LimitNamed(named)),
         VmMessage::EndedUnder(ended) => Some(ZoneEvent::EndedUnder(ended)),
         VmMessage::Trial(number, fingerprint) => Some(ZoneEvent::Trial(
             key(number),
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -5,6 +5,7 @@
     direct::{
         freshness::{BeatEcho, PassedProof},
         health::CallOutcome,
+        limits::NamedLimit,
         plain::PlainAsk,
         planner::{PlacementAnswer, PlacementAsk},
         quotas::QuotaCharge,
@@ -164,6 +165,8 @@
     TrialAnswered(u64, TrialAnswer),
     /// A trial ended, answered well or not.
     TrialEnded(u64, RequestFingerprint, bool),
+    /// An answer told of a target's limit.
+    LimitNamed(NamedLimit),
     /// A call that was open before the link.
     Open(u64, TargetName, TargetLife, AdapterName),
     /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -20,6 +20,7 @@
     direct::{
         config::EngineLimits,
         engine::{EngineReport, OrderOutcome},
+        limits::NamedLimit,
         loading::LoadSummary,
         millis,
         plain::PlainAsk,
@@ -79,6 +80,8 @@
     GiveBack(QuotaCharge),
     /// A target ended while a request ran there.
     EndedUnder(EndedUnder),
+    /// An answer told of a target's limit.
+    LimitNamed(NamedLimit),
     /// Grant a trial of a suspect.
     Trial(CallKey, RequestFingerprint, ReplyTo),
     /// A trial ended, answered well or not.
@@ -318,6 +321,7 @@
             | ZoneEvent::Pay(..)
             | ZoneEvent::GiveBack(_)
             | ZoneEvent::EndedUnder(_)
+            | ZoneEvent::LimitNamed(_)
             | ZoneEvent::Trial(..)
             | ZoneEvent::TrialEnded(..) => {}
         }
@@ -359,6 +363,14 @@
                 }
                 None
             }
+            ZoneEvent::LimitNamed(named) => {
+                self.fleet.books().limits.note(&named, now);
+                ledger.note_limit(&named, now);
+                if let Some(held) = &mut self.held {
+                    held.planner.note_limit(&named, now);
+                }
+                None
+            }
             ZoneEvent::EndedUnder(ended) => {
                 self.fleet.note_ended_under(&ended);
                 self.record_quarantine(ended.fingerprint);
@@ -500,6 +512,7 @@
             .iter()
             .map(|(subject, version)| (subject.clone(), *version))
             .collect();
+        let named_limits: Vec<_> = books.limits.told().collect();
         drop(books);
         let usable = token.filter(|token| Some(*token) != self.refused && !self.is_released);
         if self.ledger.as_ref().map(|ledger| ledger.token) != usable {
@@ -514,14 +527,19 @@
                 had_holder,
                 quiet,
             };
-            ZoneLedger::new(&self.settings, lease, led_until, now)
+            let mut ledger = ZoneLedger::new(&self.settings, lease, led_until, now);
+            for named in &named_limits {
+                ledger.note_limit(named, now);
+            }
+            ledger
         });
         ledger.refresh(&self.fleet, now);
         ledger.lead_until(led_until);
         let Some((service, limits)) = service else {
             return;
         };
-        if self.held.is_none() {
+        let is_new = self.held.is_none();
+        if is_new {
             event!(
                 Event::LeaseHeld,
                 "{} with token {}, orders after {quiet:?}",
@@ -544,6 +562,11 @@
         held.planner.lead_until(led_until);
         held.planner
             .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
+        if is_new {
+            for named in &named_limits {
+                held.planner.note_limit(named, now);
+            }
+        }
         for (subject, version) in versions {
             held.planner.set_version(&subject, version, now);
         }
