Read the removals that another VM's listing left out, and pass over lists older than what is known

Cause: a listing names no removals. What went between the lists of two VMs is in neither, but an answer and signs of life said that the other VM knew all up to the later one, and that VM reads nothing while it hears its holder. The other way round, a list that came after the answer brought a removed target back.

Change: an answer says since which offset its sender knows every record. A VM that listed before that, and has not a record of each offset in between, reads the topic itself up to there. A list that ends before what is known is passed over.

--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -5,7 +5,7 @@
     direct::{
         fleet::FleetState,
         intake::RecordSource,
-        message::{ContactReport, FeedTopic, PassedRecord, TopicEnd},
+        message::{ContactReport, FeedTopic, PassedRecord, TopicEnd, TopicSpan},
     },
     event,
     events::Event,
@@ -85,7 +85,7 @@
         &self,
         wanted: &[TopicEnd],
         is_turned_away: bool,
-    ) -> (Vec<PassedRecord>, Vec<TopicEnd>) {
+    ) -> (Vec<PassedRecord>, Vec<TopicSpan>) {
         let told = self.tellable_ends();
         let books = self.books();
         let is_told = |(topic, from): &&TopicEnd| {
@@ -96,20 +96,26 @@
         let records = wanted
             .iter()
             .flat_map(|(topic, from)| books.records.since(*topic, *from));
-        let ends = told.into_iter();
-        (
-            records.collect(),
-            ends.filter(|(topic, _)| wanted.contains_key(topic))
-                .collect(),
-        )
+        let spans = told
+            .into_iter()
+            .filter(|(topic, _)| wanted.contains_key(topic))
+            .map(|(topic, end)| TopicSpan {
+                topic,
+                since: books.since.get(&topic).copied().unwrap_or(end),
+                end,
+            });
+        (records.collect(), spans.collect())
     }
 
     /// Folds what another VM answered, and with it the topics of which that one knows every key.
-    pub fn take_answer(&self, records: Vec<PassedRecord>, ends: &[TopicEnd]) {
+    pub fn take_answer(&self, records: Vec<PassedRecord>, spans: &[TopicSpan]) {
         self.take_passed(records);
         let was_ready = self.is_ready();
-        for (topic, end) in ends {
-            self.note_whole(*topic, *end, RecordSource::Passed);
+        for span in spans {
+            let is_whole = self.books().note_told(*span);
+            if is_whole {
+                self.note_whole(*span, RecordSource::Passed);
+            }
         }
         if self.is_ready() && !was_ready {
             event!(Event::Ready, "by what another VM knows");
@@ -121,7 +127,9 @@
     pub fn take_ends(&self, ends: &[TopicEnd]) {
         let mut books = self.books();
         for (topic, end) in ends {
-            books.advance(*topic, *end);
+            if !books.gaps.contains_key(topic) {
+                books.advance(*topic, *end);
+            }
         }
     }
 
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -228,6 +228,9 @@
     /// is heard and can't read left its zone blind for 3.5 s between two of its tries. The fleet's records are read from
     /// the start, as they name the holder.
     fn has_duty(&self) -> bool {
+        if self.fleet.has_gap(self.topic) {
+            return true;
+        }
         let age = match self.topic {
             FeedTopic::Fleet => Duration::MAX,
             FeedTopic::Operators | FeedTopic::Targets => self.started.elapsed(),
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -5,7 +5,10 @@
 use crate::{
     clock,
     direct::{
-        figures::DirectFigures, message::FeedTopic, records::RecordBook, settings::DirectSettings,
+        figures::DirectFigures,
+        message::{FeedTopic, TopicSpan},
+        records::RecordBook,
+        settings::DirectSettings,
         skipped::SkippedEntries,
     },
 };
@@ -98,6 +101,10 @@
     /// The topics of which every key is known, by a listing of this VM's own or another's, and the offset before which no
     /// record is missing.
     pub ends: BTreeMap<FeedTopic, LogOffset>,
+    /// Of those topics the offset from which on every record is known, removals too.
+    pub since: BTreeMap<FeedTopic, LogOffset>,
+    /// Topics that this VM has to read itself up to an offset, as a listing of another VM left removals out.
+    pub gaps: BTreeMap<FeedTopic, LogOffset>,
     /// This VM's contact with the target list, and what others say of theirs.
     pub contact: LogContact,
     /// Outcomes of this VM's calls.
@@ -150,11 +157,27 @@
 
     /// No record of a topic that is known whole is missing before an offset.
     pub(super) fn advance(&mut self, topic: FeedTopic, end: LogOffset) {
-        if let Some(known) = self.ends.get_mut(&topic) {
-            *known = end.max(*known);
+        let Some(known) = self.ends.get_mut(&topic) else {
+            return;
+        };
+        *known = end.max(*known);
+        if self.gaps.get(&topic).is_some_and(|gap| *known >= *gap) {
+            self.gaps.remove(&topic);
         }
     }
 
+    /// Another VM told all that it knows of a topic, but not what was removed before its listing: where this VM has listed the
+    /// topic before that one, it has to read on itself. Says whether nothing is missing.
+    pub(super) fn note_told(&mut self, span: TopicSpan) -> bool {
+        let known = self.ends.get(&span.topic);
+        let is_missing = |known: &LogOffset| !self.records.has_all(span.topic, *known, span.since);
+        if known.is_some_and(is_missing) {
+            let gap = self.gaps.entry(span.topic).or_insert(span.since);
+            *gap = span.since.max(*gap);
+        }
+        !self.gaps.contains_key(&span.topic)
+    }
+
     /// Whether keys that the configuration names are known to hold still: none of them was taken away so long ago that
     /// it has to be refused.
     #[must_use]
@@ -240,6 +263,8 @@
                 fleet_end: None,
                 fleet_read_at: None,
                 ends: BTreeMap::new(),
+                since: BTreeMap::new(),
+                gaps: BTreeMap::new(),
                 contact: LogContact::default(),
                 health: HealthTable::default(),
                 in_flight: HashMap::new(),
@@ -374,6 +399,12 @@
         books.ends.get(&topic).copied().unwrap_or(LogOffset(0))
     }
 
+    /// Whether this VM has to read a topic itself, whoever else does.
+    #[must_use]
+    pub fn has_gap(&self, topic: FeedTopic) -> bool {
+        self.books().gaps.contains_key(&topic)
+    }
+
     /// Whether every key of a topic is known.
     #[must_use]
     pub fn knows_whole(&self, topic: FeedTopic) -> bool {
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -8,7 +8,7 @@
             FoldedRecord, fold_fleet_record, fold_operator_record, fold_target_record,
             tells_newer_life,
         },
-        message::FeedTopic,
+        message::{FeedTopic, TopicSpan},
     },
     event,
     events::Event,
@@ -46,6 +46,10 @@
     /// Folds a listing of the newest record of each key.
     pub fn take_listing(&self, topic: FeedTopic, listing: &ReadBatch) {
         let now = clock::now();
+        if self.knows_whole(topic) && listing.end < self.known_end(topic) {
+            // It may hold what was removed since, and whose removal is not kept.
+            return;
+        }
         self.fold(topic, &listing.records, RecordSource::Listed, now);
         if topic == FeedTopic::Targets {
             let listed = listing.records.iter().map(|record| record.key.as_str());
@@ -55,13 +59,19 @@
                 .remove_unlisted(&listed.collect(), listing.end, now);
             self.pass_removals(&mut books, gone, "not listed any more");
         }
-        self.note_whole(topic, listing.end, RecordSource::Listed);
+        let span = TopicSpan {
+            topic,
+            since: listing.end,
+            end: listing.end,
+        };
+        self.note_whole(span, RecordSource::Listed);
         self.note_end(topic, listing.end);
         self.signal();
     }
 
     /// Every key of a topic is known, and no record before an offset is missing.
-    pub(super) fn note_whole(&self, topic: FeedTopic, end: LogOffset, source: RecordSource) {
+    pub(super) fn note_whole(&self, span: TopicSpan, source: RecordSource) {
+        let TopicSpan { topic, since, end } = span;
         let whole = {
             let mut books = self.books();
             if !books.ends.contains_key(&topic) {
@@ -72,6 +82,9 @@
                     self.age()
                 );
             }
+            if books.ends.get(&topic).is_none_or(|known| *known < since) {
+                books.since.insert(topic, since);
+            }
             books.ends.entry(topic).or_insert(end);
             books.advance(topic, end);
             books.share_retries();
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -77,6 +77,17 @@
 /// An offset of a topic before which everything is known.
 pub type TopicEnd = (FeedTopic, LogOffset);
 
+/// The records of a topic that a VM knows whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopicSpan {
+    /// The topic.
+    pub topic: FeedTopic,
+    /// Offset from which on it knows every record; of those before, the newest of each key that was left at its listing.
+    pub since: LogOffset,
+    /// Offset before which no record is missing.
+    pub end: LogOffset,
+}
+
 /// A run of answers from the platform's log, by the ages of its ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContactReport {
@@ -180,7 +191,7 @@
         /// Every record of the topics from the wanted offsets on.
         records: Vec<PassedRecord>,
         /// Of the wanted topics those of which the sender knows every key, and so the receiver does now.
-        ends: Vec<TopicEnd>,
+        spans: Vec<TopicSpan>,
     },
     /// Send records of these topics from these offsets on: the sender has not read them itself.
     Wanted {
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -57,6 +57,16 @@
         kept.value.as_deref()
     }
 
+    /// Whether a record is kept of each offset of a topic from one on and before another.
+    #[must_use]
+    pub fn has_all(&self, topic: FeedTopic, from: LogOffset, before: LogOffset) -> bool {
+        let records = self.records.iter();
+        let kept = records.filter(|((kept, _), record)| {
+            *kept == topic && from <= record.offset && record.offset < before
+        });
+        kept.count() as u64 >= before.0.saturating_sub(from.0)
+    }
+
     /// Keeps a record, which is newer than what is kept of its key. One that is no news takes the place of news that is
     /// still to be passed on.
     pub fn keep(
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -93,8 +93,8 @@
     /// The next part of an answer to the other side's questions.
     pub fn next_reply(&mut self) -> Option<VmMessage> {
         let reply = self.replies.pop_front()?;
-        if let VmMessage::Answer { ends, .. } = &reply {
-            self.answered.extend(ends.iter().map(|(topic, _)| *topic));
+        if let VmMessage::Answer { spans, .. } = &reply {
+            self.answered.extend(spans.iter().map(|span| span.topic));
         }
         Some(reply)
     }
@@ -215,21 +215,21 @@
     }
 
     fn reply(&mut self, from: &[TopicEnd], is_turned_away: bool) {
-        let (records, ends) = self.fleet.records_since(from, is_turned_away);
+        let (records, spans) = self.fleet.records_since(from, is_turned_away);
         let figures = &self.fleet.figures;
         figures.count_passed(PassReason::Answer, records.len());
         let mut parts = in_messages(records);
         let records = parts.pop().unwrap_or_default();
         self.replies
             .extend(parts.into_iter().map(VmMessage::Records));
-        self.replies.push_back(VmMessage::Answer { records, ends });
+        self.replies.push_back(VmMessage::Answer { records, spans });
     }
 
     /// Takes in what a VM tells of the log; gives other messages back.
     pub fn take(&mut self, vm: &VmName, message: VmMessage) -> Option<VmMessage> {
         match message {
             VmMessage::Records(records) => self.fleet.take_passed(records),
-            VmMessage::Answer { records, ends } => self.fleet.take_answer(records, &ends),
+            VmMessage::Answer { records, spans } => self.fleet.take_answer(records, &spans),
             VmMessage::Beat {
                 contact,
                 ends,
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -185,9 +185,8 @@
     assert_eq!(records, TARGETS);
 }
 
-// Open: a listing names no removals. The other VM listed while the target was there, the holder after it had gone, and neither
-// has its removal; the holder's sign of life says that the other VM knows all up to behind it, and that VM reads nothing while it
-// hears the holder. Found by reading; it was so before lists ceased to be news, as these name no removals either.
+/// A listing names no removals: what went between the lists of two VMs is in neither, and the later one must not be taken for
+/// all that there is to know.
 #[tokio::test]
 async fn a_removal_between_the_lists_of_two_vms_is_known_to_both() {
     let log = KeyedLog::start().await.expect("a log");
@@ -206,3 +205,47 @@
         "it is kept, and its removal will not be read"
     );
 }
+
+/// The VM that listed first reads on from its own list, though it hears a holder that knows more.
+#[tokio::test]
+async fn a_vm_reads_the_removals_that_its_holder_has_not_kept() {
+    let log = KeyedLog::start().await.expect("a log");
+    let holder = fleet("vm-0", &log, 10);
+    let dialler = fleet("vm-1", &log, 10);
+    let mut link = StartLink::new(&holder, &dialler);
+    dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
+    let mut later = listing(log.address(), 50, &[]);
+    later.records.retain(|record| record.key != "i-5");
+    later.end = LogOffset(51);
+    holder.take_listing(FeedTopic::Targets, &later);
+    link.settle();
+    assert!(dialler.has_gap(FeedTopic::Targets));
+    let removal = ReadBatch {
+        records: vec![KeyedRecord {
+            key: "i-5".to_owned(),
+            value: None,
+            offset: LogOffset(50),
+        }],
+        next: LogOffset(51),
+        end: LogOffset(51),
+    };
+    dialler.take_records(FeedTopic::Targets, LogOffset(50), &removal);
+    assert!(dialler.is_leaving("i-5"));
+    assert!(!dialler.has_gap(FeedTopic::Targets));
+}
+
+#[tokio::test]
+async fn a_list_older_than_what_a_vm_was_told_brings_no_removed_target_back() {
+    let log = KeyedLog::start().await.expect("a log");
+    let holder = fleet("vm-0", &log, 10);
+    let dialler = fleet("vm-1", &log, 10);
+    let mut link = StartLink::new(&holder, &dialler);
+    let mut later = listing(log.address(), 50, &[]);
+    later.records.retain(|record| record.key != "i-5");
+    later.end = LogOffset(51);
+    holder.take_listing(FeedTopic::Targets, &later);
+    link.settle();
+    assert!(dialler.knows_whole(FeedTopic::Targets));
+    dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
+    assert!(dialler.is_leaving("i-5") && !dialler.is_leaving("i-6"));
+}
