--- a/crates/core/src/direct/planner/suspecting.rs
+++ b/crates/core/src/direct/planner/suspecting.rs
@@ -4,7 +4,7 @@
     direct::{
         engine::SentCall,
         planner::ZonePlanner,
-        suspects::{RequestFingerprint, SuspectTable, Suspicion},
+        suspects::{EndedUnder, RequestFingerprint, SuspectTable, Suspicion},
     },
     ids::{Instant, TargetName},
 };
@@ -15,10 +15,14 @@
 pub(super) const SHARED_END_PRICE: Duration = Duration::from_secs(10);
 
 impl ZonePlanner {
-    /// The requests under which engines ended, as the planner knows them.
-    #[must_use]
-    pub fn suspects(&self) -> &SuspectTable {
-        &self.suspects
+    /// An engine ended while a request ran there.
+    pub fn target_ended(&mut self, ended: &EndedUnder, now: Instant) {
+        self.suspects.note_ended(ended, now);
+    }
+
+    /// A trial of a request was answered well.
+    pub fn pardon(&mut self, fingerprint: RequestFingerprint) {
+        self.suspects.pardon(fingerprint);
     }
 
     /// Takes over what is known of requests under which engines ended.
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -116,6 +116,8 @@
     is_yielding: bool,
     /// What was last told of the weight store.
     told_loads: LoadSummary,
+    /// Revision of the books' suspects that the planner was given.
+    synced: Option<u64>,
 }
 
 impl HeldZone {
@@ -206,6 +208,7 @@
                     if let Some(ledger) = &mut self.ledger {
                         ledger.lead_until(led_until);
                     }
+                    self.sync_suspects();
                     if let Some(held) = &mut self.held {
                         held.planner.lead_until(led_until);
                         held.planner.tick(clock::now());
@@ -223,7 +226,6 @@
         let Some(event) = self.take_for_ledger(event, now) else {
             return;
         };
-        self.sync_suspects();
         let Some(held) = &mut self.held else {
             match event {
                 ZoneEvent::Place(key, _, reply) => send_reply(&key, reply, PlaceReply::NotHolder),
@@ -359,6 +361,9 @@
                 ledger.end_trial(fingerprint, &key);
                 if is_good {
                     self.fleet.pardon(fingerprint);
+                    if let Some(held) = &mut self.held {
+                        held.planner.pardon(fingerprint);
+                    }
                     self.record_quarantine(fingerprint);
                 }
                 None
@@ -373,6 +378,9 @@
             }
             ZoneEvent::EndedUnder(ended) => {
                 self.fleet.note_ended_under(&ended);
+                if let Some(held) = &mut self.held {
+                    held.planner.target_ended(&ended, now);
+                }
                 self.record_quarantine(ended.fingerprint);
                 None
             }
@@ -411,13 +419,15 @@
         }
     }
 
-    /// Has the planner know what the books do of requests under which engines ended.
+    /// Has the planner know what the books do of requests under which engines ended, also by the log.
     fn sync_suspects(&mut self) {
         let Some(held) = &mut self.held else {
             return;
         };
         let books = self.fleet.books();
-        if held.planner.suspects().revision() != books.suspects.revision() {
+        let revision = books.suspects.revision();
+        if held.synced != Some(revision) {
+            held.synced = Some(revision);
             held.planner.set_suspects(books.suspects.clone());
         }
     }
@@ -570,6 +580,7 @@
         for (subject, version) in versions {
             held.planner.set_version(&subject, version, now);
         }
+        self.sync_suspects();
     }
 
     fn carry_out(&mut self) {
@@ -640,6 +651,7 @@
         ),
         is_yielding: false,
         told_loads: LoadSummary::default(),
+        synced: None,
     }
 }
 
