--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -8,7 +8,10 @@
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
 };
-use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
+use hoplandingd::{
+    clock,
+    direct::{daemon::DirectDaemon, settings::DirectSettings},
+};
 use std::{
     net::SocketAddr,
     sync::{
@@ -272,3 +275,46 @@
     herd(2).await;
     assert_eq!(poisoned(&engines), 3);
 }
+
+#[tokio::test]
+async fn the_successor_of_a_killed_holder_keeps_its_quarantines() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engines = mortal_engines(5, Duration::from_millis(5), is_poison).await;
+    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
+    for (name, service, address) in listed(&names, "scribe", &engines) {
+        let entry = entry(service, address, "ready", &["a1@1"]);
+        log.put("keyed.servers", name, Some(&entry));
+    }
+    log.put("keyed.op", "config", Some(&config(1)));
+    let killed = process();
+    let holder = start_in(&killed, settings("vm-1", &log)).await;
+    let successor = DirectDaemon::start(settings("vm-2", &log)).await;
+    let successor = successor.expect("the daemon starts");
+    wait_for("both known", async || {
+        is_ready(&successor).await && successor.fleet().books().vms.len() == 2
+    })
+    .await;
+    serves_streams(&holder).await;
+    for number in 0..3 {
+        let request = poison("/plan/1", &format!("d{number}"));
+        ask(holder.caller_address, &request).await;
+    }
+    assert_eq!(poisoned(&engines), 2);
+    wait_for("the record of the quarantine", async || {
+        let books = successor.fleet().books();
+        books.suspects.counts(clock::now()).1 == 1
+    })
+    .await;
+    killed.shutdown_background();
+    wait_for("the successor", async || {
+        let lease = successor.fleet().lease(&AvailabilityZone::new(ZONES[0]));
+        lease.is_some_and(|lease| lease.incarnation == successor.fleet().incarnation)
+    })
+    .await;
+    serves_streams(&successor).await;
+    for number in 0..4 {
+        let request = poison("/plan/1", &format!("e{number}"));
+        ask(successor.caller_address, &request).await;
+    }
+    assert_eq!(poisoned(&engines), 2);
+}
