Check the trials of poison requests with spin

Four targets end, and two more for each kill of all VMs; each of four measures removed gives a counterexample (order of the two notices, one trial in the fleet, the count beyond its pause, the record).

--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -98,6 +98,12 @@
     fails("freshness", &["-DAGE_AT_RECEIPT"]),
     fails("freshness", &["-DANY_OFFSET"]),
     fails("freshness", &["-DLOOK_AT_HEAD"]),
+    holds("trials", &["-DKILLS=0"]),
+    holds("trials", &["-DKILLS=2"]),
+    fails("trials", &["-DTRIAL_FIRST"]),
+    fails("trials", &["-DEACH_LINK"]),
+    fails("trials", &["-DLAPSE"]),
+    fails("trials", &["-DNO_RECORD"]),
     // All faults at once with two requests and versions, and each of them with more of the rest.
     holds("versions", &["-DV=2", "-DR=2"]),
     holds("versions", &["-DV=3", "-DR=2", "-DUNLOADS=0"]),
