--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -151,26 +151,26 @@
         let run = entry.run();
         let load = self.loads.entry(run.clone()).or_default();
         let sharing = sharing(load.calls + 1, entry.slots);
-        let turn = self.rates.wait(&entry.name, now);
-        let expected = turn + load.pace.mul_f64(sharing);
+        let token_wait = self.rates.wait(&entry.name, now);
+        let expected = token_wait + load.pace.mul_f64(sharing);
         let bound = ask.bound();
-        let is_taken = load.calls >= entry.slots || !turn.is_zero();
+        let is_taken = load.calls >= entry.slots || !token_wait.is_zero();
         if expected > bound && is_taken {
             let cause = RefusalCause::TooLong(millis(expected));
-            return refuse(expected.saturating_sub(bound), turn, cause);
+            return refuse(expected.saturating_sub(bound), token_wait, cause);
         }
         self.rates.take(&entry.name, now);
         load.calls += 1;
         let call = PlainCall {
             run,
-            sent: now.after(turn),
+            sent: now.after(token_wait),
             sharing,
         };
         self.calls.insert(key, call);
         PlacementAnswer::Send {
             target: entry.name.clone(),
             life: entry.life,
-            wait_ms: millis(turn),
+            wait_ms: millis(token_wait),
             fetch: None,
             expected_ms: millis(expected),
             version: None,
@@ -312,9 +312,9 @@
     best.or_else(|| candidates().find(|entry| !health.is_lost(&entry.name, now)))
 }
 
-/// Refuses a call; it is in vain to come back before `turn` where that is what it waits for.
-fn refuse(retry_after: Duration, turn: Duration, cause: RefusalCause) -> PlacementAnswer {
-    let most = COME_BACK_MOST.max(turn);
+/// Refuses a call; a caller that waits for a token of its target's limit may be told to wait longer than others.
+fn refuse(retry_after: Duration, token_wait: Duration, cause: RefusalCause) -> PlacementAnswer {
+    let most = COME_BACK_MOST.max(token_wait);
     PlacementAnswer::Refuse {
         retry_after_ms: millis(retry_after.clamp(COME_BACK_LEAST, most)),
         cause,
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -115,8 +115,8 @@
         } else {
             Duration::ZERO
         };
-        let turn = self.rates.wait(&engine.entry.name, now);
-        let wait = prompts.max(load.time).max(turn)
+        let token_wait = self.rates.wait(&engine.entry.name, now);
+        let wait = prompts.max(load.time).max(token_wait)
             + own
             + self.figures.per_call * calls
             + self.figures.slot_time / engine.entry.slots.max(1) * over
@@ -279,9 +279,9 @@
         adapter_ms: u32,
         now: Instant,
     ) {
-        let turn = self.rates.wait(name, now);
+        let token_wait = self.rates.wait(name, now);
         self.rates.take(name, now);
-        let wait_ms = adapter_ms.max(millis(turn));
+        let wait_ms = adapter_ms.max(millis(token_wait));
         let sent = self.note_sent(name, key.clone(), ask, wait_ms, now);
         self.answer_send(name, key, &ask.subject, wait_ms, sent);
     }
