--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -68,6 +68,16 @@
         .collect()
 }
 
+/// Lists five engines, and a configuration.
+fn list_engines(log: &KeyedLog, engines: &[RawTarget]) {
+    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
+    for (name, service, address) in listed(&names, "scribe", engines) {
+        let entry = entry(service, address, "ready", &["a1@1"]);
+        log.put("keyed.servers", name, Some(&entry));
+    }
+    log.put("keyed.op", "config", Some(&config(1)));
+}
+
 fn poisoned(targets: &[RawTarget]) -> usize {
     let seen = targets.iter().flat_map(RawTarget::requests);
     seen.filter(is_poison).count()
@@ -130,12 +140,7 @@
 async fn a_poison_request_stays_quarantined_when_all_vms_start_again() {
     let log = KeyedLog::start().await.expect("a log");
     let engines = mortal_engines(5, Duration::from_millis(5), is_poison).await;
-    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
-    for (name, service, address) in listed(&names, "scribe", &engines) {
-        let entry = entry(service, address, "ready", &["a1@1"]);
-        log.put("keyed.servers", name, Some(&entry));
-    }
-    log.put("keyed.op", "config", Some(&config(1)));
+    list_engines(&log, &engines);
     let first_life = process();
     let daemon = start_in(&first_life, settings("vm-1", &log)).await;
     serves_streams(&daemon).await;
@@ -280,12 +285,7 @@
 async fn the_successor_of_a_killed_holder_keeps_its_quarantines() {
     let log = KeyedLog::start().await.expect("a log");
     let engines = mortal_engines(5, Duration::from_millis(5), is_poison).await;
-    let names = ["e-1", "e-2", "e-3", "e-4", "e-5"];
-    for (name, service, address) in listed(&names, "scribe", &engines) {
-        let entry = entry(service, address, "ready", &["a1@1"]);
-        log.put("keyed.servers", name, Some(&entry));
-    }
-    log.put("keyed.op", "config", Some(&config(1)));
+    list_engines(&log, &engines);
     let killed = process();
     let holder = start_in(&killed, settings("vm-1", &log)).await;
     let successor = DirectDaemon::start(settings("vm-2", &log)).await;
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -88,6 +88,14 @@
     }
 }
 
+/// A listing of 50 targets after one of them, `i-5`, was removed.
+fn listing_without_one(address: SocketAddr) -> ReadBatch {
+    let mut later = listing(address, 50, &[]);
+    later.records.retain(|record| record.key != "i-5");
+    later.end = LogOffset(51);
+    later
+}
+
 fn fleet(name: &str, log: &KeyedLog, zone_vms: u64) -> Arc<FleetState> {
     let fleet = Arc::new(FleetState::new(&settings(name, log), 1));
     for number in 0..zone_vms {
@@ -194,10 +202,7 @@
     let dialler = fleet("vm-1", &log, 10);
     let mut link = StartLink::new(&holder, &dialler);
     dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
-    let mut later = listing(log.address(), 50, &[]);
-    later.records.retain(|record| record.key != "i-5");
-    later.end = LogOffset(51);
-    holder.take_listing(FeedTopic::Targets, &later);
+    holder.take_listing(FeedTopic::Targets, &listing_without_one(log.address()));
     link.settle();
     let reads_on_from = dialler.known_end(FeedTopic::Targets);
     assert!(
@@ -214,10 +219,7 @@
     let dialler = fleet("vm-1", &log, 10);
     let mut link = StartLink::new(&holder, &dialler);
     dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
-    let mut later = listing(log.address(), 50, &[]);
-    later.records.retain(|record| record.key != "i-5");
-    later.end = LogOffset(51);
-    holder.take_listing(FeedTopic::Targets, &later);
+    holder.take_listing(FeedTopic::Targets, &listing_without_one(log.address()));
     link.settle();
     assert!(dialler.has_gap(FeedTopic::Targets));
     let removal = ReadBatch {
@@ -240,10 +242,7 @@
     let holder = fleet("vm-0", &log, 10);
     let dialler = fleet("vm-1", &log, 10);
     let mut link = StartLink::new(&holder, &dialler);
-    let mut later = listing(log.address(), 50, &[]);
-    later.records.retain(|record| record.key != "i-5");
-    later.end = LogOffset(51);
-    holder.take_listing(FeedTopic::Targets, &later);
+    holder.take_listing(FeedTopic::Targets, &listing_without_one(log.address()));
     link.settle();
     assert!(dialler.knows_whole(FeedTopic::Targets));
     dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
--- a/crates/daemon/tests/suspension.rs
+++ b/crates/daemon/tests/suspension.rs
@@ -6,14 +6,14 @@
 #[expect(dead_code, reason = "shared with the tests of the direct mode")]
 mod support;
 
-use crate::support::{ask, config, good, post, settings, site_of, wait_for};
+use crate::support::{ask, config, good, post, settings, site, site_of, wait_for};
 use hoplanding_core::direct::freshness::RevocationRule;
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
     relay::{LinkRelay, LinkState},
 };
-use hoplandingd::clock;
+use hoplandingd::{clock, direct::daemon::DirectDaemon};
 use serde_json::{Value, json};
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -21,6 +21,13 @@
 static CLOCK: Mutex<()> = Mutex::const_new(());
 const SUSPENDED: Duration = Duration::from_secs(8);
 
+async fn plain_site() -> (KeyedLog, RawTarget, DirectDaemon) {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good).await.expect("a target");
+    let daemon = site(&log, &[("i-1", "ledger", target.address)]).await;
+    (log, target, daemon)
+}
+
 fn scans(target: &RawTarget) -> Vec<RawRequest> {
     let seen = target.requests().into_iter();
     seen.filter(|request| request.line().contains("/scan/"))
@@ -31,14 +38,7 @@
 async fn a_connection_that_rested_through_a_suspension_is_not_trusted_with_a_call_that_may_run_once()
  {
     let _clock = CLOCK.lock().await;
-    let log = KeyedLog::start().await.expect("a log");
-    let target = RawTarget::start(good).await.expect("a target");
-    let daemon = site_of(
-        settings("vm-1", &log),
-        &log,
-        &[("i-1", "ledger", target.address)],
-    )
-    .await;
+    let (_log, target, daemon) = plain_site().await;
     let scan = async |id: &str| {
         let answer = ask(daemon.caller_address, &post("/scan/1", id, "")).await;
         assert_eq!(answer.status, 200);
@@ -52,14 +52,7 @@
 #[tokio::test]
 async fn a_target_is_given_no_time_that_passed_in_a_suspension() {
     let _clock = CLOCK.lock().await;
-    let log = KeyedLog::start().await.expect("a log");
-    let target = RawTarget::start(good).await.expect("a target");
-    let daemon = site_of(
-        settings("vm-1", &log),
-        &log,
-        &[("i-1", "ledger", target.address)],
-    )
-    .await;
+    let (_log, target, daemon) = plain_site().await;
     // Its head has come; its body comes after the suspension.
     let request = post("/scan/1", "r1", "");
     let (head, body) = request.split_at(request.len() - 4);
