--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -114,11 +114,12 @@
 
 #[test]
 fn a_quarantine_that_is_over_keeps_its_count() {
-    let mut table = SuspectTable::default();
-    table.note_ended(&ended(1, "a"), at(0));
-    table.note_ended(&ended(1, "b"), at(10));
-    table.note_ended(&ended(1, "c"), at(31_000));
-    assert_eq!(ends(&table, 1, 62_000), 3);
+    let mut holder = Holder::new();
+    holder.suspects.note_ended(&ended(1, "a"), at(0));
+    holder.suspects.note_ended(&ended(1, "b"), at(10));
+    holder.suspects.note_ended(&ended(1, "c"), at(31_000));
+    assert_eq!(ends(&holder.suspects, 1, 62_000), 3);
+    assert!(!holder.tries(1, "d", 62_000));
 }
 
 #[test]
@@ -158,6 +159,15 @@
     assert!(!holder.tries(1, "e", PAUSED_MS + 3 * LONG_PAUSED_MS));
 }
 
+#[test]
+fn the_third_end_bars_a_request_for_long() {
+    let mut holder = Holder::new();
+    for (ms, target) in [(0, "a"), (10, "b"), (20, "c")] {
+        holder.suspects.note_ended(&ended(1, target), at(ms));
+    }
+    assert!(!holder.tries(1, "d", 600_000));
+}
+
 #[test]
 fn a_good_trial_pardons_a_suspect_and_a_day_away_does_too() {
     let mut table = SuspectTable::default();
