--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -52,7 +52,24 @@
 pub mod trials;
 pub mod versions;
 
-use std::time::Duration;
+use crate::ids::AvailabilityZone;
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    time::Duration,
+};
+
+/// Zones in an order that follows from a key, the same on all VMs.
+fn zones_ranked_by(key: impl Hash, zones: &[AvailabilityZone]) -> Vec<AvailabilityZone> {
+    let mut zones = zones.to_vec();
+    zones.sort_by_cached_key(|zone| {
+        let mut hasher = SipHasher13::new();
+        key.hash(&mut hasher);
+        zone.as_str().hash(&mut hasher);
+        hasher.finish()
+    });
+    zones
+}
 
 /// A span in whole milliseconds, as messages and settings carry it.
 #[must_use]
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -16,17 +16,12 @@
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
         suspects::RequestFingerprint,
+        zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, TargetRun, VmName},
 };
 use serde::{Deserialize, Serialize};
-use siphasher::sip::SipHasher13;
-use std::{
-    collections::HashMap,
-    hash::{Hash, Hasher},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Time that a call takes at a target of which nothing is known yet.
 const FIRST_PACE: Duration = Duration::from_millis(50);
@@ -84,14 +79,7 @@
 /// Zones in the order in which their holders are asked to place calls of a service.
 #[must_use]
 pub fn placing_zones(service: &ServiceName, zones: &[AvailabilityZone]) -> Vec<AvailabilityZone> {
-    let mut zones = zones.to_vec();
-    zones.sort_by_cached_key(|zone| {
-        let mut hasher = SipHasher13::new();
-        service.as_str().hash(&mut hasher);
-        zone.as_str().hash(&mut hasher);
-        hasher.finish()
-    });
-    zones
+    zones_ranked_by(service.as_str(), zones)
 }
 
 /// What is under way at one target, and how long calls take there.
--- a/crates/core/src/direct/trials.rs
+++ b/crates/core/src/direct/trials.rs
@@ -10,16 +10,12 @@
         millis,
         planner::CallKey,
         suspects::{RequestFingerprint, SuspectTable, Suspicion},
+        zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, VmName},
 };
 use serde::{Deserialize, Serialize};
-use siphasher::sip::SipHasher13;
-use std::{
-    collections::HashMap,
-    hash::{Hash, Hasher},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 /// Time after which a trial whose end nobody told holds up no other: longer than any call.
 const TRIAL_MOST: Duration = Duration::from_secs(60);
@@ -152,12 +148,5 @@
     fingerprint: RequestFingerprint,
     zones: &[AvailabilityZone],
 ) -> Vec<AvailabilityZone> {
-    let mut zones = zones.to_vec();
-    zones.sort_by_cached_key(|zone| {
-        let mut hasher = SipHasher13::new();
-        fingerprint.hash(&mut hasher);
-        zone.as_str().hash(&mut hasher);
-        hasher.finish()
-    });
-    zones
+    zones_ranked_by(fingerprint, zones)
 }
