Decode all that targets say of themselves once, and tell of it

Callers saw requests at targets that had said in their answers that they leave, or asked for rest; no log could tell that they had. platform/notices.rs decodes every header in which a target tells of itself into one TargetNotice, for answers to calls, orders, reports and looks alike; E725 to E727 tell of it. Nothing decides by the new headers yet.

An answer with 421 may be another target's, so it says nothing; a limit in it counted before. Reports and orders close connections whose answer says so, which only calls did.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -22,6 +22,7 @@
 //! | [`organisations`] | for whom a caller acts, by its key |
 //! | [`freshness`] | since when the configuration in force is known to be the newest |
 //! | [`quotas`] | organisations' quotas over the whole fleet |
+//! | [`notices`] | what a target says of itself in an answer |
 //! | [`limits`] | how many requests a second a target takes |
 //! | [`suspects`] | requests under which targets ended |
 //! | [`trials`] | when a suspect may run again, and one at a time |
@@ -39,6 +40,7 @@
 pub mod lease;
 pub mod limits;
 pub mod loading;
+pub mod notices;
 pub mod organisations;
 pub mod plain;
 pub mod planner;
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -106,6 +106,7 @@
 
     async fn ask_engine(&self, entry: &TargetEntry) -> LookVerdict {
         let asked = exchange(
+            &self.context.fleet,
             &self.context.pool,
             entry,
             encode_report_request(&entry.name),
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -18,13 +18,12 @@
         catalog::TargetEntry,
         config::RepeatRule,
         limits::{NamedLimit, RequestRate},
+        notices::TargetNotice,
     },
     ids::TargetRun,
 };
-use hoplanding_platform::front::{
-    AnswerKind, SendHead, answer_limit, encode_send, is_closing, judge_answer, keep_alive,
-};
-use http::{HeaderMap, Request};
+use hoplanding_platform::front::{AnswerKind, SendHead, encode_send, judge_answer};
+use http::Request;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{sync::Arc, time::Duration};
@@ -37,6 +36,8 @@
 pub struct OpenAnswer {
     /// Its head.
     pub parts: http::response::Parts,
+    /// What it says of its target.
+    pub notice: TargetNotice,
     /// Its body.
     pub body: Incoming,
     /// The connection, to be given back after a whole answer.
@@ -177,13 +178,21 @@
             }
         };
         let kind = judge_answer(&self.head.id, response.status(), response.headers());
-        if kind != AnswerKind::Foreign {
-            self.note_limit(entry, response.headers());
-        }
+        let notice = match kind {
+            // Another target's, or an answer to another request.
+            AnswerKind::Foreign | AnswerKind::Misdirected => TargetNotice::default(),
+            AnswerKind::Success | AnswerKind::Failure | AnswerKind::NotRun => {
+                let fleet = &self.context.fleet;
+                let notice = fleet.hear_target(&entry.run(), response.status(), response.headers());
+                self.note_limit(entry, notice.rate);
+                notice
+            }
+        };
         let (parts, body) = response.into_parts();
         let open = |ticket, count| {
             Box::new(OpenAnswer {
                 parts: parts.clone(),
+                notice,
                 body,
                 connection,
                 entry: Arc::clone(entry),
@@ -261,10 +270,10 @@
 
 impl CallState {
     /// Notes what an answer says of its target's limit.
-    fn note_limit(&self, entry: &TargetEntry, headers: &HeaderMap) {
+    fn note_limit(&self, entry: &TargetEntry, rate: Option<RequestRate>) {
         let named = NamedLimit {
             run: entry.run(),
-            rate: answer_limit(headers),
+            rate,
         };
         let is_change = {
             let mut books = self.context.fleet.books();
@@ -280,13 +289,13 @@
     }
 
     /// Gives a connection back for further calls, unless its answer says that it ends.
-    pub fn give_back(&self, connection: TargetConnection, headers: &HeaderMap) {
-        if is_closing(headers) {
+    pub fn give_back(&self, connection: TargetConnection, notice: &TargetNotice) {
+        if notice.is_closing {
             return;
         }
         let vms = self.context.fleet.books().vms.len();
         let share = self.service.idle_share(vms);
         let pool = &self.context.pool;
-        pool.give_back(connection, keep_alive(headers), share);
+        pool.give_back(connection, notice.idle, share);
     }
 }
--- a/crates/daemon/src/direct/engine_calls.rs
+++ b/crates/daemon/src/direct/engine_calls.rs
@@ -1,7 +1,10 @@
 //! Orders to engines, and their reports.
 
 use crate::{
-    direct::sender::{ConnectionPool, ReuseRule, SendError, TargetRequest, exchange},
+    direct::{
+        fleet::FleetState,
+        sender::{ConnectionPool, ReuseRule, SendError, TargetRequest, exchange},
+    },
     event,
     events::Event,
 };
@@ -22,12 +25,13 @@
 
 /// Gives an order, and says how it ended.
 pub async fn give_order(
+    fleet: &FleetState,
     pool: &ConnectionPool,
     entry: &TargetEntry,
     order: &EngineOrder,
     request: TargetRequest,
 ) -> OrderOutcome {
-    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
+    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(fleet, pool, entry, request)).await;
     let outcome = match &exchanged {
         Ok(Ok((status, _))) => decode_order_status(*status),
         Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
@@ -57,9 +61,13 @@
 }
 
 /// Reads an engine's report; nothing where none comes that can be read.
-pub async fn read_report(pool: &ConnectionPool, entry: &TargetEntry) -> Option<EngineReport> {
+pub async fn read_report(
+    fleet: &FleetState,
+    pool: &ConnectionPool,
+    entry: &TargetEntry,
+) -> Option<EngineReport> {
     let request = encode_report_request(&entry.name);
-    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(pool, entry, request)).await;
+    let exchanged = timeout(ORDER_TIMEOUT, ask_engine(fleet, pool, entry, request)).await;
     let problem = match exchanged {
         Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
             Ok(report) => return Some(report),
@@ -74,11 +82,13 @@
 }
 
 async fn ask_engine(
+    fleet: &FleetState,
     pool: &ConnectionPool,
     entry: &TargetEntry,
     request: TargetRequest,
 ) -> Result<(StatusCode, Bytes), SendError> {
     exchange(
+        fleet,
         pool,
         entry,
         request,
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -16,7 +16,7 @@
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_platform::{front::answer_version, headers::travelling};
+use hoplanding_platform::headers::travelling;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -111,7 +111,7 @@
             return;
         };
         self.awaits_first = false;
-        let version = answer_version(&open.parts.headers);
+        let version = open.notice.version;
         if let Some(source) = self.call.fetch {
             event!(Event::MemoryUsed, request = self.call.head.id; "at {} with parts from {source}, by version {version:?}",
                 open.connection.target()
@@ -197,7 +197,7 @@
             if let Some(ticket) = open.ticket {
                 ticket.end(CallEnd::Good);
             }
-            self.call.give_back(open.connection, &open.parts.headers);
+            self.call.give_back(open.connection, &open.notice);
         }
         Ok((!rest.is_empty()).then_some(rest))
     }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -133,6 +133,10 @@
     pub claim_quiet: Duration,
     /// Entries of the target list that could not be used.
     pub skipped: SkippedEntries,
+    /// Headers in which targets tell of themselves that could not be read.
+    pub unread: SkippedEntries,
+    /// Targets that said in their answers that they leave.
+    pub leaving: HashSet<TargetRun>,
     /// Where this VM itself is reached.
     pub(super) own_addresses: Vec<SocketAddr>,
 }
@@ -279,6 +283,8 @@
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
+                unread: SkippedEntries::default(),
+                leaving: HashSet::new(),
                 own_addresses: Vec::new(),
             }),
             changes: watch::channel(0).0,
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -46,6 +46,7 @@
 pub mod links;
 pub mod listing;
 pub mod message;
+pub mod notices;
 pub mod questions;
 pub mod reach;
 pub mod records;
--- a/crates/daemon/src/direct/sender.rs
+++ b/crates/daemon/src/direct/sender.rs
@@ -3,7 +3,7 @@
 //! `hyper`'s connection interface is used because it matters here how old a connection is, who closed it and what came
 //! after an answer; the client of the same libraries above it hides that.
 
-use crate::clock;
+use crate::{clock, direct::fleet::FleetState};
 use bytes::Bytes;
 use hoplanding_core::{
     direct::catalog::TargetEntry,
@@ -219,6 +219,7 @@
 /// # Errors
 /// When no whole answer came.
 pub async fn exchange(
+    fleet: &FleetState,
     pool: &ConnectionPool,
     entry: &TargetEntry,
     request: TargetRequest,
@@ -231,6 +232,9 @@
         .await?;
     let response = connection.send(request).await?;
     let status = response.status();
+    // Another target may answer at its address.
+    let notice = (status != StatusCode::MISDIRECTED_REQUEST)
+        .then(|| fleet.hear_target(&entry.run(), status, response.headers()));
     let body = Limited::new(response.into_body(), answer_bytes)
         .collect()
         .await
@@ -239,7 +243,9 @@
             cause: error.to_string(),
         })?
         .to_bytes();
-    pool.give_back(connection, None, IDLE_MOST);
+    if let Some(notice) = notice.filter(|notice| !notice.is_closing) {
+        pool.give_back(connection, notice.idle, IDLE_MOST);
+    }
     Ok((status, body))
 }
 
--- a/crates/daemon/src/direct/whole.rs
+++ b/crates/daemon/src/direct/whole.rs
@@ -26,6 +26,7 @@
 ) -> (http::response::Parts, Result<Bytes, TargetName>) {
     let OpenAnswer {
         parts,
+        notice,
         body,
         connection,
         entry,
@@ -41,7 +42,7 @@
             } else {
                 CallEnd::Good
             };
-            call.give_back(connection, &parts.headers);
+            call.give_back(connection, &notice);
             (end, Ok(body.to_bytes()))
         }
         Ok(Err(error)) => {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -604,10 +604,11 @@
                 PlannerAction::Order(entry, order) => {
                     let vm = self.fleet.vm.clone();
                     let request = encode_order(&entry.name, &vm, held.token, &order);
+                    let fleet = Arc::clone(&self.fleet);
                     let pool = Arc::clone(&self.pool);
                     let events = self.events.clone();
                     tokio::spawn(async move {
-                        let outcome = give_order(&pool, &entry, &order, request).await;
+                        let outcome = give_order(&fleet, &pool, &entry, &order, request).await;
                         // The worker ends with the process.
                         let _ = events
                             .send(ZoneEvent::OrderEnded(
@@ -620,10 +621,11 @@
                 }
                 PlannerAction::Moved(moved) => self.fleet.figures.tell_move(&moved),
                 PlannerAction::Report(entry) => {
+                    let fleet = Arc::clone(&self.fleet);
                     let pool = Arc::clone(&self.pool);
                     let events = self.events.clone();
                     tokio::spawn(async move {
-                        let report = read_report(&pool, &entry).await;
+                        let report = read_report(&fleet, &pool, &entry).await;
                         let _ = events
                             .send(ZoneEvent::Reported(entry.name.clone(), report))
                             .await;
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -146,6 +146,12 @@
     EntryOutlived = 723, Info, "entry of an earlier life passed over";
     /// An entry can't be used.
     EntryUnusable = 724, Warn, "entry of the target list can't be used";
+    /// A target says in its answers that it is about to leave.
+    TargetLeaving = 725, Info, "target says that it leaves";
+    /// A target wants nothing from this VM for a while.
+    RestAsked = 726, Info, "target asks for rest";
+    /// A header in which a target tells of itself can't be read.
+    NoticeUnreadable = 727, Warn, "what a target says of itself can't be read";
     /// An order was taken.
     OrderGiven = 710, Info, "order taken";
     /// An order came to nothing.
--- a/crates/daemon/tests/direct/limits.rs
+++ b/crates/daemon/tests/direct/limits.rs
@@ -22,11 +22,7 @@
 }
 
 fn limited(answer: RawAnswer) -> RawAnswer {
-    let mut answer = answer;
-    let head = String::from_utf8_lossy(&answer.pieces[0].1).into_owned();
-    let head = head.replacen("\r\n", &format!("\r\nServer-Limit: {LIMIT:.1}\r\n"), 1);
-    answer.pieces[0].1 = head.into_bytes();
-    answer
+    answer.with_header(&format!("Server-Limit: {LIMIT:.1}\r\n"))
 }
 
 fn calls(target: &RawTarget, path: &str) -> usize {
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// The same answer with another header line, which ends with a line break.
+    #[must_use]
+    pub fn with_header(mut self, line: &str) -> Self {
+        if let Some((_, head)) = self.pieces.first_mut() {
+            let text = String::from_utf8_lossy(head).into_owned();
+            *head = text
+                .replacen("\r\n", &format!("\r\n{line}"), 1)
+                .into_bytes();
+        }
+        self
+    }
+
     /// Nothing: the connection is closed.
     #[must_use]
     pub fn close() -> Self {
