--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod lives;
 mod news;
+mod notices;
 mod poison;
 mod reloads;
 mod repeats;
