Take a target for leaving once an answer says so, on every VM

The word of an answer (to a call, an order, a report or a look; not one with 421 or of another request) is final for that life of the target: the catalog takes every entry of the life as draining, so one that says ready, older or newer, undoes nothing, and one of a later life counts. Each VM passes it on over its links, a new link tells all that is known, and gateways look again between the connection and the first byte.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -4,6 +4,9 @@
 //! whatever order records arrive. A target may start again under its name: an entry of an older life changes nothing,
 //! whatever its offset, and one of a newer life counts whatever came before.
 //!
+//! A target that says in an answer that it leaves does so for the rest of that life, whatever its entry says: while the log is
+//! away its answers are the only word of it.
+//!
 //! While the log is away entries may lapse though their targets live, so a removal that
 //! this VM reads soon after the log's return waits for the entry's own return before it counts. A removal that another VM
 //! passes on counts at once: that VM has read it, and waited where it had to.
@@ -98,12 +101,35 @@
     offset: LogOffset,
     /// The newest life that an entry told of.
     life: TargetLife,
+    /// The life in which the target said that it leaves.
+    leaving: Option<TargetLife>,
     entry: Option<Arc<TargetEntry>>,
     /// When a removal counts, if it is in doubt.
     lapses_at: Option<Instant>,
 }
 
 impl CatalogRow {
+    /// A target of which no entry is known.
+    fn unlisted(offset: LogOffset) -> Self {
+        Self {
+            offset,
+            life: TargetLife::default(),
+            leaving: None,
+            entry: None,
+            lapses_at: None,
+        }
+    }
+
+    /// Takes an entry over, of a target that may have said that it leaves.
+    fn set_entry(&mut self, mut entry: TargetEntry) {
+        if self.leaving == Some(entry.life) {
+            entry.stage = TargetStage::Draining;
+        }
+        self.life = entry.life;
+        self.entry = Some(Arc::new(entry));
+        self.lapses_at = None;
+    }
+
     /// Takes the entry away, at once or when the doubt ends; says whether it is gone now.
     fn remove(&mut self, doubt_ends: Option<Instant>) -> bool {
         if let Some(ends) = doubt_ends.filter(|_| self.entry.is_some()) {
@@ -151,12 +177,10 @@
         let doubt_ends = self.doubt_ends(now);
         let Some(row) = self.rows.get_mut(name) else {
             let is_known = entry.is_some();
-            let row = CatalogRow {
-                offset,
-                life: entry.as_ref().map(|entry| entry.life).unwrap_or_default(),
-                entry: entry.map(Arc::new),
-                lapses_at: None,
-            };
+            let mut row = CatalogRow::unlisted(offset);
+            if let Some(entry) = entry {
+                row.set_entry(entry);
+            }
             self.rows.insert(name.clone(), row);
             return is_known;
         };
@@ -171,21 +195,37 @@
         row.offset = offset;
         match entry {
             Some(entry) => {
-                row.life = entry.life;
                 // Others may have counted a removal that is in doubt here: that the entry is back is news to them.
                 let is_news = row.lapses_at.is_some()
                     || row
                         .entry
                         .as_ref()
                         .is_none_or(|known| !known.leads_alike(&entry));
-                row.entry = Some(Arc::new(entry));
-                row.lapses_at = None;
+                row.set_entry(entry);
                 is_news
             }
             None => row.remove(doubt_ends),
         }
     }
 
+    /// Folds that a target said that it leaves; says whether that is news.
+    pub fn note_leaving(&mut self, run: &TargetRun) -> bool {
+        let row = self
+            .rows
+            .entry(run.name.clone())
+            .or_insert_with(|| CatalogRow::unlisted(LogOffset(0)));
+        if row.leaving.is_some_and(|life| life >= run.life) {
+            return false;
+        }
+        row.leaving = Some(run.life);
+        if let Some(entry) = row.entry.take() {
+            let lapses_at = row.lapses_at;
+            row.set_entry(Arc::unwrap_or_clone(entry));
+            row.lapses_at = lapses_at;
+        }
+        true
+    }
+
     /// The newest life that a target's entries told of.
     #[must_use]
     pub fn life(&self, name: &TargetName) -> TargetLife {
@@ -200,12 +240,10 @@
 
     /// Folds a removal that is beyond doubt; says whether it changes where calls may go.
     pub fn settle(&mut self, name: &TargetName, offset: LogOffset) -> bool {
-        let row = self.rows.entry(name.clone()).or_insert(CatalogRow {
-            offset,
-            life: TargetLife::default(),
-            entry: None,
-            lapses_at: None,
-        });
+        let row = self
+            .rows
+            .entry(name.clone())
+            .or_insert_with(|| CatalogRow::unlisted(offset));
         if row.offset > offset {
             return false;
         }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -310,6 +310,8 @@
                         break;
                     }
                 }
+                // Placed again it goes elsewhere, or is refused.
+                SendOutcome::Withheld => {}
                 SendOutcome::NotSent => {
                     if self.unreached > MOST_UNREACHED {
                         break;
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -15,7 +15,7 @@
 };
 use hoplanding_core::{
     direct::{
-        catalog::TargetEntry,
+        catalog::{TargetEntry, TargetStage},
         config::RepeatRule,
         limits::{NamedLimit, RequestRate},
         notices::TargetNotice,
@@ -60,6 +60,8 @@
     NotRun,
     /// It was never handed over.
     NotSent,
+    /// Its target no longer wants it: it was not sent.
+    Withheld,
     /// It may have run; no answer that could be used came.
     Unknown,
 }
@@ -142,6 +144,9 @@
             .pool
             .take(&entry.run(), entry.address, reuse, CONNECT_WITHIN)
             .await;
+        if taken.is_ok() && !self.is_wanted(entry) {
+            return SendOutcome::Withheld;
+        }
         let remaining = self.remaining();
         let sent = match taken {
             Ok(mut connection) => {
@@ -269,6 +274,13 @@
 }
 
 impl CallState {
+    /// Whether a target still takes new work: that may have changed while a connection to it was made.
+    fn is_wanted(&self, entry: &TargetEntry) -> bool {
+        let books = self.context.fleet.books();
+        let known = books.catalog.get(&entry.name);
+        known.is_some_and(|known| known.stage == TargetStage::Ready)
+    }
+
     /// Notes what an answer says of its target's limit.
     fn note_limit(&self, entry: &TargetEntry, rate: Option<RequestRate>) {
         let named = NamedLimit {
--- a/crates/daemon/src/direct/events.rs
+++ b/crates/daemon/src/direct/events.rs
@@ -223,6 +223,7 @@
                 SendOutcome::Failure(_)
                 | SendOutcome::NotRun
                 | SendOutcome::NotSent
+                | SendOutcome::Withheld
                 | SendOutcome::Unknown => {}
             }
         }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -7,6 +7,7 @@
     direct::{
         figures::DirectFigures,
         message::{FeedTopic, TopicSpan},
+        notices::LeavingNews,
         records::RecordBook,
         settings::DirectSettings,
         skipped::SkippedEntries,
@@ -135,8 +136,8 @@
     pub skipped: SkippedEntries,
     /// Headers in which targets tell of themselves that could not be read.
     pub unread: SkippedEntries,
-    /// Targets that said in their answers that they leave.
-    pub leaving: HashSet<TargetRun>,
+    /// Targets that said in their answers that they leave, to be passed on.
+    pub leaving: LeavingNews,
     /// Where this VM itself is reached.
     pub(super) own_addresses: Vec<SocketAddr>,
 }
@@ -284,7 +285,7 @@
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
                 unread: SkippedEntries::default(),
-                leaving: HashSet::new(),
+                leaving: LeavingNews::default(),
                 own_addresses: Vec::new(),
             }),
             changes: watch::channel(0).0,
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -169,8 +169,8 @@
     }
 
     /// Tells the links how far the news goes.
-    fn announce(&self, books: &FleetBooks) {
-        let head = books.records.head();
+    pub(super) fn announce(&self, books: &FleetBooks) {
+        let head = books.records.head() + books.leaving.head();
         self.news.send_if_modified(|known| {
             let is_more = *known != head;
             *known = head;
@@ -192,9 +192,13 @@
     pub fn expire(&self) {
         let mut books = self.books();
         let FleetBooks {
-            catalog, limits, ..
+            catalog,
+            limits,
+            leaving,
+            ..
         } = &mut *books;
         limits.retain(|run| catalog.get(&run.name).is_some());
+        leaving.retain(|run| catalog.get(&run.name).is_some());
         let gone = catalog.expire(clock::now());
         if gone.is_empty() {
             return;
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -12,12 +12,12 @@
         suspects::{EndedUnder, RequestFingerprint},
         trials::TrialAnswer,
     },
-    ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
+    ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, TargetRun, VmName},
 };
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages; VMs of different versions do not link.
-pub const MESSAGE_VERSION: u32 = 10;
+pub const MESSAGE_VERSION: u32 = 11;
 
 /// How a call ended at a target, for the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -186,6 +186,8 @@
     Stopping,
     /// Records that may be news.
     Records(Vec<PassedRecord>),
+    /// Targets that said in their answers that they leave.
+    Leaving(Vec<TargetRun>),
     /// The records that were asked for.
     Answer {
         /// Every record of the topics from the wanted offsets on.
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -16,7 +16,7 @@
 };
 use hoplanding_core::{
     direct::{freshness::BeatEcho, millis},
-    ids::{Instant, LogOffset, VmName},
+    ids::{Instant, LogOffset, TargetRun, VmName},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -33,6 +33,8 @@
     is_same_zone: bool,
     /// This link's place in the news: all before it has been passed on.
     place: u64,
+    /// The same in the news of targets that leave.
+    leaving_place: u64,
     news: watch::Receiver<u64>,
     pulls: watch::Receiver<u64>,
     whole: watch::Receiver<usize>,
@@ -54,6 +56,7 @@
             fleet: Arc::clone(fleet),
             is_same_zone,
             place: fleet.books().records.head(),
+            leaving_place: 0,
             news: fleet.watch_news(),
             pulls: fleet.watch_pulls(),
             whole: fleet.watch_whole(),
@@ -72,6 +75,9 @@
             if let Some(message) = self.next_reply().or_else(|| self.next_question()) {
                 return message;
             }
+            if let Some(runs) = self.take_leaving() {
+                return VmMessage::Leaving(runs);
+            }
             if let Some(records) = self.take_news() {
                 self.fleet
                     .figures
@@ -121,6 +127,13 @@
         None
     }
 
+    /// Targets that leave, as many as go into one message, of which the other side has not been told.
+    fn take_leaving(&mut self) -> Option<Vec<TargetRun>> {
+        let (runs, place) = self.fleet.books().leaving.after(self.leaving_place);
+        self.leaving_place = place;
+        (!runs.is_empty()).then_some(runs)
+    }
+
     fn is_drained(&self) -> bool {
         self.place >= self.fleet.books().records.head()
     }
@@ -229,6 +242,7 @@
     pub fn take(&mut self, vm: &VmName, message: VmMessage) -> Option<VmMessage> {
         match message {
             VmMessage::Records(records) => self.fleet.take_passed(records),
+            VmMessage::Leaving(runs) => self.fleet.take_leaving(&runs, "by another VM's word"),
             VmMessage::Answer { records, spans } => self.fleet.take_answer(records, &spans),
             VmMessage::Beat {
                 contact,
