Keep the rests that targets ask for

A rest holds for the VM that was told, in that life of the target: it asks holders for other targets, looks again before the first byte, gives no order and reads no report there, and refuses at once where every target of the service rests, with the time at which the first is free, spread over 0.6 s. After a rest calls come back one in 150 ms until one is answered. A rest is kept for 30 s at the most. For other VMs it is a hint of load: the holder counts the target as shedding for the rest.

--- a/crates/core/src/direct/health.rs
+++ b/crates/core/src/direct/health.rs
@@ -27,8 +27,8 @@
     Failed,
     /// No connection could be made.
     Unreached,
-    /// The target turned it away as full.
-    Shed,
+    /// The target turned it away as full, and asked for rest for so long.
+    Shed(Duration),
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,8 +45,9 @@
     records: HashMap<TargetName, TargetRecord>,
 }
 
-/// Pause in which a target that turned a call away is passed over.
+/// Pause in which a target that turned a call away is passed over, if it asked for no longer one.
 const SHED_PAUSE: Duration = Duration::from_millis(60);
+const SHED_LONGEST: Duration = Duration::from_secs(30);
 
 impl HealthTable {
     /// Notes an outcome.
@@ -76,7 +77,10 @@
                 let pause = (UNREACHED_PAUSE * (1 << doublings)).min(UNREACHED_LONGEST);
                 record.retry_at = Some(now.after(pause));
             }
-            CallOutcome::Shed => record.shed_until = Some(now.after(SHED_PAUSE)),
+            CallOutcome::Shed(rest) => {
+                let until = now.after(rest.clamp(SHED_PAUSE, SHED_LONGEST));
+                record.shed_until = record.shed_until.max(Some(until));
+            }
         }
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -23,6 +23,7 @@
 //! | [`freshness`] | since when the configuration in force is known to be the newest |
 //! | [`quotas`] | organisations' quotas over the whole fleet |
 //! | [`notices`] | what a target says of itself in an answer |
+//! | [`rests`] | spans in which targets want nothing from this VM |
 //! | [`limits`] | how many requests a second a target takes |
 //! | [`suspects`] | requests under which targets ended |
 //! | [`trials`] | when a suspect may run again, and one at a time |
@@ -47,6 +48,7 @@
 pub mod policy;
 pub mod quotas;
 pub mod reading;
+pub mod rests;
 pub mod routes;
 pub mod search;
 pub mod streams;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -60,6 +60,8 @@
     pub left_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
+    /// Targets that want nothing from the gateway now.
+    pub resting: Vec<TargetName>,
     /// The request by what it asks.
     pub fingerprint: RequestFingerprint,
     /// Whether it is sent as a granted trial of a suspect.
@@ -191,7 +193,9 @@
             let calls = f64::from(load.calls) * 0.1 + health_price(&self.health, &entry.name, now);
             self.rates.wait(&entry.name, now) + wait + turn.mul_f64(calls)
         };
-        pick(&self.health, &ask.exclude, targets, now, |left, right| {
+        let is_open =
+            |name: &TargetName| !ask.exclude.contains(name) && !ask.resting.contains(name);
+        pick(&self.health, is_open, targets, now, |left, right| {
             price(left).cmp(&price(right))
         })
     }
@@ -268,7 +272,8 @@
         }
         price
     };
-    pick(health, tried, targets, now, |left, right| {
+    let is_open = |name: &TargetName| !tried.contains(name);
+    pick(health, is_open, targets, now, |left, right| {
         price(left).total_cmp(&price(right))
     })
 }
@@ -287,12 +292,12 @@
 
 fn pick<'a>(
     health: &HealthTable,
-    tried: &[TargetName],
+    is_open: impl Fn(&TargetName) -> bool,
     targets: &'a [Arc<TargetEntry>],
     now: Instant,
     order: impl Fn(&TargetEntry, &TargetEntry) -> std::cmp::Ordering,
 ) -> Option<&'a Arc<TargetEntry>> {
-    let candidates = || targets.iter().filter(|entry| !tried.contains(&entry.name));
+    let candidates = || targets.iter().filter(|entry| is_open(&entry.name));
     let best = candidates()
         .filter(|entry| !health.is_out(&entry.name, now))
         .min_by(|left, right| order(left, right));
--- a/crates/core/src/direct/planner/ask.rs
+++ b/crates/core/src/direct/planner/ask.rs
@@ -51,6 +51,8 @@
     pub bound_ms: u32,
     /// Targets that it has been to.
     pub exclude: Vec<TargetName>,
+    /// Targets that want nothing from the gateway now.
+    pub resting: Vec<TargetName>,
     /// Whether its adapter may be loaded for it.
     pub may_load: bool,
     /// What is wanted.
--- a/crates/core/src/direct/planner/placing.rs
+++ b/crates/core/src/direct/planner/placing.rs
@@ -77,6 +77,7 @@
             .filter(|(name, engine)| {
                 engine.entry.stage == TargetStage::Ready
                     && !ask.exclude.contains(name)
+                    && !ask.resting.contains(name)
                     && !self.health.is_out(name, now)
             })
             .filter_map(|(name, engine)| {
--- a/crates/core/tests/direct_memory/world.rs
+++ b/crates/core/tests/direct_memory/world.rs
@@ -613,6 +613,7 @@
             priority: 1,
             bound_ms: BOUND_MS,
             exclude: new.tried.iter().cloned().chain(avoided).collect(),
+            resting: Vec::new(),
             may_load: true,
             terms: AskTerms::Take,
         };
@@ -769,7 +770,9 @@
                 };
                 self.close_with(number, end, true);
             }
-            Reception::Deferred => self.retry(number, sent.target, Some(CallOutcome::Shed)),
+            Reception::Deferred => {
+                self.retry(number, sent.target, Some(CallOutcome::Shed(Duration::ZERO)))
+            }
         }
     }
 
@@ -880,7 +883,11 @@
         for at in 0..self.engines.len() {
             let name = self.engines[at].name.clone();
             for number in self.engines[at].take_deferred() {
-                self.retry(number, name.clone(), Some(CallOutcome::Shed));
+                self.retry(
+                    number,
+                    name.clone(),
+                    Some(CallOutcome::Shed(Duration::ZERO)),
+                );
             }
         }
     }
--- a/crates/core/tests/direct_outdated.rs
+++ b/crates/core/tests/direct_outdated.rs
@@ -69,6 +69,7 @@
         priority: 1,
         bound_ms: 2_000,
         exclude: Vec::new(),
+        resting: Vec::new(),
         may_load: true,
         terms: AskTerms::Take,
     }
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -71,6 +71,7 @@
         priority: 1,
         bound_ms: 60_000,
         exclude: Vec::new(),
+        resting: Vec::new(),
         may_load: true,
         terms: AskTerms::Take,
     }
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -142,6 +142,7 @@
         priority: 1,
         bound_ms: 60_000,
         exclude: tried.iter().map(|name| TargetName::new(name)).collect(),
+        resting: Vec::new(),
         may_load: false,
         terms: AskTerms::Take,
     }
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -75,6 +75,7 @@
                     rank: 1,
                     left_ms: (OBJECTIVE_US / 1_000) as u32,
                     exclude: Vec::new(),
+                    resting: Vec::new(),
                     fingerprint: Default::default(),
                     is_trial: false,
                     charge: None,
@@ -171,7 +172,13 @@
                 place.queue.push_back(call);
             } else {
                 view.turned_away += 1;
-                chooser.ended(call, gateway, &entries[target], CallOutcome::Shed, now);
+                chooser.ended(
+                    call,
+                    gateway,
+                    &entries[target],
+                    CallOutcome::Shed(Duration::ZERO),
+                    now,
+                );
             }
             continue;
         }
@@ -243,6 +250,7 @@
         rank: 1,
         left_ms: 300,
         exclude: Vec::new(),
+        resting: Vec::new(),
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
--- a/crates/core/tests/load/play.rs
+++ b/crates/core/tests/load/play.rs
@@ -419,6 +419,7 @@
             priority: class.rank,
             bound_ms: bound.as_millis() as u32,
             exclude: Vec::new(),
+            resting: Vec::new(),
             may_load: question.may_load,
             terms: question.terms,
         };
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -92,9 +92,10 @@
         }
     }
 
+    /// An engine that wants no request from this VM is asked no question either.
     async fn look(&self, entry: &TargetEntry) -> LookVerdict {
         let looked = async {
-            if self.service.engine.is_some() {
+            if self.service.engine.is_some() && !self.context.fleet.is_resting(&entry.run()) {
                 self.ask_engine(entry).await
             } else {
                 self.dial(entry).await
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -306,6 +306,10 @@
                     }
                 }
                 SendOutcome::NotRun => {
+                    if let Some(after) = self.rest_of_all() {
+                        come_back = after;
+                        break;
+                    }
                     if self.refused > MOST_REFUSED_SENDS || !self.pay_for_repeat() {
                         break;
                     }
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -19,7 +19,7 @@
         suspects::Suspicion,
         trials::TrialAnswer,
     },
-    ids::{AdapterName, AvailabilityZone},
+    ids::{AdapterName, AvailabilityZone, TargetName},
 };
 use siphasher::sip::SipHasher13;
 use std::{
@@ -33,6 +33,9 @@
 /// Time that a call waits before it is placed again.
 const PLACE_AGAIN: Duration = Duration::from_millis(60);
 
+/// Time after a rest over which callers that were refused in it are told to come back.
+const REST_SPREAD: Duration = Duration::from_millis(600);
+
 /// Where the next send goes.
 pub enum Placing {
     /// To this target, with the version to ask for.
@@ -49,6 +52,9 @@
         self.refusals.clear();
         self.fetch = None;
         self.is_limited = false;
+        if let Some(come_back) = self.rest_of_all() {
+            return Placing::Nowhere(come_back);
+        }
         if self.is_suspected()
             && let Some(barred) = self.ask_trial().await
         {
@@ -154,6 +160,7 @@
             rank: self.rank,
             left_ms: millis(left),
             exclude: self.tried.clone(),
+            resting: self.resting(),
             fingerprint: self.fingerprint,
             is_trial: self.trial.is_some(),
             charge: self.payment.due().cloned(),
@@ -168,6 +175,7 @@
         let ready = books.catalog.ready(&self.service.name);
         let targets: Vec<_> = ready
             .filter(|entry| books.limits.wait(&entry.name, now).is_zero())
+            .filter(|entry| books.rests.remaining(&entry.run(), now).is_none())
             .cloned()
             .collect();
         let picked = pick_alone(
@@ -343,6 +351,7 @@
             priority: self.rank,
             bound_ms: millis(bound),
             exclude: self.tried.clone(),
+            resting: self.resting(),
             may_load: question.may_load,
             terms: question.terms,
             fingerprint: self.fingerprint,
@@ -351,6 +360,20 @@
         }
     }
 
+    /// Targets that want nothing from this VM now.
+    fn resting(&self) -> Vec<TargetName> {
+        let books = self.context.fleet.books();
+        books.resting(&self.service.name, clock::now())
+    }
+
+    /// When its caller should come back if every target of its service wants nothing from this VM. Callers are spread, as the
+    /// first of them to come back finds out whether the targets take calls again.
+    pub(super) fn rest_of_all(&self) -> Option<Duration> {
+        let books = self.context.fleet.books();
+        let rest = books.rest_of_all(&self.service.name, clock::now())?;
+        Some(rest + REST_SPREAD.mul_f64(rand::random()))
+    }
+
     /// Whether targets ended under the request, as far as this VM knows.
     fn is_suspected(&self) -> bool {
         let books = self.context.fleet.books();
@@ -409,6 +432,7 @@
             .filter(|entry| entry.zone == *zone && !self.tried.contains(&entry.name))
             .filter(|entry| !books.health.is_out(&entry.name, now))
             .filter(|entry| books.limits.wait(&entry.name, now).is_zero())
+            .filter(|entry| books.rests.remaining(&entry.run(), now).is_none())
             .filter(|entry| holds(entry, &subject, version))
             .min_by_key(|entry| books.in_flight.get(&entry.run()).copied().unwrap_or(0))
             .cloned()?;
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -18,6 +18,7 @@
         catalog::{TargetEntry, TargetStage},
         config::RepeatRule,
         limits::{NamedLimit, RequestRate},
+        millis,
         notices::TargetNotice,
     },
     ids::TargetRun,
@@ -193,6 +194,9 @@
                 notice
             }
         };
+        if matches!(kind, AnswerKind::Success | AnswerKind::Failure) {
+            self.context.fleet.books().rests.answered(&entry.run());
+        }
         let (parts, body) = response.into_parts();
         let open = |ticket, count| {
             Box::new(OpenAnswer {
@@ -225,7 +229,9 @@
                 let outcome = if is_absent {
                     CallEnd::Absent
                 } else {
-                    CallEnd::Shed
+                    CallEnd::Shed {
+                        rest_ms: notice.rest.map_or(0, millis),
+                    }
                 };
                 end(ticket, count, outcome);
                 self.refused += 1;
@@ -274,11 +280,12 @@
 }
 
 impl CallState {
-    /// Whether a target still takes new work: that may have changed while a connection to it was made.
+    /// Whether a target still takes new work from this VM: that may have changed while a connection to it was made.
     fn is_wanted(&self, entry: &TargetEntry) -> bool {
-        let books = self.context.fleet.books();
+        let mut books = self.context.fleet.books();
         let known = books.catalog.get(&entry.name);
         known.is_some_and(|known| known.stage == TargetStage::Ready)
+            && books.rests.admit(&entry.run(), clock::now())
     }
 
     /// Notes what an answer says of its target's limit.
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -25,6 +25,7 @@
         lease::{LeaseState, ZoneLease},
         limits::LimitTable,
         policy::PlacementPolicy,
+        rests::RestTable,
         routes::RouteTable,
         streams::StreamPace,
         suspects::{RequestFingerprint, SuspectTable},
@@ -128,6 +129,8 @@
     pub suspects: SuspectTable,
     /// Limits that targets named to this VM, or that others told of.
     pub limits: LimitTable,
+    /// Rests that targets asked this VM for.
+    pub rests: RestTable,
     /// The newest records, to be passed on.
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
@@ -210,6 +213,26 @@
         }
     }
 
+    /// Targets of a service that want nothing from this VM now.
+    #[must_use]
+    pub fn resting(&self, service: &ServiceName, now: Instant) -> Vec<TargetName> {
+        let ready = self.catalog.ready(service);
+        ready
+            .filter(|entry| self.rests.remaining(&entry.run(), now).is_some())
+            .map(|entry| entry.name.clone())
+            .collect()
+    }
+
+    /// Time until the first target of a service may be sent to again; none unless all of them rest.
+    #[must_use]
+    pub fn rest_of_all(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let ready = self.catalog.ready(service);
+        let rests: Option<Vec<_>> = ready
+            .map(|entry| self.rests.remaining(&entry.run(), now))
+            .collect();
+        rests?.into_iter().min()
+    }
+
     /// Tells the catalog when the log came back, as it looks now.
     pub(super) fn note_return(&mut self) {
         self.catalog.log_returned(self.contact.returned());
@@ -281,6 +304,7 @@
                 proof: ConfigProof::default(),
                 suspects: SuspectTable::default(),
                 limits: LimitTable::with_share(1.0 / f64::from(FEWEST_SHARES)),
+                rests: RestTable::default(),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 skipped: SkippedEntries::default(),
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -195,10 +195,12 @@
             catalog,
             limits,
             leaving,
+            rests,
             ..
         } = &mut *books;
         limits.retain(|run| catalog.get(&run.name).is_some());
         leaving.retain(|run| catalog.get(&run.name).is_some());
+        rests.retain(|run| catalog.get(&run.name).is_some());
         let gone = catalog.expire(clock::now());
         if gone.is_empty() {
             return;
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -15,6 +15,7 @@
     ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, TargetRun, VmName},
 };
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Version of the messages; VMs of different versions do not link.
 pub const MESSAGE_VERSION: u32 = 11;
@@ -42,7 +43,10 @@
     /// No connection.
     Unreached,
     /// Turned away as full.
-    Shed,
+    Shed {
+        /// Time for which the target asked for rest, in milliseconds.
+        rest_ms: u32,
+    },
     /// The target lacked the adapter or its version.
     Absent,
 }
@@ -55,7 +59,10 @@
             Self::Good => Some(CallOutcome::Good),
             Self::Failed => Some(CallOutcome::Failed),
             Self::Unreached => Some(CallOutcome::Unreached),
-            Self::Shed => Some(CallOutcome::Shed),
+            Self::Shed { rest_ms } => {
+                let rest = Duration::from_millis(u64::from(rest_ms));
+                Some(CallOutcome::Shed(rest))
+            }
             Self::Absent => None,
         }
     }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -74,11 +74,23 @@
             self.take_leaving(slice::from_ref(run), "by its own answer");
         }
         if let Some(rest) = notice.rest {
-            event!(Event::RestAsked, "{} for {rest:?}", run.name);
+            let kept = self.books().rests.note(run, rest, now);
+            event!(
+                Event::RestAsked,
+                "{} for {rest:?}, kept for {kept:?}",
+                run.name
+            );
         }
         notice
     }
 
+    /// Whether a target wants nothing from this VM now.
+    #[must_use]
+    pub fn is_resting(&self, run: &TargetRun) -> bool {
+        let now = clock::now();
+        self.books().rests.remaining(run, now).is_some()
+    }
+
     /// Takes in that targets said that they leave.
     pub fn take_leaving(&self, runs: &[TargetRun], source: &str) {
         let mut books = self.books();
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -601,6 +601,14 @@
                     }
                     send_reply(&key, pending.reply, PlaceReply::Answer(answer));
                 }
+                // An engine that wants nothing from this VM is as good as out of reach for it.
+                PlannerAction::Order(entry, _) if self.fleet.is_resting(&entry.run()) => {
+                    let outcome = OrderOutcome::Refused;
+                    held.planner.order_ended(&entry.name, outcome, clock::now());
+                }
+                PlannerAction::Report(entry) if self.fleet.is_resting(&entry.run()) => {
+                    held.planner.report_came(&entry.name, None, clock::now());
+                }
                 PlannerAction::Order(entry, order) => {
                     let vm = self.fleet.vm.clone();
                     let request = encode_order(&entry.name, &vm, held.token, &order);
