Tell of the era of the log

After the log had come back from a copy nothing in the logs said so. Store-Era is read from the answers, and a change of it is told of (E209). Nothing decides by it yet.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -139,6 +139,19 @@
     }
 }
 
+/// How often the platform's log came back from a copy, as the log counts it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Offset of the accepted takeover that made a daemon holder of a target; larger is newer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -95,6 +95,7 @@
             let topic = topic_name(self.topic);
             let began = clock::now();
             let listing = list_topic(&mut client, topic, self.pace.platform_timeout).await;
+            self.fleet.note_era(client.era());
             let listing = match listing {
                 Ok(listing) => listing,
                 Err(error) => {
@@ -188,6 +189,7 @@
                 // Another feed lost the log and has it back: this connection may be dead.
                 _ = returns.changed() => continue,
             };
+            self.fleet.note_era(client.era());
             match read {
                 Ok(batch) => {
                     self.note_back();
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -12,6 +12,8 @@
         settings::DirectSettings,
         skipped::SkippedEntries,
     },
+    event,
+    events::Event,
 };
 use hoplanding_core::{
     direct::{
@@ -31,8 +33,8 @@
         suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetName, TargetRun,
-        VmName,
+        AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, StoreEra, TargetName,
+        TargetRun, VmName,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -96,6 +98,8 @@
     pub leases: HashMap<AvailabilityZone, LeaseState>,
     /// The VMs.
     pub vms: HashMap<VmName, VmRecord>,
+    /// The era that the log named last.
+    pub store_era: Option<StoreEra>,
     /// End of the fleet's topic as read.
     pub fleet_end: Option<LogOffset>,
     /// Time up to which all of the fleet's topic is known, and so the newest leases.
@@ -288,6 +292,7 @@
                 versions: HashMap::new(),
                 leases: HashMap::new(),
                 vms: HashMap::new(),
+                store_era: None,
                 fleet_end: None,
                 fleet_read_at: None,
                 ends: BTreeMap::new(),
@@ -326,6 +331,20 @@
         self.books().streams
     }
 
+    /// Tells of an era of the log that is another than before.
+    pub fn note_era(&self, era: Option<StoreEra>) {
+        let mut books = self.books();
+        if era != books.store_era {
+            event!(
+                Event::HistoryChanged,
+                "{:?} after {:?}",
+                era,
+                books.store_era
+            );
+            books.store_era = era;
+        }
+    }
+
     /// The books.
     ///
     /// # Panics
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -120,6 +120,8 @@
     RecordFailed = 207, Warn, "record of this VM not written";
     /// All keys of a topic are known.
     TopicKnown = 208, Info, "topic of the platform's log known";
+    /// The log names another era than before.
+    HistoryChanged = 209, Warn, "history of the platform's log changed";
     /// A zone's holder was read from the log.
     LeaseSeen = 700, Info, "holder of a zone recorded";
     /// This VM appended a claim.
