--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod poison;
 mod reloads;
 mod repeats;
+mod restores;
 mod settings;
 mod starts;
 mod support;
--- a/crates/standins/src/keyed_log.rs
+++ b/crates/standins/src/keyed_log.rs
@@ -1,11 +1,12 @@
 //! The users' platform as the direct mode meets it: a log of keyed topics over HTTP.
 //!
-//! Only what the direct mode uses: appends with and without a condition, reads that wait, and the newest of each key.
+//! Only what the direct mode uses: appends with and without a condition, reads that wait, and the newest of each key. The
+//! log can come back from a copy: then its last records are gone, their offsets are given out again, and its era rises.
 
 use crate::RunningServer;
 use poem::{
     Body, EndpointExt, Response, Route, get, handler,
-    http::StatusCode,
+    http::{HeaderValue, StatusCode},
     post,
     web::{Data, Query},
 };
@@ -37,6 +38,10 @@
     pub silent_pages: usize,
     /// Topics whose listings are refused.
     pub unlisted: Vec<String>,
+    /// What answers say of the era in place of the truth; an empty text leaves the header out.
+    pub tells_era: Option<String>,
+    /// Appends that are done a while after their answer was due, whatever has happened to the log since.
+    pub delay_appends: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +52,8 @@
 
 #[derive(Default)]
 struct LogState {
+    /// How often the log came back from a copy.
+    restores: u64,
     topics: HashMap<String, Vec<StoredRecord>>,
     /// First offset kept of each topic.
     first: HashMap<String, usize>,
@@ -62,7 +69,23 @@
     grown: Notify,
 }
 
+/// Header: how often the log came back from a copy, counted from one.
+const ERA: &str = "store-era";
+
 impl SharedLog {
+    /// An answer with what it says of the log's era.
+    fn with_era(&self, mut answer: Response) -> Response {
+        let state = self.lock();
+        let truth = (state.restores + 1).to_string();
+        let era = state.faults.tells_era.as_ref().unwrap_or(&truth);
+        if let Ok(value) = HeaderValue::from_str(era)
+            && !era.is_empty()
+        {
+            answer.headers_mut().insert(ERA, value);
+        }
+        answer
+    }
+
     fn lock(&self) -> MutexGuard<'_, LogState> {
         self.state.lock().expect("no holder of the lock panics")
     }
@@ -130,6 +153,11 @@
             .at("/hoplanding/log-read", get(read))
             .at("/hoplanding/log-newest", get(newest))
             .data(Arc::clone(&shared));
+        let told = Arc::clone(&shared);
+        let app = app.after(move |answer| {
+            let told = Arc::clone(&told);
+            async move { answer.map(|answer| told.with_era(answer)) }
+        });
         let server = RunningServer::start(app).await?;
         Ok(Self { server, shared })
     }
@@ -164,6 +192,40 @@
         self.shared.grown.notify_waiters();
     }
 
+    /// Comes back from a copy that lacks the last records of some topics. What waits at the log goes on waiting.
+    pub fn restore(&self, lost: &[(&str, usize)]) {
+        let mut state = self.shared.lock();
+        for (topic, count) in lost {
+            if let Some(records) = state.topics.get_mut(*topic) {
+                let kept = records.len().saturating_sub(*count);
+                records.truncate(kept);
+            }
+        }
+        state.restores += 1;
+    }
+
+    /// Records of a topic.
+    #[must_use]
+    pub fn len(&self, topic: &str) -> usize {
+        self.shared.lock().topics.get(topic).map_or(0, Vec::len)
+    }
+
+    /// Whether a topic has no records.
+    #[must_use]
+    pub fn is_empty(&self, topic: &str) -> bool {
+        self.len(topic) == 0
+    }
+
+    /// The newest value under a key; none if there is none, or it was dropped.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
+        let state = self.shared.lock();
+        let mut records = state.topics.get(topic)?.iter().rev();
+        let record = records.find(|record| record.key == key)?;
+        let value = record.value.as_ref()?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// Changes the faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut LogFaults)) {
         change(&mut self.shared.lock().faults);
@@ -214,6 +276,10 @@
     let Some(record) = decode(&bytes) else {
         return Response::builder().status(StatusCode::BAD_REQUEST).finish();
     };
+    let delay = shared.lock().faults.delay_appends;
+    if let Some(delay) = delay {
+        tokio::time::sleep(delay).await;
+    }
     let (answer, is_lost) = shared.take(&query, record);
     shared.grown.notify_waiters();
     if is_lost {
@@ -249,7 +315,7 @@
     let has_more = || {
         let state = shared.lock();
         let end = state.topics.get(&query.topic).map_or(0, Vec::len);
-        end > query.from
+        end != query.from
             || state
                 .first
                 .get(&query.topic)
@@ -277,7 +343,8 @@
         return Response::builder().body("what?");
     }
     let first = state.first.get(&query.topic).copied().unwrap_or(0);
-    if first > query.from {
+    let end = state.topics.get(&query.topic).map_or(0, Vec::len);
+    if first > query.from || query.from > end {
         return Response::builder()
             .status(StatusCode::GONE)
             .body(json!({ "first": first }).to_string());
