--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -1,8 +1,8 @@
 //! The targets that may be sent to.
 //!
-//! Entries come from the platform's list, each with the offset of its record; the newest record of a target wins, in
+//! Entries come from the platform's list, each with the position of its record; the newest record of a target wins, in
 //! whatever order records arrive. A target may start again under its name: an entry of an older life changes nothing,
-//! whatever its offset, and one of a newer life counts whatever came before.
+//! whatever its position, and one of a newer life counts whatever came before.
 //!
 //! A target that says in an answer that it leaves does so for the rest of that life, whatever its entry says: while the log is
 //! away its answers are the only word of it.
@@ -12,7 +12,7 @@
 //! passes on counts at once: that VM has read it, and waited where it had to.
 
 use crate::ids::{
-    AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetLife, TargetName,
+    AdapterName, AvailabilityZone, Instant, LogPosition, ServiceName, TargetLife, TargetName,
     TargetRun,
 };
 use std::{
@@ -98,7 +98,7 @@
 
 #[derive(Clone, Debug)]
 struct CatalogRow {
-    offset: LogOffset,
+    position: LogPosition,
     /// The newest life that an entry told of.
     life: TargetLife,
     /// The life in which the target said that it leaves.
@@ -110,9 +110,9 @@
 
 impl CatalogRow {
     /// A target of which no entry is known.
-    fn unlisted(offset: LogOffset) -> Self {
+    fn unlisted(position: LogPosition) -> Self {
         Self {
-            offset,
+            position,
             life: TargetLife::default(),
             leaving: None,
             entry: None,
@@ -147,10 +147,12 @@
     rows: HashMap<TargetName, CatalogRow>,
     /// When the log came back from its last outage.
     returned: Option<Instant>,
+    /// When the log was first seen to have come back from a copy, which may lack entries of targets that live.
+    restored: Option<Instant>,
 }
 
-/// A removal that counts, and the offset of its record.
-pub type CountedRemoval = (TargetName, LogOffset);
+/// A removal that counts, and the position of its record.
+pub type CountedRemoval = (TargetName, LogPosition);
 
 impl TargetCatalog {
     /// The log came back from its last outage then; none if there was no outage. Doubts end sooner if that is earlier
@@ -160,24 +162,42 @@
             return;
         }
         self.returned = returned;
-        let ends = returned.map_or(Instant(0), |at| at.after(LAPSE_RETURN));
+        let ends = returned.max(self.restored);
+        let ends = ends.map_or(Instant(0), |at| at.after(LAPSE_RETURN));
         for row in self.rows.values_mut() {
             row.lapses_at = row.lapses_at.map(|at| at.min(ends));
         }
     }
 
+    /// The log has come back from a copy, which may say that a target is ready though it leaves since; gives those that leave.
+    pub fn log_restored(&mut self, now: Instant) -> Vec<TargetRun> {
+        self.restored = Some(now);
+        let mut runs = Vec::new();
+        for row in self.rows.values_mut() {
+            let leaving = row
+                .entry
+                .as_ref()
+                .filter(|entry| entry.stage == TargetStage::Draining);
+            if let Some(entry) = leaving {
+                row.leaving = Some(entry.life);
+                runs.push(entry.run());
+            }
+        }
+        runs
+    }
+
     /// Folds one record that this VM read; none for a removal. Says whether it changes where calls may go.
     pub fn apply(
         &mut self,
         name: &TargetName,
-        offset: LogOffset,
+        position: LogPosition,
         entry: Option<TargetEntry>,
         now: Instant,
     ) -> bool {
         let doubt_ends = self.doubt_ends(now);
         let Some(row) = self.rows.get_mut(name) else {
             let is_known = entry.is_some();
-            let mut row = CatalogRow::unlisted(offset);
+            let mut row = CatalogRow::unlisted(position);
             if let Some(entry) = entry {
                 row.set_entry(entry);
             }
@@ -185,14 +205,14 @@
             return is_known;
         };
         let is_newer_life = entry.as_ref().is_some_and(|entry| entry.life > row.life);
-        let is_known = row.offset >= offset && row.offset.0 > 0;
+        let is_known = row.position >= position && row.position.0 > 0;
         if is_known && !is_newer_life {
             return false;
         }
         if entry.as_ref().is_some_and(|entry| entry.life < row.life) {
             return false;
         }
-        row.offset = offset;
+        row.position = position;
         match entry {
             Some(entry) => {
                 // Others may have counted a removal that is in doubt here: that the entry is back is news to them.
@@ -213,7 +233,7 @@
         let row = self
             .rows
             .entry(run.name.clone())
-            .or_insert_with(|| CatalogRow::unlisted(LogOffset(0)));
+            .or_insert_with(|| CatalogRow::unlisted(LogPosition(0)));
         if row.leaving.is_some_and(|life| life >= run.life) {
             return false;
         }
@@ -234,20 +254,20 @@
 
     /// Until when a removal that is read now is in doubt.
     fn doubt_ends(&self, now: Instant) -> Option<Instant> {
-        let ends = self.returned?.after(LAPSE_RETURN);
+        let ends = self.returned.max(self.restored)?.after(LAPSE_RETURN);
         (now < ends).then_some(ends)
     }
 
     /// Folds a removal that is beyond doubt; says whether it changes where calls may go.
-    pub fn settle(&mut self, name: &TargetName, offset: LogOffset) -> bool {
+    pub fn settle(&mut self, name: &TargetName, position: LogPosition) -> bool {
         let row = self
             .rows
             .entry(name.clone())
-            .or_insert_with(|| CatalogRow::unlisted(offset));
-        if row.offset > offset {
+            .or_insert_with(|| CatalogRow::unlisted(position));
+        if row.position > position {
             return false;
         }
-        row.offset = offset;
+        row.position = position;
         row.remove(None)
     }
 
@@ -256,18 +276,18 @@
     pub fn remove_unlisted(
         &mut self,
         listed: &HashSet<&str>,
-        end: LogOffset,
+        end: LogPosition,
         now: Instant,
     ) -> Vec<CountedRemoval> {
         let doubt_ends = self.doubt_ends(now);
         // A record at `end` itself comes after the listing.
-        let last = LogOffset(end.0.saturating_sub(1));
+        let last = LogPosition(end.0.saturating_sub(1));
         let missing = self.rows.iter_mut().filter(|(name, row)| {
-            row.entry.is_some() && row.offset < end && !listed.contains(name.as_str())
+            row.entry.is_some() && row.position < end && !listed.contains(name.as_str())
         });
         let mut counted = Vec::new();
         for (name, row) in missing {
-            row.offset = last;
+            row.position = last;
             if row.remove(doubt_ends) {
                 counted.push((name.clone(), last));
             }
@@ -282,18 +302,18 @@
             if row.lapses_at.is_some_and(|at| now >= at) {
                 row.lapses_at = None;
                 row.entry = None;
-                counted.push((name.clone(), row.offset));
+                counted.push((name.clone(), row.position));
             }
         }
         counted
     }
 
-    /// Lowest offset of a removal in doubt.
+    /// Lowest position of a removal in doubt.
     #[must_use]
-    pub fn first_doubted(&self) -> Option<LogOffset> {
+    pub fn first_doubted(&self) -> Option<LogPosition> {
         let rows = self.rows.values();
         rows.filter(|row| row.lapses_at.is_some())
-            .map(|row| row.offset)
+            .map(|row| row.position)
             .min()
     }
 
--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -10,7 +10,7 @@
 //! side may have stood still, or a cut link may have held it up), so it answers a sign of life of the receiver's: the proof
 //! was as old as is told when that one was answered, and that was after the receiver sent it.
 
-use crate::ids::{Instant, LogOffset};
+use crate::ids::Instant;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -21,8 +21,8 @@
 /// A VM's proof as it passes it on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedProof {
-    /// Offset of the newest configuration as of the proof.
-    pub offset: LogOffset,
+    /// Version of the newest configuration as of the proof.
+    pub version: u64,
     /// Age of the proof, in milliseconds.
     pub age_ms: u32,
 }
@@ -56,10 +56,10 @@
         self.known_at = self.known_at.max(Some(sent));
     }
 
-    /// Takes over another VM's proof, if the configuration in force here, whose record is at `known`, is the one that it is about
-    /// or a later one.
-    pub fn take_passed(&mut self, passed: &PassedProof, echo: &BeatEcho, known: LogOffset) {
-        if known < passed.offset {
+    /// Takes over another VM's proof, if the configuration in force here, which has the version `known`, is the one that it is
+    /// about or a later one.
+    pub fn take_passed(&mut self, passed: &PassedProof, echo: &BeatEcho, known: u64) {
+        if known < passed.version {
             return;
         }
         let answered = echo.sent + u64::from(echo.held_ms) * 1_000;
@@ -77,10 +77,10 @@
 
     /// The proof for others; an age is rounded up, so that none gets younger on its way.
     #[must_use]
-    pub fn pass_on(&self, offset: LogOffset, now: Instant) -> Option<PassedProof> {
+    pub fn pass_on(&self, version: u64, now: Instant) -> Option<PassedProof> {
         let age = self.age(now)?.as_micros().div_ceil(1_000);
         Some(PassedProof {
-            offset,
+            version,
             age_ms: u32::try_from(age).ok()?,
         })
     }
--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -1,13 +1,14 @@
 //! Which VM gives the orders in a zone.
 //!
-//! A claim is a record under the zone's key, appended only if nothing was appended since the claimant read; its offset
-//! is the fencing token, so a later claim always has a higher one. A holder stops as soon as it reads a newer record or
+//! A claim is a record under the zone's key, appended only if nothing was appended since the claimant read; its position
+//! is the fencing token, so a later claim always has a higher one, also in a later era of the log. A log that came back from a
+//! copy may lack claims: the holder goes on and claims its zone again, and whoever else claims it waits before its first order. A holder stops as soon as it reads a newer record or
 //! a target refuses its token. A successor of a holder that may still be giving orders waits before its first one.
 //!
 //! Orders and placements of a whole zone are work, so a strong VM should do it. A weak one that took over while the
 //! strong ones were away is asked for the lease once they are back: it finishes the orders under way and gives it up.
 
-use crate::ids::{FencingToken, Instant, LogOffset, VmName};
+use crate::ids::{FencingToken, Instant, LogPosition, StoreEra, VmName};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
@@ -20,6 +21,18 @@
     pub incarnation: u64,
     /// Where other VMs reach it.
     pub address: SocketAddr,
+    /// The era in which it was claimed; none in records of a version that knows no eras.
+    #[serde(default)]
+    pub era: Option<StoreEra>,
+}
+
+impl ZoneLease {
+    /// The position at which it was claimed, of a record that is read at `position`. In a log that came back from a copy, what was
+    /// claimed before stands at its old offset.
+    fn claimed_at(&self, position: LogPosition) -> LogPosition {
+        let era = self.era.unwrap_or_else(|| position.era());
+        LogPosition::in_era(era.min(position.era()), position.offset())
+    }
 }
 
 /// How the VM's contact with the recorded holder stands.
@@ -67,6 +80,13 @@
     pub is_weaker: bool,
     /// VMs that claim before this one.
     pub rank: u32,
+    /// Whether the log has come back from a copy since the newest record: later ones may be lost, and their holders go on until
+    /// they know.
+    pub is_outdated: bool,
+    /// Whether this process is the holder.
+    pub is_oneself: bool,
+    /// Whether no other VM can have given orders so far, though its claim may be lost.
+    pub was_led: bool,
 }
 
 /// One zone's lease, as this VM knows it.
@@ -74,10 +94,14 @@
 pub struct LeaseState {
     /// The newest record.
     pub lease: Option<ZoneLease>,
-    /// Its offset.
-    pub offset: LogOffset,
+    /// Its position.
+    pub position: LogPosition,
     /// Whether the zone has had a holder before the newest record's.
     pub had_holder: bool,
+    /// Token of the record before, if the newest one was appended by the same holder.
+    pub renewed: Option<FencingToken>,
+    /// Whether the newest record was read in a later era than it was claimed in: nobody begins to hold the zone by it.
+    pub is_copied: bool,
     /// Since when the zone has had no holder that can be reached.
     vacant_since: Option<Instant>,
     /// Since when this VM has heard a holder that is weaker, or asked it last.
@@ -86,22 +110,34 @@
 
 impl LeaseState {
     /// Folds a record; older ones are passed over. Says whether it is news.
-    pub fn apply(&mut self, offset: LogOffset, lease: Option<ZoneLease>) -> bool {
-        if self.lease.is_some() && offset <= self.offset {
+    pub fn apply(&mut self, position: LogPosition, lease: Option<ZoneLease>) -> bool {
+        let read_at = position;
+        let position = lease
+            .as_ref()
+            .map_or(read_at, |lease| lease.claimed_at(read_at));
+        if self.lease.is_some() && position <= self.position {
             return false;
         }
+        self.is_copied = position != read_at;
+        self.renewed = self.is_renewed_by(lease.as_ref()).then(|| self.token());
         self.had_holder |= self.lease.is_some();
-        self.offset = offset;
+        self.position = position;
         self.lease = lease;
         self.vacant_since = None;
         self.weaker_since = None;
         true
     }
 
+    fn is_renewed_by(&self, lease: Option<&ZoneLease>) -> bool {
+        let holder = |lease: &ZoneLease| Some((lease.vm.clone()?, lease.incarnation));
+        let known = self.lease.as_ref().and_then(holder);
+        known.is_some() && known == lease.and_then(holder)
+    }
+
     /// The token of the newest record.
     #[must_use]
     pub fn token(&self) -> FencingToken {
-        FencingToken(self.offset)
+        self.position.token()
     }
 
     /// The VM that holds the zone by the newest record.
@@ -112,10 +148,23 @@
 
     /// Decides what this VM does about the lease.
     pub fn step(&mut self, times: &LeaseTimes, view: HolderView, now: Instant) -> LeaseStep {
+        if view.is_outdated && view.is_oneself {
+            let quiet = if view.was_led {
+                Duration::ZERO
+            } else {
+                times.turn
+            };
+            return LeaseStep::Claim { quiet };
+        }
+        let since_gone = if view.is_outdated {
+            times.turn
+        } else {
+            Duration::ZERO
+        };
         let (vacant_from, quiet) = match (self.holder(), view.contact) {
-            (None, _) => (Some(now), Duration::ZERO),
+            (None, _) => (Some(now), since_gone),
             (Some(_), HolderContact::Heard) => (None, Duration::ZERO),
-            (Some(_), HolderContact::Ended) => (Some(now), Duration::ZERO),
+            (Some(_), HolderContact::Ended) => (Some(now), since_gone),
             (Some(_), HolderContact::Silent(since)) => {
                 let silent = now.since(since) >= times.silence;
                 (silent.then_some(now), times.turn)
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -152,6 +152,49 @@
     }
 }
 
+/// Bits of a position that hold the offset; the era is above them.
+const OFFSET_BITS: u32 = 40;
+
+/// Place of a record in the history of the platform's log: the era first, then the offset, as a log that comes back from a copy
+/// gives offsets out again. It is one number, so that a fencing token made of it rises over eras.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LogPosition(pub u64);
+
+impl LogPosition {
+    /// The position of an offset in an era.
+    #[must_use]
+    pub fn in_era(era: StoreEra, offset: LogOffset) -> Self {
+        Self((era.0 << OFFSET_BITS) | offset.0)
+    }
+
+    /// Its era.
+    #[must_use]
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> OFFSET_BITS)
+    }
+
+    /// Its offset.
+    #[must_use]
+    pub fn offset(self) -> LogOffset {
+        LogOffset(self.0 & ((1 << OFFSET_BITS) - 1))
+    }
+
+    /// The fencing token of a claim that is recorded here.
+    #[must_use]
+    pub fn token(self) -> FencingToken {
+        FencingToken(LogOffset(self.0))
+    }
+}
+
+impl fmt::Display for LogPosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.era(), self.offset())
+    }
+}
+
 /// Offset of the accepted takeover that made a daemon holder of a target; larger is newer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/core/tests/direct_freshness.rs
+++ b/crates/core/tests/direct_freshness.rs
@@ -3,7 +3,7 @@
 
 use hoplanding_core::{
     direct::freshness::{BeatEcho, ConfigProof, RevocationRule},
-    ids::{Instant, LogOffset},
+    ids::Instant,
 };
 use proptest::{collection::vec, prelude::*};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 const RULE: RevocationRule = RevocationRule {
     bound: Duration::from_secs(5),
 };
-const NEWEST: LogOffset = LogOffset(7);
+const NEWEST: u64 = 7;
 
 fn at(ms: u64) -> Instant {
     Instant(1_000_000 + ms * 1_000)
@@ -39,9 +39,9 @@
         held_ms: 30,
     };
     let mut proof = ConfigProof::default();
-    proof.take_passed(&passed, &echo, LogOffset(6));
+    proof.take_passed(&passed, &echo, 6);
     assert_eq!(proof.age(at(1_300)), None);
-    proof.take_passed(&passed, &echo, LogOffset(8));
+    proof.take_passed(&passed, &echo, 8);
     assert_eq!(proof.age(at(1_300)), Some(Duration::from_millis(320)));
 }
 
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -12,8 +12,8 @@
         streams::StreamPace,
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, TargetLife, TargetName,
-        VmName,
+        AdapterName, AvailabilityZone, Instant, LogOffset, LogPosition, ServiceName, TargetLife,
+        TargetName, VmName,
     },
 };
 use std::{collections::HashSet, sync::Arc, time::Duration};
@@ -78,17 +78,17 @@
     let name = TargetName::new("i-1");
     let mut catalog = TargetCatalog::default();
     let leaving = entry("i-1", TargetStage::Draining);
-    assert!(catalog.apply(&name, LogOffset(7), Some(leaving), at(0)));
+    assert!(catalog.apply(&name, LogPosition(7), Some(leaving), at(0)));
     let older = entry("i-1", TargetStage::Ready);
-    assert!(!catalog.apply(&name, LogOffset(5), Some(older), at(1)));
+    assert!(!catalog.apply(&name, LogPosition(5), Some(older), at(1)));
     assert_eq!(
         catalog.get(&name).expect("listed").stage,
         TargetStage::Draining
     );
     // A listing that is older than what is known removes nothing.
-    catalog.remove_unlisted(&HashSet::new(), LogOffset(6), at(2));
+    catalog.remove_unlisted(&HashSet::new(), LogPosition(6), at(2));
     assert!(catalog.get(&name).is_some());
-    catalog.remove_unlisted(&HashSet::new(), LogOffset(8), at(3));
+    catalog.remove_unlisted(&HashSet::new(), LogPosition(8), at(3));
     assert!(catalog.get(&name).is_none());
 }
 
@@ -97,12 +97,12 @@
     let name = TargetName::new("i-1");
     let mut catalog = TargetCatalog::default();
     let first = entry("i-1", TargetStage::Ready);
-    assert!(catalog.apply(&name, LogOffset(1), Some(first.clone()), at(0)));
+    assert!(catalog.apply(&name, LogPosition(1), Some(first.clone()), at(0)));
     let moved_on = TargetEntry {
         orders_taken: 9,
         ..first
     };
-    assert!(!catalog.apply(&name, LogOffset(2), Some(moved_on), at(1)));
+    assert!(!catalog.apply(&name, LogPosition(2), Some(moved_on), at(1)));
     assert_eq!(catalog.get(&name).expect("listed").orders_taken, 9);
 }
 
@@ -111,25 +111,25 @@
     let back = TargetName::new("i-1");
     let gone = TargetName::new("i-2");
     let mut catalog = TargetCatalog::default();
-    for (offset, name) in [(1, "i-1"), (2, "i-2")] {
+    for (position, name) in [(1, "i-1"), (2, "i-2")] {
         let listed = entry(name, TargetStage::Ready);
         catalog.apply(
             &TargetName::new(name),
-            LogOffset(offset),
+            LogPosition(position),
             Some(listed),
             at(0),
         );
     }
     catalog.log_returned(Some(at(10_000)));
-    catalog.apply(&back, LogOffset(3), None, at(10_050));
-    catalog.apply(&gone, LogOffset(4), None, at(10_050));
+    catalog.apply(&back, LogPosition(3), None, at(10_050));
+    catalog.apply(&gone, LogPosition(4), None, at(10_050));
     assert_eq!(catalog.iter().count(), 2, "both may come back");
     let listed = entry("i-1", TargetStage::Ready);
-    catalog.apply(&back, LogOffset(5), Some(listed), at(11_500));
-    assert_eq!(catalog.expire(at(12_400)), [(gone.clone(), LogOffset(4))]);
+    catalog.apply(&back, LogPosition(5), Some(listed), at(11_500));
+    assert_eq!(catalog.expire(at(12_400)), [(gone.clone(), LogPosition(4))]);
     assert!(catalog.get(&back).is_some() && catalog.get(&gone).is_none());
     // Long after the outage a removal counts at once.
-    catalog.apply(&back, LogOffset(6), None, at(20_000));
+    catalog.apply(&back, LogPosition(6), None, at(20_000));
     assert!(catalog.get(&back).is_none());
 }
 
@@ -138,33 +138,38 @@
     let name = TargetName::new("i-1");
     let mut catalog = TargetCatalog::default();
     let listed = entry("i-1", TargetStage::Ready);
-    catalog.apply(&name, LogOffset(1), Some(listed), at(0));
+    catalog.apply(&name, LogPosition(1), Some(listed), at(0));
     catalog.log_returned(Some(at(10_000)));
     // Read 2.1 s after the return: it is in doubt for a tenth of a second, not for another two.
-    assert!(!catalog.apply(&name, LogOffset(2), None, at(12_100)));
+    assert!(!catalog.apply(&name, LogPosition(2), None, at(12_100)));
     assert!(catalog.is_doubted(&name));
-    assert_eq!(catalog.first_doubted(), Some(LogOffset(2)));
+    assert_eq!(catalog.first_doubted(), Some(LogPosition(2)));
     // A later return, and a listing after it, leave the doubt's end as it was.
     catalog.log_returned(Some(at(12_150)));
-    let counted = catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(12_160));
+    let counted = catalog.remove_unlisted(&HashSet::new(), LogPosition(5), at(12_160));
     assert!(counted.is_empty());
     assert!(catalog.expire(at(12_190)).is_empty());
-    assert_eq!(catalog.expire(at(12_200)), [(name, LogOffset(4))]);
+    assert_eq!(catalog.expire(at(12_200)), [(name, LogPosition(4))]);
 }
 
 #[test]
 fn a_doubt_ends_when_another_vm_was_served_or_has_counted_the_removal() {
     let mut catalog = TargetCatalog::default();
-    for (offset, name) in [(1, "i-1"), (2, "i-2")] {
+    for (position, name) in [(1, "i-1"), (2, "i-2")] {
         let listed = entry(name, TargetStage::Ready);
         let name = TargetName::new(name);
-        catalog.apply(&name, LogOffset(offset), Some(listed), at(0));
+        catalog.apply(&name, LogPosition(position), Some(listed), at(0));
     }
     catalog.log_returned(Some(at(10_000)));
-    for (offset, name) in [(3, "i-1"), (4, "i-2")] {
-        assert!(!catalog.apply(&TargetName::new(name), LogOffset(offset), None, at(10_100)));
+    for (position, name) in [(3, "i-1"), (4, "i-2")] {
+        assert!(!catalog.apply(
+            &TargetName::new(name),
+            LogPosition(position),
+            None,
+            at(10_100)
+        ));
     }
-    assert!(catalog.settle(&TargetName::new("i-1"), LogOffset(3)));
+    assert!(catalog.settle(&TargetName::new("i-1"), LogPosition(3)));
     assert_eq!(catalog.doubted(), 1);
     catalog.log_returned(None);
     assert_eq!(catalog.expire(at(10_200)).len(), 1);
@@ -177,22 +182,22 @@
     let mut catalog = TargetCatalog::default();
     catalog.apply(
         &name,
-        LogOffset(1),
+        LogPosition(1),
         Some(entry("i-1", TargetStage::Ready)),
         at(0),
     );
     assert_eq!(
-        catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(1)),
-        [(name.clone(), LogOffset(4))]
+        catalog.remove_unlisted(&HashSet::new(), LogPosition(5), at(1)),
+        [(name.clone(), LogPosition(4))]
     );
     // The next record after the listing: it is back.
     assert!(catalog.apply(
         &name,
-        LogOffset(5),
+        LogPosition(5),
         Some(entry("i-1", TargetStage::Ready)),
         at(2)
     ));
-    let counted = catalog.remove_unlisted(&HashSet::new(), LogOffset(5), at(3));
+    let counted = catalog.remove_unlisted(&HashSet::new(), LogPosition(5), at(3));
     assert!(counted.is_empty() && catalog.get(&name).is_some());
 }
 
@@ -318,6 +323,7 @@
         vm: Some(VmName::new(vm)),
         incarnation: 1,
         address: "127.0.0.1:9".parse().expect("an address"),
+        era: None,
     })
 }
 
@@ -326,23 +332,26 @@
         contact,
         is_weaker: false,
         rank,
+        is_outdated: false,
+        is_oneself: false,
+        was_led: true,
     }
 }
 
 #[test]
 fn older_leases_are_passed_over_and_tokens_only_rise() {
     let mut state = LeaseState::default();
-    assert!(state.apply(LogOffset(5), held_by("a")));
-    assert!(!state.apply(LogOffset(4), held_by("b")));
+    assert!(state.apply(LogPosition(5), held_by("a")));
+    assert!(!state.apply(LogPosition(4), held_by("b")));
     assert_eq!(state.holder().map(VmName::as_str), Some("a"));
-    assert!(state.apply(LogOffset(9), held_by("b")));
+    assert!(state.apply(LogPosition(9), held_by("b")));
     assert_eq!(state.token().0, LogOffset(9));
 }
 
 #[test]
 fn a_holder_that_may_still_give_orders_is_followed_after_a_quiet_time_only() {
     let mut state = LeaseState::default();
-    state.apply(LogOffset(1), held_by("a"));
+    state.apply(LogPosition(1), held_by("a"));
     let heard = state.step(&TIMES, view(HolderContact::Heard, 0), at(0));
     assert_eq!(heard, LeaseStep::Stay);
     let silent = HolderContact::Silent(at(0));
@@ -357,7 +366,7 @@
     );
     // One whose process has ended gives none any more.
     let mut ended = LeaseState::default();
-    ended.apply(LogOffset(1), held_by("a"));
+    ended.apply(LogPosition(1), held_by("a"));
     let quiet = Duration::ZERO;
     let step = ended.step(&TIMES, view(HolderContact::Ended, 0), at(0));
     assert_eq!(step, LeaseStep::Claim { quiet });
@@ -374,7 +383,7 @@
         LeaseStep::Claim { .. }
     ));
     // The first one's claim arrives: there is nothing to claim any more.
-    state.apply(LogOffset(3), held_by("first"));
+    state.apply(LogPosition(3), held_by("first"));
     assert_eq!(
         state.step(&TIMES, view(HolderContact::Heard, 2), at(400)),
         LeaseStep::Stay
@@ -384,7 +393,7 @@
 #[test]
 fn a_weaker_holder_is_asked_for_the_lease_once_a_turn_and_only_while_it_is_heard() {
     let mut state = LeaseState::default();
-    state.apply(LogOffset(1), held_by("weak"));
+    state.apply(LogPosition(1), held_by("weak"));
     let weaker = |contact| HolderView {
         is_weaker: true,
         ..view(contact, 0)
@@ -400,7 +409,7 @@
     assert_eq!(state.step(&TIMES, silent, at(8_950)), LeaseStep::Stay);
     assert_eq!(state.step(&TIMES, heard, at(9_000)), LeaseStep::Stay);
     assert_eq!(state.step(&TIMES, heard, at(12_000)), LeaseStep::AskFor);
-    state.apply(LogOffset(4), held_by("other"));
+    state.apply(LogPosition(4), held_by("other"));
     assert_eq!(state.step(&TIMES, heard, at(15_000)), LeaseStep::Stay);
     // A holder that is as strong keeps it.
     let equal = view(HolderContact::Heard, 0);
--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -20,7 +20,7 @@
         suspects::{EndedUnder, RequestFingerprint},
         trials::{TrialAnswer, trial_zones},
     },
-    ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, VmName},
+    ids::{AdapterName, AvailabilityZone, LogPosition, TargetLife, TargetName, VmName},
 };
 use std::{
     collections::HashMap,
@@ -464,10 +464,10 @@
         }
     }
 
-    /// Asks a zone's holder for its lease, which was recorded at an offset.
-    pub fn ask_for_lease(&self, zone: &AvailabilityZone, lease: &ZoneLease, offset: LogOffset) {
+    /// Asks a zone's holder for its lease, which was recorded at an position.
+    pub fn ask_for_lease(&self, zone: &AvailabilityZone, lease: &ZoneLease, position: LogPosition) {
         if let Some(link) = self.link(zone, lease) {
-            link.tell(VmMessage::LeaseWanted(offset));
+            link.tell(VmMessage::LeaseWanted(position));
         }
     }
 
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -14,7 +14,7 @@
 };
 use hoplanding_core::{
     direct::lease::{HolderContact, HolderView, LeaseStep, ZoneLease},
-    ids::LogOffset,
+    ids::LogPosition,
 };
 use hoplanding_platform::{
     names::FLEET_TOPIC,
@@ -99,8 +99,12 @@
             _ => HolderContact::Ended,
         };
         let rank = self.fleet.rank();
+        let now = clock::now();
         let mut books = self.fleet.books();
-        if books.fleet_end.is_none() || books.active.is_none() {
+        let is_read = books
+            .fleet_end
+            .is_some_and(|end| Some(end.era()) >= books.store_era);
+        if !is_read || books.active.is_none() {
             return false;
         }
         let holder = lease.as_ref().and_then(|lease| lease.vm.as_ref());
@@ -110,21 +114,30 @@
                 .and_then(|vm| books.vms.get(vm))
                 .is_some_and(|record| record.strength < self.fleet.strength),
             rank,
+            is_outdated: books.is_outdated(&self.fleet.zone),
+            is_oneself: lease.as_ref().is_some_and(|lease| self.is_own(lease)),
+            was_led: books
+                .fleet_read_at
+                .is_some_and(|read_at| now < read_at.after(self.settings.leases.turn)),
         };
         let state = books.leases.entry(self.fleet.zone.clone()).or_default();
-        let offset = state.offset;
-        let step = state.step(&self.settings.leases, view, clock::now());
+        let position = state.position;
+        let step = state.step(&self.settings.leases, view, now);
         if let LeaseStep::Claim { quiet } = step {
             books.claim_quiet = quiet;
         }
         drop(books);
         if let (LeaseStep::AskFor, Some(lease)) = (step, &lease) {
-            event!(Event::LeaseAsked, "{} at {offset}", self.fleet.zone);
-            self.access.ask_for_lease(&self.fleet.zone, lease, offset);
+            event!(Event::LeaseAsked, "{} at {position}", self.fleet.zone);
+            self.access.ask_for_lease(&self.fleet.zone, lease, position);
         }
         matches!(step, LeaseStep::Claim { .. })
     }
 
+    fn is_own(&self, lease: &ZoneLease) -> bool {
+        lease.vm.as_ref() == Some(&self.fleet.vm) && lease.incarnation == self.fleet.incarnation
+    }
+
     /// Appends a claim.
     async fn claim(&self, client: &mut StoreClient) -> ClaimResult {
         let Some(end) = self.fleet.books().fleet_end else {
@@ -134,6 +147,7 @@
             vm: Some(self.fleet.vm.clone()),
             incarnation: self.fleet.incarnation,
             address: self.settings.peer_address,
+            era: Some(end.era()),
         };
         let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
         let key = zone_key(&self.fleet.zone);
@@ -143,9 +157,9 @@
             .append(FLEET_TOPIC, &key, &value, Some(end), within)
             .await;
         match appended {
-            Ok(offset) => {
-                event!(Event::LeaseClaimed, "{} at {offset}", self.fleet.zone);
-                self.fleet.take_own(key, value, offset);
+            Ok(position) => {
+                event!(Event::LeaseClaimed, "{} at {position}", self.fleet.zone);
+                self.fleet.take_own(key, value, position);
                 self.fleet.note_fleet_read(began);
                 ClaimResult::Recorded
             }
@@ -154,14 +168,17 @@
             }
             Err(StoreError::EndMoved(_)) => ClaimResult::Unanswered,
             Err(error) => {
+                if let StoreError::OtherEra(era) = error {
+                    self.fleet.meet_era(era);
+                }
                 event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
                 ClaimResult::Unanswered
             }
         }
     }
 
-    /// Reads the fleet's records from an offset on; says whether that went well.
-    async fn read_on(&self, client: &mut StoreClient, from: LogOffset) -> bool {
+    /// Reads the fleet's records from an position on; says whether that went well.
+    async fn read_on(&self, client: &mut StoreClient, from: LogPosition) -> bool {
         let within = self.settings.pace.platform_timeout;
         match client.read(FLEET_TOPIC, from, Duration::ZERO, within).await {
             Ok(batch) => {
@@ -179,14 +196,17 @@
 /// Records that this VM gave its zone up, so that another claims it at once. Says whether that holds.
 pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) -> bool {
     let mut client = StoreClient::new(platform);
+    let Some(mut end) = fleet.books().fleet_end else {
+        return false;
+    };
     let lease = ZoneLease {
         vm: None,
         incarnation: fleet.incarnation,
         address: platform,
+        era: Some(end.era()),
     };
     let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
     let key = zone_key(&fleet.zone);
-    let mut end = fleet.books().fleet_end;
     for _ in 0..RELEASE_TRIES {
         let is_mine = fleet
             .lease(&fleet.zone)
@@ -194,12 +214,15 @@
         if !is_mine {
             return true;
         }
-        match client.append(FLEET_TOPIC, &key, &value, end, within).await {
-            Ok(offset) => {
-                fleet.take_own(key, value, offset);
+        match client
+            .append(FLEET_TOPIC, &key, &value, Some(end), within)
+            .await
+        {
+            Ok(position) => {
+                fleet.take_own(key, value, position);
                 return true;
             }
-            Err(StoreError::EndMoved(moved)) => end = Some(moved),
+            Err(StoreError::EndMoved(moved)) => end = moved,
             Err(error) => {
                 event!(Event::ClaimFailed, "release of {}: {error}", fleet.zone);
                 return false;
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -6,12 +6,13 @@
         call::{GatewayContext, StopPlan},
         claims::{ClaimWorker, release_lease},
         feeds::FeedWorker,
-        fleet::{FleetState, VmRecord, vm_key},
+        fleet::FleetState,
         front::{OpenConnections, StopPhase, accept_callers},
         links::accept_links,
         message::FeedTopic,
         questions::{accept_questions, answer_metrics, answer_ready},
         reach::StoreReach,
+        recorder::FleetRecorder,
         sender::ConnectionPool,
         settings::DirectSettings,
         trials::QuarantineRecorder,
@@ -21,7 +22,6 @@
     events::Event,
     logging::report_dropped,
 };
-use hoplanding_platform::{names::FLEET_TOPIC, store::StoreClient};
 use rand::Rng;
 use std::{
     io,
@@ -40,8 +40,6 @@
 const QUARANTINES: usize = 256;
 /// Pause between two looks at what has rested too long.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
-/// Pause between two tries to record this VM.
-const RECORD_AGAIN: Duration = Duration::from_millis(700);
 /// Strength, in thousandths of a core, below which a VM waits at the first start of a fleet.
 const WEAK_BELOW: u32 = 200;
 /// Its shortest pause; the longest is three times as long, so that the weak ones do not come at once either.
@@ -127,7 +125,11 @@
             stop: stop_watch.clone(),
         };
         tokio::spawn(claims.run());
-        tokio::spawn(record_vm(Arc::clone(&settings), Arc::clone(&fleet)));
+        let recorder = FleetRecorder {
+            fleet: Arc::clone(&fleet),
+            settings: Arc::clone(&settings),
+        };
+        tokio::spawn(recorder.run());
         tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
         answer_questions(questions, collectors, &fleet, stop_watch.clone());
         let plan = Arc::new(OnceLock::new());
@@ -267,32 +269,6 @@
     }
 }
 
-/// Records this VM, so that others know where it is reached, unless an earlier run left the same record.
-async fn record_vm(settings: Arc<DirectSettings>, fleet: Arc<FleetState>) {
-    let record = VmRecord {
-        zone: settings.zone.clone(),
-        address: settings.peer_address,
-        strength: settings.strength,
-    };
-    let mut changes = fleet.watch();
-    while !fleet.knows_whole(FeedTopic::Fleet) {
-        if changes.changed().await.is_err() {
-            return;
-        }
-    }
-    if fleet.books().vms.get(&settings.vm) == Some(&record) {
-        return;
-    }
-    let value = serde_json::to_vec(&record).expect("a record has a JSON form");
-    let key = vm_key(&settings.vm);
-    let within = settings.pace.platform_timeout;
-    let mut client = StoreClient::new(settings.platform_address);
-    while let Err(error) = client.append(FLEET_TOPIC, &key, &value, None, within).await {
-        event!(Event::RecordFailed, "{key}: {error}");
-        sleep(RECORD_AGAIN).await;
-    }
-}
-
 /// Pause before the first listing. At the first start of a whole fleet nobody is served yet, so weak VMs let the strong
 /// ones claim their zones, and learn from them what they would each have to list.
 fn first_pause(settings: &DirectSettings) -> Duration {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -17,7 +17,7 @@
         freshness::{BeatEcho, PassedProof},
         millis,
     },
-    ids::{Instant, LogOffset, VmName},
+    ids::{Instant, LogPosition, VmName},
 };
 use hoplanding_platform::store::KeyedRecord;
 use std::{collections::BTreeMap, slice, time::Duration};
@@ -35,6 +35,7 @@
 impl FleetState {
     /// Folds records that another VM passed on.
     pub fn take_passed(&self, passed: Vec<PassedRecord>) {
+        self.learn_eras(passed.iter().map(|record| record.position));
         let now = clock::now();
         let mut has_news = false;
         for record in passed {
@@ -42,7 +43,7 @@
             let record = KeyedRecord {
                 key: record.key,
                 value: record.value,
-                offset: record.offset,
+                position: record.position,
             };
             has_news |= self.fold(topic, slice::from_ref(&record), RecordSource::Passed, now);
         }
@@ -53,16 +54,16 @@
 
     /// Folds a record of the fleet that this VM appended. Where it lies at the end that was known, nothing remains to be
     /// read before it.
-    pub fn take_own(&self, key: String, value: Vec<u8>, offset: LogOffset) {
-        if self.books().fleet_end == Some(offset) {
-            self.note_end(FeedTopic::Fleet, LogOffset(offset.0 + 1));
+    pub fn take_own(&self, key: String, value: Vec<u8>, position: LogPosition) {
+        if self.books().fleet_end == Some(position) {
+            self.note_end(FeedTopic::Fleet, LogPosition(position.0 + 1));
         }
         self.take_passed(vec![PassedRecord {
             topic: FeedTopic::Fleet,
             key,
             // A key without a value is dropped.
             value: (!value.is_empty()).then(|| Bytes::from(value)),
-            offset,
+            position,
         }]);
     }
 
@@ -78,7 +79,7 @@
         clock::now() < *self.asked.borrow()
     }
 
-    /// The records of topics from offsets on, for a VM that has not read them itself, and up to where it then knows
+    /// The records of topics from positions on, for a VM that has not read them itself, and up to where it then knows
     /// everything of those that this VM knows whole. A VM that the log serves lists a long topic better itself.
     #[must_use]
     pub fn records_since(
@@ -91,7 +92,7 @@
         let is_told = |(topic, from): &&TopicEnd| {
             is_turned_away || from.0 > 0 || books.records.bytes(*topic) <= MOST_TOLD_BYTES
         };
-        let wanted: BTreeMap<FeedTopic, LogOffset> =
+        let wanted: BTreeMap<FeedTopic, LogPosition> =
             wanted.iter().filter(is_told).copied().collect();
         let records = wanted
             .iter()
@@ -109,6 +110,7 @@
 
     /// Folds what another VM answered, and with it the topics of which that one knows every key.
     pub fn take_answer(&self, records: Vec<PassedRecord>, spans: &[TopicSpan]) {
+        self.learn_eras(spans.iter().map(|span| span.end));
         self.take_passed(records);
         let was_ready = self.is_ready();
         for span in spans {
@@ -125,6 +127,7 @@
 
     /// Takes over up to where another VM, whose news this one has, knows everything.
     pub fn take_ends(&self, ends: &[TopicEnd]) {
+        self.learn_eras(ends.iter().map(|(_, end)| *end));
         let mut books = self.books();
         for (topic, end) in ends {
             if !books.gaps.contains_key(topic) {
@@ -179,7 +182,7 @@
     /// Another VM passes on its proof that the configuration is the newest.
     pub fn take_proof(&self, proof: &PassedProof, echo: &BeatEcho) {
         let mut books = self.books();
-        let Some(known) = books.active.as_ref().map(|active| active.offset) else {
+        let Some(known) = books.active.as_ref().map(|active| active.config.version) else {
             return;
         };
         books.proof.take_passed(proof, echo, known);
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -17,7 +17,7 @@
         duty::{DutyView, HolderSight},
         lease::HolderContact,
     },
-    ids::LogOffset,
+    ids::LogPosition,
 };
 use hoplanding_platform::{
     names::{FLEET_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC},
@@ -25,7 +25,7 @@
 };
 use rand::Rng;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Longest time that a read waits for a record.
 const READ_WAIT: Duration = Duration::from_secs(20);
@@ -95,9 +95,13 @@
             let topic = topic_name(self.topic);
             let began = clock::now();
             let listing = list_topic(&mut client, topic, self.pace.platform_timeout).await;
-            self.fleet.note_era(client.era());
             let listing = match listing {
-                Ok(listing) => listing,
+                Ok(listing) if self.fleet.meet_era(listing.end.era()) => listing,
+                Ok(listing) => {
+                    self.note_out(&StoreError::OtherEra(listing.end.era()));
+                    self.wait_to_retry().await;
+                    continue;
+                }
                 Err(error) => {
                     self.note_out(&error);
                     self.wait_to_retry().await;
@@ -110,7 +114,11 @@
             self.note_config_read(began);
             self.note_fleet_read(began);
             self.wait_for_link().await;
+            let listed_at = Instant::now();
             self.read_on(&mut client, end).await;
+            // Whatever ends reads at once may do so again.
+            let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.75..1.25));
+            sleep_until(listed_at + pause).await;
         }
     }
 
@@ -172,14 +180,19 @@
         })
     }
 
-    /// Reads records until those from the wanted offset on are gone.
-    async fn read_on(&mut self, client: &mut StoreClient, from: LogOffset) {
+    /// Reads records until those from the wanted position on are gone, or the log is of another history.
+    async fn read_on(&mut self, client: &mut StoreClient, from: LogPosition) {
         let mut from = from;
+        let listed_in = from.era();
         let topic = topic_name(self.topic);
         loop {
             self.wait_for_duty().await;
             // What was passed on meanwhile need not be read again.
             from = from.max(self.fleet.known_end(self.topic));
+            let mut eras = self.fleet.watch_eras();
+            if !self.fleet.is_current(from) || from.era() != listed_in {
+                return;
+            }
             let mut returns = self.reach.watch();
             let began = clock::now();
             let wait = self.wait();
@@ -188,8 +201,9 @@
                 read = reading => read,
                 // Another feed lost the log and has it back: this connection may be dead.
                 _ = returns.changed() => continue,
+                // What it waits for is of a history that is over.
+                _ = eras.changed() => return,
             };
-            self.fleet.note_era(client.era());
             match read {
                 Ok(batch) => {
                     self.note_back();
@@ -208,6 +222,10 @@
                     sleep(self.pause_between()).await;
                 }
                 Err(StoreError::Expired(_)) => return,
+                Err(StoreError::OtherEra(era)) => {
+                    self.fleet.meet_era(era);
+                    return;
+                }
                 Err(error) => {
                     self.note_out(&error);
                     self.wait_to_retry().await;
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -1,6 +1,7 @@
 //! What this VM knows: configuration, named versions, targets, leases and VMs.
 //!
-//! Everything folds by offset, so records may come from the log or from other VMs, in any order and more than once.
+//! Records fold by what orders them by itself, such as a version, and else by position, so they may come from the log or from other
+//! VMs, in any order and more than once.
 
 use crate::{
     clock,
@@ -12,8 +13,6 @@
         settings::DirectSettings,
         skipped::SkippedEntries,
     },
-    event,
-    events::Event,
 };
 use hoplanding_core::{
     direct::{
@@ -33,7 +32,7 @@
         suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogOffset, ServiceName, StoreEra, TargetName,
+        AdapterName, AvailabilityZone, Instant, LogPosition, ServiceName, StoreEra, TargetName,
         TargetRun, VmName,
     },
 };
@@ -81,8 +80,6 @@
     pub config: FleetConfig,
     /// Its routes, ready to search.
     pub routes: RouteTable,
-    /// Offset of its record.
-    pub offset: LogOffset,
 }
 
 /// Everything that is known, behind one lock.
@@ -98,19 +95,23 @@
     pub leases: HashMap<AvailabilityZone, LeaseState>,
     /// The VMs.
     pub vms: HashMap<VmName, VmRecord>,
-    /// The era that the log named last.
+    /// The newest era of the log that is known.
     pub store_era: Option<StoreEra>,
+    /// Version of the newest configuration that the log holds in that era, as far as is known.
+    pub stored_version: u64,
+    /// The era in which this VM listed the fleet's topic last.
+    pub listed_in: Option<StoreEra>,
     /// End of the fleet's topic as read.
-    pub fleet_end: Option<LogOffset>,
+    pub fleet_end: Option<LogPosition>,
     /// Time up to which all of the fleet's topic is known, and so the newest leases.
     pub fleet_read_at: Option<Instant>,
-    /// The topics of which every key is known, by a listing of this VM's own or another's, and the offset before which no
+    /// The topics of which every key is known, by a listing of this VM's own or another's, and the position before which no
     /// record is missing.
-    pub ends: BTreeMap<FeedTopic, LogOffset>,
-    /// Of those topics the offset from which on every record is known, removals too.
-    pub since: BTreeMap<FeedTopic, LogOffset>,
-    /// Topics that this VM has to read itself up to an offset, as a listing of another VM left removals out.
-    pub gaps: BTreeMap<FeedTopic, LogOffset>,
+    pub ends: BTreeMap<FeedTopic, LogPosition>,
+    /// Of those topics the position from which on every record is known, removals too.
+    pub since: BTreeMap<FeedTopic, LogPosition>,
+    /// Topics that this VM has to read itself up to an position, as a listing of another VM left removals out.
+    pub gaps: BTreeMap<FeedTopic, LogPosition>,
     /// This VM's contact with the target list, and what others say of theirs.
     pub contact: LogContact,
     /// Outcomes of this VM's calls.
@@ -167,8 +168,8 @@
         self.sought.get(adapter).is_some_and(|until| now < *until)
     }
 
-    /// No record of a topic that is known whole is missing before an offset.
-    pub(super) fn advance(&mut self, topic: FeedTopic, end: LogOffset) {
+    /// No record of a topic that is known whole is missing before an position.
+    pub(super) fn advance(&mut self, topic: FeedTopic, end: LogPosition) {
         let Some(known) = self.ends.get_mut(&topic) else {
             return;
         };
@@ -182,7 +183,8 @@
     /// topic before that one, it has to read on itself. Says whether nothing is missing.
     pub(super) fn note_told(&mut self, span: TopicSpan) -> bool {
         let known = self.ends.get(&span.topic);
-        let is_missing = |known: &LogOffset| !self.records.has_all(span.topic, *known, span.since);
+        let is_missing =
+            |known: &LogPosition| !self.records.has_all(span.topic, *known, span.since);
         if known.is_some_and(is_missing) {
             let gap = self.gaps.entry(span.topic).or_insert(span.since);
             *gap = span.since.max(*gap);
@@ -202,8 +204,8 @@
     /// This VM's proof that its configuration is the newest, for others.
     #[must_use]
     pub fn passed_proof(&self, now: Instant) -> Option<PassedProof> {
-        let offset = self.active.as_ref()?.offset;
-        self.proof.pass_on(offset, now)
+        let version = self.active.as_ref()?.config.version;
+        self.proof.pass_on(version, now)
     }
 
     /// Shares the retry budget, and what VMs without a holder send to limited targets, among the VMs that are known, once
@@ -237,6 +239,13 @@
         rests?.into_iter().min()
     }
 
+    /// Whether the log has come back from a copy since the newest record of a zone's lease.
+    #[must_use]
+    pub fn is_outdated(&self, zone: &AvailabilityZone) -> bool {
+        let state = self.leases.get(zone).filter(|state| state.lease.is_some());
+        state.is_some_and(|state| Some(state.position.era()) < self.store_era)
+    }
+
     /// Tells the catalog when the log came back, as it looks now.
     pub(super) fn note_return(&mut self) {
         self.catalog.log_returned(self.contact.returned());
@@ -268,6 +277,7 @@
     pub(super) asked: watch::Sender<Instant>,
     pub(super) news: watch::Sender<u64>,
     pub(super) whole: watch::Sender<usize>,
+    pub(super) eras: watch::Sender<StoreEra>,
 }
 
 impl FleetState {
@@ -293,6 +303,8 @@
                 leases: HashMap::new(),
                 vms: HashMap::new(),
                 store_era: None,
+                stored_version: 0,
+                listed_in: None,
                 fleet_end: None,
                 fleet_read_at: None,
                 ends: BTreeMap::new(),
@@ -322,6 +334,7 @@
             asked: watch::channel(Instant(0)).0,
             news: watch::channel(0).0,
             whole: watch::channel(0).0,
+            eras: watch::channel(StoreEra::default()).0,
         }
     }
 
@@ -331,20 +344,6 @@
         self.books().streams
     }
 
-    /// Tells of an era of the log that is another than before.
-    pub fn note_era(&self, era: Option<StoreEra>) {
-        let mut books = self.books();
-        if era != books.store_era {
-            event!(
-                Event::HistoryChanged,
-                "{:?} after {:?}",
-                era,
-                books.store_era
-            );
-            books.store_era = era;
-        }
-    }
-
     /// The books.
     ///
     /// # Panics
@@ -444,9 +443,9 @@
 
     /// Offset up to which every record of a topic is known; 0 as long as it is not known whole.
     #[must_use]
-    pub fn known_end(&self, topic: FeedTopic) -> LogOffset {
+    pub fn known_end(&self, topic: FeedTopic) -> LogPosition {
         let books = self.books();
-        books.ends.get(&topic).copied().unwrap_or(LogOffset(0))
+        books.ends.get(&topic).copied().unwrap_or(LogPosition(0))
     }
 
     /// Whether this VM has to read a topic itself, whoever else does.
@@ -485,9 +484,14 @@
         self.books().leases.get(zone)?.lease.clone()
     }
 
-    /// All of the operators' records that were acknowledged before a read was sent are known.
+    /// All of the operators' records that the log had when a read was sent are known. A copy that is older than the configuration in
+    /// force proves nothing.
     pub fn note_config_read(&self, sent: Instant) {
-        self.books().proof.note_read(sent);
+        let mut books = self.books();
+        let version = books.active.as_ref().map(|active| active.config.version);
+        if version.is_none_or(|version| books.stored_version >= version) {
+            books.proof.note_read(sent);
+        }
     }
 
     /// Whether keys are known to hold still.
@@ -499,6 +503,10 @@
     /// All of the fleet's topic is known as of then.
     pub fn note_fleet_read(&self, known_at: Instant) {
         let mut books = self.books();
+        // Claims may be lost until this zone is claimed in the present history.
+        if books.is_outdated(&self.zone) {
+            return;
+        }
         let known = books.fleet_read_at.get_or_insert(known_at);
         *known = known_at.max(*known);
     }
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -41,23 +41,43 @@
     Kept,
     /// It removes a target that may come back; nothing is changed yet.
     Doubted,
-    /// It is of an older life of its target, and changes nothing.
+    /// It is older than what is known, by the life of its target or by a version, and changes nothing.
     Outlived,
     /// It names no target that can be used, and that changes what others do.
     Unusable,
 }
 
-/// Whether a record is an entry of a newer life of its target than any that is known. Each record comes from several VMs,
-/// so one that is kept already is not decoded again.
-pub fn tells_newer_life(books: &FleetBooks, topic: FeedTopic, record: &KeyedRecord) -> bool {
-    if topic != FeedTopic::Targets || books.records.is_kept(topic, &record.key, record.offset) {
-        return false;
-    }
+/// Whether a record is newer than what is known by an order that does not come from the log: the life of a target, or a version.
+/// Each record comes from several VMs, so one that is kept already is not decoded again.
+pub fn is_newer_by_itself(books: &FleetBooks, topic: FeedTopic, record: &KeyedRecord) -> bool {
     let Some(value) = &record.value else {
         return false;
     };
-    let known = books.catalog.life(&TargetName::new(&record.key));
-    decode_target(&record.key, value).is_ok_and(|entry| entry.life > known)
+    let key = &record.key;
+    if books.records.is_kept(topic, key, record.position)
+        && books.records.value(topic, key) == Some(&**value)
+    {
+        return false;
+    }
+    match topic {
+        FeedTopic::Targets => {
+            let known = books.catalog.life(&TargetName::new(key));
+            decode_target(key, value).is_ok_and(|entry| entry.life > known)
+        }
+        FeedTopic::Operators if key == CONFIG_KEY => {
+            let known = books.active.as_ref().map(|active| active.config.version);
+            decode_config(value).is_ok_and(|config| Some(config.version) > known)
+        }
+        FeedTopic::Operators if key.starts_with(VERSION_KEY) => {
+            decode_version(value).is_ok_and(|(subject, version)| {
+                books
+                    .versions
+                    .get(&subject)
+                    .is_none_or(|known| *known < version)
+            })
+        }
+        FeedTopic::Operators | FeedTopic::Fleet => false,
+    }
 }
 
 /// Folds a target's entry.
@@ -70,8 +90,8 @@
     let name = TargetName::new(&record.key);
     let was_ready = is_ready(&books.catalog, &name);
     let is_news = match &record.value {
-        None if source == RecordSource::Passed => books.catalog.settle(&name, record.offset),
-        None => books.catalog.apply(&name, record.offset, None, now),
+        None if source == RecordSource::Passed => books.catalog.settle(&name, record.position),
+        None => books.catalog.apply(&name, record.position, None, now),
         Some(value) => match decode_target(&record.key, value) {
             Ok(entry) if books.is_own_address(entry.address) => {
                 let error = DecodeError::Field {
@@ -90,16 +110,16 @@
     if books.catalog.is_doubted(&name) {
         event!(
             Event::RemovalDoubted,
-            "{name} at offset {}, {source:?}",
-            record.offset
+            "{name} at position {}, {source:?}",
+            record.position
         );
         return FoldedRecord::Doubted;
     }
     if was_ready && !is_ready(&books.catalog, &name) {
         event!(
             Event::TargetLeft,
-            "{name} at offset {}, {source:?}",
-            record.offset
+            "{name} at position {}, {source:?}",
+            record.position
         );
     }
     if is_news {
@@ -119,14 +139,26 @@
     let name = entry.name.clone();
     let known = books.catalog.life(&name);
     if entry.life < known {
-        event!(Event::EntryOutlived, "{name} at offset {}", record.offset);
+        event!(
+            Event::EntryOutlived,
+            "{name} at position {}",
+            record.position
+        );
         return None;
     }
     if entry.life > known && books.catalog.get(&name).is_some() {
-        event!(Event::TargetReborn, "{name} at offset {}", record.offset);
+        event!(
+            Event::TargetReborn,
+            "{name} at position {}",
+            record.position
+        );
         books.health.forget(&name);
     }
-    Some(books.catalog.apply(&name, record.offset, Some(entry), now))
+    Some(
+        books
+            .catalog
+            .apply(&name, record.position, Some(entry), now),
+    )
 }
 
 /// Folds an entry that can't be used: its target is taken for gone.
@@ -137,20 +169,20 @@
     now: Instant,
 ) -> FoldedRecord {
     let name = TargetName::new(&record.key);
-    let is_change = books.catalog.settle(&name, record.offset);
+    let is_change = books.catalog.settle(&name, record.position);
     if let Some(untold) = books.skipped.note(now) {
         let key: String = record.key.escape_debug().take(SHOWN_CHARS).collect();
         event!(
             Event::EntryUnusable,
-            "{key} at offset {}: {error}; {untold} more before it",
-            record.offset
+            "{key} at position {}: {error}; {untold} more before it",
+            record.position
         );
     }
     if is_change {
         event!(
             Event::TargetLeft,
-            "{name} at offset {}, as its entry can't be used",
-            record.offset
+            "{name} at position {}, as its entry can't be used",
+            record.position
         );
         return FoldedRecord::Unusable;
     }
@@ -164,55 +196,73 @@
 }
 
 /// Folds a configuration or a named version.
-pub fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) {
+pub fn fold_operator_record(books: &mut FleetBooks, record: &KeyedRecord) -> FoldedRecord {
     // A dropped key takes nothing back: what was in force stays until something newer comes.
     let Some(value) = &record.value else {
-        return;
+        return FoldedRecord::News;
     };
     if record.key == CONFIG_KEY {
-        if books
-            .active
-            .as_ref()
-            .is_some_and(|active| active.offset >= record.offset)
-        {
-            return;
-        }
-        match decode_config(value) {
-            Ok(config) => {
-                event!(
-                    Event::ConfigInForce,
-                    "version {} at offset {}, {} routes",
-                    config.version,
-                    record.offset,
-                    config.routes.len()
-                );
-                let routes = RouteTable::new(&config);
-                let offset = record.offset;
-                books.active = Some(Arc::new(ActiveConfig {
-                    config,
-                    routes,
-                    offset,
-                }));
-            }
-            Err(error) => {
-                event!(
-                    Event::RecordSkipped,
-                    "configuration at {}: {error}",
-                    record.offset
-                );
+        return fold_config(books, record, value);
+    }
+    if !record.key.starts_with(VERSION_KEY) {
+        return FoldedRecord::News;
+    }
+    match decode_version(value) {
+        Ok((subject, version)) => {
+            let known = books.versions.entry(subject).or_default();
+            if *known > version {
+                return FoldedRecord::Outlived;
             }
+            *known = version;
         }
-    } else if record.key.starts_with(VERSION_KEY) {
-        match decode_version(value) {
-            Ok((subject, version)) => {
-                let known = books.versions.entry(subject).or_default();
-                *known = version.max(*known);
-            }
-            Err(error) => {
-                event!(Event::RecordSkipped, "version {}: {error}", record.key);
-            }
+        Err(error) => {
+            event!(Event::RecordSkipped, "version {}: {error}", record.key);
         }
     }
+    FoldedRecord::News
+}
+
+/// Folds a configuration. Its version orders it, as a copy of the log may hold one that is no longer in force.
+fn fold_config(books: &mut FleetBooks, record: &KeyedRecord, value: &[u8]) -> FoldedRecord {
+    let config = match decode_config(value) {
+        Ok(config) => config,
+        Err(error) => {
+            event!(
+                Event::RecordSkipped,
+                "configuration at {}: {error}",
+                record.position
+            );
+            return FoldedRecord::News;
+        }
+    };
+    if Some(record.position.era()) == books.store_era {
+        books.stored_version = config.version.max(books.stored_version);
+    }
+    let known = books.active.as_ref().map(|active| active.config.version);
+    if known > Some(config.version) {
+        event!(
+            Event::ConfigOutdated,
+            "version {} at {}, in force {known:?}",
+            config.version,
+            record.position
+        );
+        return FoldedRecord::Outlived;
+    }
+    if known == Some(config.version)
+        && books.records.value(FeedTopic::Operators, CONFIG_KEY) == Some(value)
+    {
+        return FoldedRecord::Kept;
+    }
+    event!(
+        Event::ConfigInForce,
+        "version {} at {}, {} routes",
+        config.version,
+        record.position,
+        config.routes.len()
+    );
+    let routes = RouteTable::new(&config);
+    books.active = Some(Arc::new(ActiveConfig { config, routes }));
+    FoldedRecord::News
 }
 
 /// Folds the record of a quarantined request, or the end of its quarantine.
@@ -237,39 +287,60 @@
 }
 
 /// Folds a VM's record, a quarantined request or a zone's lease.
-pub fn fold_fleet_record(books: &mut FleetBooks, record: &KeyedRecord, now: Instant) {
+pub fn fold_fleet_record(
+    books: &mut FleetBooks,
+    record: &KeyedRecord,
+    now: Instant,
+) -> FoldedRecord {
+    let known = books.records.value(FeedTopic::Fleet, &record.key);
+    let is_change = record.value.is_none() || known != record.value.as_deref();
     if let Some(vm) = record.key.strip_prefix(VM_KEY) {
-        let Some(value) = &record.value else {
-            return;
-        };
-        match serde_json::from_slice(value) {
-            Ok(recorded) => {
-                books.vms.insert(VmName::new(vm), recorded);
-                books.share_retries();
-            }
-            Err(error) => event!(Event::RecordSkipped, "VM {vm}: {error}"),
-        }
+        fold_vm(books, vm, record);
     } else if let Some(text) = record.key.strip_prefix(SUSPECT_KEY) {
         fold_suspect(books, text, record, now);
     } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
-        let lease = record
-            .value
-            .as_ref()
-            .and_then(|value| match serde_json::from_slice(value) {
-                Ok(lease) => Some(lease),
-                Err(error) => {
-                    event!(Event::RecordSkipped, "lease of {zone}: {error}");
-                    None
-                }
-            });
-        let state = books.leases.entry(AvailabilityZone::new(zone)).or_default();
-        if state.apply(record.offset, lease) {
-            event!(
-                Event::LeaseSeen,
-                "{zone}: {} at offset {}",
-                state.holder().map_or("nobody", VmName::as_str),
-                state.offset
-            );
+        return fold_lease(books, zone, record);
+    }
+    if is_change {
+        FoldedRecord::News
+    } else {
+        FoldedRecord::Kept
+    }
+}
+
+fn fold_vm(books: &mut FleetBooks, vm: &str, record: &KeyedRecord) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match serde_json::from_slice(value) {
+        Ok(recorded) => {
+            books.vms.insert(VmName::new(vm), recorded);
+            books.share_retries();
         }
+        Err(error) => event!(Event::RecordSkipped, "VM {vm}: {error}"),
+    }
+}
+
+fn fold_lease(books: &mut FleetBooks, zone: &str, record: &KeyedRecord) -> FoldedRecord {
+    let lease = record
+        .value
+        .as_ref()
+        .and_then(|value| match serde_json::from_slice(value) {
+            Ok(lease) => Some(lease),
+            Err(error) => {
+                event!(Event::RecordSkipped, "lease of {zone}: {error}");
+                None
+            }
+        });
+    let state = books.leases.entry(AvailabilityZone::new(zone)).or_default();
+    if !state.apply(record.position, lease) {
+        return FoldedRecord::Outlived;
     }
+    event!(
+        Event::LeaseSeen,
+        "{zone}: {} at {}",
+        state.holder().map_or("nobody", VmName::as_str),
+        state.position
+    );
+    FoldedRecord::News
 }
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -6,7 +6,7 @@
         fleet::{FleetBooks, FleetState},
         folding::{
             FoldedRecord, fold_fleet_record, fold_operator_record, fold_target_record,
-            tells_newer_life,
+            is_newer_by_itself,
         },
         message::{FeedTopic, TopicSpan},
     },
@@ -15,7 +15,7 @@
 };
 use hoplanding_core::{
     direct::catalog::CountedRemoval,
-    ids::{Instant, LogOffset},
+    ids::{Instant, LogPosition},
 };
 use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 
@@ -66,10 +66,13 @@
         };
         self.note_whole(span, RecordSource::Listed);
         self.note_end(topic, listing.end);
+        if topic == FeedTopic::Fleet {
+            self.books().listed_in = Some(listing.end.era());
+        }
         self.signal();
     }
 
-    /// Every key of a topic is known, and no record before an offset is missing.
+    /// Every key of a topic is known, and no record before an position is missing.
     pub(super) fn note_whole(&self, span: TopicSpan, source: RecordSource) {
         let TopicSpan { topic, since, end } = span;
         let whole = {
@@ -77,7 +80,7 @@
             if !books.ends.contains_key(&topic) {
                 event!(
                     Event::TopicKnown,
-                    "{topic:?} up to offset {end}, {} bytes, {source:?}, {:?} after the start",
+                    "{topic:?} up to position {end}, {} bytes, {source:?}, {:?} after the start",
                     books.records.bytes(topic),
                     self.age()
                 );
@@ -97,8 +100,8 @@
         });
     }
 
-    /// Folds the records of a read that began at `from`, in the order of their offsets.
-    pub fn take_records(&self, topic: FeedTopic, from: LogOffset, batch: &ReadBatch) {
+    /// Folds the records of a read that began at `from`, in the order of their positions.
+    pub fn take_records(&self, topic: FeedTopic, from: LogPosition, batch: &ReadBatch) {
         let has_news = self.fold(topic, &batch.records, RecordSource::Read, clock::now());
         self.note_end(topic, batch.end);
         if from <= self.known_end(topic) {
@@ -109,8 +112,8 @@
         }
     }
 
-    /// The fleet's topic was read up to an offset.
-    pub(super) fn note_end(&self, topic: FeedTopic, end: LogOffset) {
+    /// The fleet's topic was read up to an position.
+    pub(super) fn note_end(&self, topic: FeedTopic, end: LogPosition) {
         if topic == FeedTopic::Fleet {
             let mut books = self.books();
             books.fleet_end = books.fleet_end.max(Some(end));
@@ -130,24 +133,18 @@
         // What a first listing brings, every VM lists or is told as well.
         let is_first = source == RecordSource::Listed && !books.ends.contains_key(&topic);
         for record in records {
-            let is_newer = books.records.is_newer(topic, &record.key, record.offset);
-            // An entry may be of a newer life than what came behind it.
-            if !is_newer && !tells_newer_life(&books, topic, record) {
+            let is_newer = books.records.is_newer(topic, &record.key, record.position);
+            // It may be newer by an order of its own than what came behind it.
+            if !is_newer && !is_newer_by_itself(&books, topic, record) {
                 continue;
             }
             let folded = match topic {
-                FeedTopic::Operators => {
-                    fold_operator_record(&mut books, record);
-                    FoldedRecord::News
-                }
+                FeedTopic::Operators => fold_operator_record(&mut books, record),
                 FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
-                FeedTopic::Fleet => {
-                    fold_fleet_record(&mut books, record, now);
-                    FoldedRecord::News
-                }
+                FeedTopic::Fleet => fold_fleet_record(&mut books, record, now),
             };
-            // A removal in doubt is kept, and passed on, when it counts; what an older life says is not kept at all, so
-            // that whoever is told everything is told of the newer one.
+            // A removal in doubt is kept, and passed on, when it counts; what is older by an order of its own is not kept at
+            // all, so that whoever is told everything is told of the newer one.
             if matches!(folded, FoldedRecord::Doubted | FoldedRecord::Outlived) {
                 continue;
             }
@@ -161,7 +158,7 @@
             let key = &record.key;
             books
                 .records
-                .keep(topic, key, record.offset, value, is_news);
+                .keep(topic, key, record.position, value, is_news);
             has_news |= is_news;
         }
         self.announce(&books);
@@ -180,10 +177,12 @@
 
     /// Keeps removals that count now as news for others.
     fn pass_removals(&self, books: &mut FleetBooks, gone: Vec<CountedRemoval>, why: &str) {
-        for (name, offset) in gone {
-            event!(Event::TargetLeft, "{name} at offset {offset}, {why}");
+        for (name, position) in gone {
+            event!(Event::TargetLeft, "{name} at position {position}, {why}");
             let topic = FeedTopic::Targets;
-            books.records.keep(topic, name.as_str(), offset, None, true);
+            books
+                .records
+                .keep(topic, name.as_str(), position, None, true);
         }
         self.announce(books);
     }
--- a/crates/daemon/src/direct/ledger.rs
+++ b/crates/daemon/src/direct/ledger.rs
@@ -12,7 +12,7 @@
         suspects::{RequestFingerprint, Suspicion},
         trials::{TrialAnswer, TrialTable},
     },
-    ids::{FencingToken, Instant, LogOffset, OrganisationName, VmName},
+    ids::{FencingToken, Instant, OrganisationName, VmName},
 };
 use std::time::Duration;
 
@@ -34,8 +34,8 @@
     plain: PlainPlanner,
     quotas: QuotaLedger,
     trials: TrialTable,
-    /// Offset of the configuration whose quotas are declared.
-    declared: Option<LogOffset>,
+    /// Version of the configuration whose quotas are declared.
+    declared: Option<u64>,
 }
 
 impl ZoneLedger {
@@ -73,11 +73,11 @@
     pub fn refresh(&mut self, fleet: &FleetState, now: Instant) {
         let books = fleet.books();
         if let Some(active) = &books.active
-            && self.declared != Some(active.offset)
+            && self.declared != Some(active.config.version)
             && let Some(table) = &active.config.organisations
         {
             self.quotas.declare(table.quotas(), now);
-            self.declared = Some(active.offset);
+            self.declared = Some(active.config.version);
         }
         self.plain
             .retain(|run| books.catalog.get(&run.name).is_some());
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -18,7 +18,7 @@
 use futures_util::{SinkExt, StreamExt};
 use hoplanding_core::{
     direct::planner::CallKey,
-    ids::{AvailabilityZone, FencingToken, Instant, VmName},
+    ids::{AvailabilityZone, Instant, VmName},
 };
 use std::{
     collections::HashMap,
@@ -497,7 +497,7 @@
         VmMessage::Open(number, target, life, subject) => {
             Some(ZoneEvent::Open(key(number), target, life, subject))
         }
-        VmMessage::LeaseWanted(offset) => Some(ZoneEvent::Wanted(vm.clone(), FencingToken(offset))),
+        VmMessage::LeaseWanted(position) => Some(ZoneEvent::Wanted(vm.clone(), position.token())),
         _ => None,
     }
 }
--- a/crates/daemon/src/direct/listing.rs
+++ b/crates/daemon/src/direct/listing.rs
@@ -28,6 +28,9 @@
     let mut next = first.next;
     while let Some(after) = next {
         let page = later_page(client, topic, &after, within).await?;
+        if page.end.era() != batch.end.era() {
+            return Err(StoreError::OtherEra(page.end.era()));
+        }
         batch.records.extend(page.records);
         next = page.next;
     }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -12,7 +12,7 @@
         suspects::{EndedUnder, RequestFingerprint},
         trials::TrialAnswer,
     },
-    ids::{AdapterName, AvailabilityZone, LogOffset, TargetLife, TargetName, TargetRun, VmName},
+    ids::{AdapterName, AvailabilityZone, LogPosition, TargetLife, TargetName, TargetRun, VmName},
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -77,12 +77,12 @@
     pub key: String,
     /// Its value; none for a dropped key.
     pub value: Option<Bytes>,
-    /// Its offset.
-    pub offset: LogOffset,
+    /// Its position.
+    pub position: LogPosition,
 }
 
-/// An offset of a topic before which everything is known.
-pub type TopicEnd = (FeedTopic, LogOffset);
+/// An position of a topic before which everything is known.
+pub type TopicEnd = (FeedTopic, LogPosition);
 
 /// The records of a topic that a VM knows whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,9 +90,9 @@
     /// The topic.
     pub topic: FeedTopic,
     /// Offset from which on it knows every record; of those before, the newest of each key that was left at its listing.
-    pub since: LogOffset,
+    pub since: LogPosition,
     /// Offset before which no record is missing.
-    pub end: LogOffset,
+    pub end: LogPosition,
 }
 
 /// A run of answers from the platform's log, by the ages of its ends.
@@ -187,8 +187,8 @@
     LimitNamed(NamedLimit),
     /// A call that was open before the link.
     Open(u64, TargetName, TargetLife, AdapterName),
-    /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this offset.
-    LeaseWanted(LogOffset),
+    /// The sender, a stronger VM of the zone, would rather hold it than the receiver by the lease at this position.
+    LeaseWanted(LogPosition),
     /// The sender's planned stop has begun: it takes on no duty any more.
     Stopping,
     /// Records that may be news.
@@ -197,12 +197,12 @@
     Leaving(Vec<TargetRun>),
     /// The records that were asked for.
     Answer {
-        /// Every record of the topics from the wanted offsets on.
+        /// Every record of the topics from the wanted positions on.
         records: Vec<PassedRecord>,
         /// Of the wanted topics those of which the sender knows every key, and so the receiver does now.
         spans: Vec<TopicSpan>,
     },
-    /// Send records of these topics from these offsets on: the sender has not read them itself.
+    /// Send records of these topics from these positions on: the sender has not read them itself.
     Wanted {
         /// Where to begin.
         from: Vec<TopicEnd>,
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -21,7 +21,8 @@
 }
 
 impl LeavingNews {
-    fn push(&mut self, run: TargetRun) {
+    /// Adds a target.
+    pub fn push(&mut self, run: TargetRun) {
         self.runs.insert(self.head, run);
         self.head += 1;
     }
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -1,6 +1,6 @@
 //! Records of the platform's log as they are passed on between VMs.
 //!
-//! The platform may turn some VMs away while it serves the others. What one VM reads goes to the others, and offsets
+//! The platform may turn some VMs away while it serves the others. What one VM reads goes to the others, and positions
 //! say what is newer, so a VM that is turned away stays up to date as long as it reaches one that is not.
 //!
 //! News has an order of its own, and each link keeps its place in it. A link that lags finds the newest record of each
@@ -8,7 +8,7 @@
 
 use crate::direct::message::{FeedTopic, PassedRecord};
 use bytes::Bytes;
-use hoplanding_core::ids::LogOffset;
+use hoplanding_core::ids::{LogPosition, StoreEra};
 use std::{collections::BTreeMap, mem};
 
 /// Records and bytes of one message of news, so that a weak link's other messages are not held up for long: a tenth of a
@@ -20,7 +20,7 @@
 
 #[derive(Debug)]
 struct KeptRecord {
-    offset: LogOffset,
+    position: LogPosition,
     value: Option<Bytes>,
     /// Its place in the news, if it is any.
     place: Option<u64>,
@@ -38,16 +38,16 @@
 impl RecordBook {
     /// Whether a record is newer than what is kept of its key.
     #[must_use]
-    pub fn is_newer(&self, topic: FeedTopic, key: &str, offset: LogOffset) -> bool {
+    pub fn is_newer(&self, topic: FeedTopic, key: &str, position: LogPosition) -> bool {
         let kept = self.records.get(&(topic, key.to_owned()));
-        kept.is_none_or(|kept| kept.offset < offset)
+        kept.is_none_or(|kept| kept.position < position)
     }
 
     /// Whether a record is the one that is kept of its key.
     #[must_use]
-    pub fn is_kept(&self, topic: FeedTopic, key: &str, offset: LogOffset) -> bool {
+    pub fn is_kept(&self, topic: FeedTopic, key: &str, position: LogPosition) -> bool {
         let kept = self.records.get(&(topic, key.to_owned()));
-        kept.is_some_and(|kept| kept.offset == offset)
+        kept.is_some_and(|kept| kept.position == position)
     }
 
     /// The value that is kept of a key; none where it has none.
@@ -57,12 +57,12 @@
         kept.value.as_deref()
     }
 
-    /// Whether a record is kept of each offset of a topic from one on and before another.
+    /// Whether a record is kept of each position of a topic from one on and before another.
     #[must_use]
-    pub fn has_all(&self, topic: FeedTopic, from: LogOffset, before: LogOffset) -> bool {
+    pub fn has_all(&self, topic: FeedTopic, from: LogPosition, before: LogPosition) -> bool {
         let records = self.records.iter();
         let kept = records.filter(|((kept, _), record)| {
-            *kept == topic && from <= record.offset && record.offset < before
+            *kept == topic && from <= record.position && record.position < before
         });
         kept.count() as u64 >= before.0.saturating_sub(from.0)
     }
@@ -73,7 +73,7 @@
         &mut self,
         topic: FeedTopic,
         key: &str,
-        offset: LogOffset,
+        position: LogPosition,
         value: Option<&Bytes>,
         is_news: bool,
     ) {
@@ -90,7 +90,7 @@
         // A copy of its own: the bytes may be a small part of a large answer.
         let value = value.map(|value| Bytes::copy_from_slice(value));
         let record = KeptRecord {
-            offset,
+            position,
             value,
             place,
         };
@@ -118,6 +118,18 @@
         (load.records, self.head)
     }
 
+    /// Records of a topic that have a value, and were read in an earlier era only.
+    pub fn before_era(
+        &self,
+        topic: FeedTopic,
+        era: StoreEra,
+    ) -> impl Iterator<Item = (&str, &Bytes)> {
+        let records = self.records.iter();
+        records
+            .filter(move |((kept, _), record)| *kept == topic && record.position.era() < era)
+            .filter_map(|((_, key), record)| Some((key.as_str(), record.value.as_ref()?)))
+    }
+
     /// Bytes of a topic's records.
     #[must_use]
     pub fn bytes(&self, topic: FeedTopic) -> usize {
@@ -128,12 +140,14 @@
             .sum()
     }
 
-    /// Records of a topic from an offset on.
+    /// Records of a topic from a position on, and those of earlier eras, which the log may lack since.
     #[must_use]
-    pub fn since(&self, topic: FeedTopic, from: LogOffset) -> Vec<PassedRecord> {
+    pub fn since(&self, topic: FeedTopic, from: LogPosition) -> Vec<PassedRecord> {
         self.records
             .iter()
-            .filter(|((kept, _), record)| *kept == topic && record.offset >= from)
+            .filter(|((kept, _), record)| {
+                *kept == topic && (record.position >= from || record.position.era() < from.era())
+            })
             .map(|(key, record)| passed(key, record))
             .collect()
     }
@@ -177,6 +191,6 @@
         topic: *topic,
         key: key.clone(),
         value: kept.value.clone(),
-        offset: kept.offset,
+        position: kept.position,
     }
 }
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -16,7 +16,7 @@
 };
 use hoplanding_core::{
     direct::{freshness::BeatEcho, millis},
-    ids::{Instant, LogOffset, TargetRun, VmName},
+    ids::{Instant, LogPosition, TargetRun, VmName},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -41,7 +41,7 @@
     /// Topics that this VM knew whole when it asked last; none on the side that asks only if the log turns it away.
     asked_with: Option<usize>,
     /// What the other side has asked for, of topics that this VM does not know whole yet.
-    open: BTreeMap<FeedTopic, LogOffset>,
+    open: BTreeMap<FeedTopic, LogPosition>,
     /// Answers that go out next.
     replies: VecDeque<VmMessage>,
     /// Topics of which the other side has had its answer, so that with this link's news it misses nothing of them.
@@ -204,11 +204,11 @@
         if *is_turned_away {
             self.fleet.note_asked();
         }
-        for (topic, offset) in from {
+        for (topic, position) in from {
             if self.fleet.knows_whole(*topic) {
                 self.open.remove(topic);
             } else {
-                self.open.insert(*topic, *offset);
+                self.open.insert(*topic, *position);
             }
         }
         self.reply(from, *is_turned_away);
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -13,7 +13,7 @@
 };
 use hoplanding_core::{
     direct::suspects::{EndedUnder, RequestFingerprint},
-    ids::{AvailabilityZone, LogOffset},
+    ids::{AvailabilityZone, LogPosition},
 };
 use hoplanding_platform::{
     names::FLEET_TOPIC,
@@ -150,10 +150,12 @@
             value.unwrap_or_default()
         };
         let within = self.settings.pace.platform_timeout;
-        let offset: LogOffset = client
+        let position: LogPosition = client
             .append(FLEET_TOPIC, &key, &value, None, within)
             .await?;
-        self.fleet.take_own(key, value, offset);
+        if self.fleet.meet_era(position.era()) {
+            self.fleet.take_own(key, value, position);
+        }
         Ok(())
     }
 }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -20,6 +20,7 @@
     direct::{
         config::EngineLimits,
         engine::{EngineReport, OrderOutcome},
+        lease::LeaseState,
         limits::NamedLimit,
         loading::LoadSummary,
         millis,
@@ -474,6 +475,22 @@
         }
     }
 
+    /// Holds the zone by another record of the same lease, as the log came back from a copy. All that is known of it stays.
+    fn renew(&mut self, token: FencingToken) {
+        event!(
+            Event::LeaseRenewed,
+            "{} with token {}",
+            self.fleet.zone,
+            token.0
+        );
+        if let Some(ledger) = &mut self.ledger {
+            ledger.token = token;
+        }
+        if let Some(held) = &mut self.held {
+            held.token = token;
+        }
+    }
+
     /// Takes over what the list says of the zone's engines.
     fn look_at_list(&mut self) {
         if let Some(held) = &mut self.held {
@@ -502,7 +519,9 @@
                     && lease.incarnation == self.fleet.incarnation
             })
         });
-        let token = lease.map(hoplanding_core::direct::lease::LeaseState::token);
+        let token = lease.map(LeaseState::token);
+        let is_copied = lease.is_some_and(|state| state.is_copied);
+        let renewed = lease.and_then(|state| state.renewed);
         let had_holder = books
             .leases
             .get(&self.fleet.zone)
@@ -524,7 +543,14 @@
             .collect();
         let named_limits: Vec<_> = books.limits.told().collect();
         drop(books);
+        let held = self.ledger.as_ref().map(|ledger| ledger.token);
+        // Nobody begins to hold a zone by a claim of an earlier history.
+        let token = token.filter(|token| !is_copied || held == Some(*token));
+        let is_renewal = held.is_some() && held == renewed && quiet.is_zero();
         let usable = token.filter(|token| Some(*token) != self.refused && !self.is_released);
+        if let (Some(token), true) = (usable, is_renewal) {
+            self.renew(token);
+        }
         if self.ledger.as_ref().map(|ledger| ledger.token) != usable {
             self.give_up();
         }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -116,12 +116,16 @@
     TokensHandedOver = 603, Info, "idempotency tokens handed over";
     /// A configuration is in force.
     ConfigInForce = 302, Info, "configuration in force";
+    /// A configuration that the log holds is older than the one in force.
+    ConfigOutdated = 303, Warn, "older configuration passed over";
     /// The record of this VM was not written.
     RecordFailed = 207, Warn, "record of this VM not written";
     /// All keys of a topic are known.
     TopicKnown = 208, Info, "topic of the platform's log known";
-    /// The log names another era than before.
+    /// The log has come back from a copy.
     HistoryChanged = 209, Warn, "history of the platform's log changed";
+    /// An answer of the log is of an era that is over.
+    HistoryOver = 210, Warn, "answer of an earlier history of the platform's log passed over";
     /// A zone's holder was read from the log.
     LeaseSeen = 700, Info, "holder of a zone recorded";
     /// This VM appended a claim.
@@ -138,6 +142,8 @@
     LeaseAsked = 706, Info, "lease asked for";
     /// This VM gives a zone up for a stronger one.
     LeaseYielded = 707, Info, "lease given up for a stronger VM";
+    /// This VM holds its zone by a new record of its lease.
+    LeaseRenewed = 708, Info, "lease claimed again";
     /// A target takes no new work any more.
     TargetLeft = 720, Info, "target takes no new work";
     /// The removal of a target's entry may be a lapse.
--- a/crates/daemon/tests/direct/leaving.rs
+++ b/crates/daemon/tests/direct/leaving.rs
@@ -13,7 +13,7 @@
 
 use crate::support::{entry, good, is_ready, second_vm, settings, site, wait_for};
 use futures_util::FutureExt;
-use hoplanding_core::ids::{LogOffset, TargetName};
+use hoplanding_core::ids::{LogPosition, TargetName};
 use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget, relay::LinkState};
 use hoplandingd::direct::{
     daemon::DirectDaemon,
@@ -111,11 +111,11 @@
     let log = KeyedLog::start().await.expect("a log");
     let address = log.address();
     let fleet = Arc::new(FleetState::new(&settings("vm-1", &log), 1));
-    let record = |number: u64, state: &str, offset: u64| PassedRecord {
+    let record = |number: u64, state: &str, position: u64| PassedRecord {
         topic: FeedTopic::Targets,
         key: format!("i-{number}"),
         value: Some(entry("ledger", address, state, &[]).into()),
-        offset: LogOffset(offset),
+        position: LogPosition(position),
     };
     let ready = (1..=600).map(|number| record(number, "ready", number));
     fleet.take_passed(ready.collect());
--- a/crates/daemon/tests/direct/lives.rs
+++ b/crates/daemon/tests/direct/lives.rs
@@ -6,7 +6,7 @@
 use crate::support::{HOST, ask, entry, good, post, second_vm, site, wait_for};
 use hoplanding_core::{
     direct::catalog::TargetStage,
-    ids::{LogOffset, TargetName},
+    ids::{LogPosition, TargetName},
 };
 use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget};
 use hoplandingd::direct::{
@@ -69,11 +69,11 @@
     let target = RawTarget::start(good).await.expect("a target");
     let address = target.address;
     let daemon = site(&log, &[("i-1", "ledger", address)]).await;
-    let record = |offset: u64, text: String| PassedRecord {
+    let record = |position: u64, text: String| PassedRecord {
         topic: FeedTopic::Targets,
         key: "i-9".to_owned(),
         value: Some(text.into_bytes().into()),
-        offset: LogOffset(offset),
+        position: LogPosition(position),
     };
     // Passed on by others: what was written last is of the life before.
     let late = record(1_012, born_entry(address, "draining", 1_000));
@@ -85,7 +85,7 @@
     // Whoever is told everything is told of the newer life.
     let told = daemon
         .fleet()
-        .records_since(&[(FeedTopic::Targets, LogOffset(0))], false);
+        .records_since(&[(FeedTopic::Targets, LogPosition(0))], false);
     let told = format!("{told:?}");
     assert!(told.contains("\\\"born\\\":2000"), "{told}");
     assert!(!told.contains("\\\"born\\\":1000"), "{told}");
--- a/crates/daemon/tests/direct/news.rs
+++ b/crates/daemon/tests/direct/news.rs
@@ -6,7 +6,7 @@
 
 use crate::support::{entry, settings};
 use futures_util::FutureExt;
-use hoplanding_core::ids::{LogOffset, TargetName, VmName};
+use hoplanding_core::ids::{LogPosition, TargetName, VmName};
 use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 use hoplanding_standins::keyed_log::KeyedLog;
 use hoplandingd::direct::{
@@ -109,15 +109,15 @@
 
     fn batch(&self, from: usize) -> ReadBatch {
         let records = self.log.iter().enumerate().skip(from);
-        let record = |(offset, (target, state)): (usize, &(usize, Option<&str>))| KeyedRecord {
+        let record = |(position, (target, state)): (usize, &(usize, Option<&str>))| KeyedRecord {
             key: format!("i-{target}"),
             value: state.map(|state| entry("ledger", self.address, state, &[]).into()),
-            offset: LogOffset(offset as u64),
+            position: LogPosition(position as u64),
         };
         ReadBatch {
-            next: LogOffset(self.log.len() as u64),
+            next: LogPosition(self.log.len() as u64),
             records: records.map(record).collect(),
-            end: LogOffset(self.log.len() as u64),
+            end: LogPosition(self.log.len() as u64),
         }
     }
 
@@ -134,7 +134,7 @@
             record.value.is_some()
                 && !later
                     .clone()
-                    .any(|other| other.key == record.key && other.offset > record.offset)
+                    .any(|other| other.key == record.key && other.position > record.position)
         };
         let kept: Vec<_> = listing
             .records
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -1,9 +1,10 @@
 //! Requests that crash whatever runs them, and come back.
 
 use crate::support::{
-    ask, config, entry, good, is_ready, model, post, settings, site_of, stream, wait_for,
+    ask, config, entry, good, is_ready, model, post, process, settings, site_of, start_in, stream,
+    wait_for,
 };
-use hoplanding_core::{direct::lease::ZoneLease, ids::AvailabilityZone};
+use hoplanding_core::ids::AvailabilityZone;
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
@@ -20,10 +21,7 @@
     },
     time::Duration,
 };
-use tokio::{
-    runtime::{Builder, Runtime},
-    time::sleep,
-};
+use tokio::time::sleep;
 
 const ZONES: [&str; 2] = ["hall", "yard"];
 
@@ -91,27 +89,6 @@
     .await;
 }
 
-/// A runtime whose end ends a daemon as a kill does.
-fn process() -> Runtime {
-    Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .expect("a runtime")
-}
-
-async fn start_in(process: &Runtime, settings: DirectSettings) -> DirectDaemon {
-    let started = process.spawn(DirectDaemon::start(settings));
-    let daemon = started.await.expect("a task").expect("the daemon starts");
-    wait_for("readiness and a lease of its own", async || {
-        let lease = daemon.fleet().lease(&AvailabilityZone::new(ZONES[0]));
-        let is_own = |lease: ZoneLease| lease.incarnation == daemon.fleet().incarnation;
-        lease.is_some_and(is_own) && is_ready(&daemon).await
-    })
-    .await;
-    daemon
-}
-
 #[tokio::test]
 async fn a_poison_request_to_a_plain_service_reaches_two_of_its_targets() {
     let log = KeyedLog::start().await.expect("a log");
--- a/crates/daemon/tests/direct/restores.rs
+++ b/crates/daemon/tests/direct/restores.rs
@@ -1,12 +1,12 @@
 //! A log that comes back from a copy some seconds old: its offsets go back and are given out again.
 
 use crate::support::{
-    BOUND, ask, config, entry, good, is_ready, model, post, second_vm, settings, site, site_of,
-    stream, wait_for,
+    BOUND, ask, config, entry, good, is_ready, model, post, process, second_vm, settings, site,
+    site_of, start_in, stream, wait_for,
 };
 use hoplanding_core::{
     direct::suspects::{EndedUnder, RequestFingerprint},
-    ids::{TargetLife, TargetName, TargetRun, VmName},
+    ids::{StoreEra, TargetLife, TargetName, TargetRun, VmName},
 };
 use hoplanding_standins::{
     keyed_log::KeyedLog,
@@ -286,10 +286,13 @@
     });
     let engine = engine.await.expect("an engine");
     fill_fleet_topic(&log, 40);
-    let listed = [("e-1", "scribe", engine.address)];
-    let daemon = site_of(settings("vm-1", &log), &log, &listed).await;
+    let life = process();
+    log.put(OPERATORS, "config", Some(&config(1)));
+    let text = entry("scribe", engine.address, "ready", &["a1@1"]);
+    log.put(TARGETS, "e-1", Some(&text));
+    let daemon = start_in(&life, settings("vm-1", &log)).await;
     orders_are_taken(&daemon, &orders, "b").await;
-    drop(daemon);
+    life.shutdown_background();
     log.restore(&[(FLEET, 40)]);
     let mut later = settings("vm-1", &log);
     later.is_first_start = false;
@@ -428,22 +431,24 @@
 async fn a_claim_that_was_sent_in_another_history_holds_nothing() {
     let log = KeyedLog::start().await.expect("a log");
     let [plain, _] = targets().await;
-    let first = site(&log, &[("i-1", "ledger", plain.address)]).await;
-    drop(first);
-    log.put(FLEET, "zone/hall", None);
-    // The claim of the next VM is done after the log has come back, at the same end.
-    log.set_faults(|faults| faults.delay_appends = Some(Duration::from_millis(600)));
-    let second = DirectDaemon::start(settings("vm-2", &log)).await;
-    let second = second.expect("the daemon starts");
-    sleep(Duration::from_millis(500)).await;
+    log.put(OPERATORS, "config", Some(&config(1)));
+    let text = entry("ledger", plain.address, "ready", &[]);
+    log.put(TARGETS, "i-1", Some(&text));
+    // A claim is done after the log has come back, at the same end.
+    let late = ("zone/hall".to_owned(), Duration::from_millis(400));
+    log.set_faults(|faults| faults.delayed_key = Some(late));
+    let daemon = DirectDaemon::start(settings("vm-1", &log)).await;
+    let daemon = daemon.expect("the daemon starts");
+    wait_for("a claim", async || log.appends("zone/hall") > 0).await;
     log.restore(&[]);
-    log.set_faults(|faults| faults.delay_appends = None);
+    log.set_faults(|faults| faults.delayed_key = None);
     wait_for("a claim of the new history", async || {
-        let books = second.fleet().books();
-        let state = books.leases.values().next();
-        state.is_some_and(|state| state.token().0.0 >> 40 == 2)
+        let books = daemon.fleet().books();
+        let state = books.leases.get(&daemon.fleet().zone);
+        state.is_some_and(|state| state.position.era() == StoreEra(2))
     })
     .await;
-    let leases = log.values(FLEET, "zone/hall");
-    assert!(leases.len() >= 2, "{leases:?}");
+    let claimed: Vec<_> = log.values(FLEET, "zone/hall");
+    assert!(claimed[0].contains("\"era\":1"), "{claimed:?}");
+    assert!(claimed[1].contains("\"era\":2"), "{claimed:?}");
 }
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -9,7 +9,7 @@
 
 use crate::support::{entry, settings};
 use futures_util::FutureExt;
-use hoplanding_core::ids::{AvailabilityZone, LogOffset, VmName};
+use hoplanding_core::ids::{AvailabilityZone, LogPosition, VmName};
 use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 use hoplanding_standins::keyed_log::KeyedLog;
 use hoplandingd::direct::{
@@ -78,13 +78,13 @@
         records.push(KeyedRecord {
             key: format!("i-{number}"),
             value: Some(entry("ledger", address, state, &[]).into()),
-            offset: LogOffset(left.map_or(number, |at| targets + at as u64)),
+            position: LogPosition(left.map_or(number, |at| targets + at as u64)),
         });
     }
     ReadBatch {
-        next: LogOffset(end),
+        next: LogPosition(end),
         records,
-        end: LogOffset(end),
+        end: LogPosition(end),
     }
 }
 
@@ -92,7 +92,7 @@
 fn listing_without_one(address: SocketAddr) -> ReadBatch {
     let mut later = listing(address, 50, &[]);
     later.records.retain(|record| record.key != "i-5");
-    later.end = LogOffset(51);
+    later.end = LogPosition(51);
     later
 }
 
@@ -147,8 +147,8 @@
         let dialler = fleet("vm-1", &log, zone_vms);
         let begun = listing(log.address(), 50, &[]);
         let mut read = listing(log.address(), 50, &[5]);
-        read.records.retain(|record| record.offset.0 >= 50);
-        holder.take_records(FeedTopic::Targets, LogOffset(50), &read);
+        read.records.retain(|record| record.position.0 >= 50);
+        holder.take_records(FeedTopic::Targets, LogPosition(50), &read);
         let mut link = StartLink::new(&holder, &dialler);
         dialler.take_listing(FeedTopic::Targets, &begun);
         link.settle();
@@ -179,7 +179,7 @@
     holder.take_listing(FeedTopic::Targets, &listing(log.address(), TARGETS, &[]));
     let mut sharing = RecordSharing::new(&holder, true);
     sharing.answer(&VmMessage::Wanted {
-        from: vec![(FeedTopic::Targets, LogOffset(0))],
+        from: vec![(FeedTopic::Targets, LogPosition(0))],
         is_turned_away: true,
     });
     let mut records = 0;
@@ -206,7 +206,7 @@
     link.settle();
     let reads_on_from = dialler.known_end(FeedTopic::Targets);
     assert!(
-        dialler.is_leaving("i-5") || reads_on_from <= LogOffset(50),
+        dialler.is_leaving("i-5") || reads_on_from <= LogPosition(50),
         "it is kept, and its removal will not be read"
     );
 }
@@ -226,12 +226,12 @@
         records: vec![KeyedRecord {
             key: "i-5".to_owned(),
             value: None,
-            offset: LogOffset(50),
+            position: LogPosition(50),
         }],
-        next: LogOffset(51),
-        end: LogOffset(51),
+        next: LogPosition(51),
+        end: LogPosition(51),
     };
-    dialler.take_records(FeedTopic::Targets, LogOffset(50), &removal);
+    dialler.take_records(FeedTopic::Targets, LogPosition(50), &removal);
     assert!(dialler.is_leaving("i-5"));
     assert!(!dialler.has_gap(FeedTopic::Targets));
 }
--- a/crates/daemon/tests/direct/support.rs
+++ b/crates/daemon/tests/direct/support.rs
@@ -1,5 +1,6 @@
 //! What the tests of the direct mode share: small sites, requests as bytes, and answers.
 
+use hoplanding_core::direct::lease::ZoneLease;
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawAnswer, RawRequest, RawTarget},
@@ -11,6 +12,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    runtime::{Builder, Runtime},
     task::JoinHandle,
     time::{sleep, timeout},
 };
@@ -161,6 +163,27 @@
     format!("Hoplanding-Model: base/{adapter}\r\nHoplanding-Token-Count: 100,20\r\n")
 }
 
+/// A runtime whose end ends a daemon as a kill does.
+pub fn process() -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+pub async fn start_in(process: &Runtime, settings: DirectSettings) -> DirectDaemon {
+    let started = process.spawn(DirectDaemon::start(settings));
+    let daemon = started.await.expect("a task").expect("the daemon starts");
+    wait_for("readiness and a lease of its own", async || {
+        let lease = daemon.fleet().lease(&daemon.fleet().zone);
+        let is_own = |lease: ZoneLease| lease.incarnation == daemon.fleet().incarnation;
+        lease.is_some_and(is_own) && is_ready(&daemon).await
+    })
+    .await;
+    daemon
+}
+
 pub async fn wait_for(what: &str, mut done: impl AsyncFnMut() -> bool) {
     for _ in 0..400 {
         if done().await {
--- a/crates/standins/src/keyed_log.rs
+++ b/crates/standins/src/keyed_log.rs
@@ -19,7 +19,10 @@
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 /// Faults of the log.
 #[derive(Clone, Debug, Default)]
@@ -40,8 +43,8 @@
     pub unlisted: Vec<String>,
     /// What answers say of the era in place of the truth; an empty text leaves the header out.
     pub tells_era: Option<String>,
-    /// Appends that are done a while after their answer was due, whatever has happened to the log since.
-    pub delay_appends: Option<Duration>,
+    /// A key whose appends are done a while after they came, whatever has happened to the log since.
+    pub delayed_key: Option<(String, Duration)>,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +62,8 @@
     first: HashMap<String, usize>,
     faults: LogFaults,
     calls: u64,
+    /// Appends that came, by key.
+    appends: HashMap<String, usize>,
     /// Listings that were begun, by topic.
     listings: HashMap<String, usize>,
 }
@@ -115,6 +120,16 @@
         is_silent
     }
 
+    /// Counts an append that came; gives the time after which it is done.
+    fn begin_append(&self, key: &str) -> Option<Duration> {
+        let mut state = self.lock();
+        *state.appends.entry(key.to_owned()).or_default() += 1;
+        let delayed = state.faults.delayed_key.as_ref();
+        delayed
+            .filter(|(delayed, _)| delayed == key)
+            .map(|(_, delay)| *delay)
+    }
+
     /// Appends a record if its condition holds; says whether the answer is lost.
     fn take(&self, query: &AppendQuery, record: StoredRecord) -> (Response, bool) {
         let mut state = self.lock();
@@ -238,6 +253,12 @@
         self.shared.lock().listings.get(topic).copied().unwrap_or(0)
     }
 
+    /// Appends of a key that came so far, done or not.
+    #[must_use]
+    pub fn appends(&self, key: &str) -> usize {
+        self.shared.lock().appends.get(key).copied().unwrap_or(0)
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -276,9 +297,8 @@
     let Some(record) = decode(&bytes) else {
         return Response::builder().status(StatusCode::BAD_REQUEST).finish();
     };
-    let delay = shared.lock().faults.delay_appends;
-    if let Some(delay) = delay {
-        tokio::time::sleep(delay).await;
+    if let Some(delay) = shared.begin_append(&record.key) {
+        sleep(delay).await;
     }
     let (answer, is_lost) = shared.take(&query, record);
     shared.grown.notify_waiters();
