Soak: targets that tell of themselves, and logs that come back from a copy

Three faults drawn beside the others (so that old seeds give what they gave): the log is away for a moment and comes back from a copy, targets turn everything away and ask for rest, a target leaves by its answers alone. Four promises are checked from outside: no call to a target later than two seconds after it told its VM, two requests in a rest, configurations in force in time, and calls to the log within 30 a second for each VM.

What rests is looked up in the table of rests and not among all targets.

--- a/crates/core/src/direct/rests.rs
+++ b/crates/core/src/direct/rests.rs
@@ -52,6 +52,19 @@
         (now < row.until).then(|| row.until.since(now))
     }
 
+    /// Whether no target asked for rest lately.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Targets that want nothing now.
+    pub fn resting(&self, now: Instant) -> impl Iterator<Item = &TargetRun> {
+        let rows = self.rows.iter();
+        rows.filter(move |(_, row)| now < row.until)
+            .map(|(run, _)| run)
+    }
+
     /// Whether a call may be sent now; after a rest the next ones then wait for a moment.
     pub fn admit(&mut self, run: &TargetRun, now: Instant) -> bool {
         let Some(row) = self.rows.get_mut(run) else {
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -362,8 +362,7 @@
 
     /// Targets that want nothing from this VM now.
     fn resting(&self) -> Vec<TargetName> {
-        let books = self.context.fleet.books();
-        books.resting(&self.service.name, clock::now())
+        self.context.fleet.books().resting(clock::now())
     }
 
     /// When its caller should come back if every target of its service wants nothing from this VM. Callers are spread, as the
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -219,19 +219,19 @@
         }
     }
 
-    /// Targets of a service that want nothing from this VM now.
+    /// Targets that want nothing from this VM now.
     #[must_use]
-    pub fn resting(&self, service: &ServiceName, now: Instant) -> Vec<TargetName> {
-        let ready = self.catalog.ready(service);
-        ready
-            .filter(|entry| self.rests.remaining(&entry.run(), now).is_some())
-            .map(|entry| entry.name.clone())
-            .collect()
+    pub fn resting(&self, now: Instant) -> Vec<TargetName> {
+        let resting = self.rests.resting(now);
+        resting.map(|run| run.name.clone()).collect()
     }
 
     /// Time until the first target of a service may be sent to again; none unless all of them rest.
     #[must_use]
     pub fn rest_of_all(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        if self.rests.is_empty() {
+            return None;
+        }
         let ready = self.catalog.ready(service);
         let rests: Option<Vec<_>> = ready
             .map(|entry| self.rests.remaining(&entry.run(), now))
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -22,6 +22,15 @@
 pub const REPEAT_RATIO: f64 = 0.2;
 /// See [`REPEAT_RATIO`].
 pub const REPEAT_SLACK: f64 = 50.0;
+/// Time after an answer that asks for rest within which requests may have been under way, and how many may arrive after it.
+const REST_UNDER_WAY: Duration = Duration::from_millis(500);
+/// See [`REST_UNDER_WAY`].
+const REST_MOST: usize = 2;
+/// Time after which a configuration is in force at all VMs in touch; the users' `config_apply_ms`.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// Calls to the log of each VM in a second that are no flood: three feeds that try again after 0.4 s, their listings, and a
+/// start.
+pub const LOG_CALLS_PER_S: f64 = 30.0;
 /// Length of the window that they count in.
 const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 
@@ -40,6 +49,14 @@
     WholeAnswer,
     /// A leaving target gets no new work after its bound.
     Draining,
+    /// A target that said in an answer that it leaves gets no new work from the VM that was told after its bound.
+    ToldLeaving,
+    /// A target gets no more than two requests from a VM in the rest that it asked that VM for.
+    Rest,
+    /// A configuration is in force in time at VMs in touch.
+    ConfigInTime,
+    /// The log is asked no more often than its rates allow, whatever befalls it.
+    LogCalls,
     /// A planned stop interrupts nothing, and neither does a change of settings.
     PlannedStop,
     /// A configuration in force never goes back within a process.
@@ -92,6 +109,10 @@
     found.extend(check_memory(history));
     found.extend(check_keys(history, &calls));
     found.extend(check_quotas(history, &calls));
+    found.extend(check_told_leaving(history, &calls));
+    found.extend(check_rests(history, &calls));
+    found.extend(check_config_in_time(history));
+    found.extend(check_log_calls(history));
     found
 }
 
@@ -275,6 +296,129 @@
     found
 }
 
+/// Whether a VM was struck within a span.
+fn is_struck(history: &[TimedEntry], vm: usize, from: Duration, to: Duration) -> bool {
+    history.iter().any(|entry| {
+        let is_within = from <= entry.at && entry.at <= to;
+        is_within && matches!(entry.seen, SeenEntry::Struck { vm: struck, .. } if struck == vm)
+    })
+}
+
+/// In touch or not: only what befell the VM since it was told excuses it.
+fn check_told_leaving(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut told: HashMap<(usize, &str), Duration> = HashMap::new();
+    for TimedEntry { at, seen } in history {
+        if let SeenEntry::SaidLeaving { id, target } = seen
+            && let Some(row) = calls.rows.get(id.as_str())
+        {
+            told.entry((row.vm, target)).or_insert(*at);
+        }
+    }
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        for RunRow { at, target, .. } in &row.runs {
+            if let Some(since) = told.get(&(row.vm, *target))
+                && row.sent > *since + DRAIN
+                && !is_struck(history, row.vm, *since, *at)
+            {
+                let what =
+                    format!("{id} ran at {target} at {at:?}, which said so to its VM at {since:?}");
+                found.push(broken(Promise::ToldLeaving, what));
+            }
+        }
+    }
+    found
+}
+
+fn check_rests(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut arrivals: BTreeMap<(usize, &str), Vec<Duration>> = BTreeMap::new();
+    let mut rests = Vec::new();
+    for TimedEntry { at, seen } in history {
+        let (id, target) = match seen {
+            SeenEntry::Ran { id, target, .. } | SeenEntry::TurnedAway { id, target } => {
+                (id, target)
+            }
+            SeenEntry::RestAsked { id, target, rest } => {
+                if let Some(row) = calls.rows.get(id.as_str()) {
+                    rests.push((row.vm, target.as_str(), *at, *rest));
+                }
+                continue;
+            }
+            _ => continue,
+        };
+        if let Some(row) = calls.rows.get(id.as_str()) {
+            arrivals.entry((row.vm, target)).or_default().push(*at);
+        }
+    }
+    let mut found = Vec::new();
+    for (vm, target, asked, rest) in rests {
+        let (from, to) = (asked + REST_UNDER_WAY, asked + rest);
+        let times = arrivals.get(&(vm, target)).into_iter().flatten();
+        let count = times.filter(|at| from <= **at && **at < to).count();
+        if count > REST_MOST && !is_struck(history, vm, asked, to) {
+            let what = format!(
+                "{target} asked VM {vm} at {asked:?} for {rest:?}, and got {count} requests"
+            );
+            found.push(broken(Promise::Rest, what));
+        }
+    }
+    found
+}
+
+fn check_config_in_time(history: &[TimedEntry]) -> Vec<Violation> {
+    let mut accepted: BTreeMap<u64, Duration> = BTreeMap::new();
+    let mut found = Vec::new();
+    for TimedEntry { at, seen } in history {
+        match seen {
+            SeenEntry::Configured { version } => {
+                accepted.entry(*version).or_insert(*at);
+            }
+            SeenEntry::Probed {
+                vm,
+                version,
+                has_route: false,
+                ..
+            } => {
+                let since = accepted.get(version);
+                if let Some(since) = since.filter(|since| *at > **since + CONFIG_APPLY)
+                    && is_in_touch(history, *vm, *at)
+                {
+                    let what =
+                        format!("VM {vm} lacks version {version} at {at:?}, accepted at {since:?}");
+                    found.push(broken(Promise::ConfigInTime, what));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+fn check_log_calls(history: &[TimedEntry]) -> Vec<Violation> {
+    let vms: HashSet<usize> = history
+        .iter()
+        .filter_map(|entry| match entry.seen {
+            SeenEntry::Probed { vm, .. } => Some(vm),
+            _ => None,
+        })
+        .collect();
+    let allowed = LOG_CALLS_PER_S * vms.len() as f64;
+    let floods = history.iter().filter_map(|entry| match entry.seen {
+        SeenEntry::LogCalls { calls, within } => {
+            let rate = calls as f64 / within.as_secs_f64();
+            (rate > allowed).then(|| {
+                let what = format!(
+                    "{rate:.0} calls a second at {:?}, {allowed:.0} are allowed",
+                    entry.at
+                );
+                broken(Promise::LogCalls, what)
+            })
+        }
+        _ => None,
+    });
+    floods.collect()
+}
+
 /// A request that a planned stop or a change of settings met, and nothing else, has a whole answer once it ran.
 fn check_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -186,6 +186,29 @@
         /// The VM.
         vm: usize,
     },
+    /// A target turned a request away, and wants nothing for a while from the VM that sent it.
+    RestAsked {
+        /// The request.
+        id: String,
+        /// The target.
+        target: String,
+        /// For how long.
+        rest: Duration,
+    },
+    /// A target said in its answer to a request that it leaves.
+    SaidLeaving {
+        /// The request.
+        id: String,
+        /// The target.
+        target: String,
+    },
+    /// Calls to the log since the last entry of this kind.
+    LogCalls {
+        /// How many.
+        calls: u64,
+        /// In what time.
+        within: Duration,
+    },
     /// The log or all links were disturbed, or came back.
     Disturbed,
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -28,6 +28,13 @@
     /// Faults of a run.
     #[options(no_short, help = "faults of a run", default = "8")]
     faults: usize,
+    /// Faults of a run beside those.
+    #[options(
+        no_short,
+        help = "faults beside those: targets that tell of themselves, logs from a copy",
+        default = "4"
+    )]
+    beside: usize,
     /// Zones.
     #[options(help = "availability zones", default = "2")]
     zones: usize,
@@ -142,6 +149,7 @@
         adapters: args.adapters,
         faults,
         fault_count: args.faults,
+        beside_count: args.beside,
         program: args.daemon.clone(),
         folder: args.out.join(format!("seed-{seed}")),
         planted: PlantedFault::None,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,16 +7,19 @@
     history::{CallKind, SeenEntry, SharedHistory, TimedEntry},
     organisations::{declared, draw_key, passing_key},
     prompts::parts_of,
-    schedule::{FaultKind, PlannedFault, faults_of},
+    schedule::{FaultKind, PlannedFault, faults_beside, faults_of},
     shelf::{BASE, FIRST_VERSION, PLACES},
     targets::{PlantedFault, SoakTarget, TargetRole, TargetSite, service_of},
 };
-use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
+use hoplanding_platform::names::{
+    CONFIG_KEY, FLEET_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY,
+};
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::json;
 use std::{
+    collections::BTreeMap,
     fs, io,
     path::PathBuf,
     sync::{
@@ -49,6 +52,18 @@
 const RELOAD_EVERY: Duration = Duration::from_millis(250);
 /// Pause between two looks of a target at its entry in the list.
 const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Time for which the log is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
+/// Time after which what was lost is written again.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(200);
+/// Shortest rest that targets ask for.
+const REST_LEAST: Duration = Duration::from_secs(1);
+/// Time for which answers alone say that a target leaves, at the least.
+const LEAVING_UNLISTED: Duration = Duration::from_secs(3);
+/// Records that a copy lacks at the most.
+const MOST_LOST: usize = 6;
+/// Time between two counts of the calls to the log.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
 /// Time for calls and faults to end after the last request.
 const END_WITHIN: Duration = Duration::from_secs(20);
 
@@ -73,6 +88,8 @@
     pub faults: Option<Vec<PlannedFault>>,
     /// Faults of a seed.
     pub fault_count: usize,
+    /// Faults that a seed has beside those: what targets say of themselves, and logs that come back from a copy.
+    pub beside_count: usize,
     /// The daemon's program.
     pub program: PathBuf,
     /// Where settings, logs and schedule of the run are kept.
@@ -86,9 +103,12 @@
     #[must_use]
     pub fn schedule(&self) -> Vec<PlannedFault> {
         let span = Duration::from_secs_f64(self.requests as f64 / self.rate);
-        self.faults
-            .clone()
-            .unwrap_or_else(|| faults_of(self.seed, span, self.fault_count))
+        self.faults.clone().unwrap_or_else(|| {
+            let mut faults = faults_of(self.seed, span, self.fault_count);
+            faults.extend(faults_beside(self.seed, span, self.beside_count));
+            faults.sort_by_key(|fault| fault.at_ms);
+            faults
+        })
     }
 }
 
@@ -117,6 +137,8 @@
     newest_version: Mutex<u64>,
     adapters: usize,
     target_site: TargetSite,
+    /// What operators and targets wrote last under each key, to be written again.
+    written: Mutex<BTreeMap<(&'static str, String), Option<String>>>,
 }
 
 /// Plays a run.
@@ -132,6 +154,7 @@
     site.wait_for_callers().await?;
     let prober = tokio::spawn(Arc::clone(&site).probe());
     let lister = tokio::spawn(Arc::clone(&site).renew_list());
+    let counter = tokio::spawn(Arc::clone(&site).count_log_calls());
     let begun = Instant::now();
     let mut work = JoinSet::new();
     for fault in faults.clone() {
@@ -149,6 +172,7 @@
     .await;
     prober.abort();
     lister.abort();
+    counter.abort();
     let history = site.history.entries();
     let violations = check(&history);
     Ok(RunOutcome {
@@ -188,6 +212,7 @@
             version: AtomicU64::new(1),
             newest_version: Mutex::new(FIRST_VERSION),
             adapters: plan.adapters,
+            written: Mutex::default(),
         };
         for index in 0..plan.zones * plan.engines_per_zone {
             site.add_target(TargetRole::Engine, index, Some(FIRST_VERSION))
@@ -223,7 +248,7 @@
     fn list_news(&self) {
         for target in self.lock_targets().iter() {
             if let Some(entry) = target.news() {
-                self.log.put(TARGET_TOPIC, &target.name, Some(&entry));
+                self.write(TARGET_TOPIC, &target.name, Some(&entry));
             }
         }
     }
@@ -235,6 +260,51 @@
         }
     }
 
+    /// Writes a record as an operator or a target does, who write it again if it is lost.
+    fn write(&self, topic: &'static str, key: &str, value: Option<&str>) {
+        let mut written = self.written.lock().expect("no holder of the lock panics");
+        written.insert((topic, key.to_owned()), value.map(str::to_owned));
+        self.log.put(topic, key, value);
+    }
+
+    /// Writes again what the log lacks of what operators and targets wrote.
+    fn write_again(&self) {
+        let written = self.written.lock().expect("no holder of the lock panics");
+        for ((topic, key), value) in written.iter() {
+            if self.log.newest(topic, key) != *value {
+                self.log.put(topic, key, value.as_deref());
+            }
+        }
+    }
+
+    /// The log is away for a moment, and comes back from a copy that lacks up to so many records of each topic.
+    async fn restore_log(&self, lost: usize) {
+        self.disturb(|faults| faults.is_out = true);
+        sleep(AWAY).await;
+        let topics = [OPERATOR_TOPIC, TARGET_TOPIC, FLEET_TOPIC];
+        self.log.restore(&topics.map(|topic| (topic, lost)));
+        self.disturb(|faults| faults.is_out = false);
+        sleep(WRITTEN_AGAIN).await;
+        self.write_again();
+        self.disturb(|_| {});
+    }
+
+    /// Counts the calls to the log, once a second.
+    async fn count_log_calls(self: Arc<Self>) {
+        let mut known = self.log.calls();
+        let mut since = Instant::now();
+        loop {
+            sleep(COUNT_EVERY).await;
+            let calls = self.log.calls();
+            self.history.add(SeenEntry::LogCalls {
+                calls: calls - known,
+                within: since.elapsed(),
+            });
+            known = calls;
+            since = Instant::now();
+        }
+    }
+
     async fn wait_for_callers(&self) -> io::Result<()> {
         let ready = async {
             for vm in &self.vms {
@@ -285,8 +355,7 @@
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
                         "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
         });
-        self.log
-            .put(OPERATOR_TOPIC, CONFIG_KEY, Some(&config.to_string()));
+        self.write(OPERATOR_TOPIC, CONFIG_KEY, Some(&config.to_string()));
         self.history.add(SeenEntry::Configured { version });
         for gone in 1..version {
             let key = passing_key(gone);
@@ -436,6 +505,22 @@
                 sleep(fault.length()).await;
                 engine.set_delaying_orders(false);
             }
+            FaultKind::Restore => self.restore_log(1 + fault.index % MOST_LOST).await,
+            FaultKind::Rest => {
+                let role = self.target(fault.index).role;
+                let targets = self.lock_targets().clone();
+                let of_role = targets.iter().filter(|target| target.role == role);
+                for target in of_role.skip(1) {
+                    target.rest_for(REST_LEAST + fault.length());
+                }
+            }
+            FaultKind::LeaveInAnswers => {
+                let target = self.target(fault.index);
+                target.say_leaving();
+                sleep(LEAVING_UNLISTED + fault.length()).await;
+                self.replace_target(&target, true, Some(FIRST_VERSION), fault)
+                    .await;
+            }
             FaultKind::ReloadSeries => {
                 for step in 1..=SERIES_RELOADS {
                     for vm in &self.vms {
@@ -465,7 +550,7 @@
         }
         self.target_site
             .name_version(adapter.as_deref().unwrap_or_default(), version);
-        self.log.put(OPERATOR_TOPIC, &key, Some(&value.to_string()));
+        self.write(OPERATOR_TOPIC, &key, Some(&value.to_string()));
     }
 
     fn reload(&self, vm: &SoakVm, step: usize) {
@@ -510,7 +595,7 @@
             // No entry of before is written behind the last one.
             let _targets = self.lock_targets();
             let entry = Some(target.farewell()).filter(|_| says_so);
-            self.log.put(TARGET_TOPIC, &target.name, entry.as_deref());
+            self.write(TARGET_TOPIC, &target.name, entry.as_deref());
         }
         self.history.add(SeenEntry::Leaving {
             target: target.name.clone(),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -48,11 +48,17 @@
     LateOrders,
     /// The settings of all daemons change, again and again.
     ReloadSeries,
+    /// The log is away for a moment, and comes back from a copy that lacks its last records.
+    Restore,
+    /// All targets of a service but one turn every call away, and ask each VM for rest.
+    Rest,
+    /// A target says in its answers that it leaves, and in its entry only later.
+    LeaveInAnswers,
 }
 
 impl FaultKind {
-    /// Every kind.
-    pub const ALL: [Self; 19] = [
+    /// The kinds that the seeds of a schedule are drawn from: others would change what each seed gives.
+    pub const DRAWN: [Self; 19] = [
         Self::Kill,
         Self::Pause,
         Self::PlannedStop,
@@ -73,6 +79,9 @@
         Self::LateOrders,
         Self::ReloadSeries,
     ];
+
+    /// The kinds that are drawn beside those.
+    pub const DRAWN_BESIDE: [Self; 3] = [Self::Restore, Self::Rest, Self::LeaveInAnswers];
 }
 
 impl fmt::Display for FaultKind {
@@ -111,12 +120,22 @@
 /// The faults of a seed within a span, in the order of their times; some overlap.
 #[must_use]
 pub fn faults_of(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    draw(seed, &FaultKind::DRAWN, span, count)
+}
+
+/// The faults that a seed has beside those, in the order of their times.
+#[must_use]
+pub fn faults_beside(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    draw(!seed, &FaultKind::DRAWN_BESIDE, span, count)
+}
+
+fn draw(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
     let mut faults: Vec<_> = (0..count)
         .map(|_| PlannedFault {
             at_ms: random.random_range(0..span),
-            kind: FaultKind::ALL[random.random_range(0..FaultKind::ALL.len())],
+            kind: kinds[random.random_range(0..kinds.len())],
             index: random.random_range(0..64),
             for_ms: random.random_range(LENGTHS_MS),
         })
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -10,8 +10,9 @@
     },
 };
 use hoplanding_platform::names::{
-    AUTHORIZATION, EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, MODEL, NOT_EXECUTED,
-    ORDER_PATH, ORGANISATION, PROMPT_PREFIX, REPORT_PATH, REQUEST_ID, SEAL, WEIGHT_VERSIONS,
+    AUTHORIZATION, EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, LEAVING, MODEL,
+    NOT_EXECUTED, ORDER_PATH, ORGANISATION, PROMPT_PREFIX, REPORT_PATH, REQUEST_ID, RETRY_AFTER,
+    SEAL, WEIGHT_VERSIONS,
 };
 use hoplanding_standins::{
     kept_memory::MemoryNet,
@@ -118,6 +119,10 @@
     sheds: bool,
     /// Requests seen while it sheds.
     shed_count: u64,
+    /// Until when it turns every request away and asks for rest.
+    rests_until: Option<Instant>,
+    /// Whether its answers say that it leaves.
+    says_leaving: bool,
     delays_orders: bool,
     /// Orders seen while it delays some.
     order_count: u64,
@@ -133,6 +138,8 @@
             breaks: false,
             sheds: false,
             shed_count: 0,
+            rests_until: None,
+            says_leaving: false,
             delays_orders: false,
             order_count: 0,
             listed: Some(Value::Null),
@@ -202,6 +209,16 @@
         lock(&self.state).sheds = sheds;
     }
 
+    /// It turns every request away for a while, and asks whoever sent one for rest.
+    pub fn rest_for(&self, span: Duration) {
+        lock(&self.state).rests_until = Some(Instant::now() + span);
+    }
+
+    /// From now on its answers say that it leaves.
+    pub fn say_leaving(&self) {
+        lock(&self.state).says_leaving = true;
+    }
+
     /// Whether it leaves some orders without an answer from now on, and carries them out seconds later.
     pub fn set_delaying_orders(&self, delays: bool) {
         lock(&self.state).delays_orders = delays;
@@ -271,11 +288,26 @@
         {
             return refusal(request, "421 Misdirected Request");
         }
-        match path {
+        let answer = match path {
             REPORT_PATH => self.report(),
             ORDER_PATH => self.take_order(request),
             _ => self.run(request, path),
+        };
+        self.with_leaving(request, answer)
+    }
+
+    /// An answer that says that the target leaves, if it does.
+    fn with_leaving(&self, request: &RawRequest, answer: RawAnswer) -> RawAnswer {
+        if !lock(&self.state).says_leaving {
+            return answer;
+        }
+        if let Some(id) = request.header(REQUEST_ID) {
+            self.site.history.add(SeenEntry::SaidLeaving {
+                id: id.to_owned(),
+                target: self.name.clone(),
+            });
         }
+        answer.with_header(&format!("{LEAVING}: 1\r\n"))
     }
 
     fn report(&self) -> RawAnswer {
@@ -380,6 +412,10 @@
         let named = request.header(MODEL).unwrap_or_default();
         let adapter = named.split_once('/').map_or("", |(_, adapter)| adapter);
         let mut state = lock(&self.state);
+        let now = Instant::now();
+        if let Some(until) = state.rests_until.filter(|until| now < *until) {
+            return self.ask_for_rest(request, until - now);
+        }
         state.shed_count += 1;
         if state.sheds && !state.shed_count.is_multiple_of(3) {
             return self.turn_away(request, "503 Service Unavailable");
@@ -423,6 +459,16 @@
         stream.answer(request, path)
     }
 
+    fn ask_for_rest(&self, request: &RawRequest, rest: Duration) -> RawAnswer {
+        self.site.history.add(SeenEntry::RestAsked {
+            id: request.header(REQUEST_ID).unwrap_or_default().to_owned(),
+            target: self.name.clone(),
+            rest,
+        });
+        let answer = self.turn_away(request, "503 Service Unavailable");
+        answer.with_header(&format!("{RETRY_AFTER}: {:.3}\r\n", rest.as_secs_f64()))
+    }
+
     fn turn_away(&self, request: &RawRequest, status: &str) -> RawAnswer {
         self.site.history.add(SeenEntry::TurnedAway {
             id: request.header(REQUEST_ID).unwrap_or_default().to_owned(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -356,3 +356,88 @@
     assert!(found(&history(43)).is_empty());
     assert_eq!(found(&history(44)), [Promise::Quota]);
 }
+
+#[test]
+fn a_call_to_a_target_that_told_its_vm_that_it_leaves_is_found_unless_the_vm_was_struck_since() {
+    let said = |ms| {
+        let seen = SeenEntry::SaidLeaving {
+            id: "r1".into(),
+            target: "i-1".into(),
+        };
+        at(ms, seen)
+    };
+    let first = [sent(0, "r1", CallKind::Idempotent, ""), said(10)];
+    let late = [
+        sent(2_100, "r2", CallKind::Idempotent, ""),
+        ran(2_110, "r2", "i-1", ""),
+    ];
+    let history = [first.to_vec(), late.to_vec()].concat();
+    assert_eq!(found(&history), [Promise::ToldLeaving]);
+    let disturbed = [
+        first.to_vec(),
+        vec![at(50, SeenEntry::Disturbed)],
+        late.to_vec(),
+    ]
+    .concat();
+    assert_eq!(found(&disturbed), [Promise::ToldLeaving]);
+    let excused = [first.to_vec(), vec![struck(50, false)], late.to_vec()].concat();
+    assert_eq!(found(&excused), []);
+}
+
+#[test]
+fn more_than_two_requests_of_a_vm_in_the_rest_that_it_was_asked_for_are_found() {
+    let turned_away = |ms, id: &str| {
+        let seen = SeenEntry::TurnedAway {
+            id: id.into(),
+            target: "i-1".into(),
+        };
+        at(ms, seen)
+    };
+    let rest = SeenEntry::RestAsked {
+        id: "r0".into(),
+        target: "i-1".into(),
+        rest: Duration::from_secs(3),
+    };
+    let mut history = vec![
+        sent(0, "r0", CallKind::Idempotent, ""),
+        turned_away(1, "r0"),
+        at(1, rest),
+    ];
+    for (number, ms) in [400, 1_000, 2_000, 2_900, 3_100].into_iter().enumerate() {
+        let id = format!("r{}", number + 1);
+        history.push(sent(ms - 1, &id, CallKind::Idempotent, ""));
+        history.push(turned_away(ms, &id));
+        let expected = if ms == 2_900 || ms == 3_100 {
+            vec![Promise::Rest]
+        } else {
+            Vec::new()
+        };
+        assert_eq!(found(&history), expected, "{ms}");
+    }
+}
+
+#[test]
+fn a_configuration_that_is_late_at_a_vm_in_touch_is_found() {
+    let configured = at(0, SeenEntry::Configured { version: 2 });
+    let early = probed(1_900, 1, 2, false);
+    let late = probed(2_100, 1, 2, false);
+    assert_eq!(found(&[configured.clone(), early]), []);
+    assert_eq!(
+        found(&[configured.clone(), late.clone()]),
+        [Promise::ConfigInTime]
+    );
+    assert_eq!(found(&[configured, struck(100, false), late]), []);
+}
+
+#[test]
+fn a_flood_of_calls_to_the_log_is_found() {
+    let calls = |calls| {
+        let within = Duration::from_secs(1);
+        [
+            probed(0, 1, 1, true),
+            at(1_000, SeenEntry::LogCalls { calls, within }),
+        ]
+    };
+    assert_eq!(found(&calls(20)), []);
+    assert_eq!(found(&calls(900)), [Promise::LogCalls]);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -47,6 +47,7 @@
         adapters: 6,
         faults: Some(Vec::new()),
         fault_count: 0,
+        beside_count: 0,
         program: daemon(),
         folder,
         planted: PlantedFault::None,
@@ -124,6 +125,33 @@
     assert_eq!(outcome.violations, [], "{}", plan.folder.display());
 }
 
+/// What users saw, on real processes: targets that say in their answers that they leave, targets that ask for rest, and a log that
+/// comes back from a copy, beside kills, an outage and a frozen VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_targets_say_and_a_log_from_a_copy_break_no_promise() {
+    let mut plan = plan("copies", 900);
+    plan.engines_per_zone = 2;
+    plan.faults = Some(vec![
+        fault(500, FaultKind::Configure, 0, 0),
+        fault(600, FaultKind::Rest, 0, 1_500),
+        fault(900, FaultKind::LeaveInAnswers, 1, 500),
+        fault(1_000, FaultKind::LogOut, 0, 1_500),
+        fault(3_000, FaultKind::Restore, 3, 0),
+        fault(4_000, FaultKind::Configure, 0, 0),
+        fault(4_200, FaultKind::Kill, 1, 400),
+        fault(5_000, FaultKind::Rest, 3, 1_000),
+        fault(5_500, FaultKind::Restore, 5, 0),
+        fault(5_700, FaultKind::Leave, 2, 0),
+        fault(6_000, FaultKind::Pause, 2, 900),
+        fault(7_500, FaultKind::KillAll, 0, 300),
+        fault(7_600, FaultKind::Restore, 2, 0),
+        fault(9_500, FaultKind::Configure, 0, 0),
+        fault(10_000, FaultKind::LeaveInAnswers, 0, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
 /// Faults that overlap start a VM at the same moment. A second daemon of it was left running behind the run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_vm_that_several_faults_start_at_once_runs_one_daemon() {
