A claimant that has not begun waits a turn again when it claims in a new era

Found by reading: a VM that had claimed a zone, and waited its turn before the first order, claimed it again in the new era without a pause, though the holder that it could not hear had not had its turn to read either claim. It counted its own claim as proof that nobody else leads. Now only a VM whose orders may have begun goes on without a pause. Tests of the lease over eras: the order of claims, tokens, what a copied claim is worth, and who waits.

--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -85,7 +85,7 @@
     pub is_outdated: bool,
     /// Whether this process is the holder.
     pub is_oneself: bool,
-    /// Whether no other VM can have given orders so far, though its claim may be lost.
+    /// Whether this process gives the zone's orders, and no other VM can have done so meanwhile, though its claim may be lost.
     pub was_led: bool,
 }
 
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -12,8 +12,8 @@
         streams::StreamPace,
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogOffset, LogPosition, ServiceName, TargetLife,
-        TargetName, VmName,
+        AdapterName, AvailabilityZone, Instant, LogOffset, LogPosition, ServiceName, StoreEra,
+        TargetLife, TargetName, VmName,
     },
 };
 use std::{collections::HashSet, sync::Arc, time::Duration};
@@ -509,3 +509,60 @@
     assert!(table.len() < 75_000, "{}", table.len());
     assert!(table.count(&AdapterName::new("base/a1"), at(220_000)) < 1e-9);
 }
+
+fn in_era(era: u64, offset: u64) -> LogPosition {
+    LogPosition::in_era(StoreEra(era), LogOffset(offset))
+}
+
+fn claimed_in(vm: &str, era: u64) -> Option<ZoneLease> {
+    held_by(vm).map(|lease| ZoneLease {
+        era: Some(StoreEra(era)),
+        ..lease
+    })
+}
+
+#[test]
+fn a_claim_that_a_copy_holds_is_older_than_the_one_that_it_lacks() {
+    let mut state = LeaseState::default();
+    assert!(state.apply(in_era(1, 30), claimed_in("a", 1)));
+    assert!(state.apply(in_era(1, 43), claimed_in("b", 1)));
+    assert!(!state.apply(in_era(2, 30), claimed_in("a", 1)));
+    assert_eq!(state.holder().map(VmName::as_str), Some("b"));
+    // Lower by its offset, and higher as a token.
+    let before = state.token();
+    assert!(state.apply(in_era(2, 31), claimed_in("b", 2)));
+    assert!(state.token() > before);
+    assert_eq!(state.renewed, Some(before));
+}
+
+#[test]
+fn nobody_begins_to_hold_by_a_claim_that_was_sent_in_another_history() {
+    let mut state = LeaseState::default();
+    assert!(state.apply(in_era(2, 43), claimed_in("a", 1)));
+    assert!(state.is_copied);
+    assert_eq!(state.position, in_era(1, 43));
+    assert!(state.apply(in_era(2, 44), claimed_in("a", 2)));
+    assert!(!state.is_copied);
+}
+
+#[test]
+fn who_claims_a_zone_in_a_new_era_waits_a_turn_unless_it_has_led_throughout() {
+    let mut state = LeaseState::default();
+    state.apply(in_era(1, 43), claimed_in("a", 1));
+    let outdated = |contact, is_oneself, was_led| HolderView {
+        is_outdated: true,
+        is_oneself,
+        was_led,
+        ..view(contact, 0)
+    };
+    let claim = |quiet| LeaseStep::Claim { quiet };
+    for (contact, is_oneself, was_led, expected) in [
+        (HolderContact::Heard, true, true, claim(Duration::ZERO)),
+        (HolderContact::Heard, true, false, claim(TIMES.turn)),
+        (HolderContact::Ended, false, false, claim(TIMES.turn)),
+        (HolderContact::Heard, false, false, LeaseStep::Stay),
+    ] {
+        let view = outdated(contact, is_oneself, was_led);
+        assert_eq!(state.clone().step(&TIMES, view, at(9_000)), expected);
+    }
+}
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -116,9 +116,10 @@
             rank,
             is_outdated: books.is_outdated(&self.fleet.zone),
             is_oneself: lease.as_ref().is_some_and(|lease| self.is_own(lease)),
-            was_led: books
-                .fleet_read_at
-                .is_some_and(|read_at| now < read_at.after(self.settings.leases.turn)),
+            was_led: books.leads_from <= now
+                && books
+                    .fleet_read_at
+                    .is_some_and(|read_at| now < read_at.after(self.settings.leases.turn)),
         };
         let state = books.leases.entry(self.fleet.zone.clone()).or_default();
         let position = state.position;
@@ -159,6 +160,10 @@
         match appended {
             Ok(position) => {
                 event!(Event::LeaseClaimed, "{} at {position}", self.fleet.zone);
+                {
+                    let mut books = self.fleet.books();
+                    books.leads_from = clock::now().after(books.claim_quiet);
+                }
                 self.fleet.take_own(key, value, position);
                 self.fleet.note_fleet_read(began);
                 ClaimResult::Recorded
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -140,6 +140,8 @@
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
     pub claim_quiet: Duration,
+    /// When the orders by this VM's last claim may begin.
+    pub leads_from: Instant,
     /// Entries of the target list that could not be used.
     pub skipped: SkippedEntries,
     /// Headers in which targets tell of themselves that could not be read.
@@ -324,6 +326,7 @@
                 rests: RestTable::default(),
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
+                leads_from: Instant::default(),
                 skipped: SkippedEntries::default(),
                 unread: SkippedEntries::default(),
                 leaving: LeavingNews::default(),
