--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -194,8 +194,14 @@
         plan.planted = planted;
         if planted == PlantedFault::KeepsMemory {
             // It shows where an adapter that was used is replaced, and used again.
-            plan.requests = 240;
-            plan.faults = Some(vec![fault(800, FaultKind::VersionSeries, 0, 0)]);
+            plan.requests = 480;
+            plan.faults = Some(
+                [800, 3_600]
+                    .into_iter()
+                    .flat_map(|at| (0..3).map(move |adapter| (at, adapter)))
+                    .map(|(at, adapter)| fault(at, FaultKind::VersionSeries, adapter, 0))
+                    .collect(),
+            );
         }
         let outcome = play(&plan).await.expect("it plays");
         let found: Vec<_> = outcome
