Each VM writes its own record again, also where no holder knows it

Found by reading: the holder of a zone wrote its VMs' records again by what it knew, so one that had started since the copy was made knew none to write. A VM that lists the topic sees that the copy lacks its record; one that does not writes it again within 5 s, as all VMs learn of the copy at once: by arithmetic 66 appends a second at 330 VMs, where 400 are allowed. A record that was appended under an era that is over is written again after a pause.

--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -125,10 +125,7 @@
             stop: stop_watch.clone(),
         };
         tokio::spawn(claims.run());
-        let recorder = FleetRecorder {
-            fleet: Arc::clone(&fleet),
-            settings: Arc::clone(&settings),
-        };
+        let recorder = FleetRecorder::new(Arc::clone(&fleet), Arc::clone(&settings));
         tokio::spawn(recorder.run());
         tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
         answer_questions(questions, collectors, &fleet, stop_watch.clone());
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -1,11 +1,12 @@
 //! Keeps in the log what the VMs' own records have to say, also after it came back from a copy.
 //!
-//! A VM writes its own record. The holder of a zone writes again what the copy lacks of its zone: the records of its VMs, and the
-//! quarantines that it has to record. Leases are claimed again by their holders.
+//! Each VM writes its own record, and the holder of a zone the quarantines that it has to record. Leases are claimed again by their
+//! holders. A VM that lists the fleet's topic sees what a copy lacks; one that does not writes its record again to be sure, at a
+//! moment of its own, as all VMs learn of the copy at once.
 
 use crate::{
     direct::{
-        fleet::{FleetBooks, FleetState, SUSPECT_KEY, VM_KEY, VmRecord, vm_key},
+        fleet::{FleetBooks, FleetState, SUSPECT_KEY, VmRecord, vm_key},
         message::FeedTopic,
         settings::DirectSettings,
     },
@@ -15,46 +16,63 @@
 use bytes::Bytes;
 use hoplanding_core::{
     direct::{suspects::RequestFingerprint, trials::trial_zones},
-    ids::{AvailabilityZone, VmName},
+    ids::StoreEra,
 };
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
 };
 use std::{sync::Arc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-/// Pause after a record that was not written.
+/// Pause after a record that was not written, or has to be written once more.
 const RECORD_AGAIN: Duration = Duration::from_millis(500);
 /// Longest time between two looks at what has to be written.
-const LOOK_EVERY: Duration = Duration::from_secs(5);
-/// Pause between two records, as every VM of a large fleet may have some to write.
-const RECORD_EVERY: Duration = Duration::from_millis(20);
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Pause between two looks, as the books change with every target that comes or goes.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Time within which the VMs that have not listed the topic write their records again, each at a moment of its own.
+const SPREAD_OVER: Duration = Duration::from_secs(5);
 
 /// Writes the fleet's records that the log lacks.
 pub struct FleetRecorder {
-    /// The books.
-    pub fleet: Arc<FleetState>,
-    /// Settings.
-    pub settings: Arc<DirectSettings>,
+    fleet: Arc<FleetState>,
+    settings: Arc<DirectSettings>,
+    /// When this VM's record is written again though it may be there, and in which era.
+    again_at: Option<(StoreEra, Instant)>,
 }
 
 impl FleetRecorder {
+    /// A recorder of this VM.
+    #[must_use]
+    pub fn new(fleet: Arc<FleetState>, settings: Arc<DirectSettings>) -> Self {
+        Self {
+            fleet,
+            settings,
+            again_at: None,
+        }
+    }
+
     /// Writes until the process ends.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let mut client = StoreClient::new(self.settings.platform_address);
         let mut changes = self.fleet.watch();
+        let mut written = None;
         loop {
             while let Some((key, value)) = self.next_missing() {
+                if written.as_ref() == Some(&key) {
+                    sleep(RECORD_AGAIN).await;
+                }
                 if let Err(error) = self.append(&mut client, &key, &value).await {
                     event!(Event::RecordFailed, "{key}: {error}");
                     sleep(RECORD_AGAIN).await;
-                } else {
-                    sleep(RECORD_EVERY).await;
                 }
+                written = Some(key);
             }
+            written = None;
             // The sender lives as long as the books.
             let _ = timeout(LOOK_EVERY, changes.changed()).await;
+            sleep(LOOK_PAUSE).await;
         }
     }
 
@@ -66,52 +84,67 @@
     ) -> Result<(), StoreError> {
         let within = self.settings.pace.platform_timeout;
         let position = client.append(FLEET_TOPIC, key, value, None, within).await?;
-        if self.fleet.meet_era(position.era()) {
-            self.fleet
-                .take_own(key.to_owned(), value.to_vec(), position);
+        if !self.fleet.meet_era(position.era()) {
+            return Err(StoreError::OtherEra(position.era()));
         }
+        self.fleet
+            .take_own(key.to_owned(), value.to_vec(), position);
         Ok(())
     }
 
     /// A record that the log lacks and this VM has to write, and its value.
-    fn next_missing(&self) -> Option<(String, Bytes)> {
-        let books = self.fleet.books();
+    fn next_missing(&mut self) -> Option<(String, Bytes)> {
+        let fleet = Arc::clone(&self.fleet);
+        let books = fleet.books();
         if !books.ends.contains_key(&FeedTopic::Fleet) {
             return None;
         }
-        let own = self.own_record();
-        let key = vm_key(&self.fleet.vm);
-        if books.vms.get(&self.fleet.vm) != Some(&own) {
-            let value = serde_json::to_vec(&own).expect("a record has a JSON form");
-            return Some((key, value.into()));
-        }
-        let is_holder = books
-            .leases
-            .get(&self.fleet.zone)
-            .is_some_and(|state| state.holder() == Some(&self.fleet.vm));
-        let has_listed = books.listed_in.is_some() && books.listed_in == books.store_era;
-        if !is_holder || !has_listed {
-            return None;
+        if self.lacks_own(&books) {
+            let value = serde_json::to_vec(&self.own_record()).expect("a record has a JSON form");
+            return Some((vm_key(&fleet.vm), value.into()));
         }
-        let mut lost = books.records.before_era(FeedTopic::Fleet, books.listed_in?);
-        lost.find(|(key, _)| self.is_ours(&books, key))
+        let state = books.leases.get(&fleet.zone);
+        let is_holder = state.is_some_and(|state| state.holder() == Some(&fleet.vm));
+        let listed_in = books.listed_in.filter(|_| is_holder);
+        let era = listed_in.filter(|era| Some(*era) == books.store_era)?;
+        let mut lost = books.records.before_era(FeedTopic::Fleet, era);
+        lost.find(|(key, _)| self.is_ours(key))
             .map(|(key, value)| (key.to_owned(), value.clone()))
     }
 
-    /// Whether a record is for this zone's holder to write.
-    fn is_ours(&self, books: &FleetBooks, key: &str) -> bool {
-        let zone = &self.fleet.zone;
-        if let Some(vm) = key.strip_prefix(VM_KEY) {
-            let record = books.vms.get(&VmName::new(vm));
-            return record.is_some_and(|record| record.zone == *zone);
+    /// Whether the log lacks this VM's record, or may lack it for so long that it is written once more.
+    fn lacks_own(&mut self, books: &FleetBooks) -> bool {
+        if books.vms.get(&self.fleet.vm) != Some(&self.own_record()) {
+            return true;
         }
+        let key = vm_key(&self.fleet.vm);
+        let recorded = books.records.position(FeedTopic::Fleet, &key);
+        let Some(era) = books.store_era else {
+            return false;
+        };
+        if recorded.is_none_or(|position| position.era() >= era) {
+            return false;
+        }
+        if books.listed_in == Some(era) {
+            return true;
+        }
+        let now = Instant::now();
+        let known = self.again_at.filter(|(known, _)| *known == era);
+        let pause = SPREAD_OVER.mul_f64(rand::random());
+        let (_, at) = known.unwrap_or((era, now + pause));
+        self.again_at = Some((era, at));
+        now >= at
+    }
+
+    /// Whether a record is a quarantine that this zone's holder has to record.
+    fn is_ours(&self, key: &str) -> bool {
         let Some(text) = key.strip_prefix(SUSPECT_KEY) else {
             return false;
         };
         let fingerprint = u64::from_str_radix(text, 16).map(RequestFingerprint);
         fingerprint.is_ok_and(|fingerprint| {
-            let zones: Vec<AvailabilityZone> = trial_zones(fingerprint, &self.settings.zones);
-            zones.first() == Some(zone)
+            let zones = trial_zones(fingerprint, &self.settings.zones);
+            zones.first() == Some(&self.fleet.zone)
         })
     }
 
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -50,6 +50,13 @@
         kept.is_some_and(|kept| kept.position == position)
     }
 
+    /// The position of the record that is kept of a key; none where it has none.
+    #[must_use]
+    pub fn position(&self, topic: FeedTopic, key: &str) -> Option<LogPosition> {
+        let kept = self.records.get(&(topic, key.to_owned()))?;
+        Some(kept.position)
+    }
+
     /// The value that is kept of a key; none where it has none.
     #[must_use]
     pub fn value(&self, topic: FeedTopic, key: &str) -> Option<&[u8]> {
@@ -124,9 +131,10 @@
         topic: FeedTopic,
         era: StoreEra,
     ) -> impl Iterator<Item = (&str, &Bytes)> {
-        let records = self.records.iter();
+        let records = self.records.range((topic, String::new())..);
         records
-            .filter(move |((kept, _), record)| *kept == topic && record.position.era() < era)
+            .take_while(move |((kept, _), _)| *kept == topic)
+            .filter(move |(_, record)| record.position.era() < era)
             .filter_map(|((_, key), record)| Some((key.as_str(), record.value.as_ref()?)))
     }
 
