--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -464,7 +464,7 @@
         }
     }
 
-    /// Asks a zone's holder for its lease, which was recorded at an position.
+    /// Asks a zone's holder for its lease, which was recorded at a position.
     pub fn ask_for_lease(&self, zone: &AvailabilityZone, lease: &ZoneLease, position: LogPosition) {
         if let Some(link) = self.link(zone, lease) {
             link.tell(VmMessage::LeaseWanted(position));
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -182,7 +182,7 @@
         }
     }
 
-    /// Reads the fleet's records from an position on; says whether that went well.
+    /// Reads the fleet's records from a position on; says whether that went well.
     async fn read_on(&self, client: &mut StoreClient, from: LogPosition) -> bool {
         let within = self.settings.pace.platform_timeout;
         match client.read(FLEET_TOPIC, from, Duration::ZERO, within).await {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -110,7 +110,7 @@
     pub ends: BTreeMap<FeedTopic, LogPosition>,
     /// Of those topics the position from which on every record is known, removals too.
     pub since: BTreeMap<FeedTopic, LogPosition>,
-    /// Topics that this VM has to read itself up to an position, as a listing of another VM left removals out.
+    /// Topics that this VM has to read itself up to a position, as a listing of another VM left removals out.
     pub gaps: BTreeMap<FeedTopic, LogPosition>,
     /// This VM's contact with the target list, and what others say of theirs.
     pub contact: LogContact,
@@ -170,7 +170,7 @@
         self.sought.get(adapter).is_some_and(|until| now < *until)
     }
 
-    /// No record of a topic that is known whole is missing before an position.
+    /// No record of a topic that is known whole is missing before a position.
     pub(super) fn advance(&mut self, topic: FeedTopic, end: LogPosition) {
         let Some(known) = self.ends.get_mut(&topic) else {
             return;
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -72,7 +72,7 @@
         self.signal();
     }
 
-    /// Every key of a topic is known, and no record before an position is missing.
+    /// Every key of a topic is known, and no record before a position is missing.
     pub(super) fn note_whole(&self, span: TopicSpan, source: RecordSource) {
         let TopicSpan { topic, since, end } = span;
         let whole = {
@@ -112,7 +112,7 @@
         }
     }
 
-    /// The fleet's topic was read up to an position.
+    /// The fleet's topic was read up to a position.
     pub(super) fn note_end(&self, topic: FeedTopic, end: LogPosition) {
         if topic == FeedTopic::Fleet {
             let mut books = self.books();
