Confirm a claim by one more read before its first order, where it had to wait a turn

Found by reading, played by a_claimant_that_has_not_read_the_log_since_its_claim_gives_no_order_after_its_turn: a VM claims a zone, waits its turn, and has not read the log since; the log comes back from a copy that lacks the claim, and another VM holds the zone by a newer one. Now the first order of a claimant that has to wait comes after a read that was answered in the era of its claim; where the log is out of reach, after another turn. A holder that claims again without a pause must have had its claim confirmed.

--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -142,6 +142,11 @@
         &self.loads
     }
 
+    /// Gives no order before then.
+    pub fn hold_orders(&mut self, until: Instant) {
+        self.orders_from = self.orders_from.max(until);
+    }
+
     /// Gives no order from now on.
     pub fn stop_orders(&mut self) {
         self.orders_from = Instant(u64::MAX);
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -4,7 +4,7 @@
     clock,
     direct::{
         access::ZoneAccess,
-        fleet::{FleetState, zone_key},
+        fleet::{FleetBooks, FleetState, zone_key},
         front::StopPhase,
         message::FeedTopic,
         settings::DirectSettings,
@@ -13,7 +13,7 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::lease::{HolderContact, HolderView, LeaseStep, ZoneLease},
+    direct::lease::{HolderContact, HolderView, LeaseState, LeaseStep, ZoneLease},
     ids::LogPosition,
 };
 use hoplanding_platform::{
@@ -66,6 +66,7 @@
             if *self.stop.borrow() != StopPhase::Serving {
                 return;
             }
+            self.confirm(&mut client).await;
             for _ in 0..CLAIM_TRIES {
                 if !self.wants_claim() {
                     break;
@@ -116,7 +117,7 @@
             rank,
             is_outdated: books.is_outdated(&self.fleet.zone),
             is_oneself: lease.as_ref().is_some_and(|lease| self.is_own(lease)),
-            was_led: books.leads_from <= now
+            was_led: self.is_confirmed(&books)
                 && books
                     .fleet_read_at
                     .is_some_and(|read_at| now < read_at.after(self.settings.leases.turn)),
@@ -126,6 +127,7 @@
         let step = state.step(&self.settings.leases, view, now);
         if let LeaseStep::Claim { quiet } = step {
             books.claim_quiet = quiet;
+            books.leads_from = now.after(quiet);
         }
         drop(books);
         if let (LeaseStep::AskFor, Some(lease)) = (step, &lease) {
@@ -135,6 +137,40 @@
         matches!(step, LeaseStep::Claim { .. })
     }
 
+    /// Whether this VM may give orders by the newest record of its zone's lease.
+    fn is_confirmed(&self, books: &FleetBooks) -> bool {
+        let state = books.leases.get(&self.fleet.zone);
+        state.is_some_and(|state| books.confirmed == Some(state.token()))
+    }
+
+    /// Confirms a claim after its turn by one more read: a log that came back from a copy may lack it, and another VM may hold the
+    /// zone since. Where the log is out of reach the claim counts after another turn, as it would without copies.
+    async fn confirm(&self, client: &mut StoreClient) {
+        let now = clock::now();
+        let lease = self.fleet.lease(&self.fleet.zone);
+        let (end, leads_from) = {
+            let books = self.fleet.books();
+            let is_due = lease.is_some_and(|lease| self.is_own(&lease))
+                && !self.is_confirmed(&books)
+                && now >= books.leads_from;
+            let Some(end) = books.fleet_end.filter(|_| is_due) else {
+                return;
+            };
+            (end, books.leads_from)
+        };
+        let is_read = self.read_on(client, end).await;
+        if !is_read && now < leads_from.after(self.settings.leases.turn) {
+            return;
+        }
+        let lease = self.fleet.lease(&self.fleet.zone);
+        let mut books = self.fleet.books();
+        let is_held = lease.is_some_and(|lease| self.is_own(&lease));
+        if is_held && !books.is_outdated(&self.fleet.zone) {
+            let state = books.leases.get(&self.fleet.zone);
+            books.confirmed = state.map(LeaseState::token);
+        }
+    }
+
     fn is_own(&self, lease: &ZoneLease) -> bool {
         lease.vm.as_ref() == Some(&self.fleet.vm) && lease.incarnation == self.fleet.incarnation
     }
@@ -162,7 +198,8 @@
                 event!(Event::LeaseClaimed, "{} at {position}", self.fleet.zone);
                 {
                     let mut books = self.fleet.books();
-                    books.leads_from = clock::now().after(books.claim_quiet);
+                    let is_at_once = books.claim_quiet.is_zero();
+                    books.confirmed = is_at_once.then(|| position.token());
                 }
                 self.fleet.take_own(key, value, position);
                 self.fleet.note_fleet_read(began);
@@ -191,6 +228,9 @@
                 true
             }
             Err(error) => {
+                if let StoreError::OtherEra(era) = error {
+                    self.fleet.meet_era(era);
+                }
                 event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
                 false
             }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -32,8 +32,8 @@
         suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogPosition, ServiceName, StoreEra, TargetName,
-        TargetRun, VmName,
+        AdapterName, AvailabilityZone, FencingToken, Instant, LogPosition, ServiceName, StoreEra,
+        TargetName, TargetRun, VmName,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -140,8 +140,10 @@
     pub records: RecordBook,
     /// Pause before the first order after the claim that is under way.
     pub claim_quiet: Duration,
-    /// When the orders by this VM's last claim may begin.
+    /// When the turn after this VM's last claim is over.
     pub leads_from: Instant,
+    /// Token of this VM's claim by which it may give orders.
+    pub confirmed: Option<FencingToken>,
     /// Entries of the target list that could not be used.
     pub skipped: SkippedEntries,
     /// Headers in which targets tell of themselves that could not be read.
@@ -327,6 +329,7 @@
                 records: RecordBook::default(),
                 claim_quiet: Duration::ZERO,
                 leads_from: Instant::default(),
+                confirmed: None,
                 skipped: SkippedEntries::default(),
                 unread: SkippedEntries::default(),
                 leaving: LeavingNews::default(),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -210,7 +210,11 @@
                         ledger.lead_until(led_until);
                     }
                     self.sync_suspects();
+                    let confirmed = self.fleet.books().confirmed;
                     if let Some(held) = &mut self.held {
+                        if confirmed != Some(held.token) {
+                            held.planner.hold_orders(clock::now().after(2 * TICK));
+                        }
                         held.planner.lead_until(led_until);
                         held.planner.tick(clock::now());
                         held.tell_loads();
@@ -527,6 +531,7 @@
             .get(&self.fleet.zone)
             .is_some_and(|state| state.had_holder);
         let quiet = books.claim_quiet;
+        let is_confirmed = token.is_some() && books.confirmed == token;
         let policy = books.policy;
         let service = books.active.as_ref().and_then(|active| {
             let service = active
@@ -585,7 +590,9 @@
         }
         let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
         let held = self.held.get_or_insert_with(|| {
-            let mut held = hold(token, &service, &limits, zones, now.after(quiet));
+            // Longer than to the next tick, which asks whether the claim is confirmed.
+            let orders_from = now.after(quiet.max(2 * TICK * u32::from(!is_confirmed)));
+            let mut held = hold(token, &service, &limits, zones, orders_from);
             if had_holder {
                 held.planner.succeed(now.after(quiet));
             }
--- a/crates/daemon/tests/direct/restores.rs
+++ b/crates/daemon/tests/direct/restores.rs
@@ -11,7 +11,7 @@
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawAnswer, RawRequest, RawTarget},
-    relay::LinkState,
+    relay::{LinkRelay, LinkState},
 };
 use hoplandingd::direct::daemon::DirectDaemon;
 use std::{
@@ -452,3 +452,53 @@
     assert!(claimed[0].contains("\"era\":1"), "{claimed:?}");
     assert!(claimed[1].contains("\"era\":2"), "{claimed:?}");
 }
+
+/// The claim of a VM that waits its turn is lost with the copy, and another VM holds the zone since: the first one has not read that.
+#[tokio::test]
+async fn a_claimant_that_has_not_read_the_log_since_its_claim_gives_no_order_after_its_turn() {
+    let log = KeyedLog::start().await.expect("a log");
+    let orders = OrderLog::default();
+    let seen = orders.clone();
+    let engine = RawTarget::start(move |request: &RawRequest| {
+        seen.answer(request)
+            .unwrap_or_else(|| stream(request, None))
+    });
+    let engine = engine.await.expect("an engine");
+    log.put(OPERATORS, "config", Some(&config(1)));
+    let text = entry("scribe", engine.address, "ready", &["a1@1"]);
+    log.put(TARGETS, "e-1", Some(&text));
+    let lease = |vm: &str, era: u64| serde_json::json!({ "vm": vm, "incarnation": 9, "address": "127.0.0.1:9", "era": era });
+    log.put(FLEET, "zone/hall", Some(&lease("vm-8", 1).to_string()));
+    log.restore(&[]);
+    let relay = LinkRelay::start().await.expect("a relay");
+    relay.set_target(log.address());
+    let mut settings = settings("vm-1", &log);
+    settings.platform_address = relay.address;
+    settings.leases.turn = Duration::from_secs(2);
+    settings.are_orders_fenced = true;
+    let daemon = DirectDaemon::start(settings).await;
+    let daemon = daemon.expect("the daemon starts");
+    wait_for("its claim", async || {
+        let lease = daemon.fleet().lease(&daemon.fleet().zone);
+        lease.is_some_and(|lease| lease.vm == Some(VmName::new("vm-1")))
+    })
+    .await;
+    relay.set(LinkState::Cut);
+    let lost = log.len(FLEET) - 1;
+    log.restore(&[(FLEET, lost)]);
+    log.put(FLEET, "zone/hall", Some(&lease("vm-9", 3).to_string()));
+    let until = Instant::now() + Duration::from_millis(3_500);
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let request = post("/plan/1", &format!("n{number}"), &model("b1"));
+        let _ = timeout(
+            Duration::from_millis(200),
+            ask(daemon.caller_address, &request),
+        )
+        .await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let given = orders.0.lock().expect("no holder panics").clone();
+    assert!(given.is_empty(), "orders of a VM whose claim is lost: {given:?}");
+}
