--- a/crates/daemon/tests/direct/restores.rs
+++ b/crates/daemon/tests/direct/restores.rs
@@ -500,5 +500,8 @@
         sleep(Duration::from_millis(50)).await;
     }
     let given = orders.0.lock().expect("no holder panics").clone();
-    assert!(given.is_empty(), "orders of a VM whose claim is lost: {given:?}");
+    assert!(
+        given.is_empty(),
+        "orders of a VM whose claim is lost: {given:?}"
+    );
 }
