--- a/crates/daemon/tests/direct/limits.rs
+++ b/crates/daemon/tests/direct/limits.rs
@@ -1,17 +1,13 @@
 //! Targets that name how many requests a second they take from all VMs together.
 
 use crate::support::{
-    Answer, ask, good, model, post, sealed, second_vm, settings, site_of, stream, wait_for,
+    good, model, sealed, second_vm, send_many, settings, site_of, stream, wait_for,
 };
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawAnswer, RawRequest, RawTarget},
 };
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
-use tokio::time::sleep;
+use std::time::{Duration, Instant};
 
 /// Requests a second that the targets of these tests take.
 const LIMIT: f64 = 2.0;
@@ -31,27 +27,6 @@
     seen.iter().filter(is_call).count()
 }
 
-/// Sends a call every few milliseconds, to each address in turn, and waits for all answers.
-async fn send_many(
-    addresses: &[SocketAddr],
-    path: &str,
-    headers: &str,
-    count: usize,
-) -> Vec<Answer> {
-    let mut asked = Vec::new();
-    for number in 0..count {
-        let request = post(path, &format!("m{number}"), headers);
-        let address = addresses[number % addresses.len()];
-        asked.push(tokio::spawn(async move { ask(address, &request).await }));
-        sleep(Duration::from_millis(25)).await;
-    }
-    let mut answers = Vec::new();
-    for answer in asked {
-        answers.push(answer.await.expect("an answer"));
-    }
-    answers
-}
-
 #[tokio::test]
 async fn a_plain_target_gets_no_more_than_the_limit_that_it_names() {
     let log = KeyedLog::start().await.expect("a log");
--- a/crates/daemon/tests/direct/notices.rs
+++ b/crates/daemon/tests/direct/notices.rs
@@ -1,8 +1,8 @@
 //! What targets say of themselves in their answers: that they leave, and that they want rest.
 
 use crate::support::{
-    Answer, ask, config, entry, good, model, post, sealed, second_vm, settings, site_of, stream,
-    wait_for,
+    Answer, ask, config, entry, good, model, post, sealed, second_vm, send_many, settings, site_of,
+    stream, wait_for,
 };
 use futures_util::future::join_all;
 use hoplanding_standins::{
@@ -98,28 +98,6 @@
     }
 }
 
-/// Sends a call to each address in turn every few milliseconds, and gives their answers. The ids begin with the VM's number.
-async fn send_many(
-    addresses: &[SocketAddr],
-    path: &str,
-    headers: &str,
-    count: usize,
-) -> Vec<Answer> {
-    let mut asked = Vec::new();
-    for number in 0..count {
-        let vm = number % addresses.len();
-        let request = post(path, &format!("vm{vm}-{number}"), headers);
-        let address = addresses[vm];
-        asked.push(tokio::spawn(async move { ask(address, &request).await }));
-        sleep(Duration::from_millis(20)).await;
-    }
-    let mut answers = Vec::new();
-    for answer in asked {
-        answers.push(answer.await.expect("an answer"));
-    }
-    answers
-}
-
 /// Sends calls at once, so that every target gets some.
 async fn send_at_once(address: SocketAddr, path: &str, headers: &str) -> Vec<Answer> {
     let asked = (0..12).map(|number| {
--- a/crates/daemon/tests/direct/support.rs
+++ b/crates/daemon/tests/direct/support.rs
@@ -114,6 +114,29 @@
         .expect("an answer in time")
 }
 
+/// Sends a call every few milliseconds, to each address in turn, and waits for all answers. The ids begin with the number of
+/// the address.
+pub async fn send_many(
+    addresses: &[SocketAddr],
+    path: &str,
+    headers: &str,
+    count: usize,
+) -> Vec<Answer> {
+    let mut asked = Vec::new();
+    for number in 0..count {
+        let vm = number % addresses.len();
+        let request = post(path, &format!("vm{vm}-{number}"), headers);
+        let address = addresses[vm];
+        asked.push(tokio::spawn(async move { ask(address, &request).await }));
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut answers = Vec::new();
+    for answer in asked {
+        answers.push(answer.await.expect("an answer"));
+    }
+    answers
+}
+
 pub async fn read_answer(stream: &mut TcpStream) -> Answer {
     let mut bytes = Vec::new();
     let end = loop {
