Count the calls that starts make to the log, where the soak checks its rates

The check allowed nothing for starts. It allows 15 for each start now, by what a start does, and 30 a second for each VM as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -28,9 +28,12 @@
 const REST_MOST: usize = 2;
 /// Time after which a configuration is in force at all VMs in touch; the users' `config_apply_ms`.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
-/// Calls to the log of each VM in a second that are no flood: three feeds that try again after 0.4 s, their listings, and a
-/// start.
+/// Calls to the log of each VM in a second that are no flood: three feeds that try again after 0.4 s, and their listings.
 pub const LOG_CALLS_PER_S: f64 = 30.0;
+/// Calls that a start may make beside them: three listings, three reads, its record, and four tries of a claim.
+const START_CALLS: f64 = 15.0;
+/// Time within which it makes them.
+const START_WITHIN: Duration = Duration::from_secs(1);
 /// Length of the window that they count in.
 const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 
@@ -402,13 +405,20 @@
             _ => None,
         })
         .collect();
-    let allowed = LOG_CALLS_PER_S * vms.len() as f64;
+    let starts = |from: Duration, to: Duration| {
+        let started = history.iter().filter(|entry| {
+            matches!(entry.seen, SeenEntry::Started { .. }) && from <= entry.at && entry.at <= to
+        });
+        started.count() as f64
+    };
     let floods = history.iter().filter_map(|entry| match entry.seen {
         SeenEntry::LogCalls { calls, within } => {
-            let rate = calls as f64 / within.as_secs_f64();
-            (rate > allowed).then(|| {
+            let from = entry.at.saturating_sub(within + START_WITHIN);
+            let steady = LOG_CALLS_PER_S * vms.len() as f64 * within.as_secs_f64();
+            let allowed = steady + START_CALLS * starts(from, entry.at);
+            (calls as f64 > allowed).then(|| {
                 let what = format!(
-                    "{rate:.0} calls a second at {:?}, {allowed:.0} are allowed",
+                    "{calls} calls in {within:?} at {:?}, {allowed:.0} are allowed",
                     entry.at
                 );
                 broken(Promise::LogCalls, what)
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -202,6 +202,11 @@
         /// The target.
         target: String,
     },
+    /// A VM's process was started again.
+    Started {
+        /// The VM.
+        vm: usize,
+    },
     /// Calls to the log since the last entry of this kind.
     LogCalls {
         /// How many.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -577,6 +577,7 @@
 
     fn restart_now(&self, vm: &SoakVm) {
         vm.note_strike(false);
+        self.history.add(SeenEntry::Started { vm: vm.index });
         if let Err(error) = vm.start() {
             eprintln!("VM {} was not started again: {error}", vm.index);
         }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -440,4 +440,12 @@
     };
     assert_eq!(found(&calls(20)), []);
     assert_eq!(found(&calls(900)), [Promise::LogCalls]);
+    // A start makes some calls of its own.
+    assert_eq!(found(&calls(40)), [Promise::LogCalls]);
+    let started = vec![at(200, SeenEntry::Started { vm: 0 })];
+    assert_eq!(found(&[started.clone(), calls(40).to_vec()].concat()), []);
+    assert_eq!(
+        found(&[started, calls(60).to_vec()].concat()),
+        [Promise::LogCalls]
+    );
 }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -125,6 +125,19 @@
     assert_eq!(outcome.violations, [], "{}", plan.folder.display());
 }
 
+/// Twelve starts a second make 130 calls to the log, 11 each: the check of its rates took them for a flood.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_series_of_kills_at_once_break_no_promise() {
+    let mut plan = plan("two-series", 360);
+    plan.seed = 3;
+    plan.faults = Some(vec![
+        fault(1_000, FaultKind::KillSeries, 0, 0),
+        fault(1_350, FaultKind::KillSeries, 0, 0),
+    ]);
+    let outcome = play(&plan).await.expect("it plays");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+}
+
 /// What users saw, on real processes: targets that say in their answers that they leave, targets that ask for rest, and a log that
 /// comes back from a copy, beside kills, an outage and a frozen VM.
 #[tokio::test(flavor = "multi_thread")]
