Record a request under which a target ended from the first end on

Callers saw: after each kill of all VMs a poison request ended one more target, six in six kills where three are borne, and everybody on them got a 502.

Cause: only quarantines were recorded, from the second end on; a first end was known to holders and the VM that saw it, and gone with them. A VM also served before it knew the suspects, and alone where no holder answered.

Ruled out: a record that comes too late (no key was written at all after a first end; kills 50 ms and 1 s after the answer gave the same).

Change: the gateway that saw an end records it before it answers its caller or sends again; the holder that grants the trials keeps the log as the books say, also after a copy, and drops the record of a clear request. Records expire by the time of day. A VM serves nobody until it knows the suspects.

The model begins before the first end now; SECOND_FIRST, the fault, has a counterexample.

--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -5,7 +5,7 @@
 //! of them may be the cause. Suspects run as trials only (see `trials`), and no two suspects of one end share a target
 //! again where there is another, so that a second end tells which of them is the cause.
 //!
-//! The count of ends outlives every pause between trials. It ends with a trial that is answered well, or once the
+//! The count of ends outlives every pause between trials, and all VMs. It ends with a trial that is answered well, or once the
 //! request has stayed away for a day.
 
 use crate::ids::{Instant, TargetRun};
@@ -15,7 +15,7 @@
 /// Ends from which a request is quarantined.
 pub const QUARANTINED_FROM: usize = 2;
 /// Time after which a request that stays away is forgotten.
-const REMEMBERED_FOR: Duration = Duration::from_secs(24 * 3_600);
+pub const REMEMBERED_FOR: Duration = Duration::from_secs(24 * 3_600);
 /// Requests that are remembered; beyond that those with the fewest ends go first. A fleet that loses a quarter of 140 engines
 /// with 12 requests each has 420 of them.
 const KEPT_MOST: usize = 2_048;
@@ -62,52 +62,73 @@
     }
 }
 
+/// What counts against a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectStanding {
+    /// Targets that ended under it, in the order in which they were noted.
+    pub ended: Vec<TargetRun>,
+    /// When the last one was noted.
+    pub since: Instant,
+    /// When it is forgotten unless it comes again.
+    pub until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct NotedEnd {
+    run: TargetRun,
+    /// Whether the request has been answered well since.
+    is_pardoned: bool,
+}
+
 #[derive(Clone, Debug)]
 struct SuspectRow {
     /// Targets that ended under it, in the order in which they were noted.
-    ended: Vec<TargetRun>,
-    /// How many of them came before its last good answer.
-    pardoned: usize,
+    ends: Vec<NotedEnd>,
     /// When the last one was noted.
     since: Instant,
-    /// When it was last heard of.
-    seen: Instant,
+    /// When it is forgotten.
+    until: Instant,
 }
 
 impl SuspectRow {
     fn new(now: Instant) -> Self {
         Self {
-            ended: Vec::new(),
-            pardoned: 0,
+            ends: Vec::new(),
             since: now,
-            seen: now,
+            until: now,
         }
     }
 
     /// Ends that count against it.
-    fn counted(&self) -> &[TargetRun] {
-        &self.ended[self.pardoned..]
+    fn counted(&self) -> impl Iterator<Item = &TargetRun> {
+        let counted = self.ends.iter().filter(|end| !end.is_pardoned);
+        counted.map(|end| &end.run)
+    }
+
+    fn is_counted(&self, run: &TargetRun) -> bool {
+        self.counted().any(|counted| counted == run)
     }
 
     fn note(&mut self, run: &TargetRun, now: Instant) -> bool {
-        if self.ended.contains(run) {
+        if self.ends.iter().any(|end| end.run == *run) {
             return false;
         }
-        if self.ended.len() >= ENDS_MOST {
-            if self.pardoned == 0 {
+        if self.ends.len() >= ENDS_MOST {
+            let Some(oldest) = self.ends.iter().position(|end| end.is_pardoned) else {
                 return false;
-            }
-            self.ended.remove(0);
-            self.pardoned -= 1;
+            };
+            self.ends.remove(oldest);
         }
-        self.ended.push(run.clone());
+        self.ends.push(NotedEnd {
+            run: run.clone(),
+            is_pardoned: false,
+        });
         self.since = now;
-        self.seen = now;
         true
     }
 
     fn is_remembered(&self, now: Instant) -> bool {
-        now.since(self.seen) < REMEMBERED_FOR
+        now < self.until
     }
 }
 
@@ -127,12 +148,20 @@
 
     /// Notes that a target ended under a request; says whether that is news.
     pub fn note_ended(&mut self, ended: &EndedUnder, now: Instant) -> bool {
+        self.note_until(ended, now.after(REMEMBERED_FOR), now)
+    }
+
+    /// Notes an end that is remembered until a time; says whether it is news.
+    pub fn note_until(&mut self, ended: &EndedUnder, until: Instant, now: Instant) -> bool {
         self.rows.retain(|_, row| row.is_remembered(now));
+        if until <= now {
+            return false;
+        }
         let row = self.rows.entry(ended.fingerprint);
-        let is_news = row
-            .or_insert_with(|| SuspectRow::new(now))
-            .note(&ended.run, now);
+        let row = row.or_insert_with(|| SuspectRow::new(now));
+        let is_news = row.note(&ended.run, now);
         if is_news {
+            row.until = row.until.max(until);
             self.drop_beyond(ended.fingerprint);
             self.revision += 1;
         }
@@ -144,7 +173,7 @@
             return;
         }
         let others = self.rows.iter().filter(|(known, _)| **known != newest);
-        let least = others.min_by_key(|(_, row)| (row.counted().len(), row.seen));
+        let least = others.min_by_key(|(_, row)| (row.counted().count(), row.until));
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.rows.remove(&fingerprint);
         }
@@ -155,16 +184,27 @@
         let Some(row) = self.rows.get_mut(&fingerprint) else {
             return false;
         };
-        let was_suspect = !row.counted().is_empty();
-        row.pardoned = row.ended.len();
+        let was_suspect = row.counted().next().is_some();
+        row.ends.iter_mut().for_each(|end| end.is_pardoned = true);
         self.revision += u64::from(was_suspect);
         was_suspect
     }
 
+    /// Some ends of a request no longer count against it.
+    pub fn pardon_ends(&mut self, fingerprint: RequestFingerprint, runs: &[TargetRun]) {
+        let Some(row) = self.rows.get_mut(&fingerprint) else {
+            return;
+        };
+        for end in row.ends.iter_mut().filter(|end| runs.contains(&end.run)) {
+            end.is_pardoned = true;
+        }
+        self.revision += 1;
+    }
+
     /// A suspect came again.
     pub fn note_return(&mut self, fingerprint: RequestFingerprint, now: Instant) {
         if let Some(row) = self.rows.get_mut(&fingerprint) {
-            row.seen = now;
+            row.until = now.after(REMEMBERED_FOR);
         }
     }
 
@@ -172,19 +212,41 @@
     #[must_use]
     pub fn suspicion(&self, fingerprint: RequestFingerprint, now: Instant) -> Suspicion {
         let row = self.rows.get(&fingerprint);
-        match row.filter(|row| row.is_remembered(now) && !row.counted().is_empty()) {
-            None => Suspicion::Clear,
-            Some(row) => Suspicion::Suspected {
-                ends: row.counted().len(),
-                since: row.since,
-            },
+        let row = row.filter(|row| row.is_remembered(now));
+        match row.map(|row| (row.counted().count(), row.since)) {
+            None | Some((0, _)) => Suspicion::Clear,
+            Some((ends, since)) => Suspicion::Suspected { ends, since },
         }
     }
 
+    /// What counts against a request; nothing if it is clear.
+    #[must_use]
+    pub fn standing(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> Option<SuspectStanding> {
+        let row = self.rows.get(&fingerprint)?;
+        let ended: Vec<_> = row.counted().cloned().collect();
+        let is_suspect = !ended.is_empty() && row.is_remembered(now);
+        is_suspect.then_some(SuspectStanding {
+            ended,
+            since: row.since,
+            until: row.until,
+        })
+    }
+
+    /// Requests that are suspected.
+    pub fn suspected(&self, now: Instant) -> impl Iterator<Item = RequestFingerprint> + '_ {
+        let rows = self.rows.iter();
+        rows.filter(move |(_, row)| row.is_remembered(now) && row.counted().next().is_some())
+            .map(|(fingerprint, _)| *fingerprint)
+    }
+
     /// Targets that ended under a quarantined request; none if it is not quarantined.
     #[must_use]
-    pub fn quarantine(&self, fingerprint: RequestFingerprint) -> Option<&[TargetRun]> {
-        let counted = self.rows.get(&fingerprint)?.counted();
+    pub fn quarantine(&self, fingerprint: RequestFingerprint) -> Option<Vec<TargetRun>> {
+        let counted: Vec<_> = self.rows.get(&fingerprint)?.counted().cloned().collect();
         (counted.len() >= QUARANTINED_FROM).then_some(counted)
     }
 
@@ -194,9 +256,7 @@
         let (Some(row), Some(other)) = (self.rows.get(&fingerprint), self.rows.get(&other)) else {
             return false;
         };
-        row.counted()
-            .iter()
-            .any(|run| other.counted().contains(run))
+        row.counted().any(|run| other.is_counted(run))
     }
 
     /// What is known, to be told to another VM.
@@ -206,7 +266,7 @@
             .iter()
             .filter(move |(_, row)| row.is_remembered(now));
         rows.flat_map(|(fingerprint, row)| {
-            row.counted().iter().map(|run| EndedUnder {
+            row.counted().map(|run| EndedUnder {
                 fingerprint: *fingerprint,
                 run: run.clone(),
             })
@@ -217,7 +277,9 @@
     #[must_use]
     pub fn counts(&self, now: Instant) -> (usize, usize) {
         let rows = self.rows.values().filter(|row| row.is_remembered(now));
-        let ends = rows.map(|row| row.counted().len()).filter(|ends| *ends > 0);
+        let ends = rows
+            .map(|row| row.counted().count())
+            .filter(|ends| *ends > 0);
         ends.fold((0, 0), |(suspected, quarantined), ends| {
             let is_quarantined = ends >= QUARANTINED_FROM;
             (suspected + 1, quarantined + usize::from(is_quarantined))
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -182,6 +182,12 @@
         LogOffset(self.0 & ((1 << OFFSET_BITS) - 1))
     }
 
+    /// The position so many records on.
+    #[must_use]
+    pub fn plus(self, records: u64) -> Self {
+        Self(self.0 + records)
+    }
+
     /// The fencing token of a claim that is recorded here.
     #[must_use]
     pub fn token(self) -> FencingToken {
--- a/crates/core/tests/specs.rs
+++ b/crates/core/tests/specs.rs
@@ -110,6 +110,7 @@
     fails("trials", &["-DEACH_LINK"]),
     fails("trials", &["-DLAPSE"]),
     fails("trials", &["-DNO_RECORD"]),
+    fails("trials", &["-DSECOND_FIRST"]),
     // All faults at once with two requests and versions, and each of them with more of the rest.
     holds("versions", &["-DV=2", "-DR=2"]),
     holds("versions", &["-DV=3", "-DR=2", "-DUNLOADS=0"]),
--- a/crates/daemon/src/direct/call/ends.rs
+++ b/crates/daemon/src/direct/call/ends.rs
@@ -64,7 +64,8 @@
 }
 
 impl CallState {
-    /// Looks whether a target that broke this call off has ended, and tells all holders if so, before the call is placed again.
+    /// Looks whether a target that broke this call off has ended, and tells all holders and the log if so, before the call is
+    /// placed again or its caller answered.
     /// A trial whose target says nothing counts as one that ended it.
     pub async fn look_at_break(&self, entry: &TargetEntry, is_trial: bool) {
         let mut verdict = self.look(entry).await;
@@ -90,6 +91,7 @@
         if self.context.fleet.note_ended_under(&ended) {
             self.context.access.tell_ended_under(&ended);
         }
+        self.context.records.record(self.fingerprint).await;
     }
 
     /// An engine that wants no request from this VM is asked no question either.
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -45,6 +45,7 @@
         fleet::{ActiveConfig, FleetState},
         sender::ConnectionPool,
         settings::DirectSettings,
+        suspect_records::EndRecords,
         trials::TrialPermit,
         whole::take_whole,
     },
@@ -92,6 +93,8 @@
     pub access: Arc<ZoneAccess>,
     /// Connections to targets.
     pub pool: Arc<ConnectionPool>,
+    /// Records of targets that ended under calls.
+    pub records: EndRecords,
     /// Settings.
     pub settings: Arc<DirectSettings>,
     /// The planned stop, once it has begun.
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -5,6 +5,7 @@
     direct::{
         access::CallTicket,
         call::{COME_BACK, CallState, paying::PaymentOutcome},
+        message::FeedTopic,
     },
     event,
     events::Event,
@@ -55,6 +56,10 @@
         if let Some(come_back) = self.rest_of_all() {
             return Placing::Nowhere(come_back);
         }
+        if !self.context.fleet.knows_whole(FeedTopic::Fleet) {
+            // It may be a suspect.
+            return Placing::Nowhere(COME_BACK);
+        }
         if self.is_suspected()
             && let Some(barred) = self.ask_trial().await
         {
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -15,7 +15,7 @@
         recorder::FleetRecorder,
         sender::ConnectionPool,
         settings::DirectSettings,
-        trials::QuarantineRecorder,
+        suspect_records::EndRecords,
         zone::{ZoneEvent, ZoneWorker},
     },
     event,
@@ -36,8 +36,6 @@
 
 /// Events that wait for the zone's worker.
 const ZONE_EVENTS: usize = 1024;
-/// Requests whose quarantine waits to be recorded.
-const QUARANTINES: usize = 256;
 /// Pause between two looks at what has rested too long.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 /// Strength, in thousandths of a core, below which a VM waits at the first start of a fleet.
@@ -103,18 +101,11 @@
             settings.peer_address
         );
         start_feeds(&settings, &fleet, &access);
-        let (quarantines, quarantine_receiver) = mpsc::channel(QUARANTINES);
-        let recorder = QuarantineRecorder {
-            fleet: Arc::clone(&fleet),
-            settings: Arc::clone(&settings),
-        };
-        tokio::spawn(recorder.run(quarantine_receiver));
         let worker = ZoneWorker::new(
             Arc::clone(&fleet),
             Arc::clone(&pool),
             zone.clone(),
             Arc::clone(&settings),
-            quarantines,
         );
         tokio::spawn(worker.run(zone_receiver));
         tokio::spawn(accept_links(peers, Arc::clone(&fleet), zone.clone()));
@@ -135,6 +126,7 @@
             fleet: Arc::clone(&fleet),
             access,
             pool,
+            records: EndRecords::start(&fleet, &settings),
             settings: Arc::clone(&settings),
         });
         tokio::spawn(accept_callers(
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -50,7 +50,7 @@
 
 /// Start of the keys of VM records.
 pub const VM_KEY: &str = "vm/";
-/// Start of the keys of quarantined requests.
+/// Start of the keys of suspects.
 pub const SUSPECT_KEY: &str = "suspect/";
 /// Start of the keys of zone leases.
 pub const ZONE_KEY: &str = "zone/";
@@ -408,6 +408,7 @@
         let books = self.books();
         books.active.is_some()
             && books.ends.contains_key(&FeedTopic::Targets)
+            && books.ends.contains_key(&FeedTopic::Fleet)
             && books.may_trust_keys(self.revocation, clock::now())
     }
 
@@ -545,7 +546,7 @@
     format!("{VM_KEY}{vm}")
 }
 
-/// Key of a quarantined request.
+/// Key of a suspect.
 #[must_use]
 pub fn suspect_key(fingerprint: RequestFingerprint) -> String {
     format!("{SUSPECT_KEY}{:016x}", fingerprint.0)
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -5,9 +5,10 @@
 
 use crate::{
     direct::{
-        fleet::{ActiveConfig, FleetBooks, SUSPECT_KEY, VM_KEY, ZONE_KEY},
+        fleet::{ActiveConfig, FleetBooks, VM_KEY, ZONE_KEY},
         intake::RecordSource,
         message::FeedTopic,
+        suspect_records::{fold_suspect, suspect_of},
     },
     event,
     events::Event,
@@ -16,9 +17,8 @@
     direct::{
         catalog::{TargetCatalog, TargetEntry, TargetStage},
         routes::RouteTable,
-        suspects::{EndedUnder, RequestFingerprint},
     },
-    ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
+    ids::{AvailabilityZone, Instant, TargetName, VmName},
 };
 use hoplanding_platform::{
     DecodeError,
@@ -265,28 +265,7 @@
     FoldedRecord::News
 }
 
-/// Folds the record of a quarantined request, or the end of its quarantine.
-fn fold_suspect(books: &mut FleetBooks, text: &str, record: &KeyedRecord, now: Instant) {
-    let Ok(fingerprint) = u64::from_str_radix(text, 16).map(RequestFingerprint) else {
-        event!(Event::RecordSkipped, "{}: no fingerprint", record.key);
-        return;
-    };
-    let Some(value) = &record.value else {
-        books.suspects.pardon(fingerprint);
-        return;
-    };
-    match serde_json::from_slice::<Vec<TargetRun>>(value) {
-        Ok(runs) => {
-            for run in runs {
-                let ended = EndedUnder { fingerprint, run };
-                books.suspects.note_ended(&ended, now);
-            }
-        }
-        Err(error) => event!(Event::RecordSkipped, "{}: {error}", record.key),
-    }
-}
-
-/// Folds a VM's record, a quarantined request or a zone's lease.
+/// Folds a VM's record, a suspect's or a zone's lease.
 pub fn fold_fleet_record(
     books: &mut FleetBooks,
     record: &KeyedRecord,
@@ -296,8 +275,10 @@
     let is_change = record.value.is_none() || known != record.value.as_deref();
     if let Some(vm) = record.key.strip_prefix(VM_KEY) {
         fold_vm(books, vm, record);
-    } else if let Some(text) = record.key.strip_prefix(SUSPECT_KEY) {
-        fold_suspect(books, text, record, now);
+    } else if let Some(fingerprint) = suspect_of(&record.key) {
+        if let Err(error) = fold_suspect(books, fingerprint, record.value.as_deref(), now) {
+            event!(Event::RecordSkipped, "{}: {error}", record.key);
+        }
     } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
         return fold_lease(books, zone, record);
     }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -25,7 +25,8 @@
 //! | [`sharing`] | what a link passes on of the log |
 //! | [`skipped`] | how often entries that can't be used are told of |
 //! | [`records`] | what VMs pass on to each other of the platform's log |
-//! | [`trials`] | permits for trials of suspects, and records of quarantines |
+//! | [`trials`] | permits for trials of suspects |
+//! | [`suspect_records`] | records of suspects in the platform's log |
 //! | [`claims`] | claims of a zone's lease |
 
 pub mod access;
@@ -57,6 +58,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
+pub mod suspect_records;
 pub mod trials;
 pub mod whole;
 pub mod zone;
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -1,23 +1,21 @@
 //! Keeps in the log what the VMs' own records have to say, also after it came back from a copy.
 //!
-//! Each VM writes its own record, and the holder of a zone the quarantines that it has to record. Leases are claimed again by their
+//! Each VM writes its own record, and the holder of a zone those of the suspects whose trials it grants. Leases are claimed again by their
 //! holders. A VM that lists the fleet's topic sees what a copy lacks; one that does not writes its record again to be sure, at a
 //! moment of its own, as all VMs learn of the copy at once.
 
 use crate::{
     direct::{
-        fleet::{FleetBooks, FleetState, SUSPECT_KEY, VmRecord, vm_key},
+        fleet::{FleetBooks, FleetState, VmRecord, vm_key},
         message::FeedTopic,
         settings::DirectSettings,
+        suspect_records::suspect_of,
     },
     event,
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_core::{
-    direct::{suspects::RequestFingerprint, trials::trial_zones},
-    ids::StoreEra,
-};
+use hoplanding_core::{direct::trials::trial_zones, ids::StoreEra};
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
@@ -40,6 +38,8 @@
     settings: Arc<DirectSettings>,
     /// When this VM's record is written again though it may be there, and in which era.
     again_at: Option<(StoreEra, Instant)>,
+    /// When the suspects are looked at next.
+    suspects_at: Instant,
 }
 
 impl FleetRecorder {
@@ -50,6 +50,7 @@
             fleet,
             settings,
             again_at: None,
+            suspects_at: Instant::now(),
         }
     }
 
@@ -105,8 +106,32 @@
         }
         let state = books.leases.get(&fleet.zone);
         let is_holder = state.is_some_and(|state| state.holder() == Some(&fleet.vm));
-        let listed_in = books.listed_in.filter(|_| is_holder);
-        let era = listed_in.filter(|era| Some(*era) == books.store_era)?;
+        if !is_holder {
+            return None;
+        }
+        self.due_suspect(&books)
+            .or_else(|| self.lost_suspect(&books))
+    }
+
+    /// A record of a suspect that differs from what is known, and its value. All of them are looked at, so that is done
+    /// now and then.
+    fn due_suspect(&mut self, books: &FleetBooks) -> Option<(String, Bytes)> {
+        let now = Instant::now();
+        if now < self.suspects_at {
+            return None;
+        }
+        let due = books.due_suspect(&self.fleet.zone, &self.settings.zones);
+        if due.is_none() {
+            self.suspects_at = now + LOOK_EVERY;
+        }
+        due
+    }
+
+    /// A record of a suspect that a copy of the log lacks, and its value.
+    fn lost_suspect(&self, books: &FleetBooks) -> Option<(String, Bytes)> {
+        let era = books
+            .listed_in
+            .filter(|era| Some(*era) == books.store_era)?;
         let mut lost = books.records.before_era(FeedTopic::Fleet, era);
         lost.find(|(key, _)| self.is_ours(key))
             .map(|(key, value)| (key.to_owned(), value.clone()))
@@ -136,13 +161,9 @@
         now >= at
     }
 
-    /// Whether a record is a quarantine that this zone's holder has to record.
+    /// Whether a record is one of a suspect that this zone's holder has to keep.
     fn is_ours(&self, key: &str) -> bool {
-        let Some(text) = key.strip_prefix(SUSPECT_KEY) else {
-            return false;
-        };
-        let fingerprint = u64::from_str_radix(text, 16).map(RequestFingerprint);
-        fingerprint.is_ok_and(|fingerprint| {
+        suspect_of(key).is_some_and(|fingerprint| {
             let zones = trial_zones(fingerprint, &self.settings.zones);
             zones.first() == Some(&self.fleet.zone)
         })
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -138,6 +138,19 @@
             .filter_map(|((_, key), record)| Some((key.as_str(), record.value.as_ref()?)))
     }
 
+    /// Keys of a topic that begin with a text and have a value.
+    pub fn keys_with_value<'a>(
+        &'a self,
+        topic: FeedTopic,
+        start: &'a str,
+    ) -> impl Iterator<Item = &'a str> {
+        let records = self.records.range((topic, start.to_owned())..);
+        records
+            .take_while(move |((kept, key), _)| *kept == topic && key.starts_with(start))
+            .filter(|(_, record)| record.value.is_some())
+            .map(|((_, key), _)| key.as_str())
+    }
+
     /// Bytes of a topic's records.
     #[must_use]
     pub fn bytes(&self, topic: FeedTopic) -> usize {
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -1,29 +1,16 @@
-//! Trials of suspected requests: the permit of a gateway, and the record of a quarantine in the platform's log.
+//! Trials of suspected requests: the permit of a gateway, and what this VM notes of suspects.
 
 use crate::{
     clock,
-    direct::{
-        access::ZoneAccess,
-        fleet::{FleetState, suspect_key},
-        message::FeedTopic,
-        settings::DirectSettings,
-    },
+    direct::{access::ZoneAccess, fleet::FleetState},
     event,
     events::Event,
 };
 use hoplanding_core::{
     direct::suspects::{EndedUnder, RequestFingerprint},
-    ids::{AvailabilityZone, LogPosition},
+    ids::AvailabilityZone,
 };
-use hoplanding_platform::{
-    names::FLEET_TOPIC,
-    store::{StoreClient, StoreError},
-};
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tokio::{sync::mpsc, time::sleep};
-
-/// Pause before a record that could not be appended is tried again.
-const RECORD_AGAIN: Duration = Duration::from_millis(500);
+use std::sync::Arc;
 
 /// Leave to send a suspect once; tells holders of the trial's end when dropped.
 #[derive(Debug)]
@@ -98,64 +85,3 @@
         }
     }
 }
-
-/// Keeps the log's records of quarantined requests as the books say, so that they outlive all VMs.
-pub struct QuarantineRecorder {
-    /// The books.
-    pub fleet: Arc<FleetState>,
-    /// Settings.
-    pub settings: Arc<DirectSettings>,
-}
-
-impl QuarantineRecorder {
-    /// Records the requests that come until the channel closes.
-    pub async fn run(self, mut receiver: mpsc::Receiver<RequestFingerprint>) {
-        let mut client = StoreClient::new(self.settings.platform_address);
-        let mut due = BTreeSet::new();
-        loop {
-            if due.is_empty() {
-                let Some(fingerprint) = receiver.recv().await else {
-                    return;
-                };
-                due.insert(fingerprint);
-            }
-            while let Ok(fingerprint) = receiver.try_recv() {
-                due.insert(fingerprint);
-            }
-            let Some(fingerprint) = due.pop_first() else {
-                continue;
-            };
-            if let Err(error) = self.record(&mut client, fingerprint).await {
-                event!(Event::RecordFailed, "{}: {error}", suspect_key(fingerprint));
-                due.insert(fingerprint);
-                sleep(RECORD_AGAIN).await;
-            }
-        }
-    }
-
-    /// Appends the record of a request unless the log has the same; one that is not quarantined has none.
-    async fn record(
-        &self,
-        client: &mut StoreClient,
-        fingerprint: RequestFingerprint,
-    ) -> Result<(), StoreError> {
-        let key = suspect_key(fingerprint);
-        let value = {
-            let books = self.fleet.books();
-            let ended = books.suspects.quarantine(fingerprint);
-            let value = ended.map(|ended| serde_json::to_vec(ended).expect("it has a JSON form"));
-            if books.records.value(FeedTopic::Fleet, &key) == value.as_deref() {
-                return Ok(());
-            }
-            value.unwrap_or_default()
-        };
-        let within = self.settings.pace.platform_timeout;
-        let position: LogPosition = client
-            .append(FLEET_TOPIC, &key, &value, None, within)
-            .await?;
-        if self.fleet.meet_era(position.era()) {
-            self.fleet.take_own(key, value, position);
-        }
-        Ok(())
-    }
-}
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -30,7 +30,7 @@
         },
         quotas::QuotaCharge,
         suspects::{EndedUnder, RequestFingerprint},
-        trials::{TrialAnswer, trial_zones},
+        trials::TrialAnswer,
     },
     ids::{AdapterName, FencingToken, Instant, ServiceName, TargetLife, TargetName, VmName},
 };
@@ -155,8 +155,6 @@
     ledger: Option<ZoneLedger>,
     pending: HashMap<CallKey, PendingAsk>,
     settings: Arc<DirectSettings>,
-    /// Requests whose quarantine has to be recorded.
-    quarantines: mpsc::Sender<RequestFingerprint>,
     /// Token that is not used: a target refused it, or it is being given up.
     refused: Option<FencingToken>,
     is_released: bool,
@@ -170,14 +168,12 @@
         pool: Arc<ConnectionPool>,
         events: mpsc::Sender<ZoneEvent>,
         settings: Arc<DirectSettings>,
-        quarantines: mpsc::Sender<RequestFingerprint>,
     ) -> Self {
         Self {
             fleet,
             pool,
             events,
             settings,
-            quarantines,
             held: None,
             ledger: None,
             pending: HashMap::new(),
@@ -369,7 +365,6 @@
                     if let Some(held) = &mut self.held {
                         held.planner.pardon(fingerprint);
                     }
-                    self.record_quarantine(fingerprint);
                 }
                 None
             }
@@ -386,7 +381,6 @@
                 if let Some(held) = &mut self.held {
                     held.planner.target_ended(&ended, now);
                 }
-                self.record_quarantine(ended.fingerprint);
                 None
             }
             ZoneEvent::PlacePlain(key, ask, reply) => {
@@ -415,15 +409,6 @@
         }
     }
 
-    /// Has the record of a request's quarantine brought up to date, if that is for this zone's holder to do.
-    fn record_quarantine(&self, fingerprint: RequestFingerprint) {
-        let zones = trial_zones(fingerprint, &self.settings.zones);
-        if zones.first() == Some(&self.fleet.zone) {
-            // A full channel: the next end or the next holder's first word of it brings it again.
-            let _ = self.quarantines.try_send(fingerprint);
-        }
-    }
-
     /// Has the planner know what the books do of requests under which engines ended, also by the log.
     fn sync_suspects(&mut self) {
         let Some(held) = &mut self.held else {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -126,6 +126,8 @@
     HistoryChanged = 209, Warn, "history of the platform's log changed";
     /// An answer of the log is of an era that is over.
     HistoryOver = 210, Warn, "answer of an earlier history of the platform's log passed over";
+    /// A call went on before the end of its target was recorded.
+    RecordLate = 211, Warn, "end of a target not recorded in time";
     /// A zone's holder was read from the log.
     LeaseSeen = 700, Info, "holder of a zone recorded";
     /// This VM appended a claim.
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -11,7 +11,12 @@
 };
 use hoplandingd::{
     clock,
-    direct::{daemon::DirectDaemon, settings::DirectSettings},
+    direct::{
+        daemon::DirectDaemon,
+        fleet::{SUSPECT_KEY, suspect_key},
+        message::FeedTopic,
+        settings::DirectSettings,
+    },
 };
 use std::{
     net::SocketAddr,
@@ -21,7 +26,7 @@
     },
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::{runtime::Runtime, time::sleep};
 
 const ZONES: [&str; 2] = ["hall", "yard"];
 
@@ -295,3 +300,193 @@
     }
     assert_eq!(poisoned(&engines), 2);
 }
+
+/// Ends that the users bear: a third shows in the moment in which the second is known.
+const ENDS_BORNE: usize = 3;
+
+/// A site in front of engines that end under poison, with calls by a fresh VM each life.
+struct KilledSite {
+    log: KeyedLog,
+    engines: Vec<RawTarget>,
+    lives: u32,
+}
+
+impl KilledSite {
+    async fn start(engines: usize) -> Self {
+        let log = KeyedLog::start().await.expect("a log");
+        let engines = mortal_engines(engines, Duration::from_millis(5), is_poison).await;
+        let site = Self {
+            log,
+            engines,
+            lives: 0,
+        };
+        site.list();
+        site
+    }
+
+    /// Lists the engines that have not ended.
+    fn list(&self) {
+        for (number, engine) in self.engines.iter().enumerate() {
+            let lives = !engine.requests().iter().any(is_poison);
+            let entry = entry("scribe", engine.address, "ready", &["a1@1"]);
+            let value = lives.then_some(entry.as_str());
+            self.log.put("keyed.servers", &format!("e-{number}"), value);
+        }
+        if self.lives == 0 {
+            self.log.put("keyed.op", "config", Some(&config(1)));
+        }
+    }
+
+    /// Starts the only VM.
+    async fn begin_life(&mut self) -> (Runtime, DirectDaemon) {
+        self.list();
+        let mut settings = settings("vm-1", &self.log);
+        settings.is_first_start = self.lives == 0;
+        self.lives += 1;
+        let life = process();
+        let daemon = start_in(&life, settings).await;
+        serves_streams(&daemon).await;
+        (life, daemon)
+    }
+
+    fn ended(&self) -> usize {
+        poisoned(&self.engines)
+    }
+}
+
+#[tokio::test]
+async fn a_first_end_is_known_though_all_vms_are_killed_right_after_the_answer() {
+    let mut site = KilledSite::start(10).await;
+    for number in 0..6 {
+        let (life, daemon) = site.begin_life().await;
+        let request = poison("/plan/1", &format!("d{number}"));
+        ask(daemon.caller_address, &request).await;
+        life.shutdown_background();
+    }
+    assert!(site.ended() <= ENDS_BORNE, "{} ended", site.ended());
+}
+
+#[tokio::test]
+async fn a_first_end_under_a_plain_call_is_known_though_all_vms_are_killed() {
+    let log = KeyedLog::start().await.expect("a log");
+    let mut targets = Vec::new();
+    for _ in 0..8 {
+        let target = RawTarget::start_mortal(good, is_poison).await;
+        targets.push(target.expect("a target"));
+    }
+    let names = ["l-1", "l-2", "l-3", "l-4", "l-5", "l-6", "l-7", "l-8"];
+    log.put("keyed.op", "config", Some(&config(1)));
+    for number in 0..5 {
+        for (name, target) in names.iter().zip(&targets) {
+            let lives = !target.requests().iter().any(is_poison);
+            let entry = entry("ledger", target.address, "ready", &[]);
+            log.put("keyed.servers", name, lives.then_some(entry.as_str()));
+        }
+        let life = process();
+        let mut settings = settings("vm-1", &log);
+        settings.is_first_start = number == 0;
+        let daemon = start_in(&life, settings).await;
+        let request = poison("/lookup/1", &format!("d{number}"));
+        ask(daemon.caller_address, &request).await;
+        life.shutdown_background();
+    }
+    assert!(poisoned(&targets) <= ENDS_BORNE, "{}", poisoned(&targets));
+}
+
+#[tokio::test]
+async fn a_bystander_of_an_end_is_served_after_a_kill_of_all_and_its_record_dropped() {
+    let mut site = KilledSite::start(6).await;
+    let (life, daemon) = site.begin_life().await;
+    let bystander = |id: &str| post("/plan/bystander", id, &model("a1"));
+    // The engine of a stream that is under way ends by the poison beside it.
+    let address = daemon.caller_address;
+    let beside = bystander("b0");
+    let running = tokio::spawn(async move { ask(address, &beside).await });
+    for number in 0..2 {
+        let request = poison("/plan/1", &format!("d{number}"));
+        ask(daemon.caller_address, &request).await;
+    }
+    drop(running.await);
+    life.shutdown_background();
+
+    let (life, daemon) = site.begin_life().await;
+    for number in 0..20 {
+        let answer = ask(daemon.caller_address, &bystander(&format!("c{number}"))).await;
+        assert_eq!(answer.status, 200, "call {number}");
+    }
+    let fleet = daemon.fleet();
+    let suspects = || {
+        let books = fleet.books();
+        let suspected = books.suspects.suspected(clock::now());
+        let mut keys: Vec<_> = suspected.map(suspect_key).collect();
+        keys.sort();
+        keys
+    };
+    let recorded = || {
+        let books = fleet.books();
+        let keys = books.records.keys_with_value(FeedTopic::Fleet, SUSPECT_KEY);
+        keys.map(str::to_owned).collect::<Vec<_>>()
+    };
+    wait_for("records of the suspects alone", async || {
+        recorded() == suspects()
+    })
+    .await;
+    assert_eq!(suspects().len(), 1);
+    life.shutdown_background();
+}
+
+#[tokio::test]
+async fn an_end_while_the_log_is_away_is_recorded_when_it_is_back() {
+    let mut site = KilledSite::start(8).await;
+    let (life, daemon) = site.begin_life().await;
+    site.log.set_faults(|faults| faults.is_out = true);
+    ask(daemon.caller_address, &poison("/plan/1", "d0")).await;
+    site.log.set_faults(|faults| faults.is_out = false);
+    let before = site.ended();
+    sleep(Duration::from_millis(1_500)).await;
+    life.shutdown_background();
+    for number in 0..3 {
+        let (life, daemon) = site.begin_life().await;
+        let request = poison("/plan/1", &format!("e{number}"));
+        ask(daemon.caller_address, &request).await;
+        life.shutdown_background();
+    }
+    assert!(site.ended() <= ENDS_BORNE, "{before}, {}", site.ended());
+}
+
+#[tokio::test]
+async fn an_end_that_a_copy_of_the_log_lacks_is_recorded_again() {
+    let mut site = KilledSite::start(8).await;
+    let (life, daemon) = site.begin_life().await;
+    ask(daemon.caller_address, &poison("/plan/1", "d0")).await;
+    let records = site.log.len("keyed.fleet");
+    site.log.restore(&[("keyed.fleet", records)]);
+    wait_for("the records of this VM", async || {
+        site.log.newest("keyed.fleet", "zone/hall").is_some()
+    })
+    .await;
+    sleep(Duration::from_millis(1_500)).await;
+    life.shutdown_background();
+    for number in 0..4 {
+        let (life, daemon) = site.begin_life().await;
+        let request = poison("/plan/1", &format!("e{number}"));
+        ask(daemon.caller_address, &request).await;
+        life.shutdown_background();
+    }
+    assert!(site.ended() <= ENDS_BORNE, "{} ended", site.ended());
+}
+
+#[tokio::test]
+async fn a_vm_that_does_not_know_the_suspects_serves_nobody() {
+    let mut site = KilledSite::start(3).await;
+    let (life, _) = site.begin_life().await;
+    life.shutdown_background();
+    let unlisted = vec!["keyed.fleet".to_owned()];
+    site.log.set_faults(|faults| faults.unlisted = unlisted);
+    let blind = DirectDaemon::start(settings("vm-2", &site.log)).await;
+    let blind = blind.expect("the daemon starts");
+    sleep(Duration::from_secs(1)).await;
+    assert!(!is_ready(&blind).await);
+    let answer = ask(blind.caller_address, &poison("/plan/1", "d0")).await;
+    assert_eq!((answer.status, site.ended()), (503, 0));
+}
--- a/crates/standins/src/keyed_log.rs
+++ b/crates/standins/src/keyed_log.rs
@@ -130,8 +130,8 @@
             .map(|(_, delay)| *delay)
     }
 
-    /// Appends a record if its condition holds; says whether the answer is lost.
-    fn take(&self, query: &AppendQuery, record: StoredRecord) -> (Response, bool) {
+    /// Appends records if their condition holds; says whether the answer is lost.
+    fn take(&self, query: &AppendQuery, appended: Vec<StoredRecord>) -> (Response, bool) {
         let mut state = self.lock();
         let records = state.topics.entry(query.topic.clone()).or_default();
         if query.store_revision.is_some_and(|end| end != records.len()) {
@@ -141,11 +141,12 @@
                 .body(end);
             return (refusal, false);
         }
-        records.push(record);
+        let offset = records.len();
+        records.extend(appended);
         let end = records.len();
         let is_lost = state.faults.lose_answers > 0;
         state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
-        let answer = json!({ "offset": end - 1, "end": end }).to_string();
+        let answer = json!({ "offset": offset, "end": end }).to_string();
         (Response::builder().body(answer), is_lost)
     }
 }
@@ -294,13 +295,16 @@
         return refusal;
     }
     let bytes = body.into_vec().await.unwrap_or_default();
-    let Some(record) = decode(&bytes) else {
+    let Some(records) = decode_all(&bytes) else {
         return Response::builder().status(StatusCode::BAD_REQUEST).finish();
     };
-    if let Some(delay) = shared.begin_append(&record.key) {
+    let delays = records
+        .iter()
+        .filter_map(|record| shared.begin_append(&record.key));
+    if let Some(delay) = delays.max() {
         sleep(delay).await;
     }
-    let (answer, is_lost) = shared.take(&query, record);
+    let (answer, is_lost) = shared.take(&query, records);
     shared.grown.notify_waiters();
     if is_lost {
         pending::<()>().await;
@@ -308,9 +312,18 @@
     answer
 }
 
-fn decode(bytes: &[u8]) -> Option<StoredRecord> {
-    let (length, rest) = bytes.split_first_chunk::<4>()?;
-    let record = rest.get(..u32::from_be_bytes(*length) as usize)?;
+fn decode_all(mut bytes: &[u8]) -> Option<Vec<StoredRecord>> {
+    let mut records = Vec::new();
+    while !bytes.is_empty() {
+        let (length, rest) = bytes.split_first_chunk::<4>()?;
+        let (record, rest) = rest.split_at_checked(u32::from_be_bytes(*length) as usize)?;
+        records.push(decode(record)?);
+        bytes = rest;
+    }
+    Some(records)
+}
+
+fn decode(record: &[u8]) -> Option<StoredRecord> {
     let (key_length, rest) = record.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*key_length))?;
     Some(StoredRecord {
--- a/specs/trials.pml
+++ b/specs/trials.pml
@@ -1,37 +1,33 @@
 /*
- * Trials of a poison request: how many targets it ends, whatever comes back when, also as all VMs are killed.
+ * A poison request: how many targets it ends, whatever comes back when, also as all VMs are killed.
  *
- * The request has ended two targets; that is known and recorded. Gateways have callers with it all the time, and ask the holder
- * for a trial. The holder grants one at a time, and none once MOST targets have ended. A trial always ends its target. Its
- * gateway tells of the end and then of the trial, over one link in that order. The holder records each count in the
- * log at some time. All VMs may be killed at any moment: what is recorded is known again, and a trial that was under way ends its
- * target all the same.
+ * Gateways have callers with it all the time. While nothing is known against it, each of them sends it; then they ask the holder
+ * for a trial. The holder grants one at a time, and none once MOST targets have ended. A send always ends its target. Its
+ * gateway records the end in the log, tells the holder of it, and then of the end of the trial, over one link in that order; its caller
+ * comes back after that. All VMs may be killed at any moment: what is recorded is known again, and a send that was under way
+ * ends its target all the same.
  *
- *   POISON  no more targets end than MOST, and two for each kill of all VMs: one by a trial that nobody tells of any more, one
- *           whose record was still on its way (assert in gateway)
+ *   POISON  no more targets end than MOST, and for each kill of all VMs one by each send that it broke off (assert in gateway)
  *
  * Switches that remove a safety measure, each of which must give a counterexample:
- *   TRIAL_FIRST  the end of the trial is told before the end of its target
- *   EACH_LINK    each gateway's trials are granted without regard to the others'
- *   LAPSE        the count lapses with a pause
- *   NO_RECORD    nothing is recorded
+ *   TRIAL_FIRST   the end of the trial is told before the end of its target
+ *   EACH_LINK     each gateway's trials are granted without regard to the others'
+ *   LAPSE         the count lapses with a pause
+ *   NO_RECORD     nothing is recorded
+ *   SECOND_FIRST  an end is recorded by the holder once it is the second
  */
 #define G 2          /* gateways */
 #ifndef KILLS
 #define KILLS 1      /* kills of all VMs */
 #endif
 #define MOST 4
-#define BOUND (MOST + 2 * KILLS)
+#define BOUND (MOST + G * KILLS)
 
 mtype = { TargetEnded, TrialEnded };
 
-byte crashes = 2;    /* targets that have ended */
-byte ends = 2;       /* as the holder knows */
-#ifdef NO_RECORD
-byte recorded = 0;
-#else
-byte recorded = 2;
-#endif
+byte crashes = 0;    /* targets that have ended */
+byte ends = 0;       /* as the holder knows */
+byte recorded = 0;   /* as the log knows */
 byte life = 0;       /* life of all VMs */
 byte lapses = 0;
 bool running[G];
@@ -59,12 +55,20 @@
 end:
   do
   :: atomic {
-       crashes <= BOUND && IS_FREE(id) && ends < MOST ->
+       crashes <= BOUND && !running[id] && (ends == 0 || (IS_FREE(id) && ends < MOST)) ->
        running[id] = true;
        mine = life
      }
      crashes++;
      assert(crashes <= BOUND);
+#if !defined(NO_RECORD) && !defined(SECOND_FIRST)
+     atomic {
+       if
+       :: mine == life -> recorded++
+       :: else -> skip
+       fi
+     }
+#endif
 #ifdef TRIAL_FIRST
      tell(TrialEnded);
      tell(TargetEnded)
@@ -83,8 +87,8 @@
   :: atomic { told[1]?TargetEnded -> ends++ }
   :: atomic { told[0]?TrialEnded -> running[0] = false }
   :: atomic { told[1]?TrialEnded -> running[1] = false }
-#ifndef NO_RECORD
-  :: atomic { recorded < ends -> recorded = ends }
+#ifdef SECOND_FIRST
+  :: atomic { ends > 1 && recorded < ends -> recorded = ends }
 #endif
 #ifdef LAPSE
   :: atomic { lapses < 2 && ends > 0 -> lapses++; ends = 0 }
