Doubt the operators' records of a copy of the log until they can be newest

What callers could see: a key that was taken away, with an acknowledgement, lets callers in again where the log comes back from a copy without it and all VMs were killed at the return; nobody has reported it (found by reading).

Cause: a read of the log proved that the configuration is the newest, whatever the log had forgotten; a VM that starts after the return has nothing to compare it with. Ruled out as evidence: offsets (given out again) and times (none).

Change: in an era after a copy a read proves nothing until a configuration was written and none followed for 2 s, or operators had the time of recover_s less 3 s. VMs that knew the newest shortly before do not doubt, and pass their proof on; the record 'era' tells those that start later since when it is known.

Evidence: four of six tests of copies.rs failed on (two calls by the key got 200), all pass.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -21,6 +21,7 @@
 //! | [`versions`] | which version of an adapter a copy has, and how that is known |
 //! | [`organisations`] | for whom a caller acts, by its key |
 //! | [`freshness`] | since when the configuration in force is known to be the newest |
+//! | [`copy_doubt`] | whether the operators' records in the log may lack the newest |
 //! | [`quotas`] | organisations' quotas over the whole fleet |
 //! | [`notices`] | what a target says of itself in an answer |
 //! | [`rests`] | spans in which targets want nothing from this VM |
@@ -33,6 +34,7 @@
 pub mod catalog;
 pub mod config;
 pub mod contact;
+pub mod copy_doubt;
 pub mod demand;
 pub mod duty;
 pub mod engine;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -146,6 +146,14 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// Whether the log has never come back from a copy; it counts its eras from one, if at all.
+    #[must_use]
+    pub fn is_first(self) -> bool {
+        self.0 <= 1
+    }
+}
+
 impl fmt::Display for StoreEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/daemon/src/direct/call/admission.rs
+++ b/crates/daemon/src/direct/call/admission.rs
@@ -18,6 +18,10 @@
 };
 use hoplanding_platform::front::CallHead;
 use http::{Response, StatusCode};
+use std::time::Duration;
+
+/// Longest time after which a caller comes back while a copy of the log is in doubt: operators may write any moment.
+const DOUBT_LOOK: Duration = Duration::from_secs(2);
 
 /// Why a call is not let in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,9 +49,11 @@
                 own_answer(id, StatusCode::UNAUTHORIZED, None)
             }
             Self::Stale => {
-                event!(Event::KeysUncertain, request = id; "route {} not run, come back after {COME_BACK:?}", route.name
+                let doubt = context.fleet.key_doubt().unwrap_or_default();
+                let come_back = doubt.clamp(COME_BACK, DOUBT_LOOK);
+                event!(Event::KeysUncertain, request = id; "route {} not run, come back after {come_back:?}, copy of the log in doubt for {doubt:?}", route.name
                 );
-                refusal(id, COME_BACK)
+                refusal(id, come_back)
             }
         }
     }
--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -4,10 +4,80 @@
 //! era rises. Of what this VM knows, that which has an order of its own stays in force: versions, and lives of targets that
 //! leave. Everything else is listed anew. VMs tell each other of the era with every position that they pass on.
 
-use crate::{clock, direct::fleet::FleetState, event, events::Event};
-use hoplanding_core::ids::{LogPosition, StoreEra};
+use crate::{
+    clock,
+    direct::{
+        fleet::{FleetBooks, FleetState},
+        message::FeedTopic,
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::{
+    direct::copy_doubt::RewriteRule,
+    ids::{LogPosition, StoreEra},
+};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
 use tokio::sync::watch;
 
+/// By how much the times of day of two VMs may differ.
+const CLOCK_ERROR: Duration = Duration::from_secs(15);
+
+/// The record of an era of the log, for VMs that start in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EraRecord {
+    /// The era.
+    pub era: StoreEra,
+    /// When it was first seen: wall-clock time in milliseconds since 1970.
+    pub seen_ms: u64,
+}
+
+impl EraRecord {
+    /// The record of an era that was just seen for the first time.
+    #[must_use]
+    pub fn of(era: StoreEra) -> Self {
+        Self {
+            era,
+            seen_ms: clock::wall_ms(),
+        }
+    }
+
+    /// Whether operators have had the time to write again what the copy lacked.
+    fn is_settled(&self, rule: RewriteRule) -> bool {
+        let age = Duration::from_millis(clock::wall_ms().saturating_sub(self.seen_ms));
+        age >= rule.rewrite + CLOCK_ERROR
+    }
+}
+
+impl FleetBooks {
+    /// Takes in what the log says of its era. One that names an earlier era came with the copy.
+    pub(super) fn note_era_record(&mut self, record: EraRecord, rule: RewriteRule) {
+        self.era_record = Some(record);
+        if Some(record.era) == self.store_era && record.is_settled(rule) {
+            self.copy_doubt.end();
+        }
+    }
+
+    /// The record of the present era, if the log has none; eras in which it never came back from a copy need none.
+    pub(super) fn missing_era_record(&self) -> Option<EraRecord> {
+        let era = self.store_era.filter(|era| !era.is_first())?;
+        let is_recorded = self.era_record.is_some_and(|record| record.era == era);
+        let is_listed = self.ends.contains_key(&FeedTopic::Fleet) && self.listed_in == Some(era);
+        (is_listed && !is_recorded).then(|| EraRecord::of(era))
+    }
+
+    /// Begins to doubt what the log holds, unless this VM knew the newest shortly before.
+    fn doubt_copy(&mut self, era: StoreEra, rule: RewriteRule) {
+        let now = clock::now();
+        let proven = self.proof.age(now);
+        self.copy_doubt.enter(era, proven, rule, now);
+        if let Some(record) = self.era_record {
+            self.note_era_record(record, rule);
+        }
+    }
+}
+
 impl FleetState {
     /// Takes in the era that an answer of the log names; says whether the answer is of the newest history that is known.
     pub fn meet_era(&self, era: StoreEra) -> bool {
@@ -46,6 +116,9 @@
             let mut books = self.books();
             let Some(known) = books.store_era else {
                 books.store_era = Some(era);
+                if !self.is_first_start {
+                    books.doubt_copy(era, self.rewrites);
+                }
                 self.eras.send_replace(era);
                 return;
             };
@@ -55,6 +128,7 @@
             event!(Event::HistoryChanged, "era {era} after {known}");
             books.store_era = Some(era);
             books.stored_version = 0;
+            books.doubt_copy(era, self.rewrites);
             for run in books.catalog.log_restored(clock::now()) {
                 books.leaving.push(run);
             }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock,
     direct::{
+        eras::EraRecord,
         figures::DirectFigures,
         message::{FeedTopic, TopicSpan},
         notices::LeavingNews,
@@ -20,6 +21,7 @@
         catalog::{TargetCatalog, TargetEntry, TargetStage},
         config::FleetConfig,
         contact::LogContact,
+        copy_doubt::{CopyDoubt, RewriteRule},
         demand::DemandTable,
         freshness::{ConfigProof, PassedProof, RevocationRule},
         health::HealthTable,
@@ -48,6 +50,8 @@
 };
 use tokio::sync::watch;
 
+/// Key of the record of the log's era.
+pub const ERA_KEY: &str = "era";
 /// Start of the keys of VM records.
 pub const VM_KEY: &str = "vm/";
 /// Start of the keys of suspects.
@@ -130,6 +134,10 @@
     pub sought: HashMap<AdapterName, Instant>,
     /// Since when the configuration is known to be the newest.
     pub proof: ConfigProof,
+    /// Whether what the log holds of operators' records may lack the newest.
+    pub copy_doubt: CopyDoubt,
+    /// What the log says of its present era.
+    pub era_record: Option<EraRecord>,
     /// Requests under which targets ended, by this VM's calls, others' word and the log.
     pub suspects: SuspectTable,
     /// Limits that targets named to this VM, or that others told of.
@@ -212,6 +220,22 @@
         self.proof.pass_on(version, now)
     }
 
+    /// The place of a VM in the order in which its zone's VMs take on duties.
+    #[must_use]
+    pub fn rank(&self, fleet: &FleetState) -> u32 {
+        let holder = self
+            .leases
+            .get(&fleet.zone)
+            .and_then(|state| state.holder());
+        let mine = duty_order(&fleet.vm, fleet.strength);
+        let before = self.vms.iter().filter(|(vm, record)| {
+            record.zone == fleet.zone
+                && Some(*vm) != holder
+                && duty_order(vm, record.strength) < mine
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Shares the retry budget, and what VMs without a holder send to limited targets, among the VMs that are known, once
     /// all of them are.
     pub(super) fn share_retries(&mut self) {
@@ -264,10 +288,14 @@
     /// The run of this process.
     pub incarnation: u64,
     started: Instant,
+    /// Whether the whole fleet starts for the first time.
+    pub(super) is_first_start: bool,
     /// This VM's zone.
     pub zone: AvailabilityZone,
     /// How long keys that were taken away may still be served.
     pub revocation: Option<RevocationRule>,
+    /// How long operators take to write again what a copy of the log lacks.
+    pub rewrites: RewriteRule,
     /// Thousandths of a core that this VM has.
     pub strength: u32,
     /// Counts for the metrics page.
@@ -294,8 +322,10 @@
             vm: settings.vm.clone(),
             incarnation,
             started,
+            is_first_start: settings.is_first_start,
             zone: settings.zone.clone(),
             revocation: settings.revocation,
+            rewrites: settings.rewrites,
             strength: settings.strength,
             figures: DirectFigures::default(),
             successors: Mutex::default(),
@@ -323,6 +353,8 @@
                 demand: DemandTable::default(),
                 sought: HashMap::new(),
                 proof: ConfigProof::default(),
+                copy_doubt: CopyDoubt::default(),
+                era_record: None,
                 suspects: SuspectTable::default(),
                 limits: LimitTable::with_share(1.0 / f64::from(FEWEST_SHARES)),
                 rests: RestTable::default(),
@@ -415,18 +447,7 @@
     /// This VM's place in the order in which its zone's VMs take on duties, the strongest first.
     #[must_use]
     pub fn rank(&self) -> u32 {
-        let books = self.books();
-        let holder = books
-            .leases
-            .get(&self.zone)
-            .and_then(|state| state.holder().cloned());
-        let mine = duty_order(&self.vm, self.strength);
-        let before = books.vms.iter().filter(|(vm, record)| {
-            record.zone == self.zone
-                && Some(*vm) != holder.as_ref()
-                && duty_order(vm, record.strength) < mine
-        });
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
+        self.books().rank(self)
     }
 
     /// A signal that fires after changes.
@@ -492,11 +513,12 @@
     }
 
     /// All of the operators' records that the log had when a read was sent are known. A copy that is older than the configuration in
-    /// force proves nothing.
+    /// force proves nothing, nor does one that may lack the newest.
     pub fn note_config_read(&self, sent: Instant) {
         let mut books = self.books();
         let version = books.active.as_ref().map(|active| active.config.version);
-        if version.is_none_or(|version| books.stored_version >= version) {
+        let is_doubted = books.copy_doubt.remaining(sent).is_some();
+        if !is_doubted && version.is_none_or(|version| books.stored_version >= version) {
             books.proof.note_read(sent);
         }
     }
@@ -507,6 +529,12 @@
         self.books().may_trust_keys(self.revocation, clock::now())
     }
 
+    /// When it is worth coming back while keys are not known to hold still.
+    #[must_use]
+    pub fn key_doubt(&self) -> Option<Duration> {
+        self.books().copy_doubt.remaining(clock::now())
+    }
+
     /// All of the fleet's topic is known as of then.
     pub fn note_fleet_read(&self, known_at: Instant) {
         let mut books = self.books();
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     direct::{
-        fleet::{ActiveConfig, FleetBooks, VM_KEY, ZONE_KEY},
+        fleet::{ActiveConfig, ERA_KEY, FleetBooks, VM_KEY, ZONE_KEY},
         intake::RecordSource,
         message::FeedTopic,
         suspect_records::{fold_suspect, suspect_of},
@@ -16,6 +16,7 @@
 use hoplanding_core::{
     direct::{
         catalog::{TargetCatalog, TargetEntry, TargetStage},
+        copy_doubt::RewriteRule,
         routes::RouteTable,
     },
     ids::{AvailabilityZone, Instant, TargetName, VmName},
@@ -269,12 +270,15 @@
 pub fn fold_fleet_record(
     books: &mut FleetBooks,
     record: &KeyedRecord,
+    rewrites: RewriteRule,
     now: Instant,
 ) -> FoldedRecord {
     let known = books.records.value(FeedTopic::Fleet, &record.key);
     let is_change = record.value.is_none() || known != record.value.as_deref();
     if let Some(vm) = record.key.strip_prefix(VM_KEY) {
         fold_vm(books, vm, record);
+    } else if record.key == ERA_KEY {
+        fold_era(books, record, rewrites);
     } else if let Some(fingerprint) = suspect_of(&record.key) {
         if let Err(error) = fold_suspect(books, fingerprint, record.value.as_deref(), now) {
             event!(Event::RecordSkipped, "{}: {error}", record.key);
@@ -302,6 +306,16 @@
     }
 }
 
+fn fold_era(books: &mut FleetBooks, record: &KeyedRecord, rewrites: RewriteRule) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match serde_json::from_slice(value) {
+        Ok(recorded) => books.note_era_record(recorded, rewrites),
+        Err(error) => event!(Event::RecordSkipped, "era: {error}"),
+    }
+}
+
 fn fold_lease(books: &mut FleetBooks, zone: &str, record: &KeyedRecord) -> FoldedRecord {
     let lease = record
         .value
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -17,7 +17,10 @@
     direct::catalog::CountedRemoval,
     ids::{Instant, LogPosition},
 };
-use hoplanding_platform::store::{KeyedRecord, ReadBatch};
+use hoplanding_platform::{
+    names::CONFIG_KEY,
+    store::{KeyedRecord, ReadBatch},
+};
 
 /// How a record came to this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,9 +142,15 @@
                 continue;
             }
             let folded = match topic {
-                FeedTopic::Operators => fold_operator_record(&mut books, record),
+                FeedTopic::Operators => {
+                    let is_written = source == RecordSource::Read && record.key == CONFIG_KEY;
+                    if is_written && Some(record.position.era()) == books.store_era {
+                        books.copy_doubt.note_written(now);
+                    }
+                    fold_operator_record(&mut books, record)
+                }
                 FeedTopic::Targets => fold_target_record(&mut books, record, source, now),
-                FeedTopic::Fleet => fold_fleet_record(&mut books, record, now),
+                FeedTopic::Fleet => fold_fleet_record(&mut books, record, self.rewrites, now),
             };
             // A removal in doubt is kept, and passed on, when it counts; what is older by an order of its own is not kept at
             // all, so that whoever is told everything is told of the newer one.
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     direct::{
-        fleet::{FleetBooks, FleetState, VmRecord, vm_key},
+        fleet::{ERA_KEY, FleetBooks, FleetState, VmRecord, vm_key},
         message::FeedTopic,
         settings::DirectSettings,
         suspect_records::suspect_of,
@@ -106,6 +106,12 @@
         }
         let state = books.leases.get(&fleet.zone);
         let is_holder = state.is_some_and(|state| state.holder() == Some(&fleet.vm));
+        if let Some(record) = books.missing_era_record()
+            && (is_holder || books.rank(&fleet) == 0)
+        {
+            let value = serde_json::to_vec(&record).expect("a record has a JSON form");
+            return Some((ERA_KEY.to_owned(), value.into()));
+        }
         if !is_holder {
             return None;
         }
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -3,8 +3,8 @@
 use crate::options::{LogSettings, SectionReader, SettingsError, parse_settings, read_log};
 use hoplanding_core::{
     direct::{
-        budget::RetryRule, freshness::RevocationRule, lease::LeaseTimes, policy::PlacementPolicy,
-        quotas::QuotaBounds, trials::TrialRule,
+        budget::RetryRule, copy_doubt::RewriteRule, freshness::RevocationRule, lease::LeaseTimes,
+        policy::PlacementPolicy, quotas::QuotaBounds, trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
 };
@@ -14,6 +14,9 @@
 /// Part of the time until a configuration has to be in force that is left for reading it and passing it on.
 const CONFIG_MARGIN: Duration = Duration::from_millis(600);
 
+/// Part of the time until callers have to be served again after a loss of all VMs that is left for the start.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Settings of a daemon in direct mode.
 #[derive(Clone, Debug)]
 pub struct DirectSettings {
@@ -41,6 +44,8 @@
     pub retries: RetryRule,
     /// How long a key that was taken away may still be served; none where a VM that is out of touch need not know.
     pub revocation: Option<RevocationRule>,
+    /// How long operators take to write again what a copy of the log lacks.
+    pub rewrites: RewriteRule,
     /// How exactly quotas are kept.
     pub quotas: QuotaBounds,
     /// Pauses before trials of requests under which targets ended.
@@ -110,6 +115,7 @@
         is_first_start: root.flag("first_start"),
         retries: root.section("retries", read_retries),
         revocation: root.section("revocation", read_revocation),
+        rewrites: root.section("recovery", read_rewrites),
         quotas: root.section("quotas", read_quotas),
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
@@ -133,6 +139,13 @@
     section.flag("strict").then_some(RevocationRule { bound })
 }
 
+fn read_rewrites(section: &SectionReader<'_>) -> RewriteRule {
+    let recovered = Duration::from_secs_f64(section.fraction("bound_s", 15.0, 0.0, 86_400.0));
+    RewriteRule {
+        rewrite: recovered.saturating_sub(START_TIME),
+    }
+}
+
 fn read_quotas(section: &SectionReader<'_>) -> QuotaBounds {
     QuotaBounds {
         window: Duration::from_secs_f64(section.fraction("window_s", 10.0, 0.1, 86_400.0)),
--- a/crates/daemon/tests/direct/keys.rs
+++ b/crates/daemon/tests/direct/keys.rs
@@ -17,12 +17,12 @@
 /// Bound of revocation in these tests.
 const REVOKE: Duration = Duration::from_millis(1_500);
 
-fn mill(keys: &[&str]) -> Value {
+pub fn mill(keys: &[&str]) -> Value {
     json!({ "name": "mill", "api_keys": keys, "priority": 3, "unit": "token_count", "plain_tokens": 200 })
 }
 
 /// The usual configuration with an open route and organisations.
-fn keyed_config(version: u64, organisations: &Value) -> String {
+pub fn keyed_config(version: u64, organisations: &Value) -> String {
     let mut keyed: Value = serde_json::from_str(&config(version)).expect("a configuration");
     let mut open = route("open", "idempotent", "ledger");
     open["anonymous"] = json!(true);
@@ -31,7 +31,7 @@
     keyed.to_string()
 }
 
-fn strict_settings(vm: &str, log: &KeyedLog) -> DirectSettings {
+pub fn strict_settings(vm: &str, log: &KeyedLog) -> DirectSettings {
     let mut settings = settings(vm, log);
     settings.revocation =
         Some(hoplanding_core::direct::freshness::RevocationRule { bound: REVOKE });
@@ -54,7 +54,7 @@
     daemon
 }
 
-async fn call(daemon: &DirectDaemon, path: &str, id: &str, headers: &str) -> Answer {
+pub async fn call(daemon: &DirectDaemon, path: &str, id: &str, headers: &str) -> Answer {
     ask(daemon.caller_address, &post(path, id, headers)).await
 }
 
@@ -65,7 +65,7 @@
     seen
 }
 
-const KEY: &str = "Authorization: Bearer k1\r\n";
+pub const KEY: &str = "Authorization: Bearer k1\r\n";
 
 #[tokio::test]
 async fn a_key_becomes_its_organisation_and_goes_no_further() {
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod connections;
+mod copies;
 mod fleet;
 mod foreign;
 mod headers;
