List targets by turns where all VMs start at once, and serve before the list

Callers saw: after a kill of all of 301 VMs before 3,000 targets every call was refused for four seconds.

Cause: every VM needs the whole list before it sends its first call, and all ask for it at once, so the log's 80 MB/s bring all of them 4.03 s after the start, within 62 ms of each other. Ruled out: claims (the zone is held 0.3 s after the start) and processor time (the lists of weak and strong VMs come together).

Change: the VMs of a zone that nobody holds any more list by rank, 60 ms apart, the first two at once; a VM without a list asks the holder that placed its call for the record of the target. Such records are no news.

--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -44,6 +44,8 @@
 const PLAIN_WAIT: Duration = Duration::from_millis(60);
 /// Time that a call waits for a holder's word on a trial before it asks the next one.
 const TRIAL_WAIT: Duration = Duration::from_millis(250);
+/// Time that a placed call waits for the holder's record of its target.
+const TARGET_WAIT: Duration = Duration::from_millis(250);
 /// Pause after a link ended before it is dialled again for a call.
 const REDIAL_PAUSE: Duration = Duration::from_millis(700);
 
@@ -66,6 +68,8 @@
     Pay(QuotaCharge),
     /// Whether a trial of a suspect is granted.
     Trial(RequestFingerprint),
+    /// The record of a target.
+    Target(TargetName),
 }
 
 impl HolderQuestion {
@@ -75,6 +79,7 @@
             Self::Plain(ask) => ZoneEvent::PlacePlain(key, ask, reply),
             Self::Pay(charge) => ZoneEvent::Pay(key, charge, reply),
             Self::Trial(fingerprint) => ZoneEvent::Trial(key, fingerprint, reply),
+            Self::Target(target) => ZoneEvent::Target(key, target, reply),
         }
     }
 
@@ -84,6 +89,7 @@
             Self::Plain(ask) => VmMessage::PlacePlain(number, ask),
             Self::Pay(charge) => VmMessage::Pay(number, charge),
             Self::Trial(fingerprint) => VmMessage::Trial(number, fingerprint),
+            Self::Target(target) => VmMessage::TargetWanted(number, target),
         }
     }
 }
@@ -211,7 +217,7 @@
         match self.question(zone, &lease, number, question).await? {
             PlaceReply::Paid(None) => Some(Ok(())),
             PlaceReply::Paid(Some(ms)) => Some(Err(Duration::from_millis(u64::from(ms)))),
-            PlaceReply::Answer(_) | PlaceReply::Trial(_) | PlaceReply::NotHolder => None,
+            _ => None,
         }
     }
 
@@ -237,6 +243,19 @@
         None
     }
 
+    /// Asks the holder of a zone for the record of a target that it has placed a call at.
+    pub async fn learn_target(&self, zone: &AvailabilityZone, target: &TargetName) {
+        let Some(lease) = self.fleet.lease(zone) else {
+            return;
+        };
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let question = HolderQuestion::Target(target.clone());
+        let asked = self.question(zone, &lease, number, question);
+        if let Ok(Some(PlaceReply::Target(Some(record)))) = timeout(TARGET_WAIT, asked).await {
+            self.fleet.take_asked(record);
+        }
+    }
+
     /// Tells of a trial's end: the holder that granted it, and all of one that was answered well.
     pub(super) fn end_trial(
         &self,
@@ -297,7 +316,10 @@
     ) -> Option<(PlacementAnswer, Option<CallTicket>)> {
         withdrawal.is_settled = true;
         match reply {
-            PlaceReply::NotHolder | PlaceReply::Paid(_) | PlaceReply::Trial(_) => None,
+            PlaceReply::NotHolder
+            | PlaceReply::Paid(_)
+            | PlaceReply::Trial(_)
+            | PlaceReply::Target(_) => None,
             PlaceReply::Answer(answer) => {
                 let ticket = match &answer {
                     PlacementAnswer::Send { target, life, .. } => {
--- a/crates/daemon/src/direct/call/placing.rs
+++ b/crates/daemon/src/direct/call/placing.rs
@@ -129,7 +129,7 @@
                     self.payment.settle();
                     self.is_limited = is_limited;
                     sleep(Duration::from_millis(u64::from(wait_ms))).await;
-                    let entry = self.context.fleet.books().catalog.get(&target).cloned();
+                    let entry = self.entry_of(zone, &target).await;
                     match entry.filter(|entry| entry.stage == TargetStage::Ready) {
                         Some(entry) => return Placing::At(entry, None, ticket),
                         // It has left as far as this VM knows.
@@ -245,7 +245,7 @@
                 sleep(Duration::from_millis(u64::from(wait_ms))).await;
                 self.timeline.note_there();
                 let is_led = lease == self.context.fleet.lease(zone);
-                let entry = self.context.fleet.books().catalog.get(&target).cloned();
+                let entry = self.entry_of(zone, &target).await;
                 // It may have begun to leave while the adapter came.
                 let Some(entry) = entry.filter(|entry| entry.stage == TargetStage::Ready) else {
                     self.tried.push(target);
@@ -286,6 +286,21 @@
         }
     }
 
+    /// The entry of a target at which a zone's holder placed the call. A VM that does not know the target list yet asks that
+    /// holder for it.
+    async fn entry_of(
+        &self,
+        zone: &AvailabilityZone,
+        target: &TargetName,
+    ) -> Option<Arc<TargetEntry>> {
+        let fleet = &self.context.fleet;
+        let known = || fleet.books().catalog.get(target).cloned();
+        if known().is_none() && !fleet.knows_whole(FeedTopic::Targets) {
+            self.context.access.learn_target(zone, target).await;
+        }
+        known()
+    }
+
     /// Pays for the call; says where it goes if that can't be done. A zone `but` is not asked: it is silent, or will
     /// have enough after `known`.
     async fn unpaid(
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -17,7 +17,7 @@
         freshness::{BeatEcho, PassedProof},
         millis,
     },
-    ids::{Instant, LogPosition, VmName},
+    ids::{Instant, LogPosition, TargetName, VmName},
 };
 use hoplanding_platform::store::KeyedRecord;
 use std::{collections::BTreeMap, slice, time::Duration};
@@ -52,6 +52,27 @@
         }
     }
 
+    /// Folds a record that this VM asked for before it knows the topic.
+    pub fn take_asked(&self, asked: PassedRecord) {
+        self.learn_eras([asked.position].into_iter());
+        let record = KeyedRecord {
+            key: asked.key,
+            value: asked.value,
+            position: asked.position,
+        };
+        let records = slice::from_ref(&record);
+        self.fold(asked.topic, records, RecordSource::Asked, clock::now());
+        self.signal();
+    }
+
+    /// The record of a target, for a VM that does not know the target list.
+    #[must_use]
+    pub fn target_record(&self, target: &TargetName) -> Option<PassedRecord> {
+        self.books()
+            .records
+            .passed(FeedTopic::Targets, target.as_str())
+    }
+
     /// Folds a record of the fleet that this VM appended. Where it lies at the end that was known, nothing remains to be
     /// read before it.
     pub fn take_own(&self, key: String, value: Vec<u8>, position: LogPosition) {
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -47,6 +47,12 @@
 const READ_SILENCE: Duration = Duration::from_millis(900);
 /// Time that a VM gives its zone's holder to tell what a listing would, once it knows who that is.
 const HOLDER_TELLS: Duration = Duration::from_millis(400);
+/// VMs of a zone that list the targets at once where nobody holds it, and the pause between the others: the log answers 1.4 MB
+/// in 18 ms, and several zones ask.
+const LIST_AT_ONCE: u32 = 1;
+const LIST_TURN: Duration = Duration::from_millis(60);
+/// Longest time until a VM's turn to list.
+const LIST_LATEST: Duration = Duration::from_secs(8);
 /// Pause between two looks at whether it has.
 const TELL_LOOK: Duration = Duration::from_millis(20);
 /// Pause between two looks at whether this VM has to read.
@@ -87,7 +93,7 @@
         let mut client = StoreClient::new(self.address);
         if self.topic == FeedTopic::Fleet {
             sleep(self.first_pause).await;
-        } else if self.is_told().await {
+        } else if self.is_told().await || self.is_told_before_turn().await {
             let end = self.fleet.known_end(self.topic);
             self.read_on(&mut client, end).await;
         }
@@ -122,6 +128,27 @@
         }
     }
 
+    /// Waits for this VM's turn to list the targets; says whether it has been told of all of them by then. Where all VMs of a zone
+    /// start together the log would answer all of them late: those that hold the zone next list first, and the others send
+    /// calls by their word.
+    async fn is_told_before_turn(&self) -> bool {
+        if self.topic != FeedTopic::Targets {
+            return false;
+        }
+        let first = self.fleet.lease(&self.fleet.zone);
+        let turn = self.fleet.rank().saturating_sub(LIST_AT_ONCE);
+        let until = Instant::now() + (LIST_TURN * turn).min(LIST_LATEST);
+        while Instant::now() < until && !self.fleet.knows_whole(self.topic) {
+            let lease = self.fleet.lease(&self.fleet.zone);
+            let lives_on = lease.is_some() && lease == first && self.hears_holder();
+            if lives_on || self.is_holder() {
+                return false;
+            }
+            sleep(TELL_LOOK).await;
+        }
+        self.fleet.knows_whole(self.topic)
+    }
+
     /// Waits until the zone's holder has told all of the topic; says whether it did. Where there is no holder, or it
     /// can't be reached, there is nothing to wait for.
     async fn is_told(&self) -> bool {
--- a/crates/daemon/src/direct/intake.rs
+++ b/crates/daemon/src/direct/intake.rs
@@ -31,6 +31,8 @@
     Read,
     /// From another VM.
     Passed,
+    /// From another VM that was asked for it.
+    Asked,
 }
 
 impl FleetState {
@@ -133,8 +135,9 @@
     ) -> bool {
         let mut has_news = false;
         let mut books = self.books();
-        // What a first listing brings, every VM lists or is told as well.
-        let is_first = source == RecordSource::Listed && !books.ends.contains_key(&topic);
+        // What a VM takes in before it knows a topic, every VM lists or is told as well.
+        let is_own = matches!(source, RecordSource::Listed | RecordSource::Asked);
+        let is_first = is_own && !books.ends.contains_key(&topic);
         for record in records {
             let is_newer = books.records.is_newer(topic, &record.key, record.position);
             // It may be newer by an order of its own than what came behind it.
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -325,6 +325,7 @@
             VmMessage::Placed(number, answer) => (number, PlaceReply::Answer(answer)),
             VmMessage::Paid(number, after_ms) => (number, PlaceReply::Paid(after_ms)),
             VmMessage::TrialAnswered(number, answer) => (number, PlaceReply::Trial(answer)),
+            VmMessage::TargetTold(number, record) => (number, PlaceReply::Target(record)),
             VmMessage::NotHolder(number) => (number, PlaceReply::NotHolder),
             _ => return,
         };
@@ -489,6 +490,11 @@
         VmMessage::TrialEnded(number, fingerprint, is_good) => {
             Some(ZoneEvent::TrialEnded(key(number), fingerprint, is_good))
         }
+        VmMessage::TargetWanted(number, target) => Some(ZoneEvent::Target(
+            key(number),
+            target,
+            ReplyTo::Link(outbound.clone()),
+        )),
         VmMessage::Begun(number, target, version) => {
             Some(ZoneEvent::Begun(key(number), target, version))
         }
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -191,6 +191,10 @@
     LeaseWanted(LogPosition),
     /// The sender's planned stop has begun: it takes on no duty any more.
     Stopping,
+    /// Tell the record of a target: the sender does not know the target list yet.
+    TargetWanted(u64, TargetName),
+    /// The record of a target that is known.
+    TargetTold(u64, Option<PassedRecord>),
     /// Records that may be news.
     Records(Vec<PassedRecord>),
     /// Targets that said in their answers that they leave.
--- a/crates/daemon/src/direct/records.rs
+++ b/crates/daemon/src/direct/records.rs
@@ -64,6 +64,14 @@
         kept.value.as_deref()
     }
 
+    /// The record that is kept of a key, to be passed on; none where it has no value.
+    #[must_use]
+    pub fn passed(&self, topic: FeedTopic, key: &str) -> Option<PassedRecord> {
+        let key = (topic, key.to_owned());
+        let kept = self.records.get(&key)?;
+        kept.value.is_some().then(|| passed(&key, kept))
+    }
+
     /// Whether a record is kept of each position of a topic from one on and before another.
     #[must_use]
     pub fn has_all(&self, topic: FeedTopic, from: LogPosition, before: LogPosition) -> bool {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -9,7 +9,7 @@
         engine_calls::{give_order, read_report},
         fleet::FleetState,
         ledger::{LeaseOrigin, ZoneLedger},
-        message::{CallEnd, CallEnding, VmMessage},
+        message::{CallEnd, CallEnding, PassedRecord, VmMessage},
         sender::ConnectionPool,
         settings::DirectSettings,
     },
@@ -55,6 +55,8 @@
     Paid(Option<u32>),
     /// Whether a trial is granted.
     Trial(TrialAnswer),
+    /// The record of a target that is known.
+    Target(Option<PassedRecord>),
     /// The VM asked does not hold the zone.
     NotHolder,
 }
@@ -85,6 +87,8 @@
     LimitNamed(NamedLimit),
     /// Grant a trial of a suspect.
     Trial(CallKey, RequestFingerprint, ReplyTo),
+    /// Tell the record of a target.
+    Target(CallKey, TargetName, ReplyTo),
     /// A trial ended, answered well or not.
     TrialEnded(CallKey, RequestFingerprint, bool),
     /// The first event of a call came from this target, made by this version of the base model.
@@ -224,6 +228,11 @@
 
     fn take(&mut self, event: ZoneEvent) {
         let now = clock::now();
+        if let ZoneEvent::Target(key, target, reply) = event {
+            let record = self.fleet.target_record(&target);
+            send_reply(&key, reply, PlaceReply::Target(record));
+            return;
+        }
         let Some(event) = self.take_for_ledger(event, now) else {
             return;
         };
@@ -326,6 +335,7 @@
             | ZoneEvent::EndedUnder(_)
             | ZoneEvent::LimitNamed(_)
             | ZoneEvent::Trial(..)
+            | ZoneEvent::Target(..)
             | ZoneEvent::TrialEnded(..) => {}
         }
     }
@@ -692,6 +702,7 @@
                 PlaceReply::Answer(answer) => VmMessage::Placed(key.number, answer),
                 PlaceReply::Paid(after_ms) => VmMessage::Paid(key.number, after_ms),
                 PlaceReply::Trial(answer) => VmMessage::TrialAnswered(key.number, answer),
+                PlaceReply::Target(record) => VmMessage::TargetTold(key.number, record),
                 PlaceReply::NotHolder => VmMessage::NotHolder(key.number),
             };
             // A full or closed link: the gateway's own timeout takes it from here.
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -7,17 +7,21 @@
 //! Evidence: the users' sweeps show the busiest VM at 820 kB/s over 41 s with 100 VMs and at 6,000 kB/s with 300, which is
 //! 33 (100) links x 1,000 (3,000) entries of some 400 bytes, there and back. VMs have 1,250 kB/s where they are weak.
 
-use crate::support::{entry, settings};
+use crate::support::{
+    ask, config, entry, good, is_ready, model, post, settings, site, slow_engine, wait_for,
+};
 use futures_util::FutureExt;
 use hoplanding_core::ids::{AvailabilityZone, LogPosition, VmName};
 use hoplanding_platform::store::{KeyedRecord, ReadBatch};
-use hoplanding_standins::keyed_log::KeyedLog;
+use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget};
 use hoplandingd::direct::{
+    daemon::DirectDaemon,
     fleet::{FleetState, VmRecord},
     message::{FeedTopic, VmMessage},
     sharing::RecordSharing,
 };
-use std::{net::SocketAddr, sync::Arc};
+use serde_json::json;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 const TARGETS: u64 = 1_000;
 
@@ -248,3 +252,65 @@
     dialler.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
     assert!(dialler.is_leaving("i-5") && !dialler.is_leaving("i-6"));
 }
+
+/// Records of so many strong VMs that have ended, so that a weaker one's turn to list comes after them.
+fn record_strong_vms(log: &KeyedLog, count: usize) {
+    for number in 0..count {
+        let record = json!({ "zone": "hall", "address": "127.0.0.1:9", "strength": 4_000 });
+        let key = format!("vm/strong-{number}");
+        log.put("keyed.fleet", &key, Some(&record.to_string()));
+    }
+}
+
+/// VMs of a zone that is too large for its holder to tell all of them everything.
+const LARGE_ZONE: usize = 60;
+
+#[tokio::test]
+async fn a_vm_that_has_no_target_list_serves_by_its_holders_word() {
+    let log = KeyedLog::start().await.expect("a log");
+    let plain = RawTarget::start(good).await.expect("a target");
+    let engine = slow_engine(Duration::from_millis(1)).await;
+    record_strong_vms(&log, LARGE_ZONE);
+    let listed = [
+        ("i-1", "ledger", plain.address),
+        ("e-1", "scribe", engine.address),
+    ];
+    let _holder = site(&log, &listed).await;
+    let unlisted = vec!["keyed.servers".to_owned()];
+    log.set_faults(|faults| faults.unlisted = unlisted);
+    let blind = DirectDaemon::start(settings("vm-2", &log)).await;
+    let blind = blind.expect("the daemon starts");
+    for (path, headers) in [("/lookup/1", String::new()), ("/plan/1", model("a1"))] {
+        wait_for(path, async || {
+            let request = post(path, "r1", &headers);
+            ask(blind.caller_address, &request).await.status == 200
+        })
+        .await;
+    }
+    assert!(!blind.fleet().knows_whole(FeedTopic::Targets));
+}
+
+#[tokio::test]
+async fn vms_that_start_together_do_not_all_list_the_targets_at_once() {
+    let log = KeyedLog::start().await.expect("a log");
+    log.put("keyed.op", "config", Some(&config(1)));
+    record_strong_vms(&log, LARGE_ZONE);
+    let daemon = DirectDaemon::start(settings("vm-1", &log)).await;
+    let daemon = daemon.expect("the daemon starts");
+    wait_for("the fleet's records", async || {
+        daemon.fleet().knows_whole(FeedTopic::Fleet)
+    })
+    .await;
+    assert_eq!(log.listings("keyed.servers"), 0);
+    wait_for("its turn", async || log.listings("keyed.servers") > 0).await;
+}
+
+#[tokio::test]
+async fn a_vm_that_starts_beside_a_holder_of_before_lists_at_once() {
+    let log = KeyedLog::start().await.expect("a log");
+    let _holder = site(&log, &[]).await;
+    record_strong_vms(&log, 10_000);
+    let later = DirectDaemon::start(settings("vm-2", &log)).await;
+    let later = later.expect("the daemon starts");
+    wait_for("readiness", async || is_ready(&later).await).await;
+}
