Have a claim say that its claimant waits a turn

What callers could see: two VMs give a zone's orders at once, and adapters that the older one placed calls for do not come (found by reading).

Cause: a successor waits where it can't tell that the newest holder has ended; one that ended within the turn that it waited itself for the holder before it left nothing of that in its record.

Ruled out: zones without fences, where another wait of 12 s covers it.

--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -3,7 +3,8 @@
 //! A claim is a record under the zone's key, appended only if nothing was appended since the claimant read; its position
 //! is the fencing token, so a later claim always has a higher one, also in a later era of the log. A log that came back from a
 //! copy may lack claims: the holder goes on and claims its zone again, and whoever else claims it waits before its first order. A holder stops as soon as it reads a newer record or
-//! a target refuses its token. A successor of a holder that may still be giving orders waits before its first one.
+//! a target refuses its token. A successor of a holder that may still be giving orders waits before its first one, and says so in its
+//! claim: should it end meanwhile, its own successor waits as well.
 //!
 //! Orders and placements of a whole zone are work, so a strong VM should do it. A weak one that took over while the
 //! strong ones were away is asked for the lease once they are back: it finishes the orders under way and gives it up.
@@ -24,6 +25,9 @@
     /// The era in which it was claimed; none in records of a version that knows no eras.
     #[serde(default)]
     pub era: Option<StoreEra>,
+    /// When it was claimed, if its holder waits before its first order: wall-clock time in milliseconds since 1970.
+    #[serde(default)]
+    pub waits_since_ms: Option<u64>,
 }
 
 impl ZoneLease {
@@ -80,6 +84,8 @@
     pub is_weaker: bool,
     /// VMs that claim before this one.
     pub rank: u32,
+    /// How long ago the zone was claimed at the least, if the claimant was to wait before its first order.
+    pub waited: Option<Duration>,
     /// Whether the log has come back from a copy since the newest record: later ones may be lost, and their holders go on until
     /// they know.
     pub is_outdated: bool,
@@ -102,6 +108,8 @@
     pub renewed: Option<FencingToken>,
     /// Whether the newest record was read in a later era than it was claimed in: nobody begins to hold the zone by it.
     pub is_copied: bool,
+    /// When this VM first looked at the newest record.
+    seen_at: Option<Instant>,
     /// Since when the zone has had no holder that can be reached.
     vacant_since: Option<Instant>,
     /// Since when this VM has heard a holder that is weaker, or asked it last.
@@ -123,6 +131,7 @@
         self.had_holder |= self.lease.is_some();
         self.position = position;
         self.lease = lease;
+        self.seen_at = None;
         self.vacant_since = None;
         self.weaker_since = None;
         true
@@ -156,10 +165,12 @@
             };
             return LeaseStep::Claim { quiet };
         }
-        let since_gone = if view.is_outdated {
-            times.turn
-        } else {
-            Duration::ZERO
+        let seen_at = *self.seen_at.get_or_insert(now);
+        let since_gone = match view.waited {
+            _ if view.is_outdated => times.turn,
+            // The holder before the one that is gone may go on.
+            Some(waited) => times.turn.saturating_sub(waited.max(now.since(seen_at))),
+            None => Duration::ZERO,
         };
         let (vacant_from, quiet) = match (self.holder(), view.contact) {
             (None, _) => (Some(now), since_gone),
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -324,6 +324,7 @@
         incarnation: 1,
         address: "127.0.0.1:9".parse().expect("an address"),
         era: None,
+        waits_since_ms: None,
     })
 }
 
@@ -332,6 +333,7 @@
         contact,
         is_weaker: false,
         rank,
+        waited: None,
         is_outdated: false,
         is_oneself: false,
         was_led: true,
@@ -566,3 +568,33 @@
         assert_eq!(state.clone().step(&TIMES, view, at(9_000)), expected);
     }
 }
+
+#[test]
+fn the_successor_of_a_claimant_that_ended_within_its_turn_waits_what_is_left_of_it() {
+    let waiting = |waited: u64, contact| HolderView {
+        waited: Some(Duration::from_millis(waited)),
+        ..view(contact, 0)
+    };
+    let claim = |ms| LeaseStep::Claim {
+        quiet: Duration::from_millis(ms),
+    };
+    let mut state = LeaseState::default();
+    state.apply(LogPosition(5), held_by("a"));
+    let heard = waiting(0, HolderContact::Heard);
+    assert_eq!(state.step(&TIMES, heard, at(0)), LeaseStep::Stay);
+    let ended = waiting(0, HolderContact::Ended);
+    assert_eq!(state.step(&TIMES, ended, at(1_000)), claim(2_000));
+    assert_eq!(state.step(&TIMES, ended, at(3_000)), claim(0));
+    // One that gives the zone up meanwhile has not waited any longer.
+    state.apply(
+        LogPosition(6),
+        held_by("").map(|lease| ZoneLease { vm: None, ..lease }),
+    );
+    let given_up = waiting(500, HolderContact::Ended);
+    assert_eq!(state.step(&TIMES, given_up, at(4_000)), claim(2_500));
+    // A claim that is long ago by the time of day needs no wait at a VM that has just started.
+    let mut state = LeaseState::default();
+    state.apply(LogPosition(5), held_by("a"));
+    let long_ago = waiting(60_000, HolderContact::Ended);
+    assert_eq!(state.step(&TIMES, long_ago, at(0)), claim(0));
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -42,7 +42,10 @@
     SKIPPED.fetch_add(micros, Ordering::Relaxed);
 }
 
-/// Wall-clock time in milliseconds since 1970; for people only.
+/// By how much the times of day of two VMs may differ.
+pub const CLOCK_ERROR: Duration = Duration::from_secs(15);
+
+/// Wall-clock time in milliseconds since 1970; for people, and for spans that are long beside [`CLOCK_ERROR`].
 #[must_use]
 pub fn wall_ms() -> u64 {
     let elapsed = SystemTime::now()
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of the lease of this VM's zone.
 
 use crate::{
-    clock,
+    clock::{self, CLOCK_ERROR},
     direct::{
         access::ZoneAccess,
         fleet::{FleetBooks, FleetState, zone_key},
@@ -115,6 +115,7 @@
                 .and_then(|vm| books.vms.get(vm))
                 .is_some_and(|record| record.strength < self.fleet.strength),
             rank,
+            waited: lease.as_ref().and_then(waited),
             is_outdated: books.is_outdated(&self.fleet.zone),
             is_oneself: lease.as_ref().is_some_and(|lease| self.is_own(lease)),
             was_led: self.is_confirmed(&books)
@@ -175,6 +176,12 @@
         lease.vm.as_ref() == Some(&self.fleet.vm) && lease.incarnation == self.fleet.incarnation
     }
 
+    /// What a claim says of the time that this VM waits before its first order.
+    fn waits_since_ms(&self) -> Option<u64> {
+        let quiet = self.fleet.books().claim_quiet;
+        (!quiet.is_zero()).then(clock::wall_ms)
+    }
+
     /// Appends a claim.
     async fn claim(&self, client: &mut StoreClient) -> ClaimResult {
         let Some(end) = self.fleet.books().fleet_end else {
@@ -185,6 +192,7 @@
             incarnation: self.fleet.incarnation,
             address: self.settings.peer_address,
             era: Some(end.era()),
+            waits_since_ms: self.waits_since_ms(),
         };
         let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
         let key = zone_key(&self.fleet.zone);
@@ -238,6 +246,25 @@
     }
 }
 
+/// How long ago a zone was claimed, at the least, by a holder that waits before its first order.
+fn waited(lease: &ZoneLease) -> Option<Duration> {
+    let since_ms = lease.waits_since_ms?;
+    let age = Duration::from_millis(clock::wall_ms().saturating_sub(since_ms));
+    Some(age.saturating_sub(CLOCK_ERROR))
+}
+
+/// Since when this VM waits before its first order in its zone, if it has not come to that.
+fn unfinished_wait(fleet: &FleetState) -> Option<u64> {
+    let books = fleet.books();
+    let state = books.leases.get(&fleet.zone)?;
+    let is_confirmed = books.confirmed == Some(state.token());
+    state
+        .lease
+        .as_ref()
+        .filter(|_| !is_confirmed)?
+        .waits_since_ms
+}
+
 /// Records that this VM gave its zone up, so that another claims it at once. Says whether that holds.
 pub async fn release_lease(fleet: &FleetState, platform: SocketAddr, within: Duration) -> bool {
     let mut client = StoreClient::new(platform);
@@ -249,6 +276,7 @@
         incarnation: fleet.incarnation,
         address: platform,
         era: Some(end.era()),
+        waits_since_ms: unfinished_wait(fleet),
     };
     let value = serde_json::to_vec(&lease).expect("a lease has a JSON form");
     let key = zone_key(&fleet.zone);
--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -5,7 +5,7 @@
 //! leave. Everything else is listed anew. VMs tell each other of the era with every position that they pass on.
 
 use crate::{
-    clock,
+    clock::{self, CLOCK_ERROR},
     direct::{
         fleet::{FleetBooks, FleetState},
         message::FeedTopic,
@@ -21,9 +21,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// By how much the times of day of two VMs may differ.
-const CLOCK_ERROR: Duration = Duration::from_secs(15);
-
 /// The record of an era of the log, for VMs that start in it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EraRecord {
--- a/crates/daemon/tests/direct/fleet.rs
+++ b/crates/daemon/tests/direct/fleet.rs
@@ -1,10 +1,10 @@
 //! What VMs know and do together: records, leases, orders, starts and stops.
 
 use crate::support::{
-    ask, config, entry, event, good, is_ready, model, post, second_vm, settings, site, slow_engine,
-    start_stream, unchunk, wait_for,
+    ask, config, entry, event, good, is_ready, model, post, process, second_vm, settings, site,
+    slow_engine, start_stream, stream, unchunk, wait_for,
 };
-use hoplanding_core::ids::AvailabilityZone;
+use hoplanding_core::ids::{AvailabilityZone, VmName};
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawAnswer, RawRequest, RawTarget},
@@ -12,7 +12,10 @@
 };
 use hoplandingd::direct::daemon::DirectDaemon;
 use serde_json::json;
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     time::{Instant, sleep},
@@ -502,3 +505,64 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn no_order_is_given_while_the_holder_before_a_claimant_that_ended_may_go_on() {
+    const TURN: Duration = Duration::from_secs(3);
+    let log = KeyedLog::start().await.expect("a log");
+    let first_order = Arc::new(Mutex::new(None));
+    let seen = Arc::clone(&first_order);
+    let engine = RawTarget::start(move |request: &RawRequest| {
+        if request.line().contains("/hoplanding/order") {
+            let mut first = seen.lock().expect("no holder panics");
+            first.get_or_insert_with(Instant::now);
+            return RawAnswer::whole("202 Accepted", "", "");
+        }
+        stream(request, None)
+    });
+    let engine = engine.await.expect("an engine");
+    let listed = entry("scribe", engine.address, "ready", &["a1@1"]);
+    log.put("keyed.servers", "e-1", Some(&listed));
+    log.put("keyed.op", "config", Some(&config(1)));
+    // A holder that stands still: its address takes connections, and says nothing.
+    let frozen = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = frozen.local_addr().expect("an address").to_string();
+    let lease = json!({ "vm": "vm-0", "incarnation": 9, "address": address });
+    log.put("keyed.fleet", "zone/hall", Some(&lease.to_string()));
+    let later = |vm: &str| {
+        let mut settings = settings(vm, &log);
+        settings.leases.turn = TURN;
+        settings.are_orders_fenced = true;
+        settings
+    };
+    let claimant = process();
+    let started = claimant.spawn(DirectDaemon::start(later("vm-1")));
+    let first = started.await.expect("a task").expect("the daemon starts");
+    let held_by = async |daemon: &DirectDaemon, vm: &str| {
+        let lease = daemon.fleet().lease(&AvailabilityZone::new("hall"));
+        lease.is_some_and(|lease| lease.vm == Some(VmName::new(vm)))
+    };
+    wait_for("its claim", async || held_by(&first, "vm-1").await).await;
+    let claimed = Instant::now();
+    claimant.shutdown_background();
+    let successor = DirectDaemon::start(later("vm-2")).await;
+    let successor = successor.expect("the daemon starts");
+    wait_for("its claim", async || held_by(&successor, "vm-2").await).await;
+    let address = successor.caller_address;
+    let mut number = 0;
+    wait_for("an order", async || {
+        number += 1;
+        let request = post(
+            "/plan/1",
+            &format!("n{number}"),
+            &model(&format!("b{number}")),
+        );
+        // Whether it is served is not the question.
+        drop(tokio::spawn(async move { ask(address, &request).await }));
+        first_order.lock().expect("no holder panics").is_some()
+    })
+    .await;
+    let first = first_order.lock().expect("no holder panics");
+    let waited = first.map(|first| first.duration_since(claimed));
+    assert!(waited >= Some(TURN), "{waited:?}");
+}
