Hold a target that was removed before the log's copy for gone

Callers saw: where the log comes back from a copy that lacks the removal of a target that said nothing, all VMs list it again and send calls to it (found by reading).

Cause: an entry of the copy has a later position, by its era, than the removal.

Change: an entry that came with the copy, of a life whose removal is known from an earlier era, is passed over; one that the target writes after the return counts.

Evidence: a_target_that_was_gone_before_the_copy_is_gone_until_it_writes_itself failed before.

--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -101,6 +101,14 @@
                 };
                 return fold_unusable(books, record, &error, now);
             }
+            Ok(entry) if is_gone_since(books, record, &entry, source) => {
+                event!(
+                    Event::EntryOutlived,
+                    "{name} at position {}, removed in an earlier era",
+                    record.position
+                );
+                return FoldedRecord::Outlived;
+            }
             Ok(entry) => match fold_entry(books, record, entry, now) {
                 Some(is_news) => is_news,
                 None => return FoldedRecord::Outlived,
@@ -130,6 +138,25 @@
     }
 }
 
+/// Whether an entry came with a copy of the log that lacks the target's removal: its target is gone since. One that is written
+/// after the log's return counts.
+fn is_gone_since(
+    books: &FleetBooks,
+    record: &KeyedRecord,
+    entry: &TargetEntry,
+    source: RecordSource,
+) -> bool {
+    let topic = FeedTopic::Targets;
+    let era = record.position.era();
+    let removed = books.records.position(topic, &record.key);
+    let was_removed = removed.is_some_and(|removed| removed.era() < era)
+        && books.records.value(topic, &record.key).is_none();
+    let listed = books.since.get(&topic);
+    let is_copied = source == RecordSource::Listed
+        || listed.is_some_and(|listed| listed.era() == era && record.position < *listed);
+    was_removed && is_copied && entry.life <= books.catalog.life(&entry.name)
+}
+
 /// Folds an entry; says whether it changes where calls may go, or nothing if its life is over.
 fn fold_entry(
     books: &mut FleetBooks,
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -4,7 +4,10 @@
     ask, config, entry, good, is_ready, model, post, process, settings, site_of, start_in, stream,
     wait_for,
 };
-use hoplanding_core::ids::AvailabilityZone;
+use hoplanding_core::{
+    direct::suspects::{EndedUnder, RequestFingerprint},
+    ids::{AvailabilityZone, TargetLife, TargetName, TargetRun},
+};
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
@@ -490,3 +493,25 @@
     let answer = ask(blind.caller_address, &poison("/plan/1", "d0")).await;
     assert_eq!((answer.status, site.ended()), (503, 0));
 }
+
+#[tokio::test]
+async fn a_pardon_that_a_copy_of_the_log_lacks_is_written_again() {
+    let mut site = KilledSite::start(4).await;
+    let (life, daemon) = site.begin_life().await;
+    let fingerprint = RequestFingerprint(7);
+    let key = suspect_key(fingerprint);
+    let run = TargetRun {
+        name: TargetName::new("e-gone"),
+        life: TargetLife::default(),
+    };
+    let fleet = daemon.fleet();
+    fleet.note_ended_under(&EndedUnder { fingerprint, run });
+    let is_recorded = || site.log.newest("keyed.fleet", &key).is_some();
+    wait_for("the record", async || is_recorded()).await;
+    fleet.pardon(fingerprint);
+    wait_for("its end", async || !is_recorded()).await;
+    site.log.restore(&[("keyed.fleet", 1)]);
+    assert!(is_recorded());
+    wait_for("its end again", async || !is_recorded()).await;
+    life.shutdown_background();
+}
--- a/crates/daemon/tests/direct/restores.rs
+++ b/crates/daemon/tests/direct/restores.rs
@@ -13,7 +13,7 @@
     raw_target::{RawAnswer, RawRequest, RawTarget},
     relay::{LinkRelay, LinkState},
 };
-use hoplandingd::direct::daemon::DirectDaemon;
+use hoplandingd::direct::{daemon::DirectDaemon, message::FeedTopic};
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -229,6 +229,31 @@
     }
 }
 
+#[tokio::test]
+async fn a_target_that_was_gone_before_the_copy_is_gone_until_it_writes_itself() {
+    let log = KeyedLog::start().await.expect("a log");
+    let [plain, engine] = targets().await;
+    let vms = three_vms(&log, &plain, &engine).await;
+    log.put(TARGETS, "i-6", None);
+    all_within(&vms, "a removal", |vm| vm.fleet().is_leaving("i-6")).await;
+    log.restore(&[(TARGETS, 1)]);
+    for vm in &vms {
+        wait_for("the copy", async || {
+            let books = vm.fleet().books();
+            let since = books.since.get(&FeedTopic::Targets);
+            since.is_some_and(|since| since.era() == StoreEra(2))
+        })
+        .await;
+        assert!(vm.fleet().is_leaving("i-6"));
+    }
+    let text = entry("ledger", plain.address, "ready", &[]);
+    log.put(TARGETS, "i-6", Some(&text));
+    all_within(&vms, "a target that is back", |vm| {
+        !vm.fleet().is_leaving("i-6")
+    })
+    .await;
+}
+
 /// Fencing tokens of the orders that an engine was given.
 #[derive(Clone, Default)]
 struct OrderLog(Arc<Mutex<Vec<u64>>>);
