Learn the factor of a slow engine as it is

Callers saw: prompts placed at an engine that reads two to five times slower than the others were expected there in the usual time, and came late.

Cause: the factor that is learned began each time from the banded one, in which 0.7 to 1.4 count as 1; a fifth of the way from 1 leaves that band beyond 5.4 times only. The band counts where the factor is used now.

Evidence: the test of direct_reading expected 212 ms of an engine that took 424 ms before.

--- a/crates/core/src/direct/reading.rs
+++ b/crates/core/src/direct/reading.rs
@@ -163,7 +163,7 @@
         if was_next && prompt.given.is_zero() {
             let expected = millis_of(pace.time(prompt.tokens)).max(1.0);
             let ratio = (millis_of(took) / expected).clamp(FACTOR_BOUNDS[0], FACTOR_BOUNDS[1]);
-            let log = self.factor(now).ln();
+            let log = self.learned(now).ln();
             self.factor = (log + (ratio.ln() - log) * FACTOR_WEIGHT).exp();
             self.seen_at = now;
             pace.note(prompt.tokens, took, now);
@@ -208,14 +208,19 @@
         self.scaled(pace.time(tokens), now)
     }
 
-    /// The engine's time against the zone's line; 1 where nothing was seen of it for long.
+    /// The engine's time against the zone's line; 1 where that says nothing, or nothing was seen of it for long.
     #[must_use]
     pub fn factor(&self, now: Instant) -> f64 {
-        let age = now.since(self.seen_at).as_secs_f64();
-        let factor = self.factor.powf(0.5_f64.powf(age / FACTOR_HALF_LIFE_S));
+        let factor = self.learned(now);
         if ALIKE.contains(&factor) { 1.0 } else { factor }
     }
 
+    /// What was learned of the engine's time against the zone's line, as far as it is not forgotten.
+    fn learned(&self, now: Instant) -> f64 {
+        let age = now.since(self.seen_at).as_secs_f64();
+        self.factor.powf(0.5_f64.powf(age / FACTOR_HALF_LIFE_S))
+    }
+
     /// What is left of the prompt that the engine is at; one that is overdue takes as long again in part.
     fn rest(&self, prompt: &WaitingPrompt, pace: &ReadingPace, now: Instant) -> Duration {
         let since = self.read_from.max(prompt.ready_at);
