Trace what fetched prompts gain, and test it where engines are busy

So the mechanism pays where engines have more to read than they can in time, and that play is not such a load.

--- a/crates/core/tests/load/fetching.rs
+++ b/crates/core/tests/load/fetching.rs
@@ -6,23 +6,31 @@
 
 /// Plays of each kind: their difference scatters by 0.013 from seed to seed.
 const SEEDS: u64 = 24;
+/// Long prompts a second that four engines read in time for 0.95 of the calls, and for 0.87.
+const USUAL_PER_S: f64 = 10.0;
+const BUSY_PER_S: f64 = 12.0;
 
 #[test]
 fn prompts_that_another_engine_has_read_are_taken_from_it() {
-    check_gain(seeds(SEEDS));
+    check_gain(USUAL_PER_S, seeds(SEEDS));
 }
 
-// Not traced: the gain of calls in time is 0.0035 to 0.0100 a play for 13 of 16 other sets of 24 seeds, where more than 0.01 is
-// asked. Either fetching gains less than was believed, or this play's load is not the one that it is for.
+/// Guards against kept prompts that are left where they are while engines have more to read than they can in time.
+#[test]
+fn prompts_are_taken_from_another_engine_where_engines_are_busy() {
+    check_gain(BUSY_PER_S, seeds(SEEDS));
+}
+
+// Of this load 0.95 of the calls are in time without a fetch, which leaves less than is asked to gain.
 #[test]
 fn gain_of_fetched_prompts_at_seeds_from_1001() {
-    check_gain(1_001..1_001 + SEEDS);
+    check_gain(USUAL_PER_S, 1_001..1_001 + SEEDS);
 }
 
-fn check_gain(seeds: Range<u64>) {
+fn check_gain(per_s: f64, seeds: Range<u64>) {
     let kinds = [steady(30.0); 4];
     let case = CallClass {
-        per_s: 10.0,
+        per_s,
         // At least the shared part, and the call's own.
         tokens: 9_190.0,
         spread: 0.2,
