--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -20,7 +20,7 @@
 //! | [`engine_calls`] | orders to engines, and their reports |
 //! | [`ledger`] | the holder's part of quotas, and the calls of plain services |
 //! | [`zone`] | the worker that holds a zone: planner, orders, reports |
-//! | [`access`] | the gateway's way to the holder of a zone |
+//! | [`access`], [`asking`] | the gateway's way to the holder of a zone, and what that one is asked and told |
 //! | [`links`], [`message`] | links between VMs |
 //! | [`sharing`] | what a link passes on of the log |
 //! | [`skipped`] | how often entries that can't be used are told of |
@@ -30,6 +30,7 @@
 //! | [`claims`] | claims of a zone's lease |
 
 pub mod access;
+mod asking;
 pub mod call;
 pub mod claims;
 pub mod cutter;
--- a/crates/daemon/src/direct/suspect_records.rs
+++ b/crates/daemon/src/direct/suspect_records.rs
@@ -32,6 +32,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeSet,
+    mem,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -244,7 +245,7 @@
             }
             let written = self.write().await;
             self.is_failing.store(written.is_err(), Ordering::Relaxed);
-            let waiting = std::mem::take(&mut self.waiting);
+            let waiting = mem::take(&mut self.waiting);
             if let Err(error) = written {
                 event!(Event::RecordFailed, "{} suspects: {error}", self.due.len());
                 drop(waiting);
