Pass no news back over the link that it came by

Cause, by a trial with a line for each message: nearly all of it is news of targets before there are callers; the holder passes 3,000 entries on to 100 VMs (99.5 MB), and each of these passes them back (88 MB), as news goes out over all links. Ruled out: told lists (11 MB) and engines' reports (power 1).

Change: a link notes what came over it and leaves that out.

--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -19,7 +19,7 @@
     ids::{Instant, LogPosition, TargetRun, VmName},
 };
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
 };
 use tokio::sync::watch;
@@ -38,6 +38,8 @@
     news: watch::Receiver<u64>,
     pulls: watch::Receiver<u64>,
     whole: watch::Receiver<usize>,
+    /// Records that came over this link since its news was last passed on whole, which need not go back.
+    heard: HashMap<(FeedTopic, String), LogPosition>,
     /// Topics that this VM knew whole when it asked last; none on the side that asks only if the log turns it away.
     asked_with: Option<usize>,
     /// What the other side has asked for, of topics that this VM does not know whole yet.
@@ -60,6 +62,7 @@
             news: fleet.watch_news(),
             pulls: fleet.watch_pulls(),
             whole: fleet.watch_whole(),
+            heard: HashMap::new(),
             asked_with: None,
             open: BTreeMap::new(),
             replies: VecDeque::new(),
@@ -119,7 +122,7 @@
         while !self.is_drained() {
             let (mut records, place) = self.fleet.books().records.news_from(self.place);
             self.place = place;
-            records.retain(|record| self.is_worth(record));
+            records.retain(|record| self.is_worth(record) && !self.is_heard(record));
             if !records.is_empty() {
                 return Some(records);
             }
@@ -192,6 +195,22 @@
             }
     }
 
+    /// Whether the other side told of a record itself.
+    fn is_heard(&self, record: &PassedRecord) -> bool {
+        let key = (record.topic, record.key.clone());
+        self.heard.get(&key) == Some(&record.position)
+    }
+
+    /// Notes records that the other side tells of.
+    fn note_heard(&mut self, records: &[PassedRecord]) {
+        if self.is_drained() {
+            self.heard.clear();
+        }
+        let heard = records.iter();
+        self.heard
+            .extend(heard.map(|record| ((record.topic, record.key.clone()), record.position)));
+    }
+
     /// Answers a question for records; what can't be answered yet is answered once it can.
     pub fn answer(&mut self, message: &VmMessage) {
         let VmMessage::Wanted {
@@ -241,9 +260,15 @@
     /// Takes in what a VM tells of the log; gives other messages back.
     pub fn take(&mut self, vm: &VmName, message: VmMessage) -> Option<VmMessage> {
         match message {
-            VmMessage::Records(records) => self.fleet.take_passed(records),
+            VmMessage::Records(records) => {
+                self.note_heard(&records);
+                self.fleet.take_passed(records);
+            }
             VmMessage::Leaving(runs) => self.fleet.take_leaving(&runs, "by another VM's word"),
-            VmMessage::Answer { records, spans } => self.fleet.take_answer(records, &spans),
+            VmMessage::Answer { records, spans } => {
+                self.note_heard(&records);
+                self.fleet.take_answer(records, &spans);
+            }
             VmMessage::Beat {
                 contact,
                 ends,
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -92,6 +92,13 @@
     }
 }
 
+/// A read of one more target.
+fn listing_of_one(address: SocketAddr, number: u64) -> ReadBatch {
+    let mut batch = listing(address, number + 1, &[]);
+    batch.records.retain(|record| record.position.0 == number);
+    batch
+}
+
 /// A listing of 50 targets after one of them, `i-5`, was removed.
 fn listing_without_one(address: SocketAddr) -> ReadBatch {
     let mut later = listing(address, 50, &[]);
@@ -139,6 +146,30 @@
     }
 }
 
+/// Guards against news that a VM passes back to whom it has it from.
+#[tokio::test]
+async fn news_does_not_go_back_to_whom_it_came_from() {
+    let log = KeyedLog::start().await.expect("a log");
+    let holder = fleet("vm-0", &log, 100);
+    let dialler = fleet("vm-1", &log, 100);
+    let mut link = StartLink::new(&holder, &dialler);
+    for vm in [&holder, &dialler] {
+        vm.take_listing(FeedTopic::Targets, &listing(log.address(), 50, &[]));
+    }
+    link.settle();
+    let before = link.passed;
+    let mut added = listing(log.address(), 250, &[]);
+    added.records.retain(|record| record.position.0 >= 50);
+    holder.take_records(FeedTopic::Targets, LogPosition(50), &added);
+    link.settle();
+    assert_eq!(link.passed - before, 200);
+    let later = listing_of_one(log.address(), 251);
+    dialler.take_records(FeedTopic::Targets, LogPosition(251), &later);
+    link.settle();
+    assert!(!holder.is_leaving("i-251"));
+    assert_eq!(link.passed - before, 201);
+}
+
 /// The holder reads on while another VM lists: what it read before the link came up is in neither the other's list nor the
 /// link's news. The other VM believed to know it by the holder's sign of life, read on behind it, and kept sending to a target
 /// that had left.
