Take the learned factor of slow engines out again

All engines are alike there: short prompts scatter beyond the band, and calls follow that away from engines that kept their prompts.

--- a/crates/core/src/direct/reading.rs
+++ b/crates/core/src/direct/reading.rs
@@ -163,7 +163,7 @@
         if was_next && prompt.given.is_zero() {
             let expected = millis_of(pace.time(prompt.tokens)).max(1.0);
             let ratio = (millis_of(took) / expected).clamp(FACTOR_BOUNDS[0], FACTOR_BOUNDS[1]);
-            let log = self.learned(now).ln();
+            let log = self.factor(now).ln();
             self.factor = (log + (ratio.ln() - log) * FACTOR_WEIGHT).exp();
             self.seen_at = now;
             pace.note(prompt.tokens, took, now);
