--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -47,9 +47,9 @@
 const READ_SILENCE: Duration = Duration::from_millis(900);
 /// Time that a VM gives its zone's holder to tell what a listing would, once it knows who that is.
 const HOLDER_TELLS: Duration = Duration::from_millis(400);
-/// VMs of a zone that list the targets at once where nobody holds it, and the pause between the others: the log answers 1.4 MB
-/// in 18 ms, and several zones ask.
+/// Rank of a VM up to which it lists the targets at once where nobody holds its zone.
 const LIST_AT_ONCE: u32 = 1;
+/// Pause between the turns of the others, longer than a list takes.
 const LIST_TURN: Duration = Duration::from_millis(60);
 /// Longest time until a VM's turn to list.
 const LIST_LATEST: Duration = Duration::from_secs(8);
