One way for told records, one rule for who keeps a suspect's record

Found on reading the change again: take_asked repeated take_passed; who keeps a suspect's record stood twice; a suspect's key without a number was passed over without its line (E-record skipped) since it became one with the others; a match lost its last arms.

--- a/crates/daemon/src/direct/access.rs
+++ b/crates/daemon/src/direct/access.rs
@@ -134,7 +134,10 @@
         match self.question(zone, &lease, number, question).await? {
             PlaceReply::Paid(None) => Some(Ok(())),
             PlaceReply::Paid(Some(ms)) => Some(Err(Duration::from_millis(u64::from(ms)))),
-            _ => None,
+            PlaceReply::Answer(_)
+            | PlaceReply::Trial(_)
+            | PlaceReply::Target(_)
+            | PlaceReply::NotHolder => None,
         }
     }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -35,6 +35,15 @@
 impl FleetState {
     /// Folds records that another VM passed on.
     pub fn take_passed(&self, passed: Vec<PassedRecord>) {
+        self.take_told(passed, RecordSource::Passed);
+    }
+
+    /// Folds a record that this VM asked for before it knows the topic.
+    pub fn take_asked(&self, asked: PassedRecord) {
+        self.take_told(vec![asked], RecordSource::Asked);
+    }
+
+    fn take_told(&self, passed: Vec<PassedRecord>, source: RecordSource) {
         self.learn_eras(passed.iter().map(|record| record.position));
         let now = clock::now();
         let mut has_news = false;
@@ -45,26 +54,13 @@
                 value: record.value,
                 position: record.position,
             };
-            has_news |= self.fold(topic, slice::from_ref(&record), RecordSource::Passed, now);
+            has_news |= self.fold(topic, slice::from_ref(&record), source, now);
         }
         if has_news {
             self.signal();
         }
     }
 
-    /// Folds a record that this VM asked for before it knows the topic.
-    pub fn take_asked(&self, asked: PassedRecord) {
-        self.learn_eras([asked.position].into_iter());
-        let record = KeyedRecord {
-            key: asked.key,
-            value: asked.value,
-            position: asked.position,
-        };
-        let records = slice::from_ref(&record);
-        self.fold(asked.topic, records, RecordSource::Asked, clock::now());
-        self.signal();
-    }
-
     /// The record of a target, for a VM that does not know the target list.
     #[must_use]
     pub fn target_record(&self, target: &TargetName) -> Option<PassedRecord> {
@@ -77,7 +73,7 @@
     /// read before it.
     pub fn take_own(&self, key: String, value: Vec<u8>, position: LogPosition) {
         if self.books().fleet_end == Some(position) {
-            self.note_end(FeedTopic::Fleet, LogPosition(position.0 + 1));
+            self.note_end(FeedTopic::Fleet, position.plus(1));
         }
         self.take_passed(vec![PassedRecord {
             topic: FeedTopic::Fleet,
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -47,14 +47,14 @@
 const READ_SILENCE: Duration = Duration::from_millis(900);
 /// Time that a VM gives its zone's holder to tell what a listing would, once it knows who that is.
 const HOLDER_TELLS: Duration = Duration::from_millis(400);
+/// Pause between two looks at whether it has.
+const TELL_LOOK: Duration = Duration::from_millis(20);
 /// Rank of a VM up to which it lists the targets at once where nobody holds its zone.
 const LIST_AT_ONCE: u32 = 1;
 /// Pause between the turns of the others, longer than a list takes.
 const LIST_TURN: Duration = Duration::from_millis(60);
 /// Longest time until a VM's turn to list.
 const LIST_LATEST: Duration = Duration::from_secs(8);
-/// Pause between two looks at whether it has.
-const TELL_LOOK: Duration = Duration::from_millis(20);
 /// Pause between two looks at whether this VM has to read.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
 /// Pause after a call that brought nothing; varied by a quarter. Doubles once: every call has a price, but a holder that
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     direct::{
-        fleet::{ActiveConfig, ERA_KEY, FleetBooks, VM_KEY, ZONE_KEY},
+        fleet::{ActiveConfig, ERA_KEY, FleetBooks, SUSPECT_KEY, VM_KEY, ZONE_KEY},
         intake::RecordSource,
         message::FeedTopic,
         suspect_records::{fold_suspect, suspect_of},
@@ -310,6 +310,8 @@
         if let Err(error) = fold_suspect(books, fingerprint, record.value.as_deref(), now) {
             event!(Event::RecordSkipped, "{}: {error}", record.key);
         }
+    } else if record.key.starts_with(SUSPECT_KEY) {
+        event!(Event::RecordSkipped, "{}: no fingerprint", record.key);
     } else if let Some(zone) = record.key.strip_prefix(ZONE_KEY) {
         return fold_lease(books, zone, record);
     }
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -9,13 +9,13 @@
         fleet::{ERA_KEY, FleetBooks, FleetState, VmRecord, vm_key},
         message::FeedTopic,
         settings::DirectSettings,
-        suspect_records::suspect_of,
+        suspect_records::{keeps_record, suspect_of},
     },
     event,
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_core::{direct::trials::trial_zones, ids::StoreEra};
+use hoplanding_core::ids::StoreEra;
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
@@ -169,9 +169,9 @@
 
     /// Whether a record is one of a suspect that this zone's holder has to keep.
     fn is_ours(&self, key: &str) -> bool {
-        suspect_of(key).is_some_and(|fingerprint| {
-            let zones = trial_zones(fingerprint, &self.settings.zones);
-            zones.first() == Some(&self.fleet.zone)
+        let fingerprint = suspect_of(key);
+        fingerprint.is_some_and(|fingerprint| {
+            keeps_record(&self.fleet.zone, &self.settings.zones, fingerprint)
         })
     }
 
--- a/crates/daemon/src/direct/suspect_records.rs
+++ b/crates/daemon/src/direct/suspect_records.rs
@@ -116,6 +116,16 @@
     Some(RequestFingerprint(number))
 }
 
+/// Whether a zone's holder keeps the record of a request: it grants the request's trials.
+#[must_use]
+pub fn keeps_record(
+    zone: &AvailabilityZone,
+    zones: &[AvailabilityZone],
+    fingerprint: RequestFingerprint,
+) -> bool {
+    trial_zones(fingerprint, zones).first() == Some(zone)
+}
+
 impl FleetBooks {
     /// The value that the record of a request should have, if the log has another; an empty one drops the record.
     fn due_record(&self, fingerprint: RequestFingerprint) -> Option<Bytes> {
@@ -156,7 +166,7 @@
             let standing = self.suspects.standing(fingerprint, now);
             let is_gateways =
                 standing.is_some_and(|standing| now.since(standing.since) < GATEWAY_TIME);
-            if is_gateways || trial_zones(fingerprint, zones).first() != Some(zone) {
+            if is_gateways || !keeps_record(zone, zones, fingerprint) {
                 return None;
             }
             let value = self.due_record(fingerprint)?;
