Take no read of a restored log as a proof on VMs that live on

What callers saw: a configuration that revokes a key is acknowledged, the log is lost before any VM reads it and restored from a copy without it.

Cause, from two traces that were made apart from each other (a soak of processes, tests that force the order of events): RestoreGuard::enter_era excused each VM whose last proof was younger than the rewrite time, read or forwarded, and record_config_read then counted every read of the copy, as the copy holds the version in force. The guard asked how old a proof is; the question is what could have been acknowledged after it. Forwarded proofs carry the excuse to VMs that are guarded (a VM that starts, a VM cut from the log: 4,278 ms of its guard left and a proof of 0 ms age). A second restoration renewed the excuse by reads of the first copy. Refuted: a proof from before the return that arrives late stays as old as it is; a VM that starts alone was guarded.

Change: the guard starts on every VM in a new era. Proofs of the earlier era cover what was acknowledged before their reads and expire by age, so a VM in contact serves for the rest of the bound. Proofs that neighbours forward are sound again, as no VM has one from the copy.

--- a/crates/core/src/direct/restore_guard.rs
+++ b/crates/core/src/direct/restore_guard.rs
@@ -1,10 +1,10 @@
 //! Guard against outdated operators' records after the log was restored from a copy.
 //!
-//! The log may be restored from a copy that is some seconds old, and operators then rewrite the records that it lacks.
-//! A VM that knew the newest records shortly before keeps using them. A VM that starts later, or had lost contact,
-//! cannot distinguish the copy from the newest records: a key that was revoked in the lost seconds would work again.
-//! For such a VM no read of the copy counts as a proof until operators have had the time to rewrite, or have written a
-//! configuration and then paused.
+//! The log may be restored from a copy that is some seconds old, and operators then rewrite the records that it lacks. No
+//! VM can tell what the copy lacks, however recently it read the log: a key may have been revoked after that read and
+//! before the log was lost. So in a new era no read counts as a proof on any VM until operators have had the time to
+//! rewrite, or have written a configuration and then paused. Proofs from reads of the earlier era cover only what was
+//! acknowledged before those reads, and remain valid until they expire.
 
 use crate::ids::{Instant, StoreEra};
 use std::time::Duration;
@@ -29,17 +29,9 @@
 }
 
 impl RestoreGuard {
-    /// Starts the period for a new era of the log, unless the newest configuration was known recently; `proof_age` is
-    /// the age of the last proof.
-    pub fn enter_era(
-        &mut self,
-        era: StoreEra,
-        proof_age: Option<Duration>,
-        rule: RewriteRule,
-        now: Instant,
-    ) {
-        let is_proof_recent = proof_age.is_some_and(|age| age <= rule.rewrite_time);
-        if !era.is_first() && !is_proof_recent {
+    /// Starts the period for a new era of the log.
+    pub fn enter_era(&mut self, era: StoreEra, rule: RewriteRule, now: Instant) {
+        if !era.is_first() {
             self.latest_end = now.after(rule.rewrite_time);
             self.ends_at = self.latest_end;
         }
--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -68,11 +68,9 @@
         (is_listed && !is_recorded).then(|| EraRecord::of(era))
     }
 
-    /// Treats the restored log as possibly incomplete, unless this VM had a recent proof of the newest state.
+    /// Treats the restored log as possibly incomplete.
     fn guard_restored_log(&mut self, era: StoreEra, rule: RewriteRule) {
-        let now = clock::now();
-        let proven = self.proof.age(now);
-        self.restore_guard.enter_era(era, proven, rule, now);
+        self.restore_guard.enter_era(era, rule, clock::now());
         if let Some(record) = self.era_record {
             self.apply_era_record(record, rule);
         }
