Guard a restored log for the whole rewrite time, whatever operators write in it

What callers saw: operators write the configurations that a copy lacks one by one, an older one first. The key that the last one revokes was served in the pause between two of them, if that was longer than 2 s: 8 late calls at a restarted VM with a pause of 2.5 s, 17 with 3.5 s.

Cause: the guard ended once operators had written any configuration and none followed for 2 s. That takes an assumption about the pace of operators beside the one that the settings state, the time in which they rewrite.

Tests: restarted_vm_does_not_serve_the_key_in_a_long_pause_between_rewrites and in_a_longer_silence_between_rewrites failed 5 of 5 times before.

--- a/crates/daemon/src/direct/ingest.rs
+++ b/crates/daemon/src/direct/ingest.rs
@@ -20,10 +20,7 @@
     direct::catalog::ConfirmedRemoval,
     ids::{Instant, LogPosition},
 };
-use hoplanding_platform::{
-    names::CONFIG_KEY,
-    store::{KeyedRecord, ReadBatch},
-};
+use hoplanding_platform::store::{KeyedRecord, ReadBatch};
 
 /// Way by which a record reached this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,13 +151,7 @@
                 continue;
             }
             let outcome = match topic {
-                FeedTopic::Operators => {
-                    let is_written = source == RecordSource::Read && record.key == CONFIG_KEY;
-                    if is_written && Some(record.position.era()) == tables.store_era {
-                        tables.restore_guard.record_write(now);
-                    }
-                    fold_operator_record(&mut tables, record)
-                }
+                FeedTopic::Operators => fold_operator_record(&mut tables, record),
                 FeedTopic::Targets => fold_target_record(&mut tables, record, source, now),
                 FeedTopic::Fleet => fold_fleet_record(&mut tables, record, self.rewrites, now),
             };
--- a/crates/daemon/tests/direct/unread_revocations.rs
+++ b/crates/daemon/tests/direct/unread_revocations.rs
@@ -180,12 +180,31 @@
     check_two_rewrites(Duration::from_millis(500), false, false).await;
 }
 
+/// Guards against a living VM that serves in a long pause between two rewrites.
+#[tokio::test]
+async fn living_vm_does_not_serve_the_key_in_a_long_pause_between_rewrites() {
+    check_two_rewrites(Duration::from_millis(2_500), false, false).await;
+}
+
 /// Guards against a restarted VM that serves between two rewrites that follow shortly on each other.
 #[tokio::test]
 async fn restarted_vm_does_not_serve_the_key_before_the_second_rewrite_shortly_after() {
     check_two_rewrites(Duration::from_millis(500), true, false).await;
 }
 
+/// Guards against a restarted VM that takes a pause after an older configuration for the end of the rewrites, while other records wake
+/// its reads.
+#[tokio::test]
+async fn restarted_vm_does_not_serve_the_key_in_a_long_pause_between_rewrites() {
+    check_two_rewrites(Duration::from_millis(2_500), true, true).await;
+}
+
+/// Guards against a restarted VM that takes a pause after an older configuration for the end of the rewrites, while its reads wait.
+#[tokio::test]
+async fn restarted_vm_does_not_serve_the_key_in_a_longer_silence_between_rewrites() {
+    check_two_rewrites(Duration::from_millis(3_500), true, false).await;
+}
+
 /// A proof of configuration 2, and the heartbeat of the receiver that it answers.
 fn forwarded_proof(proven_at: ClockInstant, sent: ClockInstant) -> (ForwardedProof, HeartbeatEcho) {
     let age_ms = u32::try_from(sent.since(proven_at).as_millis()).expect("a short test");
