State the whole time of the restore guard in Retry-After

What callers saw: a call with a key that is refused while a restored log is guarded names at most 2 s; the caller comes back and is refused again, and has no retry left.

Change: Retry-After is what is left of the guard, plus the time until a VM has a proof after it, with the jitter that other common refusals have, so that not all callers return at once.

--- a/crates/daemon/src/direct/call/admission.rs
+++ b/crates/daemon/src/direct/call/admission.rs
@@ -8,6 +8,7 @@
         call::{
             CallState, DEFAULT_RETRY_AFTER, GatewayContext,
             answers::{AnswerBody, own_answer, refusal},
+            with_jitter,
         },
         fleet::ActiveConfig,
         metrics::{RequestKind, RequestOutcome},
@@ -23,9 +24,9 @@
 use http::{Response, StatusCode};
 use std::time::Duration;
 
-/// Upper bound of `Retry-After` while the platform's log, restored from a copy, may lack records: operators may write the
-/// missing configuration at any moment.
-const MAX_RESTORE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Maximum time from the end of the restore guard until a VM has a new proof: a read that was sent before the end, the
+/// next one, and two heartbeats that forward its proof.
+const MAX_PROOF_DELAY: Duration = Duration::from_millis(1_800);
 
 /// Why a call is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,9 +54,11 @@
                 own_answer(id, StatusCode::UNAUTHORIZED, None)
             }
             Self::Stale => {
-                let guarded_for = context.fleet.key_retry_after().unwrap_or_default();
-                let retry_after = guarded_for.clamp(DEFAULT_RETRY_AFTER, MAX_RESTORE_RETRY_AFTER);
-                event!(Event::KeysUncertain, request = id; "route {} not run, retry after {retry_after:?}, restored log may lack the newest keys for another {guarded_for:?}", route.name
+                let guarded_for = context.fleet.key_guard_remaining();
+                let retry_after = guarded_for.map_or(DEFAULT_RETRY_AFTER, |remaining| {
+                    with_jitter(remaining + MAX_PROOF_DELAY)
+                });
+                event!(Event::KeysUncertain, request = id; "route {} not run, retry after {retry_after:?}, restored log may lack the newest keys for another {:?}", route.name, guarded_for.unwrap_or_default()
                 );
                 refusal(id, retry_after)
             }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -556,9 +556,9 @@
         self.tables().may_trust_keys(self.revocation, clock::now())
     }
 
-    /// Time after which a retry is worthwhile while API keys can't be trusted.
+    /// Time for which the restored log may still lack the newest API keys.
     #[must_use]
-    pub fn key_retry_after(&self) -> Option<Duration> {
+    pub fn key_guard_remaining(&self) -> Option<Duration> {
         self.tables().restore_guard.remaining(clock::now())
     }
 
--- a/crates/daemon/tests/direct/unread_revocations.rs
+++ b/crates/daemon/tests/direct/unread_revocations.rs
@@ -317,3 +317,44 @@
     })
     .await;
 }
+
+/// A caller that is refused in the new era comes back once, after the stated time.
+async fn check_retry_after(half_outage: Duration, is_restarted: bool) {
+    let trial = RestoreTrial::start().await;
+    let mut vm = trial.start_first(REWRITE_TIME).await;
+    trial.lose_unread(&[], half_outage).await;
+    if is_restarted {
+        vm = restart(&trial, vm, REWRITE_TIME).await;
+    }
+    wait_for("the new era", async || knows_era(&vm.daemon, 2)).await;
+    let address = vm.daemon.caller_address;
+    let until = Instant::now() + REVOCATION_BOUND;
+    let mut first = call(address, "first", KEPT).await;
+    while first.0 == 200 && Instant::now() < until {
+        sleep(CALL_INTERVAL).await;
+        first = call(address, "first", KEPT).await;
+    }
+    assert_eq!(first.0, 503, "the VM has no proof by now");
+    let retry_after = first.1.expect("a Retry-After");
+    sleep(Duration::from_secs_f64(retry_after)).await;
+    let second = call(address, "second", KEPT).await;
+    assert_eq!(second.0, 200, "{second:?} after {retry_after} s");
+}
+
+/// Guards against a `Retry-After` of a restarted VM after which the caller is refused again.
+#[tokio::test]
+async fn caller_refused_by_a_restarted_vm_is_served_after_the_stated_time() {
+    check_retry_after(SHORT_OUTAGE, true).await;
+}
+
+/// Guards against a `Retry-After` of a living VM after which the caller is refused again; the outage is short.
+#[tokio::test]
+async fn caller_refused_by_a_living_vm_is_served_after_the_stated_time() {
+    check_retry_after(SHORT_OUTAGE, false).await;
+}
+
+/// Guards against a `Retry-After` of a living VM after which the caller is refused again; the outage is longer than the bound.
+#[tokio::test]
+async fn caller_refused_after_a_long_outage_is_served_after_the_stated_time() {
+    check_retry_after(HALF_LONG_OUTAGE, false).await;
+}
