Soak losses of acknowledged configurations

A new list of faults loses configurations that operators have published, with or without VMs having read them, and lets operators take up to 10 s to rewrite them. Calls with the keys that they revoked are sent to every VM meanwhile. The list has its own option and seeds, so all other schedules are unchanged. A VM has to apply a lost configuration only once it is rewritten. Overlapping outages of the log last until the last one ends.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -389,6 +389,10 @@
             HistoryEvent::ConfigAccepted { version } => {
                 accepted.entry(*version).or_insert(*at);
             }
+            // VMs can apply it only once operators have rewritten it.
+            HistoryEvent::ConfigLost { version } => {
+                accepted.remove(version);
+            }
             HistoryEvent::RouteProbed {
                 vm,
                 version,
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -163,6 +163,11 @@
         /// The version; the route `/vN/` exists from version N on.
         version: u64,
     },
+    /// The log was restored from a snapshot without a configuration that it had accepted.
+    ConfigLost {
+        /// The version.
+        version: u64,
+    },
     /// A VM answered a probe for the route of a configuration version.
     RouteProbed {
         /// The VM.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -29,6 +29,12 @@
         default = "4"
     )]
     beside: usize,
+    #[options(
+        no_short,
+        help = "number of losses of acknowledged configurations in a run; operators may take 10 s to rewrite them, so use 1800 requests or more",
+        default = "0"
+    )]
+    losses: usize,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -145,6 +151,7 @@
         faults,
         fault_count: args.faults,
         extra_fault_count: args.beside,
+        config_loss_count: args.losses,
         program: args.daemon.clone(),
         folder: args.out.join(format!("seed-{seed}")),
         defect: InjectedDefect::None,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
     history::{CallKind, HistoryEvent, SharedHistory, TimedEntry},
     organisations::{draw_key, rotated_key, tenant_configs},
     prompts::prompt_parts,
-    schedule::{FaultKind, PlannedFault, extra_faults, seeded_faults},
+    schedule::{FaultKind, PlannedFault, config_losses, extra_faults, seeded_faults},
     targets::{InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
 use hoplanding_platform::names::{
@@ -17,18 +17,19 @@
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
     fs, io,
     path::PathBuf,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 use tokio::{
+    sync::Mutex as AsyncMutex,
     task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -61,6 +62,25 @@
 const MIN_ANNOUNCED_DRAINING: Duration = Duration::from_secs(3);
 /// Maximum number of records per topic that a restored snapshot lacks.
 const MAX_LOST_RECORDS: usize = 6;
+/// Maximum number of configurations that are lost together.
+const MAX_LOST_CONFIGS: usize = 3;
+/// Time after which every VM has read a configuration.
+const CONFIG_READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Minimum time for which VMs can't reach the log before a configuration that is published in an outage.
+const MIN_OUTAGE_BEFORE_CONFIG: Duration = Duration::from_secs(2);
+/// Time for which the log is unavailable after it has lost configurations.
+const LOSS_OUTAGE: Duration = Duration::from_secs(1);
+/// Maximum time from the restore to the first rewrite. With the intervals between the rewrites and a second restore, all
+/// are written within 10 s.
+const MAX_CONFIG_REWRITE_DELAY: Duration = Duration::from_millis(8_500);
+/// Time between two rewrites of lost configurations.
+const CONFIG_REWRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which each VM gets a call with a key that a lost configuration revoked.
+const REVOKED_CALL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which calls with revoked keys are sent after the rewrite.
+const REVOKED_CALLS_AFTER_REWRITE: Duration = Duration::from_secs(2);
+/// Interval at which a long outage of the log is recorded, shorter than the time after which VMs count as in contact.
+const OUTAGE_RECORD_INTERVAL: Duration = Duration::from_secs(1);
 const LOG_COUNT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time for calls and faults to end after the last request.
 const END_TIMEOUT: Duration = Duration::from_secs(20);
@@ -88,6 +108,8 @@
     pub fault_count: usize,
     /// Number of faults drawn from [`FaultKind::EXTRA`].
     pub extra_fault_count: usize,
+    /// Number of faults drawn from [`FaultKind::CONFIG_LOSSES`].
+    pub config_loss_count: usize,
     /// Path of the daemon's executable.
     pub program: PathBuf,
     /// Directory for the settings, logs and fault schedule of the run.
@@ -104,6 +126,7 @@
         self.faults.clone().unwrap_or_else(|| {
             let mut faults = seeded_faults(self.seed, span, self.fault_count);
             faults.extend(extra_faults(self.seed, span, self.extra_fault_count));
+            faults.extend(config_losses(self.seed, span, self.config_loss_count));
             faults.sort_by_key(|fault| fault.at_ms);
             faults
         })
@@ -140,6 +163,15 @@
     target_context: TargetContext,
     /// Last value that operators and targets wrote under each key, for rewriting records that a restored log lacks.
     written: Mutex<BTreeMap<(&'static str, String), Option<String>>>,
+    /// Accepted configurations by version. The lock is held until a configuration is written, so that the log has
+    /// versions in ascending order.
+    configs: Mutex<BTreeMap<u64, String>>,
+    /// Held while operators take their time to rewrite configurations.
+    operators: AsyncMutex<()>,
+    /// Number of current outages of the log.
+    log_outages: Mutex<usize>,
+    /// Number of calls with keys that lost configurations revoked.
+    revoked_calls: AtomicUsize,
 }
 
 /// Executes a run and checks its history.
@@ -211,10 +243,14 @@
             zones,
             target_context: TargetContext::new(history.clone(), plan.defect),
             history,
-            version: AtomicU64::new(1),
+            version: AtomicU64::new(0),
             newest_version: Mutex::new(FIRST_VERSION),
             adapters: plan.adapters,
             written: Mutex::default(),
+            configs: Mutex::default(),
+            operators: AsyncMutex::default(),
+            log_outages: Mutex::default(),
+            revoked_calls: AtomicUsize::default(),
         };
         for index in 0..plan.zones * plan.engines_per_zone {
             cluster
@@ -224,7 +260,7 @@
         for index in 0..plan.zones {
             cluster.add_target(TargetRole::Plain, index, None).await?;
         }
-        cluster.configure();
+        cluster.publish_config();
         for vm in &cluster.vms {
             vm.start()?;
         }
@@ -284,20 +320,174 @@
                 self.log.put(topic, key, value.as_deref());
             }
         }
+        drop(written);
+        if self.operators.try_lock().is_ok() {
+            let configs = self.lock_configs();
+            if let Some((version, config)) = configs.last_key_value()
+                && self.stored_config_version() < *version
+            {
+                self.put_config(*version, config);
+            }
+        }
     }
 
     /// Takes the log out of service and restores it from a snapshot that lacks up to `lost` records of each topic.
     async fn restore_log(&self, lost: usize) {
-        self.set_log_faults(|faults| faults.is_unavailable = true);
+        self.begin_log_outage();
         sleep(LOG_OUTAGE).await;
         let topics = [OPERATOR_TOPIC, TARGET_TOPIC, FLEET_TOPIC];
-        self.log.restore(&topics.map(|topic| (topic, lost)));
-        self.set_log_faults(|faults| faults.is_unavailable = false);
+        self.drop_records(&topics.map(|topic| (topic, lost)));
+        self.end_log_outage();
         sleep(REWRITE_DELAY).await;
         self.rewrite_lost_records();
         self.set_log_faults(|_| {});
     }
 
+    /// Publishes configurations, loses the log and restores it without them. Operators rewrite them later, from the
+    /// oldest on. Meanwhile every VM gets calls with the keys that they revoked.
+    async fn lose_configs(&self, fault: &PlannedFault) {
+        let _operators = self.operators.lock().await;
+        let count = 1 + fault.index % MAX_LOST_CONFIGS;
+        let has_second_restore = fault.index / MAX_LOST_CONFIGS % 4 == 1;
+        let loses_more = fault.index / MAX_LOST_CONFIGS % 4 == 2;
+        let snapshot = self.log.len(OPERATOR_TOPIC);
+        if fault.kind != FaultKind::LoseReadConfig {
+            self.begin_log_outage();
+        }
+        if fault.kind == FaultKind::LoseConfigInOutage {
+            self.hold_log_outage(MIN_OUTAGE_BEFORE_CONFIG + fault.duration())
+                .await;
+        }
+        let first_revoked = self.version.load(Ordering::SeqCst);
+        for _ in 0..count {
+            self.publish_config();
+        }
+        let calls = self.send_revoked_calls(first_revoked..self.version.load(Ordering::SeqCst));
+        let loss = async {
+            match fault.kind {
+                FaultKind::LoseReadConfig => {
+                    sleep(CONFIG_READ_TIMEOUT).await;
+                    self.begin_log_outage();
+                }
+                FaultKind::LoseConfigInOutage => self.hold_log_outage(fault.duration()).await,
+                _ => {}
+            }
+            self.hold_log_outage(LOSS_OUTAGE).await;
+            self.restore_snapshot(snapshot, usize::from(loses_more) * MAX_LOST_RECORDS);
+            self.end_log_outage();
+            sleep(REWRITE_DELAY).await;
+            self.rewrite_lost_records();
+            let delay = MAX_CONFIG_REWRITE_DELAY.mul_f64(fault.duration_ratio());
+            if has_second_restore {
+                sleep(delay / 2).await;
+                self.begin_log_outage();
+                sleep(LOG_OUTAGE).await;
+                self.restore_snapshot(snapshot, 0);
+                self.end_log_outage();
+                sleep((delay / 2).saturating_sub(LOG_OUTAGE)).await;
+                self.rewrite_lost_records();
+            } else {
+                sleep(delay).await;
+            }
+            while self.rewrite_oldest_lost_config() {
+                sleep(CONFIG_REWRITE_INTERVAL).await;
+            }
+            sleep(REVOKED_CALLS_AFTER_REWRITE).await;
+        };
+        tokio::select! {
+            () = calls => {}
+            () = loss => {}
+        }
+    }
+
+    /// Restores the log from a snapshot with the given number of operator records, and without `lost` records of each
+    /// other topic.
+    fn restore_snapshot(&self, operator_records: usize, lost: usize) {
+        let lost_records = self
+            .log
+            .len(OPERATOR_TOPIC)
+            .saturating_sub(operator_records);
+        self.drop_records(&[
+            (OPERATOR_TOPIC, lost_records),
+            (TARGET_TOPIC, lost),
+            (FLEET_TOPIC, lost),
+        ]);
+    }
+
+    /// Restores the log without the last records of some topics, and records the configurations that it lacks.
+    fn drop_records(&self, dropped: &[(&str, usize)]) {
+        let configs = self.lock_configs();
+        let last_stored = self.stored_config_version();
+        self.log.restore(dropped);
+        let stored = self.stored_config_version();
+        let versions = configs.keys().copied();
+        for version in versions.filter(|version| (stored + 1..=last_stored).contains(version)) {
+            self.history.record(HistoryEvent::ConfigLost { version });
+        }
+    }
+
+    /// Rewrites the oldest configuration that is newer than the log's; returns whether there was one.
+    fn rewrite_oldest_lost_config(&self) -> bool {
+        let configs = self.lock_configs();
+        let mut lost = configs.range(self.stored_config_version() + 1..);
+        let Some((version, config)) = lost.next() else {
+            return false;
+        };
+        self.put_config(*version, config);
+        true
+    }
+
+    /// Version of the newest configuration in the log; zero if it has none.
+    fn stored_config_version(&self) -> u64 {
+        let config = self.log.newest(OPERATOR_TOPIC, CONFIG_KEY);
+        let config: Option<Value> = config.and_then(|config| serde_json::from_str(&config).ok());
+        config
+            .and_then(|config| config["version"].as_u64())
+            .unwrap_or(0)
+    }
+
+    /// Sends calls with the rotated keys of some versions to every VM, until dropped.
+    async fn send_revoked_calls(&self, versions: std::ops::Range<u64>) {
+        for version in versions.cycle() {
+            for vm in &self.vms {
+                let number = self.revoked_calls.fetch_add(1, Ordering::SeqCst);
+                let call = SoakCall {
+                    id: format!("revoked-{number}"),
+                    kind: CallKind::Idempotent,
+                    adapter: String::new(),
+                    parts: Vec::new(),
+                    key: rotated_key(version),
+                };
+                // Calls end by themselves, also after the fault.
+                tokio::spawn(send_call(Arc::clone(vm), call, self.history.clone()));
+            }
+            sleep(REVOKED_CALL_INTERVAL).await;
+        }
+    }
+
+    fn begin_log_outage(&self) {
+        let mut outages = self.lock_log_outages();
+        *outages += 1;
+        self.set_log_faults(|faults| faults.is_unavailable = true);
+    }
+
+    /// Ends an outage; the log stays unavailable while another one lasts.
+    fn end_log_outage(&self) {
+        let mut outages = self.lock_log_outages();
+        *outages -= 1;
+        let is_unavailable = *outages > 0;
+        self.set_log_faults(|faults| faults.is_unavailable = is_unavailable);
+    }
+
+    /// Waits in an outage, in which no VM counts as in contact.
+    async fn hold_log_outage(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.history.record(HistoryEvent::LogDisturbed);
+            sleep_until(end.min(Instant::now() + OUTAGE_RECORD_INTERVAL)).await;
+        }
+    }
+
     /// Records the number of log calls every [`LOG_COUNT_INTERVAL`].
     async fn count_log_calls(self: Arc<Self>) {
         let mut last_calls = self.log.calls();
@@ -329,10 +519,11 @@
         timeout(START_TIMEOUT, ready).await.map_err(on_timeout)
     }
 
-    /// Writes the newest configuration. It has one route for each version so far, so that probing a route tells which
+    /// Writes the next configuration. It has one route for each version so far, so that probing a route tells which
     /// versions a VM has applied.
-    fn configure(&self) {
-        let version = self.version.load(Ordering::SeqCst);
+    fn publish_config(&self) {
+        let mut configs = self.lock_configs();
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let route = |name: String, kind: &str, service: &str, can_resume: bool| {
             json!({
                 "name": name, "host": crate::callers::HOST, "path_prefix": format!("/{name}/"),
@@ -365,7 +556,14 @@
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
                         "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
         });
-        self.write(OPERATOR_TOPIC, CONFIG_KEY, Some(&config.to_string()));
+        let config = config.to_string();
+        self.put_config(version, &config);
+        configs.insert(version, config);
+    }
+
+    /// Writes a configuration on behalf of an operator.
+    fn put_config(&self, version: u64, config: &str) {
+        self.log.put(OPERATOR_TOPIC, CONFIG_KEY, Some(config));
         self.history
             .record(HistoryEvent::ConfigAccepted { version });
         for revoked in 1..version {
@@ -465,9 +663,9 @@
                 vm.signal(Signal::SIGCONT);
             }
             FaultKind::LogOut => {
-                self.set_log_faults(|faults| faults.is_unavailable = true);
+                self.begin_log_outage();
                 sleep(fault.duration()).await;
-                self.set_log_faults(|faults| faults.is_unavailable = false);
+                self.end_log_outage();
             }
             FaultKind::LogLosesAnswers => self.set_log_faults(|faults| faults.lost_responses += 2),
             FaultKind::LogSilent => self.disrupt_log_link(vm, LinkState::Frozen, fault).await,
@@ -493,10 +691,7 @@
                 sleep(fault.duration()).await;
                 target.set_truncating(false);
             }
-            FaultKind::Configure => {
-                self.version.fetch_add(1, Ordering::SeqCst);
-                self.configure();
-            }
+            FaultKind::Configure => self.publish_config(),
             FaultKind::NameVersion => self.publish_version(Some(fault.index % self.adapters)),
             FaultKind::VersionSeries => {
                 for _ in 0..SERIES_VERSIONS {
@@ -516,6 +711,9 @@
                 sleep(fault.duration()).await;
                 engine.set_delaying_orders(false);
             }
+            FaultKind::LoseUnreadConfig
+            | FaultKind::LoseConfigInOutage
+            | FaultKind::LoseReadConfig => self.lose_configs(fault).await,
             FaultKind::Restore => self.restore_log(1 + fault.index % MAX_LOST_RECORDS).await,
             FaultKind::Rest => {
                 let role = self.target(fault.index).role;
@@ -634,6 +832,18 @@
         Arc::clone(engines[index % engines.len()])
     }
 
+    fn lock_configs(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, String>> {
+        self.configs
+            .lock()
+            .expect("no thread panics while it holds the lock")
+    }
+
+    fn lock_log_outages(&self) -> std::sync::MutexGuard<'_, usize> {
+        self.log_outages
+            .lock()
+            .expect("no thread panics while it holds the lock")
+    }
+
     fn lock_targets(&self) -> std::sync::MutexGuard<'_, Vec<Arc<SoakTarget>>> {
         self.targets
             .lock()
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -54,6 +54,13 @@
     Rest,
     /// A target announces draining in its answers first, and in its list entry only later.
     LeaveInAnswers,
+    /// The log is lost in the moment in which an operator publishes configurations, so that no VM reads them, and is
+    /// restored from a snapshot without them. Operators rewrite them after a delay drawn from the fault's duration.
+    LoseUnreadConfig,
+    /// As [`Self::LoseUnreadConfig`], after an outage of some seconds in which the configurations are published.
+    LoseConfigInOutage,
+    /// As [`Self::LoseUnreadConfig`], but VMs read the configurations before the log is lost.
+    LoseReadConfig,
 }
 
 impl FaultKind {
@@ -82,6 +89,13 @@
 
     /// Kinds of the faults from [`extra_faults`], which leave the schedules from [`Self::SEEDED`] unchanged.
     pub const EXTRA: [Self; 3] = [Self::Restore, Self::Rest, Self::LeaveInAnswers];
+
+    /// Kinds of the faults from [`config_losses`], which leave all other schedules unchanged.
+    pub const CONFIG_LOSSES: [Self; 3] = [
+        Self::LoseUnreadConfig,
+        Self::LoseConfigInOutage,
+        Self::LoseReadConfig,
+    ];
 }
 
 impl fmt::Display for FaultKind {
@@ -115,6 +129,14 @@
     pub fn duration(&self) -> Duration {
         Duration::from_millis(self.for_ms)
     }
+
+    /// Duration of the fault, relative to the range that durations are drawn from.
+    #[must_use]
+    pub fn duration_ratio(&self) -> f64 {
+        let range = DURATION_RANGE_MS;
+        let drawn = self.for_ms.clamp(range.start, range.end) - range.start;
+        drawn as f64 / (range.end - range.start) as f64
+    }
 }
 
 /// Draws `count` faults of [`FaultKind::SEEDED`] within a span, ordered by start time. Faults may overlap.
@@ -129,6 +151,14 @@
     draw_faults(!seed, &FaultKind::EXTRA, span, count)
 }
 
+/// Draws `count` faults of [`FaultKind::CONFIG_LOSSES`] within the first half of a span, ordered by start time, so that
+/// calls are sent until operators have rewritten the configurations.
+#[must_use]
+pub fn config_losses(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    let seed = seed.rotate_left(32);
+    draw_faults(seed, &FaultKind::CONFIG_LOSSES, span / 2, count)
+}
+
 fn draw_faults(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -462,6 +462,49 @@
     );
 }
 
+/// A configuration that a restored log lacks can be applied only from its rewrite on.
+#[test]
+fn lost_configuration_is_late_only_after_its_rewrite() {
+    let accepted = |ms| at(ms, HistoryEvent::ConfigAccepted { version: 2 });
+    let lost = at(1_000, HistoryEvent::ConfigLost { version: 2 });
+    let lacking = |ms| probed(ms, 1, 2, false);
+    let history = [accepted(0), lost.clone(), lacking(4_000)];
+    assert_eq!(violated(&history), []);
+    let history = [accepted(0), lost.clone(), accepted(5_000), lacking(6_900)];
+    assert_eq!(violated(&history), []);
+    let history = [accepted(0), lost.clone(), accepted(5_000), lacking(7_100)];
+    assert_eq!(violated(&history), [Guarantee::ConfigDeadline]);
+    // The deadline before the loss stays in force.
+    let history = [
+        accepted(0),
+        lacking(2_100),
+        at(2_200, HistoryEvent::ConfigLost { version: 2 }),
+    ];
+    assert_eq!(violated(&history), [Guarantee::ConfigDeadline]);
+}
+
+/// Neither the loss of the revoking configuration nor its rewrite makes a revoked key valid again.
+#[test]
+fn key_stays_revoked_when_its_revocation_is_lost() {
+    let revoked = |ms| {
+        at(
+            ms,
+            HistoryEvent::Revoked {
+                key: "mill-v1".into(),
+            },
+        )
+    };
+    let history = [
+        revoked(1_000),
+        at(2_000, HistoryEvent::ConfigLost { version: 2 }),
+        key_sent("r1", "mill-v1"),
+        sent(6_100, "r1", CallKind::Once, ""),
+        ran(6_110, "r1", "i-1", ""),
+        revoked(8_000),
+    ];
+    assert_eq!(violated(&history), [Guarantee::Revocation]);
+}
+
 #[test]
 fn excessive_log_calls_are_found() {
     let calls = |calls| {
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -4,13 +4,15 @@
 use hoplanding_soak::{
     checks::Guarantee,
     fleet::SoakVm,
-    history::SharedHistory,
+    history::{HistoryEvent, SharedHistory, TimedEntry},
+    organisations::REVOCATION_BOUND,
     run::{RunPlan, run_soak},
-    schedule::{FaultKind, PlannedFault, seeded_faults},
+    schedule::{FaultKind, PlannedFault, config_losses, seeded_faults},
     targets::InjectedDefect,
 };
 use hoplanding_standins::keyed_log::KeyedLog;
 use std::{
+    collections::HashMap,
     fs,
     net::{SocketAddr, TcpStream},
     path::PathBuf,
@@ -49,6 +51,7 @@
         faults: Some(Vec::new()),
         fault_count: 0,
         extra_fault_count: 0,
+        config_loss_count: 0,
         program: daemon(),
         folder,
         defect: InjectedDefect::None,
@@ -69,6 +72,8 @@
     let span = Duration::from_secs(60);
     assert_eq!(seeded_faults(3, span, 40), seeded_faults(3, span, 40));
     assert_ne!(seeded_faults(3, span, 40), seeded_faults(4, span, 40));
+    assert_eq!(config_losses(3, span, 9), config_losses(3, span, 9));
+    assert_ne!(config_losses(3, span, 9), config_losses(4, span, 9));
 }
 
 /// Faults of daemons, log, targets and operators that overlap must not violate a guarantee.
@@ -166,6 +171,37 @@
     assert_eq!(outcome.violations, [], "{}", plan.folder.display());
 }
 
+/// Control for runs that lose unread configurations: VMs that read a configuration before the log lost it refuse the keys that
+/// it revoked, however long operators take to rewrite it.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_revoked_when_vms_read_their_revocation_before_the_log_was_lost() {
+    let mut plan = plan("read-configs", 960);
+    plan.faults = Some(vec![fault(500, FaultKind::LoseReadConfig, 1, 3_000)]);
+    let outcome = run_soak(&plan).await.expect("the run executes");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let late_calls = late_calls_with_a_revoked_key(&outcome.history);
+    assert!(late_calls > 0, "{late_calls}");
+}
+
+/// Number of calls that were sent with a key after its revocation bound.
+fn late_calls_with_a_revoked_key(history: &[TimedEntry]) -> usize {
+    let mut revoked = HashMap::new();
+    let mut count = 0;
+    for TimedEntry { at, event } in history {
+        match event {
+            HistoryEvent::Revoked { key } => {
+                revoked.entry(key).or_insert(*at);
+            }
+            HistoryEvent::KeySent { key, .. } => {
+                let since = revoked.get(key);
+                count += usize::from(since.is_some_and(|since| *at > *since + REVOCATION_BOUND));
+            }
+            _ => {}
+        }
+    }
+    count
+}
+
 /// Guards against a second daemon that outlives the run when overlapping faults start a VM at the same time.
 #[tokio::test(flavor = "multi_thread")]
 async fn vm_started_by_several_faults_at_once_runs_one_daemon() {
