--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -183,6 +183,28 @@
     assert!(late_calls > 0, "{late_calls}");
 }
 
+/// Guards against calls with revoked keys when the log loses a configuration before any VM reads it: VMs that live on take reads
+/// of the restored log for proofs that no key was revoked, until operators rewrite the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_revoked_when_no_vm_read_their_revocation_before_the_log_was_lost() {
+    lose_config("unread-config", FaultKind::LoseUnreadConfig).await;
+}
+
+/// Guards against the same after an outage of the log, in which the configuration was published.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_revoked_when_their_revocation_was_lost_in_an_outage_of_the_log() {
+    lose_config("outage-config", FaultKind::LoseConfigInOutage).await;
+}
+
+async fn lose_config(name: &str, kind: FaultKind) {
+    let mut plan = plan(name, 960);
+    plan.faults = Some(vec![fault(500, kind, 0, 3_000)]);
+    let outcome = run_soak(&plan).await.expect("the run executes");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let late_calls = late_calls_with_a_revoked_key(&outcome.history);
+    assert!(late_calls > 0, "{late_calls}");
+}
+
 /// Number of calls that were sent with a key after its revocation bound.
 fn late_calls_with_a_revoked_key(history: &[TimedEntry]) -> usize {
     let mut revoked = HashMap::new();
