Keep VMs ready while a restored log is guarded

What callers saw: with the guard on every VM, the ready address of the whole fleet says 503 until the rewrite time is over, also at VMs that refuse nothing but calls with keys. A balancer then has no VM for the calls that need no key, and callers with a key get no Retry-After from the product.

Change: a VM that had a proof before the restoration stays ready while the guard lasts, as no other VM serves keys either. A VM without any proof is not ready, as before: another one may still have a valid one.

Test: living_vm_stays_ready_for_calls_without_a_key_while_it_refuses_keys failed before.

--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -224,6 +224,12 @@
             || !self.active.as_ref().is_some_and(is_keyed)
     }
 
+    /// Whether this VM, like every VM that ran before the log was restored, distrusts API keys only
+    /// because of that. A VM without any proof may get one from another VM instead.
+    fn is_guarded_with_all(&self, now: Instant) -> bool {
+        self.proof.age(now).is_some() && self.restore_guard.remaining(now).is_some()
+    }
+
     /// Proof for other VMs that this VM's configuration is the newest.
     #[must_use]
     pub fn freshness_proof(&self, now: Instant) -> Option<ForwardedProof> {
@@ -451,14 +457,15 @@
     }
 
     /// Whether callers can be served: configuration, targets and fleet are known, and API keys may
-    /// be trusted.
+    /// be trusted, unless a restored log is the reason why no VM trusts them.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        let now = clock::now();
         let tables = self.tables();
         tables.active.is_some()
             && tables.known_ends.contains_key(&FeedTopic::Targets)
             && tables.known_ends.contains_key(&FeedTopic::Fleet)
-            && tables.may_trust_keys(self.revocation, clock::now())
+            && (tables.may_trust_keys(self.revocation, now) || tables.is_guarded_with_all(now))
     }
 
     /// Rank of this VM among those that could take on its zone's duties, the one with the most CPU first.
--- a/crates/daemon/tests/direct/unread_revocations.rs
+++ b/crates/daemon/tests/direct/unread_revocations.rs
@@ -4,6 +4,7 @@
 //! revocation bound after the first acknowledgement.
 
 use crate::{
+    keys::send_call,
     restore_trials::{
         CALL_INTERVAL, HALF_LONG_OUTAGE, KEPT, REVOCATION_BOUND, RestoreTrial, SHORT_OUTAGE,
         TrialVm, active_version, call, knows_era, with_key, without_key,
@@ -358,3 +359,19 @@
 async fn caller_refused_after_a_long_outage_is_served_after_the_stated_time() {
     check_retry_after(HALF_LONG_OUTAGE, false).await;
 }
+
+/// Guards against a balancer that takes every VM out of service after a restoration, and with them the calls that need no key.
+#[tokio::test]
+async fn living_vm_stays_ready_for_calls_without_a_key_while_it_refuses_keys() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    trial.lose_unread(&[], SHORT_OUTAGE).await;
+    wait_for("a refusal", async || {
+        call(vm.daemon.caller_address, "first", KEPT).await.0 == 503
+    })
+    .await;
+    assert!(is_ready(&vm.daemon).await);
+    let open = send_call(&vm.daemon, "/open/1", "open", "").await;
+    assert_eq!(open.status, 200);
+    assert_eq!(call(vm.daemon.caller_address, "second", KEPT).await.0, 503);
+}
