Tell by log line and metric which reads prove that no key was revoked

The two traces of keys served after a restoration had to add print lines to tell a VM's own reads of the copy from proofs that others forward, and to see whether a VM was guarded. E209 now names the age of the last proof and for how long reads prove nothing; hoplanding_key_proofs_total counts proofs by source, and reads that prove nothing while a restored log is guarded.

--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -54,24 +54,29 @@
 impl FreshnessProof {
     /// Records a completed read of the operators' records that was sent at `sent`.
     pub fn record_read(&mut self, sent: Instant) {
-        self.proven_at = self.proven_at.max(Some(sent));
+        self.advance(sent);
     }
 
-    /// Accepts the proof of another VM if this VM's configuration has at least the proven version.
+    /// Accepts the proof of another VM if this VM's configuration has at least the proven version. Returns whether it is
+    /// younger than the proof that this VM had.
     pub fn accept_forwarded(
         &mut self,
         forwarded: &ForwardedProof,
         echo: &HeartbeatEcho,
         current_version: u64,
-    ) {
+    ) -> bool {
         if current_version < forwarded.version {
-            return;
+            return false;
         }
         let replied_at = echo.sent + u64::from(echo.held_ms) * 1_000;
         let proven_at = replied_at.checked_sub(u64::from(forwarded.age_ms) * 1_000);
-        if let Some(proven_at) = proven_at {
-            self.record_read(Instant(proven_at));
-        }
+        proven_at.is_some_and(|proven_at| self.advance(Instant(proven_at)))
+    }
+
+    fn advance(&mut self, proven_at: Instant) -> bool {
+        let is_younger = self.proven_at < Some(proven_at);
+        self.proven_at = self.proven_at.max(Some(proven_at));
+        is_younger
     }
 
     /// Age of the proof; `None` if there is none.
--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -127,10 +127,16 @@
             if era <= known {
                 return;
             }
-            event!(Event::HistoryChanged, "era {era} after {known}");
             tables.store_era = Some(era);
             tables.stored_version = 0;
             tables.guard_restored_log(era, self.rewrites);
+            let now = clock::now();
+            event!(
+                Event::HistoryChanged,
+                "era {era} after {known}, age of the last proof {:?}, reads prove nothing for {:?}",
+                tables.proof.age(now),
+                tables.restore_guard.remaining(now).unwrap_or_default()
+            );
             for run in tables.catalog.record_log_restored(clock::now()) {
                 tables.leaving.push(run);
             }
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -11,6 +11,7 @@
         fleet::FleetState,
         ingest::RecordSource,
         message::{ContactReport, FeedTopic, ForwardedRecord, TopicEnd, TopicSpan},
+        metrics::ProofSource,
     },
     event,
     events::Event,
@@ -215,7 +216,9 @@
         let Some(known) = tables.active.as_ref().map(|active| active.config.version) else {
             return;
         };
-        tables.proof.accept_forwarded(proof, echo, known);
+        if tables.proof.accept_forwarded(proof, echo, known) {
+            self.metrics.count_key_proof(ProofSource::Forwarded);
+        }
     }
 
     /// Positions from which this VM lacks records, for its requests to other VMs. A topic that was
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -11,7 +11,7 @@
     direct::{
         eras::EraRecord,
         message::{FeedTopic, TopicSpan},
-        metrics::DirectMetrics,
+        metrics::{DirectMetrics, ProofSource},
         notices::LeavingTargets,
         record_cache::RecordCache,
         settings::DirectSettings,
@@ -551,9 +551,11 @@
     pub fn record_config_read(&self, sent: Instant) {
         let mut tables = self.tables();
         let version = tables.active.as_ref().map(|active| active.config.version);
-        let is_restore_guarded = tables.restore_guard.remaining(sent).is_some();
-        if !is_restore_guarded && version.is_none_or(|version| tables.stored_version >= version) {
+        if tables.restore_guard.remaining(sent).is_some() {
+            self.metrics.count_key_proof(ProofSource::Guarded);
+        } else if version.is_none_or(|version| tables.stored_version >= version) {
             tables.proof.record_read(sent);
+            self.metrics.count_key_proof(ProofSource::Read);
         }
     }
 
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -94,6 +94,22 @@
     outcome: LogOutcome,
 }
 
+/// Origin of a proof that the configuration is the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ProofSource {
+    /// A read of the log by this VM.
+    Read,
+    /// Another VM forwarded it.
+    Forwarded,
+    /// None: a read that proves nothing, as the log may lack newer records after a restore.
+    Guarded,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ProofLabels {
+    source: ProofSource,
+}
+
 /// Why a record is forwarded to another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum ForwardReason {
@@ -150,6 +166,7 @@
     quotas: Family<QuotaLabels, Gauge>,
     suspects: Family<SuspectLabels, Gauge>,
     log_calls: Family<LogLabels, Counter>,
+    key_proofs: Family<ProofLabels, Counter>,
     forwarded_records: Family<ForwardLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
@@ -176,6 +193,7 @@
             quotas: Family::default(),
             suspects: Family::default(),
             log_calls: Family::default(),
+            key_proofs: Family::default(),
             forwarded_records: Family::default(),
             placing: Histogram::new(BUCKET_BOUNDS_S),
             first_event: Histogram::new(BUCKET_BOUNDS_S),
@@ -225,6 +243,11 @@
             "Calls to the platform's log",
             self.log_calls.clone(),
         );
+        registry.register(
+            "key_proofs",
+            "Proofs that no key was revoked, by source, and reads that prove nothing while a restored log is guarded",
+            self.key_proofs.clone(),
+        );
         registry.register(
             "records_passed",
             "Records of the platform's log passed on to other VMs, by reason",
@@ -368,6 +391,11 @@
         self.log_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a proof that no key was revoked.
+    pub fn count_key_proof(&self, source: ProofSource) {
+        self.key_proofs.get_or_create(&ProofLabels { source }).inc();
+    }
+
     /// Counts records that were forwarded to another VM.
     pub fn count_forwarded_records(&self, reason: ForwardReason, records: usize) {
         let labels = ForwardLabels { reason };
--- a/crates/daemon/tests/direct/unread_revocations.rs
+++ b/crates/daemon/tests/direct/unread_revocations.rs
@@ -375,3 +375,30 @@
     assert_eq!(open.status, 200);
     assert_eq!(call(vm.daemon.caller_address, "second", KEPT).await.0, 503);
 }
+
+/// Number of proofs of a source, by the VM's metrics.
+fn key_proofs(vm: &TrialVm, source: &str) -> u64 {
+    let fleet = vm.daemon.fleet();
+    let start = format!("hoplanding_key_proofs_total{{source=\"{source}\"}}");
+    let page = fleet.metrics.page(fleet);
+    page.lines()
+        .find_map(|line| line.strip_prefix(&start)?.trim().parse().ok())
+        .unwrap_or(0)
+}
+
+/// Guards against metrics that do not tell whether a VM trusts its own reads, those of another VM or none.
+#[tokio::test]
+async fn metrics_tell_reads_that_prove_from_those_of_a_guarded_log() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    wait_for("a proof", async || key_proofs(&vm, "Read") > 0).await;
+    assert_eq!(key_proofs(&vm, "Guarded"), 0);
+    trial.lose_unread(&[], SHORT_OUTAGE).await;
+    wait_for("a guarded read", async || key_proofs(&vm, "Guarded") > 1).await;
+    let before = key_proofs(&vm, "Read");
+    wait_for("a proof after the rewrite time", async || {
+        key_proofs(&vm, "Read") > before
+    })
+    .await;
+    assert_eq!(key_proofs(&vm, "Forwarded"), 0);
+}
