--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -75,6 +75,9 @@
 const MAX_CONFIG_REWRITE_DELAY: Duration = Duration::from_millis(8_500);
 /// Time between two rewrites of lost configurations.
 const CONFIG_REWRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// The daemons' recovery bound where operators may take up to 10 s to rewrite, and where they rewrite at once.
+const LONG_RECOVERY_BOUND: Duration = Duration::from_secs(15);
+const SHORT_RECOVERY_BOUND: Duration = Duration::from_secs(6);
 /// Interval at which each VM gets a call with a key that a lost configuration revoked.
 const REVOKED_CALL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which calls with revoked keys are sent after the rewrite.
@@ -131,6 +134,17 @@
             faults
         })
     }
+
+    /// The daemons' setting for the time that operators need to rewrite what a restored log lacks. VMs refuse calls with
+    /// keys for that time, so runs in which operators are quick have a short one.
+    fn recovery_bound(&self) -> Duration {
+        let mut kinds = self.schedule().into_iter().map(|fault| fault.kind);
+        if kinds.any(|kind| FaultKind::CONFIG_LOSSES.contains(&kind)) {
+            LONG_RECOVERY_BOUND
+        } else {
+            SHORT_RECOVERY_BOUND
+        }
+    }
 }
 
 /// Result of a run.
@@ -230,6 +244,7 @@
                 index,
                 &zones,
                 log.address(),
+                plan.recovery_bound(),
                 &plan.program,
                 &plan.folder,
                 history.clone(),
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -236,6 +236,7 @@
         0,
         &zones,
         log.address(),
+        Duration::from_secs(15),
         &plan.program,
         &plan.folder,
         history,
