End the guard by an era record only for reads sent since it settled

Found by the specification (RECORD_FOR_PAST) and by review: a read that was sent while the log was guarded counted if the era record ended the guard before its answer came. It takes clocks that differ by almost MAX_CLOCK_SKEW, or a frozen process and a long bound. The guard now ends at the moment at which the record settled; a VM that starts later trusts its first read, as before.

--- a/crates/core/src/direct/restore_guard.rs
+++ b/crates/core/src/direct/restore_guard.rs
@@ -30,9 +30,10 @@
         }
     }
 
-    /// Ends the period, as operators have had the time to rewrite.
-    pub fn end(&mut self) {
-        self.ends_at = Instant::default();
+    /// Ends the period at a time from which on operators are known to have had the time to rewrite. Reads that were sent
+    /// before it still prove nothing.
+    pub fn end(&mut self, settled_at: Instant) {
+        self.ends_at = self.ends_at.min(settled_at);
     }
 
     /// Time until the period ends; `None` outside of it.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -297,6 +297,15 @@
         Self(self.0 + u64::try_from(span.as_micros()).unwrap_or(u64::MAX >> 1))
     }
 
+    /// Time that lies `span` before this one; the origin at the earliest.
+    #[must_use]
+    pub fn before(self, span: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+
     /// Seconds since the origin.
     #[must_use]
     pub fn as_secs_f64(self) -> f64 {
--- a/crates/core/tests/direct_restore_guard.rs
+++ b/crates/core/tests/direct_restore_guard.rs
@@ -43,9 +43,14 @@
     assert_eq!(guard.remaining(at(5_000)), Some(RULE.rewrite_time));
 }
 
+/// Guards against a read that counts although it was sent before operators had the time to rewrite.
 #[test]
-fn an_era_known_for_long_needs_no_guard() {
+fn an_era_known_for_long_needs_no_guard_for_reads_from_then_on() {
     let mut guard = guard_in(2);
-    guard.end();
-    assert_eq!(guard.remaining(at(0)), None);
+    guard.end(at(5_000));
+    assert!(guard.remaining(at(4_999)).is_some());
+    assert_eq!(guard.remaining(at(5_000)), None);
+    // A later end does not extend the period.
+    guard.end(at(20_000));
+    assert_eq!(guard.remaining(at(5_000)), None);
 }
--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -41,10 +41,10 @@
         }
     }
 
-    /// Whether operators have had enough time to write the records again that the restored copy lacked.
-    fn is_settled(&self, rule: RewriteRule) -> bool {
+    /// Time since operators have had enough time to write the records again that the restored copy lacked.
+    fn settled_for(&self, rule: RewriteRule) -> Option<Duration> {
         let age = Duration::from_millis(clock::wall_ms().saturating_sub(self.seen_ms));
-        age >= rule.rewrite_time + MAX_CLOCK_SKEW
+        age.checked_sub(rule.rewrite_time + MAX_CLOCK_SKEW)
     }
 }
 
@@ -53,8 +53,10 @@
     /// restore guard.
     pub(super) fn apply_era_record(&mut self, record: EraRecord, rule: RewriteRule) {
         self.era_record = Some(record);
-        if Some(record.era) == self.store_era && record.is_settled(rule) {
-            self.restore_guard.end();
+        if let Some(settled_for) = record.settled_for(rule)
+            && Some(record.era) == self.store_era
+        {
+            self.restore_guard.end(clock::now().before(settled_for));
         }
     }
 
