Guard a restored log on VMs with the settings of the fleet's first start too

What callers saw: a process that is restarted with the settings file of the first start (first_start true) trusts the copy at once, and vouches for it to VMs that are guarded: 36 late calls at the VM itself, 35 at another one that lived through the restoration. Found by review.

Cause: advance_era exempted such a process from the guard, in any era. A log in its first era needs no exemption, as the guard leaves it out.

--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -120,9 +120,7 @@
             let mut tables = self.tables();
             let Some(known) = tables.store_era else {
                 tables.store_era = Some(era);
-                if !self.is_first_start {
-                    tables.guard_restored_log(era, self.rewrites);
-                }
+                tables.guard_restored_log(era, self.rewrites);
                 self.eras.send_replace(era);
                 return;
             };
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -308,8 +308,6 @@
     /// Incarnation of this process.
     pub incarnation: u64,
     started: Instant,
-    /// Whether the whole fleet starts for the first time.
-    pub(super) is_first_start: bool,
     /// Zone of this VM.
     pub zone: AvailabilityZone,
     /// Bound on how long revoked API keys may still be accepted.
@@ -342,7 +340,6 @@
             vm: settings.vm.clone(),
             incarnation,
             started,
-            is_first_start: settings.is_first_start,
             zone: settings.zone.clone(),
             revocation: settings.revocation,
             rewrites: settings.recovery,
--- /dev/null
+++ b/crates/daemon/tests/direct/guard_limits.rs
@@ -0,0 +1,48 @@
+//! Guard of a restored log against restarts, further outages and wrong times of day.
+
+use crate::{
+    restore_trials::{RestoreTrial, SHORT_OUTAGE, active_version, without_key},
+    support::{is_ready, wait_for},
+};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const REWRITE_TIME: Duration = Duration::from_secs(5);
+/// Time that operators take to write again, longer than the revocation bound.
+const LATE_WRITE: Duration = Duration::from_millis(3_500);
+
+/// Guards against a VM whose process restarts with the settings file of the fleet's first start and trusts the copy.
+#[tokio::test]
+async fn vm_restarted_with_the_settings_of_the_first_start_does_not_trust_the_copy() {
+    let trial = RestoreTrial::start().await;
+    let killed = trial.start_first(REWRITE_TIME).await;
+    let acknowledged = trial.lose_unread(&[without_key(3)], SHORT_OUTAGE).await;
+    drop(killed);
+    let settings = trial.settings("vm-1", REWRITE_TIME);
+    assert!(settings.is_first_start);
+    let restarted = trial.start_with("vm-1", settings).await;
+    wait_for("the copy", async || {
+        active_version(&restarted.daemon) == Some(2)
+    })
+    .await;
+    sleep(LATE_WRITE).await;
+    trial.rewrite(&without_key(3));
+    trial.check(&[&restarted], acknowledged).await;
+}
+
+/// Guards against one VM without a guard that vouches for the copy to a VM that guards it.
+#[tokio::test]
+async fn living_vm_does_not_accept_the_proof_of_a_vm_restarted_with_the_first_settings() {
+    let trial = RestoreTrial::start().await;
+    let killed = trial.start_first(REWRITE_TIME).await;
+    let settings = trial.settings("vm-2", REWRITE_TIME);
+    let living = trial.start_later("vm-2", settings).await;
+    wait_for("readiness", async || is_ready(&living.daemon).await).await;
+    let acknowledged = trial.lose_unread(&[without_key(3)], SHORT_OUTAGE).await;
+    drop(killed);
+    let settings = trial.settings("vm-1", REWRITE_TIME);
+    let restarted = trial.start_with("vm-1", settings).await;
+    sleep(LATE_WRITE).await;
+    trial.rewrite(&without_key(3));
+    trial.check(&[&living, &restarted], acknowledged).await;
+}
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod engine_simulator;
 mod fleet;
 mod foreign;
+mod guard_limits;
 mod headers;
 mod keys;
 mod leaving;
--- a/crates/daemon/tests/direct/restore_trials.rs
+++ b/crates/daemon/tests/direct/restore_trials.rs
@@ -168,6 +168,11 @@
     /// A VM that starts later, which need not be ready.
     pub async fn start_later(&self, vm: &'static str, mut settings: DirectSettings) -> TrialVm {
         settings.is_first_start = false;
+        self.start_with(vm, settings).await
+    }
+
+    /// A VM with these settings, which need not be ready.
+    pub async fn start_with(&self, vm: &'static str, settings: DirectSettings) -> TrialVm {
         let process = process_runtime();
         let started = process.spawn(DirectDaemon::start(settings)).await;
         let daemon = started.expect("a task").expect("the daemon starts");
