Guard a restored log anew after an outage that began in the guard

What callers saw: the copy comes up, the log is away again in the same era, and operators rewrite within the rewrite time of its second return. Found by review.

Cause: operators' time counts from the moment from which they can write, the guard counted from the moment in which the era was seen first.

Change: an outage that began in the guard, by what this VM and its peers see of the log, starts the rewrite time again when it ends. A single failed call may extend the guard of one VM; it then serves by the proofs of the others.

--- a/crates/core/src/direct/log_contact.rs
+++ b/crates/core/src/direct/log_contact.rs
@@ -85,6 +85,12 @@
         self.answer_span
     }
 
+    /// Last answer before the last outage, or its first failure if there was none.
+    #[must_use]
+    pub fn lost_at(&self) -> Option<Instant> {
+        self.outage.map(|outage| outage.lost_at)
+    }
+
     /// When the log recovered from its last outage, as far as this VM knows; `None` if there was no outage.
     #[must_use]
     pub fn recovered_at(&self) -> Option<Instant> {
--- a/crates/core/src/direct/restore_guard.rs
+++ b/crates/core/src/direct/restore_guard.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// Starts the period again after an outage of the log that began in it, as operators could not write either.
+    /// `recovered_at` is the time of the last failure while the outage continues.
+    pub fn record_outage(&mut self, lost_at: Instant, recovered_at: Instant, rule: RewriteRule) {
+        if self.remaining(lost_at).is_some() {
+            self.ends_at = self.ends_at.max(recovered_at.after(rule.rewrite_time));
+        }
+    }
+
     /// Ends the period at a time from which on operators are known to have had the time to rewrite. Reads that were sent
     /// before it still prove nothing.
     pub fn end(&mut self, settled_at: Instant) {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -205,7 +205,7 @@
         {
             let mut tables = self.tables();
             tables.contact.record_peer(vm, run);
-            tables.record_log_return();
+            tables.record_log_return(self.rewrites);
         }
         self.expire();
     }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -293,10 +293,14 @@
         state.is_some_and(|state| Some(state.position.era()) < self.store_era)
     }
 
-    /// Passes the time of the log's recovery, as known now, to the catalog.
-    pub(super) fn record_log_return(&mut self) {
-        self.catalog
-            .record_log_recovered(self.contact.recovered_at());
+    /// Passes the time of the log's recovery, as known now, to the catalog and the restore guard.
+    pub(super) fn record_log_return(&mut self, rule: RewriteRule) {
+        let recovered_at = self.contact.recovered_at();
+        self.catalog.record_log_recovered(recovered_at);
+        if let (Some(lost_at), Some(recovered_at)) = (self.contact.lost_at(), recovered_at) {
+            self.restore_guard
+                .record_outage(lost_at, recovered_at, rule);
+        }
     }
 }
 
--- a/crates/daemon/src/direct/ingest.rs
+++ b/crates/daemon/src/direct/ingest.rs
@@ -45,7 +45,7 @@
         } else {
             tables.contact.record_failure(now);
         }
-        tables.record_log_return();
+        tables.record_log_return(self.rewrites);
     }
 
     /// Applies a listing of the newest record of each key.
--- a/crates/daemon/tests/direct/guard_limits.rs
+++ b/crates/daemon/tests/direct/guard_limits.rs
@@ -1,7 +1,7 @@
 //! Guard of a restored log against restarts, further outages and wrong times of day.
 
 use crate::{
-    restore_trials::{RestoreTrial, SHORT_OUTAGE, active_version, without_key},
+    restore_trials::{RestoreTrial, SHORT_OUTAGE, active_version, knows_era, without_key},
     support::{is_ready, wait_for},
 };
 use std::time::Duration;
@@ -46,3 +46,33 @@
     trial.rewrite(&without_key(3));
     trial.check(&[&living, &restarted], acknowledged).await;
 }
+
+/// Guards against a guard that ends while the log is away again, in the same era: operators can only write once it is back.
+#[tokio::test]
+async fn guard_does_not_end_during_a_second_outage_in_the_same_era() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    let acknowledged = trial.lose_unread(&[without_key(3)], SHORT_OUTAGE).await;
+    wait_for("the copy", async || knows_era(&vm.daemon, 2)).await;
+    trial.log.set_faults(|faults| faults.is_unavailable = true);
+    sleep(REWRITE_TIME).await;
+    trial.log.set_faults(|faults| faults.is_unavailable = false);
+    sleep(LATE_WRITE).await;
+    trial.rewrite(&without_key(3));
+    trial.check(&[&vm], acknowledged).await;
+}
+
+/// Guards against a short second outage in the same era: it ends before the guard does, but operators' time counts from its end.
+#[tokio::test]
+async fn guard_counts_from_the_end_of_a_second_outage_in_the_same_era() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    let acknowledged = trial.lose_unread(&[without_key(3)], SHORT_OUTAGE).await;
+    wait_for("the copy", async || knows_era(&vm.daemon, 2)).await;
+    trial.log.set_faults(|faults| faults.is_unavailable = true);
+    sleep(Duration::from_secs(3)).await;
+    trial.log.set_faults(|faults| faults.is_unavailable = false);
+    sleep(LATE_WRITE).await;
+    trial.rewrite(&without_key(3));
+    trial.check(&[&vm], acknowledged).await;
+}
