Ignore the era record on VMs that saw the log's earlier era

A clock before 1970 gave a time of 0, which every VM took as long ago. Found by review; it takes more than MAX_CLOCK_SKEW.

Change: the record is for VMs that start in the era. Others guard by their own steady clock. A time of 0 counts as unknown.

--- a/crates/daemon/src/direct/eras.rs
+++ b/crates/daemon/src/direct/eras.rs
@@ -41,8 +41,12 @@
         }
     }
 
-    /// Time since operators have had enough time to write the records again that the restored copy lacked.
+    /// Time since operators have had enough time to write the records again that the restored copy lacked. A time of day
+    /// of zero means that it was not known.
     fn settled_for(&self, rule: RewriteRule) -> Option<Duration> {
+        if self.seen_ms == 0 {
+            return None;
+        }
         let age = Duration::from_millis(clock::wall_ms().saturating_sub(self.seen_ms));
         age.checked_sub(rule.rewrite_time + MAX_CLOCK_SKEW)
     }
@@ -50,9 +54,13 @@
 
 impl FleetTables {
     /// Applies the log's era record. A record of an earlier era was restored with the copy and is ignored by the
-    /// restore guard.
+    /// restore guard. So is any record on a VM that saw an earlier era: its own clock is more reliable than the time of
+    /// day of another VM.
     pub(super) fn apply_era_record(&mut self, record: EraRecord, rule: RewriteRule) {
         self.era_record = Some(record);
+        if self.has_seen_earlier_era {
+            return;
+        }
         if let Some(settled_for) = record.settled_for(rule)
             && Some(record.era) == self.store_era
         {
@@ -129,6 +137,7 @@
             }
             tables.store_era = Some(era);
             tables.stored_version = 0;
+            tables.has_seen_earlier_era = true;
             tables.guard_restored_log(era, self.rewrites);
             let now = clock::now();
             event!(
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -143,6 +143,8 @@
     pub proof: FreshnessProof,
     /// Whether the log may lack the newest operator records after a restore.
     pub restore_guard: RestoreGuard,
+    /// Whether this VM knew an earlier era than the current one.
+    pub(super) has_seen_earlier_era: bool,
     /// Record of the log's current era.
     pub era_record: Option<EraRecord>,
     /// Requests during which targets crashed, from this VM's calls, other VMs and the log.
@@ -375,6 +377,7 @@
                 high_demand_until: HashMap::new(),
                 proof: FreshnessProof::default(),
                 restore_guard: RestoreGuard::default(),
+                has_seen_earlier_era: false,
                 era_record: None,
                 suspects: SuspectTable::default(),
                 limits: RateLimitTable::with_share(1.0 / f64::from(MIN_BUDGET_SHARES)),
--- a/crates/daemon/tests/direct/guard_limits.rs
+++ b/crates/daemon/tests/direct/guard_limits.rs
@@ -4,6 +4,8 @@
     restore_trials::{RestoreTrial, SHORT_OUTAGE, active_version, knows_era, without_key},
     support::{is_ready, wait_for},
 };
+use hoplandingd::clock;
+use serde_json::json;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -76,3 +78,17 @@
     trial.rewrite(&without_key(3));
     trial.check(&[&vm], acknowledged).await;
 }
+
+/// Guards against an era record by a VM whose time of day is a minute late: a VM that saw the era begin needs no record.
+#[tokio::test]
+async fn era_record_with_a_wrong_time_does_not_end_the_guard_of_a_living_vm() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    let acknowledged = trial.lose_unread(&[without_key(3)], SHORT_OUTAGE).await;
+    wait_for("the copy", async || knows_era(&vm.daemon, 2)).await;
+    let record = json!({ "era": 2, "seen_ms": clock::wall_ms() - 60_000 }).to_string();
+    trial.log.put("keyed.fleet", "era", Some(&record));
+    sleep(LATE_WRITE).await;
+    trial.rewrite(&without_key(3));
+    trial.check(&[&vm], acknowledged).await;
+}
