State a true Retry-After also right after the guard, and spread returns over 2 s

What callers saw: between the end of the guard and the next proof a refusal named 0.4 s; service came up to 0.8 s later. All callers that were refused in about 10 s were told the same moment, give or take 0.6 s. Found by review.

Change: the time counts down to when a proof is due, also after the guard, and returns are spread over 2 s.

Test: caller_refused_at_any_time_is_served_after_the_stated_time failed before.

--- a/crates/daemon/src/direct/call/admission.rs
+++ b/crates/daemon/src/direct/call/admission.rs
@@ -8,7 +8,6 @@
         call::{
             CallState, DEFAULT_RETRY_AFTER, GatewayContext,
             answers::{AnswerBody, own_answer, refusal},
-            with_jitter,
         },
         fleet::ActiveConfig,
         metrics::{RequestKind, RequestOutcome},
@@ -28,6 +27,9 @@
 /// next one, and two heartbeats that forward its proof.
 const MAX_PROOF_DELAY: Duration = Duration::from_millis(1_800);
 
+/// Spread of the callers that were refused while a restored log was guarded, as all of them may return from its end on.
+const MAX_RETURN_JITTER: Duration = Duration::from_secs(2);
+
 /// Why a call is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionFault {
@@ -54,11 +56,11 @@
                 own_answer(id, StatusCode::UNAUTHORIZED, None)
             }
             Self::Stale => {
-                let guarded_for = context.fleet.key_guard_remaining();
-                let retry_after = guarded_for.map_or(DEFAULT_RETRY_AFTER, |remaining| {
-                    with_jitter(remaining + MAX_PROOF_DELAY)
+                let proof_due_in = context.fleet.key_proof_due_in(MAX_PROOF_DELAY);
+                let retry_after = proof_due_in.map_or(DEFAULT_RETRY_AFTER, |due_in| {
+                    due_in + MAX_RETURN_JITTER.mul_f64(rand::random())
                 });
-                event!(Event::KeysUncertain, request = id; "route {} not run, retry after {retry_after:?}, restored log may lack the newest keys for another {:?}", route.name, guarded_for.unwrap_or_default()
+                event!(Event::KeysUncertain, request = id; "route {} not run, retry after {retry_after:?}, time until restored keys are trusted: {proof_due_in:?}", route.name
                 );
                 refusal(id, retry_after)
             }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -84,8 +84,6 @@
 const MIN_RETRY_TIME: Duration = Duration::from_millis(5);
 /// `Retry-After` of refusals where no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Maximum jitter of a `Retry-After` that many callers get for the same moment.
-const MAX_RETRY_AFTER_JITTER: Duration = Duration::from_millis(600);
 
 /// State that all calls of this VM share.
 #[derive(Debug)]
@@ -260,11 +258,6 @@
     active.config.services.get(name).cloned()
 }
 
-/// A `Retry-After` with jitter, so that the first callers that return find out whether calls are served again.
-fn with_jitter(retry_after: Duration) -> Duration {
-    retry_after + MAX_RETRY_AFTER_JITTER.mul_f64(rand::random())
-}
-
 fn count(context: &GatewayContext, kind: RequestKind, outcome: RequestOutcome) {
     context.fleet.metrics.count_request(kind, outcome);
 }
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock,
     direct::{
-        call::{CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome, with_jitter},
+        call::{CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome},
         holder_client::PlacedCall,
         message::FeedTopic,
     },
@@ -37,6 +37,9 @@
 /// Pause of a call before the last pass over the zones.
 const REPLACE_DELAY: Duration = Duration::from_millis(60);
 
+/// Jitter added to the `Retry-After` of calls that are refused because all targets requested a backoff.
+const BACKOFF_JITTER: Duration = Duration::from_millis(600);
+
 /// Where the next send goes.
 pub enum CallPlacement {
     /// To this target, with the version to expect, and the holder's record of the call if a holder placed it.
@@ -394,11 +397,12 @@
         self.context.fleet.tables().backing_off(clock::now())
     }
 
-    /// `Retry-After` for the caller if every target of the service requested a backoff from this VM.
+    /// `Retry-After` for the caller if every target of the service requested a backoff from this VM. The jitter spreads the callers,
+    /// so that a few of them find out whether the targets take calls again.
     pub(super) fn backoff_of_all(&self) -> Option<Duration> {
         let tables = self.context.fleet.tables();
         let backoff = tables.shortest_backoff(&self.service.name, clock::now())?;
-        Some(with_jitter(backoff))
+        Some(backoff + BACKOFF_JITTER.mul_f64(rand::random()))
     }
 
     /// Whether this VM knows of targets that crashed while they ran the request.
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -569,10 +569,12 @@
         self.tables().may_trust_keys(self.revocation, clock::now())
     }
 
-    /// Time for which the restored log may still lack the newest API keys.
+    /// Time until a proof that no key was revoked is due, if the log was restored: `proof_delay` after the end of the
+    /// restore guard.
     #[must_use]
-    pub fn key_guard_remaining(&self) -> Option<Duration> {
-        self.tables().restore_guard.remaining(clock::now())
+    pub fn key_proof_due_in(&self, proof_delay: Duration) -> Option<Duration> {
+        let guard = self.tables().restore_guard;
+        guard.remaining(clock::now().before(proof_delay))
     }
 
     /// Records that every record of the fleet topic is known as of a time.
--- a/crates/daemon/tests/direct/guard_limits.rs
+++ b/crates/daemon/tests/direct/guard_limits.rs
@@ -1,13 +1,16 @@
 //! Guard of a restored log against restarts, further outages and wrong times of day.
 
 use crate::{
-    restore_trials::{RestoreTrial, SHORT_OUTAGE, active_version, knows_era, without_key},
+    restore_trials::{
+        KEPT, REVOCATION_BOUND, RestoreTrial, SHORT_OUTAGE, active_version, call, knows_era,
+        without_key,
+    },
     support::{is_ready, wait_for},
 };
 use hoplandingd::clock;
 use serde_json::json;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const REWRITE_TIME: Duration = Duration::from_secs(5);
 /// Time that operators take to write again, longer than the revocation bound.
@@ -92,3 +95,35 @@
     trial.rewrite(&without_key(3));
     trial.check(&[&vm], acknowledged).await;
 }
+
+/// Guards against a `Retry-After` that is too short between the end of the guard and the next proof.
+#[tokio::test]
+async fn caller_refused_at_any_time_is_served_after_the_stated_time() {
+    let trial = RestoreTrial::start().await;
+    let vm = trial.start_first(REWRITE_TIME).await;
+    trial.lose_unread(&[], SHORT_OUTAGE).await;
+    wait_for("the copy", async || knows_era(&vm.daemon, 2)).await;
+    sleep(REVOCATION_BOUND).await;
+    let until = Instant::now() + REWRITE_TIME;
+    let mut refusals = Vec::new();
+    while Instant::now() < until {
+        let (status, retry_after) = call(vm.daemon.caller_address, "probe", KEPT).await;
+        if status == 503 {
+            let after = Duration::from_secs_f64(retry_after.expect("a Retry-After"));
+            refusals.push((Instant::now(), after));
+        } else if status == 200 {
+            break;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    let served = Instant::now();
+    let too_short: Vec<_> = refusals
+        .iter()
+        .filter(|(at, after)| *at + *after < served)
+        .map(|(at, after)| (served - *at, *after))
+        .collect();
+    assert!(
+        too_short.is_empty(),
+        "(time until service, Retry-After): {too_short:?}"
+    );
+}
