Forward a configuration that operators rewrite unchanged in a new era

What callers saw: a VM that learned the configuration in force from another one, after a restoration, refuses every call with a key once it is alone, with a Retry-After of 0.4 s, until operators write another configuration. 503 in 3 of 3 runs, with the VM as holder of its zone.

Cause: the VM that reads the rewrite holds it as stored and does not forward it; the heartbeat then moves the others' known end past it. They never learn that the log holds that version in this era, so none of their reads proves anything.

Change: the first record of a configuration in an era is an update.

Test: last_vm_that_learned_the_configuration_from_others_serves_kept_keys failed before, 3 of 3 runs.

--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -290,7 +290,14 @@
     if known == Some(config.version)
         && tables.records.value(FeedTopic::Operators, CONFIG_KEY) == Some(value)
     {
-        return FoldOutcome::Stored;
+        // Other VMs have to know that the log holds it in this era, too.
+        let stored = tables.records.position(FeedTopic::Operators, CONFIG_KEY);
+        let is_rewrite = stored.is_some_and(|stored| stored.era() < record.position.era());
+        return if is_rewrite {
+            FoldOutcome::Update
+        } else {
+            FoldOutcome::Stored
+        };
     }
     event!(
         Event::ConfigInForce,
--- a/crates/daemon/tests/direct/guard_limits.rs
+++ b/crates/daemon/tests/direct/guard_limits.rs
@@ -127,3 +127,49 @@
         "(time until service, Retry-After): {too_short:?}"
     );
 }
+
+/// Guards against a VM that is left alone, has read the log in its era since, and refuses good keys for good: the VM that
+/// told it the configuration never forwarded the unchanged rewrite.
+#[tokio::test]
+async fn last_vm_that_learned_the_configuration_from_others_serves_kept_keys() {
+    let trial = RestoreTrial::start().await;
+    let first = trial.start_first(REWRITE_TIME).await;
+    trial.rewrite(&without_key(3));
+    wait_for("version 3", async || {
+        active_version(&first.daemon) == Some(3)
+    })
+    .await;
+    trial.log.restore(&[("keyed.op", 1)]);
+    wait_for("the copy", async || knows_era(&first.daemon, 2)).await;
+    let mut others = Vec::new();
+    for vm in ["vm-2", "vm-3", "vm-4"] {
+        let settings = trial.settings(vm, REWRITE_TIME);
+        let started = trial.start_later(vm, settings).await;
+        wait_for("version 3 from the first VM", async || {
+            active_version(&started.daemon) == Some(3)
+        })
+        .await;
+        others.push(started);
+    }
+    // The VM of the last rank hears the holder and does not read.
+    sleep(Duration::from_millis(1_500)).await;
+    trial.rewrite(&without_key(3));
+    sleep(REWRITE_TIME).await;
+    wait_for("service by the first VM", async || {
+        call(first.daemon.caller_address, "first", KEPT).await.0 == 200
+    })
+    .await;
+    others.sort_by_key(|vm| vm.daemon.fleet().rank());
+    let last = others.pop().expect("a VM");
+    drop((first, others));
+    sleep(REWRITE_TIME).await;
+    let (status, retry_after) = call(last.daemon.caller_address, "last", KEPT).await;
+    let (stored, proof_age) = {
+        let tables = last.daemon.fleet().tables();
+        (tables.stored_version, tables.proof.age(clock::now()))
+    };
+    assert_eq!(
+        status, 200,
+        "Retry-After {retry_after:?}, stored version {stored}, age of the proof {proof_age:?}"
+    );
+}
