Play records other than revocations that a restored log lost unread

Each test loses a record that no VM had read with the log and writes it again 3.5 s later, on stand-ins: organisations with a lower quota, moved keys or none any more, routes that need a key, are dropped or moved, the first configuration with organisations, a target that leaves or is removed, a named version. Until the rewrite no VM can know the record; calls with a key are refused by the restore guard, and after the rewrite the usual bounds hold.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod record_exchange;
 mod reloads;
 mod restore_trials;
+mod restored_twins;
 mod restores;
 mod retries;
 mod settings;
