Serve adapters whose copies are newer than the version that a restored log names

What callers saw: operators name version 2 of an adapter, a VM reads that and has an engine load it, and the log is restored without the record while all VMs end.

Cause: the named version of the copy was taken as the one to require, though the engine's report or entry shows a newer one. A named version never goes back, so a newer copy is as good as the named one.

Change: a call requires the newer of the named version and that of the copy where it goes, also for the choice of cached prompt parts. No engine loads an older version for it.

Tests: two direct tests and one of the planner, which failed before; the test of the planner also checks that parts of version 1 are not fetched for a copy of version 2.

--- a/crates/core/src/direct/planner/cache_transfer.rs
+++ b/crates/core/src/direct/planner/cache_transfer.rs
@@ -108,7 +108,7 @@
         sources: &'a [CacheSource],
         now: Instant,
     ) -> PrefillPlan<'a> {
-        let named = self.named_version(&request.subject);
+        let required = self.required_version(engine, &request.subject);
         let cached = engine.cached_tokens(request);
         let tokens = request.prompt_tokens.saturating_sub(cached);
         let time = engine
@@ -121,7 +121,7 @@
         };
         let usable = sources
             .iter()
-            .filter(|source| engine.can_use_cache(source.tag, &request.subject, named));
+            .filter(|source| engine.can_use_cache(source.tag, &request.subject, required));
         let Some(source) = usable.max_by_key(|source| source.tokens) else {
             return without_fetch;
         };
@@ -156,10 +156,10 @@
         let Some(engine) = self.engines.get(name) else {
             return;
         };
-        let named = self.named_version(&request.subject);
+        let required = self.required_version(engine, &request.subject);
         let cached = engine.cached_tokens(request);
         let unusable = sources.iter().find(|source| {
-            source.tokens > cached && !engine.can_use_cache(source.tag, &request.subject, named)
+            source.tokens > cached && !engine.can_use_cache(source.tag, &request.subject, required)
         });
         let Some(source) = fetch.or(unusable) else {
             return;
@@ -173,7 +173,7 @@
             source_versions: lender.unwrap_or_default(),
             target: name.clone(),
             target_versions: engine.cache_versions(&request.subject),
-            named_version: named,
+            named_version: self.named_version(&request.subject),
             is_permitted: fetch.is_some(),
         };
         self.actions
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -271,6 +271,17 @@
         named.copied()
     }
 
+    /// Version that a call at an engine has to name. A copy may be newer than the named version, as a restored log may
+    /// lack the record that named its version, and the engine would reject calls that name an older one.
+    pub(super) fn required_version(
+        &self,
+        engine: &EngineState,
+        subject: &AdapterName,
+    ) -> Option<u64> {
+        let named = self.named_version(subject)?;
+        engine.pinned_version(subject).max(Some(named))
+    }
+
     /// Adopts a call that a gateway had open before this planner started.
     pub fn adopt_call(&mut self, key: CallKey, target: &TargetName, subject: &AdapterName) {
         self.drop_call(&key);
--- a/crates/core/src/direct/planner/placement.rs
+++ b/crates/core/src/direct/planner/placement.rs
@@ -359,9 +359,9 @@
         let backlog = engine
             .prompts
             .backlog(request.priority, &self.prefill_model, now);
-        let named = self.named_version(&request.subject);
+        let required = self.required_version(engine, &request.subject);
         let fetched_version = plan.fetch.map(|source| source.tag.expected());
-        let version = named
+        let version = required
             .or(fetched_version)
             .or(engine.pinned_version(&request.subject));
         self.record_transfer(name, &key, request, &sources, plan.fetch);
--- a/crates/core/tests/direct_versions/transfers.rs
+++ b/crates/core/tests/direct_versions/transfers.rs
@@ -55,6 +55,19 @@
     }
 }
 
+// Guards against calls that an engine with a newer copy refuses, after a restored log lost the record that named it.
+#[test]
+fn call_requires_the_version_of_a_copy_newer_than_the_named_one() {
+    let mut planner = zone_planner(&engine_list(&[(1, 1), (1, 2)]));
+    planner.set_version(&AdapterName::new("base/a1"), 1, SETTLED);
+    complete_call_at_first(&mut planner, "base/a1", 1);
+    let placed = place_call_for(&mut planner, 2, "base/a1", &["e1"]);
+    assert_eq!(placed.version, Some(2));
+    assert_eq!(placed.fetch, None, "cache of version 1 for version 2");
+    let placed = place_call_for(&mut planner, 3, "base/a1", &["e2"]);
+    assert_eq!(placed.version, Some(1));
+}
+
 // Guards against calls that every engine refuses. New weights of the base model are set, but running engines keep
 // theirs, as no order replaces them. A call for the base model itself must therefore not require the new version.
 #[test]
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -469,8 +469,9 @@
             .cloned()?;
         tables.limits.take_token(&entry.name, now);
         // The holder does not know of this call. Naming the version keeps the engine from running it under another version,
-        // whose KV cache the holder would attribute to the wrong one.
-        let version = version.or_else(|| listed_version(&entry, &subject));
+        // whose KV cache the holder would attribute to the wrong one. The entry may list a newer version than the named one,
+        // as a restored log may lack the record that named it.
+        let version = version.max(listed_version(&entry, &subject));
         Some(CallPlacement::At(entry, version, None))
     }
 }
--- a/crates/daemon/tests/direct/restored_twins.rs
+++ b/crates/daemon/tests/direct/restored_twins.rs
@@ -9,10 +9,10 @@
     restore_trials::{CALL_INTERVAL, REVOCATION_BOUND, SHORT_OUTAGE, knows_era},
     support::{
         HOST, config_json, good_answer, post_request, process_runtime, route_json, send_request,
-        start_daemon_in, target_entry, wait_for,
+        start_daemon_in, start_daemon_with, target_entry, wait_for,
     },
 };
-use hoplanding_core::direct::restore_guard::RewriteRule;
+use hoplanding_core::{direct::restore_guard::RewriteRule, ids::AvailabilityZone};
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
@@ -491,3 +491,73 @@
         );
     }
 }
+
+/// Guards against refusals by an engine that has a newer version of an adapter than the copy names: the VM that read the lost record
+/// had it loaded, and the one that starts after the restoration knows only the copy.
+#[tokio::test]
+async fn engine_with_a_newer_version_than_the_copy_names_serves_calls() {
+    let mut trial = TwinTrial::start(&config_json(2)).await;
+    let simulator = EngineSimulator::new(1);
+    let engine = simulator.start_engine("e-1", 1, &[("a1", 1)]).await;
+    let entry = target_entry("scribe", engine.address, "ready", &["a1@1"]);
+    trial.log.put(TARGETS, "e-1", Some(&entry));
+    let key = "version/base.a1";
+    trial.log.put(OPERATORS, key, Some(&version_record(1)));
+    wait_for("the engine", async || !trial.vm.fleet().is_leaving("e-1")).await;
+    simulator.set_newest(2);
+    trial.log.put(OPERATORS, key, Some(&version_record(2)));
+    wait_for("version 2", async || {
+        simulator.version("e-1", "a1") == Some(2)
+    })
+    .await;
+    let entry = target_entry("scribe", engine.address, "ready", &["a1@2"]);
+    trial.log.put(TARGETS, "e-1", Some(&entry));
+    if let Some(process) = trial.process.take() {
+        process.shutdown_background();
+    }
+    trial.log.restore(&[(OPERATORS, 1)]);
+    let process = process_runtime();
+    let mut settings = strict_revocation_settings("vm-1", &trial.log);
+    settings.is_first_start = false;
+    trial.vm = start_daemon_in(&process, settings).await;
+    trial.process = Some(process);
+    let until = Instant::now() + Duration::from_secs(4);
+    let calls = runs_until(trial.vm.caller_address, &simulator, until).await;
+    let served = calls.iter().filter(|call| call.1 == 200).count();
+    println!(
+        "{served} of {} calls served, version at the engine {:?}, {} misdirected",
+        calls.len(),
+        simulator.version("e-1", "a1"),
+        simulator.misdirected_requests()
+    );
+    // A load of an older version would undo what its callers were served already.
+    assert_eq!(simulator.version("e-1", "a1"), Some(2));
+    let statuses: Vec<_> = calls.iter().map(|call| call.1).collect();
+    assert!(served * 10 > calls.len() * 8, "{statuses:?}");
+    assert!(
+        calls
+            .iter()
+            .all(|call| call.2.is_none_or(|version| version == 2))
+    );
+}
+
+/// Guards against the same in a zone without a holder, whose targets a VM chooses by their entries.
+#[tokio::test]
+async fn listed_newer_version_than_the_copy_names_serves_calls_without_a_holder() {
+    let log = KeyedLog::start().await.expect("a log");
+    let mut settings = strict_revocation_settings("vm-1", &log);
+    settings.zones.push(AvailabilityZone::new("yard"));
+    let simulator = EngineSimulator::new(2);
+    let engine = simulator.start_engine("e-1", 1, &[("a1", 2)]).await;
+    let entry = target_entry("scribe", engine.address, "ready", &["a1@2"]);
+    let entry = entry.replace("\"zone\":\"hall\"", "\"zone\":\"yard\"");
+    log.put(TARGETS, "e-1", Some(&entry));
+    log.put(OPERATORS, "version/base.a1", Some(&version_record(1)));
+    let vm = start_daemon_with(settings, &log, &[]).await;
+    wait_for("the engine", async || !vm.fleet().is_leaving("e-1")).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    let calls = runs_until(vm.caller_address, &simulator, until).await;
+    let served = calls.iter().filter(|call| call.1 == 200).count();
+    println!("{served} of {} calls served without a holder", calls.len());
+    assert_eq!(served, calls.len());
+}
