Show an order by a claim that the log acknowledged and lost (fails)

A claimant that is cut off from the log after its claim takes the acknowledgement for a proof that the claim stands: after two handover delays without a read it gives orders. If the log was restored without the claim, and another VM holds the zone, both may.

Not fixed: to wait for a read leaves a zone without orders where the log is merely out of reach after a claim. Engines refuse the lower token once the other holder has given an order in the later era.

--- a/crates/daemon/tests/direct/restored_twins.rs
+++ b/crates/daemon/tests/direct/restored_twins.rs
@@ -16,6 +16,7 @@
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawTarget},
+    relay::{LinkRelay, LinkState},
 };
 use hoplandingd::direct::daemon::DirectDaemon;
 use serde_json::{Value, json};
@@ -561,3 +562,55 @@
     println!("{served} of {} calls served without a holder", calls.len());
     assert_eq!(served, calls.len());
 }
+
+/// Guards against orders of a claimant that stays cut off from the log for more than two handover delays after a claim that the log
+/// acknowledged and lost, while another VM holds the zone.
+#[tokio::test]
+async fn claimant_cut_off_from_the_log_issues_no_orders_by_a_lost_claim() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engine = RawTarget::start(good_answer).await.expect("an engine");
+    log.put(OPERATORS, "config", Some(&config_json(1)));
+    let text = target_entry("scribe", engine.address, "ready", &["a1@1"]);
+    log.put(TARGETS, "e-1", Some(&text));
+    let lease = |vm: &str, era: u64| {
+        let lease = json!({ "vm": vm, "incarnation": 9, "address": "127.0.0.1:9", "era": era });
+        lease.to_string()
+    };
+    log.put("keyed.fleet", "zone/hall", Some(&lease("vm-8", 1)));
+    log.restore(&[]);
+    let relay = LinkRelay::start().await.expect("a relay");
+    relay.set_target(log.address());
+    let mut settings = strict_revocation_settings("vm-1", &log);
+    settings.revocation = None;
+    settings.platform_address = relay.address;
+    settings.leases.handover_delay = Duration::from_secs(1);
+    settings.has_order_fencing = true;
+    let vm = DirectDaemon::start(settings)
+        .await
+        .expect("the daemon starts");
+    wait_for("the claim", async || {
+        let lease = vm.fleet().lease(&vm.fleet().zone);
+        lease.is_some_and(|lease| lease.incarnation == vm.fleet().incarnation)
+    })
+    .await;
+    relay.set_state(LinkState::Cut);
+    let claimed = Instant::now();
+    log.restore(&[("keyed.fleet", log.len("keyed.fleet") - 1)]);
+    log.put("keyed.fleet", "zone/hall", Some(&lease("vm-9", 3)));
+    let mut number = 0;
+    let mut first_order = None;
+    while first_order.is_none() && claimed.elapsed() < Duration::from_secs(5) {
+        number += 1;
+        let model = "Hoplanding-Model: base/b1\r\nHoplanding-Token-Count: 100,20\r\n";
+        let request = post_request("/plan/1", &format!("n{number}"), model);
+        let sending = send_request(vm.caller_address, &request);
+        let _ = tokio::time::timeout(Duration::from_millis(200), sending).await;
+        let requests = engine.requests();
+        let order = requests.iter().find(|request| {
+            let line = request.request_line();
+            line.starts_with("POST /hoplanding/")
+        });
+        first_order = order.map(|order| (claimed.elapsed(), order.request_line().to_owned()));
+    }
+    assert_eq!(first_order, None, "an order by a lost claim");
+}
