Let a VM that starts after a restoration get no proof but the forwarded one in its test

Found by review: the test passed either by the proof of the VM that ran before or by that VM's first read after its guard. Now neither VM can get a proof from the restored log within the test.

--- a/crates/daemon/tests/direct/copies.rs
+++ b/crates/daemon/tests/direct/copies.rs
@@ -7,7 +7,7 @@
     keys::{KEY, keyed_config, send_call, strict_revocation_settings, test_organisation},
     support::{good_answer, is_ready, process_runtime, start_daemon_in, target_entry, wait_for},
 };
-use hoplanding_core::direct::restore_guard::RewriteRule;
+use hoplanding_core::direct::{freshness::RevocationRule, restore_guard::RewriteRule};
 use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget};
 use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::json;
@@ -18,6 +18,10 @@
 const REWRITE_TIME: Duration = Duration::from_secs(5);
 /// A rewrite time longer than any test.
 const ENDLESS_REWRITE_TIME: Duration = Duration::from_secs(3_600);
+/// A revocation bound within which a VM starts and gets a proof, also on a busy machine.
+const LONG_BOUND: RevocationRule = RevocationRule {
+    bound: Duration::from_secs(30),
+};
 /// Unix time, in milliseconds, long before any test.
 const LONG_AGO_MS: u64 = 1_000;
 
@@ -123,20 +127,25 @@
     assert_eq!(status(&daemon).await, 200);
 }
 
-/// A VM that ran before the restore knows the newest configuration, and vouches for it to a VM that starts afterwards.
+/// A VM that ran before the restore has a proof from its last read, and forwards it to a VM that starts afterwards. Neither of them can
+/// get another one.
 #[tokio::test]
 async fn a_new_vm_serves_by_the_proof_of_one_that_ran_before_the_restore() {
     let (log, _target) = keyed_log().await;
     let first = process_runtime();
-    let mut settings = later_settings("vm-1", &log);
+    let endless_settings = |vm: &str| {
+        let mut settings = later_settings(vm, &log);
+        settings.recovery.rewrite_time = ENDLESS_REWRITE_TIME;
+        settings.revocation = Some(LONG_BOUND);
+        settings
+    };
+    let mut settings = endless_settings("vm-1");
     settings.is_first_start = true;
     let before = start_daemon_in(&first, settings).await;
     log.restore(&[]);
     sleep(Duration::from_millis(500)).await;
     assert_eq!(status(&before).await, 200);
-    let mut settings = later_settings("vm-2", &log);
-    settings.recovery.rewrite_time = ENDLESS_REWRITE_TIME;
-    let after = DirectDaemon::start(settings).await;
+    let after = DirectDaemon::start(endless_settings("vm-2")).await;
     let after = after.expect("the daemon starts");
     wait_for("readiness", async || is_ready(&after).await).await;
     assert_eq!(status(&after).await, 200);
