Count connections to targets by result, and a holder's avoided engines and overdue prompts

The logs of the incident could not tell a target's fault from a lost path, nor an engine that is avoided from one that is full. Adds hoplanding_target_connects_total by result, hoplanding_zone_engines by state and hoplanding_overdue_prompts at holders. A VM may also name the address from which it connects to targets, as a VM with several interfaces needs; it is unset by default. No decision changes.

--- a/crates/core/src/direct/planner/messages.rs
+++ b/crates/core/src/direct/planner/messages.rs
@@ -180,3 +180,16 @@
     /// Log and count a KV cache transfer, or one that is withheld because the versions do not match.
     RecordTransfer(Box<CacheTransfer>),
 }
+
+/// Numbers of a zone's engines, for the holder's metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineCounts {
+    /// Engines on the target list.
+    pub listed: usize,
+    /// Engines that get no calls because connections to them failed.
+    pub unreachable: usize,
+    /// Engines that get few calls because many of them failed.
+    pub degraded: usize,
+    /// Prompts whose first event is overdue, at all engines.
+    pub overdue_prompts: usize,
+}
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -31,8 +31,8 @@
 
 pub use estimates::EngineEstimates;
 pub use messages::{
-    CacheTransfer, CallKey, PlacementAnswer, PlacementRequest, PlacementTerms, PlannerAction,
-    RefusalCause,
+    CacheTransfer, CallKey, EngineCounts, PlacementAnswer, PlacementRequest, PlacementTerms,
+    PlannerAction, RefusalCause,
 };
 
 use crate::{
@@ -141,6 +141,24 @@
         &self.engines
     }
 
+    /// Numbers of engines, and of prompts that are overdue at them.
+    #[must_use]
+    pub fn engine_counts(&self, now: Instant) -> EngineCounts {
+        let names = || self.engines.keys();
+        let overdue = self
+            .engines
+            .values()
+            .map(|engine| engine.prompts.overdue_count(&self.prefill_model, now));
+        EngineCounts {
+            listed: self.engines.len(),
+            unreachable: names()
+                .filter(|name| self.health.is_unreachable(name, now))
+                .count(),
+            degraded: names().filter(|name| self.health.is_degraded(name)).count(),
+            overdue_prompts: overdue.sum(),
+        }
+    }
+
     /// Limiter of loads from the weight store.
     #[must_use]
     pub fn load_limiter(&self) -> &LoadLimiter {
--- a/crates/core/src/direct/prefill.rs
+++ b/crates/core/src/direct/prefill.rs
@@ -37,6 +37,8 @@
 const NEUTRAL_FACTORS: Range<f64> = 0.7..1.4;
 /// Additional time that an overdue prompt is expected to take, as a part of the time it has taken beyond its estimate.
 const OVERDUE_RATIO: f64 = 0.5;
+/// Time below which no prompt counts as overdue.
+const MIN_OVERDUE_TIME: Duration = Duration::from_millis(400);
 
 /// Linear model of the prefill time in a zone, fitted to exponentially decayed sums.
 #[derive(Clone, Copy, Debug)]
@@ -205,6 +207,21 @@
         total
     }
 
+    /// Number of prompts that have waited for twice the time that the engine needs for all its prompts, and for
+    /// `MIN_OVERDUE_TIME` at least.
+    #[must_use]
+    pub fn overdue_count(&self, model: &PrefillModel, now: Instant) -> usize {
+        let times = self.waiting.iter();
+        let expected: Duration = times
+            .map(|prompt| self.scaled(model.expected_time(prompt.tokens), now))
+            .sum();
+        let limit = (expected * 2).max(MIN_OVERDUE_TIME);
+        let overdue = self.waiting.iter();
+        overdue
+            .filter(|prompt| now.since(prompt.ready_at) > limit)
+            .count()
+    }
+
     /// Expected time for the prompt itself at this engine.
     #[must_use]
     pub fn prefill_time(&self, tokens: u32, model: &PrefillModel, now: Instant) -> Duration {
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -91,7 +91,10 @@
         let incarnation = rand::random::<u64>() >> 16;
         let fleet = Arc::new(FleetState::new(&settings, incarnation));
         fleet.tables().own_addresses = vec![caller_address, ready_address, settings.peer_address];
-        let pool = Arc::new(ConnectionPool::default());
+        let pool = Arc::new(ConnectionPool::new(
+            Arc::clone(&fleet),
+            settings.target_source_address,
+        ));
         let (zone, zone_receiver) = mpsc::channel(ZONE_QUEUE_CAPACITY);
         let (stop, stop_watch) = watch::channel(StopPhase::Serving);
         let holder_client = Arc::new(HolderClient::new(Arc::clone(&fleet), zone.clone()));
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -13,7 +13,7 @@
     direct::{
         catalog::TargetStage,
         config::{ResponseShape, RetryPolicy, RouteRule},
-        planner::CacheTransfer,
+        planner::{CacheTransfer, EngineCounts},
         quotas::BucketCounts,
         versions::{CacheVersions, VersionAge, VersionMatch},
     },
@@ -110,6 +110,26 @@
     source: ProofSource,
 }
 
+/// Result of a connection attempt to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ConnectResult {
+    /// The target accepted the connection.
+    Connected,
+    /// The target's address refused it.
+    Refused,
+    /// The connection was reset while it was made.
+    Reset,
+    /// No answer within the time limit.
+    TimedOut,
+    /// Another error, such as an unreachable network.
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectLabels {
+    result: ConnectResult,
+}
+
 /// Why a record is forwarded to another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum ForwardReason {
@@ -156,6 +176,11 @@
     stage: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EngineLabels {
+    state: &'static str,
+}
+
 /// Metrics of this VM in direct mode.
 #[derive(Debug)]
 pub struct DirectMetrics {
@@ -173,6 +198,9 @@
     targets: Family<StageLabels, Gauge>,
     pending_removals: Gauge,
     prompt_moves: Family<MoveLabels, Counter>,
+    target_connects: Family<ConnectLabels, Counter>,
+    engines: Family<EngineLabels, Gauge>,
+    overdue_prompts: Gauge,
     in_flight: Gauge,
     config_version: Gauge,
     vms: Gauge,
@@ -200,6 +228,9 @@
             targets: Family::default(),
             pending_removals: Gauge::default(),
             prompt_moves: Family::default(),
+            target_connects: Family::default(),
+            engines: Family::default(),
+            overdue_prompts: Gauge::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             vms: Gauge::default(),
@@ -276,6 +307,21 @@
             "Prompts of which another target has read parts, by how the versions of both stand and whether the parts move",
             self.prompt_moves.clone(),
         );
+        registry.register(
+            "target_connects",
+            "Connection attempts to targets by result",
+            self.target_connects.clone(),
+        );
+        registry.register(
+            "zone_engines",
+            "Engines of the zone that this VM holds, and those of them that it avoids",
+            self.engines.clone(),
+        );
+        registry.register(
+            "overdue_prompts",
+            "Prompts sent to the engines of the zone that this VM holds whose first event is overdue",
+            self.overdue_prompts.clone(),
+        );
         registry.register("in_flight", "Requests at targets", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -396,6 +442,28 @@
         self.key_proofs.get_or_create(&ProofLabels { source }).inc();
     }
 
+    /// Counts a connection attempt to a target.
+    pub fn count_connect(&self, result: ConnectResult) {
+        let labels = ConnectLabels { result };
+        self.target_connects.get_or_create(&labels).inc();
+    }
+
+    /// Sets what a zone's holder knows of its engines; `None` if this VM holds no zone.
+    pub fn set_engine_counts(&self, counts: Option<EngineCounts>) {
+        let counts = counts.unwrap_or_default();
+        for (state, count) in [
+            ("listed", counts.listed),
+            ("unreachable", counts.unreachable),
+            ("degraded", counts.degraded),
+        ] {
+            self.engines
+                .get_or_create(&EngineLabels { state })
+                .set(saturating_i64(count as u64));
+        }
+        self.overdue_prompts
+            .set(saturating_i64(counts.overdue_prompts as u64));
+    }
+
     /// Counts records that were forwarded to another VM.
     pub fn count_forwarded_records(&self, reason: ForwardReason, records: usize) {
         let labels = ForwardLabels { reason };
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -15,7 +15,10 @@
     ids::{AvailabilityZone, VmName},
 };
 use serde_json::Value;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// Share of `pace.config_bound_ms`, the time within which a new configuration has to be in force, that is reserved for
 /// reading it and forwarding it to other VMs.
@@ -40,6 +43,8 @@
     pub ready_address: SocketAddr,
     /// Address on which links of other VMs are accepted.
     pub peer_address: SocketAddr,
+    /// Address of this VM from which it connects to targets; `None` leaves the choice to the operating system.
+    pub target_source_address: Option<IpAddr>,
     /// Address of the metrics page; `None` serves no metrics.
     pub metrics_address: Option<SocketAddr>,
     /// Address of the platform's log.
@@ -114,6 +119,7 @@
         caller_address: root.address("caller_address"),
         ready_address: root.address("ready_address"),
         peer_address: root.address("peer_address"),
+        target_source_address: root.optional_ip("target_source_address"),
         metrics_address: root.optional_address("metrics_address"),
         platform_address: root.address("platform_address"),
         zones: root
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -3,7 +3,10 @@
 //! This uses `hyper`'s connection interface instead of the pooling client built on it, because that client hides how old a
 //! connection is, who closed it, and what came after an answer.
 
-use crate::{clock, direct::fleet::FleetState};
+use crate::{
+    clock,
+    direct::{fleet::FleetState, metrics::ConnectResult},
+};
 use bytes::Bytes;
 use hoplanding_core::{
     direct::catalog::TargetEntry,
@@ -16,8 +19,17 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use std::{collections::HashMap, io, net::SocketAddr, sync::Mutex, time::Duration};
-use tokio::{net::TcpStream, time::timeout};
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::{error::Elapsed, timeout},
+};
 
 /// Idle connections kept for one target at most.
 const MAX_IDLE_CONNECTIONS: usize = 8;
@@ -76,8 +88,11 @@
 }
 
 /// Idle connections to targets, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
+    fleet: Arc<FleetState>,
+    /// Address from which targets are connected to.
+    source: Option<IpAddr>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -93,6 +108,16 @@
 }
 
 impl ConnectionPool {
+    /// An empty pool. New connections come from the address `source` if it is set.
+    #[must_use]
+    pub fn new(fleet: Arc<FleetState>, source: Option<IpAddr>) -> Self {
+        Self {
+            fleet,
+            source,
+            idle: Mutex::default(),
+        }
+    }
+
     /// Takes an idle connection to a target, or makes a new one within the time limit `within`.
     ///
     /// # Errors
@@ -107,7 +132,42 @@
         if let Some(connection) = self.take_idle(run, address, reuse) {
             return Ok(connection);
         }
-        connect(run, address, within).await
+        self.connect(run, address, within).await
+    }
+
+    async fn connect(
+        &self,
+        run: &TargetRun,
+        address: SocketAddr,
+        within: Duration,
+    ) -> Result<TargetConnection, SendError> {
+        let not_sent = |cause: String, is_refused| SendError::NotSent {
+            target: run.name.clone(),
+            cause,
+            is_refused,
+        };
+        let connected = timeout(within, open_stream(self.source, address)).await;
+        self.fleet.metrics.count_connect(connect_result(&connected));
+        let stream = connected
+            .map_err(|_| not_sent(format!("not connected within {within:?}"), false))?
+            .map_err(|error| {
+                let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                not_sent(error.to_string(), is_refused)
+            })?;
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string(), false))?;
+        // The task ends when the sender is dropped; an error is reported to the call under way.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(TargetConnection {
+            sender,
+            address,
+            run: run.clone(),
+        })
     }
 
     fn take_idle(
@@ -190,42 +250,35 @@
     }
 }
 
-async fn connect(
-    run: &TargetRun,
-    address: SocketAddr,
-    within: Duration,
-) -> Result<TargetConnection, SendError> {
-    let not_sent = |cause: String, is_refused| SendError::NotSent {
-        target: run.name.clone(),
-        cause,
-        is_refused,
-    };
-    let opening = async {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        Ok::<_, io::Error>(stream)
+/// Connects to a target, from the address `source` if it is set.
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = match source {
+        None => TcpStream::connect(address).await?,
+        Some(source) => {
+            let socket = if address.is_ipv4() {
+                TcpSocket::new_v4()?
+            } else {
+                TcpSocket::new_v6()?
+            };
+            socket.bind(SocketAddr::new(source, 0))?;
+            socket.connect(address).await?
+        }
     };
-    let stream = timeout(within, opening)
-        .await
-        .map_err(|_| not_sent(format!("not connected within {within:?}"), false))?
-        .map_err(|error| {
-            let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-            not_sent(error.to_string(), is_refused)
-        })?;
-    let (sender, connection) = Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| not_sent(error.to_string(), false))?;
-    // The task ends when the sender is dropped; an error is reported to the call under way.
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Ok(TargetConnection {
-        sender,
-        address,
-        run: run.clone(),
-    })
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn connect_result(connected: &Result<io::Result<TcpStream>, Elapsed>) -> ConnectResult {
+    match connected {
+        Ok(Ok(_)) => ConnectResult::Connected,
+        Err(_) => ConnectResult::TimedOut,
+        Ok(Err(error)) => match error.kind() {
+            io::ErrorKind::ConnectionRefused => ConnectResult::Refused,
+            io::ErrorKind::ConnectionReset => ConnectResult::Reset,
+            io::ErrorKind::TimedOut => ConnectResult::TimedOut,
+            _ => ConnectResult::Failed,
+        },
+    }
 }
 
 /// Sends a request of the gateway's own to a target, such as an order or a report request, and reads the whole answer.
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -518,6 +518,8 @@
 
     fn update_metrics(&self) {
         let metrics = &self.fleet.metrics;
+        let counts = self.held.as_ref();
+        metrics.set_engine_counts(counts.map(|held| held.planner.engine_counts(clock::now())));
         if let Some(holder_state) = &self.holder_state {
             metrics.set_quota_counts(holder_state.counts());
             let tables = self.fleet.tables();
--- a/crates/daemon/src/options/reader.rs
+++ b/crates/daemon/src/options/reader.rs
@@ -4,7 +4,13 @@
 //! reading goes on. When a section is finished, keys that were never read are recorded as unknown.
 
 use serde_json::{Map, Value};
-use std::{cell::RefCell, collections::BTreeSet, fmt, fs, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    fmt, fs,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// One fault in the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -185,6 +191,16 @@
         }
     }
 
+    /// Reads an IP address, or `None` if the key is absent or null.
+    pub(crate) fn optional_ip(&self, name: &'static str) -> Option<IpAddr> {
+        let value = self.get(name).filter(|value| !value.is_null())?;
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        if address.is_none() {
+            self.add_fault(name, "write an IP address, such as 10.0.0.7");
+        }
+        address
+    }
+
     /// Reads a whole number from `low` to `high`.
     pub(crate) fn number(&self, name: &'static str, default: u64, low: u64, high: u64) -> u64 {
         match self.get(name) {
