Show that VMs without a path to any target serve nobody (fails)

Five tests of three VMs, four plain targets and four engines, which a stand-in cuts off from single VMs: connections hang, are reset, or only new ones are reset. On the code before any change 0 of 30 streams are served at a VM whose sends hang, and 0 of 30 at a VM that reaches every target, as sends that never arrive stay booked at the engines.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod lives;
 mod notices;
 mod poison;
+mod reach;
 mod record_exchange;
 mod reloads;
 mod restore_trials;
--- /dev/null
+++ b/crates/daemon/tests/direct/reach.rs
@@ -0,0 +1,201 @@
+//! VMs that have lost the path to all targets, while callers, the platform's log and the other VMs still reach them.
+
+use crate::support::{
+    Answer, config_json, good_answer, is_ready, model_headers, post_request, send_request,
+    stream_answer, target_entry, vm_settings, wait_for,
+};
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    path_cuts::{PathCuts, PathState},
+    raw_target::{RawRequest, RawTarget},
+};
+use hoplandingd::direct::daemon::DirectDaemon;
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Time from the start of a cut after which callers of the VM have to be served like others.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// Calls of each kind that each VM gets while its service is judged.
+const JUDGED_CALLS: usize = 30;
+/// Pause between two calls of the same kind at a VM.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Kinds of calls, by the path of their route.
+const CALL_PATHS: [&str; 3] = ["/plan/1", "/lookup/1", "/scan/1"];
+
+/// A zone of three VMs, four plain targets and four engines.
+struct CutSite {
+    cuts: Arc<PathCuts>,
+    vms: Vec<DirectDaemon>,
+    targets: Vec<RawTarget>,
+    _log: KeyedLog,
+}
+
+/// Calls that were answered successfully at each VM, by the index of the path in [`CALL_PATHS`].
+type ServedCounts = Vec<[usize; CALL_PATHS.len()]>;
+
+fn vm_address(vm: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 11 + vm as u8))
+}
+
+impl CutSite {
+    async fn start() -> Self {
+        let log = KeyedLog::start().await.expect("a log");
+        let cuts = Arc::new(PathCuts::default());
+        let mut targets = Vec::new();
+        for number in 0..4 {
+            let engine =
+                RawTarget::start_behind(&cuts, |request: &RawRequest| stream_answer(request, None));
+            let plain = RawTarget::start_behind(&cuts, good_answer);
+            for (service, target) in [("scribe", engine.await), ("ledger", plain.await)] {
+                let target = target.expect("a target");
+                let entry = target_entry(service, target.address, "ready", &["a1@1"]);
+                log.put(
+                    "keyed.servers",
+                    &format!("{service}-{number}"),
+                    Some(&entry),
+                );
+                targets.push(target);
+            }
+        }
+        log.put("keyed.op", "config", Some(&config_json(1)));
+        let mut vms = Vec::new();
+        for vm in 0..3 {
+            let mut settings = vm_settings(&format!("vm-{vm}"), &log);
+            settings.target_source_address = Some(vm_address(vm));
+            let daemon = DirectDaemon::start(settings).await;
+            vms.push(daemon.expect("the daemon starts"));
+        }
+        wait_for("all VMs ready and known", async || {
+            let mut is_complete = true;
+            for vm in &vms {
+                is_complete &= is_ready(vm).await && vm.fleet().tables().vms.len() == vms.len();
+            }
+            is_complete
+        })
+        .await;
+        let site = Self {
+            cuts,
+            vms,
+            targets,
+            _log: log,
+        };
+        wait_for("service at all VMs", async || {
+            let served = site.send_calls("warm-up", 2).await;
+            served.iter().flatten().all(|served| *served == 2)
+        })
+        .await;
+        site
+    }
+
+    /// Index of the VM that holds the zone's lease.
+    fn holder(&self) -> usize {
+        let fleet = self.vms[0].fleet();
+        let lease = fleet.lease(&fleet.zone).expect("a lease");
+        let is_holder = |vm: &DirectDaemon| Some(&vm.fleet().vm) == lease.vm.as_ref();
+        self.vms.iter().position(is_holder).expect("a holder")
+    }
+
+    fn cut(&self, vm: usize, state: PathState) {
+        self.cuts.set(vm_address(vm), state);
+    }
+
+    /// Sends calls of every kind to every VM, and counts those that are served in the first attempt.
+    async fn send_calls(&self, name: &str, count: usize) -> ServedCounts {
+        let mut sent = Vec::new();
+        for number in 0..count {
+            for (vm, daemon) in self.vms.iter().enumerate() {
+                for (kind, path) in CALL_PATHS.into_iter().enumerate() {
+                    let id = format!("{name}-{vm}-{kind}-{number}");
+                    let request = post_request(path, &id, &model_headers("a1"));
+                    let address = daemon.caller_address;
+                    let call = tokio::spawn(async move { send_request(address, &request).await });
+                    sent.push((vm, kind, call));
+                }
+            }
+            sleep(CALL_INTERVAL).await;
+        }
+        let mut served = vec![[0; CALL_PATHS.len()]; self.vms.len()];
+        for (vm, kind, call) in sent {
+            let answer: Answer = call.await.expect("an answer");
+            served[vm][kind] += usize::from(answer.status == 200 && answer.is_whole);
+        }
+        served
+    }
+
+    /// Counts the calls served from [`DETECTION_TIME`] after now on; calls are sent meanwhile, too.
+    async fn judge(&self) -> ServedCounts {
+        let calls = self.send_calls("before", DETECTION_TIME.as_millis() as usize / 20);
+        let judged = async {
+            sleep(DETECTION_TIME).await;
+            self.send_calls("judged", JUDGED_CALLS).await
+        };
+        tokio::join!(calls, judged).1
+    }
+
+    /// Number of ids that more than one run of a call has, for calls that must not run twice.
+    fn repeated_runs(&self) -> usize {
+        let requests = self.targets.iter().flat_map(RawTarget::requests);
+        let mut ids: Vec<_> = requests
+            .filter(|request| !request.request_line().contains("/lookup/"))
+            .filter_map(|request| request.header("hoplanding-request-id").map(str::to_owned))
+            .collect();
+        let total = ids.len();
+        ids.sort();
+        ids.dedup();
+        total - ids.len()
+    }
+}
+
+/// Cuts VMs off, and checks that all VMs serve nearly all of their callers.
+async fn check_service(state: PathState, is_cut: impl Fn(usize, usize) -> bool) {
+    let site = CutSite::start().await;
+    let holder = site.holder();
+    for vm in (0..site.vms.len()).filter(|vm| is_cut(*vm, holder)) {
+        site.cut(vm, state);
+    }
+    let served = site.judge().await;
+    for (vm, served) in served.iter().enumerate() {
+        for (path, served) in CALL_PATHS.iter().zip(served) {
+            assert!(
+                *served * 10 >= JUDGED_CALLS * 9,
+                "{state:?}, holder {holder}: {served} of {JUDGED_CALLS} calls to {path} served at VM {vm}"
+            );
+        }
+    }
+    assert_eq!(site.repeated_runs(), 0);
+}
+
+/// A single VM's sends hang, so only another VM can bring its calls to a target.
+#[tokio::test]
+async fn a_vm_whose_sends_hang_serves_its_callers_and_does_not_make_engines_look_full() {
+    check_service(PathState::Hanging, |vm, holder| vm == (holder + 1) % 3).await;
+}
+
+/// The holder's reports and orders are cut off together with its calls.
+#[tokio::test]
+async fn a_holder_whose_sends_hang_serves_its_callers_and_its_zone() {
+    check_service(PathState::Hanging, |vm, holder| vm == holder).await;
+}
+
+/// Connections are reset, which looks like targets that crash.
+#[tokio::test]
+async fn a_vm_whose_connections_to_targets_are_reset_serves_its_callers() {
+    check_service(PathState::Reset, |vm, holder| vm == (holder + 1) % 3).await;
+}
+
+/// New connections fail, and idle ones run out.
+#[tokio::test]
+async fn a_vm_that_gets_no_new_connections_to_targets_serves_its_callers() {
+    check_service(PathState::RefusingNew, |vm, holder| vm == (holder + 1) % 3).await;
+}
+
+/// One VM of three is left to reach targets for all of them.
+#[tokio::test]
+async fn the_last_vm_with_a_path_to_targets_serves_the_calls_of_the_others() {
+    check_service(PathState::Hanging, |vm, holder| vm != (holder + 1) % 3).await;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,10 +14,12 @@
 //! | [`prompt_cache`] | the prompt caches of engines, tagged with the adapter version that computed each part |
 //! | [`keyed_log`] | the users' platform as the direct mode uses it: a log of keyed topics |
 //! | [`raw_target`] | a target whose responses are given byte for byte |
+//! | [`path_cuts`] | network paths from single VMs to targets that can be cut |
 //! | [`relay`] | a TCP link that can be cut or frozen |
 
 pub mod engine;
 pub mod keyed_log;
+pub mod path_cuts;
 pub mod platform;
 pub mod prompt_cache;
 pub mod raw_target;
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -4,10 +4,11 @@
 //! The target records every request as received. A target can also limit its connections, or simulate a process that
 //! a request crashes.
 
+use crate::path_cuts::{PathCuts, PathState};
 use std::{
     future::pending,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -134,7 +135,18 @@
     pub async fn start(
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        Self::start_with(respond, |_| false, usize::MAX).await
+        Self::start_with(respond, |_| false, usize::MAX, Arc::default()).await
+    }
+
+    /// Starts a target to which the paths of single VMs can be cut.
+    ///
+    /// # Errors
+    /// Returns the I/O error if no loopback port can be bound.
+    pub async fn start_behind(
+        cuts: &Arc<PathCuts>,
+        respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_with(respond, |_| false, usize::MAX, Arc::clone(cuts)).await
     }
 
     /// Starts a target that closes connections beyond the maximum without reading from them.
@@ -145,7 +157,7 @@
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
         max_connections: usize,
     ) -> io::Result<Self> {
-        Self::start_with(respond, |_| false, max_connections).await
+        Self::start_with(respond, |_| false, max_connections, Arc::default()).await
     }
 
     /// Starts a target that a request can crash: all its connections break and new ones are refused.
@@ -156,13 +168,14 @@
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
         should_crash: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        Self::start_with(respond, should_crash, usize::MAX).await
+        Self::start_with(respond, should_crash, usize::MAX, Arc::default()).await
     }
 
     async fn start_with(
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
         should_crash: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
         max_connections: usize,
+        cuts: Arc<PathCuts>,
     ) -> io::Result<Self> {
         let limit = Arc::new(ConnectionLimit {
             open: AtomicUsize::new(0),
@@ -182,7 +195,16 @@
                     accepted = listener.accept() => accepted,
                     _ = crashed.wait_for(|crashed| *crashed) => return,
                 };
-                let Ok((stream, _)) = accepted else { return };
+                let Ok((mut stream, peer)) = accepted else {
+                    return;
+                };
+                if matches!(
+                    cuts.state(peer.ip()),
+                    PathState::Reset | PathState::RefusingNew
+                ) {
+                    reset(&stream);
+                    continue;
+                }
                 *connection_count
                     .lock()
                     .expect("no thread panics while it holds the lock") += 1;
@@ -192,11 +214,13 @@
                 let (seen, respond) = (Arc::clone(&seen), Arc::clone(&respond));
                 let should_crash = Arc::clone(&should_crash);
                 let (crash, mut crashed) = (crash.clone(), crashed.clone());
+                let cuts = Arc::clone(&cuts);
                 tokio::spawn(async move {
                     let _permit = permit;
                     tokio::select! {
                         // A broken connection is an expected result of some tests, and the client sees it.
-                        served = serve(stream, &seen, &*respond, &*should_crash, &crash) => drop(served),
+                        served = serve(&mut stream, peer.ip(), &cuts, &seen, &*respond, &*should_crash, &crash) => drop(served),
+                        () = cuts.wait_for_reset(peer.ip()) => reset(&stream),
                         _ = crashed.wait_for(|crashed| *crashed) => {}
                     }
                 });
@@ -241,8 +265,16 @@
     }
 }
 
+/// Makes the peer of a connection see a reset when the connection is dropped.
+fn reset(stream: &TcpStream) {
+    // Without the option the peer sees a close, which it does not expect either.
+    drop(stream.set_zero_linger());
+}
+
 async fn serve(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
+    vm: IpAddr,
+    cuts: &PathCuts,
     seen: &Mutex<Vec<RawRequest>>,
     respond: &ResponseFn,
     should_crash: &CrashPredicate,
@@ -251,9 +283,10 @@
     stream.set_nodelay(true)?;
     let mut bytes = Vec::new();
     loop {
-        let Some(request) = read_request(&mut stream, &mut bytes).await? else {
+        let Some(request) = read_request(stream, &mut bytes).await? else {
             return Ok(());
         };
+        cuts.pass(vm).await?;
         seen.lock()
             .expect("no thread panics while it holds the lock")
             .push(request.clone());
@@ -264,6 +297,7 @@
         let response = respond(&request);
         for (pause, piece) in response.pieces {
             sleep(pause).await;
+            cuts.pass(vm).await?;
             stream.write_all(&piece).await?;
         }
         if response.closes_connection {
