Reach targets through other VMs while the own path to a zone is lost

Cause: a call had one path to its target, from the VM that its caller asked, and each failed connection counted as the target's fault, at that VM and, through the holder, for the whole zone.

PathMonitor decides by several targets of a zone whether its path is lost: after a failed connection or send, unless a connection opened since then was answered, and after 350 ms of silence while calls wait. While it is lost, connections go through a tunnel: another VM connects to the target and forwards the bytes. Placement, key, quota, deadline, retries and the check of the answer stay with the VM that was asked, so a call still has one owner, and a send through a tunnel is as unrepeatable as a direct one. The VM that serves a tunnel never uses one, and limits their number. What a VM without a path sees says nothing about a target: such failures end a placement without an outcome, and a target counts as crashed only when its address refuses a VM with a path. Orders never go through a tunnel. If no VM has a path, calls are refused at once. A lost path is checked by a task every 250 ms, not by calls.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -44,6 +44,7 @@
 pub mod log_contact;
 pub mod log_readers;
 pub mod organisations;
+pub mod paths;
 pub mod plain;
 pub mod planner;
 pub mod policy;
@@ -57,6 +58,7 @@
 pub mod suspects;
 pub mod target_notices;
 pub mod trials;
+pub mod tunnel_peers;
 pub mod versions;
 
 use crate::ids::AvailabilityZone;
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -148,6 +148,8 @@
     pub rejected: u32,
     /// Number of targets that could not be reached.
     pub unreached: u32,
+    /// Zones to whose targets neither this VM nor another one made a connection for the call.
+    pub closed_zones: Vec<AvailabilityZone>,
 }
 
 /// Answers a caller's request.
@@ -246,6 +248,7 @@
         refusals: Vec::new(),
         rejected: 0,
         unreached: 0,
+        closed_zones: Vec::new(),
         route,
     };
     Ok(call.run().await)
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -40,6 +40,11 @@
 /// Jitter added to the `Retry-After` of calls that are refused because all targets requested a backoff.
 const BACKOFF_JITTER: Duration = Duration::from_millis(600);
 
+/// Bounds of the `Retry-After` of calls that are refused because no target can be reached. Lost paths are checked several
+/// times a second, and the jitter spreads the callers that return.
+const MIN_PATH_RETURN_TIME: Duration = Duration::from_millis(500);
+const PATH_RETURN_JITTER: Duration = Duration::from_millis(1_000);
+
 /// Where the next send goes.
 pub enum CallPlacement {
     /// To this target, with the version to expect, and the holder's record of the call if a holder placed it.
@@ -59,6 +64,9 @@
         if let Some(retry_after) = self.backoff_of_all() {
             return CallPlacement::Unavailable(retry_after);
         }
+        if let Some(refused) = self.exclude_closed_zones() {
+            return refused;
+        }
         if !self.context.fleet.is_topic_known(FeedTopic::Fleet) {
             // The request may be a suspect whose record this VM has not read yet.
             return CallPlacement::Unavailable(DEFAULT_RETRY_AFTER);
@@ -93,6 +101,38 @@
         CallPlacement::Unavailable(search.retry_after().unwrap_or(DEFAULT_RETRY_AFTER))
     }
 
+    /// Leaves out the zones that can't be reached from this VM, neither directly nor through another VM. Returns the
+    /// refusal of the call if no zone is left.
+    fn exclude_closed_zones(&mut self) -> Option<CallPlacement> {
+        for zone in self.context.pool.closed_zones() {
+            if !self.closed_zones.contains(&zone) {
+                self.closed_zones.push(zone);
+            }
+        }
+        if self.closed_zones.is_empty() {
+            return None;
+        }
+        let tables = self.context.fleet.tables();
+        let mut targets = tables.catalog.ready(&self.service.name);
+        let is_reachable = targets.any(|entry| !self.closed_zones.contains(&entry.zone));
+        (!is_reachable).then(|| {
+            let jitter = PATH_RETURN_JITTER.mul_f64(rand::random());
+            CallPlacement::Unavailable(MIN_PATH_RETURN_TIME + jitter)
+        })
+    }
+
+    /// Targets that take no call of this VM now: they requested a backoff, or are in a zone that can't be reached.
+    fn unavailable_targets(&self) -> Vec<TargetName> {
+        let tables = self.context.fleet.tables();
+        let mut targets = tables.backing_off(clock::now());
+        if !self.closed_zones.is_empty() {
+            let ready = tables.catalog.ready(&self.service.name);
+            let closed = ready.filter(|entry| self.closed_zones.contains(&entry.zone));
+            targets.extend(closed.map(|entry| entry.name.clone()));
+        }
+        targets
+    }
+
     /// Finds the target of a plain service's call. One holder places all calls of a service, so it knows how many are in
     /// flight at each target.
     async fn place_plain(&mut self) -> CallPlacement {
@@ -171,7 +211,7 @@
             rank: self.rank,
             left_ms: millis(remaining),
             exclude: self.tried.clone(),
-            backing_off: self.backing_off(),
+            backing_off: self.unavailable_targets(),
             fingerprint: self.fingerprint,
             is_trial: self.trial.is_some(),
             charge: self.quota_charge.due().cloned(),
@@ -185,6 +225,7 @@
         let now = clock::now();
         let ready = tables.catalog.ready(&self.service.name);
         let targets: Vec<_> = ready
+            .filter(|entry| !self.closed_zones.contains(&entry.zone))
             .filter(|entry| tables.limits.wait(&entry.name, now).is_zero())
             .filter(|entry| tables.backoffs.remaining(&entry.run(), now).is_none())
             .cloned()
@@ -351,6 +392,7 @@
         };
         let has_adapter = split_subject(&subject).1.is_some();
         let mut zones = self.context.settings.zones.clone();
+        zones.retain(|zone| !self.closed_zones.contains(zone));
         zones.sort_by_cached_key(|zone| {
             let is_first = zone == own && (is_popular || !has_adapter);
             let mut hasher = SipHasher13::new();
@@ -383,7 +425,7 @@
             priority: self.rank,
             bound_ms: millis(bound),
             exclude: self.tried.clone(),
-            backing_off: self.backing_off(),
+            backing_off: self.unavailable_targets(),
             may_load: query.may_load,
             terms: query.terms,
             fingerprint: self.fingerprint,
@@ -392,11 +434,6 @@
         }
     }
 
-    /// Targets that requested a backoff from this VM.
-    fn backing_off(&self) -> Vec<TargetName> {
-        self.context.fleet.tables().backing_off(clock::now())
-    }
-
     /// `Retry-After` for the caller if every target of the service requested a backoff from this VM. The jitter spreads the callers,
     /// so that a few of them find out whether the targets take calls again.
     pub(super) fn backoff_of_all(&self) -> Option<Duration> {
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -7,7 +7,10 @@
         fleet::FleetState,
         holder_client::PlacedCall,
         message::CallEnd,
-        target_connections::{ReuseRule, SendError, TargetConnection, TargetRequest},
+        target_connections::{
+            ConnectRule, LossAction, PathRule, ReuseRule, SendError, TargetConnection,
+            TargetRequest, UnsentReason,
+        },
         trials::TrialPermit,
     },
     event,
@@ -127,7 +130,7 @@
         &mut self,
         entry: &Arc<TargetEntry>,
         version: Option<u64>,
-        placed_call: Option<PlacedCall>,
+        mut placed_call: Option<PlacedCall>,
         last_event: Option<u64>,
     ) -> SendOutcome {
         let in_flight = InFlightGuard::new(&self.context.fleet, entry, self.trial.take());
@@ -141,11 +144,21 @@
             RetryPolicy::Idempotent => ReuseRule::Any,
             RetryPolicy::AtMostOnce => ReuseRule::FreshOnly,
         };
-        let connected = self
-            .context
-            .pool
-            .take(&entry.run(), entry.address, reuse, CONNECT_TIMEOUT)
-            .await;
+        let rule = ConnectRule {
+            reuse,
+            path: PathRule::Any,
+            within: CONNECT_TIMEOUT,
+            lifetime: self.remaining(),
+        };
+        let connecting = self.context.pool.take(entry, rule);
+        let connected = match timeout(self.remaining(), connecting).await {
+            Ok(connected) => connected,
+            Err(_) => Err(SendError::NotSent {
+                target: entry.name.clone(),
+                cause: "not connected before the deadline".to_owned(),
+                reason: UnsentReason::Unreachable,
+            }),
+        };
         if connected.is_ok() && !self.can_send_to(entry) {
             return SendOutcome::Withheld;
         }
@@ -153,7 +166,17 @@
         let sent = match connected {
             Ok(mut connection) => {
                 let request = self.request(entry, version, remaining, last_event);
-                match timeout(remaining, connection.send(request)).await {
+                let is_repeatable = self.route.retry_policy == RetryPolicy::Idempotent;
+                let sent = self.context.pool.send(&mut connection, request, || {
+                    if is_repeatable {
+                        return LossAction::GiveUp;
+                    }
+                    // Whether the target runs the call is unknown, and its answer may still come. Until then the
+                    // holder must not reserve a place for it.
+                    drop(placed_call.take());
+                    LossAction::Wait
+                });
+                match timeout(remaining, sent).await {
                     Ok(Ok(response)) => Ok((connection, response)),
                     Ok(Err(error)) => Err(error),
                     Err(_) => Err(SendError::Unanswered {
@@ -166,12 +189,22 @@
         };
         let (connection, response) = match sent {
             Ok(answered) => answered,
-            Err(SendError::NotSent { target, cause, .. }) => {
+            Err(SendError::NotSent {
+                target,
+                cause,
+                reason,
+            }) => {
                 event!(Event::TargetConnectFailed, request = self.head.id; "at {target}: {cause}"
                 );
-                finish(placed_call, in_flight, CallEnd::Unreached);
                 self.unreached += 1;
                 self.tried.push(target);
+                match reason {
+                    // Dropping both reports no outcome, as the target is not the cause.
+                    UnsentReason::PathLost => self.closed_zones.push(entry.zone.clone()),
+                    UnsentReason::Refused | UnsentReason::Unreachable => {
+                        finish(placed_call, in_flight, CallEnd::Unreached);
+                    }
+                }
                 return SendOutcome::NotSent;
             }
             Err(SendError::Unanswered { target, cause }) => {
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -6,7 +6,7 @@
 use crate::{
     direct::{
         call::CallState,
-        target_connections::{ReuseRule, SendError, exchange},
+        target_connections::{ConnectRule, PathRule, ReuseRule, SendError, UnsentReason, exchange},
     },
     event,
     events::Event,
@@ -28,6 +28,12 @@
 /// milliseconds, and the call waits for the verdict before it is retried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+const PROBE_RULE: ConnectRule = ConnectRule {
+    reuse: ReuseRule::Never,
+    path: PathRule::Any,
+    within: CONNECT_TIMEOUT,
+    lifetime: PROBE_TIMEOUT,
+};
 /// Pause before an inconclusive probe is repeated.
 const REPROBE_DELAY: Duration = Duration::from_millis(50);
 /// Largest answer that a probe reads.
@@ -112,8 +118,7 @@
             &self.context.pool,
             entry,
             encode_report_request(&entry.name),
-            ReuseRule::Never,
-            CONNECT_TIMEOUT,
+            PROBE_RULE,
             MAX_ANSWER_BYTES,
         );
         match exchanged.await {
@@ -125,9 +130,7 @@
 
     /// Targets of plain services serve no report, so an accepted connection counts as alive.
     async fn probe_connection(&self, entry: &TargetEntry) -> ProbeVerdict {
-        let (pool, run) = (&self.context.pool, entry.run());
-        let connected = pool.take(&run, entry.address, ReuseRule::Never, CONNECT_TIMEOUT);
-        match connected.await {
+        match self.context.pool.take(entry, PROBE_RULE).await {
             Ok(_) => ProbeVerdict::Alive,
             Err(error) => verdict_of(&error),
         }
@@ -137,7 +140,8 @@
 fn verdict_of(error: &SendError) -> ProbeVerdict {
     match error {
         SendError::NotSent {
-            is_refused: true, ..
+            reason: UnsentReason::Refused,
+            ..
         } => ProbeVerdict::Crashed,
         SendError::NotSent { .. } | SendError::Unanswered { .. } => ProbeVerdict::Unknown,
     }
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -11,8 +11,9 @@
         feeds::FeedWorker,
         fleet::FleetState,
         holder_client::HolderClient,
-        links::accept_links,
+        links::accept_peers,
         message::FeedTopic,
+        paths::{monitor::PathMonitor, tunnel_client::TunnelClient, tunnel_server::TunnelServer},
         probes::{metrics_response, readiness_response, serve_probes},
         reachability::StoreReachability,
         recorder::FleetRecorder,
@@ -56,6 +57,7 @@
     fleet: Arc<FleetState>,
     zone: mpsc::Sender<ZoneEvent>,
     connections: Arc<OpenConnections>,
+    tunnels: Arc<TunnelServer>,
     stop: watch::Sender<StopPhase>,
     plan: Arc<OnceLock<StopPlan>>,
     /// Address on which callers are accepted.
@@ -91,10 +93,16 @@
         let incarnation = rand::random::<u64>() >> 16;
         let fleet = Arc::new(FleetState::new(&settings, incarnation));
         fleet.tables().own_addresses = vec![caller_address, ready_address, settings.peer_address];
-        let pool = Arc::new(ConnectionPool::new(
-            Arc::clone(&fleet),
-            settings.target_source_address,
-        ));
+        let source = settings.target_source_address;
+        let paths = Arc::new(PathMonitor::new(Arc::clone(&fleet), source));
+        tokio::spawn(Arc::clone(&paths).run());
+        let tunnel_client = TunnelClient::new(Arc::clone(&fleet), Arc::clone(&paths));
+        let tunnel_client = Arc::new(tunnel_client);
+        tokio::spawn(Arc::clone(&tunnel_client).run());
+        let tunnel_server = TunnelServer::new(Arc::clone(&fleet), Arc::clone(&paths));
+        let tunnel_server = Arc::new(tunnel_server);
+        let pool = ConnectionPool::new(Arc::clone(&paths), Arc::clone(&tunnel_client));
+        let pool = Arc::new(pool);
         let (zone, zone_receiver) = mpsc::channel(ZONE_QUEUE_CAPACITY);
         let (stop, stop_watch) = watch::channel(StopPhase::Serving);
         let holder_client = Arc::new(HolderClient::new(Arc::clone(&fleet), zone.clone()));
@@ -114,10 +122,11 @@
             Arc::clone(&settings),
         );
         tokio::spawn(worker.run(zone_receiver));
-        tokio::spawn(accept_links(
+        tokio::spawn(accept_peers(
             peer_listener,
             Arc::clone(&fleet),
             zone.clone(),
+            Arc::clone(&tunnel_server),
         ));
         let claims = ClaimWorker {
             fleet: Arc::clone(&fleet),
@@ -155,6 +164,7 @@
             fleet,
             zone,
             connections,
+            tunnels: tunnel_server,
             stop,
             plan,
             caller_address,
@@ -200,7 +210,8 @@
             let now = Instant::now();
             self.stop
                 .send_replace(phase_at(now, restricted_from, deadline));
-            if now >= deadline || (now >= restricted_from && self.connections.count() == 0) {
+            let is_idle = self.connections.count() == 0 && self.tunnels.count() == 0;
+            if now >= deadline || (now >= restricted_from && is_idle) {
                 break;
             }
             sleep(STOP_POLL_INTERVAL).await;
--- a/crates/daemon/src/direct/engine_client.rs
+++ b/crates/daemon/src/direct/engine_client.rs
@@ -3,7 +3,9 @@
 use crate::{
     direct::{
         fleet::FleetState,
-        target_connections::{ConnectionPool, ReuseRule, SendError, TargetRequest, exchange},
+        target_connections::{
+            ConnectRule, ConnectionPool, PathRule, ReuseRule, SendError, TargetRequest, exchange,
+        },
     },
     event,
     events::Event,
@@ -31,7 +33,10 @@
     order: &EngineOrder,
     request: TargetRequest,
 ) -> OrderOutcome {
-    let exchanged = timeout(REQUEST_TIMEOUT, exchange_with(fleet, pool, entry, request)).await;
+    // Engines take orders that arrive from different VMs for orders of different holders.
+    let path = PathRule::DirectOnly;
+    let exchanged = exchange_with(fleet, pool, entry, request, path);
+    let exchanged = timeout(REQUEST_TIMEOUT, exchanged).await;
     let outcome = match &exchanged {
         Ok(Ok((status, _))) => decode_order_status(*status),
         Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
@@ -67,7 +72,8 @@
     entry: &TargetEntry,
 ) -> Option<EngineReport> {
     let request = encode_report_request(&entry.name);
-    let exchanged = timeout(REQUEST_TIMEOUT, exchange_with(fleet, pool, entry, request)).await;
+    let exchanged = exchange_with(fleet, pool, entry, request, PathRule::Any);
+    let exchanged = timeout(REQUEST_TIMEOUT, exchanged).await;
     let problem = match exchanged {
         Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
             Ok(report) => return Some(report),
@@ -86,14 +92,19 @@
     pool: &ConnectionPool,
     entry: &TargetEntry,
     request: TargetRequest,
+    path: PathRule,
 ) -> Result<(StatusCode, Bytes), SendError> {
     exchange(
         fleet,
         pool,
         entry,
         request,
-        ReuseRule::FreshOnly,
-        REQUEST_TIMEOUT,
+        ConnectRule {
+            reuse: ReuseRule::FreshOnly,
+            path,
+            within: REQUEST_TIMEOUT,
+            lifetime: REQUEST_TIMEOUT,
+        },
         MAX_ANSWER_BYTES,
     )
     .await
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -427,6 +427,12 @@
         self.stopping.send_replace(true);
     }
 
+    /// Whether a planned stop of this VM has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
     /// Watches whether a planned stop of this VM has begun.
     #[must_use]
     pub fn watch_stop(&self) -> watch::Receiver<bool> {
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -9,14 +9,14 @@
     direct::{
         fleet::FleetState,
         message::{MESSAGE_VERSION, VmMessage},
+        paths::tunnel_server::TunnelServer,
         sharing::RecordSharing,
+        vm_socket::{VmSocket, accept_socket, dial_socket, receive, send},
         zone::{HolderReply, ReplySender, ZoneEvent},
     },
     event,
     events::Event,
 };
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
 use hoplanding_core::{
     direct::planner::CallKey,
     ids::{AvailabilityZone, Instant, VmName},
@@ -33,10 +33,6 @@
     sync::{mpsc, oneshot, watch},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
-use tokio_tungstenite::{
-    WebSocketStream, accept_async_with_config, client_async_with_config,
-    tungstenite::{Message, protocol::WebSocketConfig},
-};
 
 /// Capacity of the queue of messages for one socket.
 const OUTBOUND_QUEUE_LEN: usize = 512;
@@ -45,10 +41,6 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Time limit for the connection and the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-const READ_BUFFER_BYTES: usize = 4 * 1024;
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
-
-type Socket = WebSocketStream<TcpStream>;
 
 /// State of the link to a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,13 +232,8 @@
             .status = status;
     }
 
-    async fn dial(&self) -> io::Result<Socket> {
-        let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let url = format!("ws://{}/", self.address);
-        let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config()))
-            .await
-            .map_err(io::Error::other)?;
+    async fn dial(&self) -> io::Result<VmSocket> {
+        let mut socket = dial_socket(self.address).await?;
         let hello = VmMessage::Hello {
             version: MESSAGE_VERSION,
             vm: self.fleet.vm.clone(),
@@ -273,7 +260,7 @@
     }
 
     /// Exchanges messages until the link breaks.
-    async fn relay_messages(&self, mut socket: Socket, outbound: &mut mpsc::Receiver<VmMessage>) {
+    async fn relay_messages(&self, mut socket: VmSocket, outbound: &mut mpsc::Receiver<VmMessage>) {
         let mut heard = clock::now();
         let mut heartbeat = interval(HEARTBEAT_INTERVAL);
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -354,11 +341,12 @@
     let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
 }
 
-/// Accepts links until the process ends.
-pub async fn accept_links(
+/// Accepts links and tunnels of other VMs until the process ends.
+pub async fn accept_peers(
     listener: TcpListener,
     fleet: Arc<FleetState>,
     zone: mpsc::Sender<ZoneEvent>,
+    tunnels: Arc<TunnelServer>,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -369,46 +357,57 @@
         };
         let fleet = Arc::clone(&fleet);
         let zone = zone.clone();
+        let tunnels = Arc::clone(&tunnels);
         tokio::spawn(async move {
-            // The dialling side logs a broken link and dials again.
-            let _ = serve_link(stream, &fleet, &zone).await;
+            // The dialling side logs a broken connection and dials again.
+            let _ = serve_peer(stream, &fleet, &zone, &tunnels).await;
         });
     }
 }
 
-async fn serve_link(
+/// Serves a connection as what its first message says it is.
+async fn serve_peer(
     stream: TcpStream,
     fleet: &Arc<FleetState>,
     zone: &mpsc::Sender<ZoneEvent>,
+    tunnels: &TunnelServer,
 ) -> io::Result<()> {
-    stream.set_nodelay(true)?;
     let handshake = async {
-        let mut socket = accept_async_with_config(stream, Some(socket_config()))
-            .await
-            .map_err(io::Error::other)?;
-        let hello = receive(&mut socket).await?;
-        let Some(VmMessage::Hello {
-            version,
+        let mut socket = accept_socket(stream).await?;
+        let first = receive(&mut socket).await?;
+        if let Some(VmMessage::Hello { .. }) = &first {
+            let welcome = VmMessage::Welcome {
+                version: MESSAGE_VERSION,
+                incarnation: fleet.incarnation,
+            };
+            send(&mut socket, &welcome).await?;
+        }
+        Ok::<_, io::Error>((socket, first))
+    };
+    let (socket, first) = timeout(CONNECT_TIMEOUT, handshake).await??;
+    match first {
+        Some(VmMessage::Hello {
+            version: MESSAGE_VERSION,
             vm,
             zone: peer_zone,
             ..
-        }) = hello
-        else {
-            return Err(io::Error::other("first message of the peer is not a hello"));
-        };
-        let welcome = VmMessage::Welcome {
-            version: MESSAGE_VERSION,
-            incarnation: fleet.incarnation,
-        };
-        send(&mut socket, &welcome).await?;
-        if version == MESSAGE_VERSION {
-            Ok((socket, vm, peer_zone))
-        } else {
-            Err(io::Error::other("peer uses another message version"))
-        }
-    };
-    let (mut socket, vm, peer_zone) = timeout(CONNECT_TIMEOUT, handshake).await??;
-    let is_same_zone = peer_zone == fleet.zone;
+        }) => serve_link(socket, vm, &peer_zone, fleet, zone).await,
+        Some(VmMessage::Hello { .. }) => Err(io::Error::other("peer uses another message version")),
+        Some(VmMessage::OpenTunnel(request)) => tunnels.serve(socket, request).await,
+        _ => Err(io::Error::other(
+            "first message of the peer is neither a hello nor a tunnel request",
+        )),
+    }
+}
+
+async fn serve_link(
+    mut socket: VmSocket,
+    vm: VmName,
+    peer_zone: &AvailabilityZone,
+    fleet: &Arc<FleetState>,
+    zone: &mpsc::Sender<ZoneEvent>,
+) -> io::Result<()> {
+    let is_same_zone = *peer_zone == fleet.zone;
     let mut sharing = RecordSharing::new(fleet, is_same_zone);
     fleet.record_successor(&vm, is_same_zone);
     let (outbound, mut replies) = mpsc::channel(OUTBOUND_QUEUE_LEN);
@@ -516,37 +515,3 @@
         _ => None,
     }
 }
-
-fn socket_config() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .read_buffer_size(READ_BUFFER_BYTES)
-        .max_message_size(Some(MAX_MESSAGE_BYTES))
-        .max_frame_size(Some(MAX_MESSAGE_BYTES))
-}
-
-async fn send(socket: &mut Socket, message: &VmMessage) -> io::Result<()> {
-    let mut bytes = Vec::with_capacity(128);
-    ciborium::into_writer(message, &mut bytes).map_err(io::Error::other)?;
-    timeout(
-        SILENCE_TIMEOUT,
-        socket.send(Message::Binary(Bytes::from(bytes))),
-    )
-    .await?
-    .map_err(io::Error::other)
-}
-
-/// Receives a message; `None` when the peer closed the link. Cancel-safe between two messages.
-async fn receive(socket: &mut Socket) -> io::Result<Option<VmMessage>> {
-    loop {
-        match socket.next().await {
-            None => return Ok(None),
-            Some(Err(error)) => return Err(io::Error::other(error)),
-            Some(Ok(Message::Binary(bytes))) => {
-                return ciborium::from_reader(bytes.as_ref())
-                    .map(Some)
-                    .map_err(io::Error::other);
-            }
-            Some(Ok(_)) => {}
-        }
-    }
-}
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -18,7 +18,7 @@
     ids::{AdapterName, AvailabilityZone, LogPosition, TargetLife, TargetName, TargetRun, VmName},
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 /// Version of the messages. VMs with different versions do not link.
 pub const MESSAGE_VERSION: u32 = 11;
@@ -72,6 +72,36 @@
     }
 }
 
+/// Request for a tunnel to a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// Version of the messages.
+    pub version: u32,
+    /// The VM that asks.
+    pub vm: VmName,
+    /// Zone of the target.
+    pub zone: AvailabilityZone,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Time after which the tunnel is closed, in milliseconds.
+    pub ttl_ms: u32,
+}
+
+/// Why a VM does not open a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelFault {
+    /// The target's address refuses connections.
+    TargetRefused,
+    /// The target can't be reached, although others of its zone can.
+    TargetUnreachable,
+    /// The asked VM has lost its own path to the zone.
+    PathLost,
+    /// The asked VM serves as many tunnels as it can.
+    Full,
+    /// The asked VM is about to stop.
+    Stopping,
+}
+
 /// Platform log record that one VM forwards to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardedRecord {
@@ -227,6 +257,13 @@
         /// completely.
         spans: Vec<TopicSpan>,
     },
+    /// First message of a VM that asks the receiver to connect to a target and to forward bytes in both directions.
+    /// The connection carries nothing else.
+    OpenTunnel(TunnelRequest),
+    /// The target is connected; every further binary message holds bytes of the tunnel.
+    TunnelOpened,
+    /// The tunnel is not opened.
+    TunnelRefused(TunnelFault),
     /// Requests the records of topics from positions on.
     #[serde(rename = "Wanted")]
     RequestRecords {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -130,6 +130,26 @@
     result: ConnectResult,
 }
 
+/// Result of asking another VM for a connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum TunnelResult {
+    /// The tunnel was opened.
+    Opened,
+    /// The other VM reaches the zone but not the target.
+    TargetFailed,
+    /// The other VM has lost its path to the zone as well.
+    PathLost,
+    /// The other VM takes no more tunnels.
+    Refused,
+    /// The other VM could not be reached.
+    PeerUnreachable,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TunnelLabels {
+    result: TunnelResult,
+}
+
 /// Why a record is forwarded to another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum ForwardReason {
@@ -199,6 +219,7 @@
     pending_removals: Gauge,
     prompt_moves: Family<MoveLabels, Counter>,
     target_connects: Family<ConnectLabels, Counter>,
+    tunnels: Family<TunnelLabels, Counter>,
     engines: Family<EngineLabels, Gauge>,
     overdue_prompts: Gauge,
     in_flight: Gauge,
@@ -229,6 +250,7 @@
             pending_removals: Gauge::default(),
             prompt_moves: Family::default(),
             target_connects: Family::default(),
+            tunnels: Family::default(),
             engines: Family::default(),
             overdue_prompts: Gauge::default(),
             in_flight: Gauge::default(),
@@ -312,6 +334,11 @@
             "Connection attempts to targets by result",
             self.target_connects.clone(),
         );
+        registry.register(
+            "tunnels",
+            "Tunnels to targets that other VMs were asked for, by result",
+            self.tunnels.clone(),
+        );
         registry.register(
             "zone_engines",
             "Engines of the zone that this VM holds, and those of them that it avoids",
@@ -448,6 +475,11 @@
         self.target_connects.get_or_create(&labels).inc();
     }
 
+    /// Counts a tunnel that another VM was asked for.
+    pub fn count_tunnel(&self, result: TunnelResult) {
+        self.tunnels.get_or_create(&TunnelLabels { result }).inc();
+    }
+
     /// Sets what a zone's holder knows of its engines; `None` if this VM holds no zone.
     pub fn set_engine_counts(&self, counts: Option<EngineCounts>) {
         let counts = counts.unwrap_or_default();
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -22,6 +22,7 @@
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`buffered_answer`], [`event_relay`] | answers buffered as a whole, and answers streamed event by event |
 //! | [`event_splitter`] | splits the bytes of a stream into complete events |
+//! | [`paths`] | own connections to targets, and tunnels through other VMs |
 //! | [`target_connections`] | connections to targets, and single requests over them |
 //! | [`notices`] | notices that targets include in their answers |
 //! | [`skipped`] | limits log lines about unusable entries |
@@ -29,7 +30,7 @@
 //! | [`holder_state`] | the holder's quota shares, and calls of plain services |
 //! | [`engine_client`] | orders to engines, and their reports |
 //! | [`holder_client`] | a gateway's access to the holder of a zone, with the requests and notifications sent to it |
-//! | [`links`], [`message`] | links between VMs, and their messages |
+//! | [`links`], [`message`], [`vm_socket`] | links between VMs, their messages and connections |
 
 pub mod buffered_answer;
 pub mod call;
@@ -53,6 +54,7 @@
 pub mod message;
 pub mod metrics;
 pub mod notices;
+pub mod paths;
 pub mod probes;
 pub mod reachability;
 pub mod record_cache;
@@ -64,4 +66,5 @@
 pub mod suspect_records;
 pub mod target_connections;
 pub mod trials;
+pub mod vm_socket;
 pub mod zone;
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -5,12 +5,18 @@
 
 use crate::{
     clock,
-    direct::{fleet::FleetState, metrics::ConnectResult},
+    direct::{
+        fleet::FleetState,
+        paths::{
+            monitor::{ConnectFault, PathMonitor, TargetSite, WaitGuard},
+            tunnel_client::{TunnelClient, TunnelError, TunnelGuard},
+        },
+    },
 };
 use bytes::Bytes;
 use hoplanding_core::{
     direct::catalog::TargetEntry,
-    ids::{Instant, TargetName, TargetRun},
+    ids::{AvailabilityZone, Instant, TargetName, TargetRun},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,15 +27,12 @@
 use hyper_util::rt::TokioIo;
 use std::{
     collections::HashMap,
-    io,
-    net::{IpAddr, SocketAddr},
+    net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex},
     time::Duration,
 };
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    time::{error::Elapsed, timeout},
-};
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Idle connections kept for one target at most.
 const MAX_IDLE_CONNECTIONS: usize = 8;
@@ -56,8 +59,8 @@
         target: TargetName,
         /// Error of the transport, or the time limit that was exceeded.
         cause: String,
-        /// Whether the target's address refused the connection, so that nothing listens there.
-        is_refused: bool,
+        /// Kind of the failure.
+        reason: UnsentReason,
     },
     /// The request was sent and may have run.
     #[error(
@@ -71,11 +74,26 @@
     },
 }
 
+/// Why a request was not handed to a transport.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsentReason {
+    /// The target's address refused the connection, so that nothing listens there.
+    Refused,
+    /// No connection was made although the path to the target's zone is not lost.
+    Unreachable,
+    /// This VM has lost the path to the target's zone, and no other VM made a connection. Says nothing about the target.
+    PathLost,
+}
+
 /// A connection to one target.
 #[derive(Debug)]
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     address: SocketAddr,
+    zone: AvailabilityZone,
+    opened_at: Instant,
+    /// Present if another VM forwards the connection's bytes.
+    tunnel: Option<TunnelGuard>,
     /// Target and life to which the connection belongs. It is unusable after that life ends, even if it was not closed.
     run: TargetRun,
 }
@@ -87,12 +105,42 @@
     until: Instant,
 }
 
+/// Which paths a connection may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathRule {
+    /// Through another VM if the own path is lost.
+    Any,
+    /// Only the own path.
+    DirectOnly,
+}
+
+/// How a connection to a target is made.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectRule {
+    /// Which idle connections may be used.
+    pub reuse: ReuseRule,
+    /// Which paths a new connection may take.
+    pub path: PathRule,
+    /// Time limit for connecting directly.
+    pub within: Duration,
+    /// Time for which the connection is needed.
+    pub lifetime: Duration,
+}
+
+/// What becomes of a call that waits for an answer when its path is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossAction {
+    /// It goes on waiting.
+    Wait,
+    /// It ends, so that it can be sent again.
+    GiveUp,
+}
+
 /// Idle connections to targets, by address.
 #[derive(Debug)]
 pub struct ConnectionPool {
-    fleet: Arc<FleetState>,
-    /// Address from which targets are connected to.
-    source: Option<IpAddr>,
+    paths: Arc<PathMonitor>,
+    tunnels: Arc<TunnelClient>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -108,74 +156,135 @@
 }
 
 impl ConnectionPool {
-    /// An empty pool. New connections come from the address `source` if it is set.
+    /// An empty pool.
     #[must_use]
-    pub fn new(fleet: Arc<FleetState>, source: Option<IpAddr>) -> Self {
+    pub fn new(paths: Arc<PathMonitor>, tunnels: Arc<TunnelClient>) -> Self {
         Self {
-            fleet,
-            source,
+            paths,
+            tunnels,
             idle: Mutex::default(),
         }
     }
 
-    /// Takes an idle connection to a target, or makes a new one within the time limit `within`.
+    /// Takes an idle connection to a target, or makes a new one. While the path to the target's zone is lost, the
+    /// connection goes through another VM.
     ///
     /// # Errors
     /// [`SendError::NotSent`] if no connection can be made in time.
     pub async fn take(
         &self,
-        run: &TargetRun,
-        address: SocketAddr,
-        reuse: ReuseRule,
-        within: Duration,
+        entry: &TargetEntry,
+        rule: ConnectRule,
     ) -> Result<TargetConnection, SendError> {
-        if let Some(connection) = self.take_idle(run, address, reuse) {
-            return Ok(connection);
+        if !self.paths.is_lost(&entry.zone) {
+            if let Some(connection) = self.take_idle(entry, rule.reuse) {
+                return Ok(connection);
+            }
+            match self.connect(entry, rule.within).await {
+                Err(SendError::NotSent {
+                    reason: UnsentReason::PathLost,
+                    ..
+                }) => {}
+                connected => return connected,
+            }
+        }
+        match rule.path {
+            PathRule::Any => self.connect_through_peer(entry, rule.lifetime).await,
+            PathRule::DirectOnly => {
+                let fault = ConnectFault::PathLost(entry.zone.clone());
+                Err(not_sent(entry, fault.to_string(), UnsentReason::PathLost))
+            }
         }
-        self.connect(run, address, within).await
     }
 
+    /// Zones whose path is lost and for which no other VM is left to ask.
+    #[must_use]
+    pub fn closed_zones(&self) -> Vec<AvailabilityZone> {
+        let mut zones = self.paths.lost_zones();
+        zones.retain(|zone| self.tunnels.has_no_peer(zone));
+        zones
+    }
+
+    /// Makes a connection's call wait for the head of an answer.
+    fn wait_guard(&self, connection: &TargetConnection) -> Option<WaitGuard> {
+        let is_direct = connection.tunnel.is_none();
+        is_direct.then(|| self.paths.wait_guard(&connection.zone))
+    }
+
+    /// Sends a request over a connection and waits for the head of the answer. A failure shows whether the path is lost
+    /// before it is returned. If the path of the connection is lost
+    /// meanwhile, `on_loss` decides whether to go on waiting, as the path may be restored before the deadline.
+    ///
+    /// # Errors
+    /// As for [`TargetConnection::send`], and [`SendError::Unanswered`] if the wait ended with the path.
+    pub async fn send(
+        &self,
+        connection: &mut TargetConnection,
+        request: TargetRequest,
+        on_loss: impl FnOnce() -> LossAction,
+    ) -> Result<Response<Incoming>, SendError> {
+        let Some(_waiting) = self.wait_guard(connection) else {
+            return connection.send(request).await;
+        };
+        let zone = connection.zone.clone();
+        let target = connection.target().clone();
+        let opened_at = connection.opened_at;
+        let mut response = pin!(connection.send(request));
+        tokio::select! {
+            answered = &mut response => {
+                if answered.is_err() {
+                    self.paths.check_after_failure(&zone, opened_at).await;
+                }
+                return answered;
+            }
+            () = self.paths.wait_until_lost(&zone) => {}
+        }
+        match on_loss() {
+            LossAction::Wait => response.await,
+            LossAction::GiveUp => Err(SendError::Unanswered {
+                target,
+                cause: ConnectFault::PathLost(zone).to_string(),
+            }),
+        }
+    }
+
+    /// Connects to a target directly.
     async fn connect(
         &self,
-        run: &TargetRun,
-        address: SocketAddr,
+        entry: &TargetEntry,
         within: Duration,
     ) -> Result<TargetConnection, SendError> {
-        let not_sent = |cause: String, is_refused| SendError::NotSent {
-            target: run.name.clone(),
-            cause,
-            is_refused,
-        };
-        let connected = timeout(within, open_stream(self.source, address)).await;
-        self.fleet.metrics.count_connect(connect_result(&connected));
-        let stream = connected
-            .map_err(|_| not_sent(format!("not connected within {within:?}"), false))?
-            .map_err(|error| {
-                let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                not_sent(error.to_string(), is_refused)
-            })?;
-        let (sender, connection) = Builder::new()
-            .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| not_sent(error.to_string(), false))?;
-        // The task ends when the sender is dropped; an error is reported to the call under way.
-        tokio::spawn(async move {
-            let _ = connection.await;
-        });
-        Ok(TargetConnection {
-            sender,
-            address,
-            run: run.clone(),
-        })
+        let connected = self.paths.connect(TargetSite::from(entry), within).await;
+        let stream = connected.map_err(|fault| {
+            let reason = match fault {
+                ConnectFault::Refused => UnsentReason::Refused,
+                ConnectFault::Failed(_) => UnsentReason::Unreachable,
+                ConnectFault::PathLost(_) => UnsentReason::PathLost,
+            };
+            not_sent(entry, fault.to_string(), reason)
+        })?;
+        handshake(entry, stream, None).await
     }
 
-    fn take_idle(
+    /// Connects to a target through another VM.
+    async fn connect_through_peer(
         &self,
-        run: &TargetRun,
-        address: SocketAddr,
-        reuse: ReuseRule,
-    ) -> Option<TargetConnection> {
+        entry: &TargetEntry,
+        lifetime: Duration,
+    ) -> Result<TargetConnection, SendError> {
+        let opened = self.tunnels.open(TargetSite::from(entry), lifetime).await;
+        let tunnel = opened.map_err(|error| {
+            let reason = match error {
+                TunnelError::NoPath => UnsentReason::PathLost,
+                TunnelError::TargetRefused => UnsentReason::Refused,
+                TunnelError::TargetUnreachable => UnsentReason::Unreachable,
+            };
+            not_sent(entry, error.to_string(), reason)
+        })?;
+        handshake(entry, tunnel.stream, Some(tunnel.guard)).await
+    }
+
+    fn take_idle(&self, entry: &TargetEntry, reuse: ReuseRule) -> Option<TargetConnection> {
         if reuse == ReuseRule::Never {
             return None;
         }
@@ -184,9 +293,13 @@
             .idle
             .lock()
             .expect("no thread panics while it holds the lock");
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&entry.address)?;
+        let run = entry.run();
         connections.retain(|idle| {
-            now < idle.until && !idle.connection.sender.is_closed() && idle.connection.run == *run
+            now < idle.until
+                && !idle.connection.sender.is_closed()
+                && idle.connection.run == run
+                && !self.paths.is_outdated(&entry.zone, idle.since)
         });
         // The target is least likely to have closed the connection that was used last.
         let newest = connections.pop()?;
@@ -197,7 +310,7 @@
         Some(newest.connection)
     }
 
-    /// Returns a connection after a complete answer. Keeps up to `share` idle connections to its target; `keep_alive` is the time
+    /// Returns a connection after a complete answer; one through another VM is closed. Keeps up to `share` idle connections to its target; `keep_alive` is the time
     /// that the target stated.
     pub fn put_back(
         &self,
@@ -205,7 +318,8 @@
         keep_alive: Option<Duration>,
         share: usize,
     ) {
-        if connection.sender.is_closed() {
+        let is_direct = connection.tunnel.is_none();
+        if !is_direct || connection.sender.is_closed() || self.paths.is_lost(&connection.zone) {
             return;
         }
         let now = clock::now();
@@ -250,35 +364,36 @@
     }
 }
 
-/// Connects to a target, from the address `source` if it is set.
-async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = match source {
-        None => TcpStream::connect(address).await?,
-        Some(source) => {
-            let socket = if address.is_ipv4() {
-                TcpSocket::new_v4()?
-            } else {
-                TcpSocket::new_v6()?
-            };
-            socket.bind(SocketAddr::new(source, 0))?;
-            socket.connect(address).await?
-        }
-    };
-    stream.set_nodelay(true)?;
-    Ok(stream)
+fn not_sent(entry: &TargetEntry, cause: String, reason: UnsentReason) -> SendError {
+    SendError::NotSent {
+        target: entry.name.clone(),
+        cause,
+        reason,
+    }
 }
 
-fn connect_result(connected: &Result<io::Result<TcpStream>, Elapsed>) -> ConnectResult {
-    match connected {
-        Ok(Ok(_)) => ConnectResult::Connected,
-        Err(_) => ConnectResult::TimedOut,
-        Ok(Err(error)) => match error.kind() {
-            io::ErrorKind::ConnectionRefused => ConnectResult::Refused,
-            io::ErrorKind::ConnectionReset => ConnectResult::Reset,
-            io::ErrorKind::TimedOut => ConnectResult::TimedOut,
-            _ => ConnectResult::Failed,
-        },
-    }
+async fn handshake(
+    entry: &TargetEntry,
+    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    tunnel: Option<TunnelGuard>,
+) -> Result<TargetConnection, SendError> {
+    let (sender, connection) = Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| not_sent(entry, error.to_string(), UnsentReason::Unreachable))?;
+    // The task ends when the sender is dropped; an error is reported to the call under way.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(TargetConnection {
+        sender,
+        address: entry.address,
+        zone: entry.zone.clone(),
+        opened_at: clock::now(),
+        tunnel,
+        run: entry.run(),
+    })
 }
 
 /// Sends a request of the gateway's own to a target, such as an order or a report request, and reads the whole answer.
@@ -290,14 +405,13 @@
     pool: &ConnectionPool,
     entry: &TargetEntry,
     request: TargetRequest,
-    reuse: ReuseRule,
-    within: Duration,
+    rule: ConnectRule,
     answer_bytes: usize,
 ) -> Result<(StatusCode, Bytes), SendError> {
-    let mut connection = pool
-        .take(&entry.run(), entry.address, reuse, within)
+    let mut connection = pool.take(entry, rule).await?;
+    let response = pool
+        .send(&mut connection, request, || LossAction::GiveUp)
         .await?;
-    let response = connection.send(request).await?;
     let status = response.status();
     // A misdirected answer comes from another target at the same address.
     let notice = (status != StatusCode::MISDIRECTED_REQUEST)
@@ -331,7 +445,7 @@
                 SendError::NotSent {
                     target,
                     cause,
-                    is_refused: false,
+                    reason: UnsentReason::Unreachable,
                 }
             } else {
                 SendError::Unanswered { target, cause }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -162,6 +162,12 @@
     BackoffRequested = 726, Info, "target asks for rest";
     /// A header with which a target describes itself can't be parsed.
     InvalidNotice = 727, Warn, "what a target says of itself can't be read";
+    /// No target of a zone answers this VM any more.
+    PathLost = 730, Warn, "path to a zone's targets lost";
+    /// A target of a zone answers this VM again.
+    PathRestored = 731, Info, "path to a zone's targets restored";
+    /// Another VM made no connection to a target for this VM.
+    TunnelFailed = 732, Info, "tunnel through another VM not opened";
     /// An order was accepted.
     OrderAccepted = 710, Info, "order taken";
     /// An order was not accepted.
