Drop prompts from an engine's backlog that its report does not account for

While one VM's sends hung, the zone refused the calls of every VM with Offer(2026) and TooLong(2023) although all engines were idle.

Cause: a prompt without a first event counts as the one that its engine is reading, and the longer it is overdue, the longer the engine is expected to take. A prompt that never arrived is overdue for as long as its call waits.

An engine at which prompts are overdue is asked for its report, at most every 600 ms. A report of fewer requests than were sent shows how many never arrived; so many overdue prompts, the oldest first, no longer count. Reports are up to 600 ms old, so later calls are left out of the comparison. A prompt that the report accounts for counts as before, as its engine is slow or stands still.

prompts_that_never_arrive_do_not_make_an_idle_engine_look_busy failed before, with TooLong(1886); overdue_prompts_that_a_report_accounts_for_still_count_as_backlog passes on both.

--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -27,7 +27,7 @@
         engine::prefix_cache::PrefixTable,
         load_limiter::StoreLoad,
         planner::{CallKey, split_subject},
-        prefill::PrefillQueue,
+        prefill::{PrefillModel, PrefillQueue},
         versions::{ObservedVersion, VersionMatch, VersionSource},
     },
     ids::{AdapterName, Instant, TargetLife},
@@ -283,6 +283,17 @@
         }
     }
 
+    /// Removes overdue prompts that the engine does not have, as a report of fewer requests than were sent shows.
+    /// Calls that were sent shortly before may be missing in the report.
+    pub fn remove_lost_prompts(&mut self, reported: u32, model: &PrefillModel, now: Instant) {
+        let recent = self.prompts.recent_count(MAX_REPORT_AGE, now);
+        let arrived = self.calls.len().saturating_sub(recent);
+        let missing = arrived.saturating_sub(reported as usize);
+        if missing > 0 {
+            self.prompts.remove_overdue(missing, model, now);
+        }
+    }
+
     /// Combines a reported copy with what is already known of it.
     fn refreshed_copy(
         &mut self,
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -62,6 +62,8 @@
 const MAX_LOADING_ADAPTERS: usize = 4;
 /// Delay before an engine's report is read again, after a conflict, an unanswered order or a report that is outdated.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Interval between reports of an engine at which prompts are overdue.
+const OVERDUE_REPORT_INTERVAL: Duration = Duration::from_millis(600);
 /// Time by which the expected end of a load is extended when a call did not find the adapter loaded.
 const LATE_LOAD_EXTENSION: Duration = Duration::from_millis(90);
 /// Retry delay for a call that no engine can take now: about the time of an adapter load.
@@ -482,6 +484,12 @@
         {
             engine.report_due_at.get_or_insert(now);
         }
+        if engine.prompts.overdue_count(&self.prefill_model, now) > 0
+            && now.since(engine.reported_at) >= OVERDUE_REPORT_INTERVAL
+        {
+            // The prompts may never have reached the engine.
+            engine.report_due_at.get_or_insert(now);
+        }
         let is_due = engine.report_due_at.is_some_and(|at| now >= at);
         if is_due && !engine.is_reporting && engine.pending.is_none() {
             engine.report_due_at = None;
--- a/crates/core/src/direct/planner/orders.rs
+++ b/crates/core/src/direct/planner/orders.rs
@@ -194,6 +194,7 @@
             }
             Some(report) => {
                 engine.apply_report(report, now);
+                engine.remove_lost_prompts(report.requests, &self.prefill_model, now);
                 if report.is_busy || engine.unloading.is_some() || engine.has_untracked_calls(now) {
                     engine.report_due_at = Some(now.after(REPORT_RETRY_DELAY));
                 }
--- a/crates/core/src/direct/prefill.rs
+++ b/crates/core/src/direct/prefill.rs
@@ -211,17 +211,42 @@
     /// `MIN_OVERDUE_TIME` at least.
     #[must_use]
     pub fn overdue_count(&self, model: &PrefillModel, now: Instant) -> usize {
+        let limit = self.overdue_limit(model, now);
+        let overdue = self.waiting.iter();
+        overdue
+            .filter(|prompt| now.since(prompt.ready_at) > limit)
+            .count()
+    }
+
+    fn overdue_limit(&self, model: &PrefillModel, now: Instant) -> Duration {
         let times = self.waiting.iter();
         let expected: Duration = times
             .map(|prompt| self.scaled(model.expected_time(prompt.tokens), now))
             .sum();
-        let limit = (expected * 2).max(MIN_OVERDUE_TIME);
-        let overdue = self.waiting.iter();
-        overdue
-            .filter(|prompt| now.since(prompt.ready_at) > limit)
+        (expected * 2).max(MIN_OVERDUE_TIME)
+    }
+
+    /// Number of prompts that reached the engine less than `span` ago, or are yet to reach it.
+    #[must_use]
+    pub fn recent_count(&self, span: Duration, now: Instant) -> usize {
+        let recent = self.waiting.iter();
+        recent
+            .filter(|prompt| now.since(prompt.ready_at) < span)
             .count()
     }
 
+    /// Removes up to `count` overdue prompts, the oldest first, because the engine does not have them.
+    pub fn remove_overdue(&mut self, count: usize, model: &PrefillModel, now: Instant) {
+        let limit = self.overdue_limit(model, now);
+        self.waiting.sort_by_key(|prompt| prompt.ready_at);
+        let mut left = count;
+        self.waiting.retain(|prompt| {
+            let is_removed = left > 0 && now.since(prompt.ready_at) > limit;
+            left -= usize::from(is_removed);
+            !is_removed
+        });
+    }
+
     /// Expected time for the prompt itself at this engine.
     #[must_use]
     pub fn prefill_time(&self, tokens: u32, model: &PrefillModel, now: Instant) -> Duration {
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -1127,3 +1127,49 @@
         "{sent:?}"
     );
 }
+
+/// Runs a planner whose first call never begins for 4 s, with reports of this many requests, and places another call.
+fn place_beside_overdue_prompt(reported_requests: u32) -> PlacementAnswer {
+    let start = Instant(10_000_000);
+    let mut planner = planner_with_running_call(start);
+    let engine = TargetName::new("e1");
+    let mut now = start;
+    while now < after(start, 4_000) {
+        now = after(now, 50);
+        planner.tick(now);
+        for action in planner.take_actions() {
+            if matches!(action, PlannerAction::FetchReport(_)) {
+                let shown = EngineReport {
+                    life: TargetLife::started_at_ms(1_000),
+                    requests: reported_requests,
+                    ..report(&["base/a1"], 1)
+                };
+                planner.report_received(&engine, Some(&shown), now);
+            }
+        }
+    }
+    let urgent = PlacementRequest {
+        bound_ms: 300,
+        ..request("base/a1")
+    };
+    planner.place(key(2), urgent, now);
+    let mut answers = answers(&planner.take_actions());
+    answers.remove(0).1
+}
+
+/// The gateway's connection hangs, so its engine never gets the prompt, which is overdue for as long as the call waits.
+#[test]
+fn prompts_that_never_arrive_do_not_make_an_idle_engine_look_busy() {
+    let answer = place_beside_overdue_prompt(0);
+    assert!(matches!(answer, PlacementAnswer::Send { .. }), "{answer:?}");
+}
+
+/// The report shows that the prompt is at the engine, so the engine is slow or stands still.
+#[test]
+fn overdue_prompts_that_a_report_accounts_for_still_count_as_backlog() {
+    let answer = place_beside_overdue_prompt(1);
+    let PlacementAnswer::Refuse { cause, .. } = answer else {
+        panic!("placed behind an overdue prompt");
+    };
+    assert!(matches!(cause, RefusalCause::TooLong(_)), "{cause:?}");
+}
