Release a zone's lease when only its holder has lost the path to the zone's engines

Cause: a lease is replaced when its holder falls silent, and this holder is heard. Its orders can't take another way: engines would take them for orders of two holders.

A holder whose path has been lost for 400 ms, while another VM of the zone brings connections to its targets, completes its pending orders and releases the lease, as it does for a stronger VM. If all VMs of the zone have lost it, the lease stays where it is, and no orders are planned meanwhile.

--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -12,6 +12,7 @@
         fleet::{FleetState, FleetTables, zone_key},
         holder_client::HolderClient,
         message::FeedTopic,
+        paths::monitor::PathMonitor,
         settings::DirectSettings,
     },
     event,
@@ -46,6 +47,8 @@
     pub fleet: Arc<FleetState>,
     /// Links to the holders of zones.
     pub holder_client: Arc<HolderClient>,
+    /// Paths of this VM to targets.
+    pub paths: Arc<PathMonitor>,
     /// Settings of the daemon.
     pub settings: Arc<DirectSettings>,
     /// Phase of a planned stop.
@@ -105,7 +108,12 @@
             }
             _ => HolderContact::Ended,
         };
-        let rank = self.fleet.rank();
+        let zone = &self.fleet.zone;
+        let mut rank = self.fleet.rank();
+        if self.paths.is_lost(zone) {
+            // A VM with a path to the zone's engines can send them orders, so it claims first.
+            rank += u32::try_from(self.fleet.zone_vms()).unwrap_or(u32::MAX >> 1);
+        }
         let now = clock::now();
         let mut tables = self.fleet.tables();
         let is_read = tables
@@ -119,7 +127,8 @@
             contact,
             has_more_cpu: holder
                 .and_then(|vm| tables.vms.get(vm))
-                .is_some_and(|record| record.cpu_millicores < self.fleet.cpu_millicores),
+                .is_some_and(|record| record.cpu_millicores < self.fleet.cpu_millicores)
+                && self.paths.is_stable(zone),
             rank,
             waiting_claim_age: lease.as_ref().and_then(min_claim_age),
             is_log_restored: tables.is_outdated(&self.fleet.zone),
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -131,6 +131,7 @@
         let claims = ClaimWorker {
             fleet: Arc::clone(&fleet),
             holder_client: Arc::clone(&holder_client),
+            paths,
             settings: Arc::clone(&settings),
             stop: stop_watch.clone(),
         };
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -197,6 +197,21 @@
         }
     }
 
+    /// Whether the path to a zone's targets is lost.
+    #[must_use]
+    pub fn is_path_lost(&self, zone: &AvailabilityZone) -> bool {
+        self.paths.is_lost(zone)
+    }
+
+    /// Whether the path to a zone's targets has been lost for a time, while another VM of that zone has one.
+    #[must_use]
+    pub fn is_only_own_path_lost(&self, zone: &AvailabilityZone, min_time: Duration) -> bool {
+        self.paths
+            .lost_for(zone)
+            .is_some_and(|lost_for| lost_for >= min_time)
+            && self.tunnels.has_proven_peer(zone, Some(zone))
+    }
+
     /// Zones whose path is lost and for which no other VM is left to ask.
     #[must_use]
     pub fn closed_zones(&self) -> Vec<AvailabilityZone> {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -45,6 +45,8 @@
 
 /// Interval of the planner's timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a holder's path must have been lost before it releases its lease.
+const MIN_PATH_LOSS: Duration = Duration::from_millis(400);
 /// Interval at which the planner takes over what the target list says about adapters loaded in engines. Such updates do
 /// not wake the worker, and the KV cache of a copy that was loaded without a version is not transferred until the list
 /// names its version.
@@ -219,6 +221,9 @@
                         if confirmed != Some(held.token) {
                             held.planner.hold_orders(clock::now().after(2 * TICK_INTERVAL));
                         }
+                        if self.pool.is_path_lost(&self.fleet.zone) {
+                            held.planner.hold_orders(clock::now().after(2 * TICK_INTERVAL));
+                        }
                         held.planner.set_sole_until(sole_until);
                         held.planner.tick(clock::now());
                         held.log_load_changes();
@@ -226,6 +231,7 @@
                 }
             }
             self.run_planner_actions();
+            self.yield_lease_without_path();
             self.yield_lease_when_idle();
         }
     }
@@ -454,7 +460,21 @@
             .after(self.settings.leases.handover_delay)
     }
 
-    /// Releases the lease to a VM with more CPU once no order is pending, so that orders of the two holders do not overlap.
+    /// Begins to release the lease if only this VM has lost the path to the zone's engines. Orders are sent by the holder
+    /// itself, so the zone would get none.
+    fn yield_lease_without_path(&mut self) {
+        let zone = &self.fleet.zone;
+        let Some(held) = self.held.as_mut().filter(|held| !held.is_yielding) else {
+            return;
+        };
+        if self.pool.is_only_own_path_lost(zone, MIN_PATH_LOSS) {
+            event!(Event::LeaseUnusable, "{zone}");
+            held.is_yielding = true;
+            held.planner.stop_orders();
+        }
+    }
+
+    /// Releases the lease to another VM once no order is pending, so that orders of the two holders do not overlap.
     fn yield_lease_when_idle(&mut self) {
         let Some(held) = &self.held else {
             return;
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -162,6 +162,8 @@
     BackoffRequested = 726, Info, "target asks for rest";
     /// A header with which a target describes itself can't be parsed.
     InvalidNotice = 727, Warn, "what a target says of itself can't be read";
+    /// The holder of a zone releases its lease, as it can't reach the zone's targets.
+    LeaseUnusable = 709, Warn, "lease given up without a path to the zone's targets";
     /// No target of a zone answers this VM any more.
     PathLost = 730, Warn, "path to a zone's targets lost";
     /// A target of a zone answers this VM again.
--- a/crates/daemon/tests/direct/reach.rs
+++ b/crates/daemon/tests/direct/reach.rs
@@ -137,6 +137,26 @@
         tokio::join!(calls, judged).1
     }
 
+    /// Bodies of all orders that engines received.
+    fn orders(&self) -> Vec<String> {
+        let requests = self.targets.iter().flat_map(RawTarget::requests);
+        requests
+            .filter(|request| request.request_line().contains("/hoplanding/order"))
+            .map(|request| String::from_utf8_lossy(&request.body).into_owned())
+            .collect()
+    }
+
+    /// Number of calls that targets received.
+    fn runs(&self) -> usize {
+        let requests = self.targets.iter().flat_map(RawTarget::requests);
+        let is_call = |request: &RawRequest| {
+            CALL_PATHS
+                .iter()
+                .any(|path| request.request_line().contains(path))
+        };
+        requests.filter(is_call).count()
+    }
+
     /// Number of ids that more than one run of a call has, for calls that must not run twice.
     fn repeated_runs(&self) -> usize {
         let requests = self.targets.iter().flat_map(RawTarget::requests);
@@ -199,3 +219,50 @@
 async fn the_last_vm_with_a_path_to_targets_serves_the_calls_of_the_others() {
     check_service(PathState::Hanging, |vm, holder| vm != (holder + 1) % 3).await;
 }
+
+/// A holder without a path gives no order that arrives, so its zone would load no adapter until the path returns.
+#[tokio::test]
+async fn a_zone_gets_orders_again_after_its_holder_lost_the_path_to_its_engines() {
+    let site = CutSite::start().await;
+    let holder = site.holder();
+    site.cut(holder, PathState::Hanging);
+    let other = (holder + 1) % site.vms.len();
+    let name = site.vms[other].fleet().vm.clone();
+    wait_for("an order of another holder", async || {
+        let request = post_request("/plan/1", "load", &model_headers("a2"));
+        drop(send_request(site.vms[other].caller_address, &request).await);
+        site.orders()
+            .iter()
+            .any(|order| !order.contains(&format!("\"vm-{holder}\"")))
+    })
+    .await;
+    assert_ne!(site.holder(), holder, "asked by {name}");
+}
+
+/// No VM of the zone could do more with the lease, so it stays where it is, and callers are told when to come back.
+#[tokio::test]
+async fn calls_are_refused_as_not_run_while_no_vm_reaches_a_target_and_served_after_that() {
+    let site = CutSite::start().await;
+    let holder = site.holder();
+    for vm in 0..site.vms.len() {
+        site.cut(vm, PathState::Hanging);
+    }
+    site.judge().await;
+    let runs = site.runs();
+    for vm in &site.vms {
+        for path in CALL_PATHS {
+            let request = post_request(path, "refused", &model_headers("a1"));
+            let answer = send_request(vm.caller_address, &request).await;
+            assert_eq!(answer.status, 503, "{path}");
+            assert!(answer.has_header("retry-after: "), "{}", answer.head);
+        }
+    }
+    assert_eq!(site.holder(), holder);
+    assert_eq!(site.runs(), runs);
+    site.cuts.open_all();
+    wait_for("service at all VMs", async || {
+        let served = site.send_calls("after", 2).await;
+        served.iter().flatten().all(|served| *served == 2)
+    })
+    .await;
+}
