Soak VMs that lose the path to all targets

Nothing in the soak took a path to targets away.

The check compares callers of VMs without a path, from 3 s after its loss on, with those of the others, per VM from what callers and targets saw. Requests that a lost path may have held up are left out of the checks of draining targets and Retry-After for 3 s after it, as the users' rules leave out requests whose link was cut.

Handwritten histories show that the check finds unserved callers.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -34,6 +34,9 @@
 const MAX_START_CALLS: f64 = 15.0;
 /// Time within which a starting daemon makes its additional log calls.
 const START_CALLS_WINDOW: Duration = Duration::from_secs(1);
+/// Requests that may stay unserved at VMs without a path to targets, besides one in [`UNSERVED_CALL_DIVISOR`].
+const MIN_UNSERVED_CALLS: usize = 10;
+const UNSERVED_CALL_DIVISOR: usize = 50;
 /// Length of the window in which the retry budget is counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -80,6 +83,9 @@
     /// A request uses cached prompt parts only if they were computed with the versions of base model and adapter that it
     /// runs on.
     CacheVersion,
+    /// From [`CONTACT_WINDOW`] after some VMs lost the path to all targets, their callers are served at least two thirds as
+    /// often as others, unless few of them fail.
+    PathIndependence,
 }
 
 /// Violation of a guarantee.
@@ -117,6 +123,7 @@
     found.extend(check_retry_after(history, &calls));
     found.extend(check_config_deadline(history));
     found.extend(check_log_calls(history));
+    found.extend(check_path_losses(history, &calls));
     found
 }
 
@@ -295,6 +302,7 @@
             if let Some(since) = leaving.get(target)
                 && *at > *since + DRAIN_TIMEOUT
                 && is_in_contact(history, row.vm, *at)
+                && !is_held_up(history, row.vm, *at)
             {
                 let description =
                     format!("{id} ran at {target} at {at:?}, which is draining since {since:?}");
@@ -305,6 +313,14 @@
     found
 }
 
+/// Whether a VM had no path to targets within [`CONTACT_WINDOW`] before a time, so that its requests may have been held up
+/// on their way.
+fn is_held_up(history: &[TimedEntry], vm: usize, at: Duration) -> bool {
+    path_loss_spans(history)
+        .into_iter()
+        .any(|loss| loss.vm == vm && loss.from <= at && at <= loss.to + CONTACT_WINDOW)
+}
+
 /// Whether a VM was disturbed between two times, both included.
 fn is_disturbed(history: &[TimedEntry], vm: usize, from: Duration, to: Duration) -> bool {
     history.iter().any(|entry| {
@@ -331,6 +347,7 @@
             if let Some(since) = announced.get(&(row.vm, *target))
                 && row.sent > *since + DRAIN_TIMEOUT
                 && !is_disturbed(history, row.vm, *since, *at)
+                && !is_held_up(history, row.vm, *at)
             {
                 let description = format!(
                     "{id} ran at {target} at {at:?}, which announced draining to the sending VM at {since:?}"
@@ -371,7 +388,8 @@
         let (from, to) = (sent + IN_FLIGHT_WINDOW, sent + retry_after);
         let times = arrivals.get(&(vm, target)).into_iter().flatten();
         let count = times.filter(|at| from <= **at && **at < to).count();
-        if count > MAX_REQUESTS_IN_BACKOFF && !is_disturbed(history, vm, sent, to) {
+        let is_excused = is_disturbed(history, vm, sent, to) || is_held_up(history, vm, to);
+        if count > MAX_REQUESTS_IN_BACKOFF && !is_excused {
             let description = format!(
                 "{target} sent VM {vm} Retry-After {retry_after:?} at {sent:?} and got {count} requests within it, at most {MAX_REQUESTS_IN_BACKOFF} are allowed"
             );
@@ -415,6 +433,97 @@
     found
 }
 
+/// Span in which a VM had no path to any target.
+struct PathLoss {
+    vm: usize,
+    from: Duration,
+    to: Duration,
+}
+
+fn path_loss_spans(history: &[TimedEntry]) -> Vec<PathLoss> {
+    let end = history.last().map_or(Duration::ZERO, |entry| entry.at);
+    let mut open: BTreeMap<usize, Duration> = BTreeMap::new();
+    let mut losses = Vec::new();
+    for TimedEntry { at, event } in history {
+        match event {
+            HistoryEvent::PathLost { vm } => {
+                open.entry(*vm).or_insert(*at);
+            }
+            HistoryEvent::PathRestored { vm } => {
+                if let Some(from) = open.remove(vm) {
+                    losses.push(PathLoss {
+                        vm: *vm,
+                        from,
+                        to: *at,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    losses.extend(
+        open.into_iter()
+            .map(|(vm, from)| PathLoss { vm, from, to: end }),
+    );
+    losses
+}
+
+/// Compares the callers of VMs without a path to targets with those of the others, for each span in which any VM has none.
+fn check_path_losses(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let losses = path_loss_spans(history);
+    let has_lost_path = |vm: usize, at: Duration| {
+        losses
+            .iter()
+            .any(|loss| loss.vm == vm && loss.from <= at && at <= loss.to)
+    };
+    let is_judged = |vm: usize, at: Duration| {
+        let is_settled =
+            |loss: &&PathLoss| loss.vm == vm && loss.from + CONTACT_WINDOW <= at && at <= loss.to;
+        losses.iter().any(|loss| is_settled(&loss))
+    };
+    let (mut lost, mut others) = (ServedCount::default(), ServedCount::default());
+    for row in calls.rows.values() {
+        let is_near_loss = losses
+            .iter()
+            .any(|loss| loss.from + CONTACT_WINDOW <= row.sent && row.sent <= loss.to);
+        if !is_near_loss || !is_in_contact(history, row.vm, row.sent) {
+            continue;
+        }
+        if is_judged(row.vm, row.sent) {
+            lost.add(row);
+        } else if !has_lost_path(row.vm, row.sent) {
+            others.add(row);
+        }
+    }
+    let failed = lost.sent - lost.served;
+    let allowed = MIN_UNSERVED_CALLS + (lost.sent + others.sent) / UNSERVED_CALL_DIVISOR;
+    // Two thirds as often, without fractions.
+    let is_far_worse = lost.served * others.sent * 3 < others.served * lost.sent * 2;
+    if !is_far_worse || failed <= allowed {
+        return Vec::new();
+    }
+    let description = format!(
+        "VMs without a path to targets served {} of {} requests, the others {} of {}",
+        lost.served, lost.sent, others.served, others.sent
+    );
+    vec![violation(Guarantee::PathIndependence, description)]
+}
+
+/// Requests, and those of them that were served.
+#[derive(Default)]
+struct ServedCount {
+    sent: usize,
+    served: usize,
+}
+
+impl ServedCount {
+    fn add(&mut self, row: &CallRow<'_>) {
+        let is_served = matches!(row.answer, Some((_, CallAnswer::Complete(200..=299, _))));
+        self.sent += 1;
+        self.served += usize::from(is_served);
+    }
+}
+
 fn check_log_calls(history: &[TimedEntry]) -> Vec<Violation> {
     let vms: HashSet<usize> = history
         .iter()
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::{
     history::{HistoryEvent, SharedHistory},
     organisations::{QUOTA_OVERRUN_RATIO, QUOTA_SLACK, QUOTA_WINDOW, REVOCATION_BOUND},
+    run::RunPlan,
 };
 use hoplanding_standins::relay::{LinkRelay, LinkState};
 use nix::{
@@ -15,8 +16,8 @@
 use std::{
     fs::{self, File},
     io::{self, BufRead, BufReader, Write},
-    net::SocketAddr,
-    path::{Path, PathBuf},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
     sync::{Arc, Mutex, MutexGuard},
     thread,
@@ -50,6 +51,8 @@
     folder: PathBuf,
     program: PathBuf,
     settings: Value,
+    /// Address from which the daemon connects to targets.
+    pub source: IpAddr,
     history: SharedHistory,
     state: Arc<Mutex<ProcessState>>,
 }
@@ -63,15 +66,14 @@
         index: usize,
         zones: &[String],
         log: SocketAddr,
-        recovery_bound: Duration,
-        program: &Path,
-        folder: &Path,
+        plan: &RunPlan,
         history: SharedHistory,
     ) -> io::Result<Self> {
         let log_link = LinkRelay::start().await?;
         log_link.set_target(log);
         let zone = zones[index % zones.len()].clone();
-        let settings = json!({
+        let source = source_address(index);
+        let mut settings = json!({
             "mode": "direct",
             "vm": format!("vm-{index}"),
             "zone": zone,
@@ -83,18 +85,23 @@
             "zones": zones,
             "retries": { "ratio": crate::checks::RETRY_RATIO, "slack": crate::checks::RETRY_SLACK as u64 },
             "revocation": { "strict": true, "bound_ms": REVOCATION_BOUND.as_millis() as u64 },
-            "recovery": { "bound_s": recovery_bound.as_secs_f64() },
+            "recovery": { "bound_s": plan.recovery_bound().as_secs_f64() },
             "quotas": { "window_s": QUOTA_WINDOW.as_secs(), "over": QUOTA_OVERRUN_RATIO, "slack": QUOTA_SLACK },
             "orders_fenced": true,
             "log": { "level": "debug" },
         });
+        if plan.has_path_losses() {
+            // Daemons of earlier versions do not know this setting.
+            settings["target_source_address"] = json!(source.to_string());
+        }
         let vm = Self {
             index,
             zone,
             log_link,
-            folder: folder.to_owned(),
-            program: program.to_owned(),
+            folder: plan.folder.clone(),
+            program: plan.program.clone(),
             settings,
+            source,
             history,
             state: Arc::default(),
         };
@@ -246,6 +253,12 @@
     }
 }
 
+/// Address of a VM, by which targets tell VMs apart.
+fn source_address(index: usize) -> IpAddr {
+    let [high, low] = (index as u16 + 1).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 0, high + 1, low))
+}
+
 /// Settings of a reload step: some that apply to a running process, and `pace`, which applies only after a restart. The retry
 /// budget only shrinks, so that the limits that the checks use hold for every step.
 fn changed_settings(first: &Value, step: usize) -> Value {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -221,6 +221,16 @@
     },
     /// A fault of the log started or ended.
     LogDisturbed,
+    /// A VM was cut off from all targets.
+    PathLost {
+        /// The VM.
+        vm: usize,
+    },
+    /// A VM reaches the targets again.
+    PathRestored {
+        /// The VM.
+        vm: usize,
+    },
 }
 
 /// Event with its time.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -35,6 +35,12 @@
         default = "0"
     )]
     losses: usize,
+    #[options(
+        no_short,
+        help = "number of times in a run that one VM, or all but one, lose the path to all targets",
+        default = "2"
+    )]
+    path_losses: usize,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -152,6 +158,7 @@
         fault_count: args.faults,
         extra_fault_count: args.beside,
         config_loss_count: args.losses,
+        path_loss_count: args.path_losses,
         program: args.daemon.clone(),
         folder: args.out.join(format!("seed-{seed}")),
         defect: InjectedDefect::None,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! A single run: starts a small fleet, sends calls, injects the scheduled faults and checks the recorded history.
 
 mod losses;
+mod path_losses;
 
 use crate::{
     adapter_store::{ADAPTER_SLOTS, BASE_MODEL, FIRST_VERSION},
@@ -10,7 +11,7 @@
     history::{CallKind, HistoryEvent, SharedHistory, TimedEntry},
     organisations::{draw_key, rotated_key, tenant_configs},
     prompts::prompt_parts,
-    schedule::{FaultKind, PlannedFault, config_losses, extra_faults, seeded_faults},
+    schedule::{FaultKind, PlannedFault, config_losses, extra_faults, path_losses, seeded_faults},
     targets::{InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
@@ -90,6 +91,8 @@
     pub extra_fault_count: usize,
     /// Number of faults drawn from [`FaultKind::CONFIG_LOSSES`].
     pub config_loss_count: usize,
+    /// Number of faults drawn from [`FaultKind::PATH_LOSSES`].
+    pub path_loss_count: usize,
     /// Path of the daemon's executable.
     pub program: PathBuf,
     /// Directory for the settings, logs and fault schedule of the run.
@@ -107,14 +110,23 @@
             let mut faults = seeded_faults(self.seed, span, self.fault_count);
             faults.extend(extra_faults(self.seed, span, self.extra_fault_count));
             faults.extend(config_losses(self.seed, span, self.config_loss_count));
+            faults.extend(path_losses(self.seed, span, self.path_loss_count));
             faults.sort_by_key(|fault| fault.at_ms);
             faults
         })
     }
 
+    /// Whether paths to targets are lost in the run.
+    #[must_use]
+    pub fn has_path_losses(&self) -> bool {
+        let mut kinds = self.schedule().into_iter().map(|fault| fault.kind);
+        kinds.any(|kind| FaultKind::PATH_LOSSES.contains(&kind))
+    }
+
     /// The daemons' setting for the time that operators need to rewrite what a restored log lacks. VMs refuse calls with
     /// keys for that time, so runs in which operators are quick have a short one.
-    fn recovery_bound(&self) -> Duration {
+    #[must_use]
+    pub fn recovery_bound(&self) -> Duration {
         let mut kinds = self.schedule().into_iter().map(|fault| fault.kind);
         if kinds.any(|kind| FaultKind::CONFIG_LOSSES.contains(&kind)) {
             LONG_RECOVERY_BOUND
@@ -163,6 +175,8 @@
     log_outages: Mutex<usize>,
     /// Number of calls with keys that lost configurations revoked.
     revoked_calls: AtomicUsize,
+    /// Number of current path losses by VM.
+    path_losses: Mutex<BTreeMap<usize, usize>>,
 }
 
 /// Executes a run and checks its history.
@@ -217,15 +231,7 @@
             .collect();
         let mut vms = Vec::new();
         for index in 0..plan.zones * plan.vms_per_zone {
-            let vm = SoakVm::new(
-                index,
-                &zones,
-                log.address(),
-                plan.recovery_bound(),
-                &plan.program,
-                &plan.folder,
-                history.clone(),
-            );
+            let vm = SoakVm::new(index, &zones, log.address(), plan, history.clone());
             vms.push(Arc::new(vm.await?));
         }
         let cluster = Self {
@@ -243,6 +249,7 @@
             operators: AsyncMutex::default(),
             log_outages: Mutex::default(),
             revoked_calls: AtomicUsize::default(),
+            path_losses: Mutex::default(),
         };
         for index in 0..plan.zones * plan.engines_per_zone {
             cluster
@@ -549,6 +556,10 @@
             FaultKind::LoseUnreadConfig
             | FaultKind::LoseConfigInOutage
             | FaultKind::LoseReadConfig => self.lose_configs(fault).await,
+            FaultKind::PathHangs
+            | FaultKind::PathReset
+            | FaultKind::PathRefused
+            | FaultKind::MostPathsHang => self.lose_paths(fault).await,
             FaultKind::Restore => self.restore_log(1 + fault.index % MAX_LOST_RECORDS).await,
             FaultKind::Rest => {
                 let role = self.target(fault.index).role;
@@ -679,6 +690,12 @@
             .expect("no thread panics while it holds the lock")
     }
 
+    fn lock_path_losses(&self) -> std::sync::MutexGuard<'_, BTreeMap<usize, usize>> {
+        self.path_losses
+            .lock()
+            .expect("no thread panics while it holds the lock")
+    }
+
     fn lock_targets(&self) -> std::sync::MutexGuard<'_, Vec<Arc<SoakTarget>>> {
         self.targets
             .lock()
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -61,6 +61,14 @@
     LoseConfigInOutage,
     /// As [`Self::LoseUnreadConfig`], but VMs read the configurations before the log is lost.
     LoseReadConfig,
+    /// The connections of a VM to all targets hang.
+    PathHangs,
+    /// The connections of a VM to all targets are reset.
+    PathReset,
+    /// A VM's new connections to targets are reset, and its open ones continue.
+    PathRefused,
+    /// The connections of all VMs but one to all targets hang.
+    MostPathsHang,
 }
 
 impl FaultKind {
@@ -96,6 +104,14 @@
         Self::LoseConfigInOutage,
         Self::LoseReadConfig,
     ];
+
+    /// Kinds of the faults from [`path_losses`], which leave all other schedules unchanged.
+    pub const PATH_LOSSES: [Self; 4] = [
+        Self::PathHangs,
+        Self::PathReset,
+        Self::PathRefused,
+        Self::MostPathsHang,
+    ];
 }
 
 impl fmt::Display for FaultKind {
@@ -159,6 +175,13 @@
     draw_faults(seed, &FaultKind::CONFIG_LOSSES, span / 2, count)
 }
 
+/// Draws `count` faults of [`FaultKind::PATH_LOSSES`] within a span, ordered by start time.
+#[must_use]
+pub fn path_losses(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    let seed = seed.rotate_left(16);
+    draw_faults(seed, &FaultKind::PATH_LOSSES, span, count)
+}
+
 fn draw_faults(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -19,6 +19,7 @@
     SEAL, WEIGHT_VERSIONS,
 };
 use hoplanding_standins::{
+    path_cuts::PathCuts,
     prompt_cache::PromptCaches,
     raw_target::{RawRequest, RawResponse, RawTarget},
 };
@@ -85,6 +86,8 @@
     pub caches: Arc<PromptCaches>,
     /// Newest published versions by adapter name; the empty name stands for the base model.
     pub versions: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// Paths from the VMs to the targets.
+    pub cuts: Arc<PathCuts>,
     /// Defect of the targets.
     pub defect: InjectedDefect,
 }
@@ -97,6 +100,7 @@
             history,
             caches: Arc::default(),
             versions: Arc::default(),
+            cuts: Arc::default(),
             defect,
         }
     }
@@ -178,6 +182,7 @@
         context: TargetContext,
     ) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(TargetState::new(base)));
+        let cuts = Arc::clone(&context.cuts);
         let address = Arc::new(OnceLock::new());
         let handler = Arc::new(TargetHandler {
             name: name.to_owned(),
@@ -185,7 +190,8 @@
             context,
             state: Arc::clone(&state),
         });
-        let server = RawTarget::start(move |request: &RawRequest| handler.answer(request)).await?;
+        let answer = move |request: &RawRequest| handler.answer(request);
+        let server = RawTarget::start_behind(&cuts, answer).await?;
         address
             .set(server.address)
             .expect("the address is set once");
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -528,3 +528,51 @@
         [Guarantee::LogCallRate]
     );
 }
+
+/// Calls sent every 50 ms for 8 s, to VM 0 and VM 1 in turn. VM 0 has no path to targets from 1 s on, and serves every
+/// `lost_period`-th of its calls after that.
+fn history_of_lost_path(lost_period: usize) -> Vec<TimedEntry> {
+    let mut history = vec![at(1_000, HistoryEvent::PathLost { vm: 0 })];
+    for number in 0..160_usize {
+        let (id, ms) = (format!("r{number}"), number as u64 * 50);
+        let vm = number % 2;
+        let event = HistoryEvent::Sent {
+            id: id.clone(),
+            kind: CallKind::Idempotent,
+            vm,
+            adapter: String::new(),
+        };
+        history.push(at(ms, event));
+        let is_served = vm == 1 || ms < 1_000 || (number / 2).is_multiple_of(lost_period);
+        let answer = if is_served {
+            CallAnswer::Complete(200, expected_body(CallKind::Idempotent, &id, 0))
+        } else {
+            CallAnswer::Complete(503, String::new())
+        };
+        history.push(answered(ms + 10, &id, answer));
+    }
+    history.sort_by_key(|entry| entry.at);
+    history
+}
+
+#[test]
+fn callers_left_unserved_by_a_vm_without_a_path_are_found() {
+    let found = check(&history_of_lost_path(10));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].guarantee, Guarantee::PathIndependence);
+    assert!(check(&history_of_lost_path(1)).is_empty());
+}
+
+#[test]
+fn calls_at_a_vm_without_a_path_are_not_judged_while_it_is_out_of_contact() {
+    let mut history = history_of_lost_path(10);
+    for ms in [3_500, 5_500, 7_500] {
+        let disturbed = HistoryEvent::VmDisturbed {
+            vm: 0,
+            is_planned: false,
+        };
+        history.push(at(ms, disturbed));
+    }
+    history.sort_by_key(|entry| entry.at);
+    assert!(check(&history).is_empty());
+}
