Check a path by engines alone, and before a stalled stream resumes

A VM whose sends to all targets hung served nobody for as long as they hung, where a zone had fewer than three engines: the check of its path also asked plain targets, and took a connection that stays open for an answer. A stalled stream that may be resumed used its last attempt on the path that had just been lost.

Engines alone are asked where a zone has two or more, as they answer report requests. A stall is a reason for a check before the stream is sent again.

Soak: a call whose VM had no path to targets is not one that a planned stop interrupted, as the users' rule counts only calls without an unplanned disruption.

--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -158,9 +158,16 @@
         BrokenAnswer(cause.to_owned())
     }
 
-    /// Checks whether the target crashed, if it broke the stream off. A stalled target has not broken it off.
+    /// Finds out whether the target crashed, if it broke the stream off, or whether the path to a stalled target is lost, so
+    /// that the stream does not resume over that path.
     async fn check_target(&self, is_stalled: bool) {
-        if let Some(open) = self.open.as_ref().filter(|_| !is_stalled) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        if is_stalled {
+            let pool = &self.call.context.pool;
+            pool.check_path(&open.entry.zone).await;
+        } else {
             let is_trial = open.in_flight.is_trial();
             self.call.probe_after_failure(&open.entry, is_trial).await;
         }
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -115,7 +115,8 @@
         let mut tick = interval(TICK_INTERVAL);
         loop {
             tick.tick().await;
-            for zone in self.table().due_checks(clock::now()) {
+            let zones = self.table().due_checks(clock::now());
+            for zone in zones {
                 let monitor = Arc::clone(&self);
                 tokio::spawn(async move { monitor.check(&zone, clock::now(), true).await });
             }
@@ -270,8 +271,9 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Targets that show whether the path to a zone is lost. Engines come first, as they answer report requests. A zone
-    /// with too few targets is checked together with others.
+    /// Targets that show whether the path to a zone is lost. Engines alone are asked if there are enough of them: they
+    /// answer report requests, while an open connection to another target proves less. A zone with too few targets is
+    /// checked together with others.
     fn targets_to_check(&self, zone: &AvailabilityZone) -> Vec<CheckedTarget> {
         let mut targets: Vec<_> = {
             let tables = self.fleet.tables();
@@ -290,10 +292,8 @@
                 .collect()
         };
         let is_in_zone = |target: &CheckedTarget| target.entry.zone == *zone;
-        let in_zone = targets.iter().filter(|target| is_in_zone(target)).count();
-        if in_zone >= MIN_CHECKED_TARGETS {
-            targets.retain(is_in_zone);
-        }
+        retain_if_enough(&mut targets, is_in_zone);
+        retain_if_enough(&mut targets, |target| target.is_engine);
         targets.shuffle(&mut rand::rng());
         targets.sort_by_key(|target| (!is_in_zone(target), !target.is_engine));
         targets.truncate(MAX_CHECKED_TARGETS);
@@ -350,6 +350,14 @@
     }
 }
 
+/// Keeps the targets that match, unless they are too few for a check.
+fn retain_if_enough(targets: &mut Vec<CheckedTarget>, is_match: impl Fn(&CheckedTarget) -> bool) {
+    let matching = targets.iter().filter(|target| is_match(target)).count();
+    if matching >= MIN_CHECKED_TARGETS {
+        targets.retain(is_match);
+    }
+}
+
 /// Whether an engine answers a report request, with whatever status.
 async fn answers_report(stream: TcpStream, entry: &TargetEntry) -> bool {
     let Ok((mut sender, connection)) = Builder::new().handshake(TokioIo::new(stream)).await else {
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Checks the path to a zone's targets now.
+    pub async fn check_path(&self, zone: &AvailabilityZone) {
+        self.paths.check_after_failure(zone, clock::now()).await;
+    }
+
     /// Whether the path to a zone's targets is lost.
     #[must_use]
     pub fn is_path_lost(&self, zone: &AvailabilityZone) -> bool {
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod starts;
 mod support;
+mod tunnels;
 mod twin_trials;
 mod unread_revocations;
 mod versions;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -561,10 +561,14 @@
 /// A request that ran while its VM was only stopped as planned or reloaded its settings must get a complete answer.
 fn check_planned_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
+    let losses = path_loss_spans(history);
     for (id, row) in &calls.rows {
         let Some((at, answer)) = row.answer else {
             continue;
         };
+        let is_path_lost = losses.iter().any(|loss| {
+            loss.vm == row.vm && loss.from <= at && row.sent <= loss.to + CONTACT_WINDOW
+        });
         let is_interrupted = matches!(answer, CallAnswer::Truncated(_) | CallAnswer::NoAnswer);
         let disturbances: Vec<_> = history
             .iter()
@@ -579,7 +583,7 @@
         let only_planned =
             !disturbances.is_empty() && disturbances.iter().all(|is_planned| *is_planned);
         let has_run = !row.runs.is_empty() && row.runs.iter().all(|run| !run.is_truncated);
-        if is_interrupted && only_planned && has_run {
+        if is_interrupted && only_planned && has_run && !is_path_lost {
             let description = format!(
                 "{id} was interrupted at {at:?} by the planned stop or the reload of VM {}",
                 row.vm
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -124,6 +124,7 @@
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<RawRequest>>>,
     connections: Arc<Mutex<usize>>,
+    limit: Arc<ConnectionLimit>,
     task: JoinHandle<()>,
 }
 
@@ -181,6 +182,7 @@
             open: AtomicUsize::new(0),
             max_connections,
         });
+        let open_limit = Arc::clone(&limit);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let requests = Arc::new(Mutex::new(Vec::new()));
@@ -230,6 +232,7 @@
             address,
             requests,
             connections,
+            limit: open_limit,
             task,
         })
     }
@@ -246,6 +249,12 @@
             .clone()
     }
 
+    /// Connections that are open now.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.limit.open.load(Ordering::SeqCst)
+    }
+
     /// Connections accepted so far.
     ///
     /// # Panics
