--- a/crates/daemon/src/direct/paths/tunnel_client.rs
+++ b/crates/daemon/src/direct/paths/tunnel_client.rs
@@ -22,9 +22,10 @@
         millis,
         tunnel_peers::{PeerCandidate, PeerFault, TunnelPeers},
     },
-    ids::{AvailabilityZone, VmName},
+    ids::{AvailabilityZone, Instant, VmName},
 };
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -41,8 +42,10 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
 /// VMs that are asked for one connection.
 const MAX_ASKED_VMS: usize = 3;
-/// Interval at which VMs with a path are looked for.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two searches for VMs with a path to a zone. It doubles with each search, as a whole zone may be partitioned
+/// from all others.
+const MIN_SEARCH_PAUSE: Duration = Duration::from_millis(250);
+const MAX_SEARCH_PAUSE: Duration = Duration::from_secs(2);
 /// VMs that are asked at once in a search.
 const MAX_SEARCHED_VMS: usize = 3;
 /// Lifetime of a tunnel that only shows whether a VM has a path.
@@ -99,6 +102,25 @@
     peers: Mutex<TunnelPeers>,
 }
 
+/// Pause until the next search.
+#[derive(Clone, Copy, Debug, Default)]
+struct SearchPause {
+    pause: Duration,
+    until: Instant,
+}
+
+impl SearchPause {
+    /// Whether the pause is over; if so, a longer one begins.
+    fn is_over(&mut self, now: Instant) -> bool {
+        let is_over = now >= self.until;
+        if is_over {
+            self.pause = (self.pause * 2).clamp(MIN_SEARCH_PAUSE, MAX_SEARCH_PAUSE);
+            self.until = now.after(self.pause);
+        }
+        is_over
+    }
+}
+
 enum PeerAnswer {
     Opened(Box<VmSocket>),
     Refused(TunnelFault),
@@ -117,12 +139,20 @@
 
     /// Looks for VMs with a path to each zone whose path is lost, until the runtime is dropped.
     pub async fn run(self: Arc<Self>) {
-        let mut tick = interval(SEARCH_INTERVAL);
+        let mut tick = interval(MIN_SEARCH_PAUSE);
+        let mut searches: HashMap<AvailabilityZone, SearchPause> = HashMap::new();
         loop {
             tick.tick().await;
             let zones = self.paths.lost_zones();
+            searches.retain(|zone, _| zones.contains(zone));
             for zone in &zones {
-                if !self.has_proven_peer(zone, None) {
+                if self.has_proven_peer(zone, None) {
+                    searches.remove(zone);
+                } else if searches
+                    .entry(zone.clone())
+                    .or_default()
+                    .is_over(clock::now())
+                {
                     self.search(zone);
                 }
             }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -169,7 +169,7 @@
     /// A target of a zone answers this VM again.
     PathRestored = 731, Info, "path to a zone's targets restored";
     /// Another VM made no connection to a target for this VM.
-    TunnelFailed = 732, Info, "tunnel through another VM not opened";
+    TunnelFailed = 732, Debug, "tunnel through another VM not opened";
     /// An order was accepted.
     OrderAccepted = 710, Info, "order taken";
     /// An order was not accepted.
