Check a path by the health check of plain targets

Plain targets are now asked for the health check that the configuration names for their service; an open connection counts only where a service has none.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -98,6 +98,8 @@
     pub name: ServiceName,
     /// Connections that one target accepts from all VMs together.
     pub max_connections: u32,
+    /// Path of its targets' health check; `None` if they have none.
+    pub health_path: Option<String>,
     /// Capacity of its engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
 }
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     clock,
-    direct::{fleet::FleetState, metrics::ConnectResult, paths::watched_stream::WatchedStream},
+    direct::{
+        fleet::FleetState, metrics::ConnectResult, paths::watched_stream::WatchedStream,
+        target_connections::TargetRequest,
+    },
     event,
     events::Event,
 };
@@ -13,11 +16,12 @@
 use hoplanding_core::{
     direct::{
         catalog::{TargetEntry, TargetStage},
+        config::ServiceRule,
         paths::{PathChange, PathTable},
     },
     ids::{AvailabilityZone, Instant},
 };
-use hoplanding_platform::orders::encode_report_request;
+use hoplanding_platform::orders::{encode_health_check, encode_report_request};
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use rand::seq::SliceRandom;
@@ -43,7 +47,7 @@
 const MIN_CHECKED_TARGETS: usize = 2;
 /// Time limit of a check. Targets answer within a few milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which a connection to a target without reports must stay open to count as an answer.
+/// Time for which a connection to a target without a health check must stay open to count as an answer.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(15);
 
 /// Where a connection goes.
@@ -68,8 +72,8 @@
 #[derive(Debug)]
 struct CheckedTarget {
     entry: Arc<TargetEntry>,
-    /// Whether it answers report requests.
-    is_engine: bool,
+    /// Request that it answers; none if an open connection has to suffice.
+    request: Option<TargetRequest>,
 }
 
 /// Why a connection to a target was not made.
@@ -271,31 +275,28 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Targets that show whether the path to a zone is lost. Engines alone are asked if there are enough of them: they
-    /// answer report requests, while an open connection to another target proves less. A zone with too few targets is
-    /// checked together with others.
+    /// Targets that show whether the path to a zone is lost. Those that answer a request are preferred, as an open
+    /// connection proves less. A zone with too few targets is checked together with others.
     fn targets_to_check(&self, zone: &AvailabilityZone) -> Vec<CheckedTarget> {
         let mut targets: Vec<_> = {
             let tables = self.fleet.tables();
             let services = tables.active.as_ref().map(|active| &active.config.services);
-            let is_engine = |entry: &TargetEntry| {
-                let service = services.and_then(|services| services.get(&entry.service));
-                service.is_some_and(|service| service.engine.is_some())
-            };
+            let service =
+                |entry: &TargetEntry| services.and_then(|services| services.get(&entry.service));
             let listed = tables.catalog.iter();
             listed
                 .filter(|entry| entry.stage == TargetStage::Ready)
                 .map(|entry| CheckedTarget {
                     entry: Arc::clone(entry),
-                    is_engine: is_engine(entry),
+                    request: service(entry).and_then(|service| check_request(entry, service)),
                 })
                 .collect()
         };
         let is_in_zone = |target: &CheckedTarget| target.entry.zone == *zone;
         retain_if_enough(&mut targets, is_in_zone);
-        retain_if_enough(&mut targets, |target| target.is_engine);
+        retain_if_enough(&mut targets, |target| target.request.is_some());
         targets.shuffle(&mut rand::rng());
-        targets.sort_by_key(|target| (!is_in_zone(target), !target.is_engine));
+        targets.sort_by_key(|target| (!is_in_zone(target), target.request.is_none()));
         targets.truncate(MAX_CHECKED_TARGETS);
         targets
     }
@@ -323,12 +324,13 @@
         let Ok(stream) = self.open_stream(entry.address, CHECK_TIMEOUT).await else {
             return false;
         };
-        let is_answering = if target.is_engine {
-            answers_report(stream, entry).await
-        } else {
-            // Any read, also one that fails, means that the connection was closed or reset.
-            let closed = timeout(MIN_OPEN_TIME, stream.ready(Interest::READABLE));
-            closed.await.is_err()
+        let is_answering = match &target.request {
+            Some(request) => is_answered(stream, request.clone()).await,
+            None => {
+                // Any read, also one that fails, means that the connection was closed or reset.
+                let closed = timeout(MIN_OPEN_TIME, stream.ready(Interest::READABLE));
+                closed.await.is_err()
+            }
         };
         if is_answering {
             self.record_heard(&entry.zone, opened_at);
@@ -358,8 +360,17 @@
     }
 }
 
-/// Whether an engine answers a report request, with whatever status.
-async fn answers_report(stream: TcpStream, entry: &TargetEntry) -> bool {
+/// Request that shows whether a target is reachable: for an engine's report, or its service's health check.
+fn check_request(entry: &TargetEntry, service: &ServiceRule) -> Option<TargetRequest> {
+    match (&service.engine, &service.health_path) {
+        (Some(_), _) => Some(encode_report_request(&entry.name)),
+        (None, Some(path)) => encode_health_check(&entry.name, path),
+        (None, None) => None,
+    }
+}
+
+/// Whether a target answers a request, with whatever status.
+async fn is_answered(stream: TcpStream, request: TargetRequest) -> bool {
     let Ok((mut sender, connection)) = Builder::new().handshake(TokioIo::new(stream)).await else {
         return false;
     };
@@ -367,7 +378,6 @@
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    let request = encode_report_request(&entry.name);
     sender.send_request(request).await.is_ok()
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,7 @@
     organisations::{draw_key, rotated_key, tenant_configs},
     prompts::prompt_parts,
     schedule::{FaultKind, PlannedFault, config_losses, extra_faults, path_losses, seeded_faults},
-    targets::{InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
+    targets::{HEALTH_PATH, InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
@@ -389,7 +389,7 @@
             "version": version,
             "routes": routes,
             "services": [
-                { "name": "ledger", "max_connections": 100 },
+                { "name": "ledger", "max_connections": 100, "health_path": HEALTH_PATH },
                 { "name": "scribe", "max_connections": 100, "engine": {
                     "slots": 8, "kv_capacity": 100_000, "adapter_slots": ADAPTER_SLOTS,
                     "loads_per_s": 100.0, "models": [{ "name": BASE_MODEL }] } },
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -52,6 +52,9 @@
 /// Time after which the connection of an unanswered order is closed, longer than any daemon waits for the answer.
 const UNANSWERED_ORDER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Path of the targets' health check.
+pub const HEALTH_PATH: &str = "/health";
+
 /// Kind of requests that a target serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetRole {
@@ -302,6 +305,7 @@
         let answer = match path {
             REPORT_PATH => self.report(),
             ORDER_PATH => self.answer_order(request),
+            HEALTH_PATH => RawResponse::complete("200 OK", "", ""),
             _ => self.run(request, path),
         };
         self.with_announcement(request, answer)
