--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -231,9 +231,9 @@
         is_direct.then(|| self.paths.wait_guard(&connection.zone))
     }
 
-    /// Sends a request over a connection and waits for the head of the answer. A failure shows whether the path is lost
-    /// before it is returned. If the path of the connection is lost
-    /// meanwhile, `on_loss` decides whether to go on waiting, as the path may be restored before the deadline.
+    /// Sends a request over a connection and waits for the head of the answer. After a failure, the path is checked before
+    /// the failure is returned. If the path is lost meanwhile, `on_loss` decides whether to go on waiting, as it may be
+    /// restored before the deadline.
     ///
     /// # Errors
     /// As for [`TargetConnection::send`], and [`SendError::Unanswered`] if the wait ended with the path.
