--- a/crates/core/tests/load/simulation.rs
+++ b/crates/core/tests/load/simulation.rs
@@ -150,6 +150,21 @@
     cached_prefixes: VecDeque<(u32, u64)>,
 }
 
+impl ModelEngine {
+    fn report(&self) -> EngineReport {
+        let adapters = self.adapters.iter().map(|adapter| (adapter.clone(), 1));
+        let requests =
+            self.waiting.len() + usize::from(self.reading.is_some()) + self.streaming.len();
+        EngineReport {
+            orders_taken: self.sequence,
+            models: vec![(AdapterName::new("base"), 1)],
+            adapters: adapters.collect(),
+            requests: requests as u32,
+            ..EngineReport::default()
+        }
+    }
+}
+
 struct OpenCall {
     adapter: u32,
     /// Zones in the order in which they are queried.
@@ -484,7 +499,8 @@
                 planner.order_ended(&entry.name, outcome, Instant(now));
             }
             PlannerAction::FetchReport(entry) => {
-                planner.report_received(&entry.name, None, Instant(now));
+                let report = self.engines[&entry.name].report();
+                planner.report_received(&entry.name, Some(&report), Instant(now));
             }
             PlannerAction::RecordTransfer(_) => {}
         }
--- a/crates/daemon/tests/direct/reach.rs
+++ b/crates/daemon/tests/direct/reach.rs
@@ -7,7 +7,7 @@
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     path_cuts::{PathCuts, PathState},
-    raw_target::{RawRequest, RawTarget},
+    raw_target::{RawRequest, RawResponse, RawTarget},
 };
 use hoplandingd::direct::daemon::DirectDaemon;
 use std::{
@@ -42,15 +42,29 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, 0, 11 + vm as u8))
 }
 
+/// Makes a target close its connection after each answer.
+fn closing(mut answer: RawResponse) -> RawResponse {
+    answer.closes_connection = true;
+    answer.with_header("Connection: close\r\n")
+}
+
 impl CutSite {
     async fn start() -> Self {
+        Self::start_with(|answer| answer).await
+    }
+
+    /// Starts a site whose targets change each of their answers.
+    async fn start_with(change: fn(RawResponse) -> RawResponse) -> Self {
         let log = KeyedLog::start().await.expect("a log");
         let cuts = Arc::new(PathCuts::default());
         let mut targets = Vec::new();
         for number in 0..4 {
-            let engine =
-                RawTarget::start_behind(&cuts, |request: &RawRequest| stream_answer(request, None));
-            let plain = RawTarget::start_behind(&cuts, good_answer);
+            let engine = RawTarget::start_behind(&cuts, move |request: &RawRequest| {
+                change(stream_answer(request, None))
+            });
+            let plain = RawTarget::start_behind(&cuts, move |request: &RawRequest| {
+                change(good_answer(request))
+            });
             for (service, target) in [("scribe", engine.await), ("ledger", plain.await)] {
                 let target = target.expect("a target");
                 let entry = target_entry(service, target.address, "ready", &["a1@1"]);
@@ -174,7 +188,10 @@
 
 /// Cuts VMs off, and checks that all VMs serve nearly all of their callers.
 async fn check_service(state: PathState, is_cut: impl Fn(usize, usize) -> bool) {
-    let site = CutSite::start().await;
+    check_service_of(CutSite::start().await, state, is_cut).await;
+}
+
+async fn check_service_of(site: CutSite, state: PathState, is_cut: impl Fn(usize, usize) -> bool) {
     let holder = site.holder();
     for vm in (0..site.vms.len()).filter(|vm| is_cut(*vm, holder)) {
         site.cut(vm, state);
@@ -215,6 +232,14 @@
     check_service(PathState::RefusingNew, |vm, holder| vm == (holder + 1) % 3).await;
 }
 
+/// Targets close their connections after each answer, so that no idle one is left.
+#[tokio::test]
+async fn a_vm_without_idle_connections_that_gets_no_new_ones_serves_its_callers() {
+    let site = CutSite::start_with(closing).await;
+    let is_cut = |vm, holder| vm == (holder + 1) % 3;
+    check_service_of(site, PathState::RefusingNew, is_cut).await;
+}
+
 /// One VM of three is left to reach targets for all of them.
 #[tokio::test]
 async fn the_last_vm_with_a_path_to_targets_serves_the_calls_of_the_others() {
