Issue a claimant's first orders only after a read that proves its claim

What callers saw: a VM whose claim the log acknowledged and lost gave orders beside the zone's holder.

Cause: after the wait a claimant read the topic once more, but where the log did not answer for one more handover delay, the acknowledgement of the claim and the passing of time stood for that read. Shown by the log: E702 every 150 ms from the end of the wait on, then the order, and no read in between.

Change: only a read of the fleet topic that was sent after the wait confirms a claim: it was answered in the era of the claim, and its newest record of the zone is the claim. The read may be another VM's, as the log may be out of reach of the claimant alone: a claimant that the log does not answer asks for it in its heartbeats, linked VMs that read the log read at once and answer in theirs, and the echo of a heartbeat dates the read by the claimant's clock. Both fields of the heartbeat may be absent, so older builds link as before. E728 and E729 tell an unproven claim from a confirmed one, and by whose read.

Why it works: a lost claim makes the log's era rise, and a claim by another VM is a newer record; a read that was sent after the wait shows either. An acknowledgement shows neither.

--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -37,6 +37,18 @@
     pub held_ms: u32,
 }
 
+impl HeartbeatEcho {
+    /// Latest time, by the receiver's own clock, that is certain to be no later than `age_ms` milliseconds before the
+    /// echo was sent. `None` if that is before the start of the clock.
+    #[must_use]
+    pub fn time_before(&self, age_ms: u32) -> Option<Instant> {
+        let replied_at = self.sent + u64::from(self.held_ms) * 1_000;
+        replied_at
+            .checked_sub(u64::from(age_ms) * 1_000)
+            .map(Instant)
+    }
+}
+
 /// Bound on the use of revoked keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RevocationRule {
@@ -68,9 +80,8 @@
         if current_version < forwarded.version {
             return false;
         }
-        let replied_at = echo.sent + u64::from(echo.held_ms) * 1_000;
-        let proven_at = replied_at.checked_sub(u64::from(forwarded.age_ms) * 1_000);
-        proven_at.is_some_and(|proven_at| self.advance(Instant(proven_at)))
+        echo.time_before(forwarded.age_ms)
+            .is_some_and(|proven_at| self.advance(proven_at))
     }
 
     fn advance(&mut self, proven_at: Instant) -> bool {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -42,6 +42,7 @@
 pub mod freshness;
 pub mod health;
 pub mod lease;
+pub mod lease_read;
 pub mod limits;
 pub mod load_limiter;
 pub mod log_contact;
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -3,7 +3,9 @@
 //! The lease is a record in the fleet topic of the platform's log. A claim is a conditional append: it succeeds only if
 //! this VM has read the topic to its end, so concurrent claims cannot both succeed. Unless the previous holder released
 //! the lease or its process ended, it may issue orders until the handover delay has passed since the claim. The claimant
-//! waits for that long and reads the topic once more before its first order.
+//! waits for that long, and issues its first order only once a read of the topic that was sent after the wait proves that
+//! the claim stands. A claim without a wait needs no such proof: no other VM held the zone when it was recorded, and one
+//! that claims it in a later era waits.
 
 use crate::{
     clock::{self, MAX_CLOCK_SKEW},
@@ -19,8 +21,8 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::lease::{HolderContact, HolderView, LeaseAction, LeaseState, ZoneLease},
-    ids::LogPosition,
+    direct::lease::{HolderContact, HolderView, LeaseAction, ZoneLease},
+    ids::{Instant, LogPosition},
 };
 use hoplanding_platform::{
     names::FLEET_TOPIC,
@@ -65,17 +67,33 @@
     Unanswered,
 }
 
+/// Backoff between reads that would prove a claim. The reader of the fleet topic also proves it once the log is back.
+#[derive(Default)]
+struct ProofBackoff {
+    failures: u32,
+    next_read_at: Instant,
+}
+
+impl ProofBackoff {
+    fn record_failure(&mut self) {
+        let pause = MIN_CLAIM_BACKOFF * 2_u32.saturating_pow(self.failures);
+        self.next_read_at = clock::now().after(pause.min(MAX_CLAIM_BACKOFF));
+        self.failures += 1;
+    }
+}
+
 impl ClaimWorker {
     /// Watches the lease until a planned stop begins. This VM must not claim again what it releases during the stop.
     pub async fn run(self) {
         let mut client = StoreClient::new(self.settings.platform_address);
         let mut backoff = MIN_CLAIM_BACKOFF;
+        let mut proof_backoff = ProofBackoff::default();
         loop {
             sleep(POLL_INTERVAL).await;
             if *self.stop.borrow() != StopPhase::Serving {
                 return;
             }
-            self.confirm_claim(&mut client).await;
+            self.prove_claim(&mut client, &mut proof_backoff).await;
             for _ in 0..MAX_CLAIM_ATTEMPTS {
                 if !self.should_claim() {
                     break;
@@ -132,7 +150,9 @@
             rank,
             waiting_claim_age: lease.as_ref().and_then(min_claim_age),
             is_log_restored: tables.is_outdated(&self.fleet.zone),
-            is_holder: lease.as_ref().is_some_and(|lease| self.is_own_lease(lease)),
+            is_holder: lease
+                .as_ref()
+                .is_some_and(|lease| self.fleet.is_own_lease(lease)),
             is_sole_holder: self.is_confirmed(&tables)
                 && tables.fleet_read_at.is_some_and(|read_at| {
                     now < read_at.after(self.settings.leases.handover_delay)
@@ -160,37 +180,29 @@
         state.is_some_and(|state| tables.confirmed_token == Some(state.token()))
     }
 
-    /// Confirms a claim by reading the topic once more after the claim's order delay. A log that was restored from a
-    /// copy may lack the claim, and another VM may hold the zone since then. If the log is unreachable, the claim
-    /// counts as confirmed after one more handover delay, which would suffice if the log were never restored.
-    async fn confirm_claim(&self, client: &mut StoreClient) {
-        let now = clock::now();
-        let lease = self.fleet.lease(&self.fleet.zone);
-        let (end, orders_from) = {
-            let tables = self.fleet.tables();
-            let is_confirmation_due = lease.is_some_and(|lease| self.is_own_lease(&lease))
-                && !self.is_confirmed(&tables)
-                && now >= tables.orders_from;
-            let Some(end) = tables.fleet_end.filter(|_| is_confirmation_due) else {
-                return;
-            };
-            (end, tables.orders_from)
-        };
-        let is_read = self.read_fleet_from(client, end).await;
-        if !is_read && now < orders_from.after(self.settings.leases.handover_delay) {
+    /// Reads the topic after the claim's wait, which confirms the claim if it stands.
+    async fn prove_claim(&self, client: &mut StoreClient, backoff: &mut ProofBackoff) {
+        if !self.fleet.is_claim_pending() {
+            *backoff = ProofBackoff::default();
             return;
         }
-        let lease = self.fleet.lease(&self.fleet.zone);
-        let mut tables = self.fleet.tables();
-        let is_held = lease.is_some_and(|lease| self.is_own_lease(&lease));
-        if is_held && !tables.is_outdated(&self.fleet.zone) {
-            let state = tables.leases.get(&self.fleet.zone);
-            tables.confirmed_token = state.map(LeaseState::token);
+        if clock::now() < backoff.next_read_at {
+            return;
+        }
+        let from = self.fleet.known_end(FeedTopic::Fleet);
+        let read = self.read_fleet_from(client, from).await;
+        let is_answered = matches!(read, Ok(()) | Err(StoreError::EraMismatch(_)));
+        self.fleet.record_proof_read(is_answered);
+        if let Err(error) = read {
+            if backoff.failures == 0 {
+                event!(
+                    Event::ClaimUnproven,
+                    "{}: {error}; no orders until this VM or a linked one reads the log",
+                    self.fleet.zone
+                );
+            }
+            backoff.record_failure();
         }
-    }
-
-    fn is_own_lease(&self, lease: &ZoneLease) -> bool {
-        lease.vm.as_ref() == Some(&self.fleet.vm) && lease.incarnation == self.fleet.incarnation
     }
 
     /// Value of the claim's `waits_since_ms`: set if this VM waits before its first order.
@@ -223,45 +235,52 @@
                 event!(Event::LeaseClaimed, "{} at {position}", self.fleet.zone);
                 {
                     let mut tables = self.fleet.tables();
-                    let has_no_delay = tables.claim_delay.is_zero();
-                    tables.confirmed_token = has_no_delay.then(|| position.token());
+                    let order_delay = tables.claim_delay;
+                    tables.orders_from = clock::now().after(order_delay);
+                    tables.confirmed_token = order_delay.is_zero().then(|| position.token());
                 }
                 self.fleet.apply_own_record(key, value, position);
                 self.fleet.record_fleet_read(sent_at);
                 ClaimResult::Recorded
             }
-            Err(StoreError::EndMoved(_)) if self.read_fleet_from(client, end).await => {
-                ClaimResult::Conflict
-            }
-            Err(StoreError::EndMoved(_)) => ClaimResult::Unanswered,
+            Err(StoreError::EndMoved(_)) => match self.read_fleet_from(client, end).await {
+                Ok(()) => ClaimResult::Conflict,
+                Err(error) => self.record_unanswered_claim(&error),
+            },
             Err(error) => {
-                if let StoreError::EraMismatch(era) = error {
-                    self.fleet.observe_era(era);
-                }
-                event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
-                ClaimResult::Unanswered
+                self.observe_era_of(&error);
+                self.record_unanswered_claim(&error)
             }
         }
     }
 
-    /// Reads the fleet topic from a position on; returns whether the read succeeded.
-    async fn read_fleet_from(&self, client: &mut StoreClient, from: LogPosition) -> bool {
+    fn record_unanswered_claim(&self, error: &StoreError) -> ClaimResult {
+        event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
+        ClaimResult::Unanswered
+    }
+
+    /// Reads the fleet topic from a position on.
+    async fn read_fleet_from(
+        &self,
+        client: &mut StoreClient,
+        from: LogPosition,
+    ) -> Result<(), StoreError> {
         let timeout = self.settings.timing.platform_timeout;
-        match client
+        let sent_at = clock::now();
+        let read = client
             .read(FLEET_TOPIC, from, Duration::ZERO, timeout)
-            .await
-        {
-            Ok(batch) => {
-                self.fleet.apply_records(FeedTopic::Fleet, from, &batch);
-                true
-            }
-            Err(error) => {
-                if let StoreError::EraMismatch(era) = error {
-                    self.fleet.observe_era(era);
-                }
-                event!(Event::ClaimFailed, "{}: {error}", self.fleet.zone);
-                false
-            }
+            .await;
+        let batch = read.inspect_err(|error| self.observe_era_of(error))?;
+        self.fleet.apply_records(FeedTopic::Fleet, from, &batch);
+        if batch.next == batch.end && from <= self.fleet.known_end(FeedTopic::Fleet) {
+            self.fleet.record_lease_read(sent_at, batch.end);
+        }
+        Ok(())
+    }
+
+    fn observe_era_of(&self, error: &StoreError) {
+        if let StoreError::EraMismatch(era) = error {
+            self.fleet.observe_era(*era);
         }
     }
 }
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -123,7 +123,7 @@
             let end = listing.end;
             self.fleet.apply_listing(self.topic, &listing);
             self.record_config_read(sent_at);
-            self.record_fleet_read(sent_at);
+            self.record_fleet_read(sent_at, sent_at, end);
             self.wait_for_link().await;
             let listed_at = Instant::now();
             self.read_from(&mut client, end).await;
@@ -189,11 +189,17 @@
         }
     }
 
-    /// Records the time as of which the newest leases are known. It is not the arrival of the answer,
-    /// which may have waited while this VM was suspended.
-    fn record_fleet_read(&self, known_at: hoplanding_core::ids::Instant) {
+    /// Records when a read to the end of the topic was sent, and the time as of which the newest leases are
+    /// known. That is not the arrival of the answer, which may have waited while this VM was suspended.
+    fn record_fleet_read(
+        &self,
+        sent_at: hoplanding_core::ids::Instant,
+        known_at: hoplanding_core::ids::Instant,
+        end: LogPosition,
+    ) {
         if self.topic == FeedTopic::Fleet {
             self.fleet.record_fleet_read(known_at);
+            self.fleet.record_lease_read(sent_at, end);
         }
     }
 
@@ -233,14 +239,18 @@
                 return;
             }
             let mut returns = self.reachability.watch();
+            let mut lease_requests = self.fleet.watch_lease_requests();
             let sent_at = clock::now();
             let wait = self.read_wait();
+            let is_long_poll = self.topic == FeedTopic::Fleet && !wait.is_zero();
             let reading = client.read(topic, from, wait, self.timing.platform_timeout);
             let read = tokio::select! {
                 read = reading => read,
                 // Another worker found that the log was out of reach and is back, so this
                 // connection may be dead.
                 _ = returns.changed() => continue,
+                // A claimant waits for a read that is sent from now on.
+                _ = lease_requests.changed(), if is_long_poll => continue,
                 // The awaited position belongs to an earlier era.
                 _ = eras.changed() => return,
             };
@@ -256,7 +266,7 @@
                         } else {
                             Duration::ZERO
                         };
-                        self.record_fleet_read(sent_at.after(waited));
+                        self.record_fleet_read(sent_at, sent_at.after(waited), batch.end);
                     }
                     from = batch.next;
                     sleep(self.read_interval()).await;
@@ -333,6 +343,8 @@
             return Duration::ZERO;
         }
         match self.topic {
+            // The proof that a claimant waits for should not be older than necessary.
+            FeedTopic::Fleet if self.fleet.has_lease_request() => Duration::ZERO,
             FeedTopic::Targets => TARGET_READ_WAIT,
             FeedTopic::Operators if self.fleet.revocation.is_some() => KEY_PROOF_READ_WAIT,
             // The holder forwards what it reads, so the other VMs of its zone can read less often.
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -114,6 +114,8 @@
     pub fleet_end: Option<LogPosition>,
     /// Time up to which all records of the fleet topic are known, and with them the newest leases.
     pub fleet_read_at: Option<Instant>,
+    /// Last read of the fleet topic to its end by this VM: when it was sent, and the end.
+    pub fleet_read: Option<(Instant, LogPosition)>,
     /// Topics of which every key is known, from a listing by this VM or another one, with the
     /// position before which no record is missing.
     pub known_ends: BTreeMap<FeedTopic, LogPosition>,
@@ -157,10 +159,12 @@
     pub records: RecordCache,
     /// Delay between the claim in progress and the first order.
     pub claim_delay: Duration,
-    /// Earliest time of an order after this VM's last claim.
+    /// End of the wait after this VM's last claim. Only a read that was sent later proves the claim.
     pub orders_from: Instant,
     /// Fencing token of the claim with which this VM may issue orders.
     pub confirmed_token: Option<FencingToken>,
+    /// Whether the log did not answer the read that would prove this VM's claim, so that linked VMs are asked.
+    pub(super) is_proof_unanswered: bool,
     /// Counts target list entries that could not be used.
     pub skipped_entries: EntryLogLimiter,
     /// Counts unreadable headers in which targets describe themselves.
@@ -344,6 +348,7 @@
     changes: watch::Sender<u64>,
     pub(super) record_requests: watch::Sender<u64>,
     pub(super) read_requests: watch::Sender<Instant>,
+    pub(super) lease_requests: watch::Sender<Instant>,
     pub(super) updates: watch::Sender<u64>,
     pub(super) known_topics: watch::Sender<usize>,
     pub(super) eras: watch::Sender<StoreEra>,
@@ -377,6 +382,7 @@
                 listed_era: None,
                 fleet_end: None,
                 fleet_read_at: None,
+                fleet_read: None,
                 known_ends: BTreeMap::new(),
                 known_since: BTreeMap::new(),
                 gaps: BTreeMap::new(),
@@ -399,6 +405,7 @@
                 claim_delay: Duration::ZERO,
                 orders_from: Instant::default(),
                 confirmed_token: None,
+                is_proof_unanswered: false,
                 skipped_entries: EntryLogLimiter::default(),
                 unreadable_headers: EntryLogLimiter::default(),
                 leaving: LeavingTargets::default(),
@@ -407,6 +414,7 @@
             changes: watch::channel(0).0,
             record_requests: watch::channel(0).0,
             read_requests: watch::channel(Instant(0)).0,
+            lease_requests: watch::channel(Instant(0)).0,
             updates: watch::channel(0).0,
             known_topics: watch::channel(0).0,
             eras: watch::channel(StoreEra::default()).0,
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -265,7 +265,7 @@
         let mut heartbeat = interval(HEARTBEAT_INTERVAL);
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let is_same_zone = self.zone == self.fleet.zone;
-        let mut sharing = RecordSharing::new(&self.fleet, is_same_zone);
+        let mut sharing = RecordSharing::new(&self.fleet, &self.zone);
         if let Some(question) = sharing.initial_request()
             && send(&mut socket, &question).await.is_err()
         {
@@ -408,7 +408,7 @@
     zone: &mpsc::Sender<ZoneEvent>,
 ) -> io::Result<()> {
     let is_same_zone = *peer_zone == fleet.zone;
-    let mut sharing = RecordSharing::new(fleet, is_same_zone);
+    let mut sharing = RecordSharing::new(fleet, peer_zone);
     fleet.record_successor(&vm, is_same_zone);
     let (outbound, mut replies) = mpsc::channel(OUTBOUND_QUEUE_LEN);
     let mut heard = clock::now();
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -8,6 +8,7 @@
     direct::{
         freshness::{ForwardedProof, HeartbeatEcho},
         health::CallOutcome,
+        lease_read::ForwardedRead,
         limits::AdvertisedLimit,
         plain::PlainRequest,
         planner::{PlacementAnswer, PlacementRequest},
@@ -155,6 +156,14 @@
     pub const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Fleet];
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// Message between VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VmMessage {
@@ -190,6 +199,12 @@
         echo: Option<HeartbeatEcho>,
         /// Proof that the sender's configuration is the newest.
         proof: Option<ForwardedProof>,
+        /// Whether the sender asks for a read that proves its claim of its zone.
+        #[serde(default, skip_serializing_if = "is_false")]
+        asks_for_lease_read: bool,
+        /// The sender's last read of the lease of the receiver's zone, if the receiver asked for it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        lease_read: Option<ForwardedRead>,
     },
     /// Requests the placement of a call.
     Place(u64, Box<PlacementRequest>),
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -27,6 +27,7 @@
 //! | [`notices`] | notices that targets include in their answers |
 //! | [`skipped`] | limits log lines about unusable entries |
 //! | [`zone`], [`claims`] | the worker that runs a held zone, and claims of the zone's lease |
+//! | [`claim_proofs`] | reads that prove that a claim stands in the log |
 //! | [`holder_state`] | the holder's quota shares, and calls of plain services |
 //! | [`engine_client`] | orders to engines, and their reports |
 //! | [`holder_client`] | a gateway's access to the holder of a zone, with the requests and notifications sent to it |
@@ -35,6 +36,7 @@
 pub mod buffered_answer;
 pub mod call;
 pub mod caller_connections;
+pub mod claim_proofs;
 pub mod claims;
 pub mod daemon;
 pub mod engine_client;
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -20,7 +20,7 @@
 };
 use hoplanding_core::{
     direct::{freshness::HeartbeatEcho, millis},
-    ids::{Instant, LogPosition, TargetRun, VmName},
+    ids::{AvailabilityZone, Instant, LogPosition, TargetRun, VmName},
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -34,6 +34,7 @@
 /// Sharing state of one link.
 pub struct RecordSharing {
     fleet: Arc<FleetState>,
+    peer_zone: AvailabilityZone,
     is_same_zone: bool,
     /// Sequence number of the updates up to which they have been forwarded over this link.
     update_sequence: u64,
@@ -57,13 +58,16 @@
     answered_topics: BTreeSet<FeedTopic>,
     /// Clock value in the peer's last heartbeat, and when that arrived.
     last_heartbeat: Option<(u64, Instant)>,
+    /// Whether the peer's last heartbeat asked for a read that proves its claim.
+    is_lease_read_wanted: bool,
 }
 
 impl RecordSharing {
-    pub fn new(fleet: &Arc<FleetState>, is_same_zone: bool) -> Self {
+    pub fn new(fleet: &Arc<FleetState>, peer_zone: &AvailabilityZone) -> Self {
         Self {
             fleet: Arc::clone(fleet),
-            is_same_zone,
+            peer_zone: peer_zone.clone(),
+            is_same_zone: *peer_zone == fleet.zone,
             update_sequence: fleet.tables().records.next_sequence(),
             leaving_sequence: 0,
             updates: fleet.watch_updates(),
@@ -75,6 +79,7 @@
             replies: VecDeque::new(),
             answered_topics: BTreeSet::new(),
             last_heartbeat: None,
+            is_lease_read_wanted: false,
         }
     }
 
@@ -159,6 +164,9 @@
         let is_complete = self.is_same_zone && self.is_up_to_date() && self.replies.is_empty();
         let now = clock::now();
         let proof = self.fleet.tables().freshness_proof(now);
+        let lease_read = self
+            .is_lease_read_wanted
+            .then(|| self.fleet.lease_read(&self.peer_zone)?.forward(now));
         VmMessage::Heartbeat {
             contact: self.fleet.contact_report(),
             ends: if is_complete {
@@ -172,6 +180,8 @@
                 held_ms: millis(now.since(arrived)),
             }),
             proof,
+            asks_for_lease_read: self.fleet.asks_for_lease_read(),
+            lease_read: lease_read.flatten(),
         }
     }
 
@@ -290,8 +300,17 @@
                 sent,
                 echo,
                 proof,
+                asks_for_lease_read,
+                lease_read,
             } => {
                 self.last_heartbeat = Some((sent, clock::now()));
+                self.is_lease_read_wanted = asks_for_lease_read;
+                if asks_for_lease_read {
+                    self.fleet.record_lease_request();
+                }
+                if let (Some(read), Some(echo)) = (lease_read, echo) {
+                    self.fleet.apply_lease_read(vm, &read, &echo);
+                }
                 if let (Some(proof), Some(echo)) = (proof, echo) {
                     self.fleet.apply_proof(&proof, &echo);
                 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -164,6 +164,10 @@
     InvalidNotice = 727, Warn, "what a target says of itself can't be read";
     /// The holder of a zone releases its lease, as it can't reach the zone's targets.
     LeaseUnusable = 709, Warn, "lease given up without a path to the zone's targets";
+    /// The log can't be read after the wait that follows a claim.
+    ClaimUnproven = 728, Warn, "claim of a zone not confirmed yet";
+    /// A read shows that a claim stands in the log.
+    ClaimProven = 729, Info, "claim of a zone confirmed";
     /// No target of a zone answers this VM any more.
     PathLost = 730, Warn, "path to a zone's targets lost";
     /// A target of a zone answers this VM again.
--- a/crates/daemon/tests/direct/engine_simulator.rs
+++ b/crates/daemon/tests/direct/engine_simulator.rs
@@ -75,6 +75,8 @@
     orders_to_delay: usize,
     /// Number of delayed orders that were applied.
     delayed_orders_done: usize,
+    /// VMs that sent orders, one entry each order.
+    order_holders: Vec<String>,
     /// Number of requests still to be rejected.
     requests_to_reject: usize,
     /// Number of requests for a version that the engine did not have.
@@ -125,6 +127,7 @@
     version: Option<u64>,
     expected: Option<u64>,
     fencing_token: u64,
+    holder: String,
 }
 
 impl AdapterCopy {
@@ -233,6 +236,11 @@
         state.engines.get(engine)?.copies.get(adapter)?.version
     }
 
+    /// VMs that sent orders so far, accepted or not, one entry each order.
+    pub fn order_holders(&self) -> Vec<String> {
+        self.lock().order_holders.clone()
+    }
+
     /// The runs so far, in order.
     pub fn runs(&self) -> Vec<PromptRun> {
         self.lock().runs.clone()
@@ -302,6 +310,7 @@
         let order: WireOrder = serde_json::from_slice(&request.body).expect("an order");
         let now = Instant::now();
         let newest = self.newest;
+        self.order_holders.push(order.holder.clone());
         let engine = self.engines.get_mut(name).expect("the engine is simulated");
         if self.orders_to_delay > 0 && order.operation == "load" {
             self.orders_to_delay -= 1;
--- a/crates/daemon/tests/direct/leaving.rs
+++ b/crates/daemon/tests/direct/leaving.rs
@@ -119,7 +119,7 @@
     };
     let ready = (1..=600).map(|number| record(number, "ready", number));
     fleet.apply_forwarded(ready.collect());
-    let mut sharing = RecordSharing::new(&fleet, true);
+    let mut sharing = RecordSharing::new(&fleet, &fleet.zone);
     for number in 1..=600 {
         fleet.apply_forwarded(vec![record(number, "draining", 600 + number)]);
     }
--- /dev/null
+++ b/crates/daemon/tests/direct/lost_claims.rs
@@ -0,0 +1,205 @@
+//! Claimants that the log does not answer, with and without the loss of their claim, and the VMs that order engines meanwhile.
+
+use crate::{
+    engine_simulator::EngineSimulator,
+    support::{
+        config_json, model_headers, post_request, process_runtime, send_request, target_entry,
+        vm_settings, wait_for,
+    },
+};
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    raw_target::RawTarget,
+    relay::{LinkRelay, LinkState},
+};
+use hoplandingd::direct::daemon::DirectDaemon;
+use serde_json::json;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    runtime::Runtime,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+const FLEET: &str = "keyed.fleet";
+const HANDOVER_DELAY: Duration = Duration::from_secs(1);
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A zone with one engine. The lease in its log is of an earlier era, so that claimants wait before their first order.
+struct ClaimTrial {
+    log: KeyedLog,
+    simulator: Arc<EngineSimulator>,
+    _engine: RawTarget,
+}
+
+/// A VM in a runtime of its own, with its own relay to the log, and callers of adapters that no engine has.
+struct TrialVm {
+    daemon: DirectDaemon,
+    log_relay: LinkRelay,
+    process: Option<Runtime>,
+    callers: JoinHandle<()>,
+}
+
+impl Drop for TrialVm {
+    fn drop(&mut self) {
+        self.callers.abort();
+        if let Some(process) = self.process.take() {
+            process.shutdown_background();
+        }
+    }
+}
+
+fn lease_record(vm: &str, era: u64) -> String {
+    json!({ "vm": vm, "incarnation": 9, "address": "127.0.0.1:9", "era": era }).to_string()
+}
+
+fn start_callers(address: SocketAddr, vm: &'static str) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        for number in 0.. {
+            let headers = model_headers(&format!("{vm}-x{number}"));
+            let request = post_request("/plan/1", &format!("{vm}-{number}"), &headers);
+            // The tests do not depend on whether the call is served.
+            let _ = timeout(CALL_INTERVAL * 4, send_request(address, &request)).await;
+            sleep(CALL_INTERVAL).await;
+        }
+    })
+}
+
+impl ClaimTrial {
+    async fn start() -> Self {
+        let log = KeyedLog::start().await.expect("a log");
+        let simulator = EngineSimulator::new(1);
+        let engine = simulator.start_engine("e-1", 1, &[("a1", 1)]).await;
+        log.put("keyed.op", "config", Some(&config_json(1)));
+        let entry = target_entry("scribe", engine.address, "ready", &["a1@1"]);
+        log.put("keyed.servers", "e-1", Some(&entry));
+        log.put(FLEET, "zone/hall", Some(&lease_record("vm-8", 1)));
+        log.restore(&[]);
+        Self {
+            log,
+            simulator,
+            _engine: engine,
+        }
+    }
+
+    async fn start_vm(&self, vm: &'static str) -> TrialVm {
+        let log_relay = LinkRelay::start().await.expect("a relay");
+        log_relay.set_target(self.log.address());
+        let mut settings = vm_settings(vm, &self.log);
+        settings.platform_address = log_relay.address;
+        settings.leases.handover_delay = HANDOVER_DELAY;
+        settings.has_order_fencing = true;
+        let process = process_runtime();
+        let started = process.spawn(DirectDaemon::start(settings));
+        let daemon = started.await.expect("a task").expect("the daemon starts");
+        let callers = start_callers(daemon.caller_address, vm);
+        TrialVm {
+            daemon,
+            log_relay,
+            process: Some(process),
+            callers,
+        }
+    }
+
+    /// Starts a VM that claims the zone.
+    async fn start_claimant(&self, vm: &'static str) -> TrialVm {
+        let claimant = self.start_vm(vm).await;
+        self.wait_for_claim(vm).await;
+        claimant
+    }
+
+    async fn wait_for_claim(&self, vm: &str) {
+        wait_for("the claim", async || {
+            let lease = self.log.newest(FLEET, "zone/hall");
+            lease.is_some_and(|lease| lease.contains(vm))
+        })
+        .await;
+    }
+
+    fn lose_newest_fleet_record(&self) {
+        let kept = self.log.len(FLEET) - 1;
+        self.log.restore(&[(FLEET, kept)]);
+    }
+
+    fn has_orders_of(&self, vm: &str) -> bool {
+        let holders = self.simulator.order_holders();
+        holders.iter().any(|holder| holder == vm)
+    }
+
+    async fn wait_for_orders_of(&self, vm: &str) {
+        wait_for("orders", async || self.has_orders_of(vm)).await;
+    }
+}
+
+impl TrialVm {
+    fn knows_holder(&self, vm: &str) -> bool {
+        let lease = self.daemon.fleet().lease(&self.daemon.fleet().zone);
+        lease
+            .and_then(|lease| lease.vm)
+            .is_some_and(|holder| holder.as_str() == vm)
+    }
+}
+
+/// Guards against orders by a lost claim beside a second VM that claimed the zone in the restored log, however the first one lost
+/// its way to the log.
+#[tokio::test]
+async fn only_the_vm_that_claims_in_the_restored_log_issues_orders() {
+    for lost_way in [LinkState::Cut, LinkState::Frozen] {
+        let trial = ClaimTrial::start().await;
+        let first = trial.start_claimant("vm-1").await;
+        first.log_relay.set_state(lost_way);
+        trial.lose_newest_fleet_record();
+        let _second = trial.start_claimant("vm-2").await;
+        trial.wait_for_orders_of("vm-2").await;
+        sleep(HANDOVER_DELAY * 3).await;
+        assert!(!trial.has_orders_of("vm-1"), "{lost_way:?}");
+    }
+}
+
+/// Guards against orders by a claim that two restores in a row lack, and after the way to the log is back.
+#[tokio::test]
+async fn claimant_whose_way_to_the_twice_restored_log_returns_issues_no_orders() {
+    let trial = ClaimTrial::start().await;
+    let claimant = trial.start_claimant("vm-1").await;
+    claimant.log_relay.set_state(LinkState::Cut);
+    trial.lose_newest_fleet_record();
+    trial
+        .log
+        .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 3)));
+    sleep(HANDOVER_DELAY).await;
+    trial.lose_newest_fleet_record();
+    trial
+        .log
+        .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 4)));
+    sleep(HANDOVER_DELAY * 2).await;
+    claimant.log_relay.set_state(LinkState::Open);
+    wait_for("the newer lease", async || claimant.knows_holder("vm-9")).await;
+    assert!(!trial.has_orders_of("vm-1"));
+}
+
+/// Guards against a zone without orders while the log is out of reach of its claimant alone.
+#[tokio::test]
+async fn read_of_a_linked_vm_lets_a_claimant_without_the_log_issue_orders() {
+    let trial = ClaimTrial::start().await;
+    let claimant = trial.start_claimant("vm-1").await;
+    claimant.log_relay.set_state(LinkState::Frozen);
+    let second = trial.start_vm("vm-2").await;
+    wait_for("the lease at the second VM", async || {
+        second.knows_holder("vm-1")
+    })
+    .await;
+    trial.wait_for_orders_of("vm-1").await;
+    assert!(!trial.has_orders_of("vm-2"));
+}
+
+/// Guards against a claim that stays unproven after an outage of the log for all VMs, and against orders during the outage.
+#[tokio::test]
+async fn claimant_issues_orders_only_after_an_outage_that_began_in_its_wait() {
+    let trial = ClaimTrial::start().await;
+    let _claimant = trial.start_claimant("vm-1").await;
+    trial.log.set_faults(|faults| faults.is_unavailable = true);
+    sleep(HANDOVER_DELAY * 4).await;
+    assert!(!trial.has_orders_of("vm-1"));
+    trial.log.set_faults(|faults| faults.is_unavailable = false);
+    trial.wait_for_orders_of("vm-1").await;
+}
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod lives;
+mod lost_claims;
 mod notices;
 mod poison;
 mod reach;
--- a/crates/daemon/tests/direct/record_exchange.rs
+++ b/crates/daemon/tests/direct/record_exchange.rs
@@ -35,7 +35,7 @@
 impl LinkSide {
     fn new(fleet: &Arc<FleetState>) -> Self {
         Self {
-            sharing: RecordSharing::new(fleet, true),
+            sharing: RecordSharing::new(fleet, &fleet.zone),
             vm: fleet.vm.clone(),
             sent: VecDeque::new(),
         }
--- a/crates/daemon/tests/direct/starts.rs
+++ b/crates/daemon/tests/direct/starts.rs
@@ -38,8 +38,8 @@
 impl StartLink {
     fn new(holder: &Arc<FleetState>, dialler: &Arc<FleetState>) -> Self {
         let mut link = Self {
-            holder: RecordSharing::new(holder, true),
-            dialler: RecordSharing::new(dialler, true),
+            holder: RecordSharing::new(holder, &holder.zone),
+            dialler: RecordSharing::new(dialler, &dialler.zone),
             names: [holder.vm.clone(), dialler.vm.clone()],
             passed: 0,
         };
@@ -216,7 +216,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let holder = fleet("vm-0", &log, 10);
     holder.apply_listing(FeedTopic::Targets, &listing(log.address(), TARGETS, &[]));
-    let mut sharing = RecordSharing::new(&holder, true);
+    let mut sharing = RecordSharing::new(&holder, &holder.zone);
     sharing.handle_request(&VmMessage::RequestRecords {
         from: vec![(FeedTopic::Targets, LogPosition(0))],
         lacks_log_access: true,
