Confirm a claim anew after a release without an answer

What callers saw: a holder that gives its lease to a stronger VM, and whose release the log records without an answer that arrives, uses the lease again after one handover delay. If it is cut off from the log and its successor by then, two VMs order the zone's engines: 28 orders in 5 s beside a holder that claimed the zone after the release.

Cause: the end of the handover delay stood for the knowledge that the release was not recorded. It only bounds how late an append may still be recorded.

Change: a release without an answer withdraws the confirmation of the claim, so a read that was sent after the delay has to show that the claim is still the newest record. Where the log answers, that read follows at once.

holder_whose_release_was_not_answered_issues_no_orders_beside_a_new_holder failed before (45 orders where 17 had been issued before the release) and passes now.

--- a/crates/daemon/src/direct/claim_proofs.rs
+++ b/crates/daemon/src/direct/claim_proofs.rs
@@ -73,6 +73,14 @@
         self.tables().is_proof_unanswered = !is_answered;
     }
 
+    /// Takes the confirmation of this VM's claim back. Only a read that is sent after the handover delay confirms it
+    /// again.
+    pub fn withdraw_confirmation(&self, handover_delay: Duration) {
+        let mut tables = self.tables();
+        tables.confirmed_token = None;
+        tables.orders_from = clock::now().after(handover_delay);
+    }
+
     /// Records a read of the fleet topic to its end by this VM.
     pub fn record_lease_read(&self, sent_at: Instant, end: LogPosition) {
         let read = {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -495,8 +495,8 @@
         tokio::spawn(async move {
             let timeout = settings.timing.platform_timeout;
             if !release_lease(&fleet, settings.platform_address, timeout).await {
-                // The append may still be recorded, and a successor may act on it, so no orders are issued during the
-                // handover delay.
+                // The append may have been recorded, or may still be, and a successor may act on it.
+                fleet.withdraw_confirmation(settings.leases.handover_delay);
                 sleep(settings.leases.handover_delay).await;
                 // The channel closes only when the process ends.
                 let _ = events.send(ZoneEvent::LeaseRetained(token)).await;
--- a/crates/daemon/tests/direct/lost_claims.rs
+++ b/crates/daemon/tests/direct/lost_claims.rs
@@ -12,7 +12,7 @@
     raw_target::RawTarget,
     relay::{LinkRelay, LinkState},
 };
-use hoplandingd::direct::daemon::DirectDaemon;
+use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::json;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -67,14 +67,21 @@
 
 impl ClaimTrial {
     async fn start() -> Self {
+        let trial = Self::start_without_lease().await;
+        let lease = lease_record("vm-8", 1);
+        trial.log.put(FLEET, "zone/hall", Some(&lease));
+        trial.log.restore(&[]);
+        trial
+    }
+
+    /// A zone that nobody has claimed.
+    async fn start_without_lease() -> Self {
         let log = KeyedLog::start().await.expect("a log");
         let simulator = EngineSimulator::new(1);
         let engine = simulator.start_engine("e-1", 1, &[("a1", 1)]).await;
         log.put("keyed.op", "config", Some(&config_json(1)));
         let entry = target_entry("scribe", engine.address, "ready", &["a1@1"]);
         log.put("keyed.servers", "e-1", Some(&entry));
-        log.put(FLEET, "zone/hall", Some(&lease_record("vm-8", 1)));
-        log.restore(&[]);
         Self {
             log,
             simulator,
@@ -83,12 +90,21 @@
     }
 
     async fn start_vm(&self, vm: &'static str) -> TrialVm {
+        self.start_vm_with(vm, |_| {}).await
+    }
+
+    async fn start_vm_with(
+        &self,
+        vm: &'static str,
+        change: impl FnOnce(&mut DirectSettings),
+    ) -> TrialVm {
         let log_relay = LinkRelay::start().await.expect("a relay");
         log_relay.set_target(self.log.address());
         let mut settings = vm_settings(vm, &self.log);
         settings.platform_address = log_relay.address;
         settings.leases.handover_delay = HANDOVER_DELAY;
         settings.has_order_fencing = true;
+        change(&mut settings);
         let process = process_runtime();
         let started = process.spawn(DirectDaemon::start(settings));
         let daemon = started.await.expect("a task").expect("the daemon starts");
@@ -116,9 +132,10 @@
         .await;
     }
 
-    fn lose_newest_fleet_record(&self) {
-        let kept = self.log.len(FLEET) - 1;
-        self.log.restore(&[(FLEET, kept)]);
+    /// Restores the log from a copy with this many records of the fleet topic.
+    fn restore_with(&self, kept: usize) {
+        let dropped = self.log.len(FLEET) - kept;
+        self.log.restore(&[(FLEET, dropped)]);
     }
 
     fn has_orders_of(&self, vm: &str) -> bool {
@@ -148,7 +165,7 @@
         let trial = ClaimTrial::start().await;
         let first = trial.start_claimant("vm-1").await;
         first.log_relay.set_state(lost_way);
-        trial.lose_newest_fleet_record();
+        trial.restore_with(1);
         let _second = trial.start_claimant("vm-2").await;
         trial.wait_for_orders_of("vm-2").await;
         sleep(HANDOVER_DELAY * 3).await;
@@ -162,12 +179,12 @@
     let trial = ClaimTrial::start().await;
     let claimant = trial.start_claimant("vm-1").await;
     claimant.log_relay.set_state(LinkState::Cut);
-    trial.lose_newest_fleet_record();
+    trial.restore_with(1);
     trial
         .log
         .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 3)));
     sleep(HANDOVER_DELAY).await;
-    trial.lose_newest_fleet_record();
+    trial.restore_with(1);
     trial
         .log
         .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 4)));
@@ -203,3 +220,35 @@
     trial.log.set_faults(|faults| faults.is_unavailable = false);
     trial.wait_for_orders_of("vm-1").await;
 }
+
+/// Guards against orders of a holder whose release was recorded without an answer, after another VM claimed the zone.
+#[tokio::test]
+async fn holder_whose_release_was_not_answered_issues_no_orders_beside_a_new_holder() {
+    let trial = ClaimTrial::start_without_lease().await;
+    let holder = trial.start_claimant("vm-1").await;
+    trial.wait_for_orders_of("vm-1").await;
+    trial.log.set_faults(|faults| {
+        faults.delayed_key = Some(("zone/hall".to_owned(), Duration::from_millis(300)));
+    });
+    let appends = trial.log.appends("zone/hall");
+    let stronger = trial
+        .start_vm_with("vm-2", |settings| settings.cpu_millicores *= 2)
+        .await;
+    wait_for("the release", async || {
+        trial.log.appends("zone/hall") > appends
+    })
+    .await;
+    holder.log_relay.set_state(LinkState::Frozen);
+    drop(stronger);
+    wait_for("the recorded release", async || {
+        let lease = trial.log.newest(FLEET, "zone/hall");
+        lease.is_some_and(|lease| !lease.contains("vm-1"))
+    })
+    .await;
+    trial
+        .log
+        .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 1)));
+    let before = trial.simulator.order_holders().len();
+    sleep(HANDOVER_DELAY * 5).await;
+    assert_eq!(trial.simulator.order_holders().len(), before);
+}
