Let the first claimant of a zone without records wait in a restored log

What callers saw: nothing yet; found while the places were read where a record of the log stands for a fact. A log that comes back without any claim of a zone lets a VM that starts claim the zone and order its engines at once, beside a holder in touch that has not read the log since (up to 2.5 s).

Cause: a zone without a record counted as one that nobody ever held. After a restoration it only shows that the copy lacks the claims.

Change: in a log that was ever restored, the first claimant of such a zone waits for the handover delay, as it does where the newest record is of an earlier era. The cost is one delay without loads at a zone's first start with a log that was restored before.

claimant_of_a_zone_without_records_waits_in_a_restored_log failed before: the claim said waits_since_ms null.

--- a/crates/core/src/direct/lease.rs
+++ b/crates/core/src/direct/lease.rs
@@ -90,8 +90,8 @@
     pub rank: u32,
     /// Least time since the zone was claimed, if the claimant had to wait before its first order.
     pub waiting_claim_age: Option<Duration>,
-    /// Whether the log was restored from a copy since the newest record. Later records may be lost, and their holders
-    /// continue until they know.
+    /// Whether the log was restored from a copy since the newest record, or ever if there is no record. Later records
+    /// may be lost, and their holders continue until they know.
     pub is_log_restored: bool,
     /// Whether this process is the holder.
     pub is_holder: bool,
--- a/crates/daemon/src/direct/claims.rs
+++ b/crates/daemon/src/direct/claims.rs
@@ -149,7 +149,7 @@
                 && self.paths.is_stable(zone),
             rank,
             waiting_claim_age: lease.as_ref().and_then(min_claim_age),
-            is_log_restored: tables.is_outdated(&self.fleet.zone),
+            is_log_restored: tables.may_lack_claims(&self.fleet.zone),
             is_holder: lease
                 .as_ref()
                 .is_some_and(|lease| self.fleet.is_own_lease(lease)),
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -305,6 +305,18 @@
         remaining?.into_iter().min()
     }
 
+    /// Whether the log may lack claims of a zone because it was restored from a backup: after the newest known record
+    /// of the zone's lease, or at any time if there is no such record.
+    #[must_use]
+    pub fn may_lack_claims(&self, zone: &AvailabilityZone) -> bool {
+        let has_record = self
+            .leases
+            .get(zone)
+            .is_some_and(|state| state.lease.is_some());
+        let is_restored = self.store_era.is_some_and(|era| !era.is_first());
+        self.is_outdated(zone) || (!has_record && is_restored)
+    }
+
     /// Whether the log was restored from a backup after the newest known record of a zone's lease.
     #[must_use]
     pub fn is_outdated(&self, zone: &AvailabilityZone) -> bool {
--- a/crates/daemon/tests/direct/lost_claims.rs
+++ b/crates/daemon/tests/direct/lost_claims.rs
@@ -13,7 +13,7 @@
     relay::{LinkRelay, LinkState},
 };
 use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     runtime::Runtime,
@@ -221,6 +221,20 @@
     trial.wait_for_orders_of("vm-1").await;
 }
 
+/// Guards against orders of the first claimant in a restored log that lacks every claim of the zone, while the holder has not read it
+/// yet.
+#[tokio::test]
+async fn claimant_of_a_zone_without_records_waits_in_a_restored_log() {
+    let trial = ClaimTrial::start_without_lease().await;
+    let holder = trial.start_claimant("vm-1").await;
+    holder.log_relay.set_state(LinkState::Frozen);
+    trial.restore_with(0);
+    let _claimant = trial.start_claimant("vm-2").await;
+    let claim = trial.log.newest(FLEET, "zone/hall").expect("a claim");
+    let claim: Value = serde_json::from_str(&claim).expect("a claim");
+    assert!(claim["waits_since_ms"].is_u64(), "{claim}");
+}
+
 /// Guards against orders of a holder whose release was recorded without an answer, after another VM claimed the zone.
 #[tokio::test]
 async fn holder_whose_release_was_not_answered_issues_no_orders_beside_a_new_holder() {
