Report no read of an earlier era as proof of a claim

A VM that read the fleet topic before the log was restored, and learned of the restore from another VM since, still reported that read to a claimant, which had not learned of it and would have given its first order by a claim that may be lost.

read_before_a_restore_is_not_reported_as_proof fails without the check.

--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -38,8 +38,8 @@
 }
 
 impl HeartbeatEcho {
-    /// Latest time, by the receiver's own clock, that is certain to be no later than `age_ms` milliseconds before the
-    /// echo was sent. `None` if that is before the start of the clock.
+    /// Time by the receiver's clock, at least `age_ms` milliseconds before the echo was sent; `None` if that is before
+    /// the start of its clock.
     #[must_use]
     pub fn time_before(&self, age_ms: u32) -> Option<Instant> {
         let replied_at = self.sent + u64::from(self.held_ms) * 1_000;
--- a/crates/daemon/src/direct/claim_proofs.rs
+++ b/crates/daemon/src/direct/claim_proofs.rs
@@ -25,9 +25,11 @@
 const LEASE_REQUEST_TTL: Duration = Duration::from_secs(2);
 
 impl FleetTables {
-    /// Evidence of this VM's last read about the lease of a zone.
+    /// Evidence of this VM's last read about the lease of a zone; `None` if the log was restored since.
     fn lease_read(&self, zone: &AvailabilityZone) -> Option<LeaseRead> {
-        let (sent_at, end) = self.fleet_read?;
+        let (sent_at, end) = self
+            .fleet_read
+            .filter(|(_, end)| Some(end.era()) >= self.store_era)?;
         let newest = self.leases.get(zone)?.position;
         Some(LeaseRead {
             newest,
@@ -93,7 +95,7 @@
         }
     }
 
-    /// Evidence of this VM's last read about the lease of a zone.
+    /// Evidence of this VM's last read about the lease of a zone; `None` if the log was restored since.
     #[must_use]
     pub fn lease_read(&self, zone: &AvailabilityZone) -> Option<LeaseRead> {
         self.tables().lease_read(zone)
--- a/crates/daemon/tests/direct/lost_claims.rs
+++ b/crates/daemon/tests/direct/lost_claims.rs
@@ -7,12 +7,21 @@
         vm_settings, wait_for,
     },
 };
+use hoplanding_core::ids::{LogOffset, LogPosition, StoreEra};
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::RawTarget,
     relay::{LinkRelay, LinkState},
 };
-use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
+use hoplandingd::{
+    clock,
+    direct::{
+        daemon::DirectDaemon,
+        fleet::FleetState,
+        message::{FeedTopic, ForwardedRecord},
+        settings::DirectSettings,
+    },
+};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -221,6 +230,25 @@
     trial.wait_for_orders_of("vm-1").await;
 }
 
+/// Guards against a read of an earlier era that a VM reports as proof of a claim, although it knows that the log was restored since.
+#[tokio::test]
+async fn read_before_a_restore_is_not_reported_as_proof() {
+    let log = KeyedLog::start().await.expect("a log");
+    let fleet = FleetState::new(&vm_settings("vm-2", &log), 1);
+    let position = |offset| LogPosition::in_era(StoreEra(2), LogOffset(offset));
+    fleet.observe_era(StoreEra(2));
+    fleet.apply_forwarded(vec![ForwardedRecord {
+        topic: FeedTopic::Fleet,
+        key: "zone/hall".to_owned(),
+        value: Some(lease_record("vm-1", 2).into()),
+        position: position(0),
+    }]);
+    fleet.record_lease_read(clock::now(), position(1));
+    assert!(fleet.lease_read(&fleet.zone).is_some());
+    fleet.observe_era(StoreEra(3));
+    assert_eq!(fleet.lease_read(&fleet.zone), None);
+}
+
 /// Guards against orders of the first claimant in a restored log that lacks every claim of the zone, while the holder has not read it
 /// yet.
 #[tokio::test]
