Let the holder of a test of returning claimants accept connections

Its other holder's address refused connections, so the claimant replaced that holder within 150 ms of reading its lease, as it should, and the test looked for the lease in vain if it was not asked in between. A suspended holder accepts connections; what is checked is the same.

--- a/crates/daemon/tests/direct/lost_claims.rs
+++ b/crates/daemon/tests/direct/lost_claims.rs
@@ -25,6 +25,7 @@
 use serde_json::{Value, json};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
+    net::TcpListener,
     runtime::Runtime,
     task::JoinHandle,
     time::{sleep, timeout},
@@ -58,8 +59,13 @@
     }
 }
 
+/// A claim of a VM whose process has ended: its address refuses connections.
 fn lease_record(vm: &str, era: u64) -> String {
-    json!({ "vm": vm, "incarnation": 9, "address": "127.0.0.1:9", "era": era }).to_string()
+    lease_record_at("127.0.0.1:9", vm, era)
+}
+
+fn lease_record_at(address: &str, vm: &str, era: u64) -> String {
+    json!({ "vm": vm, "incarnation": 9, "address": address, "era": era }).to_string()
 }
 
 fn start_callers(address: SocketAddr, vm: &'static str) -> JoinHandle<()> {
@@ -186,17 +192,27 @@
 #[tokio::test]
 async fn claimant_whose_way_to_the_twice_restored_log_returns_issues_no_orders() {
     let trial = ClaimTrial::start().await;
+    // A suspended holder accepts connections, so that it is not replaced at once.
+    let suspended_holder = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = suspended_holder
+        .local_addr()
+        .expect("an address")
+        .to_string();
     let claimant = trial.start_claimant("vm-1").await;
     claimant.log_relay.set_state(LinkState::Cut);
     trial.restore_with(1);
-    trial
-        .log
-        .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 3)));
+    trial.log.put(
+        FLEET,
+        "zone/hall",
+        Some(&lease_record_at(&address, "vm-9", 3)),
+    );
     sleep(HANDOVER_DELAY).await;
     trial.restore_with(1);
-    trial
-        .log
-        .put(FLEET, "zone/hall", Some(&lease_record("vm-9", 4)));
+    trial.log.put(
+        FLEET,
+        "zone/hall",
+        Some(&lease_record_at(&address, "vm-9", 4)),
+    );
     sleep(HANDOVER_DELAY * 2).await;
     claimant.log_relay.set_state(LinkState::Open);
     wait_for("the newer lease", async || claimant.knows_holder("vm-9")).await;
