Log and count the software versions of streams that go on

E815 and E600 now name the version, E819 the attempt that a caller names, and resumed_streams counts who continued a stream and whether the version was the same. No decision uses them yet.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -12,8 +12,8 @@
 //! back. A removal that another VM forwards applies at once, since that VM has read it and has waited where necessary.
 
 use crate::ids::{
-    AdapterName, AvailabilityZone, Instant, LogPosition, ServiceName, TargetLife, TargetName,
-    TargetRun,
+    AdapterName, AvailabilityZone, Instant, LogPosition, ServiceName, SoftwareVersion, TargetLife,
+    TargetName, TargetRun,
 };
 use std::{
     collections::{HashMap, HashSet},
@@ -56,6 +56,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: AvailabilityZone,
+    /// Version of its software, if its entry states one.
+    pub software: Option<SoftwareVersion>,
     /// Calls that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new calls.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -84,6 +84,10 @@
     /// Name of a plain service behind one or more targets.
     ServiceName
 );
+name_type!(
+    /// Version of a target's software, unlike that of the weights it serves. Versions have no order.
+    SoftwareVersion
+);
 name_type!(
     /// Name of an operator.
     OperatorName
--- a/crates/core/tests/direct_memory/engine.rs
+++ b/crates/core/tests/direct_memory/engine.rs
@@ -464,6 +464,7 @@
             slots: CALL_SLOTS,
             stage: TargetStage::Ready,
             remaining: None,
+            software: None,
             warmup_remaining: Duration::ZERO,
             orders_taken: self.sequence,
             models: self
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -45,6 +45,7 @@
         slots: 8,
         stage: TargetStage::Ready,
         remaining: None,
+        software: None,
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -66,6 +66,7 @@
         slots: 4,
         stage,
         remaining: None,
+        software: None,
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: Vec::new(),
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -47,6 +47,7 @@
         slots: 8,
         stage: TargetStage::Ready,
         remaining: None,
+        software: None,
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -39,6 +39,7 @@
         slots: SLOTS,
         stage: TargetStage::Ready,
         remaining: None,
+        software: None,
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: Vec::new(),
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -222,6 +222,14 @@
             tables.demand.record(subject, now);
         }
     }
+    if let (ResponseShape::EventStream { resumable: true }, Some(last)) =
+        (route.response_shape, head.last_event_id)
+    {
+        event!(Event::StreamTakenUp, request = head.id; "route {} after event {last}, begun by attempt {:?}",
+            route.name,
+            head.resumes
+        );
+    }
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let quota_charge = CallCharge::of(&identity, &head);
     let call = CallState {
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -10,17 +10,18 @@
         call::{AnswerBody, BrokenAnswer, CallPlacement, CallState, OpenAnswer, SendOutcome},
         event_splitter::EventSplitter,
         message::CallEnd,
-        metrics::RequestOutcome,
+        metrics::{RequestOutcome, ResumeOrigin, ResumeVersion},
     },
     event,
     events::Event,
 };
 use bytes::Bytes;
+use hoplanding_core::ids::SoftwareVersion;
 use hoplanding_platform::headers::end_to_end_headers;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use std::time::Duration;
+use std::{mem, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
 /// Time without data after which a resumable stream continues at another target; callers time out after 2 s or more.
@@ -33,6 +34,8 @@
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
     awaits_first_event: bool,
+    /// Software version of the target that sent the answer's first event, once there was one.
+    software: Option<Option<SoftwareVersion>>,
 }
 
 /// Starts to relay a stream; returns the response to the caller.
@@ -45,6 +48,7 @@
         splitter: EventSplitter::default(),
         is_resumable,
         awaits_first_event: true,
+        software: None,
     };
     let stream = futures_util::stream::unfold(relay, |mut relay| async move {
         let step = relay.next().await?;
@@ -92,8 +96,12 @@
                 }
             };
             self.check_target(is_stalled).await;
+            let software = self
+                .open
+                .as_ref()
+                .and_then(|open| open.entry.software.clone());
             let target = self.end_open(CallEnd::Failed);
-            event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}",
+            event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}, software version {software:?}",
                 self.splitter.last_id()
             );
             if !self.is_resumable || !self.resume().await {
@@ -109,10 +117,13 @@
             fleet.metrics.observe_first_event(elapsed);
             fleet.tables().streams.record_start(elapsed, clock::now());
         }
-        let Some(open) = self.open.as_ref().filter(|_| self.awaits_first_event) else {
+        if !mem::take(&mut self.awaits_first_event) {
+            return;
+        }
+        self.count_resumption();
+        let Some(open) = self.open.as_ref() else {
             return;
         };
-        self.awaits_first_event = false;
         let version = open.notice.version;
         if let Some(source) = self.call.fetch_source {
             event!(Event::KvFetchUsed, request = self.call.head.id; "at {} with parts from {source}, by version {version:?}",
@@ -124,6 +135,31 @@
         }
     }
 
+    /// Counts the first event of a send, if the send continues a stream.
+    fn count_resumption(&mut self) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        let software = &open.entry.software;
+        let (origin, version) = match &self.software {
+            Some(first) if first == software => (ResumeOrigin::Relay, ResumeVersion::Same),
+            Some(_) => (ResumeOrigin::Relay, ResumeVersion::Other),
+            None if self.call.head.last_event_id.is_some() => {
+                (ResumeOrigin::Caller, ResumeVersion::Unknown)
+            }
+            None => {
+                self.software = Some(software.clone());
+                return;
+            }
+        };
+        self.call
+            .context
+            .fleet
+            .metrics
+            .count_resumed_stream(origin, version);
+        self.software.get_or_insert_with(|| software.clone());
+    }
+
     /// Records how long the stream took. During a planned stop, these durations decide which streams are still
     /// admitted.
     fn record_duration(&self) {
@@ -226,8 +262,9 @@
             };
             match self.call.send(&entry, version, placed_call, last).await {
                 SendOutcome::Success(open) => {
-                    event!(Event::StreamResumed, request = self.call.head.id; "at {} from {last:?}",
-                        entry.name
+                    event!(Event::StreamResumed, request = self.call.head.id; "at {} from {last:?}, software version {:?}",
+                        entry.name,
+                        entry.software
                     );
                     self.open = Some(*open);
                     self.awaits_first_event = true;
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -159,6 +159,32 @@
     Answer,
 }
 
+/// Who continued a stream after it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ResumeOrigin {
+    /// The relay, under the answer that the caller already has.
+    Relay,
+    /// The caller, with a new call.
+    Caller,
+}
+
+/// Software version of the target at which a stream continued, compared with the one that began it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ResumeVersion {
+    /// The same version.
+    Same,
+    /// Another version.
+    Other,
+    /// This VM does not know which version began the stream.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResumeLabels {
+    origin: ResumeOrigin,
+    version: ResumeVersion,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ForwardLabels {
     reason: ForwardReason,
@@ -213,6 +239,7 @@
     log_calls: Family<LogLabels, Counter>,
     key_proofs: Family<ProofLabels, Counter>,
     forwarded_records: Family<ForwardLabels, Counter>,
+    resumed_streams: Family<ResumeLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
     targets: Family<StageLabels, Gauge>,
@@ -244,6 +271,7 @@
             log_calls: Family::default(),
             key_proofs: Family::default(),
             forwarded_records: Family::default(),
+            resumed_streams: Family::default(),
             placing: Histogram::new(BUCKET_BOUNDS_S),
             first_event: Histogram::new(BUCKET_BOUNDS_S),
             targets: Family::default(),
@@ -281,6 +309,11 @@
             "Requests that were not let in for their key, by cause",
             self.admission_faults.clone(),
         );
+        registry.register(
+            "resumed_streams",
+            "Streams that continued after they broke, by who continued them and by the software version of the target",
+            self.resumed_streams.clone(),
+        );
         registry.register(
             "quota_units",
             "Units of organisations' quotas that this VM paid out as its zone's holder, and that it did not, since it holds it",
@@ -504,6 +537,12 @@
             .inc_by(records as u64);
     }
 
+    /// Counts a stream that continued after it broke.
+    pub fn count_resumed_stream(&self, origin: ResumeOrigin, version: ResumeVersion) {
+        let labels = ResumeLabels { origin, version };
+        self.resumed_streams.get_or_create(&labels).inc();
+    }
+
     /// Records the time from a request's arrival until it had a target.
     pub fn observe_placement(&self, elapsed: Duration) {
         self.placing.observe(elapsed.as_secs_f64());
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -208,6 +208,8 @@
     TargetEndUnconfirmed = 817, Info, "no end shown of a target that broke a call off";
     /// A target announced, changed or removed a limit.
     LimitNamed = 818, Info, "limit of a target";
+    /// A caller continues a stream that another attempt of it began.
+    StreamTakenUp = 819, Info, "stream taken up by its caller";
     /// A request was assigned to a target.
     CallPlaced = 803, Debug, "request placed";
     /// The first event of a stream was sent to the caller.
