--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -25,6 +25,7 @@
 mod restores;
 mod retries;
 mod settings;
+mod software_versions;
 mod starts;
 mod support;
 mod tunnels;
--- /dev/null
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -0,0 +1,363 @@
+//! Streams of a service whose targets run several versions of their software. What two versions write does not fit
+//! together, so a stream may only continue at the version that began it, and targets do not check that.
+
+use crate::support::{
+    chunk, config_json, decode_chunked, good_answer, is_ready, model_headers, post_request,
+    process_runtime, send_request, stream_head, target_entry, vm_settings, wait_for,
+};
+use hoplanding_core::ids::AvailabilityZone;
+use hoplanding_standins::{
+    keyed_log::KeyedLog,
+    raw_target::{RawRequest, RawResponse, RawTarget},
+};
+use hoplandingd::direct::daemon::DirectDaemon;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    runtime::Runtime,
+    time::{sleep, timeout},
+};
+
+const ZONES: [&str; 2] = ["hall", "yard"];
+const EVENT_PAUSE: Duration = Duration::from_millis(5);
+const LAST_EVENT: u32 = 6;
+
+/// Streams events that name the software version; a request that takes up no stream breaks off after event `breaks_after`.
+fn versioned_answer(request: &RawRequest, version: &str, breaks_after: Option<u32>) -> RawResponse {
+    if request.request_line().contains("/hoplanding/report") {
+        return good_answer(request);
+    }
+    let last: Option<u32> = request
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok());
+    let mut pieces = vec![(Duration::ZERO, stream_head(request))];
+    for id in last.unwrap_or(0) + 1..=LAST_EVENT {
+        let text = format!("id: {id}\ndata: {version} token {id}\n\n");
+        pieces.push((EVENT_PAUSE, chunk(&text)));
+        if last.is_none() && breaks_after == Some(id) {
+            return RawResponse {
+                pieces,
+                closes_connection: true,
+            };
+        }
+    }
+    pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+    RawResponse {
+        pieces,
+        closes_connection: false,
+    }
+}
+
+/// An engine of a software version.
+struct VersionedEngine {
+    name: String,
+    version: String,
+    zone: &'static str,
+    target: RawTarget,
+}
+
+impl VersionedEngine {
+    async fn start(name: &str, version: &str, zone: usize, breaks_after: Option<u32>) -> Self {
+        let written = version.to_owned();
+        let target =
+            RawTarget::start(move |request| versioned_answer(request, &written, breaks_after));
+        Self {
+            name: name.to_owned(),
+            version: version.to_owned(),
+            zone: ZONES[zone % ZONES.len()],
+            target: target.await.expect("an engine"),
+        }
+    }
+
+    fn list(&self, log: &KeyedLog, state: &str) {
+        let entry = target_entry("scribe", self.target.address, state, &["a1@1"])
+            .replace("\"hall\"", &format!("\"{}\"", self.zone))
+            .replace("\"v1\"", &format!("\"{}\"", self.version));
+        log.put("keyed.servers", &self.name, Some(&entry));
+    }
+
+    /// Ids of the calls that the engine ran.
+    fn run_ids(&self) -> Vec<String> {
+        let requests = self.target.requests().into_iter();
+        let runs = requests.filter(|request| request.request_line().starts_with("POST /resumed"));
+        runs.filter_map(|run| Some(run.header("hoplanding-request-id")?.to_owned()))
+            .collect()
+    }
+}
+
+/// Starts engines of each version, spread over the zones, and lists them.
+async fn start_engines(
+    log: &KeyedLog,
+    versions: &[&str],
+    breaks_after: Option<u32>,
+) -> Vec<VersionedEngine> {
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let name = format!("e-{number}");
+        let engine = VersionedEngine::start(&name, version, number / 2, breaks_after).await;
+        engine.list(log, "ready");
+        engines.push(engine);
+    }
+    log.put("keyed.op", "config", Some(&config_json(1)));
+    engines
+}
+
+/// A VM that ends as by a kill when dropped.
+struct VmProcess {
+    runtime: Option<Runtime>,
+    daemon: DirectDaemon,
+}
+
+impl VmProcess {
+    async fn start(log: &KeyedLog, name: &str, zone: &str, is_first_start: bool) -> Self {
+        let mut settings = vm_settings(name, log);
+        settings.zone = AvailabilityZone::new(zone);
+        settings.zones = ZONES.map(AvailabilityZone::new).to_vec();
+        settings.is_first_start = is_first_start;
+        let runtime = process_runtime();
+        let started = runtime.spawn(DirectDaemon::start(settings));
+        let daemon = started.await.expect("a task").expect("the daemon starts");
+        Self {
+            runtime: Some(runtime),
+            daemon,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.daemon.caller_address
+    }
+}
+
+impl Drop for VmProcess {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Starts VMs in both zones; returns once each serves calls and every zone has a holder of this start.
+async fn start_vms(log: &KeyedLog, names: &[&str], is_first_start: bool) -> Vec<VmProcess> {
+    let mut vms = Vec::new();
+    for (number, name) in names.iter().enumerate() {
+        let zone = ZONES[number % ZONES.len()];
+        vms.push(VmProcess::start(log, name, zone, is_first_start).await);
+    }
+    for vm in &vms {
+        wait_for("readiness and holders", async || {
+            let incarnations: Vec<_> = vms.iter().map(|vm| vm.daemon.fleet().incarnation).collect();
+            let are_held = ZONES.iter().all(|zone| {
+                let lease = vm.daemon.fleet().lease(&AvailabilityZone::new(zone));
+                lease.is_some_and(|lease| incarnations.contains(&lease.incarnation))
+            });
+            are_held && is_ready(&vm.daemon).await
+        })
+        .await;
+        wait_for("a stream", async || {
+            let request = post_request("/plan/1", "r0", &model_headers("a1"));
+            send_request(vm.address(), &request).await.status == 200
+        })
+        .await;
+    }
+    vms
+}
+
+/// Versions that the events of a text name, without repetitions.
+fn versions_in(text: &str) -> Vec<String> {
+    let mut versions: Vec<String> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| Some(data.split(' ').next()?.to_owned()))
+        .collect();
+    versions.dedup();
+    versions
+}
+
+/// Reads the first two events of a new stream, then leaves; returns their text.
+async fn begin_stream(address: SocketAddr, id: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let request = post_request("/resumed/1", id, &model_headers("a1"));
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the VM reads the request");
+    let mut bytes = Vec::new();
+    let read = async {
+        while !String::from_utf8_lossy(&bytes).contains("token 2\n\n") {
+            let read = stream.read_buf(&mut bytes).await;
+            assert!(read.is_ok_and(|read| read > 0), "two events");
+        }
+    };
+    timeout(Duration::from_secs(10), read)
+        .await
+        .expect("events in time");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let kept = text.find("id: 3\n").unwrap_or(text.len());
+    text[..kept].to_owned()
+}
+
+/// How callers' attempts to take streams up ended.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct ResumeCounts {
+    /// Continued at the version that began the stream.
+    same: usize,
+    /// Continued at another version.
+    mixed: usize,
+    /// Refused as not run.
+    refused: usize,
+    /// Ended in another way.
+    other: usize,
+}
+
+/// A stream that its caller left after two events.
+struct BegunStream {
+    id: String,
+    versions: Vec<String>,
+}
+
+async fn begin_streams(vm: &VmProcess, count: usize) -> Vec<BegunStream> {
+    let mut streams = Vec::new();
+    for number in 0..count {
+        let id = format!("begun-{number}");
+        let text = begin_stream(vm.address(), &id).await;
+        let versions = versions_in(&text);
+        streams.push(BegunStream { id, versions });
+    }
+    // What is sent to other VMs at the first event has arrived by then.
+    sleep(Duration::from_millis(100)).await;
+    streams
+}
+
+/// Takes each stream up at a VM, naming the attempt that `named` gives.
+async fn take_up(
+    vm: &VmProcess,
+    streams: &[BegunStream],
+    named: impl Fn(&BegunStream) -> Option<String>,
+) -> ResumeCounts {
+    let mut counts = ResumeCounts::default();
+    for (number, stream) in streams.iter().enumerate() {
+        let resumes = named(stream).map_or(String::new(), |id| format!("Resumes: {id}\r\n"));
+        let headers = format!("{}Last-Event-Id: 2\r\n{resumes}", model_headers("a1"));
+        let request = post_request("/resumed/1", &format!("later-{number}"), &headers);
+        let answer = send_request(vm.address(), &request).await;
+        let text = decode_chunked(&answer.body);
+        let is_whole = answer.is_whole && text.contains(&format!("id: {LAST_EVENT}\n"));
+        if answer.status == 503 && answer.has_header("retry-after:") {
+            counts.refused += 1;
+        } else if answer.status != 200 || !is_whole {
+            counts.other += 1;
+        } else if versions_in(&text) == stream.versions {
+            counts.same += 1;
+        } else {
+            counts.mixed += 1;
+        }
+    }
+    counts
+}
+
+fn its_attempt(stream: &BegunStream) -> Option<String> {
+    Some(stream.id.clone())
+}
+
+/// Targets break streams off after two events, and the relay continues them under the same answer.
+#[tokio::test]
+async fn a_relayed_stream_holds_events_of_one_software_version() {
+    let log = KeyedLog::start().await.expect("a log");
+    let versions = ["v1", "v2", "v1", "v2", "v2", "v1"];
+    let _engines = start_engines(&log, &versions, Some(2)).await;
+    let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
+    let (mut whole, mut mixed) = (0, 0);
+    for number in 0..12 {
+        let request = post_request("/resumed/1", &format!("r{number}"), &model_headers("a1"));
+        let answer = send_request(vms[number % 2].address(), &request).await;
+        let text = decode_chunked(&answer.body);
+        mixed += usize::from(versions_in(&text).len() > 1);
+        whole += usize::from(answer.is_whole && text.contains(&format!("id: {LAST_EVENT}\n")));
+    }
+    assert_eq!((whole, mixed), (12, 0));
+}
+
+/// The targets that began the streams have gone, and others of both versions serve.
+#[tokio::test]
+async fn a_stream_taken_up_at_another_vm_stays_with_its_software_version() {
+    let log = KeyedLog::start().await.expect("a log");
+    let versions = ["v1", "v1", "v1", "v1"];
+    let engines = start_engines(&log, &versions, None).await;
+    let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
+    let mut later = Vec::new();
+    for (number, version) in ["v2", "v2", "v2", "v2"].iter().enumerate() {
+        let name = format!("f-{number}");
+        let engine = VersionedEngine::start(&name, version, number / 2, None).await;
+        engine.list(&log, "ready");
+        later.push(engine);
+    }
+    wait_for("all engines", async || {
+        let known = |vm: &VmProcess| vm.daemon.fleet().tables().catalog.iter().count();
+        vms.iter().all(|vm| known(vm) == 8)
+    })
+    .await;
+    let streams = begin_streams(&vms[0], 12).await;
+    for engine in &engines {
+        let began_here = engine.run_ids().len() > 1;
+        if began_here {
+            engine.list(&log, "draining");
+        }
+    }
+    let is_served = engines.iter().any(|engine| engine.run_ids().len() <= 1);
+    sleep(Duration::from_millis(200)).await;
+    let counts = take_up(&vms[1], &streams, its_attempt).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(is_served || counts.same < streams.len(), "{counts:?}");
+}
+
+/// All targets of the version that began the streams have gone. Callers have to begin anew, and learn that at once.
+#[tokio::test]
+async fn a_stream_whose_software_version_is_gone_is_refused() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engines = start_engines(&log, &["v1", "v1", "v1", "v1"], None).await;
+    let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
+    let streams = begin_streams(&vms[0], 8).await;
+    let mut later = Vec::new();
+    for number in 0..4 {
+        let name = format!("f-{number}");
+        let engine = VersionedEngine::start(&name, "v2", number / 2, None).await;
+        engine.list(&log, "ready");
+        later.push(engine);
+    }
+    for engine in &engines {
+        engine.list(&log, "draining");
+    }
+    wait_for("the change of versions", async || {
+        let ready = |vm: &VmProcess| {
+            let tables = vm.daemon.fleet().tables();
+            let service = "scribe".into();
+            let mut ready = tables.catalog.ready(&service);
+            ready.all(|entry| entry.name.as_str().starts_with("f-"))
+                && tables.catalog.iter().count() == 8
+        };
+        vms.iter().all(ready)
+    })
+    .await;
+    let refused = ResumeCounts {
+        refused: streams.len(),
+        ..ResumeCounts::default()
+    };
+    assert_eq!(take_up(&vms[1], &streams, its_attempt).await, refused);
+    assert_eq!(take_up(&vms[0], &streams, its_attempt).await, refused);
+}
+
+/// All VMs are killed, and with them what they know of streams, while two versions serve.
+#[tokio::test]
+async fn no_stream_mixes_software_versions_after_a_restart_of_all_vms() {
+    let log = KeyedLog::start().await.expect("a log");
+    let versions = ["v1", "v2", "v1", "v2"];
+    let _engines = start_engines(&log, &versions, None).await;
+    let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
+    let streams = begin_streams(&vms[0], 12).await;
+    drop(vms);
+    let vms = start_vms(&log, &["vm-1", "vm-2"], false).await;
+    // The callers name no cached prompt, so nothing but the record leads them to their version.
+    for vm in &vms {
+        let counts = take_up(vm, &streams, its_attempt).await;
+        assert_eq!((counts.mixed, counts.other), (0, 0), "{counts:?}");
+    }
+}
