Continue broken streams at targets of the same software version

Callers saw events of two software versions in one answer: the relay placed the rest of a broken stream like a new call. The first relayed event now binds the call to the version of the target that sent it. Holders are asked to leave targets of other versions out, in the list that exists already, so builds before and after work together; what a holder chooses is checked again before it is sent. Where no target of the version is listed, the stream ends at once.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -56,8 +56,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: AvailabilityZone,
-    /// Version of its software, if its entry states one.
-    pub software: Option<SoftwareVersion>,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Calls that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts new calls.
@@ -93,6 +93,7 @@
             && self.address == other.address
             && self.zone == other.zone
             && self.slots == other.slots
+            && self.software == other.software
             && self.stage == other.stage
             && self.models == other.models
     }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -85,9 +85,17 @@
     ServiceName
 );
 name_type!(
-    /// Version of a target's software, unlike that of the weights it serves. Versions have no order.
+    /// Version of a target's software, unlike that of the weights it serves; empty if its entry states none. Versions
+    /// have no order.
     SoftwareVersion
 );
+
+impl Default for SoftwareVersion {
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 name_type!(
     /// Name of an operator.
     OperatorName
--- a/crates/core/tests/direct_memory/engine.rs
+++ b/crates/core/tests/direct_memory/engine.rs
@@ -7,7 +7,10 @@
         engine::{EngineOrder, EngineReport, OrderKind, OrderOutcome},
         planner::split_subject,
     },
-    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetLife, TargetName},
+    ids::{
+        AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
+        TargetName,
+    },
 };
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -464,7 +467,7 @@
             slots: CALL_SLOTS,
             stage: TargetStage::Ready,
             remaining: None,
-            software: None,
+            software: SoftwareVersion::default(),
             warmup_remaining: Duration::ZERO,
             orders_taken: self.sequence,
             models: self
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -12,7 +12,10 @@
             PlannerAction, RefusalCause, ZonePlanner,
         },
     },
-    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
+        TargetName, VmName,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -45,7 +48,7 @@
         slots: 8,
         stage: TargetStage::Ready,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/core/tests/direct_stale_copy.rs
+++ b/crates/core/tests/direct_stale_copy.rs
@@ -10,7 +10,10 @@
             CallKey, EngineEstimates, PlacementRequest, PlacementTerms, PlannerAction, ZonePlanner,
         },
     },
-    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
+        TargetName, VmName,
+    },
 };
 use std::{sync::Arc, time::Duration};
 
@@ -33,7 +36,7 @@
         slots: 8,
         stage: TargetStage::Ready,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/core/tests/direct_state.rs
+++ b/crates/core/tests/direct_state.rs
@@ -12,8 +12,8 @@
         stream_estimate::StreamEstimate,
     },
     ids::{
-        AdapterName, AvailabilityZone, Instant, LogOffset, LogPosition, ServiceName, StoreEra,
-        TargetLife, TargetName, VmName,
+        AdapterName, AvailabilityZone, Instant, LogOffset, LogPosition, ServiceName,
+        SoftwareVersion, StoreEra, TargetLife, TargetName, VmName,
     },
 };
 use std::{collections::HashSet, sync::Arc, time::Duration};
@@ -66,7 +66,7 @@
         slots: 4,
         stage,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: Vec::new(),
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -10,7 +10,10 @@
             PlannerAction, ZonePlanner,
         },
     },
-    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
+        TargetName, VmName,
+    },
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -47,7 +50,7 @@
         slots: 8,
         stage: TargetStage::Ready,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -9,7 +9,10 @@
         plain::{PlainPlanner, PlainRequest, pick_without_holder},
         planner::{CallKey, PlacementAnswer},
     },
-    ids::{AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, TargetRun, VmName},
+    ids::{
+        AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife, TargetName, TargetRun,
+        VmName,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -39,7 +42,7 @@
         slots: SLOTS,
         stage: TargetStage::Ready,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: Vec::new(),
--- a/crates/core/tests/load/simulation.rs
+++ b/crates/core/tests/load/simulation.rs
@@ -12,7 +12,10 @@
         policy::PlacementPolicy,
         search::ZoneSearch,
     },
-    ids::{AdapterName, AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
+        TargetName, VmName,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rand_distr::{Distribution, Exp, LogNormal, Zipf};
@@ -222,7 +225,7 @@
         slots: 64,
         stage: TargetStage::Ready,
         remaining: None,
-        software: None,
+        software: SoftwareVersion::default(),
         warmup_remaining: Duration::ZERO,
         orders_taken: 0,
         models: vec![("base".to_owned(), 1)],
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -61,7 +61,7 @@
         planner::RefusalCause,
         suspects::RequestFingerprint,
     },
-    ids::{self, AvailabilityZone, TargetName},
+    ids::{self, AvailabilityZone, SoftwareVersion, TargetName},
 };
 use hoplanding_platform::message_heads::{CallHead, decode_call_head};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -136,6 +136,8 @@
     body: Bytes,
     /// Whether the zone's holder knows of a rate limit at the chosen target.
     pub is_limited: bool,
+    /// Software version that began the call's stream; the call goes to targets of no other version.
+    pub software: Option<SoftwareVersion>,
     /// Targets to which the call is not sent again.
     pub tried: Vec<TargetName>,
     /// Address of the engine from which the chosen engine fetches cached parts of the prompt.
@@ -250,6 +252,7 @@
         headers: parts.headers,
         body,
         is_limited: false,
+        software: None,
         tried: Vec::new(),
         fetch_source: None,
         runs: 0,
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -40,6 +40,10 @@
 /// Jitter added to the `Retry-After` of calls that are refused because all targets requested a backoff.
 const BACKOFF_JITTER: Duration = Duration::from_millis(600);
 
+/// `Retry-After` of calls whose stream was begun by a software version that no target runs any more, longer than callers
+/// wait.
+const NO_VERSION_RETRY_AFTER: Duration = Duration::from_secs(24 * 3_600);
+
 /// Bounds of the `Retry-After` of calls that are refused because no target can be reached. Lost paths are checked several
 /// times a second, and the jitter spreads the callers that return.
 const MIN_PATH_RETURN_TIME: Duration = Duration::from_millis(500);
@@ -67,6 +71,9 @@
         if let Some(refused) = self.exclude_closed_zones() {
             return refused;
         }
+        if self.software.is_some() && !self.has_fitting_target() {
+            return CallPlacement::Unavailable(NO_VERSION_RETRY_AFTER);
+        }
         if !self.context.fleet.is_topic_known(FeedTopic::Fleet) {
             // The request may be a suspect whose record this VM has not read yet.
             return CallPlacement::Unavailable(DEFAULT_RETRY_AFTER);
@@ -121,18 +128,39 @@
         })
     }
 
-    /// Targets that take no call of this VM now: they requested a backoff, or are in a zone that can't be reached.
+    /// Targets that cannot take the call now: they requested a backoff, are in a zone that can't be reached, or run
+    /// another software version than the one that began the stream.
     fn unavailable_targets(&self) -> Vec<TargetName> {
         let tables = self.context.fleet.tables();
         let mut targets = tables.backing_off(clock::now());
-        if !self.closed_zones.is_empty() {
+        if !self.closed_zones.is_empty() || self.software.is_some() {
             let ready = tables.catalog.ready(&self.service.name);
-            let closed = ready.filter(|entry| self.closed_zones.contains(&entry.zone));
-            targets.extend(closed.map(|entry| entry.name.clone()));
+            let excluded = ready.filter(|entry| {
+                self.closed_zones.contains(&entry.zone) || !self.fits_software(entry)
+            });
+            targets.extend(excluded.map(|entry| entry.name.clone()));
         }
         targets
     }
 
+    /// Whether a target runs the software version that began the call's stream, if an event has begun it.
+    fn fits_software(&self, entry: &TargetEntry) -> bool {
+        let mut bound = self.software.iter();
+        bound.all(|software| *software == entry.software)
+    }
+
+    /// Whether a target that a holder chose takes the call, by this VM's own knowledge.
+    fn may_send_to(&self, entry: &TargetEntry) -> bool {
+        entry.stage == TargetStage::Ready && self.fits_software(entry)
+    }
+
+    /// Whether this VM knows a target that may continue the call's stream.
+    fn has_fitting_target(&self) -> bool {
+        let tables = self.context.fleet.tables();
+        let mut ready = tables.catalog.ready(&self.service.name);
+        ready.any(|entry| self.fits_software(entry))
+    }
+
     /// Finds the target of a plain service's call. One holder places all calls of a service, so it knows how many are in
     /// flight at each target.
     async fn place_plain(&mut self) -> CallPlacement {
@@ -174,9 +202,9 @@
                     self.is_limited = is_limited;
                     sleep(Duration::from_millis(u64::from(wait_ms))).await;
                     let entry = self.entry_of(zone, &target).await;
-                    match entry.filter(|entry| entry.stage == TargetStage::Ready) {
+                    match entry.filter(|entry| self.may_send_to(entry)) {
                         Some(entry) => return CallPlacement::At(entry, None, placed_call),
-                        // This VM knows that the target has left.
+                        // This VM knows that the target has left, or runs another software version.
                         None => self.tried.push(target),
                     }
                 }
@@ -226,6 +254,7 @@
         let ready = tables.catalog.ready(&self.service.name);
         let targets: Vec<_> = ready
             .filter(|entry| !self.closed_zones.contains(&entry.zone))
+            .filter(|entry| self.fits_software(entry))
             .filter(|entry| tables.limits.wait(&entry.name, now).is_zero())
             .filter(|entry| tables.backoffs.remaining(&entry.run(), now).is_none())
             .filter(|entry| tables.admits(entry, now))
@@ -296,7 +325,7 @@
                 let is_same_holder = lease == self.context.fleet.lease(zone);
                 let entry = self.entry_of(zone, &target).await;
                 // The target may have begun to leave while the adapter was loaded.
-                let Some(entry) = entry.filter(|entry| entry.stage == TargetStage::Ready) else {
+                let Some(entry) = entry.filter(|entry| self.may_send_to(entry)) else {
                     self.tried.push(target);
                     return None;
                 };
@@ -503,6 +532,7 @@
             .catalog
             .ready(&self.service.name)
             .filter(|entry| entry.zone == *zone && !self.tried.contains(&entry.name))
+            .filter(|entry| self.fits_software(entry))
             .filter(|entry| !tables.health.is_unreachable(&entry.name, now))
             .filter(|entry| tables.limits.wait(&entry.name, now).is_zero())
             .filter(|entry| tables.backoffs.remaining(&entry.run(), now).is_none())
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -16,7 +16,6 @@
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_core::ids::SoftwareVersion;
 use hoplanding_platform::headers::end_to_end_headers;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
@@ -34,8 +33,6 @@
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
     awaits_first_event: bool,
-    /// Software version of the target that sent the answer's first event, once there was one.
-    software: Option<Option<SoftwareVersion>>,
 }
 
 /// Starts to relay a stream; returns the response to the caller.
@@ -48,7 +45,6 @@
         splitter: EventSplitter::default(),
         is_resumable,
         awaits_first_event: true,
-        software: None,
     };
     let stream = futures_util::stream::unfold(relay, |mut relay| async move {
         let step = relay.next().await?;
@@ -96,10 +92,7 @@
                 }
             };
             self.check_target(is_stalled).await;
-            let software = self
-                .open
-                .as_ref()
-                .and_then(|open| open.entry.software.clone());
+            let software = self.open.as_ref().map(|open| open.entry.software.clone());
             let target = self.end_open(CallEnd::Failed);
             event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}, software version {software:?}",
                 self.splitter.last_id()
@@ -120,7 +113,7 @@
         if !mem::take(&mut self.awaits_first_event) {
             return;
         }
-        self.count_resumption();
+        self.bind_software();
         let Some(open) = self.open.as_ref() else {
             return;
         };
@@ -135,29 +128,26 @@
         }
     }
 
-    /// Counts the first event of a send, if the send continues a stream.
-    fn count_resumption(&mut self) {
+    /// Binds the stream to the software version of its first event, and counts the sends that continue a stream.
+    fn bind_software(&mut self) {
         let Some(open) = &self.open else {
             return;
         };
         let software = &open.entry.software;
-        let (origin, version) = match &self.software {
-            Some(first) if first == software => (ResumeOrigin::Relay, ResumeVersion::Same),
+        let (origin, version) = match &self.call.software {
+            Some(bound) if bound == software => (ResumeOrigin::Relay, ResumeVersion::Same),
             Some(_) => (ResumeOrigin::Relay, ResumeVersion::Other),
             None if self.call.head.last_event_id.is_some() => {
                 (ResumeOrigin::Caller, ResumeVersion::Unknown)
             }
             None => {
-                self.software = Some(software.clone());
+                self.call.software = Some(software.clone());
                 return;
             }
         };
-        self.call
-            .context
-            .fleet
-            .metrics
-            .count_resumed_stream(origin, version);
-        self.software.get_or_insert_with(|| software.clone());
+        let metrics = &self.call.context.fleet.metrics;
+        metrics.count_resumed_stream(origin, version);
+        self.call.software.get_or_insert_with(|| software.clone());
     }
 
     /// Records how long the stream took. During a planned stop, these durations decide which streams are still
