Continue streams over a caller's tries at the version that began them

Callers that took a stream up with Last-Event-Id and Resumes met targets of another software version: a VM treated such a call like a new one. Each VM now remembers the version that began each stream it relays, by service, organisation and attempt. While a service runs several versions it also tells the holders of all zones, which answer any VM. Where the log and a recent target list name a single version, that version began every stream, so nobody is asked; a record per service in the log keeps versions whose targets have left. A stream whose version nobody knows, or no target runs any more, is refused with a Retry-After beyond its caller's deadline. Builds without the new messages are not sent any.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -16,6 +16,8 @@
 //! | [`load_limiter`] | how many loads from the weight store may be in flight, and how long one takes |
 //! | [`prefill`] | how fast engines prefill prompts, and the backlog of each |
 //! | [`search`] | which zones a gateway requests a placement from, and on which terms |
+//! | [`stream_origins`] | which software version began a stream |
+//! | [`software_history`] | which software versions each service has run lately |
 //! | [`stream_estimate`] | how long a stream may take |
 //! | [`demand`] | how often each adapter is requested |
 //! | [`health`] | health of targets, from the outcomes of calls |
@@ -59,7 +61,9 @@
 pub mod retry_budget;
 pub mod routes;
 pub mod search;
+pub mod software_history;
 pub mod stream_estimate;
+pub mod stream_origins;
 pub mod suspects;
 pub mod target_notices;
 pub mod trials;
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -10,6 +10,7 @@
 //! | `quota_charge` | charges the organisation's quota, and refunds it |
 //! | `placement` | chooses the target of the next send |
 //! | `sending` | sends once, and classifies the answer |
+//! | `stream_origin` | finds the software version that began a stream which the call takes up |
 //! | `target_probe` | finds out whether a target crashed while it ran the call |
 //! | `answers` | builds the answers to callers |
 //! | `timeline` | records the times of a stream's steps |
@@ -21,6 +22,7 @@
 mod quota_charge;
 mod sending;
 mod stop_plan;
+mod stream_origin;
 mod target_probe;
 mod timeline;
 
@@ -279,6 +281,9 @@
 impl CallState {
     /// Places and sends the call until it has an answer or may not be sent again.
     async fn run(mut self) -> Response<AnswerBody> {
+        if let Err(retry_after) = self.bind_taken_up_stream().await {
+            return self.give_up(None, retry_after);
+        }
         let mut retry_after = DEFAULT_RETRY_AFTER;
         let mut failure = None;
         loop {
--- /dev/null
+++ b/crates/daemon/src/direct/call/stream_origin.rs
@@ -0,0 +1,89 @@
+//! Finding the software version that began the stream which a call takes up, and recording it for later calls.
+
+use crate::{
+    direct::{
+        call::{CallState, DEFAULT_RETRY_AFTER},
+        holder_client::StreamLookup,
+    },
+    event,
+    events::Event,
+};
+use hoplanding_core::{
+    direct::{
+        config::ResponseShape,
+        stream_origins::{StreamKey, StreamOrigin},
+    },
+    ids::SoftwareVersion,
+};
+use std::time::Duration;
+use tokio::time::timeout_at;
+
+/// `Retry-After` of calls whose stream no VM knows, longer than callers wait: the stream has to begin anew.
+const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_secs(24 * 3_600);
+
+impl CallState {
+    /// Binds a call that takes up a stream to the software version that began the stream.
+    ///
+    /// # Errors
+    /// If the version cannot be found out: the time after which the caller may retry.
+    pub(super) async fn bind_taken_up_stream(&mut self) -> Result<(), Duration> {
+        let is_resumable =
+            self.route.response_shape == ResponseShape::EventStream { resumable: true };
+        if !is_resumable || self.head.last_event_id.is_none() {
+            return Ok(());
+        }
+        let (software, retry_after) = self.find_software().await;
+        if software.is_none() {
+            event!(Event::StreamOriginUnknown, request = self.head.id; "route {}, begun by attempt {:?}, retry after {retry_after:?}",
+                self.route.name,
+                self.head.resumes
+            );
+            return Err(retry_after);
+        }
+        self.software = software;
+        Ok(())
+    }
+
+    /// Software version that began the stream, by this VM's records, those of the zones' holders, or because there is no
+    /// other. Where it is not known, also when to retry.
+    async fn find_software(&self) -> (Option<SoftwareVersion>, Duration) {
+        let fleet = &self.context.fleet;
+        let key = self.head.resumes.as_deref().map(|id| self.stream_key(id));
+        let known = key.and_then(|key| fleet.stream_software(key));
+        let known = known.or_else(|| fleet.sole_software(&self.service.name));
+        if known.is_some() {
+            return (known, Duration::ZERO);
+        }
+        let Some(key) = key else {
+            return (None, UNKNOWN_STREAM_RETRY_AFTER);
+        };
+        let lookup = self.context.holder_client.look_up_stream(key);
+        match timeout_at(self.deadline, lookup).await {
+            Ok(StreamLookup::Found(software)) => (Some(software), Duration::ZERO),
+            Ok(StreamLookup::Unknown) => (None, UNKNOWN_STREAM_RETRY_AFTER),
+            Ok(StreamLookup::Unanswered) | Err(_) => (None, DEFAULT_RETRY_AFTER),
+        }
+    }
+
+    /// Records the software version that sent the first event of this call, under the ids that a later call may name.
+    pub fn record_stream_origin(&self, software: &SoftwareVersion) {
+        let ids = [Some(self.head.id.as_str()), self.head.resumes.as_deref()];
+        for id in ids.into_iter().flatten().filter(|id| !id.is_empty()) {
+            let origin = StreamOrigin {
+                key: self.stream_key(id),
+                software: software.clone(),
+            };
+            let fleet = &self.context.fleet;
+            let unsent = fleet.record_own_stream(&self.service.name, &origin);
+            if !unsent.is_empty() {
+                self.context.holder_client.report_streams(&unsent);
+            }
+        }
+    }
+
+    fn stream_key(&self, id: &str) -> StreamKey {
+        let organisation = self.identity.organisation();
+        let organisation = organisation.map(|organisation| &organisation.name);
+        StreamKey::new(&self.service.name, organisation, id)
+    }
+}
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -33,6 +33,8 @@
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
     awaits_first_event: bool,
+    /// Whether any event was relayed.
+    has_relayed: bool,
 }
 
 /// Starts to relay a stream; returns the response to the caller.
@@ -45,6 +47,7 @@
         splitter: EventSplitter::default(),
         is_resumable,
         awaits_first_event: true,
+        has_relayed: false,
     };
     let stream = futures_util::stream::unfold(relay, |mut relay| async move {
         let step = relay.next().await?;
@@ -128,26 +131,29 @@
         }
     }
 
-    /// Binds the stream to the software version of its first event, and counts the sends that continue a stream.
+    /// Binds the call to the software version of its first event, and counts the sends that continue a stream.
     fn bind_software(&mut self) {
         let Some(open) = &self.open else {
             return;
         };
-        let software = &open.entry.software;
-        let (origin, version) = match &self.call.software {
-            Some(bound) if bound == software => (ResumeOrigin::Relay, ResumeVersion::Same),
-            Some(_) => (ResumeOrigin::Relay, ResumeVersion::Other),
-            None if self.call.head.last_event_id.is_some() => {
-                (ResumeOrigin::Caller, ResumeVersion::Unknown)
-            }
-            None => {
-                self.call.software = Some(software.clone());
-                return;
-            }
+        let software = open.entry.software.clone();
+        let origin = match self.call.software {
+            Some(_) if self.has_relayed => Some(ResumeOrigin::Relay),
+            _ => self.call.head.last_event_id.map(|_| ResumeOrigin::Caller),
         };
-        let metrics = &self.call.context.fleet.metrics;
-        metrics.count_resumed_stream(origin, version);
-        self.call.software.get_or_insert_with(|| software.clone());
+        if let Some(origin) = origin {
+            let version = match &self.call.software {
+                Some(bound) if *bound == software => ResumeVersion::Same,
+                Some(_) => ResumeVersion::Other,
+                None => ResumeVersion::Unknown,
+            };
+            let metrics = &self.call.context.fleet.metrics;
+            metrics.count_resumed_stream(origin, version);
+        }
+        if !mem::replace(&mut self.has_relayed, true) && self.is_resumable {
+            self.call.record_stream_origin(&software);
+        }
+        self.call.software.get_or_insert(software);
     }
 
     /// Records how long the stream took. During a planned stop, these durations decide which streams are still
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -33,7 +33,9 @@
         restore_guard::{RestoreGuard, RewriteRule},
         retry_budget::RetryShare,
         routes::RouteTable,
+        software_history::SoftwareHistory,
         stream_estimate::StreamEstimate,
+        stream_origins::StreamOrigins,
         suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
@@ -59,6 +61,8 @@
 pub const VM_KEY_PREFIX: &str = "vm/";
 /// Key prefix of suspect records.
 pub const SUSPECT_KEY_PREFIX: &str = "suspect/";
+/// Key prefix of the records of services' software versions.
+pub const SOFTWARE_KEY_PREFIX: &str = "software/";
 /// Key prefix of zone leases.
 pub const ZONE_KEY_PREFIX: &str = "zone/";
 /// Time for which an adapter in high demand counts as having its home in every zone. By its end this VM's
@@ -151,6 +155,10 @@
     pub era_record: Option<EraRecord>,
     /// Requests during which targets crashed, from this VM's calls, other VMs and the log.
     pub suspects: SuspectTable,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
+    /// Software versions that each service has run lately.
+    pub software: SoftwareHistory,
     /// Rate limits that targets advertised to this VM or to other VMs.
     pub limits: RateLimitTable,
     /// Backoffs that targets requested from this VM.
@@ -411,6 +419,8 @@
                 has_seen_earlier_era: false,
                 era_record: None,
                 suspects: SuspectTable::default(),
+                stream_origins: StreamOrigins::default(),
+                software: SoftwareHistory::default(),
                 limits: RateLimitTable::with_share(1.0 / f64::from(MIN_BUDGET_SHARES)),
                 backoffs: BackoffTable::default(),
                 records: RecordCache::default(),
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -6,7 +6,8 @@
 use crate::{
     direct::{
         fleet::{
-            ActiveConfig, ERA_KEY, FleetTables, SUSPECT_KEY_PREFIX, VM_KEY_PREFIX, ZONE_KEY_PREFIX,
+            ActiveConfig, ERA_KEY, FleetTables, SOFTWARE_KEY_PREFIX, SUSPECT_KEY_PREFIX,
+            VM_KEY_PREFIX, ZONE_KEY_PREFIX,
         },
         ingest::RecordSource,
         message::FeedTopic,
@@ -21,7 +22,7 @@
         restore_guard::RewriteRule,
         routes::RouteTable,
     },
-    ids::{AvailabilityZone, Instant, TargetName, VmName},
+    ids::{AvailabilityZone, Instant, ServiceName, TargetName, VmName},
 };
 use hoplanding_platform::{
     DecodeError,
@@ -311,7 +312,7 @@
     FoldOutcome::Update
 }
 
-/// Applies a VM record, the era record, a suspect record or a zone lease.
+/// Applies a VM record, the era record, a suspect record, a software record or a zone lease.
 pub fn fold_fleet_record(
     tables: &mut FleetTables,
     record: &KeyedRecord,
@@ -329,6 +330,8 @@
         {
             event!(Event::RecordSkipped, "{}: {error}", record.key);
         }
+    } else if let Some(service) = record.key.strip_prefix(SOFTWARE_KEY_PREFIX) {
+        fold_software(tables, service, record, now);
     } else if record.key.starts_with(SUSPECT_KEY_PREFIX) {
         event!(
             Event::RecordSkipped,
@@ -368,6 +371,22 @@
     }
 }
 
+fn fold_software(tables: &mut FleetTables, service: &str, record: &KeyedRecord, now: Instant) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    match serde_json::from_slice(value) {
+        Ok(recorded) => {
+            let service = ServiceName::new(service);
+            tables.software.record_stored(&service, &recorded, now);
+        }
+        Err(error) => event!(
+            Event::RecordSkipped,
+            "software versions of {service}: {error}"
+        ),
+    }
+}
+
 fn fold_lease(tables: &mut FleetTables, zone: &str, record: &KeyedRecord) -> FoldOutcome {
     let lease = record
         .value
--- a/crates/daemon/src/direct/holder_client.rs
+++ b/crates/daemon/src/direct/holder_client.rs
@@ -15,6 +15,7 @@
         zone::{HolderReply, ReplySender, ZoneEvent},
     },
 };
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use hoplanding_core::{
     direct::{
         lease::{HolderContact, ZoneLease},
@@ -22,10 +23,13 @@
         plain::PlainRequest,
         planner::{CallKey, PlacementAnswer, PlacementRequest},
         quotas::QuotaCharge,
+        stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::{TrialAnswer, trial_zones},
     },
-    ids::{AdapterName, AvailabilityZone, LogPosition, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, LogPosition, SoftwareVersion, TargetLife, TargetName, VmName,
+    },
 };
 use std::{
     collections::HashMap,
@@ -51,9 +55,22 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time that a placed call waits for the holder's record of its target.
 const TARGET_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time that a call waits for the holders' answers about the origin of its stream.
+const STREAM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause after the end of a link before a call dials it again.
 const REDIAL_DELAY: Duration = Duration::from_millis(700);
 
+/// Result of asking the zones' holders for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamLookup {
+    /// The software version that began the stream.
+    Found(SoftwareVersion),
+    /// All holders answered, and none knows the stream.
+    Unknown,
+    /// No holder that answered knows the stream, and at least one did not answer.
+    Unanswered,
+}
+
 /// A call that a holder placed and that has not ended.
 #[derive(Clone, Debug)]
 struct OpenCall {
@@ -142,6 +159,7 @@
             HolderReply::Placement(_)
             | HolderReply::Trial(_)
             | HolderReply::Target(_)
+            | HolderReply::Stream(_)
             | HolderReply::NotHolder => None,
         }
     }
@@ -181,6 +199,60 @@
         }
     }
 
+    /// Asks the holders of the other zones which software version began a stream.
+    pub async fn look_up_stream(&self, key: StreamKey) -> StreamLookup {
+        let zones = self.all_zones();
+        let mut questions: FuturesUnordered<_> = zones
+            .iter()
+            .map(|zone| timeout(STREAM_TIMEOUT, self.ask_for_stream(zone, key)))
+            .collect();
+        let mut is_unanswered = false;
+        while let Some(answer) = questions.next().await {
+            match answer {
+                Ok(Some(Some(software))) => return StreamLookup::Found(software),
+                Ok(Some(None)) => {}
+                Ok(None) | Err(_) => is_unanswered = true,
+            }
+        }
+        if is_unanswered {
+            StreamLookup::Unanswered
+        } else {
+            StreamLookup::Unknown
+        }
+    }
+
+    /// Asks one zone's holder for the origin of a stream; `None` if it does not answer.
+    async fn ask_for_stream(
+        &self,
+        zone: &AvailabilityZone,
+        key: StreamKey,
+    ) -> Option<Option<SoftwareVersion>> {
+        let lease = self.fleet.lease(zone)?;
+        if self.is_mine(&lease) {
+            return Some(self.fleet.stream_software(key));
+        }
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let question = VmMessage::LookUpStream(number, key);
+        match self.ask(zone, &lease, number, question).await? {
+            HolderReply::Stream(software) => Some(software),
+            _ => None,
+        }
+    }
+
+    /// Sends origins of streams to the holders of all other zones.
+    pub fn report_streams(&self, origins: &[StreamOrigin]) {
+        for zone in self.all_zones() {
+            let Some(lease) = self.fleet.lease(&zone) else {
+                continue;
+            };
+            if !self.is_mine(&lease)
+                && let Some(link) = self.link(&zone, &lease)
+            {
+                link.send_notice(VmMessage::StreamsBegan(origins.to_vec()));
+            }
+        }
+    }
+
     /// Reports the end of a trial to the holder that granted it. A success clears the suspicion and is reported to all holders.
     pub(super) fn end_trial(
         &self,
@@ -219,8 +291,20 @@
             self.zone.send(event).await.ok()?;
             return receiver.await.ok();
         }
+        self.ask(zone, lease, number, request.into_message(number))
+            .await
+    }
+
+    /// Sends a request to the holder of a zone on another VM; `None` if it does not answer.
+    async fn ask(
+        &self,
+        zone: &AvailabilityZone,
+        lease: &ZoneLease,
+        number: u64,
+        request: VmMessage,
+    ) -> Option<HolderReply> {
         let link = self.usable_link(zone, lease)?;
-        let mut receiver = link.send_request(number, request.into_message(number))?;
+        let mut receiver = link.send_request(number, request)?;
         loop {
             match timeout(HOLDER_CHECK_INTERVAL, &mut receiver).await {
                 Ok(reply) => return reply.ok(),
@@ -244,7 +328,8 @@
             HolderReply::NotHolder
             | HolderReply::Charged(_)
             | HolderReply::Trial(_)
-            | HolderReply::Target(_) => None,
+            | HolderReply::Target(_)
+            | HolderReply::Stream(_) => None,
             HolderReply::Placement(answer) => {
                 let placed_call = match &answer {
                     PlacementAnswer::Send { target, life, .. } => {
@@ -333,9 +418,11 @@
             let tables = self.fleet.tables();
             let suspects = tables.suspects.crashes(clock::now());
             let limits = tables.limits.advertised().map(VmMessage::TargetLimit);
+            let origins = tables.mixed_stream_origins(clock::now());
             suspects
                 .map(VmMessage::TargetCrashed)
                 .chain(limits)
+                .chain((!origins.is_empty()).then_some(VmMessage::StreamsBegan(origins)))
                 .collect()
         };
         let opening = self
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -190,16 +190,20 @@
     async fn run(self, mut outbound: mpsc::Receiver<VmMessage>, initial_messages: Vec<VmMessage>) {
         let result = timeout(CONNECT_TIMEOUT, self.dial()).await;
         let is_process_gone = match result {
-            Ok(Ok(mut socket)) => {
+            Ok(Ok((mut socket, knows_streams))) => {
                 event!(Event::LinkUp, "{}", self.vm);
                 self.record_heard(clock::now());
                 self.set_status(LinkStatus::Up);
                 for message in initial_messages {
+                    if !knows_streams && is_about_streams(&message) {
+                        continue;
+                    }
                     if send(&mut socket, &message).await.is_err() {
                         break;
                     }
                 }
-                self.relay_messages(socket, &mut outbound).await;
+                self.relay_messages(socket, &mut outbound, knows_streams)
+                    .await;
                 event!(Event::LinkBroken, "{}", self.vm);
                 false
             }
@@ -232,7 +236,8 @@
             .status = status;
     }
 
-    async fn dial(&self) -> io::Result<VmSocket> {
+    /// Connects to the VM; returns the socket, and whether the peer knows the messages about the origins of streams.
+    async fn dial(&self) -> io::Result<(VmSocket, bool)> {
         let mut socket = dial_socket(self.address).await?;
         let hello = VmMessage::Hello {
             version: MESSAGE_VERSION,
@@ -245,9 +250,10 @@
             Some(VmMessage::Welcome {
                 version,
                 incarnation,
+                knows_streams,
             }) if version == MESSAGE_VERSION => {
                 if incarnation == self.incarnation {
-                    Ok(socket)
+                    Ok((socket, knows_streams))
                 } else {
                     // Another incarnation answers at this address, so the dialled one has ended.
                     Err(io::ErrorKind::ConnectionRefused.into())
@@ -260,7 +266,12 @@
     }
 
     /// Exchanges messages until the link breaks.
-    async fn relay_messages(&self, mut socket: VmSocket, outbound: &mut mpsc::Receiver<VmMessage>) {
+    async fn relay_messages(
+        &self,
+        mut socket: VmSocket,
+        outbound: &mut mpsc::Receiver<VmMessage>,
+        knows_streams: bool,
+    ) {
         let mut heard = clock::now();
         let mut heartbeat = interval(HEARTBEAT_INTERVAL);
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -288,6 +299,10 @@
                 }
                 message = outbound.recv() => {
                     let Some(message) = message else { return };
+                    if !knows_streams && is_about_streams(&message) {
+                        self.cancel_request(&message);
+                        continue;
+                    }
                     if send(&mut socket, &message).await.is_err() {
                         return;
                     }
@@ -314,12 +329,24 @@
         }
     }
 
+    /// Ends a request that the peer would not understand, as if it had not answered.
+    fn cancel_request(&self, message: &VmMessage) {
+        if let VmMessage::LookUpStream(number, _) = message {
+            self.state
+                .lock()
+                .expect("no thread panics while it holds the lock")
+                .pending_replies
+                .remove(number);
+        }
+    }
+
     fn deliver_reply(&self, message: VmMessage) {
         let (number, reply) = match message {
             VmMessage::Placed(number, answer) => (number, HolderReply::Placement(answer)),
             VmMessage::Charged(number, after_ms) => (number, HolderReply::Charged(after_ms)),
             VmMessage::TrialAnswered(number, answer) => (number, HolderReply::Trial(answer)),
             VmMessage::TargetRecord(number, record) => (number, HolderReply::Target(record)),
+            VmMessage::StreamFound(number, software) => (number, HolderReply::Stream(software)),
             VmMessage::NotHolder(number) => (number, HolderReply::NotHolder),
             _ => return,
         };
@@ -336,6 +363,14 @@
     }
 }
 
+/// Whether only peers that announce it in their welcome know this message.
+fn is_about_streams(message: &VmMessage) -> bool {
+    matches!(
+        message,
+        VmMessage::StreamsBegan(_) | VmMessage::LookUpStream(..)
+    )
+}
+
 async fn wait_for_stop(stopping: &mut watch::Receiver<bool>) {
     // `FleetState` keeps the sender alive.
     let _ = stopping.wait_for(|is_stopping| *is_stopping).await;
@@ -379,6 +414,7 @@
             let welcome = VmMessage::Welcome {
                 version: MESSAGE_VERSION,
                 incarnation: fleet.incarnation,
+                knows_streams: true,
             };
             send(&mut socket, &welcome).await?;
         }
@@ -435,6 +471,7 @@
                         fleet.record_successor(&vm, false);
                     }
                     if let Some(message) = sharing.apply(&vm, message)
+                        && let Some(message) = apply_stream_message(fleet, message, &outbound)
                         && let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
                     {
@@ -460,6 +497,24 @@
     ended
 }
 
+/// Handles a message about the origins of streams; returns any other message.
+fn apply_stream_message(
+    fleet: &FleetState,
+    message: VmMessage,
+    outbound: &mpsc::Sender<VmMessage>,
+) -> Option<VmMessage> {
+    match message {
+        VmMessage::StreamsBegan(origins) => fleet.record_streams(&origins),
+        VmMessage::LookUpStream(number, key) => {
+            let found = VmMessage::StreamFound(number, fleet.stream_software(key));
+            // If the link is full, the asking VM times out.
+            drop(outbound.try_send(found));
+        }
+        other => return Some(other),
+    }
+    None
+}
+
 fn zone_event(
     vm: &VmName,
     message: VmMessage,
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -13,10 +13,14 @@
         plain::PlainRequest,
         planner::{PlacementAnswer, PlacementRequest},
         quotas::QuotaCharge,
+        stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
     },
-    ids::{AdapterName, AvailabilityZone, LogPosition, TargetLife, TargetName, TargetRun, VmName},
+    ids::{
+        AdapterName, AvailabilityZone, LogPosition, SoftwareVersion, TargetLife, TargetName,
+        TargetRun, VmName,
+    },
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -184,6 +188,9 @@
         version: u32,
         /// Incarnation of the answering process.
         incarnation: u64,
+        /// Whether the answering process knows the messages about the origins of streams.
+        #[serde(default, skip_serializing_if = "is_false")]
+        knows_streams: bool,
     },
     /// Heartbeat.
     #[serde(rename = "Beat")]
@@ -260,6 +267,12 @@
     /// Record of the requested target, if it is known.
     #[serde(rename = "TargetTold")]
     TargetRecord(u64, Option<ForwardedRecord>),
+    /// Streams that the sender relays, with the software versions that began them.
+    StreamsBegan(Vec<StreamOrigin>),
+    /// Requests the software version that began a stream.
+    LookUpStream(u64, StreamKey),
+    /// Answer to `LookUpStream`, if the version is known.
+    StreamFound(u64, Option<SoftwareVersion>),
     /// Records that the receiver may not know.
     Records(Vec<ForwardedRecord>),
     /// Targets that announced in an answer that they are leaving.
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -16,6 +16,7 @@
 //! | [`reachability`] | reachability of the log, shared by the readers of a VM |
 //! | [`eras`] | eras of the log, which change when it is restored from a copy |
 //! | [`recorder`] | records that this VM maintains in the log |
+//! | [`stream_records`] | which software versions began streams, as this VM, other VMs and the log know |
 //! | [`suspect_records`], [`trials`] | records and trials of requests during which targets crashed |
 //! | [`caller_connections`] | connections of callers |
 //! | [`probes`], [`metrics`] | readiness check and metrics page |
@@ -65,6 +66,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
+pub mod stream_records;
 pub mod suspect_records;
 pub mod target_connections;
 pub mod trials;
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -7,22 +7,27 @@
 //! again in any case, at a random time, as all VMs learn of the restore at once.
 
 use crate::{
+    clock,
     direct::{
         fleet::{ERA_KEY, FleetState, FleetTables, VmRecord, vm_key},
         message::FeedTopic,
         settings::DirectSettings,
+        stream_records::software_key,
         suspect_records::{is_record_owner, suspect_fingerprint},
     },
     event,
     events::Event,
 };
 use bytes::Bytes;
-use hoplanding_core::ids::StoreEra;
+use hoplanding_core::{
+    direct::plain::placement_zones,
+    ids::{ServiceName, StoreEra},
+};
 use hoplanding_platform::{
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
 };
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Pause before a record is written again, after a failure or because it is still missing.
@@ -34,6 +39,9 @@
 /// Time over which VMs that have not listed the topic spread the rewrites of their records.
 const REWRITE_SPREAD: Duration = Duration::from_secs(5);
 
+/// Time for which a holder leaves a software record to each holder before it in the order of zones.
+const SOFTWARE_STAGGER: Duration = Duration::from_secs(2);
+
 /// Worker that writes the fleet's records that the log lacks.
 pub struct FleetRecorder {
     fleet: Arc<FleetState>,
@@ -42,6 +50,8 @@
     rewrite_at: Option<(StoreEra, Instant)>,
     /// Time of the next check of the suspects.
     suspect_check_at: Instant,
+    /// Since when the log lacks the software record of a service.
+    software_due_since: HashMap<ServiceName, Instant>,
 }
 
 impl FleetRecorder {
@@ -53,6 +63,7 @@
             settings,
             rewrite_at: None,
             suspect_check_at: Instant::now(),
+            software_due_since: HashMap::new(),
         }
     }
 
@@ -73,6 +84,7 @@
                 last_key = Some(key);
             }
             last_key = None;
+            self.fleet.record_listed_software();
             // `FleetState` keeps the sender alive.
             let _ = timeout(MAX_CHECK_INTERVAL, changes.changed()).await;
             sleep(MIN_CHECK_INTERVAL).await;
@@ -118,10 +130,38 @@
         if !is_holder {
             return None;
         }
+        if let Some(record) = self.due_software(&tables) {
+            return Some(record);
+        }
         self.due_suspect(&tables)
             .or_else(|| self.missing_suspect(&tables))
     }
 
+    /// Key and value of a service's software record that the log lacks or that names versions of the past.
+    fn due_software(&mut self, tables: &FleetTables) -> Option<(String, Bytes)> {
+        let due: Vec<_> = tables.due_software_records(clock::now()).collect();
+        self.software_due_since
+            .retain(|service, _| due.iter().any(|record| record.service == *service));
+        let now = Instant::now();
+        for record in due {
+            let since = *self
+                .software_due_since
+                .entry(record.service.clone())
+                .or_insert(now);
+            let zones = placement_zones(&record.service, &self.settings.zones);
+            let rank = zones.iter().position(|zone| *zone == self.fleet.zone);
+            let rank = u32::try_from(rank?).unwrap_or(u32::MAX);
+            let is_due =
+                rank == 0 || (record.lacks_versions && now >= since + SOFTWARE_STAGGER * rank);
+            if is_due {
+                let value =
+                    serde_json::to_vec(&record.value).expect("a record can be written as JSON");
+                return Some((software_key(&record.service), value.into()));
+            }
+        }
+        None
+    }
+
     /// Key and value of a suspect's record that differs from the known state. The check visits all
     /// suspects, so it has an interval of its own.
     fn due_suspect(&mut self, tables: &FleetTables) -> Option<(String, Bytes)> {
--- /dev/null
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -0,0 +1,152 @@
+//! What this VM, the other VMs and the platform's log know about the software versions that began streams.
+//!
+//! A gateway remembers the version of each stream that it relays. While a service runs several versions, it also sends
+//! them to the holders of all zones, where any VM can ask for them. The log has one record per service with the versions
+//! that may have begun streams; where there is only one, nobody has to be asked.
+
+use crate::{
+    clock,
+    direct::{
+        fleet::{FleetState, FleetTables, SOFTWARE_KEY_PREFIX},
+        message::FeedTopic,
+    },
+};
+use hoplanding_core::{
+    direct::{
+        software_history::SoftwareRecord,
+        stream_origins::{StreamKey, StreamOrigin},
+    },
+    ids::{Instant, ServiceName, SoftwareVersion},
+};
+use std::time::Duration;
+
+/// Age of this VM's view of the target list up to which it shows all software versions that may have begun streams.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Maximum number of origins in one message.
+const MAX_SENT_ORIGINS: usize = 256;
+
+/// A software record that has to be written.
+#[derive(Clone, Debug)]
+pub struct DueSoftware {
+    /// The service.
+    pub service: ServiceName,
+    /// The record's new value.
+    pub value: SoftwareRecord,
+    /// Whether the record in the log lacks a version, and does not only name versions of the past.
+    pub lacks_versions: bool,
+}
+
+/// Key of the record of a service's software versions.
+#[must_use]
+pub fn software_key(service: &ServiceName) -> String {
+    format!("{SOFTWARE_KEY_PREFIX}{service}")
+}
+
+impl FleetTables {
+    /// Software records that differ from what this VM knows, or that a restored log may lack.
+    pub(super) fn due_software_records(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = DueSoftware> + '_ {
+        self.software.services().filter_map(move |service| {
+            let key = software_key(service);
+            let versions = self.software.versions(service, &self.catalog, now);
+            let stored = self.records.value(FeedTopic::Fleet, &key);
+            let stored = stored.and_then(|value| serde_json::from_slice(value).ok());
+            let stored: SoftwareRecord = stored.unwrap_or_default();
+            let position = self.records.position(FeedTopic::Fleet, &key);
+            let is_in_era = position.is_some_and(|position| Some(position.era()) >= self.store_era);
+            let lacks_versions = !is_in_era || !versions.is_subset(&stored.versions);
+            let is_due = lacks_versions || versions != stored.versions;
+            is_due.then(|| DueSoftware {
+                service: service.clone(),
+                value: SoftwareRecord { versions },
+                lacks_versions,
+            })
+        })
+    }
+
+    /// Whether a service may have run several software versions since streams began that are still taken up.
+    fn runs_several_versions(&self, service: &ServiceName, now: Instant) -> bool {
+        let sole = self.software.sole_version(service, &self.catalog, now);
+        sole.is_none()
+    }
+
+    /// Origins for a VM that knows none, if any service runs several software versions.
+    pub(super) fn mixed_stream_origins(&self, now: Instant) -> Vec<StreamOrigin> {
+        let mut services = self.software.services();
+        if services.any(|service| self.runs_several_versions(service, now)) {
+            self.stream_origins.newest(MAX_SENT_ORIGINS, now)
+        } else {
+            Vec::new()
+        }
+    }
+}
+
+impl FleetState {
+    /// Records the software versions on the target list as listed until now.
+    pub fn record_listed_software(&self) {
+        let now = clock::now();
+        let mut tables = self.tables();
+        let FleetTables {
+            catalog, software, ..
+        } = &mut *tables;
+        for entry in catalog.iter() {
+            software.record_listed(&entry.service, &entry.software, now);
+        }
+    }
+
+    /// Records streams that another VM relays.
+    pub fn record_streams(&self, origins: &[StreamOrigin]) {
+        let now = clock::now();
+        let mut tables = self.tables();
+        for origin in origins {
+            tables.stream_origins.record(origin, now);
+        }
+    }
+
+    /// Records a stream that this VM relays; returns the origins that other VMs should know.
+    pub fn record_own_stream(
+        &self,
+        service: &ServiceName,
+        origin: &StreamOrigin,
+    ) -> Vec<StreamOrigin> {
+        let now = clock::now();
+        let mut tables = self.tables();
+        tables.stream_origins.record_own(origin, now);
+        if tables.runs_several_versions(service, now) {
+            tables.stream_origins.take_unsent(MAX_SENT_ORIGINS, now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Software version that began a stream, as far as this VM knows.
+    #[must_use]
+    pub fn stream_software(&self, key: StreamKey) -> Option<SoftwareVersion> {
+        let tables = self.tables();
+        let software = tables.stream_origins.software(key, clock::now());
+        software.cloned()
+    }
+
+    /// The version that began every stream of a service, if this VM can tell: its view of the target list and of the log's
+    /// records is complete and recent, and names no other version.
+    #[must_use]
+    pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
+        let now = clock::now();
+        let tables = self.tables();
+        let topics = [FeedTopic::Targets, FeedTopic::Fleet];
+        let is_complete = topics
+            .iter()
+            .all(|topic| tables.known_ends.contains_key(topic) && !tables.gaps.contains_key(topic));
+        let newest_answer = tables.contact.newest_answer(|vm| {
+            let record = tables.vms.get(vm);
+            record.is_some_and(|record| record.zone == self.zone)
+        });
+        let is_recent = newest_answer.is_some_and(|at| now.since(at) <= MAX_LIST_AGE);
+        if !is_complete || !is_recent {
+            return None;
+        }
+        tables.software.sole_version(service, &tables.catalog, now)
+    }
+}
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -34,7 +34,10 @@
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
     },
-    ids::{AdapterName, FencingToken, Instant, ServiceName, TargetLife, TargetName, VmName},
+    ids::{
+        AdapterName, FencingToken, Instant, ServiceName, SoftwareVersion, TargetLife, TargetName,
+        VmName,
+    },
 };
 use hoplanding_platform::orders::encode_order;
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -63,6 +66,8 @@
     Trial(TrialAnswer),
     /// The target's record in the target list, if this VM has one.
     Target(Option<ForwardedRecord>),
+    /// Software version that began a stream, if it is known.
+    Stream(Option<SoftwareVersion>),
     /// The VM that received the request does not hold the zone.
     NotHolder,
 }
@@ -761,6 +766,7 @@
                 HolderReply::Charged(after_ms) => VmMessage::Charged(key.number, after_ms),
                 HolderReply::Trial(answer) => VmMessage::TrialAnswered(key.number, answer),
                 HolderReply::Target(record) => VmMessage::TargetRecord(key.number, record),
+                HolderReply::Stream(software) => VmMessage::StreamFound(key.number, software),
                 HolderReply::NotHolder => VmMessage::NotHolder(key.number),
             };
             // If the link is full or closed, the gateway's own timeout applies.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -210,6 +210,8 @@
     LimitNamed = 818, Info, "limit of a target";
     /// A caller continues a stream that another attempt of it began.
     StreamTakenUp = 819, Info, "stream taken up by its caller";
+    /// No VM knows which software version began a stream that a caller takes up.
+    StreamOriginUnknown = 821, Info, "origin of a stream not known";
     /// A request was assigned to a target.
     CallPlaced = 803, Debug, "request placed";
     /// The first event of a stream was sent to the caller.
