Fetch cached prompts from engines of the same software version only

A call could read on a prompt's cache that an engine of another software version had made: sources were chosen by the versions of the weights alone, and engines do not check. Found by looking for what else of one target meets another; no caller reported it. cache_is_not_fetched_from_an_engine_of_another_software_version failed before.

--- a/crates/core/src/direct/planner/cache_transfer.rs
+++ b/crates/core/src/direct/planner/cache_transfer.rs
@@ -3,8 +3,8 @@
 //! Long prompts often share most of their tokens with others for the same adapter, and an adapter in demand is loaded
 //! at several engines, each of which would read the shared prefix again. Reading 6,000 tokens takes about 200 ms,
 //! fetching their cache from another engine about 20 ms, so the planner compares the two times. Engines fetch what they
-//! are instructed to without checking which weights made it, so a source is named only if its versions are those that the
-//! call runs under.
+//! are instructed to without checking which weights and which software made it, so a source is named only if its versions are
+//! those that the call runs under.
 
 use crate::{
     direct::{
@@ -13,7 +13,7 @@
         planner::{CacheTransfer, CallKey, PlacementRequest, PlannerAction, ZonePlanner},
         versions::CacheTag,
     },
-    ids::{AdapterName, Instant, TargetName},
+    ids::{AdapterName, Instant, SoftwareVersion, TargetName},
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -23,9 +23,19 @@
     pub name: TargetName,
     pub address: SocketAddr,
     pub tag: CacheTag,
+    /// Software version of the engine.
+    software: SoftwareVersion,
     tokens: u32,
 }
 
+impl CacheSource {
+    /// Whether an engine may use the cache for a call that requires a version of the subject: the weights match, and the
+    /// same software version made it.
+    fn fits(&self, engine: &EngineState, subject: &AdapterName, required: Option<u64>) -> bool {
+        self.software == engine.entry.software && engine.can_use_cache(self.tag, subject, required)
+    }
+}
+
 /// KV cache that a call is about to fetch from a source.
 #[derive(Clone, Debug)]
 pub(super) struct CacheLoan {
@@ -47,7 +57,8 @@
 }
 
 impl ZonePlanner {
-    /// Engines of the zone that can lend KV cache for a prompt: for each tag the one with the longest prefix.
+    /// Engines of the zone that can lend KV cache for a prompt: for each tag and software version the one with the
+    /// longest prefix.
     ///
     /// Empty after `lead_until`: another holder may have replaced copies since.
     pub(super) fn cache_sources(
@@ -75,9 +86,12 @@
                 name: name.clone(),
                 address: engine.entry.address,
                 tag: cache.tag,
+                software: engine.entry.software.clone(),
                 tokens: cache.tokens,
             };
-            match best.iter_mut().find(|known| known.tag == cache.tag) {
+            let is_alike =
+                |known: &CacheSource| known.tag == source.tag && known.software == source.software;
+            match best.iter_mut().find(|known| is_alike(known)) {
                 Some(known) if known.tokens < source.tokens => *known = source,
                 Some(_) => {}
                 None => best.push(source),
@@ -121,7 +135,7 @@
         };
         let usable = sources
             .iter()
-            .filter(|source| engine.can_use_cache(source.tag, &request.subject, required));
+            .filter(|source| source.fits(engine, &request.subject, required));
         let Some(source) = usable.max_by_key(|source| source.tokens) else {
             return without_fetch;
         };
@@ -159,7 +173,7 @@
         let required = self.required_version(engine, &request.subject);
         let cached = engine.cached_tokens(request);
         let unusable = sources.iter().find(|source| {
-            source.tokens > cached && !engine.can_use_cache(source.tag, &request.subject, required)
+            source.tokens > cached && !source.fits(engine, &request.subject, required)
         });
         let Some(source) = fetch.or(unusable) else {
             return;
--- a/crates/core/tests/direct_versions/lending.rs
+++ b/crates/core/tests/direct_versions/lending.rs
@@ -13,7 +13,7 @@
         engine::{EngineReport, ORPHANED_CALL_TTL, OrderOutcome},
         planner::{PlacementRequest, ZonePlanner},
     },
-    ids::{AdapterName, TargetLife, VmName},
+    ids::{AdapterName, SoftwareVersion, TargetLife, VmName},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -465,3 +465,15 @@
         ]
     );
 }
+
+// During a release, engines of two software versions serve the same weights, and engines do not check who made the
+// cache that they fetch.
+#[test]
+fn cache_is_not_fetched_from_an_engine_of_another_software_version() {
+    let mut engines = engine_list(&[(1, 1), (1, 1)]);
+    engines[1].0.software = SoftwareVersion::new("v2");
+    let mut planner = zone_planner(&engines);
+    complete_call(&mut planner, 1, &["e2"], 1, SETTLED);
+    let placed = place_call(&mut planner, 2, &["e1"], SETTLED);
+    assert_eq!((placed.target, placed.fetch), (target_name(2), None));
+}
