End broken streams whose events have no ids instead of starting over

Callers got the first events twice: without an id the relay did not know after which event to continue, and resumed from the start under the answer that the caller already had. It breaks the answer off now, so that the caller sees it is incomplete. a_broken_stream_of_events_without_ids_is_not_started_over failed before.

--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -100,7 +100,7 @@
             event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}, software version {software:?}",
                 self.splitter.last_id()
             );
-            if !self.is_resumable || !self.resume().await {
+            if !self.can_resume() || !self.resume().await {
                 return Some(Err(self.break_off(&cause)));
             }
         }
@@ -247,6 +247,11 @@
         Ok((!rest.is_empty()).then_some(rest))
     }
 
+    /// Whether the stream may continue at another target. Events without ids do not show after which one that is.
+    fn can_resume(&self) -> bool {
+        self.is_resumable && (!self.has_relayed || self.splitter.last_id().is_some())
+    }
+
     /// Continues the stream at another target after the last complete event; returns whether a target took it over.
     async fn resume(&mut self) -> bool {
         let last = self.splitter.last_id().or(self.call.head.last_event_id);
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{
     chunk, config_json, decode_chunked, good_answer, is_ready, model_headers, post_request,
-    process_runtime, send_request, stream_head, target_entry, vm_settings, wait_for,
+    process_runtime, send_request, start_daemon, stream_head, target_entry, vm_settings, wait_for,
 };
 use hoplanding_core::ids::AvailabilityZone;
 use hoplanding_standins::{
@@ -477,3 +477,39 @@
     let anew = post_request("/resumed/1", "r2", &model_headers("a1"));
     assert_eq!(send_request(daemon.caller_address, &anew).await.status, 200);
 }
+
+/// Events without ids do not show where a stream has to continue, so a relay that started over would repeat them.
+#[tokio::test]
+async fn a_broken_stream_of_events_without_ids_is_not_started_over() {
+    let log = KeyedLog::start().await.expect("a log");
+    let without_ids = |request: &RawRequest| {
+        if request.request_line().contains("/hoplanding/report") {
+            return good_answer(request);
+        }
+        RawResponse {
+            pieces: vec![
+                (Duration::ZERO, stream_head(request)),
+                (EVENT_PAUSE, chunk("data: one\n\n")),
+                (EVENT_PAUSE, chunk("data: two\n\n")),
+            ],
+            closes_connection: true,
+        }
+    };
+    let mut engines = Vec::new();
+    for _ in 0..2 {
+        let engine = RawTarget::start(without_ids).await.expect("an engine");
+        engines.push(engine);
+    }
+    let targets = [
+        ("e-1", "scribe", engines[0].address),
+        ("e-2", "scribe", engines[1].address),
+    ];
+    let daemon = start_daemon(&log, &targets).await;
+    let request = post_request("/resumed/1", "r1", &model_headers("a1"));
+    let answer = send_request(daemon.caller_address, &request).await;
+    let text = decode_chunked(&answer.body);
+    assert_eq!(
+        (text.matches("data: one").count(), answer.is_whole),
+        (1, false)
+    );
+}
