Take streams up at the service that began them on split routes

On a route split over two services a caller's later attempt has another id, and the service was drawn by the id of each attempt, so a stream could go on at the other service (4 of 8 in the test). It is drawn by the attempt that Resumes names. a_stream_taken_up_on_a_split_route_stays_with_its_service failed before.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -212,7 +212,7 @@
         Ok(Err(error)) => return Err(BrokenAnswer(error.to_string())),
         Ok(Ok(body)) => body.to_bytes(),
     };
-    let Some(service) = find_service(&active, &route, &head.id) else {
+    let Some(service) = find_service(&active, &route, &head) else {
         event!(Event::CallRefused, request = head.id; "route {} names no known service",
             route.name
         );
@@ -267,9 +267,14 @@
     Ok(call.run().await)
 }
 
-fn find_service(active: &ActiveConfig, route: &RouteRule, id: &str) -> Option<ServiceRule> {
+/// Service of a call. A call that takes up a stream gets the service of the attempt that began it.
+fn find_service(active: &ActiveConfig, route: &RouteRule, head: &CallHead) -> Option<ServiceRule> {
+    let resumes = head
+        .resumes
+        .as_ref()
+        .filter(|_| head.last_event_id.is_some());
     let mut hasher = SipHasher13::new();
-    id.hash(&mut hasher);
+    resumes.unwrap_or(&head.id).as_str().hash(&mut hasher);
     let name = route.service(hasher.finish())?;
     active.config.services.get(name).cloned()
 }
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -12,6 +12,7 @@
     relay::{LinkRelay, LinkState},
 };
 use hoplandingd::direct::daemon::DirectDaemon;
+use serde_json::json;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -513,3 +514,42 @@
         (1, false)
     );
 }
+
+/// A route is split over two services. The caller's later attempt has another id, and the service is drawn by id.
+#[tokio::test]
+async fn a_stream_taken_up_on_a_split_route_stays_with_its_service() {
+    let log = KeyedLog::start().await.expect("a log");
+    let scribe = VersionedEngine::start("e-1", "scribe", 0, None).await;
+    let ledger = VersionedEngine::start("l-1", "ledger", 0, None).await;
+    let mut config: serde_json::Value =
+        serde_json::from_str(&config_json(1)).expect("a configuration");
+    config["routes"][3]["traffic_split"] = json!([
+        { "service": "scribe", "weight": 0.5 }, { "service": "ledger", "weight": 0.5 },
+    ]);
+    let targets = [
+        ("e-1", "scribe", scribe.target.address),
+        ("l-1", "ledger", ledger.target.address),
+    ];
+    let daemon = start_daemon(&log, &targets).await;
+    config["version"] = json!(2);
+    log.put("keyed.op", "config", Some(&config.to_string()));
+    wait_for("the configuration", async || {
+        let active = daemon.fleet().active();
+        active.is_some_and(|active| active.config.version == 2)
+    })
+    .await;
+    let mut mixed = 0;
+    for number in 0..8 {
+        let id = format!("begun-{number}");
+        let begun = versions_in(&begin_stream(daemon.caller_address, &id).await);
+        let headers = format!(
+            "{}Last-Event-Id: 2\r\nResumes: {id}\r\n",
+            model_headers("a1")
+        );
+        let request = post_request("/resumed/1", &format!("later-{number}"), &headers);
+        let answer = send_request(daemon.caller_address, &request).await;
+        assert_eq!(answer.status, 200);
+        mixed += usize::from(versions_in(&decode_chunked(&answer.body)) != begun);
+    }
+    assert_eq!(mixed, 0);
+}
