Soak streams that callers take up while targets of two software versions serve

Targets name their software version in each event, callers take broken resumable streams up at other VMs, and a guarantee checks the versions over all attempts. Plays about cached prompts keep a single version, as nothing is fetched between versions.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -5,22 +5,28 @@
     fleet::SoakVm,
     history::{CallAnswer, CallKind, HistoryEvent, SharedHistory},
     prompts::{PromptPart, encode_parts},
+    stream_text::ReceivedStream,
 };
 use hoplanding_platform::names::{
     AUTHORIZATION, DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, HOLD, KV_BACKUP, KV_FETCH, KV_FROM,
-    MODEL, ORGANISATION, PIN, PRIORITY, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT,
+    LAST_EVENT, MODEL, ORGANISATION, PIN, PRIORITY, PROMPT_PREFIX, REQUEST_ID, RESUMES,
+    TOKEN_COUNT,
 };
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Host name of all routes.
 pub const HOST: &str = "mill.example";
 /// Time after which a caller gives up; also sent as the deadline of the request.
 const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// Attempts of a caller at a resumable stream.
+const MAX_ATTEMPTS: usize = 3;
+/// Pause of a caller between two attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(150);
 
 /// Value that every caller sends in the headers reserved for the system.
 pub const FORGED: &str = "forged";
@@ -50,6 +56,17 @@
     pub parts: Vec<PromptPart>,
     /// API key of the caller.
     pub key: String,
+    /// The stream to take up, if the call does not begin a new one.
+    pub taken_up: Option<BrokenStream>,
+}
+
+/// A stream that broke off after some events.
+#[derive(Clone, Debug)]
+pub struct BrokenStream {
+    /// The request that received the first event.
+    pub began_by: String,
+    /// Number of the last event received.
+    pub last_event: u32,
 }
 
 impl SoakCall {
@@ -60,6 +77,7 @@
             adapter,
             parts,
             key,
+            taken_up,
         } = self;
         let path = match kind {
             CallKind::Once => "/scan/1",
@@ -75,26 +93,72 @@
                 "{MODEL}: base/{adapter}\r\n{TOKEN_COUNT}: {counts}\r\n{PROMPT_PREFIX}: {parts}\r\n"
             )
         };
+        let taken_up = taken_up.as_ref().map_or(String::new(), |stream| {
+            let BrokenStream {
+                began_by,
+                last_event,
+            } = stream;
+            format!("{RESUMES}: {began_by}\r\n{LAST_EVENT}: {last_event}\r\n")
+        });
         let deadline = CALL_TIMEOUT.as_millis();
         let forged: String = RESERVED_HEADERS
             .iter()
             .map(|name| format!("{name}: {FORGED}\r\n"))
             .collect();
         format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{AUTHORIZATION}: Bearer {key}\r\n{model}{forged}Content-Length: 2\r\n\r\nhi"
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{AUTHORIZATION}: Bearer {key}\r\n{model}{taken_up}{forged}Content-Length: 2\r\n\r\nhi"
         )
     }
 }
 
-/// Sends a request to a VM and records the request and its outcome. Does nothing if the VM accepts no calls.
-pub async fn send_call(vm: Arc<SoakVm>, call: SoakCall, history: SharedHistory) {
-    let Some((address, _)) = vm.caller_endpoint() else {
-        return;
-    };
+/// Sends a request to the first of the VMs that accepts calls. A resumable stream that breaks off is taken up at the VMs after it.
+pub async fn send_call(vms: Vec<Arc<SoakVm>>, mut call: SoakCall, history: SharedHistory) {
+    let began_by = call.id.clone();
+    let mut vms = vms.into_iter();
+    for attempt in 1..=MAX_ATTEMPTS {
+        let endpoint = vms.by_ref().find_map(|vm| {
+            let (address, _) = vm.caller_endpoint()?;
+            Some((vm.index, address))
+        });
+        let Some((vm, address)) = endpoint else {
+            return;
+        };
+        let received = send_once(vm, address, &call, &history).await;
+        let Some(received) = received.filter(|_| call.kind == CallKind::Resumable) else {
+            return;
+        };
+        if received.last_event > 0 {
+            call.taken_up = Some(BrokenStream {
+                began_by: began_by.clone(),
+                last_event: received.last_event,
+            });
+        }
+        if call.taken_up.is_none() {
+            return;
+        }
+        call.id = format!("{began_by}-{attempt}");
+        sleep(ATTEMPT_PAUSE).await;
+    }
+}
+
+/// Sends a request and records it and its outcome. Returns what arrived of an answer that is not complete.
+async fn send_once(
+    vm: usize,
+    address: SocketAddr,
+    call: &SoakCall,
+    history: &SharedHistory,
+) -> Option<ReceivedStream> {
+    if let Some(stream) = &call.taken_up {
+        history.record(HistoryEvent::TakenUp {
+            id: call.id.clone(),
+            began_by: stream.began_by.clone(),
+            after: stream.last_event,
+        });
+    }
     history.record(HistoryEvent::Sent {
         id: call.id.clone(),
         kind: call.kind,
-        vm: vm.index,
+        vm,
         adapter: call.adapter.clone(),
     });
     history.record(HistoryEvent::KeySent {
@@ -102,13 +166,26 @@
         key: call.key.clone(),
     });
     let exchanged = timeout(CALL_TIMEOUT, exchange(address, &call.request_text())).await;
-    let answer = match exchanged {
-        Ok(Ok(answer)) => answer,
+    let (answer, body) = match exchanged {
+        Ok(Ok(exchanged)) => exchanged,
         // The caller timed out, or the connection failed before an answer.
-        Ok(Err(_)) | Err(_) => CallAnswer::NoAnswer,
+        Ok(Err(_)) | Err(_) => (CallAnswer::NoAnswer, String::new()),
+    };
+    let received = ReceivedStream::parse(&body);
+    if !received.software.is_empty() {
+        history.record(HistoryEvent::EventsReceived {
+            id: call.id.clone(),
+            software: received.software.clone(),
+        });
+    }
+    let is_complete = matches!(answer, CallAnswer::Complete(200..=299, _));
+    let answer = match answer {
+        CallAnswer::Complete(status, _) => CallAnswer::Complete(status, received.text.clone()),
+        other => other,
     };
-    let id = call.id;
+    let id = call.id.clone();
     history.record(HistoryEvent::Answered { id, answer });
+    (!is_complete).then_some(received)
 }
 
 /// Probes a VM for the route of a configuration version. Returns the number of its daemon process and whether it has the
@@ -116,7 +193,7 @@
 pub async fn probe_route(vm: &SoakVm, version: u64) -> Option<(u32, bool)> {
     let (address, run) = vm.caller_endpoint()?;
     let text = format!("GET /v{version}/x HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: probe\r\n\r\n");
-    let answer = timeout(CALL_TIMEOUT, exchange(address, &text))
+    let (answer, _) = timeout(CALL_TIMEOUT, exchange(address, &text))
         .await
         .ok()?
         .ok()?;
@@ -128,7 +205,8 @@
     }
 }
 
-async fn exchange(address: SocketAddr, text: &str) -> io::Result<CallAnswer> {
+/// Sends a request; returns the answer, and the body as far as it arrived.
+async fn exchange(address: SocketAddr, text: &str) -> io::Result<(CallAnswer, String)> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(text.as_bytes()).await?;
     let mut bytes = Vec::new();
@@ -137,52 +215,57 @@
             break end;
         }
         if stream.read_buf(&mut bytes).await? == 0 {
-            return Ok(CallAnswer::NoAnswer);
+            return Ok((CallAnswer::NoAnswer, String::new()));
         }
     };
     let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
-    let body = bytes.split_off(end + 4);
+    let received = bytes.split_off(end + 4);
     let status = head
         .split(' ')
         .nth(1)
         .and_then(|status| status.parse().ok())
         .unwrap_or(0);
-    if head.contains("transfer-encoding: chunked") {
-        return Ok(read_chunks(&mut stream, body, status).await);
-    }
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok())
-        .unwrap_or(0);
-    Ok(read_length(&mut stream, body, status, length).await)
+    let (body, is_complete) = if head.contains("transfer-encoding: chunked") {
+        read_chunks(&mut stream, received).await
+    } else {
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok())
+            .unwrap_or(0);
+        read_length(&mut stream, received, length).await
+    };
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let answer = if is_complete {
+        CallAnswer::Complete(status, body.clone())
+    } else {
+        CallAnswer::Truncated(status)
+    };
+    Ok((answer, body))
 }
 
-async fn read_length(
-    stream: &mut TcpStream,
-    mut body: Vec<u8>,
-    status: u16,
-    length: usize,
-) -> CallAnswer {
+/// Reads a body of known length; returns it and whether it is complete.
+async fn read_length(stream: &mut TcpStream, mut body: Vec<u8>, length: usize) -> (Vec<u8>, bool) {
     while body.len() < length {
         if stream.read_buf(&mut body).await.unwrap_or(0) == 0 {
-            return CallAnswer::Truncated(status);
+            return (body, false);
         }
     }
-    CallAnswer::Complete(status, String::from_utf8_lossy(&body).into_owned())
+    (body, true)
 }
 
-async fn read_chunks(stream: &mut TcpStream, mut raw: Vec<u8>, status: u16) -> CallAnswer {
+/// Reads a chunked body; returns it and whether it is complete.
+async fn read_chunks(stream: &mut TcpStream, mut raw: Vec<u8>) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
         while let Some((chunk, used)) = next_chunk(&raw) {
             if chunk.is_empty() {
-                return CallAnswer::Complete(status, String::from_utf8_lossy(&body).into_owned());
+                return (body, true);
             }
             body.extend_from_slice(chunk);
             raw.drain(..used);
         }
         if stream.read_buf(&mut raw).await.unwrap_or(0) == 0 {
-            return CallAnswer::Truncated(status);
+            return (body, false);
         }
     }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,7 +9,7 @@
     targets::{TargetRole, service_name},
 };
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
     time::Duration,
 };
@@ -83,6 +83,8 @@
     /// A request uses cached prompt parts only if they were computed with the versions of base model and adapter that it
     /// runs on.
     CacheVersion,
+    /// All events of a stream, over all attempts of its caller, come from targets of one software version.
+    SoftwareVersion,
     /// From [`CONTACT_WINDOW`] after some VMs lost the path to all targets, their callers are served at least two thirds as
     /// often as others, unless few of them fail.
     PathIndependence,
@@ -124,6 +126,7 @@
     found.extend(check_config_deadline(history));
     found.extend(check_log_calls(history));
     found.extend(check_path_losses(history, &calls));
+    found.extend(check_software(history, &calls));
     found
 }
 
@@ -179,11 +182,14 @@
 
 struct CallTable<'a> {
     rows: BTreeMap<&'a str, CallRow<'a>>,
+    /// Requests that take up a stream: the request that began it, and the last event before.
+    taken_up: HashMap<&'a str, (&'a str, u32)>,
 }
 
 impl<'a> CallTable<'a> {
     fn new(history: &'a [TimedEntry]) -> Self {
         let mut rows: BTreeMap<&str, CallRow<'_>> = BTreeMap::new();
+        let mut taken_up = HashMap::new();
         for TimedEntry { at, event } in history {
             match event {
                 HistoryEvent::Sent {
@@ -203,6 +209,13 @@
                     };
                     rows.insert(id, row);
                 }
+                HistoryEvent::TakenUp {
+                    id,
+                    began_by,
+                    after,
+                } => {
+                    taken_up.insert(id.as_str(), (began_by.as_str(), *after));
+                }
                 HistoryEvent::Answered { id, answer } => {
                     if let Some(row) = rows.get_mut(id.as_str()) {
                         row.answer = Some((*at, answer));
@@ -231,7 +244,17 @@
                 _ => {}
             }
         }
-        Self { rows }
+        Self { rows, taken_up }
+    }
+
+    /// Complete body of the answer to a request.
+    fn expected_body(&self, id: &str, row: &CallRow<'_>) -> String {
+        match self.taken_up.get(id) {
+            Some((_, after)) => (after + 1..=EVENTS_PER_STREAM)
+                .map(|event| event_text(id, event))
+                .collect(),
+            None => expected_body(row.kind, id, EVENTS_PER_STREAM),
+        }
     }
 }
 
@@ -265,7 +288,7 @@
     let mut found = Vec::new();
     for (id, row) in &calls.rows {
         if let Some((at, CallAnswer::Complete(status @ 200..=299, body))) = &row.answer
-            && *body != expected_body(row.kind, id, EVENTS_PER_STREAM)
+            && *body != calls.expected_body(id, row)
         {
             let description =
                 format!("{id} got {status} with an incomplete or altered body {body:?} at {at:?}");
@@ -275,6 +298,25 @@
     found
 }
 
+fn check_software(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let mut streams: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for entry in history {
+        if let HistoryEvent::EventsReceived { id, software } = &entry.event {
+            let taken_up = calls.taken_up.get(id.as_str());
+            let stream = taken_up.map_or(id.as_str(), |(began_by, _)| began_by);
+            let versions = streams.entry(stream).or_default();
+            versions.extend(software.iter().map(String::as_str));
+        }
+    }
+    let mixed = streams.iter().filter(|(_, versions)| versions.len() > 1);
+    mixed
+        .map(|(stream, versions)| {
+            let description = format!("the stream of {stream} holds events of {versions:?}");
+            violation(Guarantee::SoftwareVersion, description)
+        })
+        .collect()
+}
+
 /// Whether neither the VM nor the log was disturbed within [`CONTACT_WINDOW`] before a time.
 fn is_in_contact(history: &[TimedEntry], vm: usize, at: Duration) -> bool {
     !history.iter().any(|entry| {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -5,6 +5,7 @@
     targets::{TargetRole, service_name},
 };
 use std::{
+    collections::BTreeSet,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -68,6 +69,22 @@
         /// Its adapter; empty for plain calls.
         adapter: String,
     },
+    /// A caller takes up a stream that another of its requests began.
+    TakenUp {
+        /// The new request.
+        id: String,
+        /// The request that received the first event.
+        began_by: String,
+        /// Number of the last event received so far.
+        after: u32,
+    },
+    /// A caller received events of a stream, complete or not.
+    EventsReceived {
+        /// The request.
+        id: String,
+        /// Software versions of the targets that wrote them.
+        software: BTreeSet<String>,
+    },
     /// A caller sent its API key with a request.
     KeySent {
         /// The request.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`adapter_store`] | base model and adapters of an engine, and orders that change them |
 //! | [`organisations`] | API keys of callers, their revocation, and quotas |
 //! | [`prompts`] | prompts of callers and the time to process them |
+//! | [`stream_text`] | events that name the software version of their target |
 //! | [`targets`] | stand-ins for engines and plain services that record what they receive |
 //! | [`fleet`] | VMs with their daemon processes |
 //! | [`callers`] | requests to the daemons and their outcomes |
@@ -25,4 +26,5 @@
 pub mod report;
 pub mod run;
 pub mod schedule;
+pub mod stream_text;
 pub mod targets;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -45,6 +45,12 @@
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
     vms: usize,
+    #[options(
+        no_short,
+        help = "number of software versions among the targets",
+        default = "2"
+    )]
+    software: usize,
     #[options(
         no_short,
         help = "number of adapters that requests name",
@@ -122,8 +128,8 @@
         if !outcome.violations.is_empty() {
             let folder = plan.folder.display();
             println!(
-                "  reproduce with: hoplanding-soak --seed {seed} --requests {} --zones {} --vms {} --adapters {} --schedule {folder}/faults.json",
-                args.requests, args.zones, args.vms, args.adapters
+                "  reproduce with: hoplanding-soak --seed {seed} --requests {} --zones {} --vms {} --adapters {} --software {} --schedule {folder}/faults.json",
+                args.requests, args.zones, args.vms, args.adapters, args.software
             );
             if args.shrink {
                 shrink(&plan, &outcome).await?;
@@ -153,6 +159,7 @@
         zones: args.zones,
         vms_per_zone: args.vms,
         engines_per_zone: 2,
+        software_versions: args.software,
         adapters: args.adapters,
         faults,
         fault_count: args.faults,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -81,6 +81,8 @@
     pub vms_per_zone: usize,
     /// Number of engines in each zone.
     pub engines_per_zone: usize,
+    /// Number of software versions among the targets.
+    pub software_versions: usize,
     /// Number of adapters that requests name.
     pub adapters: usize,
     /// Faults to inject; drawn from the seed if `None`.
@@ -161,6 +163,8 @@
     /// Newest version of any adapter or base model. The lock is held until the version is written, so that the log has
     /// versions in ascending order.
     newest_version: Mutex<u64>,
+    /// Number of software versions among the targets.
+    software_versions: usize,
     /// Number of adapters that requests name.
     adapters: usize,
     target_context: TargetContext,
@@ -243,6 +247,7 @@
             history,
             version: AtomicU64::new(0),
             newest_version: Mutex::new(FIRST_VERSION),
+            software_versions: plan.software_versions,
             adapters: plan.adapters,
             written: Mutex::default(),
             configs: Mutex::default(),
@@ -276,7 +281,10 @@
         let number = self.lock_targets().len();
         let name = format!("i-{}-{number}", service_name(role));
         let context = self.target_context.clone();
-        let target = SoakTarget::start(&name, role, zone, base, context).await?;
+        // Each zone has targets of every version, and replacements have other versions than those before them.
+        let version = 1 + number / self.zones.len() % self.software_versions.max(1);
+        let software = format!("v{version}");
+        let target = SoakTarget::start(&name, role, zone, &software, base, context).await?;
         self.lock_targets().push(Arc::new(target));
         self.update_list();
         Ok(())
@@ -435,14 +443,12 @@
                 adapter,
                 parts,
                 key: draw_key(&mut random, self.version.load(Ordering::SeqCst)),
+                taken_up: None,
             };
             let first_vm = random.random_range(0..self.vms.len());
-            let running_vm = (0..self.vms.len())
-                .map(|step| &self.vms[(first_vm + step) % self.vms.len()])
-                .find(|vm| vm.caller_endpoint().is_some());
-            if let Some(vm) = running_vm {
-                work.spawn(send_call(Arc::clone(vm), call, self.history.clone()));
-            }
+            let mut vms = self.vms.clone();
+            vms.rotate_left(first_vm);
+            work.spawn(send_call(vms, call, self.history.clone()));
         }
     }
 
--- a/crates/soak/src/run/losses.rs
+++ b/crates/soak/src/run/losses.rs
@@ -167,9 +167,10 @@
                     adapter: String::new(),
                     parts: Vec::new(),
                     key: rotated_key(version),
+                    taken_up: None,
                 };
                 // Calls end by themselves, also after the fault.
-                tokio::spawn(send_call(Arc::clone(vm), call, self.history.clone()));
+                tokio::spawn(send_call(vec![Arc::clone(vm)], call, self.history.clone()));
             }
             sleep(REVOKED_CALL_INTERVAL).await;
         }
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -9,9 +9,10 @@
         WeightVersions,
     },
     callers::FORGED,
-    checks::{EVENTS_PER_STREAM, event_text, expected_body},
+    checks::{EVENTS_PER_STREAM, expected_body},
     history::{CallKind, HistoryEvent, SharedHistory},
     prompts::{CACHE_FETCH_TIME, EnginePrompt, PrefillWork, PromptQueue, decode_parts},
+    stream_text::versioned_event,
 };
 use hoplanding_platform::names::{
     AUTHORIZATION, EXPECT_INSTANCE, EXPECT_VERSION, KV_FETCH, LAST_EVENT, LEAVING, MODEL,
@@ -165,12 +166,14 @@
     pub role: TargetRole,
     /// Availability zone.
     pub zone: String,
+    /// Version of its software.
+    software: String,
     server: RawTarget,
     state: Arc<Mutex<TargetState>>,
 }
 
 impl SoakTarget {
-    /// Starts a target. `base` is the version of the base model that an engine starts with; without it the engine is empty.
+    /// Starts a target of a software version. `base` is the version of the base model that an engine starts with; without it the engine is empty.
     ///
     /// # Errors
     /// Returns an I/O error if no port is available.
@@ -181,6 +184,7 @@
         name: &str,
         role: TargetRole,
         zone: &str,
+        software: &str,
         base: Option<u64>,
         context: TargetContext,
     ) -> io::Result<Self> {
@@ -189,6 +193,7 @@
         let address = Arc::new(OnceLock::new());
         let handler = Arc::new(TargetHandler {
             name: name.to_owned(),
+            software: software.to_owned(),
             address: Arc::clone(&address),
             context,
             state: Arc::clone(&state),
@@ -202,6 +207,7 @@
             name: name.to_owned(),
             role,
             zone: zone.to_owned(),
+            software: software.to_owned(),
             server,
             state,
         })
@@ -264,7 +270,7 @@
             "service": service_name(self.role),
             "address": self.address().to_string(),
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "slots": SLOTS,
             "state": status,
             "cold_remaining_ms": 0,
@@ -287,6 +293,7 @@
 /// Handles the requests and orders of one target.
 struct TargetHandler {
     name: String,
+    software: String,
     /// Set once the server listens.
     address: Arc<OnceLock<SocketAddr>>,
     context: TargetContext,
@@ -473,6 +480,7 @@
         drop(state);
         let stream = StreamAnswer {
             id,
+            software: self.software.clone(),
             versions,
             prefill: prefill.time,
             is_truncated,
@@ -574,6 +582,7 @@
 /// Answer of an engine to a streaming request.
 struct StreamAnswer {
     id: String,
+    software: String,
     versions: WeightVersions,
     /// Time until the prompt is processed, including prompts queued before it.
     prefill: Duration,
@@ -596,7 +605,7 @@
         );
         let mut pieces = vec![(self.prefill, head.into_bytes())];
         for event in from + 1..=EVENTS_PER_STREAM {
-            let text = event_text(&self.id, event);
+            let text = versioned_event(&self.software, &self.id, event);
             if self.is_truncated && event >= TRUNCATE_AT_EVENT {
                 pieces.push((EVENT_INTERVAL, chunk(&text[..8])));
                 return RawResponse {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,8 +2,9 @@
 
 use hoplanding_soak::{
     adapter_store::WeightVersions,
-    checks::{EVENTS_PER_STREAM, Guarantee, check, expected_body},
+    checks::{EVENTS_PER_STREAM, Guarantee, check, event_text, expected_body},
     history::{CallAnswer, CallKind, HistoryEvent, TimedEntry},
+    stream_text::{ReceivedStream, versioned_event},
 };
 use std::time::Duration;
 
@@ -576,3 +577,62 @@
     history.sort_by_key(|entry| entry.at);
     assert!(check(&history).is_empty());
 }
+
+/// A caller took a stream up with a second request, and targets of both versions answered.
+#[test]
+fn a_stream_of_two_software_versions_is_found_over_its_callers_attempts() {
+    let received = |ms, id: &str, software: &str| {
+        let event = HistoryEvent::EventsReceived {
+            id: id.into(),
+            software: [software.to_owned()].into(),
+        };
+        at(ms, event)
+    };
+    let taken_up = HistoryEvent::TakenUp {
+        id: "r1-1".into(),
+        began_by: "r1".into(),
+        after: 4,
+    };
+    let history = |second: &str| {
+        [
+            sent(0, "r1", CallKind::Resumable, "a1"),
+            received(100, "r1", "v1"),
+            at(110, taken_up.clone()),
+            sent(110, "r1-1", CallKind::Resumable, "a1"),
+            received(200, "r1-1", second),
+        ]
+    };
+    assert_eq!(violated(&history("v1")), []);
+    assert_eq!(violated(&history("v2")), [Guarantee::SoftwareVersion]);
+}
+
+/// The answer to a request that takes up a stream holds the events after the last one received before.
+#[test]
+fn a_taken_up_stream_with_repeated_events_is_found() {
+    let taken_up = HistoryEvent::TakenUp {
+        id: "r1-1".into(),
+        began_by: "r1".into(),
+        after: 4,
+    };
+    let history = |first: u32| {
+        let body = (first..=EVENTS_PER_STREAM).map(|event| event_text("r1-1", event));
+        [
+            at(0, taken_up.clone()),
+            sent(0, "r1-1", CallKind::Resumable, "a1"),
+            answered(200, "r1-1", CallAnswer::Complete(200, body.collect())),
+        ]
+    };
+    assert_eq!(violated(&history(5)), []);
+    assert_eq!(violated(&history(4)), [Guarantee::CompleteAnswer]);
+}
+
+/// Only complete events count as received, and their lines of software versions are no part of the content.
+#[test]
+fn received_streams_are_split_into_content_and_software_versions() {
+    let body = versioned_event("v1", "r1", 1) + &versioned_event("v2", "r1", 2);
+    let received = ReceivedStream::parse(&body);
+    assert_eq!(received.text, event_text("r1", 1) + &event_text("r1", 2));
+    assert_eq!(received.software, ["v1".to_owned(), "v2".to_owned()].into());
+    assert_eq!(received.last_event, 2);
+    assert_eq!(ReceivedStream::parse(&body[..body.len() - 1]).last_event, 1);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -47,6 +47,7 @@
         zones: 2,
         vms_per_zone: 2,
         engines_per_zone: 1,
+        software_versions: 2,
         adapters: 6,
         faults: Some(Vec::new()),
         fault_count: 0,
@@ -300,10 +301,45 @@
     let mut plan = plan(name, 600);
     plan.seed = 23;
     plan.engines_per_zone = 2;
+    plan.software_versions = 1;
     plan.adapters = 12;
     plan
 }
 
+/// Callers take broken streams up at other VMs while engines of two software versions break answers off and are replaced,
+/// and daemons are killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn taken_up_streams_keep_their_software_version_under_faults() {
+    let mut plan = spread_plan("software");
+    plan.software_versions = 2;
+    plan.faults = Some(vec![
+        fault(400, FaultKind::Break, 0, 1_500),
+        fault(900, FaultKind::Kill, 1, 500),
+        fault(1_800, FaultKind::Break, 3, 1_500),
+        fault(2_500, FaultKind::Leave, 1, 0),
+        fault(3_000, FaultKind::Kill, 2, 400),
+        fault(4_500, FaultKind::KillAll, 0, 400),
+        fault(6_000, FaultKind::Vanish, 2, 0),
+        fault(6_500, FaultKind::Break, 1, 2_000),
+        fault(7_500, FaultKind::Kill, 3, 400),
+    ]);
+    let outcome = run_soak(&plan).await.expect("the run executes");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let taken_up = outcome
+        .history
+        .iter()
+        .filter_map(|entry| match &entry.event {
+            HistoryEvent::TakenUp { id, .. } => Some(id),
+            _ => None,
+        });
+    let continued = taken_up.filter(|taken_up| {
+        outcome.history.iter().any(
+            |entry| matches!(&entry.event, HistoryEvent::EventsReceived { id, .. } if id == *taken_up),
+        )
+    });
+    assert!(continued.count() > 0);
+}
+
 /// Guards against runs without cache fetches, in which the guarantee on cached prompt parts would hold trivially.
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_fetch_cached_parts_of_the_same_versions() {
