--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -91,7 +91,7 @@
             fingerprint: self.fingerprint,
             run: entry.run(),
         };
-        event!(Event::TargetEndedDuringRequest, request = self.head.id; "at {}, fingerprint {:016x}", entry.name, self.fingerprint.0
+        event!(Event::TargetEndedDuringRequest, request = self.head.id; "at {}, fingerprint {:016x}, prompt {:x?}", entry.name, self.fingerprint.0, self.head.prompt_prefix
         );
         if self.context.fleet.record_crash(&crash) {
             self.context.holder_client.report_crash(&crash);
