--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod lost_claims;
 mod notices;
 mod poison;
+mod poison_parts;
 mod reach;
 mod record_exchange;
 mod reloads;
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -34,7 +34,7 @@
 };
 use tokio::{runtime::Runtime, time::sleep};
 
-const ZONES: [&str; 2] = ["hall", "yard"];
+pub const ZONES: [&str; 2] = ["hall", "yard"];
 
 fn is_poison(request: &RawRequest) -> bool {
     request.body == b"kill"
@@ -45,7 +45,7 @@
 }
 
 /// Engines that pause before each event, and that crash under requests for which `is_deadly` is true.
-async fn mortal_engines(
+pub async fn mortal_engines(
     count: usize,
     pause: Duration,
     is_deadly: impl Fn(&RawRequest) -> bool + Clone + Send + Sync + 'static,
@@ -65,7 +65,7 @@
     engines
 }
 
-fn listed<'a>(
+pub fn listed<'a>(
     names: &[&'a str],
     service: &'a str,
     targets: &[RawTarget],
@@ -157,7 +157,7 @@
 }
 
 /// Starts one VM in each of two zones, each the holder of its zone.
-async fn start_two_zones(
+pub async fn start_two_zones(
     log: &KeyedLog,
     targets: &[(&str, &str, SocketAddr)],
     adjust: impl Fn(&mut DirectSettings),
