Quarantine parts of prompts that crash targets, not only whole requests

Callers lost targets one after the other to requests of which no two were alike: the fingerprint covers the whole request with its own last part, so no crash counted against the next one. The parts that prompts may share are suspects of the same table now, with the same records, reports and trials. An answer that gets further clears them, at all holders. A part is quarantined from the third crash without an answer in between, unless a request with it was answered in the last 5 s, so what harmless requests share stays in service. Whether a request is a suspect is looked at again right before each send. Trials of a part follow after 5 s, 30 s and an hour, and cease.

--- a/crates/core/src/direct/planner/placement.rs
+++ b/crates/core/src/direct/planner/placement.rs
@@ -36,7 +36,7 @@
 
     /// Places a call without counting it as demand again.
     pub(super) fn try_place(&mut self, key: CallKey, request: PlacementRequest, now: Instant) {
-        if !request.is_trial && self.needs_trial(request.fingerprint, now) {
+        if !request.is_trial && self.needs_trial(&request, now) {
             self.refuse(key, RETRY_AFTER_MS, RefusalCause::NeedsTrial);
             return;
         }
--- a/crates/core/src/direct/planner/suspects.rs
+++ b/crates/core/src/direct/planner/suspects.rs
@@ -3,8 +3,8 @@
 use crate::{
     direct::{
         engine::SentCall,
-        planner::ZonePlanner,
-        suspects::{RequestFingerprint, SuspectTable, Suspicion, TargetCrash},
+        planner::{PlacementRequest, ZonePlanner},
+        suspects::{RequestFingerprint, SuspectTable, TargetCrash},
     },
     ids::{Instant, TargetName},
 };
@@ -30,9 +30,11 @@
         self.suspects = suspects;
     }
 
-    /// Whether a request may run as a granted trial only.
-    pub(super) fn needs_trial(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
-        self.suspects.suspicion(fingerprint, now) != Suspicion::Clear
+    /// Whether a request may run as a granted trial only, because of itself or of a part of its prompt.
+    pub(super) fn needs_trial(&self, request: &PlacementRequest, now: Instant) -> bool {
+        let mut parts = RequestFingerprint::of_shared_parts(&request.prefix);
+        self.suspects.needs_trial(request.fingerprint, now)
+            || parts.any(|part| self.suspects.needs_trial(part, now))
     }
 
     /// Engines that run another request suspected of the same crash as this one.
@@ -41,7 +43,7 @@
         fingerprint: RequestFingerprint,
         now: Instant,
     ) -> HashSet<TargetName> {
-        if !self.needs_trial(fingerprint, now) {
+        if !self.suspects.needs_trial(fingerprint, now) {
             return HashSet::new();
         }
         let shares_crash = |call: &SentCall| {
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that may crash the targets they run on.
+//! Requests, and parts of their prompts, that may crash the targets they run on.
 //!
 //! A poison request crashes every target that runs it. Its caller retries it and other callers send the same request,
 //! so it is identified by its content, the [`RequestFingerprint`], and not by its id. When a target terminates, every
@@ -6,15 +6,33 @@
 //! [`trials`](crate::direct::trials)). Two suspects of the same crash share no target again if another one is
 //! available, so that a second crash identifies the cause.
 //!
+//! A part of a prompt may also crash every target that begins to answer a request with it, whatever else the request
+//! holds. No two such requests are alike, so the parts that requests can share, all but the last, are counted as well.
+//! Only requests that had hardly begun to be answered accuse their parts: the cause never gets further. A part is cleared
+//! by any request with it that gets further, so what harmless requests share is not taken for the cause. A part needs
+//! more crashes than a whole request before it is quarantined, since it is accused beside others, and none while
+//! requests with it were answered within [`ALIBI_TTL`].
+//!
 //! The number of crashes is kept across the pauses between trials and across the loss of VMs. It is cleared by a trial
 //! that is answered successfully, or when the request has not been seen for [`SUSPECT_TTL`].
 
 use crate::ids::{Instant, TargetRun};
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, time::Duration};
+use siphasher::sip::SipHasher13;
+use std::{
+    collections::HashMap,
+    hash::{Hash, Hasher},
+    time::Duration,
+};
 
 /// Number of crashes from which a request is quarantined.
-pub const QUARANTINE_MIN_CRASHES: usize = 2;
+const MIN_REQUEST_CRASHES: usize = 2;
+/// Number of crashes from which a part of a prompt is quarantined.
+pub const MIN_PART_CRASHES: usize = 3;
+/// Time for which an answer to a request with a part shows that the part is harmless.
+pub const ALIBI_TTL: Duration = Duration::from_secs(5);
+/// Parts whose last answer is remembered.
+const MAX_ALIBIS: usize = 4_096;
 /// Time after which a suspect that has not been seen again is dropped.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(24 * 3_600);
 /// Suspects that are kept; beyond that, those with the fewest crashes are evicted first. A fleet that loses a quarter
@@ -24,12 +42,61 @@
 /// report.
 const MAX_CRASHES: usize = 8;
 
-/// Hash of a request's content: method, path, adapter, parts of the prompt and body.
+/// Low bits of a fingerprint that tell a part of a prompt from a whole request, and their value for a part.
+const LEVEL_MASK: u64 = 0xff_ffff;
+const PART_MARK: u64 = 0x70_6172;
+
+/// Hash of a request's content (method, path, adapter, parts of the prompt and body), or of one part of its prompt.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct RequestFingerprint(pub u64);
 
+/// What a fingerprint stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectLevel {
+    /// A whole request.
+    Request,
+    /// A part that prompts share.
+    Part,
+}
+
+impl RequestFingerprint {
+    /// Fingerprint of a part of prompts, by the hash that names the part.
+    #[must_use]
+    pub fn of_part(hash: u64) -> Self {
+        let mut hasher = SipHasher13::new();
+        hash.hash(&mut hasher);
+        Self(hasher.finish() & !LEVEL_MASK | PART_MARK)
+    }
+
+    /// Fingerprints of the parts of a prompt that other requests may share: all but the last.
+    pub fn of_shared_parts(prefix: &[(u64, u32)]) -> impl Iterator<Item = Self> + '_ {
+        let shared = prefix.split_last().map_or(prefix, |(_, shared)| shared);
+        shared.iter().map(|(hash, _)| Self::of_part(*hash))
+    }
+
+    /// What the fingerprint stands for. One whole request in 16 million counts as a part.
+    #[must_use]
+    pub fn level(self) -> SuspectLevel {
+        if self.0 & LEVEL_MASK == PART_MARK {
+            SuspectLevel::Part
+        } else {
+            SuspectLevel::Request
+        }
+    }
+}
+
+impl SuspectLevel {
+    /// Number of crashes from which a suspect of this level is quarantined.
+    fn quarantine_min_crashes(self) -> usize {
+        match self {
+            Self::Request => MIN_REQUEST_CRASHES,
+            Self::Part => MIN_PART_CRASHES,
+        }
+    }
+}
+
 /// A target that terminated while a request ran on it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetCrash {
@@ -137,6 +204,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     rows: HashMap<RequestFingerprint, SuspectRow>,
+    /// When a request with each part was last known to be answered.
+    alibis: HashMap<RequestFingerprint, Instant>,
     revision: u64,
 }
 
@@ -200,6 +269,31 @@
         was_suspect
     }
 
+    /// Records that a request with a part was answered; returns whether the part was a suspect, whose crashes are cleared.
+    pub fn record_alibi(&mut self, part: RequestFingerprint, now: Instant) -> bool {
+        if !self.alibis.contains_key(&part) && self.alibis.len() >= MAX_ALIBIS {
+            self.alibis.retain(|_, at| now < at.after(ALIBI_TTL));
+        }
+        if self.alibis.len() < MAX_ALIBIS {
+            self.alibis.insert(part, now);
+        }
+        self.clear(part)
+    }
+
+    /// Whether a suspect may run as a granted trial only: a request from its first crash on, a part once it is quarantined.
+    #[must_use]
+    pub fn needs_trial(&self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+        let crashes = self.suspicion(fingerprint, now).crashes();
+        match fingerprint.level() {
+            SuspectLevel::Request => crashes > 0,
+            SuspectLevel::Part => {
+                let answered_at = self.alibis.get(&fingerprint);
+                let has_alibi = answered_at.is_some_and(|at| now < at.after(ALIBI_TTL));
+                crashes >= MIN_PART_CRASHES && !has_alibi
+            }
+        }
+    }
+
     /// Clears the crashes of a request at the given targets.
     pub fn clear_crashes(&mut self, fingerprint: RequestFingerprint, runs: &[TargetRun]) {
         let Some(row) = self.rows.get_mut(&fingerprint) else {
@@ -265,7 +359,8 @@
             .counted_crashes()
             .cloned()
             .collect();
-        (crashes.len() >= QUARANTINE_MIN_CRASHES).then_some(crashes)
+        let min_crashes = fingerprint.level().quarantine_min_crashes();
+        (crashes.len() >= min_crashes).then_some(crashes)
     }
 
     /// Whether the same crash counts against both requests.
@@ -291,12 +386,12 @@
     /// Number of suspects, and how many of them are quarantined.
     #[must_use]
     pub fn counts(&self, now: Instant) -> (usize, usize) {
-        let rows = self.rows.values().filter(|row| row.is_current(now));
-        let crashes = rows
-            .map(|row| row.counted_crashes().count())
-            .filter(|crashes| *crashes > 0);
-        crashes.fold((0, 0), |(suspected, quarantined), crashes| {
-            let is_quarantined = crashes >= QUARANTINE_MIN_CRASHES;
+        let rows = self.rows.iter().filter(|(_, row)| row.is_current(now));
+        let suspects = rows
+            .map(|(fingerprint, row)| (fingerprint.level(), row.counted_crashes().count()))
+            .filter(|(_, crashes)| *crashes > 0);
+        suspects.fold((0, 0), |(suspected, quarantined), (level, crashes)| {
+            let is_quarantined = crashes >= level.quarantine_min_crashes();
             (suspected + 1, quarantined + usize::from(is_quarantined))
         })
     }
--- a/crates/core/src/direct/trials.rs
+++ b/crates/core/src/direct/trials.rs
@@ -1,4 +1,4 @@
-//! Trials of suspect requests: a half-open circuit breaker for each request.
+//! Trials of suspects, which are requests or parts of prompts: a half-open circuit breaker for each.
 //!
 //! A suspect is only sent as a trial. The holder of one zone grants the trials of a request, one at a time, so that
 //! many callers that retry at once cause a single trial. The zone follows from the fingerprint by rendezvous hashing;
@@ -9,7 +9,7 @@
     direct::{
         millis,
         planner::CallKey,
-        suspects::{RequestFingerprint, SuspectTable, Suspicion},
+        suspects::{MIN_PART_CRASHES, RequestFingerprint, SuspectLevel, SuspectTable, Suspicion},
         zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, VmName},
@@ -31,6 +31,8 @@
     pub pause: Duration,
     /// Pause after the third crash.
     pub long_pause: Duration,
+    /// Pause after the crash that quarantines a part of a prompt.
+    pub part_pause: Duration,
 }
 
 impl Default for TrialRule {
@@ -38,18 +40,28 @@
         Self {
             pause: Duration::from_secs(30),
             long_pause: Duration::from_secs(3_600),
+            part_pause: Duration::from_secs(5),
         }
     }
 }
 
 impl TrialRule {
     /// Pause before the next trial; `None` if there is no further trial.
-    fn pause_after(&self, crashes: usize) -> Option<Duration> {
-        match crashes {
-            0 | 1 => Some(Duration::ZERO),
-            2 => Some(self.pause),
-            3 => Some(self.long_pause),
-            _ => None,
+    fn pause_after(&self, level: SuspectLevel, crashes: usize) -> Option<Duration> {
+        match level {
+            SuspectLevel::Request => match crashes {
+                0 | 1 => Some(Duration::ZERO),
+                2 => Some(self.pause),
+                3 => Some(self.long_pause),
+                _ => None,
+            },
+            // Many requests share a part, so the first trial comes soon in case the part is harmless.
+            SuspectLevel::Part => match crashes {
+                0..=MIN_PART_CRASHES => Some(self.part_pause),
+                4 => Some(self.pause),
+                5 => Some(self.long_pause),
+                _ => None,
+            },
         }
     }
 }
@@ -108,7 +120,10 @@
         else {
             return TrialAnswer::Clear;
         };
-        let Some(pause) = self.rule.pause_after(crashes) else {
+        if !suspects.needs_trial(fingerprint, now) {
+            return TrialAnswer::Clear;
+        }
+        let Some(pause) = self.rule.pause_after(fingerprint.level(), crashes) else {
             return refused(NO_TRIAL_RETRY_AFTER, false);
         };
         let due_at = last_crash.after(pause);
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -3,7 +3,7 @@
 use hoplanding_core::{
     direct::{
         planner::CallKey,
-        suspects::{RequestFingerprint, SuspectTable, Suspicion, TargetCrash},
+        suspects::{RequestFingerprint, SuspectLevel, SuspectTable, Suspicion, TargetCrash},
         trials::{TrialAnswer, TrialRule, TrialTable, trial_zones},
     },
     ids::{AvailabilityZone, Instant, TargetLife, TargetName, TargetRun, VmName},
@@ -298,6 +298,7 @@
     holder.trials = TrialTable::new(TrialRule {
         pause: Duration::from_millis(400),
         long_pause: Duration::from_millis(900),
+        ..TrialRule::default()
     });
     holder.suspects.record_crash(&crash(1, "a"), at(0));
     holder.suspects.record_crash(&crash(1, "b"), at(0));
@@ -306,3 +307,86 @@
     assert!(!holder.try_and_crash(1, "d", 1_290));
     assert!(holder.try_and_crash(1, "d", 1_300));
 }
+
+fn part(hash: u64) -> u64 {
+    RequestFingerprint::of_part(hash).0
+}
+
+fn needs_trial(table: &SuspectTable, fingerprint: u64, ms: u64) -> bool {
+    table.needs_trial(RequestFingerprint(fingerprint), at(ms))
+}
+
+/// The last part of a prompt is its own or its session's, so no other request can be recognised by it.
+#[test]
+fn all_parts_of_a_prompt_but_the_last_can_be_suspects() {
+    let prefix = [(1, 10), (2, 10), (3, 10)];
+    let parts: Vec<_> = RequestFingerprint::of_shared_parts(&prefix).collect();
+    let expected = [1, 2].map(RequestFingerprint::of_part);
+    assert_eq!(parts, expected);
+    assert_eq!(RequestFingerprint::of_shared_parts(&prefix[..1]).count(), 0);
+    assert_eq!(RequestFingerprint::of_shared_parts(&[]).count(), 0);
+    assert!(parts.iter().all(|part| part.level() == SuspectLevel::Part));
+}
+
+/// A part needs three crashes, as harmless parts are accused beside the cause; a request needs one to run as a trial.
+#[test]
+fn a_part_needs_more_crashes_than_a_request() {
+    let mut table = SuspectTable::default();
+    for (count, target) in ["a", "b", "c"].iter().enumerate() {
+        assert!(!needs_trial(&table, part(7), 0), "after {count} crashes");
+        table.record_crash(&crash(part(7), target), at(0));
+        table.record_crash(&crash(7, target), at(0));
+        assert!(needs_trial(&table, 7, 0));
+    }
+    assert!(needs_trial(&table, part(7), 0));
+}
+
+/// Harmless requests share the part with the cause. Each of their answers clears it, and shows for a while that the crashes
+/// that follow are not its work.
+#[test]
+fn a_part_with_a_recent_answer_is_not_quarantined() {
+    let mut table = SuspectTable::default();
+    let fingerprint = RequestFingerprint(part(7));
+    assert!(!table.record_alibi(fingerprint, at(0)));
+    for target in ["a", "b", "c", "d"] {
+        table.record_crash(&crash(part(7), target), at(1_000));
+    }
+    assert!(!needs_trial(&table, part(7), 4_900));
+    assert!(needs_trial(&table, part(7), 5_000));
+    assert!(table.record_alibi(fingerprint, at(5_100)));
+    assert_eq!(crashes(&table, part(7), 5_100), 0);
+    assert!(!needs_trial(&table, part(7), 20_000));
+}
+
+/// After the fifth crash under a part no more than three requests with it may reach targets, in a whole day.
+#[test]
+fn a_deadly_part_is_tried_three_times_after_its_quarantine() {
+    let mut holder = Holder::new();
+    for target in ["a", "b", "c"] {
+        holder.suspects.record_crash(&crash(part(7), target), at(0));
+    }
+    let mut crashed_at = Vec::new();
+    for second in 0..24 * 3_600 {
+        let target = format!("e{second}");
+        if holder.try_and_crash(part(7), &target, second * 1_000) {
+            crashed_at.push(second);
+        }
+    }
+    assert_eq!(crashed_at, [5, 35, 3_635]);
+}
+
+/// Many VMs that see answers with harmless parts must not fill the memory with them.
+#[test]
+fn the_number_of_remembered_answers_is_bounded() {
+    let mut table = SuspectTable::default();
+    for hash in 0..10_000 {
+        table.record_alibi(RequestFingerprint::of_part(hash), at(0));
+    }
+    table.record_crash(&crash(part(9_999), "a"), at(0));
+    table.record_alibi(RequestFingerprint::of_part(9_999), at(60_000));
+    assert_eq!(crashes(&table, part(9_999), 60_000), 0);
+    for target in ["b", "c", "d"] {
+        table.record_crash(&crash(part(9_999), target), at(60_000));
+    }
+    assert!(!needs_trial(&table, part(9_999), 60_000));
+}
--- a/crates/daemon/src/direct/buffered_answer.rs
+++ b/crates/daemon/src/direct/buffered_answer.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     direct::{
-        call::{CallState, OpenAnswer},
+        call::{AnswerProgress, CallState, OpenAnswer},
         message::CallEnd,
     },
     event,
@@ -46,12 +46,16 @@
             } else {
                 CallEnd::Good
             };
+            if end == CallEnd::Good {
+                call.record_harmless_parts();
+            }
             call.return_connection(connection, &notice);
             (end, Ok(body.to_bytes()))
         }
         Ok(Err(error)) => {
             event!(Event::AnswerBroken, request = call.head.id; "at {target}: {error}");
-            call.probe_after_failure(&entry, in_flight.is_trial()).await;
+            call.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
+                .await;
             (CallEnd::Failed, Err(target))
         }
         Err(_) => {
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -11,6 +11,7 @@
 //! | `placement` | chooses the target of the next send |
 //! | `sending` | sends once, and classifies the answer |
 //! | `stream_origin` | finds the software version that began a stream which the call takes up |
+//! | `suspicion` | which trials the call needs, and what its answer shows about the parts of its prompt |
 //! | `target_probe` | finds out whether a target crashed while it ran the call |
 //! | `answers` | builds the answers to callers |
 //! | `timeline` | records the times of a stream's steps |
@@ -23,6 +24,7 @@
 mod sending;
 mod stop_plan;
 mod stream_origin;
+mod suspicion;
 mod target_probe;
 mod timeline;
 
@@ -32,6 +34,7 @@
 pub use quota_charge::CallCharge;
 pub use sending::{InFlightGuard, OpenAnswer, SendOutcome};
 pub use stop_plan::StopPlan;
+pub use target_probe::AnswerProgress;
 pub use timeline::CallTimeline;
 
 use crate::{
@@ -118,8 +121,8 @@
     pub quota_charge: CallCharge,
     /// Hash of the request's content, the same for every retry of the request.
     pub fingerprint: RequestFingerprint,
-    /// Permission to send the call once although its request is a suspect.
-    pub trial: Option<TrialPermit>,
+    /// Permissions to send the call once although its request, or parts of its prompt, are suspects.
+    pub trials: Vec<TrialPermit>,
     /// The service chosen by its route.
     pub service: ServiceRule,
     /// Decoded headers of the system's own.
@@ -242,7 +245,7 @@
         identity,
         quota_charge,
         fingerprint: request_fingerprint(&parts.method, &parts.uri, &head, &body),
-        trial: None,
+        trials: Vec::new(),
         service,
         head,
         arrived,
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -20,8 +20,6 @@
         plain::{PlainRequest, pick_without_holder, placement_zones},
         planner::{PlacementAnswer, PlacementRequest, RefusalCause, split_subject},
         search::{SearchPass, ZoneQuery, ZoneSearch},
-        suspects::Suspicion,
-        trials::TrialAnswer,
     },
     ids::{AdapterName, AvailabilityZone, TargetName},
 };
@@ -78,9 +76,8 @@
             // The request may be a suspect whose record this VM has not read yet.
             return CallPlacement::Unavailable(DEFAULT_RETRY_AFTER);
         }
-        if self.is_suspected()
-            && let Some(refused) = self.request_trial().await
-        {
+        let suspects = self.untried_suspects();
+        if let Some(refused) = self.request_trials(&suspects).await {
             return refused;
         }
         if self.service.engine.is_none() {
@@ -168,7 +165,8 @@
         for zone in &zones {
             let mut reply = self.place_plain_in(zone).await;
             if is_refused_for(&reply, RefusalCause::NeedsTrial) {
-                if let Some(refused) = self.request_trial().await {
+                let suspects = self.untried_fingerprints();
+                if let Some(refused) = self.request_trials(&suspects).await {
                     return refused;
                 }
                 reply = self.place_plain_in(zone).await;
@@ -241,7 +239,7 @@
             exclude: self.tried.clone(),
             backing_off: self.unavailable_targets(),
             fingerprint: self.fingerprint,
-            is_trial: self.trial.is_some(),
+            is_trial: !self.trials.is_empty(),
             charge: self.quota_charge.due().cloned(),
         };
         self.context.holder_client.place_plain(zone, request).await
@@ -346,10 +344,13 @@
                 self.refusals.push((zone.clone(), cause));
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
                 match cause {
-                    RefusalCause::NeedsTrial => match self.request_trial().await {
-                        None => Box::pin(self.ask_zone(zone, query, search)).await,
-                        refused => refused,
-                    },
+                    RefusalCause::NeedsTrial => {
+                        let suspects = self.untried_fingerprints();
+                        match self.request_trials(&suspects).await {
+                            None => Box::pin(self.ask_zone(zone, query, search)).await,
+                            refused => refused,
+                        }
+                    }
                     RefusalCause::QuotaUsedUp => {
                         match self.pay_or_refuse(Some(zone), Some(retry_after)).await {
                             // The refusal came before the holder looked for a target, so the zone is queried again.
@@ -459,7 +460,7 @@
             may_load: query.may_load,
             terms: query.terms,
             fingerprint: self.fingerprint,
-            is_trial: self.trial.is_some(),
+            is_trial: !self.trials.is_empty(),
             charge: self.quota_charge.due().cloned(),
         }
     }
@@ -472,46 +473,6 @@
         Some(backoff + BACKOFF_JITTER.mul_f64(rand::random()))
     }
 
-    /// Whether this VM knows of targets that crashed while they ran the request.
-    fn is_suspected(&self) -> bool {
-        let tables = self.context.fleet.tables();
-        tables.suspects.suspicion(self.fingerprint, clock::now()) != Suspicion::Clear
-    }
-
-    /// Requests permission for a trial unless the call has it already; returns the refusal if it is not granted.
-    async fn request_trial(&mut self) -> Option<CallPlacement> {
-        if self.trial.is_some() {
-            return None;
-        }
-        let zones = &self.context.settings.zones;
-        let granted = self
-            .context
-            .holder_client
-            .request_trial(zones, self.fingerprint)
-            .await;
-        let Some((answer, permit)) = granted else {
-            return Some(CallPlacement::Unavailable(DEFAULT_RETRY_AFTER));
-        };
-        let (retry_after_ms, is_running) = match answer {
-            TrialAnswer::Granted | TrialAnswer::Clear => {
-                self.trial = Some(permit);
-                return None;
-            }
-            TrialAnswer::Refused {
-                retry_after_ms,
-                is_running,
-            } => (retry_after_ms, is_running),
-        };
-        let cause = if is_running {
-            RefusalCause::TrialRuns
-        } else {
-            RefusalCause::Quarantined
-        };
-        self.refusals.push((permit.zone().clone(), cause));
-        let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-        Some(CallPlacement::Unavailable(retry_after))
-    }
-
     pub(super) fn subject(&self) -> AdapterName {
         self.head
             .subject
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock,
     direct::{
-        call::CallState,
+        call::{AnswerProgress, CallState},
         fleet::FleetState,
         holder_client::PlacedCall,
         message::CallEnd,
@@ -32,7 +32,7 @@
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use std::{sync::Arc, time::Duration};
+use std::{mem, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -65,7 +65,8 @@
     NotRun,
     /// The request was never handed to a transport.
     NotSent,
-    /// Not sent, because the target stopped taking new work while the connection was made.
+    /// Not sent, because the target stopped taking new work while the connection was made, or the request has become a
+    /// suspect.
     Withheld,
     /// The target may have run the call, but no usable answer came.
     Unknown,
@@ -76,30 +77,32 @@
 pub struct InFlightGuard {
     fleet: Arc<FleetState>,
     run: TargetRun,
-    /// The permit, if the call is a trial of a suspect.
-    trial: Option<TrialPermit>,
+    /// The permits, if the call is a trial of suspects.
+    trials: Vec<TrialPermit>,
 }
 
 impl InFlightGuard {
-    fn new(fleet: &Arc<FleetState>, entry: &TargetEntry, trial: Option<TrialPermit>) -> Self {
+    fn new(fleet: &Arc<FleetState>, entry: &TargetEntry, trials: Vec<TrialPermit>) -> Self {
         *fleet.tables().in_flight.entry(entry.run()).or_default() += 1;
         Self {
             fleet: Arc::clone(fleet),
             run: entry.run(),
-            trial,
+            trials,
         }
     }
 
     /// Whether the call is a trial.
     #[must_use]
     pub fn is_trial(&self) -> bool {
-        self.trial.is_some()
+        !self.trials.is_empty()
     }
 
     /// Records how the call ended: for its trial, and for the target's health.
     pub fn finish(mut self, end: CallEnd) {
-        if let Some(trial) = self.trial.as_mut().filter(|_| end == CallEnd::Good) {
-            trial.mark_successful();
+        if end == CallEnd::Good {
+            self.trials
+                .iter_mut()
+                .for_each(TrialPermit::mark_successful);
         }
         let TargetRun { name, life } = &self.run;
         let mut tables = self.fleet.tables();
@@ -133,7 +136,12 @@
         mut placed_call: Option<PlacedCall>,
         last_event: Option<u64>,
     ) -> SendOutcome {
-        let in_flight = InFlightGuard::new(&self.context.fleet, entry, self.trial.take());
+        // Another call may have shown since the placement that the request crashes its targets.
+        if !self.untried_suspects().is_empty() {
+            return SendOutcome::Withheld;
+        }
+        let trials = mem::take(&mut self.trials);
+        let in_flight = InFlightGuard::new(&self.context.fleet, entry, trials);
         let finish = |placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd| {
             in_flight.finish(end);
             if let Some(placed_call) = placed_call {
@@ -210,7 +218,8 @@
             Err(SendError::Unanswered { target, cause }) => {
                 event!(Event::NoAnswer, request = self.head.id; "at {target}: {cause}"
                 );
-                self.probe_after_failure(entry, in_flight.is_trial()).await;
+                self.probe_after_failure(entry, in_flight.is_trial(), AnswerProgress::Begun)
+                    .await;
                 finish(placed_call, in_flight, CallEnd::Failed);
                 self.runs += 1;
                 self.tried.push(target);
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -69,10 +69,24 @@
     Unknown,
 }
 
+/// How far a target had got with the answer that it broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// It may just have begun the answer, as the cause of a crash does.
+    Begun,
+    /// It had been writing the answer for a while.
+    UnderWay,
+}
+
 impl CallState {
     /// Probes a target that broke this call off. If it has crashed, reports that to all holders and to the log before the
     /// call is placed again or its caller answered. During a trial a target that does not answer counts as crashed.
-    pub async fn probe_after_failure(&self, entry: &TargetEntry, is_trial: bool) {
+    pub async fn probe_after_failure(
+        &self,
+        entry: &TargetEntry,
+        is_trial: bool,
+        progress: AnswerProgress,
+    ) {
         let mut verdict = self.probe(entry).await;
         if verdict == ProbeVerdict::Unknown {
             // A crashing target's connections may close shortly before its address stops accepting.
@@ -87,16 +101,24 @@
                 return;
             }
         }
-        let crash = TargetCrash {
-            fingerprint: self.fingerprint,
-            run: entry.run(),
-        };
-        event!(Event::TargetEndedDuringRequest, request = self.head.id; "at {}, fingerprint {:016x}, prompt {:x?}", entry.name, self.fingerprint.0, self.head.prompt_prefix
+        event!(Event::TargetEndedDuringRequest, request = self.head.id; "at {}, fingerprint {:016x}, {progress:?}, prompt {:x?}", entry.name, self.fingerprint.0, self.head.prompt_prefix
         );
-        if self.context.fleet.record_crash(&crash) {
-            self.context.holder_client.report_crash(&crash);
+        let mut suspects = vec![self.fingerprint];
+        if progress == AnswerProgress::Begun {
+            suspects.extend(RequestFingerprint::of_shared_parts(
+                &self.head.prompt_prefix,
+            ));
+        }
+        for fingerprint in &suspects {
+            let crash = TargetCrash {
+                fingerprint: *fingerprint,
+                run: entry.run(),
+            };
+            if self.context.fleet.record_crash(&crash) {
+                self.context.holder_client.report_crash(&crash);
+            }
         }
-        self.context.records.record(self.fingerprint).await;
+        self.context.records.record_all(&suspects).await;
     }
 
     /// Probes once. An engine that asked this VM to back off is not sent a report request; a connection attempt is enough.
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -7,7 +7,10 @@
 use crate::{
     clock,
     direct::{
-        call::{AnswerBody, BrokenAnswer, CallPlacement, CallState, OpenAnswer, SendOutcome},
+        call::{
+            AnswerBody, AnswerProgress, BrokenAnswer, CallPlacement, CallState, OpenAnswer,
+            SendOutcome,
+        },
         event_splitter::EventSplitter,
         message::CallEnd,
         metrics::{RequestOutcome, ResumeOrigin, ResumeVersion},
@@ -26,6 +29,10 @@
 /// Time without data after which a resumable stream continues at another target; callers time out after 2 s or more.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time from the first event until an answer counts as harmless to its target. A target that a request crashes ends as it
+/// begins to answer, and its end takes a moment to show.
+const MIN_HARMLESS_TIME: Duration = Duration::from_millis(250);
+
 struct EventRelay {
     call: CallState,
     open: Option<OpenAnswer>,
@@ -35,6 +42,10 @@
     awaits_first_event: bool,
     /// Whether any event was relayed.
     has_relayed: bool,
+    /// When the first event of this send came.
+    first_event_at: Option<Instant>,
+    /// Whether this send has been recorded as harmless.
+    is_recorded_harmless: bool,
 }
 
 /// Starts to relay a stream; returns the response to the caller.
@@ -48,6 +59,8 @@
         is_resumable,
         awaits_first_event: true,
         has_relayed: false,
+        first_event_at: None,
+        is_recorded_harmless: false,
     };
     let stream = futures_util::stream::unfold(relay, |mut relay| async move {
         let step = relay.next().await?;
@@ -113,9 +126,13 @@
             fleet.metrics.observe_first_event(elapsed);
             fleet.tables().streams.record_start(elapsed, clock::now());
         }
+        if self.is_harmless() && !mem::replace(&mut self.is_recorded_harmless, true) {
+            self.call.record_harmless_parts();
+        }
         if !mem::take(&mut self.awaits_first_event) {
             return;
         }
+        self.first_event_at = Some(Instant::now());
         self.bind_software();
         let Some(open) = self.open.as_ref() else {
             return;
@@ -201,10 +218,23 @@
             pool.check_path(&open.entry.zone).await;
         } else {
             let is_trial = open.in_flight.is_trial();
-            self.call.probe_after_failure(&open.entry, is_trial).await;
+            let progress = if self.is_harmless() {
+                AnswerProgress::UnderWay
+            } else {
+                AnswerProgress::Begun
+            };
+            self.call
+                .probe_after_failure(&open.entry, is_trial, progress)
+                .await;
         }
     }
 
+    /// Whether the target has survived the beginning of the answer.
+    fn is_harmless(&self) -> bool {
+        self.first_event_at
+            .is_some_and(|at| at.elapsed() >= MIN_HARMLESS_TIME)
+    }
+
     /// Closes the accounting of the open answer; returns the name of its target.
     fn end_open(&mut self, end: CallEnd) -> String {
         let Some(open) = self.open.take() else {
@@ -230,6 +260,7 @@
         }
         if let Some(open) = self.open.take() {
             self.call.count(RequestOutcome::Answered);
+            self.call.record_harmless_parts();
             self.record_duration();
             event!(Event::StreamAnswered, request = self.call.head.id; "route {} objective {} prompt {} at {}:{}",
                 self.call.route.name,
@@ -269,6 +300,8 @@
                     );
                     self.open = Some(*open);
                     self.awaits_first_event = true;
+                    self.first_event_at = None;
+                    self.is_recorded_harmless = false;
                     return true;
                 }
                 SendOutcome::Failure(_)
--- a/crates/daemon/src/direct/holder_client.rs
+++ b/crates/daemon/src/direct/holder_client.rs
@@ -273,6 +273,14 @@
         self.all_zones().iter().for_each(report);
     }
 
+    /// Tells every zone's holder that a request with a part of prompts was answered, so that the part is harmless.
+    pub fn report_harmless(&self, part: RequestFingerprint) {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        for zone in &self.all_zones() {
+            self.notify(zone, HolderNotice::TrialEnded(number, part, true));
+        }
+    }
+
     fn all_zones(&self) -> Vec<AvailabilityZone> {
         self.fleet.tables().leases.keys().cloned().collect()
     }
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -10,7 +10,7 @@
         plain::{PlainPlanner, PlainRequest},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::{BucketCounts, BucketStart, HolderTenure, QuotaCharge, QuotaTable},
-        suspects::{RequestFingerprint, Suspicion},
+        suspects::RequestFingerprint,
         trials::{TrialAnswer, TrialTable},
     },
     ids::{FencingToken, Instant, OrganisationName, VmName},
@@ -127,8 +127,11 @@
         request: &PlainRequest,
         now: Instant,
     ) -> PlacementAnswer {
-        let suspicion = fleet.tables().suspects.suspicion(request.fingerprint, now);
-        if !request.is_trial && suspicion != Suspicion::Clear {
+        let needs_trial = fleet
+            .tables()
+            .suspects
+            .needs_trial(request.fingerprint, now);
+        if !request.is_trial && needs_trial {
             return PlacementAnswer::Refuse {
                 retry_after_ms: 0,
                 cause: RefusalCause::NeedsTrial,
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -175,6 +175,7 @@
     TrialRule {
         pause: section.fractional_millis("pause_ms", 30_000, 0, 86_400_000),
         long_pause: section.fractional_millis("long_pause_ms", 3_600_000, 0, 86_400_000),
+        part_pause: section.fractional_millis("part_pause_ms", 5_000, 0, 86_400_000),
     }
 }
 
--- a/crates/daemon/src/direct/suspect_records.rs
+++ b/crates/daemon/src/direct/suspect_records.rs
@@ -19,6 +19,7 @@
     events::Event,
 };
 use bytes::Bytes;
+use futures_util::future::join_all;
 use hoplanding_core::{
     direct::{
         suspects::{RequestFingerprint, SUSPECT_TTL, TargetCrash},
@@ -214,8 +215,17 @@
         Self { due, is_failing }
     }
 
-    /// Records a suspected request, and waits for the write unless the log is failing; waits for 250 ms at most.
-    pub async fn record(&self, fingerprint: RequestFingerprint) {
+    /// Records suspects of the same crash, and waits for the writes unless the log is failing; waits for 250 ms at most.
+    pub async fn record_all(&self, fingerprints: &[RequestFingerprint]) {
+        join_all(
+            fingerprints
+                .iter()
+                .map(|fingerprint| self.record(*fingerprint)),
+        )
+        .await;
+    }
+
+    async fn record(&self, fingerprint: RequestFingerprint) {
         let (done, recorded) = oneshot::channel();
         let due = DueRecord { fingerprint, done };
         if self.is_failing.load(Ordering::Relaxed) {
--- a/crates/daemon/src/direct/trials.rs
+++ b/crates/daemon/src/direct/trials.rs
@@ -10,7 +10,7 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::suspects::{RequestFingerprint, TargetCrash},
+    direct::suspects::{RequestFingerprint, SuspectLevel, TargetCrash},
     ids::AvailabilityZone,
 };
 use std::sync::Arc;
@@ -50,6 +50,12 @@
         &self.zone
     }
 
+    /// The suspect.
+    #[must_use]
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        self.fingerprint
+    }
+
     /// Marks the trial as successful.
     pub fn mark_successful(&mut self) {
         self.is_successful = true;
@@ -85,10 +91,29 @@
         true
     }
 
-    /// Clears the suspicion of a request, after a successful trial.
+    /// Clears the suspicion of a request or of a part of prompts, after an answer to it.
     pub fn clear_suspicion(&self, fingerprint: RequestFingerprint) {
-        if self.tables().suspects.clear(fingerprint) {
+        let was_suspect = {
+            let suspects = &mut self.tables().suspects;
+            match fingerprint.level() {
+                SuspectLevel::Request => suspects.clear(fingerprint),
+                SuspectLevel::Part => suspects.record_alibi(fingerprint, clock::now()),
+            }
+        };
+        if was_suspect {
             event!(Event::SuspicionCleared, "{:016x}", fingerprint.0);
         }
     }
+
+    /// Records that a request with these parts was answered; returns the parts that were suspects.
+    pub fn record_alibis(
+        &self,
+        parts: impl Iterator<Item = RequestFingerprint>,
+    ) -> Vec<RequestFingerprint> {
+        let now = clock::now();
+        let mut tables = self.tables();
+        parts
+            .filter(|part| tables.suspects.record_alibi(*part, now))
+            .collect()
+    }
 }
