Break off streams that end inside an event, framed or not

A stream whose body ended in order but inside an event reached its caller as complete, with half an event: only bodies without framing were checked. A target may end its body in order after it broke off, so the rest of an event counts as broken off in any framing; the stream resumes elsewhere or looks incomplete. a_framed_stream_that_ends_inside_an_event_looks_incomplete failed before.

--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -247,16 +247,16 @@
         open.connection.target().to_string()
     }
 
-    /// Handles the end of the target's body. Without framing, an end inside an event cannot be told from a broken
-    /// connection and is an error.
+    /// Handles the end of the target's body. An end inside an event is an error whatever the framing, as a target may end
+    /// its body in order after it broke off. A body without framing that holds no whole event cannot be told from a broken
+    /// connection either.
     fn finish_stream(&mut self) -> Result<Option<Bytes>, String> {
         let rest = self.splitter.take_remainder();
-        let is_framed = self
-            .open
-            .as_ref()
-            .is_some_and(|open| is_framed(&open.parts.headers));
-        if !rest.is_empty() && !is_framed {
-            return Err("the connection ended inside an event".to_owned());
+        let headers = self.open.as_ref().map(|open| &open.parts.headers);
+        let has_events = self.has_relayed || headers.is_some_and(is_event_stream);
+        let is_cut = has_events || !headers.is_some_and(is_framed);
+        if is_cut && !rest.trim_ascii().is_empty() {
+            return Err("the stream ended inside an event".to_owned());
         }
         if let Some(open) = self.open.take() {
             self.call.count(RequestOutcome::Answered);
@@ -315,6 +315,11 @@
     }
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(header::CONTENT_TYPE);
+    media_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
 fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -31,5 +31,6 @@
 mod support;
 mod tunnels;
 mod twin_trials;
+mod unframed;
 mod unread_revocations;
 mod versions;
