Look at the target where an answer without framing ends

A target's end closes its connections like the end of an answer that has neither a length nor chunks, so a cut answer reached callers as complete. Where such a body ends, one probe tells whether the target is still there; if not, the answer is broken off. an_unframed_answer_of_a_target_that_ended_does_not_look_complete failed before; whole ones pass as before. An answer that a living target cuts on an event's boundary still cannot be told from a whole one.

--- a/crates/daemon/src/direct/buffered_answer.rs
+++ b/crates/daemon/src/direct/buffered_answer.rs
@@ -10,6 +10,7 @@
 };
 use bytes::Bytes;
 use hoplanding_core::ids::TargetName;
+use http::{HeaderMap, header};
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout_at;
 
@@ -39,7 +40,16 @@
         Limited::new(body, MAX_ANSWER_BYTES).collect(),
     )
     .await;
+    let has_lost_target = matches!(collected, Ok(Ok(_)))
+        && !is_framed(&parts.headers)
+        && call.has_ended(&entry).await;
     let (end, result) = match collected {
+        Ok(Ok(_)) if has_lost_target => {
+            event!(Event::AnswerBroken, request = call.head.id; "at {target}: the target ended with its connection");
+            call.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
+                .await;
+            (CallEnd::Failed, Err(target))
+        }
         Ok(Ok(body)) => {
             let end = if parts.status.is_server_error() {
                 CallEnd::Failed
@@ -70,3 +80,9 @@
     }
     (parts, result)
 }
+
+/// Whether the end of a body shows that it is complete. Without a length or chunks it ends with its connection.
+#[must_use]
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -121,6 +121,11 @@
         self.context.records.record_all(&suspects).await;
     }
 
+    /// Whether a target has ended, by one probe.
+    pub async fn has_ended(&self, entry: &TargetEntry) -> bool {
+        self.probe(entry).await == ProbeVerdict::Crashed
+    }
+
     /// Probes once. An engine that asked this VM to back off is not sent a report request; a connection attempt is enough.
     async fn probe(&self, entry: &TargetEntry) -> ProbeVerdict {
         let probe = async {
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock,
     direct::{
+        buffered_answer::is_framed,
         call::{
             AnswerBody, AnswerProgress, BrokenAnswer, CallPlacement, CallState, OpenAnswer,
             SendOutcome,
@@ -94,6 +95,9 @@
                         Err(error) => error.to_string(),
                     }
                 }
+                Ok(None) if self.has_lost_target().await => {
+                    "the target ended with its connection".to_owned()
+                }
                 Ok(None) => match self.finish_stream() {
                     Ok(rest) => return rest.map(Ok),
                     Err(cause) => cause,
@@ -247,6 +251,15 @@
         open.connection.target().to_string()
     }
 
+    /// Whether a body without framing ended because its target did. A target's end closes its connections like the end of a
+    /// body.
+    async fn has_lost_target(&self) -> bool {
+        match &self.open {
+            Some(open) if !is_framed(&open.parts.headers) => self.call.has_ended(&open.entry).await,
+            _ => false,
+        }
+    }
+
     /// Handles the end of the target's body. An end inside an event is an error whatever the framing, as a target may end
     /// its body in order after it broke off. A body without framing that holds no whole event cannot be told from a broken
     /// connection either.
@@ -319,7 +332,3 @@
     let media_type = headers.get(header::CONTENT_TYPE);
     media_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
-
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/crates/daemon/tests/direct/unframed.rs
+++ b/crates/daemon/tests/direct/unframed.rs
@@ -83,6 +83,15 @@
     assert_eq!(plain, (200, "done".to_owned(), true));
 }
 
+/// The connection of a target that ends is closed like that of one that has finished. Only a look at the target tells.
+#[tokio::test]
+async fn an_unframed_answer_of_a_target_that_ended_does_not_look_complete() {
+    let (status, body, is_whole) = answer_of("scribe", "/plan/1", events(3), true).await;
+    assert_eq!((status, body, is_whole), (200, events(3).concat(), false));
+    let (status, ..) = answer_of("ledger", "/scan/1", vec!["do".to_owned()], true).await;
+    assert_eq!(status, 502);
+}
+
 /// The target ends its stream in order, with the last chunk, but inside an event.
 #[tokio::test]
 async fn a_framed_stream_that_ends_inside_an_event_looks_incomplete() {
