--- a/crates/daemon/tests/direct/connections.rs
+++ b/crates/daemon/tests/direct/connections.rs
@@ -62,3 +62,43 @@
         assert_eq!(join_all(calls).await, [200; CONCURRENT_CALLS], "VM {vm}");
     }
 }
+
+/// The callers of a whole zone are handed to one VM, each call on a new connection, while the others idle. Nothing that VMs share
+/// by their number, such as the retry budget or connections to targets, may turn those calls away.
+#[tokio::test]
+async fn a_vm_that_gets_all_new_connections_serves_them_at_the_first_attempt() {
+    const CALLERS: usize = 60;
+    const CALLS_PER_CALLER: usize = 5;
+    let log = KeyedLog::start().await.expect("a log");
+    let mut targets = Vec::new();
+    for _ in 0..6 {
+        targets.push(RawTarget::start(good_answer).await.expect("a target"));
+    }
+    let names = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+    let listed: Vec<_> = names
+        .iter()
+        .zip(&targets)
+        .map(|(name, target)| (*name, "ledger", target.address))
+        .collect();
+    let mut fleet = vec![start_daemon(&log, &listed).await];
+    for number in 2..=VMS {
+        let daemon = DirectDaemon::start(vm_settings(&format!("vm-{number}"), &log)).await;
+        fleet.push(daemon.expect("the daemon starts"));
+    }
+    for daemon in &fleet {
+        wait_for("readiness", async || is_ready(daemon).await).await;
+    }
+    let busy = fleet.last().expect("a VM").caller_address;
+    let callers = (0..CALLERS).map(|caller| async move {
+        let mut served = 0;
+        for call in 0..CALLS_PER_CALLER {
+            let id = format!("r{caller}-{call}");
+            let request = post_request("/lookup/1", &id, "");
+            let answer = send_request(busy, &request).await;
+            served += usize::from(answer.status == 200 && answer.is_whole);
+        }
+        served
+    });
+    let served: usize = join_all(callers).await.iter().sum();
+    assert_eq!(served, CALLERS * CALLS_PER_CALLER);
+}
