Send the origins of streams to the holders while the target list is not recent

In an outage of the log no VM can tell that a service runs a single version, and the holders knew no streams of such a service, so the streams of a killed VM were refused at all others (6 of 6).

--- a/crates/daemon/src/direct/stream_records.rs
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -1,8 +1,9 @@
 //! What this VM, the other VMs and the platform's log know about the software versions that began streams.
 //!
-//! A gateway remembers the version of each stream that it relays. While a service runs several versions, it also sends
-//! them to the holders of all zones, where any VM can ask for them. The log has one record per service with the versions
-//! that may have begun streams; where there is only one, nobody has to be asked.
+//! A gateway remembers the version of each stream that it relays. The log has one record per service with the versions
+//! that may have begun streams; a VM with a recent target list that names only one needs to know nothing else. While a
+//! service runs several versions, or the target list is not recent, gateways also send what they remember to the holders
+//! of all zones, where any VM can ask for it.
 
 use crate::{
     clock,
@@ -16,7 +17,7 @@
         software_history::SoftwareRecord,
         stream_origins::{StreamKey, StreamOrigin},
     },
-    ids::{Instant, ServiceName, SoftwareVersion},
+    ids::{AvailabilityZone, Instant, ServiceName, SoftwareVersion},
 };
 use std::time::Duration;
 
@@ -72,6 +73,20 @@
         sole.is_none()
     }
 
+    /// Whether this VM has a complete and recent view of the target list and of the log's records, its own or from the VMs of
+    /// its zone.
+    fn has_recent_list(&self, zone: &AvailabilityZone, now: Instant) -> bool {
+        let topics = [FeedTopic::Targets, FeedTopic::Fleet];
+        let is_complete = topics
+            .iter()
+            .all(|topic| self.known_ends.contains_key(topic) && !self.gaps.contains_key(topic));
+        let newest_answer = self.contact.newest_answer(|vm| {
+            let record = self.vms.get(vm);
+            record.is_some_and(|record| record.zone == *zone)
+        });
+        is_complete && newest_answer.is_some_and(|at| now.since(at) <= MAX_LIST_AGE)
+    }
+
     /// Origins for a VM that knows none, if any service runs several software versions.
     pub(super) fn mixed_stream_origins(&self, now: Instant) -> Vec<StreamOrigin> {
         let mut services = self.software.services();
@@ -114,7 +129,9 @@
         let now = clock::now();
         let mut tables = self.tables();
         tables.stream_origins.record_own(origin, now);
-        if tables.runs_several_versions(service, now) {
+        let is_sole_version_proven =
+            tables.has_recent_list(&self.zone, now) && !tables.runs_several_versions(service, now);
+        if !is_sole_version_proven {
             tables.stream_origins.take_unsent(MAX_SENT_ORIGINS, now)
         } else {
             Vec::new()
@@ -135,16 +152,7 @@
     pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
         let now = clock::now();
         let tables = self.tables();
-        let topics = [FeedTopic::Targets, FeedTopic::Fleet];
-        let is_complete = topics
-            .iter()
-            .all(|topic| tables.known_ends.contains_key(topic) && !tables.gaps.contains_key(topic));
-        let newest_answer = tables.contact.newest_answer(|vm| {
-            let record = tables.vms.get(vm);
-            record.is_some_and(|record| record.zone == self.zone)
-        });
-        let is_recent = newest_answer.is_some_and(|at| now.since(at) <= MAX_LIST_AGE);
-        if !is_complete || !is_recent {
+        if !tables.has_recent_list(&self.zone, now) {
             return None;
         }
         tables.software.sole_version(service, &tables.catalog, now)
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -165,6 +165,12 @@
     vms
 }
 
+fn holds_its_zone(vm: &VmProcess) -> bool {
+    let fleet = vm.daemon.fleet();
+    let lease = fleet.lease(&fleet.zone);
+    lease.is_some_and(|lease| lease.vm.as_ref() == Some(&fleet.vm))
+}
+
 /// Versions that the events of a text name, without repetitions.
 fn versions_in(text: &str) -> Vec<String> {
     let mut versions: Vec<String> = text
@@ -371,12 +377,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let _engines = start_engines(&log, &["v1", "v2", "v1", "v2"], None).await;
     let mut vms = start_vms(&log, &["vm-1", "vm-2", "vm-3", "vm-4"], true).await;
-    let is_holder = |vm: &VmProcess| {
-        let fleet = vm.daemon.fleet();
-        let lease = fleet.lease(&fleet.zone);
-        lease.is_some_and(|lease| lease.vm.as_ref() == Some(&fleet.vm))
-    };
-    let killed = vms.iter().position(|vm| !is_holder(vm));
+    let killed = vms.iter().position(|vm| !holds_its_zone(vm));
     let killed = vms.remove(killed.expect("a VM that holds no zone"));
     let streams = begin_streams(&killed, 12).await;
     drop(killed);
@@ -386,6 +387,29 @@
     }
 }
 
+/// In an outage of the log nobody can tell whether another version serves, so the holders have to know the streams.
+#[tokio::test]
+async fn streams_of_a_killed_vm_continue_while_the_log_is_out() {
+    let log = KeyedLog::start().await.expect("a log");
+    let _engines = start_engines(&log, &["v1", "v1", "v1", "v1"], None).await;
+    let mut vms = start_vms(&log, &["vm-1", "vm-2", "vm-3", "vm-4"], true).await;
+    log.set_faults(|faults| faults.is_unavailable = true);
+    let service = "scribe".into();
+    wait_for("the outage to be noticed", async || {
+        vms.iter()
+            .all(|vm| vm.daemon.fleet().sole_software(&service).is_none())
+    })
+    .await;
+    let killed = vms.iter().position(|vm| !holds_its_zone(vm));
+    let killed = vms.remove(killed.expect("a VM that holds no zone"));
+    let streams = begin_streams(&killed, 6).await;
+    drop(killed);
+    for vm in &vms {
+        let counts = take_up(vm, &streams, its_attempt).await;
+        assert_eq!(counts, all_same(&streams));
+    }
+}
+
 /// Nothing but the target list and the log's records outlives the VMs, and both name one version.
 #[tokio::test]
 async fn streams_of_a_sole_software_version_continue_after_a_restart_of_all_vms() {
