Keep the origins of streams in the log while several software versions serve

After a kill of all VMs no VM knew which version began a stream, so all were refused that could have gone on.

--- a/crates/daemon/src/direct/call/stream_origin.rs
+++ b/crates/daemon/src/direct/call/stream_origin.rs
@@ -60,8 +60,12 @@
         let lookup = self.context.holder_client.look_up_stream(key);
         match timeout_at(self.deadline, lookup).await {
             Ok(StreamLookup::Found(software)) => (Some(software), Duration::ZERO),
-            Ok(StreamLookup::Unknown) => (None, UNKNOWN_STREAM_RETRY_AFTER),
-            Ok(StreamLookup::Unanswered) | Err(_) => (None, DEFAULT_RETRY_AFTER),
+            Ok(StreamLookup::Unknown) if fleet.is_archive_read() => {
+                (None, UNKNOWN_STREAM_RETRY_AFTER)
+            }
+            Ok(StreamLookup::Unknown | StreamLookup::Unanswered) | Err(_) => {
+                (None, DEFAULT_RETRY_AFTER)
+            }
         }
     }
 
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -18,6 +18,7 @@
         reachability::StoreReachability,
         recorder::FleetRecorder,
         settings::DirectSettings,
+        stream_archive::StreamArchive,
         suspect_records::SuspectRecorder,
         target_connections::ConnectionPool,
         zone::{ZoneEvent, ZoneWorker},
@@ -138,6 +139,8 @@
         tokio::spawn(claims.run());
         let recorder = FleetRecorder::new(Arc::clone(&fleet), Arc::clone(&settings));
         tokio::spawn(recorder.run());
+        let archive = StreamArchive::new(Arc::clone(&fleet), Arc::clone(&settings));
+        tokio::spawn(archive.run());
         tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
         serve_status(
             readiness_listener,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -35,7 +35,7 @@
         routes::RouteTable,
         software_history::SoftwareHistory,
         stream_estimate::StreamEstimate,
-        stream_origins::StreamOrigins,
+        stream_origins::{StreamOrigin, StreamOrigins},
         suspects::{RequestFingerprint, SuspectTable},
     },
     ids::{
@@ -157,6 +157,10 @@
     pub suspects: SuspectTable,
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
+    /// Origins that this VM has to append to the log's archive.
+    pub(super) unarchived_streams: Vec<StreamOrigin>,
+    /// Whether the origins that the archive had at the start are known, or not needed.
+    pub(super) is_archive_read: bool,
     /// Software versions that each service has run lately.
     pub software: SoftwareHistory,
     /// Rate limits that targets advertised to this VM or to other VMs.
@@ -420,6 +424,8 @@
                 era_record: None,
                 suspects: SuspectTable::default(),
                 stream_origins: StreamOrigins::default(),
+                unarchived_streams: Vec::new(),
+                is_archive_read: false,
                 software: SoftwareHistory::default(),
                 limits: RateLimitTable::with_share(1.0 / f64::from(MIN_BUDGET_SHARES)),
                 backoffs: BackoffTable::default(),
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -471,7 +471,8 @@
                         fleet.record_successor(&vm, false);
                     }
                     if let Some(message) = sharing.apply(&vm, message)
-                        && let Some(message) = apply_stream_message(fleet, message, &outbound)
+                        && let Some(message) =
+                            apply_stream_message(fleet, message, is_same_zone, &outbound)
                         && let Some(event) = zone_event(&vm, message, &outbound)
                         && zone.send(event).await.is_err()
                     {
@@ -501,10 +502,11 @@
 fn apply_stream_message(
     fleet: &FleetState,
     message: VmMessage,
+    is_same_zone: bool,
     outbound: &mpsc::Sender<VmMessage>,
 ) -> Option<VmMessage> {
     match message {
-        VmMessage::StreamsBegan(origins) => fleet.record_streams(&origins),
+        VmMessage::StreamsBegan(origins) => fleet.record_streams(&origins, is_same_zone),
         VmMessage::LookUpStream(number, key) => {
             let found = VmMessage::StreamFound(number, fleet.stream_software(key));
             // If the link is full, the asking VM times out.
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -16,6 +16,7 @@
 //! | [`reachability`] | reachability of the log, shared by the readers of a VM |
 //! | [`eras`] | eras of the log, which change when it is restored from a copy |
 //! | [`recorder`] | records that this VM maintains in the log |
+//! | [`stream_archive`] | the same in the log, for VMs that start after all have ended |
 //! | [`stream_records`] | which software versions began streams, as this VM, other VMs and the log know |
 //! | [`suspect_records`], [`trials`] | records and trials of requests during which targets crashed |
 //! | [`caller_connections`] | connections of callers |
@@ -66,6 +67,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
+pub mod stream_archive;
 pub mod stream_records;
 pub mod suspect_records;
 pub mod target_connections;
--- a/crates/daemon/src/direct/stream_records.rs
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -19,10 +19,12 @@
     },
     ids::{AvailabilityZone, Instant, ServiceName, SoftwareVersion},
 };
-use std::time::Duration;
+use std::{mem, time::Duration};
 
 /// Age of this VM's view of the target list up to which it shows all software versions that may have begun streams.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Origins that wait to be archived; beyond that, they are not archived.
+const MAX_UNARCHIVED_ORIGINS: usize = 4_096;
 /// Maximum number of origins in one message.
 const MAX_SENT_ORIGINS: usize = 256;
 
@@ -73,6 +75,15 @@
         sole.is_none()
     }
 
+    /// Adds origins to those that this VM has to archive, if it holds its zone.
+    fn archive_streams(&mut self, fleet: &FleetState, origins: &[StreamOrigin]) {
+        let state = self.leases.get(&fleet.zone);
+        let is_holder = state.is_some_and(|state| state.holder() == Some(&fleet.vm));
+        if is_holder && self.unarchived_streams.len() < MAX_UNARCHIVED_ORIGINS {
+            self.unarchived_streams.extend_from_slice(origins);
+        }
+    }
+
     /// Whether this VM has a complete and recent view of the target list and of the log's records, its own or from the VMs of
     /// its zone.
     fn has_recent_list(&self, zone: &AvailabilityZone, now: Instant) -> bool {
@@ -87,10 +98,20 @@
         is_complete && newest_answer.is_some_and(|at| now.since(at) <= MAX_LIST_AGE)
     }
 
+    /// Whether any service may have run several software versions lately; `None` until the topics are known.
+    pub(super) fn runs_any_mixed_service(&self, now: Instant) -> Option<bool> {
+        let topics = [FeedTopic::Targets, FeedTopic::Fleet];
+        let are_known = topics
+            .iter()
+            .all(|topic| self.known_ends.contains_key(topic));
+        let listed = self.catalog.iter().map(|entry| &entry.service);
+        let mut services = listed.chain(self.software.services());
+        are_known.then(|| services.any(|service| self.runs_several_versions(service, now)))
+    }
+
     /// Origins for a VM that knows none, if any service runs several software versions.
     pub(super) fn mixed_stream_origins(&self, now: Instant) -> Vec<StreamOrigin> {
-        let mut services = self.software.services();
-        if services.any(|service| self.runs_several_versions(service, now)) {
+        if self.runs_any_mixed_service(now) == Some(true) {
             self.stream_origins.newest(MAX_SENT_ORIGINS, now)
         } else {
             Vec::new()
@@ -111,13 +132,32 @@
         }
     }
 
-    /// Records streams that another VM relays.
-    pub fn record_streams(&self, origins: &[StreamOrigin]) {
+    /// Records streams that another VM relays. Those of the zone's own gateways are archived by its holder.
+    pub fn record_streams(&self, origins: &[StreamOrigin], is_same_zone: bool) {
         let now = clock::now();
         let mut tables = self.tables();
         for origin in origins {
             tables.stream_origins.record(origin, now);
         }
+        if is_same_zone {
+            tables.archive_streams(self, origins);
+        }
+    }
+
+    /// Takes the origins that this VM has to append to the archive.
+    pub(super) fn take_unarchived_streams(&self) -> Vec<StreamOrigin> {
+        mem::take(&mut self.tables().unarchived_streams)
+    }
+
+    /// Records that the archive was read, or that it is not needed.
+    pub(super) fn record_archive_read(&self) {
+        self.tables().is_archive_read = true;
+    }
+
+    /// Whether this VM knows the streams that the archive had at its start.
+    #[must_use]
+    pub fn is_archive_read(&self) -> bool {
+        self.tables().is_archive_read
     }
 
     /// Records a stream that this VM relays; returns the origins that other VMs should know.
@@ -131,11 +171,12 @@
         tables.stream_origins.record_own(origin, now);
         let is_sole_version_proven =
             tables.has_recent_list(&self.zone, now) && !tables.runs_several_versions(service, now);
-        if !is_sole_version_proven {
-            tables.stream_origins.take_unsent(MAX_SENT_ORIGINS, now)
-        } else {
-            Vec::new()
+        if is_sole_version_proven {
+            return Vec::new();
         }
+        let unsent = tables.stream_origins.take_unsent(MAX_SENT_ORIGINS, now);
+        tables.archive_streams(self, &unsent);
+        unsent
     }
 
     /// Software version that began a stream, as far as this VM knows.
