Soak requests of which no two are alike that crash engines by one part

Callers send them for some seconds at all VMs, crashed engines are replaced, and a guarantee counts those that arrive after the fifth crash as the users do. A planned stop is not blamed for answers of engines that crashed.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -37,6 +37,10 @@
 /// Requests that may stay unserved at VMs without a path to targets, besides one in [`UNSERVED_CALL_DIVISOR`].
 const MIN_UNSERVED_CALLS: usize = 10;
 const UNSERVED_CALL_DIVISOR: usize = 50;
+/// Crashes under a part of prompts after which it has to be known.
+const MAX_PART_CRASHES: usize = 5;
+/// Requests with a known deadly part that may reach targets.
+const MAX_LATE_PART_REQUESTS: usize = 3;
 /// Length of the window in which the retry budget is counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -85,6 +89,9 @@
     CacheVersion,
     /// All events of a stream, over all attempts of its caller, come from targets of one software version.
     SoftwareVersion,
+    /// From [`CONTACT_WINDOW`] after the fifth crash under one part of prompts, VMs in contact send targets at most three more
+    /// requests with it.
+    DeadlyPart,
     /// From [`CONTACT_WINDOW`] after some VMs lost the path to all targets, their callers are served at least two thirds as
     /// often as others, unless few of them fail.
     PathIndependence,
@@ -127,6 +134,7 @@
     found.extend(check_log_calls(history));
     found.extend(check_path_losses(history, &calls));
     found.extend(check_software(history, &calls));
+    found.extend(check_deadly_part(history, &calls));
     found
 }
 
@@ -298,6 +306,30 @@
     found
 }
 
+fn check_deadly_part(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let crashes: Vec<_> = history
+        .iter()
+        .filter_map(|entry| match &entry.event {
+            HistoryEvent::EngineCrashed { id, .. } => Some((entry.at, id.as_str())),
+            _ => None,
+        })
+        .collect();
+    let Some((known_at, _)) = crashes.get(MAX_PART_CRASHES - 1) else {
+        return Vec::new();
+    };
+    let later = crashes.iter().filter(|(at, id)| {
+        let vm = calls.rows.get(id).map(|row| row.vm);
+        *at > *known_at + CONTACT_WINDOW && vm.is_some_and(|vm| is_in_contact(history, vm, *at))
+    });
+    let later = later.count();
+    if later <= MAX_LATE_PART_REQUESTS {
+        return Vec::new();
+    }
+    let description =
+        format!("{later} requests with the deadly part after its fifth crash at {known_at:?}");
+    vec![violation(Guarantee::DeadlyPart, description)]
+}
+
 fn check_software(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut streams: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
     for entry in history {
@@ -604,6 +636,13 @@
 fn check_planned_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
     let losses = path_loss_spans(history);
+    let crashed: HashSet<&str> = history
+        .iter()
+        .filter_map(|entry| match &entry.event {
+            HistoryEvent::EngineCrashed { target, .. } => Some(target.as_str()),
+            _ => None,
+        })
+        .collect();
     for (id, row) in &calls.rows {
         let Some((at, answer)) = row.answer else {
             continue;
@@ -624,7 +663,11 @@
             .collect();
         let only_planned =
             !disturbances.is_empty() && disturbances.iter().all(|is_planned| *is_planned);
-        let has_run = !row.runs.is_empty() && row.runs.iter().all(|run| !run.is_truncated);
+        let has_run = !row.runs.is_empty()
+            && row
+                .runs
+                .iter()
+                .all(|run| !run.is_truncated && !crashed.contains(run.target));
         if is_interrupted && only_planned && has_run && !is_path_lost {
             let description = format!(
                 "{id} was interrupted at {at:?} by the planned stop or the reload of VM {}",
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -165,6 +165,13 @@
         /// Fencing token of the order.
         token: u64,
     },
+    /// A request with the deadly part reached an engine, which crashed.
+    EngineCrashed {
+        /// The request.
+        id: String,
+        /// The engine.
+        target: String,
+    },
     /// An engine was ordered to exceed its adapter slots.
     SlotsExceeded {
         /// The engine.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -41,6 +41,12 @@
         default = "2"
     )]
     path_losses: usize,
+    #[options(
+        no_short,
+        help = "number of times in a run that requests with one part in their prompts crash engines",
+        default = "1"
+    )]
+    deadly: usize,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -166,6 +172,7 @@
         extra_fault_count: args.beside,
         config_loss_count: args.losses,
         path_loss_count: args.path_losses,
+        deadly_part_count: args.deadly,
         program: args.daemon.clone(),
         folder: args.out.join(format!("seed-{seed}")),
         defect: InjectedDefect::None,
--- a/crates/soak/src/prompts.rs
+++ b/crates/soak/src/prompts.rs
@@ -20,6 +20,8 @@
 const REQUESTS_PER_SHARED_PART: usize = 60;
 /// First id of unique parts, above the ids of shared ones.
 const FIRST_UNIQUE_ID: usize = 0x10_0000;
+/// Id of the part that crashes engines.
+pub const DEADLY_PART_ID: u64 = 0xdead;
 const PREFILL_TOKENS_PER_MS: u32 = 40;
 /// Time to fetch cached prompt parts from another engine.
 pub const CACHE_FETCH_TIME: Duration = Duration::from_millis(20);
@@ -47,6 +49,17 @@
     ]
 }
 
+/// Parts of a prompt whose second part crashes every engine that runs it; the other shared part is harmless.
+#[must_use]
+pub fn deadly_parts(number: usize) -> [PromptPart; 3] {
+    let [shared, own] = prompt_parts(number);
+    let deadly = PromptPart {
+        id: DEADLY_PART_ID,
+        tokens: UNIQUE_TOKENS,
+    };
+    [shared, deadly, own]
+}
+
 /// Encodes a prompt as the values of the token count and prompt prefix headers.
 #[must_use]
 pub fn encode_parts(parts: &[PromptPart]) -> (String, String) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,8 +10,11 @@
     fleet::SoakVm,
     history::{CallKind, HistoryEvent, SharedHistory, TimedEntry},
     organisations::{draw_key, rotated_key, tenant_configs},
-    prompts::prompt_parts,
-    schedule::{FaultKind, PlannedFault, config_losses, extra_faults, path_losses, seeded_faults},
+    prompts::{self, prompt_parts},
+    schedule::{
+        FaultKind, PlannedFault, config_losses, deadly_parts, extra_faults, path_losses,
+        seeded_faults,
+    },
     targets::{HEALTH_PATH, InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
@@ -63,6 +66,8 @@
 const LONG_RECOVERY_BOUND: Duration = Duration::from_secs(15);
 const SHORT_RECOVERY_BOUND: Duration = Duration::from_secs(6);
 const LOG_COUNT_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two requests with the deadly part.
+const DEADLY_CALL_INTERVAL: Duration = Duration::from_millis(120);
 /// Maximum time for calls and faults to end after the last request.
 const END_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -95,6 +100,8 @@
     pub config_loss_count: usize,
     /// Number of faults drawn from [`FaultKind::PATH_LOSSES`].
     pub path_loss_count: usize,
+    /// Number of faults drawn from [`FaultKind::DEADLY_PARTS`].
+    pub deadly_part_count: usize,
     /// Path of the daemon's executable.
     pub program: PathBuf,
     /// Directory for the settings, logs and fault schedule of the run.
@@ -113,6 +120,7 @@
             faults.extend(extra_faults(self.seed, span, self.extra_fault_count));
             faults.extend(config_losses(self.seed, span, self.config_loss_count));
             faults.extend(path_losses(self.seed, span, self.path_loss_count));
+            faults.extend(deadly_parts(self.seed, span, self.deadly_part_count));
             faults.sort_by_key(|fault| fault.at_ms);
             faults
         })
@@ -179,6 +187,8 @@
     log_outages: Mutex<usize>,
     /// Number of calls with keys that lost configurations revoked.
     revoked_calls: AtomicUsize,
+    /// Number of calls with the deadly part sent so far.
+    deadly_calls: AtomicUsize,
     /// Number of current path losses by VM.
     path_losses: Mutex<BTreeMap<usize, usize>>,
 }
@@ -254,6 +264,7 @@
             operators: AsyncMutex::default(),
             log_outages: Mutex::default(),
             revoked_calls: AtomicUsize::default(),
+            deadly_calls: AtomicUsize::default(),
             path_losses: Mutex::default(),
         };
         for index in 0..plan.zones * plan.engines_per_zone {
@@ -302,10 +313,22 @@
     async fn run_heartbeats(self: Arc<Self>) {
         loop {
             sleep(HEARTBEAT_INTERVAL).await;
+            self.replace_crashed().await;
             self.update_list();
         }
     }
 
+    /// Takes crashed engines off the list, and starts an engine under another name for each.
+    async fn replace_crashed(&self) {
+        let targets = self.lock_targets().clone();
+        for (index, target) in targets.iter().enumerate() {
+            if target.take_crash() {
+                let base = Some(FIRST_VERSION);
+                self.replace_target(target, false, base, index).await;
+            }
+        }
+    }
+
     /// Writes a record on behalf of an operator or a target, and keeps it for [`Self::rewrite_lost_records`].
     fn write(&self, topic: &'static str, key: &str, value: Option<&str>) {
         let mut written = self
@@ -452,6 +475,31 @@
         }
     }
 
+    /// Sends requests with the deadly part to all VMs in turn, for three times the fault's duration.
+    async fn send_deadly_requests(&self, fault: &PlannedFault) {
+        let end = Instant::now() + 3 * fault.duration();
+        for step in 0.. {
+            if Instant::now() >= end {
+                return;
+            }
+            let number = self.deadly_calls.fetch_add(1, Ordering::SeqCst);
+            let mut random = StdRng::seed_from_u64(number as u64);
+            let call = SoakCall {
+                id: format!("deadly-{number}"),
+                kind: CallKind::Stream,
+                adapter: format!("a{}", number % self.adapters),
+                parts: prompts::deadly_parts(number).to_vec(),
+                key: draw_key(&mut random, self.version.load(Ordering::SeqCst)),
+                taken_up: None,
+            };
+            let mut vms = self.vms.clone();
+            vms.rotate_left((fault.index + step) % self.vms.len());
+            // Calls end by themselves, also after the fault.
+            tokio::spawn(send_call(vms, call, self.history.clone()));
+            sleep(DEADLY_CALL_INTERVAL).await;
+        }
+    }
+
     /// Probes every VM for the routes of the newest two configurations every [`PROBE_INTERVAL`].
     async fn probe(self: Arc<Self>) {
         loop {
@@ -520,13 +568,14 @@
             FaultKind::LogCut => self.disrupt_log_link(vm, LinkState::Cut, fault).await,
             FaultKind::Leave => {
                 let target = self.target(fault.index);
-                self.replace_target(&target, true, Some(FIRST_VERSION), fault)
+                self.replace_target(&target, true, Some(FIRST_VERSION), fault.index)
                     .await;
             }
             FaultKind::Vanish => {
                 let target = self.target(fault.index);
-                self.replace_target(&target, false, None, fault).await;
+                self.replace_target(&target, false, None, fault.index).await;
             }
+            FaultKind::DeadlyPart => self.send_deadly_requests(fault).await,
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
                 targets.iter().for_each(|target| target.set_shedding(true));
@@ -579,7 +628,7 @@
                 let target = self.target(fault.index);
                 target.announce_draining();
                 sleep(MIN_ANNOUNCED_DRAINING + fault.duration()).await;
-                self.replace_target(&target, true, Some(FIRST_VERSION), fault)
+                self.replace_target(&target, true, Some(FIRST_VERSION), fault.index)
                     .await;
             }
             FaultKind::ReloadSeries => {
@@ -652,7 +701,7 @@
         target: &SoakTarget,
         is_announced: bool,
         base: Option<u64>,
-        fault: &PlannedFault,
+        zone_index: usize,
     ) {
         {
             // The lock keeps an older entry from being written after the last one.
@@ -663,7 +712,7 @@
         self.history.record(HistoryEvent::TargetDraining {
             target: target.name.clone(),
         });
-        if let Err(error) = self.add_target(target.role, fault.index, base).await {
+        if let Err(error) = self.add_target(target.role, zone_index, base).await {
             eprintln!("failed to start a replacement for {}: {error}", target.name);
         }
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -69,6 +69,8 @@
     PathRefused,
     /// The connections of all VMs but one to all targets hang.
     MostPathsHang,
+    /// Callers send requests of which no two are alike, all with one part in their prompts that crashes every engine.
+    DeadlyPart,
 }
 
 impl FaultKind {
@@ -112,6 +114,9 @@
         Self::PathRefused,
         Self::MostPathsHang,
     ];
+
+    /// Kinds of the faults from [`deadly_parts`], which leave all other schedules unchanged.
+    pub const DEADLY_PARTS: [Self; 1] = [Self::DeadlyPart];
 }
 
 impl fmt::Display for FaultKind {
@@ -182,6 +187,13 @@
     draw_faults(seed, &FaultKind::PATH_LOSSES, span, count)
 }
 
+/// Draws `count` faults of [`FaultKind::DEADLY_PARTS`] within a span, ordered by start time.
+#[must_use]
+pub fn deadly_parts(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    let seed = seed.rotate_left(48);
+    draw_faults(seed, &FaultKind::DEADLY_PARTS, span, count)
+}
+
 fn draw_faults(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -11,7 +11,9 @@
     callers::FORGED,
     checks::{EVENTS_PER_STREAM, expected_body},
     history::{CallKind, HistoryEvent, SharedHistory},
-    prompts::{CACHE_FETCH_TIME, EnginePrompt, PrefillWork, PromptQueue, decode_parts},
+    prompts::{
+        CACHE_FETCH_TIME, DEADLY_PART_ID, EnginePrompt, PrefillWork, PromptQueue, decode_parts,
+    },
     stream_text::versioned_event,
 };
 use hoplanding_platform::names::{
@@ -137,6 +139,8 @@
     is_delaying_orders: bool,
     /// Number of orders received while delaying orders.
     order_count: u64,
+    /// Whether a request crashed the engine, and it has not been replaced yet.
+    has_crashed: bool,
     /// Models in the last list entry; `None` once the entry is removed or marked as draining.
     listed_models: Option<Value>,
 }
@@ -153,6 +157,7 @@
             is_announcing: false,
             is_delaying_orders: false,
             order_count: 0,
+            has_crashed: false,
             listed_models: Some(Value::Null),
         }
     }
@@ -198,8 +203,10 @@
             context,
             state: Arc::clone(&state),
         });
-        let answer = move |request: &RawRequest| handler.answer(request);
-        let server = RawTarget::start_behind(&cuts, answer).await?;
+        let answering = Arc::clone(&handler);
+        let answer = move |request: &RawRequest| answering.answer(request);
+        let should_crash = move |request: &RawRequest| handler.crashes_under(request);
+        let server = RawTarget::start_crashable_behind(&cuts, answer, should_crash).await?;
         address
             .set(server.address)
             .expect("the address is set once");
@@ -244,6 +251,12 @@
         lock(&self.state).is_delaying_orders = is_delaying;
     }
 
+    /// Whether a request crashed the target since the last call of this method.
+    #[must_use]
+    pub fn take_crash(&self) -> bool {
+        std::mem::take(&mut lock(&self.state).has_crashed)
+    }
+
     /// Returns the list entry if the target is listed and its models changed since the last entry.
     #[must_use]
     pub fn changed_entry(&self) -> Option<String> {
@@ -301,6 +314,22 @@
 }
 
 impl TargetHandler {
+    /// Whether the engine crashes, as it would begin to answer a request with the deadly part.
+    fn crashes_under(&self, request: &RawRequest) -> bool {
+        let parts = decode_parts(request.header(PROMPT_PREFIX).unwrap_or_default());
+        let is_for_this = request.header(EXPECT_INSTANCE) == Some(self.name.as_str());
+        let has_deadly_part = parts.iter().any(|part| part.id == DEADLY_PART_ID);
+        if !has_deadly_part || !is_for_this {
+            return false;
+        }
+        self.context.history.record(HistoryEvent::EngineCrashed {
+            id: request.header(REQUEST_ID).unwrap_or_default().to_owned(),
+            target: self.name.clone(),
+        });
+        lock(&self.state).has_crashed = true;
+        true
+    }
+
     fn answer(self: &Arc<Self>, request: &RawRequest) -> RawResponse {
         let path = request.request_line().split(' ').nth(1).unwrap_or_default();
         if request
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -636,3 +636,23 @@
     assert_eq!(received.last_event, 2);
     assert_eq!(ReceivedStream::parse(&body[..body.len() - 1]).last_event, 1);
 }
+
+/// The part is known after its fifth crash, and three more requests with it may reach targets.
+#[test]
+fn requests_with_a_known_deadly_part_are_found() {
+    let crash = |ms, number: u32| {
+        let id = format!("deadly-{number}");
+        let event = HistoryEvent::EngineCrashed {
+            id: id.clone(),
+            target: format!("i-{number}"),
+        };
+        [sent(ms, &id, CallKind::Stream, "a1"), at(ms, event)]
+    };
+    let history = |later: u32| {
+        let before = (0..9).map(|number| crash(500 * u64::from(number), number));
+        let after = (0..later).map(|number| crash(8_000 + u64::from(number), 100 + number));
+        before.chain(after).flatten().collect::<Vec<_>>()
+    };
+    assert_eq!(violated(&history(3)), []);
+    assert_eq!(violated(&history(4)), [Guarantee::DeadlyPart]);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -54,6 +54,7 @@
         extra_fault_count: 0,
         config_loss_count: 0,
         path_loss_count: 0,
+        deadly_part_count: 0,
         program: daemon(),
         folder,
         defect: InjectedDefect::None,
@@ -306,6 +307,23 @@
     plan
 }
 
+/// Requests of which no two are alike crash every engine that runs them, while daemons are killed; harmless ones share their
+/// first part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadly_part_ceases_to_reach_engines_under_faults() {
+    let mut plan = spread_plan("deadly");
+    plan.faults = Some(vec![
+        fault(300, FaultKind::DeadlyPart, 0, 2_500),
+        fault(1_500, FaultKind::Kill, 1, 400),
+        fault(2_500, FaultKind::KillAll, 0, 400),
+        fault(4_000, FaultKind::DeadlyPart, 1, 1_500),
+    ]);
+    let outcome = run_soak(&plan).await.expect("the run executes");
+    assert_eq!(outcome.violations, [], "{}", plan.folder.display());
+    let is_crash = |entry: &&TimedEntry| matches!(entry.event, HistoryEvent::EngineCrashed { .. });
+    assert!(outcome.history.iter().filter(is_crash).count() >= 3);
+}
+
 /// Callers take broken streams up at other VMs while engines of two software versions break answers off and are replaced,
 /// and daemons are killed.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -172,6 +172,18 @@
         Self::start_with(respond, should_crash, usize::MAX, Arc::default()).await
     }
 
+    /// Starts a target that a request can crash, and to which the paths of single VMs can be cut.
+    ///
+    /// # Errors
+    /// Returns the I/O error if no loopback port can be bound.
+    pub async fn start_crashable_behind(
+        cuts: &Arc<PathCuts>,
+        respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
+        should_crash: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_with(respond, should_crash, usize::MAX, Arc::clone(cuts)).await
+    }
+
     async fn start_with(
         respond: impl Fn(&RawRequest) -> RawResponse + Send + Sync + 'static,
         should_crash: impl Fn(&RawRequest) -> bool + Send + Sync + 'static,
