Let the pauses of a part grow with its trials, not with its crashes

Reports say whether a crash was a trial's, and the record keeps their number. a_part_accused_by_many_targets_at_once_is_tried_soon covers it; it asks for a trial after 5 s, which the rule before had none of from the sixth crash on (by reading: the test does not build on the code before).

--- a/crates/core/src/direct/software_history.rs
+++ b/crates/core/src/direct/software_history.rs
@@ -37,18 +37,9 @@
         software: &SoftwareVersion,
         now: Instant,
     ) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), BTreeMap::new());
-        }
-        let Some(versions) = self.services.get_mut(service) else {
-            return;
-        };
-        match versions.get_mut(software) {
-            Some(listed_at) => *listed_at = now.max(*listed_at),
-            None => {
-                versions.insert(software.clone(), now);
-            }
-        }
+        let versions = self.services.entry(service.clone()).or_default();
+        let listed_at = versions.entry(software.clone()).or_insert(now);
+        *listed_at = now.max(*listed_at);
     }
 
     /// Records the versions that the platform's log names, except those that are known already.
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -11,7 +11,8 @@
 //! Only requests that had hardly begun to be answered accuse their parts: the cause never gets further. A part is cleared
 //! by any request with it that gets further, so what harmless requests share is not taken for the cause. A part needs
 //! more crashes than a whole request before it is quarantined, since it is accused beside others, and none while
-//! requests with it were answered within [`ALIBI_TTL`].
+//! requests with it were answered within [`ALIBI_TTL`]. Targets that end together accuse a part several times at once, so
+//! the pauses between its trials grow with the trials that crash a target, not with the number of crashes.
 //!
 //! The number of crashes is kept across the pauses between trials and across the loss of VMs. It is cleared by a trial
 //! that is answered successfully, or when the request has not been seen for [`SUSPECT_TTL`].
@@ -28,7 +29,7 @@
 /// Number of crashes from which a request is quarantined.
 const MIN_REQUEST_CRASHES: usize = 2;
 /// Number of crashes from which a part of a prompt is quarantined.
-pub const MIN_PART_CRASHES: usize = 3;
+const MIN_PART_CRASHES: usize = 3;
 /// Time for which an answer to a request with a part shows that the part is harmless.
 pub const ALIBI_TTL: Duration = Duration::from_secs(5);
 /// Parts whose last answer is remembered.
@@ -104,6 +105,17 @@
     pub fingerprint: RequestFingerprint,
     /// The target and its life.
     pub run: TargetRun,
+    /// Whether the request ran as a trial.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_trial: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// Whether a request is a suspect.
@@ -138,6 +150,8 @@
     pub crashes: Vec<TargetRun>,
     /// When the last crash was recorded.
     pub last_crash: Instant,
+    /// Number of crashes of a part that were trials.
+    pub trial_crashes: u32,
     /// When the record is dropped unless the request is seen again.
     pub expires_at: Instant,
 }
@@ -155,6 +169,8 @@
     crashes: Vec<RecordedCrash>,
     /// When the last crash was recorded.
     last_crash: Instant,
+    /// Crashes of trials since the quarantine.
+    trial_crashes: u32,
     expires_at: Instant,
 }
 
@@ -163,6 +179,7 @@
         Self {
             crashes: Vec::new(),
             last_crash: now,
+            trial_crashes: 0,
             expires_at: now,
         }
     }
@@ -177,16 +194,20 @@
         self.counted_crashes().any(|counted| counted == run)
     }
 
-    fn add_crash(&mut self, run: &TargetRun, now: Instant) -> bool {
+    fn add_crash(&mut self, run: &TargetRun, is_trial: bool, now: Instant) -> bool {
         if self.crashes.iter().any(|recorded| recorded.run == *run) {
             return false;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            let Some(oldest) = self.crashes.iter().position(|recorded| recorded.is_cleared) else {
+            let cleared = self.crashes.iter().position(|recorded| recorded.is_cleared);
+            // A trial's crash is kept in any case, as it decides when the next trial follows.
+            let Some(oldest) = cleared.or(is_trial.then_some(0)) else {
                 return false;
             };
             self.crashes.remove(oldest);
         }
+        let is_quarantined = self.counted_crashes().count() >= MIN_PART_CRASHES;
+        self.trial_crashes += u32::from(is_quarantined && is_trial);
         self.crashes.push(RecordedCrash {
             run: run.clone(),
             is_cleared: false,
@@ -234,7 +255,7 @@
         }
         let row = self.rows.entry(crash.fingerprint);
         let row = row.or_insert_with(|| SuspectRow::new(now));
-        let is_new = row.add_crash(&crash.run, now);
+        let is_new = row.add_crash(&crash.run, crash.is_trial, now);
         if is_new {
             row.expires_at = row.expires_at.max(expires_at);
             self.evict_excess(crash.fingerprint);
@@ -262,6 +283,7 @@
             return false;
         };
         let was_suspect = row.counted_crashes().next().is_some();
+        row.trial_crashes = 0;
         row.crashes
             .iter_mut()
             .for_each(|recorded| recorded.is_cleared = true);
@@ -306,9 +328,26 @@
         {
             recorded.is_cleared = true;
         }
+        if row.counted_crashes().next().is_none() {
+            row.trial_crashes = 0;
+        }
         self.revision += 1;
     }
 
+    /// Records the number of trial crashes that another VM or an earlier life of this one counted.
+    pub fn record_trial_crashes(&mut self, fingerprint: RequestFingerprint, trial_crashes: u32) {
+        if let Some(row) = self.rows.get_mut(&fingerprint) {
+            row.trial_crashes = trial_crashes.max(row.trial_crashes);
+        }
+    }
+
+    /// Number of crashes of a part that were trials.
+    #[must_use]
+    pub fn trial_crashes(&self, fingerprint: RequestFingerprint) -> u32 {
+        let row = self.rows.get(&fingerprint);
+        row.map_or(0, |row| row.trial_crashes)
+    }
+
     /// Extends the record of a suspect that was seen again.
     pub fn refresh(&mut self, fingerprint: RequestFingerprint, now: Instant) {
         if let Some(row) = self.rows.get_mut(&fingerprint) {
@@ -339,6 +378,7 @@
         is_suspect.then_some(SuspectStatus {
             crashes,
             last_crash: row.last_crash,
+            trial_crashes: row.trial_crashes,
             expires_at: row.expires_at,
         })
     }
@@ -379,6 +419,7 @@
             row.counted_crashes().map(|run| TargetCrash {
                 fingerprint: *fingerprint,
                 run: run.clone(),
+                is_trial: false,
             })
         })
     }
--- a/crates/core/src/direct/trials.rs
+++ b/crates/core/src/direct/trials.rs
@@ -9,7 +9,7 @@
     direct::{
         millis,
         planner::CallKey,
-        suspects::{MIN_PART_CRASHES, RequestFingerprint, SuspectLevel, SuspectTable, Suspicion},
+        suspects::{RequestFingerprint, SuspectLevel, SuspectTable, Suspicion},
         zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, VmName},
@@ -31,7 +31,7 @@
     pub pause: Duration,
     /// Pause after the third crash.
     pub long_pause: Duration,
-    /// Pause after the crash that quarantines a part of a prompt.
+    /// Pause between the quarantine of a part of prompts and its first trial.
     pub part_pause: Duration,
 }
 
@@ -46,22 +46,24 @@
 }
 
 impl TrialRule {
-    /// Pause before the next trial; `None` if there is no further trial.
-    fn pause_after(&self, level: SuspectLevel, crashes: usize) -> Option<Duration> {
-        match level {
-            SuspectLevel::Request => match crashes {
-                0 | 1 => Some(Duration::ZERO),
-                2 => Some(self.pause),
-                3 => Some(self.long_pause),
-                _ => None,
-            },
-            // Many requests share a part, so the first trial comes soon in case the part is harmless.
-            SuspectLevel::Part => match crashes {
-                0..=MIN_PART_CRASHES => Some(self.part_pause),
-                4 => Some(self.pause),
-                5 => Some(self.long_pause),
-                _ => None,
-            },
+    /// Pause before the next trial of a request; `None` if there is no further trial.
+    fn request_pause(&self, crashes: usize) -> Option<Duration> {
+        match crashes {
+            0 | 1 => Some(Duration::ZERO),
+            2 => Some(self.pause),
+            3 => Some(self.long_pause),
+            _ => None,
+        }
+    }
+
+    /// Pause before the next trial of a part of prompts; `None` if there is no further trial. Many requests share a part, so
+    /// the first trial comes soon in case the part is harmless.
+    fn part_pause(&self, trial_crashes: u32) -> Option<Duration> {
+        match trial_crashes {
+            0 => Some(self.part_pause),
+            1 => Some(self.pause),
+            2 => Some(self.long_pause),
+            _ => None,
         }
     }
 }
@@ -123,7 +125,11 @@
         if !suspects.needs_trial(fingerprint, now) {
             return TrialAnswer::Clear;
         }
-        let Some(pause) = self.rule.pause_after(fingerprint.level(), crashes) else {
+        let pause = match fingerprint.level() {
+            SuspectLevel::Request => self.rule.request_pause(crashes),
+            SuspectLevel::Part => self.rule.part_pause(suspects.trial_crashes(fingerprint)),
+        };
+        let Some(pause) = pause else {
             return refused(NO_TRIAL_RETRY_AFTER, false);
         };
         let due_at = last_crash.after(pause);
--- a/crates/core/tests/direct_suspects.rs
+++ b/crates/core/tests/direct_suspects.rs
@@ -28,6 +28,7 @@
             name: TargetName::new(target),
             life: TargetLife::default(),
         },
+        is_trial: false,
     }
 }
 
@@ -73,8 +74,11 @@
         if self.request_trial(fingerprint, &key, ms) != TrialAnswer::Granted {
             return false;
         }
-        self.suspects
-            .record_crash(&crash(fingerprint, target), at(ms));
+        let crash = TargetCrash {
+            is_trial: true,
+            ..crash(fingerprint, target)
+        };
+        self.suspects.record_crash(&crash, at(ms));
         self.trials.release(RequestFingerprint(fingerprint), &key);
         true
     }
@@ -390,3 +394,19 @@
     }
     assert!(!needs_trial(&table, part(9_999), 60_000));
 }
+
+/// Many targets end together and accuse the part that all their requests share. It is tried soon, and not barred for a day.
+#[test]
+fn a_part_accused_by_many_targets_at_once_is_tried_soon() {
+    let mut holder = Holder::new();
+    for number in 0..40 {
+        let ended = crash(part(7), &format!("e{number}"));
+        holder.suspects.record_crash(&ended, at(number));
+    }
+    assert!(!holder.try_and_crash(part(7), "x", 4_900));
+    assert!(holder.try_and_crash(part(7), "x", 5_200));
+    let fingerprint = RequestFingerprint(part(7));
+    assert_eq!(holder.suspects.trial_crashes(fingerprint), 1);
+    assert!(holder.suspects.record_alibi(fingerprint, at(5_300)));
+    assert_eq!(holder.suspects.trial_crashes(fingerprint), 0);
+}
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -113,6 +113,7 @@
             let crash = TargetCrash {
                 fingerprint: *fingerprint,
                 run: entry.run(),
+                is_trial,
             };
             if self.context.fleet.record_crash(&crash) {
                 self.context.holder_client.report_crash(&crash);
--- a/crates/daemon/src/direct/suspect_records.rs
+++ b/crates/daemon/src/direct/suspect_records.rs
@@ -68,6 +68,17 @@
     /// Expiry: wall-clock time in milliseconds since 1970. Clock errors of a few seconds do not matter, as records last
     /// for a day.
     pub until_ms: u64,
+    /// Crashes of a part of prompts that were trials.
+    #[serde(default, rename = "trials", skip_serializing_if = "is_zero")]
+    pub trial_crashes: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 /// Formats of the value that may be in the log.
@@ -90,6 +101,7 @@
             StoredFormat::Untimed(ended) => Self {
                 ended,
                 until_ms: wall_ms_at(clock::now().after(SUSPECT_TTL)),
+                trial_crashes: 0,
             },
         })
     }
@@ -147,13 +159,15 @@
         let due = SuspectRecord {
             ended: status.crashes,
             until_ms: wall_ms_at(status.expires_at),
+            trial_crashes: status.trial_crashes,
         };
         let Some(Ok(written)) = written.map(SuspectRecord::decode) else {
             return Some(due.encode());
         };
         let lag = Duration::from_millis(due.until_ms.saturating_sub(written.until_ms));
         let is_same = due.ended.iter().all(|run| written.ended.contains(run))
-            && written.ended.len() == due.ended.len();
+            && written.ended.len() == due.ended.len()
+            && written.trial_crashes == due.trial_crashes;
         (!is_same || lag > MAX_EXPIRY_LAG).then(|| due.encode())
     }
 
@@ -359,8 +373,16 @@
     let record = SuspectRecord::decode(value)?;
     let until = record.until();
     for run in record.ended {
-        let crash = TargetCrash { fingerprint, run };
+        let crash = TargetCrash {
+            fingerprint,
+            run,
+            is_trial: false,
+        };
         tables.suspects.record_crash_until(&crash, until, now);
     }
+    let trial_crashes = record.trial_crashes;
+    tables
+        .suspects
+        .record_trial_crashes(fingerprint, trial_crashes);
     Ok(())
 }
--- a/crates/daemon/tests/direct/poison.rs
+++ b/crates/daemon/tests/direct/poison.rs
@@ -533,7 +533,11 @@
         life: TargetLife::default(),
     };
     let fleet = daemon.fleet();
-    fleet.record_crash(&TargetCrash { fingerprint, run });
+    fleet.record_crash(&TargetCrash {
+        fingerprint,
+        run,
+        is_trial: false,
+    });
     let is_recorded = || site.log.newest("keyed.fleet", &key).is_some();
     wait_for("the record", async || is_recorded()).await;
     fleet.clear_suspicion(fingerprint);
--- a/crates/daemon/tests/direct/restores.rs
+++ b/crates/daemon/tests/direct/restores.rs
@@ -412,9 +412,11 @@
             name: TargetName::new(&format!("gone-{number}")),
             life: TargetLife::default(),
         };
-        vms[0]
-            .fleet()
-            .record_crash(&TargetCrash { fingerprint, run });
+        vms[0].fleet().record_crash(&TargetCrash {
+            fingerprint,
+            run,
+            is_trial: false,
+        });
     }
     let key = "suspect/0000000000000007";
     // A quarantine that was in the log before the restore.
