Check software versions once a second, without copying them

A VM went over all targets with each change of its tables, up to ten times a second, and a stream's first event copied the versions of all targets of its service. The records are checked once a second, and one pass compares the versions.

--- a/crates/core/src/direct/software_history.rs
+++ b/crates/core/src/direct/software_history.rs
@@ -58,12 +58,9 @@
         catalog: &TargetCatalog,
         now: Instant,
     ) -> BTreeSet<SoftwareVersion> {
-        let listed = catalog.iter().filter(|entry| entry.service == *service);
-        let mut versions: BTreeSet<_> = listed.map(|entry| entry.software.clone()).collect();
-        let known = self.services.get(service).into_iter().flatten();
-        let recent = known.filter(|(_, listed_at)| now < listed_at.after(VERSION_TTL));
-        versions.extend(recent.map(|(software, _)| software.clone()));
-        versions
+        self.versions_with_repeats(service, catalog, now)
+            .cloned()
+            .collect()
     }
 
     /// The version that began every stream of a service; `None` if there may be several.
@@ -74,9 +71,25 @@
         catalog: &TargetCatalog,
         now: Instant,
     ) -> Option<SoftwareVersion> {
-        let mut versions = self.versions(service, catalog, now);
-        let first = versions.pop_first()?;
-        versions.is_empty().then_some(first)
+        let mut versions = self.versions_with_repeats(service, catalog, now);
+        let first = versions.next()?;
+        versions
+            .all(|software| software == first)
+            .then(|| first.clone())
+    }
+
+    fn versions_with_repeats<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        catalog: &'a TargetCatalog,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a SoftwareVersion> {
+        let known = self.services.get(service).into_iter().flatten();
+        let recent = known.filter(move |(_, listed_at)| now < listed_at.after(VERSION_TTL));
+        let listed = catalog.iter().filter(|entry| entry.service == *service);
+        recent
+            .map(|(software, _)| software)
+            .chain(listed.map(|entry| &entry.software))
     }
 
     /// Services whose versions are known.
--- a/crates/daemon/src/direct/recorder.rs
+++ b/crates/daemon/src/direct/recorder.rs
@@ -27,7 +27,7 @@
     names::FLEET_TOPIC,
     store::{StoreClient, StoreError},
 };
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, mem, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Pause before a record is written again, after a failure or because it is still missing.
@@ -50,6 +50,10 @@
     rewrite_at: Option<(StoreEra, Instant)>,
     /// Time of the next check of the suspects.
     suspect_check_at: Instant,
+    /// When the listed software versions were last recorded.
+    software_recorded_at: Option<Instant>,
+    /// Whether their records are still to be checked.
+    is_software_check_due: bool,
     /// Since when the log lacks the software record of a service.
     software_due_since: HashMap<ServiceName, Instant>,
 }
@@ -63,6 +67,8 @@
             settings,
             rewrite_at: None,
             suspect_check_at: Instant::now(),
+            software_recorded_at: None,
+            is_software_check_due: false,
             software_due_since: HashMap::new(),
         }
     }
@@ -84,7 +90,7 @@
                 last_key = Some(key);
             }
             last_key = None;
-            self.fleet.record_listed_software();
+            self.record_listed_software();
             // `FleetState` keeps the sender alive.
             let _ = timeout(MAX_CHECK_INTERVAL, changes.changed()).await;
             sleep(MIN_CHECK_INTERVAL).await;
@@ -137,8 +143,23 @@
             .or_else(|| self.missing_suspect(&tables))
     }
 
-    /// Key and value of a service's software record that the log lacks or that names versions of the past.
+    /// Records the listed software versions. Like the check of their records, this visits all targets.
+    fn record_listed_software(&mut self) {
+        let now = Instant::now();
+        let last = self.software_recorded_at;
+        if last.is_none_or(|at| now >= at + MAX_CHECK_INTERVAL) {
+            self.software_recorded_at = Some(now);
+            self.is_software_check_due = true;
+            self.fleet.record_listed_software();
+        }
+    }
+
+    /// Key and value of a service's software record that the log lacks or that names versions of the past, once after each
+    /// time that the listed versions are recorded.
     fn due_software(&mut self, tables: &FleetTables) -> Option<(String, Bytes)> {
+        if !mem::take(&mut self.is_software_check_due) {
+            return None;
+        }
         let due: Vec<_> = tables.due_software_records(clock::now()).collect();
         self.software_due_since
             .retain(|service, _| due.iter().any(|record| record.service == *service));
