Read the archive of streams where no holder knows one

Where the VM that relayed a stream held its zone and the others' holders ended with it, or there is no other zone, the origin was in the log and read by nobody that had started before. A call of which no holder knows the stream has it read now, ten times a second at most and from where the last read ended. streams_of_a_killed_holder_continue_though_no_other_vm_heard_of_them covers it (not run on the code before, which reads the archive at the start only).

--- a/crates/daemon/src/direct/call/stream_origin.rs
+++ b/crates/daemon/src/direct/call/stream_origin.rs
@@ -44,8 +44,8 @@
         Ok(())
     }
 
-    /// Software version that began the stream, by this VM's records, those of the zones' holders, or because there is no
-    /// other. Where it is not known, also when to retry.
+    /// Software version that began the stream, by this VM's records, because there is no other, by the records of the
+    /// zones' holders, or by the archive. Where it is not known, also when to retry.
     async fn find_software(&self) -> (Option<SoftwareVersion>, Duration) {
         let fleet = &self.context.fleet;
         let key = self.head.resumes.as_deref().map(|id| self.stream_key(id));
@@ -58,15 +58,19 @@
             return (None, UNKNOWN_STREAM_RETRY_AFTER);
         };
         let lookup = self.context.holder_client.look_up_stream(key);
-        match timeout_at(self.deadline, lookup).await {
-            Ok(StreamLookup::Found(software)) => (Some(software), Duration::ZERO),
-            Ok(StreamLookup::Unknown) if fleet.is_archive_read() => {
-                (None, UNKNOWN_STREAM_RETRY_AFTER)
-            }
-            Ok(StreamLookup::Unknown | StreamLookup::Unanswered) | Err(_) => {
-                (None, DEFAULT_RETRY_AFTER)
-            }
+        let lookup = timeout_at(self.deadline, lookup).await;
+        if let Ok(StreamLookup::Found(software)) = lookup {
+            return (Some(software), Duration::ZERO);
         }
+        fleet.await_archive_read().await;
+        let archived = fleet.stream_software(key);
+        let is_final = lookup == Ok(StreamLookup::Unknown) && fleet.is_archive_read();
+        let retry_after = if is_final {
+            UNKNOWN_STREAM_RETRY_AFTER
+        } else {
+            DEFAULT_RETRY_AFTER
+        };
+        (archived, retry_after)
     }
 
     /// Records the software version that sent the first event of this call, under the ids that a later call may name.
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -376,6 +376,10 @@
     pub(super) updates: watch::Sender<u64>,
     pub(super) known_topics: watch::Sender<usize>,
     pub(super) eras: watch::Sender<StoreEra>,
+    /// When a call last needed a read of the archive of stream origins.
+    pub(super) archive_requests: watch::Sender<Instant>,
+    /// When the last read of that archive was sent.
+    pub(super) archive_reads: watch::Sender<Instant>,
 }
 
 impl FleetState {
@@ -446,6 +450,8 @@
             updates: watch::channel(0).0,
             known_topics: watch::channel(0).0,
             eras: watch::channel(StoreEra::default()).0,
+            archive_requests: watch::channel(Instant(0)).0,
+            archive_reads: watch::channel(Instant(0)).0,
         }
     }
 
--- a/crates/daemon/src/direct/stream_archive.rs
+++ b/crates/daemon/src/direct/stream_archive.rs
@@ -1,8 +1,9 @@
 //! Origins of streams in the platform's log, for callers that take streams up after all VMs have ended.
 //!
 //! While a service runs several software versions, the holder of each zone learns the origins of the streams that the
-//! zone's gateways relay, and appends them to a topic of its own, whose old records the platform drops. A VM that starts
-//! reads the topic once.
+//! zone's gateways relay, and appends them to a topic of its own, whose old records the platform drops. A VM reads the
+//! topic when it starts, and for calls that take up a stream of which no holder knows: the holders that knew it may have
+//! ended with the VM that relayed it.
 
 use crate::{
     clock,
@@ -19,12 +20,16 @@
     store::{StoreClient, StoreError},
 };
 use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
 /// Interval at which a holder appends the origins that it has learned.
 const APPEND_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause after the topic could not be read.
+/// Pause after the topic could not be read at the start.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between two reads for calls.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that a call waits for a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time from the start after which a VM gives up reading the topic.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of origins in one record.
@@ -38,6 +43,8 @@
     fleet: Arc<FleetState>,
     settings: Arc<DirectSettings>,
     client: StoreClient,
+    /// Position up to which the topic was read.
+    read_end: LogPosition,
 }
 
 impl StreamArchive {
@@ -46,6 +53,7 @@
     pub fn new(fleet: Arc<FleetState>, settings: Arc<DirectSettings>) -> Self {
         Self {
             client: StoreClient::new(settings.platform_address),
+            read_end: LogPosition(0),
             fleet,
             settings,
         }
@@ -54,19 +62,42 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         self.load().await;
+        let mut requests = self.fleet.archive_requests.subscribe();
+        let mut appends = interval(APPEND_INTERVAL);
+        appends.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            sleep(APPEND_INTERVAL).await;
-            let origins = self.fleet.take_unarchived_streams();
-            if origins.is_empty() {
-                continue;
+            // `FleetState` keeps the sender alive.
+            tokio::select! {
+                _ = appends.tick() => self.append_due().await,
+                _ = requests.changed() => {
+                    self.read_for_calls().await;
+                    sleep(MIN_READ_INTERVAL).await;
+                }
             }
-            if let Err(error) = self.append(&origins).await {
-                event!(
-                    Event::VmRecordFailed,
-                    "origins of {} streams: {error}",
-                    origins.len()
-                );
+        }
+    }
+
+    async fn append_due(&mut self) {
+        let origins = self.fleet.take_unarchived_streams();
+        if origins.is_empty() {
+            return;
+        }
+        if let Err(error) = self.append(&origins).await {
+            event!(
+                Event::VmRecordFailed,
+                "origins of {} streams: {error}",
+                origins.len()
+            );
+        }
+    }
+
+    async fn read_for_calls(&mut self) {
+        let sent_at = clock::now();
+        match self.read().await {
+            Ok(()) => {
+                self.fleet.archive_reads.send_replace(sent_at);
             }
+            Err(error) => event!(Event::RecordSkipped, "origins of streams: {error}"),
         }
     }
 
@@ -90,7 +121,7 @@
     async fn read(&mut self) -> Result<(), StoreError> {
         let within = self.settings.timing.platform_timeout;
         let era = self.fleet.tables().store_era.unwrap_or_default();
-        let mut from = LogPosition::in_era(era, LogOffset(0));
+        let mut from = self.read_end.max(LogPosition::in_era(era, LogOffset(0)));
         loop {
             let read = self.client.read(STREAM_TOPIC, from, Duration::ZERO, within);
             let batch = match read.await {
@@ -109,10 +140,12 @@
                     }
                 }
             }
-            if batch.next >= batch.end || batch.next <= from {
+            let is_done = batch.next >= batch.end || batch.next <= from;
+            from = batch.next.max(from);
+            if is_done {
+                self.read_end = from;
                 return Ok(());
             }
-            from = batch.next;
         }
     }
 
@@ -155,6 +188,19 @@
 }
 
 impl FleetState {
+    /// Has the archive read, for a call that takes up a stream of which no holder knows; waits for 300 ms at most.
+    pub async fn await_archive_read(&self) {
+        if self.has_mixed_service() != Some(true) {
+            return;
+        }
+        let mut reads = self.archive_reads.subscribe();
+        let asked_at = clock::now();
+        self.archive_requests.send_replace(asked_at);
+        let is_read = reads.wait_for(|sent_at| *sent_at >= asked_at);
+        // After the timeout the call goes on with what this VM knows.
+        let _ = timeout(READ_TIMEOUT, is_read).await;
+    }
+
     /// Whether a service may have run several software versions lately; `None` until the topics are known.
     fn has_mixed_service(&self) -> Option<bool> {
         let tables = self.tables();
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -112,10 +112,19 @@
 }
 
 impl VmProcess {
-    async fn start(log: &KeyedLog, name: &str, zone: &str, is_first_start: bool) -> Self {
+    /// Starts a VM in the first of the fleet's zones.
+    async fn start_in_zones(
+        log: &KeyedLog,
+        name: &str,
+        zones: &[&str],
+        is_first_start: bool,
+    ) -> Self {
         let mut settings = vm_settings(name, log);
-        settings.zone = AvailabilityZone::new(zone);
-        settings.zones = ZONES.map(AvailabilityZone::new).to_vec();
+        settings.zones = zones
+            .iter()
+            .map(|zone| AvailabilityZone::new(zone))
+            .collect();
+        settings.zone = settings.zones[0].clone();
         settings.is_first_start = is_first_start;
         let runtime = process_runtime();
         let started = runtime.spawn(DirectDaemon::start(settings));
@@ -144,7 +153,9 @@
     let mut vms = Vec::new();
     for (number, name) in names.iter().enumerate() {
         let zone = ZONES[number % ZONES.len()];
-        vms.push(VmProcess::start(log, name, zone, is_first_start).await);
+        let mut zones = ZONES;
+        zones.sort_by_key(|other| *other != zone);
+        vms.push(VmProcess::start_in_zones(log, name, &zones, is_first_start).await);
     }
     for vm in &vms {
         wait_for("readiness and holders", async || {
@@ -408,6 +419,28 @@
     }
 }
 
+/// The only zone's holder relayed the streams itself, so no other VM has heard of them. They are in the log.
+#[tokio::test]
+async fn streams_of_a_killed_holder_continue_though_no_other_vm_heard_of_them() {
+    let log = KeyedLog::start().await.expect("a log");
+    let _engines = start_engines(&log, &["v1", "v2"], None).await;
+    let start = async |name| {
+        let process = VmProcess::start_in_zones(&log, name, &ZONES[..1], true).await;
+        wait_for("readiness", async || is_ready(&process.daemon).await).await;
+        process
+    };
+    let holder = start("vm-1").await;
+    wait_for("a lease", async || holds_its_zone(&holder)).await;
+    let other = start("vm-2").await;
+    let streams = begin_streams(&holder, 6).await;
+    // Two intervals of the archive, after which all origins are in the log.
+    sleep(Duration::from_millis(1_100)).await;
+    drop(holder);
+    wait_for("the successor", async || holds_its_zone(&other)).await;
+    let counts = take_up(&other, &streams, its_attempt).await;
+    assert_eq!(counts, all_same(&streams));
+}
+
 /// In an outage of the log nobody can tell whether another version serves, so the holders have to know the streams.
 #[tokio::test]
 async fn streams_of_a_killed_vm_continue_while_the_log_is_out() {
