Record the timeline of skewed connections, and skew them in the soak

The soak can now limit the processor time of its daemons (stopped and continued by id) and send most additional calls, each on a new connection, to one VM. It checks that these calls are served at the first attempt that a VM reads at least three quarters as often as calls before, that overdue calls are answered, and that the VM goes on taking connections.

No logic of the daemon is changed.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -22,7 +22,11 @@
 /// Host name of all routes.
 pub const HOST: &str = "mill.example";
 /// Time after which a caller gives up; also sent as the deadline of the request.
-const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// Start of the ids of additional calls while most new connections go to one VM.
+pub const SKEWED_CALL_PREFIX: &str = "skew-";
+/// Deadline of these calls.
+pub const SKEWED_DEADLINE: Duration = Duration::from_secs(2);
 /// Attempts of a caller at a resumable stream.
 const MAX_ATTEMPTS: usize = 3;
 /// Pause of a caller between two attempts.
@@ -56,6 +60,10 @@
     pub parts: Vec<PromptPart>,
     /// API key of the caller.
     pub key: String,
+    /// Deadline sent with the request.
+    pub deadline: Duration,
+    /// Time after which the caller gives up.
+    pub patience: Duration,
     /// The stream to take up, if the call does not begin a new one.
     pub taken_up: Option<BrokenStream>,
 }
@@ -77,7 +85,9 @@
             adapter,
             parts,
             key,
+            deadline,
             taken_up,
+            ..
         } = self;
         let path = match kind {
             CallKind::Once => "/scan/1",
@@ -100,7 +110,7 @@
             } = stream;
             format!("{RESUMES}: {began_by}\r\n{LAST_EVENT}: {last_event}\r\n")
         });
-        let deadline = CALL_TIMEOUT.as_millis();
+        let deadline = deadline.as_millis();
         let forged: String = RESERVED_HEADERS
             .iter()
             .map(|name| format!("{name}: {FORGED}\r\n"))
@@ -123,9 +133,9 @@
         let Some((vm, address)) = endpoint else {
             return;
         };
-        let received = send_once(vm, address, &call, &history).await;
-        let Some(received) = received.filter(|_| call.kind == CallKind::Resumable) else {
-            return;
+        let received = match send_once(vm, address, &call, &history).await {
+            AttemptEnd::Incomplete(received) if call.kind == CallKind::Resumable => received,
+            _ => return,
         };
         if received.last_event > 0 {
             call.taken_up = Some(BrokenStream {
@@ -141,13 +151,50 @@
     }
 }
 
-/// Sends a request and records it and its outcome. Returns what arrived of an answer that is not complete.
+/// Sends a request to one VM, and if that VM closes the connection without an answer, once more to another.
+pub async fn send_skewed_call(
+    first: Arc<SoakVm>,
+    second: Arc<SoakVm>,
+    mut call: SoakCall,
+    history: SharedHistory,
+) {
+    let id = call.id.clone();
+    for (attempt, vm) in [first, second].iter().enumerate() {
+        let Some((address, _)) = vm.caller_endpoint() else {
+            continue;
+        };
+        if attempt > 0 {
+            call.id = format!("{id}-{attempt}");
+        }
+        if !matches!(
+            send_once(vm.index, address, &call, &history).await,
+            AttemptEnd::Closed
+        ) {
+            return;
+        }
+        history.record(HistoryEvent::ClosedUnread {
+            id: call.id.clone(),
+        });
+    }
+}
+
+/// How an attempt of a caller ended.
+enum AttemptEnd {
+    /// A complete answer arrived.
+    Complete,
+    /// An answer that is not complete or no success arrived, or none in time; the received part of a stream.
+    Incomplete(ReceivedStream),
+    /// The VM refused or closed the connection before it sent anything.
+    Closed,
+}
+
+/// Sends a request and records it and its outcome.
 async fn send_once(
     vm: usize,
     address: SocketAddr,
     call: &SoakCall,
     history: &SharedHistory,
-) -> Option<ReceivedStream> {
+) -> AttemptEnd {
     if let Some(stream) = &call.taken_up {
         history.record(HistoryEvent::TakenUp {
             id: call.id.clone(),
@@ -165,7 +212,8 @@
         id: call.id.clone(),
         key: call.key.clone(),
     });
-    let exchanged = timeout(CALL_TIMEOUT, exchange(address, &call.request_text())).await;
+    let exchanged = timeout(call.patience, exchange(address, &call.request_text())).await;
+    let is_closed = matches!(exchanged, Ok(Err(_) | Ok((CallAnswer::NoAnswer, _))));
     let (answer, body) = match exchanged {
         Ok(Ok(exchanged)) => exchanged,
         // The caller timed out, or the connection failed before an answer.
@@ -185,7 +233,11 @@
     };
     let id = call.id.clone();
     history.record(HistoryEvent::Answered { id, answer });
-    (!is_complete).then_some(received)
+    match (is_complete, is_closed) {
+        (true, _) => AttemptEnd::Complete,
+        (false, true) if call.kind != CallKind::Resumable => AttemptEnd::Closed,
+        (false, _) => AttemptEnd::Incomplete(received),
+    }
 }
 
 /// Probes a VM for the route of a configuration version. Returns the number of its daemon process and whether it has the
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,6 +4,7 @@
 //! in contact: neither the VM nor the log was disturbed within the preceding `CONTACT_WINDOW`.
 
 use crate::{
+    callers::{SKEWED_CALL_PREFIX, SKEWED_DEADLINE},
     history::{CallAnswer, CallKind, HistoryEvent, TimedEntry},
     organisations::{QUOTA_WINDOW, REVOCATION_BOUND, organisation_of, quota_limit},
     targets::{TargetRole, service_name},
@@ -41,6 +42,18 @@
 const MAX_PART_CRASHES: usize = 5;
 /// Requests with a known deadly part that may reach targets.
 const MAX_LATE_PART_REQUESTS: usize = 3;
+/// Time before a skew whose calls show how often callers are served.
+const SKEW_REFERENCE_WINDOW: Duration = Duration::from_secs(5);
+/// Calls without which neither side of a skew is judged.
+const MIN_JUDGED_CALLS: usize = 20;
+/// Time in which a VM that most new connections go to takes at least one.
+const ACCEPT_WINDOW: Duration = Duration::from_secs(4);
+/// Attempts without which a VM that takes none of them is not judged.
+const MIN_JUDGED_ATTEMPTS: usize = 7;
+/// Time after its deadline in which a call has to be answered.
+const LATE_ANSWER_WINDOW: Duration = Duration::from_millis(500);
+/// Calls beyond their deadline without which their answers are not judged.
+const MIN_OVERDUE_CALLS: usize = 8;
 /// Length of the window in which the retry budget is counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -95,6 +108,10 @@
     /// From [`CONTACT_WINDOW`] after some VMs lost the path to all targets, their callers are served at least two thirds as
     /// often as others, unless few of them fail.
     PathIndependence,
+    /// From [`CONTACT_WINDOW`] after most new connections began to go to one VM, callers are served at the first attempt that a VM
+    /// read at least three quarters as often as before, are answered soon after their deadline, and the VM keeps taking
+    /// connections.
+    SkewedConnections,
 }
 
 /// Violation of a guarantee.
@@ -135,6 +152,7 @@
     found.extend(check_path_losses(history, &calls));
     found.extend(check_software(history, &calls));
     found.extend(check_deadly_part(history, &calls));
+    found.extend(check_skews(history, &calls));
     found
 }
 
@@ -583,6 +601,172 @@
     vec![violation(Guarantee::PathIndependence, description)]
 }
 
+/// A span in which most new connections went to one VM.
+struct SkewSpan {
+    vm: usize,
+    from: Duration,
+    to: Duration,
+}
+
+fn skew_spans(history: &[TimedEntry]) -> Vec<SkewSpan> {
+    let begun = history.iter().filter_map(|entry| match entry.event {
+        HistoryEvent::SkewBegan { vm } => Some((vm, entry.at)),
+        _ => None,
+    });
+    begun
+        .map(|(vm, from)| {
+            let ended = history
+                .iter()
+                .find(|entry| entry.at > from && entry.event == HistoryEvent::SkewEnded { vm });
+            let to = ended.map_or(Duration::MAX, |entry| entry.at);
+            SkewSpan { vm, from, to }
+        })
+        .collect()
+}
+
+fn check_skews(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let disturbances = disturbances(history);
+    let is_judged = |at: Duration| {
+        let recent =
+            |disturbed: &&Duration| **disturbed <= at && at - **disturbed <= CONTACT_WINDOW;
+        // A call that a later disturbance hits is not judged either.
+        let soon = |disturbed: &&Duration| **disturbed > at && **disturbed - at <= CONTACT_WINDOW;
+        !disturbances
+            .iter()
+            .any(|disturbed| recent(&disturbed) || soon(&disturbed))
+    };
+    let closed: HashSet<&str> = history
+        .iter()
+        .filter_map(|entry| match &entry.event {
+            HistoryEvent::ClosedUnread { id } => Some(id.as_str()),
+            _ => None,
+        })
+        .collect();
+    skew_spans(history)
+        .iter()
+        .flat_map(|span| check_skew(span, calls, &closed, is_judged))
+        .collect()
+}
+
+/// Times of the faults under which callers need not be served as before.
+fn disturbances(history: &[TimedEntry]) -> Vec<Duration> {
+    let disturbing = history.iter().filter(|entry| {
+        matches!(
+            entry.event,
+            HistoryEvent::VmDisturbed { .. }
+                | HistoryEvent::LogDisturbed
+                | HistoryEvent::PathLost { .. }
+                | HistoryEvent::PathRestored { .. }
+                | HistoryEvent::EngineCrashed { .. }
+                | HistoryEvent::TargetDraining { .. }
+                | HistoryEvent::RetryAfterSent { .. }
+                | HistoryEvent::Ran {
+                    is_truncated: true,
+                    ..
+                }
+        )
+    });
+    disturbing.map(|entry| entry.at).collect()
+}
+
+fn check_skew(
+    span: &SkewSpan,
+    calls: &CallTable<'_>,
+    closed: &HashSet<&str>,
+    is_judged: impl Fn(Duration) -> bool,
+) -> Vec<Violation> {
+    let (mut before, mut during) = (ServedCount::default(), ServedCount::default());
+    let (mut overdue, mut unanswered) = (0, 0);
+    let mut found = Vec::new();
+    for (id, row) in &calls.rows {
+        let is_before = row.sent < span.from && span.from - row.sent <= SKEW_REFERENCE_WINDOW;
+        let is_during = span.from + CONTACT_WINDOW <= row.sent && row.sent < span.to;
+        if !is_judged(row.sent) || !(is_before || is_during) {
+            continue;
+        }
+        if is_before {
+            before.add(row);
+        }
+        if !is_during || !id.starts_with(SKEWED_CALL_PREFIX) {
+            continue;
+        }
+        // A second attempt stands for a first one that no VM read.
+        let was_sent_again = closed.contains(id) && calls.rows.contains_key(&*format!("{id}-1"));
+        if !was_sent_again {
+            during.add(row);
+        }
+        let answered_after = match row.answer {
+            Some((at, CallAnswer::Complete(..) | CallAnswer::Truncated(_))) => {
+                Some(at.saturating_sub(row.sent))
+            }
+            _ => None,
+        };
+        let is_unread = closed.contains(id);
+        if !is_unread && answered_after.is_none_or(|after| after >= SKEWED_DEADLINE) {
+            overdue += 1;
+            let is_late = |after| after > SKEWED_DEADLINE + LATE_ANSWER_WINDOW;
+            unanswered += usize::from(answered_after.is_none_or(is_late));
+        }
+    }
+    let has_enough = before.sent >= MIN_JUDGED_CALLS && during.sent >= MIN_JUDGED_CALLS;
+    // Three quarters as often, without fractions.
+    if has_enough && during.served * before.sent * 4 < before.served * during.sent * 3 {
+        let description = format!(
+            "{} of {} calls were served at the first attempt read while most connections went to VM {}, {} of {} before",
+            during.served, during.sent, span.vm, before.served, before.sent
+        );
+        found.push(violation(Guarantee::SkewedConnections, description));
+    }
+    if overdue >= MIN_OVERDUE_CALLS && unanswered * 2 > overdue {
+        let description = format!(
+            "{unanswered} of {overdue} calls beyond their deadline had no answer {LATE_ANSWER_WINDOW:?} later"
+        );
+        found.push(violation(Guarantee::SkewedConnections, description));
+    }
+    found.extend(check_accepts(span, calls, closed, is_judged));
+    found
+}
+
+/// Whether the VM that most new connections go to stopped taking them.
+fn check_accepts(
+    span: &SkewSpan,
+    calls: &CallTable<'_>,
+    closed: &HashSet<&str>,
+    is_judged: impl Fn(Duration) -> bool,
+) -> Option<Violation> {
+    let mut attempts: Vec<_> = calls
+        .rows
+        .iter()
+        .filter(|(id, row)| {
+            id.starts_with(SKEWED_CALL_PREFIX)
+                && row.vm == span.vm
+                && (span.from..span.to).contains(&row.sent)
+                && is_judged(row.sent)
+        })
+        .map(|(id, row)| (row.sent, closed.contains(id)))
+        .collect();
+    attempts.sort();
+    let mut unread_since = None;
+    let mut unread = 0;
+    for (sent, is_unread) in attempts {
+        if !is_unread {
+            unread_since = None;
+            unread = 0;
+            continue;
+        }
+        let since = *unread_since.get_or_insert(sent);
+        unread += 1;
+        if sent - since >= ACCEPT_WINDOW && unread >= MIN_JUDGED_ATTEMPTS {
+            let description = format!(
+                "VM {} read none of {unread} calls in {ACCEPT_WINDOW:?} from {since:?} on",
+                span.vm
+            );
+            return Some(violation(Guarantee::SkewedConnections, description));
+        }
+    }
+    None
+}
+
 /// Requests, and those of them that were served.
 #[derive(Default)]
 struct ServedCount {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -245,6 +245,21 @@
     },
     /// A fault of the log started or ended.
     LogDisturbed,
+    /// Callers begin to send most new connections to one VM.
+    SkewBegan {
+        /// The VM.
+        vm: usize,
+    },
+    /// Callers spread new connections over all VMs again.
+    SkewEnded {
+        /// The VM.
+        vm: usize,
+    },
+    /// A VM refused or closed a caller's connection before it sent anything.
+    ClosedUnread {
+        /// The request.
+        id: String,
+    },
     /// A VM was cut off from all targets.
     PathLost {
         /// The VM.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`prompts`] | prompts of callers and the time to process them |
 //! | [`stream_text`] | events that name the software version of their target |
 //! | [`targets`] | stand-ins for engines and plain services that record what they receive |
+//! | [`processor_limits`] | limits on the processor time of daemons |
 //! | [`fleet`] | VMs with their daemon processes |
 //! | [`callers`] | requests to the daemons and their outcomes |
 //! | [`run`] | a single run from start to outcome |
@@ -22,6 +23,7 @@
 pub mod fleet;
 pub mod history;
 pub mod organisations;
+pub mod processor_limits;
 pub mod prompts;
 pub mod report;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,11 +3,11 @@
 use gumdrop::Options;
 use hoplanding_soak::{
     report,
-    run::{RunOutcome, RunPlan, run_soak},
+    run::{RunOutcome, RunPlan, SkewPlan, run_soak},
     schedule::PlannedFault,
     targets::InjectedDefect,
 };
-use std::{fs, io, path::PathBuf, process::ExitCode};
+use std::{fs, io, path::PathBuf, process::ExitCode, time::Duration};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Arguments of `hoplanding-soak`.
@@ -47,6 +47,30 @@
         default = "1"
     )]
     deadly: usize,
+    #[options(
+        no_short,
+        help = "number of times in a run that most new connections go to one VM while all VMs have little processor time; engines are doubled",
+        default = "0"
+    )]
+    skews: usize,
+    #[options(
+        no_short,
+        help = "additional calls per second in such a time",
+        default = "200"
+    )]
+    skew_rate: f64,
+    #[options(
+        no_short,
+        help = "share of these calls that goes to one VM",
+        default = "0.9"
+    )]
+    skew_share: f64,
+    #[options(
+        no_short,
+        help = "microseconds that each daemon runs in every 50 ms of such a time",
+        default = "1500"
+    )]
+    slice: u64,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -164,7 +188,7 @@
         rate: 60.0,
         zones: args.zones,
         vms_per_zone: args.vms,
-        engines_per_zone: 2,
+        engines_per_zone: if args.skews > 0 { 4 } else { 2 },
         software_versions: args.software,
         adapters: args.adapters,
         faults,
@@ -173,6 +197,12 @@
         config_loss_count: args.losses,
         path_loss_count: args.path_losses,
         deadly_part_count: args.deadly,
+        skew_count: args.skews,
+        skew: SkewPlan {
+            rate: args.skew_rate,
+            share: args.skew_share,
+            processor_slice: Duration::from_micros(args.slice),
+        },
         program: args.daemon.clone(),
         folder: args.out.join(format!("seed-{seed}")),
         defect: InjectedDefect::None,
--- a/crates/soak/src/organisations.rs
+++ b/crates/soak/src/organisations.rs
@@ -55,6 +55,12 @@
     ])
 }
 
+/// Key of the organisation without a quota, which no configuration revokes.
+#[must_use]
+pub fn unlimited_key() -> String {
+    format!("{UNLIMITED}-key")
+}
+
 /// Draws the key of a call while `version` is the newest configuration.
 #[must_use]
 pub fn draw_key(random: &mut StdRng, version: u64) -> String {
@@ -65,6 +71,6 @@
         let age = random.random_range(0..MAX_KEY_AGE_VERSIONS);
         rotated_key(version.saturating_sub(age).max(1))
     } else {
-        format!("{UNLIMITED}-key")
+        unlimited_key()
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,10 +2,11 @@
 
 mod losses;
 mod path_losses;
+mod skews;
 
 use crate::{
     adapter_store::{ADAPTER_SLOTS, BASE_MODEL, FIRST_VERSION},
-    callers::{SoakCall, probe_route, send_call},
+    callers::{CALL_TIMEOUT, SoakCall, probe_route, send_call},
     checks::{Violation, check},
     fleet::SoakVm,
     history::{CallKind, HistoryEvent, SharedHistory, TimedEntry},
@@ -13,7 +14,7 @@
     prompts::{self, prompt_parts},
     schedule::{
         FaultKind, PlannedFault, config_losses, deadly_parts, extra_faults, path_losses,
-        seeded_faults,
+        seeded_faults, skewed_connections,
     },
     targets::{HEALTH_PATH, InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
@@ -102,6 +103,10 @@
     pub path_loss_count: usize,
     /// Number of faults drawn from [`FaultKind::DEADLY_PARTS`].
     pub deadly_part_count: usize,
+    /// Number of faults drawn from [`FaultKind::SKEWS`].
+    pub skew_count: usize,
+    /// Calls and processor time of a skew.
+    pub skew: SkewPlan,
     /// Path of the daemon's executable.
     pub program: PathBuf,
     /// Directory for the settings, logs and fault schedule of the run.
@@ -121,6 +126,7 @@
             faults.extend(config_losses(self.seed, span, self.config_loss_count));
             faults.extend(path_losses(self.seed, span, self.path_loss_count));
             faults.extend(deadly_parts(self.seed, span, self.deadly_part_count));
+            faults.extend(skewed_connections(self.seed, span, self.skew_count));
             faults.sort_by_key(|fault| fault.at_ms);
             faults
         })
@@ -146,6 +152,17 @@
     }
 }
 
+/// Calls and processor time while most new connections go to one VM.
+#[derive(Clone, Copy, Debug)]
+pub struct SkewPlan {
+    /// Additional calls per second, each on a new connection.
+    pub rate: f64,
+    /// Share of these calls that goes to the chosen VM.
+    pub share: f64,
+    /// Time that each daemon runs in every 50 ms.
+    pub processor_slice: Duration,
+}
+
 /// Result of a run.
 #[derive(Clone, Debug)]
 pub struct RunOutcome {
@@ -189,6 +206,9 @@
     revoked_calls: AtomicUsize,
     /// Number of calls with the deadly part sent so far.
     deadly_calls: AtomicUsize,
+    /// Number of calls of skews sent so far.
+    skewed_calls: AtomicUsize,
+    skew: SkewPlan,
     /// Number of current path losses by VM.
     path_losses: Mutex<BTreeMap<usize, usize>>,
 }
@@ -265,6 +285,8 @@
             log_outages: Mutex::default(),
             revoked_calls: AtomicUsize::default(),
             deadly_calls: AtomicUsize::default(),
+            skewed_calls: AtomicUsize::default(),
+            skew: plan.skew,
             path_losses: Mutex::default(),
         };
         for index in 0..plan.zones * plan.engines_per_zone {
@@ -466,6 +488,8 @@
                 adapter,
                 parts,
                 key: draw_key(&mut random, self.version.load(Ordering::SeqCst)),
+                deadline: CALL_TIMEOUT,
+                patience: CALL_TIMEOUT,
                 taken_up: None,
             };
             let first_vm = random.random_range(0..self.vms.len());
@@ -490,6 +514,8 @@
                 adapter: format!("a{}", number % self.adapters),
                 parts: prompts::deadly_parts(number).to_vec(),
                 key: draw_key(&mut random, self.version.load(Ordering::SeqCst)),
+                deadline: CALL_TIMEOUT,
+                patience: CALL_TIMEOUT,
                 taken_up: None,
             };
             let mut vms = self.vms.clone();
@@ -576,6 +602,7 @@
                 self.replace_target(&target, false, None, fault.index).await;
             }
             FaultKind::DeadlyPart => self.send_deadly_requests(fault).await,
+            FaultKind::SkewedConnections => self.skew_connections(fault).await,
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
                 targets.iter().for_each(|target| target.set_shedding(true));
--- a/crates/soak/src/run/losses.rs
+++ b/crates/soak/src/run/losses.rs
@@ -2,7 +2,7 @@
 
 use super::{MAX_LOST_RECORDS, SoakCluster};
 use crate::{
-    callers::{SoakCall, send_call},
+    callers::{CALL_TIMEOUT, SoakCall, send_call},
     history::{CallKind, HistoryEvent},
     organisations::rotated_key,
     schedule::{FaultKind, PlannedFault},
@@ -167,6 +167,8 @@
                     adapter: String::new(),
                     parts: Vec::new(),
                     key: rotated_key(version),
+                    deadline: CALL_TIMEOUT,
+                    patience: CALL_TIMEOUT,
                     taken_up: None,
                 };
                 // Calls end by themselves, also after the fault.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -71,6 +71,8 @@
     MostPathsHang,
     /// Callers send requests of which no two are alike, all with one part in their prompts that crashes every engine.
     DeadlyPart,
+    /// All daemons get little processor time, and nine of ten additional calls, each on a new connection, go to one VM.
+    SkewedConnections,
 }
 
 impl FaultKind {
@@ -117,6 +119,9 @@
 
     /// Kinds of the faults from [`deadly_parts`], which leave all other schedules unchanged.
     pub const DEADLY_PARTS: [Self; 1] = [Self::DeadlyPart];
+
+    /// Kinds of the faults from [`skewed_connections`], which leave all other schedules unchanged.
+    pub const SKEWS: [Self; 1] = [Self::SkewedConnections];
 }
 
 impl fmt::Display for FaultKind {
@@ -194,6 +199,13 @@
     draw_faults(seed, &FaultKind::DEADLY_PARTS, span, count)
 }
 
+/// Draws `count` faults of [`FaultKind::SKEWS`] within a span, ordered by start time.
+#[must_use]
+pub fn skewed_connections(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    let seed = seed.rotate_left(8);
+    draw_faults(seed, &FaultKind::SKEWS, span, count)
+}
+
 fn draw_faults(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -656,3 +656,94 @@
     assert_eq!(violated(&history(3)), []);
     assert_eq!(violated(&history(4)), [Guarantee::DeadlyPart]);
 }
+
+/// Calls every 50 ms, of which the VM that most new connections go to serves a part from three seconds after the start on.
+fn history_of_skew(outcome: impl Fn(u32) -> SkewedOutcome) -> Vec<TimedEntry> {
+    let mut history = Vec::new();
+    for number in 0..100_u64 {
+        let id = format!("r{number}");
+        history.push(sent(50 * number, &id, CallKind::Once, ""));
+        history.push(answered(50 * number + 20, &id, done(&id)));
+    }
+    history.push(at(5_000, HistoryEvent::SkewBegan { vm: 0 }));
+    for number in 0..100_u32 {
+        let ms = 8_000 + 50 * u64::from(number);
+        let first = format!("skew-{number}");
+        let second = format!("{first}-1");
+        history.push(sent(ms, &first, CallKind::Once, ""));
+        match outcome(number) {
+            SkewedOutcome::Served => history.push(answered(ms + 20, &first, done(&first))),
+            SkewedOutcome::Refused => {
+                let refused = CallAnswer::Complete(503, String::new());
+                history.push(answered(ms + 20, &first, refused));
+            }
+            SkewedOutcome::ServedAfterClose => {
+                history.push(answered(ms + 10, &first, CallAnswer::NoAnswer));
+                history.push(at(ms + 10, HistoryEvent::ClosedUnread { id: first }));
+                let sent_again = HistoryEvent::Sent {
+                    id: second.clone(),
+                    kind: CallKind::Once,
+                    vm: 1,
+                    adapter: String::new(),
+                };
+                history.push(at(ms + 20, sent_again));
+                history.push(answered(ms + 40, &second, done(&second)));
+            }
+            SkewedOutcome::Unanswered => {
+                history.push(answered(ms + 2_700, &first, CallAnswer::NoAnswer));
+            }
+        }
+    }
+    history.push(at(13_100, HistoryEvent::SkewEnded { vm: 0 }));
+    history.sort_by_key(|entry| entry.at);
+    history
+}
+
+/// What happens to a call while most new connections go to one VM.
+#[derive(Clone, Copy)]
+enum SkewedOutcome {
+    Served,
+    Refused,
+    ServedAfterClose,
+    Unanswered,
+}
+
+fn done(id: &str) -> CallAnswer {
+    CallAnswer::Complete(200, format!("done {id}"))
+}
+
+#[test]
+fn calls_that_are_not_served_while_connections_are_skewed_are_found() {
+    let history = |refused: u32| {
+        history_of_skew(|number| match number < refused {
+            true => SkewedOutcome::Refused,
+            false => SkewedOutcome::Served,
+        })
+    };
+    assert_eq!(violated(&history(25)), []);
+    assert_eq!(violated(&history(26)), [Guarantee::SkewedConnections]);
+}
+
+#[test]
+fn calls_that_are_served_after_a_close_count_as_served_at_the_first_attempt_read() {
+    let history = history_of_skew(|number| match number % 2 {
+        0 => SkewedOutcome::ServedAfterClose,
+        _ => SkewedOutcome::Served,
+    });
+    assert_eq!(violated(&history), []);
+}
+
+#[test]
+fn calls_without_an_answer_after_their_deadline_are_found_while_connections_are_skewed() {
+    let history = history_of_skew(|number| match number % 10 {
+        0 => SkewedOutcome::Unanswered,
+        _ => SkewedOutcome::Served,
+    });
+    assert_eq!(violated(&history), [Guarantee::SkewedConnections]);
+}
+
+#[test]
+fn a_vm_that_reads_none_of_its_connections_is_found() {
+    let history = history_of_skew(|_| SkewedOutcome::ServedAfterClose);
+    assert_eq!(violated(&history), [Guarantee::SkewedConnections]);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -6,7 +6,7 @@
     fleet::SoakVm,
     history::{HistoryEvent, SharedHistory, TimedEntry},
     organisations::REVOCATION_BOUND,
-    run::{RunPlan, run_soak},
+    run::{RunPlan, SkewPlan, run_soak},
     schedule::{FaultKind, PlannedFault, config_losses, seeded_faults},
     targets::InjectedDefect,
 };
@@ -37,6 +37,9 @@
     program
 }
 
+/// Time that each daemon runs in every 50 ms while most new connections go to one VM.
+const SLICE: Duration = Duration::from_millis(4);
+
 fn plan(name: &str, requests: usize) -> RunPlan {
     let folder =
         std::env::temp_dir().join(format!("hoplanding-soak-{}-{name}", std::process::id()));
@@ -55,6 +58,12 @@
         config_loss_count: 0,
         path_loss_count: 0,
         deadly_part_count: 0,
+        skew_count: 0,
+        skew: SkewPlan {
+            rate: 300.0,
+            share: 0.9,
+            processor_slice: SLICE,
+        },
         program: daemon(),
         folder,
         defect: InjectedDefect::None,
