Log and count how far a VM is behind

Log lines and metrics gave one figure for the time of a call, in which waits for the holder, the adapter and the processor are one. A VM now samples how long the task of a new connection waits for its first run (metric queue_delay), and logs when it has more work than processor time (E822: no sample of two windows of 0.1 s was below 25 ms) and when that is over (E823).

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! | [`log_readers`] | which VMs of a zone read the platform's log |
 //! | [`log_contact`] | when the platform's log was reachable |
 //! | [`lease`] | which VM holds the lease of a zone and issues its orders |
+//! | [`overload`] | whether a VM has more work than processor time |
 //! | [`plain`] | which target of a plain service a call goes to |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
@@ -50,6 +51,7 @@
 pub mod log_contact;
 pub mod log_readers;
 pub mod organisations;
+pub mod overload;
 pub mod paths;
 pub mod plain;
 pub mod planner;
--- /dev/null
+++ b/crates/core/src/direct/overload.rs
@@ -0,0 +1,131 @@
+//! Detects that a VM has more work than processor time.
+//!
+//! The steps of all calls wait in one queue. The time that a step waits there is sampled with new connections. Single long waits are
+//! normal, as while a large configuration is decoded, so a VM counts as overloaded only if no sample of several windows was
+//! short: then the queue never ran empty.
+
+use crate::ids::Instant;
+use std::time::Duration;
+
+/// Length of a window of samples.
+pub const WINDOW: Duration = Duration::from_millis(100);
+/// Wait of the shortest sample above which a window counts as saturated.
+pub const MAX_QUEUE_DELAY: Duration = Duration::from_millis(25);
+/// Consecutive saturated windows from which on a VM is overloaded.
+const MIN_SATURATED_WINDOWS: u32 = 2;
+/// Time without a saturated window after which an overload is over.
+const RECOVERY_TIME: Duration = Duration::from_millis(500);
+/// Time without new connections after which earlier windows tell nothing any more.
+const MAX_SAMPLE_AGE: Duration = Duration::from_secs(1);
+
+/// A sample that waits in the queue.
+#[derive(Debug)]
+#[must_use]
+pub struct DelayProbe {
+    started: Instant,
+}
+
+/// What a window showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DelayWindow {
+    /// Wait of its shortest sample.
+    pub shortest: Duration,
+    /// Whether the VM had more work than processor time in all of it.
+    pub is_saturated: bool,
+}
+
+/// Start or end of an overload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverloadChange {
+    /// The VM is overloaded from now on.
+    Began,
+    /// The overload that began at this time is over.
+    Ended(Instant),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OverloadSpan {
+    began: Instant,
+    last_saturated: Instant,
+}
+
+/// Detects overload of one VM.
+#[derive(Debug, Default)]
+pub struct OverloadDetector {
+    /// Start of the probe that waits in the queue.
+    pending: Option<Instant>,
+    window_start: Instant,
+    shortest: Option<Duration>,
+    saturated_windows: u32,
+    overload: Option<OverloadSpan>,
+}
+
+impl OverloadDetector {
+    /// Starts a sample unless one is waiting.
+    pub fn begin_probe(&mut self, now: Instant) -> Option<DelayProbe> {
+        if self.pending.is_some() {
+            return None;
+        }
+        self.pending = Some(now);
+        Some(DelayProbe { started: now })
+    }
+
+    /// Ends a sample; returns how long it waited.
+    pub fn end_probe(&mut self, probe: &DelayProbe, now: Instant) -> Duration {
+        self.pending = None;
+        let delay = now.since(probe.started);
+        let shortest = self.shortest.map_or(delay, |shortest| shortest.min(delay));
+        self.shortest = Some(shortest);
+        delay
+    }
+
+    /// Closes the current window once it is over. Returns what it showed, and a change of the overload.
+    pub fn advance(&mut self, now: Instant) -> Option<(DelayWindow, Option<OverloadChange>)> {
+        let length = now.since(self.window_start);
+        if length < WINDOW {
+            return None;
+        }
+        // A probe that still waits has waited for at least its age.
+        let pending = self.pending.map(|started| now.since(started));
+        let shortest = self.shortest.take().or(pending).unwrap_or_default();
+        self.window_start = now;
+        let is_saturated = shortest > MAX_QUEUE_DELAY;
+        if !is_saturated || length > MAX_SAMPLE_AGE {
+            self.saturated_windows = 0;
+        }
+        self.saturated_windows += u32::from(is_saturated);
+        let window = DelayWindow {
+            shortest,
+            is_saturated,
+        };
+        Some((window, self.update_overload(is_saturated, now)))
+    }
+
+    fn update_overload(&mut self, is_saturated: bool, now: Instant) -> Option<OverloadChange> {
+        match &mut self.overload {
+            Some(overload) if is_saturated => {
+                overload.last_saturated = now;
+                None
+            }
+            Some(overload) if now.since(overload.last_saturated) >= RECOVERY_TIME => {
+                let began = overload.began;
+                self.overload = None;
+                Some(OverloadChange::Ended(began))
+            }
+            None if self.saturated_windows >= MIN_SATURATED_WINDOWS => {
+                self.overload = Some(OverloadSpan {
+                    began: now,
+                    last_saturated: now,
+                });
+                Some(OverloadChange::Began)
+            }
+            Some(_) | None => None,
+        }
+    }
+
+    /// Whether the VM is overloaded.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.overload.is_some()
+    }
+}
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -1,7 +1,10 @@
 //! Server side of callers' connections: accepts them, serves HTTP/1.1 on each, and closes them in a planned stop.
 
 use crate::{
-    direct::call::{GatewayContext, answer_call},
+    direct::{
+        call::{GatewayContext, answer_call},
+        overload_monitor::OverloadMonitor,
+    },
     event,
     events::Event,
 };
@@ -61,6 +64,7 @@
     listener: TcpListener,
     context: Arc<GatewayContext>,
     connections: Arc<OpenConnections>,
+    overload: Arc<OverloadMonitor>,
     stop: watch::Receiver<StopPhase>,
 ) {
     let mut closing = stop.clone();
@@ -74,7 +78,12 @@
                 let context = Arc::clone(&context);
                 let connections = Arc::clone(&connections);
                 let stop = stop.clone();
+                let overload = Arc::clone(&overload);
+                let probe = overload.record_connection();
                 tokio::spawn(async move {
+                    if let Some(probe) = probe {
+                        overload.end_probe(&probe);
+                    }
                     connections.count.fetch_add(1, Ordering::Relaxed);
                     serve_caller(stream, context, stop).await;
                     connections.count.fetch_sub(1, Ordering::Relaxed);
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -13,6 +13,7 @@
         holder_client::HolderClient,
         links::accept_peers,
         message::FeedTopic,
+        overload_monitor::OverloadMonitor,
         paths::{monitor::PathMonitor, tunnel_client::TunnelClient, tunnel_server::TunnelServer},
         probes::{metrics_response, readiness_response, serve_probes},
         reachability::StoreReachability,
@@ -161,6 +162,7 @@
             caller_listener,
             context,
             Arc::clone(&connections),
+            Arc::new(OverloadMonitor::new(Arc::clone(&fleet))),
             stop_watch,
         ));
         Ok(Self {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -242,6 +242,8 @@
     resumed_streams: Family<ResumeLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
+    queue_delay: Histogram,
+    is_overloaded: Gauge,
     targets: Family<StageLabels, Gauge>,
     pending_removals: Gauge,
     prompt_moves: Family<MoveLabels, Counter>,
@@ -274,6 +276,8 @@
             resumed_streams: Family::default(),
             placing: Histogram::new(BUCKET_BOUNDS_S),
             first_event: Histogram::new(BUCKET_BOUNDS_S),
+            queue_delay: Histogram::new(BUCKET_BOUNDS_S),
+            is_overloaded: Gauge::default(),
             targets: Family::default(),
             pending_removals: Gauge::default(),
             prompt_moves: Family::default(),
@@ -351,6 +355,17 @@
             Unit::Seconds,
             self.first_event.clone(),
         );
+        registry.register_with_unit(
+            "queue_delay",
+            "Time that the work of new connections waited for this VM's processor",
+            Unit::Seconds,
+            self.queue_delay.clone(),
+        );
+        registry.register(
+            "overloaded",
+            "Whether this VM has more work than processor time",
+            self.is_overloaded.clone(),
+        );
         registry.register("targets", "Targets by stage", self.targets.clone());
         registry.register(
             "targets_doubted",
@@ -407,6 +422,16 @@
         );
     }
 
+    /// Observes how long the work of a new connection waited for this VM's processor.
+    pub fn observe_queue_delay(&self, delay: Duration) {
+        self.queue_delay.observe(delay.as_secs_f64());
+    }
+
+    /// Sets whether this VM has more work than processor time.
+    pub fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.set(i64::from(is_overloaded));
+    }
+
     /// Counts a request that ended.
     pub fn count_request(&self, kind: RequestKind, outcome: RequestOutcome) {
         let labels = RequestLabels { kind, outcome };
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -234,6 +234,10 @@
     RetryAllowed = 830, Info, "repeat allowed";
     /// The retry budget denied a retry.
     RetryDenied = 831, Info, "repeat denied";
+    /// This VM has had more work than processor time for some time.
+    VmOverloaded = 822, Warn, "more work than processor time";
+    /// This VM has processor time left again.
+    VmRecovered = 823, Info, "processor time left again";
     /// A connection could not be accepted.
     AcceptFailed = 820, Warn, "connection not accepted";
 }
