Show that most connections at one small VM leave most calls unserved (fails)

Two tests of the soak: six VMs of one zone run 3 ms of every 50, and nine in ten of 300 more calls a second go to one VM, which holds the zone in the second test.

--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -38,7 +38,7 @@
 }
 
 /// Time that each daemon runs in every 50 ms while most new connections go to one VM.
-const SLICE: Duration = Duration::from_millis(4);
+const SLICE: Duration = Duration::from_millis(3);
 
 fn plan(name: &str, requests: usize) -> RunPlan {
     let folder =
@@ -500,3 +500,25 @@
         );
     }
 }
+
+/// Most new connections go to one VM that accepts more calls than its processor time serves, so that none of them ends in time.
+#[tokio::test]
+async fn calls_are_served_while_most_connections_go_to_a_small_vm() {
+    assert_served_during_skew("skewed", 5).await;
+}
+
+/// The VM that most new connections go to also places the calls of the others, which then wait for it.
+#[tokio::test]
+async fn calls_are_served_while_most_connections_go_to_a_small_holder() {
+    assert_served_during_skew("skewed-holder", 0).await;
+}
+
+async fn assert_served_during_skew(name: &str, vm: usize) {
+    let mut plan = plan(name, 1_000);
+    plan.zones = 1;
+    plan.vms_per_zone = 6;
+    plan.engines_per_zone = 8;
+    plan.faults = Some(vec![fault(5_000, FaultKind::SkewedConnections, vm, 2_000)]);
+    let outcome = run_soak(&plan).await.expect("a run");
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+}
