Close new connections unread while a VM has more work than processor time

What callers saw: while the load balancer sent most new connections to one small VM, next to none of its calls was served in time, and most overdue ones had no answer half a second after their timeout; at the zone's holder the calls of the other VMs waited with them.

Cause: a VM accepted every connection at once and gave each a task. The steps of all calls take turns at one processor, so a call of ten steps waits ten times for one step of every other call.

Change: a VM that is overloaded takes new connections at a limited rate and closes the others before it reads a request. The rate falls while the shortest wait of 0.1 s is above 25 ms, rises while it is not, and is never below four a second, so that a ready VM always takes some. The limit ends half a second after the last saturated window and the last closed connection.

Why it works: a close with the request unread is a promise that it has not run, and costs the VM an accept and a close; the caller's next attempt meets a VM that has time.

A model in core tests shows the collapse without the limit and its end with it.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! | [`log_readers`] | which VMs of a zone read the platform's log |
 //! | [`log_contact`] | when the platform's log was reachable |
 //! | [`lease`] | which VM holds the lease of a zone and issues its orders |
+//! | [`connection_limiter`] | which new connections a VM takes while it is overloaded |
 //! | [`overload`] | whether a VM has more work than processor time |
 //! | [`plain`] | which target of a plain service a call goes to |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
@@ -40,6 +41,7 @@
 pub mod backoffs;
 pub mod catalog;
 pub mod config;
+pub mod connection_limiter;
 pub mod demand;
 pub mod engine;
 pub mod freshness;
--- a/crates/core/src/direct/overload.rs
+++ b/crates/core/src/direct/overload.rs
@@ -13,7 +13,7 @@
 pub const MAX_QUEUE_DELAY: Duration = Duration::from_millis(25);
 /// Consecutive saturated windows from which on a VM is overloaded.
 const MIN_SATURATED_WINDOWS: u32 = 2;
-/// Time without a saturated window after which an overload is over.
+/// Time without a saturated window and without rejected work after which an overload is over.
 const RECOVERY_TIME: Duration = Duration::from_millis(500);
 /// Time without new connections after which earlier windows tell nothing any more.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(1);
@@ -123,6 +123,13 @@
         }
     }
 
+    /// Records that work was turned away, without which the VM would still be saturated.
+    pub fn record_rejected_work(&mut self, now: Instant) {
+        if let Some(overload) = &mut self.overload {
+            overload.last_saturated = now;
+        }
+    }
+
     /// Whether the VM is overloaded.
     #[must_use]
     pub fn is_overloaded(&self) -> bool {
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -8,6 +8,7 @@
     event,
     events::Event,
 };
+use hoplanding_core::direct::connection_limiter::ConnectionVerdict;
 use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -75,11 +76,14 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let probe = match overload.accept() {
+                    ConnectionVerdict::Take(probe) => probe,
+                    ConnectionVerdict::Close => continue,
+                };
                 let context = Arc::clone(&context);
                 let connections = Arc::clone(&connections);
                 let stop = stop.clone();
                 let overload = Arc::clone(&overload);
-                let probe = overload.record_connection();
                 tokio::spawn(async move {
                     if let Some(probe) = probe {
                         overload.end_probe(&probe);
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -211,6 +211,11 @@
     allowed: bool,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    taken: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct MoveLabels {
     versions: &'static str,
@@ -242,6 +247,7 @@
     resumed_streams: Family<ResumeLabels, Counter>,
     placing: Histogram,
     first_event: Histogram,
+    connections: Family<ConnectionLabels, Counter>,
     queue_delay: Histogram,
     is_overloaded: Gauge,
     targets: Family<StageLabels, Gauge>,
@@ -276,6 +282,7 @@
             resumed_streams: Family::default(),
             placing: Histogram::new(BUCKET_BOUNDS_S),
             first_event: Histogram::new(BUCKET_BOUNDS_S),
+            connections: Family::default(),
             queue_delay: Histogram::new(BUCKET_BOUNDS_S),
             is_overloaded: Gauge::default(),
             targets: Family::default(),
@@ -355,6 +362,11 @@
             Unit::Seconds,
             self.first_event.clone(),
         );
+        registry.register(
+            "connections",
+            "New connections of callers, and whether they were taken or closed unread",
+            self.connections.clone(),
+        );
         registry.register_with_unit(
             "queue_delay",
             "Time that the work of new connections waited for this VM's processor",
@@ -422,6 +434,12 @@
         );
     }
 
+    /// Counts a new connection of a caller.
+    pub fn count_connection(&self, taken: bool) {
+        let labels = ConnectionLabels { taken };
+        self.connections.get_or_create(&labels).inc();
+    }
+
     /// Observes how long the work of a new connection waited for this VM's processor.
     pub fn observe_queue_delay(&self, delay: Duration) {
         self.queue_delay.observe(delay.as_secs_f64());
--- a/crates/daemon/src/direct/overload_monitor.rs
+++ b/crates/daemon/src/direct/overload_monitor.rs
@@ -1,43 +1,45 @@
-//! Watches whether this VM has more work than processor time, by how long the tasks of new connections wait for their first run.
+//! Limits the new connections of this VM while it has more work than processor time, as seen by how long the tasks of new
+//! connections wait for their first run.
 
 use crate::{clock, direct::fleet::FleetState, event, events::Event};
-use hoplanding_core::{
-    direct::overload::{DelayProbe, OverloadChange, OverloadDetector},
-    ids::Instant,
+use hoplanding_core::direct::{
+    connection_limiter::{ConnectionLimiter, ConnectionVerdict, LimitChange},
+    overload::DelayProbe,
 };
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// Overload of this VM, and its log lines and metrics.
+/// The limit on new connections, with its log lines and metrics.
 #[derive(Debug)]
 pub struct OverloadMonitor {
     fleet: Arc<FleetState>,
-    detector: Mutex<OverloadDetector>,
+    limiter: Mutex<ConnectionLimiter>,
 }
 
 impl OverloadMonitor {
-    /// Creates a monitor that has seen nothing.
+    /// Creates a monitor without a limit.
     #[must_use]
     pub fn new(fleet: Arc<FleetState>) -> Self {
         Self {
             fleet,
-            detector: Mutex::default(),
+            limiter: Mutex::default(),
         }
     }
 
-    /// Records a new connection. Its task ends the probe when it runs first.
+    /// Decides whether a new connection is served.
     ///
     /// # Panics
     /// If a thread panicked while it held the lock.
-    pub fn record_connection(&self) -> Option<DelayProbe> {
-        let now = clock::now();
-        let mut detector = self.lock();
-        if let Some((_, Some(change))) = detector.advance(now) {
-            self.report(change, now);
+    pub fn accept(&self) -> ConnectionVerdict {
+        let (verdict, change) = self.lock().accept(clock::now());
+        if let Some(change) = change {
+            self.report(change);
         }
-        detector.begin_probe(now)
+        let is_taken = matches!(verdict, ConnectionVerdict::Take(_));
+        self.fleet.metrics.count_connection(is_taken);
+        verdict
     }
 
-    /// Ends a probe of [`Self::record_connection`].
+    /// Ends the probe of a connection whose task runs.
     ///
     /// # Panics
     /// If a thread panicked while it held the lock.
@@ -46,19 +48,30 @@
         self.fleet.metrics.observe_queue_delay(delay);
     }
 
-    fn report(&self, change: OverloadChange, now: Instant) {
+    fn report(&self, change: LimitChange) {
         match change {
-            OverloadChange::Began => event!(Event::VmOverloaded),
-            OverloadChange::Ended(began) => {
-                event!(Event::VmRecovered, "after {:?}", now.since(began));
+            LimitChange::Began(rate) => {
+                event!(
+                    Event::VmOverloaded,
+                    "{rate:.0} new connections per second are taken"
+                );
+            }
+            LimitChange::Ended(summary) => {
+                event!(
+                    Event::VmRecovered,
+                    "after {:?}, {} new connections taken and {} closed unread",
+                    summary.lasted,
+                    summary.taken,
+                    summary.closed
+                );
             }
         }
-        let is_overloaded = change == OverloadChange::Began;
+        let is_overloaded = matches!(change, LimitChange::Began(_));
         self.fleet.metrics.set_overloaded(is_overloaded);
     }
 
-    fn lock(&self) -> MutexGuard<'_, OverloadDetector> {
-        self.detector
+    fn lock(&self) -> MutexGuard<'_, ConnectionLimiter> {
+        self.limiter
             .lock()
             .expect("no thread panics while it holds the lock")
     }
