Refuse requests of an overloaded VM where no other VM of its zone has time

Callers that kept their connections stayed, and kept the VM overloaded.

Change: VMs of a zone tell its holder with their heartbeats whether they are overloaded, and the holder tells them how many are. A VM of which most others are overloaded too, or that is alone in its zone, reads requests and refuses those beyond the limit with a Retry-After of 0.3 to 1 s; it counts as overloaded only at waits of 50 ms. Where others have time, the answers of an overloaded VM close the connections of its callers.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,8 +9,8 @@
 //! | [`log_readers`] | which VMs of a zone read the platform's log |
 //! | [`log_contact`] | when the platform's log was reachable |
 //! | [`lease`] | which VM holds the lease of a zone and issues its orders |
-//! | [`connection_limiter`] | which new connections a VM takes while it is overloaded |
-//! | [`overload`] | whether a VM has more work than processor time |
+//! | [`overload`], [`overload_limiter`] | whether a VM has more work than processor time, and what it takes then |
+//! | [`zone_load`] | whether other VMs of the zone have processor time left |
 //! | [`plain`] | which target of a plain service a call goes to |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
@@ -41,7 +41,6 @@
 pub mod backoffs;
 pub mod catalog;
 pub mod config;
-pub mod connection_limiter;
 pub mod demand;
 pub mod engine;
 pub mod freshness;
@@ -54,6 +53,7 @@
 pub mod log_readers;
 pub mod organisations;
 pub mod overload;
+pub mod overload_limiter;
 pub mod paths;
 pub mod plain;
 pub mod planner;
@@ -73,6 +73,7 @@
 pub mod trials;
 pub mod tunnel_peers;
 pub mod versions;
+pub mod zone_load;
 
 use crate::ids::AvailabilityZone;
 use siphasher::sip::SipHasher13;
--- a/crates/core/src/direct/overload.rs
+++ b/crates/core/src/direct/overload.rs
@@ -9,8 +9,6 @@
 
 /// Length of a window of samples.
 pub const WINDOW: Duration = Duration::from_millis(100);
-/// Wait of the shortest sample above which a window counts as saturated.
-pub const MAX_QUEUE_DELAY: Duration = Duration::from_millis(25);
 /// Consecutive saturated windows from which on a VM is overloaded.
 const MIN_SATURATED_WINDOWS: u32 = 2;
 /// Time without a saturated window and without rejected work after which an overload is over.
@@ -79,8 +77,13 @@
         delay
     }
 
-    /// Closes the current window once it is over. Returns what it showed, and a change of the overload.
-    pub fn advance(&mut self, now: Instant) -> Option<(DelayWindow, Option<OverloadChange>)> {
+    /// Closes the current window once it is over. It counts as saturated if its shortest sample waited for longer than
+    /// `max_delay`. Returns what it showed, and a change of the overload.
+    pub fn advance(
+        &mut self,
+        max_delay: Duration,
+        now: Instant,
+    ) -> Option<(DelayWindow, Option<OverloadChange>)> {
         let length = now.since(self.window_start);
         if length < WINDOW {
             return None;
@@ -89,7 +92,7 @@
         let pending = self.pending.map(|started| now.since(started));
         let shortest = self.shortest.take().or(pending).unwrap_or_default();
         self.window_start = now;
-        let is_saturated = shortest > MAX_QUEUE_DELAY;
+        let is_saturated = shortest > max_delay;
         if !is_saturated || length > MAX_SAMPLE_AGE {
             self.saturated_windows = 0;
         }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -50,6 +50,7 @@
         fleet::{ActiveConfig, FleetState},
         holder_client::HolderClient,
         metrics::{RequestKind, RequestOutcome},
+        overload_control::OverloadControl,
         settings::DirectSettings,
         suspect_records::SuspectRecorder,
         target_connections::ConnectionPool,
@@ -97,6 +98,8 @@
     pub fleet: Arc<FleetState>,
     /// Client of the zones' holders.
     pub holder_client: Arc<HolderClient>,
+    /// Limit on what this VM takes while it is overloaded.
+    pub overload: OverloadControl,
     /// Idle connections to targets.
     pub pool: Arc<ConnectionPool>,
     /// Writer of the suspects' records in the platform's log.
@@ -189,6 +192,10 @@
         count(&context, RequestKind::Unrouted, RequestOutcome::Refused);
         return Ok(own_answer(&head.id, StatusCode::NOT_FOUND, None));
     };
+    if let Err(retry_after) = context.overload.admit_request() {
+        count(&context, RequestKind::of(&route), RequestOutcome::Refused);
+        return Ok(refusal(&head.id, retry_after));
+    }
     let identity = match admit(&context, &active, &route, &head) {
         Ok(identity) => identity,
         Err(fault) => return Ok(fault.answer(&context, &route, &head.id)),
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -1,14 +1,12 @@
 //! Server side of callers' connections: accepts them, serves HTTP/1.1 on each, and closes them in a planned stop.
 
 use crate::{
-    direct::{
-        call::{GatewayContext, answer_call},
-        overload_monitor::OverloadMonitor,
-    },
+    direct::call::{BrokenAnswer, GatewayContext, answer_call},
     event,
     events::Event,
 };
-use hoplanding_core::direct::connection_limiter::ConnectionVerdict;
+use hoplanding_core::direct::overload_limiter::ConnectionVerdict;
+use http::header::{CONNECTION, HeaderValue};
 use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -65,7 +63,6 @@
     listener: TcpListener,
     context: Arc<GatewayContext>,
     connections: Arc<OpenConnections>,
-    overload: Arc<OverloadMonitor>,
     stop: watch::Receiver<StopPhase>,
 ) {
     let mut closing = stop.clone();
@@ -76,17 +73,16 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let probe = match overload.accept() {
+                let probe = match context.overload.accept() {
                     ConnectionVerdict::Take(probe) => probe,
                     ConnectionVerdict::Close => continue,
                 };
                 let context = Arc::clone(&context);
                 let connections = Arc::clone(&connections);
                 let stop = stop.clone();
-                let overload = Arc::clone(&overload);
                 tokio::spawn(async move {
                     if let Some(probe) = probe {
-                        overload.end_probe(&probe);
+                        context.overload.end_probe(&probe);
                     }
                     connections.count.fetch_add(1, Ordering::Relaxed);
                     serve_caller(stream, context, stop).await;
@@ -113,7 +109,17 @@
         .active()
         .map(|active| active.config.limits)
         .unwrap_or_default();
-    let service = service_fn(move |request| answer_call(Arc::clone(&context), request));
+    let service = service_fn(move |request| {
+        let context = Arc::clone(&context);
+        async move {
+            let mut answer = answer_call(Arc::clone(&context), request).await?;
+            if context.overload.sends_callers_away() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, BrokenAnswer>(answer)
+        }
+    });
     // A connection accepted during the closing phase gets one answer. A graceful shutdown would close it before its request.
     let is_closing = *stop.borrow() >= StopPhase::Closing;
     let head_timeout = if is_closing {
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -13,7 +13,7 @@
         holder_client::HolderClient,
         links::accept_peers,
         message::FeedTopic,
-        overload_monitor::OverloadMonitor,
+        overload_control::OverloadControl,
         paths::{monitor::PathMonitor, tunnel_client::TunnelClient, tunnel_server::TunnelServer},
         probes::{metrics_response, readiness_response, serve_probes},
         reachability::StoreReachability,
@@ -142,7 +142,6 @@
         tokio::spawn(recorder.run());
         let archive = StreamArchive::new(Arc::clone(&fleet), Arc::clone(&settings));
         tokio::spawn(archive.run());
-        tokio::spawn(sweep(Arc::clone(&fleet), Arc::clone(&pool)));
         serve_status(
             readiness_listener,
             metrics_listener,
@@ -154,15 +153,16 @@
             stop: Arc::clone(&plan),
             fleet: Arc::clone(&fleet),
             holder_client,
+            overload: OverloadControl::new(Arc::clone(&fleet)),
             pool,
             records: SuspectRecorder::start(&fleet, &settings),
             settings: Arc::clone(&settings),
         });
+        tokio::spawn(sweep(Arc::clone(&context)));
         tokio::spawn(accept_callers(
             caller_listener,
             context,
             Arc::clone(&connections),
-            Arc::new(OverloadMonitor::new(Arc::clone(&fleet))),
             stop_watch,
         ));
         Ok(Self {
@@ -307,12 +307,13 @@
     }
 }
 
-async fn sweep(fleet: Arc<FleetState>, pool: Arc<ConnectionPool>) {
+async fn sweep(context: Arc<GatewayContext>) {
     let mut dropped_lines = 0;
     loop {
         sleep(SWEEP_INTERVAL).await;
-        pool.close_expired();
-        fleet.expire();
+        context.pool.close_expired();
+        context.fleet.expire();
+        context.overload.refresh();
         dropped_lines = report_dropped_lines(dropped_lines);
     }
 }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -37,6 +37,7 @@
         stream_estimate::StreamEstimate,
         stream_origins::{StreamOrigin, StreamOrigins},
         suspects::{RequestFingerprint, SuspectTable},
+        zone_load::{OverloadCount, ZoneLoad},
     },
     ids::{
         AdapterName, AvailabilityZone, FencingToken, Instant, LogPosition, ServiceName, StoreEra,
@@ -50,7 +51,10 @@
     collections::{BTreeMap, HashMap, HashSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 use tokio::sync::watch;
@@ -185,6 +189,8 @@
     pub leaving: LeavingTargets,
     /// Addresses of this VM itself.
     pub(super) own_addresses: Vec<SocketAddr>,
+    /// Load of the zone's VMs.
+    pub zone_load: ZoneLoad,
 }
 
 impl FleetTables {
@@ -368,6 +374,7 @@
     /// Linked VMs of this zone that could take over its lease.
     successors: Mutex<HashSet<VmName>>,
     stopping: watch::Sender<bool>,
+    is_overloaded: AtomicBool,
     tables: Mutex<FleetTables>,
     changes: watch::Sender<u64>,
     pub(super) record_requests: watch::Sender<u64>,
@@ -399,6 +406,7 @@
             metrics: DirectMetrics::default(),
             successors: Mutex::default(),
             stopping: watch::channel(false).0,
+            is_overloaded: AtomicBool::new(false),
             tables: Mutex::new(FleetTables {
                 active: None,
                 catalog: TargetCatalog::default(),
@@ -442,6 +450,7 @@
                 unreadable_headers: EntryLogLimiter::default(),
                 leaving: LeavingTargets::default(),
                 own_addresses: Vec::new(),
+                zone_load: ZoneLoad::default(),
             }),
             changes: watch::channel(0).0,
             record_requests: watch::channel(0).0,
@@ -592,6 +601,48 @@
         self.tables().known_ends.contains_key(&topic)
     }
 
+    /// Whether this VM has more work than processor time.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.is_overloaded.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this VM has more work than processor time.
+    pub fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.store(is_overloaded, Ordering::Relaxed);
+        self.metrics.set_overloaded(is_overloaded);
+    }
+
+    /// Records what another VM of the zone reported about its load, and the zone's.
+    pub fn record_load(
+        &self,
+        vm: &VmName,
+        is_overloaded: bool,
+        count: Option<OverloadCount>,
+        now: Instant,
+    ) {
+        let mut tables = self.tables();
+        tables.zone_load.record_vm(vm, is_overloaded, now);
+        if let Some(count) = count {
+            tables.zone_load.record_count(count, now);
+        }
+    }
+
+    /// Number of overloaded VMs in the zone, if this VM holds it and there are any.
+    #[must_use]
+    pub fn overload_count(&self, now: Instant) -> Option<OverloadCount> {
+        let count = self.tables().zone_load.count(self.is_overloaded(), now)?;
+        let lease = self.lease(&self.zone)?;
+        (lease.vm.as_ref() == Some(&self.vm)).then_some(count)
+    }
+
+    /// Whether callers that this overloaded VM turns away most likely meet a VM with processor time left.
+    #[must_use]
+    pub fn others_have_time(&self, now: Instant) -> bool {
+        let vms = u32::try_from(self.zone_vms()).unwrap_or(u32::MAX);
+        self.tables().zone_load.others_have_time(vms, now)
+    }
+
     /// Number of VMs recorded in this VM's zone.
     #[must_use]
     pub fn zone_vms(&self) -> usize {
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -16,6 +16,7 @@
         stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
+        zone_load::OverloadCount,
     },
     ids::{
         AdapterName, AvailabilityZone, LogPosition, SoftwareVersion, TargetLife, TargetName,
@@ -212,6 +213,12 @@
         /// The sender's last read of the lease of the receiver's zone, if the receiver asked for it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         lease_read: Option<ForwardedRead>,
+        /// Whether the sender has more work than processor time.
+        #[serde(default, skip_serializing_if = "is_false")]
+        is_overloaded: bool,
+        /// How many VMs of the zone have, if the sender is the zone's holder and there are any.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        overload_count: Option<OverloadCount>,
     },
     /// Requests the placement of a call.
     Place(u64, Box<PlacementRequest>),
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -20,7 +20,7 @@
 //! | [`stream_records`] | which software versions began streams, as this VM, other VMs and the log know |
 //! | [`suspect_records`], [`trials`] | records and trials of requests during which targets crashed |
 //! | [`caller_connections`] | connections of callers |
-//! | [`overload_monitor`] | whether this VM has more work than processor time |
+//! | [`overload_control`] | what this VM takes while it has more work than processor time |
 //! | [`probes`], [`metrics`] | readiness check and metrics page |
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`buffered_answer`], [`event_relay`] | answers buffered as a whole, and answers streamed event by event |
@@ -59,7 +59,7 @@
 pub mod message;
 pub mod metrics;
 pub mod notices;
-pub mod overload_monitor;
+pub mod overload_control;
 pub mod paths;
 pub mod probes;
 pub mod reachability;
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -182,6 +182,12 @@
             proof,
             asks_for_lease_read: self.fleet.asks_for_lease_read(),
             lease_read: lease_read.flatten(),
+            is_overloaded: self.is_same_zone && self.fleet.is_overloaded(),
+            overload_count: if self.is_same_zone {
+                self.fleet.overload_count(now)
+            } else {
+                None
+            },
         }
     }
 
@@ -302,8 +308,15 @@
                 proof,
                 asks_for_lease_read,
                 lease_read,
+                is_overloaded,
+                overload_count,
             } => {
-                self.last_heartbeat = Some((sent, clock::now()));
+                let now = clock::now();
+                self.last_heartbeat = Some((sent, now));
+                if self.is_same_zone {
+                    self.fleet
+                        .record_load(vm, is_overloaded, overload_count, now);
+                }
                 self.is_lease_read_wanted = asks_for_lease_read;
                 if asks_for_lease_read {
                     self.fleet.record_lease_request();
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod lives;
 mod lost_claims;
 mod notices;
+mod overload;
 mod poison;
 mod poison_parts;
 mod reach;
