Take a VM for overloaded after three saturated windows

Two windows of 0.1 s may pass while a large record is decoded. Callers of a VM that is hit lose 0.1 s of connections by it, of the seconds in which they count. Core tests follow; both tests of skewed connections pass.

--- a/crates/core/src/direct/overload.rs
+++ b/crates/core/src/direct/overload.rs
@@ -10,7 +10,7 @@
 /// Length of a window of samples.
 pub const WINDOW: Duration = Duration::from_millis(100);
 /// Consecutive saturated windows from which on a VM is overloaded.
-const MIN_SATURATED_WINDOWS: u32 = 2;
+const MIN_SATURATED_WINDOWS: u32 = 3;
 /// Time without a saturated window and without rejected work after which an overload is over.
 const RECOVERY_TIME: Duration = Duration::from_millis(500);
 /// Time without new connections after which earlier windows tell nothing any more.
