--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -676,7 +676,7 @@
     is_judged: impl Fn(Duration) -> bool,
 ) -> Vec<Violation> {
     let (mut before, mut during) = (ServedCount::default(), ServedCount::default());
-    let (mut overdue, mut unanswered) = (0, 0);
+    let (mut overdue, mut unanswered) = (0, Vec::new());
     let mut found = Vec::new();
     for (id, row) in &calls.rows {
         let is_before = row.sent < span.from && span.from - row.sent <= SKEW_REFERENCE_WINDOW;
@@ -705,7 +705,7 @@
         if !is_unread && answered_after.is_none_or(|after| after >= SKEWED_DEADLINE) {
             overdue += 1;
             let is_late = |after| after > SKEWED_DEADLINE + LATE_ANSWER_WINDOW;
-            unanswered += usize::from(answered_after.is_none_or(is_late));
+            unanswered.extend(answered_after.is_none_or(is_late).then_some(*id));
         }
     }
     let has_enough = before.sent >= MIN_JUDGED_CALLS && during.sent >= MIN_JUDGED_CALLS;
@@ -717,9 +717,11 @@
         );
         found.push(violation(Guarantee::SkewedConnections, description));
     }
-    if overdue >= MIN_OVERDUE_CALLS && unanswered * 2 > overdue {
+    if overdue >= MIN_OVERDUE_CALLS && unanswered.len() * 2 > overdue {
         let description = format!(
-            "{unanswered} of {overdue} calls beyond their deadline had no answer {LATE_ANSWER_WINDOW:?} later"
+            "{} of {overdue} calls beyond their deadline had no answer {LATE_ANSWER_WINDOW:?} later, among them {:?}",
+            unanswered.len(),
+            unanswered.first()
         );
         found.push(violation(Guarantee::SkewedConnections, description));
     }
@@ -834,7 +836,11 @@
         let is_path_lost = losses.iter().any(|loss| {
             loss.vm == row.vm && loss.from <= at && row.sent <= loss.to + CONTACT_WINDOW
         });
-        let is_interrupted = matches!(answer, CallAnswer::Truncated(_) | CallAnswer::NoAnswer);
+        // A call that was served until its deadline was not interrupted.
+        let is_overdue =
+            id.starts_with(SKEWED_CALL_PREFIX) && at.saturating_sub(row.sent) >= SKEWED_DEADLINE;
+        let is_interrupted =
+            !is_overdue && matches!(answer, CallAnswer::Truncated(_) | CallAnswer::NoAnswer);
         let disturbances: Vec<_> = history
             .iter()
             .filter(|entry| row.sent <= entry.at + CONTACT_WINDOW && entry.at <= at)
--- a/crates/soak/src/run/skews.rs
+++ b/crates/soak/src/run/skews.rs
@@ -11,7 +11,10 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{sync::atomic::Ordering, time::Duration};
-use tokio::time::{Instant, sleep_until};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
 
 /// Minimum duration of a skew: calls are judged from three seconds after its start on.
 const MIN_SKEW: Duration = Duration::from_secs(8);
@@ -30,6 +33,7 @@
         let end = start + MIN_SKEW + fault.duration();
         let mut random = StdRng::seed_from_u64(fault.at_ms ^ fault.for_ms);
         let limit = ProcessorLimit::start(&self.vms, self.skew.processor_slice);
+        let mut calls = JoinSet::new();
         self.history.record(HistoryEvent::SkewBegan { vm: chosen });
         for step in 0.. {
             let due = start + Duration::from_secs_f64(f64::from(step) / self.skew.rate);
@@ -45,11 +49,12 @@
             let second = self.another_vm(first, &mut random);
             let call = self.skewed_call(&mut random);
             let [first, second] = [first, second].map(|vm| self.vms[vm].clone());
-            // Calls end by themselves, also after the fault.
-            tokio::spawn(send_skewed_call(first, second, call, self.history.clone()));
+            calls.spawn(send_skewed_call(first, second, call, self.history.clone()));
         }
         self.history.record(HistoryEvent::SkewEnded { vm: chosen });
         drop(limit);
+        // Calls without an answer count as unanswered, so the last ones need the time to get theirs.
+        calls.join_all().await;
     }
 
     /// A VM other than this one, if there is one.
