Limit processor time by what is used, so that load beside the soak changes nothing

The soak let its daemons run 1.5 ms of every 50 by the clock. Beside other work a process got a part of that, so that every VM was overloaded: both tests of skewed connections failed in a run of all tests at load 18 (474 and 630 of 2,098 served), and pass by themselves.

PathIndependence does not count connections that were closed unread and met another VM, as the users' rule says: the closing VM read nothing.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -573,12 +573,14 @@
             |loss: &&PathLoss| loss.vm == vm && loss.from + CONTACT_WINDOW <= at && at <= loss.to;
         losses.iter().any(|loss| is_settled(&loss))
     };
+    let closed = closed_unread(history);
     let (mut lost, mut others) = (ServedCount::default(), ServedCount::default());
-    for row in calls.rows.values() {
+    for (id, row) in &calls.rows {
         let is_near_loss = losses
             .iter()
             .any(|loss| loss.from + CONTACT_WINDOW <= row.sent && row.sent <= loss.to);
-        if !is_near_loss || !is_in_contact(history, row.vm, row.sent) {
+        let is_judged_call = is_near_loss && !was_sent_again(id, &closed, calls);
+        if !is_judged_call || !is_in_contact(history, row.vm, row.sent) {
             continue;
         }
         if is_judged(row.vm, row.sent) {
@@ -635,19 +637,27 @@
             .iter()
             .any(|disturbed| recent(&disturbed) || soon(&disturbed))
     };
-    let closed: HashSet<&str> = history
-        .iter()
-        .filter_map(|entry| match &entry.event {
-            HistoryEvent::ClosedUnread { id } => Some(id.as_str()),
-            _ => None,
-        })
-        .collect();
+    let closed = closed_unread(history);
     skew_spans(history)
         .iter()
         .flat_map(|span| check_skew(span, calls, &closed, is_judged))
         .collect()
 }
 
+/// Requests whose connections were refused or closed before their VM sent anything.
+fn closed_unread(history: &[TimedEntry]) -> HashSet<&str> {
+    let closed = history.iter().filter_map(|entry| match &entry.event {
+        HistoryEvent::ClosedUnread { id } => Some(id.as_str()),
+        _ => None,
+    });
+    closed.collect()
+}
+
+/// Whether another attempt of the caller stands for a request that no VM read.
+fn was_sent_again(id: &str, closed: &HashSet<&str>, calls: &CallTable<'_>) -> bool {
+    closed.contains(id) && calls.rows.contains_key(&*format!("{id}-1"))
+}
+
 /// Times of the faults under which callers need not be served as before.
 fn disturbances(history: &[TimedEntry]) -> Vec<Duration> {
     let disturbing = history.iter().filter(|entry| {
@@ -690,9 +700,7 @@
         if !is_during || !id.starts_with(SKEWED_CALL_PREFIX) {
             continue;
         }
-        // A second attempt stands for a first one that no VM read.
-        let was_sent_again = closed.contains(id) && calls.rows.contains_key(&*format!("{id}-1"));
-        if !was_sent_again {
+        if !was_sent_again(id, closed, calls) {
             during.add(row);
         }
         let answered_after = match row.answer {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -186,6 +186,15 @@
         }
     }
 
+    /// Processor time that the daemon's main thread has used, if one runs.
+    #[must_use]
+    pub fn processor_time(&self) -> Option<Duration> {
+        let id = self.lock().child.as_ref()?.id();
+        let text = fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+        let nanos = text.split(' ').next()?.parse().ok()?;
+        Some(Duration::from_nanos(nanos))
+    }
+
     /// Records a disturbance of the VM in the history.
     pub fn record_disturbance(&self, is_planned: bool) {
         self.history.record(HistoryEvent::VmDisturbed {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -67,7 +67,7 @@
     skew_share: f64,
     #[options(
         no_short,
-        help = "microseconds that each daemon runs in every 50 ms of such a time",
+        help = "microseconds of processor time that each daemon may use in every 50 ms of such a time",
         default = "1500"
     )]
     slice: u64,
--- a/crates/soak/src/processor_limits.rs
+++ b/crates/soak/src/processor_limits.rs
@@ -1,5 +1,5 @@
-//! Limits on the processor time of daemons: each process is stopped and continued by its id, so that it runs for a short slice of
-//! every period.
+//! Limits on the processor time of daemons: a process runs until it has used its slice of a period, and is stopped for the rest.
+//! Processes are stopped and continued by their ids.
 
 use crate::fleet::SoakVm;
 use nix::sys::signal::Signal;
@@ -9,11 +9,13 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-/// Period in which a limited process runs once.
+/// Period in which a limited process may use its slice once.
 pub const LIMIT_PERIOD: Duration = Duration::from_millis(50);
+/// Interval at which the processor time of a running process is read.
+const POLL_INTERVAL: Duration = Duration::from_micros(500);
 
 /// Limits the processor time of VMs until dropped.
 pub struct ProcessorLimit {
@@ -22,20 +24,16 @@
 }
 
 impl ProcessorLimit {
-    /// Lets each VM run for `slice` of every [`LIMIT_PERIOD`]. The slices of the VMs do not coincide.
+    /// Lets each VM use `slice` of processor time in every [`LIMIT_PERIOD`].
     #[must_use]
     pub fn start(vms: &[Arc<SoakVm>], slice: Duration) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
-        let offset = LIMIT_PERIOD / u32::try_from(vms.len()).unwrap_or(u32::MAX).max(1);
-        let threads = vms.iter().cloned().zip(0_u32..).map(|(vm, number)| {
+        let threads = vms.iter().cloned().map(|vm| {
             let is_over = Arc::clone(&is_over);
             thread::spawn(move || {
-                thread::sleep(number * offset);
+                let mut overrun = Duration::ZERO;
                 while !is_over.load(Ordering::Relaxed) {
-                    vm.signal(Signal::SIGSTOP);
-                    thread::sleep(LIMIT_PERIOD.saturating_sub(slice));
-                    vm.signal(Signal::SIGCONT);
-                    thread::sleep(slice);
+                    overrun = run_period(&vm, slice, overrun);
                 }
             })
         });
@@ -46,6 +44,25 @@
     }
 }
 
+/// Limits a VM for one period. Takes the time by which it exceeded its slice before, and returns by how much it has now.
+fn run_period(vm: &SoakVm, slice: Duration, overrun: Duration) -> Duration {
+    let end = Instant::now() + LIMIT_PERIOD;
+    let before = vm.processor_time();
+    let mut used = overrun;
+    while used < slice && Instant::now() < end {
+        thread::sleep(POLL_INTERVAL);
+        if let (Some(before), Some(now)) = (before, vm.processor_time()) {
+            used = overrun + now.saturating_sub(before);
+        }
+    }
+    if used >= slice {
+        vm.signal(Signal::SIGSTOP);
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+        vm.signal(Signal::SIGCONT);
+    }
+    used.saturating_sub(slice)
+}
+
 impl Drop for ProcessorLimit {
     fn drop(&mut self) {
         self.is_over.store(true, Ordering::Relaxed);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -159,7 +159,7 @@
     pub rate: f64,
     /// Share of these calls that goes to the chosen VM.
     pub share: f64,
-    /// Time that each daemon runs in every 50 ms.
+    /// Processor time that each daemon may use in every 50 ms.
     pub processor_slice: Duration,
 }
 
