--- a/crates/core/src/direct/overload.rs
+++ b/crates/core/src/direct/overload.rs
@@ -25,11 +25,11 @@
 
 /// What a window showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DelayWindow {
-    /// Wait of its shortest sample.
-    pub shortest: Duration,
-    /// Whether the VM had more work than processor time in all of it.
-    pub is_saturated: bool,
+pub enum DelayWindow {
+    /// The VM had more work than processor time in all of it.
+    Saturated,
+    /// The queue ran empty, or there was no sample.
+    Unsaturated,
 }
 
 /// Start or end of an overload.
@@ -92,21 +92,21 @@
         let pending = self.pending.map(|started| now.since(started));
         let shortest = self.shortest.take().or(pending).unwrap_or_default();
         self.window_start = now;
-        let is_saturated = shortest > max_delay;
-        if !is_saturated || length > MAX_SAMPLE_AGE {
+        let window = if shortest > max_delay {
+            DelayWindow::Saturated
+        } else {
+            DelayWindow::Unsaturated
+        };
+        if window == DelayWindow::Unsaturated || length > MAX_SAMPLE_AGE {
             self.saturated_windows = 0;
         }
-        self.saturated_windows += u32::from(is_saturated);
-        let window = DelayWindow {
-            shortest,
-            is_saturated,
-        };
-        Some((window, self.update_overload(is_saturated, now)))
+        self.saturated_windows += u32::from(window == DelayWindow::Saturated);
+        Some((window, self.update_overload(window, now)))
     }
 
-    fn update_overload(&mut self, is_saturated: bool, now: Instant) -> Option<OverloadChange> {
+    fn update_overload(&mut self, window: DelayWindow, now: Instant) -> Option<OverloadChange> {
         match &mut self.overload {
-            Some(overload) if is_saturated => {
+            Some(overload) if window == DelayWindow::Saturated => {
                 overload.last_saturated = now;
                 None
             }
@@ -132,10 +132,4 @@
             overload.last_saturated = now;
         }
     }
-
-    /// Whether the VM is overloaded.
-    #[must_use]
-    pub fn is_overloaded(&self) -> bool {
-        self.overload.is_some()
-    }
 }
--- a/crates/core/src/direct/overload_limiter.rs
+++ b/crates/core/src/direct/overload_limiter.rs
@@ -19,17 +19,17 @@
 const MIN_RATE_PER_S: f64 = 4.0;
 /// Factor of the rate after a saturated window.
 const DECREASE: f64 = 0.75;
-/// Factor of the rate when an overload begins, relative to the rate at which they came.
+/// Share of the connections or requests that came in the last window to which the rate falls when an overload begins.
 const FIRST_DECREASE: f64 = 0.25;
-/// Factors of the rate after a window that was not saturated, below and above [`SAFE_SHARE`].
+/// Factors of the rate after a window that was not saturated, below and above the safe rate.
 const FAST_INCREASE: f64 = 1.25;
 const SLOW_INCREASE: f64 = 1.03;
-/// Share of the rate at which the VM became saturated up to which the rate rises quickly.
+/// Safe rate, as a share of the rate at which the VM became saturated.
 const SAFE_SHARE: f64 = 0.7;
-/// Span of the rate that may be taken at once.
-const BURST: Duration = Duration::from_millis(100);
 /// Factor of the safe rate if the VM becomes saturated below it.
 const SAFE_RATE_DECAY: f64 = 0.9;
+/// Span of the rate that may be taken at once.
+const BURST: Duration = Duration::from_millis(100);
 
 /// Waits in the queue above which a VM is overloaded. Where other VMs have time, callers lose least if they meet one of those soon.
 /// Where none has, a late answer is better than none, and only a queue in which calls run out of time has to be avoided.
@@ -85,7 +85,7 @@
 }
 
 #[derive(Debug)]
-struct TakeLimit {
+struct AdmissionLimit {
     rate_per_s: f64,
     /// Rate up to which the VM is not expected to be saturated.
     safe_rate_per_s: f64,
@@ -97,7 +97,7 @@
     rejected: u64,
 }
 
-impl TakeLimit {
+impl AdmissionLimit {
     fn new(rate_per_s: f64, now: Instant) -> Self {
         Self {
             rate_per_s,
@@ -111,7 +111,8 @@
     }
 
     fn adjust(&mut self, window: DelayWindow) {
-        if window.is_saturated && !self.was_saturated {
+        let is_saturated = window == DelayWindow::Saturated;
+        if is_saturated && !self.was_saturated {
             // Below the safe rate, the cause is work that was taken before.
             self.safe_rate_per_s = if self.rate_per_s >= self.safe_rate_per_s {
                 self.rate_per_s * SAFE_SHARE
@@ -119,8 +120,8 @@
                 self.safe_rate_per_s * SAFE_RATE_DECAY
             };
         }
-        self.was_saturated = window.is_saturated;
-        let factor = if window.is_saturated {
+        self.was_saturated = is_saturated;
+        let factor = if is_saturated {
             DECREASE
         } else if self.rate_per_s < self.safe_rate_per_s {
             FAST_INCREASE
@@ -150,7 +151,7 @@
 #[derive(Debug, Default)]
 pub struct OverloadLimiter {
     detector: OverloadDetector,
-    limit: Option<TakeLimit>,
+    limit: Option<AdmissionLimit>,
     /// Connections and requests that came in the current window.
     arrived_connections: u32,
     arrived_requests: u32,
@@ -205,12 +206,6 @@
         self.detector.end_probe(probe, now)
     }
 
-    /// Connections or requests per second that are taken, if they are limited.
-    #[must_use]
-    pub fn rate_per_s(&self) -> Option<f64> {
-        self.limit.as_ref().map(|limit| limit.rate_per_s)
-    }
-
     fn advance(&mut self, rule: ExcessRule, now: Instant) -> Option<LimitChange> {
         let (window, change) = self.detector.advance(rule.max_delay(), now)?;
         let length = now.since(self.window_start).max(WINDOW);
@@ -228,7 +223,7 @@
         match change? {
             OverloadChange::Began => {
                 let rate = (arrival_rate * FIRST_DECREASE).max(MIN_RATE_PER_S);
-                self.limit = Some(TakeLimit::new(rate, now));
+                self.limit = Some(AdmissionLimit::new(rate, now));
                 Some(LimitChange::Began(rate))
             }
             OverloadChange::Ended(began) => {
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -54,7 +54,6 @@
     let began = now.after(WINDOW);
     let change = run_window(&mut detector, &mut now, &[LONG]);
     assert_eq!(change, Some(OverloadChange::Began));
-    assert!(detector.is_overloaded());
     for _ in 0..4 {
         assert_eq!(run_window(&mut detector, &mut now, &[SHORT]), None);
     }
--- a/crates/core/tests/direct_overload_limiter.rs
+++ b/crates/core/tests/direct_overload_limiter.rs
@@ -212,7 +212,12 @@
     vm.run(Duration::from_secs(10), 400.0);
     let after = vm.run(Duration::from_secs(6), 50.0);
     assert_eq!(total(&after[1..]).rejected, 0, "{after:?}");
-    assert_eq!(vm.limiter.rate_per_s(), None, "{:?}", vm.changes);
+    let last = vm.changes.last();
+    assert!(
+        matches!(last, Some((_, LimitChange::Ended(_)))),
+        "{:?}",
+        vm.changes
+    );
 }
 
 /// Nothing is closed while processor time is left, also where calls come in bursts.
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -1,4 +1,5 @@
-//! Server side of callers' connections: accepts them, serves HTTP/1.1 on each, and closes them in a planned stop.
+//! Server side of callers' connections: accepts them, serves HTTP/1.1 on each, and closes them in a planned stop or where this VM is
+//! overloaded.
 
 use crate::{
     direct::call::{BrokenAnswer, GatewayContext, answer_call},
