Count no window without a sample as one with an empty queue

Cause: a window without a sample, or with a probe that had just begun, was taken for an empty queue and reset the count of saturated windows. The task that accepts connections waits in the queue like all others, so between the end of one probe and the begin of the next a saturated VM has such windows; requests closed them more often since the limit on requests.

Change: a window goes on until a sample ends or waits for too long. It ends without one after half a second in which no probe is pending, as no connections come then.

windows_without_a_sample_do_not_hide_an_overload failed before (no overload began) and passes.

--- a/crates/core/src/direct/overload.rs
+++ b/crates/core/src/direct/overload.rs
@@ -13,6 +13,8 @@
 const MIN_SATURATED_WINDOWS: u32 = 3;
 /// Time without a saturated window and without rejected work after which an overload is over.
 const RECOVERY_TIME: Duration = Duration::from_millis(500);
+/// Time without a sample after which no connections come.
+const MAX_SAMPLE_GAP: Duration = Duration::from_millis(500);
 /// Time without new connections after which earlier windows tell nothing any more.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(1);
 
@@ -28,7 +30,7 @@
 pub enum DelayWindow {
     /// The VM had more work than processor time in all of it.
     Saturated,
-    /// The queue ran empty, or there was no sample.
+    /// The queue ran empty, or no connections came.
     Unsaturated,
 }
 
@@ -77,7 +79,7 @@
         delay
     }
 
-    /// Closes the current window once it is over. It counts as saturated if its shortest sample waited for longer than
+    /// Closes the current window once it is over and had a sample. It counts as saturated if its shortest sample waited for longer than
     /// `max_delay`. Returns what it showed, and a change of the overload.
     pub fn advance(
         &mut self,
@@ -88,15 +90,18 @@
         if length < WINDOW {
             return None;
         }
-        // A probe that still waits has waited for at least its age.
+        // A probe that still waits has waited for at least its age, and shows nothing before that is long.
         let pending = self.pending.map(|started| now.since(started));
-        let shortest = self.shortest.take().or(pending).unwrap_or_default();
-        self.window_start = now;
-        let window = if shortest > max_delay {
-            DelayWindow::Saturated
-        } else {
-            DelayWindow::Unsaturated
+        let shortest = self.shortest.or(pending.filter(|age| *age > max_delay));
+        let window = match shortest {
+            Some(shortest) if shortest > max_delay => DelayWindow::Saturated,
+            Some(_) => DelayWindow::Unsaturated,
+            None if self.pending.is_none() && length >= MAX_SAMPLE_GAP => DelayWindow::Unsaturated,
+            // The task that accepts connections may wait in the queue itself, so the window goes on.
+            None => return None,
         };
+        self.shortest = None;
+        self.window_start = now;
         if window == DelayWindow::Unsaturated || length > MAX_SAMPLE_AGE {
             self.saturated_windows = 0;
         }
--- a/crates/core/tests/direct_overload.rs
+++ b/crates/core/tests/direct_overload.rs
@@ -90,3 +90,38 @@
         assert_eq!(run_window(&mut detector, &mut now, &[SHORT]), None);
     }
 }
+
+/// The task that accepts connections waits its turn as well, so a saturated queue has windows in which no sample begins or ends.
+#[test]
+fn windows_without_a_sample_do_not_hide_an_overload() {
+    let mut detector = OverloadDetector::default();
+    let mut now = Instant(1_000_000);
+    let mut changes = Vec::new();
+    for _ in 0..10 {
+        changes.extend(run_window(&mut detector, &mut now, &[LONG]));
+        changes.extend(run_window(&mut detector, &mut now, &[]));
+        // A sample that has just begun says nothing yet.
+        let probe = detector.begin_probe(now).expect("no probe is pending");
+        now = now.after(Duration::from_millis(5));
+        let window = detector.advance(MAX_DELAY, now);
+        changes.extend(window.and_then(|(_, change)| change));
+        now = now.after(LONG);
+        detector.end_probe(&probe, now);
+    }
+    assert_eq!(changes, [OverloadChange::Began]);
+}
+
+/// Without new connections there are no samples, and nothing to limit.
+#[test]
+fn overload_ends_without_new_connections() {
+    let mut detector = OverloadDetector::default();
+    let mut now = Instant(1_000_000);
+    let changes: Vec<_> = (0..3)
+        .filter_map(|_| run_window(&mut detector, &mut now, &[LONG]))
+        .collect();
+    assert_eq!(changes, [OverloadChange::Began]);
+    let changes: Vec<_> = (0..10)
+        .filter_map(|_| run_window(&mut detector, &mut now, &[]))
+        .collect();
+    assert!(matches!(changes[..], [OverloadChange::Ended(_)]));
+}
