--- a/crates/core/tests/direct_overload_limiter.rs
+++ b/crates/core/tests/direct_overload_limiter.rs
@@ -23,7 +23,7 @@
 /// Pause between two steps of a call.
 const STEP_PAUSE: Duration = Duration::from_millis(20);
 /// Time in which a call is served in time.
-const TIME_LIMIT: Duration = Duration::from_secs(2);
+const TIME_LIMIT: Duration = Duration::from_secs(1);
 
 struct ModelCall {
     arrived: Instant,
