Log who ended each answer that ends without its end

An answer without its end was logged with a free text at best: E815 said "broken off by a target" also where this VM had closed the connection after its stall timeout, errors of connections came without their source, and an answer or call whose caller's connection ended had no line and no count, as it was only dropped.

E601, E814 and E815 now say who ended the answer (the target, the deadline or this VM), at which target, the last event, the time since the target last sent something and the time since the call's arrival. A call that is dropped uncounted, while it is placed, waits for a head or is relayed, is logged as E824 and counted with the outcome CallerLeft; after the limit of a planned stop as E601, ended by this VM. Errors of connections are logged with their sources. The state for the lines is copied per event without an allocation.

--- a/crates/cli/tests/account.rs
+++ b/crates/cli/tests/account.rs
@@ -95,6 +95,16 @@
         (601, "answer could not be completed: reset, last event None"),
     ]);
     assert_eq!(broken, (RequestEnd::BrokenOff, LossCause::TargetFailed));
+    let ended = |by: &str| {
+        let message = format!(
+            "answer could not be completed: ended by {by}, last event Some(2), last data 1.2s ago, after 2.5s"
+        );
+        classify_lines(&[(601, &message)])
+    };
+    let by_deadline = ended("the deadline at i-1: the deadline passed");
+    assert_eq!(by_deadline, (RequestEnd::BrokenOff, LossCause::Deadline));
+    let by_this_vm = ended("this VM at i-1: no data from the target before the timeout");
+    assert_eq!(by_this_vm, (RequestEnd::BrokenOff, LossCause::Unknown));
 }
 
 /// Guards against lost or miscounted requests when logs have prefixes, truncated lines, foreign text or requests without a
--- a/crates/daemon/src/direct/buffered_answer.rs
+++ b/crates/daemon/src/direct/buffered_answer.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     direct::{
-        call::{AnswerProgress, CallState, OpenAnswer},
+        call::{AnswerEnder, AnswerProgress, CallState, OpenAnswer},
+        error_chain::ErrorChain,
         message::CallEnd,
     },
     event,
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use hoplanding_core::ids::TargetName;
 use http::{HeaderMap, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout_at;
 
 /// Largest answer that is buffered.
@@ -43,9 +44,12 @@
     let has_lost_target = matches!(collected, Ok(Ok(_)))
         && !is_framed(&parts.headers)
         && call.has_ended(&entry).await;
+    let log_broken = |ender: AnswerEnder, cause: &str| {
+        event!(Event::AnswerBroken, request = call.head.id; "{}", call.unfinished_answer(ender, cause));
+    };
     let (end, result) = match collected {
         Ok(Ok(_)) if has_lost_target => {
-            event!(Event::AnswerBroken, request = call.head.id; "at {target}: the target ended with its connection");
+            log_broken(AnswerEnder::Target, "the target ended with its connection");
             call.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
                 .await;
             (CallEnd::Failed, Err(target))
@@ -63,14 +67,18 @@
             (end, Ok(body.to_bytes()))
         }
         Ok(Err(error)) => {
-            event!(Event::AnswerBroken, request = call.head.id; "at {target}: {error}");
+            let ender = if error.is::<LengthLimitError>() {
+                AnswerEnder::Gateway
+            } else {
+                AnswerEnder::Target
+            };
+            log_broken(ender, &ErrorChain(error.as_ref()).to_string());
             call.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
                 .await;
             (CallEnd::Failed, Err(target))
         }
         Err(_) => {
-            event!(Event::AnswerBroken, request = call.head.id; "at {target}: not complete before the deadline"
-            );
+            log_broken(AnswerEnder::Deadline, "not complete before the deadline");
             (CallEnd::Failed, Err(target))
         }
     };
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -14,10 +14,12 @@
 //! | `suspicion` | which trials the call needs, and what its answer shows about the parts of its prompt |
 //! | `target_probe` | finds out whether a target crashed while it ran the call |
 //! | `answers` | builds the answers to callers |
+//! | `answer_end` | logs and counts answers that end without their end |
 //! | `timeline` | records the times of a stream's steps |
 //! | `stop_plan` | decides which calls are still admitted during a planned stop |
 
 mod admission;
+mod answer_end;
 mod answers;
 mod placement;
 mod quota_charge;
@@ -29,6 +31,7 @@
 mod timeline;
 
 pub use admission::AdmissionFault;
+pub use answer_end::{AnswerEnder, UnfinishedAnswer};
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
 pub use placement::CallPlacement;
 pub use quota_charge::CallCharge;
@@ -46,6 +49,7 @@
             answers::{passed_answer, refusal},
             target_probe::request_fingerprint,
         },
+        error_chain::ErrorChain,
         event_relay::relay_events,
         fleet::{ActiveConfig, FleetState},
         holder_client::HolderClient,
@@ -62,6 +66,7 @@
 use bytes::Bytes;
 use hoplanding_core::{
     direct::{
+        catalog::TargetEntry,
         config::{ResponseShape, RetryPolicy, RouteRule, ServiceRule},
         organisations::CallerIdentity,
         planner::RefusalCause,
@@ -150,6 +155,16 @@
     pub tried: Vec<TargetName>,
     /// Address of the engine from which the chosen engine fetches cached parts of the prompt.
     pub fetch_source: Option<SocketAddr>,
+    /// The target to which the call was sent last, unless it is being placed.
+    pub asked: Option<Arc<TargetEntry>>,
+    /// When a target last sent the head of a success, or data of a stream.
+    pub last_data_at: Option<Instant>,
+    /// Id of the last event that was relayed.
+    pub last_event: Option<u64>,
+    /// Whether the caller has the head of its answer.
+    pub has_begun_answer: bool,
+    /// Whether the call's outcome has been counted.
+    is_counted: bool,
     /// Number of sends that may have run.
     pub runs: u32,
     /// Zones that refused the call in the last placement, and why.
@@ -219,7 +234,9 @@
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             return Ok(own_answer(&head.id, StatusCode::PAYLOAD_TOO_LARGE, None));
         }
-        Ok(Err(error)) => return Err(BrokenAnswer(error.to_string())),
+        Ok(Err(error)) => {
+            return Err(BrokenAnswer(ErrorChain(error.as_ref()).to_string()));
+        }
         Ok(Ok(body)) => body.to_bytes(),
     };
     let Some(service) = find_service(&active, &route, &head) else {
@@ -267,6 +284,11 @@
         software: None,
         tried: Vec::new(),
         fetch_source: None,
+        asked: None,
+        last_data_at: None,
+        last_event: None,
+        has_begun_answer: false,
+        is_counted: false,
         runs: 0,
         refusals: Vec::new(),
         rejected: 0,
@@ -302,6 +324,7 @@
         let mut retry_after = DEFAULT_RETRY_AFTER;
         let mut failure = None;
         loop {
+            self.asked = None;
             let placed = match timeout_at(self.deadline, self.place()).await {
                 Ok(placed) => placed,
                 Err(_) => break,
@@ -321,6 +344,7 @@
                 && self.runs == 0
             {
                 self.refund_charge();
+                self.is_counted = true;
                 return fault.answer(&self.context, &self.route, &self.head.id);
             }
             // A target's failure answer is forwarded only if no retry succeeds.
@@ -371,14 +395,13 @@
 
     /// The answer of a call that is not sent again.
     fn give_up(
-        &self,
+        &mut self,
         failure: Option<Response<AnswerBody>>,
         retry_after: Duration,
     ) -> Response<AnswerBody> {
-        let id = &self.head.id;
         let held = self.arrived.elapsed();
         if let Some(failure) = failure {
-            event!(Event::CallFailed, request = id; "route {} passes on {} after {held:?}, {} runs, tried {:?}",
+            event!(Event::CallFailed, request = self.head.id; "route {} passes on {} after {held:?}, {} runs, tried {:?}",
                 self.route.name,
                 failure.status(),
                 self.runs,
@@ -388,7 +411,7 @@
             return failure;
         }
         if self.runs == 0 {
-            event!(Event::CallRefused, request = id; "route {} not run after {held:?}, retry after {retry_after:?}, fingerprint {:016x}, {} sends rejected, {} targets unreachable, tried {:?}, zones {:?}",
+            event!(Event::CallRefused, request = self.head.id; "route {} not run after {held:?}, retry after {retry_after:?}, fingerprint {:016x}, {} sends rejected, {} targets unreachable, tried {:?}, zones {:?}",
                 self.route.name,
                 self.fingerprint.0,
                 self.rejected,
@@ -398,7 +421,7 @@
             );
             self.refund_charge();
             self.count(RequestOutcome::Refused);
-            return refusal(id, retry_after);
+            return refusal(&self.head.id, retry_after);
         }
         self.count(RequestOutcome::Lost);
         let has_timed_out = self.remaining().is_zero();
@@ -407,12 +430,12 @@
         } else {
             StatusCode::BAD_GATEWAY
         };
-        event!(Event::CallFailed, request = id; "route {} ends with {status} after {held:?}, {} runs, tried {:?}",
+        event!(Event::CallFailed, request = self.head.id; "route {} ends with {status} after {held:?}, {} runs, tried {:?}",
             self.route.name,
             self.runs,
             self.tried
         );
-        own_answer(id, status, None)
+        own_answer(&self.head.id, status, None)
     }
 
     /// Takes a retry from the retry budget; returns false if the route does not allow it, too little time is left or the
@@ -425,10 +448,17 @@
     }
 
     /// Counts the call's outcome in the metrics.
-    pub fn count(&self, outcome: RequestOutcome) {
+    pub fn count(&mut self, outcome: RequestOutcome) {
+        self.is_counted = true;
         count(&self.context, RequestKind::of(&self.route), outcome);
     }
 
+    /// Whether an answer with this status consists of its head alone.
+    pub fn has_only_head(&self, status: StatusCode) -> bool {
+        self.method == Method::HEAD
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+    }
+
     fn has_retry_time(&self) -> bool {
         self.remaining() > MIN_RETRY_TIME
     }
--- a/crates/daemon/src/direct/call/quota_charge.rs
+++ b/crates/daemon/src/direct/call/quota_charge.rs
@@ -119,16 +119,19 @@
     }
 
     /// The answer to a call over its organisation's quota; it was not executed.
-    pub(super) fn quota_answer(&self, retry_after: Duration) -> Response<AnswerBody> {
-        let id = &self.head.id;
+    pub(super) fn quota_answer(&mut self, retry_after: Duration) -> Response<AnswerBody> {
         let name = self
             .identity
             .organisation()
             .map(|organisation| &organisation.name);
-        event!(Event::QuotaUsedUp, request = id; "route {} not run for {name:?}, retry after {retry_after:?}",
+        event!(Event::QuotaUsedUp, request = self.head.id; "route {} not run for {name:?}, retry after {retry_after:?}",
             self.route.name
         );
         self.count(RequestOutcome::Refused);
-        own_answer(id, StatusCode::TOO_MANY_REQUESTS, Some(retry_after))
+        own_answer(
+            &self.head.id,
+            StatusCode::TOO_MANY_REQUESTS,
+            Some(retry_after),
+        )
     }
 }
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -33,7 +33,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{mem, sync::Arc, time::Duration};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -140,6 +140,7 @@
         if !self.untried_suspects().is_empty() {
             return SendOutcome::Withheld;
         }
+        self.asked = Some(Arc::clone(entry));
         let trials = mem::take(&mut self.trials);
         let in_flight = InFlightGuard::new(&self.context.fleet, entry, trials);
         let finish = |placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd| {
@@ -260,6 +261,7 @@
         };
         match kind {
             AnswerKind::Success => {
+                self.last_data_at = Some(Instant::now());
                 self.runs += 1;
                 SendOutcome::Success(open_answer(placed_call, in_flight))
             }
--- a/crates/daemon/src/direct/call/stop_plan.rs
+++ b/crates/daemon/src/direct/call/stop_plan.rs
@@ -22,6 +22,11 @@
 }
 
 impl StopPlan {
+    /// Whether the process ends now.
+    pub(super) fn is_over(&self) -> bool {
+        Instant::now() >= self.exit
+    }
+
     /// Whether a call is admitted, judged by how long streams take.
     ///
     /// # Errors
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -9,9 +9,10 @@
     direct::{
         buffered_answer::is_framed,
         call::{
-            AnswerBody, AnswerProgress, BrokenAnswer, CallPlacement, CallState, OpenAnswer,
-            SendOutcome,
+            AnswerBody, AnswerEnder, AnswerProgress, BrokenAnswer, CallPlacement, CallState,
+            OpenAnswer, SendOutcome,
         },
+        error_chain::ErrorChain,
         event_splitter::EventSplitter,
         message::CallEnd,
         metrics::{RequestOutcome, ResumeOrigin, ResumeVersion},
@@ -50,8 +51,16 @@
 }
 
 /// Starts to relay a stream; returns the response to the caller.
-pub fn relay_events(call: CallState, open: OpenAnswer, is_resumable: bool) -> Response<AnswerBody> {
+pub fn relay_events(
+    mut call: CallState,
+    open: OpenAnswer,
+    is_resumable: bool,
+) -> Response<AnswerBody> {
     let status = open.parts.status;
+    call.has_begun_answer = true;
+    if call.has_only_head(status) {
+        call.count(RequestOutcome::Answered);
+    }
     let headers = end_to_end_headers(&open.parts.headers);
     let relay = EventRelay {
         call,
@@ -81,49 +90,57 @@
             let open = self.open.as_mut()?;
             let frame = timeout_at(deadline, open.body.frame()).await;
             let is_stalled = frame.is_err();
-            let cause = match frame {
+            let (ender, cause) = match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.call.last_data_at = Some(Instant::now());
                     match self.splitter.push(&data) {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => {
                             self.record_events();
                             return Some(Ok(events));
                         }
-                        Err(error) => error.to_string(),
+                        Err(error) => (AnswerEnder::Gateway, error.to_string()),
                     }
                 }
                 Ok(None) if self.has_lost_target().await => {
-                    "the target ended with its connection".to_owned()
+                    let cause = "the target ended with its connection";
+                    (AnswerEnder::Target, cause.to_owned())
                 }
                 Ok(None) => match self.finish_stream() {
                     Ok(rest) => return rest.map(Ok),
-                    Err(cause) => cause,
+                    Err(cause) => (AnswerEnder::Target, cause),
                 },
-                Ok(Some(Err(error))) => error.to_string(),
+                Ok(Some(Err(error))) => (AnswerEnder::Target, ErrorChain(&error).to_string()),
                 Err(_) if deadline < self.call.deadline => {
-                    "no data from the target before the timeout".to_owned()
+                    let cause = "no data from the target before the timeout";
+                    (AnswerEnder::Gateway, cause.to_owned())
                 }
                 Err(_) => {
                     self.end_open(CallEnd::Failed);
-                    return Some(Err(self.break_off("the deadline passed")));
+                    return Some(Err(
+                        self.break_off(AnswerEnder::Deadline, "the deadline passed")
+                    ));
                 }
             };
             self.check_target(is_stalled).await;
             let software = self.open.as_ref().map(|open| open.entry.software.clone());
-            let target = self.end_open(CallEnd::Failed);
-            event!(Event::StreamBroken, request = self.call.head.id; "at {target}: {cause}, last event {:?}, software version {software:?}",
-                self.splitter.last_id()
+            self.end_open(CallEnd::Failed);
+            event!(Event::StreamBroken, request = self.call.head.id; "{}, software version {software:?}",
+                self.call.unfinished_answer(ender, &cause)
             );
+            let broken_at = self.call.asked.clone();
             if !self.can_resume() || !self.resume().await {
-                return Some(Err(self.break_off(&cause)));
+                self.call.asked = broken_at;
+                return Some(Err(self.break_off(ender, &cause)));
             }
         }
     }
 
     fn record_events(&mut self) {
+        self.call.last_event = self.splitter.last_id();
         if self.call.timeline.record_event() {
             let elapsed = self.call.arrived.elapsed();
             let fleet = &self.call.context.fleet;
@@ -203,9 +220,9 @@
         }
     }
 
-    fn break_off(&mut self, cause: &str) -> BrokenAnswer {
-        event!(Event::AnswerIncomplete, request = self.call.head.id; "{cause}, last event {:?}",
-            self.splitter.last_id()
+    fn break_off(&mut self, ender: AnswerEnder, cause: &str) -> BrokenAnswer {
+        event!(Event::AnswerIncomplete, request = self.call.head.id; "{}",
+            self.call.unfinished_answer(ender, cause)
         );
         self.call.count(RequestOutcome::BrokenOff);
         BrokenAnswer(cause.to_owned())
@@ -239,16 +256,15 @@
             .is_some_and(|at| at.elapsed() >= MIN_HARMLESS_TIME)
     }
 
-    /// Closes the accounting of the open answer; returns the name of its target.
-    fn end_open(&mut self, end: CallEnd) -> String {
+    /// Closes the accounting of the open answer.
+    fn end_open(&mut self, end: CallEnd) {
         let Some(open) = self.open.take() else {
-            return String::new();
+            return;
         };
         open.in_flight.finish(end);
         if let Some(placed_call) = open.placed_call {
             placed_call.finish(end);
         }
-        open.connection.target().to_string()
     }
 
     /// Whether a body without framing ended because its target did. A target's end closes its connections like the end of a
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -71,6 +71,8 @@
     Lost,
     /// The stream broke off after its start.
     BrokenOff,
+    /// The caller's connection ended before the end of its answer.
+    CallerLeft,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -24,6 +24,7 @@
 //! | [`probes`], [`metrics`] | readiness check and metrics page |
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`buffered_answer`], [`event_relay`] | answers buffered as a whole, and answers streamed event by event |
+//! | [`error_chain`] | errors with their sources, for the log |
 //! | [`event_splitter`] | splits the bytes of a stream into complete events |
 //! | [`paths`] | own connections to targets, and tunnels through other VMs |
 //! | [`target_connections`] | connections to targets, and single requests over them |
@@ -44,6 +45,7 @@
 pub mod daemon;
 pub mod engine_client;
 pub mod eras;
+pub mod error_chain;
 pub mod event_relay;
 pub mod event_splitter;
 pub mod exchange;
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock,
     direct::{
+        error_chain::ErrorChain,
         fleet::FleetState,
         paths::{
             monitor::{ConnectFault, PathMonitor, TargetSite, WaitGuard},
@@ -401,7 +402,10 @@
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| not_sent(entry, error.to_string(), UnsentReason::Unreachable))?;
+        .map_err(|error| {
+            let cause = ErrorChain(&error).to_string();
+            not_sent(entry, cause, UnsentReason::Unreachable)
+        })?;
     // The task ends when the sender is dropped; an error is reported to the call under way.
     tokio::spawn(async move {
         let _ = connection.await;
@@ -441,7 +445,7 @@
         .await
         .map_err(|error| SendError::Unanswered {
             target: entry.name.clone(),
-            cause: error.to_string(),
+            cause: ErrorChain(error.as_ref()).to_string(),
         })?
         .to_bytes();
     if let Some(notice) = notice.filter(|notice| !notice.is_closing) {
@@ -459,7 +463,7 @@
         let response = self.sender.try_send_request(request).await;
         response.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
-            let cause = error.error().to_string();
+            let cause = ErrorChain(error.error()).to_string();
             let target = self.run.name.clone();
             if is_unsent {
                 SendError::NotSent {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -226,10 +226,12 @@
     RequestTurnedAway = 812, Info, "request turned away by a target";
     /// An answer belongs to another request or is malformed.
     MismatchedAnswer = 813, Warn, "answer that is not this request's";
-    /// A target interrupted an answer.
-    AnswerBroken = 814, Info, "answer broken off by a target";
-    /// A target interrupted a stream.
-    StreamBroken = 815, Info, "stream broken off by a target";
+    /// An answer of a target ended before its end.
+    AnswerBroken = 814, Info, "answer of a target ended early";
+    /// A stream from a target ended before its end.
+    StreamBroken = 815, Info, "stream to a target ended early";
+    /// A caller's connection ended before the end of its answer.
+    CallerLeft = 824, Info, "caller left before the end of its answer";
     /// The retry budget allowed a retry.
     RetryAllowed = 830, Info, "repeat allowed";
     /// The retry budget denied a retry.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the direct mode over real sockets, against stand-ins for the platform and the targets.
 
+mod answer_ends;
 mod brittle;
 mod calls;
 mod connections;
@@ -13,6 +14,7 @@
 mod leaving;
 mod limits;
 mod lives;
+mod log_recorder;
 mod lost_claims;
 mod notices;
 mod overload;
