Let targets of the tests fall silent

No stand-in could act like a target that is suspended for a time: PathCuts hangs the path of one VM to all targets, not one target for all VMs. RawTarget::set_silent does that, and open_connections tells during a silence which connections their VMs have closed.

--- a/crates/standins/src/raw_target.rs
+++ b/crates/standins/src/raw_target.rs
@@ -2,7 +2,7 @@
 //! and truncated ones.
 //!
 //! The target records every request as received. A target can also limit its connections, or simulate a process that
-//! a request crashes.
+//! a request crashes, or one that is suspended for a time.
 
 use crate::path_cuts::{PathCuts, PathState};
 use std::{
@@ -16,13 +16,16 @@
     time::Duration,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncWriteExt, Interest},
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
     time::sleep,
 };
 
+/// Time between two checks whether the client of a silent target has closed its connection.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A request as received.
 #[derive(Clone, Debug)]
 pub struct RawRequest {
@@ -115,6 +118,49 @@
     }
 }
 
+/// Decides when the bytes of a connection may be read and written.
+struct ConnectionGate {
+    vm: IpAddr,
+    cuts: Arc<PathCuts>,
+    silence: watch::Receiver<bool>,
+    permit: Option<ConnectionPermit>,
+}
+
+impl ConnectionGate {
+    /// Waits while the target is silent or the path from the VM hangs.
+    async fn pass(&mut self, stream: &TcpStream) -> io::Result<()> {
+        loop {
+            if *self.silence.borrow() {
+                tokio::select! {
+                    () = wait_for_end(&mut self.silence) => {}
+                    () = wait_for_close(stream) => drop(self.permit.take()),
+                }
+                wait_for_end(&mut self.silence).await;
+            }
+            self.cuts.pass(self.vm).await?;
+            if !*self.silence.borrow() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Waits until the target is not silent.
+async fn wait_for_end(silence: &mut watch::Receiver<bool>) {
+    // A target that was dropped is not silent any more.
+    drop(silence.wait_for(|is_silent| !is_silent).await);
+}
+
+/// Waits until the peer has closed the connection, without reading from it.
+async fn wait_for_close(stream: &TcpStream) {
+    loop {
+        match stream.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_CHECK_INTERVAL).await,
+            Ok(_) | Err(_) => return,
+        }
+    }
+}
+
 type ResponseFn = dyn Fn(&RawRequest) -> RawResponse + Send + Sync;
 type CrashPredicate = dyn Fn(&RawRequest) -> bool + Send + Sync;
 
@@ -125,6 +171,7 @@
     requests: Arc<Mutex<Vec<RawRequest>>>,
     connections: Arc<Mutex<usize>>,
     limit: Arc<ConnectionLimit>,
+    silence: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -203,10 +250,16 @@
         let should_crash: Arc<CrashPredicate> = Arc::new(should_crash);
         let (seen, connection_count) = (Arc::clone(&requests), Arc::clone(&connections));
         let (crash, mut crashed) = watch::channel(false);
+        let (silence, mut silence_end) = watch::channel(false);
         let task = tokio::spawn(async move {
             loop {
+                let accept = async {
+                    let accepted = listener.accept().await;
+                    wait_for_end(&mut silence_end).await;
+                    accepted
+                };
                 let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
+                    accepted = accept => accepted,
                     _ = crashed.wait_for(|crashed| *crashed) => return,
                 };
                 let Ok((mut stream, peer)) = accepted else {
@@ -229,11 +282,16 @@
                 let should_crash = Arc::clone(&should_crash);
                 let (crash, mut crashed) = (crash.clone(), crashed.clone());
                 let cuts = Arc::clone(&cuts);
+                let mut gate = ConnectionGate {
+                    vm: peer.ip(),
+                    cuts: Arc::clone(&cuts),
+                    silence: silence_end.clone(),
+                    permit: Some(permit),
+                };
                 tokio::spawn(async move {
-                    let _permit = permit;
                     tokio::select! {
                         // A broken connection is an expected result of some tests, and the client sees it.
-                        served = serve(&mut stream, peer.ip(), &cuts, &seen, &*respond, &*should_crash, &crash) => drop(served),
+                        served = serve(&mut stream, &mut gate, &seen, &*respond, &*should_crash, &crash) => drop(served),
                         () = cuts.wait_for_reset(peer.ip()) => reset(&stream),
                         _ = crashed.wait_for(|crashed| *crashed) => {}
                     }
@@ -245,10 +303,17 @@
             requests,
             connections,
             limit: open_limit,
+            silence,
             task,
         })
     }
 
+    /// Sets whether the target is silent: it neither reads nor writes, and keeps its connections open. New connections are
+    /// accepted by the operating system only. After a silence, the target goes on where it was.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.silence.send_replace(is_silent);
+    }
+
     /// Requests received so far, in order.
     ///
     /// # Panics
@@ -261,7 +326,7 @@
             .clone()
     }
 
-    /// Connections that are open now.
+    /// Connections that are open now. Those that a client closes during a silence are not counted.
     #[must_use]
     pub fn open_connections(&self) -> usize {
         self.limit.open.load(Ordering::SeqCst)
@@ -294,8 +359,7 @@
 
 async fn serve(
     stream: &mut TcpStream,
-    vm: IpAddr,
-    cuts: &PathCuts,
+    gate: &mut ConnectionGate,
     seen: &Mutex<Vec<RawRequest>>,
     respond: &ResponseFn,
     should_crash: &CrashPredicate,
@@ -304,7 +368,7 @@
     stream.set_nodelay(true)?;
     let mut bytes = Vec::new();
     loop {
-        let Some(request) = read_request(stream, vm, cuts, &mut bytes).await? else {
+        let Some(request) = read_request(stream, gate, &mut bytes).await? else {
             return Ok(());
         };
         seen.lock()
@@ -317,7 +381,7 @@
         let response = respond(&request);
         for (pause, piece) in response.pieces {
             sleep(pause).await;
-            cuts.pass(vm).await?;
+            gate.pass(stream).await?;
             stream.write_all(&piece).await?;
         }
         if response.closes_connection {
@@ -326,17 +390,16 @@
     }
 }
 
-/// Reads more bytes, as soon as the path lets them through. Bytes that a path holds up are lost if their sender resets
-/// the connection meanwhile.
+/// Reads more bytes, as soon as the gate lets them through. Bytes that are held up are lost if their sender resets the
+/// connection meanwhile.
 async fn read_more(
     stream: &TcpStream,
-    vm: IpAddr,
-    cuts: &PathCuts,
+    gate: &mut ConnectionGate,
     bytes: &mut Vec<u8>,
 ) -> io::Result<usize> {
     loop {
         stream.readable().await?;
-        cuts.pass(vm).await?;
+        gate.pass(stream).await?;
         match stream.try_read_buf(bytes) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             read => return read,
@@ -346,15 +409,14 @@
 
 async fn read_request(
     stream: &TcpStream,
-    vm: IpAddr,
-    cuts: &PathCuts,
+    gate: &mut ConnectionGate,
     bytes: &mut Vec<u8>,
 ) -> io::Result<Option<RawRequest>> {
     let head_end = loop {
         if let Some(head_end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
             break head_end;
         }
-        if read_more(stream, vm, cuts, bytes).await? == 0 {
+        if read_more(stream, gate, bytes).await? == 0 {
             return Ok(None);
         }
     };
@@ -369,7 +431,7 @@
         .and_then(|length| length.parse().ok())
         .unwrap_or(0);
     while bytes.len() < length {
-        if read_more(stream, vm, cuts, bytes).await? == 0 {
+        if read_more(stream, gate, bytes).await? == 0 {
             return Ok(None);
         }
     }
