Reproduce answers cut while their targets are silent

No test had a silent target. These run 18 streams over three VMs and six engines, with silences of 1.6 s, and check that each caller receives each event once and the end, and that no request is sent more often than its route allows.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -29,6 +29,7 @@
 mod restores;
 mod retries;
 mod settings;
+mod silences;
 mod software_versions;
 mod starts;
 mod support;
