Log ends of callers' connections, silent targets of lost paths and cut answers

The error of a caller's connection was dropped unread, E730 did not tell targets that accept a connection and say nothing from a zone that can't be reached, and a planned stop at its limit did not say what it cut.

E825 names the peer address and the error of a caller's connection that ends while an answer is under way, also where the caller closed only its sending side; idle connections still end without a line, and so do those that this VM closes itself. E601, E814, E815 and E824 name the same address, and a caller that leaves in its request has an E824. E730 counts the targets that stayed silent, closed the connection or could not be connected to; its verdicts are as before.

--- a/crates/daemon/src/direct/call/answer_end.rs
+++ b/crates/daemon/src/direct/call/answer_end.rs
@@ -12,7 +12,7 @@
     events::Event,
 };
 use hoplanding_core::ids::TargetName;
-use std::{fmt, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 /// Who ended an answer before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +55,8 @@
     pub data_age: Option<Duration>,
     /// Time since the call's arrival.
     pub held: Duration,
+    /// Peer address of the caller's connection.
+    pub caller: SocketAddr,
 }
 
 impl fmt::Display for UnfinishedAnswer<'_> {
@@ -68,7 +70,7 @@
             Some(age) => write!(f, ", last data {age:?} ago")?,
             None => f.write_str(", no data")?,
         }
-        write!(f, ", after {:?}", self.held)
+        write!(f, ", after {:?}, caller {}", self.held, self.caller)
     }
 }
 
@@ -86,6 +88,7 @@
             last_event: self.last_event,
             data_age: self.last_data_at.map(|at| at.elapsed()),
             held: self.arrived.elapsed(),
+            caller: self.caller,
         }
     }
 
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -133,6 +133,8 @@
     pub trials: Vec<TrialPermit>,
     /// The service chosen by its route.
     pub service: ServiceRule,
+    /// Peer address of the caller's connection.
+    pub caller: SocketAddr,
     /// Decoded headers of the system's own.
     pub head: CallHead,
     /// Time of arrival.
@@ -177,12 +179,13 @@
     pub closed_zones: Vec<AvailabilityZone>,
 }
 
-/// Answers a caller's request.
+/// Answers a caller's request; `caller` is the peer address of its connection.
 ///
 /// # Errors
 /// If the caller's request ended before its body was complete; its connection is closed.
 pub async fn answer_call(
     context: Arc<GatewayContext>,
+    caller: SocketAddr,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, BrokenAnswer> {
     let arrived = Instant::now();
@@ -235,7 +238,20 @@
             return Ok(own_answer(&head.id, StatusCode::PAYLOAD_TOO_LARGE, None));
         }
         Ok(Err(error)) => {
-            return Err(BrokenAnswer(ErrorChain(error.as_ref()).to_string()));
+            let cause = ErrorChain(error.as_ref()).to_string();
+            let unfinished = UnfinishedAnswer {
+                ender: AnswerEnder::Caller,
+                target: None,
+                cause: &format!("before the end of its request, {cause}"),
+                last_event: None,
+                data_age: None,
+                held: arrived.elapsed(),
+                caller,
+            };
+            event!(Event::CallerLeft, request = head.id; "{unfinished}");
+            let kind = RequestKind::of(&route);
+            count(&context, kind, RequestOutcome::CallerLeft);
+            return Err(BrokenAnswer(cause));
         }
         Ok(Ok(body)) => body.to_bytes(),
     };
@@ -271,6 +287,7 @@
         fingerprint: request_fingerprint(&parts.method, &parts.uri, &head, &body),
         trials: Vec::new(),
         service,
+        caller,
         head,
         arrived,
         timeline: CallTimeline::new(arrived),
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -1,21 +1,29 @@
 //! Server side of callers' connections: accepts them, serves HTTP/1.1 on each, and closes them in a planned stop or where this VM is
-//! overloaded.
+//! overloaded. A connection that ends under an answer is logged.
 
 use crate::{
-    direct::call::{BrokenAnswer, GatewayContext, answer_call},
+    direct::{
+        call::{AnswerBody, BrokenAnswer, GatewayContext, answer_call},
+        error_chain::ErrorChain,
+    },
     event,
     events::Event,
 };
+use bytes::Bytes;
 use hoplanding_core::direct::overload_limiter::ConnectionVerdict;
 use http::header::{CONNECTION, HeaderValue};
+use http_body::{Body, Frame, SizeHint};
 use hyper::{server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     future::pending,
+    net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    task::{Context, Poll},
     time::Duration,
 };
 use tokio::{
@@ -73,7 +81,7 @@
             _ = closing.wait_for(|phase| *phase == StopPhase::Ending) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 let probe = match context.overload.accept() {
                     ConnectionVerdict::Take(probe) => probe,
                     ConnectionVerdict::Close => continue,
@@ -86,7 +94,7 @@
                         context.overload.end_probe(&probe);
                     }
                     connections.count.fetch_add(1, Ordering::Relaxed);
-                    serve_caller(stream, context, stop).await;
+                    serve_caller(stream, caller, context, stop).await;
                     connections.count.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -100,6 +108,7 @@
 
 async fn serve_caller(
     stream: TcpStream,
+    caller: SocketAddr,
     context: Arc<GatewayContext>,
     mut stop: watch::Receiver<StopPhase>,
 ) {
@@ -110,15 +119,18 @@
         .active()
         .map(|active| active.config.limits)
         .unwrap_or_default();
+    let is_answering = Arc::new(AtomicBool::new(false));
+    let answering = Arc::clone(&is_answering);
     let service = service_fn(move |request| {
         let context = Arc::clone(&context);
+        let mark = AnswerMark::set(&answering);
         async move {
-            let mut answer = answer_call(Arc::clone(&context), request).await?;
+            let mut answer = answer_call(Arc::clone(&context), caller, request).await?;
             if context.overload.sends_callers_away() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, BrokenAnswer>(answer)
+            Ok::<_, BrokenAnswer>(answer.map(|body| MarkedBody { body, _mark: mark }))
         }
     });
     // A connection accepted during the closing phase gets one answer. A graceful shutdown would close it before its request.
@@ -142,12 +154,76 @@
         // Fails only when the sender is dropped, which is when the daemon ends.
         let _ = stop.wait_for(|phase| *phase >= StopPhase::Closing).await;
     };
-    // Callers that disconnect end their connections with errors, which need no handling.
-    tokio::select! {
-        ended = connection.as_mut() => drop(ended),
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
         () = closing => {
             connection.as_mut().graceful_shutdown();
-            drop(connection.await);
+            connection.as_mut().await
         }
+    };
+    if let Err(error) = ended
+        && is_answering.load(Ordering::Relaxed)
+    {
+        log_connection_end(caller, &error);
+    }
+}
+
+/// Logs the end of a connection under an answer, unless this VM ended it with its answer.
+fn log_connection_end(caller: SocketAddr, error: &hyper::Error) {
+    if error.is_user() {
+        return;
+    }
+    // The end of the caller's sending side looks the same whether or not the caller still reads.
+    let cause = if error.is_incomplete_message() {
+        "the caller closed its connection or its sending side: "
+    } else {
+        ""
+    };
+    event!(
+        Event::CallerConnectionEnded,
+        "{caller}: {cause}{}",
+        ErrorChain(error)
+    );
+}
+
+/// Marks a caller's connection as one with an answer under way, until dropped.
+struct AnswerMark(Arc<AtomicBool>);
+
+impl AnswerMark {
+    fn set(is_answering: &Arc<AtomicBool>) -> Self {
+        is_answering.store(true, Ordering::Relaxed);
+        Self(Arc::clone(is_answering))
+    }
+}
+
+impl Drop for AnswerMark {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
+
+/// Body of an answer that is under way until the body ends.
+struct MarkedBody {
+    body: AnswerBody,
+    _mark: AnswerMark,
+}
+
+impl Body for MarkedBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -226,6 +226,14 @@
             self.release().await;
         }
         let left = self.connections.count();
+        let cut: u32 = self.fleet.tables().in_flight.values().sum();
+        if cut > 0 {
+            event!(
+                Event::StopTimedOut,
+                "{cut} requests at targets are cut after {:?}, {left} connections left",
+                started_at.elapsed()
+            );
+        }
         event!(Event::Stopped, "{left} connections left");
         left
     }
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -27,7 +27,7 @@
 use rand::seq::SliceRandom;
 use std::{
     collections::HashMap,
-    io,
+    fmt, io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -76,6 +76,31 @@
     request: Option<TargetRequest>,
 }
 
+/// How far targets came that did not answer a check. Silent targets are told apart from a zone that can't be reached.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailedChecks {
+    /// Targets that accepted a connection and sent nothing in time.
+    silent: usize,
+    /// Targets that accepted a connection and closed it.
+    closed: usize,
+    /// Targets to which no connection was made in time.
+    unconnected: usize,
+}
+
+impl fmt::Display for FailedChecks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            silent,
+            closed,
+            unconnected,
+        } = self;
+        write!(
+            f,
+            "{silent} accepted a connection and stayed silent, {closed} closed it, {unconnected} could not be connected to"
+        )
+    }
+}
+
 /// Why a connection to a target was not made.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectFault {
@@ -257,14 +282,16 @@
         if targets.len() < MIN_CHECKED_TARGETS {
             return;
         }
-        let has_answer = self.has_answer(&targets).await;
+        let checked = self.check_targets(&targets).await;
+        let has_answer = checked.is_ok();
         let change = self.table().record_check(zone, has_answer, clock::now());
         match change {
             Some(PathChange::Lost) => {
                 event!(
                     Event::PathLost,
-                    "{zone}: none of {} targets answers within {CHECK_TIMEOUT:?}; calls to them go through other VMs",
-                    targets.len()
+                    "{zone}: none of {} targets answers within {CHECK_TIMEOUT:?}: {}; calls to them go through other VMs",
+                    targets.len(),
+                    checked.err().unwrap_or_default()
                 );
             }
             Some(PathChange::Restored(after)) => {
@@ -301,29 +328,39 @@
         targets
     }
 
-    /// Whether any of the targets answers.
-    async fn has_answer(&self, targets: &[CheckedTarget]) -> bool {
+    /// Asks targets until one of them answers.
+    ///
+    /// # Errors
+    /// How far each of them came, if none answers.
+    async fn check_targets(&self, targets: &[CheckedTarget]) -> Result<(), FailedChecks> {
         let mut answers: FuturesUnordered<_> = targets
             .iter()
             .map(|target| async {
-                let answered = timeout(CHECK_TIMEOUT, self.is_answering(target)).await;
-                answered.unwrap_or(false)
+                let mut is_connected = false;
+                let answering = self.is_answering(target, &mut is_connected);
+                let answered = timeout(CHECK_TIMEOUT, answering).await;
+                (answered, is_connected)
             })
             .collect();
-        while let Some(is_answering) = answers.next().await {
-            if is_answering {
-                return true;
+        let mut failed = FailedChecks::default();
+        while let Some((answered, is_connected)) = answers.next().await {
+            match answered {
+                Ok(true) => return Ok(()),
+                _ if !is_connected => failed.unconnected += 1,
+                Ok(false) => failed.closed += 1,
+                Err(_) => failed.silent += 1,
             }
         }
-        false
+        Err(failed)
     }
 
-    async fn is_answering(&self, target: &CheckedTarget) -> bool {
+    async fn is_answering(&self, target: &CheckedTarget, is_connected: &mut bool) -> bool {
         let entry = &target.entry;
         let opened_at = clock::now();
         let Ok(stream) = self.open_stream(entry.address, CHECK_TIMEOUT).await else {
             return false;
         };
+        *is_connected = true;
         let is_answering = match &target.request {
             Some(request) => is_answered(stream, request.clone()).await,
             None => {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -232,6 +232,8 @@
     StreamBroken = 815, Info, "stream to a target ended early";
     /// A caller's connection ended before the end of its answer.
     CallerLeft = 824, Info, "caller left before the end of its answer";
+    /// A caller's connection ended while its answer was under way.
+    CallerConnectionEnded = 825, Info, "connection of a caller ended under its answer";
     /// The retry budget allowed a retry.
     RetryAllowed = 830, Info, "repeat allowed";
     /// The retry budget denied a retry.
--- a/crates/daemon/tests/direct/log_recorder.rs
+++ b/crates/daemon/tests/direct/log_recorder.rs
@@ -63,3 +63,12 @@
         .filter(|line| line.event == event && line.request == request);
     matching.map(|line| line.message.clone()).collect()
 }
+
+/// Messages of the lines with this event that contain the text.
+pub fn lines_with(text: &str, event: u64) -> Vec<String> {
+    let recorded = lines();
+    let matching = recorded
+        .iter()
+        .filter(|line| line.event == event && line.message.contains(text));
+    matching.map(|line| line.message.clone()).collect()
+}
