Give up no silent target before another one has answered

Callers saw streams of resumable routes end without their end, and calls that waited for a head end with 502, while sound targets were silent for a second.

Cause: after 1.2 s without data the relay closed its connection to the target and only then asked for another one. Whatever failed next (the retry budget, the number of sends, the placement, the send) ended the answer, though the target would have gone on. A call that waited for a head did the same when no target of the zone answered a check, which silent targets do not either.

A send is now given up only for the answer of another one, or when its target or the deadline ends it. A stalled stream stays open while the call goes to another target, which has to answer a request of this VM before it gets the call; the one that sends data first continues the stream, and the connection to the other is closed. If the silent target breaks off meanwhile, the other send takes its place. Calls that wait for a head over a lost path do the same; those that may run only once wait, as before. LossAction is gone.

Evidence: streams on ended 1.2 s after their last event, none on routes that can't be resumed, with and without a change of the configuration.

E832 and E833 say that a stream stalled, whether its target answers other requests, and when it went on.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -35,7 +35,7 @@
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
 pub use placement::CallPlacement;
 pub use quota_charge::CallCharge;
-pub use sending::{InFlightGuard, OpenAnswer, SendOutcome};
+pub use sending::{InFlightGuard, OpenAnswer, OpenSends, SendOutcome};
 pub use stop_plan::StopPlan;
 pub use target_probe::AnswerProgress;
 pub use timeline::CallTimeline;
@@ -340,32 +340,39 @@
         }
         let mut retry_after = DEFAULT_RETRY_AFTER;
         let mut failure = None;
+        let mut open_sends = OpenSends::default();
         loop {
-            self.asked = None;
-            let placed = match timeout_at(self.deadline, self.place()).await {
-                Ok(placed) => placed,
-                Err(_) => break,
-            };
-            let (entry, version, placed_call) = match placed {
-                CallPlacement::At(entry, version, placed_call) => (entry, version, placed_call),
-                CallPlacement::Unavailable(after) => {
-                    retry_after = after;
+            let outcome = if open_sends.is_empty() {
+                self.asked = None;
+                let placed = match timeout_at(self.deadline, self.place()).await {
+                    Ok(placed) => placed,
+                    Err(_) => break,
+                };
+                let (entry, version, placed_call) = match placed {
+                    CallPlacement::At(entry, version, placed_call) => (entry, version, placed_call),
+                    CallPlacement::Unavailable(after) => {
+                        retry_after = after;
+                        break;
+                    }
+                    CallPlacement::OverQuota(after) => return self.quota_answer(after),
+                };
+                if self.remaining().is_zero() {
                     break;
                 }
-                CallPlacement::OverQuota(after) => return self.quota_answer(after),
+                if let Err(fault) = self.recheck_admission()
+                    && self.runs == 0
+                {
+                    self.refund_charge();
+                    self.is_counted = true;
+                    return fault.answer(&self.context, &self.route, &self.head.id);
+                }
+                self.send(&entry, version, placed_call, None, &mut open_sends)
+                    .await
+            } else {
+                self.wait_for_answer(&mut open_sends, None).await
             };
-            if self.remaining().is_zero() {
-                break;
-            }
-            if let Err(fault) = self.recheck_admission()
-                && self.runs == 0
-            {
-                self.refund_charge();
-                self.is_counted = true;
-                return fault.answer(&self.context, &self.route, &self.head.id);
-            }
-            // A target's failure answer is forwarded only if no retry succeeds.
-            match self.send(&entry, version, placed_call, None).await {
+            // A target's failure answer is forwarded only if no other send succeeds.
+            match outcome {
                 SendOutcome::Success(open) => match self.pass_on(*open).await {
                     Ok(answer) => return answer,
                     Err(call) => {
@@ -380,7 +387,7 @@
                     if let Ok(body) = taken {
                         failure = Some(passed_answer(&parts, body));
                     }
-                    if !self.reserve_retry() {
+                    if open_sends.is_empty() && !self.reserve_retry() {
                         break;
                     }
                 }
@@ -455,13 +462,16 @@
         own_answer(&self.head.id, status, None)
     }
 
-    /// Takes a retry from the retry budget; returns false if the route does not allow it, too little time is left or the
-    /// budget is used up.
+    /// Takes a retry from the retry budget; returns false if the call may not be sent again or the budget is used up.
     pub fn reserve_retry(&mut self) -> bool {
+        self.may_retry() && self.spend_retry_budget()
+    }
+
+    /// Whether the route allows another send and enough time is left for it.
+    pub fn may_retry(&self) -> bool {
         self.route.retry_policy == RetryPolicy::Idempotent
             && self.runs < self.route.max_attempts
             && self.has_retry_time()
-            && self.spend_retry_budget()
     }
 
     /// Counts the call's outcome in the metrics.
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -1,14 +1,17 @@
-//! One send of a call to a target, and the classification of its answer.
+//! Sends of a call to targets, and the classification of their answers.
+//!
+//! A target that is silent may still answer, so a send is given up only for the answer of another one, or when the target or
+//! the deadline ends it.
 
 use crate::{
     clock,
     direct::{
-        call::{AnswerProgress, CallState},
+        call::{AnswerProgress, CallPlacement, CallState},
         fleet::FleetState,
         holder_client::PlacedCall,
         message::CallEnd,
         target_connections::{
-            ConnectRule, LossAction, PathRule, ReuseRule, SendError, TargetConnection,
+            ConnectRule, ConnectionPool, PathRule, ReuseRule, SendError, TargetConnection,
             TargetRequest, UnsentReason,
         },
         trials::TrialPermit,
@@ -16,6 +19,11 @@
     event,
     events::Event,
 };
+use futures_util::{
+    StreamExt,
+    future::{BoxFuture, pending},
+    stream::FuturesUnordered,
+};
 use hoplanding_core::{
     direct::{
         catalog::{TargetEntry, TargetStage},
@@ -24,18 +32,20 @@
         millis,
         target_notices::TargetNotice,
     },
-    ids::TargetRun,
+    ids::{AvailabilityZone, TargetName, TargetRun},
 };
 use hoplanding_platform::message_heads::{
     AnswerKind, SendHead, classify_answer, encode_send_headers,
 };
-use http::Request;
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use std::{mem, sync::Arc, time::Duration};
-use tokio::time::{Instant, timeout};
+use std::{mem, pin::pin, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which another target is looked for while a send waits for a silent one.
+const OTHER_SEND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// An answer whose head has been received and whose body is still to be read.
 pub struct OpenAnswer {
@@ -115,6 +125,14 @@
     }
 }
 
+/// Reports how a send ended, to its holder and for the target's health.
+fn finish(placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd) {
+    in_flight.finish(end);
+    if let Some(placed_call) = placed_call {
+        placed_call.finish(end);
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let mut tables = self.fleet.tables();
@@ -127,28 +145,156 @@
     }
 }
 
+/// A send that waits for the head of its answer.
+pub struct PendingSend {
+    /// Name of the target.
+    pub target: TargetName,
+    /// Zone to whose targets this VM needs a path until the answer comes; none if another VM forwards the bytes.
+    direct_zone: Option<AvailabilityZone>,
+    answer: BoxFuture<'static, AnsweredSend>,
+}
+
+/// A send whose wait for an answer is over.
+pub struct AnsweredSend {
+    entry: Arc<TargetEntry>,
+    version: Option<u64>,
+    /// None if the holder placed no such call, or its place was released.
+    placed_call: Option<PlacedCall>,
+    in_flight: InFlightGuard,
+    answer: Result<(TargetConnection, Response<Incoming>), SendError>,
+}
+
+/// Sends of one call that may still be answered. Those that are left when it is dropped are cancelled.
+#[derive(Default)]
+pub struct OpenSends {
+    answers: FuturesUnordered<BoxFuture<'static, AnsweredSend>>,
+    /// Zone on whose path the newest send depends.
+    direct_zone: Option<AvailabilityZone>,
+}
+
+impl OpenSends {
+    /// Whether no send is left that may be answered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.answers.is_empty()
+    }
+
+    /// Adds a send.
+    pub fn push(&mut self, send: PendingSend) {
+        self.direct_zone = send.direct_zone;
+        self.answers.push(send.answer);
+    }
+
+    /// Waits until one of the sends has its answer or has failed; without any, for ever.
+    async fn next(&mut self) -> AnsweredSend {
+        match self.answers.next().await {
+            Some(answered) => answered,
+            None => pending().await,
+        }
+    }
+}
+
+/// Waits until this VM has lost the path to a zone; for ever where there is none to lose.
+async fn wait_until_lost(pool: &ConnectionPool, zone: Option<&AvailabilityZone>) {
+    match zone {
+        Some(zone) => pool.wait_until_lost(zone).await,
+        None => pending().await,
+    }
+}
+
 impl CallState {
-    /// Sends the call to a target, reports the outcome to the holder unless an answer is left to read, and classifies it.
+    /// Sends the call to a target and waits for the head of the answer.
     pub async fn send(
         &mut self,
         entry: &Arc<TargetEntry>,
         version: Option<u64>,
-        mut placed_call: Option<PlacedCall>,
+        placed_call: Option<PlacedCall>,
         last_event: Option<u64>,
+        open: &mut OpenSends,
     ) -> SendOutcome {
+        match self
+            .begin_send(entry, version, placed_call, last_event)
+            .await
+        {
+            Ok(send) => {
+                open.push(send);
+                self.wait_for_answer(open, last_event).await
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Waits for the head of an answer. A lost path alone ends no send, as its target may only be silent: the call goes to
+    /// another target meanwhile if it may be repeated, and the first answer counts.
+    pub async fn wait_for_answer(
+        &mut self,
+        open: &mut OpenSends,
+        last_event: Option<u64>,
+    ) -> SendOutcome {
+        let pool = Arc::clone(&self.context.pool);
+        let is_repeatable = self.route.retry_policy == RetryPolicy::Idempotent;
+        let mut is_path_lost = false;
+        loop {
+            let zone = open.direct_zone.clone().filter(|_| is_repeatable);
+            let answered = tokio::select! {
+                biased;
+                answered = open.next() => answered,
+                () = wait_until_lost(&pool, zone.as_ref()), if !is_path_lost => {
+                    is_path_lost = true;
+                    continue;
+                }
+                send = self.begin_other_send(last_event), if is_path_lost => {
+                    open.push(send);
+                    is_path_lost = false;
+                    continue;
+                }
+            };
+            let outcome = self.receive(answered).await;
+            let is_over = matches!(outcome, SendOutcome::Success(_)) || self.remaining().is_zero();
+            if is_over {
+                open.answers.clear();
+            }
+            if open.is_empty() || matches!(outcome, SendOutcome::Failure(_)) {
+                return outcome;
+            }
+        }
+    }
+
+    /// Sends the call to another target while earlier sends may still be answered. Never returns if the call may not be sent
+    /// again.
+    pub async fn begin_other_send(&mut self, last_event: Option<u64>) -> PendingSend {
+        while self.may_retry() {
+            // A path that was lost in an earlier attempt may be back.
+            self.closed_zones.clear();
+            if let CallPlacement::At(entry, version, placed_call) = self.place().await
+                && self.is_answering(&entry).await
+                && self.spend_retry_budget()
+                && let Ok(send) = self
+                    .begin_send(&entry, version, placed_call, last_event)
+                    .await
+            {
+                return send;
+            }
+            sleep(OTHER_SEND_INTERVAL).await;
+        }
+        pending().await
+    }
+
+    /// Connects to a target and hands it the call. Without a [`PendingSend`] the target has not got the call.
+    pub async fn begin_send(
+        &mut self,
+        entry: &Arc<TargetEntry>,
+        version: Option<u64>,
+        placed_call: Option<PlacedCall>,
+        last_event: Option<u64>,
+    ) -> Result<PendingSend, SendOutcome> {
         // Another call may have shown since the placement that the request crashes its targets.
         if !self.untried_suspects().is_empty() {
-            return SendOutcome::Withheld;
+            return Err(SendOutcome::Withheld);
         }
         self.asked = Some(Arc::clone(entry));
         let trials = mem::take(&mut self.trials);
         let in_flight = InFlightGuard::new(&self.context.fleet, entry, trials);
-        let finish = |placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd| {
-            in_flight.finish(end);
-            if let Some(placed_call) = placed_call {
-                placed_call.finish(end);
-            }
-        };
         let reuse = match self.route.retry_policy {
             RetryPolicy::Idempotent => ReuseRule::Any,
             RetryPolicy::AtMostOnce => ReuseRule::FreshOnly,
@@ -169,60 +315,104 @@
             }),
         };
         if connected.is_ok() && !self.can_send_to(entry) {
-            return SendOutcome::Withheld;
+            return Err(SendOutcome::Withheld);
         }
+        let mut connection = match connected {
+            Ok(connection) => connection,
+            Err(SendError::NotSent { cause, reason, .. }) => {
+                return Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason));
+            }
+            Err(SendError::Unanswered { cause, .. }) => {
+                let reason = UnsentReason::Unreachable;
+                return Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason));
+            }
+        };
         let remaining = self.remaining();
-        let sent = match connected {
-            Ok(mut connection) => {
-                let request = self.request(entry, version, remaining, last_event);
-                let is_repeatable = self.route.retry_policy == RetryPolicy::Idempotent;
-                let sent = self.context.pool.send(&mut connection, request, || {
-                    if is_repeatable {
-                        return LossAction::GiveUp;
+        let request = self.request(entry, version, remaining, last_event);
+        let pool = Arc::clone(&self.context.pool);
+        let entry = Arc::clone(entry);
+        let target = entry.name.clone();
+        let direct_zone = connection.direct_zone().cloned();
+        let zone = direct_zone.clone();
+        let answer = async move {
+            let mut placed_call = placed_call;
+            let answer = {
+                let sent = timeout(remaining, pool.send(&mut connection, request));
+                let mut sent = pin!(sent);
+                tokio::select! {
+                    answer = &mut sent => answer,
+                    () = wait_until_lost(&pool, zone.as_ref()) => {
+                        // Whether the target runs the call is unknown, and its answer may still come. Until then the holder
+                        // must not reserve a place for it.
+                        drop(placed_call.take());
+                        sent.await
                     }
-                    // Whether the target runs the call is unknown, and its answer may still come. Until then the
-                    // holder must not reserve a place for it.
-                    drop(placed_call.take());
-                    LossAction::Wait
-                });
-                match timeout(remaining, sent).await {
-                    Ok(Ok(response)) => Ok((connection, response)),
-                    Ok(Err(error)) => Err(error),
-                    Err(_) => Err(SendError::Unanswered {
-                        target: entry.name.clone(),
-                        cause: "no response head before the deadline".to_owned(),
-                    }),
                 }
+            };
+            let answer = answer.unwrap_or_else(|_| {
+                Err(SendError::Unanswered {
+                    target: entry.name.clone(),
+                    cause: "no response head before the deadline".to_owned(),
+                })
+            });
+            AnsweredSend {
+                entry,
+                version,
+                placed_call,
+                in_flight,
+                answer: answer.map(|response| (connection, response)),
             }
-            Err(error) => Err(error),
         };
-        let (connection, response) = match sent {
-            Ok(answered) => answered,
-            Err(SendError::NotSent {
-                target,
-                cause,
-                reason,
-            }) => {
-                event!(Event::TargetConnectFailed, request = self.head.id; "at {target}: {cause}"
-                );
-                self.unreached += 1;
-                self.tried.push(target);
-                match reason {
-                    // Dropping both reports no outcome, as the target is not the cause.
-                    UnsentReason::PathLost => self.closed_zones.push(entry.zone.clone()),
-                    UnsentReason::Refused | UnsentReason::Unreachable => {
-                        finish(placed_call, in_flight, CallEnd::Unreached);
-                    }
-                }
-                return SendOutcome::NotSent;
+        self.runs += 1;
+        Ok(PendingSend {
+            target,
+            direct_zone,
+            answer: Box::pin(answer),
+        })
+    }
+
+    /// Records that the call did not reach a target.
+    fn record_unsent(
+        &mut self,
+        entry: &TargetEntry,
+        placed_call: Option<PlacedCall>,
+        in_flight: InFlightGuard,
+        cause: &str,
+        reason: UnsentReason,
+    ) -> SendOutcome {
+        event!(Event::TargetConnectFailed, request = self.head.id; "at {}: {cause}", entry.name);
+        self.unreached += 1;
+        self.tried.push(entry.name.clone());
+        match reason {
+            // Dropping both guards reports no outcome, as the target is not the cause.
+            UnsentReason::PathLost => self.closed_zones.push(entry.zone.clone()),
+            UnsentReason::Refused | UnsentReason::Unreachable => {
+                finish(placed_call, in_flight, CallEnd::Unreached);
+            }
+        }
+        SendOutcome::NotSent
+    }
+
+    /// Classifies the answer of a send, and reports the outcome to the holder unless a body is left to read.
+    pub async fn receive(&mut self, answered: AnsweredSend) -> SendOutcome {
+        let AnsweredSend {
+            entry,
+            version,
+            placed_call,
+            in_flight,
+            answer,
+        } = answered;
+        let (connection, response) = match answer {
+            Ok(answer) => answer,
+            Err(SendError::NotSent { cause, reason, .. }) => {
+                self.runs -= 1;
+                return self.record_unsent(&entry, placed_call, in_flight, &cause, reason);
             }
             Err(SendError::Unanswered { target, cause }) => {
-                event!(Event::NoAnswer, request = self.head.id; "at {target}: {cause}"
-                );
-                self.probe_after_failure(entry, in_flight.is_trial(), AnswerProgress::Begun)
+                event!(Event::NoAnswer, request = self.head.id; "at {target}: {cause}");
+                self.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
                     .await;
                 finish(placed_call, in_flight, CallEnd::Failed);
-                self.runs += 1;
                 self.tried.push(target);
                 return SendOutcome::Unknown;
             }
@@ -235,7 +425,7 @@
                 let fleet = &self.context.fleet;
                 let notice =
                     fleet.apply_target_notice(&entry.run(), response.status(), response.headers());
-                self.record_limits(entry, &notice);
+                self.record_limits(&entry, &notice);
                 notice
             }
         };
@@ -254,19 +444,18 @@
                 notice,
                 body,
                 connection,
-                entry: Arc::clone(entry),
+                entry: Arc::clone(&entry),
                 placed_call,
                 in_flight,
             })
         };
         match kind {
             AnswerKind::Success => {
+                self.asked = Some(Arc::clone(&entry));
                 self.last_data_at = Some(Instant::now());
-                self.runs += 1;
                 SendOutcome::Success(open_answer(placed_call, in_flight))
             }
             AnswerKind::Failure => {
-                self.runs += 1;
                 self.tried.push(entry.name.clone());
                 SendOutcome::Failure(open_answer(placed_call, in_flight))
             }
@@ -288,6 +477,7 @@
                     }
                 };
                 finish(placed_call, in_flight, outcome);
+                self.runs -= 1;
                 self.rejected += 1;
                 // An adapter that is still being loaded arrives soon, so the holder may choose the same target again.
                 if !is_absent {
@@ -302,7 +492,6 @@
                 );
                 self.context.pool.close(entry.address);
                 finish(placed_call, in_flight, CallEnd::Failed);
-                self.runs += 1;
                 self.tried.push(entry.name.clone());
                 SendOutcome::Unknown
             }
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -6,6 +6,7 @@
 use crate::{
     direct::{
         call::CallState,
+        paths::monitor::check_request,
         target_connections::{ConnectRule, PathRule, ReuseRule, SendError, UnsentReason, exchange},
     },
     event,
@@ -122,6 +123,23 @@
         self.context.records.record_all(&suspects).await;
     }
 
+    /// Whether a target answers a request of this VM, so that it is worth sending it a call that waits for a silent one.
+    pub async fn is_answering(&self, entry: &TargetEntry) -> bool {
+        let Some(request) = check_request(entry, &self.service) else {
+            return self.probe(entry).await == ProbeVerdict::Alive;
+        };
+        let context = &self.context;
+        let answer = exchange(
+            &context.fleet,
+            &context.pool,
+            entry,
+            request,
+            PROBE_RULE,
+            MAX_ANSWER_BYTES,
+        );
+        matches!(timeout(PROBE_TIMEOUT, answer).await, Ok(Ok(_)))
+    }
+
     /// Whether a target has ended, by one probe.
     pub async fn has_ended(&self, entry: &TargetEntry) -> bool {
         self.probe(entry).await == ProbeVerdict::Crashed
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -2,7 +2,8 @@
 //!
 //! The relay is the body of the caller's response: when the caller disconnects, the relay is dropped, which closes the
 //! connection to the target, and the target stops. If a resumable stream breaks, it continues after its last complete
-//! event at another target, under the response head that the caller already has.
+//! event at another target, under the response head that the caller already has. If its target is silent, it continues there
+//! or at another target, whichever sends data first.
 
 use crate::{
     clock,
@@ -10,7 +11,7 @@
         buffered_answer::is_framed,
         call::{
             AnswerBody, AnswerEnder, AnswerProgress, BrokenAnswer, CallPlacement, CallState,
-            OpenAnswer, SendOutcome,
+            OpenAnswer, OpenSends, SendOutcome,
         },
         error_chain::ErrorChain,
         event_splitter::EventSplitter,
@@ -24,20 +25,42 @@
 use hoplanding_platform::headers::end_to_end_headers;
 use http::{HeaderMap, Response, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
-use std::{mem, time::Duration};
+use hyper::body::{Frame, Incoming};
+use std::{mem, sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
-/// Time without data after which a resumable stream continues at another target; callers time out after 2 s or more.
+/// Time without data after which a resumable stream is sent to another target as well; callers time out after 2 s or more.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Time from the first event until an answer counts as harmless to its target. A target that a request crashes ends as it
 /// begins to answer, and its end takes a moment to show.
 const MIN_HARMLESS_TIME: Duration = Duration::from_millis(250);
 
+/// What comes next in a stream.
+enum StreamStep {
+    Data(Bytes),
+    /// The target's body ended.
+    End,
+    /// The target's body broke off.
+    Failed(String),
+    DeadlinePassed,
+}
+
+/// Another send of the call that goes on when the open answer breaks off.
+#[derive(Default)]
+enum StandbySend {
+    #[default]
+    Absent,
+    /// Its answer has not come yet.
+    Open(OpenSends),
+    /// It has an answer without data so far.
+    Answered(Box<OpenAnswer>),
+}
+
 struct EventRelay {
     call: CallState,
     open: Option<OpenAnswer>,
+    standby: StandbySend,
     splitter: EventSplitter,
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
@@ -65,6 +88,7 @@
     let relay = EventRelay {
         call,
         open: Some(open),
+        standby: StandbySend::Absent,
         splitter: EventSplitter::default(),
         is_resumable,
         awaits_first_event: true,
@@ -86,15 +110,8 @@
     /// Returns the next complete events, or `None` after the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
-            let deadline = self.next_event_deadline();
-            let open = self.open.as_mut()?;
-            let frame = timeout_at(deadline, open.body.frame()).await;
-            let is_stalled = frame.is_err();
-            let (ender, cause) = match frame {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
+            let (ender, cause) = match self.next_step().await? {
+                StreamStep::Data(data) => {
                     self.call.last_data_at = Some(Instant::now());
                     match self.splitter.push(&data) {
                         Ok(events) if events.is_empty() => continue,
@@ -105,32 +122,24 @@
                         Err(error) => (AnswerEnder::Gateway, error.to_string()),
                     }
                 }
-                Ok(None) if self.has_lost_target().await => {
+                StreamStep::End if self.has_lost_target().await => {
                     let cause = "the target ended with its connection";
                     (AnswerEnder::Target, cause.to_owned())
                 }
-                Ok(None) => match self.finish_stream() {
+                StreamStep::End => match self.finish_stream() {
                     Ok(rest) => return rest.map(Ok),
                     Err(cause) => (AnswerEnder::Target, cause),
                 },
-                Ok(Some(Err(error))) => (AnswerEnder::Target, ErrorChain(&error).to_string()),
-                Err(_) if deadline < self.call.deadline => {
-                    let cause = "no data from the target before the timeout";
-                    (AnswerEnder::Gateway, cause.to_owned())
-                }
-                Err(_) => {
+                StreamStep::Failed(cause) => (AnswerEnder::Target, cause),
+                StreamStep::DeadlinePassed => {
                     self.end_open(CallEnd::Failed);
                     return Some(Err(
                         self.break_off(AnswerEnder::Deadline, "the deadline passed")
                     ));
                 }
             };
-            self.check_target(is_stalled).await;
-            let software = self.open.as_ref().map(|open| open.entry.software.clone());
-            self.end_open(CallEnd::Failed);
-            event!(Event::StreamBroken, request = self.call.head.id; "{}, software version {software:?}",
-                self.call.unfinished_answer(ender, &cause)
-            );
+            self.check_target().await;
+            self.end_broken(ender, &cause);
             let broken_at = self.call.asked.clone();
             if !self.can_resume() || !self.resume().await {
                 self.call.asked = broken_at;
@@ -139,6 +148,131 @@
         }
     }
 
+    /// Waits for the next step of the stream; `None` if it has ended.
+    async fn next_step(&mut self) -> Option<StreamStep> {
+        let deadline = self.call.deadline;
+        let may_move = self.can_resume() && self.call.may_retry();
+        let open = self.open.as_mut()?;
+        // A second run of a suspect might crash another target.
+        let stalls_at = if may_move && !open.in_flight.is_trial() {
+            deadline.min(Instant::now() + STALL_TIMEOUT)
+        } else {
+            deadline
+        };
+        let step = match timeout_at(stalls_at, read_step(&mut open.body)).await {
+            Ok(step) => step,
+            Err(_) if stalls_at < deadline => timeout_at(deadline, self.outlast_stall())
+                .await
+                .unwrap_or(StreamStep::DeadlinePassed),
+            Err(_) => StreamStep::DeadlinePassed,
+        };
+        Some(step)
+    }
+
+    /// Sends the call to another target while its own is silent, and continues with the one that sends data first. The silent
+    /// target is not given up for anything less: it may go on at any time, and the other one may fail as well.
+    async fn outlast_stall(&mut self) -> StreamStep {
+        let Some(open) = &mut self.open else {
+            return StreamStep::End;
+        };
+        let entry = Arc::clone(&open.entry);
+        let call = &self.call;
+        // The path is checked so that the call does not go to another target over a lost one.
+        let checks = async {
+            tokio::join!(
+                call.context.pool.check_path(&entry.zone),
+                call.is_answering(&entry)
+            )
+        };
+        let ((), is_answering) = tokio::select! {
+            biased;
+            step = read_step(&mut open.body) => return step,
+            checked = checks => checked,
+        };
+        let stalled_at = Instant::now();
+        event!(Event::StreamStalled, request = self.call.head.id; "at {}: no data for {STALL_TIMEOUT:?}, last event {:?}, other requests answered: {is_answering}",
+            entry.name,
+            self.splitter.last_id()
+        );
+        if !is_answering {
+            self.call.tried.push(entry.name.clone());
+        }
+        let step = self.race_stalled().await;
+        self.call.tried.retain(|tried| *tried != entry.name);
+        let goes_on = self
+            .open
+            .as_ref()
+            .is_some_and(|open| open.entry.name == entry.name);
+        if goes_on {
+            self.call.asked = Some(Arc::clone(&entry));
+        }
+        if goes_on && matches!(step, StreamStep::Data(_)) {
+            event!(Event::StalledStreamWentOn, request = self.call.head.id; "at {} {:?} later",
+                entry.name,
+                stalled_at.elapsed()
+            );
+        }
+        step
+    }
+
+    /// Waits for data of the stalled target and of another one to which the call is sent.
+    async fn race_stalled(&mut self) -> StreamStep {
+        let last = self.splitter.last_id().or(self.call.head.last_event_id);
+        loop {
+            let Some(open) = &mut self.open else {
+                return StreamStep::End;
+            };
+            let send = tokio::select! {
+                biased;
+                step = read_step(&mut open.body) => return step,
+                send = self.call.begin_other_send(last) => send,
+            };
+            let mut sends = OpenSends::default();
+            sends.push(send);
+            let outcome = tokio::select! {
+                biased;
+                step = read_step(&mut open.body) => {
+                    if let StreamStep::Failed(_) = step {
+                        self.standby = StandbySend::Open(sends);
+                    }
+                    return step;
+                }
+                outcome = self.call.wait_for_answer(&mut sends, last) => outcome,
+            };
+            let SendOutcome::Success(mut other) = outcome else {
+                continue;
+            };
+            let other_step = tokio::select! {
+                biased;
+                step = read_step(&mut open.body) => {
+                    if let StreamStep::Failed(_) = step {
+                        self.standby = StandbySend::Answered(other);
+                    }
+                    return step;
+                }
+                step = read_step(&mut other.body) => step,
+            };
+            if let StreamStep::Data(_) = other_step {
+                self.call.asked = Some(Arc::clone(&open.entry));
+                let cause = format!("silent while {} sent data", other.entry.name);
+                self.end_broken(AnswerEnder::Gateway, &cause);
+                self.splitter.take_remainder();
+                self.continue_with(other);
+                return other_step;
+            }
+            close(*other, CallEnd::Failed);
+        }
+    }
+
+    /// Ends the open answer, which has not come to its end.
+    fn end_broken(&mut self, ender: AnswerEnder, cause: &str) {
+        let software = self.open.as_ref().map(|open| open.entry.software.clone());
+        self.end_open(CallEnd::Failed);
+        event!(Event::StreamBroken, request = self.call.head.id; "{}, software version {software:?}",
+            self.call.unfinished_answer(ender, cause)
+        );
+    }
+
     fn record_events(&mut self) {
         self.call.last_event = self.splitter.last_id();
         if self.call.timeline.record_event() {
@@ -210,16 +344,6 @@
             .record_end(events, duration, max_output_tokens, clock::now());
     }
 
-    /// Deadline of the next event. A resumable stream has a shorter one, so that it resumes before its caller times
-    /// out.
-    fn next_event_deadline(&self) -> Instant {
-        if self.is_resumable {
-            self.call.deadline.min(Instant::now() + STALL_TIMEOUT)
-        } else {
-            self.call.deadline
-        }
-    }
-
     fn break_off(&mut self, ender: AnswerEnder, cause: &str) -> BrokenAnswer {
         event!(Event::AnswerIncomplete, request = self.call.head.id; "{}",
             self.call.unfinished_answer(ender, cause)
@@ -228,26 +352,20 @@
         BrokenAnswer(cause.to_owned())
     }
 
-    /// Finds out whether the target crashed, if it broke the stream off, or whether the path to a stalled target is lost, so
-    /// that the stream does not resume over that path.
-    async fn check_target(&self, is_stalled: bool) {
+    /// Finds out whether the target crashed when it broke the stream off.
+    async fn check_target(&mut self) {
         let Some(open) = &self.open else {
             return;
         };
-        if is_stalled {
-            let pool = &self.call.context.pool;
-            pool.check_path(&open.entry.zone).await;
+        let is_trial = open.in_flight.is_trial();
+        let progress = if self.is_harmless() {
+            AnswerProgress::UnderWay
         } else {
-            let is_trial = open.in_flight.is_trial();
-            let progress = if self.is_harmless() {
-                AnswerProgress::UnderWay
-            } else {
-                AnswerProgress::Begun
-            };
-            self.call
-                .probe_after_failure(&open.entry, is_trial, progress)
-                .await;
-        }
+            AnswerProgress::Begun
+        };
+        self.call
+            .probe_after_failure(&open.entry, is_trial, progress)
+            .await;
     }
 
     /// Whether the target has survived the beginning of the answer.
@@ -258,18 +376,14 @@
 
     /// Closes the accounting of the open answer.
     fn end_open(&mut self, end: CallEnd) {
-        let Some(open) = self.open.take() else {
-            return;
-        };
-        open.in_flight.finish(end);
-        if let Some(placed_call) = open.placed_call {
-            placed_call.finish(end);
+        if let Some(open) = self.open.take() {
+            close(open, end);
         }
     }
 
     /// Whether a body without framing ended because its target did. A target's end closes its connections like the end of a
     /// body.
-    async fn has_lost_target(&self) -> bool {
+    async fn has_lost_target(&mut self) -> bool {
         match &self.open {
             Some(open) if !is_framed(&open.parts.headers) => self.call.has_ended(&open.entry).await,
             _ => false,
@@ -316,31 +430,73 @@
     async fn resume(&mut self) -> bool {
         let last = self.splitter.last_id().or(self.call.head.last_event_id);
         self.splitter.take_remainder();
-        while self.call.reserve_retry() {
-            let placed = timeout_at(self.call.deadline, self.call.place()).await;
-            let Ok(CallPlacement::At(entry, version, placed_call)) = placed else {
-                return false;
+        // A path that was lost in an earlier attempt may be back.
+        self.call.closed_zones.clear();
+        let mut sends = match mem::take(&mut self.standby) {
+            StandbySend::Answered(open) => {
+                self.continue_with(open);
+                return true;
+            }
+            StandbySend::Open(sends) => sends,
+            StandbySend::Absent => OpenSends::default(),
+        };
+        loop {
+            let outcome = if sends.is_empty() {
+                if !self.call.reserve_retry() {
+                    return false;
+                }
+                let placed = timeout_at(self.call.deadline, self.call.place()).await;
+                let Ok(CallPlacement::At(entry, version, placed_call)) = placed else {
+                    return false;
+                };
+                self.call
+                    .send(&entry, version, placed_call, last, &mut sends)
+                    .await
+            } else {
+                self.call.wait_for_answer(&mut sends, last).await
             };
-            match self.call.send(&entry, version, placed_call, last).await {
-                SendOutcome::Success(open) => {
-                    event!(Event::StreamResumed, request = self.call.head.id; "at {} from {last:?}, software version {:?}",
-                        entry.name,
-                        entry.software
-                    );
-                    self.open = Some(*open);
-                    self.awaits_first_event = true;
-                    self.first_event_at = None;
-                    self.is_recorded_harmless = false;
-                    return true;
+            if let SendOutcome::Success(open) = outcome {
+                self.continue_with(open);
+                return true;
+            }
+        }
+    }
+
+    /// Continues the stream with the answer of another target.
+    fn continue_with(&mut self, open: Box<OpenAnswer>) {
+        event!(Event::StreamResumed, request = self.call.head.id; "at {} from {:?}, software version {:?}",
+            open.entry.name,
+            self.splitter.last_id().or(self.call.head.last_event_id),
+            open.entry.software
+        );
+        self.call.asked = Some(Arc::clone(&open.entry));
+        self.open = Some(*open);
+        self.awaits_first_event = true;
+        self.first_event_at = None;
+        self.is_recorded_harmless = false;
+    }
+}
+
+/// Closes the accounting of an answer.
+fn close(open: OpenAnswer, end: CallEnd) {
+    open.in_flight.finish(end);
+    if let Some(placed_call) = open.placed_call {
+        placed_call.finish(end);
+    }
+}
+
+/// Waits for the next data of a body, or its end.
+async fn read_step(body: &mut Incoming) -> StreamStep {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return StreamStep::Data(data);
                 }
-                SendOutcome::Failure(_)
-                | SendOutcome::NotRun
-                | SendOutcome::NotSent
-                | SendOutcome::Withheld
-                | SendOutcome::Unknown => {}
             }
+            Some(Err(error)) => return StreamStep::Failed(ErrorChain(&error).to_string()),
+            None => return StreamStep::End,
         }
-        false
     }
 }
 
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -398,7 +398,8 @@
 }
 
 /// Request that shows whether a target is reachable: for an engine's report, or its service's health check.
-fn check_request(entry: &TargetEntry, service: &ServiceRule) -> Option<TargetRequest> {
+#[must_use]
+pub fn check_request(entry: &TargetEntry, service: &ServiceRule) -> Option<TargetRequest> {
     match (&service.engine, &service.health_path) {
         (Some(_), _) => Some(encode_report_request(&entry.name)),
         (None, Some(path)) => encode_health_check(&entry.name, path),
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -29,7 +29,6 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    pin::pin,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -128,15 +127,6 @@
     pub lifetime: Duration,
 }
 
-/// What becomes of a call that waits for an answer when its path is lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LossAction {
-    /// It goes on waiting.
-    Wait,
-    /// It ends, so that it can be sent again.
-    GiveUp,
-}
-
 /// Idle connections to targets, by address.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -233,40 +223,30 @@
     }
 
     /// Sends a request over a connection and waits for the head of the answer. After a failure, the path is checked before
-    /// the failure is returned. If the path is lost meanwhile, `on_loss` decides whether to go on waiting, as it may be
-    /// restored before the deadline.
+    /// the failure is returned.
     ///
     /// # Errors
-    /// As for [`TargetConnection::send`], and [`SendError::Unanswered`] if the wait ended with the path.
+    /// As for [`TargetConnection::send`].
     pub async fn send(
         &self,
         connection: &mut TargetConnection,
         request: TargetRequest,
-        on_loss: impl FnOnce() -> LossAction,
     ) -> Result<Response<Incoming>, SendError> {
         let Some(_waiting) = self.wait_guard(connection) else {
             return connection.send(request).await;
         };
-        let zone = connection.zone.clone();
-        let target = connection.target().clone();
         let opened_at = connection.opened_at;
-        let mut response = pin!(connection.send(request));
-        tokio::select! {
-            answered = &mut response => {
-                if answered.is_err() {
-                    self.paths.check_after_failure(&zone, opened_at).await;
-                }
-                return answered;
-            }
-            () = self.paths.wait_until_lost(&zone) => {}
-        }
-        match on_loss() {
-            LossAction::Wait => response.await,
-            LossAction::GiveUp => Err(SendError::Unanswered {
-                target,
-                cause: ConnectFault::PathLost(zone).to_string(),
-            }),
+        let answered = connection.send(request).await;
+        if answered.is_err() {
+            let zone = &connection.zone;
+            self.paths.check_after_failure(zone, opened_at).await;
         }
+        answered
+    }
+
+    /// Waits until the path to a zone's targets is lost.
+    pub async fn wait_until_lost(&self, zone: &AvailabilityZone) {
+        self.paths.wait_until_lost(zone).await;
     }
 
     /// Connects to a target directly.
@@ -433,9 +413,7 @@
     answer_bytes: usize,
 ) -> Result<(StatusCode, Bytes), SendError> {
     let mut connection = pool.take(entry, rule).await?;
-    let response = pool
-        .send(&mut connection, request, || LossAction::GiveUp)
-        .await?;
+    let response = pool.send(&mut connection, request).await?;
     let status = response.status();
     // A misdirected answer comes from another target at the same address.
     let notice = (status != StatusCode::MISDIRECTED_REQUEST)
@@ -482,4 +460,10 @@
     pub fn target(&self) -> &TargetName {
         &self.run.name
     }
+
+    /// Zone of the target, if the connection depends on this VM's own path to it.
+    #[must_use]
+    pub fn direct_zone(&self) -> Option<&AvailabilityZone> {
+        self.tunnel.is_none().then_some(&self.zone)
+    }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -234,6 +234,10 @@
     CallerLeft = 824, Info, "caller left before the end of its answer";
     /// A caller's connection ended while its answer was under way.
     CallerConnectionEnded = 825, Info, "connection of a caller ended under its answer";
+    /// The target of a stream that may continue elsewhere is silent.
+    StreamStalled = 832, Info, "stream stalled";
+    /// The silent target of a stream sent data before any other one.
+    StalledStreamWentOn = 833, Info, "stalled stream went on";
     /// The retry budget allowed a retry.
     RetryAllowed = 830, Info, "repeat allowed";
     /// The retry budget denied a retry.
