Let targets fall silent in the soak, and check that nothing is cut off then

Callers of resumable streams saw answers end without their end while sound targets were silent for about a second. The soak played no such time: its targets always read and wrote unless the path of a VM hung, and no check asked whether an answer that had begun was ended for a reason.

UncutAnswer names what may end an answer that has begun; a silence, a target that leaves, a planned stop, and faults of the log or of other VMs are not among it. CompleteAnswer also judges what callers received of answers that were cut off.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -227,6 +227,12 @@
         });
     }
     let is_complete = matches!(answer, CallAnswer::Complete(200..=299, _));
+    if let CallAnswer::Truncated(200..=299) = answer {
+        history.record(HistoryEvent::PartReceived {
+            id: call.id.clone(),
+            text: received.text.clone(),
+        });
+    }
     let answer = match answer {
         CallAnswer::Complete(status, _) => CallAnswer::Complete(status, received.text.clone()),
         other => other,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,7 +4,7 @@
 //! in contact: neither the VM nor the log was disturbed within the preceding `CONTACT_WINDOW`.
 
 use crate::{
-    callers::{SKEWED_CALL_PREFIX, SKEWED_DEADLINE},
+    callers::{CALL_TIMEOUT, SKEWED_CALL_PREFIX, SKEWED_DEADLINE},
     history::{CallAnswer, CallKind, HistoryEvent, TimedEntry},
     organisations::{QUOTA_WINDOW, REVOCATION_BOUND, organisation_of, quota_limit},
     targets::{TargetRole, service_name},
@@ -68,8 +68,11 @@
     NamedAdapter,
     /// Headers reserved for the system never reach a target with a caller's value.
     ReservedHeaders,
-    /// An answer whose framing is complete has exactly the target's content, without gaps or duplicates.
+    /// An answer whose framing is complete has exactly the target's content, without gaps or duplicates, and one that is
+    /// cut off has the beginning of it.
     CompleteAnswer,
+    /// An answer that has begun ends only with its end, its target's connection, its deadline or its VM's process.
+    UncutAnswer,
     /// A draining target gets no new requests after `DRAIN_TIMEOUT`.
     Draining,
     /// A target that announced draining in an answer gets no new requests from the VM that received the answer after
@@ -136,6 +139,8 @@
     let mut found = Vec::new();
     found.extend(check_runs(&calls));
     found.extend(check_answers(&calls));
+    found.extend(check_parts(history, &calls));
+    found.extend(check_cuts(history, &calls));
     found.extend(check_draining(history, &calls));
     found.extend(check_planned_stops(history, &calls));
     found.extend(check_config_order(history));
@@ -324,6 +329,115 @@
     found
 }
 
+/// Checks that a body that was cut off is the beginning of the expected one, apart from an event that was cut off itself.
+fn check_parts(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let altered = history.iter().filter_map(|entry| {
+        let HistoryEvent::PartReceived { id, text } = &entry.event else {
+            return None;
+        };
+        let row = calls.rows.get(id.as_str())?;
+        let part = match row.kind {
+            CallKind::Once | CallKind::Idempotent => text.as_str(),
+            CallKind::Stream | CallKind::Resumable => {
+                let end = text.rfind("\n\n").map_or(0, |end| end + 2);
+                &text[..end]
+            }
+        };
+        let is_altered = !calls.expected_body(id, row).starts_with(part);
+        is_altered.then(|| {
+            let description = format!(
+                "{id} got an altered part {part:?} of a body at {:?}",
+                entry.at
+            );
+            violation(Guarantee::CompleteAnswer, description)
+        })
+    });
+    altered.collect()
+}
+
+/// Checks that no answer of which the caller has received an event was cut off without a reason of [`CutReasons`].
+fn check_cuts(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
+    let reasons = CutReasons::new(history);
+    let begun = history.iter().filter_map(|entry| match &entry.event {
+        HistoryEvent::EventsReceived { id, .. } => Some(id.as_str()),
+        _ => None,
+    });
+    let cut = begun.filter_map(|id| {
+        let row = calls.rows.get(id)?;
+        let (at, answer) = row.answer?;
+        let is_cut = !matches!(answer, CallAnswer::Complete(..));
+        (is_cut && !reasons.allow(id, row, at)).then(|| {
+            let description = format!(
+                "the answer to {id} ({:?}) was cut off at VM {} at {at:?}, {:?} after its request; runs {:?}",
+                row.kind,
+                row.vm,
+                at - row.sent,
+                row.runs
+            );
+            violation(Guarantee::UncutAnswer, description)
+        })
+    });
+    cut.collect()
+}
+
+/// What may cut off an answer that has begun. Callers leave only at their deadline. The following are no reasons:
+/// - a silence of targets: their connections stay open, and they go on;
+/// - a target that leaves: it finishes what runs;
+/// - a planned stop or a reload: the VM finishes what runs, and deadlines are shorter than the time it has for that;
+/// - faults of the log and of other VMs: nothing that runs needs them.
+struct CutReasons<'a> {
+    /// Crashes of engines, whose connections break.
+    crashes: Vec<(Duration, &'a str)>,
+    /// Times at which a VM's process was killed, suspended or resumed. While it is suspended, it can't tell its own pause from
+    /// a silence of a target.
+    signals: Vec<(Duration, usize)>,
+    /// Spans in which connections of a VM to all targets hang or break.
+    path_losses: Vec<PathLoss>,
+    /// Spans in which all VMs have too little processor time.
+    skews: Vec<SkewSpan>,
+}
+
+impl<'a> CutReasons<'a> {
+    fn new(history: &'a [TimedEntry]) -> Self {
+        let crashes = history.iter().filter_map(|entry| match &entry.event {
+            HistoryEvent::EngineCrashed { target, .. } => Some((entry.at, target.as_str())),
+            _ => None,
+        });
+        let signals = history.iter().filter_map(|entry| match entry.event {
+            HistoryEvent::ProcessSignalled { vm } => Some((entry.at, vm)),
+            _ => None,
+        });
+        Self {
+            crashes: crashes.collect(),
+            signals: signals.collect(),
+            path_losses: path_loss_spans(history),
+            skews: skew_spans(history),
+        }
+    }
+
+    /// Whether the answer to a request may have been cut off at a time.
+    fn allow(&self, id: &str, row: &CallRow<'_>, at: Duration) -> bool {
+        let deadline = match id.starts_with(SKEWED_CALL_PREFIX) {
+            true => SKEWED_DEADLINE,
+            false => CALL_TIMEOUT,
+        };
+        let span = row.sent..=at;
+        let has_lost_target = |run: &RunRow<'_>| {
+            let has_crashed = |(crashed_at, target): &(Duration, &str)| {
+                *target == run.target && run.at <= *crashed_at && *crashed_at <= at
+            };
+            run.at <= at && (run.is_truncated || self.crashes.iter().any(has_crashed))
+        };
+        at - row.sent >= deadline
+            || row.runs.iter().any(has_lost_target)
+            || (self.signals.iter()).any(|(time, vm)| *vm == row.vm && span.contains(time))
+            || (self.path_losses.iter())
+                .any(|loss| loss.vm == row.vm && loss.from <= at && row.sent <= loss.to)
+            || (self.skews.iter())
+                .any(|skew| skew.from <= at && row.sent <= skew.to.saturating_add(CONTACT_WINDOW))
+    }
+}
+
 fn check_deadly_part(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let crashes: Vec<_> = history
         .iter()
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -203,9 +203,28 @@
         });
     }
 
+    /// Records in the history that the daemon is about to be killed, suspended or resumed.
+    fn record_signal(&self) {
+        self.record_disturbance(false);
+        self.history
+            .record(HistoryEvent::ProcessSignalled { vm: self.index });
+    }
+
+    /// Suspends the daemon with SIGSTOP.
+    pub fn suspend(&self) {
+        self.record_signal();
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Resumes the daemon with SIGCONT.
+    pub fn resume(&self) {
+        self.record_signal();
+        self.signal(Signal::SIGCONT);
+    }
+
     /// Kills the daemon with SIGKILL and waits for its exit.
     pub async fn kill(&self) {
-        self.record_disturbance(false);
+        self.record_signal();
         self.lock().is_ending = true;
         self.signal(Signal::SIGKILL);
         self.wait_for_exit().await;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -85,6 +85,13 @@
         /// Software versions of the targets that wrote them.
         software: BTreeSet<String>,
     },
+    /// A caller received a part of an answer whose body was cut off.
+    PartReceived {
+        /// The request.
+        id: String,
+        /// The part, as in [`CallAnswer::Complete`].
+        text: String,
+    },
     /// A caller sent its API key with a request.
     KeySent {
         /// The request.
@@ -231,6 +238,11 @@
         /// The target.
         target: String,
     },
+    /// A VM's daemon was killed, suspended or resumed.
+    ProcessSignalled {
+        /// The VM.
+        vm: usize,
+    },
     /// A VM's daemon was restarted.
     VmStarted {
         /// The VM.
@@ -260,6 +272,16 @@
         /// The request.
         id: String,
     },
+    /// A target began to neither read nor write, with open connections.
+    SilenceBegan {
+        /// The target.
+        target: String,
+    },
+    /// A silent target reads and writes again.
+    SilenceEnded {
+        /// The target.
+        target: String,
+    },
     /// A VM was cut off from all targets.
     PathLost {
         /// The VM.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -71,6 +71,12 @@
         default = "1500"
     )]
     slice: u64,
+    #[options(
+        no_short,
+        help = "number of times in a run that all, half or one of the targets fall silent several times for up to 4 s, with open connections",
+        default = "0"
+    )]
+    silences: usize,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -198,6 +204,7 @@
         path_loss_count: args.path_losses,
         deadly_part_count: args.deadly,
         skew_count: args.skews,
+        silence_count: args.silences,
         skew: SkewPlan {
             rate: args.skew_rate,
             share: args.skew_share,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 mod losses;
 mod path_losses;
+mod silences;
 mod skews;
 
 use crate::{
@@ -14,13 +15,12 @@
     prompts::{self, prompt_parts},
     schedule::{
         FaultKind, PlannedFault, config_losses, deadly_parts, extra_faults, path_losses,
-        seeded_faults, skewed_connections,
+        seeded_faults, skewed_connections, target_silences,
     },
     targets::{HEALTH_PATH, InjectedDefect, SoakTarget, TargetContext, TargetRole, service_name},
 };
 use hoplanding_platform::names::{CONFIG_KEY, OPERATOR_TOPIC, TARGET_TOPIC, VERSION_KEY};
 use hoplanding_standins::{keyed_log::KeyedLog, relay::LinkState};
-use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::json;
 use std::{
@@ -105,6 +105,8 @@
     pub deadly_part_count: usize,
     /// Number of faults drawn from [`FaultKind::SKEWS`].
     pub skew_count: usize,
+    /// Number of faults drawn from [`FaultKind::SILENCES`].
+    pub silence_count: usize,
     /// Calls and processor time of a skew.
     pub skew: SkewPlan,
     /// Path of the daemon's executable.
@@ -127,6 +129,7 @@
             faults.extend(path_losses(self.seed, span, self.path_loss_count));
             faults.extend(deadly_parts(self.seed, span, self.deadly_part_count));
             faults.extend(skewed_connections(self.seed, span, self.skew_count));
+            faults.extend(target_silences(self.seed, span, self.silence_count));
             faults.sort_by_key(|fault| fault.at_ms);
             faults
         })
@@ -578,11 +581,9 @@
                 self.restart(vm, fault).await;
             }
             FaultKind::Pause => {
-                vm.record_disturbance(false);
-                vm.signal(Signal::SIGSTOP);
+                vm.suspend();
                 sleep(fault.duration()).await;
-                vm.record_disturbance(false);
-                vm.signal(Signal::SIGCONT);
+                vm.resume();
             }
             FaultKind::LogOut => {
                 self.begin_log_outage();
@@ -603,6 +604,9 @@
             }
             FaultKind::DeadlyPart => self.send_deadly_requests(fault).await,
             FaultKind::SkewedConnections => self.skew_connections(fault).await,
+            FaultKind::AllTargetsSilent
+            | FaultKind::HalfTargetsSilent
+            | FaultKind::OneTargetSilent => self.silence_targets(fault).await,
             FaultKind::Shed => {
                 let targets = self.lock_targets().clone();
                 targets.iter().for_each(|target| target.set_shedding(true));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -2,10 +2,20 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
-use std::{fmt, time::Duration};
+use std::{
+    fmt,
+    ops::{Range, RangeInclusive},
+    time::Duration,
+};
 
 /// Range of fault durations, in milliseconds.
-const DURATION_RANGE_MS: std::ops::Range<u64> = 300..3_000;
+const DURATION_RANGE_MS: Range<u64> = 300..3_000;
+/// Number of silences in a series of targets' silences.
+const SERIES_SILENCES: RangeInclusive<usize> = 2..=4;
+/// Range of the durations of silences, in milliseconds.
+const SILENCE_RANGE_MS: Range<u64> = 300..4_000;
+/// Range of the pauses between two silences, in milliseconds.
+const SILENCE_PAUSE_RANGE_MS: Range<u64> = 300..3_000;
 
 /// Kind of a fault. Schedules contain the variants' names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -73,6 +83,12 @@
     DeadlyPart,
     /// All daemons get little processor time, and nine of ten additional calls, each on a new connection, go to one VM.
     SkewedConnections,
+    /// All targets fall silent several times: they neither read nor write, and keep their connections open.
+    AllTargetsSilent,
+    /// Half of the targets fall silent, several times and not always the same ones.
+    HalfTargetsSilent,
+    /// A target falls silent, several times and not always the same one.
+    OneTargetSilent,
 }
 
 impl FaultKind {
@@ -122,6 +138,13 @@
 
     /// Kinds of the faults from [`skewed_connections`], which leave all other schedules unchanged.
     pub const SKEWS: [Self; 1] = [Self::SkewedConnections];
+
+    /// Kinds of the faults from [`target_silences`], which leave all other schedules unchanged.
+    pub const SILENCES: [Self; 3] = [
+        Self::AllTargetsSilent,
+        Self::HalfTargetsSilent,
+        Self::OneTargetSilent,
+    ];
 }
 
 impl fmt::Display for FaultKind {
@@ -163,6 +186,41 @@
         let drawn = self.for_ms.clamp(range.start, range.end) - range.start;
         drawn as f64 / (range.end - range.start) as f64
     }
+
+    /// Silences of a fault of [`FaultKind::SILENCES`], in order. They depend on the fault alone.
+    #[must_use]
+    pub fn silences(&self) -> Vec<TargetSilence> {
+        let parts = [self.at_ms, self.for_ms << 24, (self.index as u64) << 48];
+        let mut random = StdRng::seed_from_u64(parts.iter().fold(0, |seed, part| seed ^ part));
+        let range = SILENCE_RANGE_MS;
+        let first_ms = (range.end - range.start) as f64 * self.duration_ratio();
+        let mut duration_ms = range.start + first_ms as u64;
+        let mut index = self.index;
+        let mut silences = Vec::new();
+        for _ in 0..random.random_range(SERIES_SILENCES) {
+            silences.push(TargetSilence {
+                index,
+                duration: Duration::from_millis(duration_ms),
+                pause: Duration::from_millis(random.random_range(SILENCE_PAUSE_RANGE_MS)),
+            });
+            duration_ms = random.random_range(SILENCE_RANGE_MS);
+            if random.random_bool(0.5) {
+                index = random.random_range(0..64);
+            }
+        }
+        silences
+    }
+}
+
+/// Silence in a series.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetSilence {
+    /// Index of the first silent target, modulo their number.
+    pub index: usize,
+    /// Duration.
+    pub duration: Duration,
+    /// Time from its end to the next silence.
+    pub pause: Duration,
 }
 
 /// Draws `count` faults of [`FaultKind::SEEDED`] within a span, ordered by start time. Faults may overlap.
@@ -206,6 +264,14 @@
     draw_faults(seed, &FaultKind::SKEWS, span, count)
 }
 
+/// Draws `count` faults of [`FaultKind::SILENCES`] within the first half of a span, ordered by start time, so that calls are
+/// sent until the last silence.
+#[must_use]
+pub fn target_silences(seed: u64, span: Duration, count: usize) -> Vec<PlannedFault> {
+    let seed = seed.rotate_left(24);
+    draw_faults(seed, &FaultKind::SILENCES, span / 2, count)
+}
+
 fn draw_faults(seed: u64, kinds: &[FaultKind], span: Duration, count: usize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed);
     let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -139,6 +139,8 @@
     is_delaying_orders: bool,
     /// Number of orders received while delaying orders.
     order_count: u64,
+    /// Number of current silences.
+    silence_count: usize,
     /// Whether a request crashed the engine, and it has not been replaced yet.
     has_crashed: bool,
     /// Models in the last list entry; `None` once the entry is removed or marked as draining.
@@ -157,6 +159,7 @@
             is_announcing: false,
             is_delaying_orders: false,
             order_count: 0,
+            silence_count: 0,
             has_crashed: false,
             listed_models: Some(Value::Null),
         }
@@ -175,6 +178,7 @@
     software: String,
     server: RawTarget,
     state: Arc<Mutex<TargetState>>,
+    history: SharedHistory,
 }
 
 impl SoakTarget {
@@ -195,6 +199,7 @@
     ) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(TargetState::new(base)));
         let cuts = Arc::clone(&context.cuts);
+        let history = context.history.clone();
         let address = Arc::new(OnceLock::new());
         let handler = Arc::new(TargetHandler {
             name: name.to_owned(),
@@ -217,6 +222,7 @@
             software: software.to_owned(),
             server,
             state,
+            history,
         })
     }
 
@@ -251,6 +257,39 @@
         lock(&self.state).is_delaying_orders = is_delaying;
     }
 
+    /// Begins a silence. Silences may overlap; the target is silent until the end of the last one.
+    pub fn begin_silence(&self) {
+        let mut state = lock(&self.state);
+        state.silence_count += 1;
+        if state.silence_count == 1 {
+            self.record_silence(true);
+        }
+    }
+
+    /// Ends a silence.
+    pub fn end_silence(&self) {
+        let mut state = lock(&self.state);
+        state.silence_count -= 1;
+        if state.silence_count == 0 {
+            self.record_silence(false);
+        }
+    }
+
+    fn record_silence(&self, is_silent: bool) {
+        let target = self.name.clone();
+        self.history.record(match is_silent {
+            true => HistoryEvent::SilenceBegan { target },
+            false => HistoryEvent::SilenceEnded { target },
+        });
+        self.server.set_silent(is_silent);
+    }
+
+    /// Whether the target is on the list and not marked as draining.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        lock(&self.state).listed_models.is_some()
+    }
+
     /// Whether a request crashed the target since the last call of this method.
     #[must_use]
     pub fn take_crash(&self) -> bool {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -747,3 +747,133 @@
     let history = history_of_skew(|_| SkewedOutcome::ServedAfterClose);
     assert_eq!(violated(&history), [Guarantee::SkewedConnections]);
 }
+
+fn received(ms: u64, id: &str) -> TimedEntry {
+    let event = HistoryEvent::EventsReceived {
+        id: id.into(),
+        software: ["v1".to_owned()].into(),
+    };
+    at(ms, event)
+}
+
+/// A stream of VM 0 from 1 s on that is cut off after its first events, with other events of the run.
+fn cut_stream(kind: CallKind, cut_ms: u64, others: Vec<TimedEntry>) -> Vec<TimedEntry> {
+    let mut history = vec![
+        sent(1_000, "r1", kind, "a1"),
+        ran(1_010, "r1", "i-1", "a1"),
+        received(cut_ms, "r1"),
+        answered(cut_ms, "r1", CallAnswer::Truncated(200)),
+    ];
+    history.extend(others);
+    history.sort_by_key(|entry| entry.at);
+    history
+}
+
+/// An entry of a target: the start or the end of its silence, its crash, or its leaving.
+fn of_target(ms: u64, target: &str, event: impl Fn(String) -> HistoryEvent) -> TimedEntry {
+    at(ms, event(target.into()))
+}
+
+#[test]
+fn an_answer_that_is_cut_off_without_a_reason_is_found() {
+    for kind in [CallKind::Stream, CallKind::Resumable] {
+        let history = cut_stream(kind, 2_500, Vec::new());
+        assert_eq!(violated(&history), [Guarantee::UncutAnswer]);
+        assert_eq!(violated(&cut_stream(kind, 6_990, Vec::new())).len(), 1);
+        assert_eq!(violated(&cut_stream(kind, 7_000, Vec::new())), []);
+    }
+    // Answers that are complete or have not begun are not cut off.
+    let whole = expected_body(CallKind::Stream, "r1", EVENTS_PER_STREAM);
+    let mut complete = cut_stream(CallKind::Stream, 2_500, Vec::new());
+    complete[3] = answered(2_500, "r1", CallAnswer::Complete(200, whole));
+    assert_eq!(violated(&complete), []);
+    let mut not_begun = cut_stream(CallKind::Stream, 2_500, Vec::new());
+    not_begun.remove(2);
+    assert_eq!(violated(&not_begun), []);
+}
+
+/// Neither silences and leaving of its target, nor faults of the log, other VMs and other targets are reasons to cut an
+/// answer off.
+#[test]
+fn an_answer_that_is_cut_off_in_a_silence_is_found() {
+    let silence = |target: &str| {
+        let began = |target| HistoryEvent::SilenceBegan { target };
+        let ended = |target| HistoryEvent::SilenceEnded { target };
+        vec![
+            of_target(1_200, target, began),
+            of_target(3_000, target, ended),
+        ]
+    };
+    let draining = |target| HistoryEvent::TargetDraining { target };
+    let crashed = |target| HistoryEvent::EngineCrashed {
+        id: "r2".into(),
+        target,
+    };
+    for others in [
+        silence("i-1"),
+        vec![of_target(1_200, "i-1", draining)],
+        vec![at(1_200, HistoryEvent::LogDisturbed)],
+        vec![vm_disturbed(1_200, false)],
+        vec![at(1_200, HistoryEvent::ProcessSignalled { vm: 1 })],
+        vec![at(1_200, HistoryEvent::PathLost { vm: 1 })],
+        vec![of_target(1_200, "i-2", crashed)],
+        vec![of_target(1_005, "i-1", crashed)],
+        vec![at(900, HistoryEvent::ProcessSignalled { vm: 0 })],
+        vec![at(2_600, HistoryEvent::ProcessSignalled { vm: 0 })],
+        vec![at(2_600, HistoryEvent::PathLost { vm: 0 })],
+        vec![
+            at(100, HistoryEvent::PathLost { vm: 0 }),
+            at(900, HistoryEvent::PathRestored { vm: 0 }),
+        ],
+    ] {
+        let history = cut_stream(CallKind::Resumable, 2_500, others);
+        assert_eq!(violated(&history), [Guarantee::UncutAnswer], "{history:?}");
+    }
+}
+
+#[test]
+fn an_answer_may_be_cut_off_by_the_end_of_its_target_its_process_or_its_path() {
+    let crashed = |target| HistoryEvent::EngineCrashed {
+        id: "r2".into(),
+        target,
+    };
+    let truncated = HistoryEvent::Ran {
+        id: "r1".into(),
+        target: "i-2".into(),
+        adapter: "a1".into(),
+        is_truncated: true,
+    };
+    for others in [
+        vec![of_target(1_200, "i-1", crashed)],
+        vec![at(1_200, truncated)],
+        vec![at(1_200, HistoryEvent::ProcessSignalled { vm: 0 })],
+        vec![at(1_200, HistoryEvent::PathLost { vm: 0 })],
+        vec![at(900, HistoryEvent::SkewBegan { vm: 1 })],
+    ] {
+        let history = cut_stream(CallKind::Resumable, 2_500, others);
+        assert_eq!(violated(&history), [], "{history:?}");
+    }
+}
+
+/// An event that was cut off itself is no part of the content.
+#[test]
+fn a_part_of_an_answer_with_a_missing_or_repeated_event_is_found() {
+    let verdict = |events: &[u32], rest: &str| {
+        let text: String = events
+            .iter()
+            .map(|event| event_text("r1", *event))
+            .collect();
+        let id = "r1".into();
+        let text = text + rest;
+        violated(&[
+            sent(0, "r1", CallKind::Resumable, "a1"),
+            at(100, HistoryEvent::PartReceived { id, text }),
+        ])
+    };
+    assert_eq!(verdict(&[1, 2, 3], ""), []);
+    assert_eq!(verdict(&[1, 2, 3], "id: 9"), []);
+    assert_eq!(verdict(&[], "software"), []);
+    assert_eq!(verdict(&[1, 3], ""), [Guarantee::CompleteAnswer]);
+    assert_eq!(verdict(&[1, 2, 2], ""), [Guarantee::CompleteAnswer]);
+    assert_eq!(verdict(&[2], ""), [Guarantee::CompleteAnswer]);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -7,7 +7,7 @@
     history::{HistoryEvent, SharedHistory, TimedEntry},
     organisations::REVOCATION_BOUND,
     run::{RunPlan, SkewPlan, run_soak},
-    schedule::{FaultKind, PlannedFault, config_losses, seeded_faults},
+    schedule::{FaultKind, PlannedFault, config_losses, seeded_faults, target_silences},
     targets::InjectedDefect,
 };
 use hoplanding_standins::keyed_log::KeyedLog;
@@ -59,6 +59,7 @@
         path_loss_count: 0,
         deadly_part_count: 0,
         skew_count: 0,
+        silence_count: 0,
         skew: SkewPlan {
             rate: 400.0,
             share: 0.9,
@@ -86,6 +87,54 @@
     assert_ne!(seeded_faults(3, span, 40), seeded_faults(4, span, 40));
     assert_eq!(config_losses(3, span, 9), config_losses(3, span, 9));
     assert_ne!(config_losses(3, span, 9), config_losses(4, span, 9));
+    assert_eq!(target_silences(3, span, 9), target_silences(3, span, 9));
+    assert_ne!(target_silences(3, span, 9), target_silences(4, span, 9));
+}
+
+/// Faults that are drawn for a seed stay the same when silences are added to them.
+#[test]
+fn silences_leave_the_other_faults_of_a_seed_unchanged() {
+    let mut plan = plan("schedule", 900);
+    plan.faults = None;
+    plan.fault_count = 8;
+    plan.extra_fault_count = 4;
+    plan.config_loss_count = 1;
+    plan.path_loss_count = 2;
+    plan.deadly_part_count = 1;
+    plan.skew_count = 1;
+    let without = plan.schedule();
+    plan.silence_count = 6;
+    let mut with = plan.schedule();
+    let is_silence = |fault: &PlannedFault| FaultKind::SILENCES.contains(&fault.kind);
+    assert_eq!(with.iter().filter(|fault| is_silence(fault)).count(), 6);
+    with.retain(|fault| !is_silence(fault));
+    assert_eq!(with, without);
+}
+
+#[test]
+fn silences_come_in_series_that_depend_on_their_fault_alone() {
+    let span = Duration::from_secs(60);
+    let faults = target_silences(3, span, 200);
+    for kind in FaultKind::SILENCES {
+        assert!(faults.iter().any(|fault| fault.kind == kind), "{kind}");
+    }
+    let is_within = |duration: Duration, min_ms, max_ms| {
+        let range = Duration::from_millis(min_ms)..=Duration::from_millis(max_ms);
+        range.contains(&duration)
+    };
+    for fault in &faults {
+        let silences = fault.silences();
+        assert_eq!(silences, fault.silences());
+        assert!((2..=4).contains(&silences.len()), "{silences:?}");
+        assert!(fault.at() < span / 2, "{fault:?}");
+        for silence in silences {
+            assert!(is_within(silence.duration, 300, 4_000), "{silence:?}");
+            assert!(is_within(silence.pause, 300, 3_000), "{silence:?}");
+        }
+    }
+    let first = |for_ms| fault(0, FaultKind::OneTargetSilent, 1, for_ms).silences()[0];
+    assert_eq!(first(300).duration, Duration::from_millis(300));
+    assert_eq!(first(3_000).duration, Duration::from_secs(4));
 }
 
 /// A VM, then all but one, lose the path to all targets, while daemons that could help are killed and stopped.
