--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -12,6 +12,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
+    ops::RangeInclusive,
     time::Duration,
 };
 
@@ -384,7 +385,9 @@
 /// - a silence of targets: their connections stay open, and they go on;
 /// - a target that leaves: it finishes what runs;
 /// - a planned stop or a reload: the VM finishes what runs, and deadlines are shorter than the time it has for that;
-/// - faults of the log and of other VMs: nothing that runs needs them.
+/// - faults of the log: nothing that runs needs it;
+/// - faults of other VMs, unless the VM's path to the targets is lost or was within [`CONTACT_WINDOW`] before the request, so
+///   that the answer may come through a tunnel.
 struct CutReasons<'a> {
     /// Crashes of engines, whose connections break.
     crashes: Vec<(Duration, &'a str)>,
@@ -430,12 +433,34 @@
         };
         at - row.sent >= deadline
             || row.runs.iter().any(has_lost_target)
-            || (self.signals.iter()).any(|(time, vm)| *vm == row.vm && span.contains(time))
-            || (self.path_losses.iter())
-                .any(|loss| loss.vm == row.vm && loss.from <= at && row.sent <= loss.to)
+            || self.is_vm_disturbed(row.vm, &span)
+            || (self.may_use_tunnel(row, at)
+                && self.vms().any(|vm| self.is_vm_disturbed(vm, &span)))
             || (self.skews.iter())
                 .any(|skew| skew.from <= at && row.sent <= skew.to.saturating_add(CONTACT_WINDOW))
     }
+
+    /// Whether a VM's process was killed, suspended or resumed, or its path to the targets was lost, within a span.
+    fn is_vm_disturbed(&self, vm: usize, span: &RangeInclusive<Duration>) -> bool {
+        let mut signals = self.signals.iter();
+        let mut losses = self.path_losses.iter();
+        signals.any(|(time, signalled)| *signalled == vm && span.contains(time))
+            || losses
+                .any(|loss| loss.vm == vm && loss.from <= *span.end() && *span.start() <= loss.to)
+    }
+
+    /// Whether a VM may not have known yet at a request that its path to the targets is no longer lost.
+    fn may_use_tunnel(&self, row: &CallRow<'_>, at: Duration) -> bool {
+        self.path_losses.iter().any(|loss| {
+            loss.vm == row.vm && loss.from <= at && row.sent <= loss.to + CONTACT_WINDOW
+        })
+    }
+
+    /// VMs with a disturbance.
+    fn vms(&self) -> impl Iterator<Item = usize> {
+        let signalled = self.signals.iter().map(|(_, vm)| *vm);
+        signalled.chain(self.path_losses.iter().map(|loss| loss.vm))
+    }
 }
 
 fn check_deadly_part(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -849,6 +849,12 @@
         vec![at(1_200, HistoryEvent::ProcessSignalled { vm: 0 })],
         vec![at(1_200, HistoryEvent::PathLost { vm: 0 })],
         vec![at(900, HistoryEvent::SkewBegan { vm: 1 })],
+        // The answer may come through a tunnel of VM 1.
+        vec![
+            at(100, HistoryEvent::PathLost { vm: 0 }),
+            at(900, HistoryEvent::PathRestored { vm: 0 }),
+            at(1_200, HistoryEvent::ProcessSignalled { vm: 1 }),
+        ],
     ] {
         let history = cut_stream(CallKind::Resumable, 2_500, others);
         assert_eq!(violated(&history), [], "{history:?}");
