Test callers' connections under changing limits

A caller that takes up a connection within four fifths of the idle timeout in force meets a closed one, if the connection was accepted under a lower timeout. The limits are read once, when a connection is accepted, and a head may take as long as the idle and header timeouts together.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod foreign;
 mod guard_limits;
 mod headers;
+mod idle_limits;
 mod keys;
 mod leaving;
 mod limits;
