Apply the limits in force to callers' open connections

Callers saw connections closed that had rested for less than four fifths of the idle timeout in force, and the request that they sent over such a connection had no answer. serve_caller read the limits once, when it accepted a connection, and gave hyper a fixed time for each wait for a head: the idle and header timeouts together. A connection opened under 2 s kept that limit for good, one opened under a high limit outlived a lower one, and a head that arrived byte by byte had the idle timeout as well.

hyper now gets its sleeps from a timer of the connection, which computes the deadline from the configuration in force: when the wait begins, at each read, and when its time has come. A resting connection has the idle and header timeouts of the wait's beginning or those in force, whichever are longer, counted from the last byte that was sent to its caller; a head has the header timeout from its first byte on. A connection still has a single timer, and a change of the configuration wakes none. Planned stops are as before. The size of the head's buffer is still taken at the accept.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -34,6 +34,7 @@
 //! | [`rejections`] | calls that brittle targets may be sent at once |
 //! | [`paths`] | whether this VM has a path to the targets of each zone |
 //! | [`tunnel_peers`] | which VMs to ask for connections to targets that this VM can't reach |
+//! | [`request_wait`] | when the wait for a caller's next request ends |
 //! | [`suspects`] | requests that may crash their targets |
 //! | [`trials`] | when a suspect may run again, one trial at a time |
 //! | [`retry_budget`] | this VM's share of the fleet's retry budget |
@@ -61,6 +62,7 @@
 pub mod prefill;
 pub mod quotas;
 pub mod rejections;
+pub mod request_wait;
 pub mod restore_guard;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/daemon/src/direct/caller_connections.rs
+++ b/crates/daemon/src/direct/caller_connections.rs
@@ -5,6 +5,7 @@
     direct::{
         call::{AnswerBody, BrokenAnswer, GatewayContext, answer_call},
         error_chain::ErrorChain,
+        request_timer::watch_requests,
     },
     event,
     events::Event,
@@ -114,11 +115,8 @@
 ) {
     // The connection also works without the option, only slower: small writes wait for acknowledgements.
     let _ = stream.set_nodelay(true);
-    let limits = context
-        .fleet
-        .active()
-        .map(|active| active.config.limits)
-        .unwrap_or_default();
+    let fleet = Arc::clone(&context.fleet);
+    let limits = fleet.caller_limits();
     let is_answering = Arc::new(AtomicBool::new(false));
     let answering = Arc::clone(&is_answering);
     let service = service_fn(move |request| {
@@ -135,15 +133,17 @@
     });
     // A connection accepted during the closing phase gets one answer. A graceful shutdown would close it before its request.
     let is_closing = *stop.borrow() >= StopPhase::Closing;
-    let head_timeout = if is_closing {
-        STOPPING_HEAD_TIMEOUT
+    let (stream, timer) = watch_requests(stream, fleet);
+    let mut builder = Builder::new();
+    if is_closing {
+        builder.timer(TokioTimer::new());
     } else {
-        limits.idle_timeout + limits.header_timeout
-    };
-    let connection = Builder::new()
-        .timer(TokioTimer::new())
+        builder.timer(timer);
+    }
+    let connection = builder
         .keep_alive(!is_closing)
-        .header_read_timeout(head_timeout)
+        // Without effect on the timer of requests, which has its own limits.
+        .header_read_timeout(STOPPING_HEAD_TIMEOUT)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -22,7 +22,7 @@
     direct::{
         backoffs::BackoffTable,
         catalog::{TargetCatalog, TargetEntry, TargetStage},
-        config::FleetConfig,
+        config::{CallerLimits, FleetConfig},
         demand::DemandTable,
         freshness::{ForwardedProof, FreshnessProof, RevocationRule},
         health::HealthTable,
@@ -539,6 +539,14 @@
         self.tables().active.clone()
     }
 
+    /// Limits for callers in force.
+    #[must_use]
+    pub fn caller_limits(&self) -> CallerLimits {
+        let tables = self.tables();
+        let limits = tables.active.as_ref().map(|active| active.config.limits);
+        limits.unwrap_or_default()
+    }
+
     /// Whether callers can be served: configuration, targets and fleet are known, and API keys may
     /// be trusted, unless a restored log is the reason why no VM trusts them.
     #[must_use]
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -20,6 +20,7 @@
 //! | [`stream_records`] | which software versions began streams, as this VM, other VMs and the log know |
 //! | [`suspect_records`], [`trials`] | records and trials of requests during which targets crashed |
 //! | [`caller_connections`] | connections of callers |
+//! | [`request_timer`] | time limits of the waits for requests on them |
 //! | [`overload_control`] | what this VM takes while it has more work than processor time |
 //! | [`probes`], [`metrics`] | readiness check and metrics page |
 //! | [`call`] | one caller's request from its head to its answer |
@@ -68,6 +69,7 @@
 pub mod record_cache;
 pub mod recorder;
 pub mod reload;
+pub mod request_timer;
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
