Move a call from a silent target once another is ready, not while both have it

Cause: two sends raced until one had data, whatever became of the first target meanwhile. A call now stays with its silent target until another target has answered a request of this VM, has been connected to and the retry budget has room; only then the first connection is closed and the call is sent. What fails before costs nothing, and the call is never at two targets at once. A target that answers other requests keeps the call for 1.8 s of silence, as it is about to go on; the others are left after 1.2 s. A call that waits for a head stays where it is as soon as the path is back.

a_call_is_not_at_two_targets_after_a_silence and a_stream_whose_target_is_silent_after_the_last_event_ends_at_another pass.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -12,6 +12,7 @@
 //! | `sending` | sends once, and classifies the answer |
 //! | `stream_origin` | finds the software version that began a stream which the call takes up |
 //! | `suspicion` | which trials the call needs, and what its answer shows about the parts of its prompt |
+//! | `takeover` | finds another target for a call that waits for a silent one |
 //! | `target_probe` | finds out whether a target crashed while it ran the call |
 //! | `answers` | builds the answers to callers |
 //! | `answer_end` | logs and counts answers that end without their end |
@@ -27,6 +28,7 @@
 mod stop_plan;
 mod stream_origin;
 mod suspicion;
+mod takeover;
 mod target_probe;
 mod timeline;
 
@@ -35,8 +37,9 @@
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
 pub use placement::CallPlacement;
 pub use quota_charge::CallCharge;
-pub use sending::{InFlightGuard, OpenAnswer, OpenSends, SendOutcome};
+pub use sending::{InFlightGuard, OpenAnswer, PendingSend, PreparedSend, SendOutcome};
 pub use stop_plan::StopPlan;
+pub use takeover::SilentTarget;
 pub use target_probe::AnswerProgress;
 pub use timeline::CallTimeline;
 
@@ -340,39 +343,32 @@
         }
         let mut retry_after = DEFAULT_RETRY_AFTER;
         let mut failure = None;
-        let mut open_sends = OpenSends::default();
         loop {
-            let outcome = if open_sends.is_empty() {
-                self.asked = None;
-                let placed = match timeout_at(self.deadline, self.place()).await {
-                    Ok(placed) => placed,
-                    Err(_) => break,
-                };
-                let (entry, version, placed_call) = match placed {
-                    CallPlacement::At(entry, version, placed_call) => (entry, version, placed_call),
-                    CallPlacement::Unavailable(after) => {
-                        retry_after = after;
-                        break;
-                    }
-                    CallPlacement::OverQuota(after) => return self.quota_answer(after),
-                };
-                if self.remaining().is_zero() {
+            self.asked = None;
+            let placed = match timeout_at(self.deadline, self.place()).await {
+                Ok(placed) => placed,
+                Err(_) => break,
+            };
+            let (entry, version, placed_call) = match placed {
+                CallPlacement::At(entry, version, placed_call) => (entry, version, placed_call),
+                CallPlacement::Unavailable(after) => {
+                    retry_after = after;
                     break;
                 }
-                if let Err(fault) = self.recheck_admission()
-                    && self.runs == 0
-                {
-                    self.refund_charge();
-                    self.is_counted = true;
-                    return fault.answer(&self.context, &self.route, &self.head.id);
-                }
-                self.send(&entry, version, placed_call, None, &mut open_sends)
-                    .await
-            } else {
-                self.wait_for_answer(&mut open_sends, None).await
+                CallPlacement::OverQuota(after) => return self.quota_answer(after),
             };
-            // A target's failure answer is forwarded only if no other send succeeds.
-            match outcome {
+            if self.remaining().is_zero() {
+                break;
+            }
+            if let Err(fault) = self.recheck_admission()
+                && self.runs == 0
+            {
+                self.refund_charge();
+                self.is_counted = true;
+                return fault.answer(&self.context, &self.route, &self.head.id);
+            }
+            // A target's failure answer is forwarded only if no retry succeeds.
+            match self.send(&entry, version, placed_call, None).await {
                 SendOutcome::Success(open) => match self.pass_on(*open).await {
                     Ok(answer) => return answer,
                     Err(call) => {
@@ -387,7 +383,7 @@
                     if let Ok(body) = taken {
                         failure = Some(passed_answer(&parts, body));
                     }
-                    if open_sends.is_empty() && !self.reserve_retry() {
+                    if !self.reserve_retry() {
                         break;
                     }
                 }
@@ -495,6 +491,13 @@
         self.due.since(clock::now())
     }
 
+    /// Whether the retry budget has room for another send.
+    fn has_retry_budget(&self) -> bool {
+        let retries = &mut self.context.fleet.tables().retries;
+        let usage = retries.usage(&self.service.name, clock::now());
+        f64::from(usage.retries) + 1.0 <= usage.allowed
+    }
+
     fn spend_retry_budget(&self) -> bool {
         if !self.has_retry_time() {
             return false;
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -1,12 +1,12 @@
 //! Sends of a call to targets, and the classification of their answers.
 //!
-//! A target that is silent may still answer, so a send is given up only for the answer of another one, or when the target or
-//! the deadline ends it.
+//! A send to a target that is silent ends only when another target is ready to take the call, or when the target or the
+//! deadline ends it.
 
 use crate::{
     clock,
     direct::{
-        call::{AnswerProgress, CallPlacement, CallState},
+        call::{AnswerProgress, CallState, SilentTarget},
         fleet::FleetState,
         holder_client::PlacedCall,
         message::CallEnd,
@@ -19,11 +19,7 @@
     event,
     events::Event,
 };
-use futures_util::{
-    StreamExt,
-    future::{BoxFuture, pending},
-    stream::FuturesUnordered,
-};
+use futures_util::future::{BoxFuture, pending};
 use hoplanding_core::{
     direct::{
         catalog::{TargetEntry, TargetStage},
@@ -41,11 +37,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{mem, pin::pin, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Interval at which another target is looked for while a send waits for a silent one.
-const OTHER_SEND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// An answer whose head has been received and whose body is still to be read.
 pub struct OpenAnswer {
@@ -125,6 +119,14 @@
     }
 }
 
+/// Waits until this VM has lost the path to a zone; for ever where there is none to lose.
+async fn wait_until_lost(pool: &ConnectionPool, zone: Option<&AvailabilityZone>) {
+    match zone {
+        Some(zone) => pool.wait_until_lost(zone).await,
+        None => pending().await,
+    }
+}
+
 /// Reports how a send ended, to its holder and for the target's health.
 fn finish(placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd) {
     in_flight.finish(end);
@@ -145,61 +147,45 @@
     }
 }
 
-/// A send that waits for the head of its answer.
-pub struct PendingSend {
-    /// Name of the target.
-    pub target: TargetName,
-    /// Zone to whose targets this VM needs a path until the answer comes; none if another VM forwards the bytes.
-    direct_zone: Option<AvailabilityZone>,
-    answer: BoxFuture<'static, AnsweredSend>,
-}
-
-/// A send whose wait for an answer is over.
-pub struct AnsweredSend {
+/// A connection to a target that has not got the call yet.
+pub struct PreparedSend {
     entry: Arc<TargetEntry>,
     version: Option<u64>,
-    /// None if the holder placed no such call, or its place was released.
     placed_call: Option<PlacedCall>,
     in_flight: InFlightGuard,
-    answer: Result<(TargetConnection, Response<Incoming>), SendError>,
+    connection: TargetConnection,
 }
 
-/// Sends of one call that may still be answered. Those that are left when it is dropped are cancelled.
-#[derive(Default)]
-pub struct OpenSends {
-    answers: FuturesUnordered<BoxFuture<'static, AnsweredSend>>,
-    /// Zone on whose path the newest send depends.
-    direct_zone: Option<AvailabilityZone>,
-}
-
-impl OpenSends {
-    /// Whether no send is left that may be answered.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.answers.is_empty()
+impl PreparedSend {
+    /// Name of the target.
+    pub fn target(&self) -> &TargetName {
+        &self.entry.name
     }
+}
 
-    /// Adds a send.
-    pub fn push(&mut self, send: PendingSend) {
-        self.direct_zone = send.direct_zone;
-        self.answers.push(send.answer);
-    }
+/// A send that waits for the head of its answer. Dropping it closes its connection.
+pub struct PendingSend {
+    entry: Arc<TargetEntry>,
+    /// Zone whose path the answer needs; none if another VM forwards the bytes.
+    direct_zone: Option<AvailabilityZone>,
+    answer: BoxFuture<'static, AnsweredSend>,
+}
 
-    /// Waits until one of the sends has its answer or has failed; without any, for ever.
-    async fn next(&mut self) -> AnsweredSend {
-        match self.answers.next().await {
-            Some(answered) => answered,
-            None => pending().await,
-        }
+impl PendingSend {
+    /// Entry of the target at the time of the send.
+    pub fn entry(&self) -> Arc<TargetEntry> {
+        Arc::clone(&self.entry)
     }
 }
 
-/// Waits until this VM has lost the path to a zone; for ever where there is none to lose.
-async fn wait_until_lost(pool: &ConnectionPool, zone: Option<&AvailabilityZone>) {
-    match zone {
-        Some(zone) => pool.wait_until_lost(zone).await,
-        None => pending().await,
-    }
+/// A send whose wait for an answer is over.
+struct AnsweredSend {
+    entry: Arc<TargetEntry>,
+    version: Option<u64>,
+    /// None if the holder placed no such call, or its place was released.
+    placed_call: Option<PlacedCall>,
+    in_flight: InFlightGuard,
+    answer: Result<(TargetConnection, Response<Incoming>), SendError>,
 }
 
 impl CallState {
@@ -210,89 +196,30 @@
         version: Option<u64>,
         placed_call: Option<PlacedCall>,
         last_event: Option<u64>,
-        open: &mut OpenSends,
     ) -> SendOutcome {
-        match self
-            .begin_send(entry, version, placed_call, last_event)
-            .await
-        {
-            Ok(send) => {
-                open.push(send);
-                self.wait_for_answer(open, last_event).await
+        match self.prepare_send(entry, version, placed_call).await {
+            Ok(prepared) => {
+                let send = self.start_send(prepared, last_event);
+                self.wait_for_answer(send, last_event).await
             }
             Err(outcome) => outcome,
         }
     }
 
-    /// Waits for the head of an answer. A lost path alone ends no send, as its target may only be silent: the call goes to
-    /// another target meanwhile if it may be repeated, and the first answer counts.
-    pub async fn wait_for_answer(
-        &mut self,
-        open: &mut OpenSends,
-        last_event: Option<u64>,
-    ) -> SendOutcome {
-        let pool = Arc::clone(&self.context.pool);
-        let is_repeatable = self.route.retry_policy == RetryPolicy::Idempotent;
-        let mut is_path_lost = false;
-        loop {
-            let zone = open.direct_zone.clone().filter(|_| is_repeatable);
-            let answered = tokio::select! {
-                biased;
-                answered = open.next() => answered,
-                () = wait_until_lost(&pool, zone.as_ref()), if !is_path_lost => {
-                    is_path_lost = true;
-                    continue;
-                }
-                send = self.begin_other_send(last_event), if is_path_lost => {
-                    open.push(send);
-                    is_path_lost = false;
-                    continue;
-                }
-            };
-            let outcome = self.receive(answered).await;
-            let is_over = matches!(outcome, SendOutcome::Success(_)) || self.remaining().is_zero();
-            if is_over {
-                open.answers.clear();
-            }
-            if open.is_empty() || matches!(outcome, SendOutcome::Failure(_)) {
-                return outcome;
-            }
-        }
-    }
-
-    /// Sends the call to another target while earlier sends may still be answered. Never returns if the call may not be sent
-    /// again.
-    pub async fn begin_other_send(&mut self, last_event: Option<u64>) -> PendingSend {
-        while self.may_retry() {
-            // A path that was lost in an earlier attempt may be back.
-            self.closed_zones.clear();
-            if let CallPlacement::At(entry, version, placed_call) = self.place().await
-                && self.is_answering(&entry).await
-                && self.spend_retry_budget()
-                && let Ok(send) = self
-                    .begin_send(&entry, version, placed_call, last_event)
-                    .await
-            {
-                return send;
-            }
-            sleep(OTHER_SEND_INTERVAL).await;
-        }
-        pending().await
-    }
-
-    /// Connects to a target and hands it the call. Without a [`PendingSend`] the target has not got the call.
-    pub async fn begin_send(
+    /// Connects to a target.
+    ///
+    /// # Errors
+    /// Why the call can't be sent there.
+    pub async fn prepare_send(
         &mut self,
         entry: &Arc<TargetEntry>,
         version: Option<u64>,
         placed_call: Option<PlacedCall>,
-        last_event: Option<u64>,
-    ) -> Result<PendingSend, SendOutcome> {
+    ) -> Result<PreparedSend, SendOutcome> {
         // Another call may have shown since the placement that the request crashes its targets.
         if !self.untried_suspects().is_empty() {
             return Err(SendOutcome::Withheld);
         }
-        self.asked = Some(Arc::clone(entry));
         let trials = mem::take(&mut self.trials);
         let in_flight = InFlightGuard::new(&self.context.fleet, entry, trials);
         let reuse = match self.route.retry_policy {
@@ -317,33 +244,53 @@
         if connected.is_ok() && !self.can_send_to(entry) {
             return Err(SendOutcome::Withheld);
         }
-        let mut connection = match connected {
-            Ok(connection) => connection,
+        match connected {
+            Ok(connection) => Ok(PreparedSend {
+                entry: Arc::clone(entry),
+                version,
+                placed_call,
+                in_flight,
+                connection,
+            }),
             Err(SendError::NotSent { cause, reason, .. }) => {
-                return Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason));
+                Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason))
             }
             Err(SendError::Unanswered { cause, .. }) => {
                 let reason = UnsentReason::Unreachable;
-                return Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason));
+                Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason))
             }
-        };
+        }
+    }
+
+    /// Hands the call to a target, which may run it from now on.
+    pub fn start_send(&mut self, prepared: PreparedSend, last_event: Option<u64>) -> PendingSend {
+        let PreparedSend {
+            entry,
+            version,
+            mut placed_call,
+            in_flight,
+            mut connection,
+        } = prepared;
+        self.asked = Some(Arc::clone(&entry));
+        self.runs += 1;
         let remaining = self.remaining();
-        let request = self.request(entry, version, remaining, last_event);
+        let request = self.request(&entry, version, remaining, last_event);
         let pool = Arc::clone(&self.context.pool);
-        let entry = Arc::clone(entry);
-        let target = entry.name.clone();
         let direct_zone = connection.direct_zone().cloned();
-        let zone = direct_zone.clone();
+        // A call that may run only once stays where it is. Until its answer comes, the holder must not reserve a place for
+        // it: whether the target runs the call is unknown once the path is lost.
+        let released_zone = direct_zone
+            .clone()
+            .filter(|_| self.route.retry_policy == RetryPolicy::AtMostOnce);
+        let sent_entry = Arc::clone(&entry);
         let answer = async move {
-            let mut placed_call = placed_call;
+            let entry = sent_entry;
             let answer = {
                 let sent = timeout(remaining, pool.send(&mut connection, request));
                 let mut sent = pin!(sent);
                 tokio::select! {
                     answer = &mut sent => answer,
-                    () = wait_until_lost(&pool, zone.as_ref()) => {
-                        // Whether the target runs the call is unknown, and its answer may still come. Until then the holder
-                        // must not reserve a place for it.
+                    () = wait_until_lost(&pool, released_zone.as_ref()) => {
                         drop(placed_call.take());
                         sent.await
                     }
@@ -363,12 +310,58 @@
                 answer: answer.map(|response| (connection, response)),
             }
         };
-        self.runs += 1;
-        Ok(PendingSend {
-            target,
+        PendingSend {
+            entry,
             direct_zone,
             answer: Box::pin(answer),
-        })
+        }
+    }
+
+    /// Waits for the head of an answer. While the path to the target's zone is lost, a call that may be repeated looks for
+    /// another target.
+    pub async fn wait_for_answer(
+        &mut self,
+        mut send: PendingSend,
+        last_event: Option<u64>,
+    ) -> SendOutcome {
+        let pool = Arc::clone(&self.context.pool);
+        let is_repeatable = self.route.retry_policy == RetryPolicy::Idempotent;
+        loop {
+            let zone = send.direct_zone.clone().filter(|_| is_repeatable);
+            tokio::select! {
+                biased;
+                answered = &mut send.answer => return self.receive(answered).await,
+                () = wait_until_lost(&pool, zone.as_ref()) => {}
+            }
+            let Some(zone) = zone else {
+                continue;
+            };
+            let entry = Arc::clone(&send.entry);
+            let silent = SilentTarget {
+                entry: &entry,
+                stays_until: None,
+            };
+            let state = self.placed_state();
+            let prepared = tokio::select! {
+                biased;
+                answered = &mut send.answer => {
+                    self.restore_placed_state(&state);
+                    return self.receive(answered).await;
+                }
+                () = pool.wait_until_restored(&zone) => {
+                    self.restore_placed_state(&state);
+                    continue;
+                }
+                prepared = self.find_other_target(silent) => prepared,
+            };
+            event!(Event::NoAnswer, request = self.head.id; "at {}: the path to zone {zone} is lost; sent to {} instead",
+                entry.name,
+                prepared.target()
+            );
+            drop(send);
+            self.tried.push(entry.name.clone());
+            send = self.start_send(prepared, last_event);
+        }
     }
 
     /// Records that the call did not reach a target.
@@ -394,7 +387,7 @@
     }
 
     /// Classifies the answer of a send, and reports the outcome to the holder unless a body is left to read.
-    pub async fn receive(&mut self, answered: AnsweredSend) -> SendOutcome {
+    async fn receive(&mut self, answered: AnsweredSend) -> SendOutcome {
         let AnsweredSend {
             entry,
             version,
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -123,9 +123,18 @@
         self.context.records.record_all(&suspects).await;
     }
 
-    /// Whether a target answers a request of this VM, so that it is worth sending it a call that waits for a silent one.
+    /// Whether a target answers this VM now.
     pub async fn is_answering(&self, entry: &TargetEntry) -> bool {
-        let Some(request) = check_request(entry, &self.service) else {
+        let checks = &self.context.pool.answer_checks;
+        checks.result(entry.address, self.ask(entry)).await
+    }
+
+    /// Asks a target once for its report or health check. One that asked this VM to back off, or has neither, answers if it
+    /// accepts a connection.
+    async fn ask(&self, entry: &TargetEntry) -> bool {
+        let request = check_request(entry, &self.service)
+            .filter(|_| !self.context.fleet.is_backing_off(&entry.run()));
+        let Some(request) = request else {
             return self.probe(entry).await == ProbeVerdict::Alive;
         };
         let context = &self.context;
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -2,8 +2,8 @@
 //!
 //! The relay is the body of the caller's response: when the caller disconnects, the relay is dropped, which closes the
 //! connection to the target, and the target stops. If a resumable stream breaks, it continues after its last complete
-//! event at another target, under the response head that the caller already has. If its target is silent, it continues there
-//! or at another target, whichever sends data first.
+//! event at another target, under the response head that the caller already has. A silent target keeps the stream until
+//! another one is ready to continue it.
 
 use crate::{
     clock,
@@ -11,7 +11,7 @@
         buffered_answer::is_framed,
         call::{
             AnswerBody, AnswerEnder, AnswerProgress, BrokenAnswer, CallPlacement, CallState,
-            OpenAnswer, OpenSends, SendOutcome,
+            OpenAnswer, PendingSend, SendOutcome, SilentTarget,
         },
         error_chain::ErrorChain,
         event_splitter::EventSplitter,
@@ -29,9 +29,13 @@
 use std::{mem, sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout_at};
 
-/// Time without data after which a resumable stream is sent to another target as well; callers time out after 2 s or more.
+/// Time without data after which another target is looked for to continue a resumable stream; callers time out after 2 s or
+/// more.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time without data after which a stream leaves a target that answers other requests: its connection or its run has stuck.
+const STUCK_TIMEOUT: Duration = Duration::from_millis(1_800);
+
 /// Time from the first event until an answer counts as harmless to its target. A target that a request crashes ends as it
 /// begins to answer, and its end takes a moment to show.
 const MIN_HARMLESS_TIME: Duration = Duration::from_millis(250);
@@ -43,24 +47,14 @@
     End,
     /// The target's body broke off.
     Failed(String),
+    /// The target was silent, and another one has taken the call.
+    Moved(PendingSend),
     DeadlinePassed,
 }
 
-/// Another send of the call that goes on when the open answer breaks off.
-#[derive(Default)]
-enum StandbySend {
-    #[default]
-    Absent,
-    /// Its answer has not come yet.
-    Open(OpenSends),
-    /// It has an answer without data so far.
-    Answered(Box<OpenAnswer>),
-}
-
 struct EventRelay {
     call: CallState,
     open: Option<OpenAnswer>,
-    standby: StandbySend,
     splitter: EventSplitter,
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
@@ -88,7 +82,6 @@
     let relay = EventRelay {
         call,
         open: Some(open),
-        standby: StandbySend::Absent,
         splitter: EventSplitter::default(),
         is_resumable,
         awaits_first_event: true,
@@ -131,6 +124,13 @@
                     Err(cause) => (AnswerEnder::Target, cause),
                 },
                 StreamStep::Failed(cause) => (AnswerEnder::Target, cause),
+                StreamStep::Moved(send) => {
+                    if self.follow(send).await {
+                        continue;
+                    }
+                    let cause = "no other target could continue the stream of a silent one";
+                    return Some(Err(self.break_off(AnswerEnder::Gateway, cause)));
+                }
                 StreamStep::DeadlinePassed => {
                     self.end_open(CallEnd::Failed);
                     return Some(Err(
@@ -153,8 +153,7 @@
         let deadline = self.call.deadline;
         let may_move = self.can_resume() && self.call.may_retry();
         let open = self.open.as_mut()?;
-        // A second run of a suspect might crash another target.
-        let stalls_at = if may_move && !open.in_flight.is_trial() {
+        let stalls_at = if may_move {
             deadline.min(Instant::now() + STALL_TIMEOUT)
         } else {
             deadline
@@ -169,98 +168,75 @@
         Some(step)
     }
 
-    /// Sends the call to another target while its own is silent, and continues with the one that sends data first. The silent
-    /// target is not given up for anything less: it may go on at any time, and the other one may fail as well.
+    /// Waits until the silent target goes on or another one is ready to take the call.
     async fn outlast_stall(&mut self) -> StreamStep {
         let Some(open) = &mut self.open else {
             return StreamStep::End;
         };
         let entry = Arc::clone(&open.entry);
-        let call = &self.call;
-        // The path is checked so that the call does not go to another target over a lost one.
-        let checks = async {
-            tokio::join!(
-                call.context.pool.check_path(&entry.zone),
-                call.is_answering(&entry)
-            )
+        let stalled_at = Instant::now();
+        let last = self.splitter.last_id().or(self.call.head.last_event_id);
+        let state = self.call.placed_state();
+        let call = &mut self.call;
+        let search = async {
+            // The path is checked so that the call does not go to another target over a lost one.
+            call.context.pool.check_path(&entry.zone).await;
+            let is_answering = call.is_answering(&entry).await;
+            event!(Event::StreamStalled, request = call.head.id; "at {}: no data for {STALL_TIMEOUT:?}, last event {last:?}, other requests answered: {is_answering}",
+                entry.name
+            );
+            let silent = SilentTarget {
+                entry: &entry,
+                stays_until: Some(stalled_at + STUCK_TIMEOUT - STALL_TIMEOUT),
+            };
+            call.find_other_target(silent).await
         };
-        let ((), is_answering) = tokio::select! {
+        let prepared = tokio::select! {
             biased;
-            step = read_step(&mut open.body) => return step,
-            checked = checks => checked,
+            step = read_step(&mut open.body) => {
+                self.call.restore_placed_state(&state);
+                if let StreamStep::Data(_) = step {
+                    event!(Event::StalledStreamWentOn, request = self.call.head.id; "at {} after {:?}",
+                        entry.name,
+                        stalled_at.elapsed() + STALL_TIMEOUT
+                    );
+                }
+                return step;
+            }
+            prepared = search => prepared,
         };
-        let stalled_at = Instant::now();
-        event!(Event::StreamStalled, request = self.call.head.id; "at {}: no data for {STALL_TIMEOUT:?}, last event {:?}, other requests answered: {is_answering}",
-            entry.name,
-            self.splitter.last_id()
+        let cause = format!(
+            "silent, and {} is ready to continue the stream",
+            prepared.target()
         );
-        if !is_answering {
-            self.call.tried.push(entry.name.clone());
-        }
-        let step = self.race_stalled().await;
-        self.call.tried.retain(|tried| *tried != entry.name);
-        let goes_on = self
-            .open
-            .as_ref()
-            .is_some_and(|open| open.entry.name == entry.name);
-        if goes_on {
-            self.call.asked = Some(Arc::clone(&entry));
-        }
-        if goes_on && matches!(step, StreamStep::Data(_)) {
-            event!(Event::StalledStreamWentOn, request = self.call.head.id; "at {} {:?} later",
-                entry.name,
-                stalled_at.elapsed()
-            );
-        }
-        step
+        self.end_broken(AnswerEnder::Gateway, &cause);
+        self.splitter.take_remainder();
+        StreamStep::Moved(self.call.start_send(prepared, last))
     }
 
-    /// Waits for data of the stalled target and of another one to which the call is sent.
-    async fn race_stalled(&mut self) -> StreamStep {
+    /// Continues the stream at the target that has taken the call from a silent one. If it does not answer well, others are
+    /// tried until the deadline, as the silent target is given up already.
+    async fn follow(&mut self, mut send: PendingSend) -> bool {
         let last = self.splitter.last_id().or(self.call.head.last_event_id);
         loop {
-            let Some(open) = &mut self.open else {
-                return StreamStep::End;
-            };
-            let send = tokio::select! {
-                biased;
-                step = read_step(&mut open.body) => return step,
-                send = self.call.begin_other_send(last) => send,
-            };
-            let mut sends = OpenSends::default();
-            sends.push(send);
-            let outcome = tokio::select! {
-                biased;
-                step = read_step(&mut open.body) => {
-                    if let StreamStep::Failed(_) = step {
-                        self.standby = StandbySend::Open(sends);
-                    }
-                    return step;
-                }
-                outcome = self.call.wait_for_answer(&mut sends, last) => outcome,
+            let entry = send.entry();
+            let outcome = self.call.wait_for_answer(send, last).await;
+            if let SendOutcome::Success(open) = outcome {
+                self.continue_with(*open);
+                return true;
+            }
+            if !self.call.may_retry() {
+                return false;
+            }
+            let silent = SilentTarget {
+                entry: &entry,
+                stays_until: None,
             };
-            let SendOutcome::Success(mut other) = outcome else {
-                continue;
+            let found = timeout_at(self.call.deadline, self.call.find_other_target(silent)).await;
+            let Ok(prepared) = found else {
+                return false;
             };
-            let other_step = tokio::select! {
-                biased;
-                step = read_step(&mut open.body) => {
-                    if let StreamStep::Failed(_) = step {
-                        self.standby = StandbySend::Answered(other);
-                    }
-                    return step;
-                }
-                step = read_step(&mut other.body) => step,
-            };
-            if let StreamStep::Data(_) = other_step {
-                self.call.asked = Some(Arc::clone(&open.entry));
-                let cause = format!("silent while {} sent data", other.entry.name);
-                self.end_broken(AnswerEnder::Gateway, &cause);
-                self.splitter.take_remainder();
-                self.continue_with(other);
-                return other_step;
-            }
-            close(*other, CallEnd::Failed);
+            send = self.call.start_send(prepared, last);
         }
     }
 
@@ -376,8 +352,12 @@
 
     /// Closes the accounting of the open answer.
     fn end_open(&mut self, end: CallEnd) {
-        if let Some(open) = self.open.take() {
-            close(open, end);
+        let Some(open) = self.open.take() else {
+            return;
+        };
+        open.in_flight.finish(end);
+        if let Some(placed_call) = open.placed_call {
+            placed_call.finish(end);
         }
     }
 
@@ -432,59 +412,40 @@
         self.splitter.take_remainder();
         // A path that was lost in an earlier attempt may be back.
         self.call.closed_zones.clear();
-        let mut sends = match mem::take(&mut self.standby) {
-            StandbySend::Answered(open) => {
-                self.continue_with(open);
-                return true;
-            }
-            StandbySend::Open(sends) => sends,
-            StandbySend::Absent => OpenSends::default(),
-        };
-        loop {
-            let outcome = if sends.is_empty() {
-                if !self.call.reserve_retry() {
-                    return false;
-                }
-                let placed = timeout_at(self.call.deadline, self.call.place()).await;
-                let Ok(CallPlacement::At(entry, version, placed_call)) = placed else {
-                    return false;
-                };
-                self.call
-                    .send(&entry, version, placed_call, last, &mut sends)
-                    .await
-            } else {
-                self.call.wait_for_answer(&mut sends, last).await
+        while self.call.reserve_retry() {
+            let placed = timeout_at(self.call.deadline, self.call.place()).await;
+            let Ok(CallPlacement::At(entry, version, placed_call)) = placed else {
+                return false;
             };
-            if let SendOutcome::Success(open) = outcome {
-                self.continue_with(open);
-                return true;
+            match self.call.send(&entry, version, placed_call, last).await {
+                SendOutcome::Success(open) => {
+                    self.continue_with(*open);
+                    return true;
+                }
+                SendOutcome::Failure(_)
+                | SendOutcome::NotRun
+                | SendOutcome::NotSent
+                | SendOutcome::Withheld
+                | SendOutcome::Unknown => {}
             }
         }
+        false
     }
 
     /// Continues the stream with the answer of another target.
-    fn continue_with(&mut self, open: Box<OpenAnswer>) {
+    fn continue_with(&mut self, open: OpenAnswer) {
         event!(Event::StreamResumed, request = self.call.head.id; "at {} from {:?}, software version {:?}",
             open.entry.name,
             self.splitter.last_id().or(self.call.head.last_event_id),
             open.entry.software
         );
-        self.call.asked = Some(Arc::clone(&open.entry));
-        self.open = Some(*open);
+        self.open = Some(open);
         self.awaits_first_event = true;
         self.first_event_at = None;
         self.is_recorded_harmless = false;
     }
 }
 
-/// Closes the accounting of an answer.
-fn close(open: OpenAnswer, end: CallEnd) {
-    open.in_flight.finish(end);
-    if let Some(placed_call) = open.placed_call {
-        placed_call.finish(end);
-    }
-}
-
 /// Waits for the next data of a body, or its end.
 async fn read_step(body: &mut Incoming) -> StreamStep {
     loop {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -28,6 +28,7 @@
 //! | [`error_chain`] | errors with their sources, for the log |
 //! | [`event_splitter`] | splits the bytes of a stream into complete events |
 //! | [`paths`] | own connections to targets, and tunnels through other VMs |
+//! | [`answer_checks`] | whether single targets answer this VM |
 //! | [`target_connections`] | connections to targets, and single requests over them |
 //! | [`notices`] | notices that targets include in their answers |
 //! | [`skipped`] | limits log lines about unusable entries |
@@ -38,6 +39,7 @@
 //! | [`holder_client`] | a gateway's access to the holder of a zone, with the requests and notifications sent to it |
 //! | [`links`], [`message`], [`vm_socket`] | links between VMs, their messages and connections |
 
+pub mod answer_checks;
 pub mod buffered_answer;
 pub mod call;
 pub mod caller_connections;
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -212,6 +212,13 @@
         let _ = changes.wait_for(|_| self.is_lost(zone)).await;
     }
 
+    /// Waits until there is a path to a zone's targets.
+    pub async fn wait_until_restored(&self, zone: &AvailabilityZone) {
+        let mut changes = self.changes.subscribe();
+        // The sender lives as long as `self`.
+        let _ = changes.wait_for(|_| !self.is_lost(zone)).await;
+    }
+
     /// Connects to a target within a time limit. If that fails, finds out first whether the path is lost.
     ///
     /// # Errors
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock,
     direct::{
+        answer_checks::AnswerChecks,
         error_chain::ErrorChain,
         fleet::FleetState,
         paths::{
@@ -133,6 +134,8 @@
     paths: Arc<PathMonitor>,
     tunnels: Arc<TunnelClient>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Which targets answer this VM.
+    pub answer_checks: AnswerChecks,
 }
 
 /// Which idle connections a send may use.
@@ -154,6 +157,7 @@
             paths,
             tunnels,
             idle: Mutex::default(),
+            answer_checks: AnswerChecks::default(),
         }
     }
 
@@ -249,6 +253,11 @@
         self.paths.wait_until_lost(zone).await;
     }
 
+    /// Waits until there is a path to a zone's targets.
+    pub async fn wait_until_restored(&self, zone: &AvailabilityZone) {
+        self.paths.wait_until_restored(zone).await;
+    }
+
     /// Connects to a target directly.
     async fn connect(
         &self,
@@ -342,8 +351,9 @@
         }
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, and forgets old checks.
     pub fn close_expired(&self) {
+        self.answer_checks.forget_unused();
         let now = clock::now();
         let mut idle = self
             .idle
--- a/crates/daemon/tests/direct/silences.rs
+++ b/crates/daemon/tests/direct/silences.rs
@@ -55,6 +55,18 @@
 const RESUMABLE: &str = "/resumed/1";
 const NOT_RESUMABLE: &str = "/plan/1";
 
+/// Resumable streams whose head is late, that pause at an event, or whose end comes late after the last event, each where the
+/// stream begins.
+const LATE_HEAD: &str = "/resumed/late-head";
+const LONG_PAUSE: &str = "/resumed/long-pause";
+const LATE_END: &str = "/resumed/late-end";
+/// Longer than a stream waits for a target that answers other requests.
+const LONG_DELAY: Duration = Duration::from_secs(3);
+/// Event before which a stream pauses.
+const PAUSED_AT: u32 = 20;
+/// Time for which a call may be at two targets.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// A zone of three VMs, six engines and three plain targets.
 struct SilentSite {
     vms: Vec<DirectDaemon>,
@@ -98,11 +110,27 @@
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    let mut pieces = vec![(HEAD_DELAY, stream_head(request))];
+    let line = request.request_line();
+    let is_first = last == 0;
+    let head_delay = match line.contains(LATE_HEAD) {
+        true => LONG_DELAY,
+        false => HEAD_DELAY,
+    };
+    let mut pieces = vec![(head_delay, stream_head(request))];
     for id in last + 1..=EVENTS {
-        pieces.push((EVENT_INTERVAL, chunk(&stream_event(id))));
+        let is_delayed = line.contains(LONG_PAUSE) && is_first && id == PAUSED_AT;
+        let delay = if is_delayed {
+            LONG_DELAY
+        } else {
+            EVENT_INTERVAL
+        };
+        pieces.push((delay, chunk(&stream_event(id))));
     }
-    pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+    let end_delay = match line.contains(LATE_END) && is_first {
+        true => EVENT_INTERVAL * PAUSED_AT,
+        false => Duration::ZERO,
+    };
+    pieces.push((end_delay, b"0\r\n\r\n".to_vec()));
     RawResponse {
         pieces,
         closes_connection: false,
@@ -534,3 +562,59 @@
         assert!(elapsed < RELEASE_TIMEOUT, "{path}: {elapsed:?}");
     }
 }
+
+/// Starts a single stream, and waits until an engine has it.
+async fn start_single(site: &SilentSite, path: &'static str) -> JoinHandle<CallerStream> {
+    let address = site.vms[1].caller_address;
+    let stream = tokio::spawn(read_stream(address, path, "r1".to_owned()));
+    wait_for("the send", async || site.sends(path).len() == 1).await;
+    stream
+}
+
+/// Follows the only stream of a VM; returns the longest time for which it was at two targets.
+async fn longest_overlap(site: &SilentSite, stream: &JoinHandle<CallerStream>) -> Duration {
+    let mut longest = Duration::ZERO;
+    let mut since = None;
+    while !stream.is_finished() {
+        let open: u32 = site.vms[1].fleet().tables().in_flight.values().sum();
+        if open > 1 {
+            longest = longest.max(since.get_or_insert_with(Instant::now).elapsed());
+        } else {
+            since = None;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    longest
+}
+
+/// Guards against a call that runs at another target while its first one, which is sound, still has it.
+#[tokio::test]
+async fn a_call_is_not_at_two_targets_after_a_silence() {
+    for (path, has_silence) in [(LONG_PAUSE, false), (LATE_HEAD, true)] {
+        let site = SilentSite::start().await;
+        let stream = start_single(&site, path).await;
+        if has_silence {
+            site.silence_all().await;
+        }
+        let overlap = longest_overlap(&site, &stream).await;
+        let stream = stream.await.expect("a caller");
+        assert!(overlap < MAX_OVERLAP, "{path}: {overlap:?}");
+        assert!(stream.is_sound(), "{path}: {stream:?}");
+        let sends = &site.sends(path)["r1"];
+        assert!(sends.len() <= MAX_ATTEMPTS, "{path}: {sends:?}");
+        assert!(sends.len() < 2 || sends[0] != sends[1], "{path}: {sends:?}");
+    }
+}
+
+/// Guards against a stream that lacks its end though another target has ended it.
+#[tokio::test]
+async fn a_stream_whose_target_is_silent_after_the_last_event_ends_at_another() {
+    let site = SilentSite::start().await;
+    let stream = start_single(&site, LATE_END).await;
+    let engine = site.busiest_engine(LATE_END);
+    sleep(HEAD_DELAY + EVENT_INTERVAL * EVENTS + EVENT_INTERVAL * (PAUSED_AT / 2)).await;
+    site.engines[engine].set_silent(true);
+    let stream = stream.await.expect("a caller");
+    assert!(stream.is_sound(), "{stream:?}");
+    assert!(stream.longest_gap < CALLER_TIMEOUT, "{stream:?}");
+}
