Serve tunnels only to zones whose targets answer

While all targets of a zone were silent, streams that can't be resumed went through another VM, and one of them ended when that VM was killed, though nothing lay between its own VM and the targets. The VM with waiting calls takes the silence for a lost path, and asks the others; a VM without calls has not noticed the silence, and silent targets accept its connections, so it opened tunnels to them. Each counted as proof that only the asking VM had lost its path, for which a holder gives its lease up.

A VM now serves a tunnel to a zone if a target there sent it something within the last 150 ms, or if one answers a check, which asks for the report or the health check; else it refuses with PathLost. A zone with too few targets for a check counts as answering, as before. In a partition the VMs that reach the zone hear its targets all the time, so that they need no check.

Calls that begin in such a silence at a VM that has noticed it are refused as not run, with Retry-After, where they waited behind a tunnel before.

--- a/crates/core/src/direct/paths.rs
+++ b/crates/core/src/direct/paths.rs
@@ -14,6 +14,8 @@
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval between checks of a lost path.
 const LOST_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a path counts as open after a target of the zone sent something, without a check.
+const MAX_HEARD_AGE: Duration = Duration::from_millis(150);
 /// Age up to which the result of a check is used instead of a new check.
 const MAX_RESULT_AGE: Duration = Duration::from_millis(100);
 /// Time after a path was restored within which it is not considered stable.
@@ -138,6 +140,13 @@
         })
     }
 
+    /// Whether a target of a zone sent something so lately that no check is needed to show that targets there answer.
+    #[must_use]
+    pub fn is_heard_lately(&self, zone: &AvailabilityZone, now: Instant) -> bool {
+        let path = self.zones.get(zone);
+        path.is_some_and(|path| now.since(path.heard_at) <= MAX_HEARD_AGE)
+    }
+
     /// Zones whose path is to be checked now: lost ones at an interval, others after a silence.
     #[must_use]
     pub fn due_checks(&self, now: Instant) -> Vec<AvailabilityZone> {
--- a/crates/core/tests/direct_paths.rs
+++ b/crates/core/tests/direct_paths.rs
@@ -43,6 +43,19 @@
     assert!(paths.due_checks(at(9_000)).is_empty());
 }
 
+/// Connections to silent targets can be made, so that only what a target sends shows that it answers.
+#[test]
+fn a_zone_whose_targets_have_sent_nothing_lately_does_not_count_as_heard() {
+    let mut paths = PathTable::default();
+    assert!(!paths.is_heard_lately(&hall(), at(0)));
+    paths.record_wait(&hall(), at(0));
+    assert!(!paths.is_heard_lately(&hall(), at(10)));
+    paths.record_heard(&hall(), at(0), at(20));
+    assert!(paths.is_heard_lately(&hall(), at(100)));
+    assert!(!paths.is_heard_lately(&AvailabilityZone::new("quay"), at(100)));
+    assert!(!paths.is_heard_lately(&hall(), at(300)));
+}
+
 /// A VM that was partitioned for a while must not use its own path before it is back, nor the tunnel for long after.
 #[test]
 fn a_lost_path_is_checked_until_a_target_answers() {
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -266,6 +266,17 @@
         self.check(zone, opened_at, false).await;
     }
 
+    /// Whether targets of a zone answer this VM, by what was heard of them lately or by a check. A zone with too few targets
+    /// for a check counts as answering.
+    pub async fn is_zone_answering(&self, zone: &AvailabilityZone) -> bool {
+        let now = clock::now();
+        let is_heard = self.table().is_heard_lately(zone, now);
+        if !is_heard {
+            self.check(zone, now, false).await;
+        }
+        !self.is_lost(zone)
+    }
+
     /// Checks the path to a zone, unless its state is known since `attempted_at`. A check that is `due` runs in any case.
     async fn check(&self, zone: &AvailabilityZone, attempted_at: Instant, is_due: bool) {
         let lock = {
--- a/crates/daemon/src/direct/paths/tunnel_server.rs
+++ b/crates/daemon/src/direct/paths/tunnel_server.rs
@@ -1,5 +1,8 @@
 //! Tunnels that this VM serves: it connects to a target for another VM that has lost its own path.
 //!
+//! A tunnel is only served to a zone whose targets answer this VM. That a connection can be made shows too little, as it is
+//! also accepted for a target whose process is silent.
+//!
 //! The number of tunnels is limited, so that they do not take the processor from this VM's own callers. A target's
 //! orderly close is forwarded as a closing handshake, and its reset as a broken connection, so that the other VM can
 //! tell a complete answer from a truncated one.
@@ -92,7 +95,7 @@
 
     async fn connect(&self, site: TargetSite<'_>) -> Result<WatchedStream, TunnelFault> {
         // A path that is known to be lost is not tried by each tunnel; checks of its own show its return.
-        if self.paths.is_lost(site.zone) {
+        if self.paths.is_lost(site.zone) || !self.paths.is_zone_answering(site.zone).await {
             return Err(TunnelFault::PathLost);
         }
         let connected = self.paths.connect(site, CONNECT_TIMEOUT).await;
--- a/crates/daemon/tests/direct/silences.rs
+++ b/crates/daemon/tests/direct/silences.rs
@@ -4,8 +4,8 @@
 //! stream waits for its next event. Only a target that stays silent loses its streams, to one that answers.
 
 use crate::support::{
-    HOST, chunk, config_json, decode_chunked, good_answer, is_ready, model_headers, read_answer,
-    seal_headers, stream_event, stream_head, target_entry, vm_settings, wait_for,
+    Answer, HOST, chunk, config_json, decode_chunked, good_answer, is_ready, model_headers,
+    read_answer, seal_headers, stream_event, stream_head, target_entry, vm_settings, wait_for,
 };
 use hoplanding_standins::{
     keyed_log::KeyedLog,
@@ -54,6 +54,8 @@
 /// Route of streams that continue at another target, and of those that do not.
 const RESUMABLE: &str = "/resumed/1";
 const NOT_RESUMABLE: &str = "/plan/1";
+/// Routes whose calls may run only once: streams, and buffered answers.
+const RUN_ONCE: [&str; 2] = [NOT_RESUMABLE, "/scan/1"];
 
 /// Resumable streams whose head is late, that pause at an event, or whose end comes late after the last event, each where the
 /// stream begins.
@@ -162,6 +164,26 @@
     stream
 }
 
+fn spawn_call(address: SocketAddr, path: &'static str, id: &str) -> JoinHandle<Answer> {
+    let id = id.to_owned();
+    tokio::spawn(async move {
+        let mut stream = send(address, path, &id).await;
+        let answer = timeout(READ_TIMEOUT, read_answer(&mut stream)).await;
+        answer.expect("an answer")
+    })
+}
+
+/// Connections to targets that a VM asked others for, by the label of the result, or with any result.
+fn tunnel_count(vm: &DirectDaemon, result: &str) -> usize {
+    let page = vm.fleet().metrics.page(vm.fleet());
+    let lines = page
+        .lines()
+        .filter(|line| line.starts_with("hoplanding_tunnels_total{") && line.contains(result));
+    lines
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok())
+        .sum()
+}
+
 async fn read_stream(address: SocketAddr, path: &str, id: String) -> CallerStream {
     let mut stream = send(address, path, &id).await;
     let mut bytes = Vec::new();
@@ -307,6 +329,14 @@
         sends
     }
 
+    /// Number of times that targets received a request.
+    fn runs(&self, id: &str) -> usize {
+        let targets = self.engines.iter().chain(&self.plain);
+        let requests = targets.flat_map(RawTarget::requests);
+        let has_id = |request: &RawRequest| request.header("hoplanding-request-id") == Some(id);
+        requests.filter(has_id).count()
+    }
+
     /// Index of the engine that has received most streams.
     fn busiest_engine(&self, path: &str) -> usize {
         let sends = self.sends(path);
@@ -618,3 +648,44 @@
     assert!(stream.is_sound(), "{stream:?}");
     assert!(stream.longest_gap < CALLER_TIMEOUT, "{stream:?}");
 }
+
+/// Silent targets accept connections, so a VM that has not noticed the silence can connect to them for another one.
+#[tokio::test]
+async fn no_tunnel_is_opened_to_targets_that_are_silent_for_all_vms() {
+    const CALLS: usize = 4;
+    let site = SilentSite::start().await;
+    let asking = &site.vms[0];
+    site.set_all_silent(true);
+    let mut calls = vec![(
+        "first".to_owned(),
+        spawn_call(asking.caller_address, NOT_RESUMABLE, "first"),
+    )];
+    wait_for("an answer of another VM", async || {
+        tunnel_count(asking, "") > 0
+    })
+    .await;
+    for number in 0..CALLS {
+        for path in RUN_ONCE {
+            let id = format!("silent-{path}-{number}");
+            let call = spawn_call(asking.caller_address, path, &id);
+            calls.push((id, call));
+        }
+        sleep(LIVELY_TIME).await;
+    }
+    let opened = site.vms.iter().map(|vm| tunnel_count(vm, "\"Opened\""));
+    let opened: Vec<_> = opened.collect();
+    site.set_all_silent(false);
+    let mut failures = Vec::new();
+    for (id, call) in calls {
+        let answer = call.await.expect("a caller");
+        let runs = site.runs(&id);
+        let is_refused = answer.status == 503 && answer.has_header("retry-after: ") && runs == 0;
+        let is_answered = answer.status == 200 && answer.is_whole && runs == 1;
+        if !is_refused && !is_answered {
+            let status = answer.status;
+            failures.push(format!("{id}: status {status}, {runs} runs"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+    assert_eq!(opened, [0; VMS], "tunnels opened in the silence");
+}
