Answer a call at its deadline without a probe of its late target

Callers whose target was silent until their deadline got their 504 late. A send without an answer made the VM probe the target before the caller was answered, also where only the deadline had passed; with a silent target that is two probes of up to 0.2 s and a pause of 0.05 s. Such a target has shown no end, so the probe tells nothing that the call could still use.

The send now says whether the deadline ended the wait or the connection to the target failed, and only the latter is probed. In a trial the target is still probed after the deadline, as one that doesn't answer counts as crashed there. Buffered answers that are not complete at the deadline were already not probed.

--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -186,6 +186,8 @@
     placed_call: Option<PlacedCall>,
     in_flight: InFlightGuard,
     answer: Result<(TargetConnection, Response<Incoming>), SendError>,
+    /// Whether the deadline ended the wait, and not the target.
+    is_overdue: bool,
 }
 
 impl CallState {
@@ -296,6 +298,7 @@
                     }
                 }
             };
+            let is_overdue = answer.is_err();
             let answer = answer.unwrap_or_else(|_| {
                 Err(SendError::Unanswered {
                     target: entry.name.clone(),
@@ -308,6 +311,7 @@
                 placed_call,
                 in_flight,
                 answer: answer.map(|response| (connection, response)),
+                is_overdue,
             }
         };
         PendingSend {
@@ -394,6 +398,7 @@
             placed_call,
             in_flight,
             answer,
+            is_overdue,
         } = answered;
         let (connection, response) = match answer {
             Ok(answer) => answer,
@@ -403,8 +408,12 @@
             }
             Err(SendError::Unanswered { target, cause }) => {
                 event!(Event::NoAnswer, request = self.head.id; "at {target}: {cause}");
-                self.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
-                    .await;
+                let is_trial = in_flight.is_trial();
+                // A target that is only late has shown no end, and a probe would delay the answer to the caller.
+                if is_trial || !is_overdue {
+                    self.probe_after_failure(&entry, is_trial, AnswerProgress::Begun)
+                        .await;
+                }
                 finish(placed_call, in_flight, CallEnd::Failed);
                 self.tried.push(target);
                 return SendOutcome::Unknown;
--- a/crates/daemon/tests/direct/silences.rs
+++ b/crates/daemon/tests/direct/silences.rs
@@ -3,9 +3,12 @@
 //! An answer that has begun is whole for its caller although its target, or all targets, are silent for longer than a resumable
 //! stream waits for its next event. Only a target that stays silent loses its streams, to one that answers.
 
-use crate::support::{
-    Answer, HOST, chunk, config_json, decode_chunked, good_answer, is_ready, model_headers,
-    read_answer, seal_headers, stream_event, stream_head, target_entry, vm_settings, wait_for,
+use crate::{
+    log_recorder::{lines_of, record_lines},
+    support::{
+        Answer, HOST, chunk, config_json, decode_chunked, good_answer, is_ready, model_headers,
+        read_answer, seal_headers, stream_event, stream_head, target_entry, vm_settings, wait_for,
+    },
 };
 use hoplanding_standins::{
     keyed_log::KeyedLog,
@@ -68,6 +71,7 @@
 const PAUSED_AT: u32 = 20;
 /// Time for which a call may be at two targets.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
+const TARGET_END_UNCONFIRMED: u64 = 817;
 
 /// A zone of three VMs, six engines and three plain targets.
 struct SilentSite {
@@ -689,3 +693,24 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
     assert_eq!(opened, [0; VMS], "tunnels opened in the silence");
 }
+
+#[tokio::test]
+async fn a_call_whose_silent_target_exceeds_its_deadline_is_answered_without_a_probe() {
+    const TIMEOUT_MS: u64 = 1_500;
+    record_lines();
+    let site = SilentSite::start().await;
+    let config = patient_config(2, TIMEOUT_MS, 15_000);
+    site.publish_config(2, &config).await;
+    site.set_all_silent(true);
+    let mut calls = Vec::new();
+    for path in RUN_ONCE {
+        let id = format!("overdue-{path}");
+        let call = spawn_call(site.vms[0].caller_address, path, &id);
+        calls.push((id, call));
+    }
+    for (id, call) in calls {
+        let answer = call.await.expect("a caller");
+        assert_eq!(answer.status, 504, "{id}");
+        assert_eq!(lines_of(&id, TARGET_END_UNCONFIRMED), [""; 0], "{id}");
+    }
+}
