Do not blame a planned stop for calls whose targets were silent until their deadline

A call at its deadline is now left out if one of its targets was silent for at least half of the time; calls that end earlier, or whose targets were not silent, are judged as before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -969,6 +969,7 @@
 fn check_planned_stops(history: &[TimedEntry], calls: &CallTable<'_>) -> Vec<Violation> {
     let mut found = Vec::new();
     let losses = path_loss_spans(history);
+    let silences = silence_spans(history);
     let crashed: HashSet<&str> = history
         .iter()
         .filter_map(|entry| match &entry.event {
@@ -984,8 +985,10 @@
             loss.vm == row.vm && loss.from <= at && row.sent <= loss.to + CONTACT_WINDOW
         });
         // A call that was served until its deadline was not interrupted.
-        let is_overdue =
-            id.starts_with(SKEWED_CALL_PREFIX) && at.saturating_sub(row.sent) >= SKEWED_DEADLINE;
+        let is_overdue = match id.starts_with(SKEWED_CALL_PREFIX) {
+            true => at - row.sent >= SKEWED_DEADLINE,
+            false => at - row.sent >= CALL_TIMEOUT && is_mostly_silent(&silences, row, at),
+        };
         let is_interrupted =
             !is_overdue && matches!(answer, CallAnswer::Truncated(_) | CallAnswer::NoAnswer);
         let disturbances: Vec<_> = history
@@ -1016,6 +1019,48 @@
     found
 }
 
+/// Span in which a target neither read nor wrote.
+struct SilenceSpan<'a> {
+    target: &'a str,
+    from: Duration,
+    to: Duration,
+}
+
+fn silence_spans(history: &[TimedEntry]) -> Vec<SilenceSpan<'_>> {
+    let began = history.iter().enumerate().filter_map(|(index, entry)| {
+        let HistoryEvent::SilenceBegan { target } = &entry.event else {
+            return None;
+        };
+        let ended = history[index..].iter().find(|later| {
+            matches!(&later.event, HistoryEvent::SilenceEnded { target: ended } if ended == target)
+        });
+        Some(SilenceSpan {
+            target,
+            from: entry.at,
+            to: ended.map_or(Duration::MAX, |ended| ended.at),
+        })
+    });
+    began.collect()
+}
+
+/// Whether a target of a request was silent for at least half of the time until its answer.
+fn is_mostly_silent(silences: &[SilenceSpan<'_>], row: &CallRow<'_>, at: Duration) -> bool {
+    row.runs.iter().any(|run| {
+        let of_target = silences
+            .iter()
+            .filter(|silence| silence.target == run.target);
+        let silent: Duration = of_target
+            .map(|silence| {
+                silence
+                    .to
+                    .min(at)
+                    .saturating_sub(silence.from.max(row.sent))
+            })
+            .sum();
+        silent * 2 >= at - row.sent
+    })
+}
+
 fn check_config_order(history: &[TimedEntry]) -> Vec<Violation> {
     let mut newest: HashMap<(usize, u32), u64> = HashMap::new();
     let mut found = Vec::new();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -220,6 +220,34 @@
     );
 }
 
+/// A call that its caller gives up at its deadline is not interrupted if its target was silent for half of that time.
+#[test]
+fn planned_stop_is_not_blamed_for_calls_that_wait_for_a_silent_target() {
+    let given_up = |given_up_ms, target: &str, silences: &[(u64, u64)]| {
+        let began = |target| HistoryEvent::SilenceBegan { target };
+        let ended = |target| HistoryEvent::SilenceEnded { target };
+        let mut history = vec![
+            sent(1_000, "r1", CallKind::Stream, "a1"),
+            ran(1_010, "r1", "i-1", "a1"),
+            vm_disturbed(2_000, true),
+            answered(given_up_ms, "r1", CallAnswer::NoAnswer),
+        ];
+        for (from, to) in silences {
+            history.push(of_target(*from, target, began));
+            history.push(of_target(*to, target, ended));
+        }
+        history.sort_by_key(|entry| entry.at);
+        violated(&history)
+    };
+    let half = [(500, 2_500), (3_000, 4_500)];
+    assert_eq!(given_up(7_000, "i-1", &half), []);
+    let found = [Guarantee::PlannedStop];
+    assert_eq!(given_up(6_900, "i-1", &half), found);
+    assert_eq!(given_up(7_000, "i-2", &half), found);
+    assert_eq!(given_up(7_000, "i-1", &half[..1]), found);
+    assert_eq!(given_up(7_000, "i-1", &[(8_000, 9_000)]), found);
+}
+
 /// As for planned stops; a reload at another VM explains nothing.
 #[test]
 fn settings_reload_interrupts_nothing() {
