Name the VM through which a broken answer came

Lines about answers that ended early (E601, E814, E815, E824) did not say whether the connection to the target went through another VM, whose stop or kill ends it as well. They now name that VM.

--- a/crates/daemon/src/direct/call/answer_end.rs
+++ b/crates/daemon/src/direct/call/answer_end.rs
@@ -11,7 +11,7 @@
     event,
     events::Event,
 };
-use hoplanding_core::ids::TargetName;
+use hoplanding_core::ids::{TargetName, VmName};
 use std::{fmt, net::SocketAddr, time::Duration};
 
 /// Who ended an answer before its end.
@@ -47,6 +47,8 @@
     pub ender: AnswerEnder,
     /// The target that answered, or was asked last.
     pub target: Option<&'a TargetName>,
+    /// The VM that forwarded the bytes of the connection to the target, if another one did.
+    pub through: Option<&'a VmName>,
     /// What happened.
     pub cause: &'a str,
     /// Id of the last event that was relayed.
@@ -65,6 +67,9 @@
         if let Some(target) = self.target {
             write!(f, " at {target}")?;
         }
+        if let Some(vm) = self.through {
+            write!(f, " through VM {vm}")?;
+        }
         write!(f, ": {}, last event {:?}", self.cause, self.last_event)?;
         match self.data_age {
             Some(age) => write!(f, ", last data {age:?} ago")?,
@@ -83,7 +88,8 @@
     ) -> UnfinishedAnswer<'a> {
         UnfinishedAnswer {
             ender,
-            target: self.asked.as_ref().map(|entry| &entry.name),
+            target: self.asked.as_ref().map(|asked| &asked.entry.name),
+            through: self.asked.as_ref().and_then(|asked| asked.through.as_ref()),
             cause,
             last_event: self.last_event,
             data_age: self.last_data_at.map(|at| at.elapsed()),
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -75,7 +75,7 @@
         planner::RefusalCause,
         suspects::RequestFingerprint,
     },
-    ids::{self, AvailabilityZone, SoftwareVersion, TargetName},
+    ids::{self, AvailabilityZone, SoftwareVersion, TargetName, VmName},
 };
 use hoplanding_platform::message_heads::{CallHead, decode_call_head};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -118,6 +118,15 @@
     pub stop: Arc<OnceLock<StopPlan>>,
 }
 
+/// A target to which a call was sent.
+#[derive(Clone, Debug)]
+pub struct AskedTarget {
+    /// Its entry at the time of the send.
+    pub entry: Arc<TargetEntry>,
+    /// The VM that forwards the bytes of the connection, if another one does.
+    pub through: Option<VmName>,
+}
+
 /// A call under way.
 pub struct CallState {
     /// State shared by all calls.
@@ -161,7 +170,7 @@
     /// Address of the engine from which the chosen engine fetches cached parts of the prompt.
     pub fetch_source: Option<SocketAddr>,
     /// The target to which the call was sent last, unless it is being placed.
-    pub asked: Option<Arc<TargetEntry>>,
+    pub asked: Option<AskedTarget>,
     /// When a target last sent the head of a success, or data of a stream.
     pub last_data_at: Option<Instant>,
     /// Id of the last event that was relayed.
@@ -245,6 +254,7 @@
             let unfinished = UnfinishedAnswer {
                 ender: AnswerEnder::Caller,
                 target: None,
+                through: None,
                 cause: &format!("before the end of its request, {cause}"),
                 last_event: None,
                 data_age: None,
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock,
     direct::{
-        call::{AnswerProgress, CallState, SilentTarget},
+        call::{AnswerProgress, AskedTarget, CallState, SilentTarget},
         fleet::FleetState,
         holder_client::PlacedCall,
         message::CallEnd,
@@ -273,7 +273,10 @@
             in_flight,
             mut connection,
         } = prepared;
-        self.asked = Some(Arc::clone(&entry));
+        self.asked = Some(AskedTarget {
+            entry: Arc::clone(&entry),
+            through: connection.forwarder().cloned(),
+        });
         self.runs += 1;
         let remaining = self.remaining();
         let request = self.request(&entry, version, remaining, last_event);
@@ -453,7 +456,6 @@
         };
         match kind {
             AnswerKind::Success => {
-                self.asked = Some(Arc::clone(&entry));
                 self.last_data_at = Some(Instant::now());
                 SendOutcome::Success(open_answer(placed_call, in_flight))
             }
--- a/crates/daemon/src/direct/call/takeover.rs
+++ b/crates/daemon/src/direct/call/takeover.rs
@@ -18,7 +18,7 @@
 pub struct SilentTarget<'a> {
     /// Its entry at the time of the send.
     pub entry: &'a TargetEntry,
-    /// Time until which the call stays if the target answers other requests.
+    /// Time until which the call stays if the target answers other requests; none if that is not asked.
     pub stays_until: Option<Instant>,
 }
 
@@ -56,12 +56,13 @@
         let tried = self.tried.len();
         let mut pause = MIN_ATTEMPT_PAUSE;
         while self.may_retry() {
-            let stays_until = silent.stays_until.unwrap_or_else(Instant::now);
-            let mut is_answering =
-                silent.stays_until.is_some() && self.is_answering(silent.entry).await;
-            if is_answering && Instant::now() < stays_until {
-                sleep_until(stays_until).await;
+            let mut is_answering = false;
+            if let Some(stays_until) = silent.stays_until {
                 is_answering = self.is_answering(silent.entry).await;
+                if is_answering && Instant::now() < stays_until {
+                    sleep_until(stays_until).await;
+                    is_answering = self.is_answering(silent.entry).await;
+                }
             }
             // A target that answers has lost the connection or the run; it may take the call again.
             let excluded = (!is_answering).then(|| silent.entry.name.clone());
--- a/crates/daemon/src/direct/paths/tunnel_client.rs
+++ b/crates/daemon/src/direct/paths/tunnel_client.rs
@@ -88,6 +88,14 @@
     vm: VmName,
 }
 
+impl TunnelGuard {
+    /// The VM that serves the tunnel.
+    #[must_use]
+    pub fn vm(&self) -> &VmName {
+        &self.vm
+    }
+}
+
 impl Drop for TunnelGuard {
     fn drop(&mut self) {
         self.client.peers().record_close(&self.vm);
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use hoplanding_core::{
     direct::catalog::TargetEntry,
-    ids::{AvailabilityZone, Instant, TargetName, TargetRun},
+    ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -471,6 +471,12 @@
         &self.run.name
     }
 
+    /// The VM that forwards the connection's bytes, if another one does.
+    #[must_use]
+    pub fn forwarder(&self) -> Option<&VmName> {
+        self.tunnel.as_ref().map(TunnelGuard::vm)
+    }
+
     /// Zone of the target, if the connection depends on this VM's own path to it.
     #[must_use]
     pub fn direct_zone(&self) -> Option<&AvailabilityZone> {
--- a/crates/daemon/tests/direct/tunnels.rs
+++ b/crates/daemon/tests/direct/tunnels.rs
@@ -1,6 +1,7 @@
 //! Calls of a VM without a path to targets, which reach them through a tunnel of another VM.
 
 use crate::keys::{KEY, keyed_config, test_organisation};
+use crate::log_recorder::{lines_of, record_lines};
 use crate::support::{
     Answer, chunk, config_json, decode_chunked, good_answer, is_ready, model_headers, post_request,
     process_runtime, read_answer, send_request, stream_answer, stream_event, stream_head,
@@ -22,6 +23,8 @@
 
 const CUT_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 21));
 const HELPER_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 22));
+/// Event of an answer that ended early.
+const ANSWER_BROKEN: u64 = 814;
 /// Largest body that the configuration permits.
 const MAX_BODY_BYTES: usize = 100_000;
 
@@ -140,6 +143,7 @@
 /// is not complete.
 #[tokio::test]
 async fn an_unframed_answer_that_breaks_behind_a_tunnel_does_not_look_complete() {
+    record_lines();
     let site = TunnelSite::start(|request: &RawRequest| {
         if !request.request_line().contains("/scan/") {
             return good_answer(request);
@@ -164,6 +168,12 @@
     let answer = running.await.expect("an answer");
     assert_eq!(answer.status, 502, "{}", answer.head);
     assert_eq!(site.runs("half"), 1);
+    let lines = lines_of("half", ANSWER_BROKEN);
+    let forwarder = format!(" through VM {}: ", site.helper.fleet().vm);
+    assert!(
+        lines.iter().any(|line| line.contains(&forwarder)),
+        "{lines:?}"
+    );
 }
 
 /// The caller closes its connection while a target works for it behind a tunnel.
