--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -128,8 +128,13 @@
                     if self.follow(send).await {
                         continue;
                     }
-                    let cause = "no other target could continue the stream of a silent one";
-                    return Some(Err(self.break_off(AnswerEnder::Gateway, cause)));
+                    let (ender, cause) = if Instant::now() >= self.call.deadline {
+                        (AnswerEnder::Deadline, "the deadline passed")
+                    } else {
+                        let cause = "no other target could continue the stream of a silent one";
+                        (AnswerEnder::Gateway, cause)
+                    };
+                    return Some(Err(self.break_off(ender, cause)));
                 }
                 StreamStep::DeadlinePassed => {
                     self.end_open(CallEnd::Failed);
