--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -236,7 +236,7 @@
     CallerConnectionEnded = 825, Info, "connection of a caller ended under its answer";
     /// The target of a stream that may continue elsewhere is silent.
     StreamStalled = 832, Info, "stream stalled";
-    /// The silent target of a stream sent data before any other one.
+    /// The silent target of a stream sent data before another one was ready.
     StalledStreamWentOn = 833, Info, "stalled stream went on";
     /// The retry budget allowed a retry.
     RetryAllowed = 830, Info, "repeat allowed";
