--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -114,6 +114,14 @@
     pub allowed: f64,
 }
 
+impl RetryUsage {
+    /// Whether one more retry is allowed.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        f64::from(self.retries) + 1.0 <= self.allowed
+    }
+}
+
 /// Counts requests and retries by service and allows retries within this VM's share.
 #[derive(Clone, Debug)]
 pub struct RetryShare {
@@ -206,8 +214,7 @@
 
     /// Counts one more retry if the budget allows it; returns whether it does.
     pub fn try_retry(&mut self, service: &ServiceName, now: Instant) -> bool {
-        let usage_now = self.usage(service, now);
-        if f64::from(usage_now.retries) + 1.0 > usage_now.allowed {
+        if !self.usage(service, now).has_room() {
             return false;
         }
         if let Some(bucket) = self.window(service, now).buckets.back_mut() {
--- a/crates/daemon/src/direct/buffered_answer.rs
+++ b/crates/daemon/src/direct/buffered_answer.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     direct::{
-        call::{AnswerEnder, AnswerProgress, CallState, OpenAnswer},
+        call::{AnswerEnder, AnswerProgress, CallState, OpenAnswer, finish_send},
         error_chain::ErrorChain,
         message::CallEnd,
     },
@@ -82,10 +82,7 @@
             (CallEnd::Failed, Err(target))
         }
     };
-    in_flight.finish(end);
-    if let Some(placed_call) = placed_call {
-        placed_call.finish(end);
-    }
+    finish_send(placed_call, in_flight, end);
     (parts, result)
 }
 
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -37,7 +37,7 @@
 pub use answers::{AnswerBody, BrokenAnswer, full, own_answer};
 pub use placement::CallPlacement;
 pub use quota_charge::CallCharge;
-pub use sending::{InFlightGuard, OpenAnswer, PendingSend, PreparedSend, SendOutcome};
+pub use sending::{InFlightGuard, OpenAnswer, PendingSend, PreparedSend, SendOutcome, finish_send};
 pub use stop_plan::StopPlan;
 pub use takeover::SilentTarget;
 pub use target_probe::AnswerProgress;
@@ -504,8 +504,7 @@
     /// Whether the retry budget has room for another send.
     fn has_retry_budget(&self) -> bool {
         let retries = &mut self.context.fleet.tables().retries;
-        let usage = retries.usage(&self.service.name, clock::now());
-        f64::from(usage.retries) + 1.0 <= usage.allowed
+        retries.usage(&self.service.name, clock::now()).has_room()
     }
 
     fn spend_retry_budget(&self) -> bool {
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -128,7 +128,7 @@
 }
 
 /// Reports how a send ended, to its holder and for the target's health.
-fn finish(placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd) {
+pub fn finish_send(placed_call: Option<PlacedCall>, in_flight: InFlightGuard, end: CallEnd) {
     in_flight.finish(end);
     if let Some(placed_call) = placed_call {
         placed_call.finish(end);
@@ -246,22 +246,20 @@
         if connected.is_ok() && !self.can_send_to(entry) {
             return Err(SendOutcome::Withheld);
         }
-        match connected {
-            Ok(connection) => Ok(PreparedSend {
-                entry: Arc::clone(entry),
-                version,
-                placed_call,
-                in_flight,
-                connection,
-            }),
-            Err(SendError::NotSent { cause, reason, .. }) => {
-                Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason))
-            }
-            Err(SendError::Unanswered { cause, .. }) => {
-                let reason = UnsentReason::Unreachable;
-                Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason))
+        let (cause, reason) = match connected {
+            Ok(connection) => {
+                return Ok(PreparedSend {
+                    entry: Arc::clone(entry),
+                    version,
+                    placed_call,
+                    in_flight,
+                    connection,
+                });
             }
-        }
+            Err(SendError::NotSent { cause, reason, .. }) => (cause, reason),
+            Err(SendError::Unanswered { cause, .. }) => (cause, UnsentReason::Unreachable),
+        };
+        Err(self.record_unsent(entry, placed_call, in_flight, &cause, reason))
     }
 
     /// Hands the call to a target, which may run it from now on.
@@ -387,7 +385,7 @@
             // Dropping both guards reports no outcome, as the target is not the cause.
             UnsentReason::PathLost => self.closed_zones.push(entry.zone.clone()),
             UnsentReason::Refused | UnsentReason::Unreachable => {
-                finish(placed_call, in_flight, CallEnd::Unreached);
+                finish_send(placed_call, in_flight, CallEnd::Unreached);
             }
         }
         SendOutcome::NotSent
@@ -417,7 +415,7 @@
                     self.probe_after_failure(&entry, is_trial, AnswerProgress::Begun)
                         .await;
                 }
-                finish(placed_call, in_flight, CallEnd::Failed);
+                finish_send(placed_call, in_flight, CallEnd::Failed);
                 self.tried.push(target);
                 return SendOutcome::Unknown;
             }
@@ -480,7 +478,7 @@
                         backoff_ms: notice.backoff.map_or(0, millis),
                     }
                 };
-                finish(placed_call, in_flight, outcome);
+                finish_send(placed_call, in_flight, outcome);
                 self.runs -= 1;
                 self.rejected += 1;
                 // An adapter that is still being loaded arrives soon, so the holder may choose the same target again.
@@ -495,7 +493,7 @@
                     parts.status
                 );
                 self.context.pool.close(entry.address);
-                finish(placed_call, in_flight, CallEnd::Failed);
+                finish_send(placed_call, in_flight, CallEnd::Failed);
                 self.tried.push(entry.name.clone());
                 SendOutcome::Unknown
             }
--- a/crates/daemon/src/direct/call/target_probe.rs
+++ b/crates/daemon/src/direct/call/target_probe.rs
@@ -7,11 +7,14 @@
     direct::{
         call::CallState,
         paths::monitor::check_request,
-        target_connections::{ConnectRule, PathRule, ReuseRule, SendError, UnsentReason, exchange},
+        target_connections::{
+            ConnectRule, PathRule, ReuseRule, SendError, TargetRequest, UnsentReason, exchange,
+        },
     },
     event,
     events::Event,
 };
+use bytes::Bytes;
 use hoplanding_core::direct::{
     catalog::TargetEntry,
     suspects::{RequestFingerprint, TargetCrash},
@@ -126,27 +129,37 @@
     /// Whether a target answers this VM now.
     pub async fn is_answering(&self, entry: &TargetEntry) -> bool {
         let checks = &self.context.pool.answer_checks;
-        checks.result(entry.address, self.ask(entry)).await
+        checks.result(entry.address, self.check_answer(entry)).await
     }
 
     /// Asks a target once for its report or health check. One that asked this VM to back off, or has neither, answers if it
     /// accepts a connection.
-    async fn ask(&self, entry: &TargetEntry) -> bool {
+    async fn check_answer(&self, entry: &TargetEntry) -> bool {
         let request = check_request(entry, &self.service)
             .filter(|_| !self.context.fleet.is_backing_off(&entry.run()));
         let Some(request) = request else {
             return self.probe(entry).await == ProbeVerdict::Alive;
         };
+        let answer = timeout(PROBE_TIMEOUT, self.ask(entry, request)).await;
+        matches!(answer, Ok(Ok(_)))
+    }
+
+    /// Sends a target a request of this VM's own over a new connection.
+    async fn ask(
+        &self,
+        entry: &TargetEntry,
+        request: TargetRequest,
+    ) -> Result<(StatusCode, Bytes), SendError> {
         let context = &self.context;
-        let answer = exchange(
+        exchange(
             &context.fleet,
             &context.pool,
             entry,
             request,
             PROBE_RULE,
             MAX_ANSWER_BYTES,
-        );
-        matches!(timeout(PROBE_TIMEOUT, answer).await, Ok(Ok(_)))
+        )
+        .await
     }
 
     /// Whether a target has ended, by one probe.
@@ -168,15 +181,7 @@
     }
 
     async fn probe_report(&self, entry: &TargetEntry) -> ProbeVerdict {
-        let exchanged = exchange(
-            &self.context.fleet,
-            &self.context.pool,
-            entry,
-            encode_report_request(&entry.name),
-            PROBE_RULE,
-            MAX_ANSWER_BYTES,
-        );
-        match exchanged.await {
+        match self.ask(entry, encode_report_request(&entry.name)).await {
             Ok((StatusCode::MISDIRECTED_REQUEST, _)) => ProbeVerdict::Crashed,
             Ok(_) => ProbeVerdict::Alive,
             Err(error) => verdict_of(&error),
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -11,7 +11,7 @@
         buffered_answer::is_framed,
         call::{
             AnswerBody, AnswerEnder, AnswerProgress, BrokenAnswer, CallPlacement, CallState,
-            OpenAnswer, PendingSend, SendOutcome, SilentTarget,
+            OpenAnswer, PendingSend, SendOutcome, SilentTarget, finish_send,
         },
         error_chain::ErrorChain,
         event_splitter::EventSplitter,
@@ -357,12 +357,8 @@
 
     /// Closes the accounting of the open answer.
     fn end_open(&mut self, end: CallEnd) {
-        let Some(open) = self.open.take() else {
-            return;
-        };
-        open.in_flight.finish(end);
-        if let Some(placed_call) = open.placed_call {
-            placed_call.finish(end);
+        if let Some(open) = self.open.take() {
+            finish_send(open.placed_call, open.in_flight, end);
         }
     }
 
@@ -397,10 +393,7 @@
                 open.connection.target(),
                 self.call.timeline
             );
-            open.in_flight.finish(CallEnd::Good);
-            if let Some(placed_call) = open.placed_call {
-                placed_call.finish(CallEnd::Good);
-            }
+            finish_send(open.placed_call, open.in_flight, CallEnd::Good);
             self.call.return_connection(open.connection, &open.notice);
         }
         Ok((!rest.is_empty()).then_some(rest))
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -207,16 +207,18 @@
 
     /// Waits until the path to a zone's targets is lost.
     pub async fn wait_until_lost(&self, zone: &AvailabilityZone) {
-        let mut changes = self.changes.subscribe();
-        // The sender lives as long as `self`.
-        let _ = changes.wait_for(|_| self.is_lost(zone)).await;
+        self.wait_for(zone, true).await;
     }
 
     /// Waits until there is a path to a zone's targets.
     pub async fn wait_until_restored(&self, zone: &AvailabilityZone) {
+        self.wait_for(zone, false).await;
+    }
+
+    async fn wait_for(&self, zone: &AvailabilityZone, is_lost: bool) {
         let mut changes = self.changes.subscribe();
         // The sender lives as long as `self`.
-        let _ = changes.wait_for(|_| !self.is_lost(zone)).await;
+        let _ = changes.wait_for(|_| self.is_lost(zone) == is_lost).await;
     }
 
     /// Connects to a target within a time limit. If that fails, finds out first whether the path is lost.
