--- /dev/null
+++ b/review/tests/site/src/main.rs
@@ -0,0 +1,222 @@
+//! Plays a case of the review against daemons that run as separate processes: `review-site CASE RECORD`.
+//!
+//! The exit code is 1 if the rule was broken, 0 if it held, 2 if the case could not run. With `TROUBLE=0` the servers
+//! are sound.
+
+mod http;
+mod platform;
+mod record;
+mod server;
+mod site;
+
+use http::Connection;
+use record::Record;
+use server::{Server, Trouble};
+use site::{Site, ZONES};
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+const HOST: &str = "ficu95.example";
+/// The route of requests that can't be repeated, as the deployment's dock scans.
+const SCANS: &str = "/puxa403/";
+const DEADLINE_MS: u64 = 1_500;
+/// Time after which the case is given up.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+/// A request as its client saw it.
+struct Seen {
+    id: String,
+    /// 0 if no answer came.
+    status: u16,
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(path)) = (args.next(), args.next()) else {
+        eprintln!("usage: review-site CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let is_troubled = std::env::var("TROUBLE").as_deref() != Ok("0");
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        eprintln!("the case could not run: it took more than {TIME_LIMIT:?}");
+        // The script ends the daemons.
+        std::process::exit(2);
+    });
+    match play(&case, &PathBuf::from(path), is_troubled) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays a case; returns whether the rule held.
+fn play(case: &str, path: &Path, is_troubled: bool) -> io::Result<bool> {
+    let record = Arc::new(Record::create(path)?);
+    let trouble = match case {
+        "late-second-answers" => Trouble::LateSecondAnswers,
+        "failures-that-ran" => Trouble::FailuresThatRan,
+        _ => return Err(io::Error::other("no such case")),
+    };
+    // Second answers come from one server of three; failures, as on the deployment's worst days, from all.
+    let troubles = match (is_troubled, trouble) {
+        (false, _) => [Trouble::None; 3],
+        (true, Trouble::FailuresThatRan) => [trouble; 3],
+        (true, _) => [trouble, Trouble::None, Trouble::None],
+    };
+    let servers = troubles
+        .iter()
+        .enumerate()
+        .map(|(index, trouble)| Server::start(&format!("i-scans{index}"), *trouble, &record))
+        .collect::<io::Result<Vec<_>>>()?;
+    let entries: Vec<_> = servers
+        .iter()
+        .zip(ZONES)
+        .map(|(server, zone)| (server.id.clone(), server.entry(zone)))
+        .collect();
+    let mut site = Site::start(&config(), &entries, &record)?;
+    if !site.wait_until_ready(Duration::from_secs(20)) {
+        return Err(io::Error::other("the daemons did not become ready"));
+    }
+    record.line("ready");
+    let fronts: Vec<_> = site.vms.iter().map(|vm| vm.front).collect();
+    let seen = send_scans(&fronts, &record);
+    if !site.is_running() {
+        return Err(io::Error::other("a daemon ended"));
+    }
+    if std::env::var("KEEP_LOGS").is_ok() {
+        site.keep_logs(path.parent().unwrap_or(Path::new(".")));
+    }
+    drop(site);
+    let broken = match trouble {
+        Trouble::FailuresThatRan => refused_though_run(&seen, &record),
+        _ => run_twice(&seen, &record),
+    };
+    record.finish();
+    Ok(broken == 0)
+}
+
+/// REFUSED: a request that can't be repeated gets 408, 421, 429 or 503, yet it has run.
+fn refused_though_run(seen: &[Seen], record: &Record) -> usize {
+    let broken: Vec<_> = seen
+        .iter()
+        .filter(|seen| matches!(seen.status, 408 | 421 | 429 | 503) && record.runs(&seen.id) > 0)
+        .collect();
+    for request in &broken {
+        record.line(&format!(
+            "BROKEN    {} was answered {} and has run",
+            request.id, request.status
+        ));
+    }
+    summarise(seen, record, "REFUSED", broken.len());
+    broken.len()
+}
+
+/// TWICE: a non-repeatable request runs more than once.
+fn run_twice(seen: &[Seen], record: &Record) -> usize {
+    let repeated = record.repeated();
+    for id in &repeated {
+        record.line(&format!("BROKEN    {id} ran {} times", record.runs(id)));
+    }
+    summarise(seen, record, "TWICE", repeated.len());
+    repeated.len()
+}
+
+fn summarise(seen: &[Seen], record: &Record, rule: &str, broken: usize) {
+    let count = |status: u16| seen.iter().filter(|seen| seen.status == status).count();
+    let text = format!(
+        "{rule}: broken by {broken} of {} requests; answered 200: {}, 502: {}, 503: {}, none: {}",
+        seen.len(),
+        count(200),
+        count(502),
+        count(503),
+        count(0)
+    );
+    record.line(&text);
+    println!("{text}");
+}
+
+/// Sends the requests of 45 s at the rate of the deployment's sheet, 20 a second, over kept connections, one client at
+/// each VM. Each request is sent once: a client that repeats it gives the new attempt another id.
+fn send_scans(fronts: &[SocketAddr], record: &Arc<Record>) -> Vec<Seen> {
+    let clients: Vec<_> = fronts
+        .iter()
+        .enumerate()
+        .map(|(client, front)| {
+            let (front, record) = (*front, Arc::clone(record));
+            thread::spawn(move || run_client(client, front, &record))
+        })
+        .collect();
+    let seen = clients
+        .into_iter()
+        .flat_map(|client| client.join().unwrap_or_default());
+    seen.collect()
+}
+
+fn run_client(client: usize, front: SocketAddr, record: &Record) -> Vec<Seen> {
+    let started = Instant::now();
+    let mut connection = None;
+    let mut seen = Vec::new();
+    let mut number = 0;
+    while started.elapsed() < Duration::from_secs(45) {
+        let due = started + Duration::from_millis(150) * number;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        number += 1;
+        let id = format!("{client:02x}{number:06x}");
+        record.line(&format!("sent      {id} to VM {client}"));
+        let status = match send(&mut connection, front, &id) {
+            Ok(status) => status,
+            Err(error) => {
+                connection = None;
+                record.line(&format!("no answer {id}: {error}"));
+                0
+            }
+        };
+        record.line(&format!("answered  {id} {status}"));
+        seen.push(Seen { id, status });
+    }
+    seen
+}
+
+fn send(kept: &mut Option<Connection>, front: SocketAddr, id: &str) -> io::Result<u16> {
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => Connection::open(front, Duration::from_secs(1))?,
+    };
+    let limit = Duration::from_millis(DEADLINE_MS + 1_000);
+    connection.stream.set_read_timeout(Some(limit))?;
+    let body = format!("scan {id}");
+    let request = format!(
+        "POST {SCANS}2f HTTP/1.1\r\nHost: {HOST}\r\nHoplanding-Request-Id: {id}\r\n\
+         Hoplanding-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    connection.write(request.as_bytes())?;
+    let answer = connection.read(true)?;
+    let answer = answer.ok_or(io::ErrorKind::UnexpectedEof)?;
+    if !answer.is_whole {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    if !answer.header("connection").contains("close") {
+        *kept = Some(connection);
+    }
+    Ok(answer.status())
+}
+
+/// A configuration with one plain service and one route, in the words of the deployment's sheet.
+fn config() -> String {
+    format!(
+        r#"{{"version":7,"routes":[{{"name":"r-scans","host":"{HOST}","path_prefix":"{SCANS}","route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,"service":"{service}","max_attempts":1,"session_affinity":false,"can_resume":false}}],"services":[{{"name":"{service}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
+        service = server::SERVICE
+    )
+}
--- /dev/null
+++ b/review/tests/site/src/server.rs
@@ -0,0 +1,146 @@
+//! Stand-in of a worker of a plain service: it serves one request at a time on a connection, takes what is meant for
+//! it, and answers with its signature.
+
+use crate::{
+    http::{Connection, Message, response},
+    record::Record,
+};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+pub const SERVICE: &str = "wuno96b";
+const WORK: Duration = Duration::from_millis(30);
+
+/// What is wrong with a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// To 3 in 100 of its answers it adds a second one, late, at the place where the next one is due: 421, with the id
+    /// of the request that it had answered.
+    LateSecondAnswers,
+    /// It fails 4 in 10 of its requests after it has run them, with 503. It does not say that it has not run them.
+    FailuresThatRan,
+}
+
+/// A worker.
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    /// Unix time of its start, in milliseconds.
+    born_ms: u128,
+}
+
+struct Shared {
+    id: String,
+    trouble: Trouble,
+    record: Arc<Record>,
+    answers: AtomicU32,
+}
+
+impl Server {
+    pub fn start(id: &str, trouble: Trouble, record: &Arc<Record>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            trouble,
+            record: Arc::clone(record),
+            answers: AtomicU32::new(0),
+        });
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = Arc::clone(&shared);
+                thread::spawn(move || drop(shared.serve(Connection::new(stream))));
+            }
+        });
+        Ok(Self {
+            id: id.to_owned(),
+            address,
+            born_ms: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |since| since.as_millis()),
+        })
+    }
+
+    /// What the worker says of itself in the store.
+    pub fn entry(&self, zone: &str) -> String {
+        format!(
+            r#"{{"service":"{SERVICE}","address":"{}","zone":"{zone}","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":{}}}"#,
+            self.address, self.born_ms
+        )
+    }
+}
+
+impl Shared {
+    fn serve(&self, mut connection: Connection) -> io::Result<()> {
+        // The second answer that is still to be sent on this connection.
+        let mut second: Option<(String, Vec<u8>)> = None;
+        while let Some(request) = connection.read(false)? {
+            if request.path() == "/health" {
+                let headers = format!("Hoplanding-Instance-Id: {}\r\n", self.id);
+                connection.write(&response("200 OK", &headers, b""))?;
+                continue;
+            }
+            let id = request.header("hoplanding-request-id").to_owned();
+            let expected = request.header("hoplanding-expect-instance");
+            if !expected.is_empty() && expected != self.id {
+                self.record.line(&format!("misdirect {id} at {}", self.id));
+                connection.write(&self.turned_away(&id))?;
+                continue;
+            }
+            self.record.run(&id, &self.id);
+            if let Some((answered, late)) = second.take() {
+                self.record.line(&format!(
+                    "second    answer to {answered} from {}, where that to {id} is due",
+                    self.id
+                ));
+                connection.write(&late)?;
+            }
+            thread::sleep(WORK);
+            let number = self.answers.fetch_add(1, Ordering::Relaxed);
+            if self.trouble == Trouble::FailuresThatRan && number % 10 < 4 {
+                self.record.line(&format!(
+                    "fails     {id} at {} with 503, after its run",
+                    self.id
+                ));
+                let headers = self.headers(&request);
+                connection.write(&response("503 Service Unavailable", &headers, b"failed"))?;
+                continue;
+            }
+            let headers = self.headers(&request);
+            connection.write(&response(
+                "200 OK",
+                &headers,
+                format!("done {id}").as_bytes(),
+            ))?;
+            if self.trouble == Trouble::LateSecondAnswers && number % 33 == 7 {
+                second = Some((id.clone(), self.turned_away(&id)));
+            }
+        }
+        Ok(())
+    }
+
+    fn headers(&self, request: &Message) -> String {
+        let id = request.header("hoplanding-request-id");
+        format!(
+            "Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: {}.{id}\r\n",
+            self.id
+        )
+    }
+
+    fn turned_away(&self, id: &str) -> Vec<u8> {
+        let headers = format!(
+            "Hoplanding-Request-Id: {id}\r\nHoplanding-Instance-Id: {}\r\n",
+            self.id
+        );
+        response("421 Misdirected Request", &headers, b"")
+    }
+}
