--- a/review/tests/site/src/main.rs
+++ b/review/tests/site/src/main.rs
@@ -3,7 +3,9 @@
 //! The exit code is 1 if the rule was broken, 0 if it held, 2 if the case could not run. With `TROUBLE=0` the servers
 //! are sound.
 
+mod engine;
 mod http;
+mod new_route;
 mod platform;
 mod record;
 mod server;
@@ -63,6 +65,9 @@
 /// Plays a case; returns whether the rule held.
 fn play(case: &str, path: &Path, is_troubled: bool) -> io::Result<bool> {
     let record = Arc::new(Record::create(path)?);
+    if case == "new-route-to-a-second-pool" {
+        return new_route::play(path, is_troubled, &record);
+    }
     let trouble = match case {
         "late-second-answers" => Trouble::LateSecondAnswers,
         "failures-that-ran" => Trouble::FailuresThatRan,
--- a/review/tests/site/src/record.rs
+++ b/review/tests/site/src/record.rs
@@ -18,6 +18,8 @@
     file: BufWriter<File>,
     /// How often work was begun on each request, over all servers.
     runs: HashMap<String, u32>,
+    /// Services whose workers ran each request.
+    services: HashMap<String, Vec<String>>,
 }
 
 impl Record {
@@ -27,6 +29,7 @@
             state: Mutex::new(State {
                 file: BufWriter::new(File::create(path)?),
                 runs: HashMap::new(),
+                services: HashMap::new(),
             }),
         })
     }
@@ -48,6 +51,18 @@
         self.line(&format!("run       {id} at {server}, time {count}"));
     }
 
+    /// A worker of this service runs a request.
+    pub fn served(&self, id: &str, service: &str) {
+        let mut state = self.state.lock().unwrap();
+        let services = state.services.entry(id.to_owned()).or_default();
+        services.push(service.to_owned());
+    }
+
+    pub fn services(&self, id: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        state.services.get(id).cloned().unwrap_or_default()
+    }
+
     pub fn runs(&self, id: &str) -> u32 {
         let state = self.state.lock().unwrap();
         state.runs.get(id).copied().unwrap_or(0)
--- a/review/tests/site/src/site.rs
+++ b/review/tests/site/src/site.rs
@@ -24,8 +24,7 @@
 
 /// The site. Dropping it ends its processes.
 pub struct Site {
-    /// The store serves as long as the process runs.
-    _platform: Arc<Platform>,
+    pub platform: Arc<Platform>,
     pub vms: Vec<Vm>,
     folder: PathBuf,
 }
@@ -43,7 +42,7 @@
         let folder = std::env::temp_dir().join(format!("review-site-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let mut site = Self {
-            _platform: platform,
+            platform,
             vms: Vec::new(),
             folder,
         };
