--- a/review/tests/site/src/engine.rs
+++ b/review/tests/site/src/engine.rs
@@ -227,6 +227,13 @@
     }
 }
 
+/// The service of model workers in a configuration, in the words of the deployment's sheet.
+pub fn service(name: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity":131025,"kv_token_bytes":163840,"link_mbps":130000.0,"moves":true,"backups":true,"stride":2,"at_most":12,"host_mb":130000.0,"disk_mb":390000.0,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}","weights_size":42700.0,"load_s":0.6,"adapters":3000,"adapter_mb":66.0,"warm_s":0.89,"disk_s":1.2}}],"weights_size":45000.0,"adapter_slots":21,"loads_per_s":3.3}}}}"#
+    )
+}
+
 /// The value of a field of a flat JSON object.
 fn field(json: &str, name: &str) -> Option<String> {
     let (_, rest) = json.split_once(&format!("\"{name}\":"))?;
