Repeat lost orders, and learn what engines reload quickly

Cause: an unanswered order blocked its engine for 250 ms and until a report was read, so 60 engines executed 150 loads a second while three in ten orders were lost. 100 adapters were taken for reloadable where engines keep 46, so calls arrived too early, and a new holder did not know what its engines had in memory. Change: orders are sent again with the same sequence number; the number of adapters kept is learned; the holder reports its loads to the two VMs that may hold the zone next; the first limit and time of loads can be set. All of it needs the settings section adapters, and applies to services with many adapters for each slot.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -85,6 +85,8 @@
     pub kv_tokens: u64,
     /// Slots for adapters.
     pub adapter_slots: u32,
+    /// Adapters of all base models.
+    pub adapters: u64,
     /// Loads of whole models per second that the weight store allows.
     pub loads_per_s: f64,
     /// Base models; an empty engine loads the first one.
--- a/crates/core/src/direct/engine/copies.rs
+++ b/crates/core/src/direct/engine/copies.rs
@@ -64,6 +64,8 @@
     pub lent_until: Instant,
     /// Load from the weight store that created the copy, if there was one.
     pub load: Option<StoreLoad>,
+    /// Rank of the reload that created the copy, until a call shows whether it was as fast as expected.
+    pub reload_rank: Option<usize>,
 }
 
 impl AdapterCopy {
@@ -85,6 +87,7 @@
             borrowers: Vec::new(),
             lent_until: Instant::default(),
             load: None,
+            reload_rank: None,
         }
     }
 
--- a/crates/core/src/direct/engine/mod.rs
+++ b/crates/core/src/direct/engine/mod.rs
@@ -377,11 +377,10 @@
             .filter(|copy| copy.load.is_some())
             .filter(|copy| matches!(copy.state, CopyState::Loading(at) if at > now))
             .count();
-        let is_pending = self.pending.as_ref().is_some_and(|order| {
-            order.kind == OrderKind::Load
-                && split_subject(&order.subject).1.is_some()
-                && !self.was_recently_loaded(&order.subject, order.version)
-        });
+        let is_pending = self
+            .pending
+            .as_ref()
+            .is_some_and(|order| order.is_store_load);
         loading + usize::from(is_pending)
     }
 
@@ -395,6 +394,12 @@
         Some(known)
     }
 
+    /// Rank of the reload that a call waited for, for the first such call.
+    pub fn resolve_reload(&mut self, key: &CallKey) -> Option<usize> {
+        let call = self.calls.get(key)?;
+        self.copies.get_mut(&call.subject)?.reload_rank.take()
+    }
+
     /// KV cache tokens that running calls may occupy.
     #[must_use]
     pub fn tokens_sent(&self) -> u64 {
@@ -447,11 +452,23 @@
         }
     }
 
-    /// Whether the engine had an adapter recently in this version and reloads it quickly. Another version comes from
-    /// the weight store.
+    /// Number of adapters that the engine loaded after it last loaded an adapter in this version; none if it did not or
+    /// that is too long ago. Another version comes from the weight store.
     #[must_use]
-    pub fn was_recently_loaded(&self, adapter: &AdapterName, named_version: Option<u64>) -> bool {
-        let mut recent = self.recent_loads.iter();
-        recent.any(|(recent, version)| recent == adapter && *version == named_version)
+    pub fn reload_rank(&self, adapter: &AdapterName, named_version: Option<u64>) -> Option<usize> {
+        let mut recent = self.recent_loads.iter().rev();
+        recent.position(|(recent, version)| recent == adapter && *version == named_version)
+    }
+
+    /// Takes over the adapters that the engine loaded under an earlier holder, the oldest first. Loads of this holder are
+    /// newer.
+    pub fn record_earlier_loads(&mut self, earlier: Vec<(AdapterName, Option<u64>)>) {
+        let own = &self.recent_loads;
+        let mut loads: VecDeque<_> = earlier
+            .into_iter()
+            .filter(|load| !own.contains(load))
+            .collect();
+        loads.append(&mut self.recent_loads);
+        self.recent_loads = loads;
     }
 }
--- a/crates/core/src/direct/engine/orders.rs
+++ b/crates/core/src/direct/engine/orders.rs
@@ -13,6 +13,10 @@
     pub version: Option<u64>,
     /// Sequence number that the engine must have reached, so that a late or duplicate order has no effect.
     pub expected: u64,
+    /// Whether the load is expected to come from the weight store.
+    pub is_store_load: bool,
+    /// How often the order is sent again if it is not answered.
+    pub repeats_left: u32,
 }
 
 /// Kind of an order.
--- a/crates/core/src/direct/load_limiter.rs
+++ b/crates/core/src/direct/load_limiter.rs
@@ -223,6 +223,17 @@
         }
     }
 
+    /// This limiter, expecting that loads take `time` until one has been observed.
+    #[must_use]
+    pub fn with_expected_time(self, time: Duration) -> Self {
+        let millis = time.as_secs_f64() * 1e3;
+        Self {
+            expected_ms: millis,
+            uncontended_ms: millis,
+            ..self
+        }
+    }
+
     /// Loads that may be in flight; at least one.
     #[must_use]
     pub fn limit(&self) -> u32 {
--- a/crates/core/src/direct/planner/estimates.rs
+++ b/crates/core/src/direct/planner/estimates.rs
@@ -1,5 +1,6 @@
 //! Estimates of engine and weight store timings that are configured rather than observed.
 
+use crate::direct::policy::ScarcityPolicy;
 use std::time::Duration;
 
 /// Timings of engines and the weight store that placement decisions assume.
@@ -17,6 +18,8 @@
     /// models that it allows per second. For a store that sustains 48, an initial limit of 6 let 10% of the loads in
     /// the first five seconds finish within half a second, and a limit of 13 let 70%.
     pub initial_load_limit: f64,
+    /// Time of a load from the weight store until the first one has been observed.
+    pub first_load_time: Duration,
 }
 
 impl Default for EngineEstimates {
@@ -28,6 +31,7 @@
             slot_hold_time: Duration::from_millis(2_000),
             model_load_interval: Duration::from_millis(950),
             initial_load_limit: 0.0,
+            first_load_time: ScarcityPolicy::default().first_load_time,
         }
     }
 }
@@ -43,4 +47,14 @@
             ..Self::default()
         }
     }
+
+    /// These estimates with what is known of the weight store where adapter slots are scarce.
+    #[must_use]
+    pub fn with_scarcity(self, scarcity: &ScarcityPolicy) -> Self {
+        Self {
+            initial_load_limit: self.initial_load_limit * scarcity.loads_per_model_load,
+            first_load_time: scarcity.first_load_time,
+            ..self
+        }
+    }
 }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -48,6 +48,7 @@
         planner::cache_transfer::CacheLoan,
         policy::PlacementPolicy,
         prefill::PrefillModel,
+        reload_memory::ReloadMemory,
         suspects::SuspectTable,
     },
     ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
@@ -85,6 +86,7 @@
     health: HealthTable,
     prefill_model: PrefillModel,
     load_limiter: LoadLimiter,
+    reload_memory: ReloadMemory,
     /// KV cache that calls are about to fetch.
     loans: HashMap<CallKey, CacheLoan>,
     /// Time until which no other holder can have sent orders to these engines.
@@ -119,7 +121,9 @@
             demand: DemandTable::default(),
             health: HealthTable::default(),
             prefill_model: PrefillModel::default(),
-            load_limiter: LoadLimiter::with_initial_limit(estimates.initial_load_limit),
+            load_limiter: LoadLimiter::with_initial_limit(estimates.initial_load_limit)
+                .with_expected_time(estimates.first_load_time),
+            reload_memory: ReloadMemory::default(),
             loans: HashMap::new(),
             sole_until: Instant::default(),
             earlier_orders_until: Instant::default(),
@@ -284,6 +288,29 @@
         self.replace_stale_copies(adapter, now);
     }
 
+    /// Takes over the adapters that an engine loaded under earlier holders, with their named versions, the latest last.
+    pub fn record_earlier_loads(
+        &mut self,
+        name: &TargetName,
+        earlier: Vec<(AdapterName, Option<u64>)>,
+    ) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.record_earlier_loads(earlier);
+        }
+    }
+
+    /// Whether an engine is expected to have an adapter in its memory, so that it does not come from the weight store.
+    pub(super) fn reloads_quickly(&self, engine: &EngineState, subject: &AdapterName) -> bool {
+        let rank = engine.reload_rank(subject, self.named_version(subject));
+        let assumed = self.policy.max_recent_adapters;
+        let kept = if self.policy.scarcity.learns_recent_adapters {
+            self.reload_memory.kept(assumed)
+        } else {
+            assumed
+        };
+        rank.is_some_and(|rank| rank < kept)
+    }
+
     /// Version of an adapter that calls have to name. None for a base model: engines get its new weights at their
     /// next start only, and until then every engine would reject calls that name them.
     pub(super) fn named_version(&self, subject: &AdapterName) -> Option<u64> {
@@ -345,6 +372,9 @@
             {
                 self.load_limiter.record_on_time(target, load, now);
             }
+            if let Some(rank) = engine.resolve_reload(key) {
+                self.reload_memory.record(rank, true, now);
+            }
         }
     }
 
@@ -416,6 +446,10 @@
         if let Some(load) = engine.resolve_load(key).filter(|_| !fetches_cache) {
             self.load_limiter.record_late(target, load, now);
         }
+        let slow_reload = engine.resolve_reload(key).filter(|_| !fetches_cache);
+        if let Some(rank) = slow_reload {
+            self.reload_memory.record(rank, false, now);
+        }
         let Some(subject) = engine.calls.get(key).map(|call| call.subject.clone()) else {
             return;
         };
@@ -426,7 +460,15 @@
         if let Some(copy) = engine.copies.get_mut(&subject)
             && matches!(copy.state, CopyState::Loaded | CopyState::Loading(_))
         {
-            copy.state = CopyState::Loading(now.after(LATE_LOAD_EXTENSION));
+            // A reload that was not fast comes from the weight store.
+            let is_store_reload =
+                slow_reload.is_some() && self.policy.scarcity.learns_recent_adapters;
+            let extension = if is_store_reload {
+                self.load_limiter.expected_time(target)
+            } else {
+                LATE_LOAD_EXTENSION
+            };
+            copy.state = CopyState::Loading(now.after(extension));
         }
     }
 
--- a/crates/core/src/direct/planner/orders.rs
+++ b/crates/core/src/direct/planner/orders.rs
@@ -36,6 +36,19 @@
         let Some(order) = engine.pending.take() else {
             return;
         };
+        if outcome == OrderOutcome::Unanswered && order.repeats_left > 0 {
+            // The repeated order expects the same sequence number, so the engine carries out one of the two at most.
+            engine.record_unanswered_order(&order, now);
+            let repeated = EngineOrder {
+                repeats_left: order.repeats_left - 1,
+                ..order
+            };
+            engine.pending = Some(repeated.clone());
+            let entry = Arc::clone(&engine.entry);
+            self.actions
+                .push_back(PlannerAction::Order(entry, repeated));
+            return;
+        }
         let subject = order.subject.clone();
         let is_model = split_subject(&subject).1.is_none();
         let mut has_failed = false;
@@ -55,13 +68,15 @@
                 }
                 let (time, load) = match outcome {
                     OrderOutcome::Done => (Duration::ZERO, None),
-                    _ if engine.was_recently_loaded(&subject, order.version) => {
-                        (self.estimates.reload_time, None)
-                    }
+                    _ if !order.is_store_load => (self.estimates.reload_time, None),
                     _ => (load_time, Some(StoreLoad::started(now, is_bound))),
                 };
+                let reload_rank = engine
+                    .reload_rank(&subject, order.version)
+                    .filter(|_| outcome == OrderOutcome::Begun && !order.is_store_load);
                 engine.record_recent_load(&subject, order.version, self.policy.max_recent_adapters);
                 if let Some(copy) = engine.copies.get_mut(&subject) {
+                    copy.reload_rank = reload_rank;
                     copy.state = if time.is_zero() {
                         CopyState::Loaded
                     } else {
@@ -251,7 +266,7 @@
                 }
             }
             if kind == OrderKind::Load && is_adapter && !is_present {
-                let is_fast = engine.was_recently_loaded(&subject, self.named_version(&subject));
+                let is_fast = self.reloads_quickly(engine, &subject);
                 if !is_fast && self.store_loads_in_flight(now) >= self.load_limiter.limit() {
                     return;
                 }
@@ -304,10 +319,18 @@
 
     fn issue_order(&mut self, name: &TargetName, kind: OrderKind, subject: &AdapterName) {
         let version = self.named_versions.get(subject).copied();
+        let is_store_load = kind == OrderKind::Load
+            && split_subject(subject).1.is_some()
+            && self
+                .engines
+                .get(name)
+                .is_some_and(|engine| !self.reloads_quickly(engine, subject));
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
         let order = EngineOrder {
+            is_store_load,
+            repeats_left: self.policy.scarcity.order_repeats,
             kind,
             subject: subject.clone(),
             version: if kind == OrderKind::Load {
--- a/crates/core/src/direct/planner/placement.rs
+++ b/crates/core/src/direct/planner/placement.rs
@@ -201,8 +201,7 @@
                 if pending_loads >= 2 * MAX_LOADING_ADAPTERS || !self.can_make_room(engine, now) {
                     return None;
                 }
-                let is_new = !engine
-                    .was_recently_loaded(&request.subject, self.named_version(&request.subject));
+                let is_new = !self.reloads_quickly(engine, &request.subject);
                 let (time, penalty) = if is_new {
                     (
                         self.load_limiter
--- a/crates/core/src/direct/policy.rs
+++ b/crates/core/src/direct/policy.rs
@@ -3,6 +3,7 @@
 //! The speed of engines is observed ([`super::prefill`]), and slots, memory and load rate come from the configuration.
 //! The remaining penalties and bounds are here; docs/POLICY.md describes how each value was determined.
 
+use crate::direct::config::EngineLimits;
 use std::time::Duration;
 
 /// Weights and limits of placement decisions.
@@ -26,6 +27,8 @@
     pub min_fetch_saving: Duration,
     /// Number of recent adapters that an engine is assumed to reload quickly.
     pub max_recent_adapters: usize,
+    /// What applies to services whose engines have few slots for many adapters.
+    pub scarcity: ScarcityPolicy,
     /// Fraction of an engine's slots in use from which it counts as crowded. The rest has to suffice for the calls that
     /// arrive during one adapter load.
     pub crowded_slot_fraction: f64,
@@ -47,6 +50,49 @@
     pub shed_penalty: Duration,
 }
 
+/// Weights and limits for services whose engines have few slots for many adapters. By default none of them applies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ScarcityPolicy {
+    /// Configured adapters for each adapter slot of an engine from which slots count as scarce.
+    pub min_adapters_per_slot: u32,
+    /// Whether the number of adapters that engines reload quickly is learned.
+    pub learns_recent_adapters: bool,
+    /// How often an order that is not answered is sent again before the engine's report is read.
+    pub order_repeats: u32,
+    /// Adapter loads that the weight store is known to sustain at once, for each base model that it allows per second.
+    pub loads_per_model_load: f64,
+    /// Time of a load from the weight store until the first one has been observed.
+    pub first_load_time: Duration,
+}
+
+impl Default for ScarcityPolicy {
+    fn default() -> Self {
+        Self {
+            min_adapters_per_slot: 0,
+            learns_recent_adapters: false,
+            order_repeats: 0,
+            loads_per_model_load: 1.0,
+            first_load_time: Duration::from_millis(250),
+        }
+    }
+}
+
+impl PlacementPolicy {
+    /// The policy for a service's engines: without the part for scarce adapter slots where they are not scarce.
+    #[must_use]
+    pub fn for_engines(&self, limits: &EngineLimits) -> Self {
+        let min_adapters =
+            u64::from(self.scarcity.min_adapters_per_slot) * u64::from(limits.adapter_slots);
+        if limits.adapters >= min_adapters {
+            return *self;
+        }
+        Self {
+            scarcity: ScarcityPolicy::default(),
+            ..*self
+        }
+    }
+}
+
 impl Default for PlacementPolicy {
     fn default() -> Self {
         Self {
@@ -59,6 +105,7 @@
             cache_fetch_time: Duration::from_millis(30),
             min_fetch_saving: Duration::from_millis(60),
             max_recent_adapters: 100,
+            scarcity: ScarcityPolicy::default(),
             crowded_slot_fraction: 0.55,
             crowded_backlog: Duration::from_millis(150),
             crowding_call_fraction: 0.3,
--- a/crates/core/tests/direct_memory/simulation.rs
+++ b/crates/core/tests/direct_memory/simulation.rs
@@ -229,6 +229,7 @@
         slots: CALL_SLOTS,
         kv_tokens: 1_000_000,
         adapter_slots: ADAPTER_SLOTS as u32,
+        adapters: 0,
         loads_per_s: 3.0,
         models: vec![base_model()],
     }
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -11,6 +11,7 @@
             CallKey, EngineEstimates, PlacementAnswer, PlacementRequest, PlacementTerms,
             PlannerAction, RefusalCause, ZonePlanner,
         },
+        policy::{PlacementPolicy, ScarcityPolicy},
     },
     ids::{
         AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
@@ -33,6 +34,7 @@
         slots: 8,
         kv_tokens: 1_000_000,
         adapter_slots: ADAPTER_SLOTS as u32,
+        adapters: 0,
         loads_per_s: 3.0,
         models: vec![AdapterName::new("base")],
     }
@@ -727,8 +729,48 @@
     }
 }
 
+fn policy_with_repeats(order_repeats: u32) -> PlacementPolicy {
+    let scarcity = ScarcityPolicy {
+        order_repeats,
+        ..ScarcityPolicy::default()
+    };
+    PlacementPolicy {
+        scarcity,
+        ..PlacementPolicy::default()
+    }
+}
+
+/// Guards against an engine that takes no loads for half a second after each order that it leaves unanswered.
+#[test]
+fn lost_order_is_repeated_at_once_with_the_same_sequence_number() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1"], now);
+    planner.set_policy(policy_with_repeats(1));
+    planner.place(key(1), request("base/a1"), now);
+    let first = orders(planner.take_actions());
+    let [(engine, order)] = &first[..] else {
+        panic!("not one order: {first:?}");
+    };
+    let later = now.after(Duration::from_millis(80));
+    planner.order_ended(engine, OrderOutcome::Unanswered, later);
+    let repeated = orders(planner.take_actions());
+    let [(_, repeat)] = &repeated[..] else {
+        panic!("not repeated: {repeated:?}");
+    };
+    assert_eq!(
+        (&repeat.subject, repeat.expected),
+        (&order.subject, order.expected)
+    );
+    planner.order_ended(engine, OrderOutcome::Begun, later);
+    let actions = planner.take_actions();
+    assert!(
+        matches!(answers(&actions)[..], [(_, PlacementAnswer::Send { .. })]),
+        "the call is sent to the engine that took the repeated order"
+    );
+}
+
 /// Runs one random schedule in which calls of lost gateways continue, and orders are lost or carried out late.
-fn run_schedule(seed: u64) {
+fn run_schedule(seed: u64, order_repeats: u32) {
     let mut random = StdRng::seed_from_u64(seed);
     let names = ["e1", "e2", "e3"].map(TargetName::new);
     let mut engines: BTreeMap<_, _> = names
@@ -737,6 +779,7 @@
         .collect();
     let mut now = Instant(1_000_000);
     let mut planner = ZonePlanner::new(EngineEstimates::per_zone(1, 3.0), limits(), now);
+    planner.set_policy(policy_with_repeats(order_repeats));
     planner.set_targets(names.iter().map(|name| entry(name.as_str())).collect(), now);
     let mut unanswered = BTreeSet::new();
     let mut running: Vec<(CallKey, TargetName, u64)> = Vec::new();
@@ -842,7 +885,8 @@
 #[test]
 fn engines_are_not_ordered_beyond_their_slots_if_orders_are_lost_or_late() {
     for seed in 0..60 {
-        run_schedule(seed);
+        run_schedule(seed, 0);
+        run_schedule(seed, 3);
     }
 }
 
@@ -899,6 +943,7 @@
     let mut planner = planner(&names, now);
     planner.set_limits(EngineLimits {
         adapter_slots: 1_000,
+        adapters: 0,
         ..limits()
     });
     planner
--- a/crates/core/tests/direct_stale_copy.rs
+++ b/crates/core/tests/direct_stale_copy.rs
@@ -101,6 +101,7 @@
         slots: 8,
         kv_tokens: 1_000_000,
         adapter_slots: ADAPTER_SLOTS as u32,
+        adapters: 0,
         loads_per_s: 3.0,
         models: vec![AdapterName::new("base")],
     };
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -97,6 +97,7 @@
         slots: 8,
         kv_tokens: 1_000_000,
         adapter_slots: 8,
+        adapters: 0,
         loads_per_s: 3.0,
         models: vec![AdapterName::new("base")],
     };
--- a/crates/core/tests/load/simulation.rs
+++ b/crates/core/tests/load/simulation.rs
@@ -201,6 +201,7 @@
         slots: 64,
         kv_tokens: 250_000,
         adapter_slots: max_adapters,
+        adapters: 0,
         loads_per_s: 2.8,
         models: vec![AdapterName::new("base")],
     }
--- a/crates/daemon/src/direct/engine_client.rs
+++ b/crates/daemon/src/direct/engine_client.rs
@@ -13,7 +13,8 @@
 use bytes::Bytes;
 use hoplanding_core::direct::{
     catalog::TargetEntry,
-    engine::{EngineOrder, EngineReport, OrderOutcome},
+    engine::{EngineOrder, EngineReport, OrderKind, OrderOutcome},
+    residency::AcceptedLoad,
 };
 use hoplanding_platform::orders::{decode_order_status, decode_report, encode_report_request};
 use http::StatusCode;
@@ -22,6 +23,9 @@
 
 /// Time limit of an order or a report request. Engines answer within a few milliseconds, and calls wait for the outcome.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time limit of an order that is sent again if it is not answered. Engines that leave orders unanswered do so for seconds, and
+/// each order that waits for the whole limit blocks its engine.
+const REPEATED_ORDER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -35,14 +39,26 @@
 ) -> OrderOutcome {
     // Engines take orders that arrive from different VMs for orders of different holders.
     let path = PathRule::DirectOnly;
+    let limit = if order.repeats_left > 0 {
+        REPEATED_ORDER_TIMEOUT
+    } else {
+        REQUEST_TIMEOUT
+    };
     let exchanged = exchange_with(fleet, pool, entry, request, path);
-    let exchanged = timeout(REQUEST_TIMEOUT, exchanged).await;
+    let exchanged = timeout(limit, exchanged).await;
     let outcome = match &exchanged {
         Ok(Ok((status, _))) => decode_order_status(*status),
         Ok(Err(SendError::NotSent { .. })) => OrderOutcome::Refused,
         Ok(Err(SendError::Unanswered { .. })) | Err(_) => OrderOutcome::Unanswered,
     };
     let is_accepted = matches!(outcome, OrderOutcome::Done | OrderOutcome::Begun);
+    if is_accepted && order.kind == OrderKind::Load {
+        fleet.record_loads([AcceptedLoad {
+            run: entry.run(),
+            adapter: order.subject.clone(),
+            version: order.version,
+        }]);
+    }
     let event = if is_accepted {
         Event::OrderAccepted
     } else {
@@ -59,7 +75,10 @@
         match &exchanged {
             Ok(Ok((status, body))) => format!("{status} {}", String::from_utf8_lossy(body)),
             Ok(Err(error)) => error.to_string(),
-            Err(_) => format!("no answer within {REQUEST_TIMEOUT:?}"),
+            Err(_) => format!(
+                "no answer within {limit:?}, {} repeats left",
+                order.repeats_left
+            ),
         }
     );
     outcome
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -30,6 +30,7 @@
         limits::RateLimitTable,
         log_contact::LogContact,
         policy::PlacementPolicy,
+        residency::{AcceptedLoad, LoadHistory},
         restore_guard::{RestoreGuard, RewriteRule},
         retry_budget::RetryShare,
         routes::RouteTable,
@@ -75,6 +76,8 @@
 /// Lower bound of the number of VMs that the retry budget is divided by, so that one or two VMs
 /// that join a small fleet do not exceed the budget until the others know them.
 const MIN_BUDGET_SHARES: u32 = 8;
+/// VMs of a zone that are told of its loads. If more of them are lost at once, the next holder begins without the history.
+const MAX_NEXT_HOLDERS: usize = 2;
 
 /// Record that a VM writes about itself. It outlives the process, and a restart at the same address
 /// does not change it.
@@ -106,6 +109,8 @@
     pub active: Option<Arc<ActiveConfig>>,
     /// Known targets.
     pub catalog: TargetCatalog,
+    /// Loads of this VM's zone; empty unless the number of adapters that engines keep is learned.
+    pub load_history: LoadHistory,
     /// Current version of each named adapter.
     pub versions: HashMap<AdapterName, u64>,
     /// Lease of each zone.
@@ -278,6 +283,21 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether a VM of this zone is one of the two that would claim the zone next.
+    #[must_use]
+    fn is_next_holder(&self, fleet: &FleetState, vm: &VmName) -> bool {
+        let Some(cpu) = self.vms.get(vm).map(|record| record.cpu_millicores) else {
+            return false;
+        };
+        let order = duty_order(vm, cpu);
+        let before = self.vms.iter().filter(|(other, record)| {
+            record.zone == fleet.zone
+                && **other != fleet.vm
+                && duty_order(other, record.cpu_millicores) < order
+        });
+        before.take(MAX_NEXT_HOLDERS).count() < MAX_NEXT_HOLDERS
+    }
+
     /// Divides the retry budget, and the rate that VMs without a holder may send to limited
     /// targets, among the known VMs, once the fleet topic is complete.
     pub(super) fn update_budget_shares(&mut self) {
@@ -427,6 +447,7 @@
                 in_flight: HashMap::new(),
                 retries: RetryShare::starting(settings.retries, restarted),
                 streams: StreamEstimate::default(),
+                load_history: LoadHistory::default(),
                 policy: settings.policy,
                 demand: DemandTable::default(),
                 high_demand_until: HashMap::new(),
@@ -733,6 +754,32 @@
     }
 }
 
+impl FleetState {
+    /// Records loads of this zone that an engine accepted or that the zone's holder reported.
+    pub fn record_loads(&self, loads: impl IntoIterator<Item = AcceptedLoad>) {
+        let mut tables = self.tables();
+        if tables.policy.scarcity.learns_recent_adapters {
+            for load in loads {
+                tables.load_history.record(load);
+            }
+        }
+    }
+
+    /// Loads of this zone for a VM of it from a sequence number on, and the number that follows; none unless this VM holds
+    /// the zone and the other may hold it next.
+    #[must_use]
+    pub fn loads_for(&self, vm: &VmName, sequence: u64) -> (Vec<AcceptedLoad>, u64) {
+        let is_holder = self
+            .lease(&self.zone)
+            .is_some_and(|lease| lease.vm.as_ref() == Some(&self.vm));
+        let tables = self.tables();
+        if !is_holder || !tables.is_next_holder(self, vm) {
+            return (Vec::new(), sequence);
+        }
+        tables.load_history.after(sequence)
+    }
+}
+
 fn duty_order(vm: &VmName, cpu_millicores: u32) -> (Reverse<u32>, u64) {
     let mut hasher = SipHasher13::new();
     vm.as_str().hash(&mut hasher);
--- a/crates/daemon/src/direct/links.rs
+++ b/crates/daemon/src/direct/links.rs
@@ -276,7 +276,7 @@
         let mut heartbeat = interval(HEARTBEAT_INTERVAL);
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let is_same_zone = self.zone == self.fleet.zone;
-        let mut sharing = RecordSharing::new(&self.fleet, &self.zone);
+        let mut sharing = RecordSharing::new(&self.fleet, &self.zone).with_peer(&self.vm);
         if let Some(question) = sharing.initial_request()
             && send(&mut socket, &question).await.is_err()
         {
@@ -444,7 +444,7 @@
     zone: &mpsc::Sender<ZoneEvent>,
 ) -> io::Result<()> {
     let is_same_zone = *peer_zone == fleet.zone;
-    let mut sharing = RecordSharing::new(fleet, peer_zone);
+    let mut sharing = RecordSharing::new(fleet, peer_zone).with_peer(&vm);
     fleet.record_successor(&vm, is_same_zone);
     let (outbound, mut replies) = mpsc::channel(OUTBOUND_QUEUE_LEN);
     let mut heard = clock::now();
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -13,6 +13,7 @@
         plain::PlainRequest,
         planner::{PlacementAnswer, PlacementRequest},
         quotas::QuotaCharge,
+        residency::AcceptedLoad,
         stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
@@ -219,6 +220,9 @@
         /// How many VMs of the zone have, if the sender is the zone's holder and there are any.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         overload_count: Option<OverloadCount>,
+        /// Loads in the sender's zone since its last heartbeat on this link, if the receiver may hold the zone next.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        loads: Vec<AcceptedLoad>,
     },
     /// Requests the placement of a call.
     Place(u64, Box<PlacementRequest>),
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -8,8 +8,12 @@
 };
 use hoplanding_core::{
     direct::{
-        freshness::RevocationRule, lease::LeaseTimeouts, policy::PlacementPolicy,
-        quotas::QuotaBounds, restore_guard::RewriteRule, retry_budget::RetryBudgetRule,
+        freshness::RevocationRule,
+        lease::LeaseTimeouts,
+        policy::{PlacementPolicy, ScarcityPolicy},
+        quotas::QuotaBounds,
+        restore_guard::RewriteRule,
+        retry_budget::RetryBudgetRule,
         trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
@@ -135,7 +139,7 @@
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
-        policy: root.section("policy", read_policy),
+        policy: read_adapters(root, root.section("policy", read_policy)),
         timing: root.section("pace", read_timing),
         log: root.section("log", read_log_settings),
     }
@@ -220,9 +224,29 @@
         degraded_penalty: span("doubt_price_ms", defaults.degraded_penalty),
         failure_penalty: span("failing_price_ms", defaults.failure_penalty),
         shed_penalty: span("shed_price_ms", defaults.shed_penalty),
+        ..defaults
     }
 }
 
+/// Reads how adapters are loaded when slots are scarce.
+fn read_adapters(root: &SectionReader<'_>, policy: PlacementPolicy) -> PlacementPolicy {
+    let defaults = ScarcityPolicy::default();
+    let first_load_ms = u64::try_from(defaults.first_load_time.as_millis()).unwrap_or(u64::MAX);
+    let scarcity = root.section("adapters", |section| ScarcityPolicy {
+        min_adapters_per_slot: section.number("min_adapters_per_slot", 0, 0, 1_000_000) as u32,
+        learns_recent_adapters: section.boolean("learn_recent"),
+        order_repeats: section.number("repeat_orders", 0, 0, 10) as u32,
+        loads_per_model_load: section.fraction(
+            "loads_per_model_load",
+            defaults.loads_per_model_load,
+            0.0,
+            1e3,
+        ),
+        first_load_time: section.fractional_millis("first_load_ms", first_load_ms, 10, 20_000),
+    });
+    PlacementPolicy { scarcity, ..policy }
+}
+
 fn read_timing(section: &SectionReader<'_>) -> TimingSettings {
     TimingSettings {
         list_interval: section.fractional_millis("list_every_ms", 1000, 10, 60_000),
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -60,6 +60,10 @@
     last_heartbeat: Option<(u64, Instant)>,
     /// Whether the peer's last heartbeat asked for a read that proves its claim.
     is_lease_read_wanted: bool,
+    /// Name of the peer, to which the zone's loads are reported.
+    peer: Option<VmName>,
+    /// Sequence number of the next load to report.
+    load_sequence: u64,
 }
 
 impl RecordSharing {
@@ -80,6 +84,17 @@
             answered_topics: BTreeSet::new(),
             last_heartbeat: None,
             is_lease_read_wanted: false,
+            peer: None,
+            load_sequence: 0,
+        }
+    }
+
+    /// Also reports the zone's loads to the peer, if that is this VM.
+    #[must_use]
+    pub fn with_peer(self, peer: &VmName) -> Self {
+        Self {
+            peer: Some(peer.clone()),
+            ..self
         }
     }
 
@@ -160,7 +175,11 @@
 
     /// Heartbeat with the state of this VM's contact with the log. Within a zone it also carries
     /// the positions up to which the peer knows everything, once all updates are forwarded.
-    pub fn heartbeat(&self) -> VmMessage {
+    pub fn heartbeat(&mut self) -> VmMessage {
+        let mut loads = Vec::new();
+        if let Some(peer) = self.peer.as_ref().filter(|_| self.is_same_zone) {
+            (loads, self.load_sequence) = self.fleet.loads_for(peer, self.load_sequence);
+        }
         let is_complete = self.is_same_zone && self.is_up_to_date() && self.replies.is_empty();
         let now = clock::now();
         let proof = self.fleet.tables().freshness_proof(now);
@@ -188,6 +207,7 @@
             } else {
                 None
             },
+            loads,
         }
     }
 
@@ -310,12 +330,14 @@
                 lease_read,
                 is_overloaded,
                 overload_count,
+                loads,
             } => {
                 let now = clock::now();
                 self.last_heartbeat = Some((sent, now));
                 if self.is_same_zone {
                     self.fleet
                         .record_load(vm, is_overloaded, overload_count, now);
+                    self.fleet.record_loads(loads);
                 }
                 self.is_lease_read_wanted = asks_for_lease_read;
                 if asks_for_lease_read {
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -641,24 +641,27 @@
             );
         }
         let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
+        let scarcity = policy.for_engines(&limits).scarcity;
+        let estimates =
+            EngineEstimates::per_zone(zones, limits.loads_per_s).with_scarcity(&scarcity);
         let held = self.held.get_or_insert_with(|| {
             // An unconfirmed claim delays orders beyond the next tick, which checks the confirmation again.
             let orders_from =
                 now.after(order_delay.max(2 * TICK_INTERVAL * u32::from(!is_confirmed)));
-            let mut held = new_held_zone(token, &service, &limits, zones, orders_from);
+            let mut held = new_held_zone(token, &service, &limits, estimates, orders_from);
             if had_holder {
                 held.planner.mark_takeover(now.after(order_delay));
             }
             held
         });
         held.service.clone_from(&service);
+        held.planner.set_policy(policy.for_engines(&limits));
         held.planner.set_limits(limits);
-        held.planner.set_policy(policy);
         held.planner
             .set_order_fencing(self.settings.has_order_fencing);
         held.planner.set_sole_until(sole_until);
-        held.planner
-            .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
+        let targets = self.fleet.zone_targets(&service, &self.fleet.zone);
+        held.planner.set_targets(targets.clone(), now);
         if is_newly_held {
             for limit in &advertised_limits {
                 held.planner.record_limit(limit, now);
@@ -667,6 +670,13 @@
         for (subject, version) in versions {
             held.planner.set_version(&subject, version, now);
         }
+        if is_newly_held {
+            let tables = self.fleet.tables();
+            for entry in targets {
+                let earlier = tables.load_history.of(&entry.name, entry.life);
+                held.planner.record_earlier_loads(&entry.name, earlier);
+            }
+        }
         self.sync_suspects();
     }
 
@@ -739,17 +749,13 @@
     token: FencingToken,
     service: &ServiceName,
     limits: &EngineLimits,
-    zones: u32,
+    estimates: EngineEstimates,
     orders_from: Instant,
 ) -> HeldZone {
     HeldZone {
         token,
         service: service.clone(),
-        planner: ZonePlanner::new(
-            EngineEstimates::per_zone(zones, limits.loads_per_s),
-            limits.clone(),
-            orders_from,
-        ),
+        planner: ZonePlanner::new(estimates, limits.clone(), orders_from),
         is_yielding: false,
         logged_loads: LoadSummary::default(),
         suspects_revision: None,
