Plan the engines of each service by itself

Cause: a holder plans the engines of one service, whichever comes first in a hash map, and sends the calls of every service with engines there. So a second service with engines runs the first one's calls, and the other way round. Change: `ServicePlans` has one `ZonePlanner` for each service with engines, in the order of their names. `PlacementRequest` names its service; requests of earlier builds, which name none, go to the only service with engines or to the only one that lists their model, and are refused otherwise (`EngineServices`). A gateway passes over a target of another service, whatever a holder answers, and asks no such zone again in the same search. Plans are added and dropped with the configuration in force; calls that wait in a dropped plan are answered `NotHolder` and get their charge back. `zone_engines` and `overdue_prompts` are labelled by service, E714 and E715 name it, E845, E846 and `service_mismatches` are new.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! | [`plain`] | which target of a plain service a call goes to |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
+//! | [`engine_services`] | which services have engines, and which of them a placement request is for |
 //! | [`policy`] | what placing and refusing weigh |
 //! | [`load_limiter`] | how many loads from the weight store may be in flight, and how long one takes |
 //! | [`prefill`] | how fast engines prefill prompts, and the backlog of each |
@@ -44,6 +45,7 @@
 pub mod config;
 pub mod demand;
 pub mod engine;
+pub mod engine_services;
 pub mod freshness;
 pub mod health;
 pub mod lease;
--- a/crates/core/src/direct/planner/messages.rs
+++ b/crates/core/src/direct/planner/messages.rs
@@ -9,7 +9,7 @@
         suspects::RequestFingerprint,
         versions::{CacheVersions, VersionMatch},
     },
-    ids::{AdapterName, TargetLife, TargetName, VmName},
+    ids::{AdapterName, ServiceName, TargetLife, TargetName, VmName},
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
@@ -38,6 +38,9 @@
 /// Request to place a call at one of the engines of a zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementRequest {
+    /// Service of the call; empty in requests of builds that name none.
+    #[serde(default, skip_serializing_if = "ServiceName::is_empty")]
+    pub service: ServiceName,
     /// Subject of the call: `model`, or `model/adapter`.
     pub subject: AdapterName,
     /// Length of the prompt, in tokens.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -81,9 +81,24 @@
     OrganisationName
 );
 name_type!(
-    /// Name of a plain service behind one or more targets.
+    /// Name of a service behind one or more targets; empty in requests of builds that name none.
     ServiceName
 );
+
+impl ServiceName {
+    /// Whether no service is named.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.as_str().is_empty()
+    }
+}
+
+impl Default for ServiceName {
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 name_type!(
     /// Version of a target's software, unlike that of the weights it serves; empty if its entry states none. Versions
     /// have no order.
--- a/crates/core/tests/direct_memory/simulation.rs
+++ b/crates/core/tests/direct_memory/simulation.rs
@@ -628,6 +628,7 @@
         let avoided = plan.avoids.map(|at| usize::from(at) % self.engines.len());
         let avoided = avoided.map(|at| self.engines[at].name.clone());
         let request = PlacementRequest {
+            service: Default::default(),
             fingerprint: Default::default(),
             is_trial: false,
             charge: None,
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -65,6 +65,7 @@
 
 fn request(adapter: &str) -> PlacementRequest {
     PlacementRequest {
+        service: Default::default(),
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
--- a/crates/core/tests/direct_stale_copy.rs
+++ b/crates/core/tests/direct_stale_copy.rs
@@ -65,6 +65,7 @@
 
 fn placement_request(adapter: &str) -> PlacementRequest {
     PlacementRequest {
+        service: Default::default(),
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
--- a/crates/core/tests/direct_versions/support.rs
+++ b/crates/core/tests/direct_versions/support.rs
@@ -136,6 +136,7 @@
 
 pub fn placement_request_for(subject: &str, excluded: &[&str]) -> PlacementRequest {
     PlacementRequest {
+        service: Default::default(),
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
--- a/crates/core/tests/load/simulation.rs
+++ b/crates/core/tests/load/simulation.rs
@@ -440,6 +440,7 @@
             .search
             .max_wait(query.pass, class.rank, objective, remaining);
         let request = PlacementRequest {
+            service: Default::default(),
             fingerprint: Default::default(),
             is_trial: false,
             charge: None,
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -183,6 +183,8 @@
     pub runs: u32,
     /// Zones that refused the call in the last placement, and why.
     pub refusals: Vec<(AvailabilityZone, RefusalCause)>,
+    /// Zones whose holder chose a target of another service in the last placement.
+    pub foreign_zones: Vec<AvailabilityZone>,
     /// Number of sends that targets rejected without running them.
     pub rejected: u32,
     /// Number of targets that could not be reached.
@@ -321,6 +323,7 @@
         is_counted: false,
         runs: 0,
         refusals: Vec::new(),
+        foreign_zones: Vec::new(),
         rejected: 0,
         unreached: 0,
         closed_zones: Vec::new(),
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -9,6 +9,7 @@
         call::{CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome},
         holder_client::PlacedCall,
         message::FeedTopic,
+        metrics::MismatchSide,
     },
     event,
     events::Event,
@@ -61,6 +62,7 @@
     /// Finds the target of the next send, and waits until its adapter is expected to be loaded.
     pub async fn place(&mut self) -> CallPlacement {
         self.refusals.clear();
+        self.foreign_zones.clear();
         self.fetch_source = None;
         self.is_limited = false;
         if let Some(retry_after) = self.backoff_of_all() {
@@ -148,7 +150,28 @@
 
     /// Whether a target that a holder chose takes the call, by this VM's own knowledge.
     fn may_send_to(&self, entry: &TargetEntry) -> bool {
-        entry.stage == TargetStage::Ready && self.fits_software(entry)
+        entry.service == self.service.name
+            && entry.stage == TargetStage::Ready
+            && self.fits_software(entry)
+    }
+
+    /// Whether this VM lists a target that a holder chose for another service than the call's. Holders of builds that
+    /// plan the engines of one service send the calls of all services there.
+    fn is_foreign(&self, zone: &AvailabilityZone, target: &TargetName) -> bool {
+        let tables = self.context.fleet.tables();
+        let Some(entry) = tables.catalog.get(target) else {
+            return false;
+        };
+        if entry.service == self.service.name {
+            return false;
+        }
+        event!(Event::ServiceMismatch, request = self.head.id; "{target} of {} in {zone} for a call of {}",
+            entry.service,
+            self.service.name
+        );
+        let metrics = &self.context.fleet.metrics;
+        metrics.count_service_mismatch(MismatchSide::Gateway);
+        true
     }
 
     /// Whether this VM knows a target that may continue the call's stream.
@@ -280,6 +303,9 @@
         query: &ZoneQuery,
         search: &mut ZoneSearch,
     ) -> Option<CallPlacement> {
+        if self.foreign_zones.contains(zone) {
+            return None;
+        }
         let request = self.placement_request(query, search);
         let Some((answer, placed_call)) = self.context.holder_client.place(zone, request).await
         else {
@@ -314,6 +340,11 @@
                 if is_in_high_demand {
                     self.context.fleet.record_high_demand(&self.subject());
                 }
+                // Checked before the wait for a load, and again after it in `may_send_to`.
+                if self.is_foreign(zone, &target) {
+                    self.foreign_zones.push(zone.clone());
+                    return None;
+                }
                 let metrics = &self.context.fleet.metrics;
                 metrics.observe_placement(self.arrived.elapsed());
                 self.timeline.record_placed(expected_ms);
@@ -449,6 +480,7 @@
             .unwrap_or(self.head.max_output_tokens / 2)
             .min(self.head.max_output_tokens.max(1));
         PlacementRequest {
+            service: self.service.name.clone(),
             subject: self.subject(),
             prompt_tokens: self.head.prompt_tokens,
             output_tokens: output,
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -17,7 +17,7 @@
         quotas::BucketCounts,
         versions::{CacheVersions, VersionAge, VersionMatch},
     },
-    ids::OrganisationName,
+    ids::{OrganisationName, ServiceName},
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
@@ -231,9 +231,29 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EngineLabels {
+    service: String,
     state: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+/// Who found that a placement concerns another service than the one that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum MismatchSide {
+    /// A holder without a plan for the service of a request.
+    Holder,
+    /// A gateway that was told a target of another service.
+    Gateway,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MismatchLabels {
+    side: MismatchSide,
+}
+
 /// Metrics of this VM in direct mode.
 #[derive(Debug)]
 pub struct DirectMetrics {
@@ -258,7 +278,8 @@
     target_connects: Family<ConnectLabels, Counter>,
     tunnels: Family<TunnelLabels, Counter>,
     engines: Family<EngineLabels, Gauge>,
-    overdue_prompts: Gauge,
+    overdue_prompts: Family<ServiceLabels, Gauge>,
+    service_mismatches: Family<MismatchLabels, Counter>,
     in_flight: Gauge,
     config_version: Gauge,
     vms: Gauge,
@@ -293,7 +314,8 @@
             target_connects: Family::default(),
             tunnels: Family::default(),
             engines: Family::default(),
-            overdue_prompts: Gauge::default(),
+            overdue_prompts: Family::default(),
+            service_mismatches: Family::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
             vms: Gauge::default(),
@@ -403,14 +425,19 @@
         );
         registry.register(
             "zone_engines",
-            "Engines of the zone that this VM holds, and those of them that it avoids",
+            "Engines of the zone that this VM holds, and those of them that it avoids, by service",
             self.engines.clone(),
         );
         registry.register(
             "overdue_prompts",
-            "Prompts sent to the engines of the zone that this VM holds whose first event is overdue",
+            "Prompts sent to the engines of the zone that this VM holds whose first event is overdue, by service",
             self.overdue_prompts.clone(),
         );
+        registry.register(
+            "service_mismatches",
+            "Placements for another service than the one asked for, by who found it",
+            self.service_mismatches.clone(),
+        );
         registry.register("in_flight", "Requests at targets", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -507,7 +534,7 @@
 
     /// Counts, and logs, a prompt of which the chosen engine could fetch cached parts from another one, whether or not it is instructed
     /// to.
-    pub fn count_prompt_move(&self, prompt_move: &CacheTransfer) {
+    pub fn count_prompt_move(&self, service: &ServiceName, prompt_move: &CacheTransfer) {
         let now = clock::now();
         let versions = match prompt_move.version_match() {
             VersionMatch::Same => "same",
@@ -524,7 +551,7 @@
         };
         event!(
             Event::KvFetchOffered,
-            "{}#{}: {} from {} ({}) to {} ({}), named {:?}, told {told}",
+            "{}#{}: {} of {service} from {} ({}) to {} ({}), named {:?}, told {told}",
             prompt_move.key.vm,
             prompt_move.key.number,
             prompt_move.subject,
@@ -558,20 +585,37 @@
         self.tunnels.get_or_create(&TunnelLabels { result }).inc();
     }
 
-    /// Sets what a zone's holder knows of its engines; `None` if this VM holds no zone.
-    pub fn set_engine_counts(&self, counts: Option<EngineCounts>) {
-        let counts = counts.unwrap_or_default();
-        for (state, count) in [
-            ("listed", counts.listed),
-            ("unreachable", counts.unreachable),
-            ("degraded", counts.degraded),
-        ] {
-            self.engines
-                .get_or_create(&EngineLabels { state })
-                .set(saturating_i64(count as u64));
+    /// Sets what a zone's holder knows of the engines of each service; there are none if this VM holds no zone.
+    pub fn set_engine_counts<'a>(
+        &self,
+        counts: impl Iterator<Item = (&'a ServiceName, EngineCounts)>,
+    ) {
+        // A service that lost its plan leaves no series behind.
+        self.engines.clear();
+        self.overdue_prompts.clear();
+        for (service, counts) in counts {
+            for (state, count) in [
+                ("listed", counts.listed),
+                ("unreachable", counts.unreachable),
+                ("degraded", counts.degraded),
+            ] {
+                let service = service.to_string();
+                self.engines
+                    .get_or_create(&EngineLabels { service, state })
+                    .set(saturating_i64(count as u64));
+            }
+            let service = service.to_string();
+            self.overdue_prompts
+                .get_or_create(&ServiceLabels { service })
+                .set(saturating_i64(counts.overdue_prompts as u64));
         }
-        self.overdue_prompts
-            .set(saturating_i64(counts.overdue_prompts as u64));
+    }
+
+    /// Counts a placement that concerns another service than the one that was asked for.
+    pub fn count_service_mismatch(&self, side: MismatchSide) {
+        self.service_mismatches
+            .get_or_create(&MismatchLabels { side })
+            .inc();
     }
 
     /// Counts records that were forwarded to another VM.
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -72,6 +72,7 @@
 pub mod recorder;
 pub mod reload;
 pub mod request_timer;
+pub mod service_plans;
 pub mod settings;
 pub mod sharing;
 pub mod skipped;
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -1,8 +1,9 @@
 //! The worker that runs this VM's zone while this VM holds the zone's lease.
 //!
-//! The worker owns the planner. It answers placement requests of gateways, sends orders to the engines and reads
-//! their reports. Quotas, trials and plain services are handled by the [`HolderState`], which exists for as long as the
-//! lease is usable; the planner exists only if a service with engines is configured as well.
+//! The worker owns the [`ServicePlans`], one planner for each service with engines. It answers placement requests of
+//! gateways, sends orders to the engines and reads their reports. Quotas, trials and plain services are handled by the
+//! [`HolderState`], which exists for as long as the lease is usable; the plans exist only if a service with engines is
+//! configured as well.
 
 use crate::{
     clock,
@@ -12,6 +13,8 @@
         fleet::FleetState,
         holder_state::{HolderState, LeaseOrigin},
         message::{CallEnd, CompletedCall, ForwardedRecord, VmMessage},
+        metrics::MismatchSide,
+        service_plans::{PlanStart, ServicePlans},
         settings::DirectSettings,
         target_connections::ConnectionPool,
     },
@@ -20,16 +23,13 @@
 };
 use hoplanding_core::{
     direct::{
-        config::EngineLimits,
         engine::{EngineReport, OrderOutcome},
+        engine_services::EngineServices,
         lease::LeaseState,
         limits::AdvertisedLimit,
-        load_limiter::LoadSummary,
         millis,
         plain::PlainRequest,
-        planner::{
-            CallKey, EngineEstimates, PlacementAnswer, PlacementRequest, PlannerAction, ZonePlanner,
-        },
+        planner::{CallKey, PlacementAnswer, PlacementRequest, PlannerAction, RefusalCause},
         quotas::QuotaCharge,
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
@@ -40,7 +40,11 @@
     },
 };
 use hoplanding_platform::orders::encode_order;
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     sync::{mpsc, oneshot},
     time::{MissedTickBehavior, interval, sleep},
@@ -55,6 +59,9 @@
 /// names its version.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of calls for whose service the zone has no plan, as long as that of planners without a free engine.
+const NO_PLAN_RETRY_AFTER_MS: u32 = 300;
+
 /// The holder's reply to a request of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HolderReply {
@@ -126,35 +133,27 @@
 
 struct HeldZone {
     token: FencingToken,
-    service: ServiceName,
-    planner: ZonePlanner,
+    plans: ServicePlans,
+    /// Time before which no order is sent, because the previous holder may still send some.
+    orders_from: Instant,
     /// Whether the lease is released once all pending orders are answered.
     is_yielding: bool,
-    /// The summary of loads from the weight store that was last logged.
-    logged_loads: LoadSummary,
-    /// Revision of the suspects that the planner has.
-    suspects_revision: Option<u64>,
 }
 
 impl HeldZone {
-    /// Logs the estimates about loads from the weight store if they have changed.
-    fn log_load_changes(&mut self) {
-        let summary = self.planner.load_limiter().summary();
-        if summary.differs_notably(&self.logged_loads) {
-            self.logged_loads = summary;
-            event!(
-                Event::LoadLimitChanged,
-                "at most {} at once, {:?} expected each, {:?} without concurrent loads",
-                summary.limit,
-                summary.expected_time,
-                summary.uncontended_time
-            );
+    /// Begins to release the lease.
+    fn stop_orders(&mut self) {
+        self.is_yielding = true;
+        for planner in self.plans.planners() {
+            planner.stop_orders();
         }
     }
 }
 
 /// A call that waits for its placement.
 struct PendingPlacement {
+    /// Service in whose plan it waits.
+    service: ServiceName,
     reply: ReplySender,
     /// The charge that was taken from the quota, refunded if the call is not placed.
     charge: Option<QuotaCharge>,
@@ -223,15 +222,15 @@
                     self.sync_suspects();
                     let confirmed = self.fleet.tables().confirmed_token;
                     if let Some(held) = &mut self.held {
-                        if confirmed != Some(held.token) {
-                            held.planner.hold_orders(clock::now().after(2 * TICK_INTERVAL));
-                        }
-                        if self.pool.is_path_lost(&self.fleet.zone) {
-                            held.planner.hold_orders(clock::now().after(2 * TICK_INTERVAL));
+                        let must_hold = confirmed != Some(held.token)
+                            || self.pool.is_path_lost(&self.fleet.zone);
+                        for planner in held.plans.planners() {
+                            if must_hold {
+                                planner.hold_orders(clock::now().after(2 * TICK_INTERVAL));
+                            }
+                            planner.set_sole_until(sole_until);
                         }
-                        held.planner.set_sole_until(sole_until);
-                        held.planner.tick(clock::now());
-                        held.log_load_changes();
+                        held.plans.tick(clock::now());
                     }
                 }
             }
@@ -269,6 +268,25 @@
         };
         match event {
             ZoneEvent::Place(key, request, reply) => {
+                let Some((service, plan)) = held.plans.plan_for(&request) else {
+                    event!(
+                        Event::ServiceMismatch,
+                        "no plan of {} for {:?} in {}, requested by {}",
+                        request.subject,
+                        request.service,
+                        self.fleet.zone,
+                        key.vm
+                    );
+                    self.fleet
+                        .metrics
+                        .count_service_mismatch(MismatchSide::Holder);
+                    let refusal = PlacementAnswer::Refuse {
+                        retry_after_ms: NO_PLAN_RETRY_AFTER_MS,
+                        cause: RefusalCause::NoEngine,
+                    };
+                    send_reply(&key, reply, HolderReply::Placement(refusal));
+                    return;
+                };
                 let charge = request.charge.clone();
                 let charged = self.holder_state.as_mut().map_or(Ok(()), |holder_state| {
                     holder_state.charge_placement(charge.as_ref(), now)
@@ -277,30 +295,34 @@
                     send_reply(&key, reply, HolderReply::Placement(refusal));
                     return;
                 }
-                let pending = PendingPlacement { reply, charge };
+                let pending = PendingPlacement {
+                    service: service.clone(),
+                    reply,
+                    charge,
+                };
                 self.pending.insert(key.clone(), pending);
-                held.planner.place(key, *request, now);
+                plan.planner.place(key, *request, now);
             }
             ZoneEvent::FirstEvent(key, target, version) => {
-                held.planner.call_started(&key, &target, version, now);
+                for planner in held.plans.planners() {
+                    planner.call_started(&key, &target, version, now);
+                }
             }
             ZoneEvent::CallEnded(vm, completed) => {
                 let key = CallKey {
                     vm,
                     number: completed.number,
                 };
-                // The outcome of a call to an earlier life says nothing about the target's present health.
-                let is_known = held
-                    .planner
-                    .is_current_life(&completed.target, completed.life);
-                let health = completed.outcome.and_then(CallEnd::health);
-                let health = health.filter(|_| is_known);
-                if completed.outcome == Some(CallEnd::Absent) {
-                    held.planner
-                        .report_missing_copy(&key, &completed.target, now);
+                let (target, outcome) = (&completed.target, completed.outcome);
+                for planner in held.plans.planners() {
+                    // The outcome of a call to an earlier life says nothing about the target's present health.
+                    let is_known = planner.is_current_life(target, completed.life);
+                    let health = outcome.and_then(CallEnd::health).filter(|_| is_known);
+                    if outcome == Some(CallEnd::Absent) {
+                        planner.report_missing_copy(&key, target, now);
+                    }
+                    planner.call_ended(&key, Some(target), health, now);
                 }
-                held.planner
-                    .call_ended(&key, Some(&completed.target), health, now);
             }
             ZoneEvent::PlacementWithdrawn(key) => {
                 let pending = self.pending.remove(&key);
@@ -310,33 +332,41 @@
                 ) {
                     holder_state.refund(&charge, now);
                 }
-                held.planner.call_ended(&key, None, None, now);
+                for planner in held.plans.planners() {
+                    planner.call_ended(&key, None, None, now);
+                }
             }
             ZoneEvent::OpenCall(key, target, life, subject) => {
-                if held.planner.is_current_life(&target, life) {
-                    held.planner.adopt_call(key, &target, &subject);
+                if let Some(planner) = held.plans.planner_of(&target, life) {
+                    planner.adopt_call(key, &target, &subject);
                 }
             }
             ZoneEvent::GatewayLost(vm) => {
                 self.pending.retain(|key, _| key.vm != vm);
-                held.planner.forget_gateway(&vm, now);
+                for planner in held.plans.planners() {
+                    planner.forget_gateway(&vm, now);
+                }
             }
             ZoneEvent::OrderEnded(target, life, outcome) => {
-                if !held.planner.is_current_life(&target, life) {
-                    event!(Event::StaleOrderAnswer, "{target}: {outcome:?}");
-                } else if outcome == OrderOutcome::Fenced {
+                let is_retired = held.plans.retire_order(&target, life);
+                let planner = held.plans.planner_of(&target, life);
+                if outcome == OrderOutcome::Fenced && (is_retired || planner.is_some()) {
                     event!(
                         Event::LeaseFenced,
                         "{target} has accepted orders of a newer holder"
                     );
                     self.unusable_token = Some(held.token);
                     self.drop_zone();
+                } else if let Some(planner) = planner.filter(|_| !is_retired) {
+                    planner.order_ended(&target, outcome, now);
                 } else {
-                    held.planner.order_ended(&target, outcome, now);
+                    event!(Event::StaleOrderAnswer, "{target}: {outcome:?}");
                 }
             }
             ZoneEvent::ReportReceived(target, report) => {
-                held.planner.report_received(&target, report.as_ref(), now);
+                for planner in held.plans.planners() {
+                    planner.report_received(&target, report.as_ref(), now);
+                }
             }
             ZoneEvent::ReleaseLease(released) => {
                 self.is_released = true;
@@ -345,8 +375,7 @@
             }
             ZoneEvent::LeaseWanted(vm, token) if held.token == token && !held.is_yielding => {
                 event!(Event::LeaseYielded, "{} to {vm}", self.fleet.zone);
-                held.is_yielding = true;
-                held.planner.stop_orders();
+                held.stop_orders();
             }
             // A lease request that names an older record or is a duplicate; the others are handled before, or need
             // nothing.
@@ -396,7 +425,9 @@
                 if is_success {
                     self.fleet.clear_suspicion(fingerprint);
                     if let Some(held) = &mut self.held {
-                        held.planner.clear_suspicion(fingerprint);
+                        for planner in held.plans.planners() {
+                            planner.clear_suspicion(fingerprint);
+                        }
                     }
                 }
                 None
@@ -409,14 +440,18 @@
                 }
                 holder_state.record_limit(&limit, now);
                 if let Some(held) = &mut self.held {
-                    held.planner.record_limit(&limit, now);
+                    for planner in held.plans.planners() {
+                        planner.record_limit(&limit, now);
+                    }
                 }
                 None
             }
             ZoneEvent::TargetCrashed(crash) => {
                 self.fleet.record_crash(&crash);
                 if let Some(held) = &mut self.held {
-                    held.planner.record_crash(&crash, now);
+                    for planner in held.plans.planners() {
+                        planner.record_crash(&crash, now);
+                    }
                 }
                 None
             }
@@ -446,16 +481,10 @@
         }
     }
 
-    /// Copies the suspected requests to the planner if they have changed, including those read from the log.
+    /// Copies the suspected requests to the planners if they have changed, including those read from the log.
     fn sync_suspects(&mut self) {
-        let Some(held) = &mut self.held else {
-            return;
-        };
-        let tables = self.fleet.tables();
-        let revision = tables.suspects.revision();
-        if held.suspects_revision != Some(revision) {
-            held.suspects_revision = Some(revision);
-            held.planner.set_suspects(tables.suspects.clone());
+        if let Some(held) = &mut self.held {
+            held.plans.sync_suspects(&self.fleet.tables().suspects);
         }
     }
 
@@ -478,8 +507,7 @@
         };
         if self.pool.is_only_own_path_lost(zone, MIN_PATH_LOSS) {
             event!(Event::LeaseUnusable, "{zone}");
-            held.is_yielding = true;
-            held.planner.stop_orders();
+            held.stop_orders();
         }
     }
 
@@ -488,7 +516,7 @@
         let Some(held) = &self.held else {
             return;
         };
-        if !held.is_yielding || held.planner.has_pending_orders() {
+        if !held.is_yielding || held.plans.has_pending_orders() {
             return;
         }
         let token = held.token;
@@ -509,7 +537,7 @@
         });
     }
 
-    /// Drops the planner and the holder state, and refers all waiting calls to another holder.
+    /// Drops the plans and the holder state, and refers all waiting calls to another holder.
     fn drop_zone(&mut self) {
         if self.held.take().is_some() {
             event!(Event::LeaseLost, "{}", self.fleet.zone);
@@ -520,7 +548,7 @@
         }
     }
 
-    /// Replaces the token after this VM's lease was recorded again because the log was restored from a copy. Planner
+    /// Replaces the token after this VM's lease was recorded again because the log was restored from a copy. Plans
     /// and holder state are kept.
     fn renew_token(&mut self, token: FencingToken) {
         event!(
@@ -537,18 +565,22 @@
         }
     }
 
-    /// Updates the planner's engines from the target list.
+    /// Updates the engines of all plans from the target list.
     fn refresh_targets(&mut self) {
         if let Some(held) = &mut self.held {
-            let targets = self.fleet.zone_targets(&held.service, &self.fleet.zone);
-            held.planner.set_targets(targets, clock::now());
+            for (service, plan) in held.plans.iter_mut() {
+                let targets = self.fleet.zone_targets(service, &self.fleet.zone);
+                plan.planner.set_targets(targets, clock::now());
+            }
         }
     }
 
     fn update_metrics(&self) {
         let metrics = &self.fleet.metrics;
-        let counts = self.held.as_ref();
-        metrics.set_engine_counts(counts.map(|held| held.planner.engine_counts(clock::now())));
+        let plans = self.held.iter().flat_map(|held| held.plans.iter());
+        let now = clock::now();
+        let counts = plans.map(|(service, plan)| (service, plan.planner.engine_counts(now)));
+        metrics.set_engine_counts(counts);
         if let Some(holder_state) = &self.holder_state {
             metrics.set_quota_counts(holder_state.counts());
             let tables = self.fleet.tables();
@@ -556,7 +588,7 @@
         }
     }
 
-    /// Starts, renews or drops the zone according to the lease record, and updates the planner's configuration.
+    /// Starts, renews or drops the zone according to the lease record, and updates the configuration of the plans.
     fn refresh(&mut self) {
         let now = clock::now();
         let sole_until = self.sole_until();
@@ -577,14 +609,8 @@
         let order_delay = tables.claim_delay;
         let is_confirmed = token.is_some() && tables.confirmed_token == token;
         let policy = tables.policy;
-        let service = tables.active.as_ref().and_then(|active| {
-            let service = active
-                .config
-                .services
-                .values()
-                .find(|service| service.engine.is_some())?;
-            Some((service.name.clone(), service.engine.clone()?))
-        });
+        let active = tables.active.as_ref();
+        let services = active.map(|active| EngineServices::of(&active.config));
         let versions: Vec<_> = tables
             .versions
             .iter()
@@ -628,7 +654,10 @@
         });
         holder_state.refresh(&self.fleet, now);
         holder_state.set_sole_until(sole_until);
-        let Some((service, limits)) = service else {
+        // A zone is held once a service has engines; it then stays held if the last one loses them.
+        let Some(services) =
+            services.filter(|services| self.held.is_some() || !services.is_empty())
+        else {
             return;
         };
         let is_newly_held = self.held.is_none();
@@ -640,122 +669,124 @@
                 token.0
             );
         }
-        let zones = u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX);
-        let held = self.held.get_or_insert_with(|| {
+        let held = self.held.get_or_insert_with(|| HeldZone {
+            token,
+            plans: ServicePlans::default(),
             // An unconfirmed claim delays orders beyond the next tick, which checks the confirmation again.
-            let orders_from =
-                now.after(order_delay.max(2 * TICK_INTERVAL * u32::from(!is_confirmed)));
-            let mut held = new_held_zone(token, &service, &limits, zones, orders_from);
-            if had_holder {
-                held.planner.mark_takeover(now.after(order_delay));
-            }
-            held
+            orders_from: now.after(order_delay.max(2 * TICK_INTERVAL * u32::from(!is_confirmed))),
+            is_yielding: false,
         });
-        held.service.clone_from(&service);
-        held.planner.set_limits(limits);
-        held.planner.set_policy(policy);
-        held.planner
-            .set_order_fencing(self.settings.has_order_fencing);
-        held.planner.set_sole_until(sole_until);
-        held.planner
-            .set_targets(self.fleet.zone_targets(&service, &self.fleet.zone), now);
-        if is_newly_held {
-            for limit in &advertised_limits {
-                held.planner.record_limit(limit, now);
+        let start = PlanStart {
+            zones: u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX),
+            orders_from: held.orders_from,
+            // A plan that is added later may follow one of the same engines that was dropped with orders under way.
+            taken_over_at: if is_newly_held {
+                had_holder.then(|| now.after(order_delay))
+            } else {
+                Some(now.max(held.orders_from))
+            },
+            is_yielding: held.is_yielding,
+        };
+        let dropped = held.plans.set_services(services, start);
+        for (service, plan) in held.plans.iter_mut() {
+            let planner = &mut plan.planner;
+            planner.set_policy(policy);
+            planner.set_order_fencing(self.settings.has_order_fencing);
+            planner.set_sole_until(sole_until);
+            planner.set_targets(self.fleet.zone_targets(service, &self.fleet.zone), now);
+            if plan.is_new() {
+                for limit in &advertised_limits {
+                    plan.planner.record_limit(limit, now);
+                }
+            }
+            for (subject, version) in &versions {
+                plan.planner.set_version(subject, *version, now);
             }
         }
-        for (subject, version) in versions {
-            held.planner.set_version(&subject, version, now);
-        }
+        self.refer_calls(&dropped, now);
         self.sync_suspects();
     }
 
+    /// Refers the calls that wait in dropped plans to another holder, and returns their charges.
+    fn refer_calls(&mut self, services: &HashSet<ServiceName>, now: Instant) {
+        let pending = &mut self.pending;
+        for (key, pending) in pending.extract_if(|_, pending| services.contains(&pending.service)) {
+            if let (Some(charge), Some(holder_state)) = (&pending.charge, &mut self.holder_state) {
+                holder_state.refund(charge, now);
+            }
+            send_reply(&key, pending.reply, HolderReply::NotHolder);
+        }
+    }
+
     fn run_planner_actions(&mut self) {
         let Some(held) = &mut self.held else {
             return;
         };
-        for action in held.planner.take_actions() {
-            match action {
-                PlannerAction::Answer(key, answer) => {
-                    let Some(pending) = self.pending.remove(&key) else {
-                        continue;
-                    };
-                    let is_refused = matches!(answer, PlacementAnswer::Refuse { .. });
-                    if let (Some(charge), Some(holder_state)) =
-                        (&pending.charge, &mut self.holder_state)
-                        && is_refused
+        for (service, plan) in held.plans.iter_mut() {
+            for action in plan.planner.take_actions() {
+                match action {
+                    PlannerAction::Answer(key, answer) => {
+                        let Some(pending) = self.pending.remove(&key) else {
+                            continue;
+                        };
+                        let is_refused = matches!(answer, PlacementAnswer::Refuse { .. });
+                        if let (Some(charge), Some(holder_state)) =
+                            (&pending.charge, &mut self.holder_state)
+                            && is_refused
+                        {
+                            holder_state.refund(charge, clock::now());
+                        }
+                        send_reply(&key, pending.reply, HolderReply::Placement(answer));
+                    }
+                    // An engine that requested a backoff is treated like one that refuses orders.
+                    PlannerAction::Order(entry, _) if self.fleet.is_backing_off(&entry.run()) => {
+                        let outcome = OrderOutcome::Refused;
+                        plan.planner.order_ended(&entry.name, outcome, clock::now());
+                    }
+                    PlannerAction::FetchReport(entry)
+                        if self.fleet.is_backing_off(&entry.run()) =>
                     {
-                        holder_state.refund(charge, clock::now());
+                        plan.planner
+                            .report_received(&entry.name, None, clock::now());
+                    }
+                    PlannerAction::Order(entry, order) => {
+                        let vm = self.fleet.vm.clone();
+                        let request = encode_order(&entry.name, &vm, held.token, &order);
+                        let fleet = Arc::clone(&self.fleet);
+                        let pool = Arc::clone(&self.pool);
+                        let events = self.events.clone();
+                        tokio::spawn(async move {
+                            let outcome = send_order(&fleet, &pool, &entry, &order, request).await;
+                            // The channel closes only when the process ends.
+                            let _ = events
+                                .send(ZoneEvent::OrderEnded(
+                                    entry.name.clone(),
+                                    entry.life,
+                                    outcome,
+                                ))
+                                .await;
+                        });
+                    }
+                    PlannerAction::RecordTransfer(transfer) => {
+                        self.fleet.metrics.count_prompt_move(service, &transfer)
+                    }
+                    PlannerAction::FetchReport(entry) => {
+                        let fleet = Arc::clone(&self.fleet);
+                        let pool = Arc::clone(&self.pool);
+                        let events = self.events.clone();
+                        tokio::spawn(async move {
+                            let report = fetch_report(&fleet, &pool, &entry).await;
+                            let _ = events
+                                .send(ZoneEvent::ReportReceived(entry.name.clone(), report))
+                                .await;
+                        });
                     }
-                    send_reply(&key, pending.reply, HolderReply::Placement(answer));
-                }
-                // An engine that requested a backoff is treated like one that refuses orders.
-                PlannerAction::Order(entry, _) if self.fleet.is_backing_off(&entry.run()) => {
-                    let outcome = OrderOutcome::Refused;
-                    held.planner.order_ended(&entry.name, outcome, clock::now());
-                }
-                PlannerAction::FetchReport(entry) if self.fleet.is_backing_off(&entry.run()) => {
-                    held.planner
-                        .report_received(&entry.name, None, clock::now());
-                }
-                PlannerAction::Order(entry, order) => {
-                    let vm = self.fleet.vm.clone();
-                    let request = encode_order(&entry.name, &vm, held.token, &order);
-                    let fleet = Arc::clone(&self.fleet);
-                    let pool = Arc::clone(&self.pool);
-                    let events = self.events.clone();
-                    tokio::spawn(async move {
-                        let outcome = send_order(&fleet, &pool, &entry, &order, request).await;
-                        // The channel closes only when the process ends.
-                        let _ = events
-                            .send(ZoneEvent::OrderEnded(
-                                entry.name.clone(),
-                                entry.life,
-                                outcome,
-                            ))
-                            .await;
-                    });
-                }
-                PlannerAction::RecordTransfer(transfer) => {
-                    self.fleet.metrics.count_prompt_move(&transfer)
-                }
-                PlannerAction::FetchReport(entry) => {
-                    let fleet = Arc::clone(&self.fleet);
-                    let pool = Arc::clone(&self.pool);
-                    let events = self.events.clone();
-                    tokio::spawn(async move {
-                        let report = fetch_report(&fleet, &pool, &entry).await;
-                        let _ = events
-                            .send(ZoneEvent::ReportReceived(entry.name.clone(), report))
-                            .await;
-                    });
                 }
             }
         }
     }
 }
 
-fn new_held_zone(
-    token: FencingToken,
-    service: &ServiceName,
-    limits: &EngineLimits,
-    zones: u32,
-    orders_from: Instant,
-) -> HeldZone {
-    HeldZone {
-        token,
-        service: service.clone(),
-        planner: ZonePlanner::new(
-            EngineEstimates::per_zone(zones, limits.loads_per_s),
-            limits.clone(),
-            orders_from,
-        ),
-        is_yielding: false,
-        logged_loads: LoadSummary::default(),
-        suspects_revision: None,
-    }
-}
-
 fn send_reply(key: &CallKey, reply: ReplySender, answer: HolderReply) {
     match reply {
         // The call may have been cancelled.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -186,6 +186,10 @@
     LoadLimitChanged = 714, Info, "loads from the weight store";
     /// An engine could fetch the KV cache of a prompt from another one.
     KvFetchOffered = 715, Debug, "memory of a prompt may move";
+    /// A service with engines got a plan in this zone, or lost it.
+    ServicePlanChanged = 845, Info, "plan of a service";
+    /// A placement concerns another service than the one that was asked for.
+    ServiceMismatch = 846, Info, "placement for another service";
     /// A request was refused and not run.
     CallRefused = 800, Info, "request refused as not run";
     /// A request failed.
