--- a/crates/daemon/src/direct/service_plans.rs
+++ b/crates/daemon/src/direct/service_plans.rs
@@ -15,7 +15,7 @@
     },
     ids::{Instant, ServiceName, TargetLife, TargetName},
 };
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// How the planner of a service starts.
 #[derive(Clone, Copy, Debug)]
@@ -24,7 +24,7 @@
     pub zones: u32,
     /// Time before which no order is sent.
     pub orders_from: Instant,
-    /// Time until which orders of an earlier planner may have been sent to the engines; `None` if there was none.
+    /// Time until which an earlier holder may have sent orders to the engines; `None` if there was none.
     pub taken_over_at: Option<Instant>,
     /// Whether the lease is about to be released, so that no order is sent at all.
     pub is_yielding: bool,
@@ -84,6 +84,9 @@
 pub struct ServicePlans {
     services: EngineServices,
     plans: BTreeMap<ServiceName, ServicePlan>,
+    /// When the plans of services were dropped. Their orders may be carried out late, so a plan of the same service that
+    /// follows starts like that of a new holder.
+    dropped_at: HashMap<ServiceName, Instant>,
     /// Targets with an unanswered order of a plan that was dropped.
     retired_orders: HashSet<(TargetName, TargetLife)>,
 }
@@ -95,6 +98,7 @@
         &mut self,
         services: EngineServices,
         start: PlanStart,
+        now: Instant,
     ) -> HashSet<ServiceName> {
         let mut dropped_services: HashSet<_> = self.plans.keys().cloned().collect();
         dropped_services.retain(|service| !services.contains(service));
@@ -107,6 +111,7 @@
                 "{service} has engines no longer, {} targets",
                 plan.planner.engines().len()
             );
+            self.dropped_at.insert(service.clone(), now);
             let engines = plan.planner.engines().values();
             let ordered = engines.filter(|engine| engine.pending.is_some());
             let ordered = ordered.map(|engine| (engine.entry.name.clone(), engine.entry.life));
@@ -119,7 +124,15 @@
                     "{service} has engines, orders from {:?}",
                     start.orders_from
                 );
-                ServicePlan::new(limits, start)
+                let dropped_at = self.dropped_at.get(service).copied();
+                let taken_over_at = start.taken_over_at.max(dropped_at);
+                ServicePlan::new(
+                    limits,
+                    PlanStart {
+                        taken_over_at,
+                        ..start
+                    },
+                )
             });
             plan.planner.set_limits(limits.clone());
         }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -136,6 +136,8 @@
     plans: ServicePlans,
     /// Time before which no order is sent, because the previous holder may still send some.
     orders_from: Instant,
+    /// Time until which the previous holder may have sent orders; `None` if there was none.
+    taken_over_at: Option<Instant>,
     /// Whether the lease is released once all pending orders are answered.
     is_yielding: bool,
 }
@@ -674,20 +676,16 @@
             plans: ServicePlans::default(),
             // An unconfirmed claim delays orders beyond the next tick, which checks the confirmation again.
             orders_from: now.after(order_delay.max(2 * TICK_INTERVAL * u32::from(!is_confirmed))),
+            taken_over_at: had_holder.then(|| now.after(order_delay)),
             is_yielding: false,
         });
         let start = PlanStart {
             zones: u32::try_from(self.settings.zones.len()).unwrap_or(u32::MAX),
             orders_from: held.orders_from,
-            // A plan that is added later may follow one of the same engines that was dropped with orders under way.
-            taken_over_at: if is_newly_held {
-                had_holder.then(|| now.after(order_delay))
-            } else {
-                Some(now.max(held.orders_from))
-            },
+            taken_over_at: held.taken_over_at,
             is_yielding: held.is_yielding,
         };
-        let dropped = held.plans.set_services(services, start);
+        let dropped = held.plans.set_services(services, start, now);
         for (service, plan) in held.plans.iter_mut() {
             let planner = &mut plan.planner;
             planner.set_policy(policy);
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -29,6 +29,7 @@
 mod restored_versions;
 mod restores;
 mod retries;
+mod service_plans;
 mod settings;
 mod silences;
 mod software_versions;
