--- a/crates/daemon/tests/direct/service_plans.rs
+++ b/crates/daemon/tests/direct/service_plans.rs
@@ -110,9 +110,9 @@
     let request = VmMessage::Place(number, Box::new(request));
     send(socket, &request).await.expect("a request");
     loop {
-        match receive(socket).await.expect("a message").expect("a link") {
-            reply @ (VmMessage::Placed(..) | VmMessage::NotHolder(_)) => return reply,
-            _ => {}
+        let message = receive(socket).await.expect("a message").expect("a link");
+        if matches!(message, VmMessage::Placed(..) | VmMessage::NotHolder(_)) {
+            return message;
         }
     }
 }
