--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -204,9 +204,9 @@
         self.engines.values().any(|engine| engine.pending.is_some())
     }
 
-    /// Sets the weights of placement decisions.
+    /// Sets the weights of placement decisions, for the capacity set before.
     pub fn set_policy(&mut self, policy: PlacementPolicy) {
-        self.policy = policy;
+        self.policy = policy.for_engines(&self.limits);
     }
 
     /// Sets the capacity of the service's engines.
--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -67,6 +67,7 @@
 
 fn request(adapter: &str) -> PlacementRequest {
     PlacementRequest {
+        service: Default::default(),
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
