Attribute an answer by its id whatever its status

Cause: a 421 counted as an answer to the request at whose place it came, although it named another one. A call that may run once was then sent again after its target had begun it. Of two ids only the first was read. An answer that named a call counted as one to an order, a report request or a health check, so that a 421 to a call was taken for the end of the target. The gateway's own requests take no answer that names a call, and the connection is closed.

--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -20,6 +20,7 @@
     direct::catalog::TargetEntry,
     ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
 };
+use hoplanding_platform::message_heads::names_call;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -425,6 +426,13 @@
     let mut connection = pool.take(entry, rule).await?;
     let response = pool.send(&mut connection, request).await?;
     let status = response.status();
+    if names_call(response.headers()) {
+        pool.close(entry.address);
+        return Err(SendError::Unanswered {
+            target: entry.name.clone(),
+            cause: format!("an answer with status {status} to a call came in its place"),
+        });
+    }
     // A misdirected answer comes from another target at the same address.
     let notice = (status != StatusCode::MISDIRECTED_REQUEST)
         .then(|| fleet.apply_target_notice(&entry.run(), status, response.headers()));
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the direct mode over real sockets, against stand-ins for the platform and the targets.
 
 mod answer_ends;
+mod attribution;
 mod brittle;
 mod calls;
 mod connections;
