Replace failures that promise not to have run by a 502

Cause: a target's 408, 421, 429 or 503 for a call that it may have run reached the caller as it was. Callers send a call again after these statuses, also one that may run once. A call that had run could also end with 429, if a later attempt was over its organisation's quota. Change: such a failure becomes a 502 of the gateway's own, without the target's seal (E840 names the target). Other failures are forwarded unchanged. A call is answered with 429 only if no target may have run it.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -77,7 +77,7 @@
     },
     ids::{self, AvailabilityZone, SoftwareVersion, TargetName, VmName},
 };
-use hoplanding_platform::message_heads::{CallHead, decode_call_head};
+use hoplanding_platform::message_heads::{CallHead, decode_call_head, promises_no_run};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -365,7 +365,10 @@
                     retry_after = after;
                     break;
                 }
-                CallPlacement::OverQuota(after) => return self.quota_answer(after),
+                CallPlacement::OverQuota(after) if self.runs == 0 => {
+                    return self.quota_answer(after);
+                }
+                CallPlacement::OverQuota(_) => break,
             };
             if self.remaining().is_zero() {
                 break;
@@ -438,6 +441,16 @@
                 self.tried
             );
             self.count(RequestOutcome::TargetFailed);
+            // The caller would send a call again that may have run.
+            if promises_no_run(failure.status()) {
+                event!(Event::StatusReplaced, request = self.head.id; "{} becomes {}: {} runs, tried {:?}",
+                    failure.status(),
+                    StatusCode::BAD_GATEWAY,
+                    self.runs,
+                    self.tried
+                );
+                return own_answer(&self.head.id, StatusCode::BAD_GATEWAY, None);
+            }
             return failure;
         }
         if self.runs == 0 {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -226,6 +226,8 @@
     RequestTurnedAway = 812, Info, "request turned away by a target";
     /// An answer belongs to another request or is malformed.
     MismatchedAnswer = 813, Warn, "answer that is not this request's";
+    /// A target that may have run a request failed with a status that promises the contrary.
+    StatusReplaced = 840, Info, "status of a failure not passed on";
     /// An answer of a target ended before its end.
     AnswerBroken = 814, Info, "answer of a target ended early";
     /// A stream from a target ended before its end.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod engine_simulator;
 mod fleet;
 mod foreign;
+mod forwarded_failures;
 mod guard_limits;
 mod headers;
 mod idle_limits;
