--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the direct mode over real sockets, against stand-ins for the platform and the targets.
 
 mod answer_ends;
+mod attribution;
 mod brittle;
 mod calls;
 mod connections;
@@ -8,6 +9,7 @@
 mod engine_simulator;
 mod fleet;
 mod foreign;
+mod forwarded_failures;
 mod guard_limits;
 mod headers;
 mod idle_limits;
