Pay quotas by rank, and give refused callers times to return

Within an organisation's quota, less urgent calls took the units for lack of which more urgent ones were refused, and callers that were all told 100 ms came back together.

A holder now leaves in a bucket what more urgent ranks use in half a second, and a tenth for each other rank that asks. A refused call gets the next time at which its units are earned, from the holder with the shortest wait, and is recognised by its content when it comes back. Off unless the section `returns` enables it.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -28,6 +28,8 @@
 //! | [`freshness`] | proof that the configuration in force is the newest |
 //! | [`restore_guard`] | whether a restored log may lack the newest records of the operators |
 //! | [`quotas`] | quotas of organisations over the whole fleet |
+//! | [`rank_reserve`] | what an organisation's more urgent calls have reserved of its quota |
+//! | [`return_schedule`] | when the callers of refused calls should come back |
 //! | [`target_notices`] | what a target states about itself in an answer |
 //! | [`backoffs`] | backoff that targets request from this VM |
 //! | [`limits`] | rate limits that targets advertise |
@@ -61,10 +63,12 @@
 pub mod policy;
 pub mod prefill;
 pub mod quotas;
+pub mod rank_reserve;
 pub mod rejections;
 pub mod request_wait;
 pub mod restore_guard;
 pub mod retry_budget;
+pub mod return_schedule;
 pub mod routes;
 pub mod search;
 pub mod software_history;
--- a/crates/core/src/direct/quotas.rs
+++ b/crates/core/src/direct/quotas.rs
@@ -11,8 +11,19 @@
 //! [`QuotaBounds`] allows beyond the quota. A bucket starts empty and in full debt, because what the previous holder
 //! granted is unknown; it starts full only at the first start of a fleet. A holder that may have been replaced and a
 //! holder that may have a predecessor each grant half of their share, so that together they grant one share.
+//!
+//! With a [`ReturnRule`], a bucket pays out in order: more urgent calls of the organisation first
+//! ([`RankReserve`](super::rank_reserve)), and calls that come back at their return time before new ones of their rank
+//! ([`ReturnSchedule`](super::return_schedule)). Both only refuse calls that the bucket could pay, so the bound holds.
 
-use crate::ids::{Instant, OrganisationName};
+use crate::{
+    direct::{
+        rank_reserve::RankReserve,
+        return_schedule::{RankCapacity, ReturnCounts, ReturnRequest, ReturnRule, ReturnSchedule},
+        suspects::RequestFingerprint,
+    },
+    ids::{Instant, OrganisationName},
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
 
@@ -84,6 +95,34 @@
     pub organisation: OrganisationName,
     /// Units charged.
     pub units: u64,
+    /// Rank of the call's route; 0 is the most urgent.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rank: u8,
+    /// Fingerprint of the request content, by which a refused call is recognised when it comes back.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<RequestFingerprint>,
+    /// Longest time after which the caller comes back if the call is refused, in milliseconds; 0 if no units are to be
+    /// reserved for that time.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub return_within_ms: u32,
+}
+
+fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+impl QuotaCharge {
+    /// A charge of the most urgent rank, without a return time.
+    #[must_use]
+    pub fn new(organisation: OrganisationName, units: u64) -> Self {
+        Self {
+            organisation,
+            units,
+            rank: 0,
+            fingerprint: None,
+            return_within_ms: 0,
+        }
+    }
 }
 
 /// Initial level of buckets.
@@ -172,7 +211,7 @@
 }
 
 /// Bucket of one organisation at a holder.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct QuotaBucket {
     share: QuotaShare,
     /// Units that may be granted; negative for a debt.
@@ -180,6 +219,8 @@
     filled_at: Instant,
     granted: u64,
     refused: u64,
+    reserve: RankReserve,
+    returns: ReturnSchedule,
 }
 
 impl QuotaBucket {
@@ -189,6 +230,77 @@
         self.level = (self.level + earned).min(self.share.capacity);
         self.filled_at = now;
     }
+
+    /// Units that may be charged now.
+    fn available(&self) -> f64 {
+        self.level + self.share.debt
+    }
+
+    /// Units that a call has to leave for other ranks. A full bucket pays for every call.
+    fn reserved(&self, charge: &QuotaCharge, rule: &ReturnRule, now: Instant) -> f64 {
+        let reserved = self
+            .reserve
+            .reserved_units(charge.rank, rule.urgent_reserve, now);
+        let room = self.share.capacity + self.share.debt - charge.units as f64;
+        reserved.min(room.max(0.0))
+    }
+
+    /// Capacity for calls of a rank, without what is reserved for other ranks.
+    fn rank_capacity(
+        &self,
+        charge: &QuotaCharge,
+        rule: &ReturnRule,
+        role: HolderRole,
+        now: Instant,
+    ) -> RankCapacity {
+        let per_s = self.share.per_s * role.granted_ratio();
+        RankCapacity {
+            level: self.available() - self.reserved(charge, rule, now),
+            per_s: self.reserve.left_per_s(charge.rank, per_s, now),
+        }
+    }
+
+    /// Whether a call that the bucket can pay is next in order; a later one is refused.
+    fn is_next(
+        &mut self,
+        charge: &QuotaCharge,
+        rule: &ReturnRule,
+        role: HolderRole,
+        now: Instant,
+    ) -> bool {
+        let fingerprint = charge.fingerprint.unwrap_or_default();
+        let units = charge.units as f64;
+        if self.returns.is_returning(fingerprint, charge.rank, now) {
+            return true;
+        }
+        let has_floor = self.reserve.floor_covers(charge.rank, units);
+        if has_floor && !self.returns.has_due(charge.rank, now) {
+            return true;
+        }
+        let capacity = self.rank_capacity(charge, rule, role, now);
+        let free = self
+            .returns
+            .free_units(capacity, charge.rank, fingerprint, now);
+        free >= units
+    }
+
+    /// Time after which a refused call should come back.
+    fn return_time(
+        &mut self,
+        charge: &QuotaCharge,
+        rule: &ReturnRule,
+        role: HolderRole,
+        now: Instant,
+    ) -> Duration {
+        let request = ReturnRequest {
+            fingerprint: charge.fingerprint.unwrap_or_default(),
+            rank: charge.rank,
+            units: charge.units as f64,
+            within: Duration::from_millis(u64::from(charge.return_within_ms)),
+        };
+        let capacity = self.rank_capacity(charge, rule, role, now);
+        self.returns.assign(&request, capacity, rule, now)
+    }
 }
 
 /// Totals of one bucket.
@@ -208,6 +320,8 @@
     shares: u32,
     start: BucketStart,
     tenure: HolderTenure,
+    /// Order in which buckets pay out; none for the order of arrival.
+    return_rule: Option<ReturnRule>,
     buckets: HashMap<OrganisationName, QuotaBucket>,
 }
 
@@ -220,10 +334,18 @@
             shares: shares.max(1),
             start,
             tenure,
+            return_rule: None,
             buckets: HashMap::new(),
         }
     }
 
+    /// The table with buckets that pay out by rank and return time.
+    #[must_use]
+    pub fn with_returns(mut self, rule: Option<ReturnRule>) -> Self {
+        self.return_rule = rule;
+        self
+    }
+
     /// Extends the time until which no other VM can be the zone's holder.
     pub fn set_sole_until(&mut self, time: Instant) {
         self.tenure.sole_until = time;
@@ -260,6 +382,8 @@
                 filled_at: now,
                 granted: 0,
                 refused: 0,
+                reserve: RankReserve::default(),
+                returns: ReturnSchedule::default(),
             });
             bucket.fill(&self.tenure, now);
             bucket.share = share;
@@ -279,14 +403,33 @@
             return Ok(());
         };
         bucket.fill(&self.tenure, now);
+        let role = self.tenure.role(now);
         let units = charge.units as f64;
-        let shortfall = units - (bucket.level + bucket.share.debt);
-        if shortfall <= 0.0 && self.tenure.role(now) != HolderRole::Inactive {
+        let return_rule = self.return_rule.filter(|_| role != HolderRole::Inactive);
+        if return_rule.is_some() {
+            bucket.returns.expire(now);
+            let per_s = bucket.share.per_s * role.granted_ratio();
+            bucket.reserve.record_asked(charge.rank, units, per_s, now);
+        }
+        let shortfall = units - bucket.available();
+        let is_payable = shortfall <= 0.0 && role != HolderRole::Inactive;
+        if is_payable && return_rule.is_none_or(|rule| bucket.is_next(charge, &rule, role, now)) {
             bucket.level -= units;
             bucket.granted += charge.units;
+            if return_rule.is_some() {
+                bucket.reserve.record_charged(charge.rank, units);
+                let fingerprint = charge.fingerprint.unwrap_or_default();
+                bucket.returns.keep(fingerprint, charge.rank, now);
+            }
             return Ok(());
         }
-        bucket.refused += charge.units;
+        // The request for a return time repeats a charge that was refused and counted already.
+        if charge.return_within_ms == 0 {
+            bucket.refused += charge.units;
+        }
+        if let Some(rule) = return_rule {
+            return Err(bucket.return_time(charge, &rule, role, now));
+        }
         let wait = shortfall / bucket.share.per_s.max(1.0);
         let wait = Duration::from_secs_f64(wait.clamp(0.0, MAX_RETRY_AFTER.as_secs_f64()));
         Err(wait.max(MIN_RETRY_AFTER))
@@ -298,6 +441,10 @@
             bucket.fill(&self.tenure, now);
             bucket.level = (bucket.level + charge.units as f64).min(bucket.share.capacity);
             bucket.granted = bucket.granted.saturating_sub(charge.units);
+            if self.return_rule.is_some() {
+                let units = charge.units as f64;
+                bucket.reserve.record_refunded(charge.rank, units);
+            }
         }
     }
 
@@ -311,4 +458,11 @@
             (name, counts)
         })
     }
+
+    /// What became of the return times of all organisations.
+    #[must_use]
+    pub fn return_counts(&self) -> ReturnCounts {
+        let counts = self.buckets.values().map(|bucket| bucket.returns.counts());
+        counts.fold(ReturnCounts::default(), ReturnCounts::plus)
+    }
 }
--- a/crates/core/tests/direct_quotas.rs
+++ b/crates/core/tests/direct_quotas.rs
@@ -2,9 +2,13 @@
 //! also when holders are cut off, frozen, terminated or replaced.
 
 use hoplanding_core::{
-    direct::quotas::{
-        BucketStart, HolderRole, HolderTenure, QuotaBounds, QuotaCharge, QuotaRule, QuotaTable,
-        QuotaUnit,
+    direct::{
+        quotas::{
+            BucketStart, HolderRole, HolderTenure, QuotaBounds, QuotaCharge, QuotaRule, QuotaTable,
+            QuotaUnit,
+        },
+        return_schedule::ReturnRule,
+        suspects::RequestFingerprint,
     },
     ids::{Instant, OrganisationName},
 };
@@ -20,6 +24,10 @@
 const HANDOVER_MS: u64 = 3_000;
 /// Zones, each with a share of every quota.
 const ZONES: u32 = 3;
+const RETURNS: ReturnRule = ReturnRule {
+    max_wait: Duration::from_secs(5),
+    urgent_reserve: Duration::from_millis(500),
+};
 /// Units of the largest specified call.
 const MAX_CALL_UNITS: u64 = 4_390;
 
@@ -39,10 +47,7 @@
 }
 
 fn charge(units: u64) -> QuotaCharge {
-    QuotaCharge {
-        organisation: organisation(),
-        units,
-    }
+    QuotaCharge::new(organisation(), units)
 }
 
 /// Units that may be charged in a window, including the tolerance.
@@ -88,14 +93,20 @@
 }
 
 impl Holder {
-    fn new(start: BucketStart, rule: &QuotaRule, now_ms: u64, order_delay_ms: u64) -> Self {
+    fn new(
+        start: BucketStart,
+        rule: &QuotaRule,
+        returns: Option<ReturnRule>,
+        now_ms: u64,
+        order_delay_ms: u64,
+    ) -> Self {
         let tenure = HolderTenure {
             sole_until: at(now_ms + HANDOVER_MS),
             active_from: at(now_ms + order_delay_ms),
             has_predecessor: order_delay_ms > 0,
             window: BOUNDS.window,
         };
-        let mut quota_table = QuotaTable::new(BOUNDS, ZONES, start, tenure);
+        let mut quota_table = QuotaTable::new(BOUNDS, ZONES, start, tenure).with_returns(returns);
         quota_table.set_rules([(&organisation(), rule)], at(now_ms));
         Self {
             quota_table,
@@ -111,7 +122,12 @@
         if !self.is_cut_off {
             self.quota_table.set_sole_until(at(now_ms + HANDOVER_MS));
         }
-        self.quota_table.charge(&charge(units), at(now_ms)).is_ok()
+        let mut charge = charge(units);
+        charge.rank = (units % 3) as u8;
+        charge.fingerprint = Some(RequestFingerprint(units));
+        let is_charged = self.quota_table.charge(&charge, at(now_ms)).is_ok();
+        charge.return_within_ms = 2_000;
+        is_charged || self.quota_table.charge(&charge, at(now_ms)).is_ok()
     }
 }
 
@@ -144,10 +160,15 @@
 }
 
 /// Runs the events; returns the times in ms and the units of all charges that were not refunded.
-fn run_events(per_s: u64, burst: u64, events: &[(u64, QuotaEvent)]) -> Vec<(u64, u64)> {
+fn run_events(
+    per_s: u64,
+    burst: u64,
+    returns: Option<ReturnRule>,
+    events: &[(u64, QuotaEvent)],
+) -> Vec<(u64, u64)> {
     let mut rule = rule(per_s, burst);
     let mut zones: Vec<Vec<Holder>> = (0..ZONES)
-        .map(|_| vec![Holder::new(BucketStart::Full, &rule, 0, 0)])
+        .map(|_| vec![Holder::new(BucketStart::Full, &rule, returns, 0, 0)])
         .collect();
     let (mut now_ms, mut charged, mut recent) = (0, Vec::new(), Vec::new());
     for (pause_ms, event) in events {
@@ -175,12 +196,19 @@
                 holders.push(Holder::new(
                     BucketStart::Exhausted,
                     &rule,
+                    returns,
                     now_ms,
                     HANDOVER_MS,
                 ));
             }
             QuotaEvent::Terminate(zone) => {
-                zones[zone] = vec![Holder::new(BucketStart::Exhausted, &rule, now_ms, 0)];
+                zones[zone] = vec![Holder::new(
+                    BucketStart::Exhausted,
+                    &rule,
+                    returns,
+                    now_ms,
+                    0,
+                )];
             }
             QuotaEvent::Freeze(zone, is_frozen) => {
                 for holder in &mut zones[zone] {
@@ -231,10 +259,12 @@
         events in vec((0..700_u64, event()), 1..160),
     ) {
         let burst = per_s * burst_s;
-        let charged = run_events(per_s, burst, &events);
-        let max_units = max_units_in_window(&charged) as f64;
-        let allowed_units = allowed_units(&rule(per_s, burst));
-        prop_assert!(max_units <= allowed_units, "{max_units} units where {allowed_units} are allowed");
+        for returns in [None, Some(RETURNS)] {
+            let charged = run_events(per_s, burst, returns, &events);
+            let max_units = max_units_in_window(&charged) as f64;
+            let allowed_units = allowed_units(&rule(per_s, burst));
+            prop_assert!(max_units <= allowed_units, "{max_units} units where {allowed_units} are allowed");
+        }
     }
 }
 
@@ -349,12 +379,39 @@
     assert_eq!(charged, 55_000);
 }
 
+/// Guards against units that stay reserved for a caller that does not come back, and against a new call that takes what
+/// was promised to one that does.
+#[test]
+fn returning_call_is_ahead_of_new_ones_until_its_time_expires() {
+    let rule = rule(30_000, 30_000);
+    for returns in [true, false] {
+        let mut holder = quota_table(BucketStart::Full, &rule, 0).with_returns(Some(RETURNS));
+        while holder.charge(&charge(1_000), at(0)).is_ok() {}
+        let mut refused = charge(5_000);
+        refused.fingerprint = Some(RequestFingerprint(7));
+        assert!(holder.charge(&refused, at(0)).is_err());
+        refused.return_within_ms = 2_000;
+        let wait = holder.charge(&refused, at(0)).expect_err("it has to wait");
+        let wait_ms = wait.as_millis() as u64;
+        assert!(
+            (400..=520).contains(&wait_ms),
+            "5,000 units at 10,000/s, and 20 ms for an early caller: {wait:?}"
+        );
+        assert!(holder.charge(&charge(1_000), at(wait_ms - 100)).is_err());
+        if returns {
+            refused.return_within_ms = 0;
+            assert_eq!(holder.charge(&refused, at(wait_ms + 10)), Ok(()));
+            assert_eq!(holder.return_counts().kept, 1);
+        } else {
+            assert_eq!(holder.charge(&charge(5_000), at(wait_ms + 260)), Ok(()));
+            assert_eq!(holder.return_counts().expired, 1);
+        }
+    }
+}
+
 #[test]
 fn organisation_without_a_quota_is_not_charged() {
     let mut holder = quota_table(BucketStart::Exhausted, &rule(1, 0), 0);
-    let other = QuotaCharge {
-        organisation: OrganisationName::new("port"),
-        units: u64::MAX,
-    };
+    let other = QuotaCharge::new(OrganisationName::new("port"), u64::MAX);
     assert_eq!(holder.charge(&other, at(0)), Ok(()));
 }
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -5,6 +5,7 @@
 
 mod fetching;
 mod plain;
+mod quota_returns;
 mod quotas;
 mod simulation;
 mod speeds;
--- a/crates/core/tests/load/quotas.rs
+++ b/crates/core/tests/load/quotas.rs
@@ -121,10 +121,7 @@
             } else {
                 1
             };
-            let charge = QuotaCharge {
-                organisation: organisation_name(organisation),
-                units,
-            };
+            let charge = QuotaCharge::new(organisation_name(organisation), units);
             let now = Instant((now_s * 1e6) as u64 + 1);
             let is_charged = (0..ledgers_tried).any(|step| {
                 let quota_table = &mut quota_tables[(first + step) % count];
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -291,13 +291,17 @@
         );
     }
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let quota_charge = CallCharge::of(&identity, &head);
+    let fingerprint = request_fingerprint(&parts.method, &parts.uri, &head, &body);
+    let mut quota_charge = CallCharge::of(&identity, &head, route.priority);
+    if context.settings.returns.is_some() {
+        quota_charge.set_fingerprint(fingerprint);
+    }
     let call = CallState {
         context,
         rank: identity.rank(&route),
         identity,
         quota_charge,
-        fingerprint: request_fingerprint(&parts.method, &parts.uri, &head, &body),
+        fingerprint,
         trials: Vec::new(),
         service,
         caller,
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -389,15 +389,24 @@
         except: Option<&AvailabilityZone>,
         wait: Option<Duration>,
     ) -> Option<CallPlacement> {
-        let shortest_wait = match self.charge_quota(except).await {
+        let asked = except.cloned().zip(wait).map(|(zone, wait)| (wait, zone));
+        let shortest = match self.charge_quota(except).await {
             ChargeOutcome::Charged => return None,
-            ChargeOutcome::UsedUp(other) => Some(wait.map_or(other, |wait| wait.min(other))),
-            ChargeOutcome::Unanswered => wait,
+            ChargeOutcome::UsedUp(other, zone) => {
+                let is_shorter = asked.as_ref().is_none_or(|(wait, _)| other < *wait);
+                if is_shorter {
+                    Some((other, zone))
+                } else {
+                    asked
+                }
+            }
+            ChargeOutcome::Unanswered => asked,
+        };
+        let Some((wait, zone)) = shortest else {
+            return Some(CallPlacement::Unavailable(DEFAULT_RETRY_AFTER));
         };
-        Some(shortest_wait.map_or(
-            CallPlacement::Unavailable(DEFAULT_RETRY_AFTER),
-            CallPlacement::OverQuota,
-        ))
+        let assigned = self.assign_return(wait, &zone).await;
+        assigned.map(CallPlacement::OverQuota)
     }
 
     /// Whether exactly one target is listed at an address.
--- a/crates/daemon/src/direct/call/quota_charge.rs
+++ b/crates/daemon/src/direct/call/quota_charge.rs
@@ -11,8 +11,10 @@
 };
 use hoplanding_core::{
     direct::{
+        millis,
         organisations::CallerIdentity,
         quotas::{QuotaCharge, REFUND_WINDOW},
+        suspects::RequestFingerprint,
     },
     ids::{AvailabilityZone, Instant},
 };
@@ -20,6 +22,9 @@
 use http::{Response, StatusCode};
 use std::time::Duration;
 
+/// Callers wait for at most this part of the time that they have left, then they come back.
+const RETURN_DIVISOR: u32 = 3;
+
 /// State of a call's charge.
 #[derive(Clone, Debug)]
 pub enum CallCharge {
@@ -35,28 +40,38 @@
 pub(super) enum ChargeOutcome {
     /// Charged, or not subject to a quota.
     Charged,
-    /// No holder has enough of the quota left; the time after which the first one will.
-    UsedUp(Duration),
+    /// No holder has enough of the quota left; the time after which the first one will, and its zone.
+    UsedUp(Duration, AvailabilityZone),
     /// No holder answered.
     Unanswered,
 }
 
 impl CallCharge {
     /// The charge of a call made under this identity.
-    pub(super) fn of(identity: &CallerIdentity, head: &CallHead) -> Self {
+    ///
+    /// An organisation has one rank at the targets, but its quota is charged by the ranks of its routes.
+    pub(super) fn of(identity: &CallerIdentity, head: &CallHead, rank: u8) -> Self {
         let Some(organisation) = identity.organisation() else {
             return Self::Free;
         };
         let tokens = u64::from(head.prompt_tokens) + u64::from(head.max_output_tokens);
         let rule = organisation.quota.as_ref();
         rule.map_or(Self::Free, |rule| {
+            let units = rule.cost(head.has_token_count.then_some(tokens));
             Self::Due(QuotaCharge {
-                organisation: organisation.name.clone(),
-                units: rule.cost(head.has_token_count.then_some(tokens)),
+                rank,
+                ..QuotaCharge::new(organisation.name.clone(), units)
             })
         })
     }
 
+    /// Names the content of the call, by which its next try is recognised.
+    pub(super) fn set_fingerprint(&mut self, fingerprint: RequestFingerprint) {
+        if let Self::Due(charge) = self {
+            charge.fingerprint = Some(fingerprint);
+        }
+    }
+
     /// The charge that is still due.
     pub(super) fn due(&self) -> Option<&QuotaCharge> {
         match self {
@@ -86,7 +101,7 @@
         let own = self.context.fleet.zone.clone();
         let mut zones = self.context.settings.zones.clone();
         zones.sort_by_key(|zone| *zone != own);
-        let mut shortest_wait = None;
+        let mut shortest: Option<(Duration, AvailabilityZone)> = None;
         for zone in zones.iter().filter(|zone| Some(*zone) != except) {
             match self
                 .context
@@ -98,14 +113,40 @@
                     self.quota_charge.mark_charged();
                     return ChargeOutcome::Charged;
                 }
-                Some(Err(wait)) => {
-                    shortest_wait =
-                        Some(shortest_wait.map_or(wait, |shortest: Duration| shortest.min(wait)))
+                Some(Err(wait)) if shortest.as_ref().is_none_or(|(least, _)| wait < *least) => {
+                    shortest = Some((wait, zone.clone()));
                 }
-                None => {}
+                Some(Err(_)) | None => {}
             }
         }
-        shortest_wait.map_or(ChargeOutcome::Unanswered, ChargeOutcome::UsedUp)
+        shortest.map_or(ChargeOutcome::Unanswered, |(wait, zone)| {
+            ChargeOutcome::UsedUp(wait, zone)
+        })
+    }
+
+    /// Has the holder with the shortest wait assign a return time, after all holders have refused the call; `None` if that holder
+    /// charged it meanwhile.
+    pub(super) async fn assign_return(
+        &mut self,
+        wait: Duration,
+        zone: &AvailabilityZone,
+    ) -> Option<Duration> {
+        let due = self.quota_charge.due().cloned();
+        let (Some(mut charge), true) = (due, self.context.settings.returns.is_some()) else {
+            return Some(wait);
+        };
+        charge.return_within_ms = millis(self.remaining() / RETURN_DIVISOR).max(1);
+        let answer = self.context.holder_client.charge_quota(zone, charge);
+        let assigned = match answer.await {
+            Some(Ok(())) => {
+                self.quota_charge.mark_charged();
+                return None;
+            }
+            Some(Err(assigned)) => assigned,
+            None => wait,
+        };
+        event!(Event::ReturnAssigned, request = self.head.id; "by the holder of {zone}, in {assigned:?}");
+        Some(assigned)
     }
 
     /// Refunds the charge of a call that was not executed. A charge made more than [`REFUND_WINDOW`] ago stays, because its
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -10,6 +10,7 @@
         plain::{PlainPlanner, PlainRequest},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::{BucketCounts, BucketStart, HolderTenure, QuotaCharge, QuotaTable},
+        return_schedule::ReturnCounts,
         suspects::RequestFingerprint,
         trials::{TrialAnswer, TrialTable},
     },
@@ -66,7 +67,8 @@
             token: lease.token,
             plain: PlainPlanner::default(),
             trials: TrialTable::new(settings.trials),
-            quotas: QuotaTable::new(settings.quotas, zones, start, times),
+            quotas: QuotaTable::new(settings.quotas, zones, start, times)
+                .with_returns(settings.returns),
             quota_version: None,
         }
     }
@@ -188,6 +190,12 @@
         self.plain.forget_gateway(vm, now);
     }
 
+    /// What became of the return times of refused calls since the start of the lease.
+    #[must_use]
+    pub fn return_counts(&self) -> ReturnCounts {
+        self.quotas.return_counts()
+    }
+
     /// Units granted and refused since the start of the lease, by organisation.
     pub fn counts(&self) -> impl Iterator<Item = (&OrganisationName, BucketCounts)> {
         self.quotas.counts()
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -15,6 +15,7 @@
         config::{ResponseShape, RetryPolicy, RouteRule},
         planner::{CacheTransfer, EngineCounts},
         quotas::BucketCounts,
+        return_schedule::ReturnCounts,
         versions::{CacheVersions, VersionAge, VersionMatch},
     },
     ids::OrganisationName,
@@ -208,6 +209,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReturnLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
     allowed: bool,
@@ -242,6 +248,7 @@
     retries: Family<RetryLabels, Counter>,
     admission_faults: Family<AdmissionFaultLabels, Counter>,
     quotas: Family<QuotaLabels, Gauge>,
+    returns: Family<ReturnLabels, Gauge>,
     suspects: Family<SuspectLabels, Gauge>,
     log_calls: Family<LogLabels, Counter>,
     key_proofs: Family<ProofLabels, Counter>,
@@ -277,6 +284,7 @@
             retries: Family::default(),
             admission_faults: Family::default(),
             quotas: Family::default(),
+            returns: Family::default(),
             suspects: Family::default(),
             log_calls: Family::default(),
             key_proofs: Family::default(),
@@ -312,6 +320,11 @@
             "Requests by kind and outcome",
             self.requests.clone(),
         );
+        registry.register(
+            "return_times",
+            "Return times of refused calls that this VM assigned as its zone's holder, and what became of them, since it holds it",
+            self.returns.clone(),
+        );
         registry.register(
             "repeats",
             "Repeats asked of the retry budget",
@@ -490,6 +503,20 @@
         }
     }
 
+    /// Sets what became of the return times that a zone's holder assigned.
+    pub fn set_return_counts(&self, counts: ReturnCounts) {
+        for (outcome, count) in [
+            ("assigned", counts.assigned),
+            ("kept", counts.kept),
+            ("displaced", counts.displaced),
+            ("expired", counts.expired),
+        ] {
+            self.returns
+                .get_or_create(&ReturnLabels { outcome })
+                .set(saturating_i64(count));
+        }
+    }
+
     /// Sets the number of requests that a zone's holder suspects, and the number of those that are quarantined.
     pub fn set_suspect_counts(&self, (suspected, quarantined): (usize, usize)) {
         for (state, count) in [("suspected", suspected), ("sent_nowhere", quarantined)] {
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -122,6 +122,7 @@
             ),
             ("revocation", self.revocation != new.revocation),
             ("quotas", self.quotas != new.quotas),
+            ("returns", self.returns != new.returns),
             ("leases", self.leases != new.leases),
             (
                 "orders_fenced",
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -10,7 +10,7 @@
     direct::{
         freshness::RevocationRule, lease::LeaseTimeouts, policy::PlacementPolicy,
         quotas::QuotaBounds, restore_guard::RewriteRule, retry_budget::RetryBudgetRule,
-        trials::TrialRule,
+        return_schedule::ReturnRule, trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
 };
@@ -62,6 +62,8 @@
     pub recovery: RewriteRule,
     /// Permitted deviation from quotas.
     pub quotas: QuotaBounds,
+    /// Return times of refused calls; `None` if callers are told when the next unit is free.
+    pub returns: Option<ReturnRule>,
     /// Pauses before trials of suspected requests.
     pub trials: TrialRule,
     /// Timeouts of the zone leases.
@@ -132,6 +134,7 @@
         revocation: root.section("revocation", read_revocation),
         recovery: root.section("recovery", read_recovery),
         quotas: root.section("quotas", read_quotas),
+        returns: root.section("returns", read_returns),
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
@@ -171,6 +174,14 @@
     }
 }
 
+fn read_returns(section: &SectionReader<'_>) -> Option<ReturnRule> {
+    let rule = ReturnRule {
+        max_wait: section.fractional_millis("max_wait_ms", 5_000, 100, 600_000),
+        urgent_reserve: section.fractional_millis("urgent_reserve_ms", 500, 0, 60_000),
+    };
+    section.boolean("enabled").then_some(rule)
+}
+
 fn read_trials(section: &SectionReader<'_>) -> TrialRule {
     TrialRule {
         pause: section.fractional_millis("pause_ms", 30_000, 0, 86_400_000),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -551,6 +551,7 @@
         metrics.set_engine_counts(counts.map(|held| held.planner.engine_counts(clock::now())));
         if let Some(holder_state) = &self.holder_state {
             metrics.set_quota_counts(holder_state.counts());
+            metrics.set_return_counts(holder_state.return_counts());
             let tables = self.fleet.tables();
             metrics.set_suspect_counts(tables.suspects.counts(clock::now()));
         }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -198,6 +198,8 @@
     KeysUncertain = 807, Info, "request refused as not run, keys uncertain";
     /// An organisation has used up its quota.
     QuotaUsedUp = 808, Info, "request refused as not run, quota used up";
+    /// A refused call has a time at which it should come back.
+    ReturnAssigned = 860, Info, "return time assigned";
     /// A target ended while a request ran on it.
     TargetEndedDuringRequest = 816, Info, "target ended under a request";
     /// The holder learned that a target ended while running a request.
--- a/crates/daemon/tests/direct/keys.rs
+++ b/crates/daemon/tests/direct/keys.rs
@@ -4,6 +4,7 @@
     Answer, config_json, good_answer, is_ready, model_headers, post_request, route_json,
     seal_headers, send_request, start_daemon_with, stream_answer, vm_settings, wait_for,
 };
+use hoplanding_core::direct::return_schedule::ReturnRule;
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawResponse, RawTarget},
@@ -12,7 +13,7 @@
 use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::{Value, json};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time within which a revocation has to be in force in these tests.
 const REVOCATION_BOUND: Duration = Duration::from_millis(1_500);
@@ -45,7 +46,22 @@
     targets: &[(&str, &str, std::net::SocketAddr)],
     organisations: &Value,
 ) -> DirectDaemon {
-    let daemon = start_daemon_with(strict_revocation_settings("vm-1", log), log, targets).await;
+    start_keyed_daemon_with(
+        strict_revocation_settings("vm-1", log),
+        log,
+        targets,
+        organisations,
+    )
+    .await
+}
+
+async fn start_keyed_daemon_with(
+    settings: DirectSettings,
+    log: &KeyedLog,
+    targets: &[(&str, &str, std::net::SocketAddr)],
+    organisations: &Value,
+) -> DirectDaemon {
+    let daemon = start_daemon_with(settings, log, targets).await;
     log.put("keyed.op", "config", Some(&keyed_config(2, organisations)));
     wait_for("the keyed configuration", async || {
         let active = daemon.fleet().active();
@@ -260,15 +276,57 @@
     assert_eq!(refusal.status, 429);
     assert!(served >= 5, "{served}");
     assert_eq!(received_calls(&target).len(), served);
+    let retry_after = retry_after_s(&refusal);
+    sleep(Duration::from_secs_f64(retry_after * 2.5 + 0.1)).await;
+    assert_eq!(send_call(&daemon, "/scan/1", "r2", KEY).await.status, 200);
+}
+
+fn retry_after_s(refusal: &Answer) -> f64 {
     let lower = refusal.head.to_ascii_lowercase();
     let retry_after = lower
         .lines()
         .find_map(|line| line.strip_prefix("retry-after: "));
-    let retry_after: f64 = retry_after
+    retry_after
         .and_then(|text| text.parse().ok())
-        .expect("a time");
-    sleep(Duration::from_secs_f64(retry_after * 2.5 + 0.1)).await;
-    assert_eq!(send_call(&daemon, "/scan/1", "r2", KEY).await.status, 200);
+        .expect("a time")
+}
+
+/// Guards against a caller that comes back at its return time and finds its units taken by new calls.
+#[tokio::test]
+async fn call_over_quota_is_served_at_its_return_time_before_new_ones() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good_answer).await.expect("a target");
+    let targets = [("i-1", "ledger", target.address)];
+    let mut settings = strict_revocation_settings("vm-1", &log);
+    // With the short handover of the other tests the holder grants half at times, and its return times don't hold.
+    settings.leases.handover_delay = Duration::from_secs(3);
+    settings.returns = Some(ReturnRule {
+        max_wait: Duration::from_secs(5),
+        urgent_reserve: Duration::from_millis(500),
+    });
+    let daemon = start_keyed_daemon_with(settings, &log, &targets, &limited_organisation()).await;
+    let mut number = 0;
+    let refusal = loop {
+        let answer = send_call(&daemon, "/scan/1", "r1", KEY).await;
+        if answer.status != 200 {
+            break answer;
+        }
+        number += 1;
+        assert!(number < 40, "a quota of 1,000 tokens and calls of 200");
+    };
+    assert_eq!(refusal.status, 429);
+    let due = Instant::now() + Duration::from_secs_f64(retry_after_s(&refusal));
+    while Instant::now() + Duration::from_millis(30) < due {
+        number += 1;
+        let answer = send_call(&daemon, &format!("/scan/new-{number}"), "r2", KEY).await;
+        assert_eq!(
+            answer.status, 429,
+            "its units are promised to the refused call"
+        );
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep_until(due).await;
+    assert_eq!(send_call(&daemon, "/scan/1", "r3", KEY).await.status, 200);
 }
 
 /// Guards against charges for calls that no target ran: 60 such calls must not use up the quota.
