--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -585,6 +585,7 @@
         metrics.set_engine_counts(counts);
         if let Some(holder_state) = &self.holder_state {
             metrics.set_quota_counts(holder_state.counts());
+            metrics.set_return_counts(holder_state.return_counts());
             let tables = self.fleet.tables();
             metrics.set_suspect_counts(tables.suspects.counts(clock::now()));
         }
