Bound what targets and the log send without end

Cause: interim heads were passed over until the call's deadline. Each buffered body had a bound, but not all of them together. Bodies in chunks of one byte kept a reference for each, and the end of an event was searched in the whole buffer for each piece. Targets whose checks got heads without end counted as a lost path to their zone, so that calls to others were refused as well. Change: an answer has up to 32 interim heads and 256 KiB before its head, also from the log and to checks of a path. All buffered answers of a VM have up to 16 MiB (section `answers`); beyond that the largest unfinished one ends. A body or an event in many small pieces ends (E841, E842). Bytes that are no answer show that there is a path. An answer to an order has up to 16 KiB, of which 200 bytes are logged.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -39,6 +39,7 @@
 //! | [`trials`] | when a suspect may run again, one trial at a time |
 //! | [`retry_budget`] | this VM's share of the fleet's retry budget |
 
+pub mod answer_budget;
 pub mod backoffs;
 pub mod catalog;
 pub mod config;
--- a/crates/daemon/src/direct/buffered_answer.rs
+++ b/crates/daemon/src/direct/buffered_answer.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     direct::{
+        answer_buffers::{BufferFault, record_fault},
         call::{AnswerEnder, AnswerProgress, CallState, OpenAnswer, finish_send},
-        error_chain::ErrorChain,
         message::CallEnd,
     },
     event,
@@ -12,12 +12,8 @@
 use bytes::Bytes;
 use hoplanding_core::ids::TargetName;
 use http::{HeaderMap, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout_at;
 
-/// Largest answer that is buffered.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// Reads the body of an answer, reports the call's outcome to the holder, and returns the connection to the pool.
 ///
 /// # Errors
@@ -36,11 +32,10 @@
         in_flight,
     } = open;
     let target = connection.target().clone();
-    let collected = timeout_at(
-        call.deadline,
-        Limited::new(body, MAX_ANSWER_BYTES).collect(),
-    )
-    .await;
+    let fleet = &call.context.fleet;
+    let reservation = fleet.answer_buffers.reserve();
+    // The reservation bounds the answer.
+    let collected = timeout_at(call.deadline, reservation.read_body(body, usize::MAX)).await;
     let has_lost_target = matches!(collected, Ok(Ok(_)))
         && !is_framed(&parts.headers)
         && call.has_ended(&entry).await;
@@ -64,15 +59,16 @@
                 call.record_harmless_parts();
             }
             call.return_connection(connection, &notice);
-            (end, Ok(body.to_bytes()))
+            (end, Ok(body))
         }
-        Ok(Err(error)) => {
-            let ender = if error.is::<LengthLimitError>() {
-                AnswerEnder::Gateway
-            } else {
-                AnswerEnder::Target
+        Ok(Err(fault)) => {
+            drop(connection);
+            record_fault(fleet, &target, &call.head.id, &fault);
+            let ender = match &fault {
+                BufferFault::Broken(_) => AnswerEnder::Target,
+                _ => AnswerEnder::Gateway,
             };
-            log_broken(ender, &ErrorChain(error.as_ref()).to_string());
+            log_broken(ender, &fault.to_string());
             call.probe_after_failure(&entry, in_flight.is_trial(), AnswerProgress::Begun)
                 .await;
             (CallEnd::Failed, Err(target))
--- a/crates/daemon/src/direct/engine_client.rs
+++ b/crates/daemon/src/direct/engine_client.rs
@@ -22,8 +22,12 @@
 
 /// Time limit of an order or a report request. Engines answer within a few milliseconds, and calls wait for the outcome.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
-/// Largest answer that is read.
-const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Largest report that is read. One of an engine with a thousand adapters is below 100 KB.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Largest answer to an order that is read, of which only the status counts.
+const MAX_ORDER_ANSWER_BYTES: usize = 16 * 1024;
+/// Bytes of the answer to an order that are logged.
+const MAX_LOGGED_BYTES: usize = 200;
 
 /// Sends an order to an engine, logs it, and returns its outcome.
 pub async fn send_order(
@@ -35,7 +39,7 @@
 ) -> OrderOutcome {
     // Engines take orders that arrive from different VMs for orders of different holders.
     let path = PathRule::DirectOnly;
-    let exchanged = exchange_with(fleet, pool, entry, request, path);
+    let exchanged = exchange_with(fleet, pool, entry, request, path, MAX_ORDER_ANSWER_BYTES);
     let exchanged = timeout(REQUEST_TIMEOUT, exchanged).await;
     let outcome = match &exchanged {
         Ok(Ok((status, _))) => decode_order_status(*status),
@@ -57,7 +61,10 @@
         order.version,
         order.expected,
         match &exchanged {
-            Ok(Ok((status, body))) => format!("{status} {}", String::from_utf8_lossy(body)),
+            Ok(Ok((status, body))) => {
+                let shown = &body[..body.len().min(MAX_LOGGED_BYTES)];
+                format!("{status} {}", String::from_utf8_lossy(shown))
+            }
             Ok(Err(error)) => error.to_string(),
             Err(_) => format!("no answer within {REQUEST_TIMEOUT:?}"),
         }
@@ -72,7 +79,8 @@
     entry: &TargetEntry,
 ) -> Option<EngineReport> {
     let request = encode_report_request(&entry.name);
-    let exchanged = exchange_with(fleet, pool, entry, request, PathRule::Any);
+    let path = PathRule::Any;
+    let exchanged = exchange_with(fleet, pool, entry, request, path, MAX_REPORT_BYTES);
     let exchanged = timeout(REQUEST_TIMEOUT, exchanged).await;
     let problem = match exchanged {
         Ok(Ok((StatusCode::OK, body))) => match decode_report(&body) {
@@ -93,6 +101,7 @@
     entry: &TargetEntry,
     request: TargetRequest,
     path: PathRule,
+    answer_bytes: usize,
 ) -> Result<(StatusCode, Bytes), SendError> {
     exchange(
         fleet,
@@ -105,7 +114,7 @@
             within: REQUEST_TIMEOUT,
             lifetime: REQUEST_TIMEOUT,
         },
-        MAX_ANSWER_BYTES,
+        answer_bytes,
     )
     .await
 }
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -8,6 +8,7 @@
 use crate::{
     clock,
     direct::{
+        answer_buffers::{BufferFault, BufferReservation, record_fault},
         buffered_answer::is_framed,
         call::{
             AnswerBody, AnswerEnder, AnswerProgress, BrokenAnswer, CallPlacement, CallState,
@@ -47,6 +48,8 @@
     End,
     /// The target's body broke off.
     Failed(String),
+    /// This VM ended the answer for want of room.
+    Ended(BufferFault),
     /// The target was silent, and another one has taken the call.
     Moved(PendingSend),
     DeadlinePassed,
@@ -56,6 +59,8 @@
     call: CallState,
     open: Option<OpenAnswer>,
     splitter: EventSplitter,
+    /// Room for the event that is not complete yet.
+    reservation: BufferReservation,
     is_resumable: bool,
     /// Whether the zone's holder has yet to be notified of the first event of this send.
     awaits_first_event: bool,
@@ -79,10 +84,12 @@
         call.count(RequestOutcome::Answered);
     }
     let headers = end_to_end_headers(&open.parts.headers);
+    let reservation = call.context.fleet.answer_buffers.reserve();
     let relay = EventRelay {
         call,
         open: Some(open),
         splitter: EventSplitter::default(),
+        reservation,
         is_resumable,
         awaits_first_event: true,
         has_relayed: false,
@@ -106,13 +113,13 @@
             let (ender, cause) = match self.next_step().await? {
                 StreamStep::Data(data) => {
                     self.call.last_data_at = Some(Instant::now());
-                    match self.splitter.push(&data) {
+                    match self.buffer(&data) {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => {
                             self.record_events();
                             return Some(Ok(events));
                         }
-                        Err(error) => (AnswerEnder::Gateway, error.to_string()),
+                        Err(fault) => (AnswerEnder::Gateway, self.discard(&fault)),
                     }
                 }
                 StreamStep::End if self.has_lost_target().await => {
@@ -124,6 +131,7 @@
                     Err(cause) => (AnswerEnder::Target, cause),
                 },
                 StreamStep::Failed(cause) => (AnswerEnder::Target, cause),
+                StreamStep::Ended(fault) => (AnswerEnder::Gateway, self.discard(&fault)),
                 StreamStep::Moved(send) => {
                     if self.follow(send).await {
                         continue;
@@ -163,7 +171,14 @@
         } else {
             deadline
         };
-        let step = match timeout_at(stalls_at, read_step(&mut open.body)).await {
+        let read = async {
+            tokio::select! {
+                biased;
+                fault = self.reservation.ended() => StreamStep::Ended(fault),
+                step = read_step(&mut open.body) => step,
+            }
+        };
+        let step = match timeout_at(stalls_at, read).await {
             Ok(step) => step,
             Err(_) if stalls_at < deadline => timeout_at(deadline, self.outlast_stall())
                 .await
@@ -173,6 +188,28 @@
         Some(step)
     }
 
+    /// Adds data of the stream; returns the complete events.
+    fn buffer(&mut self, data: &Bytes) -> Result<Bytes, BufferFault> {
+        let events = self.splitter.push(data)?;
+        let buffered = self.splitter.buffered();
+        let recorded = self.reservation.record_piece(buffered, !events.is_empty());
+        // Complete events are relayed before the answer ends.
+        if events.is_empty() {
+            recorded?;
+        }
+        Ok(events)
+    }
+
+    /// Discards an event that is over a bound, and returns the cause of the end.
+    fn discard(&mut self, fault: &BufferFault) -> String {
+        self.splitter.take_remainder();
+        if let Some(open) = &self.open {
+            let fleet = &self.call.context.fleet;
+            record_fault(fleet, open.connection.target(), &self.call.head.id, fault);
+        }
+        fault.to_string()
+    }
+
     /// Waits until the silent target goes on or another one is ready to take the call.
     async fn outlast_stall(&mut self) -> StreamStep {
         let Some(open) = &mut self.open else {
@@ -437,6 +474,7 @@
             self.splitter.last_id().or(self.call.head.last_event_id),
             open.entry.software
         );
+        self.reservation = self.call.context.fleet.answer_buffers.reserve();
         self.open = Some(open);
         self.awaits_first_event = true;
         self.first_event_at = None;
--- a/crates/daemon/src/direct/event_splitter.rs
+++ b/crates/daemon/src/direct/event_splitter.rs
@@ -27,14 +27,16 @@
     /// If an event is larger than 1 MiB.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, OversizedEvent> {
         if self.remainder.is_empty()
-            && let Some(end) = last_boundary(bytes)
+            && let Some(end) = last_boundary(bytes, 0)
             && end == bytes.len()
         {
             self.record_ids(bytes);
             return Ok(bytes.clone());
         }
+        // What is kept has no boundary; searching it again for every piece would take the processor for a large event.
+        let searched = self.remainder.len();
         self.remainder.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.remainder) else {
+        let Some(end) = last_boundary(&self.remainder, searched) else {
             if self.remainder.len() > MAX_EVENT_BYTES {
                 return Err(OversizedEvent);
             }
@@ -45,6 +47,12 @@
         Ok(events)
     }
 
+    /// Bytes that are buffered until their event is complete.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.remainder.len()
+    }
+
     /// Takes the bytes after the last complete event out of the buffer.
     pub fn take_remainder(&mut self) -> Bytes {
         self.remainder.split().freeze()
@@ -68,9 +76,9 @@
     }
 }
 
-/// Offset after the last empty line, which ends an event.
-fn last_boundary(bytes: &[u8]) -> Option<usize> {
-    (1..bytes.len())
+/// Offset after the last empty line that ends at `from` or later; an empty line ends an event.
+fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
+    (from.max(1)..bytes.len())
         .rev()
         .find(|&at| {
             bytes[at] == b'\n'
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock,
     direct::{
+        answer_buffers::AnswerBuffers,
         eras::EraRecord,
         message::{FeedTopic, TopicSpan},
         metrics::{DirectMetrics, ProofSource},
@@ -371,6 +372,8 @@
     pub cpu_millicores: u32,
     /// Counters of the metrics page.
     pub metrics: DirectMetrics,
+    /// Buffered answers.
+    pub answer_buffers: Arc<AnswerBuffers>,
     /// Linked VMs of this zone that could take over its lease.
     successors: Mutex<HashSet<VmName>>,
     stopping: watch::Sender<bool>,
@@ -404,6 +407,7 @@
             rewrites: settings.recovery,
             cpu_millicores: settings.cpu_millicores,
             metrics: DirectMetrics::default(),
+            answer_buffers: Arc::new(AnswerBuffers::new(settings.answers)),
             successors: Mutex::default(),
             stopping: watch::channel(false).0,
             is_overloaded: AtomicBool::new(false),
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -152,6 +152,24 @@
     result: TunnelResult,
 }
 
+/// A bound that an answer of a target exceeded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum AnswerBound {
+    /// Of what comes before the final head.
+    Head,
+    /// Of one buffered body.
+    Body,
+    /// Of one event of a stream.
+    Event,
+    /// Of all buffered answers of this VM.
+    Vm,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BoundLabels {
+    bound: AnswerBound,
+}
+
 /// Why a record is forwarded to another VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum ForwardReason {
@@ -257,6 +275,8 @@
     prompt_moves: Family<MoveLabels, Counter>,
     target_connects: Family<ConnectLabels, Counter>,
     tunnels: Family<TunnelLabels, Counter>,
+    answers_over_bound: Family<BoundLabels, Counter>,
+    buffered: Gauge,
     engines: Family<EngineLabels, Gauge>,
     overdue_prompts: Gauge,
     in_flight: Gauge,
@@ -292,6 +312,8 @@
             prompt_moves: Family::default(),
             target_connects: Family::default(),
             tunnels: Family::default(),
+            answers_over_bound: Family::default(),
+            buffered: Gauge::default(),
             engines: Family::default(),
             overdue_prompts: Gauge::default(),
             in_flight: Gauge::default(),
@@ -401,6 +423,17 @@
             "Tunnels to targets that other VMs were asked for, by result",
             self.tunnels.clone(),
         );
+        registry.register(
+            "answers_over_bound",
+            "Answers of targets that exceeded a bound",
+            self.answers_over_bound.clone(),
+        );
+        registry.register_with_unit(
+            "buffered_answers",
+            "Answers that are buffered until they are complete, or until callers have them",
+            Unit::Bytes,
+            self.buffered.clone(),
+        );
         registry.register(
             "zone_engines",
             "Engines of the zone that this VM holds, and those of them that it avoids",
@@ -553,6 +586,12 @@
         self.target_connects.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer of a target that exceeded a bound.
+    pub fn count_over_bound(&self, bound: AnswerBound) {
+        let labels = BoundLabels { bound };
+        self.answers_over_bound.get_or_create(&labels).inc();
+    }
+
     /// Counts a tunnel that another VM was asked for.
     pub fn count_tunnel(&self, result: TunnelResult) {
         self.tunnels.get_or_create(&TunnelLabels { result }).inc();
@@ -613,6 +652,8 @@
     }
 
     fn update_gauges(&self, fleet: &FleetState) {
+        let buffered = fleet.answer_buffers.total_bytes();
+        self.buffered.set(saturating_i64(buffered as u64));
         let tables = fleet.tables();
         for (stage, name) in [
             (TargetStage::Ready, "ready"),
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -25,6 +25,7 @@
 //! | [`probes`], [`metrics`] | readiness check and metrics page |
 //! | [`call`] | one caller's request from its head to its answer |
 //! | [`buffered_answer`], [`event_relay`] | answers buffered as a whole, and answers streamed event by event |
+//! | [`answer_buffers`] | bounds of the memory for buffered answers |
 //! | [`error_chain`] | errors with their sources, for the log |
 //! | [`event_splitter`] | splits the bytes of a stream into complete events |
 //! | [`paths`] | own connections to targets, and tunnels through other VMs |
@@ -39,6 +40,7 @@
 //! | [`holder_client`] | a gateway's access to the holder of a zone, with the requests and notifications sent to it |
 //! | [`links`], [`message`], [`vm_socket`] | links between VMs, their messages and connections |
 
+pub mod answer_buffers;
 pub mod answer_checks;
 pub mod buffered_answer;
 pub mod call;
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -6,7 +6,9 @@
 use crate::{
     clock,
     direct::{
-        fleet::FleetState, metrics::ConnectResult, paths::watched_stream::WatchedStream,
+        fleet::FleetState,
+        metrics::{AnswerBound, ConnectResult},
+        paths::watched_stream::WatchedStream,
         target_connections::TargetRequest,
     },
     event,
@@ -19,9 +21,12 @@
         config::ServiceRule,
         paths::{PathChange, PathTable},
     },
-    ids::{AvailabilityZone, Instant},
+    ids::{AvailabilityZone, Instant, TargetName},
+};
+use hoplanding_platform::{
+    answer_heads::{HeadFault, HeadGuard},
+    orders::{encode_health_check, encode_report_request},
 };
-use hoplanding_platform::orders::{encode_health_check, encode_report_request};
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use rand::seq::SliceRandom;
@@ -47,6 +52,8 @@
 const MIN_CHECKED_TARGETS: usize = 2;
 /// Time limit of a check. Targets answer within a few milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Read buffer of a check's connection.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Time for which a connection to a target without a health check must stay open to count as an answer.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(15);
 
@@ -195,6 +202,12 @@
         self.table().record_heard(zone, opened_at, clock::now());
     }
 
+    /// Logs and counts a target that exceeded a bound before the head of its answer.
+    pub fn record_head_fault(&self, target: &TargetName, fault: HeadFault) {
+        event!(Event::AnswerUnbounded, "at {target}: {fault}");
+        self.fleet.metrics.count_over_bound(AnswerBound::Head);
+    }
+
     /// Counts a call that waits for the head of an answer, until the guard is dropped.
     #[must_use]
     pub fn wait_guard(self: &Arc<Self>, zone: &AvailabilityZone) -> WaitGuard {
@@ -427,16 +440,22 @@
     }
 }
 
-/// Whether a target answers a request, with whatever status.
-async fn is_answered(stream: TcpStream, request: TargetRequest) -> bool {
-    let Ok((mut sender, connection)) = Builder::new().handshake(TokioIo::new(stream)).await else {
+/// Whether a target answers a request, with whatever status or bytes.
+async fn is_answered(stream: TcpStream, mut request: TargetRequest) -> bool {
+    let heads = HeadGuard::default();
+    heads.begin(&mut request);
+    let handshake = Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(heads.guard(stream)));
+    let Ok((mut sender, connection)) = handshake.await else {
         return false;
     };
     // The task ends when the sender is dropped; an error is reported to the request.
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    sender.send_request(request).await.is_ok()
+    // Bytes that are no answer also show that there is a path.
+    sender.send_request(request).await.is_ok() || heads.has_received()
 }
 
 /// Connects to a target, from the address `source` if it is set.
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -85,6 +85,7 @@
             tables.retries.set_rule(settings.retries);
             tables.policy = settings.policy;
         }
+        self.fleet().answer_buffers.set_rule(settings.answers);
         // Logs the change regardless of the previous and the new log level.
         set_level("info");
         let pending_keys = self.settings().keys_needing_restart(settings);
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -8,9 +8,9 @@
 };
 use hoplanding_core::{
     direct::{
-        freshness::RevocationRule, lease::LeaseTimeouts, policy::PlacementPolicy,
-        quotas::QuotaBounds, restore_guard::RewriteRule, retry_budget::RetryBudgetRule,
-        trials::TrialRule,
+        answer_budget::BufferRule, freshness::RevocationRule, lease::LeaseTimeouts,
+        policy::PlacementPolicy, quotas::QuotaBounds, restore_guard::RewriteRule,
+        retry_budget::RetryBudgetRule, trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
 };
@@ -28,6 +28,9 @@
 /// is reserved for starting up.
 const STARTUP_MARGIN: Duration = Duration::from_secs(3);
 
+/// Bytes of the unit of memory sizes in the file.
+const MEBIBYTE: f64 = (1 << 20) as f64;
+
 /// Settings of a daemon in direct mode.
 #[derive(Clone, Debug)]
 pub struct DirectSettings {
@@ -60,6 +63,8 @@
     pub revocation: Option<RevocationRule>,
     /// How long operators take to rewrite the records that a restored log lacks.
     pub recovery: RewriteRule,
+    /// Bounds of buffered answers.
+    pub answers: BufferRule,
     /// Permitted deviation from quotas.
     pub quotas: QuotaBounds,
     /// Pauses before trials of suspected requests.
@@ -131,6 +136,7 @@
         retries: root.section("retries", read_retries),
         revocation: root.section("revocation", read_revocation),
         recovery: root.section("recovery", read_recovery),
+        answers: root.section("answers", read_answers),
         quotas: root.section("quotas", read_quotas),
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
@@ -163,6 +169,18 @@
     }
 }
 
+fn read_answers(section: &SectionReader<'_>) -> BufferRule {
+    let defaults = BufferRule::default();
+    let megabytes = |name, bytes: usize| {
+        let default = bytes as f64 / MEBIBYTE;
+        (section.fraction(name, default, 0.01, 1e6) * MEBIBYTE) as usize
+    };
+    BufferRule {
+        max_answer_bytes: megabytes("max_mb", defaults.max_answer_bytes),
+        max_total_bytes: megabytes("buffered_mb", defaults.max_total_bytes),
+    }
+}
+
 fn read_quotas(section: &SectionReader<'_>) -> QuotaBounds {
     QuotaBounds {
         window: Duration::from_secs_f64(section.fraction("window_s", 10.0, 0.1, 86_400.0)),
--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock,
     direct::{
+        answer_buffers::record_fault,
         answer_checks::AnswerChecks,
         error_chain::ErrorChain,
         fleet::FleetState,
@@ -20,9 +21,9 @@
     direct::catalog::TargetEntry,
     ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
 };
-use hoplanding_platform::message_heads::names_call;
+use hoplanding_platform::{answer_heads::HeadGuard, message_heads::names_call};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -91,6 +92,8 @@
 #[derive(Debug)]
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bounds of the heads that the target sends.
+    heads: HeadGuard,
     address: SocketAddr,
     zone: AvailabilityZone,
     opened_at: Instant,
@@ -237,12 +240,15 @@
         connection: &mut TargetConnection,
         request: TargetRequest,
     ) -> Result<Response<Incoming>, SendError> {
-        let Some(_waiting) = self.wait_guard(connection) else {
-            return connection.send(request).await;
-        };
+        let waiting = self.wait_guard(connection);
         let opened_at = connection.opened_at;
         let answered = connection.send(request).await;
-        if answered.is_err() {
+        if answered.is_err()
+            && let Some(fault) = connection.heads.fault()
+        {
+            self.paths.record_head_fault(connection.target(), fault);
+        }
+        if answered.is_err() && waiting.is_some() {
             let zone = &connection.zone;
             self.paths.check_after_failure(zone, opened_at).await;
         }
@@ -389,9 +395,10 @@
     stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     tunnel: Option<TunnelGuard>,
 ) -> Result<TargetConnection, SendError> {
+    let heads = HeadGuard::default();
     let (sender, connection) = Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(heads.guard(stream)))
         .await
         .map_err(|error| {
             let cause = ErrorChain(&error).to_string();
@@ -403,6 +410,7 @@
     });
     Ok(TargetConnection {
         sender,
+        heads,
         address: entry.address,
         zone: entry.zone.clone(),
         opened_at: clock::now(),
@@ -436,14 +444,15 @@
     // A misdirected answer comes from another target at the same address.
     let notice = (status != StatusCode::MISDIRECTED_REQUEST)
         .then(|| fleet.apply_target_notice(&entry.run(), status, response.headers()));
-    let body = Limited::new(response.into_body(), answer_bytes)
-        .collect()
-        .await
-        .map_err(|error| SendError::Unanswered {
+    let reservation = fleet.answer_buffers.reserve();
+    let read = reservation.read_body(response.into_body(), answer_bytes);
+    let body = read.await.map_err(|fault| {
+        record_fault(fleet, &entry.name, "", &fault);
+        SendError::Unanswered {
             target: entry.name.clone(),
-            cause: ErrorChain(error.as_ref()).to_string(),
-        })?
-        .to_bytes();
+            cause: fault.to_string(),
+        }
+    })?;
     if let Some(notice) = notice.filter(|notice| !notice.is_closing) {
         pool.put_back(connection, notice.idle_timeout, MAX_IDLE_CONNECTIONS);
     }
@@ -455,8 +464,15 @@
     ///
     /// # Errors
     /// [`SendError::NotSent`] if the connection ended before it took the request, [`SendError::Unanswered`] if no head came.
-    pub async fn send(&mut self, request: TargetRequest) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(
+        &mut self,
+        mut request: TargetRequest,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.heads.begin(&mut request);
         let response = self.sender.try_send_request(request).await;
+        if response.is_ok() {
+            self.heads.end();
+        }
         response.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let cause = ErrorChain(error.error()).to_string();
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -228,6 +228,10 @@
     MismatchedAnswer = 813, Warn, "answer that is not this request's";
     /// A target that may have run a request failed with a status that promises the contrary.
     StatusReplaced = 840, Info, "status of a failure not passed on";
+    /// A target exceeded a bound of its answers.
+    AnswerUnbounded = 841, Warn, "answer over a bound";
+    /// An answer ended because the buffered answers together reached their bound.
+    BuffersFull = 842, Warn, "largest buffered answer ended";
     /// An answer of a target ended before its end.
     AnswerBroken = 814, Info, "answer of a target ended early";
     /// A stream from a target ended before its end.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -38,6 +38,7 @@
 mod support;
 mod tunnels;
 mod twin_trials;
+mod unbounded;
 mod unframed;
 mod unread_revocations;
 mod versions;
--- a/crates/daemon/tests/direct/support.rs
+++ b/crates/daemon/tests/direct/support.rs
@@ -21,7 +21,12 @@
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 pub fn vm_settings(vm: &str, log: &KeyedLog) -> DirectSettings {
-    let text = json!({
+    let text = vm_settings_json(vm, log).to_string();
+    DirectSettings::parse(&text).expect("settings in order")
+}
+
+pub fn vm_settings_json(vm: &str, log: &KeyedLog) -> serde_json::Value {
+    json!({
         "mode": "direct",
         "vm": vm,
         "zone": "hall",
@@ -33,8 +38,7 @@
         "first_start": true,
         "leases": { "silence_ms": 600, "stagger_ms": 40, "turn_ms": 100 },
         "pace": { "list_every_ms": 30, "config_every_ms": 10, "stop_notice_ms": 200, "stop_bound_ms": 3000 },
-    });
-    DirectSettings::parse(&text.to_string()).expect("settings in order")
+    })
 }
 
 pub fn route_json(name: &str, kind: &str, service: &str) -> serde_json::Value {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,9 +14,11 @@
 //! | [`prompt_cache`] | the prompt caches of engines, tagged with the adapter version that computed each part |
 //! | [`keyed_log`] | the users' platform as the direct mode uses it: a log of keyed topics |
 //! | [`raw_target`] | a target whose responses are given byte for byte |
+//! | [`endless_target`] | a target that answers without end |
 //! | [`path_cuts`] | network paths from single VMs to targets that can be cut |
 //! | [`relay`] | a TCP link that can be cut or frozen |
 
+pub mod endless_target;
 pub mod engine;
 pub mod keyed_log;
 pub mod path_cuts;
