--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -8,6 +8,7 @@
 };
 use hoplanding_core::{
     direct::{
+        answer_budget::BufferRule,
         freshness::RevocationRule,
         lease::LeaseTimeouts,
         policy::{PlacementPolicy, ScarcityPolicy},
@@ -33,6 +34,9 @@
 /// is reserved for starting up.
 const STARTUP_MARGIN: Duration = Duration::from_secs(3);
 
+/// Bytes of the unit of memory sizes in the file.
+const MEBIBYTE: f64 = (1 << 20) as f64;
+
 /// Settings of a daemon in direct mode.
 #[derive(Clone, Debug)]
 pub struct DirectSettings {
@@ -65,6 +69,8 @@
     pub revocation: Option<RevocationRule>,
     /// How long operators take to rewrite the records that a restored log lacks.
     pub recovery: RewriteRule,
+    /// Bounds of buffered answers.
+    pub answers: BufferRule,
     /// Permitted deviation from quotas.
     pub quotas: QuotaBounds,
     /// Return times of refused calls; `None` if callers are told when the next unit is free.
@@ -138,6 +144,7 @@
         retries: root.section("retries", read_retries),
         revocation: root.section("revocation", read_revocation),
         recovery: root.section("recovery", read_recovery),
+        answers: root.section("answers", read_answers),
         quotas: root.section("quotas", read_quotas),
         returns: root.section("returns", read_returns),
         trials: root.section("trials", read_trials),
@@ -171,6 +178,18 @@
     }
 }
 
+fn read_answers(section: &SectionReader<'_>) -> BufferRule {
+    let defaults = BufferRule::default();
+    let megabytes = |name, bytes: usize| {
+        let default = bytes as f64 / MEBIBYTE;
+        (section.fraction(name, default, 0.01, 1e6) * MEBIBYTE) as usize
+    };
+    BufferRule {
+        max_answer_bytes: megabytes("max_mb", defaults.max_answer_bytes),
+        max_total_bytes: megabytes("buffered_mb", defaults.max_total_bytes),
+    }
+}
+
 fn read_quotas(section: &SectionReader<'_>) -> QuotaBounds {
     QuotaBounds {
         window: Duration::from_secs_f64(section.fraction("window_s", 10.0, 0.1, 86_400.0)),
