Try targets again at once when the path to them is restored

Cause: connection failures during a partition kept targets marked as down for up to 2.4 s after it; the holder that places a plain service's calls refused the calls of all zones meanwhile. Change: the tables of a VM and of its planners forget connection failures of a zone's targets when its path is restored.

--- a/crates/core/src/direct/health.rs
+++ b/crates/core/src/direct/health.rs
@@ -125,6 +125,17 @@
             .is_some_and(|record| record.overloaded_until.is_some_and(|until| now < until))
     }
 
+    /// Forgets connection failures of the targets that match. They say nothing about a target once the path that was lost is
+    /// restored: after a partition of 6 s, targets that were back would otherwise get no call for up to another 2.4 s.
+    pub fn forget_connect_failures(&mut self, is_affected: impl Fn(&TargetName) -> bool) {
+        for (target, record) in &mut self.records {
+            if is_affected(target) {
+                record.connect_failures = 0;
+                record.retry_at = None;
+            }
+        }
+    }
+
     /// Forgets the outcomes of a target that has restarted.
     pub fn forget(&mut self, target: &TargetName) {
         self.records.remove(target);
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -275,6 +275,11 @@
         }
     }
 
+    /// Forgets connection failures of the targets that match, as the path to them is restored.
+    pub fn forget_connect_failures(&mut self, is_affected: impl Fn(&TargetName) -> bool) {
+        self.health.forget_connect_failures(is_affected);
+    }
+
     /// Records the rate limit that a target announced in an answer.
     pub fn record_limit(&mut self, limit: &AdvertisedLimit, now: Instant) {
         let in_flight = self.calls_in_flight(&limit.run);
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -378,6 +378,11 @@
         }
     }
 
+    /// Forgets connection failures of all engines, as the path to the zone is restored.
+    pub fn forget_connect_failures(&mut self) {
+        self.health.forget_connect_failures(|_| true);
+    }
+
     /// Records whether an engine accepted a call.
     fn record_admission(&mut self, target: &TargetName, is_accepted: bool, now: Instant) {
         if let Some(engine) = self.engines.get(target) {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -143,6 +143,8 @@
     pub contact: LogContact,
     /// Health of targets by the outcomes of this VM's calls.
     pub health: HealthTable,
+    /// When the path to each zone was restored last.
+    pub paths_restored_at: HashMap<AvailabilityZone, Instant>,
     /// Open calls of this VM by target.
     pub in_flight: HashMap<TargetRun, u32>,
     /// This VM's share of the retry budget.
@@ -448,6 +450,7 @@
                 gaps: BTreeMap::new(),
                 contact: LogContact::default(),
                 health: HealthTable::default(),
+                paths_restored_at: HashMap::new(),
                 in_flight: HashMap::new(),
                 retries: RetryShare::starting(settings.retries, restarted),
                 streams: StreamEstimate::default(),
@@ -759,6 +762,19 @@
 }
 
 impl FleetState {
+    /// Records that this VM reaches the targets of a zone again.
+    pub fn record_restored_path(&self, zone: &AvailabilityZone) {
+        let mut tables = self.tables();
+        let FleetTables {
+            catalog, health, ..
+        } = &mut *tables;
+        health.forget_connect_failures(|name| {
+            let entry = catalog.get(name);
+            entry.is_some_and(|entry| entry.zone == *zone)
+        });
+        tables.paths_restored_at.insert(zone.clone(), clock::now());
+    }
+
     /// Records loads of this zone that an engine accepted or that the zone's holder reported.
     pub fn record_loads(&self, loads: impl IntoIterator<Item = AcceptedLoad>) {
         let mut tables = self.tables();
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -14,7 +14,7 @@
         suspects::RequestFingerprint,
         trials::{TrialAnswer, TrialTable},
     },
-    ids::{FencingToken, Instant, OrganisationName, VmName},
+    ids::{AvailabilityZone, FencingToken, Instant, OrganisationName, TargetName, VmName},
 };
 use std::time::Duration;
 
@@ -184,6 +184,16 @@
         self.plain.record_limit(limit, now);
     }
 
+    /// Forgets connection failures of the targets of a zone to which the path is restored.
+    pub fn record_restored_path(&mut self, fleet: &FleetState, zone: &AvailabilityZone) {
+        let tables = fleet.tables();
+        let is_in_zone = |name: &TargetName| {
+            let entry = tables.catalog.get(name);
+            entry.is_some_and(|entry| entry.zone == *zone)
+        };
+        self.plain.forget_connect_failures(is_in_zone);
+    }
+
     /// Ends all calls and trials of a gateway that cannot be reached.
     pub fn forget_gateway(&mut self, vm: &VmName, now: Instant) {
         self.trials.forget_gateway(vm);
--- a/crates/daemon/src/direct/paths/monitor.rs
+++ b/crates/daemon/src/direct/paths/monitor.rs
@@ -329,6 +329,7 @@
             }
             Some(PathChange::Restored(after)) => {
                 event!(Event::PathRestored, "{zone} after {after:?}");
+                self.fleet.record_restored_path(zone);
             }
             None => return,
         }
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -29,7 +29,9 @@
         limits::AdvertisedLimit,
         millis,
         plain::PlainRequest,
-        planner::{CallKey, PlacementAnswer, PlacementRequest, PlannerAction, RefusalCause},
+        planner::{
+            CallKey, PlacementAnswer, PlacementRequest, PlannerAction, RefusalCause, ZonePlanner,
+        },
         quotas::QuotaCharge,
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
@@ -174,6 +176,8 @@
     /// Token that must not be used: a target refused it as fenced, or its lease is being released.
     unusable_token: Option<FencingToken>,
     is_released: bool,
+    /// Restored paths up to this time are known to the planners.
+    paths_known_at: Instant,
 }
 
 impl ZoneWorker {
@@ -195,6 +199,7 @@
             pending: HashMap::new(),
             unusable_token: None,
             is_released: false,
+            paths_known_at: Instant::default(),
         }
     }
 
@@ -222,6 +227,7 @@
                         holder_state.set_sole_until(sole_until);
                     }
                     self.sync_suspects();
+                    self.apply_restored_paths();
                     let confirmed = self.fleet.tables().confirmed_token;
                     if let Some(held) = &mut self.held {
                         let must_hold = confirmed != Some(held.token)
@@ -490,6 +496,26 @@
         }
     }
 
+    /// Lets the planners try targets again to which the path has been restored.
+    fn apply_restored_paths(&mut self) {
+        let restored: Vec<_> = {
+            let tables = self.fleet.tables();
+            let restored = tables.paths_restored_at.iter();
+            let unknown = restored.filter(|(_, at)| **at > self.paths_known_at);
+            unknown.map(|(zone, at)| (zone.clone(), *at)).collect()
+        };
+        for (zone, at) in restored {
+            self.paths_known_at = self.paths_known_at.max(at);
+            if let Some(holder_state) = &mut self.holder_state {
+                holder_state.record_restored_path(&self.fleet, &zone);
+            }
+            if let Some(held) = self.held.as_mut().filter(|_| zone == self.fleet.zone) {
+                let planners = held.plans.planners();
+                planners.for_each(ZonePlanner::forget_connect_failures);
+            }
+        }
+    }
+
     /// Time until which no other VM can issue orders: after its claim, a successor waits for the handover delay unless
     /// this VM released the lease or ended. The delay counts from the last read of the fleet topic, which would have
     /// shown a claim.
