Explain where a call would go

Cause: operators see where a request went only in logs, after it was sent. Change: `explain_call` (core) runs a gateway's search over the zones without asking anyone, with what a VM knows of holders and targets. `GET /explain` on the metrics address answers it as JSON, and `hoplanding explain call` prints it. The order of zones moves from the gateway to `search::ordered_zones`, and the test whether a target lists a subject to `TargetEntry::lists`, as both are used twice now.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -51,8 +51,10 @@
     /// Shows a table.
     #[options(help = "show a table: show TABLE [where ...] [order by ...] [limit N]")]
     Show(StatementArgs),
-    /// Explains an adapter or a request.
-    #[options(help = "explain adapter NAME, or explain request ID")]
+    /// Explains an adapter, a request, or where a call would go.
+    #[options(
+        help = "explain adapter NAME, explain request ID, or explain call HOST PATH [MODEL [TOKENS]]"
+    )]
     Explain(StatementArgs),
     /// Drains a target.
     #[options(help = "drain a target: drain NAME")]
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`account`] | summary of late, refused and failed requests by cause, from logs |
 //! | [`args`] | command-line arguments and subcommands |
 //! | [`client`] | HTTP client of the daemons' operator API |
+//! | [`explain_call`] | where a request would go now, by a daemon in direct mode |
 //! | [`explain_log`] | log lines of several daemons about one request or target |
 //! | [`log_lines`] | parser of the daemons' log lines |
 //! | [`output`] | output as tables or JSON |
@@ -13,6 +14,7 @@
 pub mod account;
 pub mod args;
 pub mod client;
+pub mod explain_call;
 pub mod explain_log;
 pub mod log_lines;
 pub mod output;
@@ -24,6 +26,7 @@
     account::{RequestLog, summarize},
     args::{AccountArgs, CliCommand, ExplainLogArgs, OutputFormat},
     client::{DaemonClient, StatementError},
+    explain_call::{ExplainError, fetch_explanations, format_explanation},
     explain_log::{describe_outcome, find_lines},
 };
 use std::process::ExitCode;
@@ -49,6 +52,11 @@
     match &args.command {
         Some(CliCommand::ExplainLog(args)) => explain_logs(args),
         Some(CliCommand::Account(args)) => show_account(args, format),
+        Some(CliCommand::Explain(words))
+            if words.words.first().is_some_and(|word| word == "call") =>
+        {
+            explain_call(&args.daemon_url(), &words.words[1..], format).await
+        }
         Some(command) => {
             let statement = command.statement().unwrap_or_default();
             run_statement(&client, &statement, format).await
@@ -57,6 +65,31 @@
     }
 }
 
+/// Prints where a request would go now.
+async fn explain_call(url: &str, words: &[String], format: OutputFormat) -> ExitCode {
+    match fetch_explanations(url, words).await {
+        Ok(explanations) => {
+            match format {
+                OutputFormat::Json => println!("{}", serde_json::json!(explanations)),
+                OutputFormat::Table => {
+                    for explanation in &explanations {
+                        println!("{}", format_explanation(explanation));
+                    }
+                }
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(match error {
+                ExplainError::Usage => 2,
+                ExplainError::Unreachable { .. } => 3,
+                ExplainError::Refused(_) => 1,
+            })
+        }
+    }
+}
+
 /// Prints the log lines that mention a request or target, and how the request ended.
 fn explain_logs(args: &ExplainLogArgs) -> ExitCode {
     match find_lines(&args.subject, &args.files) {
--- a/crates/cli/tests/explain_log.rs
+++ b/crates/cli/tests/explain_log.rs
@@ -1,4 +1,4 @@
-//! Lines about one request from the logs of several daemons.
+//! Lines about one request from the logs of several daemons, and explanations of where a call would go.
 
 use hoplanding::explain_log::{describe_outcome, find_lines};
 use std::{fs, process::Command};
@@ -64,3 +64,23 @@
     let (code, text) = run_tool(&["562d93ff", "/nowhere/x.log"]);
     assert!(code == Some(2) && text.contains("can't be read"), "{text}");
 }
+
+/// Guards against `explain call` that is sent as a statement, and against errors without a remedy.
+#[test]
+fn explain_call_names_its_words_and_the_address_that_answers() {
+    for (words, code, text) in [
+        (&["api.example"][..], 2, "HOST PATH [MODEL [TOKENS]]"),
+        (&["api.example", "/plan/1"][..], 3, "metrics address"),
+    ] {
+        let output = Command::new(env!("CARGO_BIN_EXE_hoplanding"))
+            .args(["--url", "http://127.0.0.1:9", "explain", "call"])
+            .args(words)
+            .output()
+            .expect("the tool runs");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            output.status.code() == Some(code) && error.contains(text),
+            "{error}"
+        );
+    }
+}
--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -85,6 +85,19 @@
         }
     }
 
+    /// Whether the entry shows a base model, or an adapter in at least this version.
+    #[must_use]
+    pub fn lists(&self, subject: &AdapterName, version: Option<u64>) -> bool {
+        if !subject.as_str().contains('/') {
+            let mut models = self.models.iter();
+            return models.any(|(model, _)| model == subject.as_str());
+        }
+        self.adapters.iter().any(|resident| {
+            resident.adapter == *subject
+                && version.is_none_or(|version| resident.version >= version)
+        })
+    }
+
     /// Whether calls are routed alike by both entries. The adapters of an engine only concern its holder.
     #[must_use]
     pub fn routes_like(&self, other: &Self) -> bool {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -4,6 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | [`config`] | the fleet's configuration: routes, services, engines, limits |
+//! | [`call_explanation`] | where a given request would go now, and why |
 //! | [`routes`] | route of a request by host and path |
 //! | [`catalog`] | targets that may be sent to, and pending removals |
 //! | [`log_readers`] | which VMs of a zone read the platform's log |
@@ -41,6 +42,7 @@
 //! | [`retry_budget`] | this VM's share of the fleet's retry budget |
 
 pub mod backoffs;
+pub mod call_explanation;
 pub mod catalog;
 pub mod config;
 pub mod demand;
--- a/crates/core/src/direct/search.rs
+++ b/crates/core/src/direct/search.rs
@@ -10,12 +10,19 @@
 //! and then every zone that has the adapter. This is repeated once after a pause, as a zone whose holder changes
 //! answers again after a moment.
 
-use crate::direct::{
-    millis,
-    planner::{PlacementTerms, RefusalCause},
-    policy::PlacementPolicy,
+use crate::{
+    direct::{
+        millis,
+        planner::{PlacementTerms, RefusalCause, split_subject},
+        policy::PlacementPolicy,
+    },
+    ids::{AdapterName, AvailabilityZone},
+};
+use siphasher::sip::SipHasher13;
+use std::{
+    hash::{Hash, Hasher},
+    time::Duration,
 };
-use std::time::Duration;
 
 /// Pass of a search over the zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,3 +147,24 @@
         }
     }
 }
+
+/// Zones by rendezvous hashing of the subject, the home zone first. Base models, and adapters that are requested often at
+/// a VM or take up much of their home zone, have the VM's own zone first, so that their load is spread over zones.
+#[must_use]
+pub fn ordered_zones(
+    subject: &AdapterName,
+    zones: &[AvailabilityZone],
+    own: &AvailabilityZone,
+    is_popular: bool,
+) -> Vec<AvailabilityZone> {
+    let has_adapter = split_subject(subject).1.is_some();
+    let mut zones = zones.to_vec();
+    zones.sort_by_cached_key(|zone| {
+        let is_first = zone == own && (is_popular || !has_adapter);
+        let mut hasher = SipHasher13::new();
+        zone.as_str().hash(&mut hasher);
+        subject.as_str().hash(&mut hasher);
+        (!is_first, hasher.finish())
+    });
+    zones
+}
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -20,17 +20,11 @@
         millis,
         plain::{PlainRequest, pick_without_holder, placement_zones},
         planner::{PlacementAnswer, PlacementRequest, RefusalCause, split_subject},
-        search::{SearchPass, ZoneQuery, ZoneSearch},
+        search::{SearchPass, ZoneQuery, ZoneSearch, ordered_zones},
     },
     ids::{AdapterName, AvailabilityZone, TargetName},
 };
-use siphasher::sip::SipHasher13;
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 /// Pause of a call before the last pass over the zones.
@@ -441,28 +435,17 @@
         listed.count() == 1
     }
 
-    /// Zones by rendezvous hashing of the subject, the home zone first. Base models, and adapters that are requested often at
-    /// this VM or take up much of their home zone, have this VM's own zone first, so that their load is spread over zones.
+    /// Zones in the order in which they are asked, without those that can't be reached.
     fn ordered_zones(&self) -> Vec<AvailabilityZone> {
         let subject = self.subject();
         let own = &self.context.fleet.zone;
         let is_popular = {
-            let now = clock::now();
             let tables = self.context.fleet.tables();
-            tables.demand.rate(&subject, now) >= tables.policy.popular_rate_per_s
-                || tables.is_in_high_demand(&subject, now)
+            tables.is_popular(&subject, clock::now())
         };
-        let has_adapter = split_subject(&subject).1.is_some();
         let mut zones = self.context.settings.zones.clone();
         zones.retain(|zone| !self.closed_zones.contains(zone));
-        zones.sort_by_cached_key(|zone| {
-            let is_first = zone == own && (is_popular || !has_adapter);
-            let mut hasher = SipHasher13::new();
-            zone.as_str().hash(&mut hasher);
-            subject.as_str().hash(&mut hasher);
-            (!is_first, hasher.finish())
-        });
-        zones
+        ordered_zones(&subject, &zones, own, is_popular)
     }
 
     fn placement_request(&self, query: &ZoneQuery, search: &ZoneSearch) -> PlacementRequest {
@@ -530,7 +513,7 @@
             .filter(|entry| tables.limits.wait(&entry.name, now).is_zero())
             .filter(|entry| tables.backoffs.remaining(&entry.run(), now).is_none())
             .filter(|entry| tables.admits(entry, now))
-            .filter(|entry| has_subject(entry, &subject, version))
+            .filter(|entry| entry.lists(&subject, version))
             .min_by_key(|entry| tables.in_flight.get(&entry.run()).copied().unwrap_or(0))
             .cloned()?;
         tables.limits.take_token(&entry.name, now, now);
@@ -560,15 +543,3 @@
         .or(model.map(|(_, version)| *version));
     version.filter(|version| *version > 0)
 }
-
-fn has_subject(entry: &TargetEntry, subject: &AdapterName, version: Option<u64>) -> bool {
-    if !subject.as_str().contains('/') {
-        return entry
-            .models
-            .iter()
-            .any(|(model, _)| model == subject.as_str());
-    }
-    entry.adapters.iter().any(|resident| {
-        resident.adapter == *subject && version.is_none_or(|version| resident.version >= version)
-    })
-}
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -8,6 +8,7 @@
         call::{GatewayContext, StopPlan},
         caller_connections::{OpenConnections, StopPhase, accept_callers},
         claims::{ClaimWorker, release_lease},
+        explain::{CallExplainer, EXPLAIN_PATH},
         feeds::FeedWorker,
         fleet::FleetState,
         holder_client::HolderClient,
@@ -145,7 +146,12 @@
         serve_status(
             readiness_listener,
             metrics_listener,
-            &fleet,
+            CallExplainer {
+                fleet: Arc::clone(&fleet),
+                holder_client: Arc::clone(&holder_client),
+                pool: Arc::clone(&pool),
+                settings: Arc::clone(&settings),
+            },
             stop_watch.clone(),
         );
         let plan = Arc::new(OnceLock::new());
@@ -262,22 +268,27 @@
     }
 }
 
-/// Serves the load balancer's readiness check, and the metrics page if the settings name an address for it.
+/// Serves the load balancer's readiness check, and the metrics page and explanations if the settings name an address for
+/// them.
 fn serve_status(
     readiness_listener: TcpListener,
     metrics_listener: Option<TcpListener>,
-    fleet: &Arc<FleetState>,
+    explainer: CallExplainer,
     stop: watch::Receiver<StopPhase>,
 ) {
+    let fleet = &explainer.fleet;
     let state = Arc::clone(fleet);
-    tokio::spawn(serve_probes(readiness_listener, move |path| {
+    tokio::spawn(serve_probes(readiness_listener, move |uri| {
         let is_ready = state.is_ready() && *stop.borrow() == StopPhase::Serving;
-        readiness_response(path, is_ready)
+        readiness_response(uri.path(), is_ready)
     }));
     if let Some(metrics_listener) = metrics_listener {
         let state = Arc::clone(fleet);
-        tokio::spawn(serve_probes(metrics_listener, move |path| {
-            metrics_response(path, || state.metrics.page(&state))
+        tokio::spawn(serve_probes(metrics_listener, move |uri| {
+            if uri.path() == EXPLAIN_PATH {
+                return explainer.answer(uri);
+            }
+            metrics_response(uri.path(), || state.metrics.page(&state))
         }));
     }
 }
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -214,6 +214,13 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Whether an adapter is requested so often, here or in its home zone, that every zone is a home zone of it.
+    #[must_use]
+    pub fn is_popular(&self, adapter: &AdapterName, now: Instant) -> bool {
+        self.demand.rate(adapter, now) >= self.policy.popular_rate_per_s
+            || self.is_in_high_demand(adapter, now)
+    }
+
     /// Records that no record of a complete topic is missing before a position.
     pub(super) fn advance(&mut self, topic: FeedTopic, end: LogPosition) {
         let Some(known) = self.known_ends.get_mut(&topic) else {
--- a/crates/daemon/src/direct/holder_client.rs
+++ b/crates/daemon/src/direct/holder_client.rs
@@ -498,6 +498,26 @@
         }
     }
 
+    /// Whether calls would not wait for the holder named by a lease, as it has ended or is silent. A holder without a
+    /// link is not known to be.
+    #[must_use]
+    pub fn is_known_silent(&self, lease: &ZoneLease) -> bool {
+        if self.is_mine(lease) {
+            return lease.incarnation != self.fleet.incarnation;
+        }
+        let links = self
+            .links
+            .lock()
+            .expect("no thread panics while it holds the lock");
+        let link = lease.vm.as_ref().and_then(|vm| links.get(vm));
+        link.filter(|link| link.incarnation == lease.incarnation)
+            .is_some_and(|link| match link.contact() {
+                LinkStatus::Up => !link.is_heard_within(HOLDER_TIMEOUT),
+                LinkStatus::Dialling => link.is_redial,
+                LinkStatus::Ended { .. } => true,
+            })
+    }
+
     /// Whether the holder named by a lease was heard over a link within the given time.
     #[must_use]
     pub fn is_heard(&self, lease: &ZoneLease, within: Duration) -> bool {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -52,6 +52,7 @@
 pub mod event_relay;
 pub mod event_splitter;
 pub mod exchange;
+pub mod explain;
 pub mod feeds;
 pub mod fleet;
 pub mod folding;
--- a/crates/daemon/src/direct/probes.rs
+++ b/crates/daemon/src/direct/probes.rs
@@ -3,7 +3,7 @@
 use crate::direct::call::{AnswerBody, full, own_answer};
 use bytes::Bytes;
 use hoplanding_platform::names::READY_PATH;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Uri};
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, time::Duration};
@@ -17,10 +17,10 @@
 pub const METRICS_PATH: &str = "/metrics";
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// Answers requests by their path until the process ends.
+/// Answers requests by their URI until the process ends.
 pub async fn serve_probes(
     listener: TcpListener,
-    answer: impl Fn(&str) -> Response<AnswerBody> + Clone + Send + Sync + 'static,
+    answer: impl Fn(&Uri) -> Response<AnswerBody> + Clone + Send + Sync + 'static,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -30,7 +30,7 @@
         let answer = answer.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let answer = answer(request.uri().path());
+                let answer = answer(request.uri());
                 async move { Ok::<_, Infallible>(answer) }
             });
             // The client connects again after a broken connection.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod copies;
 mod engine_simulator;
+mod explain;
 mod fleet;
 mod foreign;
 mod guard_limits;
