--- a/crates/cli/tests/explain_log.rs
+++ b/crates/cli/tests/explain_log.rs
@@ -1,6 +1,10 @@
 //! Lines about one request from the logs of several daemons, and explanations of where a call would go.
 
-use hoplanding::explain_log::{describe_outcome, find_lines};
+use hoplanding::{
+    explain_call::{fetch_explanations, format_explanation},
+    explain_log::{describe_outcome, find_lines},
+};
+use hoplanding_standins::raw_target::{RawRequest, RawResponse, RawTarget};
 use std::{fs, process::Command};
 
 const FIRST_LOG: &str = r#"
@@ -84,3 +88,23 @@
         );
     }
 }
+
+/// Guards against words that do not reach the daemon, and against an answer that is printed without zones or targets.
+#[tokio::test]
+async fn an_explanation_is_printed_with_its_questions_and_targets() {
+    const ANSWER: &str = r#"[{"route":"plan","service":"scribe","rank":1,"refusal":null,"note":null,
+        "steps":[{"zone":"hall","holder":"vm-1","terms":"take it","reason":"home zone"}],
+        "zones":[{"zone":"hall","targets":[{"name":"i-1","has_subject":true,"in_flight":2,
+            "obstacle":{"backing_off":40}}]}]}]"#;
+    let daemon = RawTarget::start(|_: &RawRequest| RawResponse::complete("200 OK", "", ANSWER));
+    let daemon = daemon.await.expect("a daemon");
+    let words = ["api.example", "/plan/1", "base/a 1", "400"].map(str::to_owned);
+    let fetched = fetch_explanations(&format!("http://{}/", daemon.address), &words).await;
+    let text = format_explanation(&fetched.expect("explanations")[0]);
+    let expected = "route plan, service scribe, rank 1\n1. hall (holder vm-1): take it; home zone\n\
+        targets in hall: i-1 (has the adapter, 2 calls of this VM, backing off for 40 ms)";
+    assert_eq!(text, expected);
+    let asked = daemon.requests()[0].request_line().to_owned();
+    let query = "/explain?host=api.example&path=%2Fplan%2F1&model=base%2Fa+1&tokens=400";
+    assert!(asked.contains(query), "{asked}");
+}
