Follow the pace of uneven plain targets

The planner of plain services averaged over ten calls, kept failed targets out of use until they answered calls that they did not get, waited up to 2.4 s before it tried lost ones again, and refused calls by rank also when a burst was passing.

With `plain.uneven` it follows the last two calls and open ones, tries slow, silent and lost targets again soon, and places a call that will be late within its deadline unless that makes others late. Off when the section is absent.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -12,6 +12,7 @@
 //! | [`overload`], [`overload_limiter`] | whether a VM has more work than processor time, and what it takes then |
 //! | [`zone_load`] | whether other VMs of the zone have processor time left |
 //! | [`plain`] | which target of a plain service a call goes to |
+//! | [`plain_pace`] | how fast the targets of plain services answer at present |
 //! | [`planner`] | the holder's view of its engines: where calls go, what is loaded and unloaded |
 //! | [`engine`] | one engine in that view |
 //! | [`policy`] | what placing and refusing weigh |
@@ -59,6 +60,7 @@
 pub mod overload_limiter;
 pub mod paths;
 pub mod plain;
+pub mod plain_pace;
 pub mod planner;
 pub mod policy;
 pub mod prefill;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -13,6 +13,7 @@
         health::{CallOutcome, HealthTable},
         limits::{AdvertisedLimit, RateLimitTable},
         millis,
+        plain_pace::{PaceChanges, PaceCounts, PlainPace},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
         suspects::RequestFingerprint,
@@ -69,13 +70,25 @@
     pub is_trial: bool,
     /// Quota charge; none if the call is already charged.
     pub charge: Option<QuotaCharge>,
+    /// Time left to the deadline of the call, in milliseconds; 0 if it is not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub deadline_ms: u32,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 impl PlainRequest {
-    /// Longest expected time to the answer with which the call is placed.
-    fn bound(&self) -> Duration {
+    /// Time left to the deadline, if known.
+    fn deadline(&self) -> Option<Duration> {
+        (self.deadline_ms > 0).then(|| Duration::from_millis(u64::from(self.deadline_ms)))
+    }
+
+    /// Fraction of the time left within which the answer has to be expected.
+    fn fraction(&self) -> f64 {
         let rank = usize::from(self.rank).min(EXPECTED_TIME_FRACTIONS.len() - 1);
-        Duration::from_millis(u64::from(self.left_ms)).mul_f64(EXPECTED_TIME_FRACTIONS[rank])
+        EXPECTED_TIME_FRACTIONS[rank]
     }
 }
 
@@ -124,9 +137,20 @@
     health: HealthTable,
     /// Rate limits that targets announced.
     rate_limits: RateLimitTable,
+    /// Paces of uneven targets; without it, the average of about ten calls counts.
+    pace: Option<PlainPace>,
 }
 
 impl PlainPlanner {
+    /// A planner for targets that are slow or silent at times.
+    #[must_use]
+    pub fn for_uneven_targets() -> Self {
+        Self {
+            pace: Some(PlainPace::default()),
+            ..Self::default()
+        }
+    }
+
     /// Places a call at one of `targets`, the service's targets that accept new work.
     pub fn place(
         &mut self,
@@ -136,7 +160,13 @@
         now: Instant,
     ) -> PlacementAnswer {
         self.update_lives(targets);
-        let Some(entry) = self.best(request, targets, now) else {
+        self.drop_expired(now);
+        let best = self.best(request, targets, now);
+        let best = match best.filter(|entry| !self.is_refused_at(entry, request, now)) {
+            Some(entry) => Some(entry),
+            None => self.due_reconnection(request, targets, now).or(best),
+        };
+        let Some(entry) = best else {
             let waits = targets
                 .iter()
                 .map(|entry| self.rate_limits.admission_wait(&entry.name, now));
@@ -144,19 +174,29 @@
             return refuse(retry_after, Duration::ZERO, RefusalCause::NoEngine);
         };
         let run = entry.run();
-        let load = self.loads.entry(run.clone()).or_default();
-        let calls_per_slot = calls_per_slot(load.calls + 1, entry.slots);
+        let calls = self.calls_in_flight(&run);
+        let call_time = self.call_time(&run, now);
+        let next_wait = call_time.mul_f64(calls_per_slot(calls + 2, entry.slots));
+        let calls_per_slot = calls_per_slot(calls + 1, entry.slots);
         let token_wait = self.rate_limits.wait(&entry.name, now);
-        let expected = token_wait + load.call_time.mul_f64(calls_per_slot);
-        let bound = request.bound();
-        let is_occupied = load.calls >= entry.slots || !token_wait.is_zero();
-        if expected > bound && is_occupied {
+        let expected = token_wait + call_time.mul_f64(calls_per_slot);
+        let bound = self.bound(request, now);
+        let is_occupied = calls >= entry.slots || !token_wait.is_zero();
+        let is_late = expected > bound && is_occupied;
+        let is_full = self.is_full(&run, calls, now);
+        if is_full || is_late && !self.admits_late(request, expected, token_wait + next_wait, now) {
             let cause = RefusalCause::TooLong(millis(expected));
             return refuse(expected.saturating_sub(bound), token_wait, cause);
         }
         let sent_at = now.after(token_wait);
         self.rate_limits.take_token(&entry.name, sent_at, now);
-        load.calls += 1;
+        self.loads.entry(run.clone()).or_default().calls += 1;
+        if let Some(pace) = &mut self.pace {
+            pace.record_sent(&run, &key, sent_at, calls_per_slot, request.deadline());
+            if !is_late {
+                pace.record_bound(bound, now);
+            }
+        }
         let call = PlacedCall {
             run,
             sent: sent_at,
@@ -175,6 +215,93 @@
         }
     }
 
+    /// Expected time of a call that has a slot to itself.
+    fn call_time(&self, run: &TargetRun, now: Instant) -> Duration {
+        if let Some(pace) = &self.pace {
+            return pace.call_time(run, now);
+        }
+        let load = self.loads.get(run).copied().unwrap_or_default();
+        load.call_time
+    }
+
+    /// Whether a call would wait too long at its best target, as a first estimate.
+    fn is_refused_at(&self, entry: &TargetEntry, request: &PlainRequest, now: Instant) -> bool {
+        let run = entry.run();
+        let calls = self.calls_in_flight(&run);
+        let call_time = self.call_time(&run, now);
+        let expected = call_time.mul_f64(calls_per_slot(calls + 1, entry.slots));
+        calls >= entry.slots && expected > self.bound(request, now)
+    }
+
+    /// A target that could not be reached, and to which a call that would be refused tries to connect again. A call that is not
+    /// connected has not begun and moves on.
+    fn due_reconnection<'a>(
+        &self,
+        request: &PlainRequest,
+        targets: &'a [Arc<TargetEntry>],
+        now: Instant,
+    ) -> Option<&'a Arc<TargetEntry>> {
+        let pace = self.pace.as_ref()?;
+        targets.iter().find(|entry| {
+            let name = &entry.name;
+            self.health.is_unreachable(name, now)
+                && !request.exclude.contains(name)
+                && !request.backing_off.contains(name)
+                && self.admits(entry, now)
+                && pace.is_reconnection_due(&entry.run(), now)
+        })
+    }
+
+    /// Whether a target with this many calls in flight has lately rejected another one.
+    fn is_full(&self, run: &TargetRun, calls: u32, now: Instant) -> bool {
+        let pace = self.pace.as_ref();
+        pace.is_some_and(|pace| pace.is_full(run, calls, now))
+    }
+
+    /// Longest expected time to the answer with which a call is placed.
+    fn bound(&self, request: &PlainRequest, now: Instant) -> Duration {
+        let fraction = request.fraction();
+        let pace = self.pace.as_ref();
+        let fraction = pace.map_or(fraction, |pace| pace.expected_fraction(fraction, now));
+        Duration::from_millis(u64::from(request.left_ms)).mul_f64(fraction)
+    }
+
+    /// Whether a call that is expected late should be placed nevertheless.
+    fn admits_late(
+        &mut self,
+        request: &PlainRequest,
+        expected: Duration,
+        next: Duration,
+        now: Instant,
+    ) -> bool {
+        let deadline = request.deadline().zip(self.pace.as_mut());
+        deadline.is_some_and(|(deadline, pace)| {
+            pace.admits_late(expected, next, deadline.mul_f64(request.fraction()), now)
+        })
+    }
+
+    /// Drops calls whose end should have been reported by now.
+    fn drop_expired(&mut self, now: Instant) {
+        let pace = self.pace.as_mut();
+        for key in pace.map_or_else(Vec::new, |pace| pace.take_expired(now)) {
+            self.call_ended(&key, None, now);
+        }
+    }
+
+    /// Numbers of the decisions by the paces of uneven targets.
+    #[must_use]
+    pub fn pace_counts(&self, now: Instant) -> PaceCounts {
+        let pace = self.pace.as_ref();
+        pace.map_or_else(PaceCounts::default, |pace| pace.counts(now))
+    }
+
+    /// Changes of the paces of uneven targets since the last call of this function.
+    pub fn take_pace_changes(&mut self, now: Instant) -> PaceChanges {
+        self.drop_expired(now);
+        let pace = self.pace.as_mut();
+        pace.map_or_else(PaceChanges::default, |pace| pace.take_changes(now))
+    }
+
     /// Forgets the health of targets that have restarted.
     fn update_lives(&mut self, targets: &[Arc<TargetEntry>]) {
         for entry in targets {
@@ -192,14 +319,16 @@
         now: Instant,
     ) -> Option<&'a Arc<TargetEntry>> {
         let cost = |entry: &TargetEntry| {
-            let load = self.loads.get(&entry.run()).copied().unwrap_or_default();
-            let wait = load
-                .call_time
-                .mul_f64(calls_per_slot(load.calls + 1, entry.slots));
-            let slot_turn = load.call_time.div_f64(f64::from(entry.slots.max(1)));
+            let run = entry.run();
+            let in_flight = self.calls_in_flight(&run);
+            let call_time = self.call_time(&run, now);
+            let wait = call_time.mul_f64(calls_per_slot(in_flight + 1, entry.slots));
+            let slot_turn = call_time.div_f64(f64::from(entry.slots.max(1)));
             // Among targets with free slots, prefer the one with the fewest calls.
-            let calls =
-                f64::from(load.calls) * 0.1 + health_penalty(&self.health, &entry.name, now);
+            let penalty = health_penalty(&self.health, &entry.name, now);
+            let pace = self.pace.as_ref();
+            let weight = pace.map_or(1.0, |pace| pace.failure_weight(&run, now));
+            let calls = f64::from(in_flight) * 0.1 + penalty * weight;
             self.rate_limits.wait(&entry.name, now) + wait + slot_turn.mul_f64(calls)
         };
         let is_eligible = |entry: &TargetEntry| {
@@ -208,9 +337,19 @@
                 && !request.backing_off.contains(name)
                 && self.admits(entry, now)
         };
-        pick_best(&self.health, is_eligible, targets, now, |left, right| {
-            cost(left).cmp(&cost(right))
-        })
+        let order = |left: &TargetEntry, right: &TargetEntry| cost(left).cmp(&cost(right));
+        if let Some(pace) = &self.pace {
+            let answers = |entry: &TargetEntry| {
+                let run = entry.run();
+                let is_full = self.is_full(&run, self.calls_in_flight(&run), now);
+                is_eligible(entry) && !is_full && !pace.is_avoided(&run, now)
+            };
+            let best = pick_best(&self.health, answers, targets, now, order);
+            if best.is_some() {
+                return best;
+            }
+        }
+        pick_best(&self.health, is_eligible, targets, now, order)
     }
 
     fn calls_in_flight(&self, run: &TargetRun) -> u32 {
@@ -234,6 +373,9 @@
         let Some(call) = self.calls.remove(key) else {
             return;
         };
+        if let Some(pace) = &mut self.pace {
+            pace.record_end(&call.run, key, outcome, now);
+        }
         if let Some(outcome) = outcome {
             self.health.record(&call.run.name, outcome, now);
             self.record_admission(&call.run, outcome, now);
@@ -242,6 +384,12 @@
             return;
         };
         load.calls = load.calls.saturating_sub(1);
+        // A target that rejects calls within its slots is in other trouble, which its health tells.
+        if let (Some(CallOutcome::Overloaded(_)), Some(pace)) = (outcome, &mut self.pace)
+            && call.calls_per_slot > 1.0
+        {
+            pace.record_full(&call.run, load.calls, now);
+        }
         if outcome == Some(CallOutcome::Success) {
             let duration = now.since(call.sent).div_f64(call.calls_per_slot);
             let duration = duration.min(load.call_time * MAX_OUTLIER_FACTOR);
@@ -288,6 +436,9 @@
         let is_present = |name: &TargetName| loads.keys().any(|run| run.name == *name);
         self.health.retain(is_present);
         self.lives.retain(|name, _| is_present(name));
+        if let Some(pace) = &mut self.pace {
+            pace.retain(&keep);
+        }
         self.rate_limits.retain(&keep);
     }
 }
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -10,4 +10,5 @@
 mod simulation;
 mod speeds;
 mod stores;
+mod uneven_plain;
 mod zones;
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -241,6 +241,11 @@
             fingerprint: self.fingerprint,
             is_trial: !self.trials.is_empty(),
             charge: self.quota_charge.due().cloned(),
+            deadline_ms: if self.context.settings.has_uneven_targets {
+                millis(self.remaining())
+            } else {
+                0
+            },
         };
         self.context.holder_client.place_plain(zone, request).await
     }
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -1,13 +1,18 @@
 //! State that a zone's holder has besides its engines: its shares of the quotas, the calls of plain services, and the trials of
 //! suspects. It is created with a lease and dropped with it.
 
-use crate::direct::{fleet::FleetState, settings::DirectSettings};
+use crate::{
+    direct::{fleet::FleetState, settings::DirectSettings},
+    event,
+    events::Event,
+};
 use hoplanding_core::{
     direct::{
         health::CallOutcome,
         limits::AdvertisedLimit,
         millis,
         plain::{PlainPlanner, PlainRequest},
+        plain_pace::{PaceCounts, REPORT_MARGIN},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::{BucketCounts, BucketStart, HolderTenure, QuotaCharge, QuotaTable},
         return_schedule::ReturnCounts,
@@ -65,7 +70,11 @@
         };
         Self {
             token: lease.token,
-            plain: PlainPlanner::default(),
+            plain: if settings.has_uneven_targets {
+                PlainPlanner::for_uneven_targets()
+            } else {
+                PlainPlanner::default()
+            },
             trials: TrialTable::new(settings.trials),
             quotas: QuotaTable::new(settings.quotas, zones, start, times)
                 .with_returns(settings.returns),
@@ -190,6 +199,27 @@
         self.plain.forget_gateway(vm, now);
     }
 
+    /// Numbers of the decisions by the paces of uneven targets.
+    #[must_use]
+    pub fn pace_counts(&self, now: Instant) -> PaceCounts {
+        self.plain.pace_counts(now)
+    }
+
+    /// Logs which targets of plain services have become slow or usual again, and how many calls were dropped.
+    pub fn log_pace_changes(&mut self, now: Instant) {
+        let changes = self.plain.take_pace_changes(now);
+        for change in &changes.targets {
+            event!(Event::PlainPaceChanged, "{} {change}", change.run.name);
+        }
+        if changes.dropped > 0 {
+            event!(
+                Event::PlainCallsDropped,
+                "{} calls, later than {REPORT_MARGIN:?} after their deadline",
+                changes.dropped
+            );
+        }
+    }
+
     /// What became of the return times of refused calls since the start of the lease.
     #[must_use]
     pub fn return_counts(&self) -> ReturnCounts {
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -13,6 +13,7 @@
     direct::{
         catalog::TargetStage,
         config::{ResponseShape, RetryPolicy, RouteRule},
+        plain_pace::PaceCounts,
         planner::{CacheTransfer, EngineCounts},
         quotas::BucketCounts,
         return_schedule::ReturnCounts,
@@ -214,6 +215,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PaceLabels {
+    state: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RetryLabels {
     allowed: bool,
@@ -249,6 +255,7 @@
     admission_faults: Family<AdmissionFaultLabels, Counter>,
     quotas: Family<QuotaLabels, Gauge>,
     returns: Family<ReturnLabels, Gauge>,
+    paces: Family<PaceLabels, Gauge>,
     suspects: Family<SuspectLabels, Gauge>,
     log_calls: Family<LogLabels, Counter>,
     key_proofs: Family<ProofLabels, Counter>,
@@ -285,6 +292,7 @@
             admission_faults: Family::default(),
             quotas: Family::default(),
             returns: Family::default(),
+            paces: Family::default(),
             suspects: Family::default(),
             log_calls: Family::default(),
             key_proofs: Family::default(),
@@ -325,6 +333,11 @@
             "Return times of refused calls that this VM assigned as its zone's holder, and what became of them, since it holds it",
             self.returns.clone(),
         );
+        registry.register(
+            "plain_paces",
+            "Plain services that this VM places calls of as a zone's holder: slow targets now; calls placed though expected late, and calls dropped without a report of their end, since it holds it",
+            self.paces.clone(),
+        );
         registry.register(
             "repeats",
             "Repeats asked of the retry budget",
@@ -517,6 +530,19 @@
         }
     }
 
+    /// Sets what a zone's holder decided by the paces of plain services' targets.
+    pub fn set_pace_counts(&self, counts: PaceCounts) {
+        for (state, count) in [
+            ("slow_targets", counts.slow_targets as u64),
+            ("late_placed", counts.late_placed),
+            ("dropped", counts.dropped),
+        ] {
+            self.paces
+                .get_or_create(&PaceLabels { state })
+                .set(saturating_i64(count));
+        }
+    }
+
     /// Sets the number of requests that a zone's holder suspects, and the number of those that are quarantined.
     pub fn set_suspect_counts(&self, (suspected, quarantined): (usize, usize)) {
         for (state, count) in [("suspected", suspected), ("sent_nowhere", quarantined)] {
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -123,6 +123,7 @@
             ("revocation", self.revocation != new.revocation),
             ("quotas", self.quotas != new.quotas),
             ("returns", self.returns != new.returns),
+            ("plain", self.has_uneven_targets != new.has_uneven_targets),
             ("leases", self.leases != new.leases),
             (
                 "orders_fenced",
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -64,6 +64,8 @@
     pub quotas: QuotaBounds,
     /// Return times of refused calls; `None` if callers are told when the next unit is free.
     pub returns: Option<ReturnRule>,
+    /// Whether targets of plain services are slow or silent at times (`plain.uneven` in the file).
+    pub has_uneven_targets: bool,
     /// Pauses before trials of suspected requests.
     pub trials: TrialRule,
     /// Timeouts of the zone leases.
@@ -135,6 +137,7 @@
         recovery: root.section("recovery", read_recovery),
         quotas: root.section("quotas", read_quotas),
         returns: root.section("returns", read_returns),
+        has_uneven_targets: root.section("plain", |section| section.boolean("uneven")),
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -213,6 +213,9 @@
                 _ = changes.changed() => self.refresh(),
                 _ = list_poll.tick(), if self.holder_state.is_some() => {
                     self.refresh_targets();
+                    if let Some(holder_state) = &mut self.holder_state {
+                        holder_state.log_pace_changes(clock::now());
+                    }
                     self.update_metrics();
                 }
                 _ = tick.tick(), if self.holder_state.is_some() => {
@@ -552,6 +555,7 @@
         if let Some(holder_state) = &self.holder_state {
             metrics.set_quota_counts(holder_state.counts());
             metrics.set_return_counts(holder_state.return_counts());
+            metrics.set_pace_counts(holder_state.pace_counts(clock::now()));
             let tables = self.fleet.tables();
             metrics.set_suspect_counts(tables.suspects.counts(clock::now()));
         }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -200,6 +200,10 @@
     QuotaUsedUp = 808, Info, "request refused as not run, quota used up";
     /// A refused call has a time at which it should come back.
     ReturnAssigned = 860, Info, "return time assigned";
+    /// A target of a plain service has become slow, or usual again.
+    PlainPaceChanged = 870, Info, "pace of a target";
+    /// The ends of calls of plain services were not reported.
+    PlainCallsDropped = 871, Info, "calls without an end dropped";
     /// A target ended while a request ran on it.
     TargetEndedDuringRequest = 816, Info, "target ended under a request";
     /// The holder learned that a target ended while running a request.
