--- a/crates/core/tests/direct_explanation.rs
+++ b/crates/core/tests/direct_explanation.rs
@@ -45,6 +45,7 @@
         slots: 8,
         kv_tokens: 1_000,
         adapter_slots: 4,
+        adapters: 0,
         loads_per_s: 3.0,
         models: vec![AdapterName::new("base")],
     };
