Report the shortage of zones, and weigh leaving a zone against its traffic

Cause: gateways ask zones that have no slot, call after call, and two thirds of all plain calls leave the zone of their gateway though its target is idle. Change: with the settings section zone_choice, holders report the free capacity of their zone in heartbeats. Gateways rank zones by the reports, the list of adapters and the cost of the transfer, skip zones that can't beat the offer, and share what a zone has to spare. The holder of a plain service prefers targets in the gateway's zone. A new holder starts with the load limit and load time that other zones report. Off without the section.

--- a/crates/core/src/direct/load_limiter.rs
+++ b/crates/core/src/direct/load_limiter.rs
@@ -14,7 +14,10 @@
 //! whose loads are late while those of others are on time has a factor of its own and does not count as a sign of
 //! congestion.
 
-use crate::ids::{Instant, TargetName};
+use crate::{
+    direct::shortage::LoadEstimate,
+    ids::{Instant, TargetName},
+};
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
@@ -223,6 +226,18 @@
         }
     }
 
+    /// Starts with the limit and the load time that another zone has learned. A limiter that starts from its default
+    /// takes 2.5 s to reach a limit of 77.
+    pub fn adopt(&mut self, estimate: LoadEstimate) {
+        let limit = f64::from(estimate.limit.max(1));
+        // A zone that reports the default has learned nothing yet, and this one finds the limit as quickly by itself.
+        self.is_slow_start = limit >= self.limit && limit < self.limit + 1.0;
+        if !self.is_slow_start {
+            self.limit = limit;
+        }
+        self.set_expected(estimate.load_time.as_secs_f64() * 1e3);
+    }
+
     /// Loads that may be in flight; at least one.
     #[must_use]
     pub fn limit(&self) -> u32 {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -17,6 +17,7 @@
 //! | [`policy`] | what placing and refusing weigh |
 //! | [`load_limiter`] | how many loads from the weight store may be in flight, and how long one takes |
 //! | [`prefill`] | how fast engines prefill prompts, and the backlog of each |
+//! | [`zone_choice`] | when a call leaves its gateway's zone, and for which one |
 //! | [`search`] | which zones a gateway requests a placement from, and on which terms |
 //! | [`shortage`] | capacity that a zone has left for a service |
 //! | [`stream_origins`] | which software version began a stream |
@@ -77,6 +78,7 @@
 pub mod trials;
 pub mod tunnel_peers;
 pub mod versions;
+pub mod zone_choice;
 pub mod zone_load;
 
 use crate::ids::AvailabilityZone;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -16,6 +16,7 @@
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
         suspects::RequestFingerprint,
+        zone_choice::{PlainPreference, PlainSlots},
         zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, TargetRun, VmName},
@@ -27,6 +28,9 @@
 const INITIAL_CALL_TIME: Duration = Duration::from_millis(50);
 /// Weight of the newest call in the average call duration. A target that becomes slow shows within about ten calls.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Time without a call, in call durations, after which a target's average counts no more where calls prefer their own
+/// zone. Otherwise a target that started anew, or was slow for a moment, gets no call that would show how fast it is.
+const FORGET_AFTER_CALLS: u32 = 8;
 /// Multiple of the average to which a call duration is capped. A call whose end is reported late or that was delayed in
 /// transit says little about its target: one call of 4 s raised the expected duration to 420 ms, and 380 calls were
 /// refused within three seconds.
@@ -69,6 +73,20 @@
     pub is_trial: bool,
     /// Quota charge; none if the call is already charged.
     pub charge: Option<QuotaCharge>,
+    /// Zone of the gateway, whose targets are preferred; none from a build or a VM without a preference.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<AvailabilityZone>,
+    /// Cost of serving the call in another zone, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub transfer_ms: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 impl PlainRequest {
@@ -89,15 +107,29 @@
 #[derive(Clone, Copy, Debug)]
 struct TargetLoad {
     calls: u32,
+    /// Calls of gateways in other zones.
+    remote_calls: u32,
     /// Average duration of a call that has a slot to itself.
     call_time: Duration,
+    /// When a call last changed the average.
+    observed_at: Option<Instant>,
+}
+
+impl TargetLoad {
+    /// Whether the average says little about the target now: no call is there, and none was for a while.
+    fn is_outdated(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.since(at) < self.call_time * FORGET_AFTER_CALLS;
+        self.calls == 0 && !self.observed_at.is_some_and(is_recent)
+    }
 }
 
 impl Default for TargetLoad {
     fn default() -> Self {
         Self {
             calls: 0,
+            remote_calls: 0,
             call_time: INITIAL_CALL_TIME,
+            observed_at: None,
         }
     }
 }
@@ -113,6 +145,8 @@
     sent: Instant,
     /// Number of calls that shared each slot when the call was sent.
     calls_per_slot: f64,
+    /// Whether the call left its gateway's zone.
+    is_remote: bool,
 }
 
 /// Planner of calls to plain services.
@@ -124,9 +158,16 @@
     health: HealthTable,
     /// Rate limits that targets announced.
     rate_limits: RateLimitTable,
+    /// Part of a target's free slots that calls of other zones may take; none without a preference for zones.
+    max_remote_share: Option<f64>,
 }
 
 impl PlainPlanner {
+    /// Lets calls prefer targets in the zone of their gateway.
+    pub fn prefer_own_zones(&mut self, max_remote_share: Option<f64>) {
+        self.max_remote_share = max_remote_share;
+    }
+
     /// Places a call at one of `targets`, the service's targets that accept new work.
     pub fn place(
         &mut self,
@@ -136,6 +177,9 @@
         now: Instant,
     ) -> PlacementAnswer {
         self.update_lives(targets);
+        if self.preference(request).is_some() {
+            self.forget_outdated_averages(targets, now);
+        }
         let Some(entry) = self.best(request, targets, now) else {
             let waits = targets
                 .iter()
@@ -156,11 +200,17 @@
         }
         let sent_at = now.after(token_wait);
         self.rate_limits.take_token(&entry.name, sent_at, now);
+        let is_remote = request
+            .zone
+            .as_ref()
+            .is_some_and(|zone| *zone != entry.zone);
         load.calls += 1;
+        load.remote_calls += u32::from(is_remote);
         let call = PlacedCall {
             run,
             sent: sent_at,
             calls_per_slot,
+            is_remote,
         };
         self.calls.insert(key, call);
         PlacementAnswer::Send {
@@ -175,6 +225,23 @@
         }
     }
 
+    /// Takes targets whose average is outdated for as fast as the fastest one of the service.
+    fn forget_outdated_averages(&mut self, targets: &[Arc<TargetEntry>], now: Instant) {
+        let loads = targets
+            .iter()
+            .filter_map(|entry| self.loads.get(&entry.run()));
+        let observed = loads.filter(|load| load.observed_at.is_some());
+        let Some(fastest) = observed.map(|load| load.call_time).min() else {
+            return;
+        };
+        for entry in targets {
+            let load = self.loads.entry(entry.run()).or_default();
+            if load.is_outdated(now) {
+                load.call_time = load.call_time.min(fastest);
+            }
+        }
+    }
+
     /// Forgets the health of targets that have restarted.
     fn update_lives(&mut self, targets: &[Arc<TargetEntry>]) {
         for entry in targets {
@@ -191,16 +258,25 @@
         targets: &'a [Arc<TargetEntry>],
         now: Instant,
     ) -> Option<&'a Arc<TargetEntry>> {
+        let preference = self.preference(request);
+        let expected = |entry: &TargetEntry| {
+            let load = self.load_of(entry);
+            let calls_per_slot = calls_per_slot(load.calls + 1, entry.slots);
+            self.rate_limits.wait(&entry.name, now) + load.call_time.mul_f64(calls_per_slot)
+        };
+        let surcharge = |entry: &TargetEntry| {
+            let preference = preference.as_ref();
+            preference.map_or(Duration::ZERO, |preference| {
+                preference.surcharge(&entry.zone, expected(entry))
+            })
+        };
         let cost = |entry: &TargetEntry| {
-            let load = self.loads.get(&entry.run()).copied().unwrap_or_default();
-            let wait = load
-                .call_time
-                .mul_f64(calls_per_slot(load.calls + 1, entry.slots));
+            let load = self.load_of(entry);
             let slot_turn = load.call_time.div_f64(f64::from(entry.slots.max(1)));
             // Among targets with free slots, prefer the one with the fewest calls.
             let calls =
                 f64::from(load.calls) * 0.1 + health_penalty(&self.health, &entry.name, now);
-            self.rate_limits.wait(&entry.name, now) + wait + slot_turn.mul_f64(calls)
+            expected(entry) + slot_turn.mul_f64(calls) + surcharge(entry)
         };
         let is_eligible = |entry: &TargetEntry| {
             let name = &entry.name;
@@ -208,8 +284,41 @@
                 && !request.backing_off.contains(name)
                 && self.admits(entry, now)
         };
-        pick_best(&self.health, is_eligible, targets, now, |left, right| {
-            cost(left).cmp(&cost(right))
+        let pick = |is_eligible: &dyn Fn(&TargetEntry) -> bool| {
+            pick_best(&self.health, is_eligible, targets, now, |left, right| {
+                cost(left).cmp(&cost(right))
+            })
+        };
+        let Some(preference) = &preference else {
+            return pick(&is_eligible);
+        };
+        let is_admitted = |entry: &TargetEntry| {
+            let load = self.load_of(entry);
+            let slots = PlainSlots {
+                slots: entry.slots,
+                calls: load.calls,
+                remote_calls: load.remote_calls,
+            };
+            is_eligible(entry) && preference.admits(&entry.zone, slots)
+        };
+        // A call that would be late or unserved within these bounds may take any target, so that none is refused while
+        // another zone has a free slot.
+        pick(&is_admitted)
+            .filter(|entry| expected(entry) <= preference.bound)
+            .or_else(|| pick(&is_eligible))
+    }
+
+    fn load_of(&self, entry: &TargetEntry) -> TargetLoad {
+        self.loads.get(&entry.run()).copied().unwrap_or_default()
+    }
+
+    /// Preference of a call for its gateway's zone, if the gateway names it and this planner heeds it.
+    fn preference<'a>(&self, request: &'a PlainRequest) -> Option<PlainPreference<'a>> {
+        Some(PlainPreference {
+            zone: request.zone.as_ref()?,
+            transfer: Duration::from_millis(u64::from(request.transfer_ms)),
+            max_remote_share: self.max_remote_share?,
+            bound: request.bound(),
         })
     }
 
@@ -242,9 +351,11 @@
             return;
         };
         load.calls = load.calls.saturating_sub(1);
+        load.remote_calls = load.remote_calls.saturating_sub(u32::from(call.is_remote));
         if outcome == Some(CallOutcome::Success) {
             let duration = now.since(call.sent).div_f64(call.calls_per_slot);
             let duration = duration.min(load.call_time * MAX_OUTLIER_FACTOR);
+            load.observed_at = Some(now);
             load.call_time =
                 load.call_time.mul_f64(1.0 - SAMPLE_WEIGHT) + duration.mul_f64(SAMPLE_WEIGHT);
         }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -50,6 +50,7 @@
         planner::cache_transfer::CacheLoan,
         policy::PlacementPolicy,
         prefill::PrefillModel,
+        shortage::LoadEstimate,
         suspects::SuspectTable,
     },
     ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
@@ -169,6 +170,11 @@
         &self.load_limiter
     }
 
+    /// Starts the load limiter with what the holders of other zones have learned about the weight store.
+    pub fn adopt_load_estimate(&mut self, estimate: LoadEstimate) {
+        self.load_limiter.adopt(estimate);
+    }
+
     /// Defers all orders until `until`.
     pub fn hold_orders(&mut self, until: Instant) {
         self.orders_from = self.orders_from.max(until);
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -5,6 +5,7 @@
 
 mod fetching;
 mod plain;
+mod plain_zones;
 mod quotas;
 mod simulation;
 mod speeds;
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -32,7 +32,7 @@
 /// Calls in one simulation.
 const CALL_COUNT: usize = 8_000;
 
-fn target_entry(number: usize) -> Arc<TargetEntry> {
+pub fn target_entry(number: usize) -> Arc<TargetEntry> {
     Arc::new(TargetEntry {
         name: TargetName::new(&format!("t{number}")),
         life: TargetLife::default(),
@@ -85,6 +85,8 @@
                     fingerprint: Default::default(),
                     is_trial: false,
                     charge: None,
+                    zone: None,
+                    transfer_ms: 0,
                 };
                 match planner.place(key(call, gateway), &request, targets, now) {
                     PlacementAnswer::Send { target, .. } => target,
@@ -266,6 +268,8 @@
         fingerprint: Default::default(),
         is_trial: false,
         charge: None,
+        zone: None,
+        transfer_ms: 0,
     };
     let begin = Instant(1_000_000);
     planner.place(key(0, 0), &request, &targets, begin);
--- a/crates/core/tests/load/simulation.rs
+++ b/crates/core/tests/load/simulation.rs
@@ -11,6 +11,10 @@
         },
         policy::PlacementPolicy,
         search::ZoneSearch,
+        shortage::{ShortageTable, SpareSlots, report_round},
+        zone_choice::{
+            ChoiceKnowledge, ChoiceSubject, RemoteAllowance, VmPosition, ZoneChoiceRule, rank_zones,
+        },
     },
     ids::{
         AdapterName, AvailabilityZone, Instant, ServiceName, SoftwareVersion, TargetLife,
@@ -20,7 +24,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rand_distr::{Distribution, Exp, LogNormal, Zipf};
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     env,
     net::SocketAddr,
     ops::Range,
@@ -40,6 +44,8 @@
 const CACHED_PREFIXES: usize = 30;
 /// Adapters that callers request.
 const ADAPTER_COUNT: u32 = 60;
+/// VMs with gateways in each zone.
+pub const VMS_PER_ZONE: usize = 9;
 /// Adapter slots of an engine.
 const ADAPTER_SLOTS: u32 = 9;
 
@@ -116,6 +122,16 @@
     pub abandoned: f64,
     /// Times from arrival to refusal of the refused calls, in ms.
     pub refusal_waits: Vec<u64>,
+    /// Requests to zones that the refused calls made.
+    pub refusal_queries: Vec<u32>,
+    /// Calls placed outside the zone of their gateway.
+    pub left_zone: f64,
+    /// Calls placed across the cut of the reports, from 1.5 s after it.
+    pub left_after_cut: f64,
+    /// Calls placed outside the zone of their gateway for which an adapter is loaded.
+    pub remote_loads: f64,
+    /// Requests to zones outside the gateway's own whose report shows no slot for the call's adapter.
+    pub queries_to_short_zones: f64,
 }
 
 impl CallerOutcomes {
@@ -178,6 +194,22 @@
     tokens: u32,
     prefix: u64,
     target: Option<TargetName>,
+    own_zone: usize,
+    /// VM of the gateway, by number.
+    vm: usize,
+    queries: u32,
+}
+
+/// Choice of zones by reports, as all gateways of a simulation make it.
+struct SimulatedChoice {
+    rule: ZoneChoiceRule,
+    /// Reports as the VMs of each zone received them.
+    reports: Vec<ShortageTable>,
+    spare_slots: Vec<SpareSlots>,
+    /// Allowance of each VM.
+    allowances: Vec<RemoteAllowance>,
+    /// Time from which the last zone and the others receive no reports of each other, in ms.
+    cut_at_ms: u64,
 }
 
 /// One simulation run.
@@ -192,10 +224,18 @@
     outcomes: Vec<CallerOutcomes>,
     random: StdRng,
     next_number: u64,
+    adapter_count: u32,
+    /// Adapters that the target list shows in each zone.
+    listed: BTreeSet<(usize, AdapterName)>,
+    choice: Option<SimulatedChoice>,
     /// Whether first events are reported to the planners.
     pub reports_first_events: bool,
 }
 
+fn zone_name(zone: usize) -> AvailabilityZone {
+    AvailabilityZone::new(&format!("z{zone}"))
+}
+
 fn limits(max_adapters: u32) -> EngineLimits {
     EngineLimits {
         slots: 64,
@@ -305,6 +345,9 @@
             outcomes: vec![CallerOutcomes::default(); classes.len()],
             random: StdRng::seed_from_u64(seed),
             next_number: 0,
+            adapter_count: ADAPTER_COUNT,
+            listed: BTreeSet::new(),
+            choice: None,
             reports_first_events: true,
         }
     }
@@ -317,6 +360,23 @@
         }
     }
 
+    /// Lets callers request a number of adapters.
+    pub fn set_adapter_count(&mut self, count: u32) {
+        self.adapter_count = count;
+    }
+
+    /// Lets all gateways choose zones by reports. From `cut_at_ms` on, the last zone and the others receive no reports of
+    /// each other, though their holders would still answer.
+    pub fn choose_by_reports(&mut self, rule: ZoneChoiceRule, cut_at_ms: u64) {
+        self.choice = Some(SimulatedChoice {
+            rule,
+            reports: vec![ShortageTable::default(); self.planners.len()],
+            spare_slots: vec![SpareSlots::default(); self.planners.len()],
+            allowances: vec![RemoteAllowance::default(); VMS_PER_ZONE * self.planners.len()],
+            cut_at_ms,
+        });
+    }
+
     /// Replaces the placement policy.
     pub fn set_policy(&mut self, policy: PlacementPolicy) {
         self.policy = policy;
@@ -349,6 +409,9 @@
             if now % LIST_INTERVAL_MICROS == 0 {
                 self.publish_target_list(now);
             }
+            if now % 50_000 == 0 {
+                self.publish_reports(now);
+            }
             self.process_actions(now);
             self.advance_engines(now);
             self.expire_calls(now);
@@ -359,6 +422,7 @@
 
     /// Updates each planner's target list with the adapters that its engines have loaded.
     fn publish_target_list(&mut self, now: u64) {
+        self.listed.clear();
         for (zone, planner) in self.planners.iter_mut().enumerate() {
             let engines = self
                 .engines
@@ -375,7 +439,126 @@
                     ..(*entry(name.as_str())).clone()
                 })
             });
-            planner.set_targets(entries.collect(), Instant(now));
+            let entries: Vec<_> = entries.collect();
+            let adapters = entries.iter().flat_map(|entry| &entry.adapters);
+            self.listed
+                .extend(adapters.map(|resident| (zone, resident.adapter.clone())));
+            planner.set_targets(entries, Instant(now));
+        }
+    }
+
+    /// Delivers the reports of all zones to all gateways.
+    fn publish_reports(&mut self, now: u64) {
+        let Some(choice) = &mut self.choice else {
+            return;
+        };
+        let is_cut = now / 1_000 >= choice.cut_at_ms;
+        let last = self.planners.len() - 1;
+        for (zone, planner) in self.planners.iter().enumerate() {
+            let shortage = planner.shortage(Instant(now));
+            let spare_slots = &mut choice.spare_slots[zone];
+            spare_slots.record(&shortage, Instant(now));
+            if !now.is_multiple_of(400_000) {
+                continue;
+            }
+            let round = report_round(Instant(now));
+            let report = spare_slots.report(&ServiceName::new("llm"), shortage, round);
+            for (receiver, reports) in choice.reports.iter_mut().enumerate() {
+                if !is_cut || (zone == last) == (receiver == last) {
+                    reports.record(&zone_name(zone), vec![report.clone()], Instant(now));
+                }
+            }
+        }
+    }
+
+    /// Starts the search of a call; returns it with the zones in its order.
+    fn start_search(
+        &self,
+        adapter: u32,
+        own_zone: usize,
+        vm: usize,
+        zones: Vec<usize>,
+        now: u64,
+    ) -> (Vec<usize>, ZoneSearch) {
+        let Some(choice) = &self.choice else {
+            let search = ZoneSearch::new(self.policy, zones.len());
+            return (zones, search);
+        };
+        let subject = AdapterName::new(&format!("base/a{adapter}"));
+        let order: Vec<_> = zones
+            .iter()
+            .map(|zone| {
+                let has_adapter = self.listed.contains(&(*zone, subject.clone()));
+                // VMs outside the zone, in the order of their numbers.
+                let vms_before =
+                    vm - (vm.min((zone + 1) * VMS_PER_ZONE) - vm.min(zone * VMS_PER_ZONE));
+                let position = VmPosition {
+                    index: vms_before as u32,
+                    count: ((zones.len() - 1) * VMS_PER_ZONE) as u32,
+                };
+                (zone_name(*zone), has_adapter, position)
+            })
+            .collect();
+        let call = ChoiceSubject {
+            service: &ServiceName::new("llm"),
+            own_zone: &zone_name(own_zone),
+            bytes: 6_000,
+            load_penalty: self.policy.load_penalty,
+        };
+        let known = ChoiceKnowledge {
+            rule: &choice.rule,
+            reports: &choice.reports[own_zone],
+            allowance: &choice.allowances[vm],
+        };
+        let prospects = rank_zones(&order, &call, &known, Instant(now));
+        let zone_number =
+            |name: &AvailabilityZone| zones.iter().find(|zone| zone_name(**zone) == *name);
+        let zones = prospects
+            .iter()
+            .map(|prospect| *zone_number(&prospect.zone).expect("a zone of the call"))
+            .collect();
+        (zones, ZoneSearch::with_prospects(self.policy, prospects))
+    }
+
+    fn count_query_to_short_zone(&mut self, number: u64, zone: usize, now: u64) {
+        let (Some(choice), Some(call)) = (&self.choice, self.open_calls.get(&number)) else {
+            return;
+        };
+        let service = ServiceName::new("llm");
+        let reports = &choice.reports[call.own_zone];
+        let report = reports.report(&zone_name(zone), &service, Instant(now));
+        let is_short = report.is_some_and(|report| report.shortage.free_adapter_slots == 0);
+        let name = zone_name(zone);
+        let mut prospects = (0..call.zones.len()).filter_map(|turn| call.search.prospect(turn));
+        // The list that counts is the one at the start of the search.
+        let had_adapter = prospects.any(|prospect| prospect.zone == name && prospect.has_adapter);
+        if zone != call.own_zone && is_short && !had_adapter {
+            self.outcomes[call.class].queries_to_short_zones += 1.0;
+        }
+    }
+
+    /// Takes a slot that a queried zone leaves to others, or returns it.
+    fn count_remote_slot(&mut self, number: u64, turn: usize, is_taken: bool, now: u64) {
+        let (Some(choice), Some(call)) = (&mut self.choice, self.open_calls.get(&number)) else {
+            return;
+        };
+        let Some(prospect) = call
+            .search
+            .prospect(turn)
+            .filter(|prospect| prospect.uses_allowance)
+        else {
+            return;
+        };
+        let service = ServiceName::new("llm");
+        if let Some(report) =
+            choice.reports[call.own_zone].report(&prospect.zone, &service, Instant(now))
+        {
+            let allowance = &mut choice.allowances[call.vm];
+            if is_taken {
+                allowance.take(&prospect.zone, report, !prospect.has_adapter);
+            } else {
+                allowance.give_back(&prospect.zone, report, !prospect.has_adapter);
+            }
         }
     }
 
@@ -394,7 +577,7 @@
         let mean = class.tokens.ln() - class.spread * class.spread / 2.0;
         let size = LogNormal::new(mean, class.spread).expect("a spread");
         let tokens = size.sample(&mut self.random).min(39_600.0) as u32 + 1;
-        let popularity = Zipf::new(f64::from(ADAPTER_COUNT), 1.2).expect("a skew");
+        let popularity = Zipf::new(f64::from(self.adapter_count), 1.2).expect("a skew");
         let adapter = popularity.sample(&mut self.random) as u32;
         let number = self.next_number;
         self.next_number += 1;
@@ -406,10 +589,16 @@
         } else {
             adapter as usize % count
         };
+        let vm = own_zone * VMS_PER_ZONE + number as usize % VMS_PER_ZONE;
+        let order = (0..count).map(|turn| (home_zone + turn) % count);
+        let (zones, search) = self.start_search(adapter, own_zone, vm, order.collect(), now);
         let call = OpenCall {
+            own_zone,
+            vm,
+            queries: 0,
             adapter,
-            zones: (0..count).map(|turn| (home_zone + turn) % count).collect(),
-            search: ZoneSearch::new(self.policy, count),
+            zones,
+            search,
             class: class_index,
             arrived: now,
             tokens,
@@ -431,9 +620,21 @@
             let outcomes = &mut self.outcomes[call.class];
             outcomes.refused += 1.0;
             outcomes.refusal_waits.push((now - call.arrived) / 1_000);
+            outcomes.refusal_queries.push(call.queries);
             self.open_calls.remove(&number);
             return;
         };
+        if let Some(choice) = &self.choice
+            && let Some(prospect) = call.search.prospect(query.zone)
+        {
+            let reports = &choice.reports[call.own_zone];
+            if !prospect.is_still_able(reports, &ServiceName::new("llm"), Instant(now)) {
+                call.search.record_skip();
+                self.ask_next_zone(number, now);
+                return;
+            }
+        }
+        call.queries += 1;
         let objective = Duration::from_millis(class.objective_ms);
         let remaining = objective.saturating_sub(Duration::from_micros(now - call.arrived));
         let bound = call
@@ -458,6 +659,8 @@
             terms: query.terms,
         };
         let zone = call.zones[query.zone];
+        self.count_query_to_short_zone(number, zone, now);
+        self.count_remote_slot(number, query.zone, true, now);
         self.planners[zone].place(key(number), request, Instant(now));
     }
 
@@ -534,6 +737,19 @@
                     arrives_at: now + u64::from(wait_ms) * 1_000 + 1_000,
                 };
                 call.target = Some(target.clone());
+                let outcomes = &mut self.outcomes[call.class];
+                let (is_remote, needs_load) = (zone != call.own_zone, wait_ms > 0);
+                if is_remote {
+                    outcomes.left_zone += 1.0;
+                    outcomes.remote_loads += f64::from(u8::from(needs_load));
+                }
+                if let Some(choice) = &mut self.choice {
+                    let last = self.planners.len() - 1;
+                    let is_across = (zone == last) != (call.own_zone == last);
+                    if is_across && now / 1_000 >= choice.cut_at_ms + 1_500 {
+                        outcomes.left_after_cut += 1.0;
+                    }
+                }
                 let engine = self.engines.get_mut(&target).expect("an engine");
                 engine.waiting.push(prompt);
             }
@@ -544,6 +760,7 @@
                 let turn = call.zones.iter().position(|candidate| *candidate == zone);
                 let turn = turn.expect("a zone that was queried");
                 call.search.record_refusal(turn, cause, retry_after_ms);
+                self.count_remote_slot(key.number, turn, false, now);
                 self.ask_next_zone(key.number, now);
             }
         }
@@ -691,12 +908,16 @@
 pub fn describe(outcomes: &[CallerOutcomes]) -> String {
     let lines = outcomes.iter().map(|class| {
         format!(
-            "calls {} in time {:.3} served {:.3} refused {:.3} abandoned {:.3}",
+            "calls {} in time {:.3} served {:.3} refused {:.3} abandoned {:.3}, left their zone {:.3} ({:.3} for a load), refused after {:.2} requests and {:.0} ms",
             class.calls,
             class.in_time_ratio(),
             class.served_ratio(),
             class.refused / class.calls,
-            class.abandoned / class.calls
+            class.abandoned / class.calls,
+            class.left_zone / class.calls,
+            class.remote_loads / class.calls,
+            f64::from(class.refusal_queries.iter().sum::<u32>()) / class.refused.max(1.0),
+            class.refusal_waits.iter().sum::<u64>() as f64 / class.refused.max(1.0)
         )
     });
     lines.collect::<Vec<_>>().join("; ")
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -9,6 +9,7 @@
 //! | `admission` | resolves the caller's identity, and checks it again before each send |
 //! | `quota_charge` | charges the organisation's quota, and refunds it |
 //! | `placement` | chooses the target of the next send |
+//! | `zone_preference` | what the choice of a zone weighs, and what leaves this VM's zone |
 //! | `sending` | sends once, and classifies the answer |
 //! | `stream_origin` | finds the software version that began a stream which the call takes up |
 //! | `suspicion` | which trials the call needs, and what its answer shows about the parts of its prompt |
@@ -31,6 +32,7 @@
 mod takeover;
 mod target_probe;
 mod timeline;
+mod zone_preference;
 
 pub use admission::AdmissionFault;
 pub use answer_end::{AnswerEnder, UnfinishedAnswer};
@@ -545,6 +547,9 @@
                 match taken {
                     Ok(body) => {
                         call.count(RequestOutcome::Answered);
+                        let bytes = body.len() as u64;
+                        let fleet = &call.context.fleet;
+                        fleet.record_answer_size(&call.service.name, bytes);
                         Ok(passed_answer(&parts, body))
                     }
                     Err(target) => {
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -6,7 +6,10 @@
 use crate::{
     clock,
     direct::{
-        call::{CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome},
+        call::{
+            CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome,
+            zone_preference::departure_cause,
+        },
         holder_client::PlacedCall,
         message::FeedTopic,
     },
@@ -83,9 +86,18 @@
         if self.service.engine.is_none() {
             return self.place_plain().await;
         }
-        let zones = self.ordered_zones();
-        let policy = self.context.fleet.tables().policy;
-        let mut search = ZoneSearch::new(policy, zones.len());
+        let (zones, mut search) = self.start_search();
+        let placement = self.search_zones(&zones, &mut search).await;
+        self.record_skipped_zones(&search);
+        placement
+    }
+
+    /// Asks the zones in turn until one of them takes the call.
+    async fn search_zones(
+        &mut self,
+        zones: &[AvailabilityZone],
+        search: &mut ZoneSearch,
+    ) -> CallPlacement {
         let mut pass = SearchPass::Compare;
         while let Some(query) = search.next_query() {
             if query.pass != pass {
@@ -97,8 +109,12 @@
                     sleep(REPLACE_DELAY).await;
                 }
             }
+            if !self.may_still_ask(search.prospect(query.zone)) {
+                search.record_skip();
+                continue;
+            }
             let zone = &zones[query.zone];
-            if let Some(found) = self.ask_zone(zone, &query, &mut search).await {
+            if let Some(found) = self.ask_zone(zone, &query, search).await {
                 return found;
             }
         }
@@ -201,7 +217,10 @@
                     sleep(Duration::from_millis(u64::from(wait_ms))).await;
                     let entry = self.entry_of(zone, &target).await;
                     match entry.filter(|entry| self.may_send_to(entry)) {
-                        Some(entry) => return CallPlacement::At(entry, None, placed_call),
+                        Some(entry) => {
+                            self.record_plain_departure(&entry);
+                            return CallPlacement::At(entry, None, placed_call);
+                        }
                         // This VM knows that the target has left, or runs another software version.
                         None => self.tried.push(target),
                     }
@@ -232,6 +251,7 @@
         zone: &AvailabilityZone,
     ) -> Option<(PlacementAnswer, Option<PlacedCall>)> {
         let remaining = self.route.objective.saturating_sub(self.arrived.elapsed());
+        let transfer = self.transfer_cost();
         let request = PlainRequest {
             service: self.service.name.clone(),
             rank: self.rank,
@@ -241,6 +261,8 @@
             fingerprint: self.fingerprint,
             is_trial: !self.trials.is_empty(),
             charge: self.quota_charge.due().cloned(),
+            zone: transfer.map(|_| self.context.fleet.zone.clone()),
+            transfer_ms: transfer.map_or(0, ceiled_millis),
         };
         self.context.holder_client.place_plain(zone, request).await
     }
@@ -281,8 +303,13 @@
         search: &mut ZoneSearch,
     ) -> Option<CallPlacement> {
         let request = self.placement_request(query, search);
-        let Some((answer, placed_call)) = self.context.holder_client.place(zone, request).await
-        else {
+        let prospect = search.prospect(query.zone);
+        self.take_remote_slot(prospect);
+        let reply = self.context.holder_client.place(zone, request).await;
+        if !matches!(reply, Some((PlacementAnswer::Send { .. }, _))) {
+            self.give_back_remote_slot(prospect);
+        }
+        let Some((answer, placed_call)) = reply else {
             search.record_no_answer(query.zone);
             // The home zone has made an offer, and a zone whose holder is silent may be partitioned with its targets.
             let has_home_offer = query.pass == SearchPass::Compare && query.zone > 0;
@@ -337,6 +364,8 @@
                 // target by now.
                 self.fetch_source =
                     fetch.filter(|source| is_same_holder && self.is_unique_address(*source));
+                let cause = departure_cause(query, search.prospect(query.zone));
+                self.record_departure(&entry, cause);
                 Some(CallPlacement::At(entry, version, placed_call))
             }
             PlacementAnswer::Refuse {
@@ -414,7 +443,7 @@
 
     /// Zones by rendezvous hashing of the subject, the home zone first. Base models, and adapters that are requested often at
     /// this VM or take up much of their home zone, have this VM's own zone first, so that their load is spread over zones.
-    fn ordered_zones(&self) -> Vec<AvailabilityZone> {
+    pub(super) fn ordered_zones(&self) -> Vec<AvailabilityZone> {
         let subject = self.subject();
         let own = &self.context.fleet.zone;
         let is_popular = {
@@ -512,6 +541,11 @@
     }
 }
 
+/// Milliseconds of a span, rounded up.
+fn ceiled_millis(span: Duration) -> u32 {
+    millis(span + Duration::from_micros(999))
+}
+
 fn is_refused_for(
     reply: &Option<(PlacementAnswer, Option<PlacedCall>)>,
     expected: RefusalCause,
@@ -531,7 +565,11 @@
     version.filter(|version| *version > 0)
 }
 
-fn has_subject(entry: &TargetEntry, subject: &AdapterName, version: Option<u64>) -> bool {
+pub(super) fn has_subject(
+    entry: &TargetEntry,
+    subject: &AdapterName,
+    version: Option<u64>,
+) -> bool {
     if !subject.as_str().contains('/') {
         return entry
             .models
--- a/crates/daemon/src/direct/call/sending.rs
+++ b/crates/daemon/src/direct/call/sending.rs
@@ -516,6 +516,10 @@
             fetch: self.fetch_source,
             identity: &self.identity,
         };
+        if entry.zone != self.context.fleet.zone {
+            let metrics = &self.context.fleet.metrics;
+            metrics.count_remote_bytes(self.body.len() as u64);
+        }
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/crates/daemon/src/direct/event_relay.rs
+++ b/crates/daemon/src/direct/event_relay.rs
@@ -61,6 +61,8 @@
     awaits_first_event: bool,
     /// Whether any event was relayed.
     has_relayed: bool,
+    /// Bytes of the events that were relayed.
+    relayed_bytes: u64,
     /// When the first event of this send came.
     first_event_at: Option<Instant>,
     /// Whether this send has been recorded as harmless.
@@ -86,6 +88,7 @@
         is_resumable,
         awaits_first_event: true,
         has_relayed: false,
+        relayed_bytes: 0,
         first_event_at: None,
         is_recorded_harmless: false,
     };
@@ -109,6 +112,7 @@
                     match self.splitter.push(&data) {
                         Ok(events) if events.is_empty() => continue,
                         Ok(events) => {
+                            self.relayed_bytes += events.len() as u64;
                             self.record_events();
                             return Some(Ok(events));
                         }
@@ -317,6 +321,8 @@
         else {
             return;
         };
+        let fleet = &call.context.fleet;
+        fleet.record_answer_size(&call.service.name, self.relayed_bytes);
         let duration = call.arrived.elapsed().saturating_sub(first);
         let mut tables = call.context.fleet.tables();
         let max_output_tokens = call.head.max_output_tokens;
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -33,10 +33,12 @@
         restore_guard::{RestoreGuard, RewriteRule},
         retry_budget::RetryShare,
         routes::RouteTable,
+        shortage::{LoadEstimate, REPORT_INTERVAL, ServiceReport, ShortageTable},
         software_history::SoftwareHistory,
         stream_estimate::StreamEstimate,
         stream_origins::{StreamOrigin, StreamOrigins},
         suspects::{RequestFingerprint, SuspectTable},
+        zone_choice::{AnswerSizes, RemoteAllowance, VmPosition, ZoneChoiceRule},
         zone_load::{OverloadCount, ZoneLoad},
     },
     ids::{
@@ -191,6 +193,14 @@
     pub(super) own_addresses: Vec<SocketAddr>,
     /// Load of the zone's VMs.
     pub zone_load: ZoneLoad,
+    /// What the holders of the zones report about their free capacity.
+    pub shortages: ShortageTable,
+    /// What this VM reports as its zone's holder, and when it observed that.
+    own_reports: (Vec<ServiceReport>, Instant),
+    /// Slots in other zones that calls of this VM may take.
+    pub allowance: RemoteAllowance,
+    /// Sizes of the answers that this VM relayed.
+    pub answer_sizes: AnswerSizes,
 }
 
 impl FleetTables {
@@ -289,6 +299,21 @@
         }
     }
 
+    /// Position of a VM among those outside a zone, by name.
+    #[must_use]
+    pub fn position_outside(&self, zone: &AvailabilityZone, vm: &VmName) -> VmPosition {
+        let others = self
+            .vms
+            .iter()
+            .filter(|(other, record)| record.zone != *zone && *other != vm);
+        let mut position = VmPosition { index: 0, count: 1 };
+        for (other, _) in others {
+            position.count += 1;
+            position.index += u32::from(other < vm);
+        }
+        position
+    }
+
     /// Number of this VM's open calls at a target.
     #[must_use]
     pub fn calls_in_flight(&self, run: &TargetRun) -> u32 {
@@ -369,6 +394,8 @@
     pub rewrites: RewriteRule,
     /// CPU capacity of this VM in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Weights of the choice of another zone, if this VM chooses by reports.
+    pub zone_choice: Option<ZoneChoiceRule>,
     /// Counters of the metrics page.
     pub metrics: DirectMetrics,
     /// Linked VMs of this zone that could take over its lease.
@@ -403,6 +430,7 @@
             revocation: settings.revocation,
             rewrites: settings.recovery,
             cpu_millicores: settings.cpu_millicores,
+            zone_choice: settings.zone_choice,
             metrics: DirectMetrics::default(),
             successors: Mutex::default(),
             stopping: watch::channel(false).0,
@@ -451,6 +479,10 @@
                 leaving: LeavingTargets::default(),
                 own_addresses: Vec::new(),
                 zone_load: ZoneLoad::default(),
+                shortages: ShortageTable::default(),
+                own_reports: (Vec::new(), Instant::default()),
+                allowance: RemoteAllowance::default(),
+                answer_sizes: AnswerSizes::default(),
             }),
             changes: watch::channel(0).0,
             record_requests: watch::channel(0).0,
@@ -636,6 +668,60 @@
         }
     }
 
+    /// Records what this VM, as its zone's holder, observed of the zone. An empty list ends the reports.
+    pub fn set_own_reports(&self, reports: Vec<ServiceReport>, now: Instant) {
+        let mut tables = self.tables();
+        tables.shortages.record(&self.zone, reports.clone(), now);
+        tables.own_reports = (reports, now);
+    }
+
+    /// Reports of this VM about its zone. Without a recent observation there are none, as the worker of the zone may be
+    /// delayed.
+    #[must_use]
+    pub fn own_reports(&self, now: Instant) -> Vec<ServiceReport> {
+        let tables = self.tables();
+        let (reports, observed_at) = &tables.own_reports;
+        let is_recent = now.since(*observed_at) < 2 * REPORT_INTERVAL;
+        if is_recent {
+            reports.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Records the reports of a VM about its zone, if that VM is the zone's holder as far as known.
+    pub fn record_reports(
+        &self,
+        vm: &VmName,
+        zone: &AvailabilityZone,
+        reports: Vec<ServiceReport>,
+        now: Instant,
+    ) {
+        if self.zone_choice.is_none() || reports.is_empty() {
+            return;
+        }
+        let mut tables = self.tables();
+        let lease = tables.leases.get(zone);
+        if lease.and_then(LeaseState::holder) == Some(vm) {
+            tables.shortages.record(zone, reports, now);
+        }
+    }
+
+    /// What the holders of other zones have learned about loads of a service.
+    #[must_use]
+    pub fn load_estimate(&self, service: &ServiceName, now: Instant) -> Option<LoadEstimate> {
+        self.zone_choice?;
+        let tables = self.tables();
+        tables.shortages.load_estimate(&self.zone, service, now)
+    }
+
+    /// Records the size of an answer, which the choice of a zone for later calls weighs.
+    pub fn record_answer_size(&self, service: &ServiceName, bytes: u64) {
+        if self.zone_choice.is_some() {
+            self.tables().answer_sizes.record(service, bytes);
+        }
+    }
+
     /// Number of overloaded VMs in the zone, if this VM holds it and there are any.
     #[must_use]
     pub fn overload_count(&self, now: Instant) -> Option<OverloadCount> {
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -62,9 +62,11 @@
             has_predecessor: !lease.order_delay.is_zero(),
             window: settings.quotas.window,
         };
+        let mut plain = PlainPlanner::default();
+        plain.prefer_own_zones(settings.zone_choice.map(|rule| rule.max_remote_share));
         Self {
             token: lease.token,
-            plain: PlainPlanner::default(),
+            plain,
             trials: TrialTable::new(settings.trials),
             quotas: QuotaTable::new(settings.quotas, zones, start, times),
             quota_version: None,
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -13,6 +13,7 @@
         plain::PlainRequest,
         planner::{PlacementAnswer, PlacementRequest},
         quotas::QuotaCharge,
+        shortage::ServiceReport,
         stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
@@ -219,6 +220,9 @@
         /// How many VMs of the zone have, if the sender is the zone's holder and there are any.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         overload_count: Option<OverloadCount>,
+        /// Free capacity of the sender's zone, if the sender is the zone's holder and reports it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        shortages: Vec<ServiceReport>,
     },
     /// Requests the placement of a call.
     Place(u64, Box<PlacementRequest>),
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -81,6 +81,24 @@
     outcome: RequestOutcome,
 }
 
+/// Why a call went to a target outside its gateway's zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum DepartureCause {
+    /// The target's zone is the home zone of the call's adapter.
+    Home,
+    /// The target's zone has the adapter loaded.
+    Adapter,
+    /// The wait is shorter there.
+    Wait,
+    /// The gateway's zone has no target of the service.
+    NoTarget,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DepartureLabels {
+    cause: DepartureCause,
+}
+
 /// Outcome of a call to the platform's log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum LogOutcome {
@@ -257,6 +275,9 @@
     prompt_moves: Family<MoveLabels, Counter>,
     target_connects: Family<ConnectLabels, Counter>,
     tunnels: Family<TunnelLabels, Counter>,
+    departures: Family<DepartureLabels, Counter>,
+    remote_bytes: Counter,
+    skipped_zones: Counter,
     engines: Family<EngineLabels, Gauge>,
     overdue_prompts: Gauge,
     in_flight: Gauge,
@@ -292,6 +313,9 @@
             prompt_moves: Family::default(),
             target_connects: Family::default(),
             tunnels: Family::default(),
+            departures: Family::default(),
+            remote_bytes: Counter::default(),
+            skipped_zones: Counter::default(),
             engines: Family::default(),
             overdue_prompts: Gauge::default(),
             in_flight: Gauge::default(),
@@ -401,6 +425,21 @@
             "Tunnels to targets that other VMs were asked for, by result",
             self.tunnels.clone(),
         );
+        registry.register(
+            "zone_departures",
+            "Calls placed at targets outside this VM's zone, by cause",
+            self.departures.clone(),
+        );
+        registry.register(
+            "remote_bytes",
+            "Bytes of request bodies sent to targets outside this VM's zone",
+            self.remote_bytes.clone(),
+        );
+        registry.register(
+            "zones_skipped",
+            "Placement requests that were not made because of a zone's report",
+            self.skipped_zones.clone(),
+        );
         registry.register(
             "zone_engines",
             "Engines of the zone that this VM holds, and those of them that it avoids",
@@ -547,6 +586,22 @@
         self.key_proofs.get_or_create(&ProofLabels { source }).inc();
     }
 
+    /// Counts a call placed at a target outside this VM's zone.
+    pub fn count_departure(&self, cause: DepartureCause) {
+        let labels = DepartureLabels { cause };
+        self.departures.get_or_create(&labels).inc();
+    }
+
+    /// Counts bytes sent to a target outside this VM's zone.
+    pub fn count_remote_bytes(&self, bytes: u64) {
+        self.remote_bytes.inc_by(bytes);
+    }
+
+    /// Counts placement requests that were not made because of zones' reports.
+    pub fn count_skipped_zones(&self, requests: u32) {
+        self.skipped_zones.inc_by(u64::from(requests));
+    }
+
     /// Counts a connection attempt to a target.
     pub fn count_connect(&self, result: ConnectResult) {
         let labels = ConnectLabels { result };
--- a/crates/daemon/src/direct/reload.rs
+++ b/crates/daemon/src/direct/reload.rs
@@ -127,6 +127,7 @@
                 "orders_fenced",
                 self.has_order_fencing != new.has_order_fencing,
             ),
+            ("zone_choice", self.zone_choice != new.zone_choice),
             ("pace", self.timing != new.timing),
             ("log.file", self.log.file != new.log.file),
         ];
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -10,7 +10,7 @@
     direct::{
         freshness::RevocationRule, lease::LeaseTimeouts, policy::PlacementPolicy,
         quotas::QuotaBounds, restore_guard::RewriteRule, retry_budget::RetryBudgetRule,
-        trials::TrialRule,
+        trials::TrialRule, zone_choice::ZoneChoiceRule,
     },
     ids::{AvailabilityZone, VmName},
 };
@@ -70,6 +70,8 @@
     pub has_order_fencing: bool,
     /// Weights and limits of placement decisions.
     pub policy: PlacementPolicy,
+    /// Weights of the choice of another zone; `None` if zones report no shortage and none is chosen by reports.
+    pub zone_choice: Option<ZoneChoiceRule>,
     /// Intervals and timeouts (`pace` in the file).
     pub timing: TimingSettings,
     /// Log output.
@@ -136,6 +138,7 @@
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
         policy: root.section("policy", read_policy),
+        zone_choice: root.section("zone_choice", read_zone_choice),
         timing: root.section("pace", read_timing),
         log: root.section("log", read_log_settings),
     }
@@ -223,6 +226,15 @@
     }
 }
 
+/// Reads the weights of the choice of another zone; docs/POLICY.md explains each default.
+fn read_zone_choice(section: &SectionReader<'_>) -> Option<ZoneChoiceRule> {
+    let rule = ZoneChoiceRule {
+        traffic_price_ms_per_kb: section.fraction("traffic_price_ms_per_kb", 0.5, 0.0, 1_000.0),
+        max_remote_share: section.fraction("max_remote_share", 0.5, 0.0, 1.0),
+    };
+    section.boolean("enabled").then_some(rule)
+}
+
 fn read_timing(section: &SectionReader<'_>) -> TimingSettings {
     TimingSettings {
         list_interval: section.fractional_millis("list_every_ms", 1000, 10, 60_000),
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -188,6 +188,7 @@
             } else {
                 None
             },
+            shortages: self.fleet.own_reports(now),
         }
     }
 
@@ -310,6 +311,7 @@
                 lease_read,
                 is_overloaded,
                 overload_count,
+                shortages,
             } => {
                 let now = clock::now();
                 self.last_heartbeat = Some((sent, now));
@@ -317,6 +319,8 @@
                     self.fleet
                         .record_load(vm, is_overloaded, overload_count, now);
                 }
+                self.fleet
+                    .record_reports(vm, &self.peer_zone, shortages, now);
                 self.is_lease_read_wanted = asks_for_lease_read;
                 if asks_for_lease_read {
                     self.fleet.record_lease_request();
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -31,6 +31,7 @@
             CallKey, EngineEstimates, PlacementAnswer, PlacementRequest, PlannerAction, ZonePlanner,
         },
         quotas::QuotaCharge,
+        shortage::{ServiceReport, SpareSlots, report_round},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
     },
@@ -134,9 +135,23 @@
     logged_loads: LoadSummary,
     /// Revision of the suspects that the planner has.
     suspects_revision: Option<u64>,
+    /// Slots that have stayed free.
+    spare_slots: SpareSlots,
+    /// Number of the last report of the zone's free capacity.
+    reported_round: u64,
 }
 
 impl HeldZone {
+    /// Observes the zone's free capacity; returns a report of it once in each round.
+    fn observe_shortage(&mut self, now: Instant) -> Option<ServiceReport> {
+        let shortage = self.planner.shortage(now);
+        self.spare_slots.record(&shortage, now);
+        let round = report_round(now);
+        let is_due = self.reported_round != round;
+        self.reported_round = round;
+        is_due.then(|| self.spare_slots.report(&self.service, shortage, round))
+    }
+
     /// Logs the estimates about loads from the weight store if they have changed.
     fn log_load_changes(&mut self) {
         let summary = self.planner.load_limiter().summary();
@@ -231,6 +246,11 @@
                         }
                         held.planner.set_sole_until(sole_until);
                         held.planner.tick(clock::now());
+                        if self.fleet.zone_choice.is_some()
+                            && let Some(report) = held.observe_shortage(clock::now())
+                        {
+                            self.fleet.set_own_reports(vec![report], clock::now());
+                        }
                         held.log_load_changes();
                     }
                 }
@@ -513,6 +533,7 @@
     fn drop_zone(&mut self) {
         if self.held.take().is_some() {
             event!(Event::LeaseLost, "{}", self.fleet.zone);
+            self.fleet.set_own_reports(Vec::new(), clock::now());
         }
         self.holder_state = None;
         for (key, pending) in self.pending.drain() {
@@ -646,6 +667,16 @@
             let orders_from =
                 now.after(order_delay.max(2 * TICK_INTERVAL * u32::from(!is_confirmed)));
             let mut held = new_held_zone(token, &service, &limits, zones, orders_from);
+            if let Some(estimate) = self.fleet.load_estimate(&service, now) {
+                event!(
+                    Event::LoadLimitAdopted,
+                    "{service} in {}: {} loads at once, {:?} each",
+                    self.fleet.zone,
+                    estimate.limit,
+                    estimate.load_time
+                );
+                held.planner.adopt_load_estimate(estimate);
+            }
             if had_holder {
                 held.planner.mark_takeover(now.after(order_delay));
             }
@@ -753,6 +784,8 @@
         is_yielding: false,
         logged_loads: LoadSummary::default(),
         suspects_revision: None,
+        spare_slots: SpareSlots::default(),
+        reported_round: 0,
     }
 }
 
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -214,6 +214,12 @@
     StreamOriginUnknown = 821, Info, "origin of a stream not known";
     /// A request was assigned to a target.
     CallPlaced = 803, Debug, "request placed";
+    /// A call goes to a target outside its gateway's zone.
+    CallLeftZone = 855, Debug, "call leaves the zone";
+    /// A new holder starts with the load limit that other zones report.
+    LoadLimitAdopted = 856, Info, "load limit of another zone taken over";
+    /// Zones were not asked for a call because of their reports.
+    ZonesSkipped = 857, Debug, "zones that are short not asked";
     /// The first event of a stream was sent to the caller.
     StreamAnswered = 804, Info, "stream answered";
     /// A stream has begun on a target that fetched the KV cache from another one.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -39,3 +39,4 @@
 mod unframed;
 mod unread_revocations;
 mod versions;
+mod zone_choice;
