--- a/crates/core/src/direct/zone_choice.rs
+++ b/crates/core/src/direct/zone_choice.rs
@@ -5,11 +5,12 @@
 //! its report shows that it has no slot for the call. Each other zone is asked only if its report shows that it may take
 //! the call at a lower cost than the offer of the first one.
 //!
-//! What a zone reports as free is meant for its own callers first. Calls that leave their zone for it share the slots that
-//! stayed free throughout the last second, so which its own callers do not need, at most a configured share of them, and
-//! each VM outside the zone has its part of that for each report ([`RemoteAllowance`]). Otherwise all gateways would choose the same zone
-//! until its next report. Calls for an adapter that their home zone has loaded are not bound by this: they take no adapter
-//! slot, and elsewhere they would cost a load.
+//! What a zone reports as free is meant for its own callers first. Calls that leave their zone for a gain share the slots
+//! that stayed free throughout the last second, which its own callers do not need, at most a configured share of them.
+//! Each VM outside the zone has its part of that for each report ([`RemoteAllowance`]); otherwise all gateways would
+//! choose the same zone until its next report. Calls that their own zone refused may take slots that are free now. Calls
+//! for an adapter that their home zone has loaded are not bound by this: they take no adapter slot, and elsewhere they
+//! would cost a load.
 //!
 //! For plain services, the holder that places all calls knows the calls in flight at each target and needs no reports. It
 //! adds the cost of the transfer to targets outside the gateway's zone ([`PlainPreference`]).
