--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -20,7 +20,9 @@
 //! | [`policy`] | what placing and refusing weigh |
 //! | [`load_limiter`] | how many loads from the weight store may be in flight, and how long one takes |
 //! | [`prefill`] | how fast engines prefill prompts, and the backlog of each |
+//! | [`zone_choice`] | when a call leaves its gateway's zone, and for which one |
 //! | [`search`] | which zones a gateway requests a placement from, and on which terms |
+//! | [`shortage`] | capacity that a zone has left for a service |
 //! | [`stream_origins`] | which software version began a stream |
 //! | [`software_history`] | which software versions each service has run lately |
 //! | [`stream_estimate`] | how long a stream may take |
@@ -80,6 +82,7 @@
 pub mod return_schedule;
 pub mod routes;
 pub mod search;
+pub mod shortage;
 pub mod software_history;
 pub mod stream_estimate;
 pub mod stream_origins;
@@ -88,6 +91,7 @@
 pub mod trials;
 pub mod tunnel_peers;
 pub mod versions;
+pub mod zone_choice;
 pub mod zone_load;
 
 use crate::ids::AvailabilityZone;
--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -17,6 +17,7 @@
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
         suspects::RequestFingerprint,
+        zone_choice::{PlainPreference, PlainSlots},
         zones_ranked_by,
     },
     ids::{AvailabilityZone, Instant, ServiceName, TargetLife, TargetName, TargetRun, VmName},
@@ -28,6 +29,9 @@
 const INITIAL_CALL_TIME: Duration = Duration::from_millis(50);
 /// Weight of the newest call in the average call duration. A target that becomes slow shows within about ten calls.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Time without a call, in call durations, after which a target's average counts no more where calls prefer their own
+/// zone. Otherwise a target that started anew, or was slow for a moment, gets no call that would show how fast it is.
+const FORGET_AFTER_CALLS: u32 = 8;
 /// Multiple of the average to which a call duration is capped. A call whose end is reported late or that was delayed in
 /// transit says little about its target: one call of 4 s raised the expected duration to 420 ms, and 380 calls were
 /// refused within three seconds.
@@ -73,8 +77,18 @@
     /// Time left to the deadline of the call, in milliseconds; 0 if it is not known.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub deadline_ms: u32,
+    /// Zone of the gateway, whose targets are preferred; none from a build or a VM without a preference.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<AvailabilityZone>,
+    /// Cost of serving the call in another zone, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub transfer_ms: u32,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
 fn is_zero(value: &u32) -> bool {
     *value == 0
 }
@@ -102,15 +116,29 @@
 #[derive(Clone, Copy, Debug)]
 struct TargetLoad {
     calls: u32,
+    /// Calls of gateways in other zones.
+    remote_calls: u32,
     /// Average duration of a call that has a slot to itself.
     call_time: Duration,
+    /// When a call last changed the average.
+    observed_at: Option<Instant>,
+}
+
+impl TargetLoad {
+    /// Whether the average says little about the target now: no call is there, and none was for a while.
+    fn is_outdated(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.since(at) < self.call_time * FORGET_AFTER_CALLS;
+        self.calls == 0 && !self.observed_at.is_some_and(is_recent)
+    }
 }
 
 impl Default for TargetLoad {
     fn default() -> Self {
         Self {
             calls: 0,
+            remote_calls: 0,
             call_time: INITIAL_CALL_TIME,
+            observed_at: None,
         }
     }
 }
@@ -126,6 +154,8 @@
     sent: Instant,
     /// Number of calls that shared each slot when the call was sent.
     calls_per_slot: f64,
+    /// Whether the call left its gateway's zone.
+    is_remote: bool,
 }
 
 /// Planner of calls to plain services.
@@ -139,6 +169,8 @@
     rate_limits: RateLimitTable,
     /// Paces of uneven targets; without it, the average of about ten calls counts.
     pace: Option<PlainPace>,
+    /// Part of a target's free slots that calls of other zones may take; none without a preference for zones.
+    max_remote_share: Option<f64>,
 }
 
 impl PlainPlanner {
@@ -151,6 +183,11 @@
         }
     }
 
+    /// Lets calls prefer targets in the zone of their gateway.
+    pub fn prefer_own_zones(&mut self, max_remote_share: Option<f64>) {
+        self.max_remote_share = max_remote_share;
+    }
+
     /// Places a call at one of `targets`, the service's targets that accept new work.
     pub fn place(
         &mut self,
@@ -161,6 +198,9 @@
     ) -> PlacementAnswer {
         self.update_lives(targets);
         self.drop_expired(now);
+        if self.pace.is_none() && self.preference(request, now).is_some() {
+            self.forget_outdated_averages(targets, now);
+        }
         let best = self.best(request, targets, now);
         let best = match best.filter(|entry| !self.is_refused_at(entry, request, now)) {
             Some(entry) => Some(entry),
@@ -190,7 +230,13 @@
         }
         let sent_at = now.after(token_wait);
         self.rate_limits.take_token(&entry.name, sent_at, now);
-        self.loads.entry(run.clone()).or_default().calls += 1;
+        let is_remote = request
+            .zone
+            .as_ref()
+            .is_some_and(|zone| *zone != entry.zone);
+        let load = self.loads.entry(run.clone()).or_default();
+        load.calls += 1;
+        load.remote_calls += u32::from(is_remote);
         if let Some(pace) = &mut self.pace {
             pace.record_sent(&run, &key, sent_at, calls_per_slot, request.deadline());
             if !is_late {
@@ -201,6 +247,7 @@
             run,
             sent: sent_at,
             calls_per_slot,
+            is_remote,
         };
         self.calls.insert(key, call);
         PlacementAnswer::Send {
@@ -302,6 +349,23 @@
         pace.map_or_else(PaceChanges::default, |pace| pace.take_changes(now))
     }
 
+    /// Takes targets whose average is outdated for as fast as the fastest one of the service.
+    fn forget_outdated_averages(&mut self, targets: &[Arc<TargetEntry>], now: Instant) {
+        let loads = targets
+            .iter()
+            .filter_map(|entry| self.loads.get(&entry.run()));
+        let observed = loads.filter(|load| load.observed_at.is_some());
+        let Some(fastest) = observed.map(|load| load.call_time).min() else {
+            return;
+        };
+        for entry in targets {
+            let load = self.loads.entry(entry.run()).or_default();
+            if load.is_outdated(now) {
+                load.call_time = load.call_time.min(fastest);
+            }
+        }
+    }
+
     /// Forgets the health of targets that have restarted.
     fn update_lives(&mut self, targets: &[Arc<TargetEntry>]) {
         for entry in targets {
@@ -318,18 +382,30 @@
         targets: &'a [Arc<TargetEntry>],
         now: Instant,
     ) -> Option<&'a Arc<TargetEntry>> {
+        let preference = self.preference(request, now);
+        let expected = |entry: &TargetEntry| {
+            let run = entry.run();
+            let calls_per_slot = calls_per_slot(self.calls_in_flight(&run) + 1, entry.slots);
+            self.rate_limits.wait(&entry.name, now)
+                + self.call_time(&run, now).mul_f64(calls_per_slot)
+        };
+        let surcharge = |entry: &TargetEntry| {
+            let preference = preference.as_ref();
+            preference.map_or(Duration::ZERO, |preference| {
+                preference.surcharge(&entry.zone, expected(entry))
+            })
+        };
         let cost = |entry: &TargetEntry| {
             let run = entry.run();
             let in_flight = self.calls_in_flight(&run);
             let call_time = self.call_time(&run, now);
-            let wait = call_time.mul_f64(calls_per_slot(in_flight + 1, entry.slots));
             let slot_turn = call_time.div_f64(f64::from(entry.slots.max(1)));
             // Among targets with free slots, prefer the one with the fewest calls.
             let penalty = health_penalty(&self.health, &entry.name, now);
             let pace = self.pace.as_ref();
             let weight = pace.map_or(1.0, |pace| pace.failure_weight(&run, now));
             let calls = f64::from(in_flight) * 0.1 + penalty * weight;
-            self.rate_limits.wait(&entry.name, now) + wait + slot_turn.mul_f64(calls)
+            expected(entry) + slot_turn.mul_f64(calls) + surcharge(entry)
         };
         let is_eligible = |entry: &TargetEntry| {
             let name = &entry.name;
@@ -338,18 +414,56 @@
                 && self.admits(entry, now)
         };
         let order = |left: &TargetEntry, right: &TargetEntry| cost(left).cmp(&cost(right));
+        let pick = |is_eligible: &dyn Fn(&TargetEntry) -> bool| {
+            let pick_any = || pick_best(&self.health, is_eligible, targets, now, order);
+            let Some(preference) = &preference else {
+                return pick_any();
+            };
+            let is_admitted = |entry: &TargetEntry| {
+                let load = self.load_of(entry);
+                let slots = PlainSlots {
+                    slots: entry.slots,
+                    calls: load.calls,
+                    remote_calls: load.remote_calls,
+                };
+                is_eligible(entry) && preference.admits(&entry.zone, slots)
+            };
+            // A call that would be late or unserved within these bounds may take any target, so that none is refused while
+            // another zone has a free slot.
+            pick_best(&self.health, is_admitted, targets, now, order)
+                .filter(|entry| expected(entry) <= preference.bound)
+                .or_else(pick_any)
+        };
         if let Some(pace) = &self.pace {
             let answers = |entry: &TargetEntry| {
                 let run = entry.run();
                 let is_full = self.is_full(&run, self.calls_in_flight(&run), now);
                 is_eligible(entry) && !is_full && !pace.is_avoided(&run, now)
             };
-            let best = pick_best(&self.health, answers, targets, now, order);
+            let best = pick(&answers);
             if best.is_some() {
                 return best;
             }
         }
-        pick_best(&self.health, is_eligible, targets, now, order)
+        pick(&is_eligible)
+    }
+
+    fn load_of(&self, entry: &TargetEntry) -> TargetLoad {
+        self.loads.get(&entry.run()).copied().unwrap_or_default()
+    }
+
+    /// Preference of a call for its gateway's zone, if the gateway names it and this planner heeds it.
+    fn preference<'a>(
+        &self,
+        request: &'a PlainRequest,
+        now: Instant,
+    ) -> Option<PlainPreference<'a>> {
+        Some(PlainPreference {
+            zone: request.zone.as_ref()?,
+            transfer: Duration::from_millis(u64::from(request.transfer_ms)),
+            max_remote_share: self.max_remote_share?,
+            bound: self.bound(request, now),
+        })
     }
 
     fn calls_in_flight(&self, run: &TargetRun) -> u32 {
@@ -390,9 +504,11 @@
         {
             pace.record_full(&call.run, load.calls, now);
         }
+        load.remote_calls = load.remote_calls.saturating_sub(u32::from(call.is_remote));
         if outcome == Some(CallOutcome::Success) {
             let duration = now.since(call.sent).div_f64(call.calls_per_slot);
             let duration = duration.min(load.call_time * MAX_OUTLIER_FACTOR);
+            load.observed_at = Some(now);
             load.call_time =
                 load.call_time.mul_f64(1.0 - SAMPLE_WEIGHT) + duration.mul_f64(SAMPLE_WEIGHT);
         }
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -18,6 +18,7 @@
 //! | `orders` | load and unload orders to engines |
 //! | `replication` | additional copies of adapters in high demand |
 //! | `model_loading` | base model loads into empty engines |
+//! | `slot_supply` | adapter slots and call slots that are free |
 //! | `suspects` | placement of requests under which engines crashed |
 
 mod cache_transfer;
@@ -27,6 +28,7 @@
 mod orders;
 mod placement;
 mod replication;
+mod slot_supply;
 mod suspects;
 
 pub use estimates::EngineEstimates;
@@ -49,6 +51,7 @@
         policy::PlacementPolicy,
         prefill::PrefillModel,
         reload_memory::ReloadMemory,
+        shortage::LoadEstimate,
         suspects::SuspectTable,
     },
     ids::{AdapterName, Instant, TargetLife, TargetName, VmName},
@@ -171,6 +174,11 @@
         &self.load_limiter
     }
 
+    /// Starts the load limiter with what the holders of other zones have learned about the weight store.
+    pub fn adopt_load_estimate(&mut self, estimate: LoadEstimate) {
+        self.load_limiter.adopt(estimate);
+    }
+
     /// Defers all orders until `until`.
     pub fn hold_orders(&mut self, until: Instant) {
         self.orders_from = self.orders_from.max(until);
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -5,6 +5,7 @@
 
 mod fetching;
 mod plain;
+mod plain_zones;
 mod quota_returns;
 mod quotas;
 mod simulation;
--- a/crates/core/tests/load/plain.rs
+++ b/crates/core/tests/load/plain.rs
@@ -86,6 +86,8 @@
                     is_trial: false,
                     charge: None,
                     deadline_ms: 0,
+                    zone: None,
+                    transfer_ms: 0,
                 };
                 match planner.place(key(call, gateway), &request, targets, now) {
                     PlacementAnswer::Send { target, .. } => target,
@@ -268,6 +270,8 @@
         is_trial: false,
         charge: None,
         deadline_ms: 0,
+        zone: None,
+        transfer_ms: 0,
     };
     let begin = Instant(1_000_000);
     planner.place(key(0, 0), &request, &targets, begin);
--- a/crates/core/tests/load/uneven_plain.rs
+++ b/crates/core/tests/load/uneven_plain.rs
@@ -205,6 +205,8 @@
                     fingerprint: Default::default(),
                     is_trial: false,
                     charge: None,
+                    zone: None,
+                    transfer_ms: 0,
                     deadline_ms: left_ms as u32,
                 };
                 placements += 1;
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -6,7 +6,10 @@
 use crate::{
     clock,
     direct::{
-        call::{CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome},
+        call::{
+            CallState, DEFAULT_RETRY_AFTER, quota_charge::ChargeOutcome,
+            zone_preference::departure_cause,
+        },
         holder_client::PlacedCall,
         message::FeedTopic,
         metrics::MismatchSide,
@@ -79,9 +82,18 @@
         if self.service.engine.is_none() {
             return self.place_plain().await;
         }
-        let zones = self.ordered_zones();
-        let policy = self.context.fleet.tables().policy;
-        let mut search = ZoneSearch::new(policy, zones.len());
+        let (zones, mut search) = self.start_search();
+        let placement = self.search_zones(&zones, &mut search).await;
+        self.record_skipped_zones(&search);
+        placement
+    }
+
+    /// Asks the zones in turn until one of them takes the call.
+    async fn search_zones(
+        &mut self,
+        zones: &[AvailabilityZone],
+        search: &mut ZoneSearch,
+    ) -> CallPlacement {
         let mut pass = SearchPass::Compare;
         while let Some(query) = search.next_query() {
             if query.pass != pass {
@@ -93,8 +105,12 @@
                     sleep(REPLACE_DELAY).await;
                 }
             }
+            if !self.may_still_ask(search.prospect(query.zone)) {
+                search.record_skip();
+                continue;
+            }
             let zone = &zones[query.zone];
-            if let Some(found) = self.ask_zone(zone, &query, &mut search).await {
+            if let Some(found) = self.ask_zone(zone, &query, search).await {
                 return found;
             }
         }
@@ -218,7 +234,10 @@
                     sleep(Duration::from_millis(u64::from(wait_ms))).await;
                     let entry = self.entry_of(zone, &target).await;
                     match entry.filter(|entry| self.may_send_to(entry)) {
-                        Some(entry) => return CallPlacement::At(entry, None, placed_call),
+                        Some(entry) => {
+                            self.record_plain_departure(&entry);
+                            return CallPlacement::At(entry, None, placed_call);
+                        }
                         // This VM knows that the target has left, or runs another software version.
                         None => self.tried.push(target),
                     }
@@ -249,6 +268,7 @@
         zone: &AvailabilityZone,
     ) -> Option<(PlacementAnswer, Option<PlacedCall>)> {
         let remaining = self.route.objective.saturating_sub(self.arrived.elapsed());
+        let transfer = self.transfer_cost();
         let request = PlainRequest {
             service: self.service.name.clone(),
             rank: self.rank,
@@ -263,6 +283,8 @@
             } else {
                 0
             },
+            zone: transfer.map(|_| self.context.fleet.zone.clone()),
+            transfer_ms: transfer.map_or(0, ceiled_millis),
         };
         self.context.holder_client.place_plain(zone, request).await
     }
@@ -306,8 +328,13 @@
             return None;
         }
         let request = self.placement_request(query, search);
-        let Some((answer, placed_call)) = self.context.holder_client.place(zone, request).await
-        else {
+        let prospect = search.prospect(query.zone);
+        self.take_remote_slot(prospect);
+        let reply = self.context.holder_client.place(zone, request).await;
+        if !matches!(reply, Some((PlacementAnswer::Send { .. }, _))) {
+            self.give_back_remote_slot(prospect);
+        }
+        let Some((answer, placed_call)) = reply else {
             search.record_no_answer(query.zone);
             // The home zone has made an offer, and a zone whose holder is silent may be partitioned with its targets.
             let has_home_offer = query.pass == SearchPass::Compare && query.zone > 0;
@@ -355,16 +382,20 @@
                 // The target may have begun to leave while the adapter was loaded.
                 let Some(entry) = entry.filter(|entry| self.may_send_to(entry)) else {
                     self.tried.push(target);
+                    search.record_lost_target();
                     return None;
                 };
                 if entry.life > life {
                     // The target has restarted meanwhile, and with it the placement is lost.
+                    search.record_lost_target();
                     return None;
                 }
                 // A new holder does not reserve the cached parts at the source, and the source's address may belong to another
                 // target by now.
                 self.fetch_source =
                     fetch.filter(|source| is_same_holder && self.is_unique_address(*source));
+                let cause = departure_cause(query, search.prospect(query.zone));
+                self.record_departure(&entry, cause);
                 Some(CallPlacement::At(entry, version, placed_call))
             }
             PlacementAnswer::Refuse {
@@ -450,7 +481,7 @@
     }
 
     /// Zones in the order in which they are asked, without those that can't be reached.
-    fn ordered_zones(&self) -> Vec<AvailabilityZone> {
+    pub(super) fn ordered_zones(&self) -> Vec<AvailabilityZone> {
         let subject = self.subject();
         let own = &self.context.fleet.zone;
         let is_popular = {
@@ -539,6 +570,11 @@
     }
 }
 
+/// Milliseconds of a span, rounded up.
+fn ceiled_millis(span: Duration) -> u32 {
+    millis(span + Duration::from_micros(999))
+}
+
 fn is_refused_for(
     reply: &Option<(PlacementAnswer, Option<PlacedCall>)>,
     expected: RefusalCause,
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -68,13 +68,15 @@
             has_predecessor: !lease.order_delay.is_zero(),
             window: settings.quotas.window,
         };
+        let mut plain = if settings.has_uneven_targets {
+            PlainPlanner::for_uneven_targets()
+        } else {
+            PlainPlanner::default()
+        };
+        plain.prefer_own_zones(settings.zone_choice.map(|rule| rule.max_remote_share));
         Self {
             token: lease.token,
-            plain: if settings.has_uneven_targets {
-                PlainPlanner::for_uneven_targets()
-            } else {
-                PlainPlanner::default()
-            },
+            plain,
             trials: TrialTable::new(settings.trials),
             quotas: QuotaTable::new(settings.quotas, zones, start, times)
                 .with_returns(settings.returns),
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -14,6 +14,7 @@
         planner::{PlacementAnswer, PlacementRequest},
         quotas::QuotaCharge,
         residency::AcceptedLoad,
+        shortage::ServiceReport,
         stream_origins::{StreamKey, StreamOrigin},
         suspects::{RequestFingerprint, TargetCrash},
         trials::TrialAnswer,
@@ -223,6 +224,9 @@
         /// Loads in the sender's zone since its last heartbeat on this link, if the receiver may hold the zone next.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         loads: Vec<AcceptedLoad>,
+        /// Free capacity of the sender's zone, if the sender is the zone's holder and reports it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        shortages: Vec<ServiceReport>,
     },
     /// Requests the placement of a call.
     Place(u64, Box<PlacementRequest>),
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -83,6 +83,24 @@
     outcome: RequestOutcome,
 }
 
+/// Why a call went to a target outside its gateway's zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum DepartureCause {
+    /// The target's zone is the home zone of the call's adapter.
+    Home,
+    /// The target's zone has the adapter loaded.
+    Adapter,
+    /// The wait is shorter there.
+    Wait,
+    /// The gateway's zone has no target of the service.
+    NoTarget,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DepartureLabels {
+    cause: DepartureCause,
+}
+
 /// Outcome of a call to the platform's log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum LogOutcome {
@@ -311,6 +329,9 @@
     tunnels: Family<TunnelLabels, Counter>,
     answers_over_bound: Family<BoundLabels, Counter>,
     buffered: Gauge,
+    departures: Family<DepartureLabels, Counter>,
+    remote_bytes: Counter,
+    skipped_zones: Counter,
     engines: Family<EngineLabels, Gauge>,
     overdue_prompts: Family<ServiceLabels, Gauge>,
     service_mismatches: Family<MismatchLabels, Counter>,
@@ -351,6 +372,9 @@
             tunnels: Family::default(),
             answers_over_bound: Family::default(),
             buffered: Gauge::default(),
+            departures: Family::default(),
+            remote_bytes: Counter::default(),
+            skipped_zones: Counter::default(),
             engines: Family::default(),
             overdue_prompts: Family::default(),
             service_mismatches: Family::default(),
@@ -482,6 +506,21 @@
             Unit::Bytes,
             self.buffered.clone(),
         );
+        registry.register(
+            "zone_departures",
+            "Calls placed at targets outside this VM's zone, by cause",
+            self.departures.clone(),
+        );
+        registry.register(
+            "remote_bytes",
+            "Bytes of request bodies sent to targets outside this VM's zone",
+            self.remote_bytes.clone(),
+        );
+        registry.register(
+            "zones_skipped",
+            "Placement requests that were not made because of a zone's report",
+            self.skipped_zones.clone(),
+        );
         registry.register(
             "zone_engines",
             "Engines of the zone that this VM holds, and those of them that it avoids, by service",
@@ -660,6 +699,22 @@
         self.key_proofs.get_or_create(&ProofLabels { source }).inc();
     }
 
+    /// Counts a call placed at a target outside this VM's zone.
+    pub fn count_departure(&self, cause: DepartureCause) {
+        let labels = DepartureLabels { cause };
+        self.departures.get_or_create(&labels).inc();
+    }
+
+    /// Counts bytes sent to a target outside this VM's zone.
+    pub fn count_remote_bytes(&self, bytes: u64) {
+        self.remote_bytes.inc_by(bytes);
+    }
+
+    /// Counts placement requests that were not made because of zones' reports.
+    pub fn count_skipped_zones(&self, requests: u32) {
+        self.skipped_zones.inc_by(u64::from(requests));
+    }
+
     /// Counts a connection attempt to a target.
     pub fn count_connect(&self, result: ConnectResult) {
         let labels = ConnectLabels { result };
--- a/crates/daemon/src/direct/service_plans.rs
+++ b/crates/daemon/src/direct/service_plans.rs
@@ -12,6 +12,7 @@
         load_limiter::LoadSummary,
         planner::{EngineEstimates, PlacementRequest, ZonePlanner},
         policy::PlacementPolicy,
+        shortage::{ServiceReport, SpareSlots, report_round},
         suspects::SuspectTable,
     },
     ids::{Instant, ServiceName, TargetLife, TargetName},
@@ -41,6 +42,10 @@
     logged_loads: LoadSummary,
     /// Revision of the suspects that the planner has.
     suspects_revision: Option<u64>,
+    /// Slots that have stayed free.
+    spare_slots: SpareSlots,
+    /// Number of the last report of the zone's free capacity.
+    reported_round: u64,
 }
 
 impl ServicePlan {
@@ -59,9 +64,21 @@
             planner,
             logged_loads: LoadSummary::default(),
             suspects_revision: None,
+            spare_slots: SpareSlots::default(),
+            reported_round: 0,
         }
     }
 
+    /// Observes the zone's free capacity; returns a report of it once in each round.
+    fn observe_shortage(&mut self, service: &ServiceName, now: Instant) -> Option<ServiceReport> {
+        let shortage = self.planner.shortage(now);
+        self.spare_slots.record(&shortage, now);
+        let round = report_round(now);
+        let is_due = self.reported_round != round;
+        self.reported_round = round;
+        is_due.then(|| self.spare_slots.report(service, shortage, round))
+    }
+
     /// Whether the plan has been added and knows no suspects yet.
     #[must_use]
     pub fn is_new(&self) -> bool {
@@ -202,6 +219,13 @@
         }
     }
 
+    /// Reports of the zone's free capacity that are due, one for each service.
+    pub fn due_reports(&mut self, now: Instant) -> Vec<ServiceReport> {
+        let plans = self.plans.iter_mut();
+        let reports = plans.filter_map(|(service, plan)| plan.observe_shortage(service, now));
+        reports.collect()
+    }
+
     /// Runs the periodic work of all plans.
     pub fn tick(&mut self, now: Instant) {
         for (service, plan) in &mut self.plans {
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -208,6 +208,7 @@
                 None
             },
             loads,
+            shortages: self.fleet.own_reports(now),
         }
     }
 
@@ -331,6 +332,7 @@
                 is_overloaded,
                 overload_count,
                 loads,
+                shortages,
             } => {
                 let now = clock::now();
                 self.last_heartbeat = Some((sent, now));
@@ -339,6 +341,8 @@
                         .record_load(vm, is_overloaded, overload_count, now);
                     self.fleet.record_loads(loads);
                 }
+                self.fleet
+                    .record_reports(vm, &self.peer_zone, shortages, now);
                 self.is_lease_read_wanted = asks_for_lease_read;
                 if asks_for_lease_read {
                     self.fleet.record_lease_request();
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -242,6 +242,12 @@
                             planner.set_sole_until(sole_until);
                         }
                         held.plans.tick(clock::now());
+                        if self.fleet.zone_choice.is_some() {
+                            let reports = held.plans.due_reports(clock::now());
+                            if !reports.is_empty() {
+                                self.fleet.set_own_reports(reports, clock::now());
+                            }
+                        }
                     }
                 }
             }
@@ -572,6 +578,7 @@
     fn drop_zone(&mut self) {
         if self.held.take().is_some() {
             event!(Event::LeaseLost, "{}", self.fleet.zone);
+            self.fleet.set_own_reports(Vec::new(), clock::now());
         }
         self.holder_state = None;
         for (key, pending) in self.pending.drain() {
@@ -729,6 +736,16 @@
                 plan.planner.set_version(subject, *version, now);
             }
             if plan.is_new() {
+                if let Some(estimate) = self.fleet.load_estimate(service, now) {
+                    event!(
+                        Event::LoadLimitAdopted,
+                        "{service} in {}: {} loads at once, {:?} each",
+                        self.fleet.zone,
+                        estimate.limit,
+                        estimate.load_time
+                    );
+                    plan.planner.adopt_load_estimate(estimate);
+                }
                 for limit in &advertised_limits {
                     plan.planner.record_limit(limit, now);
                 }
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -44,3 +44,4 @@
 mod unframed;
 mod unread_revocations;
 mod versions;
+mod zone_choice;
