Spread the returns of callers that a plain service refuses

Callers of a full plain service were all told the shortest delay and came back together. With `returns`, the planner tells each the time at which its targets have answered what is in the way, one call's turn after those refused before it. Callers with the same content now have a return time each; they shared one, for quotas as well.

--- a/crates/core/src/direct/plain.rs
+++ b/crates/core/src/direct/plain.rs
@@ -16,6 +16,7 @@
         plain_pace::{PaceChanges, PaceCounts, PlainPace},
         planner::{CallKey, PlacementAnswer, RefusalCause},
         quotas::QuotaCharge,
+        return_schedule::{RankCapacity, ReturnCounts, ReturnRequest, ReturnRule, ReturnSchedule},
         suspects::RequestFingerprint,
         zones_ranked_by,
     },
@@ -139,6 +140,9 @@
     rate_limits: RateLimitTable,
     /// Paces of uneven targets; without it, the average of about ten calls counts.
     pace: Option<PlainPace>,
+    /// Return times of refused calls, by service; without a rule, callers are told the excess of their own wait.
+    return_rule: Option<ReturnRule>,
+    returns: HashMap<ServiceName, ReturnSchedule>,
 }
 
 impl PlainPlanner {
@@ -151,6 +155,13 @@
         }
     }
 
+    /// The planner with return times for refused calls.
+    #[must_use]
+    pub fn with_returns(mut self, rule: Option<ReturnRule>) -> Self {
+        self.return_rule = rule;
+        self
+    }
+
     /// Places a call at one of `targets`, the service's targets that accept new work.
     pub fn place(
         &mut self,
@@ -186,10 +197,15 @@
         let is_full = self.is_full(&run, calls, now);
         if is_full || is_late && !self.admits_late(request, expected, token_wait + next_wait, now) {
             let cause = RefusalCause::TooLong(millis(expected));
-            return refuse(expected.saturating_sub(bound), token_wait, cause);
+            let retry_after = self.return_time(request, targets, now);
+            let retry_after = retry_after.unwrap_or(expected.saturating_sub(bound));
+            return refuse(retry_after, token_wait, cause);
         }
         let sent_at = now.after(token_wait);
         self.rate_limits.take_token(&entry.name, sent_at, now);
+        if let Some(schedule) = self.returns.get_mut(&request.service) {
+            schedule.keep(request.fingerprint, request.rank, now);
+        }
         self.loads.entry(run.clone()).or_default().calls += 1;
         if let Some(pace) = &mut self.pace {
             pace.record_sent(&run, &key, sent_at, calls_per_slot, request.deadline());
@@ -252,6 +268,47 @@
         })
     }
 
+    /// Time after which a refused call should come back: when the targets have answered those that are in the way, and the calls of
+    /// its rank and of more urgent ones that were refused before. Nothing is reserved, as a call that comes back is often late
+    /// and would take the place of one in time.
+    fn return_time(
+        &mut self,
+        request: &PlainRequest,
+        targets: &[Arc<TargetEntry>],
+        now: Instant,
+    ) -> Option<Duration> {
+        let rule = self.return_rule?;
+        let bound = self.bound(request, now).as_secs_f64();
+        let mut capacity = RankCapacity {
+            level: 0.0,
+            per_s: 0.0,
+        };
+        let reachable = targets.iter();
+        for entry in reachable.filter(|entry| !self.health.is_unreachable(&entry.name, now)) {
+            let run = entry.run();
+            let call_time = self.call_time(&run, now).as_secs_f64().max(1e-4);
+            let per_s = f64::from(entry.slots.max(1)) / call_time;
+            capacity.per_s += per_s;
+            capacity.level += per_s * bound - f64::from(self.calls_in_flight(&run));
+        }
+        let returning = ReturnRequest {
+            fingerprint: request.fingerprint,
+            rank: request.rank,
+            units: 1.0,
+            within: request.deadline().map_or(rule.max_wait, |left| left / 3),
+        };
+        let schedule = self.returns.entry(request.service.clone()).or_default();
+        schedule.expire(now);
+        Some(schedule.assign(&returning, capacity, &rule, now))
+    }
+
+    /// What became of the return times of all services.
+    #[must_use]
+    pub fn return_counts(&self) -> ReturnCounts {
+        let counts = self.returns.values().map(ReturnSchedule::counts);
+        counts.fold(ReturnCounts::default(), ReturnCounts::plus)
+    }
+
     /// Whether a target with this many calls in flight has lately rejected another one.
     fn is_full(&self, run: &TargetRun, calls: u32, now: Instant) -> bool {
         let pace = self.pace.as_ref();
--- a/crates/core/src/direct/quotas.rs
+++ b/crates/core/src/direct/quotas.rs
@@ -278,10 +278,7 @@
             return true;
         }
         let capacity = self.rank_capacity(charge, rule, role, now);
-        let free = self
-            .returns
-            .free_units(capacity, charge.rank, fingerprint, now);
-        free >= units
+        self.returns.free_units(capacity, charge.rank, now) >= units
     }
 
     /// Time after which a refused call should come back.
--- a/crates/core/src/direct/return_schedule.rs
+++ b/crates/core/src/direct/return_schedule.rs
@@ -110,17 +110,23 @@
         self.counts.expired += (before - self.returns.len()) as u64;
     }
 
-    fn position(&self, fingerprint: RequestFingerprint, rank: u8) -> Option<usize> {
-        self.returns
-            .iter()
-            .position(|assigned| assigned.fingerprint == fingerprint && assigned.rank == rank)
+    /// Position of the return time at which a call comes back. Callers with the same content have a time each, so a call that
+    /// comes early is taken for a new one: where a time is reserved, its caller can wait for it.
+    fn due_position(
+        &self,
+        fingerprint: RequestFingerprint,
+        rank: u8,
+        now: Instant,
+    ) -> Option<usize> {
+        self.returns.iter().position(|assigned| {
+            assigned.fingerprint == fingerprint && assigned.rank == rank && assigned.is_due(now)
+        })
     }
 
     /// Whether a call comes back at its return time.
     #[must_use]
     pub fn is_returning(&self, fingerprint: RequestFingerprint, rank: u8, now: Instant) -> bool {
-        self.position(fingerprint, rank)
-            .is_some_and(|at| self.returns[at].is_due(now))
+        self.due_position(fingerprint, rank, now).is_some()
     }
 
     /// Whether a call of this rank is due to come back.
@@ -131,36 +137,29 @@
     }
 
     /// Units that a new call of this rank may take so that every return time of its rank and of more urgent ones can be
-    /// kept. The call's own return time, if it comes back early, does not count.
+    /// kept.
     #[must_use]
-    pub fn free_units(
-        &self,
-        capacity: RankCapacity,
-        rank: u8,
-        fingerprint: RequestFingerprint,
-        now: Instant,
-    ) -> f64 {
-        let own = self.position(fingerprint, rank);
+    pub fn free_units(&self, capacity: RankCapacity, rank: u8, now: Instant) -> f64 {
         let mut promised = 0.0;
-        let ahead = self.returns.iter().enumerate();
-        let ahead = ahead.filter(|(at, assigned)| assigned.rank <= rank && Some(*at) != own);
-        ahead.fold(capacity.level, |free, (_, assigned)| {
+        let ahead = self.returns.iter();
+        let ahead = ahead.filter(|assigned| assigned.rank <= rank);
+        ahead.fold(capacity.level, |free, assigned| {
             promised += assigned.units;
             let earned = assigned.at.since(now).as_secs_f64() * capacity.per_s;
             free.min(capacity.level + earned - promised)
         })
     }
 
-    /// Removes the return time of a call that is taken.
+    /// Removes the return time of a call that is taken at that time.
     pub fn keep(&mut self, fingerprint: RequestFingerprint, rank: u8, now: Instant) {
-        if let Some(at) = self.position(fingerprint, rank) {
-            self.counts.kept += u64::from(self.returns[at].is_due(now));
+        if let Some(at) = self.due_position(fingerprint, rank, now) {
+            self.counts.kept += 1;
             self.returns.remove(at);
         }
     }
 
     /// Time from now at which there is capacity for a refused call. Its units are reserved for it if its caller can wait so
-    /// long; a call that comes back early keeps the time that it has.
+    /// long.
     pub fn assign(
         &mut self,
         request: &ReturnRequest,
@@ -168,10 +167,7 @@
         rule: &ReturnRule,
         now: Instant,
     ) -> Duration {
-        let own = self.position(request.fingerprint, request.rank);
-        if let Some(at) = own.filter(|at| !self.returns[*at].is_due(now)) {
-            return self.returns[at].at.since(now);
-        }
+        let own = self.due_position(request.fingerprint, request.rank, now);
         if let Some(at) = own.filter(|_| !request.within.is_zero()) {
             self.counts.displaced += 1;
             self.returns.remove(at);
--- a/crates/core/tests/direct_quotas.rs
+++ b/crates/core/tests/direct_quotas.rs
@@ -409,6 +409,23 @@
     }
 }
 
+/// Guards against callers with the same content that are all told the same time.
+#[test]
+fn calls_with_the_same_content_come_back_one_after_the_other() {
+    let rule = rule(30_000, 30_000);
+    let mut holder = quota_table(BucketStart::Full, &rule, 0).with_returns(Some(RETURNS));
+    while holder.charge(&charge(1_000), at(0)).is_ok() {}
+    let mut refused = charge(1_000);
+    refused.fingerprint = Some(RequestFingerprint(7));
+    refused.return_within_ms = 2_000;
+    let waits = [(); 10].map(|()| holder.charge(&refused, at(0)).expect_err("it has to wait"));
+    let turn = Duration::from_millis(100);
+    assert!(
+        waits.windows(2).all(|pair| pair[1] >= pair[0] + turn),
+        "1,000 units at 10,000/s: {waits:?}"
+    );
+}
+
 #[test]
 fn organisation_without_a_quota_is_not_charged() {
     let mut holder = quota_table(BucketStart::Exhausted, &rule(1, 0), 0);
--- a/crates/core/tests/load/uneven_plain.rs
+++ b/crates/core/tests/load/uneven_plain.rs
@@ -10,6 +10,8 @@
         health::CallOutcome,
         plain::{PlainPlanner, PlainRequest},
         planner::PlacementAnswer,
+        return_schedule::ReturnRule,
+        suspects::RequestFingerprint,
     },
     ids::{Instant, ServiceName, VmName},
 };
@@ -36,6 +38,10 @@
 const OBJECTIVE_MS: f64 = 120.0;
 const DEADLINE_MS: f64 = 1_500.0;
 const LINK_MS: f64 = 1.4;
+const RETURNS: ReturnRule = ReturnRule {
+    max_wait: Duration::from_secs(5),
+    urgent_reserve: Duration::from_millis(500),
+};
 const DURATION_MS: f64 = 40_000.0;
 /// Time after which the holder learns that a gateway is gone.
 const GATEWAY_LOST_MS: f64 = 1_500.0;
@@ -202,7 +208,7 @@
                     left_ms: (OBJECTIVE_MS - spent_ms).max(0.0) as u32,
                     exclude: excluded.map(|at| entries[at].name.clone()).collect(),
                     backing_off: Vec::new(),
-                    fingerprint: Default::default(),
+                    fingerprint: RequestFingerprint(number as u64),
                     is_trial: false,
                     charge: None,
                     deadline_ms: left_ms as u32,
@@ -321,25 +327,35 @@
 }
 
 /// Guards against calls that are refused while targets have room: after a failure, while one of them is slow or silent, or
-/// because of a passing burst; and against queues that make calls in time late.
+/// because of a passing burst; against queues that make calls in time late; and against refused callers that come back
+/// before there is room for them.
 #[test]
 fn uneven_targets_serve_more_calls() {
     for (name, trouble) in troubles() {
-        let mut sums = [PaceResult::default(), PaceResult::default()];
+        let mut sums = [(); 3].map(|()| PaceResult::default());
         for seed in seeds(3) {
             let before = simulate(PlainPlanner::default(), &trouble, seed);
             let after = simulate(PlainPlanner::for_uneven_targets(), &trouble, seed);
-            println!("{name}, seed {seed}:\n before {before:?}\n after  {after:?}");
+            let planner = PlainPlanner::for_uneven_targets().with_returns(Some(RETURNS));
+            let spread = simulate(planner, &trouble, seed);
+            println!(
+                "{name}, seed {seed}:\n before {before:?}\n after  {after:?}\n spread {spread:?}"
+            );
             sums[0].add(&before);
             sums[1].add(&after);
+            sums[2].add(&spread);
         }
-        let [before, after] = sums;
+        let [before, after, spread] = sums;
         let calls = after.in_time + after.late + after.expired + after.unserved + after.lost;
         // Paths of single calls differ, so a thousandth is no difference.
         assert!(
             after.in_time * 1_000 >= before.in_time * 999,
             "{name}: {before:?} {after:?}"
         );
+        assert!(
+            spread.in_time * 1_000 >= after.in_time * 999 && spread.unserved <= after.unserved,
+            "{name}: {after:?} {spread:?}"
+        );
         assert!(after.expired <= before.expired, "{name}: {after:?}");
         assert!(after.unserved <= before.unserved, "{name}: {after:?}");
         match name {
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -241,7 +241,9 @@
             fingerprint: self.fingerprint,
             is_trial: !self.trials.is_empty(),
             charge: self.quota_charge.due().cloned(),
-            deadline_ms: if self.context.settings.has_uneven_targets {
+            deadline_ms: if self.context.settings.has_uneven_targets
+                || self.context.settings.returns.is_some()
+            {
                 millis(self.remaining())
             } else {
                 0
--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -74,7 +74,8 @@
                 PlainPlanner::for_uneven_targets()
             } else {
                 PlainPlanner::default()
-            },
+            }
+            .with_returns(settings.returns),
             trials: TrialTable::new(settings.trials),
             quotas: QuotaTable::new(settings.quotas, zones, start, times)
                 .with_returns(settings.returns),
@@ -223,7 +224,7 @@
     /// What became of the return times of refused calls since the start of the lease.
     #[must_use]
     pub fn return_counts(&self) -> ReturnCounts {
-        self.quotas.return_counts()
+        self.quotas.return_counts().plus(self.plain.return_counts())
     }
 
     /// Units granted and refused since the start of the lease, by organisation.
