--- a/crates/daemon/src/direct/holder_state.rs
+++ b/crates/daemon/src/direct/holder_state.rs
@@ -76,7 +76,7 @@
         plain.prefer_own_zones(settings.zone_choice.map(|rule| rule.max_remote_share));
         Self {
             token: lease.token,
-            plain,
+            plain: plain.with_returns(settings.returns),
             trials: TrialTable::new(settings.trials),
             quotas: QuotaTable::new(settings.quotas, zones, start, times)
                 .with_returns(settings.returns),
@@ -235,7 +235,7 @@
     /// What became of the return times of refused calls since the start of the lease.
     #[must_use]
     pub fn return_counts(&self) -> ReturnCounts {
-        self.quotas.return_counts()
+        self.quotas.return_counts().plus(self.plain.return_counts())
     }
 
     /// Units granted and refused since the start of the lease, by organisation.
