--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,6 +18,7 @@
 //! | [`load_limiter`] | how many loads from the weight store may be in flight, and how long one takes |
 //! | [`prefill`] | how fast engines prefill prompts, and the backlog of each |
 //! | [`search`] | which zones a gateway requests a placement from, and on which terms |
+//! | [`shortage`] | capacity that a zone has left for a service |
 //! | [`stream_origins`] | which software version began a stream |
 //! | [`software_history`] | which software versions each service has run lately |
 //! | [`stream_estimate`] | how long a stream may take |
@@ -67,6 +68,7 @@
 pub mod retry_budget;
 pub mod routes;
 pub mod search;
+pub mod shortage;
 pub mod software_history;
 pub mod stream_estimate;
 pub mod stream_origins;
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -18,6 +18,7 @@
 //! | `orders` | load and unload orders to engines |
 //! | `replication` | additional copies of adapters in high demand |
 //! | `model_loading` | base model loads into empty engines |
+//! | `slot_supply` | adapter slots and call slots that are free |
 //! | `suspects` | placement of requests under which engines crashed |
 
 mod cache_transfer;
@@ -27,6 +28,7 @@
 mod orders;
 mod placement;
 mod replication;
+mod slot_supply;
 mod suspects;
 
 pub use estimates::EngineEstimates;
