Queue calls that find every adapter slot of a zone in use

A slot is freed every few milliseconds, yet a call that arrives between two of them was refused with NoEngine. With the settings section `admission` (off by default), a call that a zone takes waits for the next slot of any engine if it is expected to get one within its bound. Otherwise it is refused at once with the expected wait as its retry delay. The planner assigns a load to an engine only when its order can be sent at once, so that an engine with an unanswered order delays no call that another engine could serve. ZonePlanner::shortage() includes the queue.

Order: rank; calls that can still meet their objective; adapters with more waiting calls; the most time left. A fifth of the slots goes to the call that has waited longest in proportion to its bound, unless a more urgent rank is served less.

All tests of direct_planner pass, also its random schedules with the queue.

--- a/crates/core/src/direct/planner/messages.rs
+++ b/crates/core/src/direct/planner/messages.rs
@@ -12,7 +12,7 @@
     ids::{AdapterName, TargetLife, TargetName, VmName},
 };
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// Identifies a call in a zone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -179,6 +179,34 @@
     FetchReport(Arc<TargetEntry>),
     /// Log and count a KV cache transfer, or one that is withheld because the versions do not match.
     RecordTransfer(Box<CacheTransfer>),
+    /// Log and count the end of a call's wait for an adapter slot.
+    RecordSlotWait(Box<SlotWait>),
+}
+
+/// A call's wait for an adapter slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotWait {
+    /// The call.
+    pub key: CallKey,
+    /// Subject of the call.
+    pub subject: AdapterName,
+    /// Rank of the call.
+    pub rank: u8,
+    /// Time for which it waited.
+    pub waited: Duration,
+    /// How the wait ended.
+    pub end: SlotWaitEnd,
+}
+
+/// How a call's wait for an adapter slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SlotWaitEnd {
+    /// The call was placed.
+    Placed,
+    /// A load would have ended after the bound of the call.
+    Expired,
+    /// The queue was full, and the call was the last one in it.
+    Displaced,
 }
 
 /// Numbers of a zone's engines, for the holder's metrics.
--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -15,12 +15,15 @@
 //! | `estimates` | configured timings of engines and weight store |
 //! | `placement` | choice of the engine for a call |
 //! | `cache_transfer` | KV cache that engines fetch from each other |
+//! | `admission` | calls that wait for an adapter slot, and the slots that are free |
+//! | `slot_queue` | order and expected waits of these calls |
+//! | `slot_turnover` | observed rate at which slots are freed |
 //! | `orders` | load and unload orders to engines |
 //! | `replication` | additional copies of adapters in high demand |
 //! | `model_loading` | base model loads into empty engines |
-//! | `slot_supply` | adapter slots and call slots that are free |
 //! | `suspects` | placement of requests under which engines crashed |
 
+mod admission;
 mod cache_transfer;
 mod estimates;
 mod messages;
@@ -28,13 +31,14 @@
 mod orders;
 mod placement;
 mod replication;
-mod slot_supply;
+mod slot_queue;
+mod slot_turnover;
 mod suspects;
 
 pub use estimates::EngineEstimates;
 pub use messages::{
     CacheTransfer, CallKey, EngineCounts, PlacementAnswer, PlacementRequest, PlacementTerms,
-    PlannerAction, RefusalCause,
+    PlannerAction, RefusalCause, SlotWait, SlotWaitEnd,
 };
 
 use crate::{
@@ -47,7 +51,7 @@
         limits::{AdvertisedLimit, RateLimitTable},
         load_limiter::LoadLimiter,
         millis,
-        planner::cache_transfer::CacheLoan,
+        planner::{cache_transfer::CacheLoan, slot_queue::SlotQueue},
         policy::PlacementPolicy,
         prefill::PrefillModel,
         suspects::SuspectTable,
@@ -72,6 +76,8 @@
 const RETRY_AFTER_MS: u32 = 300;
 /// Margin added to the expected end of a load before calls are sent.
 const LOAD_MARGIN: Duration = Duration::from_millis(12);
+/// Time beyond its bound for which a call may wait until its load is accepted.
+const LOAD_WAIT_GRACE: Duration = Duration::from_millis(250);
 
 /// Planner of one zone's engines.
 #[derive(Debug)]
@@ -101,6 +107,8 @@
     suspects: SuspectTable,
     /// Moving average of the zone's utilization, from 0 to 1.
     utilization: f64,
+    /// Calls that wait for an adapter slot.
+    slot_queue: SlotQueue,
     actions: VecDeque<PlannerAction>,
 }
 
@@ -130,6 +138,7 @@
             next_model_load_at,
             suspects: SuspectTable::default(),
             utilization: 0.0,
+            slot_queue: SlotQueue::default(),
             actions: VecDeque::new(),
         }
     }
@@ -245,6 +254,11 @@
             .retain(|target| engines.contains_key(target));
         self.rate_limits
             .retain(|run| engines.contains_key(&run.name));
+        let serving = self.serving_engines(now).count();
+        self.slot_queue.advance(now);
+        self.slot_queue.set_engines(serving);
+        self.send_loaded(now);
+        self.serve_queue(now);
     }
 
     /// Records the rate limit that an engine announced in an answer.
@@ -348,6 +362,7 @@
                 self.load_limiter.record_on_time(target, load, now);
             }
         }
+        self.serve_queue(now);
     }
 
     /// Records whether an engine accepted a call.
@@ -382,11 +397,13 @@
         {
             copy.waiters.retain(|waiting| waiting.key != *key);
         }
+        self.slot_queue.remove(key, now);
         if let Some(subject) = self.drop_call(key)
             && self.named_versions.contains_key(&subject)
         {
             self.replace_stale_copies(&subject, now);
         }
+        self.serve_queue(now);
     }
 
     /// Removes a call from its engine. Returns the adapter if no other call uses that copy.
@@ -444,6 +461,7 @@
                     .keys()
                     .chain(waiting.map(|waiting| &waiting.key))
             })
+            .chain(self.slot_queue.keys())
             .filter(|key| key.vm == *vm)
             .cloned()
             .collect();
@@ -471,6 +489,8 @@
             self.load_base_model(name, now);
         }
         self.issue_orders(names, now);
+        self.expire_queued(now);
+        self.serve_queue(now);
     }
 
     fn refresh_engine(&mut self, name: &TargetName, now: Instant) {
--- a/crates/core/src/direct/planner/orders.rs
+++ b/crates/core/src/direct/planner/orders.rs
@@ -10,8 +10,8 @@
         },
         load_limiter::StoreLoad,
         planner::{
-            LOAD_MARGIN, MAX_LOADING_ADAPTERS, PlannerAction, REPORT_RETRY_DELAY, RETRY_AFTER_MS,
-            RefusalCause, ZonePlanner, millis, split_subject,
+            LOAD_MARGIN, LOAD_WAIT_GRACE, MAX_LOADING_ADAPTERS, PlannerAction, REPORT_RETRY_DELAY,
+            RETRY_AFTER_MS, RefusalCause, ZonePlanner, millis, split_subject,
         },
         versions::{ObservedVersion, VersionSource},
     },
@@ -113,6 +113,7 @@
             self.clear_queue(name, now);
         }
         self.issue_next_order(name, now);
+        self.serve_queue(now);
     }
 
     /// Clears the queue of an engine that accepts no orders for now, and places its waiting calls elsewhere.
@@ -142,7 +143,16 @@
     }
 
     pub(super) fn place_again(&mut self, waiters: Vec<WaitingCall>, now: Instant) {
-        for WaitingCall { key, request, .. } in waiters {
+        for WaitingCall {
+            key,
+            mut request,
+            until,
+        } in waiters
+        {
+            if self.policy.admission.is_some() {
+                let remaining = until.before(LOAD_WAIT_GRACE).since(now);
+                request.bound_ms = request.bound_ms.min(millis(remaining));
+            }
             if request.exclude.len() >= MAX_PLACEMENTS {
                 self.refuse(key, RETRY_AFTER_MS, RefusalCause::LoadsFailed);
             } else {
@@ -206,6 +216,8 @@
             None => engine.report_due_at = Some(now.after(REPORT_RETRY_DELAY)),
         }
         self.issue_next_order(name, now);
+        self.send_loaded(now);
+        self.serve_queue(now);
     }
 
     /// Sends the next order to each engine, those for the most urgent calls first.
--- a/crates/core/src/direct/planner/placement.rs
+++ b/crates/core/src/direct/planner/placement.rs
@@ -5,9 +5,9 @@
         catalog::TargetStage,
         engine::{CopyState, EngineState, WaitingCall},
         planner::{
-            CallKey, LOAD_MARGIN, MAX_LOADING_ADAPTERS, PlacementAnswer, PlacementRequest,
-            PlacementTerms, RETRY_AFTER_MS, RefusalCause, ZonePlanner, cache_transfer::CacheSource,
-            millis, split_subject, suspects::SHARED_CRASH_PENALTY,
+            CallKey, LOAD_MARGIN, LOAD_WAIT_GRACE, MAX_LOADING_ADAPTERS, PlacementAnswer,
+            PlacementRequest, PlacementTerms, RETRY_AFTER_MS, RefusalCause, ZonePlanner,
+            cache_transfer::CacheSource, millis, split_subject, suspects::SHARED_CRASH_PENALTY,
         },
     },
     ids::{AdapterName, Instant, TargetName},
@@ -17,8 +17,6 @@
 /// Bounds of the retry delay stated to callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
-/// Time beyond its bound for which a call may wait until its load is accepted.
-const LOAD_WAIT_GRACE: Duration = Duration::from_millis(250);
 
 impl ZonePlanner {
     /// Places a call; the answer follows as an action, at once or when the adapter's load is accepted.
@@ -27,6 +25,8 @@
         if counts_as_demand {
             self.demand.record(&request.subject, now);
         }
+        // Slots that have become free since the last event are due to the calls that wait.
+        self.serve_queue(now);
         let subject = (request.may_load && counts_as_demand).then(|| request.subject.clone());
         self.try_place(key, request, now);
         if let Some(subject) = subject {
@@ -41,7 +41,7 @@
             return;
         }
         let Some((name, cost)) = self.cheapest(&request, now) else {
-            self.refuse(key, RETRY_AFTER_MS, RefusalCause::NoEngine);
+            self.wait_for_slot(key, request, now);
             return;
         };
         let exceeds_bound = cost.wait > Duration::from_millis(u64::from(request.bound_ms));
@@ -69,7 +69,7 @@
     }
 
     /// Engine with the lowest total cost. Ties go to the engine with the lowest rendezvous hash.
-    fn cheapest(
+    pub(super) fn cheapest(
         &self,
         request: &PlacementRequest,
         now: Instant,
@@ -197,6 +197,11 @@
                 {
                     return None;
                 }
+                if self.policy.admission.is_some()
+                    && !self.can_start_load(engine, &request.subject, loads_ahead, now)
+                {
+                    return None;
+                }
                 let pending_loads = engine.queue.len() + engine.loading_count(now);
                 if pending_loads >= 2 * MAX_LOADING_ADAPTERS || !self.can_make_room(engine, now) {
                     return None;
@@ -258,6 +263,7 @@
         if has_adapter
             && request.may_load
             && has_free_slot
+            && self.slot_queue.is_empty()
             && !engine.copies.contains_key(&request.subject)
         {
             engine.queue_load(&request.subject, now);
@@ -401,9 +407,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct PlacementCost {
+pub(super) struct PlacementCost {
     /// Expected wait for the first token.
-    wait: Duration,
+    pub(super) wait: Duration,
     /// The wait plus penalties for what the placement costs other calls.
     total: Duration,
     /// Whether the adapter has to be loaded from the store.
--- a/crates/core/src/direct/planner/replication.rs
+++ b/crates/core/src/direct/planner/replication.rs
@@ -16,7 +16,8 @@
     /// Loads another copy of an adapter that was just requested, if all its engines are crowded by calls for it and the
     /// weight store has capacity to spare.
     pub(super) fn replicate_if_crowded(&mut self, subject: &AdapterName, now: Instant) {
-        if split_subject(subject).1.is_none() || now < self.orders_from {
+        let has_adapter = split_subject(subject).1.is_some();
+        if !has_adapter || now < self.orders_from || !self.slot_queue.is_empty() {
             return;
         }
         let in_flight = self.store_loads_in_flight(now) + self.queued_loads();
--- a/crates/core/src/direct/policy.rs
+++ b/crates/core/src/direct/policy.rs
@@ -45,6 +45,26 @@
     pub failure_penalty: Duration,
     /// Penalty for an engine that has just refused a call.
     pub shed_penalty: Duration,
+    /// Queue for adapter slots; none if calls that find no slot are refused.
+    pub admission: Option<SlotAdmission>,
+}
+
+/// Limits of the queue for adapter slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotAdmission {
+    /// Calls of one service that may wait in one zone.
+    pub max_queued: usize,
+    /// Share of the freed slots that is given by rank. The others go to the calls that have waited longest.
+    pub urgent_share: f64,
+}
+
+impl Default for SlotAdmission {
+    fn default() -> Self {
+        Self {
+            max_queued: 64,
+            urgent_share: 0.8,
+        }
+    }
 }
 
 impl Default for PlacementPolicy {
@@ -68,6 +88,7 @@
             degraded_penalty: Duration::from_secs(2),
             failure_penalty: Duration::from_millis(400),
             shed_penalty: Duration::from_millis(100),
+            admission: None,
         }
     }
 }
--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod fetching;
 mod plain;
 mod quotas;
+mod scarce_slots;
 mod simulation;
 mod speeds;
 mod stores;
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -13,7 +13,7 @@
     direct::{
         catalog::TargetStage,
         config::{ResponseShape, RetryPolicy, RouteRule},
-        planner::{CacheTransfer, EngineCounts},
+        planner::{CacheTransfer, EngineCounts, SlotWait, SlotWaitEnd},
         quotas::BucketCounts,
         versions::{CacheVersions, VersionAge, VersionMatch},
     },
@@ -224,6 +224,12 @@
     told: bool,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SlotWaitLabels {
+    rank: u8,
+    end: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StageLabels {
     stage: &'static str,
@@ -255,6 +261,8 @@
     targets: Family<StageLabels, Gauge>,
     pending_removals: Gauge,
     prompt_moves: Family<MoveLabels, Counter>,
+    slot_waits: Family<SlotWaitLabels, Counter>,
+    slot_queue: Gauge,
     target_connects: Family<ConnectLabels, Counter>,
     tunnels: Family<TunnelLabels, Counter>,
     engines: Family<EngineLabels, Gauge>,
@@ -290,6 +298,8 @@
             targets: Family::default(),
             pending_removals: Gauge::default(),
             prompt_moves: Family::default(),
+            slot_waits: Family::default(),
+            slot_queue: Gauge::default(),
             target_connects: Family::default(),
             tunnels: Family::default(),
             engines: Family::default(),
@@ -391,6 +401,16 @@
             "Prompts of which another target has read parts, by how the versions of both stand and whether the parts move",
             self.prompt_moves.clone(),
         );
+        registry.register(
+            "slot_waits",
+            "Waits of calls for an adapter slot by rank and how they ended",
+            self.slot_waits.clone(),
+        );
+        registry.register(
+            "slot_queue",
+            "Calls that wait for an adapter slot of this VM's zone",
+            self.slot_queue.clone(),
+        );
         registry.register(
             "target_connects",
             "Connection attempts to targets by result",
@@ -505,6 +525,32 @@
         self.retries.get_or_create(&RetryLabels { allowed }).inc();
     }
 
+    /// Sets the number of calls that wait for an adapter slot.
+    pub fn set_slot_queue(&self, waiting: u32) {
+        self.slot_queue.set(i64::from(waiting));
+    }
+
+    /// Counts and logs the end of a call's wait for an adapter slot.
+    pub fn count_slot_wait(&self, wait: &SlotWait) {
+        let end = match wait.end {
+            SlotWaitEnd::Placed => "placed",
+            SlotWaitEnd::Expired => "expired",
+            SlotWaitEnd::Displaced => "displaced",
+        };
+        let rank = wait.rank;
+        let labels = SlotWaitLabels { rank, end };
+        self.slot_waits.get_or_create(&labels).inc();
+        event!(
+            Event::SlotWaitEnded,
+            "{}#{}: {} of rank {rank} after {:?}, {:?}",
+            wait.key.vm,
+            wait.key.number,
+            wait.subject,
+            wait.waited,
+            wait.end
+        );
+    }
+
     /// Counts, and logs, a prompt of which the chosen engine could fetch cached parts from another one, whether or not it is instructed
     /// to.
     pub fn count_prompt_move(&self, prompt_move: &CacheTransfer) {
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -8,8 +8,12 @@
 };
 use hoplanding_core::{
     direct::{
-        freshness::RevocationRule, lease::LeaseTimeouts, policy::PlacementPolicy,
-        quotas::QuotaBounds, restore_guard::RewriteRule, retry_budget::RetryBudgetRule,
+        freshness::RevocationRule,
+        lease::LeaseTimeouts,
+        policy::{PlacementPolicy, SlotAdmission},
+        quotas::QuotaBounds,
+        restore_guard::RewriteRule,
+        retry_budget::RetryBudgetRule,
         trials::TrialRule,
     },
     ids::{AvailabilityZone, VmName},
@@ -135,7 +139,10 @@
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
-        policy: root.section("policy", read_policy),
+        policy: PlacementPolicy {
+            admission: root.section("admission", read_admission),
+            ..root.section("policy", read_policy)
+        },
         timing: root.section("pace", read_timing),
         log: root.section("log", read_log_settings),
     }
@@ -220,9 +227,19 @@
         degraded_penalty: span("doubt_price_ms", defaults.degraded_penalty),
         failure_penalty: span("failing_price_ms", defaults.failure_penalty),
         shed_penalty: span("shed_price_ms", defaults.shed_penalty),
+        admission: None,
     }
 }
 
+fn read_admission(section: &SectionReader<'_>) -> Option<SlotAdmission> {
+    let defaults = SlotAdmission::default();
+    let admission = SlotAdmission {
+        max_queued: section.number("max_queued", defaults.max_queued as u64, 1, 100_000) as usize,
+        urgent_share: section.fraction("urgent_share", defaults.urgent_share, 0.0, 1.0),
+    };
+    section.boolean("queue").then_some(admission)
+}
+
 fn read_timing(section: &SectionReader<'_>) -> TimingSettings {
     TimingSettings {
         list_interval: section.fractional_millis("list_every_ms", 1000, 10, 60_000),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -54,6 +54,10 @@
 /// not wake the worker, and the KV cache of a copy that was loaded without a version is not transferred until the list
 /// names its version.
 const LIST_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of the log line about calls that wait for adapter slots.
+const SLOT_QUEUE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Time without waiting calls after which the wait counts as over, so that short waits share one log line.
+const SLOT_QUEUE_EMPTY_TIME: Duration = Duration::from_secs(1);
 
 /// The holder's reply to a request of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,11 +136,42 @@
     is_yielding: bool,
     /// The summary of loads from the weight store that was last logged.
     logged_loads: LoadSummary,
+    /// When calls last waited for an adapter slot, and when that was last logged.
+    slot_queue_log: Option<(Instant, Instant)>,
     /// Revision of the suspects that the planner has.
     suspects_revision: Option<u64>,
 }
 
 impl HeldZone {
+    /// Logs that calls wait for adapter slots, at intervals, and that none has waited for some time.
+    fn log_slot_queue(&mut self, now: Instant) -> u32 {
+        let waiting = self.planner.queued_calls();
+        if waiting > 0 {
+            let logged_at = self.slot_queue_log.map(|(_, at)| at);
+            let is_due = logged_at.is_none_or(|at| now.since(at) >= SLOT_QUEUE_LOG_INTERVAL);
+            if is_due {
+                let shortage = self.planner.shortage(now);
+                event!(
+                    Event::SlotQueueInUse,
+                    "{}: {waiting} calls at {} engines with {} free slots, {} ms for a new adapter, at most {} loads",
+                    self.service,
+                    shortage.engines,
+                    shortage.free_adapter_slots,
+                    shortage.load_wait_ms,
+                    shortage.load_limit
+                );
+            }
+            let logged_at = logged_at.filter(|_| !is_due).unwrap_or(now);
+            self.slot_queue_log = Some((now, logged_at));
+        } else if let Some((waited_at, _)) = self.slot_queue_log
+            && now.since(waited_at) >= SLOT_QUEUE_EMPTY_TIME
+        {
+            event!(Event::SlotQueueEmpty, "{}", self.service);
+            self.slot_queue_log = None;
+        }
+        waiting
+    }
+
     /// Logs the estimates about loads from the weight store if they have changed.
     fn log_load_changes(&mut self) {
         let summary = self.planner.load_limiter().summary();
@@ -232,6 +267,8 @@
                         held.planner.set_sole_until(sole_until);
                         held.planner.tick(clock::now());
                         held.log_load_changes();
+                        let waiting = held.log_slot_queue(clock::now());
+                        self.fleet.metrics.set_slot_queue(waiting);
                     }
                 }
             }
@@ -719,6 +756,7 @@
                 PlannerAction::RecordTransfer(transfer) => {
                     self.fleet.metrics.count_prompt_move(&transfer)
                 }
+                PlannerAction::RecordSlotWait(wait) => self.fleet.metrics.count_slot_wait(&wait),
                 PlannerAction::FetchReport(entry) => {
                     let fleet = Arc::clone(&self.fleet);
                     let pool = Arc::clone(&self.pool);
@@ -752,6 +790,7 @@
         ),
         is_yielding: false,
         logged_loads: LoadSummary::default(),
+        slot_queue_log: None,
         suspects_revision: None,
     }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -246,6 +246,12 @@
     VmOverloaded = 822, Warn, "more work than processor time";
     /// This VM has processor time left again.
     VmRecovered = 823, Info, "processor time left again";
+    /// Calls wait for an adapter slot of this VM's zone.
+    SlotQueueInUse = 850, Info, "calls wait for adapter slots";
+    /// No call has waited for an adapter slot for some time.
+    SlotQueueEmpty = 851, Info, "no call waits for an adapter slot any more";
+    /// A call's wait for an adapter slot ended.
+    SlotWaitEnded = 852, Debug, "wait for an adapter slot ended";
     /// A connection could not be accepted.
     AcceptFailed = 820, Warn, "connection not accepted";
 }
