Test that the expected wait for a slot rises when engines are lost

Without the scaling of the observed rate by the number of engines, the test fails: a zone would promise the slots of engines that it has lost.

--- a/crates/core/tests/direct_planner.rs
+++ b/crates/core/tests/direct_planner.rs
@@ -1294,3 +1294,56 @@
     assert_eq!(refusal(&actions, 9), None);
     assert_eq!(planner.shortage(now).queued_calls, 1);
 }
+
+/// Guards against an expected wait that still counts the slots of engines that are lost.
+#[test]
+fn expected_wait_rises_when_engines_are_lost() {
+    let now = Instant(1_000_000);
+    let mut planner = planner(&["e1", "e2"], now);
+    planner.set_policy(PlacementPolicy {
+        admission: Some(SlotAdmission::default()),
+        ..PlacementPolicy::default()
+    });
+    let mut sent = VecDeque::new();
+    // One call ends and one arrives every 50 ms, while one or two wait.
+    for number in 0..70 {
+        let time = after(now, number * 50);
+        planner.tick(time);
+        planner.place(key(number), request(&format!("base/a{number}")), time);
+        if number > 30
+            && let Some((call, name)) = sent.pop_front()
+        {
+            planner.call_ended(&call, Some(&name), None, time);
+        }
+        loop {
+            let actions = planner.take_actions();
+            if actions.is_empty() {
+                break;
+            }
+            for (call, answer) in answers(&actions) {
+                if let PlacementAnswer::Send { target, .. } = answer {
+                    sent.push_back((call, target));
+                }
+            }
+            for action in &actions {
+                if let PlannerAction::FetchReport(entry) = action {
+                    planner.report_received(&entry.name, None, time);
+                }
+            }
+            for (name, order) in orders(actions) {
+                let outcome = match order.kind {
+                    OrderKind::Load => OrderOutcome::Begun,
+                    OrderKind::Unload => OrderOutcome::Done,
+                };
+                planner.order_ended(&name, outcome, time);
+            }
+        }
+    }
+    let time = after(now, 3_500);
+    let before = planner.shortage(time);
+    planner.set_targets(vec![entry("e1")], time);
+    let later = planner.shortage(time);
+    assert!(before.queued_calls > 0, "{before:?}");
+    let [before, later] = [before, later].map(|shortage| shortage.load_wait_ms - shortage.load_ms);
+    assert!(later >= 2 * before - 1, "{before} ms, then {later} ms");
+}
