--- a/crates/core/tests/load/main.rs
+++ b/crates/core/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod plain_zones;
 mod quota_returns;
 mod quotas;
+mod scarce_slots;
 mod simulation;
 mod speeds;
 mod stores;
--- a/crates/daemon/src/direct/service_plans.rs
+++ b/crates/daemon/src/direct/service_plans.rs
@@ -17,7 +17,15 @@
     },
     ids::{Instant, ServiceName, TargetLife, TargetName},
 };
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+/// Interval of the log line about calls that wait for adapter slots.
+const SLOT_QUEUE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Time without waiting calls after which the wait counts as over, so that short waits share one log line.
+const SLOT_QUEUE_EMPTY_TIME: Duration = Duration::from_secs(1);
 
 /// How the planner of a service starts.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +50,8 @@
     logged_loads: LoadSummary,
     /// Revision of the suspects that the planner has.
     suspects_revision: Option<u64>,
+    /// When calls last waited for an adapter slot, and when that was last logged.
+    slot_queue_log: Option<(Instant, Instant)>,
     /// Slots that have stayed free.
     spare_slots: SpareSlots,
     /// Number of the last report of the zone's free capacity.
@@ -64,6 +74,7 @@
             planner,
             logged_loads: LoadSummary::default(),
             suspects_revision: None,
+            slot_queue_log: None,
             spare_slots: SpareSlots::default(),
             reported_round: 0,
         }
@@ -85,6 +96,33 @@
         self.suspects_revision.is_none()
     }
 
+    /// Logs that calls wait for adapter slots, at intervals, and that none has waited for some time.
+    fn log_slot_queue(&mut self, service: &ServiceName, now: Instant) {
+        let waiting = self.planner.queued_calls();
+        if waiting > 0 {
+            let logged_at = self.slot_queue_log.map(|(_, at)| at);
+            let is_due = logged_at.is_none_or(|at| now.since(at) >= SLOT_QUEUE_LOG_INTERVAL);
+            if is_due {
+                let shortage = self.planner.shortage(now);
+                event!(
+                    Event::SlotQueueInUse,
+                    "{service}: {waiting} calls at {} engines with {} free slots, {} ms for a new adapter, at most {} loads",
+                    shortage.engines,
+                    shortage.free_adapter_slots,
+                    shortage.load_wait_ms,
+                    shortage.load_limit
+                );
+            }
+            let logged_at = logged_at.filter(|_| !is_due).unwrap_or(now);
+            self.slot_queue_log = Some((now, logged_at));
+        } else if let Some((waited_at, _)) = self.slot_queue_log
+            && now.since(waited_at) >= SLOT_QUEUE_EMPTY_TIME
+        {
+            event!(Event::SlotQueueEmpty, "{service}");
+            self.slot_queue_log = None;
+        }
+    }
+
     /// Logs the estimates about loads from the weight store if they have changed.
     fn log_load_changes(&mut self, service: &ServiceName) {
         let summary = self.planner.load_limiter().summary();
@@ -226,11 +264,19 @@
         reports.collect()
     }
 
+    /// Calls that wait for an adapter slot, over all services.
+    #[must_use]
+    pub fn queued_calls(&self) -> u32 {
+        let plans = self.plans.values();
+        plans.map(|plan| plan.planner.queued_calls()).sum()
+    }
+
     /// Runs the periodic work of all plans.
     pub fn tick(&mut self, now: Instant) {
         for (service, plan) in &mut self.plans {
             plan.planner.tick(now);
             plan.log_load_changes(service);
+            plan.log_slot_queue(service, now);
         }
     }
 }
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -11,7 +11,7 @@
         answer_budget::BufferRule,
         freshness::RevocationRule,
         lease::LeaseTimeouts,
-        policy::{PlacementPolicy, ScarcityPolicy},
+        policy::{PlacementPolicy, ScarcityPolicy, SlotAdmission},
         quotas::QuotaBounds,
         restore_guard::RewriteRule,
         retry_budget::RetryBudgetRule,
@@ -156,7 +156,10 @@
         trials: root.section("trials", read_trials),
         leases: root.section("leases", read_leases),
         has_order_fencing: root.boolean("orders_fenced"),
-        policy: read_adapters(root, root.section("policy", read_policy)),
+        policy: PlacementPolicy {
+            admission: root.section("admission", read_admission),
+            ..read_adapters(root, root.section("policy", read_policy))
+        },
         zone_choice: root.section("zone_choice", read_zone_choice),
         timing: root.section("pace", read_timing),
         log: root.section("log", read_log_settings),
@@ -294,6 +297,15 @@
     section.boolean("enabled").then_some(rule)
 }
 
+fn read_admission(section: &SectionReader<'_>) -> Option<SlotAdmission> {
+    let defaults = SlotAdmission::default();
+    let admission = SlotAdmission {
+        max_queued: section.number("max_queued", defaults.max_queued as u64, 1, 100_000) as usize,
+        urgent_share: section.fraction("urgent_share", defaults.urgent_share, 0.0, 1.0),
+    };
+    section.boolean("queue").then_some(admission)
+}
+
 fn read_timing(section: &SectionReader<'_>) -> TimingSettings {
     TimingSettings {
         list_interval: section.fractional_millis("list_every_ms", 1000, 10, 60_000),
--- a/crates/daemon/src/direct/zone.rs
+++ b/crates/daemon/src/direct/zone.rs
@@ -242,6 +242,8 @@
                             planner.set_sole_until(sole_until);
                         }
                         held.plans.tick(clock::now());
+                        let waiting = held.plans.queued_calls();
+                        self.fleet.metrics.set_slot_queue(waiting);
                         if self.fleet.zone_choice.is_some() {
                             let reports = held.plans.due_reports(clock::now());
                             if !reports.is_empty() {
@@ -823,6 +825,9 @@
                     PlannerAction::RecordTransfer(transfer) => {
                         self.fleet.metrics.count_prompt_move(service, &transfer)
                     }
+                    PlannerAction::RecordSlotWait(wait) => {
+                        self.fleet.metrics.count_slot_wait(&wait)
+                    }
                     PlannerAction::FetchReport(entry) => {
                         let fleet = Arc::clone(&self.fleet);
                         let pool = Arc::clone(&self.pool);
