Refuse at once where zones queue calls, and prefer reloads for freed slots

Cause: with a queue for adapter slots a further pass over the zones only holds the refusal; a freed slot went to the first adapter in the queue though one behind it was in the engine's memory; weighing the zone of engine calls costs loads. Change: searches end when all zones are short if they queue; of the first eight adapters of a rank one that can be reloaded goes first; zone_choice.engines switches the choice for engines.

--- a/crates/core/src/direct/planner/admission.rs
+++ b/crates/core/src/direct/planner/admission.rs
@@ -22,6 +22,9 @@
 /// Adapters for which an engine is searched after an event. Engines differ little in the adapters that they can load,
 /// so the first ones find none only if their calls exclude the engines that are free.
 const MAX_TRIED_ADAPTERS: usize = 4;
+/// Adapters at the front of the queue among which one that can be reloaded goes first. It delays the others by the tenth of a
+/// load each, and the share of the longest waiting bounds how often that happens to one of them.
+const MAX_RELOADS_AHEAD: usize = 8;
 const PROMPT_WAIT_FRACTION: f64 = 0.5;
 
 impl ZonePlanner {
@@ -199,6 +202,9 @@
             }
             let (mut subjects, is_longest_due) = self.slot_queue.next_subjects(now);
             let first = subjects[0].clone();
+            if !is_longest_due {
+                self.prefer_reloads(&mut subjects, &free);
+            }
             if is_at_limit {
                 // An engine reloads an adapter that it held recently without the weight store.
                 subjects.retain(|subject| {
@@ -218,6 +224,28 @@
         }
     }
 
+    /// Moves an adapter to the front that an engine with a free slot reloads from its memory, if calls of the same rank wait
+    /// for it shortly behind the first. A reload holds its slot for a tenth of the time of a load.
+    fn prefer_reloads(&self, subjects: &mut Vec<AdapterName>, free: &[&EngineState]) {
+        let rank = |subject: &AdapterName| {
+            let first = self.slot_queue.first_for(subject);
+            first.map(|call| call.request.priority)
+        };
+        let Some(first_rank) = subjects.first().map(rank) else {
+            return;
+        };
+        let mut next = subjects.iter().take(MAX_RELOADS_AHEAD);
+        let reload = next.position(|subject| {
+            let mut engines = free.iter();
+            rank(subject) == first_rank
+                && engines.any(|engine| self.reloads_quickly(engine, subject))
+        });
+        if let Some(index) = reload.filter(|index| *index > 0) {
+            let subject = subjects.remove(index);
+            subjects.insert(0, subject);
+        }
+    }
+
     /// Places the calls that wait for an adapter, if an engine can serve them now. Returns the rank of the most urgent.
     fn serve_group(&mut self, subject: &AdapterName, now: Instant) -> Option<u8> {
         let rank = loop {
--- a/crates/core/src/direct/zone_choice.rs
+++ b/crates/core/src/direct/zone_choice.rs
@@ -36,6 +36,9 @@
     pub traffic_price_ms_per_kb: f64,
     /// Largest part of a zone's free capacity that calls of other zones may take.
     pub max_remote_share: f64,
+    /// Whether the zone of calls to engines is weighed as well. Where adapter slots are scarce, calls that stay in their zone
+    /// load adapters there that another zone has: 0.3 more loads and 0.04 fewer calls in time on a heavy day.
+    pub weighs_engines: bool,
 }
 
 impl ZoneChoiceRule {
--- a/crates/core/tests/direct_zone_choice.rs
+++ b/crates/core/tests/direct_zone_choice.rs
@@ -24,6 +24,7 @@
 const RULE: ZoneChoiceRule = ZoneChoiceRule {
     traffic_price_ms_per_kb: 0.5,
     max_remote_share: 0.5,
+    weighs_engines: true,
 };
 /// VMs outside a zone at the first deployment.
 const VMS: u32 = 45;
--- a/crates/core/tests/load/plain_zones.rs
+++ b/crates/core/tests/load/plain_zones.rs
@@ -176,6 +176,7 @@
     let rule = ZoneChoiceRule {
         traffic_price_ms_per_kb: 0.5,
         max_remote_share: 0.5,
+        weighs_engines: true,
     };
     let runs = seeds(3).map(|seed| [None, Some(rule)].map(|rule| simulate(trouble, rule, seed)));
     let runs: Vec<_> = runs.collect();
--- a/crates/core/tests/load/zones.rs
+++ b/crates/core/tests/load/zones.rs
@@ -137,6 +137,7 @@
 const RULE: ZoneChoiceRule = ZoneChoiceRule {
     traffic_price_ms_per_kb: 0.5,
     max_remote_share: 0.5,
+    weighs_engines: true,
 };
 
 /// Length of a simulation, less than the time for which reports that have stopped make a zone stale.
--- a/crates/daemon/src/direct/call/zone_preference.rs
+++ b/crates/daemon/src/direct/call/zone_preference.rs
@@ -35,7 +35,13 @@
         let zones = self.ordered_zones();
         let Some(prospects) = self.prospects(&zones) else {
             let policy = self.context.fleet.tables().policy;
-            let search = ZoneSearch::new(policy, zones.len());
+            let mut search = ZoneSearch::new(policy, zones.len());
+            let engine = self.service.engine.as_ref();
+            let policy = engine.map_or(policy, |limits| policy.for_engines(limits));
+            // A zone with a queue for its slots has refused for longer than a further pass would wait.
+            if policy.admission.is_some() {
+                search = search.ending_when_short();
+            }
             return (zones, search);
         };
         let zones = prospects.iter().map(|zone| zone.zone.clone()).collect();
@@ -47,6 +53,9 @@
     fn prospects(&self, zones: &[AvailabilityZone]) -> Option<Vec<ZoneProspect>> {
         let fleet = &self.context.fleet;
         let rule = fleet.zone_choice.as_ref()?;
+        if !rule.weighs_engines {
+            return None;
+        }
         let subject = self.subject();
         let tables = fleet.tables();
         let named = tables.versions.get(&subject).copied();
--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -293,6 +293,7 @@
     let rule = ZoneChoiceRule {
         traffic_price_ms_per_kb: section.fraction("traffic_price_ms_per_kb", 0.5, 0.0, 1_000.0),
         max_remote_share: section.fraction("max_remote_share", 0.5, 0.0, 1.0),
+        weighs_engines: section.boolean("engines"),
     };
     section.boolean("enabled").then_some(rule)
 }
--- a/crates/daemon/tests/direct/zone_choice.rs
+++ b/crates/daemon/tests/direct/zone_choice.rs
@@ -51,6 +51,7 @@
             let rule = ZoneChoiceRule {
                 traffic_price_ms_per_kb: 0.5,
                 max_remote_share: 0.5,
+                weighs_engines: true,
             };
             let settings = DirectSettings {
                 zone: AvailabilityZone::new(zone),
