Order a quota's calls by rank within one service, and reserve less of it

Cause: calls of plain services, 200 tokens each, were refused behind calls of 9,000 tokens of a more urgent rank, and the tenth of a rank with large calls held back seconds of the quota. Change: calls of plain services are charged at the first rank; what is kept for a rank is at most its tenth of a second; a reservation leaves half of the time to the objective.

--- a/crates/core/src/direct/rank_reserve.rs
+++ b/crates/core/src/direct/rank_reserve.rs
@@ -26,6 +26,9 @@
     per_s: f64,
     /// Units of the rank's tenth that it has not used.
     floor: f64,
+    /// Part of these units that is kept from others. A call of several times the tenth would otherwise hold back seconds of the
+    /// quota.
+    held: f64,
     /// Units of its last call, which its tenth has to be able to pay.
     last_units: f64,
     asked_at: Option<Instant>,
@@ -61,8 +64,10 @@
                 let earned = elapsed.as_secs_f64() * per_s * RANK_FLOOR;
                 let max = (per_s * RANK_FLOOR * FLOOR_TIME.as_secs_f64()).max(rank_use.last_units);
                 rank_use.floor = (rank_use.floor + earned).min(max);
+                rank_use.held = rank_use.floor.min(per_s * RANK_FLOOR);
             } else {
                 rank_use.floor = 0.0;
+                rank_use.held = 0.0;
             }
         }
         let asking = &mut self.ranks[index(rank)];
@@ -94,13 +99,16 @@
     /// tenth of each other rank that asks.
     #[must_use]
     pub fn reserved_units(&self, rank: u8, urgent_reserve: Duration, now: Instant) -> f64 {
+        if urgent_reserve.is_zero() {
+            return 0.0;
+        }
         let others = self.ranks.iter().enumerate();
         let others =
             others.filter(|(other, rank_use)| *other != index(rank) && rank_use.is_asking(now));
         let reserves = others.map(|(other, rank_use)| {
             let urgent_use = rank_use.per_s * urgent_reserve.as_secs_f64();
             let urgent_use = if other < index(rank) { urgent_use } else { 0.0 };
-            urgent_use.max(rank_use.floor)
+            urgent_use.max(rank_use.held)
         });
         reserves.sum()
     }
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -296,7 +296,10 @@
     }
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let fingerprint = request_fingerprint(&parts.method, &parts.uri, &head, &body);
-    let mut quota_charge = CallCharge::of(&identity, &head, route.priority);
+    // The ranks of a quota order the calls of one service. Calls of plain services are charged a fraction of what a call to an
+    // engine is, and behind all of these they would be refused for hardly any units.
+    let charge_rank = service.engine.as_ref().map_or(0, |_| route.priority);
+    let mut quota_charge = CallCharge::of(&identity, &head, charge_rank);
     if context.settings.returns.is_some() {
         quota_charge.set_fingerprint(fingerprint);
     }
--- a/crates/daemon/src/direct/call/quota_charge.rs
+++ b/crates/daemon/src/direct/call/quota_charge.rs
@@ -136,7 +136,8 @@
             return Some(wait);
         };
         let left_in_time = self.route.objective.saturating_sub(self.arrived.elapsed());
-        let within = (self.remaining() / RETURN_DIVISOR).min(left_in_time);
+        // The call needs the other half of that time to be served.
+        let within = (self.remaining() / RETURN_DIVISOR).min(left_in_time / 2);
         charge.return_within_ms = millis(within).max(1);
         let answer = self.context.holder_client.charge_quota(zone, charge);
         let assigned = match answer.await {
