--- a/crates/core/tests/load/scarce_slots.rs
+++ b/crates/core/tests/load/scarce_slots.rs
@@ -6,7 +6,7 @@
 use hoplanding_core::direct::policy::{PlacementPolicy, SlotAdmission};
 use std::time::Duration;
 
-/// 20 engines of the deployments in docs/SCARCE-CAPACITY.md, which may use the whole weight store.
+/// 20 engines of the deployments in docs/design/scarce-capacity.md, which may use the whole weight store.
 const SCENARIO: SlotScenario = SlotScenario {
     adapters: (10_000, 0.7),
     slots: (8, 12),
