Give freed slots to calls that may use them

Cause: calls that exclude every engine with a free slot could stand first in the queue and keep the slot from those behind.

--- a/crates/core/src/direct/planner/admission.rs
+++ b/crates/core/src/direct/planner/admission.rs
@@ -202,6 +202,11 @@
             }
             let (mut subjects, is_longest_due) = self.slot_queue.next_subjects(now);
             let first = subjects[0].clone();
+            // Calls that exclude every free engine must not keep the slots from those behind them.
+            subjects.retain(|subject| {
+                let first = self.slot_queue.first_for(subject);
+                first.is_some_and(|call| free.iter().any(|engine| call.allows(engine)))
+            });
             if !is_longest_due {
                 self.prefer_reloads(&mut subjects, &free);
             }
@@ -237,8 +242,12 @@
         let mut next = subjects.iter().take(MAX_RELOADS_AHEAD);
         let reload = next.position(|subject| {
             let mut engines = free.iter();
+            let first = self.slot_queue.first_for(subject);
             rank(subject) == first_rank
-                && engines.any(|engine| self.reloads_quickly(engine, subject))
+                && engines.any(|engine| {
+                    self.reloads_quickly(engine, subject)
+                        && first.is_some_and(|call| call.allows(engine))
+                })
         });
         if let Some(index) = reload.filter(|index| *index > 0) {
             let subject = subjects.remove(index);
--- a/crates/core/src/direct/planner/slot_queue.rs
+++ b/crates/core/src/direct/planner/slot_queue.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     direct::{
+        engine::EngineState,
         planner::{CallKey, PlacementRequest, slot_turnover::SlotTurnover},
         policy::SlotAdmission,
     },
@@ -40,6 +41,12 @@
 }
 
 impl QueuedCall {
+    /// Whether the call may be sent to an engine.
+    pub fn allows(&self, engine: &EngineState) -> bool {
+        let name = &engine.entry.name;
+        !self.request.exclude.contains(name) && !self.request.backing_off.contains(name)
+    }
+
     /// Part of its bound that the call has waited.
     fn waited_fraction(&self, now: Instant) -> f64 {
         let bound = self.until.since(self.queued_at).as_secs_f64();
