Log the learned number of adapters that engines reload quickly

Cause: operators could not see what the holder assumes of its engines' memory. Change: E865 when the number changes.

--- a/crates/core/src/direct/planner/mod.rs
+++ b/crates/core/src/direct/planner/mod.rs
@@ -321,16 +321,21 @@
         }
     }
 
-    /// Whether an engine is expected to have an adapter in its memory, so that it does not come from the weight store.
-    pub(super) fn reloads_quickly(&self, engine: &EngineState, subject: &AdapterName) -> bool {
-        let rank = engine.reload_rank(subject, self.named_version(subject));
+    /// Number of recently loaded adapters that engines are expected to reload quickly.
+    #[must_use]
+    pub fn kept_adapters(&self) -> usize {
         let assumed = self.policy.max_recent_adapters;
-        let kept = if self.policy.scarcity.learns_recent_adapters {
+        if self.policy.scarcity.learns_recent_adapters {
             self.reload_memory.kept(assumed)
         } else {
             assumed
-        };
-        rank.is_some_and(|rank| rank < kept)
+        }
+    }
+
+    /// Whether an engine is expected to have an adapter in its memory, so that it does not come from the weight store.
+    pub(super) fn reloads_quickly(&self, engine: &EngineState, subject: &AdapterName) -> bool {
+        let rank = engine.reload_rank(subject, self.named_version(subject));
+        rank.is_some_and(|rank| rank < self.kept_adapters())
     }
 
     /// Version of an adapter that calls have to name. None for a base model: engines get its new weights at their
--- a/crates/daemon/src/direct/service_plans.rs
+++ b/crates/daemon/src/direct/service_plans.rs
@@ -50,6 +50,8 @@
     logged_loads: LoadSummary,
     /// Revision of the suspects that the planner has.
     suspects_revision: Option<u64>,
+    /// The number of adapters that engines reload quickly that was last logged; none at the start.
+    logged_kept: Option<usize>,
     /// When calls last waited for an adapter slot, and when that was last logged.
     slot_queue_log: Option<(Instant, Instant)>,
     /// Slots that have stayed free.
@@ -74,6 +76,7 @@
             planner,
             logged_loads: LoadSummary::default(),
             suspects_revision: None,
+            logged_kept: None,
             slot_queue_log: None,
             spare_slots: SpareSlots::default(),
             reported_round: 0,
@@ -123,8 +126,16 @@
         }
     }
 
-    /// Logs the estimates about loads from the weight store if they have changed.
+    /// Logs the estimates about loads from the weight store, and about reloads, if they have changed.
     fn log_load_changes(&mut self, service: &ServiceName) {
+        let kept = self.planner.kept_adapters();
+        if *self.logged_kept.get_or_insert(kept) != kept {
+            self.logged_kept = Some(kept);
+            event!(
+                Event::KeptAdaptersLearned,
+                "{service}: {kept} adapters at each engine"
+            );
+        }
         let summary = self.planner.load_limiter().summary();
         if summary.differs_notably(&self.logged_loads) {
             self.logged_loads = summary;
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -204,6 +204,8 @@
     QuotaUsedUp = 808, Info, "request refused as not run, quota used up";
     /// A refused call has a time at which it should come back.
     ReturnAssigned = 860, Info, "return time assigned";
+    /// The number of adapters that engines reload quickly has changed.
+    KeptAdaptersLearned = 865, Info, "recent adapters that engines reload quickly";
     /// A target of a plain service has become slow, or usual again.
     PlainPaceChanged = 870, Info, "pace of a target";
     /// The ends of calls of plain services were not reported.
