Take the times of a planned stop from the platform's grace

What callers saw: nothing where the platform waits 8 s before it ends a process by force. With another grace a planned stop runs by the wrong times: with 5 s the process is killed before its own end, and its calls are cut.

Cause: stop_notice_ms and stop_bound_ms have fixed defaults, and the deployment template does not pass the platform's grace on.

With 8 s they are 2.5 and 7.7 s as before.

Evidence: a_planned_stop_fits_the_grace_of_the_platform passes; before, nothing read the grace. No process was stopped at another grace.

--- a/crates/daemon/src/direct/settings.rs
+++ b/crates/daemon/src/direct/settings.rs
@@ -11,6 +11,7 @@
         answer_budget::BufferRule,
         freshness::RevocationRule,
         lease::LeaseTimeouts,
+        millis,
         policy::{PlacementPolicy, ScarcityPolicy, SlotAdmission},
         quotas::QuotaBounds,
         restore_guard::RewriteRule,
@@ -35,6 +36,13 @@
 /// is reserved for starting up.
 const STARTUP_MARGIN: Duration = Duration::from_secs(3);
 
+/// Share of `pace.stop_grace_s`, the time from the stop signal until the platform ends the process by force, that is
+/// reserved for the end of the process.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+
+/// Longest notice of a planned stop by default: two checks of the load balancer, one a second, and the calls of its callers.
+const MAX_NOTICE: Duration = Duration::from_millis(2_500);
+
 /// Bytes of the unit of memory sizes in the file.
 const MEBIBYTE: f64 = (1 << 20) as f64;
 
@@ -107,7 +115,8 @@
     pub platform_timeout: Duration,
     /// Time from the stop signal until the daemon starts to close open connections (`stop_notice_ms` in the file).
     pub drain_delay: Duration,
-    /// Maximum time from the stop signal to the exit (`stop_bound_ms` in the file).
+    /// Maximum time from the stop signal to the exit (`stop_bound_ms` in the file; by default a little less than
+    /// `stop_grace_s`, after which the platform ends the process by force).
     pub stop_timeout: Duration,
 }
 
@@ -308,6 +317,15 @@
 }
 
 fn read_timing(section: &SectionReader<'_>) -> TimingSettings {
+    let grace = Duration::from_secs_f64(section.fraction("stop_grace_s", 8.0, 0.0, 86_400.0));
+    let stop_timeout = grace - EXIT_MARGIN.min(grace / 4);
+    let stop_timeout = section.fractional_millis(
+        "stop_bound_ms",
+        u64::from(millis(stop_timeout)),
+        100,
+        86_400_000,
+    );
+    let notice = MAX_NOTICE.min(stop_timeout / 3);
     TimingSettings {
         list_interval: section.fractional_millis("list_every_ms", 1000, 10, 60_000),
         min_config_interval: section.fractional_millis("config_every_ms", 200, 0, 60_000),
@@ -315,7 +333,12 @@
             .fractional_millis("config_bound_ms", 2000, 0, 86_400_000)
             .saturating_sub(CONFIG_MARGIN),
         platform_timeout: section.fractional_millis("platform_timeout_ms", 900, 10, 60_000),
-        drain_delay: section.fractional_millis("stop_notice_ms", 2500, 0, 60_000),
-        stop_timeout: section.fractional_millis("stop_bound_ms", 7700, 100, 3_600_000),
+        drain_delay: section.fractional_millis(
+            "stop_notice_ms",
+            u64::from(millis(notice)),
+            0,
+            60_000,
+        ),
+        stop_timeout,
     }
 }
--- a/crates/daemon/tests/direct/settings.rs
+++ b/crates/daemon/tests/direct/settings.rs
@@ -124,6 +124,24 @@
     assert!((settings.quotas.tolerance_units - 11_000.0).abs() < 1e-9);
 }
 
+// Guards against a VM that stops by fixed times although its platform ends processes earlier or later.
+#[test]
+fn a_planned_stop_fits_the_grace_of_the_platform() {
+    for grace_s in [0.0, 0.4, 3.0, 8.0, 30.0] {
+        let timing = with_bound("grace_s", json!(grace_s))
+            .expect("a grace")
+            .timing;
+        let grace = Duration::from_secs_f64(grace_s);
+        assert!(timing.stop_timeout <= grace && timing.drain_delay <= timing.stop_timeout / 3);
+        assert!(timing.stop_timeout >= grace / 2, "{grace_s}");
+    }
+    let timing = with_bound("grace_s", json!(8)).expect("a grace").timing;
+    assert_eq!(
+        (timing.drain_delay, timing.stop_timeout),
+        (Duration::from_millis(2_500), Duration::from_millis(7_700))
+    );
+}
+
 // Guards against ranges of valid values that are narrower than the bounds that the platform may set.
 #[test]
 fn zero_and_large_bounds_are_accepted() {
