Serve calls whose zone has an old holder that plans another service

What callers saw: with two services that have engines, a VM of this build refused every call of the one that its zone's holder, of a build before, does not plan, though it listed engines with the adapter.

Cause: a target of another service was passed over and the zone left out, while a silent holder makes the gateway choose among the targets that it lists.

Change: both cases choose alike. The wrong holder's charge of the quota counts, its word on limits and demand does not.

Why it works: place_without_holder picks among targets of the call's service.

--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -364,14 +364,15 @@
                     placed_call.as_ref().map(PlacedCall::number)
                 );
                 self.quota_charge.mark_charged();
-                self.is_limited = is_limited;
-                if is_in_high_demand {
-                    self.context.fleet.record_high_demand(&self.subject());
-                }
                 // Checked before the wait for a load, and again after it in `may_send_to`.
                 if self.is_foreign(zone, &target) {
                     self.foreign_zones.push(zone.clone());
-                    return None;
+                    // The holder does not plan the call's service, so this VM chooses as if there were no holder.
+                    return self.place_without_holder(zone);
+                }
+                self.is_limited = is_limited;
+                if is_in_high_demand {
+                    self.context.fleet.record_high_demand(&self.subject());
                 }
                 let metrics = &self.context.fleet.metrics;
                 metrics.observe_placement(self.arrived.elapsed());
--- a/crates/daemon/tests/direct/service_plans.rs
+++ b/crates/daemon/tests/direct/service_plans.rs
@@ -259,3 +259,120 @@
     assert!(calls_of(&scribe, "/plan/") > 0);
     assert_eq!(calls_of(&press, "/plan/"), 0);
 }
+
+/// Guards against refusals of all calls of a service while a holder of an old build plans another one.
+#[tokio::test]
+async fn calls_are_served_though_the_holder_of_an_old_build_plans_another_service() {
+    let log = KeyedLog::start().await.expect("a log");
+    let (scribe, press) = (engine(Duration::ZERO).await, engine(Duration::ZERO).await);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let lease = json!({ "vm": "vm-old", "incarnation": 1, "address": address });
+    log.put("keyed.fleet", "zone/hall", Some(&lease.to_string()));
+    let asked = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(answer_as_old_holder(listener, "i-2", Arc::clone(&asked)));
+    let targets = [
+        ("i-1", "scribe", scribe.address),
+        ("i-2", "press", press.address),
+    ];
+    let daemon = start_daemon(&log, &targets).await;
+    apply_config(&log, &daemon, 2, &config_with_press(2)).await;
+    let mut statuses = Vec::new();
+    for number in 0..12 {
+        let request = post_request("/plan/1", &format!("r{number}"), &model_headers("a1"));
+        statuses.push(send_request(daemon.caller_address, &request).await.status);
+    }
+    assert!(
+        asked.load(Ordering::SeqCst) > 0,
+        "no call asked the old holder"
+    );
+    assert_eq!(statuses, [200; 12]);
+    assert_eq!(calls_of(&press, "/plan/"), 0);
+}
+
+/// Guards against placements by a holder whose configuration is older than that of the gateway.
+#[tokio::test]
+async fn a_holder_places_no_call_of_a_service_that_it_does_not_know() {
+    let log = KeyedLog::start().await.expect("a log");
+    let scribe = engine(Duration::ZERO).await;
+    let daemon = start_daemon(&log, &[("i-1", "scribe", scribe.address)]).await;
+    let mut gateway = link_to(&daemon).await;
+    let reply = place(&mut gateway, 1, placement_request("press", "a1")).await;
+    let VmMessage::Placed(_, PlacementAnswer::Refuse { cause, .. }) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(cause, RefusalCause::NoEngine);
+}
+
+/// Ids that the calls of a route name as their target.
+fn expected_targets(engine: &RawTarget, route: &str) -> Vec<String> {
+    let seen = engine.requests();
+    let of_route = seen
+        .iter()
+        .filter(|seen| seen.request_line().contains(route));
+    let mut ids: Vec<_> = of_route
+        .filter_map(|seen| seen.header("hoplanding-expect-instance"))
+        .map(str::to_owned)
+        .collect();
+    ids.dedup();
+    ids
+}
+
+async fn send_calls(daemon: &DirectDaemon, route: &str, name: &str) {
+    for number in 0..8 {
+        let id = format!("{route}-{name}-{number}");
+        let request = post_request(&format!("/{route}/1"), &id, &model_headers("a1"));
+        send_request(daemon.caller_address, &request).await;
+    }
+}
+
+/// Guards against calls over connections to the address of a target that left, which now belongs to another service.
+#[tokio::test]
+async fn calls_of_two_services_at_one_address_name_the_target_of_their_own() {
+    let log = KeyedLog::start().await.expect("a log");
+    let shared = engine(Duration::ZERO).await;
+    let daemon = start_daemon(&log, &[("i-1", "scribe", shared.address)]).await;
+    apply_config(&log, &daemon, 2, &config_with_press(2)).await;
+    send_calls(&daemon, "plan", "before").await;
+    let listed = target_entry("press", shared.address, "ready", &["a1@1"]);
+    log.put("keyed.servers", "i-2", Some(&listed));
+    let service = "press".into();
+    let lists_press = || daemon.fleet().tables().catalog.ready(&service).count() == 1;
+    wait_for("the second target", async || lists_press()).await;
+    send_calls(&daemon, "print", "both").await;
+    send_calls(&daemon, "plan", "both").await;
+    log.put("keyed.servers", "i-1", None);
+    wait_for("the removal", async || daemon.fleet().is_leaving("i-1")).await;
+    let before = calls_of(&shared, "/plan/");
+    send_calls(&daemon, "plan", "after").await;
+    send_calls(&daemon, "print", "after").await;
+    assert_eq!(calls_of(&shared, "/plan/"), before);
+    assert_eq!(expected_targets(&shared, "/plan/"), ["i-1"]);
+    assert_eq!(expected_targets(&shared, "/print/"), ["i-2"]);
+    assert!(calls_of(&shared, "/print/") >= 8);
+}
+
+/// Guards against calls of the former service at a target that comes back under its id in another service.
+#[tokio::test]
+async fn a_target_that_changes_its_service_gets_the_calls_of_the_new_one_only() {
+    let log = KeyedLog::start().await.expect("a log");
+    let (moved, other) = (engine(Duration::ZERO).await, engine(Duration::ZERO).await);
+    let targets = [
+        ("i-1", "scribe", moved.address),
+        ("i-2", "scribe", other.address),
+    ];
+    let daemon = start_daemon(&log, &targets).await;
+    apply_config(&log, &daemon, 2, &config_with_press(2)).await;
+    send_calls(&daemon, "plan", "before").await;
+    let listed = target_entry("press", moved.address, "ready", &["a1@1"]);
+    log.put("keyed.servers", "i-1", Some(&listed));
+    let service = "press".into();
+    let lists_press = || daemon.fleet().tables().catalog.ready(&service).count() == 1;
+    wait_for("the change of the service", async || lists_press()).await;
+    let before = calls_of(&moved, "/plan/");
+    send_calls(&daemon, "plan", "after").await;
+    send_calls(&daemon, "print", "after").await;
+    assert_eq!(calls_of(&moved, "/plan/"), before);
+    assert_eq!(calls_of(&moved, "/print/"), 8);
+    assert_eq!(calls_of(&other, "/print/"), 0);
+}
