Test streams taken up after a kill of all VMs in a release

Reported: after a kill of all VMs while two software versions serve, or the old one has just left, streams that callers take up are joined from both.

Not reproduced.

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -27,6 +27,7 @@
 mod poison_parts;
 mod reach;
 mod record_exchange;
+mod rejoined_streams;
 mod reloads;
 mod restore_trials;
 mod restored_twins;
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -21,7 +21,7 @@
     time::{sleep, timeout},
 };
 
-const ZONES: [&str; 2] = ["hall", "yard"];
+pub const ZONES: [&str; 2] = ["hall", "yard"];
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 const LAST_EVENT: u32 = 6;
 
@@ -52,15 +52,15 @@
 }
 
 /// An engine of a software version.
-struct VersionedEngine {
-    name: String,
+pub struct VersionedEngine {
+    pub name: String,
     version: String,
     zone: &'static str,
     target: RawTarget,
 }
 
 impl VersionedEngine {
-    async fn start(name: &str, version: &str, zone: usize, breaks_after: Option<u32>) -> Self {
+    pub async fn start(name: &str, version: &str, zone: usize, breaks_after: Option<u32>) -> Self {
         let written = version.to_owned();
         let target =
             RawTarget::start(move |request| versioned_answer(request, &written, breaks_after));
@@ -72,7 +72,7 @@
         }
     }
 
-    fn list(&self, log: &KeyedLog, state: &str) {
+    pub fn list(&self, log: &KeyedLog, state: &str) {
         let entry = target_entry("scribe", self.target.address, state, &["a1@1"])
             .replace("\"hall\"", &format!("\"{}\"", self.zone))
             .replace("\"v1\"", &format!("\"{}\"", self.version));
@@ -89,7 +89,7 @@
 }
 
 /// Starts engines of each version, spread over the zones, and lists them.
-async fn start_engines(
+pub async fn start_engines(
     log: &KeyedLog,
     versions: &[&str],
     breaks_after: Option<u32>,
@@ -106,14 +106,14 @@
 }
 
 /// A VM that ends as by a kill when dropped.
-struct VmProcess {
+pub struct VmProcess {
     runtime: Option<Runtime>,
-    daemon: DirectDaemon,
+    pub daemon: DirectDaemon,
 }
 
 impl VmProcess {
     /// Starts a VM in the first of the fleet's zones.
-    async fn start_in_zones(
+    pub async fn start_in_zones(
         log: &KeyedLog,
         name: &str,
         zones: &[&str],
@@ -149,7 +149,7 @@
 }
 
 /// Starts VMs in both zones; returns once each serves calls and every zone has a holder of this start.
-async fn start_vms(log: &KeyedLog, names: &[&str], is_first_start: bool) -> Vec<VmProcess> {
+pub async fn start_vms(log: &KeyedLog, names: &[&str], is_first_start: bool) -> Vec<VmProcess> {
     let mut vms = Vec::new();
     for (number, name) in names.iter().enumerate() {
         let zone = ZONES[number % ZONES.len()];
@@ -216,38 +216,44 @@
 
 /// How callers' attempts to take streams up ended.
 #[derive(Debug, Default, PartialEq, Eq)]
-struct ResumeCounts {
+pub struct ResumeCounts {
     /// Continued at the version that began the stream.
-    same: usize,
+    pub same: usize,
     /// Continued at another version.
-    mixed: usize,
+    pub mixed: usize,
     /// Refused as not run.
-    refused: usize,
+    pub refused: usize,
     /// Ended in another way.
-    other: usize,
+    pub other: usize,
 }
 
 /// A stream that its caller left after two events.
-struct BegunStream {
-    id: String,
-    versions: Vec<String>,
+pub struct BegunStream {
+    pub id: String,
+    pub versions: Vec<String>,
 }
 
-async fn begin_streams(vm: &VmProcess, count: usize) -> Vec<BegunStream> {
+pub async fn begin_streams(vm: &VmProcess, count: usize) -> Vec<BegunStream> {
+    let streams = begin_named_streams(vm, "begun", count).await;
+    // What is sent to other VMs at the first event has arrived by then.
+    sleep(Duration::from_millis(100)).await;
+    streams
+}
+
+/// Begins streams whose ids start with `name`, and returns at once after their second events.
+pub async fn begin_named_streams(vm: &VmProcess, name: &str, count: usize) -> Vec<BegunStream> {
     let mut streams = Vec::new();
     for number in 0..count {
-        let id = format!("begun-{number}");
+        let id = format!("{name}-{number}");
         let text = begin_stream(vm.address(), &id).await;
         let versions = versions_in(&text);
         streams.push(BegunStream { id, versions });
     }
-    // What is sent to other VMs at the first event has arrived by then.
-    sleep(Duration::from_millis(100)).await;
     streams
 }
 
 /// Takes each stream up at a VM, naming the attempt that `named` gives.
-async fn take_up(
+pub async fn take_up(
     vm: &VmProcess,
     streams: &[BegunStream],
     named: impl Fn(&BegunStream) -> Option<String>,
@@ -273,7 +279,7 @@
     counts
 }
 
-fn all_same(streams: &[BegunStream]) -> ResumeCounts {
+pub fn all_same(streams: &[BegunStream]) -> ResumeCounts {
     ResumeCounts {
         same: streams.len(),
         ..ResumeCounts::default()
@@ -287,7 +293,7 @@
     }
 }
 
-fn its_attempt(stream: &BegunStream) -> Option<String> {
+pub fn its_attempt(stream: &BegunStream) -> Option<String> {
     Some(stream.id.clone())
 }
 
