Test answers without end in a tunnel, a resumed stream and an upload

Reported: bytes without end from a target take the memory of a VM, and its callers' requests end with it.

Not reproduced.

--- a/crates/daemon/tests/direct/unbounded.rs
+++ b/crates/daemon/tests/direct/unbounded.rs
@@ -10,13 +10,15 @@
 use hoplanding_standins::{
     endless_target::{EndlessForm, EndlessTarget},
     keyed_log::KeyedLog,
+    path_cuts::{PathCuts, PathState},
     raw_target::RawTarget,
 };
 use hoplandingd::direct::answer_buffers::{AnswerBuffers, BufferFault};
+use serde_json::{Value, json};
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -41,9 +43,12 @@
 
 impl DaemonProcess {
     async fn start(name: &str, log: &KeyedLog) -> Self {
+        Self::start_with(name, vm_settings_json("vm-1", log)).await
+    }
+
+    async fn start_with(name: &str, settings: Value) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let path = folder.join(format!("unbounded-{name}.json"));
-        let settings = vm_settings_json("vm-1", log);
         fs::write(&path, settings.to_string()).expect("the target folder is writable");
         let mut child = Command::new(env!("CARGO_BIN_EXE_hoplandingd"))
             .arg("--config")
@@ -98,6 +103,27 @@
     }
 }
 
+/// Sends this number of requests at once; returns how long they were held.
+async fn send_at_once(
+    daemon: &DaemonProcess,
+    count: usize,
+    request: impl Fn(&str) -> String,
+) -> Duration {
+    let begun = Instant::now();
+    let calls = (0..count).map(|call| {
+        let request = request(&format!("r{call}"));
+        async move { send_request(daemon.caller_address, &request).await }
+    });
+    let answers = join_all(calls).await;
+    let held = begun.elapsed();
+    assert!(held < MAX_HELD, "held for {held:?}");
+    for answer in &answers {
+        let is_refused = matches!(answer.status, 502 | 503);
+        assert!(is_refused || !answer.is_whole, "{}", answer.status);
+    }
+    held
+}
+
 /// Sends concurrent calls to targets of `service` that all answer in this form, then lists a good target and calls that.
 async fn play(form: EndlessForm, service: &str, path: &str) -> (DaemonProcess, usize) {
     let log = KeyedLog::start().await.expect("a log");
@@ -116,22 +142,10 @@
         answer.status != 503
     })
     .await;
-    let begun = Instant::now();
-    let calls = (0..CALLS).map(|call| {
-        let request = post_request(path, &format!("r{call}"), &model_headers("a1"));
-        async move { send_request(daemon.caller_address, &request).await }
-    });
-    let answers = join_all(calls).await;
-    let held = begun.elapsed();
-    assert!(held < MAX_HELD, "{form:?}: held for {held:?}");
-    for answer in &answers {
-        let is_refused = matches!(answer.status, 502 | 503);
-        assert!(
-            is_refused || !answer.is_whole,
-            "{form:?}: {}",
-            answer.status
-        );
-    }
+    let held = send_at_once(&daemon, CALLS, |id| {
+        post_request(path, id, &model_headers("a1"))
+    })
+    .await;
     let good = RawTarget::start(good_answer).await.expect("a target");
     let entry = target_entry("ledger", good.address, "ready", &[]);
     log.put("keyed.servers", "i-good", Some(&entry));
@@ -215,3 +229,102 @@
         assert!(daemon.count_lines(841) > 0, "{form:?}");
     }
 }
+
+/// Guards against a stream that goes on without end at the target that takes it over.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_are_resumed_at_endless_targets_do_not_take_the_memory_of_a_vm() {
+    for form in [EndlessForm::InterimHeads, EndlessForm::Body] {
+        let (daemon, _) = play(form, "scribe", "/resumed/1").await;
+        assert!(daemon.count_lines(841) > 0, "{form:?}");
+    }
+}
+
+/// Guards against answers without end that come while the body of the request is still being sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_that_answer_without_end_before_they_read_the_request_do_not_take_the_memory_of_a_vm()
+ {
+    const BODY_BYTES: usize = 4 << 20;
+    for form in [
+        EndlessForm::HeaderLines,
+        EndlessForm::Body,
+        EndlessForm::UnframedBody,
+    ] {
+        let log = KeyedLog::start().await.expect("a log");
+        let config = config_json(1).replace("100000", &BODY_BYTES.to_string());
+        log.put("keyed.op", "config", Some(&config));
+        let target = EndlessTarget::start(form).await.expect("a target");
+        let entry = target_entry("ledger", target.address, "ready", &[]);
+        log.put("keyed.servers", "i-1", Some(&entry));
+        let daemon = DaemonProcess::start(&format!("upload-{form:?}"), &log).await;
+        wait_for("a call that reaches the target", async || {
+            let request = post_request("/lookup/1", "first", "");
+            send_request(daemon.caller_address, &request).await.status == 502
+        })
+        .await;
+        let held = send_at_once(&daemon, 8, |id| {
+            let head = post_request("/lookup/1", id, "").replace(
+                "Content-Length: 4\r\n\r\nbody",
+                &format!("Content-Length: {BODY_BYTES}\r\n\r\n"),
+            );
+            head + &"x".repeat(BODY_BYTES)
+        })
+        .await;
+        let peak = daemon.peak_kb();
+        println!("upload {form:?}: held {held:?}, peak {peak} kB");
+        assert!(peak < MAX_RESIDENT_KB, "{form:?}: {peak} kB");
+    }
+}
+
+/// Guards against answers without end that pile up at a VM that forwards them, or at the one that receives them.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_end_through_a_tunnel_do_not_take_the_memory_of_either_vm() {
+    for form in [
+        EndlessForm::InterimHeads,
+        EndlessForm::Body,
+        EndlessForm::TinyChunks,
+    ] {
+        let log = KeyedLog::start().await.expect("a log");
+        log.put("keyed.op", "config", Some(&config_json(1)));
+        let cuts = Arc::new(PathCuts::default());
+        let mut targets = Vec::new();
+        for number in 0..ENDLESS_TARGETS {
+            let target = EndlessTarget::start_behind(&cuts, form).await;
+            let target = target.expect("a target");
+            let entry = target_entry("ledger", target.address, "ready", &[]);
+            log.put("keyed.servers", &format!("i-{number}"), Some(&entry));
+            targets.push(target);
+        }
+        // Their answers show whether there is a path to the zone.
+        let mut engines = Vec::new();
+        for name in ["e-1", "e-2"] {
+            let engine = RawTarget::start_behind(&cuts, good_answer).await;
+            let engine = engine.expect("an engine");
+            let entry = target_entry("scribe", engine.address, "ready", &["a1@1"]);
+            log.put("keyed.servers", name, Some(&entry));
+            engines.push(engine);
+        }
+        let start = async |vm: &str, source: &str| {
+            let mut settings = vm_settings_json(vm, &log);
+            settings["target_source_address"] = json!(source);
+            DaemonProcess::start_with(&format!("tunnel-{vm}-{form:?}"), settings).await
+        };
+        let helper = start("vm-2", "127.0.0.32").await;
+        let daemon = start("vm-1", "127.0.0.31").await;
+        let written = || targets.iter().map(EndlessTarget::written).sum::<usize>();
+        cuts.set(IpAddr::from([127, 0, 0, 31]), PathState::Hanging);
+        wait_for("a call through a tunnel", async || {
+            let request = post_request("/plan/1", "warm-up", &model_headers("a1"));
+            send_request(daemon.caller_address, &request).await.status == 200
+        })
+        .await;
+        let before = written();
+        let request = |id: &str| post_request("/lookup/1", id, "");
+        let held = send_at_once(&daemon, CALLS, request).await;
+        assert!(written() > before, "{form:?}: no call reached a target");
+        for (vm, process) in [("receives", &daemon), ("forwards", &helper)] {
+            let peak = process.peak_kb();
+            println!("tunnel {form:?}: held {held:?}, {vm}, peak {peak} kB");
+            assert!(peak < MAX_RESIDENT_KB, "{form:?}: {vm}, {peak} kB");
+        }
+    }
+}
--- a/crates/standins/src/endless_target.rs
+++ b/crates/standins/src/endless_target.rs
@@ -1,5 +1,6 @@
 //! A target that answers with bytes without end, until the other side closes the connection.
 
+use crate::path_cuts::PathCuts;
 use std::{
     io,
     net::SocketAddr,
@@ -88,15 +89,28 @@
     /// # Errors
     /// Returns the I/O error if no loopback port can be bound.
     pub async fn start(form: EndlessForm) -> io::Result<Self> {
+        Self::start_behind(&Arc::default(), form).await
+    }
+
+    /// Starts such a target behind paths that can be cut.
+    ///
+    /// # Errors
+    /// Returns the I/O error if no loopback port can be bound.
+    pub async fn start_behind(cuts: &Arc<PathCuts>, form: EndlessForm) -> io::Result<Self> {
+        let cuts = Arc::clone(cuts);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let written = Arc::new(AtomicUsize::new(0));
         let counter = Arc::clone(&written);
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let counter = Arc::clone(&counter);
-                // The other side closes the connection, which ends the answer with an error.
-                tokio::spawn(async move { drop(answer(stream, form, &counter).await) });
+            while let Ok((stream, vm)) = listener.accept().await {
+                let (counter, cuts) = (Arc::clone(&counter), Arc::clone(&cuts));
+                tokio::spawn(async move {
+                    if cuts.pass(vm.ip()).await.is_ok() {
+                        // The other side closes the connection, which ends the answer with an error.
+                        drop(answer(stream, form, &counter).await);
+                    }
+                });
             }
         });
         Ok(Self {
