Name the planned stop in the refusal of a call that waited

Cause: a call that waited for its placement until a planned stop refused it was logged like a call that no zone takes, so `hoplanding account` counted it under another cause; and the line of every other refusal had got the words by which account recognises a stop.

Change: such a call ends with the same line as one that is refused at its head.

Evidence: planned_stop.rs passes; account was not run on such a line before.

--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -388,10 +388,7 @@
             let placed = tokio::select! {
                 biased;
                 placed = timeout_at(self.deadline, self.place()) => placed,
-                after = send_window.closed() => {
-                    retry_after = after;
-                    break;
-                }
+                after = send_window.closed() => return self.give_up_in_stop(failure, after),
             };
             let Ok(placed) = placed else {
                 break;
@@ -448,10 +445,7 @@
                 }
                 // The target is leaving or requested a backoff, so the next placement avoids it.
                 SendOutcome::Withheld => {}
-                SendOutcome::TooLate(after) => {
-                    retry_after = after;
-                    break;
-                }
+                SendOutcome::TooLate(after) => return self.give_up_in_stop(failure, after),
                 SendOutcome::NotSent => {
                     if self.unreached > MAX_UNREACHED_TARGETS {
                         break;
@@ -467,6 +461,20 @@
         self.give_up(failure, retry_after)
     }
 
+    /// The answer of a call that is not sent, or not again, as it could not end before this VM does.
+    fn give_up_in_stop(
+        &mut self,
+        failure: Option<Response<AnswerBody>>,
+        retry_after: Duration,
+    ) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.give_up(failure, retry_after);
+        }
+        self.refund_charge();
+        self.is_counted = true;
+        refuse_in_stop(&self.context, &self.route, &self.head.id, retry_after)
+    }
+
     /// The answer of a call that is not sent again.
     fn give_up(
         &mut self,
@@ -495,14 +503,13 @@
             return failure;
         }
         if self.runs == 0 {
-            event!(Event::CallRefused, request = self.head.id; "route {} not run after {held:?}, retry after {retry_after:?}, fingerprint {:016x}, {} sends rejected, {} targets unreachable, tried {:?}, zones {:?}, this VM stops: {}",
+            event!(Event::CallRefused, request = self.head.id; "route {} not run after {held:?}, retry after {retry_after:?}, fingerprint {:016x}, {} sends rejected, {} targets unreachable, tried {:?}, zones {:?}",
                 self.route.name,
                 self.fingerprint.0,
                 self.rejected,
                 self.unreached,
                 self.tried,
-                self.refusals,
-                self.context.fleet.is_stopping()
+                self.refusals
             );
             self.refund_charge();
             self.count(RequestOutcome::Refused);
