Soak: callers that keep their connections through planned stops

The soak's callers left a VM at its signal and closed each connection after an answer, so nothing came to a VM that stops. PlannedStop judges requests sent up to 8 s after a signal, and also those of these callers that no target ran but that were left without an answer for over 0.2 s. A request whose deadline has come is not judged.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -32,6 +32,8 @@
 /// Pause of a caller between two attempts.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(150);
 
+/// Body of every request.
+pub const BODY: &str = "hi";
 /// Value that every caller sends in the headers reserved for the system.
 pub const FORGED: &str = "forged";
 /// Headers reserved for the system. The deadline is not among them: callers may set it, and the daemons replace it.
@@ -78,7 +80,8 @@
 }
 
 impl SoakCall {
-    fn request_text(&self) -> String {
+    /// Head of the request, up to its [`BODY`].
+    pub fn request_head(&self) -> String {
         let Self {
             id,
             kind,
@@ -116,7 +119,8 @@
             .map(|name| format!("{name}: {FORGED}\r\n"))
             .collect();
         format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{AUTHORIZATION}: Bearer {key}\r\n{model}{taken_up}{forged}Content-Length: 2\r\n\r\nhi"
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{REQUEST_ID}: {id}\r\n{DEADLINE}: {deadline}\r\n{AUTHORIZATION}: Bearer {key}\r\n{model}{taken_up}{forged}Content-Length: {}\r\n\r\n",
+            BODY.len()
         )
     }
 }
@@ -212,21 +216,40 @@
         id: call.id.clone(),
         key: call.key.clone(),
     });
-    let exchanged = timeout(call.patience, exchange(address, &call.request_text())).await;
+    let exchanged = timeout(
+        call.patience,
+        exchange(address, &(call.request_head() + BODY)),
+    )
+    .await;
     let is_closed = matches!(exchanged, Ok(Err(_) | Ok((CallAnswer::NoAnswer, _))));
     let (answer, body) = match exchanged {
         Ok(Ok(exchanged)) => exchanged,
         // The caller timed out, or the connection failed before an answer.
         Ok(Err(_)) | Err(_) => (CallAnswer::NoAnswer, String::new()),
     };
-    let received = ReceivedStream::parse(&body);
+    let is_complete = matches!(answer, CallAnswer::Complete(200..=299, _));
+    let received = record_answer(call, answer, &body, history);
+    match (is_complete, is_closed) {
+        (true, _) => AttemptEnd::Complete,
+        (false, true) if call.kind != CallKind::Resumable => AttemptEnd::Closed,
+        (false, _) => AttemptEnd::Incomplete(received),
+    }
+}
+
+/// Records the answer to a request; returns what was received of its stream.
+pub fn record_answer(
+    call: &SoakCall,
+    answer: CallAnswer,
+    body: &str,
+    history: &SharedHistory,
+) -> ReceivedStream {
+    let received = ReceivedStream::parse(body);
     if !received.software.is_empty() {
         history.record(HistoryEvent::EventsReceived {
             id: call.id.clone(),
             software: received.software.clone(),
         });
     }
-    let is_complete = matches!(answer, CallAnswer::Complete(200..=299, _));
     if let CallAnswer::Truncated(200..=299) = answer {
         history.record(HistoryEvent::PartReceived {
             id: call.id.clone(),
@@ -239,11 +262,7 @@
     };
     let id = call.id.clone();
     history.record(HistoryEvent::Answered { id, answer });
-    match (is_complete, is_closed) {
-        (true, _) => AttemptEnd::Complete,
-        (false, true) if call.kind != CallKind::Resumable => AttemptEnd::Closed,
-        (false, _) => AttemptEnd::Incomplete(received),
-    }
+    received
 }
 
 /// Probes a VM for the route of a configuration version. Returns the number of its daemon process and whether it has the
@@ -267,13 +286,36 @@
 async fn exchange(address: SocketAddr, text: &str) -> io::Result<(CallAnswer, String)> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(text.as_bytes()).await?;
+    let reply = read_reply(&mut stream).await?;
+    Ok((reply.answer, reply.body))
+}
+
+/// An answer as it arrived.
+pub struct CallerReply {
+    /// The answer.
+    pub answer: CallAnswer,
+    /// Its body, as far as it arrived.
+    pub body: String,
+    /// Whether the connection carries no further request.
+    pub is_last: bool,
+}
+
+/// Reads an answer.
+///
+/// # Errors
+/// The I/O error if the connection breaks before the head is complete.
+pub async fn read_reply(stream: &mut TcpStream) -> io::Result<CallerReply> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|end| end == b"\r\n\r\n") {
             break end;
         }
         if stream.read_buf(&mut bytes).await? == 0 {
-            return Ok((CallAnswer::NoAnswer, String::new()));
+            return Ok(CallerReply {
+                answer: CallAnswer::NoAnswer,
+                body: String::new(),
+                is_last: true,
+            });
         }
     };
     let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
@@ -284,13 +326,13 @@
         .and_then(|status| status.parse().ok())
         .unwrap_or(0);
     let (body, is_complete) = if head.contains("transfer-encoding: chunked") {
-        read_chunks(&mut stream, received).await
+        read_chunks(stream, received).await
     } else {
         let length = head
             .lines()
             .find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok())
             .unwrap_or(0);
-        read_length(&mut stream, received, length).await
+        read_length(stream, received, length).await
     };
     let body = String::from_utf8_lossy(&body).into_owned();
     let answer = if is_complete {
@@ -298,7 +340,11 @@
     } else {
         CallAnswer::Truncated(status)
     };
-    Ok((answer, body))
+    Ok(CallerReply {
+        answer,
+        body,
+        is_last: !is_complete || head.contains("connection: close"),
+    })
 }
 
 /// Reads a body of known length; returns it and whether it is complete.
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,6 +7,7 @@
     callers::{CALL_TIMEOUT, SKEWED_CALL_PREFIX, SKEWED_DEADLINE},
     history::{CallAnswer, CallKind, HistoryEvent, TimedEntry},
     organisations::{QUOTA_WINDOW, REVOCATION_BOUND, organisation_of, quota_limit},
+    resident_callers::RESIDENT_CALL_PREFIX,
     targets::{TargetRole, service_name},
 };
 use std::{
@@ -18,6 +19,10 @@
 
 /// Time without faults after which a VM counts as in contact (`contact_ms` of the requirements).
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+/// Time that a VM has for a planned stop.
+const STOP_GRACE: Duration = Duration::from_secs(8);
+/// Time after the end of a request within which its VM may close the connection as if it had not read it.
+const CLOSE_SLACK: Duration = Duration::from_millis(200);
 /// Time after which a draining target receives no new requests (`drain_ms` of the requirements).
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Retries allowed per request of a service; the daemons run with this setting.
@@ -993,8 +998,17 @@
             !is_overdue && matches!(answer, CallAnswer::Truncated(_) | CallAnswer::NoAnswer);
         let disturbances: Vec<_> = history
             .iter()
-            .filter(|entry| row.sent <= entry.at + CONTACT_WINDOW && entry.at <= at)
+            .filter(|entry| {
+                let is_signal = matches!(entry.event, HistoryEvent::StopSignalled { .. });
+                let window = if is_signal {
+                    STOP_GRACE
+                } else {
+                    CONTACT_WINDOW
+                };
+                row.sent <= entry.at + window && entry.at <= at
+            })
             .filter_map(|entry| match entry.event {
+                HistoryEvent::StopSignalled { vm } if vm == row.vm => Some(true),
                 HistoryEvent::VmDisturbed { vm, is_planned } if vm == row.vm => Some(is_planned),
                 HistoryEvent::SettingsReloaded { vm } if vm == row.vm => Some(true),
                 HistoryEvent::LogDisturbed => Some(false),
@@ -1008,7 +1022,11 @@
                 .runs
                 .iter()
                 .all(|run| !run.is_truncated && !crashed.contains(run.target));
-        if is_interrupted && only_planned && has_run && !is_path_lost {
+        // Other callers may have waited in the queue of new connections, whose requests the VM has not read.
+        let is_dropped = row.runs.is_empty()
+            && id.starts_with(RESIDENT_CALL_PREFIX)
+            && at - row.sent > CLOSE_SLACK;
+        if is_interrupted && only_planned && (has_run || is_dropped) && !is_path_lost {
             let description = format!(
                 "{id} was interrupted at {at:?} by the planned stop or the reload of VM {}",
                 row.vm
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -235,6 +235,8 @@
         self.record_disturbance(true);
         // As with a load balancer that is told of a planned stop: no new callers are sent to this VM.
         self.lock().is_ending = true;
+        self.history
+            .record(HistoryEvent::StopSignalled { vm: self.index });
         self.signal(Signal::SIGTERM);
         self.wait_for_exit().await;
         self.record_disturbance(true);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -257,6 +257,11 @@
     },
     /// A fault of the log started or ended.
     LogDisturbed,
+    /// A VM is told to stop as planned.
+    StopSignalled {
+        /// The VM.
+        vm: usize,
+    },
     /// Callers begin to send most new connections to one VM.
     SkewBegan {
         /// The VM.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`processor_limits`] | limits on the processor time of daemons |
 //! | [`fleet`] | VMs with their daemon processes |
 //! | [`callers`] | requests to the daemons and their outcomes |
+//! | [`resident_callers`] | callers that keep their connections |
 //! | [`run`] | a single run from start to outcome |
 //! | [`report`] | outcomes as text and as an HTML page |
 
@@ -26,6 +27,7 @@
 pub mod processor_limits;
 pub mod prompts;
 pub mod report;
+pub mod resident_callers;
 pub mod run;
 pub mod schedule;
 pub mod stream_text;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -77,6 +77,12 @@
         default = "0"
     )]
     silences: usize,
+    #[options(
+        no_short,
+        help = "callers at each VM that keep their connection until the process is gone, and send some bodies seconds after the heads",
+        default = "0"
+    )]
+    residents: usize,
     #[options(help = "number of availability zones", default = "2")]
     zones: usize,
     #[options(help = "number of VMs in each zone", default = "2")]
@@ -205,6 +211,7 @@
         deadly_part_count: args.deadly,
         skew_count: args.skews,
         silence_count: args.silences,
+        residents: args.residents,
         skew: SkewPlan {
             rate: args.skew_rate,
             share: args.skew_share,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
     history::{CallKind, HistoryEvent, SharedHistory, TimedEntry},
     organisations::{draw_key, rotated_key, tenant_configs},
     prompts::{self, prompt_parts},
+    resident_callers::ResidentCaller,
     schedule::{
         FaultKind, PlannedFault, config_losses, deadly_parts, extra_faults, path_losses,
         seeded_faults, skewed_connections, target_silences,
@@ -107,6 +108,8 @@
     pub skew_count: usize,
     /// Number of faults drawn from [`FaultKind::SILENCES`].
     pub silence_count: usize,
+    /// Number of callers at each VM that keep their connections.
+    pub residents: usize,
     /// Calls and processor time of a skew.
     pub skew: SkewPlan,
     /// Path of the daemon's executable.
@@ -118,10 +121,16 @@
 }
 
 impl RunPlan {
+    /// Time in which requests are sent.
+    #[must_use]
+    pub fn span(&self) -> Duration {
+        Duration::from_secs_f64(self.requests as f64 / self.rate)
+    }
+
     /// Faults to inject, ordered by time when they are drawn from the seed.
     #[must_use]
     pub fn schedule(&self) -> Vec<PlannedFault> {
-        let span = Duration::from_secs_f64(self.requests as f64 / self.rate);
+        let span = self.span();
         self.faults.clone().unwrap_or_else(|| {
             let mut faults = seeded_faults(self.seed, span, self.fault_count);
             faults.extend(extra_faults(self.seed, span, self.extra_fault_count));
@@ -240,6 +249,7 @@
             cluster.inject(&fault).await;
         });
     }
+    cluster.start_residents(plan, start, &mut work);
     cluster.send_calls(plan, start, &mut work).await;
     // A timeout is no error here: open calls appear in the history as calls without an answer.
     let _ = timeout(END_TIMEOUT, async {
@@ -502,6 +512,24 @@
         }
     }
 
+    /// Starts the callers that keep their connections, for the time of the run.
+    fn start_residents(&self, plan: &RunPlan, start: Instant, work: &mut JoinSet<()>) {
+        let end = start + plan.span();
+        for vm in &self.vms {
+            for number in 0..plan.residents {
+                let caller = ResidentCaller {
+                    vm: Arc::clone(vm),
+                    name: format!("resident-{}-{number}", vm.index),
+                    adapters: self.adapters,
+                    history: self.history.clone(),
+                    end,
+                };
+                let seed = plan.seed ^ ((vm.index as u64) << 32) ^ ((number as u64) << 16);
+                work.spawn(caller.run(StdRng::seed_from_u64(seed)));
+            }
+        }
+    }
+
     /// Sends requests with the deadly part to all VMs in turn, for three times the fault's duration.
     async fn send_deadly_requests(&self, fault: &PlannedFault) {
         let end = Instant::now() + 3 * fault.duration();
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -60,6 +60,7 @@
         deadly_part_count: 0,
         skew_count: 0,
         silence_count: 0,
+        residents: 0,
         skew: SkewPlan {
             rate: 400.0,
             share: 0.9,
@@ -319,6 +320,28 @@
     }
 }
 
+/// Guards against requests that a VM takes late in a planned stop and cuts, or leaves unanswered, at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stops_cut_no_request_of_callers_that_keep_their_connections() {
+    let mut plan = plan("residents", 600);
+    plan.rate = 20.0;
+    plan.residents = 16;
+    // Stops in series that overlap within a zone and between zones.
+    let stops = [
+        (1_000, 0),
+        (4_000, 2),
+        (10_000, 1),
+        (12_000, 3),
+        (19_500, 0),
+    ];
+    let stops = stops.map(|(at_ms, vm)| fault(at_ms, FaultKind::PlannedStop, vm, 300));
+    plan.faults = Some(stops.to_vec());
+    let outcome = run_soak(&plan).await.expect("the run executes");
+    let is_late = |entry: &&TimedEntry| matches!(&entry.event, HistoryEvent::Sent { id, .. } if id.starts_with("resident"));
+    assert!(outcome.history.iter().filter(is_late).count() > 300);
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+}
+
 async fn run_with_silences(seed: u64) -> RunOutcome {
     let mut plan = plan(&format!("silences-{seed}"), 360);
     plan.seed = seed;
