--- a/crates/daemon/tests/direct/planned_stop.rs
+++ b/crates/daemon/tests/direct/planned_stop.rs
@@ -2,13 +2,14 @@
 
 use crate::support::{
     Answer, config_json, good_answer, is_ready, model_headers, post_request, read_answer,
-    send_request, slow_engine, start_daemon, start_daemon_with, vm_settings, wait_for,
+    send_request, slow_engine, start_daemon, start_daemon_with, start_stream, vm_settings,
+    vm_settings_json, wait_for,
 };
 use hoplanding_standins::{
     keyed_log::KeyedLog,
     raw_target::{RawRequest, RawResponse, RawTarget},
 };
-use hoplandingd::direct::daemon::DirectDaemon;
+use hoplandingd::direct::{daemon::DirectDaemon, settings::DirectSettings};
 use serde_json::{Value, json};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -201,3 +202,19 @@
     assert!(retry_after(&refused) > Duration::from_millis(500));
     stopping.await.expect("the stop succeeds");
 }
+
+/// Guards against a stop by fixed times, which a platform with a shorter grace ends by force.
+#[tokio::test]
+async fn a_stop_ends_within_a_grace_of_two_seconds() {
+    let log = KeyedLog::start().await.expect("a log");
+    let engine = slow_engine(Duration::from_secs(1)).await;
+    let mut settings = vm_settings_json("vm-1", &log);
+    settings["pace"] = json!({ "list_every_ms": 30, "config_every_ms": 10, "stop_grace_s": 2 });
+    let settings = DirectSettings::parse(&settings.to_string()).expect("settings in order");
+    let targets = [("i-1", "scribe", engine.address)];
+    let daemon = start_daemon_with(settings, &log, &targets).await;
+    let _running = start_stream(daemon.caller_address, &engine).await;
+    let begun = Instant::now();
+    assert_eq!(daemon.stop().await, 1, "the stream takes longer");
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
