Share the start of VMs and the record of sent requests in tests

The set-up of rejoined_streams.rs repeated that of software_versions.rs, and the soak's resident callers repeated how a request is recorded. A bound on the longest duration of a call is gone: where it applied, the deadline comes after the end of the stop, and either value leaves no time.

Behaviour and assertions are unchanged.

--- a/crates/daemon/src/direct/call/stop_plan.rs
+++ b/crates/daemon/src/direct/call/stop_plan.rs
@@ -110,7 +110,7 @@
         };
         let left = window.time_to_send(&CallBounds {
             until_deadline,
-            longest: longest.min(until_deadline),
+            longest,
             is_repeatable: self.is_repeatable,
         });
         Some((left, window))
--- a/crates/daemon/tests/direct/rejoined_streams.rs
+++ b/crates/daemon/tests/direct/rejoined_streams.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     software_versions::{
-        BegunStream, ResumeCounts, VersionedEngine, VmProcess, ZONES, all_same,
-        begin_named_streams, begin_streams, its_attempt, start_engines, start_vms, take_up,
+        BegunStream, ResumeCounts, VersionedEngine, VmProcess, all_same, begin_named_streams,
+        begin_streams, its_attempt, start_engines, start_unready_vms, start_vms, take_up,
     },
     support::wait_for,
 };
@@ -16,17 +16,6 @@
 /// Time from the restart for which callers take streams up, again and again.
 const RETURN_TIME: Duration = Duration::from_secs(4);
 
-/// Starts one VM in each zone and returns before they know anything.
-async fn restart_vms(log: &KeyedLog) -> Vec<VmProcess> {
-    let mut vms = Vec::new();
-    for (name, zone) in ["vm-1", "vm-2"].iter().zip(ZONES) {
-        let mut zones = ZONES;
-        zones.sort_by_key(|other| *other != zone);
-        vms.push(VmProcess::start_in_zones(log, name, &zones, false).await);
-    }
-    vms
-}
-
 /// Begins streams at `v1`, and then while `v2` replaces it, and kills all VMs at once. Returns the streams, and the targets
 /// of `v2`.
 async fn play_release(log: &KeyedLog) -> (Vec<BegunStream>, Vec<VersionedEngine>) {
@@ -76,7 +65,7 @@
 async fn no_stream_is_joined_from_two_versions_after_a_kill_of_all_vms_in_a_release() {
     let log = KeyedLog::start().await.expect("a log");
     let (streams, _engines) = play_release(&log).await;
-    let vms = restart_vms(&log).await;
+    let vms = start_unready_vms(&log, &["vm-1", "vm-2"], false).await;
     let counts = take_up_for_long(&vms, &streams).await;
     assert_eq!((counts.mixed, counts.other), (0, 0), "{counts:?}");
 }
@@ -87,7 +76,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let (streams, _engines) = play_release(&log).await;
     log.set_faults(|faults| faults.refused_listings = vec![FLEET_TOPIC.to_owned()]);
-    let vms = restart_vms(&log).await;
+    let vms = start_unready_vms(&log, &["vm-1", "vm-2"], false).await;
     let unread = take_up_for_long(&vms, &streams).await;
     assert_eq!((unread.same, unread.mixed), (0, 0), "{unread:?}");
     log.set_faults(|faults| faults.refused_listings.clear());
@@ -107,7 +96,7 @@
     while is_record_of_both() {
         log.restore(&[(FLEET_TOPIC, 1)]);
     }
-    let vms = restart_vms(&log).await;
+    let vms = start_unready_vms(&log, &["vm-1", "vm-2"], false).await;
     let counts = take_up_for_long(&vms, &streams).await;
     assert_eq!((counts.mixed, counts.other), (0, 0), "{counts:?}");
 }
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -21,7 +21,7 @@
     time::{sleep, timeout},
 };
 
-pub const ZONES: [&str; 2] = ["hall", "yard"];
+const ZONES: [&str; 2] = ["hall", "yard"];
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 const LAST_EVENT: u32 = 6;
 
@@ -113,7 +113,7 @@
 
 impl VmProcess {
     /// Starts a VM in the first of the fleet's zones.
-    pub async fn start_in_zones(
+    async fn start_in_zones(
         log: &KeyedLog,
         name: &str,
         zones: &[&str],
@@ -148,8 +148,12 @@
     }
 }
 
-/// Starts VMs in both zones; returns once each serves calls and every zone has a holder of this start.
-pub async fn start_vms(log: &KeyedLog, names: &[&str], is_first_start: bool) -> Vec<VmProcess> {
+/// Starts VMs in both zones; returns before they know anything.
+pub async fn start_unready_vms(
+    log: &KeyedLog,
+    names: &[&str],
+    is_first_start: bool,
+) -> Vec<VmProcess> {
     let mut vms = Vec::new();
     for (number, name) in names.iter().enumerate() {
         let zone = ZONES[number % ZONES.len()];
@@ -157,6 +161,12 @@
         zones.sort_by_key(|other| *other != zone);
         vms.push(VmProcess::start_in_zones(log, name, &zones, is_first_start).await);
     }
+    vms
+}
+
+/// Starts VMs in both zones; returns once each serves calls and every zone has a holder of this start.
+pub async fn start_vms(log: &KeyedLog, names: &[&str], is_first_start: bool) -> Vec<VmProcess> {
+    let vms = start_unready_vms(log, names, is_first_start).await;
     for vm in &vms {
         wait_for("readiness and holders", async || {
             let incarnations: Vec<_> = vms.iter().map(|vm| vm.daemon.fleet().incarnation).collect();
--- a/crates/daemon/tests/direct/unbounded.rs
+++ b/crates/daemon/tests/direct/unbounded.rs
@@ -103,9 +103,10 @@
     }
 }
 
-/// Sends this number of requests at once; returns how long they were held.
+/// Sends this number of requests at once to targets that answer in this form; returns how long they were held.
 async fn send_at_once(
     daemon: &DaemonProcess,
+    form: EndlessForm,
     count: usize,
     request: impl Fn(&str) -> String,
 ) -> Duration {
@@ -116,10 +117,14 @@
     });
     let answers = join_all(calls).await;
     let held = begun.elapsed();
-    assert!(held < MAX_HELD, "held for {held:?}");
+    assert!(held < MAX_HELD, "{form:?}: held for {held:?}");
     for answer in &answers {
         let is_refused = matches!(answer.status, 502 | 503);
-        assert!(is_refused || !answer.is_whole, "{}", answer.status);
+        assert!(
+            is_refused || !answer.is_whole,
+            "{form:?}: {}",
+            answer.status
+        );
     }
     held
 }
@@ -142,7 +147,7 @@
         answer.status != 503
     })
     .await;
-    let held = send_at_once(&daemon, CALLS, |id| {
+    let held = send_at_once(&daemon, form, CALLS, |id| {
         post_request(path, id, &model_headers("a1"))
     })
     .await;
@@ -261,7 +266,7 @@
             send_request(daemon.caller_address, &request).await.status == 502
         })
         .await;
-        let held = send_at_once(&daemon, 8, |id| {
+        let held = send_at_once(&daemon, form, 8, |id| {
             let head = post_request("/lookup/1", id, "").replace(
                 "Content-Length: 4\r\n\r\nbody",
                 &format!("Content-Length: {BODY_BYTES}\r\n\r\n"),
@@ -319,7 +324,7 @@
         .await;
         let before = written();
         let request = |id: &str| post_request("/lookup/1", id, "");
-        let held = send_at_once(&daemon, CALLS, request).await;
+        let held = send_at_once(&daemon, form, CALLS, request).await;
         assert!(written() > before, "{form:?}: no call reached a target");
         for (vm, process) in [("receives", &daemon), ("forwards", &helper)] {
             let peak = process.peak_kb();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -206,16 +206,7 @@
             after: stream.last_event,
         });
     }
-    history.record(HistoryEvent::Sent {
-        id: call.id.clone(),
-        kind: call.kind,
-        vm,
-        adapter: call.adapter.clone(),
-    });
-    history.record(HistoryEvent::KeySent {
-        id: call.id.clone(),
-        key: call.key.clone(),
-    });
+    record_sent(call, vm, history);
     let exchanged = timeout(
         call.patience,
         exchange(address, &(call.request_head() + BODY)),
@@ -236,6 +227,20 @@
     }
 }
 
+/// Records that a request is sent to a VM.
+pub fn record_sent(call: &SoakCall, vm: usize, history: &SharedHistory) {
+    history.record(HistoryEvent::Sent {
+        id: call.id.clone(),
+        kind: call.kind,
+        vm,
+        adapter: call.adapter.clone(),
+    });
+    history.record(HistoryEvent::KeySent {
+        id: call.id.clone(),
+        key: call.key.clone(),
+    });
+}
+
 /// Records the answer to a request; returns what was received of its stream.
 pub fn record_answer(
     call: &SoakCall,
--- a/crates/soak/src/resident_callers.rs
+++ b/crates/soak/src/resident_callers.rs
@@ -2,9 +2,9 @@
 //! seconds after its head. Their requests may run only once.
 
 use crate::{
-    callers::{BODY, CALL_TIMEOUT, CallerReply, SoakCall, read_reply, record_answer},
+    callers::{BODY, CALL_TIMEOUT, CallerReply, SoakCall, read_reply, record_answer, record_sent},
     fleet::SoakVm,
-    history::{CallAnswer, CallKind, HistoryEvent, SharedHistory},
+    history::{CallAnswer, CallKind, SharedHistory},
     organisations::unlimited_key,
     prompts::prompt_parts,
 };
@@ -105,16 +105,7 @@
             if !delay.is_zero() && timeout(delay, stream.peek(&mut [0])).await.is_ok() {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            self.history.record(HistoryEvent::Sent {
-                id: call.id.clone(),
-                kind: call.kind,
-                vm: self.vm.index,
-                adapter: call.adapter.clone(),
-            });
-            self.history.record(HistoryEvent::KeySent {
-                id: call.id.clone(),
-                key: call.key.clone(),
-            });
+            record_sent(call, self.vm.index, &self.history);
             stream.write_all(BODY.as_bytes()).await
         };
         if io::Result::is_err(&sent.await) {
