--- a/review/stand-ins-2/tests/main.rs
+++ b/review/stand-ins-2/tests/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of the second review: `review-cases-2 CASE RECORD`, started at the repository's root. Exit codes: 1 if the
 //! rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod crashes;
 mod http;
 mod keys;
 mod limits;
@@ -18,6 +19,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = site::Record::create(record).and_then(|record| match case.as_str() {
+        "crashes" => crashes::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
         "fraction" => keys::run_fraction(&record, has_trouble),
         "limits" => limits::run(&record, has_trouble),
--- a/review/stand-ins-2/tests/site.rs
+++ b/review/stand-ins-2/tests/site.rs
@@ -1,15 +1,16 @@
 //! The parts of a small deployment: the record of a script, workers of a plain service, and the system's process as the
 //! platform starts it.
 
-use crate::http::{connect, read_head, read_message, serve, write_answer};
+use crate::http::{connect, read_head, read_message, write_answer};
 use std::collections::HashSet;
 use std::fs::{self, File};
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread::sleep;
+use std::thread::{JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
 /// Time within which a step of the set-up has to succeed.
@@ -40,73 +41,146 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// Report of an engine that holds its model and is idle.
+const REPORT: &str = r#"{"stage":"colocated","models":[{"name":"m0","version":1,"adapters":[]}],"utilization":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":131025,"handles":0}"#;
+
 #[derive(Default)]
 struct Slots {
     running: usize,
     waiting: usize,
 }
 
-/// A sound worker of a plain service.
+/// Slots of a worker, and a queue four times as long.
+#[derive(Default)]
+struct Places {
+    slots: Mutex<Slots>,
+    freed: Condvar,
+}
+
+impl Places {
+    /// Waits for a slot; returns false if too many wait.
+    fn take(&self, slots: usize) -> bool {
+        let mut state = self.slots.lock().expect("no thread panics with the lock");
+        if state.waiting >= 4 * slots {
+            return false;
+        }
+        state.waiting += 1;
+        while state.running >= slots {
+            state = self.freed.wait(state).expect("no thread panics with the lock");
+        }
+        state.waiting -= 1;
+        state.running += 1;
+        true
+    }
+
+    fn free(&self) {
+        self.slots.lock().expect("no thread panics with the lock").running -= 1;
+        self.freed.notify_one();
+    }
+}
+
+/// A sound worker of a plain service, which may crash.
 #[derive(Clone)]
 pub struct Worker {
     pub id: &'static str,
     pub address: SocketAddr,
     ran: Arc<Mutex<HashSet<String>>>,
+    /// Connections that it has accepted.
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    has_crashed: Arc<AtomicBool>,
+    /// Accepts connections until the worker has crashed.
+    acceptor: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
 
 impl Worker {
     /// Starts a worker with so many slots, which works on each request for `work`.
     pub fn start(id: &'static str, slots: usize, work: Duration, record: &Record) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let worker = Self { id, address: listener.local_addr()?, ran: Arc::default() };
+        Self::start_at(id, "127.0.0.1:0", slots, work, record)
+    }
+
+    /// Starts a worker at an address, as the next incarnation of one that has crashed there.
+    pub fn start_at(id: &'static str, address: &str, slots: usize, work: Duration, record: &Record) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let worker = Self {
+            id,
+            address: listener.local_addr()?,
+            ran: Arc::default(),
+            connections: Arc::default(),
+            has_crashed: Arc::default(),
+            acceptor: Arc::default(),
+        };
         let served = worker.clone();
         let record = record.clone();
-        let places = Arc::new((Mutex::new(Slots::default()), Condvar::new()));
-        serve(listener, move |stream| {
-            let mut writer = stream.try_clone()?;
-            let mut reader = BufReader::new(stream);
-            while let Some(request) = read_message(&mut reader)? {
-                let expected = request.header("hoplanding-expect-instance");
-                if expected.is_some_and(|expected| expected != served.id) {
-                    write_answer(&mut writer, "421 Misdirected Request", "", b"")?;
+        let places: Arc<Places> = Arc::default();
+        let acceptor = std::thread::spawn(move || {
+            while !served.has_crashed.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_millis(1));
                     continue;
-                }
-                if request.path() == "/health" {
-                    let headers = format!("Hoplanding-Instance-Id: {}\r\n", served.id);
-                    write_answer(&mut writer, "200 OK", &headers, b"")?;
+                };
+                let (Ok(kept), Ok(())) = (stream.try_clone(), stream.set_nonblocking(false)) else {
                     continue;
-                }
-                let id = request.header("hoplanding-request-id").unwrap_or_default().to_owned();
-                let (state, freed) = &*places;
-                let mut state = state.lock().expect("no thread panics with the lock");
-                if state.waiting >= 4 * slots {
-                    drop(state);
-                    let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Not-Executed: 1\r\n");
-                    write_answer(&mut writer, "503 Service Unavailable", &headers, b"")?;
-                    continue;
-                }
-                state.waiting += 1;
-                while state.running >= slots {
-                    state = freed.wait(state).expect("no thread panics with the lock");
-                }
-                state.waiting -= 1;
-                state.running += 1;
-                drop(state);
-                let tenant = request.header("hoplanding-tenant");
-                record.write(&format!("{} runs {id}: {} {} with {} bytes, tenant {tenant:?}", served.id, request.method(), request.target(), request.body.len()));
-                served.ran.lock().expect("no thread panics with the lock").insert(id.clone());
-                drop(request);
-                sleep(work);
-                places.0.lock().expect("no thread panics with the lock").running -= 1;
-                places.1.notify_one();
-                let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: seal.{id}\r\n");
-                write_answer(&mut writer, "200 OK", &headers, &[b'x'; 800])?;
+                };
+                served.connections.lock().expect("no thread panics with the lock").push(kept);
+                let (served, record, places) = (served.clone(), record.clone(), Arc::clone(&places));
+                std::thread::spawn(move || {
+                    let _ = stream.set_nodelay(true);
+                    let _ = served.serve_connection(stream, slots, work, &places, &record);
+                });
             }
-            Ok(())
         });
+        *worker.acceptor.lock().expect("no thread panics with the lock") = Some(acceptor);
         Ok(worker)
     }
 
+    /// Refuses new connections and ends all others, as the end of a process does.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        if let Some(acceptor) = self.acceptor.lock().expect("no thread panics with the lock").take() {
+            let _ = acceptor.join();
+        }
+        for connection in self.connections.lock().expect("no thread panics with the lock").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve_connection(&self, stream: TcpStream, slots: usize, work: Duration, places: &Places, record: &Record) -> io::Result<()> {
+        let mut writer = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_message(&mut reader)? {
+            let expected = request.header("hoplanding-expect-instance");
+            if expected.is_some_and(|expected| expected != self.id) {
+                write_answer(&mut writer, "421 Misdirected Request", "", b"")?;
+                continue;
+            }
+            if request.path() == "/health" {
+                let headers = format!("Hoplanding-Instance-Id: {}\r\n", self.id);
+                write_answer(&mut writer, "200 OK", &headers, b"")?;
+                continue;
+            }
+            if request.path() == "/hoplanding/report" {
+                write_answer(&mut writer, "200 OK", "Content-Type: application/json\r\n", REPORT.as_bytes())?;
+                continue;
+            }
+            let id = request.header("hoplanding-request-id").unwrap_or_default().to_owned();
+            if !places.take(slots) {
+                let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Not-Executed: 1\r\n");
+                write_answer(&mut writer, "503 Service Unavailable", &headers, b"")?;
+                continue;
+            }
+            let tenant = request.header("hoplanding-tenant");
+            record.write(&format!("{} runs {id}: {} {} with {} bytes, tenant {tenant:?}", self.id, request.method(), request.target(), request.body.len()));
+            self.ran.lock().expect("no thread panics with the lock").insert(id.clone());
+            drop(request);
+            sleep(work);
+            places.free();
+            let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: seal.{id}\r\n");
+            write_answer(&mut writer, "200 OK", &headers, &[b'x'; 800])?;
+        }
+        Ok(())
+    }
+
     pub fn has_run(&self, id: &str) -> bool {
         self.ran.lock().expect("no thread panics with the lock").contains(id)
     }
@@ -114,7 +188,7 @@
     /// The worker's entry in the store.
     pub fn entry(&self, service: &str, zone: &str, slots: usize) -> String {
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":0}}",
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"colocated\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\"sequence\":0}}",
             self.address
         )
     }
