--- a/review/stand-ins-2/tests/crashes.rs
+++ b/review/stand-ins-2/tests/crashes.rs
@@ -58,7 +58,9 @@
     let workers = ["i-1", "i-2", "i-3"].map(|id| start(id, "127.0.0.1:0"));
     let workers = workers.into_iter().collect::<io::Result<Vec<_>>>()?;
     // The engines of the zone, which go on.
-    for id in ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8", "e-9", "e-10", "e-11", "e-12"] {
+    for id in [
+        "e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8", "e-9", "e-10", "e-11", "e-12",
+    ] {
         let engine = Worker::start(id, 64, WORK, record)?;
         store.put("keyed.servers", id, &engine.entry("scribe", ZONE, 64));
     }
@@ -70,7 +72,10 @@
     record.write("version 8 is acknowledged, which adds the route of the page");
     sleep(Duration::from_secs(2));
     let step = Arc::new(AtomicU8::new(OPENING));
-    let (pages, scans) = (Arc::new(Mutex::new(Counts::default())), Arc::new(Mutex::new(Counts::default())));
+    let (pages, scans) = (
+        Arc::new(Mutex::new(Counts::default())),
+        Arc::new(Mutex::new(Counts::default())),
+    );
     let mut clients = Vec::new();
     for client in 0..READERS + WRITERS {
         let is_reader = client < READERS;
@@ -84,7 +89,10 @@
                 if sent_in == OVER {
                     break;
                 }
-                let id = format!("{}-{client}-{number}", if is_reader { "page" } else { "scan" });
+                let id = format!(
+                    "{}-{client}-{number}",
+                    if is_reader { "page" } else { "scan" }
+                );
                 record.write(&format!("client {client} sends {id}"));
                 let reply = if is_reader {
                     connection.send(&request("GET", "/board/today", &id, 1500, ""), b"")
@@ -107,7 +115,9 @@
         record.write("all workers crash");
         workers.iter().for_each(Worker::crash);
         sleep(LISTED);
-        ["i-1", "i-2", "i-3"].iter().for_each(|id| store.put("keyed.servers", id, ""));
+        ["i-1", "i-2", "i-3"]
+            .iter()
+            .for_each(|id| store.put("keyed.servers", id, ""));
         sleep(DOWN - LISTED);
         for (worker, id) in workers.iter().zip(["i-4", "i-5", "i-6"]) {
             back.push(start(id, &worker.address.to_string())?);
--- a/review/stand-ins-2/tests/http.rs
+++ b/review/stand-ins-2/tests/http.rs
@@ -34,7 +34,9 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
     }
 
     /// Status of an answer; 0 if it has none.
@@ -92,18 +94,34 @@
     }
     let first_line = first_line.trim_end().to_owned();
     let body = Vec::new();
-    Ok(Some(Message { first_line, headers, body }))
+    Ok(Some(Message {
+        first_line,
+        headers,
+        body,
+    }))
 }
 
 /// Writes an answer with a length.
-pub fn write_answer(stream: &mut impl Write, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+pub fn write_answer(
+    stream: &mut impl Write,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes)
 }
 
 /// Serves each connection with a thread of its own, until the process ends.
-pub fn serve(listener: TcpListener, handle: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handle: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static,
+) {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handle = handle.clone();
--- a/review/stand-ins-2/tests/keys.rs
+++ b/review/stand-ins-2/tests/keys.rs
@@ -41,7 +41,11 @@
         store.put("keyed.servers", id, &worker.entry("ledger", ZONE, 6));
         workers.push(worker);
     }
-    store.put("keyed.op", "config", &config(3, &tenant(r#""key-a","key-b""#, "40")));
+    store.put(
+        "keyed.op",
+        "config",
+        &config(3, &tenant(r#""key-a","key-b""#, "40")),
+    );
     let mut vm = Vm::start(store.address, "edge-1", ZONE, KEYED_SETTINGS)?;
     vm.wait_until_ready()?;
     sleep(Duration::from_secs(2));
@@ -49,7 +53,15 @@
 }
 
 /// Requests with a key, four a second for a time; returns the ids that a worker ran of those sent at `from` or later.
-fn ask(site: &KeyedSite, record: &Record, name: &str, path: &str, key: &str, from: Instant, span: Duration) -> Vec<String> {
+fn ask(
+    site: &KeyedSite,
+    record: &Record,
+    name: &str,
+    path: &str,
+    key: &str,
+    from: Instant,
+    span: Duration,
+) -> Vec<String> {
     let mut client = Client::new(site.vm.front);
     let mut run = Vec::new();
     let until = Instant::now() + span;
@@ -60,7 +72,13 @@
         let id = format!("{name}-{number}");
         let is_late = Instant::now() >= from;
         record.write(&format!("client sends {id}: GET {path} with {key}"));
-        let head = request("GET", path, &id, 3000, &format!("Authorization: Bearer {key}\r\n"));
+        let head = request(
+            "GET",
+            path,
+            &id,
+            3000,
+            &format!("Authorization: Bearer {key}\r\n"),
+        );
         let reply: Reply = client.send(&head, b"");
         record.write(&format!("client gets {reply:?} for {id}"));
         if is_late && site.workers.iter().any(|worker| worker.has_run(&id)) {
@@ -74,28 +92,75 @@
 /// A configuration that takes a key away also sets a tenant's rate to a number with a fraction.
 pub fn run_fraction(record: &Record, has_trouble: bool) -> io::Result<bool> {
     let site = start(record)?;
-    if ask(&site, record, "before", "/lookup/1", "key-b", Instant::now(), Duration::from_secs(2)).is_empty() {
+    if ask(
+        &site,
+        record,
+        "before",
+        "/lookup/1",
+        "key-b",
+        Instant::now(),
+        Duration::from_secs(2),
+    )
+    .is_empty()
+    {
         return Err(io::Error::other("no request was served before the change"));
     }
     let rate = if has_trouble { "37.5" } else { "37" };
-    site.store.put("keyed.op", "config", &config(8, &tenant(r#""key-a""#, rate)));
+    site.store.put(
+        "keyed.op",
+        "config",
+        &config(8, &tenant(r#""key-a""#, rate)),
+    );
     let acknowledged = Instant::now();
-    record.write(&format!("version 8 is acknowledged: key-b is taken away, rate_per_s {rate}"));
-    let late = ask(&site, record, "after", "/lookup/1", "key-b", acknowledged + REVOKE, Duration::from_secs(15));
+    record.write(&format!(
+        "version 8 is acknowledged: key-b is taken away, rate_per_s {rate}"
+    ));
+    let late = ask(
+        &site,
+        record,
+        "after",
+        "/lookup/1",
+        "key-b",
+        acknowledged + REVOKE,
+        Duration::from_secs(15),
+    );
     conclude(record, &late)
 }
 
 /// A key is taken away, and another was never held; both are used on a route that needs none.
 pub fn run_open_route(record: &Record, has_trouble: bool) -> io::Result<bool> {
     let site = start(record)?;
-    if ask(&site, record, "before", "/open/1", "key-b", Instant::now(), Duration::from_secs(2)).is_empty() {
+    if ask(
+        &site,
+        record,
+        "before",
+        "/open/1",
+        "key-b",
+        Instant::now(),
+        Duration::from_secs(2),
+    )
+    .is_empty()
+    {
         return Err(io::Error::other("no request was served before the change"));
     }
-    let keys = if has_trouble { r#""key-a""# } else { r#""key-a","key-b""# };
-    site.store.put("keyed.op", "config", &config(8, &tenant(keys, "40")));
+    let keys = if has_trouble {
+        r#""key-a""#
+    } else {
+        r#""key-a","key-b""#
+    };
+    site.store
+        .put("keyed.op", "config", &config(8, &tenant(keys, "40")));
     let acknowledged = Instant::now();
     record.write(&format!("version 8 is acknowledged, with the keys {keys}"));
-    let late = ask(&site, record, "after", "/open/1", "key-b", acknowledged + REVOKE, Duration::from_secs(15));
+    let late = ask(
+        &site,
+        record,
+        "after",
+        "/open/1",
+        "key-b",
+        acknowledged + REVOKE,
+        Duration::from_secs(15),
+    );
     if !has_trouble {
         record.write("key-b is still held");
         return Ok(false);
@@ -105,6 +170,9 @@
 
 fn conclude(record: &Record, late: &[String]) -> io::Result<bool> {
     record.write(&format!("requests with key-b sent more than {REVOKE:?} after the acknowledgement and run: {} {late:?}", late.len()));
-    println!("{} requests with a key that was taken away were run", late.len());
+    println!(
+        "{} requests with a key that was taken away were run",
+        late.len()
+    );
     Ok(!late.is_empty())
 }
--- a/review/stand-ins-2/tests/site.rs
+++ b/review/stand-ins-2/tests/site.rs
@@ -66,7 +66,10 @@
         }
         state.waiting += 1;
         while state.running >= slots {
-            state = self.freed.wait(state).expect("no thread panics with the lock");
+            state = self
+                .freed
+                .wait(state)
+                .expect("no thread panics with the lock");
         }
         state.waiting -= 1;
         state.running += 1;
@@ -74,7 +77,10 @@
     }
 
     fn free(&self) {
-        self.slots.lock().expect("no thread panics with the lock").running -= 1;
+        self.slots
+            .lock()
+            .expect("no thread panics with the lock")
+            .running -= 1;
         self.freed.notify_one();
     }
 }
@@ -94,12 +100,23 @@
 
 impl Worker {
     /// Starts a worker with so many slots, which works on each request for `work`.
-    pub fn start(id: &'static str, slots: usize, work: Duration, record: &Record) -> io::Result<Self> {
+    pub fn start(
+        id: &'static str,
+        slots: usize,
+        work: Duration,
+        record: &Record,
+    ) -> io::Result<Self> {
         Self::start_at(id, "127.0.0.1:0", slots, work, record)
     }
 
     /// Starts a worker at an address, as the next incarnation of one that has crashed there.
-    pub fn start_at(id: &'static str, address: &str, slots: usize, work: Duration, record: &Record) -> io::Result<Self> {
+    pub fn start_at(
+        id: &'static str,
+        address: &str,
+        slots: usize,
+        work: Duration,
+        record: &Record,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let worker = Self {
@@ -122,30 +139,55 @@
                 let (Ok(kept), Ok(())) = (stream.try_clone(), stream.set_nonblocking(false)) else {
                     continue;
                 };
-                served.connections.lock().expect("no thread panics with the lock").push(kept);
-                let (served, record, places) = (served.clone(), record.clone(), Arc::clone(&places));
+                served
+                    .connections
+                    .lock()
+                    .expect("no thread panics with the lock")
+                    .push(kept);
+                let (served, record, places) =
+                    (served.clone(), record.clone(), Arc::clone(&places));
                 std::thread::spawn(move || {
                     let _ = stream.set_nodelay(true);
                     let _ = served.serve_connection(stream, slots, work, &places, &record);
                 });
             }
         });
-        *worker.acceptor.lock().expect("no thread panics with the lock") = Some(acceptor);
+        *worker
+            .acceptor
+            .lock()
+            .expect("no thread panics with the lock") = Some(acceptor);
         Ok(worker)
     }
 
     /// Refuses new connections and ends all others, as the end of a process does.
     pub fn crash(&self) {
         self.has_crashed.store(true, Ordering::SeqCst);
-        if let Some(acceptor) = self.acceptor.lock().expect("no thread panics with the lock").take() {
+        if let Some(acceptor) = self
+            .acceptor
+            .lock()
+            .expect("no thread panics with the lock")
+            .take()
+        {
             let _ = acceptor.join();
         }
-        for connection in self.connections.lock().expect("no thread panics with the lock").drain(..) {
+        for connection in self
+            .connections
+            .lock()
+            .expect("no thread panics with the lock")
+            .drain(..)
+        {
             let _ = connection.shutdown(Shutdown::Both);
         }
     }
 
-    fn serve_connection(&self, stream: TcpStream, slots: usize, work: Duration, places: &Places, record: &Record) -> io::Result<()> {
+    fn serve_connection(
+        &self,
+        stream: TcpStream,
+        slots: usize,
+        work: Duration,
+        places: &Places,
+        record: &Record,
+    ) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader)? {
@@ -160,29 +202,51 @@
                 continue;
             }
             if request.path() == "/hoplanding/report" {
-                write_answer(&mut writer, "200 OK", "Content-Type: application/json\r\n", REPORT.as_bytes())?;
+                write_answer(
+                    &mut writer,
+                    "200 OK",
+                    "Content-Type: application/json\r\n",
+                    REPORT.as_bytes(),
+                )?;
                 continue;
             }
-            let id = request.header("hoplanding-request-id").unwrap_or_default().to_owned();
+            let id = request
+                .header("hoplanding-request-id")
+                .unwrap_or_default()
+                .to_owned();
             if !places.take(slots) {
-                let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Not-Executed: 1\r\n");
+                let headers =
+                    format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Not-Executed: 1\r\n");
                 write_answer(&mut writer, "503 Service Unavailable", &headers, b"")?;
                 continue;
             }
             let tenant = request.header("hoplanding-tenant");
-            record.write(&format!("{} runs {id}: {} {} with {} bytes, tenant {tenant:?}", self.id, request.method(), request.target(), request.body.len()));
-            self.ran.lock().expect("no thread panics with the lock").insert(id.clone());
+            record.write(&format!(
+                "{} runs {id}: {} {} with {} bytes, tenant {tenant:?}",
+                self.id,
+                request.method(),
+                request.target(),
+                request.body.len()
+            ));
+            self.ran
+                .lock()
+                .expect("no thread panics with the lock")
+                .insert(id.clone());
             drop(request);
             sleep(work);
             places.free();
-            let headers = format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: seal.{id}\r\n");
+            let headers =
+                format!("Hoplanding-Request-Id: {id}\r\nHoplanding-Server-Seal: seal.{id}\r\n");
             write_answer(&mut writer, "200 OK", &headers, &[b'x'; 800])?;
         }
         Ok(())
     }
 
     pub fn has_run(&self, id: &str) -> bool {
-        self.ran.lock().expect("no thread panics with the lock").contains(id)
+        self.ran
+            .lock()
+            .expect("no thread panics with the lock")
+            .contains(id)
     }
 
     /// The worker's entry in the store.
@@ -208,7 +272,12 @@
 impl Vm {
     /// Starts the process with the command of the deploy file. `extra` are further settings, each with a comma before it.
     pub fn start(store: SocketAddr, name: &str, zone: &str, extra: &str) -> io::Result<Self> {
-        let (front, readiness, peers, metrics) = (free_address()?, free_address()?, free_address()?, free_address()?);
+        let (front, readiness, peers, metrics) = (
+            free_address()?,
+            free_address()?,
+            free_address()?,
+            free_address()?,
+        );
         let settings = format!(
             r#"{{ "mode": "direct", "vm": "{name}", "zone": "{zone}", "cores": 0.25,
   "caller_address": "{front}", "ready_address": "{readiness}", "peer_address": "{peers}", "metrics_address": "{metrics}",
@@ -222,14 +291,23 @@
         fs::create_dir_all(&folder)?;
         let log = File::create(folder.join("log"))?;
         let child = spawn(&folder, &settings.replace("FIRST", "true"), &log)?;
-        Ok(Self { front, readiness, settings, folder, log, child })
+        Ok(Self {
+            front,
+            readiness,
+            settings,
+            folder,
+            log,
+            child,
+        })
     }
 
     pub fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let mut stream = connect(self.readiness)?;
             stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-            stream.write_all(b"GET /hoplanding/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
+            stream.write_all(
+                b"GET /hoplanding/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n",
+            )?;
             Ok(read_head(&mut BufReader::new(stream))?.map_or(0, |answer| answer.status()))
         };
         ask().is_ok_and(|status| status == 200)
@@ -249,9 +327,16 @@
 
     /// Memory of the process in bytes.
     pub fn memory(&self) -> usize {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = resident.and_then(|text| text.trim().trim_end_matches("kB").trim().parse::<usize>().ok());
+        let kilobytes = resident.and_then(|text| {
+            text.trim()
+                .trim_end_matches("kB")
+                .trim()
+                .parse::<usize>()
+                .ok()
+        });
         kilobytes.unwrap_or(0) * 1024
     }
 
@@ -262,7 +347,11 @@
 
     /// Starts the process again with the settings then current.
     pub fn restart(&mut self) -> io::Result<()> {
-        self.child = spawn(&self.folder, &self.settings.replace("FIRST", "false"), &self.log)?;
+        self.child = spawn(
+            &self.folder,
+            &self.settings.replace("FIRST", "false"),
+            &self.log,
+        )?;
         Ok(())
     }
 }
@@ -307,18 +396,32 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
+        Self {
+            address,
+            connection: None,
+        }
     }
 
     /// Sends a request, whose head is given without its last empty line, and reads the answer.
     pub fn send(&mut self, head: &str, body: &[u8]) -> Reply {
         let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
-        self.send_bytes(&[head.as_bytes(), body].concat(), usize::MAX, Duration::ZERO)
+        self.send_bytes(
+            &[head.as_bytes(), body].concat(),
+            usize::MAX,
+            Duration::ZERO,
+        )
     }
 
     /// Sends a request with its body in chunks of `size` bytes, and reads the answer. The bytes are written in `pieces` pieces,
     /// with a pause after each.
-    pub fn send_chunks(&mut self, head: &str, body: &[u8], size: usize, pieces: usize, pause: Duration) -> Reply {
+    pub fn send_chunks(
+        &mut self,
+        head: &str,
+        body: &[u8],
+        size: usize,
+        pieces: usize,
+        pause: Duration,
+    ) -> Reply {
         let mut bytes = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
         for chunk in body.chunks(size) {
             bytes.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
@@ -350,7 +453,12 @@
     }
 }
 
-fn exchange(connection: &mut BufReader<TcpStream>, bytes: &[u8], piece: usize, pause: Duration) -> io::Result<(u16, bool)> {
+fn exchange(
+    connection: &mut BufReader<TcpStream>,
+    bytes: &[u8],
+    piece: usize,
+    pause: Duration,
+) -> io::Result<(u16, bool)> {
     let stream = connection.get_mut();
     stream.set_read_timeout(Some(Duration::from_secs(20)))?;
     for piece in bytes.chunks(piece) {
@@ -358,11 +466,15 @@
         sleep(pause);
     }
     let answer = read_message(connection)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-    let closes = answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let closes = answer
+        .header("connection")
+        .is_some_and(|value| value.eq_ignore_ascii_case("close"));
     Ok((answer.status(), closes))
 }
 
 /// A request without a body.
 pub fn request(method: &str, path: &str, id: &str, deadline_ms: u32, headers: &str) -> String {
-    format!("{method} {path} HTTP/1.1\r\nHost: mill.example\r\nHoplanding-Request-Id: {id}\r\nHoplanding-Deadline-Ms: {deadline_ms}\r\n{headers}")
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: mill.example\r\nHoplanding-Request-Id: {id}\r\nHoplanding-Deadline-Ms: {deadline_ms}\r\n{headers}"
+    )
 }
--- a/review/stand-ins-2/tests/store.rs
+++ b/review/stand-ins-2/tests/store.rs
@@ -39,7 +39,11 @@
 
     /// Writes a record as the operator or a worker would; the return is the acknowledgement.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
-        let mut topics = self.log.topics.lock().expect("no thread panics with the lock");
+        let mut topics = self
+            .log
+            .topics
+            .lock()
+            .expect("no thread panics with the lock");
         let records = topics.entry(topic.to_owned()).or_default();
         records.push((key.to_owned(), value.as_bytes().to_vec()));
         self.log.changed.notify_all();
@@ -71,9 +75,14 @@
     let mut topics = log.topics.lock().expect("no thread panics with the lock");
     let records = topics.entry(topic).or_default();
     let end = records.len();
-    let expected = call.query("store_revision").and_then(|end| end.parse().ok());
+    let expected = call
+        .query("store_revision")
+        .and_then(|end| end.parse().ok());
     if expected.is_some_and(|expected: usize| expected != end) {
-        return ("412 Precondition Failed", format!("{{\"end\":{end}}}").into_bytes());
+        return (
+            "412 Precondition Failed",
+            format!("{{\"end\":{end}}}").into_bytes(),
+        );
     }
     let mut bytes = call.body.as_slice();
     while let Some((length, rest)) = bytes.split_first_chunk::<4>() {
@@ -88,13 +97,21 @@
 }
 
 fn read(log: &Log, topic: &str, call: &Message) -> (&'static str, Vec<u8>) {
-    let number = |name| call.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let number = |name| {
+        call.query(name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
     let from = number("from") as usize;
     let until = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
     let mut topics = log.topics.lock().expect("no thread panics with the lock");
     while topics.get(topic).map_or(0, Vec::len) <= from && Instant::now() < until {
         let left = until.saturating_duration_since(Instant::now());
-        topics = log.changed.wait_timeout(topics, left).expect("no thread panics with the lock").0;
+        topics = log
+            .changed
+            .wait_timeout(topics, left)
+            .expect("no thread panics with the lock")
+            .0;
     }
     let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
     let mut body = Vec::new();
@@ -118,14 +135,26 @@
         .enumerate()
         .map(|(offset, (key, value))| (key.as_str(), (offset, value.as_slice())))
         .collect();
-    let later: Vec<_> = newest.into_iter().filter(|(key, (_, value))| *key > after.as_str() && !value.is_empty()).collect();
+    let later: Vec<_> = newest
+        .into_iter()
+        .filter(|(key, (_, value))| *key > after.as_str() && !value.is_empty())
+        .collect();
     let items: Vec<_> = later
         .iter()
         .take(PAGE_ITEMS)
-        .map(|(key, (offset, value))| format!("{{\"private_key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value)))
+        .map(|(key, (offset, value))| {
+            format!(
+                "{{\"private_key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                base64(value)
+            )
+        })
         .collect();
     let has_more = later.len() > PAGE_ITEMS;
-    let page = format!("{{\"items\":[{}],\"has_more\":{has_more},\"end\":{}}}", items.join(","), records.len());
+    let page = format!(
+        "{{\"items\":[{}],\"has_more\":{has_more},\"end\":{}}}",
+        items.join(","),
+        records.len()
+    );
     ("200 OK", page.into_bytes())
 }
 
@@ -133,7 +162,10 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let bits = chunk
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for place in 0..4 {
             let sign = SIGNS[(bits >> (18 - 6 * place)) as usize & 63] as char;
             text.push(if place <= chunk.len() { sign } else { '=' });
--- a/review/stand-ins-2/tests/uploads.rs
+++ b/review/stand-ins-2/tests/uploads.rs
@@ -50,7 +50,11 @@
     let unanswered: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut clients = Vec::new();
     for client in 0..STEADY_CLIENTS {
-        let (record, is_over, unanswered) = (record.clone(), Arc::clone(&is_over), Arc::clone(&unanswered));
+        let (record, is_over, unanswered) = (
+            record.clone(),
+            Arc::clone(&is_over),
+            Arc::clone(&unanswered),
+        );
         clients.push(thread::spawn(move || {
             let mut connection = Client::new(front);
             for number in 0.. {
@@ -63,7 +67,10 @@
                 let reply = connection.send(&head, &[b's'; 600]);
                 record.write(&format!("client {client} gets {reply:?} for {id}"));
                 if let Reply::Closed(_) = reply {
-                    unanswered.lock().expect("no thread panics with the lock").push(id);
+                    unanswered
+                        .lock()
+                        .expect("no thread panics with the lock")
+                        .push(id);
                 }
                 sleep(Duration::from_millis(80));
             }
@@ -79,38 +86,61 @@
             // As the platform does with a process that goes over its memory.
             vm.kill();
             kills += 1;
-            record.write(&format!("the platform kills the process, which holds {memory} bytes"));
+            record.write(&format!(
+                "the platform kills the process, which holds {memory} bytes"
+            ));
             sleep(Duration::from_millis(300));
             vm.restart()?;
         }
-        if next_upload < UPLOADS && started.elapsed() > Duration::from_secs(2) + UPLOAD_GAP * next_upload as u32 {
+        if next_upload < UPLOADS
+            && started.elapsed() > Duration::from_secs(2) + UPLOAD_GAP * next_upload as u32
+        {
             let record = record.clone();
             let number = next_upload;
-            uploads.push(thread::spawn(move || upload(&record, front, number, has_trouble)));
+            uploads.push(thread::spawn(move || {
+                upload(&record, front, number, has_trouble)
+            }));
             next_upload += 1;
         }
         sleep(Duration::from_millis(10));
     }
     is_over.store(true, Ordering::Relaxed);
-    let served = uploads.into_iter().filter_map(|upload| upload.join().ok()).filter(|served| *served).count();
+    let served = uploads
+        .into_iter()
+        .filter_map(|upload| upload.join().ok())
+        .filter(|served| *served)
+        .count();
     clients.into_iter().for_each(|client| drop(client.join()));
     let unanswered = unanswered.lock().expect("no thread panics with the lock");
-    let lost: Vec<_> = unanswered.iter().filter(|id| workers.iter().any(|worker| worker.has_run(id))).collect();
+    let lost: Vec<_> = unanswered
+        .iter()
+        .filter(|id| workers.iter().any(|worker| worker.has_run(id)))
+        .collect();
     record.write(&format!(
         "killed {kills} times, at most {most} bytes of memory; {served} of {UPLOADS} uploads served; requests passed on to a worker whose kept connection ended without an answer: {} {lost:?}",
         lost.len()
     ));
-    println!("killed {kills} times, {} MB at most, {served} of {UPLOADS} uploads served, {} lost", most >> 20, lost.len());
+    println!(
+        "killed {kills} times, {} MB at most, {served} of {UPLOADS} uploads served, {} lost",
+        most >> 20,
+        lost.len()
+    );
     Ok(lost.len() > LOST_ALLOWED)
 }
 
 /// One upload, with one retry; returns whether it was served.
 fn upload(record: &Record, front: std::net::SocketAddr, number: usize, has_trouble: bool) -> bool {
     let body = vec![b'u'; BODY_BYTES];
-    let size = if has_trouble { SMALL_CHUNK } else { USUAL_CHUNK };
+    let size = if has_trouble {
+        SMALL_CHUNK
+    } else {
+        USUAL_CHUNK
+    };
     for attempt in 0..2 {
         let id = format!("draft-{number}-{attempt}");
-        record.write(&format!("uploader {number} sends {id}, {BODY_BYTES} bytes in chunks of {size}"));
+        record.write(&format!(
+            "uploader {number} sends {id}, {BODY_BYTES} bytes in chunks of {size}"
+        ));
         let head = request("POST", "/draft/1", &id, 15_000, "");
         let reply = Client::new(front).send_chunks(&head, &body, size, PIECES, PIECE_PAUSE);
         record.write(&format!("uploader {number} gets {reply:?} for {id}"));
