--- a/review/5/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/hoplandingd target/review-2/release/review-cases-2; do
     [ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review-2/release/review-cases-2 crashes "$folder/record.txt"
+exec target/review-2/release/review-cases-2 open-route "$folder/record.txt"
