--- a/review/stand-ins-2/tests/main.rs
+++ b/review/stand-ins-2/tests/main.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod site;
 mod store;
+mod streams;
 mod uploads;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = site::Record::create(record).and_then(|record| match case.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
+        "streams" => streams::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
         "fraction" => keys::run_fraction(&record, has_trouble),
         "open-route" => keys::run_open_route(&record, has_trouble),
