--- a/review/stand-ins-2/tests/keys.rs
+++ b/review/stand-ins-2/tests/keys.rs
@@ -127,7 +127,7 @@
     conclude(record, &late)
 }
 
-/// A key is taken away, and another was never held; both are used on a route that needs none.
+/// A key is taken away, and used on a route that needs none.
 pub fn run_open_route(record: &Record, has_trouble: bool) -> io::Result<bool> {
     let site = start(record)?;
     if ask(
@@ -162,7 +162,15 @@
         Duration::from_secs(15),
     );
     if !has_trouble {
-        record.write("key-b is still held");
+        let summary = format!(
+            "{} requests with a key that is still held were run",
+            late.len()
+        );
+        record.write(&summary);
+        println!("{summary}");
+        if late.is_empty() {
+            return Err(io::Error::other("no request was served"));
+        }
         return Ok(false);
     }
     conclude(record, &late)
--- a/review/stand-ins-2/tests/site.rs
+++ b/review/stand-ins-2/tests/site.rs
@@ -359,23 +359,25 @@
 impl Drop for Vm {
     fn drop(&mut self) {
         self.kill();
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
 fn spawn(folder: &std::path::Path, settings: &str, log: &File) -> io::Result<Child> {
     let file = folder.join("settings.json");
     fs::write(&file, settings)?;
-    Command::new("target/release/hoplandingd")
+    let child = Command::new("target/release/hoplandingd")
         .arg("--config")
         .arg(file)
         .env_clear()
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
         .stderr(log.try_clone()?)
-        .spawn()
+        .spawn()?;
+    let pids = std::env::temp_dir().join("pids");
+    let mut pids = File::options().create(true).append(true).open(pids)?;
+    writeln!(pids, "{}", child.id())?;
+    Ok(child)
 }
 
 /// Result of one client attempt.
