--- a/review/stand-ins-2/tests/site.rs
+++ b/review/stand-ins-2/tests/site.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::fs::{self, File};
 use std::io::{self, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -37,8 +37,10 @@
     }
 }
 
+/// A free port at a loopback address of this process alone, so that no other process takes it before it is used.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let [.., high, low] = std::process::id().to_be_bytes();
+    TcpListener::bind((Ipv4Addr::new(127, 1 + high % 200, low, 1), 0))?.local_addr()
 }
 
 /// Report of an engine that holds its model and is idle.
