Report the origins of earlier streams as soon as a release begins

Cause: while a service runs one version, a VM keeps the origins of its streams to itself. They were sent with the first event of the next stream that began at this VM, and by nothing else; a VM that begins none before its end takes them with it.

A worker now sends them when the VM learns of the second version or has no recent target list, repeats what no holder got, and the archive keeps what the log did not take. E872 tells how many streams were reported.

--- a/crates/core/src/direct/stream_origins.rs
+++ b/crates/core/src/direct/stream_origins.rs
@@ -2,14 +2,14 @@
 //!
 //! A caller whose stream broke takes it up with another call, at any VM, and names the attempt that received the first
 //! event. The stream may continue only at the software version that began it, so every VM remembers the version for the
-//! streams that it relayed. While a service runs several versions, VMs also send each other what they remember, so that
-//! the end of one VM does not lose it.
+//! streams that it relayed. From when a service runs several versions on, VMs also send each other what they remember, so
+//! that the end of one VM does not lose it.
 
 use crate::ids::{Instant, OrganisationName, ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::{
-    collections::{HashMap, VecDeque, hash_map::Entry},
+    collections::{BTreeMap, HashMap, VecDeque, hash_map::Entry},
     hash::{Hash, Hasher},
     time::Duration,
 };
@@ -61,15 +61,16 @@
     rows: HashMap<StreamKey, OriginRow>,
     /// Keys in the order of recording.
     order: VecDeque<StreamKey>,
-    /// Streams that this VM relayed and has not sent to others.
-    unsent: VecDeque<StreamKey>,
+    /// Streams that this VM relayed and has not sent to others, by service.
+    unsent: BTreeMap<ServiceName, VecDeque<StreamKey>>,
 }
 
 impl StreamOrigins {
-    /// Records a stream that this VM relays.
-    pub fn record_own(&mut self, origin: &StreamOrigin, now: Instant) {
+    /// Records a stream of a service that this VM relays.
+    pub fn record_own(&mut self, service: &ServiceName, origin: &StreamOrigin, now: Instant) {
         if self.record(origin, now) {
-            self.unsent.push_back(origin.key);
+            let unsent = self.unsent.entry(service.clone()).or_default();
+            unsent.push_back(origin.key);
         }
     }
 
@@ -104,11 +105,23 @@
         self.versions.get(row.version?)
     }
 
-    /// Takes up to `max_count` streams that have not been sent to other VMs.
-    pub fn take_unsent(&mut self, max_count: usize, now: Instant) -> Vec<StreamOrigin> {
+    /// Services with streams that have not been sent to other VMs.
+    pub fn unsent_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.unsent.keys()
+    }
+
+    /// Takes up to `max_count` streams of a service that have not been sent to other VMs, the oldest first.
+    pub fn take_unsent(
+        &mut self,
+        service: &ServiceName,
+        max_count: usize,
+        now: Instant,
+    ) -> Vec<StreamOrigin> {
         let mut taken = Vec::new();
         while taken.len() < max_count {
-            let Some(key) = self.unsent.pop_front() else {
+            let next = self.unsent.get_mut(service).and_then(VecDeque::pop_front);
+            let Some(key) = next else {
+                self.unsent.remove(service);
                 break;
             };
             if let Some(software) = self.software(key, now) {
@@ -119,6 +132,14 @@
         taken
     }
 
+    /// Takes back streams that could not be sent to any other VM.
+    pub fn return_unsent(&mut self, service: &ServiceName, origins: &[StreamOrigin]) {
+        let unsent = self.unsent.entry(service.clone()).or_default();
+        for origin in origins.iter().rev() {
+            unsent.push_front(origin.key);
+        }
+    }
+
     /// The newest streams that are known, for a VM that knows none of them.
     #[must_use]
     pub fn newest(&self, max_count: usize, now: Instant) -> Vec<StreamOrigin> {
@@ -155,12 +176,11 @@
             self.order.pop_front();
         }
         let rows = &self.rows;
-        while self
-            .unsent
-            .front()
-            .is_some_and(|key| !rows.contains_key(key))
-        {
-            self.unsent.pop_front();
-        }
+        self.unsent.retain(|_, unsent| {
+            while unsent.front().is_some_and(|key| !rows.contains_key(key)) {
+                unsent.pop_front();
+            }
+            !unsent.is_empty()
+        });
     }
 }
--- a/crates/core/tests/direct_streams.rs
+++ b/crates/core/tests/direct_streams.rs
@@ -37,7 +37,7 @@
 #[test]
 fn a_stream_key_of_two_software_versions_counts_as_unknown() {
     let mut origins = StreamOrigins::default();
-    origins.record_own(&origin("r1", "v1"), START);
+    origins.record_own(&service(), &origin("r1", "v1"), START);
     let key = origin("r1", "v1").key;
     assert_eq!(
         origins.software(key, START),
@@ -53,30 +53,49 @@
 #[test]
 fn stream_origins_expire_and_are_sent_once() {
     let mut origins = StreamOrigins::default();
-    origins.record_own(&origin("r1", "v1"), START);
+    origins.record_own(&service(), &origin("r1", "v1"), START);
     origins.record(&origin("r2", "v1"), START);
-    assert_eq!(origins.take_unsent(8, START), [origin("r1", "v1")]);
-    assert_eq!(origins.take_unsent(8, START), []);
+    assert_eq!(
+        origins.take_unsent(&service(), 8, START),
+        [origin("r1", "v1")]
+    );
+    assert_eq!(origins.take_unsent(&service(), 8, START), []);
     assert_eq!(
         origins.newest(8, START),
         [origin("r2", "v1"), origin("r1", "v1")]
     );
     let later = START.after(ORIGIN_TTL);
     assert_eq!(origins.software(origin("r1", "v1").key, later), None);
-    origins.record_own(&origin("r3", "v1"), later);
+    origins.record_own(&service(), &origin("r3", "v1"), later);
     assert_eq!(origins.newest(8, later), [origin("r3", "v1")]);
 }
 
+/// Origins that no other VM got are sent again, before later ones, and those of another service are left alone.
+#[test]
+fn stream_origins_that_were_not_sent_are_taken_again_in_order() {
+    let mut origins = StreamOrigins::default();
+    let other = ServiceName::new("ledger");
+    for id in ["r1", "r2", "r3"] {
+        origins.record_own(&service(), &origin(id, "v1"), START);
+    }
+    origins.record_own(&other, &origin("r4", "v1"), START);
+    let taken = origins.take_unsent(&service(), 2, START);
+    origins.return_unsent(&service(), &taken);
+    let all = ["r1", "r2", "r3"].map(|id| origin(id, "v1"));
+    assert_eq!(origins.take_unsent(&service(), 8, START), all);
+    assert_eq!(origins.unsent_services().collect::<Vec<_>>(), [&other]);
+}
+
 /// Memory is bounded whatever the rate of streams: the oldest origins make room.
 #[test]
 fn the_number_of_stream_origins_is_bounded() {
     let mut origins = StreamOrigins::default();
     for number in 0..70_000_u32 {
-        origins.record_own(&origin(&number.to_string(), "v1"), START);
+        origins.record_own(&service(), &origin(&number.to_string(), "v1"), START);
     }
     assert_eq!(origins.software(origin("0", "v1").key, START), None);
     assert!(origins.software(origin("69999", "v1").key, START).is_some());
-    assert!(origins.take_unsent(usize::MAX, START).len() <= 65_536);
+    assert!(origins.take_unsent(&service(), usize::MAX, START).len() <= 65_536);
 }
 
 /// A version counts until no stream that it began can be taken up any more, also if only the log's record names it.
--- a/crates/daemon/src/direct/call/stream_origin.rs
+++ b/crates/daemon/src/direct/call/stream_origin.rs
@@ -83,8 +83,8 @@
             };
             let fleet = &self.context.fleet;
             let unsent = fleet.record_own_stream(&self.service.name, &origin);
-            if !unsent.is_empty() {
-                self.context.holder_client.report_streams(&unsent);
+            if !unsent.is_empty() && !self.context.holder_client.report_streams(&unsent) {
+                fleet.return_unsent(&self.service.name, &unsent);
             }
         }
     }
--- a/crates/daemon/src/direct/daemon.rs
+++ b/crates/daemon/src/direct/daemon.rs
@@ -14,6 +14,7 @@
         holder_client::HolderClient,
         links::accept_peers,
         message::FeedTopic,
+        origin_reporter::OriginReporter,
         overload_control::OverloadControl,
         paths::{monitor::PathMonitor, tunnel_client::TunnelClient, tunnel_server::TunnelServer},
         probes::{metrics_response, readiness_response, serve_probes},
@@ -143,6 +144,8 @@
         tokio::spawn(recorder.run());
         let archive = StreamArchive::new(Arc::clone(&fleet), Arc::clone(&settings));
         tokio::spawn(archive.run());
+        let reporter = OriginReporter::new(Arc::clone(&fleet), Arc::clone(&holder_client));
+        tokio::spawn(reporter.run());
         serve_status(
             readiness_listener,
             metrics_listener,
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -52,7 +52,7 @@
 use siphasher::sip::SipHasher13;
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{
@@ -172,7 +172,7 @@
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
     /// Origins that this VM has to append to the log's archive.
-    pub(super) unarchived_streams: Vec<StreamOrigin>,
+    pub(super) unarchived_streams: VecDeque<StreamOrigin>,
     /// Whether the origins that the archive had at the start are known, or not needed.
     pub(super) is_archive_read: bool,
     /// Software versions that each service has run lately.
@@ -499,7 +499,7 @@
                 era_record: None,
                 suspects: SuspectTable::default(),
                 stream_origins: StreamOrigins::default(),
-                unarchived_streams: Vec::new(),
+                unarchived_streams: VecDeque::new(),
                 is_archive_read: false,
                 software: SoftwareHistory::default(),
                 limits: RateLimitTable::with_share(1.0 / f64::from(MIN_BUDGET_SHARES)),
--- a/crates/daemon/src/direct/holder_client.rs
+++ b/crates/daemon/src/direct/holder_client.rs
@@ -11,6 +11,7 @@
         holder_requests::{HolderNotice, HolderRequest},
         links::{LinkStatus, VmLink},
         message::{CallEnd, CompletedCall, VmMessage},
+        stream_records::MAX_SENT_ORIGINS,
         trials::TrialPermit,
         zone::{HolderReply, ReplySender, ZoneEvent},
     },
@@ -239,18 +240,21 @@
         }
     }
 
-    /// Sends origins of streams to the holders of all other zones.
-    pub fn report_streams(&self, origins: &[StreamOrigin]) {
+    /// Sends origins of streams to the holders of all zones. Returns whether there is any.
+    pub fn report_streams(&self, origins: &[StreamOrigin]) -> bool {
+        let mut is_reported = false;
         for zone in self.all_zones() {
             let Some(lease) = self.fleet.lease(&zone) else {
                 continue;
             };
-            if !self.is_mine(&lease)
-                && let Some(link) = self.link(&zone, &lease)
-            {
+            if self.is_mine(&lease) {
+                is_reported = true;
+            } else if let Some(link) = self.link(&zone, &lease) {
                 link.send_notice(VmMessage::StreamsBegan(origins.to_vec()));
+                is_reported = true;
             }
         }
+        is_reported
     }
 
     /// Reports the end of a trial to the holder that granted it. A success clears the suspicion and is reported to all holders.
@@ -427,10 +431,11 @@
             let suspects = tables.suspects.crashes(clock::now());
             let limits = tables.limits.advertised().map(VmMessage::TargetLimit);
             let origins = tables.mixed_stream_origins(clock::now());
+            let origins = origins.chunks(MAX_SENT_ORIGINS);
             suspects
                 .map(VmMessage::TargetCrashed)
                 .chain(limits)
-                .chain((!origins.is_empty()).then_some(VmMessage::StreamsBegan(origins)))
+                .chain(origins.map(|part| VmMessage::StreamsBegan(part.to_vec())))
                 .collect()
         };
         let opening = self
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -16,6 +16,7 @@
 //! | [`reachability`] | reachability of the log, shared by the readers of a VM |
 //! | [`eras`] | eras of the log, which change when it is restored from a copy |
 //! | [`recorder`] | records that this VM maintains in the log |
+//! | [`origin_reporter`] | sends the origins of earlier streams to the holders once they are needed |
 //! | [`stream_archive`] | the same in the log, for VMs that start after all have ended |
 //! | [`stream_records`] | which software versions began streams, as this VM, other VMs and the log know |
 //! | [`suspect_records`], [`trials`] | records and trials of requests during which targets crashed |
@@ -67,6 +68,7 @@
 pub mod message;
 pub mod metrics;
 pub mod notices;
+pub mod origin_reporter;
 pub mod overload_control;
 pub mod paths;
 pub mod probes;
--- a/crates/daemon/src/direct/stream_archive.rs
+++ b/crates/daemon/src/direct/stream_archive.rs
@@ -88,6 +88,7 @@
                 "origins of {} streams: {error}",
                 origins.len()
             );
+            self.fleet.return_unarchived_streams(&origins);
         }
     }
 
--- a/crates/daemon/src/direct/stream_records.rs
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -3,7 +3,8 @@
 //! A gateway remembers the version of each stream that it relays. The log has one record per service with the versions
 //! that may have begun streams; a VM with a recent target list that names only one needs to know nothing else. While a
 //! service runs several versions, or the target list is not recent, gateways also send what they remember to the holders
-//! of all zones, where any VM can ask for it.
+//! of all zones, where any VM can ask for it: what they remember from before when that begins, and each further stream with
+//! its first event.
 
 use crate::{
     clock,
@@ -19,14 +20,16 @@
     },
     ids::{AvailabilityZone, Instant, ServiceName, SoftwareVersion},
 };
-use std::{mem, time::Duration};
+use std::{collections::BTreeSet, mem, time::Duration};
 
 /// Age of this VM's view of the target list up to which it shows all software versions that may have begun streams.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
-/// Origins that wait to be archived; beyond that, they are not archived.
-const MAX_UNARCHIVED_ORIGINS: usize = 4_096;
+/// Origins that wait to be archived; beyond that, the oldest are not archived.
+const MAX_UNARCHIVED_ORIGINS: usize = 65_536;
 /// Maximum number of origins in one message.
-const MAX_SENT_ORIGINS: usize = 256;
+pub(super) const MAX_SENT_ORIGINS: usize = 256;
+/// Maximum number of origins that a VM is sent over a new link.
+const MAX_INITIAL_ORIGINS: usize = 4_096;
 
 /// A software record that has to be written.
 #[derive(Clone, Debug)]
@@ -79,11 +82,34 @@
     fn archive_streams(&mut self, fleet: &FleetState, origins: &[StreamOrigin]) {
         let state = self.leases.get(&fleet.zone);
         let is_holder = state.is_some_and(|state| state.holder() == Some(&fleet.vm));
-        if is_holder && self.unarchived_streams.len() < MAX_UNARCHIVED_ORIGINS {
-            self.unarchived_streams.extend_from_slice(origins);
+        if is_holder {
+            self.unarchived_streams.extend(origins.iter().cloned());
+            let waiting = self.unarchived_streams.len();
+            let excess = waiting.saturating_sub(MAX_UNARCHIVED_ORIGINS);
+            self.unarchived_streams.drain(..excess);
         }
     }
 
+    /// Takes origins of this VM's streams of a service that other VMs should know, as many as fit into one message; none
+    /// while the service is known to run a single version.
+    fn take_due_origins(
+        &mut self,
+        fleet: &FleetState,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<StreamOrigin> {
+        let is_sole_version_proven =
+            self.has_recent_list(&fleet.zone, now) && !self.runs_several_versions(service, now);
+        if is_sole_version_proven {
+            return Vec::new();
+        }
+        let origins = self
+            .stream_origins
+            .take_unsent(service, MAX_SENT_ORIGINS, now);
+        self.archive_streams(fleet, &origins);
+        origins
+    }
+
     /// Whether this VM has a complete and recent view of the target list and of the log's records, its own or from the VMs of
     /// its zone.
     fn has_recent_list(&self, zone: &AvailabilityZone, now: Instant) -> bool {
@@ -105,14 +131,17 @@
             .iter()
             .all(|topic| self.known_ends.contains_key(topic));
         let listed = self.catalog.iter().map(|entry| &entry.service);
-        let mut services = listed.chain(self.software.services());
-        are_known.then(|| services.any(|service| self.runs_several_versions(service, now)))
+        let services: BTreeSet<_> = listed.chain(self.software.services()).collect();
+        are_known.then(|| {
+            let mut services = services.into_iter();
+            services.any(|service| self.runs_several_versions(service, now))
+        })
     }
 
     /// Origins for a VM that knows none, if any service runs several software versions.
     pub(super) fn mixed_stream_origins(&self, now: Instant) -> Vec<StreamOrigin> {
         if self.runs_any_mixed_service(now) == Some(true) {
-            self.stream_origins.newest(MAX_SENT_ORIGINS, now)
+            self.stream_origins.newest(MAX_INITIAL_ORIGINS, now)
         } else {
             Vec::new()
         }
@@ -146,7 +175,35 @@
 
     /// Takes the origins that this VM has to append to the archive.
     pub(super) fn take_unarchived_streams(&self) -> Vec<StreamOrigin> {
-        mem::take(&mut self.tables().unarchived_streams)
+        mem::take(&mut self.tables().unarchived_streams).into()
+    }
+
+    /// Takes back origins that could not be appended to the archive.
+    pub(super) fn return_unarchived_streams(&self, origins: &[StreamOrigin]) {
+        let mut tables = self.tables();
+        let waiting = &mut tables.unarchived_streams;
+        let room = MAX_UNARCHIVED_ORIGINS.saturating_sub(waiting.len());
+        for origin in origins.iter().rev().take(room) {
+            waiting.push_front(origin.clone());
+        }
+    }
+
+    /// Services with streams of this VM that other VMs have not been told of.
+    pub(super) fn unsent_services(&self) -> Vec<ServiceName> {
+        let tables = self.tables();
+        tables.stream_origins.unsent_services().cloned().collect()
+    }
+
+    /// Takes origins of this VM's streams of a service that other VMs should know by now, as many as fit into one message.
+    pub(super) fn take_due_origins(&self, service: &ServiceName) -> Vec<StreamOrigin> {
+        let mut tables = self.tables();
+        tables.take_due_origins(self, service, clock::now())
+    }
+
+    /// Takes back origins that no other VM was sent.
+    pub(super) fn return_unsent(&self, service: &ServiceName, origins: &[StreamOrigin]) {
+        let mut tables = self.tables();
+        tables.stream_origins.return_unsent(service, origins);
     }
 
     /// Records that the archive was read, or that it is not needed.
@@ -168,15 +225,8 @@
     ) -> Vec<StreamOrigin> {
         let now = clock::now();
         let mut tables = self.tables();
-        tables.stream_origins.record_own(origin, now);
-        let is_sole_version_proven =
-            tables.has_recent_list(&self.zone, now) && !tables.runs_several_versions(service, now);
-        if is_sole_version_proven {
-            return Vec::new();
-        }
-        let unsent = tables.stream_origins.take_unsent(MAX_SENT_ORIGINS, now);
-        tables.archive_streams(self, &unsent);
-        unsent
+        tables.stream_origins.record_own(service, origin, now);
+        tables.take_due_origins(self, service, now)
     }
 
     /// Software version that began a stream, as far as this VM knows.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -210,6 +210,8 @@
     PlainPaceChanged = 870, Info, "pace of a target";
     /// The ends of calls of plain services were not reported.
     PlainCallsDropped = 871, Info, "calls without an end dropped";
+    /// The origins of streams that began earlier were sent to the holders.
+    OriginsReported = 872, Info, "origins of earlier streams reported";
     /// A target ended while a request ran on it.
     TargetEndedDuringRequest = 816, Info, "target ended under a request";
     /// The holder learned that a target ended while running a request.
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -28,6 +28,7 @@
 mod reach;
 mod record_exchange;
 mod rejoined_streams;
+mod releases;
 mod reloads;
 mod restore_trials;
 mod restored_twins;
--- a/crates/daemon/tests/direct/rejoined_streams.rs
+++ b/crates/daemon/tests/direct/rejoined_streams.rs
@@ -21,7 +21,7 @@
 async fn play_release(log: &KeyedLog) -> (Vec<BegunStream>, Vec<VersionedEngine>) {
     let engines = start_engines(log, &["v1"; 4], None).await;
     let vms = start_vms(log, &["vm-1", "vm-2"], true).await;
-    let mut streams = begin_streams(&vms[0], 6).await;
+    let mut streams = begin_streams(&vms[0], 6, "begun").await;
     wait_for("the record of v1", async || {
         let records = log.values(FLEET_TOPIC, "software/scribe");
         records.iter().any(|record| record.contains("v1"))
@@ -107,7 +107,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let _engines = start_engines(&log, &["v1", "v2", "v1", "v2"], None).await;
     let mut vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let mut streams = begin_streams(&vms[0], 6).await;
+    let mut streams = begin_streams(&vms[0], 6, "begun").await;
     for _ in 0..2 {
         // Two intervals of the archive, after which all origins are in the log.
         sleep(Duration::from_millis(1_100)).await;
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -186,7 +186,7 @@
     vms
 }
 
-fn holds_its_zone(vm: &VmProcess) -> bool {
+pub fn holds_its_zone(vm: &VmProcess) -> bool {
     let fleet = vm.daemon.fleet();
     let lease = fleet.lease(&fleet.zone);
     lease.is_some_and(|lease| lease.vm.as_ref() == Some(&fleet.vm))
@@ -243,8 +243,9 @@
     pub versions: Vec<String>,
 }
 
-pub async fn begin_streams(vm: &VmProcess, count: usize) -> Vec<BegunStream> {
-    let streams = begin_named_streams(vm, "begun", count).await;
+/// Begins streams whose ids start with `name`, and lets what is sent to other VMs arrive.
+pub async fn begin_streams(vm: &VmProcess, count: usize, name: &str) -> Vec<BegunStream> {
+    let streams = begin_named_streams(vm, name, count).await;
     // What is sent to other VMs at the first event has arrived by then.
     sleep(Duration::from_millis(100)).await;
     streams
@@ -332,7 +333,7 @@
     let versions = ["v1", "v2", "v1", "v2", "v1", "v2"];
     let engines = start_engines(&log, &versions, None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 12).await;
+    let streams = begin_streams(&vms[0], 12, "begun").await;
     for version in ["v1", "v2"] {
         let own = engines.iter().filter(|engine| engine.version == version);
         let busiest = own.max_by_key(|engine| engine.run_ids().len());
@@ -354,7 +355,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let engines = start_engines(&log, &["v1", "v1", "v1", "v1"], None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 8).await;
+    let streams = begin_streams(&vms[0], 8, "begun").await;
     let mut later = Vec::new();
     for number in 0..4 {
         let name = format!("f-{number}");
@@ -389,7 +390,7 @@
     let versions = ["v1", "v2", "v1", "v2"];
     let _engines = start_engines(&log, &versions, None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 12).await;
+    let streams = begin_streams(&vms[0], 12, "begun").await;
     drop(vms);
     let vms = start_vms(&log, &["vm-1", "vm-2"], false).await;
     for vm in &vms {
@@ -404,7 +405,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let _engines = start_engines(&log, &["v1", "v2", "v1", "v2"], None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 8).await;
+    let streams = begin_streams(&vms[0], 8, "begun").await;
     // Two intervals of the archive, after which all origins are in the log.
     sleep(Duration::from_millis(1_100)).await;
     drop(vms);
@@ -427,7 +428,7 @@
     let mut vms = start_vms(&log, &["vm-1", "vm-2", "vm-3", "vm-4"], true).await;
     let killed = vms.iter().position(|vm| !holds_its_zone(vm));
     let killed = vms.remove(killed.expect("a VM that holds no zone"));
-    let streams = begin_streams(&killed, 12).await;
+    let streams = begin_streams(&killed, 12, "begun").await;
     drop(killed);
     for vm in &vms {
         let counts = take_up(vm, &streams, its_attempt).await;
@@ -448,7 +449,7 @@
     let holder = start("vm-1").await;
     wait_for("a lease", async || holds_its_zone(&holder)).await;
     let other = start("vm-2").await;
-    let streams = begin_streams(&holder, 6).await;
+    let streams = begin_streams(&holder, 6, "begun").await;
     // Two intervals of the archive, after which all origins are in the log.
     sleep(Duration::from_millis(1_100)).await;
     drop(holder);
@@ -472,7 +473,7 @@
     .await;
     let killed = vms.iter().position(|vm| !holds_its_zone(vm));
     let killed = vms.remove(killed.expect("a VM that holds no zone"));
-    let streams = begin_streams(&killed, 6).await;
+    let streams = begin_streams(&killed, 6, "begun").await;
     drop(killed);
     for vm in &vms {
         let counts = take_up(vm, &streams, its_attempt).await;
@@ -486,7 +487,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let _engines = start_engines(&log, &["v1", "v1", "v1", "v1"], None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 6).await;
+    let streams = begin_streams(&vms[0], 6, "begun").await;
     drop(vms);
     let vms = start_vms(&log, &["vm-1", "vm-2"], false).await;
     assert_eq!(
@@ -505,7 +506,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let engines = start_engines(&log, &["v1", "v1", "v1", "v1"], None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 6).await;
+    let streams = begin_streams(&vms[0], 6, "begun").await;
     wait_for("the record of v1", async || {
         let records = log.values("keyed.fleet", "software/scribe");
         records.iter().any(|record| record.contains("v1"))
@@ -533,7 +534,7 @@
     let log = KeyedLog::start().await.expect("a log");
     let _engines = start_engines(&log, &["v1", "v2", "v1", "v2"], None).await;
     let vms = start_vms(&log, &["vm-1", "vm-2"], true).await;
-    let streams = begin_streams(&vms[0], 4).await;
+    let streams = begin_streams(&vms[0], 4, "begun").await;
     let unnamed = take_up(&vms[1], &streams, |_| None).await;
     assert_eq!(unnamed, all_refused(&streams));
     let unknown = take_up(&vms[1], &streams, |_| Some("nobody".to_owned())).await;
