Revoke keys whatever else their configuration holds

Quotas may have fractions now, exactly over shares, leases and refunds (a charge carries whole units for earlier builds and the rounding in a field of its own). Of a configuration that can't be used, the version and the keys still count: keys that it does not name are revoked (E304). Where not even these can be read, no read proves that keys are current (E305), so calls with a key get 503 from the bound on.

--- a/crates/core/src/direct/organisations.rs
+++ b/crates/core/src/direct/organisations.rs
@@ -8,7 +8,11 @@
     direct::{config::RouteRule, quotas::QuotaRule},
     ids::OrganisationName,
 };
-use std::{collections::HashMap, fmt, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    sync::Arc,
+};
 
 /// Secret by which a caller authenticates for an organisation.
 #[derive(Clone, PartialEq, Eq, Hash)]
@@ -102,6 +106,14 @@
         Ok(())
     }
 
+    /// Revokes the keys that a newer configuration does not name for the same organisation. Returns their number.
+    pub fn revoke_missing(&mut self, list: &KeyList) -> usize {
+        let known = self.by_key.len();
+        self.by_key
+            .retain(|key, organisation| list.names(key, &organisation.name));
+        known - self.by_key.len()
+    }
+
     /// Organisations that have a quota, with the quota.
     pub fn quotas(&self) -> impl Iterator<Item = (&OrganisationName, &QuotaRule)> {
         let organisations = self.by_name.iter();
@@ -121,6 +133,33 @@
     }
 }
 
+/// Keys that a configuration names, with their organisations. It is known even if another part of the configuration can't
+/// be used.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeyList {
+    owners: HashMap<ApiKey, HashSet<OrganisationName>>,
+}
+
+impl KeyList {
+    /// Builds the list from the names of organisations and their keys.
+    #[must_use]
+    pub fn new(organisations: impl IntoIterator<Item = (OrganisationName, Vec<String>)>) -> Self {
+        let mut list = Self::default();
+        for (name, keys) in organisations {
+            for key in &keys {
+                let owners = list.owners.entry(ApiKey::new(key)).or_default();
+                owners.insert(name.clone());
+            }
+        }
+        list
+    }
+
+    fn names(&self, key: &ApiKey, organisation: &OrganisationName) -> bool {
+        let owners = self.owners.get(key);
+        owners.is_some_and(|owners| owners.contains(organisation))
+    }
+}
+
 /// API key in the headers of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum PresentedKey {
--- a/crates/core/src/direct/quotas.rs
+++ b/crates/core/src/direct/quotas.rs
@@ -40,39 +40,43 @@
 /// Bounds of the time after which a caller beyond its quota should retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Fractions of charges are exact to a millionth of a unit.
+const MILLION: f64 = 1e6;
 /// Time after which the bucket of an organisation that is no longer configured is dropped; longer than any window.
 const BUCKET_TTL: Duration = Duration::from_secs(600);
 
 /// Unit that a quota counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaUnit {
     /// Requests.
     Requests,
     /// Input and output tokens.
     Tokens {
         /// Tokens charged for a request that does not state its number of tokens.
-        default_tokens: u64,
+        default_tokens: f64,
     },
 }
 
-/// Quota of an organisation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Quota of an organisation. Its numbers may have fractions.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRule {
     /// Unit of the rate and of the burst.
     pub unit: QuotaUnit,
     /// Units per second.
-    pub per_s: u64,
+    pub per_s: f64,
     /// Units allowed in addition to the rate.
-    pub burst: u64,
+    pub burst: f64,
 }
 
 impl QuotaRule {
     /// Units of a request; `tokens` is the number of tokens it states, if any.
     #[must_use]
-    pub fn cost(&self, tokens: Option<u64>) -> u64 {
+    pub fn cost(&self, tokens: Option<u64>) -> f64 {
         match self.unit {
-            QuotaUnit::Requests => 1,
-            QuotaUnit::Tokens { default_tokens } => tokens.unwrap_or(default_tokens),
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens { default_tokens } => {
+                tokens.map_or(default_tokens, |tokens| tokens as f64)
+            }
         }
     }
 }
@@ -93,8 +97,11 @@
 pub struct QuotaCharge {
     /// Organisation that is charged.
     pub organisation: OrganisationName,
-    /// Units charged.
+    /// Units charged, rounded up. Holders of builds without the next field charge these.
     pub units: u64,
+    /// What the rounding added, in millionths of a unit.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rounding_millionths: u32,
     /// Rank of the call's route; 0 is the most urgent.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub rank: u8,
@@ -118,11 +125,28 @@
         Self {
             organisation,
             units,
+            rounding_millionths: 0,
             rank: 0,
             fingerprint: None,
             return_within_ms: 0,
         }
     }
+
+    /// A charge of units that may have a fraction, of the most urgent rank, without a return time.
+    #[must_use]
+    pub fn fractional(organisation: OrganisationName, units: f64) -> Self {
+        let whole = units.ceil();
+        Self {
+            rounding_millionths: ((whole - units) * MILLION).round() as u32,
+            ..Self::new(organisation, whole as u64)
+        }
+    }
+
+    /// Units charged, with their fraction.
+    #[must_use]
+    pub fn exact_units(&self) -> f64 {
+        self.units as f64 - f64::from(self.rounding_millionths) / MILLION
+    }
 }
 
 /// Initial level of buckets.
@@ -217,8 +241,8 @@
     /// Units that may be granted; negative for a debt.
     level: f64,
     filled_at: Instant,
-    granted: u64,
-    refused: u64,
+    granted: f64,
+    refused: f64,
     reserve: RankReserve,
     returns: ReturnSchedule,
 }
@@ -241,7 +265,7 @@
         let reserved = self
             .reserve
             .reserved_units(charge.rank, rule.urgent_reserve, now);
-        let room = self.share.capacity + self.share.debt - charge.units as f64;
+        let room = self.share.capacity + self.share.debt - charge.exact_units();
         reserved.min(room.max(0.0))
     }
 
@@ -269,7 +293,7 @@
         now: Instant,
     ) -> bool {
         let fingerprint = charge.fingerprint.unwrap_or_default();
-        let units = charge.units as f64;
+        let units = charge.exact_units();
         if self.returns.is_returning(fingerprint, charge.rank, now) {
             return true;
         }
@@ -292,7 +316,7 @@
         let request = ReturnRequest {
             fingerprint: charge.fingerprint.unwrap_or_default(),
             rank: charge.rank,
-            units: charge.units as f64,
+            units: charge.exact_units(),
             within: Duration::from_millis(u64::from(charge.return_within_ms)),
         };
         let capacity = self.rank_capacity(charge, rule, role, now);
@@ -350,7 +374,7 @@
 
     fn share(&self, rule: &QuotaRule) -> QuotaShare {
         let shares = f64::from(self.shares);
-        let (per_s, burst) = (rule.per_s as f64, rule.burst as f64);
+        let QuotaRule { per_s, burst, .. } = *rule;
         let quota = per_s * self.bounds.window.as_secs_f64() + burst;
         let tolerance = quota * self.bounds.tolerance_ratio + self.bounds.tolerance_units;
         QuotaShare {
@@ -377,8 +401,8 @@
                 share,
                 level: initial_level,
                 filled_at: now,
-                granted: 0,
-                refused: 0,
+                granted: 0.0,
+                refused: 0.0,
                 reserve: RankReserve::default(),
                 returns: ReturnSchedule::default(),
             });
@@ -401,7 +425,7 @@
         };
         bucket.fill(&self.tenure, now);
         let role = self.tenure.role(now);
-        let units = charge.units as f64;
+        let units = charge.exact_units();
         let return_rule = self.return_rule.filter(|_| role != HolderRole::Inactive);
         if return_rule.is_some() {
             bucket.returns.expire(now);
@@ -412,7 +436,7 @@
         let is_payable = shortfall <= 0.0 && role != HolderRole::Inactive;
         if is_payable && return_rule.is_none_or(|rule| bucket.is_next(charge, &rule, role, now)) {
             bucket.level -= units;
-            bucket.granted += charge.units;
+            bucket.granted += units;
             if return_rule.is_some() {
                 bucket.reserve.record_charged(charge.rank, units);
                 let fingerprint = charge.fingerprint.unwrap_or_default();
@@ -422,12 +446,12 @@
         }
         // The request for a return time repeats a charge that was refused and counted already.
         if charge.return_within_ms == 0 {
-            bucket.refused += charge.units;
+            bucket.refused += units;
         }
         if let Some(rule) = return_rule {
             return Err(bucket.return_time(charge, &rule, role, now));
         }
-        let wait = shortfall / bucket.share.per_s.max(1.0);
+        let wait = shortfall / bucket.share.per_s.max(f64::MIN_POSITIVE);
         let wait = Duration::from_secs_f64(wait.clamp(0.0, MAX_RETRY_AFTER.as_secs_f64()));
         Err(wait.max(MIN_RETRY_AFTER))
     }
@@ -436,10 +460,10 @@
     pub fn refund(&mut self, charge: &QuotaCharge, now: Instant) {
         if let Some(bucket) = self.buckets.get_mut(&charge.organisation) {
             bucket.fill(&self.tenure, now);
-            bucket.level = (bucket.level + charge.units as f64).min(bucket.share.capacity);
-            bucket.granted = bucket.granted.saturating_sub(charge.units);
+            bucket.level = (bucket.level + charge.exact_units()).min(bucket.share.capacity);
+            bucket.granted = (bucket.granted - charge.exact_units()).max(0.0);
             if self.return_rule.is_some() {
-                let units = charge.units as f64;
+                let units = charge.exact_units();
                 bucket.reserve.record_refunded(charge.rank, units);
             }
         }
@@ -449,8 +473,8 @@
     pub fn counts(&self) -> impl Iterator<Item = (&OrganisationName, BucketCounts)> {
         self.buckets.iter().map(|(name, bucket)| {
             let counts = BucketCounts {
-                granted: bucket.granted,
-                refused: bucket.refused,
+                granted: bucket.granted.round() as u64,
+                refused: bucket.refused.round() as u64,
             };
             (name, counts)
         })
--- a/crates/core/tests/direct_quotas.rs
+++ b/crates/core/tests/direct_quotas.rs
@@ -37,9 +37,13 @@
 
 fn rule(per_s: u64, burst: u64) -> QuotaRule {
     let unit = QuotaUnit::Tokens {
-        default_tokens: 200,
+        default_tokens: 200.0,
     };
-    QuotaRule { unit, per_s, burst }
+    QuotaRule {
+        unit,
+        per_s: per_s as f64,
+        burst: burst as f64,
+    }
 }
 
 fn organisation() -> OrganisationName {
@@ -52,7 +56,7 @@
 
 /// Units that may be charged in a window, including the tolerance.
 fn allowed_units(rule: &QuotaRule) -> f64 {
-    let quota = rule.per_s as f64 * BOUNDS.window.as_secs_f64() + rule.burst as f64;
+    let quota = rule.per_s * BOUNDS.window.as_secs_f64() + rule.burst;
     quota * (1.0 + BOUNDS.tolerance_ratio) + BOUNDS.tolerance_units
 }
 
@@ -217,7 +221,7 @@
             }
             QuotaEvent::Rate(new_rate) => {
                 // A lower rate is enforced one window later, so the check uses the highest rate, and rates only fall.
-                rule.per_s = rule.per_s.min(new_rate);
+                rule.per_s = rule.per_s.min(new_rate as f64);
                 for holder in zones.iter_mut().flatten() {
                     holder
                         .quota_table
@@ -432,3 +436,81 @@
     let other = QuotaCharge::new(OrganisationName::new("port"), u64::MAX);
     assert_eq!(holder.charge(&other, at(0)), Ok(()));
 }
+
+/// Guards against fractions of a quota that are rounded at a holder: the shares of all zones grant what the whole allows.
+#[test]
+fn fractions_of_a_quota_are_exact_over_all_shares() {
+    let bounds = QuotaBounds {
+        window: Duration::from_secs(8),
+        tolerance_ratio: 0.0,
+        tolerance_units: 0.0,
+    };
+    let rule = QuotaRule {
+        unit: QuotaUnit::Requests,
+        per_s: 37.5,
+        burst: 0.75,
+    };
+    let mut granted = 0;
+    for _ in 0..ZONES {
+        let mut table = QuotaTable::new(bounds, ZONES, BucketStart::Exhausted, sole_tenure());
+        table.set_rules([(&organisation(), &rule)], at(0));
+        // Each share of 0.25 units of burst holds no whole request, so it grants none.
+        assert!(table.charge(&charge(1), at(60_000)).is_err());
+        let rule = QuotaRule {
+            burst: 30.0,
+            ..rule
+        };
+        table.set_rules([(&organisation(), &rule)], at(60_000));
+        for ms in 60_000..100_000 {
+            granted += u32::from(table.charge(&charge(1), at(ms)).is_ok());
+        }
+    }
+    // 40 s at 37.5, the burst of 30 is earned at that rate; each share may lack a part of one request.
+    assert!((1_496..=1_500).contains(&granted), "{granted}");
+}
+
+/// Guards against charges and refunds that are rounded: after as many refunds as charges the bucket is as full as before.
+#[test]
+fn fractional_charges_and_refunds_are_exact() {
+    let bounds = QuotaBounds {
+        window: Duration::from_secs(8),
+        tolerance_ratio: 0.0,
+        tolerance_units: 0.0,
+    };
+    let rule = QuotaRule {
+        unit: QuotaUnit::Tokens {
+            default_tokens: 12.5,
+        },
+        per_s: 0.001,
+        burst: 100.0,
+    };
+    let mut table = QuotaTable::new(bounds, 1, BucketStart::Full, sole_tenure());
+    table.set_rules([(&organisation(), &rule)], at(0));
+    let charge = QuotaCharge::fractional(organisation(), rule.cost(None));
+    assert_eq!((charge.units, charge.exact_units()), (13, 12.5));
+    for _ in 0..1_000 {
+        assert!(table.charge(&charge, at(0)).is_ok());
+        table.refund(&charge, at(0));
+    }
+    for _ in 0..8 {
+        assert!(table.charge(&charge, at(0)).is_ok());
+    }
+    let refused = table.charge(&charge, at(0)).expect_err("an empty bucket");
+    assert_eq!(refused, Duration::from_secs(5));
+}
+
+/// Guards against holders of an earlier build that can't read a charge: whole charges look as before, and a fraction is in a
+/// field that they skip.
+#[test]
+fn charges_are_encoded_as_in_earlier_builds() {
+    let encode = |charge: &QuotaCharge| serde_json::to_value(charge).expect("a charge in JSON");
+    let whole = QuotaCharge::fractional(organisation(), 13.0);
+    assert_eq!(whole, charge(13));
+    let whole = encode(&whole);
+    assert_eq!(
+        whole,
+        serde_json::json!({ "organisation": "mill", "units": 13 })
+    );
+    let fractional = encode(&QuotaCharge::fractional(organisation(), 12.5));
+    assert_eq!(fractional["units"], 13);
+}
--- a/crates/core/tests/load/quota_returns.rs
+++ b/crates/core/tests/load/quota_returns.rs
@@ -88,10 +88,10 @@
     let per_s = CALLS_PER_S * (MEAN_UNITS + MIN_UNITS) * QUOTA_FACTOR;
     let quota = QuotaRule {
         unit: QuotaUnit::Tokens {
-            default_tokens: 200,
+            default_tokens: 200.0,
         },
-        per_s: per_s as u64,
-        burst: per_s as u64,
+        per_s: per_s.floor(),
+        burst: per_s.floor(),
     };
     let tenure = HolderTenure {
         sole_until: Instant(u64::MAX >> 1),
--- a/crates/core/tests/load/quotas.rs
+++ b/crates/core/tests/load/quotas.rs
@@ -60,10 +60,10 @@
 
 fn quota_rule(organisation: usize) -> QuotaRule {
     let mean = (CALL_UNITS[0] + 2 * CALL_UNITS[1]) as f64 / 3.0;
-    let per_s = (CALLS_PER_S * SHARES[organisation] * mean * QUOTA_FACTOR) as u64;
+    let per_s = (CALLS_PER_S * SHARES[organisation] * mean * QUOTA_FACTOR).floor();
     QuotaRule {
         unit: QuotaUnit::Tokens {
-            default_tokens: CALL_UNITS[0],
+            default_tokens: CALL_UNITS[0] as f64,
         },
         per_s,
         burst: per_s,
@@ -144,7 +144,7 @@
             .take_while(|(at, _)| *at <= from + window);
         within.map(|(_, units)| *units).sum::<u64>()
     });
-    let quota = quota_rule(1).per_s as f64 * window + quota_rule(1).burst as f64;
+    let quota = quota_rule(1).per_s * window + quota_rule(1).burst;
     let allowed = quota * (1.0 + BOUNDS.tolerance_ratio) + BOUNDS.tolerance_units;
     result.worst_window_ratio = sums.max().unwrap_or(0) as f64 / allowed;
     result
--- a/crates/daemon/src/direct/call/quota_charge.rs
+++ b/crates/daemon/src/direct/call/quota_charge.rs
@@ -60,7 +60,7 @@
             let units = rule.cost(head.has_token_count.then_some(tokens));
             Self::Due(QuotaCharge {
                 rank,
-                ..QuotaCharge::new(organisation.name.clone(), units)
+                ..QuotaCharge::fractional(organisation.name.clone(), units)
             })
         })
     }
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -210,10 +210,14 @@
         self.expire();
     }
 
-    /// Applies another VM's proof that the configuration is the newest.
+    /// Applies another VM's proof that the configuration is the newest. It proves nothing to a VM that knows of a newer
+    /// configuration whose keys can't be read.
     pub fn apply_proof(&self, proof: &ForwardedProof, echo: &HeartbeatEcho) {
         let mut tables = self.tables();
-        let Some(known) = tables.active.as_ref().map(|active| active.config.version) else {
+        let Some(known) = tables
+            .newest_version()
+            .filter(|_| tables.unread_config.is_none())
+        else {
             return;
         };
         if tables.proof.accept_forwarded(proof, echo, known) {
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -124,6 +124,10 @@
     pub store_era: Option<StoreEra>,
     /// Newest configuration version that the log is known to hold in that era.
     pub stored_version: u64,
+    /// Version of the newest record of the configuration of which only the keys could be used; 0 if there is none.
+    pub(super) key_version: u64,
+    /// Position of a record of the configuration that may revoke any key, as not even its keys can be read.
+    pub(super) unread_config: Option<LogPosition>,
     /// Era in which this VM last listed the fleet topic.
     pub listed_era: Option<StoreEra>,
     /// End of the fleet topic as of the last read.
@@ -279,10 +283,17 @@
         self.proof.age(now).is_some() && self.restore_guard.remaining(now).is_some()
     }
 
+    /// Version of the newest configuration whose keys are in force, even if the rest of it can't be used.
+    #[must_use]
+    pub fn newest_version(&self) -> Option<u64> {
+        let active = self.active.as_ref()?;
+        Some(active.config.version.max(self.key_version))
+    }
+
     /// Proof for other VMs that this VM's configuration is the newest.
     #[must_use]
     pub fn freshness_proof(&self, now: Instant) -> Option<ForwardedProof> {
-        let version = self.active.as_ref()?.config.version;
+        let version = self.newest_version()?;
         self.proof.forward(version, now)
     }
 
@@ -476,6 +487,8 @@
                 vms: HashMap::new(),
                 store_era: None,
                 stored_version: 0,
+                key_version: 0,
+                unread_config: None,
                 listed_era: None,
                 fleet_end: None,
                 fleet_read_at: None,
@@ -808,11 +821,13 @@
 
     /// Records that every operator record that the log held at `sent` is known. A log that is older
     /// than the configuration in force, or that may lack the newest records after a restore, proves
-    /// nothing.
+    /// nothing, nor does one whose newest configuration names keys that can't be read.
     pub fn record_config_read(&self, sent: Instant) {
         let mut tables = self.tables();
-        let version = tables.active.as_ref().map(|active| active.config.version);
-        if tables.restore_guard.remaining(sent).is_some() {
+        let version = tables.newest_version();
+        if tables.unread_config.is_some() {
+            self.metrics.count_key_proof(ProofSource::Unreadable);
+        } else if tables.restore_guard.remaining(sent).is_some() {
             self.metrics.count_key_proof(ProofSource::Guarded);
         } else if version.is_none_or(|version| tables.stored_version >= version) {
             tables.proof.record_read(sent);
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -1,7 +1,8 @@
 //! Application of platform log records to the fleet's tables.
 //!
-//! A record that can't be decoded is skipped. The last valid operator records stay in force. A
-//! target whose newest entry is unusable gets no calls, whichever system wrote that entry.
+//! A record that can't be decoded is skipped. The last valid operator records stay in force, but API keys that a newer
+//! configuration no longer names are revoked even if the rest of it can't be used. A target whose newest entry is unusable
+//! gets no calls, whichever system wrote that entry.
 
 use crate::{
     direct::{
@@ -26,7 +27,7 @@
 };
 use hoplanding_platform::{
     DecodeError,
-    config::{decode_config, decode_version},
+    config::{decode_config, decode_keys, decode_version},
     names::{CONFIG_KEY, VERSION_KEY},
     store::KeyedRecord,
     targets::decode_target,
@@ -272,13 +273,11 @@
                 "configuration at position {}: {error}",
                 record.position
             );
-            return FoldOutcome::Update;
+            return fold_keys(tables, record, value);
         }
     };
-    if Some(record.position.era()) == tables.store_era {
-        tables.stored_version = config.version.max(tables.stored_version);
-    }
-    let known = tables.active.as_ref().map(|active| active.config.version);
+    record_stored_version(tables, record, config.version);
+    let known = tables.newest_version();
     if known > Some(config.version) {
         event!(
             Event::ConfigOutdated,
@@ -300,6 +299,7 @@
             FoldOutcome::Stored
         };
     }
+    forget_unread_config(tables, record);
     event!(
         Event::ConfigInForce,
         "version {} at position {}, {} routes",
@@ -312,6 +312,66 @@
     FoldOutcome::Update
 }
 
+/// Revokes the keys that an unusable configuration does not name. If its keys can't be read either, no read of the log
+/// proves any longer which keys are valid.
+fn fold_keys(tables: &mut FleetTables, record: &KeyedRecord, value: &[u8]) -> FoldOutcome {
+    let section = match decode_keys(value) {
+        Ok(section) => section,
+        Err(error) => {
+            event!(
+                Event::KeysUnreadable,
+                "configuration at position {}: {error}",
+                record.position
+            );
+            tables.unread_config = Some(record.position);
+            return FoldOutcome::Update;
+        }
+    };
+    record_stored_version(tables, record, section.version);
+    if tables.newest_version() > Some(section.version) {
+        event!(
+            Event::ConfigOutdated,
+            "unusable version {} at position {}",
+            section.version,
+            record.position
+        );
+        return FoldOutcome::Outdated;
+    }
+    forget_unread_config(tables, record);
+    tables.key_version = section.version;
+    let Some(active) = tables.active.clone() else {
+        return FoldOutcome::Update;
+    };
+    let mut config = active.config.clone();
+    if let (Some(organisations), Some(keys)) = (&mut config.organisations, &section.keys) {
+        let revoked = organisations.revoke_missing(keys);
+        event!(
+            Event::KeysRevoked,
+            "{revoked} keys that version {} at position {} does not name; the rest of version {} stays in force",
+            section.version,
+            record.position,
+            config.version
+        );
+        let routes = RouteTable::new(&config);
+        tables.active = Some(Arc::new(ActiveConfig { config, routes }));
+    }
+    FoldOutcome::Update
+}
+
+/// Forgets a configuration with unreadable keys that a later one has replaced.
+fn forget_unread_config(tables: &mut FleetTables, record: &KeyedRecord) {
+    tables.unread_config = tables
+        .unread_config
+        .filter(|unread| *unread > record.position);
+}
+
+/// Records the version of a configuration that the log holds.
+fn record_stored_version(tables: &mut FleetTables, record: &KeyedRecord, version: u64) {
+    if Some(record.position.era()) == tables.store_era {
+        tables.stored_version = version.max(tables.stored_version);
+    }
+}
+
 /// Applies a VM record, the era record, a suspect record, a software record or a zone lease.
 pub fn fold_fleet_record(
     tables: &mut FleetTables,
--- a/crates/daemon/src/direct/metrics.rs
+++ b/crates/daemon/src/direct/metrics.rs
@@ -125,6 +125,8 @@
     Forwarded,
     /// None: a read that proves nothing, as the log may lack newer records after a restore.
     Guarded,
+    /// None: a read that proves nothing, as the keys of the newest configuration can't be read.
+    Unreadable,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -118,6 +118,10 @@
     ConfigInForce = 302, Info, "configuration in force";
     /// The configuration in the log is older than the one in effect.
     ConfigOutdated = 303, Warn, "older configuration passed over";
+    /// Keys that a configuration no longer names are revoked, although the rest of it can't be used.
+    KeysRevoked = 304, Warn, "keys of an unusable configuration in force";
+    /// The keys of a configuration can't be read, so that any key may be revoked.
+    KeysUnreadable = 305, Error, "keys of the newest configuration unreadable";
     /// The record of this VM could not be written.
     VmRecordFailed = 207, Warn, "record of this VM not written";
     /// All keys of a log topic have been read.
--- a/crates/daemon/tests/direct/keys.rs
+++ b/crates/daemon/tests/direct/keys.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time within which a revocation has to be in force in these tests.
-const REVOCATION_BOUND: Duration = Duration::from_millis(1_500);
+pub const REVOCATION_BOUND: Duration = Duration::from_millis(1_500);
 
 pub fn test_organisation(keys: &[&str]) -> Value {
     json!({ "name": "mill", "api_keys": keys, "priority": 3, "unit": "token_count", "plain_tokens": 200 })
@@ -41,7 +41,7 @@
 }
 
 /// Starts a daemon and waits until a configuration with these organisations is in force.
-async fn start_keyed_daemon(
+pub async fn start_keyed_daemon(
     log: &KeyedLog,
     targets: &[(&str, &str, std::net::SocketAddr)],
     organisations: &Value,
@@ -76,7 +76,7 @@
 }
 
 /// The requests of callers that a target received.
-fn received_calls(target: &RawTarget) -> Vec<RawRequest> {
+pub fn received_calls(target: &RawTarget) -> Vec<RawRequest> {
     let mut seen = target.requests();
     seen.retain(|request| !request.request_line().contains("/hoplanding/"));
     seen
--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod guard_limits;
 mod headers;
 mod idle_limits;
+mod key_revocations;
 mod keys;
 mod leaving;
 mod limits;
