Refuse invalid keys on anonymous routes

Cause: a key that no organisation has, or a header that is no key, was taken for no key wherever a call without one is allowed. So a key that is given has to be valid on every route. While the VM has no current proof of its keys it answers 503 there too, so that a key which it does not know yet is not refused.

--- a/crates/core/src/direct/organisations.rs
+++ b/crates/core/src/direct/organisations.rs
@@ -1,7 +1,7 @@
 //! Organisations that callers act for, identified by API keys.
 //!
 //! If the configuration names organisations, each call needs one of their keys, unless its route allows anonymous
-//! calls. The key determines the organisation, and thereby the rank of the call and the quota that is charged. Keys are
+//! calls and the call has none at all. The key determines the organisation, and thereby the rank of the call and the quota that is charged. Keys are
 //! secrets, so no type in this module prints one.
 
 use crate::{
@@ -188,17 +188,18 @@
 pub enum CallerIdentity {
     /// The configuration names no organisations, so calls need no key.
     Unkeyed,
-    /// The route allows anonymous calls, and the call has no known key.
+    /// The route allows anonymous calls, and the call has no key.
     Anonymous,
     /// The call has a key of this organisation.
     Organisation(Arc<Organisation>),
 }
 
 impl CallerIdentity {
-    /// Determines the organisation of a call on a route.
+    /// Determines the organisation of a call on a route. A key has to be valid on every route, so that a revoked one can't be
+    /// used where a call without a key could be made.
     ///
     /// # Errors
-    /// If the call has no known key and its route does not allow anonymous calls.
+    /// If the call has a key that is not valid, or none although its route does not allow anonymous calls.
     pub fn of(
         table: Option<&OrganisationTable>,
         route: &RouteRule,
@@ -207,16 +208,14 @@
         let Some(table) = table else {
             return Ok(Self::Unkeyed);
         };
-        let holder = match given {
-            PresentedKey::Absent => Err(KeyError::Absent),
-            PresentedKey::Malformed => Err(KeyError::Malformed),
-            PresentedKey::Key(key) => table.find_by_key(key).ok_or(KeyError::Unknown),
+        let owner = match given {
+            PresentedKey::Absent if route.allows_anonymous => return Ok(Self::Anonymous),
+            PresentedKey::Absent => return Err(KeyError::Absent),
+            PresentedKey::Malformed => return Err(KeyError::Malformed),
+            PresentedKey::Key(key) => table.find_by_key(key),
         };
-        match holder {
-            Ok(organisation) => Ok(Self::Organisation(Arc::clone(organisation))),
-            Err(_) if route.allows_anonymous => Ok(Self::Anonymous),
-            Err(error) => Err(error),
-        }
+        let owner = owner.ok_or(KeyError::Unknown)?;
+        Ok(Self::Organisation(Arc::clone(owner)))
     }
 
     /// The organisation, if the call has one.
--- a/crates/daemon/tests/direct/key_revocations.rs
+++ b/crates/daemon/tests/direct/key_revocations.rs
@@ -1,18 +1,18 @@
 //! Revocation of API keys by configurations that hold unusual or malformed values. Whatever an operator writes, a key that the
-//! newest configuration no longer names must not stay valid beyond the bound.
+//! newest configuration no longer names must not stay valid beyond the bound, on any route.
 
 use crate::{
     keys::{
         KEY, REVOCATION_BOUND, keyed_config, received_calls, send_call, start_keyed_daemon,
         test_organisation,
     },
-    support::{Answer, good_answer, is_ready, wait_for},
+    support::{Answer, good_answer, is_ready, post_request, read_answer, wait_for},
 };
 use hoplanding_standins::{keyed_log::KeyedLog, raw_target::RawTarget};
 use hoplandingd::direct::daemon::DirectDaemon;
 use serde_json::{Value, json};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 /// The key that stays when `KEY` is taken away.
 const KEPT_KEY: &str = "Authorization: Bearer k2\r\n";
@@ -124,3 +124,73 @@
     let active = tables.active.as_ref().expect("a configuration");
     assert_eq!(active.config.version, 2);
 }
+
+/// Guards against a key that was taken away, or never was one, with which a call still runs because its route needs no key.
+#[tokio::test]
+async fn a_key_that_is_not_valid_is_refused_on_an_anonymous_route() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good_answer).await.expect("a target");
+    let targets = [("i-1", "ledger", target.address)];
+    let organisations = json!([test_organisation(&["k1", "k2"])]);
+    let daemon = start_keyed_daemon(&log, &targets, &organisations).await;
+    let open = async |headers: &str| send_call(&daemon, "/open/1", "r1", headers).await.status;
+    assert_eq!(open(KEY).await, 200);
+    let config = keyed_config(3, &json!([test_organisation(&["k2"])]));
+    log.put("keyed.op", "config", Some(&config));
+    wait_for_revocation(&daemon).await;
+    let before = received_calls(&target).len();
+    let twice = format!("{KEPT_KEY}{KEY}");
+    let basic = "Authorization: Basic k2\r\n";
+    let never = "Authorization: Bearer k7\r\n";
+    for headers in [KEY, &twice, basic, never, "Authorization: \r\n"] {
+        assert_eq!(open(headers).await, 401, "{headers}");
+    }
+    assert_eq!(received_calls(&target).len(), before);
+    assert_eq!((open("").await, open(KEPT_KEY).await), (200, 200));
+}
+
+/// Guards against a VM that is out of touch and runs calls with a key on an anonymous route, or refuses those of a key that may
+/// be new to it: it answers 503 until it knows.
+#[tokio::test]
+async fn an_anonymous_route_takes_no_key_without_a_current_proof() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good_answer).await.expect("a target");
+    let targets = [("i-1", "ledger", target.address)];
+    let organisations = json!([test_organisation(&["k1"])]);
+    let daemon = start_keyed_daemon(&log, &targets, &organisations).await;
+    log.set_faults(|faults| faults.is_unavailable = true);
+    sleep(REVOCATION_BOUND).await;
+    for headers in [KEY, KEPT_KEY] {
+        let answer = send_call(&daemon, "/open/1", "r1", headers).await;
+        assert_eq!(answer.status, 503, "{headers}");
+        assert!(answer.has_header("retry-after"));
+    }
+    assert!(received_calls(&target).is_empty());
+    let anonymous = send_call(&daemon, "/open/1", "r2", "").await;
+    assert_eq!(anonymous.status, 200);
+}
+
+/// Guards against a call on an anonymous route that waits, for its body, while its key is taken away, and then runs.
+#[tokio::test]
+async fn a_key_that_is_taken_away_during_a_call_on_an_anonymous_route_counts() {
+    let log = KeyedLog::start().await.expect("a log");
+    let target = RawTarget::start(good_answer).await.expect("a target");
+    let targets = [("i-1", "ledger", target.address)];
+    let organisations = json!([test_organisation(&["k1", "k2"])]);
+    let daemon = start_keyed_daemon(&log, &targets, &organisations).await;
+    let mut stream = TcpStream::connect(daemon.caller_address)
+        .await
+        .expect("a connection");
+    let head = post_request("/open/1", "late", KEY);
+    let (head, body) = head.split_at(head.len() - 1);
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("the VM reads the head");
+    let config = keyed_config(3, &json!([test_organisation(&["k2"])]));
+    log.put("keyed.op", "config", Some(&config));
+    wait_for_revocation(&daemon).await;
+    let before = received_calls(&target).len();
+    let sent = stream.write_all(body.as_bytes()).await;
+    sent.expect("the VM reads the body");
+    assert_eq!(read_answer(&mut stream).await.status, 401);
+    assert_eq!(received_calls(&target).len(), before);
+}
--- a/crates/daemon/tests/direct/keys.rs
+++ b/crates/daemon/tests/direct/keys.rs
@@ -98,7 +98,7 @@
         send_call(&daemon, "/scan/1", "r1", &forged).await.status,
         200
     );
-    // An anonymous route needs no key; without a valid one the caller has no organisation.
+    // An anonymous route needs no key, but one that is given has to be valid.
     let anyone = "Hoplanding-Tenant: port\r\n";
     assert_eq!(
         send_call(&daemon, "/open/1", "r2", anyone).await.status,
@@ -107,7 +107,7 @@
     let unknown = "Authorization: Bearer k7\r\n";
     assert_eq!(
         send_call(&daemon, "/open/1", "r3", unknown).await.status,
-        200
+        401
     );
     assert_eq!(send_call(&daemon, "/open/1", "r4", KEY).await.status, 200);
     let seen = received_calls(&target);
@@ -116,7 +116,7 @@
         .map(|request| request.header("hoplanding-tenant"));
     assert_eq!(
         organisations.collect::<Vec<_>>(),
-        [Some("mill"), None, None, Some("mill")]
+        [Some("mill"), None, Some("mill")]
     );
     for request in &seen {
         let head = request.head.to_ascii_lowercase();
