Pass no status on that is none

Callers got a final 101, 600 or 999 of a target in trouble as an answer, on all four kinds of route; 101 also turned their connection into another protocol.

--- a/crates/daemon/src/direct/target_connections.rs
+++ b/crates/daemon/src/direct/target_connections.rs
@@ -21,7 +21,10 @@
     direct::catalog::TargetEntry,
     ids::{AvailabilityZone, Instant, TargetName, TargetRun, VmName},
 };
-use hoplanding_platform::{answer_heads::HeadGuard, message_heads::names_call};
+use hoplanding_platform::{
+    answer_heads::HeadGuard,
+    message_heads::{is_final_status, names_call},
+};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{
@@ -434,11 +437,17 @@
     let mut connection = pool.take(entry, rule).await?;
     let response = pool.send(&mut connection, request).await?;
     let status = response.status();
-    if names_call(response.headers()) {
+    let is_final = is_final_status(status);
+    if !is_final || names_call(response.headers()) {
         pool.close(entry.address);
+        let cause = if is_final {
+            format!("an answer with status {status} to a call came in its place")
+        } else {
+            format!("the answer's status {status} is none")
+        };
         return Err(SendError::Unanswered {
             target: entry.name.clone(),
-            cause: format!("an answer with status {status} to a call came in its place"),
+            cause,
         });
     }
     // A misdirected answer comes from another target at the same address.
