Hold new software versions back until no VM can be unaware of them

Streams of a VM that ended just before a release was listed were refused at all others (LOST).

Cause: a list of up to 2 s without a second version counted as proof that none had begun a stream, while VMs that knew the version used it at once; the age counted from the arrival of an answer.

A read of the target list is now a lease of 4 s from its sending, and a VM that learns of a version begins no stream there that may be taken up for 4 s: every read without the version was sent before that and has expired by then. Until 4 s after the last read without it, streams that nobody knows began at the earlier version, so they go on. VMs that start hold back what the log's record lacks or names as held. New targets wait 4 s once for such streams, and take all other calls at once; if only new targets are left, callers are told the rest of the time.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -55,6 +55,12 @@
 }
 
 impl RouteRule {
+    /// Whether callers may take up its broken streams.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.response_shape == ResponseShape::EventStream { resumable: true }
+    }
+
     /// Service of a call, drawn by weight. `draw` must be equal for all copies of a call, so that a retry gets the same
     /// service.
     #[must_use]
--- a/crates/core/src/direct/log_contact.rs
+++ b/crates/core/src/direct/log_contact.rs
@@ -85,14 +85,6 @@
         self.answer_span
     }
 
-    /// Newest answer to this VM, or to one of the VMs that forward all records to it.
-    #[must_use]
-    pub fn newest_answer(&self, is_forwarder: impl Fn(&VmName) -> bool) -> Option<Instant> {
-        let peers = self.peers.iter().filter(|(vm, _)| is_forwarder(vm));
-        let spans = peers.map(|(_, span)| span).chain(&self.answer_span);
-        spans.map(|span| span.last).max()
-    }
-
     /// Last answer before the last outage, or its first failure if there was none.
     #[must_use]
     pub fn lost_at(&self) -> Option<Instant> {
--- a/crates/core/tests/direct_streams.rs
+++ b/crates/core/tests/direct_streams.rs
@@ -3,7 +3,9 @@
 use hoplanding_core::{
     direct::{
         catalog::TargetCatalog,
-        software_history::{SoftwareHistory, SoftwareRecord, VERSION_TTL},
+        software_history::{
+            ListKnowledge, SoftwareHistory, SoftwareRecord, VERSION_HOLD, VERSION_TTL,
+        },
         stream_origins::{ORIGIN_TTL, StreamKey, StreamOrigin, StreamOrigins},
     },
     ids::{Instant, OrganisationName, ServiceName, SoftwareVersion},
@@ -98,17 +100,114 @@
     assert!(origins.take_unsent(&service(), usize::MAX, START).len() <= 65_536);
 }
 
+fn held(history: &SoftwareHistory, now: Instant) -> Vec<String> {
+    let held = history.held_versions(&service(), now);
+    let versions = held.map(|(versions, _)| versions).unwrap_or_default();
+    versions.iter().map(ToString::to_string).collect()
+}
+
+fn record(versions: &[&str], held: &[&str]) -> SoftwareRecord {
+    let set = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| SoftwareVersion::new(name))
+            .collect()
+    };
+    SoftwareRecord {
+        versions: set(versions),
+        held: set(held),
+    }
+}
+
+/// Guards against streams at a version that a VM which is out of step can't know of: no proof of another VM that lacks the
+/// version is valid any more when the first VM that learned of it begins a stream there.
+#[test]
+fn a_new_version_is_unused_for_as_long_as_any_read_without_it_is_a_proof() {
+    let catalog = TargetCatalog::default();
+    let (first, second) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v2"));
+    // Reads are sent by both VMs at any time before the version is listed, and it is learned at any time after that.
+    for read_before_ms in [0, 100, 1_500, 3_900] {
+        for learned_after_ms in [0, 1, 700, 2_600] {
+            let listed_at = START.after(Duration::from_secs(60));
+            let read_at = listed_at.before(Duration::from_millis(read_before_ms));
+            let learned_at = listed_at.after(Duration::from_millis(learned_after_ms));
+            let knowledge = ListKnowledge::Whole(Some(read_at));
+            let mut history = SoftwareHistory::default();
+            history.record_listed(&service(), &first, ListKnowledge::None, START);
+            history.record_listed(&service(), &second, knowledge, learned_at);
+            let last_held = learned_at.after(VERSION_HOLD - Duration::from_millis(1));
+            assert_eq!(held(&history, last_held), ["v2"]);
+            assert_eq!(held(&history, learned_at.after(VERSION_HOLD)), [""; 0]);
+            // Whoever reads the list before the version is listed has no proof any more when it is used.
+            assert!(learned_at.after(VERSION_HOLD) >= read_at.after(VERSION_HOLD));
+            // Until its last read without the version has expired, a VM knows that all streams began at the first one.
+            let sole = |at| history.sole_version(&service(), &catalog, at);
+            let expired = read_at.after(VERSION_HOLD);
+            if learned_at < expired {
+                let last = expired.before(Duration::from_millis(1));
+                assert_eq!(sole(last), Some(first.clone()));
+            }
+            assert_eq!(sole(expired.max(learned_at)), None);
+        }
+    }
+}
+
+/// Guards against a VM that starts in the middle of a release and uses the new version at once, and against one that waits
+/// although the log shows that the version is in use.
+#[test]
+fn a_vm_that_starts_holds_back_what_the_log_shows_to_be_new() {
+    let mut unrecorded = SoftwareHistory::default();
+    for version in ["v1", "v2"] {
+        let version = SoftwareVersion::new(version);
+        unrecorded.record_listed(&service(), &version, ListKnowledge::None, START);
+    }
+    assert_eq!(held(&unrecorded, START), [""; 0]);
+    for (stored, expected) in [
+        (record(&["v1"], &[]), &["v2"][..]),
+        (record(&["v1", "v2"], &["v2"]), &["v2"]),
+        (record(&["v1", "v2"], &[]), &[]),
+    ] {
+        let mut list_first = unrecorded.clone();
+        list_first.record_stored(&service(), &stored, START);
+        assert_eq!(held(&list_first, START), expected);
+        let mut record_first = SoftwareHistory::default();
+        record_first.record_stored(&service(), &stored, START);
+        for version in ["v2", "v1"] {
+            let version = SoftwareVersion::new(version);
+            record_first.record_listed(&service(), &version, ListKnowledge::None, START);
+        }
+        assert_eq!(held(&record_first, START), expected);
+        assert_eq!(held(&record_first, START.after(VERSION_HOLD)), [""; 0]);
+        let catalog = TargetCatalog::default();
+        assert_eq!(record_first.sole_version(&service(), &catalog, START), None);
+    }
+}
+
+/// Guards against a service whose only version is held back, also one that replaced the last one long ago.
+#[test]
+fn the_only_version_of_a_service_is_not_held_back() {
+    let mut history = SoftwareHistory::default();
+    let knowledge = ListKnowledge::Whole(Some(START));
+    history.record_listed(&service(), &SoftwareVersion::new("v1"), knowledge, START);
+    assert_eq!(held(&history, START), [""; 0]);
+    let later = START.after(VERSION_TTL);
+    let knowledge = ListKnowledge::Whole(Some(later));
+    history.record_listed(&service(), &SoftwareVersion::new("v2"), knowledge, later);
+    assert_eq!(held(&history, later), [""; 0]);
+}
+
 /// A version counts until no stream that it began can be taken up any more, also if only the log's record names it.
 #[test]
 fn a_software_version_counts_until_its_streams_are_over() {
     let catalog = TargetCatalog::default();
     let mut history = SoftwareHistory::default();
     let (first, second) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v2"));
-    history.record_listed(&service(), &first, START);
+    history.record_listed(&service(), &first, ListKnowledge::None, START);
     let sole = |history: &SoftwareHistory, at| history.sole_version(&service(), &catalog, at);
     assert_eq!(sole(&history, START), Some(first.clone()));
     let record = SoftwareRecord {
         versions: [first.clone(), second.clone()].into(),
+        ..SoftwareRecord::default()
     };
     let later = START.after(Duration::from_secs(60));
     history.record_stored(&service(), &record, later);
--- a/crates/daemon/src/direct/call/mod.rs
+++ b/crates/daemon/src/direct/call/mod.rs
@@ -85,6 +85,7 @@
 use hyper::body::Incoming;
 use siphasher::sip::SipHasher13;
 use std::{
+    collections::BTreeSet,
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, OnceLock},
@@ -167,6 +168,8 @@
     pub is_limited: bool,
     /// Software version that began the call's stream; the call goes to targets of no other version.
     pub software: Option<SoftwareVersion>,
+    /// Software versions at which a stream must not begin yet, as of the last placement.
+    pub held_versions: BTreeSet<SoftwareVersion>,
     /// Targets to which the call is not sent again.
     pub tried: Vec<TargetName>,
     /// Address of the engine from which the chosen engine fetches cached parts of the prompt.
@@ -325,6 +328,7 @@
         body,
         is_limited: false,
         software: None,
+        held_versions: BTreeSet::new(),
         tried: Vec::new(),
         fetch_source: None,
         asked: None,
--- a/crates/daemon/src/direct/call/placement.rs
+++ b/crates/daemon/src/direct/call/placement.rs
@@ -68,8 +68,8 @@
         if let Some(refused) = self.exclude_closed_zones() {
             return refused;
         }
-        if self.software.is_some() && !self.has_fitting_target() {
-            return CallPlacement::Unavailable(NO_VERSION_RETRY_AFTER);
+        if let Some(refused) = self.exclude_versions() {
+            return refused;
         }
         if !self.context.fleet.is_topic_known(FeedTopic::Fleet) {
             // The request may be a suspect whose record this VM has not read yet.
@@ -137,12 +137,34 @@
         })
     }
 
-    /// Targets that cannot take the call now: they requested a backoff, are in a zone that can't be reached, or run
-    /// another software version than the one that began the stream.
+    /// Leaves out targets of other software versions than the stream's, or for a new stream those at which none may begin
+    /// yet. Returns the refusal of the call if no target is left.
+    fn exclude_versions(&mut self) -> Option<CallPlacement> {
+        if self.software.is_some() {
+            let is_lost = !self.has_fitting_target();
+            return is_lost.then_some(CallPlacement::Unavailable(NO_VERSION_RETRY_AFTER));
+        }
+        self.held_versions.clear();
+        if !self.route.is_resumable() {
+            return None;
+        }
+        let (held, wait) = self.context.fleet.held_versions(&self.service.name)?;
+        self.held_versions = held;
+        let is_listed = {
+            let tables = self.context.fleet.tables();
+            tables.catalog.ready(&self.service.name).next().is_some()
+        };
+        let is_held = is_listed && !self.has_fitting_target();
+        is_held.then_some(CallPlacement::Unavailable(wait))
+    }
+
+    /// Targets that cannot take the call now: they requested a backoff, are in a zone that can't be reached, or run a software
+    /// version at which the call's stream can't go on or begin.
     fn unavailable_targets(&self) -> Vec<TargetName> {
         let tables = self.context.fleet.tables();
         let mut targets = tables.backing_off(clock::now());
-        if !self.closed_zones.is_empty() || self.software.is_some() {
+        let is_bound = self.software.is_some() || !self.held_versions.is_empty();
+        if !self.closed_zones.is_empty() || is_bound {
             let ready = tables.catalog.ready(&self.service.name);
             let excluded = ready.filter(|entry| {
                 self.closed_zones.contains(&entry.zone) || !self.fits_software(entry)
@@ -152,10 +174,12 @@
         targets
     }
 
-    /// Whether a target runs the software version that began the call's stream, if an event has begun it.
+    /// Whether a target runs the software version that began the call's stream, or one at which it may begin.
     fn fits_software(&self, entry: &TargetEntry) -> bool {
-        let mut bound = self.software.iter();
-        bound.all(|software| *software == entry.software)
+        match &self.software {
+            Some(software) => *software == entry.software,
+            None => !self.held_versions.contains(&entry.software),
+        }
     }
 
     /// Whether a target that a holder chose takes the call, by this VM's own knowledge.
@@ -184,7 +208,7 @@
         true
     }
 
-    /// Whether this VM knows a target that may continue the call's stream.
+    /// Whether this VM knows a target that may continue or begin the call's stream.
     fn has_fitting_target(&self) -> bool {
         let tables = self.context.fleet.tables();
         let mut ready = tables.catalog.ready(&self.service.name);
--- a/crates/daemon/src/direct/call/stream_origin.rs
+++ b/crates/daemon/src/direct/call/stream_origin.rs
@@ -9,10 +9,7 @@
     events::Event,
 };
 use hoplanding_core::{
-    direct::{
-        config::ResponseShape,
-        stream_origins::{StreamKey, StreamOrigin},
-    },
+    direct::stream_origins::{StreamKey, StreamOrigin},
     ids::SoftwareVersion,
 };
 use std::time::Duration;
@@ -27,9 +24,7 @@
     /// # Errors
     /// If the version cannot be found out: the time after which the caller may retry.
     pub(super) async fn bind_taken_up_stream(&mut self) -> Result<(), Duration> {
-        let is_resumable =
-            self.route.response_shape == ResponseShape::EventStream { resumable: true };
-        if !is_resumable || self.head.last_event_id.is_none() {
+        if !self.route.is_resumable() || self.head.last_event_id.is_none() {
             return Ok(());
         }
         let (software, retry_after) = self.find_software().await;
@@ -44,27 +39,38 @@
         Ok(())
     }
 
-    /// Software version that began the stream, by this VM's records, because there is no other, by the records of the
-    /// zones' holders, or by the archive. Where it is not known, also when to retry.
+    /// Software version that began the stream: by this VM's records, because there is no other, by the records of the zones'
+    /// holders or of the archive, or because no stream has begun yet at any other. Where it is not known, also when to retry.
     async fn find_software(&self) -> (Option<SoftwareVersion>, Duration) {
         let fleet = &self.context.fleet;
+        let service = &self.service.name;
         let key = self.head.resumes.as_deref().map(|id| self.stream_key(id));
-        let known = key.and_then(|key| fleet.stream_software(key));
-        let known = known.or_else(|| fleet.sole_software(&self.service.name));
+        let mut known = key.and_then(|key| fleet.stream_software(key));
+        // A VM of an earlier build does not hold new versions back, but it reports the streams that it begins there.
+        if known.is_none() && !fleet.is_mixed(service) {
+            known = fleet.sole_software(service);
+        }
         if known.is_some() {
             return (known, Duration::ZERO);
         }
         let Some(key) = key else {
-            return (None, UNKNOWN_STREAM_RETRY_AFTER);
+            return (fleet.sole_software(service), UNKNOWN_STREAM_RETRY_AFTER);
         };
         let lookup = self.context.holder_client.look_up_stream(key);
         let lookup = timeout_at(self.deadline, lookup).await;
         if let Ok(StreamLookup::Found(software)) = lookup {
             return (Some(software), Duration::ZERO);
         }
+        let sole = fleet.sole_software(service);
+        if sole.is_some() {
+            return (sole, Duration::ZERO);
+        }
         fleet.await_archive_read().await;
         let archived = fleet.stream_software(key);
-        let is_final = lookup == Ok(StreamLookup::Unknown) && fleet.is_archive_read();
+        // Until a new version is in use, another VM may still tell which version began the stream.
+        let is_final = lookup == Ok(StreamLookup::Unknown)
+            && fleet.is_archive_read()
+            && fleet.held_versions(service).is_none();
         let retry_after = if is_final {
             UNKNOWN_STREAM_RETRY_AFTER
         } else {
--- a/crates/daemon/src/direct/feeds.rs
+++ b/crates/daemon/src/direct/feeds.rs
@@ -123,6 +123,7 @@
             let end = listing.end;
             self.fleet.apply_listing(self.topic, &listing);
             self.record_config_read(sent_at);
+            self.record_list_read(sent_at);
             self.record_fleet_read(sent_at, sent_at, end);
             self.wait_for_link().await;
             let listed_at = Instant::now();
@@ -211,6 +212,13 @@
         }
     }
 
+    /// Records that target list entries written before a read was sent are known.
+    fn record_list_read(&self, sent: hoplanding_core::ids::Instant) {
+        if self.topic == FeedTopic::Targets {
+            self.fleet.record_list_read(sent);
+        }
+    }
+
     fn has_holder_contact(&self) -> bool {
         let lease = self.fleet.lease(&self.fleet.zone);
         lease.is_some_and(|lease| self.holder_client.is_heard(&lease, HOLDER_SILENCE_TIMEOUT))
@@ -260,6 +268,7 @@
                     self.fleet.apply_records(self.topic, from, &batch);
                     if batch.next == batch.end {
                         self.record_config_read(sent_at);
+                        self.record_list_read(sent_at);
                         // An empty answer means that the log waited for the whole requested time.
                         let waited = if batch.records.is_empty() {
                             wait
--- a/crates/daemon/src/direct/fleet.rs
+++ b/crates/daemon/src/direct/fleet.rs
@@ -145,6 +145,9 @@
     /// Topics that this VM has to read itself up to a position, because the listing of another VM
     /// left out removals.
     pub gaps: BTreeMap<FeedTopic, LogPosition>,
+    /// When the newest read was sent by which all entries of the target list are known, by this VM or by another one that
+    /// forwards them.
+    pub(super) list_read_at: Option<Instant>,
     /// Contact of this VM with the target list, and what other VMs report of theirs.
     pub contact: LogContact,
     /// Health of targets by the outcomes of this VM's calls.
@@ -496,6 +499,7 @@
                 known_ends: BTreeMap::new(),
                 known_since: BTreeMap::new(),
                 gaps: BTreeMap::new(),
+                list_read_at: None,
                 contact: LogContact::default(),
                 health: HealthTable::default(),
                 paths_restored_at: HashMap::new(),
--- a/crates/daemon/src/direct/folding.rs
+++ b/crates/daemon/src/direct/folding.rs
@@ -186,6 +186,10 @@
         );
         tables.health.forget(&name);
     }
+    let knowledge = tables.list_knowledge();
+    tables
+        .software
+        .record_listed(&entry.service, &entry.software, knowledge, now);
     Some(
         tables
             .catalog
--- a/crates/daemon/src/direct/message.rs
+++ b/crates/daemon/src/direct/message.rs
@@ -203,6 +203,9 @@
         /// Positions up to which the receiver knows all that the sender knows, if it made a request
         /// before.
         ends: Vec<TopicEnd>,
+        /// Age in milliseconds of the sender's view of the target list, if the receiver knows all of it from the sender.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        list_age_ms: Option<u32>,
         /// The sender's clock in microseconds, to be echoed.
         sent: u64,
         /// Echo of the receiver's last heartbeat on this link.
--- a/crates/daemon/src/direct/sharing.rs
+++ b/crates/daemon/src/direct/sharing.rs
@@ -180,8 +180,12 @@
         if let Some(peer) = self.peer.as_ref().filter(|_| self.is_same_zone) {
             (loads, self.load_sequence) = self.fleet.loads_for(peer, self.load_sequence);
         }
-        let is_complete = self.is_same_zone && self.is_up_to_date() && self.replies.is_empty();
         let now = clock::now();
+        // Read before the check for updates: an entry that comes in between is forwarded after this heartbeat.
+        let list_age_ms = self.fleet.tables().list_age_ms(now);
+        let is_complete = self.is_same_zone && self.is_up_to_date() && self.replies.is_empty();
+        let has_sent_list = self.answered_topics.contains(&FeedTopic::Targets)
+            && self.answered_topics.contains(&FeedTopic::Fleet);
         let proof = self.fleet.tables().freshness_proof(now);
         let lease_read = self
             .is_lease_read_wanted
@@ -193,6 +197,7 @@
             } else {
                 Vec::new()
             },
+            list_age_ms: list_age_ms.filter(|_| is_complete && has_sent_list),
             sent: now.0,
             echo: self.last_heartbeat.map(|(sent, arrived)| HeartbeatEcho {
                 sent,
@@ -324,6 +329,7 @@
             VmMessage::Heartbeat {
                 contact,
                 ends,
+                list_age_ms,
                 sent,
                 echo,
                 proof,
@@ -355,6 +361,9 @@
                 }
                 self.fleet.apply_contact_report(vm, contact);
                 self.fleet.apply_ends(&ends);
+                if let (Some(age_ms), Some(echo)) = (list_age_ms, echo) {
+                    self.fleet.apply_list_age(age_ms, &echo);
+                }
             }
             other => return Some(other),
         }
--- a/crates/daemon/src/direct/stream_records.rs
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -1,8 +1,8 @@
 //! What this VM, the other VMs and the platform's log know about the software versions that began streams.
 //!
 //! A gateway remembers the version of each stream that it relays. The log has one record per service with the versions
-//! that may have begun streams; a VM with a recent target list that names only one needs to know nothing else. While a
-//! service runs several versions, or the target list is not recent, gateways also send what they remember to the holders
+//! that may have begun streams; a VM with a recent target list that names only one needs to know nothing else. Whether the
+//! list is recent counts from when its read was sent, by this VM or by one that forwards all records to it. While a service runs several versions, or the target list is not recent, gateways also send what they remember to the holders
 //! of all zones, where any VM can ask for it: what they remember from before when that begins, and each further stream with
 //! its first event.
 
@@ -15,15 +15,14 @@
 };
 use hoplanding_core::{
     direct::{
-        software_history::SoftwareRecord,
+        freshness::HeartbeatEcho,
+        software_history::{ListKnowledge, SoftwareRecord, VERSION_HOLD},
         stream_origins::{StreamKey, StreamOrigin},
     },
-    ids::{AvailabilityZone, Instant, ServiceName, SoftwareVersion},
+    ids::{Instant, ServiceName, SoftwareVersion},
 };
 use std::{collections::BTreeSet, mem, time::Duration};
 
-/// Age of this VM's view of the target list up to which it shows all software versions that may have begun streams.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Origins that wait to be archived; beyond that, the oldest are not archived.
 const MAX_UNARCHIVED_ORIGINS: usize = 65_536;
 /// Maximum number of origins in one message.
@@ -63,10 +62,12 @@
             let position = self.records.position(FeedTopic::Fleet, &key);
             let is_in_era = position.is_some_and(|position| Some(position.era()) >= self.store_era);
             let lacks_versions = !is_in_era || !versions.is_subset(&stored.versions);
-            let is_due = lacks_versions || versions != stored.versions;
+            let held = self.software.held_versions(service, now);
+            let held = held.map(|(held, _)| held).unwrap_or_default();
+            let is_due = lacks_versions || versions != stored.versions || held != stored.held;
             is_due.then(|| DueSoftware {
                 service: service.clone(),
-                value: SoftwareRecord { versions },
+                value: SoftwareRecord { versions, held },
                 lacks_versions,
             })
         })
@@ -74,8 +75,7 @@
 
     /// Whether a service may have run several software versions since streams began that are still taken up.
     fn runs_several_versions(&self, service: &ServiceName, now: Instant) -> bool {
-        let sole = self.software.sole_version(service, &self.catalog, now);
-        sole.is_none()
+        self.software.is_mixed(service, &self.catalog, now)
     }
 
     /// Adds origins to those that this VM has to archive, if it holds its zone.
@@ -99,7 +99,7 @@
         now: Instant,
     ) -> Vec<StreamOrigin> {
         let is_sole_version_proven =
-            self.has_recent_list(&fleet.zone, now) && !self.runs_several_versions(service, now);
+            self.has_recent_list(now) && !self.runs_several_versions(service, now);
         if is_sole_version_proven {
             return Vec::new();
         }
@@ -110,18 +110,36 @@
         origins
     }
 
-    /// Whether this VM has a complete and recent view of the target list and of the log's records, its own or from the VMs of
-    /// its zone.
-    fn has_recent_list(&self, zone: &AvailabilityZone, now: Instant) -> bool {
+    /// Whether this VM knows every record of the target list and of the fleet up to the ends that it knows of.
+    fn is_list_complete(&self) -> bool {
         let topics = [FeedTopic::Targets, FeedTopic::Fleet];
-        let is_complete = topics
+        topics
             .iter()
-            .all(|topic| self.known_ends.contains_key(topic) && !self.gaps.contains_key(topic));
-        let newest_answer = self.contact.newest_answer(|vm| {
-            let record = self.vms.get(vm);
-            record.is_some_and(|record| record.zone == *zone)
-        });
-        is_complete && newest_answer.is_some_and(|at| now.since(at) <= MAX_LIST_AGE)
+            .all(|topic| self.known_ends.contains_key(topic) && !self.gaps.contains_key(topic))
+    }
+
+    /// Whether this VM has a complete and recent view of the target list and of the log's records, its own or from the VMs of
+    /// its zone.
+    fn has_recent_list(&self, now: Instant) -> bool {
+        let is_recent = |read_at: Instant| now.since(read_at) < VERSION_HOLD;
+        self.is_list_complete() && self.list_read_at.is_some_and(is_recent)
+    }
+
+    /// What this VM knows of the target list before a record that it is about to apply.
+    pub(super) fn list_knowledge(&self) -> ListKnowledge {
+        if self.known_ends.contains_key(&FeedTopic::Targets) {
+            let read_at = self.list_read_at.filter(|_| self.is_list_complete());
+            ListKnowledge::Whole(read_at)
+        } else {
+            ListKnowledge::None
+        }
+    }
+
+    /// Age of the proof that this VM knows the whole target list, in milliseconds, for VMs to which it has forwarded all.
+    pub(super) fn list_age_ms(&self, now: Instant) -> Option<u32> {
+        let read_at = self.list_read_at.filter(|_| self.is_list_complete())?;
+        let age = now.since(read_at).as_micros().div_ceil(1_000);
+        u32::try_from(age).ok()
     }
 
     /// Whether any service may have run several software versions lately; `None` until the topics are known.
@@ -153,14 +171,43 @@
     pub fn record_listed_software(&self) {
         let now = clock::now();
         let mut tables = self.tables();
+        let knowledge = tables.list_knowledge();
         let FleetTables {
             catalog, software, ..
         } = &mut *tables;
         for entry in catalog.iter() {
-            software.record_listed(&entry.service, &entry.software, now);
+            software.record_listed(&entry.service, &entry.software, knowledge, now);
+        }
+    }
+
+    /// Records that all entries are known which the target list held when a read was sent.
+    pub fn record_list_read(&self, sent_at: Instant) {
+        let mut tables = self.tables();
+        tables.list_read_at = tables.list_read_at.max(Some(sent_at));
+    }
+
+    /// Records the list's age at another VM that has forwarded all that it knows.
+    pub fn apply_list_age(&self, age_ms: u32, echo: &HeartbeatEcho) {
+        if let Some(read_at) = echo.time_before(age_ms) {
+            self.record_list_read(read_at);
         }
     }
 
+    /// Software versions of a service at which no stream begins yet that may be taken up, and the time until that changes.
+    #[must_use]
+    pub fn held_versions(
+        &self,
+        service: &ServiceName,
+    ) -> Option<(BTreeSet<SoftwareVersion>, Duration)> {
+        self.tables().software.held_versions(service, clock::now())
+    }
+
+    /// Whether several software versions of a service are known.
+    #[must_use]
+    pub fn is_mixed(&self, service: &ServiceName) -> bool {
+        self.tables().runs_several_versions(service, clock::now())
+    }
+
     /// Records streams that another VM relays. Those of the zone's own gateways are archived by its holder.
     pub fn record_streams(&self, origins: &[StreamOrigin], is_same_zone: bool) {
         let now = clock::now();
@@ -238,12 +285,12 @@
     }
 
     /// The version that began every stream of a service, if this VM can tell: its view of the target list and of the log's
-    /// records is complete and recent, and names no other version.
+    /// records is complete and recent, and names no other version at which a stream may have begun.
     #[must_use]
     pub fn sole_software(&self, service: &ServiceName) -> Option<SoftwareVersion> {
         let now = clock::now();
         let tables = self.tables();
-        if !tables.has_recent_list(&self.zone, now) {
+        if !tables.has_recent_list(now) {
             return None;
         }
         tables.software.sole_version(service, &tables.catalog, now)
--- a/crates/daemon/tests/direct/software_versions.rs
+++ b/crates/daemon/tests/direct/software_versions.rs
@@ -21,7 +21,7 @@
     time::{sleep, timeout},
 };
 
-const ZONES: [&str; 2] = ["hall", "yard"];
+pub const ZONES: [&str; 2] = ["hall", "yard"];
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 const LAST_EVENT: u32 = 6;
 
@@ -113,7 +113,7 @@
 
 impl VmProcess {
     /// Starts a VM in the first of the fleet's zones.
-    async fn start_in_zones(
+    pub async fn start_in_zones(
         log: &KeyedLog,
         name: &str,
         zones: &[&str],
@@ -135,7 +135,7 @@
         }
     }
 
-    fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.daemon.caller_address
     }
 }
