--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -22,6 +22,7 @@
 mod log_recorder;
 mod lost_claims;
 mod notices;
+mod odd_records;
 mod odd_statuses;
 mod overload;
 mod planned_stop;
