Test answers whose head is cut

Operators of another system reported a short or empty 200 after a target stopped inside the head of its answer. It can't happen here: no such answer on four kinds of route, through a tunnel, or from the log, cut at every few bytes of the head (all pass on the code before, too).

--- a/crates/daemon/tests/direct/main.rs
+++ b/crates/daemon/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod connections;
 mod copies;
+mod cut_heads;
 mod engine_simulator;
 mod explain;
 mod fleet;
--- a/crates/daemon/tests/direct/tunnels.rs
+++ b/crates/daemon/tests/direct/tunnels.rs
@@ -46,7 +46,7 @@
 }
 
 /// Two VMs and two targets of each service. The first VM has lost its path to them.
-struct TunnelSite {
+pub struct TunnelSite {
     log: KeyedLog,
     cuts: Arc<PathCuts>,
     cut_vm: DirectDaemon,
@@ -57,7 +57,7 @@
 }
 
 impl TunnelSite {
-    async fn start(
+    pub async fn start(
         answer: impl Fn(&RawRequest) -> RawResponse + Clone + Send + Sync + 'static,
     ) -> Self {
         let log = KeyedLog::start().await.expect("a log");
@@ -102,7 +102,7 @@
         site
     }
 
-    async fn send(&self, request: &str) -> Answer {
+    pub async fn send(&self, request: &str) -> Answer {
         send_request(self.cut_vm.caller_address, request).await
     }
 
