--- a/crates/core/src/direct/software_history.rs
+++ b/crates/core/src/direct/software_history.rs
@@ -38,8 +38,8 @@
 /// What a VM knew of the target list when it learned of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKnowledge {
-    /// Nothing: the version is part of its first list, and other VMs may use it already.
-    None,
+    /// The version is part of its first list, and other VMs may use it already.
+    Nothing,
     /// The whole list, as of a read that was sent at this time, if there was any that proves that.
     Whole(Option<Instant>),
 }
@@ -86,7 +86,7 @@
         }
         let is_first = versions.known.is_empty();
         let (is_new, unused_until) = match knowledge {
-            ListKnowledge::None => (versions.is_recorded, Instant(0)),
+            ListKnowledge::Nothing => (versions.is_recorded, Instant(0)),
             ListKnowledge::Whole(read_at) => {
                 let unused_until = read_at.map_or(Instant(0), |at| at.after(VERSION_HOLD));
                 (!is_first, unused_until)
--- a/crates/daemon/src/direct/stream_records.rs
+++ b/crates/daemon/src/direct/stream_records.rs
@@ -2,9 +2,11 @@
 //!
 //! A gateway remembers the version of each stream that it relays. The log has one record per service with the versions
 //! that may have begun streams; a VM with a recent target list that names only one needs to know nothing else. Whether the
-//! list is recent counts from when its read was sent, by this VM or by one that forwards all records to it. While a service runs several versions, or the target list is not recent, gateways also send what they remember to the holders
-//! of all zones, where any VM can ask for it: what they remember from before when that begins, and each further stream with
-//! its first event.
+//! list is recent counts from when its read was sent, by this VM or by one that forwards all records to it.
+//!
+//! While a service runs several versions, or the target list is not recent, gateways also send what they remember to the
+//! holders of all zones, where any VM can ask for it: what they remember from before when that begins, and each further
+//! stream with its first event.
 
 use crate::{
     clock,
@@ -131,7 +133,7 @@
             let read_at = self.list_read_at.filter(|_| self.is_list_complete());
             ListKnowledge::Whole(read_at)
         } else {
-            ListKnowledge::None
+            ListKnowledge::Nothing
         }
     }
 
