--- a/crates/daemon/tests/direct/odd_records.rs
+++ b/crates/daemon/tests/direct/odd_records.rs
@@ -18,6 +18,8 @@
 
 const FLEET_TOPIC: &str = "keyed.fleet";
 const OPERATOR_TOPIC: &str = "keyed.op";
+/// Engines with odd reports, as many as there are forms of them.
+const ODD_ENGINES: usize = 100;
 
 fn odd_values() -> Vec<String> {
     let mut values: Vec<String> = [
@@ -257,12 +259,11 @@
             1,
         )
     };
-    log.put(
-        "keyed.servers",
-        "odd-1",
-        Some(&extreme("slots", "4294967295")),
-    );
-    log.put("keyed.servers", "odd-2", Some(&extreme("slots", "0")));
+    for number in 0..ODD_ENGINES {
+        let slots = ["4294967295", "0"][number % 2];
+        let entry = extreme("slots", slots);
+        log.put("keyed.servers", &format!("odd-{number}"), Some(&entry));
+    }
     let mut config: Value = serde_json::from_str(&config_json(1)).expect("a configuration");
     let engine = &mut config["services"][1]["engine"];
     engine["slots"] = json!(u32::MAX);
@@ -270,14 +271,13 @@
     engine["adapter_slots"] = json!(u32::MAX);
     log.put(OPERATOR_TOPIC, "config", Some(&config.to_string()));
     let daemon = start_vm(&log, "vm-1").await;
-    wait_for("odd reports", async || {
-        let request = post_request("/plan/1", "r0", &model_headers("a1"));
-        send_request(daemon.address(), &request).await;
+    // A holder asks each engine for a report when it begins.
+    wait_for("a report of each engine", async || {
         let seen = odd.requests();
         let reports = seen
             .iter()
             .filter(|request| request.request_line().contains("report"));
-        reports.count() > 15
+        reports.count() >= ODD_ENGINES
     })
     .await;
     expect_following(&log, &daemon, 2, &sound).await;
